Fix the typed values and ports that every part is built against

Cause: the parts are built side by side and need one contract first. Change: wingquay/model (identifiers, key ranges, configuration, requests, answers) and wingquay/ports (machine shape, caller, back end, peer, store, machine directory, operator, internal events). Decision code takes events and returns actions; it does no I/O and reads no clock. Conclusion: adapters, stand-ins and machines can start from here.

--- /dev/null
+++ b/wingquay/__init__.py
@@ -0,0 +1,3 @@
+"""wingquay: a query tier that spans many shards."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/wingquay/model/__init__.py
@@ -0,0 +1,1 @@
+"""Typed values that every layer shares: identifiers, key ranges, requests, answers, configuration."""
--- /dev/null
+++ b/wingquay/model/key_range.py
@@ -0,0 +1,111 @@
+"""Half-open ranges of keys and the arithmetic that coverage is computed with.
+
+Keys are Unicode strings in code point order. An ``end`` of ``None`` means "no upper bound".
+Source: brief, "Every answer states its coverage truly".
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+SMALLEST_SUFFIX = "\0"
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRange:
+    """The keys from ``start`` (included) to ``end`` (excluded; ``None``: unbounded)."""
+
+    start: str
+    end: str | None
+
+    @staticmethod
+    def of_key(key: str) -> "KeyRange":
+        """Return the range that holds ``key`` alone."""
+        return KeyRange(key, key + SMALLEST_SUFFIX)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no key lies in the range."""
+        return self.end is not None and self.end <= self.start
+
+    def contains(self, key: str) -> bool:
+        """Whether ``key`` lies in the range."""
+        return self.start <= key and (self.end is None or key < self.end)
+
+    def intersection(self, other: "KeyRange") -> "KeyRange | None":
+        """Return the keys that lie in both ranges, or ``None`` if there are none."""
+        start = max(self.start, other.start)
+        end = _smaller_end(self.end, other.end)
+        overlap = KeyRange(start, end)
+        return None if overlap.is_empty else overlap
+
+
+EVERYTHING = KeyRange("", None)
+
+
+def _smaller_end(first: str | None, second: str | None) -> str | None:
+    if first is None:
+        return second
+    if second is None:
+        return first
+    return min(first, second)
+
+
+def _reaches(end: str | None, start: str) -> bool:
+    """Whether a range that ends at ``end`` touches or overlaps one that starts at ``start``."""
+    return end is None or start <= end
+
+
+def normalize(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
+    """Return the same keys as sorted, disjoint ranges that do not touch."""
+    merged: list[KeyRange] = []
+    ordered = sorted(
+        (key_range for key_range in ranges if not key_range.is_empty),
+        key=lambda key_range: key_range.start,
+    )
+    for key_range in ordered:
+        if merged and _reaches(merged[-1].end, key_range.start):
+            merged[-1] = KeyRange(merged[-1].start, _larger_end(merged[-1].end, key_range.end))
+        else:
+            merged.append(key_range)
+    return tuple(merged)
+
+
+def _larger_end(first: str | None, second: str | None) -> str | None:
+    if first is None or second is None:
+        return None
+    return max(first, second)
+
+
+def intersect(
+    left: Sequence[KeyRange],
+    right: Sequence[KeyRange],
+) -> tuple[KeyRange, ...]:
+    """Return the keys that lie in both collections of ranges."""
+    overlaps = (one.intersection(other) for one in left for other in right)
+    return normalize(overlap for overlap in overlaps if overlap is not None)
+
+
+def subtract(
+    wanted: Sequence[KeyRange],
+    removed: Sequence[KeyRange],
+) -> tuple[KeyRange, ...]:
+    """Return the keys of ``wanted`` that lie in none of ``removed``."""
+    remaining = list(normalize(wanted))
+    for hole in normalize(removed):
+        remaining = [piece for whole in remaining for piece in _without(whole, hole)]
+    return tuple(remaining)
+
+
+def _without(whole: KeyRange, hole: KeyRange) -> list[KeyRange]:
+    overlap = whole.intersection(hole)
+    if overlap is None:
+        return [whole]
+    pieces = [KeyRange(whole.start, overlap.start)]
+    if overlap.end is not None:
+        pieces.append(KeyRange(overlap.end, whole.end))
+    return [piece for piece in pieces if not piece.is_empty]
+
+
+def contains_key(ranges: Sequence[KeyRange], key: str) -> bool:
+    """Whether any of ``ranges`` holds ``key``."""
+    return any(key_range.contains(key) for key_range in ranges)
--- /dev/null
+++ b/wingquay/ports/machine.py
@@ -0,0 +1,97 @@
+"""The shape of all decision code: events in, actions out, no I/O, no clock.
+
+The same machines run under asyncio and under the simulator. Times are seconds on a clock that
+only moves forward and whose zero means nothing (``now``). Source: Dask distributed's
+``WorkerState`` and the design's rule 1.
+"""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+
+class Event:
+    """Something that happened; base of every event."""
+
+    __slots__ = ()
+
+
+class Action:
+    """Something to be done by the surroundings; base of every action."""
+
+    __slots__ = ()
+
+
+class Machine(Protocol):
+    """A state machine that decides."""
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in ``event`` at time ``now`` (seconds) and return what is to be done, in order."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule(Action):
+    """Hand ``event`` back at ``at_seconds``. It cannot be cancelled: stale events are ignored."""
+
+    at_seconds: float
+    event: Event
+
+
+class LogLevel:
+    """Severity of a log line."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class Log(Action):
+    """Write one log line of key=value pairs."""
+
+    message: str
+    level: str = LogLevel.INFO
+    fields: tuple[tuple[str, str | int | float], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Count(Action):
+    """Add ``amount`` to the counter ``name`` with the given labels."""
+
+    name: str
+    amount: float = 1.0
+    labels: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Observe(Action):
+    """Add ``value`` to the histogram ``name`` (the unit is the name's suffix)."""
+
+    name: str
+    value: float
+    labels: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Start(Event):
+    """The process is up; sent once, first."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested(Event):
+    """A planned stop has been asked for (SIGTERM)."""
+
+
+@dataclass(frozen=True, slots=True)
+class Exit(Action):
+    """The planned stop is over: nothing is in flight any more.
+
+    Parameters
+    ----------
+    cut_requests
+        Requests cut off because the bounded time ran out.
+    """
+
+    cut_requests: int = 0
+    notes: tuple[str, ...] = field(default=())
--- /dev/null
+++ b/wingquay/ports/peer.py
@@ -0,0 +1,271 @@
+"""The port towards other nodes: the messages between our own processes.
+
+The adapter carries them as protobuf: membership messages as datagrams (they may be lost, doubled
+or reordered), all others on one authenticated connection a pair of nodes (in order while it
+lasts; a break loses what was in transit).
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from wingquay.model.answer import HeldVersions, SubResult
+from wingquay.model.identifiers import (
+    DeploymentName,
+    NodeId,
+    ReplicaId,
+    RequestId,
+    Revision,
+    SubRequestId,
+    ZoneName,
+)
+from wingquay.model.request import SubRequest
+from wingquay.ports.machine import Action, Event
+
+
+@dataclass(frozen=True, slots=True)
+class NodeIdentity:
+    """Who a node is and where it listens for peers (IP number and port, TCP and UDP alike)."""
+
+    node_id: NodeId
+    deployment: DeploymentName
+    zone: ZoneName
+    host: str
+    port: int
+
+
+class NodeState(Enum):
+    """What is believed of a node."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@dataclass(frozen=True, slots=True)
+class NodeUpdate:
+    """A belief about a node, as spread by gossip; a greater incarnation overrides."""
+
+    identity: NodeIdentity
+    state: NodeState
+    incarnation: int
+
+
+class ReplicaState(Enum):
+    """What is believed of a replica."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaUpdate:
+    """A belief about a replica, spread by its owners; a greater ``version`` overrides."""
+
+    replica_id: ReplicaId
+    state: ReplicaState
+    version: int
+    held: HeldVersions | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """Beliefs that ride on membership messages."""
+
+    configuration_revision: Revision
+    node_updates: tuple[NodeUpdate, ...] = ()
+    replica_updates: tuple[ReplicaUpdate, ...] = ()
+
+
+class PeerMessage:
+    """Base of every message between nodes."""
+
+    __slots__ = ()
+
+
+class MembershipMessage(PeerMessage):
+    """Base of the messages that travel as datagrams."""
+
+    __slots__ = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Ping(MembershipMessage):
+    """Direct probe. Source: SWIM (Das, Gupta, Motivala, 2002), section 3."""
+
+    sequence: int
+    gossip: Gossip
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledgement(MembershipMessage):
+    """The answer to a probe, direct or on behalf of ``subject``."""
+
+    sequence: int
+    subject: NodeId
+    gossip: Gossip
+
+
+@dataclass(frozen=True, slots=True)
+class PingRequest(MembershipMessage):
+    """Indirect probe: "probe ``subject`` for me"."""
+
+    sequence: int
+    subject: NodeIdentity
+    gossip: Gossip
+
+
+@dataclass(frozen=True, slots=True)
+class NodeListRequest(PeerMessage):
+    """Ask for the whole membership and the configuration revision, when joining."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeList(PeerMessage):
+    """The whole membership as the sender believes it."""
+
+    gossip: Gossip
+
+
+@dataclass(frozen=True, slots=True)
+class SubRequestBatch(PeerMessage):
+    """Sub-requests for shards that the receiver owns."""
+
+    sub_requests: tuple[SubRequest, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SubResultBatch(PeerMessage):
+    """Results of sub-requests that the receiver asked for."""
+
+    results: tuple[SubResult, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CancelSubRequests(PeerMessage):
+    """The receiver may drop these sub-requests: nobody waits for them any more."""
+
+    sub_request_ids: tuple[SubRequestId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationFetch(PeerMessage):
+    """Ask for the configuration if the receiver has one newer than ``known_revision``."""
+
+    known_revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationBody(PeerMessage):
+    """A confirmed configuration (``body`` is its JSON)."""
+
+    revision: Revision
+    body: bytes
+
+
+class VoteKind(Enum):
+    """A claim voter's answer."""
+
+    GRANTED = "granted"
+    """The voter had never heard of the key and now remembers this claim."""
+    ALREADY_CLAIMED = "already_claimed"
+    """Another submission holds the claim; ``outcome`` says what came of it, if known."""
+    CANNOT_VOUCH = "cannot_vouch"
+    """The voter's memory is incomplete, or it does not hold the zone's seat."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRequest(PeerMessage):
+    """Ask the receiver, which holds its zone's seat for the key, to remember a claim.
+
+    Parameters
+    ----------
+    claim_key
+        Digest of caller, service and idempotency key.
+    request_digest
+        Digest of the request's content, so that a key used for another request is noticed.
+    """
+
+    claim_key: str
+    request_digest: str
+    request_id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimVote(PeerMessage):
+    """A voter's answer. ``outcome`` is the stored answer as bytes (adapter-neutral JSON)."""
+
+    claim_key: str
+    request_id: RequestId
+    vote: VoteKind
+    holder_request_id: RequestId | None
+    holder_request_digest: str
+    outcome: bytes | None
+    seat_epochs: tuple[tuple[ZoneName, NodeId, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimOutcome(PeerMessage):
+    """What came of a claimed request, for its voters to remember.
+
+    ``outcome`` of ``None`` releases the claim: the request certainly did not run.
+    """
+
+    claim_key: str
+    request_id: RequestId
+    outcome: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRecord:
+    """One remembered claim; ``age_seconds`` since it was granted."""
+
+    claim_key: str
+    request_id: RequestId
+    request_digest: str
+    outcome: bytes | None
+    age_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimTableRequest(PeerMessage):
+    """A new seat holder asks another zone's holder for its claims in ``partition``."""
+
+    partition: int
+    zone: ZoneName
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimTable(PeerMessage):
+    """The claims of a partition; ``complete`` only if the sender can vouch for them."""
+
+    partition: int
+    complete: bool
+    records: tuple[ClaimRecord, ...]
+    handover: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SendToPeer(Action):
+    """Send ``message`` to a node; to oneself it is handled at once without the network."""
+
+    to: NodeIdentity
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReceived(Event):
+    """A message came from an authenticated peer."""
+
+    sender: NodeIdentity
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLinkBroken(Event):
+    """The connection to a node broke or could not be made; sent messages may be lost."""
+
+    node_id: NodeId
+    reason: str
--- /dev/null
+++ b/wingquay/ports/store.py
@@ -0,0 +1,153 @@
+"""The port towards the platform's key-value service: compare-and-swap, leases, watches."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from wingquay.model.failure import Failure
+from wingquay.ports.machine import Action, Event
+
+
+class StoreFailureKind(Enum):
+    """Why an operation brought no result."""
+
+    UNREACHABLE = "unreachable"
+    """Nothing was sent: the operation did not take effect."""
+    LOST_REPLY = "lost_reply"
+    """It was sent and no reply came: it may have taken effect."""
+    RATE_LIMITED = "rate_limited"
+    """The service refused it; it did not take effect."""
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class StoredValue:
+    """A key's value; ``modified_at`` is the store's revision of the write, usable as a fence."""
+
+    key: str
+    value: bytes
+    modified_at: int
+    lease_id: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    """Read one key, or all keys with that prefix."""
+
+    key: str
+    prefix: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CompareAndSwap:
+    """Write ``value`` if the key was last modified at ``expected_modified_at`` (0: absent).
+
+    A ``value`` of ``None`` deletes the key.
+    """
+
+    key: str
+    expected_modified_at: int
+    value: bytes | None
+    lease_id: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class GrantLease:
+    """Ask for a lease; keys written with it vanish when it lapses."""
+
+    time_to_live_seconds: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeepLeaseAlive:
+    """Renew a lease; ``LeaseState.time_to_live_seconds`` of 0 means that it has lapsed."""
+
+    lease_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class RevokeLease:
+    """End a lease and delete its keys."""
+
+    lease_id: int
+
+
+StoreOperation = Read | CompareAndSwap | GrantLease | KeepLeaseAlive | RevokeLease
+
+
+@dataclass(frozen=True, slots=True)
+class ReadResult:
+    """What was read; ``store_revision`` is the store's revision at the read."""
+
+    values: tuple[StoredValue, ...]
+    store_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class SwapResult:
+    """Whether the swap took effect; ``current`` is the present value when it did not."""
+
+    succeeded: bool
+    store_revision: int
+    current: StoredValue | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseState:
+    """A lease and how long it lasts from now."""
+
+    lease_id: int
+    time_to_live_seconds: float
+
+
+StoreResult = ReadResult | SwapResult | LeaseState
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRequest(Action):
+    """Perform ``operation``; a ``StoreResponse`` with the same id follows exactly once."""
+
+    operation_id: str
+    operation: StoreOperation
+    timeout_seconds: float = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class StoreResponse(Event):
+    """The result of an operation."""
+
+    operation_id: str
+    result: StoreResult | Failure[StoreFailureKind]
+
+
+@dataclass(frozen=True, slots=True)
+class StartWatch(Action):
+    """Watch the keys with prefix ``key`` from ``from_store_revision`` on."""
+
+    watch_id: str
+    key: str
+    from_store_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopWatch(Action):
+    """End a watch; no further events of it follow."""
+
+    watch_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class WatchChanged(Event):
+    """Watched keys changed; ``value`` of ``None`` in ``deleted`` keys. May skip or repeat."""
+
+    watch_id: str
+    changed: tuple[StoredValue, ...]
+    deleted: tuple[str, ...]
+    store_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchBroken(Event):
+    """The watch ended; changes since its last event may have been missed."""
+
+    watch_id: str
+    reason: str
