--- a/wingquay/model/answer.py
+++ b/wingquay/model/answer.py
@@ -124,6 +124,11 @@
     held
         Versions held by the shard's replicas as far as the owner knows, so that the coordinator
         can pin a better snapshot next time.
+    replica_id
+        The replica that answered, or the last one tried; empty if none was.
+    class_delay_seconds
+        Time that a sub-request of the same class would wait at the owner if it came now, so that
+        coordinators refuse whole requests before any part of them runs.
     """
 
     sub_request_id: SubRequestId
@@ -134,3 +139,5 @@
     queue_seconds: float = 0.0
     service_seconds: float = 0.0
     held: tuple[HeldVersions, ...] = ()
+    replica_id: str = ""
+    class_delay_seconds: float = 0.0
