--- /dev/null
+++ b/tests/test_log_and_metrics.py
@@ -0,0 +1,62 @@
+"""Log lines and the metrics page."""
+
+import io
+
+import testtools
+from testtools.matchers import Contains
+
+from wingquay.adapters.log_writer import LogWriter, format_line, write_logs_to
+from wingquay.adapters.metrics import Metrics
+from wingquay.ports.machine import Count, Log, LogLevel, Observe
+
+
+class LogWriterTest(testtools.TestCase):
+    def test_line_carries_time_level_event_and_quotes_spaces(self) -> None:
+        line = format_line(
+            {
+                "timestamp": 0.0,
+                "message_type": "request_answered",
+                "level": "info",
+                "task_uuid": "hidden",
+                "request_id": "n1-7",
+                "reason": 'two words and "quotes"',
+                "seconds": 0.25,
+            }
+        )
+        self.assertEqual(
+            "time=1970-01-01T00:00:00.000Z level=info event=request_answered request_id=n1-7 "
+            'reason="two words and \\"quotes\\"" seconds=0.25',
+            line,
+        )
+
+    def test_value_cannot_break_out_of_its_line(self) -> None:
+        line = format_line({"message_type": "x", "value": "a\nlevel=error", "empty": ""})
+        self.assertEqual(1, len(line.splitlines()))
+        self.assertThat(line, Contains('value="a\\nlevel=error" empty=""'))
+
+    def test_lines_below_the_level_are_left_out(self) -> None:
+        stream = io.StringIO()
+        end = write_logs_to(stream, LogLevel.WARNING)
+        self.addCleanup(end)
+        writer = LogWriter({"node": "n1"})
+        writer.perform(Log("quiet"))
+        writer.perform(Log("loud", LogLevel.ERROR, (("request_id", "r1"),)))
+        lines = stream.getvalue().splitlines()
+        self.assertEqual(1, len(lines))
+        self.assertThat(lines[0], Contains("level=error event=loud node=n1 request_id=r1"))
+
+
+class MetricsTest(testtools.TestCase):
+    def test_page_has_counters_and_histograms(self) -> None:
+        metrics = Metrics()
+        metrics.count(Count("answers_total", 2, (("outcome", "complete"),)))
+        metrics.observe(Observe("answer_seconds", 0.3))
+        page = metrics.page().decode()
+        self.assertThat(page, Contains('wingquay_answers_total{outcome="complete"} 2.0'))
+        self.assertThat(page, Contains('wingquay_answer_seconds_bucket{le="0.5"} 1.0'))
+
+    def test_labels_that_do_not_fit_are_dropped_and_counted(self) -> None:
+        metrics = Metrics()
+        metrics.count(Count("answers_total", 1, (("outcome", "complete"),)))
+        metrics.count(Count("answers_total", 1, (("zone", "dej"),)))
+        self.assertEqual(1.0, metrics.value("metrics_dropped_total"))
