Model back ends without I/O for the simulator and the stand-ins

Ruled out: a machine with Event/Action types of its own; the simulator and the stand-in both only need arrive, cancel, advance and the time of the next event. Stragglers from one shared random source: policies that draw more often would meet other stragglers, so fates come from a hash of seed, replica and execution index.

Change: BackendModel, its data set, an execution ledger for oracles. Writes take effect when work begins, so a cancelled write counts as run.

Conclusion: one model serves both; the wire format stays outside.

--- /dev/null
+++ b/tests/models/test_backend_model.py
@@ -0,0 +1,200 @@
+"""The back-end model on virtual time."""
+
+import random
+
+from testtools import TestCase
+
+from wingquay.model.identifiers import AttemptId, ReplicaId, RequestKindName, ServiceName, ShardId
+from wingquay.model.identifiers import SnapshotVersion as Version
+from wingquay.model.key_range import EVERYTHING, KeyRange
+from wingquay.ports.backend import BackendFailureKind, LoadReport
+from wingquay.rehearsal.models.backend_messages import BackendExchange, BackendReply, ReplyKind
+from wingquay.rehearsal.models.backend_model import BackendModel
+from wingquay.rehearsal.models.backend_settings import BackendSettings
+from wingquay.rehearsal.models.dataset import Dataset
+from wingquay.rehearsal.models.service_time import ServiceTimeSettings, draw_fate
+
+SERVICE = ServiceName("coverage-lookup")
+SHARD = ShardId("coverage-0")
+REPLICA = ReplicaId("coverage-0-a")
+STEADY = ServiceTimeSettings(median_seconds=0.01, sigma=0.0, straggler_share=0.0)
+DATASET = Dataset(key_count=20)
+
+
+def model(**changes: object) -> BackendModel:
+    defaults: dict[str, object] = {
+        "slots": 1,
+        "queue_limit": 1,
+        "service_time": STEADY,
+        "report_delay_seconds": 0.0,
+    }
+    settings = BackendSettings(REPLICA, SERVICE, SHARD, **{**defaults, **changes})  # type: ignore[arg-type]
+    return BackendModel(settings, random.Random(7), DATASET)
+
+
+def exchange(name: str, **changes: object) -> BackendExchange:
+    fields: dict[str, object] = {
+        "attempt_id": AttemptId(name),
+        "service": SERVICE,
+        "shard_id": SHARD,
+        "kind": RequestKindName("tower-sweep"),
+        "key_ranges": (EVERYTHING,),
+        "snapshot": Version(1),
+        "remaining_seconds": 10.0,
+    }
+    return BackendExchange(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def kinds(replies: list[BackendReply]) -> list[tuple[str, ReplyKind, bool]]:
+    return [(reply.attempt_id, reply.kind, reply.not_run) for reply in replies]
+
+
+class QueueTest(TestCase):
+    def test_slots_queue_then_shed(self) -> None:
+        backend = model()
+        for name in ("first", "second", "third"):
+            backend.arrive(exchange(name), 0.0)
+        self.assertEqual([("third", ReplyKind.SHED, True)], kinds(backend.advance(0.0)))
+        self.assertEqual(0.01, backend.next_event_at())
+        done = backend.advance(1.0)
+        self.assertEqual(["first", "second"], [reply.attempt_id for reply in done])
+        self.assertEqual(2, backend.ledger.execution_count)
+        self.assertFalse(backend.ledger.has_run(AttemptId("third")))
+        self.assertIsNone(backend.next_event_at())
+
+    def test_a_cancellation_frees_the_slot_and_spares_waiting_work(self) -> None:
+        backend = model(queue_limit=2)
+        for name in ("running", "waiting", "last"):
+            backend.arrive(exchange(name), 0.0)
+        backend.cancel(AttemptId("running"), 0.002)
+        backend.cancel(AttemptId("waiting"), 0.002)
+        self.assertEqual(0.003, backend.next_event_at())
+        self.assertEqual(["last"], [reply.attempt_id for reply in backend.advance(0.02)])
+        self.assertFalse(backend.ledger.has_run(AttemptId("waiting")))
+        self.assertAlmostEqual(0.013, backend.ledger.busy_seconds)
+
+    def test_a_deadline_that_passes_in_the_queue_is_not_run(self) -> None:
+        backend = model()
+        backend.arrive(exchange("slow", remaining_seconds=0.005), 0.0)
+        backend.arrive(exchange("late", remaining_seconds=0.004), 0.0)
+        expected = [
+            ("slow", ReplyKind.DEADLINE_PASSED, False),
+            ("late", ReplyKind.DEADLINE_PASSED, True),
+        ]
+        replies = backend.advance(1.0)
+        self.assertEqual(expected, kinds(replies))
+        results = [reply.to_attempt_finished(REPLICA).result for reply in replies]
+        self.assertEqual(
+            [BackendFailureKind.TIMED_OUT, BackendFailureKind.SHED],
+            [result.kind for result in results],  # type: ignore[union-attr]
+        )
+
+    def test_drain_finishes_what_is_in_flight_and_refuses_the_rest(self) -> None:
+        backend = model()
+        backend.arrive(exchange("running"), 0.0)
+        backend.arrive(exchange("waiting"), 0.0)
+        backend.drain(0.001)
+        backend.arrive(exchange("new"), 0.002)
+        self.assertEqual([("new", ReplyKind.DRAINING, True)], kinds(backend.advance(0.002)))
+        self.assertEqual(2, len(backend.advance(1.0)))
+        self.assertEqual([0.002], backend.arrivals_while_draining)
+        self.assertTrue(backend.report(1.0).draining)
+
+    def test_connections_are_limited(self) -> None:
+        backend = model(connection_limit=1)
+        self.assertEqual([True, False], [backend.open_connection() for _ in range(2)])
+        backend.close_connection()
+        self.assertTrue(backend.open_connection())
+
+
+class IndexTest(TestCase):
+    def test_only_held_versions_are_answered_and_from_one_version(self) -> None:
+        backend = model(slots=3)
+        backend.install_version(Version(2), 0.0)
+        backend.drop_version(Version(1), 0.0)
+        backend.arrive(exchange("old"), 0.0)
+        backend.arrive(exchange("new", snapshot=Version(2)), 0.0)
+        refused, answered = backend.advance(1.0)
+        self.assertEqual((ReplyKind.NOT_HELD, 2, 2), (refused.kind, refused.oldest, refused.newest))
+        truth = DATASET.rows_for(SERVICE, EVERYTHING, Version(2))
+        self.assertEqual((Version(2), truth), (answered.snapshot, answered.rows))
+        self.assertNotEqual(truth, DATASET.rows_for(SERVICE, EVERYTHING, Version(1)))
+
+    def test_a_version_dropped_while_work_waits_is_not_answered(self) -> None:
+        backend = model()
+        backend.arrive(exchange("running"), 0.0)
+        backend.arrive(exchange("waiting"), 0.0)
+        backend.install_version(Version(2), 0.001)
+        backend.drop_version(Version(1), 0.001)
+        replies = backend.advance(1.0)
+        self.assertEqual([ReplyKind.ANSWERED, ReplyKind.NOT_HELD], [r.kind for r in replies])
+
+    def test_coverage_is_what_is_held_of_what_was_asked(self) -> None:
+        backend = model(slots=9)
+        backend.serve_shard(SHARD, KeyRange("village-0005", "village-0010"), 0.0)
+        asked = (KeyRange("village-0000", "village-0007"),)
+        backend.arrive(exchange("part", key_ranges=asked), 0.0)
+        backend.arrive(exchange("elsewhere", key_ranges=(KeyRange("x", None),)), 0.0)
+        backend.arrive(exchange("write", key_ranges=asked, snapshot=None), 0.0)
+        replies = {reply.attempt_id: reply for reply in backend.advance(1.0)}
+        part = replies[AttemptId("part")]
+        self.assertEqual((KeyRange("village-0005", "village-0007"),), part.covered)
+        self.assertEqual({"village-0005", "village-0006"}, {row.key for row in part.rows})
+        for name in ("elsewhere", "write"):
+            self.assertEqual(ReplyKind.WRONG_SHARD, replies[AttemptId(name)].kind)
+        self.assertEqual([], backend.ledger.writes)
+
+    def test_writes_are_recorded_once_for_each_execution(self) -> None:
+        backend = model(slots=2)
+        backend.fail_next(1)
+        for name in ("first", "second"):
+            backend.arrive(exchange(name, snapshot=None, body="edit-1"), 0.0)
+        self.assertEqual(
+            [ReplyKind.ERROR, ReplyKind.ANSWERED], [r.kind for r in backend.advance(1)]
+        )
+        self.assertEqual(2, backend.ledger.executions_by_body["edit-1"])
+        self.assertEqual(["first", "second"], [w.attempt_id for w in backend.ledger.writes])
+
+    def test_a_restart_loses_work_and_versions_and_starts_cold(self) -> None:
+        backend = model(newest_version=Version(3), warm_up_seconds=1.0, cold_factor=5.0)
+        backend.arrive(exchange("lost"), 10.0)
+        backend.restart(Version(1), Version(2), 10.001)
+        self.assertEqual((1, 2), backend.held_versions)
+        backend.arrive(exchange("next"), 10.001)
+        self.assertAlmostEqual(10.051, backend.next_event_at() or 0.0)
+        self.assertTrue(backend.report(10.01).cold)
+        self.assertEqual(["next"], [reply.attempt_id for reply in backend.advance(11.0)])
+
+
+class SlownessTest(TestCase):
+    def test_one_seed_gives_the_same_fates(self) -> None:
+        settings = ServiceTimeSettings(straggler_share=0.1)
+        kind = RequestKindName("outage-ping")
+
+        def fates(seed: int) -> list[object]:
+            return [draw_fate(settings, seed, REPLICA, index, kind) for index in range(2000)]
+
+        self.assertEqual(fates(1), fates(1))
+        self.assertNotEqual(fates(1), fates(2))
+        stragglers = sum(fate.is_straggler for fate in fates(1))  # type: ignore[attr-defined]
+        self.assertTrue(150 < stragglers < 250, stragglers)
+
+    def test_slowed_and_paused_replicas_finish_later(self) -> None:
+        backend = model(slots=2)
+        backend.slow_down(3.0, until=1.0, now=0.0)
+        backend.arrive(exchange("slow"), 0.0)
+        self.assertAlmostEqual(0.03, backend.next_event_at() or 0.0)
+        backend.pause(until=5.0, now=0.01)
+        backend.arrive(exchange("after"), 2.0)
+        self.assertEqual([], backend.advance(5.0))
+        self.assertEqual(["after", "slow"], [reply.attempt_id for reply in backend.advance(5.1)])
+
+    def test_reports_lag_and_lie(self) -> None:
+        backend = model(report_delay_seconds=0.5)
+        backend.arrive(exchange("one"), 1.0)
+        self.assertEqual(0.0, backend.report(1.001).utilization)
+        backend.drain(1.002)
+        self.assertFalse(backend.report(1.4).draining)
+        self.assertTrue(backend.report(1.6).draining)
+        backend.lie_about_load(LoadReport(utilization=0.1))
+        self.assertEqual(LoadReport(0.1, False, False, Version(1), Version(1)), backend.report(9.0))
--- /dev/null
+++ b/wingquay/rehearsal/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic rehearsal: virtual clock, models of the surroundings, faults, oracle."""
