Let claim messages carry rounds, zones and seat epochs

Cause: the messages named seat epochs but could not say which round of a submission a vote or release belongs to, which list of zones decides, or which epoch the voter itself has; a late release could then undo a newer grant. Ruled out: acknowledging releases instead of numbering rounds (one more message for each voter, and a delayed copy still undoes a newer grant). Change: round numbers, zones, epochs; seats are offered and then fetched, so that a late copy of a handover is never taken; tables travel in pieces.

--- a/wingquay/ports/peer.py
+++ b/wingquay/ports/peer.py
@@ -168,11 +168,19 @@
     """A claim voter's answer."""
 
     GRANTED = "granted"
-    """The voter had never heard of the key and now remembers this claim."""
+    """The voter knows of no other submission and now remembers this claim."""
     ALREADY_CLAIMED = "already_claimed"
     """Another submission holds the claim; ``outcome`` says what came of it, if known."""
     CANNOT_VOUCH = "cannot_vouch"
-    """The voter's memory is incomplete, or it does not hold the zone's seat."""
+    """The voter's memory is incomplete or full, or it does not hold the zone's seat."""
+
+
+@dataclass(frozen=True, slots=True)
+class SeatEpoch:
+    """How often the seat of ``zone`` was taken over without the memory of its last holder."""
+
+    zone: ZoneName
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,35 +193,63 @@
         Digest of caller, service and idempotency key.
     request_digest
         Digest of the request's content, so that a key used for another request is noticed.
+    round_number
+        Counts the times that the submission asked anew after it gave its grants back; grants
+        and releases of other rounds do not mix.
+    zones
+        The zones whose majority decides, as the sender knows them; a voter of another list of
+        zones does not grant.
+    seat_epochs
+        The newest epochs of the partition that the sender has heard of.
     """
 
     claim_key: str
     request_digest: str
     request_id: RequestId
+    round_number: int
+    zones: tuple[ZoneName, ...]
+    seat_epochs: tuple[SeatEpoch, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimVote(PeerMessage):
-    """A voter's answer. ``outcome`` is the stored answer as bytes (adapter-neutral JSON)."""
+    """A voter's answer to the ``ClaimRequest`` with the same request id and round.
+
+    Parameters
+    ----------
+    epoch
+        The epoch of the voter's own seat; 0 when it has none.
+    holder_request_id, holder_request_digest, outcome
+        Of the submission that holds the claim, when ``vote`` is ``ALREADY_CLAIMED``;
+        ``outcome`` is the stored answer (bytes that only the query machine reads).
+    seat_epochs
+        The newest epochs of the partition that the voter had heard of when it voted: a grant
+        from an older epoch of one of these zones does not count.
+    """
 
     claim_key: str
     request_id: RequestId
+    round_number: int
     vote: VoteKind
-    holder_request_id: RequestId | None
-    holder_request_digest: str
-    outcome: bytes | None
-    seat_epochs: tuple[tuple[ZoneName, NodeId, int], ...]
+    epoch: int
+    holder_request_id: RequestId | None = None
+    holder_request_digest: str = ""
+    outcome: bytes | None = None
+    seat_epochs: tuple[SeatEpoch, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimOutcome(PeerMessage):
     """What came of a claimed request, for its voters to remember.
 
-    ``outcome`` of ``None`` releases the claim: the request certainly did not run.
+    ``outcome`` of ``None`` releases the claim of this round and of earlier ones: the request
+    certainly did not run and will not run with them.
     """
 
     claim_key: str
+    request_digest: str
     request_id: RequestId
+    round_number: int
     outcome: bytes | None
 
 
@@ -224,27 +260,69 @@
     claim_key: str
     request_id: RequestId
     request_digest: str
+    round_number: int
     outcome: bytes | None
     age_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimSeatOffer(PeerMessage):
+    """The sender holds seats that it believes to be the receiver's: "ask me for them"."""
+
+    offer_id: str
+    partitions: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimTableRequest(PeerMessage):
-    """A new seat holder asks another zone's holder for its claims in ``partition``."""
+    """Ask for the claims of a partition, to rebuild a seat or to take it over from its holder.
+
+    Parameters
+    ----------
+    transfer_id
+        Names this request; the table carries it back.
+    offer_id
+        The ``ClaimSeatOffer`` that is accepted: the receiver hands its seat over and votes no
+        more. ``None``: the table is asked for by another zone's new holder.
+    zones, seat_epochs
+        As in ``ClaimRequest``; with the sender's own new epoch when it rebuilds.
+    """
 
     partition: int
-    zone: ZoneName
-    epoch: int
+    transfer_id: str
+    offer_id: str | None
+    zones: tuple[ZoneName, ...]
+    seat_epochs: tuple[SeatEpoch, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimTable(PeerMessage):
-    """The claims of a partition; ``complete`` only if the sender can vouch for them."""
+    """A piece of the claims of a partition, as they all were at one moment.
+
+    Parameters
+    ----------
+    complete
+        Whether the sender vouches for its memory.
+    handed_over
+        Whether the seat itself passes to the receiver.
+    epoch, seat_epochs
+        The epoch of the sender's seat, and the newest epochs that it has heard of.
+    confirmed_age_seconds
+        Time since the sender's epoch was last confirmed by the platform's store.
+    piece, pieces
+        This piece's number from 0, and how many there are.
+    """
 
     partition: int
+    transfer_id: str
     complete: bool
+    handed_over: bool
+    epoch: int
+    seat_epochs: tuple[SeatEpoch, ...]
+    confirmed_age_seconds: float
     records: tuple[ClaimRecord, ...]
-    handover: bool = False
+    piece: int = 0
+    pieces: int = 1
 
 
 @dataclass(frozen=True, slots=True)
