--- a/wingquay/adapters/peer_codec.py
+++ b/wingquay/adapters/peer_codec.py
@@ -6,7 +6,8 @@
 
 from google.protobuf.message import DecodeError
 
-from wingquay.adapters import peer_codec_control as control
+from wingquay.adapters import peer_codec_claims as claims
+from wingquay.adapters import peer_codec_configuration as configuration
 from wingquay.adapters import peer_codec_membership as membership
 from wingquay.adapters import peer_codec_query as query
 from wingquay.adapters.peer_codec_error import PeerCodecFailureKind
@@ -53,27 +54,26 @@
     ),
     peer.ConfigurationFetch: _Codec(
         "configuration_fetch",
-        control.put_configuration_fetch,
-        control.configuration_fetch_from,
+        configuration.put_configuration_fetch,
+        configuration.configuration_fetch_from,
     ),
     peer.ConfigurationBody: _Codec(
         "configuration_body",
-        control.put_configuration_body,
-        control.configuration_body_from,
+        configuration.put_configuration_body,
+        configuration.configuration_body_from,
     ),
-    peer.ClaimRequest: _Codec(
-        "claim_request", control.put_claim_request, control.claim_request_from
-    ),
-    peer.ClaimVote: _Codec("claim_vote", control.put_claim_vote, control.claim_vote_from),
-    peer.ClaimOutcome: _Codec(
-        "claim_outcome", control.put_claim_outcome, control.claim_outcome_from
+    peer.ClaimRequest: _Codec("claim_request", claims.put_claim_request, claims.claim_request_from),
+    peer.ClaimVote: _Codec("claim_vote", claims.put_claim_vote, claims.claim_vote_from),
+    peer.ClaimOutcome: _Codec("claim_outcome", claims.put_claim_outcome, claims.claim_outcome_from),
+    peer.ClaimSeatOffer: _Codec(
+        "claim_seat_offer", claims.put_claim_seat_offer, claims.claim_seat_offer_from
     ),
     peer.ClaimTableRequest: _Codec(
         "claim_table_request",
-        control.put_claim_table_request,
-        control.claim_table_request_from,
+        claims.put_claim_table_request,
+        claims.claim_table_request_from,
     ),
-    peer.ClaimTable: _Codec("claim_table", control.put_claim_table, control.claim_table_from),
+    peer.ClaimTable: _Codec("claim_table", claims.put_claim_table, claims.claim_table_from),
 }
 _CODECS_BY_FIELD = {codec.field: codec for codec in _CODECS.values()}
 
