--- a/wingquay/adapters/log_writer.py
+++ b/wingquay/adapters/log_writer.py
@@ -9,7 +9,7 @@
 from datetime import UTC, datetime
 from typing import TextIO
 
-import eliot  # type: ignore[import-untyped]
+import eliot
 
 from wingquay.ports.machine import Log, LogLevel
 
