--- /dev/null
+++ b/tests/configuration/test_document.py
@@ -0,0 +1,94 @@
+"""The stored document: schema versions, packing, malformed bytes."""
+
+import json
+
+from testtools import TestCase
+
+from tests.configuration.examples import CONFIGURATION, document, with_extra_keys
+from wingquay.configuration import document as document_module
+from wingquay.configuration.document import (
+    AUDIT_RECORDS_KEPT,
+    AuditRecord,
+    DocumentFailureKind,
+    next_document,
+    pack_body,
+    parse_document,
+    unpack_body,
+)
+from wingquay.model.failure import Failure
+from wingquay.model.identifiers import OperatorName, Revision
+
+
+def record(revision: int) -> AuditRecord:
+    """Return a record of a confirm that made ``revision``."""
+    return AuditRecord(
+        revision=Revision(revision),
+        confirm_id=f"confirm-{revision}",
+        base_revision=Revision(revision - 1),
+        proposed_by=OperatorName("ana"),
+        confirmed_by=OperatorName("ana"),
+        confirmed_unix_seconds=1.0,
+    )
+
+
+class DocumentTest(TestCase):
+    """``ConfigurationDocument``."""
+
+    def test_what_is_written_reads_back_the_same(self) -> None:
+        written = document()
+        self.assertEqual(written, parse_document(written.body))
+
+    def test_an_older_writer_keeps_what_it_does_not_know(self) -> None:
+        newer = with_extra_keys(document())
+        rewritten = next_document(newer, CONFIGURATION, record(2))
+        assert not isinstance(rewritten, Failure)
+        raw = rewritten.raw()
+        self.assertEqual([{"name": "q1"}], raw["quotas"])
+        self.assertEqual("on", raw["services"][0]["cache"])
+        replicas = raw["services"][0]["shards"][0]["replicas"]
+        self.assertEqual(3, replicas[1]["weight"])
+        self.assertNotIn("weight", replicas[0])
+        self.assertEqual(2, raw["schema_version"])
+        self.assertEqual(2, raw["revision"])
+
+    def test_unknown_keys_follow_their_entry_when_entries_move(self) -> None:
+        newer = with_extra_keys(document())
+        service = CONFIGURATION.services[0]
+        turned = service.model_copy(update={"shards": tuple(reversed(service.shards))})
+        configuration = CONFIGURATION.model_copy(update={"services": (turned,)})
+        rewritten = next_document(newer, configuration, record(2))
+        assert not isinstance(rewritten, Failure)
+        shards = rewritten.raw()["services"][0]["shards"]
+        self.assertEqual(3, shards[1]["replicas"][1]["weight"])
+
+    def test_a_document_may_demand_a_newer_writer(self) -> None:
+        raw = document().raw()
+        raw["oldest_writer"] = 2
+        demanding = parse_document(json.dumps(raw).encode())
+        assert not isinstance(demanding, Failure)
+        refused = next_document(demanding, CONFIGURATION, record(2))
+        assert isinstance(refused, Failure)
+        self.assertEqual(DocumentFailureKind.NEWER_WRITER_NEEDED, refused.kind)
+
+    def test_audit_records_are_bounded_and_the_newest_are_kept(self) -> None:
+        current = document()
+        for revision in range(2, AUDIT_RECORDS_KEPT + 12):
+            following = next_document(current, CONFIGURATION, record(revision))
+            assert not isinstance(following, Failure)
+            current = following
+        self.assertEqual(AUDIT_RECORDS_KEPT, len(current.audit))
+        self.assertEqual(AUDIT_RECORDS_KEPT, len(current.raw()["audit"]))
+        self.assertEqual(current.revision, current.audit[-1].revision)
+
+    def test_malformed_documents_are_refused_whole(self) -> None:
+        for body in (b"", b"[]", b"{", b'{"revision": "x"}', b'{"audit": [1]}', b"\xff"):
+            self.assertIsInstance(parse_document(body), Failure)
+
+    def test_packing_is_undone_and_cut_or_huge_bodies_are_refused(self) -> None:
+        body = document().body
+        packed = pack_body(body)
+        self.assertEqual(body, unpack_body(packed))
+        self.assertIsInstance(unpack_body(packed[:-3]), Failure)
+        self.assertIsInstance(unpack_body(b"nothing"), Failure)
+        self.patch(document_module, "MAXIMUM_BODY_BYTES", len(body) - 1)
+        self.assertIsInstance(unpack_body(packed), Failure)
--- /dev/null
+++ b/wingquay/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: intents, plans, confirms, revisions and their dissemination."""
--- /dev/null
+++ b/wingquay/configuration/diff.py
@@ -0,0 +1,99 @@
+"""Readable differences between two configuration documents.
+
+Every key that differs has its place in a line, also keys that this version does not know: a
+plan is rebased only if its diff stays the same, so nothing may be left out. The order of list
+entries carries no meaning and is not compared.
+"""
+
+import hashlib
+import json
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from wingquay.configuration.document import ConfigurationDocument, Json, entry_identity
+from wingquay.model.plan import ClassEffect
+
+_NOT_COMPARED = frozenset({"revision", "confirm_id", "audit", "schema_version", "oldest_writer"})
+
+_SINGULAR = {
+    "deployments": "deployment",
+    "classes": "class",
+    "services": "service",
+    "callers": "caller",
+    "attachments": "assignment",
+    "kinds": "kind",
+    "shards": "shard",
+    "replicas": "replica",
+}
+
+
+def document_diff(before: ConfigurationDocument, after: ConfigurationDocument) -> list[str]:
+    """Return one line for each entry added (``+``), removed (``-``) or changed (``~``)."""
+    return _entry_lines("configuration", _compared(before), _compared(after))
+
+
+def change_digest(diff: Sequence[str], effects: Sequence[ClassEffect]) -> str:
+    """Return the SHA-256 (hexadecimal) of everything that a plan shows as its change."""
+    shown = [*diff, *(effect.model_dump_json() for effect in effects)]
+    return hashlib.sha256("\n".join(shown).encode()).hexdigest()
+
+
+def _compared(document: ConfigurationDocument) -> Json:
+    return {key: value for key, value in document.raw().items() if key not in _NOT_COMPARED}
+
+
+def _entry_lines(label: str, before: Json | None, after: Json | None) -> list[str]:
+    left, right = before or {}, after or {}
+    keys = [*left, *(key for key in right if key not in left)]
+    nested = [key for key in keys if _is_nested(left.get(key), right.get(key))]
+    plain = [key for key in keys if key not in nested]
+    lines = _own_lines(label, before, after, plain)
+    for key in nested:
+        lines += _list_lines(label, key, left.get(key) or [], right.get(key) or [])
+    return lines
+
+
+def _is_nested(*values: Any) -> bool:
+    """Whether the values are lists of entries that can be told apart."""
+    entries = [entry for value in values if isinstance(value, list) for entry in value]
+    known = all(value is None or isinstance(value, list) for value in values)
+    return known and bool(entries) and all(entry_identity(entry) is not None for entry in entries)
+
+
+def _own_lines(
+    label: str, before: Json | None, after: Json | None, keys: Iterable[str]
+) -> list[str]:
+    if before is None and after is not None:
+        return [f"+ {label}: {_values(after, keys)}"]
+    if after is None and before is not None:
+        return [f"- {label}: {_values(before, keys)}"]
+    left, right = before or {}, after or {}
+    changes = [
+        f"{key} {_text(left.get(key))} -> {_text(right.get(key))}"
+        for key in keys
+        if left.get(key) != right.get(key)
+    ]
+    return [f"~ {label}: {', '.join(changes)}"] if changes else []
+
+
+def _values(entry: Json, keys: Iterable[str]) -> str:
+    return ", ".join(f"{key} {_text(entry[key])}" for key in keys if entry.get(key) is not None)
+
+
+def _text(value: Any) -> str:
+    if value is None:
+        return "none"
+    return value if isinstance(value, str) and value else json.dumps(value, sort_keys=True)
+
+
+def _list_lines(label: str, key: str, before: list[Json], after: list[Json]) -> list[str]:
+    left = {entry_identity(entry): entry for entry in before}
+    right = {entry_identity(entry): entry for entry in after}
+    identities = [*left, *(identity for identity in right if identity not in left)]
+    prefix = "" if label == "configuration" else f"{label} "
+    lines: list[str] = []
+    for identity in identities:
+        name = "/".join(part for part in identity or () if part)
+        entry_label = f"{prefix}{_SINGULAR.get(key, key)} {name}"
+        lines += _entry_lines(entry_label, left.get(identity), right.get(identity))
+    return lines
--- /dev/null
+++ b/wingquay/configuration/document.py
@@ -0,0 +1,180 @@
+"""The configuration as it is stored and sent: a JSON document with its audit records.
+
+The document is the configuration's JSON object with one more key, ``audit``. Keys that this
+version does not know are kept when it writes, so that an older node beside a newer one drops
+nothing (docs/design/configuration.md, "Schema versions").
+"""
+
+import json
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from wingquay.model.configuration import SCHEMA_VERSION, Configuration
+from wingquay.model.failure import Failure
+from wingquay.model.identifiers import OperatorName, Revision
+
+AUDIT_RECORDS_KEPT = 64
+"""Confirms listed in the document; as many earlier revisions are kept in the store."""
+
+MAXIMUM_BODY_BYTES = 32 * 1024 * 1024
+"""A document larger than this, unpacked, is not believed."""
+
+Json = dict[str, Any]
+
+_IDENTITY_KEYS = (("replica_id",), ("shard_id",), ("name",), ("service", "kind", "caller"))
+
+
+class DocumentFailureKind(Enum):
+    """Why a document cannot be used."""
+
+    MALFORMED = "malformed"
+    NEWER_WRITER_NEEDED = "newer_writer_needed"
+
+
+class AuditRecord(BaseModel):
+    """Who confirmed what, and when (``confirmed_unix_seconds``: wall clock, for people)."""
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    revision: Revision
+    confirm_id: str
+    base_revision: Revision
+    proposed_by: OperatorName
+    confirmed_by: OperatorName
+    confirmed_unix_seconds: float
+    summary: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationDocument:
+    """A confirmed revision with the records of the confirms that led to it, newest last."""
+
+    configuration: Configuration
+    audit: tuple[AuditRecord, ...]
+    body: bytes = field(repr=False)
+
+    @property
+    def revision(self) -> Revision:
+        """The revision of the configuration."""
+        return self.configuration.revision
+
+    def record_of(self, confirm_id: str) -> AuditRecord | None:
+        """Return the record of the confirm called ``confirm_id``, if it is among those kept."""
+        return next((entry for entry in self.audit if entry.confirm_id == confirm_id), None)
+
+    def raw(self) -> Json:
+        """Return the document's JSON object, with the keys that this version does not know."""
+        parsed: Json = json.loads(self.body)
+        return parsed
+
+
+EMPTY_DOCUMENT = ConfigurationDocument(
+    Configuration(), (), json.dumps(Configuration().model_dump(mode="json")).encode()
+)
+"""What stands before anything has been confirmed: revision 0."""
+
+
+def parse_document(body: bytes) -> ConfigurationDocument | Failure[DocumentFailureKind]:
+    """Read a document; a whole one or none."""
+    try:
+        raw = json.loads(body)
+        configuration = Configuration.model_validate(raw)
+        audit = tuple(AuditRecord.model_validate(entry) for entry in raw.get("audit", ()))
+    except (ValueError, ValidationError, TypeError, AttributeError) as error:
+        reason = f"configuration document: {str(error)[:300]}"
+        return Failure(DocumentFailureKind.MALFORMED, reason)
+    return ConfigurationDocument(configuration, audit, body)
+
+
+def next_document(
+    base: ConfigurationDocument,
+    configuration: Configuration,
+    record: AuditRecord,
+    restored: Sequence[ConfigurationDocument] = (),
+) -> ConfigurationDocument | Failure[DocumentFailureKind]:
+    """Return the document that follows ``base`` when ``configuration`` is confirmed.
+
+    Parameters
+    ----------
+    restored
+        Earlier documents that the configuration was taken from: what this version does not
+        know is taken from these too, instead of from ``base``.
+    """
+    base_raw = base.raw()
+    oldest_writer = base_raw.get("oldest_writer", SCHEMA_VERSION)
+    if oldest_writer > SCHEMA_VERSION:
+        reason = f"only nodes of schema version {oldest_writer} or later may change this"
+        return Failure(DocumentFailureKind.NEWER_WRITER_NEEDED, reason)
+    confirmed = configuration.model_copy(
+        update={
+            "revision": record.revision,
+            "confirm_id": record.confirm_id,
+            "schema_version": max(SCHEMA_VERSION, base.configuration.schema_version),
+        }
+    )
+    raw = confirmed.model_dump(mode="json")
+    for earlier in restored or (base,):
+        raw = keep_unknown_keys(raw, earlier.raw())
+    if "oldest_writer" in base_raw:
+        raw["oldest_writer"] = oldest_writer
+    audit = [*base_raw.get("audit", ()), record.model_dump(mode="json")][-AUDIT_RECORDS_KEPT:]
+    raw["audit"] = audit
+    body = json.dumps(raw, separators=(",", ":")).encode()
+    records = (*base.audit, record)[-AUDIT_RECORDS_KEPT:]
+    return ConfigurationDocument(confirmed, records, body)
+
+
+def entry_identity(entry: object) -> tuple[str, ...] | None:
+    """Return what tells an entry of a list from its neighbours, or ``None`` if nothing does."""
+    if not isinstance(entry, dict):
+        return None
+    for keys in _IDENTITY_KEYS:
+        if all(key in entry for key in keys):
+            return tuple("" if entry[key] is None else str(entry[key]) for key in keys)
+    return None
+
+
+def keep_unknown_keys(written: Any, earlier: Any) -> Any:
+    """Return ``written`` with the keys that only ``earlier`` has, at every depth.
+
+    This version writes every key that it knows, so a key that only the earlier document has is
+    one that it does not know. Entries of lists are matched by their identity; what a removed
+    entry held goes with it.
+    """
+    if isinstance(written, dict) and isinstance(earlier, dict):
+        unknown = {key: value for key, value in earlier.items() if key not in written}
+        known = {
+            key: keep_unknown_keys(value, earlier[key]) if key in earlier else value
+            for key, value in written.items()
+        }
+        return {**known, **unknown}
+    if isinstance(written, list) and isinstance(earlier, list):
+        by_identity = {entry_identity(entry): entry for entry in earlier}
+        by_identity.pop(None, None)
+        return [
+            keep_unknown_keys(entry, by_identity.get(entry_identity(entry), entry))
+            for entry in written
+        ]
+    return written
+
+
+def pack_body(body: bytes) -> bytes:
+    """Compress a document for the peer link (zlib, RFC 1950)."""
+    return zlib.compress(body, level=6)
+
+
+def unpack_body(packed: bytes) -> bytes | Failure[DocumentFailureKind]:
+    """Undo ``pack_body``, refusing what would grow beyond ``MAXIMUM_BODY_BYTES``."""
+    unpacker = zlib.decompressobj()
+    try:
+        body = unpacker.decompress(packed, MAXIMUM_BODY_BYTES)
+    except zlib.error as error:
+        return Failure(DocumentFailureKind.MALFORMED, f"configuration body: {error}")
+    if not unpacker.eof:
+        return Failure(DocumentFailureKind.MALFORMED, "configuration body: cut off or too large")
+    return body
--- /dev/null
+++ b/wingquay/configuration/effects.py
@@ -0,0 +1,138 @@
+"""Who gains and who loses by a change of configuration."""
+
+from wingquay.model.configuration import Configuration, RequestKind, Service
+from wingquay.model.identifiers import CallerName, RequestKindName, ServiceName
+from wingquay.model.plan import ClassEffect, ClassTerms, EffectDirection
+
+Subject = tuple[ServiceName, RequestKindName, CallerName | None]
+"""A request kind, for one caller or (``None``) for all that have no assignment of their own."""
+
+
+def class_effects(before: Configuration, after: Configuration) -> tuple[ClassEffect, ...]:
+    """Return the kinds whose class or its terms change, then those that these overtake."""
+    subjects = _subjects(before, after)
+    direct = [
+        effect
+        for subject in subjects
+        if (effect := _direct_effect(before, after, subject)) is not None
+    ]
+    changed = {(effect.service, effect.kind, effect.caller) for effect in direct}
+    unchanged = [subject for subject in subjects if subject not in changed]
+    indirect = [
+        effect
+        for subject in unchanged
+        if (effect := _indirect_effect(after, subject, direct)) is not None
+    ]
+    return (*direct, *indirect)
+
+
+def terms_of(configuration: Configuration, subject: Subject) -> ClassTerms | None:
+    """Return the class that serves ``subject``, or ``None`` if there is no such kind."""
+    service_name, kind_name, caller = subject
+    service = configuration.service(service_name)
+    kind = service.kind(kind_name) if service is not None else None
+    if service is None or kind is None:
+        return None
+    class_name = configuration.class_for(service, kind, caller or "")
+    entry = configuration.priority_class(class_name)
+    if entry is None:
+        return None
+    return ClassTerms(
+        class_name=class_name, price=entry.price, promise_seconds=entry.promise_seconds
+    )
+
+
+def _subjects(before: Configuration, after: Configuration) -> list[Subject]:
+    """Return every subject of either configuration, once, in their order."""
+    subjects: dict[Subject, None] = {}
+    for configuration in (before, after):
+        for service in configuration.services:
+            for kind in service.kinds:
+                subjects.update(dict.fromkeys(_kind_subjects(configuration, service, kind)))
+    return list(subjects)
+
+
+def _kind_subjects(
+    configuration: Configuration, service: Service, kind: RequestKind
+) -> list[Subject]:
+    callers = [
+        entry.caller
+        for entry in configuration.attachments
+        if (entry.service, entry.kind) == (service.name, kind.name) and entry.caller is not None
+    ]
+    return [(service.name, kind.name, None), *((service.name, kind.name, c) for c in callers)]
+
+
+def _direct_effect(
+    before: Configuration, after: Configuration, subject: Subject
+) -> ClassEffect | None:
+    old, new = terms_of(before, subject), terms_of(after, subject)
+    if old == new:
+        return None
+    service, kind, caller = subject
+    return ClassEffect(
+        service=service,
+        kind=kind,
+        caller=caller,
+        before=old,
+        after=new,
+        direction=_direction(old, new),
+        because=f"class {_described(old)} -> {_described(new)}",
+    )
+
+
+def _described(terms: ClassTerms | None) -> str:
+    if terms is None:
+        return "none"
+    return f"{terms.class_name} (price {terms.price:g}, promise {terms.promise_seconds:g} s)"
+
+
+def _direction(old: ClassTerms | None, new: ClassTerms | None) -> EffectDirection:
+    if old is None:
+        return EffectDirection.GAINS
+    if new is None:
+        return EffectDirection.LOSES
+    sooner = new.price > old.price or new.promise_seconds < old.promise_seconds
+    later = new.price < old.price or new.promise_seconds > old.promise_seconds
+    if sooner and later:
+        return EffectDirection.MIXED
+    return EffectDirection.LOSES if later else EffectDirection.GAINS
+
+
+def _indirect_effect(
+    after: Configuration, subject: Subject, direct: list[ClassEffect]
+) -> ClassEffect | None:
+    """Tell whether a kind that keeps its class is overtaken, or overtakes, in its service."""
+    terms = terms_of(after, subject)
+    service, kind, caller = subject
+    if terms is None:
+        return None
+    rivals = [effect for effect in direct if effect.service == service and effect.kind != kind]
+    passed_by = [
+        effect.kind
+        for effect in rivals
+        if _price(effect.before) <= terms.price < _price(effect.after)
+    ]
+    passing = [
+        effect.kind
+        for effect in rivals
+        if _price(effect.after) <= terms.price < _price(effect.before)
+    ]
+    if not passed_by and not passing:
+        return None
+    parts = [f"{name} is now served before it" for name in passed_by]
+    parts += [f"{name} no longer is served before it" for name in passing]
+    direction = EffectDirection.MIXED if passed_by and passing else EffectDirection.LOSES
+    return ClassEffect(
+        service=service,
+        kind=kind,
+        caller=caller,
+        before=terms,
+        after=terms,
+        direction=direction if passed_by else EffectDirection.GAINS,
+        because="; ".join(dict.fromkeys(parts)),
+    )
+
+
+def _price(terms: ClassTerms | None) -> float:
+    return terms.price if terms is not None else 0.0
--- a/wingquay/ports/internal.py
+++ b/wingquay/ports/internal.py
@@ -5,7 +5,13 @@
 
 from wingquay.model.answer import HeldVersions
 from wingquay.model.configuration import Configuration
-from wingquay.model.identifiers import ReplicaId, RequestId
+from wingquay.model.identifiers import (
+    ReplicaId,
+    RequestId,
+    RequestKindName,
+    Revision,
+    ServiceName,
+)
 from wingquay.model.request import QueryRequest
 from wingquay.ports.machine import Action, Event
 from wingquay.ports.peer import NodeIdentity, ReplicaState
@@ -25,6 +31,41 @@
     configuration: Configuration
 
 
+@dataclass(frozen=True, slots=True)
+class NewerRevisionHeard(Event):
+    """A node said by gossip that it has a configuration newer than this node's."""
+
+    sender: NodeIdentity
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class KindLoad:
+    """What this node lately saw of a request kind; latencies in seconds."""
+
+    service: ServiceName
+    kind: RequestKindName
+    requests_per_second: float
+    p50_seconds: float
+    p99_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Share of a service's slots in use, 0 to 1 and above when work waits."""
+
+    service: ServiceName
+    utilization: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadObserved(Event):
+    """The load that this node sees now, for the outlook in plans; sent every few seconds."""
+
+    kinds: tuple[KindLoad, ...] = ()
+    services: tuple[ServiceLoad, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class MembershipChanged(Event):
     """The nodes that may be asked, this one included, ordered by node id.
--- a/wingquay/ports/store.py
+++ b/wingquay/ports/store.py
@@ -31,10 +31,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Read:
-    """Read one key, or all keys with that prefix."""
+    """Read one key, or all keys with that prefix.
+
+    Parameters
+    ----------
+    modified_after
+        Leave out values last modified at this store revision or before (etcd's
+        ``min_mod_revision``), so that looking again costs little when nothing changed.
+    """
 
     key: str
     prefix: bool = False
+    modified_after: int = 0
 
 
 @dataclass(frozen=True, slots=True)
