Model the key-value service and the machine list without I/O

Cause: configuration, leases and claims must hold while the store limits the rate, is down or slow, or loses a reply after the change took effect; the simulator and the stand-in need one model of that.

Ruled out: modelling only the port's compare-and-swap; the stand-in serves etcd's transactions, so the model has them and the port's operations are expressed in them.

Change: StoreModel (revisions, transactions, leases, watches with history and compaction, token bucket, outages), MachineListModel. An operation takes effect half way between request and reply.

Conclusion: a timeout or an outage in between leaves the caller not knowing, as at the users' sites.

--- /dev/null
+++ b/tests/models/test_store_model.py
@@ -0,0 +1,213 @@
+"""The store model and the machine list model on virtual time."""
+
+import random
+
+from testtools import TestCase
+
+from wingquay.model.failure import Failure
+from wingquay.model.identifiers import ZoneName
+from wingquay.ports.machine_directory import MachineEntry, MachineState
+from wingquay.ports.store import (
+    CompareAndSwap,
+    GrantLease,
+    KeepLeaseAlive,
+    LeaseState,
+    Read,
+    ReadResult,
+    RevokeLease,
+    StoreFailureKind,
+    StoreOperation,
+    StoreResponse,
+    SwapResult,
+    WatchBroken,
+    WatchChanged,
+)
+from wingquay.rehearsal.models.machine_list_model import MachineListModel
+from wingquay.rehearsal.models.store_model import StoreModel, StoreSettings
+from wingquay.rehearsal.models.store_operations import StoreOutput, prefix_span
+
+KEY = "wingquay/configuration/current"
+PREFIX = "wingquay/"
+LOST = StoreFailureKind.LOST_REPLY
+
+
+class Bench:
+    """A store and a clock."""
+
+    def __init__(self, **changes: object) -> None:
+        settings = StoreSettings(**changes)  # type: ignore[arg-type]
+        self.store = StoreModel(settings, random.Random(3))
+        self.now = 0.0
+        self.count = 0
+
+    def submit(self, operation: StoreOperation, timeout_seconds: float = 2.0) -> str:
+        self.count += 1
+        operation_id = f"operation-{self.count}"
+        self.store.submit(operation_id, operation, self.now, timeout_seconds)
+        return operation_id
+
+    def pass_time(self, seconds: float) -> list[StoreOutput]:
+        self.now += seconds
+        return self.store.advance(self.now)
+
+    def perform(self, operation: StoreOperation) -> object:
+        """Submit and wait until the reply or the timeout; the result or the failure's kind."""
+        operation_id = self.submit(operation)
+        while (next_at := self.store.next_event_at()) is not None:
+            self.now = max(self.now, next_at)
+            for output in self.store.advance(self.now):
+                if isinstance(output, StoreResponse) and output.operation_id == operation_id:
+                    result = output.result
+                    return result.kind if isinstance(result, Failure) else result
+        raise AssertionError("no reply")
+
+    def swap(self, expected: int, value: bytes | None, lease_id: int = 0) -> object:
+        return self.perform(CompareAndSwap(KEY, expected, value, lease_id))
+
+    def value(self) -> bytes | None:
+        result = self.perform(Read(KEY))
+        assert isinstance(result, ReadResult)
+        return result.values[0].value if result.values else None
+
+
+class SwapTest(TestCase):
+    def test_a_swap_succeeds_once_and_shows_what_is_there(self) -> None:
+        bench = Bench()
+        self.assertEqual(SwapResult(True, 2), bench.swap(0, b"one"))
+        refused = bench.swap(0, b"two")
+        assert isinstance(refused, SwapResult) and refused.current is not None
+        self.assertEqual((False, 2), (refused.succeeded, refused.store_revision))
+        self.assertEqual(b"one", refused.current.value)
+        self.assertEqual(SwapResult(True, 3), bench.swap(2, b"two"))
+        self.assertEqual(SwapResult(True, 4), bench.swap(3, None))
+        self.assertIsNone(bench.value())
+
+    def test_a_prefix_reads_its_keys_in_order(self) -> None:
+        bench = Bench()
+        for key in ("wingquay/b", "other", "wingquay/a", "wingquaz"):
+            bench.perform(CompareAndSwap(key, 0, b""))
+        result = bench.perform(Read(PREFIX, prefix=True))
+        assert isinstance(result, ReadResult)
+        self.assertEqual(["wingquay/a", "wingquay/b"], [value.key for value in result.values])
+
+    def test_a_lost_reply_hides_a_swap_that_took_effect(self) -> None:
+        bench = Bench()
+        bench.store.faults.replies_to_lose = 1
+        self.assertEqual(LOST, bench.swap(0, b"landed"))
+        self.assertEqual(b"landed", bench.value())
+
+    def test_a_slow_swap_takes_effect_after_its_caller_gave_up(self) -> None:
+        bench = Bench()
+        bench.store.slow_down(10.0, until=1.0, now=0.0)
+        self.assertEqual(LOST, bench.swap(0, b"late"))
+        self.assertEqual((), bench.store.state.read(prefix_span("")))
+        bench.pass_time(10.0)
+        self.assertEqual(b"late", bench.value())
+
+
+class FaultTest(TestCase):
+    def test_the_rate_limit_refuses_and_recovers(self) -> None:
+        bench = Bench(rate_per_second=1.0, burst=2.0)
+        for _ in range(4):
+            bench.submit(GrantLease(10))
+        outputs = bench.pass_time(0.1)
+        refused = [output.result.kind for output in outputs if isinstance(output.result, Failure)]  # type: ignore[union-attr]
+        self.assertEqual([StoreFailureKind.RATE_LIMITED] * 2, refused)
+        bench.pass_time(1.0)
+        self.assertIsInstance(bench.perform(Read(KEY)), ReadResult)
+
+    def test_an_outage_loses_replies_refuses_and_breaks_watches(self) -> None:
+        bench = Bench()
+        bench.store.start_watch("watch", prefix_span(PREFIX), 0, 0.0)
+        bench.submit(CompareAndSwap(KEY, 0, b"landed"))
+        bench.store.refuse_until(60.0, now=0.001)
+        lost, broken = bench.store.advance(0.001)
+        assert isinstance(lost, StoreResponse) and isinstance(lost.result, Failure)
+        self.assertEqual(LOST, lost.result.kind)
+        self.assertIsInstance(broken, WatchBroken)
+        self.assertEqual(StoreFailureKind.UNREACHABLE, bench.perform(Read(KEY)))
+        bench.pass_time(60.0)
+        self.assertEqual(b"landed", bench.value())
+
+    def test_a_silent_store_does_nothing(self) -> None:
+        bench = Bench()
+        bench.store.silence_until(1.0, now=0.0)
+        self.assertEqual(LOST, bench.swap(0, b"never"))
+        self.assertIsNone(bench.value())
+
+
+class LeaseTest(TestCase):
+    def test_a_lease_that_is_not_renewed_takes_its_keys_along(self) -> None:
+        bench = Bench()
+        granted = bench.perform(GrantLease(10))
+        assert isinstance(granted, LeaseState)
+        lease_id = granted.lease_id
+        self.assertEqual(SwapResult(True, 2), bench.swap(0, b"held", lease_id))
+        bench.pass_time(9.0)
+        self.assertEqual(LeaseState(lease_id, 10), bench.perform(KeepLeaseAlive(lease_id)))
+        bench.pass_time(9.0)
+        self.assertEqual(b"held", bench.value())
+        bench.pass_time(1.1)
+        self.assertIsNone(bench.value())
+        self.assertEqual(LeaseState(lease_id, 0), bench.perform(KeepLeaseAlive(lease_id)))
+        self.assertEqual(SwapResult(False, 3), bench.swap(0, b"again", lease_id))
+
+    def test_a_revoked_lease_is_over_at_once(self) -> None:
+        bench = Bench()
+        bench.perform(GrantLease(10))
+        bench.swap(0, b"held", 1)
+        self.assertEqual(LeaseState(1, 0), bench.perform(RevokeLease(1)))
+        self.assertIsNone(bench.value())
+
+
+class WatchTest(TestCase):
+    def changes(self, outputs: list[StoreOutput]) -> list[tuple[int, int, int]]:
+        return [
+            (output.store_revision, len(output.changed), len(output.deleted))
+            for output in outputs
+            if isinstance(output, WatchChanged)
+        ]
+
+    def test_a_watch_tells_history_and_what_follows(self) -> None:
+        bench = Bench()
+        bench.swap(0, b"one")
+        bench.store.start_watch("watch", prefix_span(PREFIX), 2, bench.now)
+        self.assertEqual([(2, 1, 0)], self.changes(bench.pass_time(0.1)))
+        bench.submit(CompareAndSwap("elsewhere", 0, b""))
+        bench.submit(CompareAndSwap(KEY, 2, None))
+        self.assertEqual([(4, 0, 1)], self.changes(bench.pass_time(0.1)))
+        bench.store.stop_watch("watch", bench.now)
+        bench.submit(CompareAndSwap(KEY, 0, b""))
+        self.assertEqual([], self.changes(bench.pass_time(0.1)))
+
+    def test_a_watch_can_skip_and_break(self) -> None:
+        bench = Bench()
+        bench.store.start_watch("watch", prefix_span(PREFIX), 0, 0.0)
+        bench.store.skip_watch_events(1)
+        bench.submit(CompareAndSwap(KEY, 0, b"skipped"))
+        bench.submit(CompareAndSwap("wingquay/told", 0, b"told"))
+        self.assertEqual([(3, 1, 0)], self.changes(bench.pass_time(0.1)))
+        bench.store.break_watches("test", bench.now)
+        self.assertEqual([WatchBroken("watch", "test")], bench.pass_time(0.0))
+
+    def test_a_watch_of_compacted_history_breaks(self) -> None:
+        bench = Bench()
+        bench.swap(0, b"one")
+        bench.store.compact(bench.now)
+        bench.store.start_watch("watch", prefix_span(PREFIX), 2, bench.now)
+        (broken,) = bench.pass_time(0.0)
+        self.assertIsInstance(broken, WatchBroken)
+
+
+class MachineListTest(TestCase):
+    def test_the_list_lags_and_fails(self) -> None:
+        machines = MachineListModel(lag_seconds=5.0)
+        entry = MachineEntry("127.0.0.1", 80, ZoneName("dej"), MachineState.LIVE)
+        machines.put(entry, 0.0)
+        self.assertEqual((), machines.read(4.9))
+        self.assertEqual((entry,), machines.read(5.0))
+        machines.remove("127.0.0.1", 80, 6.0)
+        self.assertEqual((entry,), machines.read(10.9))
+        machines.fail_until(12.0)
+        self.assertIsInstance(machines.read(11.0), Failure)
+        self.assertEqual((), machines.read(12.0))
