--- /dev/null
+++ b/wingquay/adapters/http_client_connection.py
@@ -0,0 +1,199 @@
+"""One client connection: at most one exchange at a time, h11 for the wire format."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+import h11
+
+from wingquay.adapters.http_messages import HttpFailureKind, RawHeaders
+from wingquay.model.failure import Failure
+
+_END_OF_MESSAGE = h11.EndOfMessage()
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """A request ready for the wire; ``host`` and ``content-length`` are added on sending."""
+
+    method: bytes
+    target: bytes
+    headers: RawHeaders
+    body: bytes = b""
+
+
+class ExchangeReader(ABC):
+    """Takes in the response of one exchange; after ``ended`` or ``failed`` nothing follows."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def response_started(self, status: int, headers: RawHeaders) -> None:
+        """Take in status and headers."""
+
+    @abstractmethod
+    def body_received(self, data: bytes) -> Failure[HttpFailureKind] | None:
+        """Take in a piece of the body; a failure ends the exchange."""
+
+    @abstractmethod
+    def accepts_response(self) -> bool:
+        """Whether the whole response belongs to this exchange; if not, the connection is shut."""
+
+    @abstractmethod
+    def ended(self) -> None:
+        """Take note that the response is whole."""
+
+    @abstractmethod
+    def failed(self, failure: Failure[HttpFailureKind]) -> None:
+        """No whole response will come."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection that a pool lends to one exchange after another.
+
+    Bytes can reach an exchange only while it holds the connection. Whenever an exchange ends in
+    any way but with a whole response, the connection is aborted, so that what is still due to it
+    can never reach the next one.
+
+    Parameters
+    ----------
+    on_free
+        Called when a response is whole and the connection can serve another exchange.
+    on_closed
+        Called once when the connection has ended or is being ended.
+    """
+
+    def __init__(
+        self,
+        header_bytes: int,
+        on_free: Callable[["ClientConnection"], None],
+        on_closed: Callable[["ClientConnection"], None],
+    ) -> None:
+        self.idle_since_seconds = 0.0
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
+        self._on_free = on_free
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport | None = None
+        self._reader: ExchangeReader | None = None
+        self._host = b""
+        self._is_closed = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether an exchange can begin on the connection."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing() and self._reader is None
+
+    def start_exchange(self, request: OutgoingRequest, reader: ExchangeReader) -> None:
+        """Send ``request``; from here on its bytes count as having left.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            The request has no valid form on the wire; nothing was sent.
+        """
+        assert self._transport is not None
+        headers = [(b"host", self._host), *request.headers]
+        if request.body or request.method == b"POST":
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        http = self._http
+        head = h11.Request(method=request.method, target=request.target, headers=headers)
+        data = http.send(head) or b""
+        if request.body:
+            data += http.send(h11.Data(data=request.body)) or b""
+        http.send(_END_OF_MESSAGE)
+        self._reader = reader
+        self._transport.write(data)
+
+    def abort(self) -> None:
+        """End the connection at once; the exchange on it, if any, hears nothing more."""
+        self._reader = None
+        if self._transport is not None:
+            self._transport.abort()
+        if not self._is_closed:
+            self._is_closed = True
+            self._on_closed(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Remember the transport (asyncio calls this)."""
+        self._transport = cast(asyncio.Transport, transport)
+        host, port = self._transport.get_extra_info("peername")[:2]
+        self._host = f"[{host}]:{port}".encode() if ":" in host else f"{host}:{port}".encode()
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of the response (asyncio calls this)."""
+        if self._reader is None:
+            self.abort()
+            return
+        try:
+            self._http.receive_data(data)
+            self._read_events(self._reader)
+        except h11.RemoteProtocolError as error:
+            self._fail(HttpFailureKind.BROKEN, f"malformed response: {error}")
+
+    def eof_received(self) -> None:
+        """Treat the connection as broken, or as closed if idle (asyncio calls this)."""
+        self._fail(HttpFailureKind.BROKEN, "connection ended before the response was whole")
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the exchange, if any (asyncio calls this)."""
+        self._fail(HttpFailureKind.BROKEN, f"connection lost: {error or 'closed'}")
+
+    def _read_events(self, reader: ExchangeReader) -> None:
+        http = self._http
+        while self._reader is reader:
+            event: Any = http.next_event()
+            if event is h11.NEED_DATA:
+                return
+            kind = type(event)
+            if kind is h11.Data:
+                failure = reader.body_received(bytes(event.data))
+                if failure is not None:
+                    self._fail(failure.kind, failure.reason)
+            elif kind is h11.Response:
+                self._response_started(event, reader)
+            elif kind is h11.EndOfMessage:
+                self._finish(reader)
+            elif kind is not h11.InformationalResponse:
+                self._fail(HttpFailureKind.BROKEN, "connection ended before the response")
+
+    def _response_started(self, event: h11.Response, reader: ExchangeReader) -> None:
+        headers = cast(RawHeaders, event.headers)
+        if event.status_code != 204 and not _is_delimited(headers):
+            # A body that only the end of the connection ends cannot be told from one cut short.
+            self._fail(HttpFailureKind.BROKEN, "response has neither length nor chunks")
+            return
+        reader.response_started(event.status_code, headers)
+
+    def _finish(self, reader: ExchangeReader) -> None:
+        self._reader = None
+        accepted = reader.accepts_response()
+        if accepted and self._can_be_reused():
+            self._http.start_next_cycle()
+            self._on_free(self)
+        else:
+            self.abort()
+        reader.ended()
+
+    def _can_be_reused(self) -> bool:
+        assert self._transport is not None
+        http = self._http
+        return (
+            http.our_state is h11.DONE
+            and http.their_state is h11.DONE
+            and not http.trailing_data[0]
+            and not self._transport.is_closing()
+            and self._transport.get_write_buffer_size() == 0
+        )
+
+    def _fail(self, kind: HttpFailureKind, reason: str) -> None:
+        reader = self._reader
+        self.abort()
+        if reader is not None:
+            reader.failed(Failure(kind, reason))
+
+
+def _is_delimited(headers: RawHeaders) -> bool:
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
