--- a/wingquay/adapters/http_server.py
+++ b/wingquay/adapters/http_server.py
@@ -35,9 +35,6 @@
         Renders the server's own refusals (400, 408, 413, 431, 500, 501, 503).
     """
 
-    connection_type: type[ServerConnection] = ServerConnection
-    """What serves each connection; servers that differ in it override this."""
-
     def __init__(
         self,
         handler: Handler,
@@ -94,6 +91,6 @@
         self._connections.pop(connection, None)
 
     def _make_connection(self) -> ServerConnection:
-        connection = self.connection_type(self)
+        connection = ServerConnection(self)
         self._connections[connection] = None
         return connection
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -9,7 +9,6 @@
 import h11
 
 from wingquay.adapters.http_messages import (
-    ConnectionCut,
     HttpRequest,
     HttpResponse,
     RawHeaders,
@@ -214,17 +213,11 @@
     async def _handle(self, request: HttpRequest) -> None:
         try:
             response = await self._server.handler(request)
-        except ConnectionCut:
-            self.abort()
-            return
         except Exception as error:  # noqa: BLE001 - exceptions stop at the rim
             self._report("request handler failed", error)
             response = self._server.refuse(500, "internal error")
         try:
             await self._respond(response)
-        except ConnectionCut:
-            self._close()
-            return
         except Exception as error:  # noqa: BLE001 - exceptions stop at the rim
             self._report("response could not be sent", error)
             self.abort()
--- a/wingquay/adapters/peer_codec_claims.py
+++ b/wingquay/adapters/peer_codec_claims.py
@@ -161,6 +161,7 @@
     target.epoch = message.epoch
     _put_seat_epochs(target.seat_epochs, message.seat_epochs)
     target.confirmed_age_seconds = message.confirmed_age_seconds
+    target.table_id = message.table_id
     target.piece = message.piece
     target.pieces = message.pieces
     for record in message.records:
@@ -187,6 +188,7 @@
         epoch=message.epoch,
         seat_epochs=_seat_epochs_from(message.seat_epochs),
         confirmed_age_seconds=finite(message.confirmed_age_seconds),
+        table_id=message.table_id,
         records=tuple(_claim_record_from(record) for record in message.records),
         piece=message.piece,
         pieces=message.pieces,
--- a/wingquay/ports/peer.py
+++ b/wingquay/ports/peer.py
@@ -309,6 +309,8 @@
         The epoch of the sender's seat, and the newest epochs that it has heard of.
     confirmed_age_seconds
         Time since the sender's epoch was last confirmed by the platform's store.
+    table_id
+        Names the moment that the table is of: only pieces with the same one belong together.
     piece, pieces
         This piece's number from 0, and how many there are.
     """
@@ -320,6 +322,7 @@
     epoch: int
     seat_epochs: tuple[SeatEpoch, ...]
     confirmed_age_seconds: float
+    table_id: str
     records: tuple[ClaimRecord, ...]
     piece: int = 0
     pieces: int = 1
