--- a/wingquay/adapters/http_messages.py
+++ b/wingquay/adapters/http_messages.py
@@ -82,6 +82,10 @@
     connections: int = 1_000
 
 
+class ConnectionCutError(Exception):
+    """Raised by a handler or a response's stream: close the connection without more bytes."""
+
+
 class HttpFailureKind(Enum):
     """Why an exchange brought no whole response."""
 
--- a/wingquay/adapters/http_server.py
+++ b/wingquay/adapters/http_server.py
@@ -35,6 +35,9 @@
         Renders the server's own refusals (400, 408, 413, 431, 500, 501, 503).
     """
 
+    connection_type: type[ServerConnection] = ServerConnection
+    """What serves each connection; servers that differ in it override this."""
+
     def __init__(
         self,
         handler: Handler,
@@ -91,6 +94,6 @@
         self._connections.pop(connection, None)
 
     def _make_connection(self) -> ServerConnection:
-        connection = ServerConnection(self)
+        connection = self.connection_type(self)
         self._connections[connection] = None
         return connection
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -9,6 +9,7 @@
 import h11
 
 from wingquay.adapters.http_messages import (
+    ConnectionCutError,
     HttpRequest,
     HttpResponse,
     RawHeaders,
@@ -213,11 +214,17 @@
     async def _handle(self, request: HttpRequest) -> None:
         try:
             response = await self._server.handler(request)
+        except ConnectionCutError:
+            self.abort()
+            return
         except Exception as error:  # noqa: BLE001 - exceptions stop at the rim
             self._report("request handler failed", error)
             response = self._server.refuse(500, "internal error")
         try:
             await self._respond(response)
+        except ConnectionCutError:
+            self._close()
+            return
         except Exception as error:  # noqa: BLE001 - exceptions stop at the rim
             self._report("response could not be sent", error)
             self.abort()
--- a/wingquay/rehearsal/models/store_model.py
+++ b/wingquay/rehearsal/models/store_model.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 
 from wingquay.ports.store import (
@@ -248,6 +248,9 @@
         result = self._apply(step.operation, now)
         self._notify(revision + 1, now)
         if not step.reply_is_lost:
+            # A lease lasts from the moment of its effect; its holder learns of it later.
+            if isinstance(result, LeaseState):
+                result = _aged(result, step.reply_delay_seconds)
             reply = reply_to(step.operation_id, step.operation, result)
             self._add_step(now + step.reply_delay_seconds, _Delivery(reply))
 
@@ -323,3 +326,7 @@
     def _add_step(self, at: float, step: _Step) -> None:
         self._step_count += 1
         heappush(self._steps, (at, self._step_count, step))
+
+
+def _aged(lease: LeaseState, seconds: float) -> LeaseState:
+    return replace(lease, time_to_live_seconds=max(0.0, lease.time_to_live_seconds - seconds))
