--- /dev/null
+++ b/wingquay/admission/backend_failures.py
@@ -0,0 +1,37 @@
+"""Turns failures of the back-end port into those of a sub-request."""
+
+from wingquay.model.answer import SubFailureKind
+from wingquay.model.failure import Failure
+from wingquay.ports.backend import NOT_RUN_KINDS, BackendFailureKind
+
+_TRANSLATION = {
+    BackendFailureKind.CONNECT_FAILED: SubFailureKind.NO_REPLICA,
+    BackendFailureKind.NO_CONNECTION_FREE: SubFailureKind.REFUSED,
+    BackendFailureKind.SHED: SubFailureKind.REFUSED,
+    BackendFailureKind.DRAINING: SubFailureKind.NO_REPLICA,
+    BackendFailureKind.NOT_HELD: SubFailureKind.NOT_HELD,
+    BackendFailureKind.WRONG_SHARD: SubFailureKind.NOT_OWNED,
+    BackendFailureKind.BROKEN: SubFailureKind.BACKEND_ERROR,
+    BackendFailureKind.TIMED_OUT: SubFailureKind.DEADLINE,
+    BackendFailureKind.ERROR: SubFailureKind.BACKEND_ERROR,
+}
+
+REPLICA_AT_FAULT = frozenset(
+    {
+        BackendFailureKind.CONNECT_FAILED,
+        BackendFailureKind.BROKEN,
+        BackendFailureKind.TIMED_OUT,
+        BackendFailureKind.ERROR,
+    }
+)
+"""Failures that count towards ejecting a replica."""
+
+
+def to_sub_failure(failure: Failure[BackendFailureKind]) -> Failure[SubFailureKind]:
+    """Return the sub-request's failure for an attempt's."""
+    return Failure(_TRANSLATION[failure.kind], failure.reason)
+
+
+def may_have_run(failure: Failure[BackendFailureKind]) -> bool:
+    """Whether a back end may have run the attempt."""
+    return failure.kind not in NOT_RUN_KINDS
--- /dev/null
+++ b/wingquay/admission/dispatcher.py
@@ -0,0 +1,474 @@
+"""The owner of shards: takes sub-requests, queues them, has replicas run them, returns results.
+
+Free of I/O; see ``ports/machine.py``. Sub-requests come in ``SubRequestBatch`` messages, from
+this node's own coordinator and from other nodes alike.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wingquay.admission.backend_failures import REPLICA_AT_FAULT, may_have_run, to_sub_failure
+from wingquay.admission.budget import RatioBudget
+from wingquay.admission.dispatcher_events import HedgeDue, WorkExpired
+from wingquay.admission.hedging import HedgePolicy
+from wingquay.admission.lane_table import LaneTable
+from wingquay.admission.requesters import Requesters
+from wingquay.admission.service_times import ServiceTimes
+from wingquay.admission.settings import AdmissionSettings
+from wingquay.admission.shard_lane import ShardLane
+from wingquay.admission.work import RunningAttempt, Work
+from wingquay.model.answer import SubAnswer, SubFailureKind, SubResult
+from wingquay.model.failure import Failure
+from wingquay.model.identifiers import AttemptId, NodeId
+from wingquay.model.mechanisms import Mechanism
+from wingquay.model.request import SubRequest
+from wingquay.ports.backend import (
+    AttemptFinished,
+    BackendAnswer,
+    BackendFailureKind,
+    CancelAttempt,
+    StartAttempt,
+)
+from wingquay.ports.machine import Action, Count, Schedule
+from wingquay.ports.peer import (
+    CancelSubRequests,
+    NodeIdentity,
+    SendToPeer,
+    SubRequestBatch,
+    SubResultBatch,
+)
+from wingquay.routing.replica_choice import ReplicaChoice
+from wingquay.routing.replica_tracker import ReplicaTracker
+
+
+@dataclass(frozen=True, slots=True)
+class _Running:
+    work: Work
+    lane: ShardLane
+    tracker: ReplicaTracker
+    attempt: RunningAttempt
+
+
+def kind_key(sub_request: SubRequest) -> str:
+    """Return the name under which service times of a kind are kept."""
+    return f"{sub_request.service}/{sub_request.kind}"
+
+
+class Dispatcher:
+    """Runs sub-requests on the replicas of shards.
+
+    Parameters
+    ----------
+    lanes
+        The shards; shared with the health prober, which keeps the trackers' reports fresh.
+    """
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        settings: AdmissionSettings,
+        lanes: LaneTable,
+        choice: ReplicaChoice,
+        random_source: random.Random,
+        disabled: frozenset[Mechanism] = frozenset(),
+    ) -> None:
+        self._node_id = node_id
+        self._settings = settings
+        self._lanes = lanes
+        self._choice = choice
+        self._random = random_source
+        self._disabled = disabled
+        self._work: dict[str, Work] = {}
+        self._running: dict[AttemptId, _Running] = {}
+        self._requesters = Requesters()
+        self._service_times = ServiceTimes(settings.initial_service_seconds)
+        self._retry_budgets: dict[str, RatioBudget] = {}
+        self._attempt_counter = 0
+        self._hedging = HedgePolicy(
+            settings,
+            enabled=Mechanism.HEDGING not in disabled,
+            budgeted=Mechanism.HEDGE_BUDGET not in disabled,
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Sub-requests that wait or run here."""
+        return len(self._work)
+
+    @property
+    def requesters(self) -> Requesters:
+        """The nodes that wait for results."""
+        return self._requesters
+
+    def on_batch(self, batch: SubRequestBatch, sender: NodeIdentity, now: float) -> list[Action]:
+        """Take in sub-requests from ``sender``."""
+        actions: list[Action] = []
+        for sub_request in batch.sub_requests:
+            if sub_request.sub_request_id not in self._work:
+                actions += self._accept(sub_request, sender, now)
+        return actions
+
+    def on_cancel(self, message: CancelSubRequests, now: float) -> list[Action]:
+        """Drop sub-requests that nobody waits for any more; no results follow."""
+        actions: list[Action] = []
+        for sub_request_id in message.sub_request_ids:
+            work = self._work.get(sub_request_id)
+            if work is None:
+                continue
+            actions += self._end(work, now)
+            actions += self._pump_shard(work.sub_request.shard_id, now)
+        return actions
+
+    def on_lane_gone(self, lane: ShardLane, now: float) -> list[Action]:
+        """Fail what waits for a shard that the configuration no longer has."""
+        failure = Failure(SubFailureKind.NOT_OWNED, "the shard left the configuration")
+        return self._fail_waiting(lane, failure, now)
+
+    def on_work_expired(self, event: WorkExpired, now: float) -> list[Action]:
+        """Give the final result of an unrepeatable sub-request at its deadline."""
+        work = self._work.get(event.sub_request_id)
+        if work is None:
+            return []
+        failure = Failure(SubFailureKind.DEADLINE, "no whole answer by the deadline")
+        return self._finish(work, failure, now)
+
+    def pump_all(self, now: float) -> list[Action]:
+        """Start whatever may start after the replicas' state has changed."""
+        return [action for lane in self._lanes for action in self._pump(lane, now)]
+
+    # Arrival -----------------------------------------------------------------------------
+
+    def _accept(self, sub_request: SubRequest, sender: NodeIdentity, now: float) -> list[Action]:
+        lane = self._lanes.lane(sub_request.shard_id)
+        work = Work(
+            sub_request=sub_request,
+            requester=sender,
+            accepted_at=now,
+            deadline_at=now + sub_request.remaining_seconds,
+            cost_seconds=self._service_times.expected_seconds(kind_key(sub_request)),
+        )
+        self._work[sub_request.sub_request_id] = work
+        self._requesters.on_accepted(sender, now)
+        if lane is None:
+            reason = f"shard {sub_request.shard_id!r} is not in this node's configuration"
+            return self._finish(work, Failure(SubFailureKind.NOT_OWNED, reason), now)
+        refusal = self._refusal(lane, work, now)
+        if refusal is not None:
+            return self._finish(work, refusal, now)
+        lane.queue.push(work)
+        actions: list[Action] = []
+        if not sub_request.repeatable:
+            expired = WorkExpired(sub_request.sub_request_id)
+            actions.append(Schedule(work.deadline_at, expired))
+        return actions + self._pump(lane, now)
+
+    def _refusal(self, lane: ShardLane, work: Work, now: float) -> Failure[SubFailureKind] | None:
+        if not self._choice.usable(list(lane.trackers.values()), now):
+            return Failure(SubFailureKind.NO_REPLICA, "no replica of the shard is in service")
+        if Mechanism.EARLY_REFUSAL in self._disabled:
+            return None
+        expected = self._class_delay(lane, work, now) + work.cost_seconds
+        if expected > work.sub_request.remaining_seconds:
+            reason = (
+                f"expected to take {expected:.3f} s, "
+                f"{work.sub_request.remaining_seconds:.3f} s are left"
+            )
+            return Failure(SubFailureKind.REFUSED, reason)
+        return None
+
+    def _class_delay(self, lane: ShardLane, work: Work, now: float) -> float:
+        if self._choice.with_free_slot(list(lane.trackers.values()), now):
+            return 0.0
+        sub_request = work.sub_request
+        return lane.queue.delay_seconds(
+            sub_request.class_name, sub_request.price, lane.parallelism()
+        )
+
+    # Starting attempts -------------------------------------------------------------------
+
+    def _pump_shard(self, shard_id: str, now: float) -> list[Action]:
+        lane = self._lanes.lane(shard_id)
+        return [] if lane is None else self._pump(lane, now)
+
+    def _pump(self, lane: ShardLane, now: float) -> list[Action]:
+        if not lane.queue and not lane.hedge_line:
+            return []
+        trackers = list(lane.trackers.values())
+        if not self._choice.usable(trackers, now):
+            failure = Failure(SubFailureKind.NO_REPLICA, "no replica of the shard is in service")
+            return self._fail_waiting(lane, failure, now)
+        actions: list[Action] = []
+        while True:
+            free = self._choice.with_free_slot(trackers, now)
+            if not free:
+                return actions
+            started = self._start_hedge(lane, free, now)
+            if started is None:
+                started = self._start_waiting(lane, free, now)
+            if started is None:
+                return actions
+            actions += started
+
+    def _start_hedge(
+        self, lane: ShardLane, free: list[ReplicaTracker], now: float
+    ) -> list[Action] | None:
+        work = lane.next_hedge()
+        if work is None:
+            return None
+        tracker = self._choice.choose(free, work.tried, work.sub_request.snapshot)
+        if tracker is None:
+            return None
+        lane.hedge_line.popleft()
+        work.wants_hedge = False
+        work.hedges += 1
+        return [
+            Count("wingquay_hedges_total", labels=(("class", work.sub_request.class_name),)),
+            *self._start(work, lane, tracker, True, now),
+        ]
+
+    def _start_waiting(
+        self, lane: ShardLane, free: list[ReplicaTracker], now: float
+    ) -> list[Action] | None:
+        work = lane.queue.pop(self._acceptor(lane, free, now))
+        if work is None:
+            return None
+        if self._is_expired(work, now):
+            failure = Failure(SubFailureKind.DEADLINE, "the deadline passed in the queue")
+            return self._finish(work, work.last_failure or failure, now)
+        tracker = self._choice.choose(free, work.tried, work.sub_request.snapshot)
+        if tracker is None:
+            return self._finish(work, self._unservable(work), now)
+        return self._start(work, lane, tracker, False, now)
+
+    def _is_expired(self, work: Work, now: float) -> bool:
+        return Mechanism.DEADLINE_CHECK not in self._disabled and now >= work.deadline_at
+
+    def _acceptor(
+        self, lane: ShardLane, free: list[ReplicaTracker], now: float
+    ) -> Callable[[Work], bool]:
+        """Return a test for work that can start on ``free``, or that never can start at all."""
+        usable = self._choice.usable(list(lane.trackers.values()), now)
+
+        def accepts(work: Work) -> bool:
+            snapshot = work.sub_request.snapshot
+            if self._is_expired(work, now):
+                return True
+            if self._choice.choose(free, work.tried, snapshot) is not None:
+                return True
+            return self._choice.choose(usable, work.tried, snapshot) is None
+
+        return accepts
+
+    def _unservable(self, work: Work) -> Failure[SubFailureKind]:
+        if work.last_failure is not None:
+            return work.last_failure
+        reason = f"no replica in service holds snapshot {work.sub_request.snapshot}"
+        return Failure(SubFailureKind.NOT_HELD, reason)
+
+    def _start(
+        self, work: Work, lane: ShardLane, tracker: ReplicaTracker, is_hedge: bool, now: float
+    ) -> list[Action]:
+        sub_request = work.sub_request
+        self._attempt_counter += 1
+        attempt_id = AttemptId(f"{self._node_id}.{self._attempt_counter}")
+        attempt = RunningAttempt(attempt_id, tracker.replica.replica_id, now, is_hedge)
+        tracker.in_flight += 1
+        work.running[attempt_id] = attempt
+        work.tried.append(tracker.replica.replica_id)
+        work.attempts += 1
+        work.last_replica = tracker.replica.replica_id
+        if work.first_started_at is None:
+            work.first_started_at = now
+            self._hedging.on_first_attempt(sub_request.class_name)
+            self._retry_budget(sub_request.service).earn()
+        self._running[attempt_id] = _Running(work, lane, tracker, attempt)
+        start = StartAttempt(
+            attempt_id=attempt_id,
+            replica_id=tracker.replica.replica_id,
+            host=tracker.replica.host,
+            port=tracker.replica.port,
+            connection_limit=tracker.connection_limit,
+            service=sub_request.service,
+            shard_id=sub_request.shard_id,
+            kind=sub_request.kind,
+            key_ranges=sub_request.key_ranges,
+            snapshot=sub_request.snapshot,
+            remaining_seconds=work.deadline_at - now,
+            repeatable=sub_request.repeatable,
+            body=sub_request.body,
+            traceparent=sub_request.traceparent,
+        )
+        return [start, *self._schedule_hedge(work, attempt, now)]
+
+    def _schedule_hedge(self, work: Work, attempt: RunningAttempt, now: float) -> list[Action]:
+        if not self._may_repeat(work):
+            return []
+        delay = self._hedging.delay_seconds(kind_key(work.sub_request), work.hedges)
+        if delay is None or now + delay >= work.deadline_at:
+            return []
+        due = HedgeDue(work.sub_request.sub_request_id, attempt.attempt_id)
+        return [Schedule(now + delay, due)]
+
+    def _may_repeat(self, work: Work) -> bool:
+        if work.sub_request.repeatable:
+            return True
+        return Mechanism.UNREPEATABLE_GUARD in self._disabled
+
+    # Hedges ------------------------------------------------------------------------------
+
+    def on_hedge_due(self, event: HedgeDue, now: float) -> list[Action]:
+        """Let a slow sub-request stand in line for a second replica."""
+        running = self._running.get(event.attempt_id)
+        if running is None or running.work.is_finished or running.work.wants_hedge:
+            return []
+        work, lane = running.work, running.lane
+        usable = self._choice.usable(list(lane.trackers.values()), now)
+        if self._choice.choose(usable, work.tried, work.sub_request.snapshot) is None:
+            return []
+        if now < lane.shedding_until or not self._hedging.may_hedge(work.sub_request.class_name):
+            return [Count("wingquay_hedges_withheld_total")]
+        work.wants_hedge = True
+        lane.hedge_line.append(work)
+        return self._pump(lane, now)
+
+    # Ends of attempts --------------------------------------------------------------------
+
+    def on_attempt_finished(self, event: AttemptFinished, now: float) -> list[Action]:
+        """Take in the end of an exchange."""
+        running = self._running.pop(event.attempt_id, None)
+        if running is None:
+            return [Count("wingquay_stray_attempts_total")]
+        work, tracker = running.work, running.tracker
+        tracker.in_flight -= 1
+        work.running.pop(event.attempt_id, None)
+        service_seconds = now - running.attempt.started_at
+        if isinstance(event.result, BackendAnswer):
+            self._learn_service_time(work, tracker, service_seconds, now)
+            actions = self._on_answer(work, event.result, now)
+        else:
+            self._learn_failure(running.lane, tracker, event.result.kind, now)
+            actions = self._on_failure(running.lane, work, event.result, now)
+        return actions + self._pump(running.lane, now)
+
+    def _learn_service_time(
+        self, work: Work, tracker: ReplicaTracker, service_seconds: float, now: float
+    ) -> None:
+        key = kind_key(work.sub_request)
+        tracker.on_answer(service_seconds)
+        self._hedging.on_service_time(key, service_seconds, now)
+        self._service_times.record(key, service_seconds)
+
+    def _learn_failure(
+        self, lane: ShardLane, tracker: ReplicaTracker, kind: BackendFailureKind, now: float
+    ) -> None:
+        if kind is BackendFailureKind.SHED:
+            tracker.on_shed()
+            lane.shedding_until = now + tracker.settings.shedding_hold_seconds
+        if kind in REPLICA_AT_FAULT:
+            tracker.on_failure(now)
+
+    def _on_answer(self, work: Work, answer: BackendAnswer, now: float) -> list[Action]:
+        if work.is_finished:
+            return [Count("wingquay_late_answers_total")]
+        covered = answer.covered
+        if Mechanism.COVERAGE_ACCOUNTING in self._disabled:
+            covered = work.sub_request.key_ranges
+        result = SubAnswer(answer.snapshot, covered, answer.rows)
+        return self._finish(work, result, now)
+
+    def _on_failure(
+        self, lane: ShardLane, work: Work, failure: Failure[BackendFailureKind], now: float
+    ) -> list[Action]:
+        work.may_have_run = work.may_have_run or may_have_run(failure)
+        work.last_failure = to_sub_failure(failure)
+        if work.is_finished or work.running:
+            return []
+        if self._may_retry(lane, work, failure.kind, now):
+            work.retries += 1
+            work.wants_hedge = False
+            lane.queue.push_front(work)
+            return [Count("wingquay_retries_total", labels=(("service", lane.service.name),))]
+        return self._finish(work, work.last_failure, now)
+
+    def _may_retry(self, lane: ShardLane, work: Work, kind: BackendFailureKind, now: float) -> bool:
+        if work.may_have_run and not self._may_repeat(work):
+            return False
+        if work.retries >= self._settings.most_retries or now >= work.deadline_at:
+            return False
+        usable = self._choice.usable(list(lane.trackers.values()), now)
+        if self._choice.choose(usable, work.tried, work.sub_request.snapshot) is None:
+            return False
+        if kind is BackendFailureKind.NOT_HELD or Mechanism.RETRY_BUDGET in self._disabled:
+            return True
+        return self._retry_budget(work.sub_request.service).spend()
+
+    def _retry_budget(self, service: str) -> RatioBudget:
+        budget = self._retry_budgets.get(service)
+        if budget is None:
+            budget = RatioBudget(
+                self._settings.retry_budget_ratio, self._settings.retry_budget_burst
+            )
+            self._retry_budgets[service] = budget
+        return budget
+
+    # Results -----------------------------------------------------------------------------
+
+    def _fail_waiting(
+        self, lane: ShardLane, failure: Failure[SubFailureKind], now: float
+    ) -> list[Action]:
+        actions: list[Action] = []
+        while True:
+            work = lane.queue.pop(lambda _: True)
+            if work is None:
+                return actions
+            actions += self._finish(work, work.last_failure or failure, now)
+
+    def _finish(
+        self, work: Work, result: SubAnswer | Failure[SubFailureKind], now: float
+    ) -> list[Action]:
+        has_run = isinstance(result, SubAnswer) or work.may_have_run or bool(work.running)
+        if Mechanism.RUN_TRACKING in self._disabled and not isinstance(result, SubAnswer):
+            has_run = False
+        queue_seconds = work.queue_seconds
+        started_at = work.first_started_at
+        actions = self._end(work, now)
+        lane = self._lanes.lane(work.sub_request.shard_id)
+        sub_result = SubResult(
+            sub_request_id=work.sub_request.sub_request_id,
+            shard_id=work.sub_request.shard_id,
+            result=result,
+            may_have_run=has_run,
+            attempts=work.attempts,
+            queue_seconds=queue_seconds if started_at is not None else now - work.accepted_at,
+            service_seconds=0.0 if started_at is None else now - started_at,
+            held=() if lane is None else lane.held(),
+            replica_id=work.last_replica,
+            class_delay_seconds=0.0 if lane is None else self._class_delay(lane, work, now),
+        )
+        return [*actions, SendToPeer(work.requester, SubResultBatch((sub_result,)))]
+
+    def _end(self, work: Work, now: float) -> list[Action]:
+        """Forget ``work`` and end its exchanges."""
+        work.is_finished = True
+        self._work.pop(work.sub_request.sub_request_id, None)
+        self._requesters.on_ended(work.requester, now)
+        if work.wants_hedge:
+            work.wants_hedge = False
+            self._hedging.give_back(work.sub_request.class_name)
+        if Mechanism.CANCEL_LOSERS in self._disabled:
+            return []
+        actions: list[Action] = []
+        for attempt in list(work.running.values()):
+            actions += self._cancel(attempt, now)
+        return actions
+
+    def _cancel(self, attempt: RunningAttempt, now: float) -> list[Action]:
+        running = self._running.pop(attempt.attempt_id)
+        running.tracker.in_flight -= 1
+        running.work.running.pop(attempt.attempt_id, None)
+        # A cancelled attempt took at least this long: leaving it out would make the slow look
+        # rare and pull the hedge delay down.
+        elapsed = now - attempt.started_at
+        self._hedging.on_service_time(kind_key(running.work.sub_request), elapsed, now)
+        return [CancelAttempt(attempt.attempt_id)]
--- /dev/null
+++ b/wingquay/admission/owner_machine.py
@@ -0,0 +1,151 @@
+"""The machine of a node's role as owner: routes events to the dispatcher and the prober."""
+
+import random
+from typing import ClassVar
+
+from wingquay.admission.dispatcher import Dispatcher
+from wingquay.admission.dispatcher_events import HeartbeatDue, HedgeDue, ProbeDue, WorkExpired
+from wingquay.admission.health_prober import HealthProber
+from wingquay.admission.lane_table import LaneTable
+from wingquay.admission.settings import AdmissionSettings
+from wingquay.model.configuration import Configuration
+from wingquay.model.mechanisms import Mechanism
+from wingquay.ports.backend import AttemptFinished, ReplicaProbed
+from wingquay.ports.internal import ConfigurationInForce, MembershipChanged, ReplicaBelief
+from wingquay.ports.machine import Action, Event, Schedule, Start
+from wingquay.ports.peer import (
+    CancelSubRequests,
+    NodeIdentity,
+    PeerMessage,
+    PeerReceived,
+    SendToPeer,
+    SubRequestBatch,
+    SubResultBatch,
+)
+from wingquay.routing.ownership import OwnerTable
+from wingquay.routing.replica_choice import ReplicaChoice
+from wingquay.routing.settings import RoutingSettings
+
+
+class OwnerMachine:
+    """Owns shards: see ``Dispatcher`` and ``HealthProber``."""
+
+    EVENTS: ClassVar[tuple[type[Event], ...]] = (
+        Start,
+        ConfigurationInForce,
+        MembershipChanged,
+        ReplicaBelief,
+        AttemptFinished,
+        ReplicaProbed,
+        HedgeDue,
+        WorkExpired,
+        ProbeDue,
+        HeartbeatDue,
+    )
+    PEER_MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (SubRequestBatch, CancelSubRequests)
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        routing: RoutingSettings,
+        admission: AdmissionSettings,
+        random_source: random.Random,
+        disabled: frozenset[Mechanism] = frozenset(),
+    ) -> None:
+        self._identity = identity
+        self._routing = routing
+        self._admission = admission
+        self._random = random_source
+        self._disabled = disabled
+        self._owners = OwnerTable(routing.owners_per_shard)
+        self._lanes = LaneTable(routing, Mechanism.CLASS_ORDER not in disabled)
+        self._heartbeat_scheduled = False
+        choice = ReplicaChoice(
+            identity.zone,
+            random_source,
+            load_aware=Mechanism.LOAD_AWARE_CHOICE not in disabled,
+            slow_start=Mechanism.SLOW_START not in disabled,
+            ejection=Mechanism.OUTLIER_EJECTION not in disabled,
+        )
+        self._dispatcher = Dispatcher(
+            identity.node_id, admission, self._lanes, choice, random_source, disabled
+        )
+        self._prober = HealthProber(identity.node_id, routing, self._lanes)
+
+    @property
+    def in_flight(self) -> int:
+        """Sub-requests that wait or run here."""
+        return self._dispatcher.in_flight
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in one event."""
+        match event:
+            case AttemptFinished():
+                # Reports first: the result that leaves says which versions replicas hold.
+                actions = self._prober.on_attempt_finished(event, now)
+                return actions + self._dispatcher.on_attempt_finished(event, now)
+            case PeerReceived():
+                return self._on_peer(event, now)
+            case HedgeDue():
+                return self._dispatcher.on_hedge_due(event, now)
+            case WorkExpired():
+                actions = self._dispatcher.on_work_expired(event, now)
+                return actions + self._dispatcher.pump_all(now)
+            case _:
+                return self._on_rare(event, now)
+
+    def _on_peer(self, event: PeerReceived, now: float) -> list[Action]:
+        if isinstance(event.message, SubRequestBatch):
+            actions = self._dispatcher.on_batch(event.message, event.sender, now)
+            return actions + self._schedule_heartbeat(event.sender, now)
+        if isinstance(event.message, CancelSubRequests):
+            return self._dispatcher.on_cancel(event.message, now)
+        return []
+
+    def _on_rare(self, event: Event, now: float) -> list[Action]:
+        match event:
+            case Start():
+                phase = self._random.random() * self._routing.health_interval_seconds
+                return [Schedule(now + phase, ProbeDue())]
+            case ConfigurationInForce():
+                return self._on_configuration(event.configuration, now)
+            case MembershipChanged():
+                deployment = self._identity.deployment
+                own = [node for node in event.available if node.deployment == deployment]
+                self._owners.set_nodes(own)
+            case ReplicaBelief() if Mechanism.REPLICA_LEAVING not in self._disabled:
+                self._prober.on_belief(event)
+                return self._dispatcher.pump_all(now)
+            case ReplicaProbed():
+                return self._prober.on_probed(event, now) + self._dispatcher.pump_all(now)
+            case ProbeDue():
+                due = Schedule(now + self._routing.health_interval_seconds, ProbeDue())
+                return [due, *self._prober.probe_owned(self._owners)]
+            case HeartbeatDue():
+                return self._on_heartbeat_due(now)
+        return []
+
+    def _on_configuration(self, configuration: Configuration, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for lane in self._lanes.apply(configuration):
+            actions += self._dispatcher.on_lane_gone(lane, now)
+        return actions + self._prober.probe_owned(self._owners)
+
+    def _schedule_heartbeat(self, sender: NodeIdentity, now: float) -> list[Action]:
+        if self._heartbeat_scheduled or sender.node_id == self._identity.node_id:
+            return []
+        self._heartbeat_scheduled = True
+        return [Schedule(now + self._admission.owner_heartbeat_seconds, HeartbeatDue())]
+
+    def _on_heartbeat_due(self, now: float) -> list[Action]:
+        requesters = self._dispatcher.requesters
+        if not requesters:
+            self._heartbeat_scheduled = False
+            return []
+        interval = self._admission.owner_heartbeat_seconds
+        silent = requesters.silent_since(now - interval, now)
+        actions: list[Action] = [Schedule(now + interval, HeartbeatDue())]
+        for identity in silent:
+            if identity.node_id != self._identity.node_id:
+                actions.append(SendToPeer(identity, SubResultBatch(())))
+        return actions
--- /dev/null
+++ b/wingquay/admission/shard_lane.py
@@ -0,0 +1,50 @@
+"""One shard at its owner: its replicas, the queue for their slots, the line of hedges."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from wingquay.admission.fair_queue import FairQueue
+from wingquay.admission.work import Work
+from wingquay.model.answer import HeldVersions
+from wingquay.model.configuration import Service, Shard
+from wingquay.routing.replica_tracker import ReplicaTracker
+
+
+@dataclass(slots=True)
+class ShardLane:
+    """State of one shard.
+
+    Parameters
+    ----------
+    shedding_until
+        While now is before it, the pool has refused work lately and gets no hedges.
+    """
+
+    service: Service
+    shard: Shard
+    trackers: dict[str, ReplicaTracker]
+    queue: FairQueue
+    hedge_line: deque[Work] = field(default_factory=deque)
+    shedding_until: float = 0.0
+
+    def parallelism(self) -> int:
+        """Return how many sub-requests all staying replicas together may have in flight."""
+        staying = [tracker for tracker in self.trackers.values() if not tracker.leaving]
+        return sum(tracker.full_limit for tracker in staying)
+
+    def held(self) -> tuple[HeldVersions, ...]:
+        """Return the versions that the staying replicas hold, as far as known."""
+        return tuple(
+            tracker.held
+            for tracker in self.trackers.values()
+            if tracker.held is not None and not tracker.leaving
+        )
+
+    def next_hedge(self) -> Work | None:
+        """Return the first sub-request that still wants a hedge; it stays in line."""
+        while self.hedge_line:
+            work = self.hedge_line[0]
+            if not work.is_finished and work.wants_hedge:
+                return work
+            self.hedge_line.popleft()
+        return None
--- a/wingquay/model/__init__.py
+++ b/wingquay/model/__init__.py
@@ -1,1 +1,1 @@
-"""Typed values that every layer shares: identifiers, key ranges, requests, answers, configuration."""
+"""Typed values that every layer shares: identifiers, ranges, requests, answers, settings."""
--- a/wingquay/model/configuration_check.py
+++ b/wingquay/model/configuration_check.py
@@ -23,8 +23,8 @@
 
 
 def _duplicates(label: str, names: Iterable[str]) -> list[str]:
-    counts = Counter(names)
-    return [f"{label} {name!r} is given {count} times" for name, count in counts.items() if count > 1]
+    repeated = {name: count for name, count in Counter(names).items() if count > 1}
+    return [f"{label} {name!r} is given {count} times" for name, count in repeated.items()]
 
 
 def _duplicate_errors(configuration: "Configuration") -> list[str]:
--- a/wingquay/model/failure.py
+++ b/wingquay/model/failure.py
@@ -1,4 +1,4 @@
-"""The sentinel that stands for an error: a kind that programs test and a reason that people read."""
+"""The sentinel for an error: a kind that programs test and a reason that people read."""
 
 from dataclasses import dataclass
 from enum import Enum
--- /dev/null
+++ b/wingquay/orchestration/__init__.py
@@ -0,0 +1,1 @@
+"""Composes the machines of one node."""
--- /dev/null
+++ b/wingquay/orchestration/node_machine.py
@@ -0,0 +1,113 @@
+"""All decision code of one node, as one machine.
+
+Events are routed by type to the machines that take them; what a machine notifies the others of,
+and what a node sends to itself, is handled at once. The asyncio runtime and the simulator both
+drive exactly this class.
+"""
+
+import random
+from collections import deque
+from typing import ClassVar, Protocol
+
+from wingquay.admission.owner_machine import OwnerMachine
+from wingquay.model.identifiers import NodeId
+from wingquay.orchestration.settings import NodeMachineSettings
+from wingquay.orchestration.stop_machine import StopMachine
+from wingquay.ports.internal import Notify
+from wingquay.ports.machine import Action, Event
+from wingquay.ports.peer import NodeIdentity, PeerMessage, PeerReceived, SendToPeer
+from wingquay.query.coordinator import Coordinator
+from wingquay.query.owner_links import OwnerLinks
+
+SEED_BITS = 64
+
+
+class RoutedMachine(Protocol):
+    """A machine that says which events and peer messages it takes."""
+
+    EVENTS: ClassVar[tuple[type[Event], ...]]
+    PEER_MESSAGES: ClassVar[tuple[type[PeerMessage], ...]]
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in one event."""
+        ...
+
+
+class NodeMachine:
+    """The machines of one node and the routes between them.
+
+    Parameters
+    ----------
+    identity
+        Who this node is.
+    random_source
+        Seeds each machine's own source, so that one machine's draws do not shift another's.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        settings: NodeMachineSettings,
+        random_source: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._settings = settings
+        self._owner = OwnerMachine(
+            identity, settings.routing, settings.admission, _child(random_source), settings.disabled
+        )
+        links = OwnerLinks(identity, settings.routing.owners_per_shard, _child(random_source))
+        self._coordinator = Coordinator(identity, settings.query, links, settings.disabled)
+        self._stop = StopMachine(settings.stop, self.in_flight, settings.disabled)
+        machines: list[RoutedMachine] = [self._coordinator, self._owner, self._stop]
+        self._by_event: dict[type[Event], list[RoutedMachine]] = {}
+        self._by_message: dict[type[PeerMessage], list[RoutedMachine]] = {}
+        for machine in machines:
+            self._add_routes(machine)
+
+    def _add_routes(self, machine: RoutedMachine) -> None:
+        for event_type in machine.EVENTS:
+            self._by_event.setdefault(event_type, []).append(machine)
+        for message_type in machine.PEER_MESSAGES:
+            self._by_message.setdefault(message_type, []).append(machine)
+
+    @property
+    def identity(self) -> NodeIdentity:
+        """Who this node is."""
+        return self._identity
+
+    @property
+    def node_id(self) -> NodeId:
+        """The id of this node."""
+        return self._identity.node_id
+
+    def in_flight(self) -> int:
+        """Return how many requests and sub-requests have not ended here."""
+        return self._coordinator.in_flight + self._owner.in_flight
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in ``event`` at ``now`` and return what the surroundings must do, in order."""
+        outward: list[Action] = []
+        waiting: deque[Event] = deque((event,))
+        while waiting:
+            current = waiting.popleft()
+            for machine in self._machines_for(current):
+                for action in machine.handle(current, now):
+                    self._place(action, waiting, outward)
+        return outward
+
+    def _machines_for(self, event: Event) -> list[RoutedMachine]:
+        if isinstance(event, PeerReceived):
+            return self._by_message.get(type(event.message), [])
+        return self._by_event.get(type(event), [])
+
+    def _place(self, action: Action, waiting: deque[Event], outward: list[Action]) -> None:
+        if isinstance(action, Notify):
+            waiting.append(action.event)
+        elif isinstance(action, SendToPeer) and action.to.node_id == self._identity.node_id:
+            waiting.append(PeerReceived(self._identity, action.message))
+        else:
+            outward.append(action)
+
+
+def _child(random_source: random.Random) -> random.Random:
+    return random.Random(random_source.getrandbits(SEED_BITS))
--- /dev/null
+++ b/wingquay/orchestration/stop_machine.py
@@ -0,0 +1,91 @@
+"""The planned stop: announce, take nothing new, finish everything in flight, exit.
+
+Source: brief, "A planned stop cuts off no request that is in flight".
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import ClassVar
+
+from wingquay.model.mechanisms import Mechanism
+from wingquay.orchestration.settings import StopSettings
+from wingquay.ports.caller import SetReady
+from wingquay.ports.internal import ConfigurationInForce, LeavingStarted, Notify, WorkDrained
+from wingquay.ports.machine import Action, Event, Exit, Log, LogLevel, Schedule, StopRequested
+from wingquay.ports.peer import PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class StopCheckDue(Event):
+    """It is time to see whether anything is still in flight."""
+
+
+class StopMachine:
+    """Readiness and the planned stop.
+
+    Parameters
+    ----------
+    in_flight
+        Returns how many requests and sub-requests this node still has.
+    """
+
+    EVENTS: ClassVar[tuple[type[Event], ...]] = (ConfigurationInForce, StopRequested, StopCheckDue)
+    PEER_MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = ()
+
+    def __init__(
+        self,
+        settings: StopSettings,
+        in_flight: Callable[[], int],
+        disabled: frozenset[Mechanism] = frozenset(),
+    ) -> None:
+        self._settings = settings
+        self._in_flight = in_flight
+        self._waits = Mechanism.PLANNED_STOP_DRAIN not in disabled
+        self._started_at: float | None = None
+        self._is_ready = False
+        self._has_exited = False
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in one event."""
+        match event:
+            case ConfigurationInForce():
+                return self._on_configuration()
+            case StopRequested():
+                return self._on_stop_requested(now)
+            case StopCheckDue():
+                return self._on_check(now)
+        return []
+
+    def _on_configuration(self) -> list[Action]:
+        if self._is_ready or self._started_at is not None:
+            return []
+        self._is_ready = True
+        return [SetReady(True, "a confirmed configuration is in force")]
+
+    def _on_stop_requested(self, now: float) -> list[Action]:
+        if self._started_at is not None:
+            return []
+        self._started_at = now
+        return [
+            Log("planned_stop_started", fields=(("in_flight", self._in_flight()),)),
+            SetReady(False, "planned stop"),
+            Notify(LeavingStarted()),
+            Schedule(now + self._settings.check_seconds, StopCheckDue()),
+        ]
+
+    def _on_check(self, now: float) -> list[Action]:
+        if self._started_at is None or self._has_exited:
+            return []
+        elapsed = now - self._started_at
+        in_flight = self._in_flight()
+        if elapsed >= self._settings.least_seconds and (in_flight == 0 or not self._waits):
+            return self._exit(in_flight)
+        if elapsed >= self._settings.most_seconds:
+            return self._exit(in_flight)
+        return [Schedule(now + self._settings.check_seconds, StopCheckDue())]
+
+    def _exit(self, in_flight: int) -> list[Action]:
+        self._has_exited = True
+        level = LogLevel.WARNING if in_flight else LogLevel.INFO
+        log = Log("planned_stop_finished", level, (("cut_requests", in_flight),))
+        return [log, Notify(WorkDrained()), Exit(in_flight)]
--- /dev/null
+++ b/wingquay/query/answer_codec.py
@@ -0,0 +1,24 @@
+"""Stored answers of unrepeatable requests, as JSON (by pydantic)."""
+
+from dataclasses import replace
+
+from pydantic import TypeAdapter, ValidationError
+
+from wingquay.model.answer import Answer
+from wingquay.model.identifiers import RequestId
+
+_ADAPTER = TypeAdapter(Answer)
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """Return the answer as JSON."""
+    return _ADAPTER.dump_json(answer)
+
+
+def decode_answer(stored: bytes, request_id: RequestId) -> Answer | None:
+    """Return a stored answer for a repeat called ``request_id``; ``None`` if it is malformed."""
+    try:
+        answer = _ADAPTER.validate_json(stored)
+    except ValidationError:
+        return None
+    return replace(answer, request_id=request_id)
--- /dev/null
+++ b/wingquay/query/conclusion.py
@@ -0,0 +1,67 @@
+"""Turns a query's state into its answer."""
+
+from dataclasses import replace
+
+from wingquay.model.answer import Answer, MissingReason, Outcome
+from wingquay.model.identifiers import RequestId
+from wingquay.query.merge import AnswerMerge
+from wingquay.query.query_state import QueryState
+
+
+def refusal(request_id: RequestId, reason: str, retry_after_seconds: float) -> Answer:
+    """Return the answer to a request that certainly did not run."""
+    return Answer(
+        request_id,
+        Outcome.REFUSED_NOT_RUN,
+        reason=reason,
+        retry_after_seconds=retry_after_seconds,
+    )
+
+
+def invalid(request_id: RequestId, reason: str) -> Answer:
+    """Return the answer to a request that cannot be understood."""
+    return Answer(request_id, Outcome.INVALID, reason=reason)
+
+
+def unknown(request_id: RequestId, reason: str, retry_after_seconds: float) -> Answer:
+    """Return the answer to an unrepeatable request that may have run."""
+    return Answer(
+        request_id, Outcome.UNKNOWN, reason=reason, retry_after_seconds=retry_after_seconds
+    )
+
+
+def conclude(state: QueryState, now: float, retry_after_seconds: float) -> Answer:
+    """Return the answer for what has been merged so far.
+
+    Sub-requests without a result may have run.
+    """
+    may_have_run = state.may_have_run or bool(state.outstanding)
+    answer = _merged(state, now)
+    if answer.outcome is Outcome.COMPLETE:
+        return answer
+    request_id = answer.request_id
+    reason = state.reason or "no back end answered in time"
+    if not state.resolved.repeatable:
+        if may_have_run:
+            return unknown(request_id, reason, retry_after_seconds)
+        return refusal(request_id, reason, retry_after_seconds)
+    if not may_have_run and not answer.covered:
+        return refusal(request_id, reason, retry_after_seconds)
+    return replace(answer, reason=reason)
+
+
+def _merged(state: QueryState, now: float) -> Answer:
+    merge: AnswerMerge = state.merge
+    missing = merge.missing(MissingReason.DEADLINE)
+    snapshot = merge.snapshot if merge.covered else None
+    return Answer(
+        request_id=state.resolved.request.request_id,
+        outcome=Outcome.PARTIAL if missing else Outcome.COMPLETE,
+        snapshot=snapshot,
+        covered=merge.covered,
+        missing=missing,
+        rows=merge.rows,
+        timings=replace(state.timings, total_seconds=now - state.arrived_at),
+        sub_requests=state.sub_requests,
+        attempts=state.attempts,
+    )
--- /dev/null
+++ b/wingquay/query/owner_links.py
@@ -0,0 +1,98 @@
+"""Chooses the owner that a sub-request is sent to, and notices owners that fall silent."""
+
+import random
+from collections.abc import Sequence
+
+from wingquay.model.configuration import Service
+from wingquay.ports.internal import MembershipChanged
+from wingquay.ports.peer import NodeIdentity
+from wingquay.routing.ownership import OwnerTable
+
+SILENT_HOLD_SECONDS = 1.0
+"""Time for which a silent owner is passed over before it is tried again."""
+
+
+class OwnerLinks:
+    """The owners of shards as one coordinator sees them.
+
+    Parameters
+    ----------
+    owners_per_shard
+        0: this node sends to replicas itself.
+    """
+
+    def __init__(
+        self, identity: NodeIdentity, owners_per_shard: int, random_source: random.Random
+    ) -> None:
+        self._identity = identity
+        self._owners_per_shard = owners_per_shard
+        self._random = random_source
+        self._tables: dict[str, OwnerTable] = {}
+        self._available: tuple[NodeIdentity, ...] = (identity,)
+        self._heard_at: dict[str, float] = {}
+        self._silent_until: dict[str, float] = {}
+
+    def on_membership(self, event: MembershipChanged) -> None:
+        """Follow the nodes that may be asked."""
+        self._available = event.available
+        present = {node.node_id for node in event.available}
+        self._heard_at = {name: at for name, at in self._heard_at.items() if name in present}
+        for deployment, table in self._tables.items():
+            table.set_nodes(self._nodes_of(deployment))
+
+    def _nodes_of(self, deployment: str) -> list[NodeIdentity]:
+        return [node for node in self._available if node.deployment == deployment]
+
+    def _table(self, deployment: str) -> OwnerTable:
+        table = self._tables.get(deployment)
+        if table is None:
+            table = OwnerTable(self._owners_per_shard)
+            table.set_nodes(self._nodes_of(deployment))
+            self._tables[deployment] = table
+        return table
+
+    def choose(
+        self, service: Service, shard_id: str, tried: Sequence[str], now: float
+    ) -> NodeIdentity:
+        """Return the owner to ask: an untried one that is not silent, else this node."""
+        if self._owners_per_shard == 0:
+            return self._identity
+        table = self._table(service.deployment)
+        owners = self._fit(table.owners_of(shard_id), tried, now)
+        if owners:
+            return self._nearest(owners)
+        handoffs = self._fit(table.nodes_for(shard_id), tried, now)
+        return handoffs[0] if handoffs else self._identity
+
+    def _fit(
+        self, nodes: Sequence[NodeIdentity], tried: Sequence[str], now: float
+    ) -> list[NodeIdentity]:
+        return [
+            node
+            for node in nodes
+            if node.node_id not in tried and self._silent_until.get(node.node_id, 0.0) <= now
+        ]
+
+    def _nearest(self, owners: list[NodeIdentity]) -> NodeIdentity:
+        for node in owners:
+            if node.node_id == self._identity.node_id:
+                return node
+        same_zone = [node for node in owners if node.zone == self._identity.zone]
+        return self._random.choice(same_zone or owners)
+
+    def on_heard(self, node_id: str, now: float) -> None:
+        """Take in that an owner sent something."""
+        self._heard_at[node_id] = now
+        self._silent_until.pop(node_id, None)
+
+    def is_silent(self, node_id: str, oldest_sent_at: float, now: float, limit: float) -> bool:
+        """Whether an owner asked at ``oldest_sent_at`` has sent nothing for ``limit`` seconds."""
+        if node_id == self._identity.node_id:
+            return False
+        last = max(self._heard_at.get(node_id, oldest_sent_at), oldest_sent_at)
+        return now - last >= limit
+
+    def pass_over(self, node_id: str, now: float) -> None:
+        """Ask other owners for a while."""
+        if node_id != self._identity.node_id:
+            self._silent_until[node_id] = now + SILENT_HOLD_SECONDS
--- /dev/null
+++ b/wingquay/query/piece_sender.py
@@ -0,0 +1,98 @@
+"""Makes sub-requests of a plan's pieces and sends them to owners, grouped by owner."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+
+from wingquay.model.configuration import Service
+from wingquay.model.identifiers import SubRequestId
+from wingquay.model.key_range import KeyRange
+from wingquay.model.request import SubRequest
+from wingquay.ports.machine import Action
+from wingquay.ports.peer import NodeIdentity, SendToPeer, SubRequestBatch
+from wingquay.query.owner_links import OwnerLinks
+from wingquay.query.plan import ShardPiece, ShardPlan, plan_shards
+from wingquay.query.query_state import Piece, QueryState
+
+LEAST_RETURN_SECONDS = 0.005
+"""Time kept for an owner's result to come back before the answer leaves."""
+
+
+class PieceSender:
+    """Sends sub-requests.
+
+    Parameters
+    ----------
+    state_of
+        The coordinator's index from sub-request to query; kept up to date here.
+    """
+
+    def __init__(self, links: OwnerLinks, state_of: dict[SubRequestId, QueryState]) -> None:
+        self._links = links
+        self._state_of = state_of
+
+    def plan(self, service: Service, key_ranges: tuple[KeyRange, ...]) -> ShardPlan:
+        """Return which shards hold which keys."""
+        return plan_shards(service, key_ranges)
+
+    def send(
+        self, state: QueryState, pieces: Sequence[ShardPiece], now: float, retries: int = 0
+    ) -> list[Action]:
+        """Send a sub-request for each of ``pieces``."""
+        batches: dict[str, tuple[NodeIdentity, list[SubRequest]]] = {}
+        for shard_piece in pieces:
+            sub_request = self._sub_request(state, shard_piece, now)
+            service = state.resolved.service
+            owner = self._links.choose(service, shard_piece.shard.shard_id, (), now)
+            self._remember(state, Piece(sub_request, owner, now, retries))
+            batches.setdefault(owner.node_id, (owner, []))[1].append(sub_request)
+        return [
+            SendToPeer(owner, SubRequestBatch(tuple(sub_requests)))
+            for owner, sub_requests in batches.values()
+        ]
+
+    def resend(self, state: QueryState, piece: Piece, now: float) -> list[Action]:
+        """Ask another owner for a piece whose owner is lost, under a new id."""
+        tried = (*piece.owners_tried, piece.owner.node_id)
+        shard_id = piece.sub_request.shard_id
+        owner = self._links.choose(state.resolved.service, shard_id, tried, now)
+        sub_request = replace(
+            piece.sub_request,
+            sub_request_id=self._next_id(state),
+            remaining_seconds=self._remaining(state, now),
+        )
+        self._remember(state, Piece(sub_request, owner, now, piece.retries, tried))
+        return [SendToPeer(owner, SubRequestBatch((sub_request,)))]
+
+    def _remember(self, state: QueryState, piece: Piece) -> None:
+        sub_request_id = piece.sub_request.sub_request_id
+        state.outstanding[sub_request_id] = piece
+        self._state_of[sub_request_id] = state
+
+    def _next_id(self, state: QueryState) -> SubRequestId:
+        state.sub_requests += 1
+        request_id = state.resolved.request.request_id
+        return SubRequestId(f"{request_id}/{state.generation}.{state.sub_requests}")
+
+    def _remaining(self, state: QueryState, now: float) -> float:
+        remaining = state.remaining_seconds(now)
+        return remaining - min(LEAST_RETURN_SECONDS, remaining * 0.1)
+
+    def _sub_request(self, state: QueryState, piece: ShardPiece, now: float) -> SubRequest:
+        resolved = state.resolved
+        request = resolved.request
+        return SubRequest(
+            sub_request_id=self._next_id(state),
+            request_id=request.request_id,
+            service=resolved.service.name,
+            kind=resolved.kind.name,
+            shard_id=piece.shard.shard_id,
+            key_ranges=piece.key_ranges,
+            snapshot=state.merge.snapshot,
+            remaining_seconds=self._remaining(state, now),
+            class_name=resolved.priority_class.name,
+            price=resolved.priority_class.price,
+            promise_seconds=resolved.priority_class.promise_seconds,
+            repeatable=resolved.repeatable,
+            body=request.body,
+            traceparent=request.traceparent,
+        )
--- /dev/null
+++ b/wingquay/query/query_state.py
@@ -0,0 +1,88 @@
+"""The state of one request at its coordinator."""
+
+from dataclasses import dataclass, field
+
+from wingquay.model.answer import Timings
+from wingquay.model.configuration import CoveragePreference, PriorityClass, RequestKind, Service
+from wingquay.model.identifiers import SubRequestId
+from wingquay.model.key_range import KeyRange
+from wingquay.model.request import QueryRequest, SubRequest
+from wingquay.ports.peer import NodeIdentity
+from wingquay.query.merge import AnswerMerge
+
+
+@dataclass(frozen=True, slots=True)
+class ResolvedRequest:
+    """A request checked against the configuration, with every default filled in."""
+
+    request: QueryRequest
+    service: Service
+    kind: RequestKind
+    priority_class: PriorityClass
+    repeatable: bool
+    coverage_preference: CoveragePreference
+    deadline_seconds: float
+
+
+@dataclass(slots=True)
+class Piece:
+    """A sub-request that has no result yet, and the owner that was asked."""
+
+    sub_request: SubRequest
+    owner: NodeIdentity
+    sent_at: float
+    retries: int = 0
+    owners_tried: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class QueryState:
+    """One request from arrival to answer.
+
+    Parameters
+    ----------
+    answer_at
+        When the answer leaves at the latest (before the caller's deadline).
+    may_have_run
+        Whether any back end may have run any part of it.
+    answers_on_first
+        Whether the promise has passed and the first coverage ends the wait.
+    waiting_retries
+        Pieces whose retry is scheduled.
+    answered
+        Pieces with a result; kept only when the duplicate filter is taken out.
+    """
+
+    resolved: ResolvedRequest
+    arrived_at: float
+    answer_at: float
+    merge: AnswerMerge
+    outstanding: dict[SubRequestId, Piece] = field(default_factory=dict)
+    answered: dict[SubRequestId, Piece] = field(default_factory=dict)
+    generation: int = 0
+    sub_requests: int = 0
+    attempts: int = 0
+    replans: int = 0
+    waiting_retries: int = 0
+    may_have_run: bool = False
+    answers_on_first: bool = False
+    is_claimed: bool = False
+    awaits_claim: bool = False
+    caller_gone: bool = False
+    reason: str = ""
+    timings: Timings = field(default_factory=Timings)
+
+    def remaining_seconds(self, now: float) -> float:
+        """Return the time left for sub-requests."""
+        return max(0.0, self.answer_at - now)
+
+    def learn_timing(self, queue_seconds: float, service_seconds: float) -> None:
+        """Keep the parts of the slowest sub-request."""
+        slowest = self.timings.queue_seconds + self.timings.service_seconds
+        if queue_seconds + service_seconds > slowest:
+            self.timings = Timings(0.0, queue_seconds, service_seconds)
+
+    @property
+    def wanted(self) -> tuple[KeyRange, ...]:
+        """The keys that were asked for."""
+        return self.resolved.request.key_ranges
--- /dev/null
+++ b/wingquay/query/request_check.py
@@ -0,0 +1,77 @@
+"""Checks a request against the configuration and fills in defaults."""
+
+from enum import Enum
+
+from wingquay.model.configuration import Configuration, RequestKind
+from wingquay.model.failure import Failure
+from wingquay.model.request import QueryRequest
+from wingquay.query.query_state import ResolvedRequest
+
+LONGEST_DEADLINE_SECONDS = 600.0
+
+
+class QueryFailureKind(Enum):
+    """Why a request is not planned."""
+
+    NO_CONFIGURATION = "no_configuration"
+    INVALID = "invalid"
+    OVERLOADED = "overloaded"
+    LEAVING = "leaving"
+
+
+def resolve(
+    request: QueryRequest, configuration: Configuration | None
+) -> ResolvedRequest | Failure[QueryFailureKind]:
+    """Return the request with every default filled in, or what is wrong with it."""
+    if configuration is None:
+        return Failure(QueryFailureKind.NO_CONFIGURATION, "no confirmed configuration yet")
+    service = configuration.service(request.service)
+    caller = configuration.caller(request.caller)
+    allowed = () if caller is None else caller.services
+    if service is None or service.name not in allowed:
+        return _invalid(f"service: {request.service!r} is not one of {sorted(allowed)}")
+    kind = service.kind(request.kind)
+    if kind is None:
+        names = sorted(entry.name for entry in service.kinds)
+        return _invalid(f"kind: {request.kind!r} is not one of {names}")
+    class_name = configuration.class_for(service, kind, request.caller)
+    priority_class = configuration.priority_class(class_name)
+    if priority_class is None:
+        return _invalid(f"class: {class_name!r} is not configured")
+    repeatable = kind.repeatable if request.repeatable is None else request.repeatable
+    error = _field_error(request, kind, repeatable)
+    if error:
+        return _invalid(error)
+    return ResolvedRequest(
+        request=request,
+        service=service,
+        kind=kind,
+        priority_class=priority_class,
+        repeatable=repeatable,
+        coverage_preference=request.coverage_preference or kind.coverage_preference,
+        deadline_seconds=_deadline(request, kind),
+    )
+
+
+def _deadline(request: QueryRequest, kind: RequestKind) -> float:
+    if request.deadline_seconds is None:
+        return kind.deadline_seconds
+    return request.deadline_seconds
+
+
+def _field_error(request: QueryRequest, kind: RequestKind, repeatable: bool) -> str:
+    if not request.key_ranges:
+        return "key_ranges: at least one key or key range is required"
+    for key_range in request.key_ranges:
+        if key_range.is_empty:
+            return f"key_ranges: end {key_range.end!r} must be after start {key_range.start!r}"
+    deadline = _deadline(request, kind)
+    if not 0.0 < deadline <= LONGEST_DEADLINE_SECONDS:
+        return f"deadline: {deadline} s is not in 0 to {LONGEST_DEADLINE_SECONDS:.0f} s"
+    if not repeatable and not request.idempotency_key:
+        return "Idempotency-Key: required for a request that may not be repeated"
+    return ""
+
+
+def _invalid(reason: str) -> Failure[QueryFailureKind]:
+    return Failure(QueryFailureKind.INVALID, reason)
--- /dev/null
+++ b/wingquay/query/version_table.py
@@ -0,0 +1,110 @@
+"""Which snapshots the replicas of a service hold, and the choice of the one to pin.
+
+A snapshot is chosen that the least well served shard holds as widely as possible; among equals
+the newest. So a version that is just being installed is not used until it is as widely held as
+the one before it.
+"""
+
+from wingquay.model.answer import HeldVersions
+from wingquay.model.configuration import Configuration, Service
+from wingquay.model.identifiers import ServiceName, SnapshotVersion
+
+UNKNOWN_SNAPSHOT = SnapshotVersion(0)
+"""Pinned while nothing is known: no replica holds it, and each says what it does hold."""
+
+
+class VersionTable:
+    """Held versions by replica, and the best version of each service."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, Service] = {}
+        self._service_of_replica: dict[str, str] = {}
+        self._held: dict[str, HeldVersions] = {}
+        self._left_out: dict[str, bool] = {}
+        self._best: dict[str, SnapshotVersion] = {}
+
+    def apply(self, configuration: Configuration) -> None:
+        """Follow the configuration's services and replicas."""
+        self._services = {service.name: service for service in configuration.services}
+        self._service_of_replica = {
+            replica.replica_id: service.name
+            for service in configuration.services
+            for shard in service.shards
+            for replica in shard.replicas
+        }
+        known = self._service_of_replica
+        self._held = {name: held for name, held in self._held.items() if name in known}
+        self._best.clear()
+
+    def learn(self, held: HeldVersions) -> None:
+        """Take in what a replica holds."""
+        if self._held.get(held.replica_id) == held:
+            return
+        self._held[held.replica_id] = held
+        self._forget_best(held.replica_id)
+
+    def set_left_out(self, replica_id: str, left_out: bool) -> None:
+        """Say whether a replica is leaving or gone, so that what it holds does not count."""
+        if self._left_out.get(replica_id, False) != left_out:
+            self._left_out[replica_id] = left_out
+            self._forget_best(replica_id)
+
+    def _forget_best(self, replica_id: str) -> None:
+        service = self._service_of_replica.get(replica_id)
+        if service is not None:
+            self._best.pop(service, None)
+
+    def best(self, service_name: ServiceName) -> SnapshotVersion:
+        """Return the version to pin, or ``UNKNOWN_SNAPSHOT``."""
+        cached = self._best.get(service_name)
+        if cached is not None:
+            return cached
+        service = self._services.get(service_name)
+        best = UNKNOWN_SNAPSHOT if service is None else self._choose(service)
+        self._best[service_name] = best
+        return best
+
+    def _choose(self, service: Service) -> SnapshotVersion:
+        held_by_shard = [
+            [
+                self._held[replica.replica_id]
+                for replica in shard.replicas
+                if replica.replica_id in self._held
+                and not self._left_out.get(replica.replica_id, False)
+            ]
+            for shard in service.shards
+        ]
+        known = [shard for shard in held_by_shard if shard]
+        candidates = {version for shard in known for held in shard for version in _ends(held)}
+        if not candidates:
+            return UNKNOWN_SNAPSHOT
+        return max(sorted(candidates), key=lambda version: _rank(known, version))
+
+    def shards_holding(self, service_name: ServiceName, version: SnapshotVersion) -> int:
+        """Return how many shards of the service have a replica known to hold ``version``."""
+        service = self._services.get(service_name)
+        if service is None:
+            return 0
+        return sum(
+            any(self._holds(replica.replica_id, version) for replica in shard.replicas)
+            for shard in service.shards
+        )
+
+    def _holds(self, replica_id: str, version: SnapshotVersion) -> bool:
+        held = self._held.get(replica_id)
+        return held is not None and held.oldest <= version <= held.newest
+
+
+def _ends(held: HeldVersions) -> tuple[SnapshotVersion, SnapshotVersion]:
+    return (held.oldest, held.newest)
+
+
+def _rank(
+    shards: list[list[HeldVersions]], version: SnapshotVersion
+) -> tuple[int, float, SnapshotVersion]:
+    shares = [
+        sum(held.oldest <= version <= held.newest for held in shard) / len(shard)
+        for shard in shards
+    ]
+    shards_with_any = sum(share > 0.0 for share in shares)
+    return (shards_with_any, min(shares), version)
--- a/wingquay/rehearsal/models/backend_messages.py
+++ b/wingquay/rehearsal/models/backend_messages.py
@@ -1,6 +1,6 @@
 """What a modelled back end is asked and what it replies, apart from any wire format."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from wingquay.model.answer import Row
@@ -115,7 +115,8 @@
 
     def to_attempt_finished(self, replica_id: ReplicaId) -> AttemptFinished:
         """Return the event that a back-end adapter makes of this reply."""
-        return AttemptFinished(self.attempt_id, replica_id, self._result(), self.load)
+        load = replace(self.load, oldest_version=self.oldest, newest_version=self.newest)
+        return AttemptFinished(self.attempt_id, replica_id, self._result(), load)
 
     def _result(self) -> BackendAnswer | Failure[BackendFailureKind]:
         if self.kind is ReplyKind.ANSWERED:
--- /dev/null
+++ b/wingquay/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which node owns a shard and which replica serves a sub-request."""
--- /dev/null
+++ b/wingquay/routing/rendezvous.py
@@ -0,0 +1,38 @@
+"""Rendezvous (highest random weight) hashing, spread over zones.
+
+Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998. When a
+node joins or leaves, only the keys that it wins or won move.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from wingquay.ports.peer import NodeIdentity
+
+
+def score(node_id: str, key: str) -> int:
+    """Return the weight of a node for a key; the same on every machine."""
+    return xxhash.xxh64_intdigest(f"{node_id}\0{key}".encode())
+
+
+def rank(nodes: Iterable[NodeIdentity], key: str) -> list[NodeIdentity]:
+    """Return the nodes by falling weight for ``key``."""
+    return sorted(nodes, key=lambda node: (-score(node.node_id, key), node.node_id))
+
+
+def spread_over_zones(ranked: list[NodeIdentity], count: int) -> list[NodeIdentity]:
+    """Return the first ``count`` of ``ranked``, taking each zone once before any zone twice."""
+    chosen: list[NodeIdentity] = []
+    waiting = list(ranked)
+    while waiting and len(chosen) < count:
+        zones_of_round: set[str] = set()
+        passed_over: list[NodeIdentity] = []
+        for node in waiting:
+            if node.zone in zones_of_round or len(chosen) >= count:
+                passed_over.append(node)
+                continue
+            zones_of_round.add(node.zone)
+            chosen.append(node)
+        waiting = passed_over
+    return chosen
--- /dev/null
+++ b/wingquay/routing/replica_choice.py
@@ -0,0 +1,88 @@
+"""The policy that picks a replica for a sub-request.
+
+Weighed in docs/design: random, power of two choices, least in flight, C3, Prequal. An owner sees
+all of its replicas (a few), so it compares all of them by in-flight work times recent latency
+(the core of C3, NSDI 2015) instead of sampling two.
+"""
+
+import random
+from collections.abc import Sequence
+
+from wingquay.model.identifiers import SnapshotVersion, ZoneName
+from wingquay.routing.replica_tracker import ReplicaTracker
+
+OTHER_ZONE_PENALTY = 1.1
+"""Factor on the cost of a replica in another zone: breaks ties, does not herd."""
+
+
+class ReplicaChoice:
+    """Chooses among the replicas of a shard.
+
+    Parameters
+    ----------
+    zone
+        The zone of this node.
+    load_aware
+        Whether load is looked at; otherwise any free replica is taken at random.
+    slow_start, ejection
+        Whether cold replicas get less and failing ones nothing.
+    """
+
+    def __init__(
+        self,
+        zone: ZoneName,
+        random_source: random.Random,
+        load_aware: bool = True,
+        slow_start: bool = True,
+        ejection: bool = True,
+    ) -> None:
+        self._zone = zone
+        self._random = random_source
+        self._load_aware = load_aware
+        self._slow_start = slow_start
+        self._ejection = ejection
+
+    def usable(self, trackers: Sequence[ReplicaTracker], now: float) -> list[ReplicaTracker]:
+        """Return the replicas that may get work at all; ejection never leaves out the last."""
+        staying = [tracker for tracker in trackers if not tracker.leaving]
+        if not self._ejection:
+            return staying
+        healthy = [tracker for tracker in staying if not tracker.is_ejected(now)]
+        return healthy or staying
+
+    def with_free_slot(
+        self, trackers: Sequence[ReplicaTracker], now: float
+    ) -> list[ReplicaTracker]:
+        """Return the usable replicas that may take one more sub-request now."""
+        return [
+            tracker
+            for tracker in self.usable(trackers, now)
+            if tracker.in_flight < tracker.limit(now, self._slow_start)
+        ]
+
+    def choose(
+        self,
+        free: Sequence[ReplicaTracker],
+        tried: Sequence[str],
+        snapshot: SnapshotVersion | None,
+    ) -> ReplicaTracker | None:
+        """Return the best of the ``free`` replicas for a sub-request, or ``None``.
+
+        Replicas in ``tried`` and those known not to hold ``snapshot`` are never returned.
+        """
+        fitting = [
+            tracker
+            for tracker in free
+            if tracker.replica.replica_id not in tried and not tracker.knows_not_held(snapshot)
+        ]
+        if not fitting:
+            return None
+        if not self._load_aware:
+            return self._random.choice(fitting)
+        return min(fitting, key=self._cost)
+
+    def _cost(self, tracker: ReplicaTracker) -> tuple[float, float]:
+        expected = tracker.latency_seconds * (tracker.in_flight + 1) / tracker.full_limit
+        if tracker.replica.zone != self._zone:
+            expected *= OTHER_ZONE_PENALTY
+        return (expected, self._random.random())
--- /dev/null
+++ b/wingquay/routing/replica_tracker.py
@@ -0,0 +1,128 @@
+"""What this node has seen of one replica, and how much work it may be given."""
+
+import math
+from dataclasses import dataclass, field
+
+from wingquay.model.answer import HeldVersions
+from wingquay.model.configuration import Replica
+from wingquay.model.identifiers import SnapshotVersion
+from wingquay.routing.settings import RoutingSettings
+
+INITIAL_LATENCY_SECONDS = 0.005
+ANSWER_TRUST_SECONDS = 2.0
+"""Time for which versions stated on an answer go before those on the health page, which lags."""
+
+SHED_DECREASE_FACTOR = 0.7
+SHED_RECOVERY_ANSWERS = 10
+"""Answers after which a limit lowered by shedding grows by one."""
+
+
+@dataclass(slots=True)
+class ReplicaTracker:
+    """Our own evidence about a replica: what our requests saw goes before what it reports."""
+
+    replica: Replica
+    settings: RoutingSettings
+    owner_count: int = 1
+    in_flight: int = 0
+    latency_seconds: float = INITIAL_LATENCY_SECONDS
+    failures_in_row: int = 0
+    ejections_in_row: int = 0
+    ejected_until: float = 0.0
+    leaving: bool = False
+    cold_since: float | None = None
+    reported_cold: bool = False
+    reported_utilization: float | None = None
+    held: HeldVersions | None = None
+    held_at: float = -ANSWER_TRUST_SECONDS
+    _limit_reduction: float = field(default=0.0)
+    _answers_since_shed: int = 0
+
+    @property
+    def full_limit(self) -> int:
+        """Sub-requests that this owner keeps at the replica when all is well."""
+        share = self.replica.slots * self.settings.in_flight_per_slot / self.owner_count
+        return max(1, min(math.ceil(share), self.connection_limit))
+
+    @property
+    def connection_limit(self) -> int:
+        """Connections that this owner may hold to the replica."""
+        return max(1, self.replica.connection_limit // max(1, self.owner_count))
+
+    def limit(self, now: float, slow_start: bool = True) -> int:
+        """Return how many sub-requests may be in flight now."""
+        limit = self.full_limit - self._limit_reduction
+        if slow_start and self.cold_since is not None:
+            limit *= self._warm_share(now)
+        if self.failures_in_row >= self.settings.ejection_failures:
+            limit = 1
+        return max(1, math.floor(limit))
+
+    def _warm_share(self, now: float) -> float:
+        if self.cold_since is None:
+            return 1.0
+        initial = self.settings.slow_start_initial_share
+        elapsed_share = (now - self.cold_since) / self.settings.slow_start_seconds
+        if elapsed_share >= 1.0 and not self.reported_cold:
+            self.cold_since = None
+        return min(1.0, initial + (1.0 - initial) * elapsed_share)
+
+    def is_ejected(self, now: float) -> bool:
+        """Whether the replica is left out for its failures."""
+        return now < self.ejected_until
+
+    def knows_not_held(self, snapshot: SnapshotVersion | None) -> bool:
+        """Whether the replica said that it does not hold ``snapshot``."""
+        if snapshot is None or self.held is None:
+            return False
+        return not self.held.oldest <= snapshot <= self.held.newest
+
+    def on_answer(self, latency_seconds: float) -> None:
+        """Take in a whole answer."""
+        weight = self.settings.latency_weight
+        self.latency_seconds += weight * (latency_seconds - self.latency_seconds)
+        self.failures_in_row = 0
+        self.ejections_in_row = 0
+        self._recover_limit()
+
+    def _recover_limit(self) -> None:
+        if self._limit_reduction <= 0.0:
+            return
+        self._answers_since_shed += 1
+        if self._answers_since_shed >= SHED_RECOVERY_ANSWERS:
+            self._answers_since_shed = 0
+            self._limit_reduction = max(0.0, self._limit_reduction - 1.0)
+
+    def on_shed(self) -> None:
+        """Take in a refusal for overload: keep fewer sub-requests there for a while."""
+        limit = self.full_limit - self._limit_reduction
+        self._limit_reduction = min(
+            self.full_limit - 1.0, self.full_limit - limit * SHED_DECREASE_FACTOR
+        )
+        self._answers_since_shed = 0
+
+    def on_failure(self, now: float) -> None:
+        """Take in a failure; enough in a row eject the replica, longer each time."""
+        self.failures_in_row += 1
+        if self.failures_in_row < self.settings.ejection_failures:
+            return
+        duration = self.settings.ejection_base_seconds * 2.0**self.ejections_in_row
+        self.ejected_until = now + min(duration, self.settings.ejection_max_seconds)
+        self.ejections_in_row = min(self.ejections_in_row + 1, 10)
+
+    def on_report(
+        self,
+        cold: bool,
+        utilization: float | None,
+        held: HeldVersions | None,
+        now: float,
+        is_on_answer: bool,
+    ) -> None:
+        """Take in what the replica says of itself, on an answer or on its health page."""
+        if cold and not self.reported_cold and self.cold_since is None:
+            self.cold_since = now
+        self.reported_cold = cold
+        self.reported_utilization = utilization
+        if held is not None and (is_on_answer or now - self.held_at >= ANSWER_TRUST_SECONDS):
+            self.held = held
+            self.held_at = now if is_on_answer else self.held_at
