--- a/wingquay/adapters/http_client.py
+++ b/wingquay/adapters/http_client.py
@@ -196,32 +196,41 @@
         """Return the number of connections to an address."""
         return self._pool.open_count((host, port))
 
-    def begin(
+    def prepare(
         self,
-        host: str,
-        port: int,
         request: OutgoingRequest,
-        timeout_seconds: float,
         on_done: Callable[[HttpResult], None],
         accepts: Callable[[HttpResponse], bool] = _accept_any,
-        connection_limit: int | None = None,
     ) -> HttpExchange:
-        """Begin an exchange without a task of its own; ``on_done`` may be called at once.
+        """Return an exchange, without a task of its own, that ``begin`` sends.
 
         Parameters
         ----------
-        host, port
-            An IP number and a port.
+        on_done
+            Called once with the result, unless the exchange is cancelled.
         accepts
             Whether a whole response belongs to this exchange. If not, its connection is closed;
             the response is handed to ``on_done`` all the same.
+        """
+        return HttpExchange(request, on_done, accepts, self._body_bytes)
+
+    def begin(
+        self,
+        exchange: HttpExchange,
+        host: str,
+        port: int,
+        timeout_seconds: float,
+        connection_limit: int | None = None,
+    ) -> None:
+        """Send a prepared exchange to ``host`` (an IP number); ``on_done`` may be called at once.
+
+        Parameters
+        ----------
         connection_limit
             The most connections to this address.
         """
-        exchange = HttpExchange(request, on_done, accepts, self._body_bytes)
         exchange.limit_time(self._loop, timeout_seconds)
         exchange.begin(self._pool, (host, port), connection_limit or self._connection_limit)
-        return exchange
 
     async def request(
         self,
@@ -236,7 +245,8 @@
         """Make an exchange and wait for its end; cancelling the task ends the exchange."""
         future: asyncio.Future[HttpResult] = self._loop.create_future()
         request = _outgoing(method, path, headers, body)
-        exchange = self.begin(host, port, request, timeout_seconds, _resolve(future))
+        exchange = self.prepare(request, _resolve(future))
+        self.begin(exchange, host, port, timeout_seconds)
         try:
             return await future
         except asyncio.CancelledError:
