Let suspicions name who raised them; define seeds and pushes on the port

Cause: independent suspicions shorten the time to refute (Lifeguard), so they must be told from one suspicion that came twice; a joining node knows addresses, not ids. Ruled out: a message type of its own for pushed gossip (a ping with sequence 0 has everything it needs). Change: NodeUpdate.suspected_by with its field on the wire; doc comments of NodeIdentity, Ping and Acknowledgement.

--- a/wingquay/adapters/peer_codec_membership.py
+++ b/wingquay/adapters/peer_codec_membership.py
@@ -86,6 +86,7 @@
             identity=identity_to_bytes(node_update.identity),
             state=_NODE_STATE_NUMBERS[node_update.state],
             incarnation=node_update.incarnation,
+            suspected_by=node_update.suspected_by,
         )
     for replica_update in gossip.replica_updates:
         _put_replica_update(target.replica_updates.add(), replica_update)
@@ -114,6 +115,7 @@
         identity_from_bytes(message.identity),
         member_of(_NODE_STATES, message.state),
         message.incarnation,
+        NodeId(message.suspected_by),
     )
 
 
--- a/wingquay/ports/peer.py
+++ b/wingquay/ports/peer.py
@@ -24,7 +24,11 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeIdentity:
-    """Who a node is and where it listens for peers (IP number and port, TCP and UDP alike)."""
+    """Who a node is and where it listens for peers (IP number and port, TCP and UDP alike).
+
+    A membership message may be sent to an identity with an empty ``node_id``: then whoever
+    listens at the address gets it. That is how a node joins.
+    """
 
     node_id: NodeId
     deployment: DeploymentName
@@ -44,11 +48,16 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeUpdate:
-    """A belief about a node, as spread by gossip; a greater incarnation overrides."""
+    """A belief about a node, as spread by gossip; a greater incarnation overrides.
+
+    ``suspected_by`` names who first said so when ``state`` is ``SUSPECT``, so that independent
+    suspicions can be told from repeated ones; otherwise it is empty.
+    """
 
     identity: NodeIdentity
     state: NodeState
     incarnation: int
+    suspected_by: NodeId = NodeId("")
 
 
 class ReplicaState(Enum):
@@ -92,7 +101,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping(MembershipMessage):
-    """Direct probe. Source: SWIM (Das, Gupta, Motivala, 2002), section 3."""
+    """Direct probe; with ``sequence`` 0 it only carries gossip and is not answered.
+
+    Source: SWIM (Das, Gupta, Motivala, 2002), section 3.
+    """
 
     sequence: int
     gossip: Gossip
@@ -100,7 +112,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Acknowledgement(MembershipMessage):
-    """The answer to a probe, direct or on behalf of ``subject``."""
+    """The answer to a probe, direct or on behalf of ``subject``.
+
+    An answer to a ``PingRequest`` that names the answering node itself as subject means that the
+    node asked for did not answer it.
+    """
 
     sequence: int
     subject: NodeId
