--- a/wingquay/rehearsal/models/store_model.py
+++ b/wingquay/rehearsal/models/store_model.py
@@ -146,6 +146,10 @@
         """Let nobody wait for a reply any more; the operation still takes effect."""
         self._awaited.pop(operation_id, None)
 
+    def holds_lease(self, lease_id: int) -> bool:
+        """Whether a lease has not lapsed."""
+        return self._leases.holds(lease_id)
+
     def start_watch(self, watch_id: str, span: KeySpan, from_revision: int, now: float) -> None:
         """Watch ``span`` from ``from_revision`` on (0: from now on)."""
         self._run_until(now)
