Split the dispatcher by job and test class order, hedges and refusals

Change: admission/attempts.py (exchanges, slots, learning), retrying.py (budgets); dispatcher.py keeps arrival, order and results.

--- a/wingquay/admission/dispatcher.py
+++ b/wingquay/admission/dispatcher.py
@@ -4,36 +4,23 @@
 this node's own coordinator and from other nodes alike.
 """
 
-import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
-from wingquay.admission.backend_failures import (
-    REPLICA_AT_FAULT,
-    may_have_run,
-    to_sub_failure,
-)
-from wingquay.admission.budget import RatioBudget
+from wingquay.admission.attempts import Attempts, Running
+from wingquay.admission.backend_failures import may_have_run, to_sub_failure
 from wingquay.admission.dispatcher_events import HedgeDue, WorkExpired
-from wingquay.admission.hedging import HedgePolicy
 from wingquay.admission.lane_table import LaneTable
 from wingquay.admission.requesters import Requesters
-from wingquay.admission.service_times import ServiceTimes
+from wingquay.admission.retrying import RetryPolicy
 from wingquay.admission.settings import AdmissionSettings
 from wingquay.admission.shard_lane import ShardLane
-from wingquay.admission.work import RunningAttempt, Work
+from wingquay.admission.work import Work
 from wingquay.model.answer import SubAnswer, SubFailureKind, SubResult
 from wingquay.model.failure import Failure
-from wingquay.model.identifiers import AttemptId, NodeId
+from wingquay.model.identifiers import NodeId
 from wingquay.model.mechanisms import Mechanism
 from wingquay.model.request import SubRequest
-from wingquay.ports.backend import (
-    AttemptFinished,
-    BackendAnswer,
-    BackendFailureKind,
-    CancelAttempt,
-    StartAttempt,
-)
+from wingquay.ports.backend import AttemptFinished, BackendAnswer, BackendFailureKind
 from wingquay.ports.machine import Action, Count, Schedule
 from wingquay.ports.peer import (
     CancelSubRequests,
@@ -46,19 +33,9 @@
 from wingquay.routing.replica_tracker import ReplicaTracker
 
 _NO_REPLICA = Failure(SubFailureKind.NO_REPLICA, "no replica of the shard is in service")
-
-
-@dataclass(frozen=True, slots=True)
-class _Running:
-    work: Work
-    lane: ShardLane
-    tracker: ReplicaTracker
-    attempt: RunningAttempt
-
-
-def kind_key(sub_request: SubRequest) -> str:
-    """Return the name under which service times of a kind are kept."""
-    return f"{sub_request.service}/{sub_request.kind}"
+_SHARD_GONE = Failure(SubFailureKind.NOT_OWNED, "the shard left the configuration")
+_EXPIRED_WAITING = Failure(SubFailureKind.DEADLINE, "the deadline passed in the queue")
+_EXPIRED_RUNNING = Failure(SubFailureKind.DEADLINE, "no whole answer by the deadline")
 
 
 class Dispatcher:
@@ -76,37 +53,22 @@
         settings: AdmissionSettings,
         lanes: LaneTable,
         choice: ReplicaChoice,
-        random_source: random.Random,
         disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
-        self._node_id = node_id
-        self._settings = settings
         self._lanes = lanes
         self._choice = choice
-        self._random = random_source
         self._disabled = disabled
         self._work: dict[str, Work] = {}
-        self._running: dict[AttemptId, _Running] = {}
-        self._requesters = Requesters()
-        self._service_times = ServiceTimes(settings.initial_service_seconds)
-        self._retry_budgets: dict[str, RatioBudget] = {}
-        self._attempt_counter = 0
-        self._hedging = HedgePolicy(
-            settings,
-            enabled=Mechanism.HEDGING not in disabled,
-            budgeted=Mechanism.HEDGE_BUDGET not in disabled,
-        )
+        self._attempts = Attempts(node_id, settings, disabled)
+        self._retrying = RetryPolicy(settings, Mechanism.RETRY_BUDGET not in disabled)
+        self.requesters = Requesters()
+        """The nodes that wait for results."""
 
     @property
     def in_flight(self) -> int:
         """Sub-requests that wait or run here."""
         return len(self._work)
 
-    @property
-    def requesters(self) -> Requesters:
-        """The nodes that wait for results."""
-        return self._requesters
-
     def on_batch(self, batch: SubRequestBatch, sender: NodeIdentity, now: float) -> list[Action]:
         """Take in sub-requests from ``sender``."""
         actions: list[Action] = []
@@ -128,16 +90,15 @@
 
     def on_lane_gone(self, lane: ShardLane, now: float) -> list[Action]:
         """Fail what waits for a shard that the configuration no longer has."""
-        failure = Failure(SubFailureKind.NOT_OWNED, "the shard left the configuration")
-        return self._fail_waiting(lane, failure, now)
+        return self._fail_waiting(lane, _SHARD_GONE, now)
 
     def on_work_expired(self, event: WorkExpired, now: float) -> list[Action]:
         """Give the final result of an unrepeatable sub-request at its deadline."""
         work = self._work.get(event.sub_request_id)
         if work is None:
             return []
-        failure = Failure(SubFailureKind.DEADLINE, "no whole answer by the deadline")
-        return self._finish(work, failure, now)
+        actions = self._finish(work, _EXPIRED_RUNNING, now)
+        return actions + self._pump_shard(work.sub_request.shard_id, now)
 
     def pump_all(self, now: float) -> list[Action]:
         """Start whatever may start after the replicas' state has changed."""
@@ -146,16 +107,16 @@
     # Arrival -----------------------------------------------------------------------------
 
     def _accept(self, sub_request: SubRequest, sender: NodeIdentity, now: float) -> list[Action]:
-        lane = self._lanes.lane(sub_request.shard_id)
         work = Work(
             sub_request=sub_request,
             requester=sender,
             accepted_at=now,
             deadline_at=now + sub_request.remaining_seconds,
-            cost_seconds=self._service_times.expected_seconds(kind_key(sub_request)),
+            cost_seconds=self._attempts.expected_seconds(sub_request),
         )
         self._work[sub_request.sub_request_id] = work
-        self._requesters.on_accepted(sender, now)
+        self.requesters.on_accepted(sender, now)
+        lane = self._lanes.lane(sub_request.shard_id)
         if lane is None:
             reason = f"shard {sub_request.shard_id!r} is not in this node's configuration"
             return self._finish(work, Failure(SubFailureKind.NOT_OWNED, reason), now)
@@ -167,6 +128,24 @@
             return self._finish(work, refusal, now)
         return self._expiry(work) + self._start_or_queue(lane, work, usable, now)
 
+    def _refusal(self, lane: ShardLane, work: Work) -> Failure[SubFailureKind] | None:
+        if Mechanism.EARLY_REFUSAL in self._disabled:
+            return None
+        expected = self._class_delay(lane, work) + work.cost_seconds
+        remaining = work.sub_request.remaining_seconds
+        if expected <= remaining:
+            return None
+        reason = f"expected to take {expected:.3f} s, {remaining:.3f} s are left"
+        return Failure(SubFailureKind.REFUSED, reason)
+
+    def _class_delay(self, lane: ShardLane, work: Work) -> float:
+        if not lane.queue:
+            return 0.0
+        sub_request = work.sub_request
+        return lane.queue.delay_seconds(
+            sub_request.class_name, sub_request.price, lane.parallelism()
+        )
+
     def _expiry(self, work: Work) -> list[Action]:
         if work.sub_request.repeatable:
             return []
@@ -180,30 +159,10 @@
             free = self._choice.with_free_slot(usable, now)
             tracker = self._choice.choose(free, work.tried, work.sub_request.snapshot)
             if tracker is not None:
-                return self._start(work, lane, tracker, False, now)
+                return self._start_first(work, lane, tracker, now)
         lane.queue.push(work)
         return self._pump(lane, now)
 
-    def _refusal(self, lane: ShardLane, work: Work) -> Failure[SubFailureKind] | None:
-        if Mechanism.EARLY_REFUSAL in self._disabled:
-            return None
-        expected = self._class_delay(lane, work) + work.cost_seconds
-        if expected > work.sub_request.remaining_seconds:
-            reason = (
-                f"expected to take {expected:.3f} s, "
-                f"{work.sub_request.remaining_seconds:.3f} s are left"
-            )
-            return Failure(SubFailureKind.REFUSED, reason)
-        return None
-
-    def _class_delay(self, lane: ShardLane, work: Work) -> float:
-        if not lane.queue:
-            return 0.0
-        sub_request = work.sub_request
-        return lane.queue.delay_seconds(
-            sub_request.class_name, sub_request.price, lane.parallelism()
-        )
-
     # Starting attempts -------------------------------------------------------------------
 
     def _pump_shard(self, shard_id: str, now: float) -> list[Action]:
@@ -211,6 +170,7 @@
         return [] if lane is None else self._pump(lane, now)
 
     def _pump(self, lane: ShardLane, now: float) -> list[Action]:
+        """Start what waits for as long as replicas have free slots."""
         if not lane.queue and not lane.hedge_line:
             return []
         usable = self._choice.usable(lane.tracker_list, now)
@@ -223,7 +183,7 @@
                 return actions
             started = self._start_hedge(lane, free, now)
             if started is None:
-                started = self._start_waiting(lane, free, now)
+                started = self._start_waiting(lane, free, usable, now)
             if started is None:
                 return actions
             actions += started
@@ -240,36 +200,34 @@
         lane.hedge_line.popleft()
         work.wants_hedge = False
         work.hedges += 1
-        return [
-            Count(
-                "wingquay_hedges_total",
-                labels=(("class", work.sub_request.class_name),),
-            ),
-            *self._start(work, lane, tracker, True, now),
-        ]
+        labels = (("class", work.sub_request.class_name),)
+        started = self._attempts.start(work, lane, tracker, True, now)
+        return [Count("wingquay_hedges_total", labels=labels), *started]
 
     def _start_waiting(
-        self, lane: ShardLane, free: list[ReplicaTracker], now: float
+        self,
+        lane: ShardLane,
+        free: list[ReplicaTracker],
+        usable: list[ReplicaTracker],
+        now: float,
     ) -> list[Action] | None:
-        work = lane.queue.pop(self._acceptor(lane, free, now))
+        work = lane.queue.pop(self._acceptor(free, usable, now))
         if work is None:
             return None
         if self._is_expired(work, now):
-            failure = Failure(SubFailureKind.DEADLINE, "the deadline passed in the queue")
-            return self._finish(work, work.last_failure or failure, now)
+            return self._finish(work, work.last_failure or _EXPIRED_WAITING, now)
         tracker = self._choice.choose(free, work.tried, work.sub_request.snapshot)
         if tracker is None:
-            return self._finish(work, self._unservable(work), now)
-        return self._start(work, lane, tracker, False, now)
+            return self._finish(work, _unservable(work), now)
+        return self._start_first(work, lane, tracker, now)
 
     def _is_expired(self, work: Work, now: float) -> bool:
         return Mechanism.DEADLINE_CHECK not in self._disabled and now >= work.deadline_at
 
     def _acceptor(
-        self, lane: ShardLane, free: list[ReplicaTracker], now: float
+        self, free: list[ReplicaTracker], usable: list[ReplicaTracker], now: float
     ) -> Callable[[Work], bool]:
         """Return a test for work that can start on ``free``, or that never can start at all."""
-        usable = self._choice.usable(lane.tracker_list, now)
 
         def accepts(work: Work) -> bool:
             snapshot = work.sub_request.snapshot
@@ -281,78 +239,25 @@
 
         return accepts
 
-    def _unservable(self, work: Work) -> Failure[SubFailureKind]:
-        if work.last_failure is not None:
-            return work.last_failure
-        reason = f"no replica in service holds snapshot {work.sub_request.snapshot}"
-        return Failure(SubFailureKind.NOT_HELD, reason)
-
-    def _start(
-        self,
-        work: Work,
-        lane: ShardLane,
-        tracker: ReplicaTracker,
-        is_hedge: bool,
-        now: float,
+    def _start_first(
+        self, work: Work, lane: ShardLane, tracker: ReplicaTracker, now: float
     ) -> list[Action]:
-        sub_request = work.sub_request
-        self._attempt_counter += 1
-        attempt_id = AttemptId(f"{self._node_id}.{self._attempt_counter}")
-        attempt = RunningAttempt(attempt_id, tracker.replica.replica_id, now, is_hedge)
-        tracker.in_flight += 1
-        work.running[attempt_id] = attempt
-        work.tried.append(tracker.replica.replica_id)
-        work.attempts += 1
-        work.last_replica = tracker.replica.replica_id
         if work.first_started_at is None:
-            work.first_started_at = now
-            self._hedging.on_first_attempt(sub_request.class_name)
-            self._retry_budget(sub_request.service).earn()
-        self._running[attempt_id] = _Running(work, lane, tracker, attempt)
-        start = StartAttempt(
-            attempt_id=attempt_id,
-            replica_id=tracker.replica.replica_id,
-            host=tracker.replica.host,
-            port=tracker.replica.port,
-            connection_limit=tracker.connection_limit,
-            service=sub_request.service,
-            shard_id=sub_request.shard_id,
-            kind=sub_request.kind,
-            key_ranges=sub_request.key_ranges,
-            snapshot=sub_request.snapshot,
-            remaining_seconds=work.deadline_at - now,
-            repeatable=sub_request.repeatable,
-            body=sub_request.body,
-            traceparent=sub_request.traceparent,
-        )
-        return [start, *self._schedule_hedge(work, attempt, now)]
-
-    def _schedule_hedge(self, work: Work, attempt: RunningAttempt, now: float) -> list[Action]:
-        if not self._may_repeat(work):
-            return []
-        delay = self._hedging.delay_seconds(kind_key(work.sub_request), work.hedges)
-        if delay is None or now + delay >= work.deadline_at:
-            return []
-        due = HedgeDue(work.sub_request.sub_request_id, attempt.attempt_id)
-        return [Schedule(now + delay, due)]
-
-    def _may_repeat(self, work: Work) -> bool:
-        if work.sub_request.repeatable:
-            return True
-        return Mechanism.UNREPEATABLE_GUARD in self._disabled
-
-    # Hedges ------------------------------------------------------------------------------
+            self._attempts.hedging.on_first_attempt(work.sub_request.class_name)
+            self._retrying.on_first_attempt(work.sub_request.service)
+        return self._attempts.start(work, lane, tracker, False, now)
 
     def on_hedge_due(self, event: HedgeDue, now: float) -> list[Action]:
         """Let a slow sub-request stand in line for a second replica."""
-        running = self._running.get(event.attempt_id)
+        running = self._attempts.running(event.attempt_id)
         if running is None or running.work.is_finished or running.work.wants_hedge:
             return []
         work, lane = running.work, running.lane
         usable = self._choice.usable(lane.tracker_list, now)
         if self._choice.choose(usable, work.tried, work.sub_request.snapshot) is None:
             return []
-        if now < lane.shedding_until or not self._hedging.may_hedge(work.sub_request.class_name):
+        class_name = work.sub_request.class_name
+        if now < lane.shedding_until or not self._attempts.hedging.may_hedge(class_name):
             return [Count("wingquay_hedges_withheld_total")]
         work.wants_hedge = True
         lane.hedge_line.append(work)
@@ -362,42 +267,17 @@
 
     def on_attempt_finished(self, event: AttemptFinished, now: float) -> list[Action]:
         """Take in the end of an exchange."""
-        running = self._running.pop(event.attempt_id, None)
+        running = self._attempts.end(event.attempt_id)
         if running is None:
             return [Count("wingquay_stray_attempts_total")]
-        work, tracker = running.work, running.tracker
-        tracker.in_flight -= 1
-        work.running.pop(event.attempt_id, None)
-        service_seconds = now - running.attempt.started_at
         if isinstance(event.result, BackendAnswer):
-            self._learn_service_time(work, tracker, service_seconds, now)
-            actions = self._on_answer(work, event.result, now)
+            self._attempts.learn_answer(running, now)
+            actions = self._on_answer(running.work, event.result, now)
         else:
-            self._learn_failure(running.lane, tracker, event.result.kind, now)
-            actions = self._on_failure(running.lane, work, event.result, now)
+            self._attempts.learn_failure(running, event.result.kind, now)
+            actions = self._on_failure(running, event.result, now)
         return actions + self._pump(running.lane, now)
 
-    def _learn_service_time(
-        self, work: Work, tracker: ReplicaTracker, service_seconds: float, now: float
-    ) -> None:
-        key = kind_key(work.sub_request)
-        tracker.on_answer(service_seconds)
-        self._hedging.on_service_time(key, service_seconds, now)
-        self._service_times.record(key, service_seconds)
-
-    def _learn_failure(
-        self,
-        lane: ShardLane,
-        tracker: ReplicaTracker,
-        kind: BackendFailureKind,
-        now: float,
-    ) -> None:
-        if kind is BackendFailureKind.SHED:
-            tracker.on_shed()
-            lane.shedding_until = now + tracker.settings.shedding_hold_seconds
-        if kind in REPLICA_AT_FAULT:
-            tracker.on_failure(now)
-
     def _on_answer(self, work: Work, answer: BackendAnswer, now: float) -> list[Action]:
         if work.is_finished:
             return [Count("wingquay_late_answers_total")]
@@ -408,12 +288,9 @@
         return self._finish(work, result, now)
 
     def _on_failure(
-        self,
-        lane: ShardLane,
-        work: Work,
-        failure: Failure[BackendFailureKind],
-        now: float,
+        self, running: Running, failure: Failure[BackendFailureKind], now: float
     ) -> list[Action]:
+        work, lane = running.work, running.lane
         work.may_have_run = work.may_have_run or may_have_run(failure)
         work.last_failure = to_sub_failure(failure)
         if work.is_finished or work.running:
@@ -426,25 +303,15 @@
         return self._finish(work, work.last_failure, now)
 
     def _may_retry(self, lane: ShardLane, work: Work, kind: BackendFailureKind, now: float) -> bool:
-        if work.may_have_run and not self._may_repeat(work):
+        if work.may_have_run and not self._attempts.may_repeat(work):
             return False
-        if work.retries >= self._settings.most_retries or now >= work.deadline_at:
+        if now >= work.deadline_at:
             return False
         usable = self._choice.usable(lane.tracker_list, now)
         if self._choice.choose(usable, work.tried, work.sub_request.snapshot) is None:
             return False
-        if kind is BackendFailureKind.NOT_HELD or Mechanism.RETRY_BUDGET in self._disabled:
-            return True
-        return self._retry_budget(work.sub_request.service).spend()
-
-    def _retry_budget(self, service: str) -> RatioBudget:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            budget = RatioBudget(
-                self._settings.retry_budget_ratio, self._settings.retry_budget_burst
-            )
-            self._retry_budgets[service] = budget
-        return budget
+        costs_nothing = kind is BackendFailureKind.NOT_HELD
+        return self._retrying.may_retry(work.sub_request.service, work.retries, costs_nothing)
 
     # Results -----------------------------------------------------------------------------
 
@@ -464,8 +331,6 @@
         has_run = isinstance(result, SubAnswer) or work.may_have_run or bool(work.running)
         if Mechanism.RUN_TRACKING in self._disabled and not isinstance(result, SubAnswer):
             has_run = False
-        queue_seconds = work.queue_seconds
-        started_at = work.first_started_at
         actions = self._end(work, now)
         lane = self._lanes.lane(work.sub_request.shard_id)
         sub_result = SubResult(
@@ -474,8 +339,8 @@
             result=result,
             may_have_run=has_run,
             attempts=work.attempts,
-            queue_seconds=queue_seconds if started_at is not None else now - work.accepted_at,
-            service_seconds=0.0 if started_at is None else now - started_at,
+            queue_seconds=work.queue_seconds(now),
+            service_seconds=work.service_seconds(now),
             held=() if lane is None else lane.held(),
             replica_id=work.last_replica,
             class_delay_seconds=0.0 if lane is None else self._class_delay(lane, work),
@@ -486,23 +351,15 @@
         """Forget ``work`` and end its exchanges."""
         work.is_finished = True
         self._work.pop(work.sub_request.sub_request_id, None)
-        self._requesters.on_ended(work.requester, now)
+        self.requesters.on_ended(work.requester, now)
         if work.wants_hedge:
             work.wants_hedge = False
-            self._hedging.give_back(work.sub_request.class_name)
-        if Mechanism.CANCEL_LOSERS in self._disabled:
-            return []
-        actions: list[Action] = []
-        for attempt in list(work.running.values()):
-            actions += self._cancel(attempt, now)
-        return actions
+            self._attempts.hedging.give_back(work.sub_request.class_name)
+        return self._attempts.cancel_all(work, now)
+
 
-    def _cancel(self, attempt: RunningAttempt, now: float) -> list[Action]:
-        running = self._running.pop(attempt.attempt_id)
-        running.tracker.in_flight -= 1
-        running.work.running.pop(attempt.attempt_id, None)
-        # A cancelled attempt took at least this long: leaving it out would make the slow look
-        # rare and pull the hedge delay down.
-        elapsed = now - attempt.started_at
-        self._hedging.on_service_time(kind_key(running.work.sub_request), elapsed, now)
-        return [CancelAttempt(attempt.attempt_id)]
+def _unservable(work: Work) -> Failure[SubFailureKind]:
+    if work.last_failure is not None:
+        return work.last_failure
+    reason = f"no replica in service holds snapshot {work.sub_request.snapshot}"
+    return Failure(SubFailureKind.NOT_HELD, reason)
--- a/wingquay/admission/owner_machine.py
+++ b/wingquay/admission/owner_machine.py
@@ -79,9 +79,7 @@
             slow_start=Mechanism.SLOW_START not in disabled,
             ejection=Mechanism.OUTLIER_EJECTION not in disabled,
         )
-        self._dispatcher = Dispatcher(
-            identity.node_id, admission, self._lanes, choice, random_source, disabled
-        )
+        self._dispatcher = Dispatcher(identity.node_id, admission, self._lanes, choice, disabled)
         self._prober = HealthProber(identity.node_id, routing, self._lanes)
 
     @property
@@ -101,8 +99,7 @@
             case HedgeDue():
                 return self._dispatcher.on_hedge_due(event, now)
             case WorkExpired():
-                actions = self._dispatcher.on_work_expired(event, now)
-                return actions + self._dispatcher.pump_all(now)
+                return self._dispatcher.on_work_expired(event, now)
             case _:
                 return self._on_rare(event, now)
 
--- a/wingquay/admission/work.py
+++ b/wingquay/admission/work.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from wingquay.model.answer import HeldVersions, SubFailureKind
+from wingquay.model.answer import SubFailureKind
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import AttemptId, ReplicaId
 from wingquay.model.request import SubRequest
@@ -50,11 +50,21 @@
     wants_hedge: bool = False
     last_failure: Failure[SubFailureKind] | None = None
     last_replica: str = ""
-    held: list[HeldVersions] = field(default_factory=list)
 
-    @property
-    def queue_seconds(self) -> float:
-        """Time from arrival to the first attempt; 0 if there was none."""
+    def on_started(self, attempt: RunningAttempt) -> None:
+        """Take in that an exchange has begun."""
+        self.running[attempt.attempt_id] = attempt
+        self.tried.append(attempt.replica_id)
+        self.attempts += 1
+        self.last_replica = attempt.replica_id
         if self.first_started_at is None:
-            return 0.0
-        return self.first_started_at - self.accepted_at
+            self.first_started_at = attempt.started_at
+
+    def queue_seconds(self, now: float) -> float:
+        """Return the time from arrival to the first attempt, or to now if there was none."""
+        ended_at = now if self.first_started_at is None else self.first_started_at
+        return ended_at - self.accepted_at
+
+    def service_seconds(self, now: float) -> float:
+        """Return the time since the first attempt; 0 if there was none."""
+        return 0.0 if self.first_started_at is None else now - self.first_started_at
