--- /dev/null
+++ b/wingquay/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes and replicas there are: alive, suspect, leaving, gone."""
