Tune the decision code from the settings file

Cause: budgets, quantiles and bounds could be changed in code only. Change: sections query, admission, routing and stop are derived from the decision code's own settings classes (names, defaults, descriptions), with ranges added. Ruled out: a second, hand-written copy of every setting, which would drift.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,6 +8,8 @@
 from wingquay.adapters.settings import Settings
 from wingquay.adapters.settings_check import SettingsErrors, read_settings
 from wingquay.adapters.settings_document import settings_document, settings_example
+from wingquay.adapters.settings_tuning import TUNING_SECTIONS, tuning_of
+from wingquay.routing.settings import RoutingSettings
 
 DOCUMENT = pathlib.Path(__file__).parent.parent / "docs" / "SETTINGS.md"
 
@@ -46,9 +48,9 @@
 
     def test_out_of_range_and_missing(self) -> None:
         self.assert_lines(
-            changed(("# stop_seconds = 30.0", "stop_seconds = -1"), ('name = "node-1"', "")),
+            changed(("# most_seconds = 30.0", "most_seconds = -1"), ('name = "node-1"', "")),
             "node.name: missing",
-            "node.stop_seconds: -1 is not allowed; must be a number at least 0.1",
+            "stop.most_seconds: -1 is not allowed; must be a number at least 0.1",
         )
 
     def test_address_given_twice(self) -> None:
@@ -85,5 +87,16 @@
         read = read_settings(settings_example(), {"peers": {"host": "0.0.0.0"}})
         self.assert_lines(read, 'peers.host: "0.0.0.0" is not allowed')
 
+    def test_tuning_sections_carry_the_defaults_of_the_decision_code(self) -> None:
+        settings = changed()
+        assert isinstance(settings, Settings)
+        for section, kind in TUNING_SECTIONS.items():
+            self.assertEqual(kind(), tuning_of(settings, section, kind))
+
+    def test_tuning_is_taken_over(self) -> None:
+        settings = changed(("# owners_per_shard = 1", "owners_per_shard = 3"))
+        assert isinstance(settings, Settings)
+        self.assertEqual(3, tuning_of(settings, "routing", RoutingSettings).owners_per_shard)
+
     def test_document_is_current(self) -> None:
         self.assertEqual(settings_document(), DOCUMENT.read_text(encoding="utf-8"))
--- a/wingquay/adapters/settings.py
+++ b/wingquay/adapters/settings.py
@@ -107,12 +107,6 @@
         examples=["cluj-a"],
         json_schema_extra=_NAME_EXTRA,
     )
-    stop_seconds: float = Field(
-        default=30.0,
-        ge=0.1,
-        le=600,
-        description="Longest time a planned stop waits for requests in flight.",
-    )
 
 
 class CallerSection(Section):
--- a/wingquay/adapters/settings_check.py
+++ b/wingquay/adapters/settings_check.py
@@ -15,6 +15,7 @@
     describe_all,
     section_models,
 )
+from wingquay.adapters.settings_tuning import COMPLETE_SETTINGS
 
 LISTENERS = ("caller_interface", "operator_interface", "peers")
 """Sections that give a ``host`` and a ``port`` to listen on."""
@@ -56,7 +57,7 @@
     lines: list[str] = []
     settings: Settings | None = None
     try:
-        settings = Settings.model_validate_json(orjson.dumps(data))
+        settings = COMPLETE_SETTINGS.model_validate_json(orjson.dumps(data))
     except ValidationError as error:
         lines += _field_errors(error)
     except TypeError as error:
@@ -68,7 +69,7 @@
 
 
 def _field_errors(error: ValidationError) -> list[str]:
-    descriptions = describe_all(Settings)
+    descriptions = describe_all(COMPLETE_SETTINGS)
     lines: list[str] = []
     for details in error.errors():
         location = details["loc"]
@@ -113,9 +114,9 @@
 
 def _known_names(section: list[str]) -> list[str]:
     if not section:
-        return list(section_models(Settings))
+        return list(section_models(COMPLETE_SETTINGS))
     prefix = ".".join(section) + "."
-    paths = [path for path in describe_all(Settings) if path.startswith(prefix)]
+    paths = [path for path in describe_all(COMPLETE_SETTINGS) if path.startswith(prefix)]
     return list(dict.fromkeys(path.removeprefix(prefix).partition(".")[0] for path in paths))
 
 
@@ -147,7 +148,7 @@
 
 
 def _given_addresses(data: Mapping[str, object]) -> Iterator[tuple[str, Endpoint]]:
-    models = section_models(Settings)
+    models = section_models(COMPLETE_SETTINGS)
     for section in LISTENERS:
         table = _table(data, section)
         port = table.get("port", models[section].model_fields["port"].default)
--- a/wingquay/adapters/settings_document.py
+++ b/wingquay/adapters/settings_document.py
@@ -2,13 +2,13 @@
 
 from pydantic import BaseModel
 
-from wingquay.adapters.settings import Settings
 from wingquay.adapters.settings_fields import (
     FieldDescription,
     describe,
     entry_model,
     section_models,
 )
+from wingquay.adapters.settings_tuning import COMPLETE_SETTINGS
 
 _HEADING = """\
 # Settings
@@ -30,7 +30,7 @@
 def settings_document() -> str:
     """Return the text of ``docs/SETTINGS.md``."""
     parts = [_HEADING]
-    for section, model in section_models(Settings).items():
+    for section, model in section_models(COMPLETE_SETTINGS).items():
         parts.append(f"## `[{section}]`\n\n{_summary(model)}\n")
         parts.append(_table(list(describe(section, model)), section))
     return "\n".join(parts)
@@ -39,7 +39,7 @@
 def settings_example() -> str:
     """Return a settings file that passes the check."""
     parts = [_EXAMPLE_HEADING]
-    for section, model in section_models(Settings).items():
+    for section, model in section_models(COMPLETE_SETTINGS).items():
         parts.append("\n".join(_example_section(section, model)) + "\n")
     return "\n".join(parts)
 
--- a/wingquay/adapters/settings_fields.py
+++ b/wingquay/adapters/settings_fields.py
@@ -12,7 +12,9 @@
 UNITS_BY_SUFFIX = {
     "_seconds": "seconds",
     "_bytes": "bytes",
+    "_seconds_per_node": "seconds",
     "_ratio": "ratio",
+    "_share": "ratio",
 }
 
 
@@ -141,11 +143,15 @@
     parts: list[str] = []
     for constraint in info.metadata:
         if isinstance(constraint, Ge):
-            parts.append(f"at least {constraint.ge}")
+            parts.append(f"at least {_number(constraint.ge)}")
         elif isinstance(constraint, Gt):
-            parts.append(f"above {constraint.gt}")
+            parts.append(f"above {_number(constraint.gt)}")
         elif isinstance(constraint, Le):
-            parts.append(f"at most {constraint.le}")
+            parts.append(f"at most {_number(constraint.le)}")
         elif isinstance(constraint, Lt):
-            parts.append(f"below {constraint.lt}")
+            parts.append(f"below {_number(constraint.lt)}")
     return " " + " and ".join(parts) if parts else ""
+
+
+def _number(value: object) -> str:
+    return str(value).removesuffix(".0")
