Keep the highest confirmed revision in force on every node

Cause: confirmed configuration must be in force in every zone within seconds and never revert, over a store that is rate-limited, has outages and loses replies, with operators racing each other.

Ruled out: reading the confirm's outcome back by a read alone (a swap in transit could still land after it): the same swap is sent again, which its precondition makes safe, and the plan's id inside the document tells whether it landed. Pushing bodies: a node would get each body three times; a fetch that names the sender's revision announces it in a few bytes. All nodes watching: the store limits its rate; two leased seats a zone watch, looked for at a rate that does not grow with the zone. Callbacks for every reply: scripts (generators) read from top to bottom.

Change: ConfigurationMachine with its parts, operators' commands, a cluster of hollow nodes on a virtual clock; the store model leaves out unmodified values when asked to.

--- a/tests/configuration/examples.py
+++ b/tests/configuration/examples.py
@@ -4,11 +4,11 @@
 
 from wingquay.configuration.document import (
     EMPTY_DOCUMENT,
-    AuditRecord,
     ConfigurationDocument,
     next_document,
     parse_document,
 )
+from wingquay.model.audit import AuditRecord
 from wingquay.model.configuration import Configuration
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import ClassName, OperatorName, Revision
--- a/tests/configuration/test_document.py
+++ b/tests/configuration/test_document.py
@@ -8,13 +8,13 @@
 from wingquay.configuration import document as document_module
 from wingquay.configuration.document import (
     AUDIT_RECORDS_KEPT,
-    AuditRecord,
     DocumentFailureKind,
     next_document,
     pack_body,
     parse_document,
     unpack_body,
 )
+from wingquay.model.audit import AuditRecord
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import OperatorName, Revision
 
--- /dev/null
+++ b/tests/configuration/test_in_force_everywhere.py
@@ -0,0 +1,222 @@
+"""A confirmed revision reaches every node soon, and no node ever goes back."""
+
+from testtools import TestCase
+
+from tests.configuration.examples import assign, document, price
+from tests.configuration.fleet import check_history, confirm, founded, plan_id
+from wingquay.configuration import dissemination as dissemination_module
+from wingquay.configuration.document import pack_body
+from wingquay.configuration.keys import seats_prefix
+from wingquay.model.identifiers import Revision, ZoneName
+from wingquay.ports.operator import ConfirmPlan
+from wingquay.ports.peer import ConfigurationBody, PeerReceived
+from wingquay.rehearsal.configuration_cluster import ConfigurationCluster, HollowNode
+from wingquay.rehearsal.models.store_model import StoreSettings
+from wingquay.rehearsal.models.store_operations import prefix_span
+
+IN_FORCE_SECONDS = 4.0
+"""The aim of issue 5."""
+
+
+def watchers(cluster: ConfigurationCluster, zone: str) -> list[HollowNode]:
+    """Return the nodes of a zone that hold a seat."""
+    return [
+        node
+        for node in cluster.nodes
+        if node.identity.zone == zone and node.machine.holds_watcher_seat
+    ]
+
+
+class InForceTest(TestCase):
+    """From a confirm to every node."""
+
+    def landed_everywhere(self, cluster: ConfigurationCluster, revision: int = 2) -> bool:
+        """Let the aim's time pass, or less if it is reached."""
+        reached = cluster.run_until(lambda: cluster.lowest_revision() == revision, IN_FORCE_SECONDS)
+        check_history(cluster)
+        return reached
+
+    def test_it_reaches_every_node_of_every_zone(self) -> None:
+        cluster = founded(3, {"cluj-a": 12, "cluj-b": 12, "dej": 12})
+        node = cluster.nodes[5]
+        confirm(cluster, node, plan_id(cluster, node, assign()))
+        self.assertTrue(self.landed_everywhere(cluster))
+
+    def test_it_reaches_every_node_when_a_third_of_the_messages_are_lost(self) -> None:
+        cluster = founded(4, {"cluj-a": 12, "cluj-b": 12})
+        node = cluster.nodes[5]
+        plan = plan_id(cluster, node, assign())
+        cluster.message_loss = 0.33
+        confirm(cluster, node, plan)
+        self.assertTrue(self.landed_everywhere(cluster))
+
+    def test_without_probes_announcements_the_watch_and_comparisons_suffice(self) -> None:
+        cluster = founded(5, {"cluj-a": 12, "cluj-b": 12})
+        self.patch(dissemination_module, "ANTI_ENTROPY_SECONDS", 2.0)
+        cluster.probes_on = False
+        node = cluster.nodes[5]
+        confirm(cluster, node, plan_id(cluster, node, assign()))
+        self.assertTrue(self.landed_everywhere(cluster))
+
+    def test_watchers_pass_it_on_when_the_confirming_node_dies(self) -> None:
+        cluster = founded(6)
+        for node in cluster.nodes:
+            if not node.machine.holds_watcher_seat:
+                break
+        plan = plan_id(cluster, node, assign())
+        swaps = cluster.counts["store_CompareAndSwap"]
+        cluster.command(node, ConfirmPlan(plan_id=plan))
+        cluster.run_until(lambda: cluster.counts["store_CompareAndSwap"] == swaps + 2, 1.0, 0.0001)
+        cluster.restart(node)
+        self.assertTrue(self.landed_everywhere(cluster))
+
+    def test_a_zone_cut_off_keeps_its_revision_and_catches_up(self) -> None:
+        cluster = founded(7)
+        cluster.cut("cluj-a", "cluj-b")
+        for node in cluster.nodes:
+            node.store_cut = node.identity.zone == "cluj-b"
+        node = cluster.nodes[0]
+        confirm(cluster, node, plan_id(cluster, node, assign()))
+        cluster.run(30.0)
+        revisions = {n.identity.zone: n.machine.revision for n in cluster.nodes}
+        self.assertEqual({"cluj-a": 2, "cluj-b": 1}, revisions)
+        cluster.heal()
+        self.assertTrue(self.landed_everywhere(cluster))
+
+    def test_a_zone_without_the_store_gets_it_from_another_zone(self) -> None:
+        cluster = founded(8)
+        for node in cluster.nodes:
+            node.store_cut = node.identity.zone == "cluj-b"
+        node = cluster.nodes[0]
+        confirm(cluster, node, plan_id(cluster, node, assign()))
+        self.assertTrue(self.landed_everywhere(cluster))
+
+    def test_a_watch_that_skips_a_change_is_noticed(self) -> None:
+        cluster = founded(9)
+        zone_b = [node for node in cluster.nodes if node.identity.zone == "cluj-b"]
+        cluster.cut("cluj-a", "cluj-b")
+        cluster.store.skip_watch_events(10)
+        node = cluster.nodes[0]
+        confirm(cluster, node, plan_id(cluster, node, assign()))
+        reached = cluster.run_until(
+            lambda: all(other.machine.revision == 2 for other in zone_b), 20.0
+        )
+        self.assertTrue(reached)
+
+    def test_a_broken_watch_is_made_anew_and_reads_what_it_missed(self) -> None:
+        cluster = founded(10)
+        zone_b = [node for node in cluster.nodes if node.identity.zone == "cluj-b"]
+        node = cluster.nodes[0]
+        plan = plan_id(cluster, node, assign())
+        cluster.cut("cluj-a", "cluj-b")
+        cluster.store.break_watches("compacted", cluster.now)
+        confirm(cluster, node, plan)
+        self.assertTrue(
+            cluster.run_until(lambda: all(o.machine.revision == 2 for o in zone_b), 4.0)
+        )
+
+    def test_stale_and_false_bodies_change_nothing(self) -> None:
+        cluster = founded(11)
+        node, other = cluster.nodes[0], cluster.nodes[1]
+        confirm(cluster, node, plan_id(cluster, node, assign()))
+        self.assertTrue(self.landed_everywhere(cluster))
+        stale = document(revision=1)
+        false = document(revision=2)
+        for revision, body in (
+            (1, stale.body),
+            (7, false.body),
+            (8, b"not a document"),
+        ):
+            message = ConfigurationBody(Revision(revision), pack_body(body))
+            node.machine.handle(PeerReceived(other.identity, message), cluster.now)
+            self.assertEqual(2, node.machine.revision)
+        cut = ConfigurationBody(Revision(9), pack_body(false.body)[:-9])
+        node.machine.handle(PeerReceived(other.identity, cut), cluster.now)
+        self.assertEqual(2, node.machine.revision)
+
+
+class StartTest(TestCase):
+    """Nodes that start find the configuration, from whoever has it."""
+
+    def test_a_new_node_gets_it_from_peers_while_the_store_is_down(self) -> None:
+        cluster = founded(12)
+        cluster.store.refuse_until(cluster.now + 600.0, cluster.now)
+        fresh = cluster.restart(cluster.nodes[2])
+        self.assertTrue(cluster.run_until(lambda: fresh.ready, 5.0))
+        self.assertEqual(1, fresh.machine.revision)
+
+    def test_without_peers_and_store_it_is_not_ready_until_one_is_back(self) -> None:
+        cluster = founded(13)
+        cluster.cut("cluj-a", "cluj-b")
+        cluster.store.refuse_until(cluster.now + 60.0, cluster.now)
+        zone_a = [node for node in cluster.nodes if node.identity.zone == "cluj-a"]
+        fresh = [cluster.restart(node) for node in zone_a]
+        cluster.run(50.0)
+        self.assertEqual([False] * 3, [node.ready for node in fresh])
+        cluster.run(40.0)
+        self.assertEqual([True] * 3, [node.ready for node in fresh])
+
+    def test_a_fleet_that_starts_at_once_does_not_overrun_the_store(self) -> None:
+        settings = StoreSettings(rate_per_second=20.0, burst=20.0)
+        cluster = founded(14, {"cluj-a": 30, "cluj-b": 30}, settings)
+        for node in list(cluster.nodes):
+            cluster.restart(node)
+        before = cluster.counts["store_Read"]
+        self.assertTrue(cluster.run_until(lambda: cluster.lowest_revision() == 1, 15.0))
+        self.assertLess(cluster.counts["store_Read"] - before, 40)
+
+
+class WatcherTest(TestCase):
+    """Few watchers a zone; one that was paused past its lease knows it."""
+
+    def seat_keys(self, cluster: ConfigurationCluster, zone: str) -> list[bytes]:
+        span = prefix_span(seats_prefix(ZoneName(zone)))
+        return [entry.key for entry in cluster.store.state.read(span)]
+
+    def test_two_nodes_of_each_zone_hold_the_seats(self) -> None:
+        cluster = founded(20, {"cluj-a": 8, "cluj-b": 2})
+        for zone in ("cluj-a", "cluj-b"):
+            self.assertEqual(2, len(watchers(cluster, zone)))
+            self.assertEqual(2, len(self.seat_keys(cluster, zone)))
+
+    def test_a_seat_whose_holder_died_is_taken_again(self) -> None:
+        cluster = founded(21, {"cluj-a": 8})
+        for node in watchers(cluster, "cluj-a"):
+            cluster.restart(node)
+        cluster.run(30.0)
+        self.assertEqual(2, len(watchers(cluster, "cluj-a")))
+
+    def test_a_planned_stop_gives_the_seat_back_at_once(self) -> None:
+        cluster = founded(22, {"cluj-a": 2})
+        cluster.stop(watchers(cluster, "cluj-a")[0])
+        cluster.run(0.1)
+        self.assertEqual(1, len(self.seat_keys(cluster, "cluj-a")))
+
+    def test_a_holder_that_was_paused_past_its_lease_does_not_act_on_it(self) -> None:
+        cluster = founded(23, {"cluj-a": 8})
+        paused = watchers(cluster, "cluj-a")[0]
+        others = [node for node in cluster.nodes if node is not paused]
+        cluster.pause(paused, 25.0)
+        cluster.run(20.0)
+        confirm(cluster, others[0], plan_id(cluster, others[0], price("spare", 3)))
+        # What its watch saw waits for it among other events. It must not act on that.
+        cut_off = paused.machine
+        cluster.run(4.9)
+        seen = [event for event in paused.waiting if type(event).__name__ == "WatchChanged"]
+        self.assertNotEqual([], seen)
+        self.assertEqual([], [a for a in cut_off.handle(seen[0], cluster.now) if is_send(a)])
+        self.assertFalse(cut_off.holds_watcher_seat)
+        self.assertEqual(1, cut_off.revision)
+
+    def test_a_lease_that_lapsed_in_the_store_ends_the_tenure(self) -> None:
+        cluster = founded(24, {"cluj-a": 2})
+        holders = watchers(cluster, "cluj-a")
+        for lease_id in range(1, 50):
+            cluster.store.lapse_lease(lease_id, cluster.now)
+        cluster.run(3.5)
+        self.assertEqual(2, sum(node.logs["watcher_seat_ended"] for node in holders))
+
+
+def is_send(action: object) -> bool:
+    """Whether an action sends something to a peer."""
+    return type(action).__name__ == "SendToPeer"
--- /dev/null
+++ b/wingquay/configuration/configuration_machine.py
@@ -0,0 +1,118 @@
+"""The configuration machine: keeps the highest confirmed revision in force on its node."""
+
+from random import Random
+
+from wingquay.configuration.current_key import CurrentKey
+from wingquay.configuration.dissemination import Dissemination
+from wingquay.configuration.in_force import InForce
+from wingquay.configuration.node_view import NodeView
+from wingquay.configuration.operator_desk import OperatorDesk
+from wingquay.configuration.script import ScriptRunner, ScriptTimer
+from wingquay.configuration.seeker import Seeker
+from wingquay.configuration.spread import Spread
+from wingquay.configuration.watcher import Watcher
+from wingquay.model.identifiers import Revision
+from wingquay.ports.internal import (
+    LeavingStarted,
+    LoadObserved,
+    MembershipChanged,
+    NewerRevisionHeard,
+)
+from wingquay.ports.machine import Action, Event, Start, StopRequested
+from wingquay.ports.operator import OperatorRequest
+from wingquay.ports.peer import (
+    ConfigurationBody,
+    ConfigurationFetch,
+    NodeIdentity,
+    PeerLinkBroken,
+    PeerReceived,
+)
+from wingquay.ports.store import StoreResponse, WatchBroken, WatchChanged
+
+
+class ConfigurationMachine:
+    """Handles everything about the operators' configuration on one node.
+
+    Parameters
+    ----------
+    identity
+        The node itself.
+    random
+        Seeded source; of the plan ids too, so seed it well in production.
+    """
+
+    def __init__(self, identity: NodeIdentity, random: Random) -> None:
+        self._view = NodeView(identity, random)
+        self._runner = ScriptRunner("configuration")
+        self._in_force = InForce(self._view)
+        self._spread = Spread(self._view)
+        self._current_key = CurrentKey()
+        self._dissemination = Dissemination(self._view, self._runner, self._in_force, self._spread)
+        self._seeker = Seeker(self._view, self._in_force, self._dissemination, self._current_key)
+        self._watcher = Watcher(
+            self._view, self._runner, self._in_force, self._dissemination, self._current_key
+        )
+        self._desk = OperatorDesk(
+            self._view,
+            self._runner,
+            self._in_force,
+            self._spread,
+            self._dissemination,
+            self._current_key,
+            self._watcher,
+        )
+
+    @property
+    def revision(self) -> Revision:
+        """The revision in force on this node; 0 if there is none yet."""
+        return self._in_force.revision
+
+    @property
+    def holds_watcher_seat(self) -> bool:
+        """Whether this node believes to hold one of its zone's watcher seats."""
+        return self._watcher.holds_seat
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in ``event``; events that do not concern the configuration change nothing."""
+        match event:
+            case StoreResponse() | ScriptTimer():
+                return self._runner.handle(event, now)
+            case PeerReceived():
+                return self._handle_message(event, now)
+            case OperatorRequest():
+                return self._desk.handle(event, now)
+            case WatchChanged():
+                return self._watcher.watch_changed(event, now)
+            case WatchBroken():
+                return self._watcher.watch_broken(event, now)
+            case PeerLinkBroken():
+                return self._dissemination.link_broken(event.node_id, now)
+            case NewerRevisionHeard():
+                return self._dissemination.heard(event.sender, event.revision, now)
+        return self._handle_node_event(event, now)
+
+    def _handle_message(self, event: PeerReceived, now: float) -> list[Action]:
+        match event.message:
+            case ConfigurationFetch():
+                return self._dissemination.fetch_requested(event.sender, event.message, now)
+            case ConfigurationBody():
+                return self._dissemination.body_received(event.sender, event.message, now)
+        return []
+
+    def _handle_node_event(self, event: Event, now: float) -> list[Action]:
+        match event:
+            case Start():
+                return [
+                    *self._runner.start(self._seeker.look(), now),
+                    *self._dissemination.start(now),
+                    *self._watcher.start(now),
+                ]
+            case MembershipChanged():
+                self._view.take(event)
+                self._spread.forget_missing()
+            case LoadObserved():
+                self._view.load = event
+            case StopRequested() | LeavingStarted():
+                self._view.leaving = True
+                return self._watcher.give_up(now)
+        return []
--- /dev/null
+++ b/wingquay/configuration/current_key.py
@@ -0,0 +1,103 @@
+"""Reads the confirmed document from the store."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from wingquay.configuration.document import (
+    EMPTY_DOCUMENT,
+    ConfigurationDocument,
+    parse_document,
+)
+from wingquay.configuration.keys import CURRENT_KEY, history_key
+from wingquay.configuration.script import Script, call_store
+from wingquay.model.failure import Failure
+from wingquay.model.identifiers import Revision
+from wingquay.ports.store import Read, ReadResult, StoredValue
+
+
+class ReadFailureKind(Enum):
+    """Why a document could not be read."""
+
+    STORE_UNAVAILABLE = "store_unavailable"
+    NOT_FOUND = "not_found"
+    MALFORMED = "malformed"
+
+
+ReadFailure = Failure[ReadFailureKind]
+
+
+@dataclass(frozen=True, slots=True)
+class StoredDocument:
+    """What the store holds under the current key.
+
+    Parameters
+    ----------
+    document
+        ``EMPTY_DOCUMENT`` if nothing has been confirmed yet.
+    modified_at
+        The store's revision of the write; 0 if there was none.
+    store_revision
+        The store's revision when it was read.
+    """
+
+    document: ConfigurationDocument
+    modified_at: int
+    store_revision: int
+
+
+class CurrentKey:
+    """Reads the current document, transferring it only when it changed."""
+
+    def __init__(self) -> None:
+        self._last: StoredDocument | None = None
+
+    def read(self) -> Script[StoredDocument | ReadFailure]:
+        """Return what the store holds now."""
+        last = self._last
+        known_at = last.modified_at if last is not None else 0
+        reply = yield from call_store(Read(CURRENT_KEY, modified_after=known_at))
+        result = reply.outcome
+        if not isinstance(result, ReadResult):
+            return unavailable(result)
+        if result.values:
+            return self.take(result.values[0], result.store_revision)
+        if last is None:
+            return StoredDocument(EMPTY_DOCUMENT, 0, result.store_revision)
+        if result.store_revision < last.modified_at:
+            # The store counts from an earlier point than we have seen: it lost its data, or an
+            # out-of-date member answered. Look again without leaving anything out.
+            self._last = None
+            return (yield from self.read())
+        return StoredDocument(last.document, last.modified_at, result.store_revision)
+
+    def take(self, value: StoredValue, store_revision: int) -> StoredDocument | ReadFailure:
+        """Interpret a value of the current key, read or handed out by a watch or a swap."""
+        if self._last is not None and value.modified_at == self._last.modified_at:
+            return StoredDocument(self._last.document, value.modified_at, store_revision)
+        document = parse_document(value.value)
+        if isinstance(document, Failure):
+            return Failure(ReadFailureKind.MALFORMED, document.reason)
+        stored = StoredDocument(document, value.modified_at, store_revision)
+        if self._last is None or stored.modified_at > self._last.modified_at:
+            self._last = stored
+        return stored
+
+
+def read_revision(revision: Revision) -> Script[ConfigurationDocument | ReadFailure]:
+    """Return an earlier revision as the store keeps it."""
+    reply = yield from call_store(Read(history_key(revision)))
+    result = reply.outcome
+    if not isinstance(result, ReadResult):
+        return unavailable(result)
+    if not result.values:
+        return Failure(ReadFailureKind.NOT_FOUND, f"revision {revision} is not kept")
+    document = parse_document(result.values[0].value)
+    if isinstance(document, Failure):
+        return Failure(ReadFailureKind.MALFORMED, document.reason)
+    return document
+
+
+def unavailable(outcome: object) -> ReadFailure:
+    """Return the failure that stands for a store operation that brought no result."""
+    reason = outcome.reason if isinstance(outcome, Failure) else "unexpected reply"
+    return Failure(ReadFailureKind.STORE_UNAVAILABLE, f"the store did not answer: {reason}")
--- a/wingquay/configuration/document.py
+++ b/wingquay/configuration/document.py
@@ -12,11 +12,12 @@
 from enum import Enum
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import ValidationError
 
+from wingquay.model.audit import AuditRecord
 from wingquay.model.configuration import SCHEMA_VERSION, Configuration
 from wingquay.model.failure import Failure
-from wingquay.model.identifiers import OperatorName, Revision
+from wingquay.model.identifiers import Revision
 
 AUDIT_RECORDS_KEPT = 64
 """Confirms listed in the document; as many earlier revisions are kept in the store."""
@@ -36,20 +37,6 @@
     NEWER_WRITER_NEEDED = "newer_writer_needed"
 
 
-class AuditRecord(BaseModel):
-    """Who confirmed what, and when (``confirmed_unix_seconds``: wall clock, for people)."""
-
-    model_config = ConfigDict(frozen=True, extra="ignore")
-
-    revision: Revision
-    confirm_id: str
-    base_revision: Revision
-    proposed_by: OperatorName
-    confirmed_by: OperatorName
-    confirmed_unix_seconds: float
-    summary: tuple[str, ...] = ()
-
-
 @dataclass(frozen=True, slots=True)
 class ConfigurationDocument:
     """A confirmed revision with the records of the confirms that led to it, newest last."""
--- /dev/null
+++ b/wingquay/configuration/operator_desk.py
@@ -0,0 +1,290 @@
+"""Carries out operators' commands, one script for each."""
+
+from wingquay.configuration.confirmation import (
+    Confirmation,
+    ConfirmCommand,
+    Landed,
+    OperatorFailure,
+    operator_failure,
+    read_earlier,
+)
+from wingquay.configuration.current_key import CurrentKey, StoredDocument, read_revision
+from wingquay.configuration.diff import document_diff
+from wingquay.configuration.dissemination import Dissemination
+from wingquay.configuration.document import EMPTY_DOCUMENT, ConfigurationDocument
+from wingquay.configuration.in_force import InForce
+from wingquay.configuration.node_view import NodeView
+from wingquay.configuration.plan import Proposal, make_plan
+from wingquay.configuration.plan_shelf import PlanShelf
+from wingquay.configuration.script import Script, ScriptRunner, pause, perform
+from wingquay.configuration.spread import Spread
+from wingquay.configuration.status import StatusReporter
+from wingquay.configuration.store_schedule import FullJitterBackoff
+from wingquay.configuration.watcher import Watcher
+from wingquay.model.failure import Failure
+from wingquay.model.identifiers import Revision
+from wingquay.model.plan import Plan
+from wingquay.ports.machine import Action, Count, Log
+from wingquay.ports.operator import (
+    ConfigurationResult,
+    ConfirmOutcome,
+    ConfirmPlan,
+    DiffConfigurations,
+    DiffResult,
+    DiscardPlan,
+    DiscardResult,
+    HistoryResult,
+    ListPlans,
+    OperatorFailureKind,
+    OperatorMessage,
+    OperatorReply,
+    OperatorRequest,
+    PlanListResult,
+    PlanResult,
+    PlanSummary,
+    ProposePlan,
+    ShowConfiguration,
+    ShowHistory,
+    ShowPlan,
+    ShowStatus,
+)
+
+STATUS_WAIT_SECONDS = 0.3
+"""How long a status waits for nodes of each zone to name their revision."""
+
+RETRY_LAST_CEILING_SECONDS = 1.0
+
+NOT_FRESH_WARNING = "the store does not answer: this is the last revision known to this node"
+STORE_SILENT_PLAN_WARNING = (
+    "the store does not answer: the plan is based on revision {revision}, the last known here"
+)
+
+CommandResult = OperatorMessage | OperatorFailure
+
+
+class OperatorDesk:
+    """Turns commands into scripts whose result is the reply."""
+
+    def __init__(  # noqa: PLR0913 - the desk is where the parts meet
+        self,
+        view: NodeView,
+        runner: ScriptRunner,
+        in_force: InForce,
+        spread: Spread,
+        dissemination: Dissemination,
+        current_key: CurrentKey,
+        watcher: Watcher,
+    ) -> None:
+        self._view = view
+        self._runner = runner
+        self._in_force = in_force
+        self._spread = spread
+        self._dissemination = dissemination
+        self._current_key = current_key
+        self._watcher = watcher
+        self._shelf = PlanShelf()
+        self._status = StatusReporter(view, in_force, spread, runner.store_health)
+
+    def handle(self, request: OperatorRequest, now: float) -> list[Action]:
+        """Begin to carry out a command."""
+        return self._runner.start(self._reply(request, now), now)
+
+    def _reply(self, request: OperatorRequest, now: float) -> Script[list[Action]]:
+        result = yield from self._run(request, now)
+        outcome = result.kind.value if isinstance(result, Failure) else "done"
+        command = type(request.command).__name__
+        fields = (("command", command), ("operator", request.operator), ("outcome", outcome))
+        return [
+            Log("operator_command", fields=fields),
+            Count("operator_commands_total", labels=(("command", command), ("outcome", outcome))),
+            OperatorReply(request.exchange_id, result),
+        ]
+
+    def _run(self, request: OperatorRequest, now: float) -> Script[CommandResult]:
+        command = request.command
+        match command:
+            case ProposePlan():
+                return (yield from self._propose(request, command))
+            case ConfirmPlan():
+                return (yield from self._confirm(request, command, now))
+            case ShowPlan() | ListPlans() | DiscardPlan():
+                return (yield from self._run_on_plans(request, command))
+            case ShowConfiguration() | ShowHistory() | DiffConfigurations():
+                return (yield from self._run_on_revisions(command))
+            case ShowStatus():
+                yield from perform(*self._dissemination.ask_each_zone())
+                later = yield from pause(STATUS_WAIT_SECONDS)
+                return self._status.report(later, self._watcher.holds_seat)
+        reason = f"unknown command {type(command).__name__}"
+        return Failure(OperatorFailureKind.INVALID, reason)
+
+    def _run_on_plans(
+        self, request: OperatorRequest, command: ShowPlan | ListPlans | DiscardPlan
+    ) -> Script[CommandResult]:
+        match command:
+            case ShowPlan():
+                plan = yield from self._shelf.find(command.plan_id)
+                return plan if isinstance(plan, Failure) else _plan_result(plan, request)
+            case ListPlans():
+                return (yield from self._list_plans(request))
+            case DiscardPlan():
+                return (yield from self._discard(command))
+
+    def _run_on_revisions(
+        self, command: ShowConfiguration | ShowHistory | DiffConfigurations
+    ) -> Script[CommandResult]:
+        match command:
+            case ShowConfiguration():
+                return (yield from self._show(command))
+            case ShowHistory():
+                document = yield from self._newest()
+                if isinstance(document, Failure):
+                    return document
+                return HistoryResult(records=document.audit, warnings=self._freshness())
+            case DiffConfigurations():
+                return (yield from self._diff(command))
+
+    def _newest(self) -> Script[ConfigurationDocument | OperatorFailure]:
+        """Return what the store holds, or what is in force when that is newer or all there is."""
+        stored = yield from self._current_key.read()
+        if isinstance(stored, StoredDocument):
+            now = yield from perform()
+            document = stored.document
+            taken = self._dissemination.take(document, now, "store", from_store=True)
+            yield from perform(*taken)
+            if document.revision >= self._in_force.revision:
+                return document
+        if self._in_force.document is not None:
+            return self._in_force.document
+        return operator_failure(stored) if isinstance(stored, Failure) else EMPTY_DOCUMENT
+
+    def _freshness(self) -> tuple[str, ...]:
+        return (NOT_FRESH_WARNING,) if self._runner.store_health.reachable is False else ()
+
+    def _propose(self, request: OperatorRequest, command: ProposePlan) -> Script[CommandResult]:
+        base = yield from self._newest()
+        if isinstance(base, Failure):
+            return base
+        warnings: tuple[str, ...] = ()
+        if self._runner.store_health.reachable is False:
+            warnings = (STORE_SILENT_PLAN_WARNING.format(revision=base.revision),)
+        earlier = yield from read_earlier(command.intents)
+        if isinstance(earlier, Failure):
+            return earlier
+        proposal = Proposal(
+            plan_id=f"plan-{self._view.random.getrandbits(64):016x}",
+            operator=request.operator,
+            intents=command.intents,
+            earlier=earlier,
+            load=self._view.load,
+            unix_seconds=request.unix_seconds,
+            warnings=warnings,
+        )
+        plan = make_plan(base, proposal)
+        if isinstance(plan, Failure):
+            return Failure(OperatorFailureKind.INVALID, plan.reason)
+        saved = yield from self._shelf.save(plan)
+        return _plan_result(saved, request)
+
+    def _confirm(
+        self, request: OperatorRequest, command: ConfirmPlan, now: float
+    ) -> Script[CommandResult]:
+        backoff = FullJitterBackoff(
+            self._view.random, last_ceiling_seconds=RETRY_LAST_CEILING_SECONDS
+        )
+        confirmation = Confirmation(
+            ConfirmCommand(command.plan_id, request.operator, request.unix_seconds),
+            self._current_key,
+            self._shelf,
+            self._in_force,
+            self._dissemination,
+            backoff,
+        )
+        outcome = yield from confirmation.run(now)
+        if not isinstance(outcome, Landed):
+            return outcome
+        landed_at = yield from perform()
+        if outcome.result.outcome is ConfirmOutcome.LANDED:
+            self._spread.landed(outcome.result.revision, landed_at)
+        taken = self._dissemination.take(outcome.document, landed_at, "confirm", from_store=True)
+        yield from perform(*taken)
+        return outcome.result
+
+    def _list_plans(self, request: OperatorRequest) -> Script[CommandResult]:
+        found = yield from self._shelf.list()
+        newest = yield from self._newest()
+        landed = [] if isinstance(newest, Failure) else newest.audit
+        landed_ids = {record.confirm_id for record in landed}
+        plans = tuple(
+            PlanSummary(
+                plan_id=plan.plan_id,
+                base_revision=plan.base_revision,
+                operator=plan.operator,
+                first_change=plan.diff[0] if plan.diff else "",
+                remaining_seconds=_remaining(plan, request),
+            )
+            for plan in found.plans
+            if plan.plan_id not in landed_ids
+        )
+        warnings = () if found.complete else (NOT_FRESH_WARNING,)
+        return PlanListResult(plans=plans, warnings=warnings)
+
+    def _discard(self, command: DiscardPlan) -> Script[CommandResult]:
+        failure = yield from self._shelf.discard(command.plan_id)
+        if failure is not None:
+            return failure
+        current = yield from self._current_key.read()
+        if isinstance(current, StoredDocument):
+            record = current.document.record_of(command.plan_id)
+            if record is not None:
+                reason = f"the plan had already taken effect as revision {record.revision}"
+                return Failure(OperatorFailureKind.CONFLICT, reason)
+        return DiscardResult(plan_id=command.plan_id)
+
+    def _show(self, command: ShowConfiguration) -> Script[CommandResult]:
+        warnings: tuple[str, ...] = ()
+        if command.revision is None:
+            found = yield from self._newest()
+            warnings = self._freshness()
+        else:
+            found = yield from self._revision(command.revision)
+        if isinstance(found, Failure):
+            return found
+        text = found.body.decode()
+        return ConfigurationResult(
+            configuration=found.configuration, document=text, warnings=warnings
+        )
+
+    def _revision(self, revision: Revision) -> Script[ConfigurationDocument | OperatorFailure]:
+        """Return one revision: the newest, or an earlier one from the store's history."""
+        newest = yield from self._newest()
+        if not isinstance(newest, Failure) and newest.revision == revision:
+            return newest
+        if revision == EMPTY_DOCUMENT.revision:
+            return EMPTY_DOCUMENT
+        found = yield from read_revision(revision)
+        return operator_failure(found) if isinstance(found, Failure) else found
+
+    def _diff(self, command: DiffConfigurations) -> Script[CommandResult]:
+        before = yield from self._revision(command.from_revision)
+        if isinstance(before, Failure):
+            return before
+        if command.to_revision is None:
+            after = yield from self._newest()
+        else:
+            after = yield from self._revision(command.to_revision)
+        if isinstance(after, Failure):
+            return after
+        return DiffResult(
+            from_revision=before.revision,
+            to_revision=after.revision,
+            lines=tuple(document_diff(before, after)),
+        )
+
+
+def _remaining(plan: Plan, request: OperatorRequest) -> float:
+    return max(0.0, plan.expires_unix_seconds - request.unix_seconds)
+
+
+def _plan_result(plan: Plan, request: OperatorRequest) -> PlanResult:
+    return PlanResult(plan=plan, remaining_seconds=_remaining(plan, request))
--- a/wingquay/configuration/plan.py
+++ b/wingquay/configuration/plan.py
@@ -6,13 +6,13 @@
 
 from wingquay.configuration.diff import change_digest, document_diff
 from wingquay.configuration.document import (
-    AuditRecord,
     ConfigurationDocument,
     next_document,
 )
 from wingquay.configuration.effects import class_effects
 from wingquay.configuration.intents import apply_intents
 from wingquay.configuration.outlook import promise_outlook
+from wingquay.model.audit import AuditRecord
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import OperatorName, Revision
 from wingquay.model.intent import Intent, RestoreRevision
--- /dev/null
+++ b/wingquay/configuration/plan_shelf.py
@@ -0,0 +1,151 @@
+"""Keeps plans until they are confirmed, discarded or expire.
+
+A plan lies in the store under a lease, so that any node can confirm it and it expires by itself.
+While the store does not answer, a plan is kept on the node that made it alone.
+"""
+
+from dataclasses import dataclass
+
+from pydantic import ValidationError
+
+from wingquay.configuration.keys import PLANS_PREFIX, plan_key
+from wingquay.configuration.plan import PLAN_LIFETIME_SECONDS
+from wingquay.configuration.script import Script, call_store, perform
+from wingquay.model.failure import Failure
+from wingquay.model.plan import Plan
+from wingquay.ports.operator import OperatorFailureKind
+from wingquay.ports.store import (
+    CompareAndSwap,
+    GrantLease,
+    LeaseState,
+    Read,
+    ReadResult,
+    RevokeLease,
+    StoredValue,
+    SwapResult,
+)
+
+MAXIMUM_PLANS_IN_MEMORY = 200
+"""Plans that a node keeps while the store does not answer; the oldest go first."""
+
+ONLY_HERE_WARNING = (
+    "the store does not answer: this plan is kept on this node only, "
+    "and cannot be confirmed until the store answers"
+)
+
+PlanFailure = Failure[OperatorFailureKind]
+
+
+@dataclass(frozen=True, slots=True)
+class HeldPlan:
+    """A plan and when it expires on this node's clock (``None``: by its lease in the store)."""
+
+    plan: Plan
+    expires_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PlanList:
+    """The plans found, and whether the store had its say."""
+
+    plans: tuple[Plan, ...]
+    complete: bool
+
+
+class PlanShelf:
+    """Saves, finds and discards plans."""
+
+    def __init__(self) -> None:
+        self._only_here: dict[str, HeldPlan] = {}
+
+    def save(self, plan: Plan) -> Script[Plan]:
+        """Keep ``plan``; the plan returned bears a warning if only this node has it."""
+        lease = (yield from call_store(GrantLease(PLAN_LIFETIME_SECONDS))).outcome
+        if isinstance(lease, LeaseState):
+            value = plan.model_dump_json().encode()
+            operation = CompareAndSwap(plan_key(plan.plan_id), 0, value, lease.lease_id)
+            swap = (yield from call_store(operation)).outcome
+            if isinstance(swap, SwapResult):
+                return plan
+            yield from call_store(RevokeLease(lease.lease_id))
+        now = yield from perform()
+        warned = plan.model_copy(update={"warnings": (*plan.warnings, ONLY_HERE_WARNING)})
+        self._keep_here(HeldPlan(warned, now + PLAN_LIFETIME_SECONDS), now)
+        return warned
+
+    def find(self, plan_id: str) -> Script[Plan | PlanFailure]:
+        """Return a plan that can still be confirmed."""
+        reply = yield from call_store(Read(plan_key(plan_id)))
+        result = reply.outcome
+        held = self._held_here(plan_id, reply.now)
+        if isinstance(result, ReadResult) and result.values:
+            return _parsed(result.values[0])
+        if held is not None:
+            return held
+        if not isinstance(result, ReadResult):
+            reason = result.reason if isinstance(result, Failure) else "unexpected reply"
+            return Failure(
+                OperatorFailureKind.STORE_UNAVAILABLE,
+                f"plan {plan_id!r} is not on this node and the store does not answer: {reason}",
+            )
+        if plan_id in self._only_here:
+            return Failure(OperatorFailureKind.EXPIRED, f"plan {plan_id!r} has expired")
+        return Failure(
+            OperatorFailureKind.NOT_FOUND,
+            f"plan {plan_id!r} has expired, was discarded or never was; make a new plan",
+        )
+
+    def list(self) -> Script[PlanList]:
+        """Return all plans that can still be confirmed, the oldest first."""
+        reply = yield from call_store(Read(PLANS_PREFIX, prefix=True))
+        result = reply.outcome
+        stored = result.values if isinstance(result, ReadResult) else ()
+        parsed = (_parsed(value) for value in stored)
+        plans = {plan.plan_id: plan for plan in parsed if isinstance(plan, Plan)}
+        for plan_id in tuple(self._only_here):
+            held = self._held_here(plan_id, reply.now)
+            if held is not None:
+                plans.setdefault(plan_id, held)
+        ordered = sorted(plans.values(), key=lambda plan: (plan.created_unix_seconds, plan.plan_id))
+        return PlanList(tuple(ordered), isinstance(result, ReadResult))
+
+    def discard(self, plan_id: str) -> Script[PlanFailure | None]:
+        """Forget a plan; ``None`` if it is gone."""
+        here = self._only_here.pop(plan_id, None)
+        key = plan_key(plan_id)
+        found = (yield from call_store(Read(key))).outcome
+        if isinstance(found, ReadResult) and not found.values:
+            if here is not None:
+                return None
+            reason = f"plan {plan_id!r} has expired, was discarded or never was"
+            return Failure(OperatorFailureKind.NOT_FOUND, reason)
+        if isinstance(found, ReadResult):
+            operation = CompareAndSwap(key, found.values[0].modified_at, None)
+            swap = (yield from call_store(operation)).outcome
+            if isinstance(swap, SwapResult):
+                return None
+        if here is not None:
+            return None
+        return Failure(
+            OperatorFailureKind.STORE_UNAVAILABLE,
+            f"the store does not answer: plan {plan_id!r} may still be confirmed; discard it again",
+        )
+
+    def _held_here(self, plan_id: str, now: float) -> Plan | None:
+        held = self._only_here.get(plan_id)
+        if held is None or (held.expires_at is not None and held.expires_at <= now):
+            return None
+        return held.plan
+
+    def _keep_here(self, held: HeldPlan, now: float) -> None:
+        self._only_here[held.plan.plan_id] = held
+        while len(self._only_here) > MAXIMUM_PLANS_IN_MEMORY:
+            self._only_here.pop(next(iter(self._only_here)))
+
+
+def _parsed(value: StoredValue) -> Plan | PlanFailure:
+    try:
+        return Plan.model_validate_json(value.value)
+    except ValidationError as error:
+        reason = f"the plan cannot be read by this node's version: {str(error)[:200]}"
+        return Failure(OperatorFailureKind.INVALID, reason)
--- /dev/null
+++ b/wingquay/configuration/status.py
@@ -0,0 +1,92 @@
+"""Puts together what a node knows, for ``wingquay status``."""
+
+from wingquay.configuration.in_force import InForce
+from wingquay.configuration.node_view import NodeView
+from wingquay.configuration.script import StoreHealth
+from wingquay.configuration.spread import Spread
+from wingquay.model.identifiers import NodeId, Revision, ZoneName
+from wingquay.ports.operator import NodeStatus, StatusResult, ZoneStatus
+from wingquay.ports.peer import NodeIdentity, NodeState
+
+BEHIND_WARNING = "zone {zone}: a node was last heard with revision {lowest}, behind {own}"
+STORE_WARNING = (
+    "the store does not answer: confirms are refused; queries go on under the revision in force"
+)
+NOTHING_WARNING = "no configuration is in force on this node: it answers no queries"
+
+
+class StatusReporter:
+    """Answers ``ShowStatus``."""
+
+    def __init__(
+        self, view: NodeView, in_force: InForce, spread: Spread, store_health: StoreHealth
+    ) -> None:
+        self._view = view
+        self._in_force = in_force
+        self._spread = spread
+        self._store_health = store_health
+
+    def report(self, now: float, watcher: bool) -> StatusResult:
+        """Return what is known now; ``watcher``: whether this node holds a watcher seat."""
+        document = self._in_force.document
+        since = self._in_force.since
+        last_reply = self._store_health.last_reply_at
+        zones = tuple(self._zone(zone) for zone in self._view.zones)
+        return StatusResult(
+            node_id=self._view.identity.node_id,
+            zone=self._view.identity.zone,
+            revision=document.revision if document is not None else None,
+            confirm_id=document.configuration.confirm_id if document is not None else "",
+            in_force_since_seconds=now - since if since is not None else None,
+            store_reachable=self._store_health.reachable,
+            store_last_reply_seconds=now - last_reply if last_reply is not None else None,
+            watcher=watcher,
+            zones=zones,
+            nodes=self._nodes(),
+            warnings=self._warnings(zones),
+        )
+
+    def _zone(self, zone: ZoneName) -> ZoneStatus:
+        spread = self._spread.zone(zone, self._in_force.revision)
+        return ZoneStatus(
+            zone=zone,
+            nodes=spread.nodes,
+            nodes_heard=spread.nodes_heard,
+            lowest_revision=spread.lowest,
+            highest_revision=spread.highest,
+            in_force_seconds=spread.in_force_seconds,
+        )
+
+    def _nodes(self) -> tuple[NodeStatus, ...]:
+        states = [
+            *((node, NodeState.ALIVE) for node in self._view.available),
+            *((node, NodeState.LEAVING) for node in self._view.leaving_nodes),
+        ]
+        return tuple(self._node(node, state) for node, state in states)
+
+    def _node(self, node: NodeIdentity, state: NodeState) -> NodeStatus:
+        return NodeStatus(
+            node_id=node.node_id,
+            zone=node.zone,
+            address=f"{node.host}:{node.port}",
+            state=state.value,
+            revision=self._revision_of(node.node_id),
+        )
+
+    def _revision_of(self, node_id: NodeId) -> Revision | None:
+        if node_id == self._view.identity.node_id:
+            return self._in_force.revision
+        return self._spread.revision_of(node_id)
+
+    def _warnings(self, zones: tuple[ZoneStatus, ...]) -> tuple[str, ...]:
+        own = self._in_force.revision
+        warnings = [
+            BEHIND_WARNING.format(zone=zone.zone, lowest=zone.lowest_revision, own=own)
+            for zone in zones
+            if zone.lowest_revision is not None and zone.lowest_revision < own
+        ]
+        if self._store_health.reachable is False:
+            warnings.append(STORE_WARNING)
+        if self._in_force.document is None:
+            warnings.append(NOTHING_WARNING)
+        return tuple(warnings)
--- /dev/null
+++ b/wingquay/rehearsal/configuration_cluster.py
@@ -0,0 +1,349 @@
+"""Many configuration machines on a virtual clock, with a store, a network and their faults.
+
+The nodes are hollow: they run the configuration machine alone. Membership is given, and its
+gossip is played as a random probe a second between nodes that can reach each other, which is
+what tells nodes of newer revisions when announcements were lost.
+"""
+
+import heapq
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from wingquay.adapters.peer_codec import encode
+from wingquay.configuration.configuration_machine import ConfigurationMachine
+from wingquay.model.failure import Failure
+from wingquay.model.identifiers import (
+    DeploymentName,
+    NodeId,
+    OperatorName,
+    Revision,
+    ZoneName,
+)
+from wingquay.ports.caller import SetReady
+from wingquay.ports.internal import (
+    ConfigurationInForce,
+    LeavingStarted,
+    MembershipChanged,
+    NewerRevisionHeard,
+    Notify,
+)
+from wingquay.ports.machine import Action, Event, Log, Schedule, Start
+from wingquay.ports.operator import (
+    OperatorFailureKind,
+    OperatorMessage,
+    OperatorReply,
+    OperatorRequest,
+)
+from wingquay.ports.peer import (
+    ConfigurationBody,
+    NodeIdentity,
+    PeerLinkBroken,
+    PeerReceived,
+    SendToPeer,
+)
+from wingquay.ports.store import (
+    StartWatch,
+    StopWatch,
+    StoreFailureKind,
+    StoreRequest,
+    StoreResponse,
+    WatchBroken,
+    WatchChanged,
+)
+from wingquay.rehearsal.models.store_model import StoreModel, StoreSettings
+from wingquay.rehearsal.models.store_operations import StoreOutput, prefix_span
+
+PEER_DELAY_SECONDS = 0.001
+"""One way between zones and inside them (brief, "Sizes of today")."""
+
+PROBE_SECONDS = 1.0
+"""Mean pause between the probes that a node sends."""
+
+LINK_FAILURE_SECONDS = 0.2
+"""How long a node takes to notice that a peer cannot be reached."""
+
+OperatorOutcome = OperatorMessage | Failure[OperatorFailureKind]
+
+
+@dataclass(slots=True)
+class HollowNode:
+    """One start of a node."""
+
+    identity: NodeIdentity
+    machine: ConfigurationMachine
+    alive: bool = True
+    paused_until: float = 0.0
+    waiting: deque[Event] = field(default_factory=deque)
+    """Events that came while it was paused."""
+    revisions: list[tuple[float, Revision, str]] = field(default_factory=list)
+    """When which revision, by which confirm, came into force."""
+    ready: bool = False
+    store_cut: bool = False
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    store_requests: int = 0
+    logs: Counter[str] = field(default_factory=Counter)
+
+
+class ConfigurationCluster:
+    """A fleet of hollow nodes and one store, deterministic for a seed.
+
+    Parameters
+    ----------
+    zone_sizes
+        Nodes in each zone.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        zone_sizes: dict[str, int],
+        store_settings: StoreSettings | None = None,
+    ) -> None:
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.store = StoreModel(store_settings or StoreSettings(), random.Random(seed + 1))
+        self.nodes: list[HollowNode] = []
+        self.all_starts: list[HollowNode] = []
+        """Every start of every node, ended ones included."""
+        self.replies: dict[str, OperatorOutcome] = {}
+        self.reply_times: dict[str, float] = {}
+        self.cut_zones: set[frozenset[ZoneName]] = set()
+        self.message_loss = 0.0
+        self.probes_on = True
+        """Whether membership's probes tell nodes of newer revisions."""
+        self.counts: Counter[str] = Counter()
+        self._by_id: dict[NodeId, HollowNode] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._exchanges = 0
+        for zone, size in zone_sizes.items():
+            for _ in range(size):
+                self._add_node(ZoneName(zone))
+        self._tell_membership()
+
+    # -- what tests and benchmarks do ----------------------------------------------------------
+
+    def run(self, seconds: float) -> None:
+        """Let ``seconds`` of virtual time pass."""
+        until = self.now + seconds
+        while True:
+            queued_at = self._queue[0][0] if self._queue else until
+            store_at = self.store.next_event_at()
+            next_at = max(self.now, min(queued_at, until if store_at is None else store_at))
+            if next_at >= until:
+                break
+            self.now = next_at
+            self._deliver_store_outputs()
+            if self._queue and self._queue[0][0] <= self.now:
+                heapq.heappop(self._queue)[2]()
+        self.now = until
+
+    def run_until(
+        self,
+        condition: Callable[[], bool],
+        limit_seconds: float,
+        step_seconds: float = 0.01,
+    ) -> bool:
+        """Let time pass until ``condition`` holds, at most ``limit_seconds``; return whether.
+
+        ``condition`` is looked at every ``step_seconds``.
+        """
+        until = self.now + limit_seconds
+        while not condition() and self.now < until:
+            self.run(min(step_seconds, until - self.now))
+        return condition()
+
+    def command(self, node: HollowNode, command: OperatorMessage, operator: str = "ana") -> str:
+        """Send an operator's command to a node; the reply comes into ``replies``."""
+        self._exchanges += 1
+        exchange_id = f"exchange-{self._exchanges}"
+        event = OperatorRequest(exchange_id, OperatorName(operator), command, 1e9 + self.now)
+        self._give(node, event)
+        return exchange_id
+
+    def ask(
+        self,
+        node: HollowNode,
+        command: OperatorMessage,
+        operator: str = "ana",
+        limit_seconds: float = 30.0,
+    ) -> OperatorOutcome:
+        """Send a command and let time pass until its reply is there."""
+        exchange_id = self.command(node, command, operator)
+        answered = self.run_until(lambda: exchange_id in self.replies, limit_seconds)
+        assert answered, f"no reply to {command!r}"
+        return self.replies[exchange_id]
+
+    def restart(self, node: HollowNode) -> HollowNode:
+        """End a node at once and start another in its place, with a new id and no memory."""
+        node.alive = False
+        self.nodes.remove(node)
+        fresh = self._add_node(node.identity.zone)
+        self._tell_membership()
+        return fresh
+
+    def stop(self, node: HollowNode) -> None:
+        """Begin the planned stop of a node."""
+        self._give(node, LeavingStarted())
+
+    def pause(self, node: HollowNode, seconds: float) -> None:
+        """Let a node stand still; what reaches it meanwhile waits."""
+        node.paused_until = self.now + seconds
+        self._at(node.paused_until, lambda: self._wake(node))
+
+    def cut(self, left: str, right: str) -> None:
+        """Let no message pass between two zones."""
+        self.cut_zones.add(frozenset((ZoneName(left), ZoneName(right))))
+
+    def heal(self) -> None:
+        """Let messages pass between all zones again."""
+        self.cut_zones.clear()
+
+    def lowest_revision(self) -> Revision:
+        """Return the smallest revision in force on any node."""
+        return min(node.machine.revision for node in self.nodes)
+
+    # -- nodes ---------------------------------------------------------------------------------
+
+    def _add_node(self, zone: ZoneName) -> HollowNode:
+        number = len(self.all_starts)
+        identity = NodeIdentity(
+            NodeId(f"node-{number:04d}"), DeploymentName("ro-nord"), zone, "127.0.0.1", 1 + number
+        )
+        machine = ConfigurationMachine(identity, random.Random(self.random.getrandbits(64)))
+        node = HollowNode(identity, machine)
+        self.nodes.append(node)
+        self._by_id[identity.node_id] = node
+        self.all_starts.append(node)
+        self._give(node, Start())
+        self._at(self.now + PROBE_SECONDS * self.random.random(), lambda: self._probe(node))
+        return node
+
+    def _tell_membership(self) -> None:
+        available = tuple(node.identity for node in self.nodes)
+        for node in self.nodes:
+            self._give(node, MembershipChanged(available, ()))
+
+    def _give(self, node: HollowNode, event: Event) -> None:
+        if not node.alive:
+            return
+        if self.now < node.paused_until:
+            node.waiting.append(event)
+            return
+        for action in node.machine.handle(event, self.now):
+            self._perform(node, action)
+
+    def _wake(self, node: HollowNode) -> None:
+        while node.waiting and self.now >= node.paused_until:
+            self._give(node, node.waiting.popleft())
+
+    def _probe(self, node: HollowNode) -> None:
+        """Exchange revisions with a random node, as a membership probe does."""
+        if not node.alive:
+            return
+        pause = PROBE_SECONDS * self.random.uniform(0.9, 1.1)
+        self._at(self.now + pause, lambda: self._probe(node))
+        other = self.random.choice(self.nodes)
+        standing_still = not self.probes_on or self.now < node.paused_until
+        if other is node or standing_still or not self._passes(node, other):
+            return
+        for hearer, speaker in ((node, other), (other, node)):
+            if speaker.machine.revision > hearer.machine.revision:
+                heard = NewerRevisionHeard(speaker.identity, speaker.machine.revision)
+                self._give(hearer, heard)
+
+    # -- actions -------------------------------------------------------------------------------
+
+    def _perform(self, node: HollowNode, action: Action) -> None:
+        match action:
+            case Schedule():
+                self._at(max(self.now, action.at_seconds), lambda: self._give(node, action.event))
+            case SendToPeer():
+                self._send(node, action)
+            case StoreRequest() | StartWatch() | StopWatch():
+                self._ask_store(node, action)
+            case Notify(event=ConfigurationInForce(configuration=configuration)):
+                entry = (self.now, configuration.revision, configuration.confirm_id)
+                node.revisions.append(entry)
+            case OperatorReply():
+                assert action.exchange_id not in self.replies, "a second reply"
+                self.replies[action.exchange_id] = action.result
+                self.reply_times[action.exchange_id] = self.now
+            case SetReady():
+                node.ready = action.ready
+            case Log():
+                node.logs[action.message] += 1
+
+    def _send(self, node: HollowNode, action: SendToPeer) -> None:
+        target = self._by_id.get(action.to.node_id)
+        size = _size(action, node.identity)
+        node.sent_bytes += size
+        kind = type(action.message).__name__
+        body = isinstance(action.message, ConfigurationBody) and bool(action.message.body)
+        self.counts["bodies" if body else kind] += 1
+        if target is None or not self._passes(node, target):
+            broken = PeerLinkBroken(action.to.node_id, "unreachable")
+            self._at(self.now + LINK_FAILURE_SECONDS, lambda: self._give(node, broken))
+            return
+        target.received_bytes += size
+        delay = PEER_DELAY_SECONDS * self.random.uniform(1.0, 1.5)
+        event = PeerReceived(node.identity, action.message)
+        self._at(self.now + delay, lambda: self._give(target, event))
+
+    def _passes(self, sender: HollowNode, receiver: HollowNode) -> bool:
+        zones = frozenset((sender.identity.zone, receiver.identity.zone))
+        if zones in self.cut_zones or not receiver.alive:
+            return False
+        return self.random.random() >= self.message_loss
+
+    def _ask_store(self, node: HollowNode, action: StoreRequest | StartWatch | StopWatch) -> None:
+        owner = f"{node.identity.node_id}/"
+        if isinstance(action, StopWatch):
+            self.store.stop_watch(owner + action.watch_id, self.now)
+            return
+        node.store_requests += 1
+        if isinstance(action, StartWatch):
+            if node.store_cut:
+                broken = WatchBroken(action.watch_id, "cut")
+                self._at(self.now, lambda: self._give(node, broken))
+                return
+            span = prefix_span(action.key)
+            watch_id = owner + action.watch_id
+            self.store.start_watch(watch_id, span, action.from_store_revision, self.now)
+            return
+        self.counts[f"store_{type(action.operation).__name__}"] += 1
+        if node.store_cut:
+            failure = Failure(StoreFailureKind.UNREACHABLE, "cut")
+            response = StoreResponse(action.operation_id, failure)
+            self._at(self.now, lambda: self._give(node, response))
+            return
+        operation_id = owner + action.operation_id
+        self.store.submit(operation_id, action.operation, self.now, action.timeout_seconds)
+
+    def _deliver_store_outputs(self) -> None:
+        for output in self.store.advance(self.now):
+            owner, event = _addressed(output)
+            node = self._by_id.get(NodeId(owner))
+            if node is not None and not (node.store_cut and isinstance(event, WatchChanged)):
+                self._give(node, event)
+
+    def _at(self, at_seconds: float, call: Callable[[], None]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._queue, (at_seconds, self._sequence, call))
+
+
+def _size(action: SendToPeer, sender: NodeIdentity) -> int:
+    return len(encode(action.message, sender))
+
+
+def _addressed(output: StoreOutput) -> tuple[str, Event]:
+    """Return which node an output is for, and the event as that node knows it."""
+    if isinstance(output, StoreResponse):
+        owner, _, operation_id = output.operation_id.partition("/")
+        return owner, replace(output, operation_id=operation_id)
+    assert isinstance(output, WatchChanged | WatchBroken)
+    owner, _, watch_id = output.watch_id.partition("/")
+    return owner, replace(output, watch_id=watch_id)
--- a/wingquay/rehearsal/models/store_model.py
+++ b/wingquay/rehearsal/models/store_model.py
@@ -263,8 +263,11 @@
             case Transaction():
                 return self._apply_transaction(operation)
             case Read():
-                entries = self.state.read(span_of_read(operation))
-                values = tuple(entry.to_stored_value() for entry in entries)
+                values = tuple(
+                    entry.to_stored_value()
+                    for entry in self.state.read(span_of_read(operation))
+                    if entry.modified_at > operation.modified_after
+                )
                 return ReadResult(values, self.state.revision)
             case CompareAndSwap():
                 return swap_result(self._apply_transaction(transaction_of_swap(operation)))
