Run the configuration machine in every node; tell it the load seen

Cause: the configuration machine had landed and nothing drove it; its plans' outlook needs to know rates and latencies by kind. Change: NodeMachine routes events to ConfigurationMachine; LoadMachine reports KindLoad and ServiceLoad every 5 s. Conclusion: a node now gets its configuration by itself.

--- a/wingquay/configuration/configuration_machine.py
+++ b/wingquay/configuration/configuration_machine.py
@@ -1,6 +1,7 @@
 """The configuration machine: keeps the highest confirmed revision in force on its node."""
 
 from random import Random
+from typing import ClassVar
 
 from wingquay.configuration.current_key import CurrentKey
 from wingquay.configuration.dissemination import Dissemination
@@ -25,6 +26,7 @@
     ConfigurationFetch,
     NodeIdentity,
     PeerLinkBroken,
+    PeerMessage,
     PeerReceived,
 )
 from wingquay.ports.store import StoreResponse, WatchBroken, WatchChanged
@@ -41,6 +43,25 @@
         Seeded source; of the plan ids too, so seed it well in production.
     """
 
+    EVENTS: ClassVar[tuple[type[Event], ...]] = (
+        Start,
+        StoreResponse,
+        ScriptTimer,
+        OperatorRequest,
+        WatchChanged,
+        WatchBroken,
+        PeerLinkBroken,
+        NewerRevisionHeard,
+        MembershipChanged,
+        LoadObserved,
+        StopRequested,
+        LeavingStarted,
+    )
+    PEER_MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (
+        ConfigurationFetch,
+        ConfigurationBody,
+    )
+
     def __init__(self, identity: NodeIdentity, random: Random) -> None:
         self._view = NodeView(identity, random)
         self._runner = ScriptRunner("configuration")
--- /dev/null
+++ b/wingquay/orchestration/load_machine.py
@@ -0,0 +1,36 @@
+"""Tells the configuration machine every few seconds what load this node sees."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from wingquay.admission.owner_machine import OwnerMachine
+from wingquay.ports.internal import LoadObserved, Notify
+from wingquay.ports.machine import Action, Event, Schedule, Start
+from wingquay.ports.peer import PeerMessage
+from wingquay.query.coordinator import Coordinator
+
+REPORT_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReportDue(Event):
+    """It is time to report the load."""
+
+
+class LoadMachine:
+    """Reports load seen by the coordinator and by the owner of this node."""
+
+    EVENTS: ClassVar[tuple[type[Event], ...]] = (Start, LoadReportDue)
+    PEER_MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = ()
+
+    def __init__(self, coordinator: Coordinator, owner: OwnerMachine) -> None:
+        self._coordinator = coordinator
+        self._owner = owner
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in one event."""
+        again = Schedule(now + REPORT_SECONDS, LoadReportDue())
+        kinds = self._coordinator.kind_statistics.take(now)
+        if isinstance(event, Start):
+            return [again]
+        return [again, Notify(LoadObserved(kinds, self._owner.service_loads()))]
--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -10,7 +10,8 @@
 from typing import ClassVar, Protocol
 
 from wingquay.admission.owner_machine import OwnerMachine
-from wingquay.model.identifiers import NodeId
+from wingquay.configuration.configuration_machine import ConfigurationMachine
+from wingquay.model.identifiers import NodeId, Revision
 from wingquay.orchestration.settings import NodeMachineSettings
 from wingquay.orchestration.stop_machine import StopMachine
 from wingquay.ports.internal import Notify
@@ -58,7 +59,13 @@
         links = OwnerLinks(identity, settings.routing.owners_per_shard, _child(random_source))
         self._coordinator = Coordinator(identity, settings.query, links, settings.disabled)
         self._stop = StopMachine(settings.stop, self.in_flight, settings.disabled)
-        machines: list[RoutedMachine] = [self._coordinator, self._owner, self._stop]
+        self._configuration = ConfigurationMachine(identity, _child(random_source))
+        machines: list[RoutedMachine] = [
+            self._configuration,
+            self._coordinator,
+            self._owner,
+            self._stop,
+        ]
         self._by_event: dict[type[Event], list[RoutedMachine]] = {}
         self._by_message: dict[type[PeerMessage], list[RoutedMachine]] = {}
         for machine in machines:
@@ -80,6 +87,11 @@
         """The id of this node."""
         return self._identity.node_id
 
+    @property
+    def revision(self) -> Revision:
+        """The configuration revision in force here; 0 if there is none yet."""
+        return self._configuration.revision
+
     def in_flight(self) -> int:
         """Return how many requests and sub-requests have not ended here."""
         return self._coordinator.in_flight + self._owner.in_flight
--- a/wingquay/query/coordinator.py
+++ b/wingquay/query/coordinator.py
@@ -51,6 +51,7 @@
     PromiseDue,
 )
 from wingquay.query.delay_table import DelayTable
+from wingquay.query.kind_statistics import KindStatistics
 from wingquay.query.merge import AnswerMerge
 from wingquay.query.owner_links import OwnerLinks
 from wingquay.query.piece_sender import PieceSender
@@ -118,6 +119,8 @@
         self._state_of: dict[SubRequestId, QueryState] = {}
         self._sender = PieceSender(links, self._state_of)
         self._refuses_from: float | None = None
+        self.kind_statistics = KindStatistics()
+        """Rates and latencies of what was answered lately."""
         self._check_scheduled = False
 
     @property
@@ -486,6 +489,7 @@
 
     def _answer(self, state: QueryState, answer: Answer, now: float) -> list[Action]:
         actions = self._forget(state)
+        self.kind_statistics.record(state.resolved, now - state.arrived_at, now)
         if state.is_claimed:
             ran = answer.outcome is not Outcome.REFUSED_NOT_RUN
             stored = encode_answer(answer) if ran else None
--- /dev/null
+++ b/wingquay/query/kind_statistics.py
@@ -0,0 +1,43 @@
+"""What this node lately saw of each kind of request, for the outlook in operators' plans."""
+
+from wingquay.model.identifiers import RequestKindName, ServiceName
+from wingquay.ports.internal import KindLoad
+from wingquay.query.query_state import ResolvedRequest
+from wingquay.routing.latency_tracker import LatencyTracker
+
+PERIOD_SECONDS = 10.0
+
+
+class KindStatistics:
+    """Rates and latencies by service and kind."""
+
+    def __init__(self) -> None:
+        self._latencies: dict[tuple[ServiceName, RequestKindName], LatencyTracker] = {}
+        self._counts: dict[tuple[ServiceName, RequestKindName], int] = {}
+        self._counted_from = 0.0
+
+    def record(self, resolved: ResolvedRequest, latency_seconds: float, now: float) -> None:
+        """Take in an answered request."""
+        key = (resolved.service.name, resolved.kind.name)
+        tracker = self._latencies.get(key)
+        if tracker is None:
+            tracker = LatencyTracker(PERIOD_SECONDS)
+            self._latencies[key] = tracker
+        tracker.record(latency_seconds, now)
+        self._counts[key] = self._counts.get(key, 0) + 1
+
+    def take(self, now: float) -> tuple[KindLoad, ...]:
+        """Return the loads since the last call and count anew."""
+        elapsed = max(1e-9, now - self._counted_from)
+        self._counted_from = now
+        counts, self._counts = self._counts, {}
+        return tuple(
+            KindLoad(
+                service=key[0],
+                kind=key[1],
+                requests_per_second=count / elapsed,
+                p50_seconds=self._latencies[key].quantile_seconds(0.5, 1) or 0.0,
+                p99_seconds=self._latencies[key].quantile_seconds(0.99, 1) or 0.0,
+            )
+            for key, count in sorted(counts.items())
+        )
