--- a/wingquay/admission/owner_machine.py
+++ b/wingquay/admission/owner_machine.py
@@ -14,12 +14,14 @@
 from wingquay.admission.lane_table import LaneTable
 from wingquay.admission.settings import AdmissionSettings
 from wingquay.model.configuration import Configuration
+from wingquay.model.identifiers import ServiceName
 from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.backend import AttemptFinished, ReplicaProbed
 from wingquay.ports.internal import (
     ConfigurationInForce,
     MembershipChanged,
     ReplicaBelief,
+    ServiceLoad,
 )
 from wingquay.ports.machine import Action, Event, Schedule, Start
 from wingquay.ports.peer import (
@@ -87,6 +89,17 @@
         """Sub-requests that wait or run here."""
         return self._dispatcher.in_flight
 
+    def service_loads(self) -> tuple[ServiceLoad, ...]:
+        """Return the share of each service's slots that this owner has in use."""
+        slots: dict[ServiceName, int] = {}
+        in_flight: dict[ServiceName, int] = {}
+        for lane in self._lanes:
+            name = lane.service.name
+            for tracker in lane.tracker_list:
+                slots[name] = slots.get(name, 0) + tracker.replica.slots
+                in_flight[name] = in_flight.get(name, 0) + tracker.in_flight
+        return tuple(ServiceLoad(name, in_flight[name] / slots[name]) for name in sorted(in_flight))
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in one event."""
         match event:
