--- a/wingquay/adapters/settings_tuning.py
+++ b/wingquay/adapters/settings_tuning.py
@@ -14,7 +14,7 @@
 
 from wingquay.adapters.settings import Section, Settings
 from wingquay.admission.settings import AdmissionSettings
-from wingquay.orchestration.settings import StopSettings
+from wingquay.orchestration.settings import NodeMachineSettings, StopSettings
 from wingquay.query.settings import QuerySettings
 from wingquay.routing.settings import RoutingSettings
 
@@ -132,3 +132,13 @@
     """Return one tuning section of complete settings as the decision code's own class."""
     values: Section = getattr(settings, section)
     return kind(**values.model_dump())
+
+
+def node_machine_settings(settings: Settings) -> NodeMachineSettings:
+    """Return the settings of the decision code."""
+    return NodeMachineSettings(
+        query=tuning_of(settings, "query", QuerySettings),
+        admission=tuning_of(settings, "admission", AdmissionSettings),
+        routing=tuning_of(settings, "routing", RoutingSettings),
+        stop=tuning_of(settings, "stop", StopSettings),
+    )
--- /dev/null
+++ b/wingquay/demo/run.py
@@ -0,0 +1,77 @@
+"""Runs the demonstration and prints its report."""
+
+import asyncio
+import sys
+
+import orjson
+
+from wingquay.adapters.log_writer import write_logs_to
+from wingquay.commands.exit_codes import FAILED, OK
+from wingquay.demo.caller import DemoCaller
+from wingquay.demo.deployment import CALLER_TOKEN, DemoDeployment
+from wingquay.demo.report import curl_lines, explanation, summary, table
+from wingquay.demo.scenario import Scenario, StepResult
+from wingquay.ports.machine import LogLevel
+
+TIME_LIMIT_SECONDS = 20.0
+"""The demonstration is ended and counted as failed after this time."""
+
+
+async def run_demo(seed: int, as_json: bool, serve: bool) -> int:
+    """Run the demonstration and return its exit code.
+
+    Parameters
+    ----------
+    seed
+        Of the service times and stragglers of the back ends.
+    as_json
+        Print one JSON object instead of the table.
+    serve
+        Leave everything running until interrupted.
+    """
+    end_logs = write_logs_to(sys.stderr, LogLevel.WARNING)
+    deployment = DemoDeployment(seed)
+    try:
+        async with asyncio.timeout(TIME_LIMIT_SECONDS):
+            await deployment.start()
+            results = await _run_scenario(deployment)
+        report = summary(results, deployment)
+        print(orjson.dumps(report).decode() if as_json else _text(results, deployment), flush=True)
+        if serve:
+            await _serve(deployment)
+        return FAILED if report["wrong"] or report["faults"] else OK
+    except TimeoutError:
+        print(f"demo: not finished within {TIME_LIMIT_SECONDS:g} s", file=sys.stderr)
+        return FAILED
+    finally:
+        await deployment.close()
+        end_logs()
+
+
+async def _run_scenario(deployment: DemoDeployment) -> list[StepResult]:
+    addresses = [node.caller_address for node in deployment.nodes]
+    caller = DemoCaller(addresses, CALLER_TOKEN, deployment.dataset)
+    scenario = Scenario(deployment, caller)
+    try:
+        await scenario.run()
+    finally:
+        await caller.close()
+    return scenario.results
+
+
+async def _serve(deployment: DemoDeployment) -> None:
+    print("serving until interrupted (Ctrl-C)", file=sys.stderr)
+    await asyncio.Event().wait()
+
+
+def _text(results: list[StepResult], deployment: DemoDeployment) -> str:
+    zones = " and ".join(node.settings.node.zone for node in deployment.nodes)
+    callers = [node.caller_address for node in deployment.nodes]
+    faults = sum(len(result.faults) for result in results)
+    verdict = "nothing went wrong" if not faults else f"{faults} things went wrong"
+    return (
+        f"{len(deployment.nodes)} nodes (in {zones}), {len(deployment.backends)} back ends and a "
+        "key-value store, all on loopback TCP in this process\n\n"
+        f"{table(results)}\n\n{explanation()}\nVerdict: {verdict}.\n\n"
+        f"To try by hand (with --serve it stays up):\n{curl_lines(callers)}"
+    )
--- /dev/null
+++ b/wingquay/node.py
@@ -0,0 +1,192 @@
+"""The composition root: builds one node from its settings and runs it until it is stopped."""
+
+import asyncio
+import random
+import secrets
+
+from wingquay.adapters.backend_client import BackendClient
+from wingquay.adapters.bearer_tokens import ConfiguredCallers
+from wingquay.adapters.caller_server import CallerServer
+from wingquay.adapters.health_pages import HealthPages
+from wingquay.adapters.http_messages import HttpLimits
+from wingquay.adapters.log_writer import LogWriter
+from wingquay.adapters.machine_directory_client import MachineDirectoryClient
+from wingquay.adapters.metrics import Metrics
+from wingquay.adapters.peer_link import PeerLink
+from wingquay.adapters.settings import CallerSection, Endpoint, Settings, parse_endpoint
+from wingquay.adapters.settings_tuning import node_machine_settings
+from wingquay.adapters.store_client import StoreClient
+from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
+from wingquay.orchestration.node_machine import NodeMachine
+from wingquay.ports.backend import CancelAttempt, ProbeReplica, StartAttempt
+from wingquay.ports.caller import AnswerCaller, SetCallers, SetReady
+from wingquay.ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
+from wingquay.ports.machine_directory import ReadMachineList
+from wingquay.ports.peer import NodeIdentity, SendToPeer
+from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
+from wingquay.runtime import NodeRuntime
+
+NODE_ID_RANDOM_BYTES = 4
+SEED_BITS = 64
+RESPONSE_GRACE_SECONDS = 1.0
+"""How long responses that are decided may still take to leave when the node closes."""
+
+
+class Node:
+    """One wingquay process: its decision code, its adapters and the runtime between them.
+
+    Create it inside a running event loop.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self._loop = asyncio.get_running_loop()
+        self._early_events: list[Event] = []
+        self._runtime: NodeRuntime | None = None
+        self._exited: asyncio.Future[Exit] = self._loop.create_future()
+        self._callers = ConfiguredCallers()
+        self._pages = HealthPages(self.metrics.page)
+        self._log = LogWriter({"node": settings.node.name, "zone": settings.node.zone})
+        self._peer_link = PeerLink(
+            _identity(settings),
+            settings.peers.cluster_key.get_secret_value().encode(),
+            self.emit,
+            self._log.perform,
+        )
+        self._backends = BackendClient(self.emit, self.metrics.count)
+        self._store = StoreClient(_endpoints(settings.store.endpoints), self.emit)
+        self._machine_directory = MachineDirectoryClient(
+            _endpoints(settings.machine_directory.endpoints), self.emit
+        )
+        self._caller_server: CallerServer | None = None
+        self.caller_address = Endpoint(settings.caller_interface.host, 0)
+        """Where callers are served, once the node has started."""
+
+    @property
+    def identity(self) -> NodeIdentity:
+        """Who this node is; the port is the bound one once the node has started."""
+        return self._peer_link.identity
+
+    async def start(self) -> None:
+        """Listen on every address and begin.
+
+        Raises
+        ------
+        OSError
+            An address cannot be listened on; everything opened before is closed again.
+        """
+        try:
+            await self._open()
+        except OSError:
+            await self.close()
+            raise
+
+    async def _open(self) -> None:
+        identity = await self._peer_link.start()
+        await self._store.start()
+        await self._machine_directory.start()
+        limits = _caller_limits(self.settings.caller_interface)
+        server = CallerServer(identity.node_id, self.emit, self._callers, self._pages, limits)
+        self._caller_server = server
+        machine = NodeMachine(
+            identity,
+            node_machine_settings(self.settings),
+            random.Random(secrets.randbits(SEED_BITS)),
+        )
+        runtime = NodeRuntime(machine, self._loop)
+        self._register(runtime, server)
+        host, port = self.settings.caller_interface.host, self.settings.caller_interface.port
+        self.caller_address = Endpoint(host, await server.start(host, port))
+        self._runtime = runtime
+        runtime.start()
+        self.emit(Start())
+        for event in self._early_events:
+            self.emit(event)
+        self._log.perform(Log("node_started", fields=self._address_fields()))
+
+    def emit(self, event: Event) -> None:
+        """Hand an event to the decision code; before the start is over, it waits."""
+        if self._runtime is None:
+            self._early_events.append(event)
+        else:
+            self._runtime.emit(event)
+
+    def request_stop(self) -> None:
+        """Begin the planned stop; ``exited`` tells when it is over."""
+        self.emit(StopRequested())
+
+    async def exited(self) -> Exit:
+        """Wait for the end of the planned stop."""
+        return await asyncio.shield(self._exited)
+
+    async def close(self) -> None:
+        """Close every adapter; responses already decided leave first, in bounded time."""
+        if self._caller_server is not None:
+            await self._caller_server.close(RESPONSE_GRACE_SECONDS)
+        await self._peer_link.close()
+        await self._backends.close()
+        await self._store.close()
+        await self._machine_directory.close()
+        if self._runtime is not None:
+            self._runtime.close()
+
+    def _register(self, runtime: NodeRuntime, server: CallerServer) -> None:
+        runtime.register(Log, self._log.perform)
+        runtime.register(Count, self.metrics.count)
+        runtime.register(Observe, self.metrics.observe)
+        runtime.register(Exit, self._exit)
+        runtime.register(AnswerCaller, server.perform)
+        runtime.register(SetReady, server.perform)
+        runtime.register(SetCallers, self._set_callers)
+        runtime.register(SendToPeer, self._peer_link.perform)
+        runtime.register(StartAttempt, self._backends.perform)
+        runtime.register(CancelAttempt, self._backends.perform)
+        runtime.register(ProbeReplica, self._backends.perform)
+        for store_action in (StoreRequest, StartWatch, StopWatch):
+            runtime.register(store_action, self._store.perform)
+        runtime.register(ReadMachineList, self._machine_directory.perform)
+
+    def _set_callers(self, action: SetCallers) -> None:
+        self._callers.replace(action.callers)
+
+    def _exit(self, action: Exit) -> None:
+        if not self._exited.done():
+            self._exited.set_result(action)
+
+    def _address_fields(self) -> tuple[tuple[str, str | int | float], ...]:
+        return (
+            ("node_id", self.identity.node_id),
+            ("callers", f"{self.caller_address.host}:{self.caller_address.port}"),
+            ("peers", f"{self.identity.host}:{self.identity.port}"),
+        )
+
+
+def _identity(settings: Settings) -> NodeIdentity:
+    suffix = secrets.token_hex(NODE_ID_RANDOM_BYTES)
+    return NodeIdentity(
+        node_id=NodeId(f"{settings.node.name}-{suffix}"),
+        deployment=DeploymentName(settings.node.deployment),
+        zone=ZoneName(settings.node.zone),
+        host=settings.peers.host,
+        port=settings.peers.port,
+    )
+
+
+def _endpoints(texts: tuple[str, ...]) -> tuple[Endpoint, ...]:
+    return tuple(parse_endpoint(text) for text in texts)
+
+
+def _caller_limits(section: CallerSection) -> HttpLimits:
+    return HttpLimits(
+        header_bytes=section.max_header_bytes,
+        body_bytes=section.max_body_bytes,
+        idle_seconds=section.idle_timeout_seconds,
+        request_read_seconds=section.read_timeout_seconds,
+        connections=section.connection_limit,
+    )
--- /dev/null
+++ b/wingquay/orchestration/caller_access.py
@@ -0,0 +1,21 @@
+"""Tells the caller interface who may call, whenever another configuration is in force."""
+
+from typing import ClassVar
+
+from wingquay.ports.caller import SetCallers
+from wingquay.ports.internal import ConfigurationInForce
+from wingquay.ports.machine import Action, Event
+from wingquay.ports.peer import PeerMessage
+
+
+class CallerAccess:
+    """Turns the callers of the configuration in force into an action."""
+
+    EVENTS: ClassVar[tuple[type[Event], ...]] = (ConfigurationInForce,)
+    PEER_MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = ()
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in one event."""
+        if isinstance(event, ConfigurationInForce):
+            return [SetCallers(event.configuration.callers)]
+        return []
--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -12,6 +12,7 @@
 from wingquay.admission.owner_machine import OwnerMachine
 from wingquay.configuration.configuration_machine import ConfigurationMachine
 from wingquay.model.identifiers import NodeId, Revision
+from wingquay.orchestration.caller_access import CallerAccess
 from wingquay.orchestration.load_machine import LoadMachine
 from wingquay.orchestration.settings import NodeMachineSettings
 from wingquay.orchestration.stop_machine import StopMachine
@@ -67,6 +68,7 @@
             self._owner,
             self._stop,
             LoadMachine(self._coordinator, self._owner),
+            CallerAccess(),
         ]
         self._by_event: dict[type[Event], list[RoutedMachine]] = {}
         self._by_message: dict[type[PeerMessage], list[RoutedMachine]] = {}
--- a/wingquay/ports/caller.py
+++ b/wingquay/ports/caller.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from wingquay.model.answer import Answer
+from wingquay.model.configuration import Caller
 from wingquay.model.identifiers import RequestId
 from wingquay.model.request import QueryRequest
 from wingquay.ports.machine import Action, Event
@@ -35,3 +36,10 @@
 
     ready: bool
     reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetCallers(Action):
+    """Let exactly these callers in from now on (those of the configuration in force)."""
+
+    callers: tuple[Caller, ...]
--- /dev/null
+++ b/wingquay/rehearsal/rehearsal_failure.py
@@ -0,0 +1,11 @@
+"""Why a rehearsal could not be run."""
+
+from enum import Enum
+
+
+class RehearsalFailureKind(Enum):
+    """What was wrong with what was asked for."""
+
+    UNKNOWN_NAME = "unknown_name"
+    MALFORMED = "malformed"
+    OUT_OF_RANGE = "out_of_range"
