--- a/wingquay/rehearsal/models/backend_messages.py
+++ b/wingquay/rehearsal/models/backend_messages.py
@@ -95,7 +95,8 @@
     not_run
         Whether the back end vouches that it did not begin to work on the exchange.
     load
-        The load report that goes with the reply; it lags and may lie.
+        The load report that goes with the reply; it lags and may lie, except for the versions
+        of a reply that a snapshot is not held.
     oldest, newest
         The versions truly held when the reply was made.
     retry_after_seconds
--- a/wingquay/rehearsal/models/backend_model.py
+++ b/wingquay/rehearsal/models/backend_model.py
@@ -7,19 +7,14 @@
 
 import random
 from collections import deque
-from dataclasses import replace
-from heapq import heappop, heappush
 
 from wingquay.model.identifiers import AttemptId, ShardId, SnapshotVersion
 from wingquay.model.key_range import KeyRange
 from wingquay.ports.backend import LoadReport
-from wingquay.rehearsal.models.backend_messages import (
-    BackendExchange,
-    BackendReply,
-    ReplyKind,
-)
+from wingquay.rehearsal.models.backend_messages import BackendExchange, BackendReply, ReplyKind
+from wingquay.rehearsal.models.backend_replies import ReplyBox
 from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.backend_work import Work, WorkEnd
+from wingquay.rehearsal.models.backend_work import Work, WorkEnd, WorkSchedule
 from wingquay.rehearsal.models.dataset import Dataset
 from wingquay.rehearsal.models.execution_ledger import ExecutionLedger, RecordedWrite
 from wingquay.rehearsal.models.held_index import HeldIndex
@@ -60,7 +55,6 @@
         self.ledger = ledger if ledger is not None else ExecutionLedger()
         self.arrivals_while_draining: list[float] = []
         """Times at which work came in after the drain began."""
-        self._dataset = dataset
         self._fate_seed = rng.getrandbits(_SEED_BITS)
         self._execution_index = 0
         self._held = HeldIndex(settings.service, settings.oldest_version, settings.newest_version)
@@ -71,10 +65,8 @@
         self._connections = 0
         self._running: list[Work] = []
         self._queue: deque[Work] = deque()
-        self._ends: list[tuple[float, int, Work]] = []
-        self._sequence = 0
-        self._replies: list[BackendReply] = []
-        self._replies_due_at = started_at
+        self._schedule = WorkSchedule()
+        self._replies = ReplyBox(self._held, dataset, settings.retry_after_seconds)
         self._history = LoadHistory(settings.report_delay_seconds, self._true_report(started_at))
 
     # -- exchanges ---------------------------------------------------------------------------
@@ -86,7 +78,7 @@
             self.arrivals_while_draining.append(now)
         refusal = self._refusal(exchange)
         if refusal is not None:
-            self._refuse(exchange, refusal, now)
+            self._replies.refuse(exchange, refusal, self._history, now)
             return
         work = Work(exchange, deadline_at=now + exchange.remaining_seconds)
         if len(self._running) < self.settings.slots:
@@ -101,7 +93,7 @@
         An attempt that waits is not run at all; unknown ones are ignored.
         """
         self._run_until(now)
-        self._replies = [reply for reply in self._replies if reply.attempt_id != attempt_id]
+        self._replies.drop(attempt_id)
         for work in self._queue:
             if work.exchange.attempt_id == attempt_id:
                 self._queue.remove(work)
@@ -109,27 +101,22 @@
         for work in self._running:
             if work.exchange.attempt_id == attempt_id and work.end is not WorkEnd.CANCELLED:
                 noticed_at = min(work.ends_at, now + self.settings.cancel_delay_seconds)
-                self._end_at(work, noticed_at, WorkEnd.CANCELLED)
+                self._schedule.plan(work, noticed_at, WorkEnd.CANCELLED)
                 break
         self._record_load(now)
 
     def advance(self, now: float) -> list[BackendReply]:
         """Work until ``now`` and return the replies that are due, in order."""
         self._run_until(now)
-        replies = self._replies
-        self._replies = []
-        return replies
+        return self._replies.take()
 
     def next_event_at(self) -> float | None:
         """Return when ``advance`` has something to do next; ``None``: nothing is going on.
 
         The time may lie in the past: then it is due at once.
         """
-        if self._replies:
-            return self._replies_due_at
-        while self._ends and self._is_stale(self._ends[0]):
-            heappop(self._ends)
-        return self._ends[0][0] if self._ends else None
+        due_at = self._replies.next_at()
+        return self._schedule.next_at() if due_at is None else due_at
 
     # -- connections -------------------------------------------------------------------------
 
@@ -206,7 +193,7 @@
         self._run_until(now)
         self._pace.paused_until = until
         for work in self._running:
-            self._end_at(work, work.ends_at + max(0.0, until - now), work.end)
+            self._schedule.plan(work, work.ends_at + max(0.0, until - now), work.end)
 
     def fail_next(self, count: int) -> None:
         """Let the next ``count`` executions end in an error, after they ran."""
@@ -219,8 +206,8 @@
             self.ledger.record_busy(now - work.began_at)
         self._running.clear()
         self._queue.clear()
-        self._ends.clear()
-        self._replies.clear()
+        self._schedule.clear()
+        self._replies.take()
         self._connections = 0
         self._draining = False
         self._held.oldest = oldest
@@ -231,27 +218,15 @@
     # -- work --------------------------------------------------------------------------------
 
     def _run_until(self, now: float) -> None:
-        while self._ends and self._ends[0][0] <= now:
-            entry = heappop(self._ends)
-            if not self._is_stale(entry):
-                self._finish(entry[2], entry[0])
-
-    def _is_stale(self, entry: tuple[float, int, Work]) -> bool:
-        return entry[1] != entry[2].sequence
-
-    def _end_at(self, work: Work, ends_at: float, end: WorkEnd) -> None:
-        self._sequence += 1
-        work.ends_at = ends_at
-        work.end = end
-        work.sequence = self._sequence
-        heappush(self._ends, (ends_at, work.sequence, work))
+        while (work := self._schedule.take_due(now)) is not None:
+            self._finish(work, work.ends_at)
 
     def _begin(self, work: Work, now: float) -> None:
         """Work on an exchange, or reply that it did not run; the caller has a slot free."""
         exchange = work.exchange
         refusal = self._refusal_at_begin(work, now)
         if refusal is not None:
-            self._refuse(exchange, refusal, now)
+            self._replies.refuse(exchange, refusal, self._history, now)
             return
         work.began_at = now
         work.covered = self._held.covered(exchange)
@@ -261,7 +236,7 @@
         if ends_at > work.deadline_at:
             ends_at = max(work.deadline_at, self._pace.paused_until)
             end = WorkEnd.DEADLINE_PASSED
-        self._end_at(work, ends_at, end)
+        self._schedule.plan(work, ends_at, end)
 
     def _drawn_end(self, exchange: BackendExchange, now: float) -> tuple[float, WorkEnd]:
         fate = draw_fate(
@@ -295,12 +270,12 @@
         self._running.remove(work)
         self.ledger.record_busy(now - work.began_at)
         if work.end is not WorkEnd.CANCELLED:
-            self._answer(work, now)
+            self._replies.answer(work, self._history, now)
         while self._queue and len(self._running) < self.settings.slots:
             self._begin(self._queue.popleft(), now)
         self._record_load(now)
 
-    # -- replies -----------------------------------------------------------------------------
+    # -- state -----------------------------------------------------------------------------
 
     def _refusal(self, exchange: BackendExchange) -> ReplyKind | None:
         if self._draining:
@@ -317,42 +292,6 @@
             return ReplyKind.DEADLINE_PASSED
         return self._held.refusal(work.exchange)
 
-    def _refuse(self, exchange: BackendExchange, kind: ReplyKind, now: float) -> None:
-        may_pass = kind in (
-            ReplyKind.SHED,
-            ReplyKind.DRAINING,
-            ReplyKind.DEADLINE_PASSED,
-        )
-        retry_after_seconds = self.settings.retry_after_seconds if may_pass else None
-        reply = self._reply(exchange, kind, now, not_run=True)
-        self._add_reply(replace(reply, retry_after_seconds=retry_after_seconds), now)
-
-    def _answer(self, work: Work, now: float) -> None:
-        kind = work.end.reply_kind
-        reply = self._reply(work.exchange, kind, now, not_run=False)
-        if kind is ReplyKind.ANSWERED:
-            rows = work.rows(self._dataset)
-            snapshot = work.exchange.snapshot
-            reply = replace(reply, snapshot=snapshot, covered=work.covered, rows=rows)
-        self._add_reply(reply, now)
-
-    def _reply(
-        self, exchange: BackendExchange, kind: ReplyKind, now: float, *, not_run: bool
-    ) -> BackendReply:
-        return BackendReply(
-            attempt_id=exchange.attempt_id,
-            kind=kind,
-            not_run=not_run,
-            load=self._history.shown(now),
-            oldest=self._held.oldest,
-            newest=self._held.newest,
-        )
-
-    def _add_reply(self, reply: BackendReply, now: float) -> None:
-        if not self._replies:
-            self._replies_due_at = now
-        self._replies.append(reply)
-
     def _true_report(self, now: float) -> LoadReport:
         return LoadReport(
             utilization=self.in_flight / self.settings.slots,
--- a/wingquay/rehearsal/models/backend_work.py
+++ b/wingquay/rehearsal/models/backend_work.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from heapq import heappop, heappush
 
 from wingquay.model.answer import Row
 from wingquay.model.key_range import KeyRange
@@ -62,3 +63,36 @@
             self.covered,
             self.exchange.snapshot,
         )
+
+
+class WorkSchedule:
+    """The planned ends of work that runs; planning a work's end anew replaces the old plan."""
+
+    def __init__(self) -> None:
+        self._plans: list[tuple[float, int, Work]] = []
+        self._sequence = 0
+
+    def plan(self, work: Work, ends_at: float, end: WorkEnd) -> None:
+        """Let ``work`` end at ``ends_at``."""
+        self._sequence += 1
+        work.ends_at = ends_at
+        work.end = end
+        work.sequence = self._sequence
+        heappush(self._plans, (ends_at, work.sequence, work))
+
+    def next_at(self) -> float | None:
+        """Return when the next work ends, or ``None`` if none runs."""
+        while self._plans and self._plans[0][1] != self._plans[0][2].sequence:
+            heappop(self._plans)
+        return self._plans[0][0] if self._plans else None
+
+    def take_due(self, now: float) -> Work | None:
+        """Return the work that ends next, if it ends by ``now``, and forget it."""
+        next_at = self.next_at()
+        if next_at is None or next_at > now:
+            return None
+        return heappop(self._plans)[2]
+
+    def clear(self) -> None:
+        """Forget all plans."""
+        self._plans.clear()
