--- a/wingquay/node.py
+++ b/wingquay/node.py
@@ -73,6 +73,11 @@
         """Who this node is; the port is the bound one once the node has started."""
         return self._peer_link.identity
 
+    @property
+    def requests_in_flight(self) -> int:
+        """Callers' requests that wait for their answer."""
+        return 0 if self._caller_server is None else self._caller_server.requests_in_flight
+
     async def start(self) -> None:
         """Listen on every address and begin.
 
--- a/wingquay/rehearsal/deployments.py
+++ b/wingquay/rehearsal/deployments.py
@@ -65,9 +65,7 @@
             slots=2,
             connection_limit=110,
             service_seconds=0.02,
-            kinds=(
-                KindProfile(name="ticket-fetch", class_name="on-call", whole_range=False),
-            ),
+            kinds=(KindProfile(name="ticket-fetch", class_name="on-call", whole_range=False),),
         ),
         ServiceProfile(
             name="install-planner",
