--- a/wingquay/cli.py
+++ b/wingquay/cli.py
@@ -9,6 +9,7 @@
 import importlib.util
 import io
 import os
+import re
 import sys
 from collections.abc import Sequence
 from typing import Any, TextIO
@@ -44,6 +45,9 @@
 _HELP_PREAMBLE_END = "-- --help'.\n"
 """fire says with which command it shows help; what follows is the help."""
 
+_OPTIONAL_TYPE = re.compile(r"Optional\[(\w+) \| None\]")
+"""How fire shows the type of a flag that need not be given."""
+
 _COMMAND_PACKAGE = "wingquay.commands"
 
 _HELP_END = """\
@@ -140,6 +144,7 @@
             chosen = fire.Fire({name: deferred(command)}, arguments, PROGRAM, _no_text)
     except fire.core.FireExit as error:
         text = said.getvalue().partition(_HELP_PREAMBLE_END)[2] or said.getvalue()
+        text = _OPTIONAL_TYPE.sub(r"\1 (optional)", text)
         print(text.strip("\n"), file=sys.stderr if error.code else sys.stdout)
         return int(error.code)
     if isinstance(chosen, Invocation):
