Split the coordinator by job

Cause: one class of 540 lines held arrival, planning, results, failover, claims and ends; a newcomer could not find where an answer is decided.

--- /dev/null
+++ b/wingquay/query/claim_flow.py
@@ -0,0 +1,59 @@
+"""What follows the claims machine's decision on an unrepeatable request."""
+
+from wingquay.model.answer import Answer
+from wingquay.ports.internal import ClaimDecided, ClaimDecisionKind, ClaimFinished, Notify
+from wingquay.ports.machine import Action
+from wingquay.query.answer_codec import decode_answer
+from wingquay.query.conclusion import invalid, refusal, unknown
+from wingquay.query.query_ending import QueryEnding
+from wingquay.query.query_planning import QueryPlanning
+from wingquay.query.query_table import QueryTable
+
+
+class ClaimFlow:
+    """Runs a request whose claim was granted; answers the others."""
+
+    def __init__(
+        self,
+        table: QueryTable,
+        planning: QueryPlanning,
+        ending: QueryEnding,
+        retry_after_seconds: float,
+    ) -> None:
+        self._table = table
+        self._planning = planning
+        self._ending = ending
+        self._retry_after_seconds = retry_after_seconds
+
+    def on_decided(self, event: ClaimDecided, now: float) -> list[Action]:
+        """Take in the decision."""
+        state = self._table.state(event.request_id)
+        granted = event.decision is ClaimDecisionKind.GRANTED
+        if state is None:
+            # Too late to run it: give the claim back, it certainly did not run.
+            return [Notify(ClaimFinished(event.request_id, None))] if granted else []
+        if state.is_claimed:
+            return []
+        if not granted:
+            return self._ending.answer(state, self._answer(event), now)
+        state.is_claimed = True
+        if state.caller_gone:
+            return self._ending.answer(state, refusal(event.request_id, "caller gone", 0.0), now)
+        return self._planning.run(state, now)
+
+    def _answer(self, event: ClaimDecided) -> Answer:
+        request_id = event.request_id
+        match event.decision:
+            case ClaimDecisionKind.ALREADY_DONE:
+                stored = decode_answer(event.outcome or b"", request_id)
+                reason = "it ran before; its answer is not known any more"
+                return stored or unknown(request_id, reason, self._retry_after_seconds)
+            case ClaimDecisionKind.KEY_REUSED:
+                reason = "Idempotency-Key: used before for a request with other content"
+                return invalid(request_id, reason)
+            case ClaimDecisionKind.IN_PROGRESS:
+                reason = "an earlier submission may be running; this one did not run"
+                return unknown(request_id, reason, self._retry_after_seconds)
+            case _:
+                reason = "whether it ran before cannot be told; this submission did not run"
+                return unknown(request_id, reason, self._retry_after_seconds)
--- a/wingquay/query/coordinator_events.py
+++ b/wingquay/query/coordinator_events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.identifiers import RequestId, ServiceName
+from wingquay.model.identifiers import RequestId
 from wingquay.model.key_range import KeyRange
 from wingquay.ports.machine import Event
 
@@ -27,7 +27,6 @@
 
     request_id: RequestId
     generation: int
-    service: ServiceName
     key_ranges: tuple[KeyRange, ...]
     retries: int
 
--- a/wingquay/query/piece_sender.py
+++ b/wingquay/query/piece_sender.py
@@ -12,6 +12,7 @@
 from wingquay.query.owner_links import OwnerLinks
 from wingquay.query.plan import ShardIndex, ShardPiece, ShardPlan
 from wingquay.query.query_state import Piece, QueryState
+from wingquay.query.query_table import QueryTable
 
 LEAST_RETURN_SECONDS = 0.005
 """Time kept for an owner's result to come back before the answer leaves."""
@@ -22,13 +23,13 @@
 
     Parameters
     ----------
-    state_of
-        The coordinator's index from sub-request to query; kept up to date here.
+    table
+        The coordinator's open sub-requests; kept up to date here.
     """
 
-    def __init__(self, links: OwnerLinks, state_of: dict[SubRequestId, QueryState]) -> None:
+    def __init__(self, links: OwnerLinks, table: QueryTable) -> None:
         self._links = links
-        self._state_of = state_of
+        self._table = table
         self._indexes: dict[str, ShardIndex] = {}
 
     def plan(self, service: Service, key_ranges: tuple[KeyRange, ...]) -> ShardPlan:
@@ -52,7 +53,7 @@
             sub_request = self._sub_request(state, shard_piece, now)
             service = state.resolved.service
             owner = self._links.choose(service, shard_piece.shard.shard_id, (), now)
-            self._remember(state, Piece(sub_request, owner, now, retries))
+            self._table.add_piece(state, Piece(sub_request, owner, now, retries))
             batches.setdefault(owner.node_id, (owner, []))[1].append(sub_request)
         return [
             SendToPeer(owner, SubRequestBatch(tuple(sub_requests)))
@@ -69,14 +70,9 @@
             sub_request_id=self._next_id(state),
             remaining_seconds=self._remaining(state, now),
         )
-        self._remember(state, Piece(sub_request, owner, now, piece.retries, tried))
+        self._table.add_piece(state, Piece(sub_request, owner, now, piece.retries, tried))
         return [SendToPeer(owner, SubRequestBatch((sub_request,)))]
 
-    def _remember(self, state: QueryState, piece: Piece) -> None:
-        sub_request_id = piece.sub_request.sub_request_id
-        state.outstanding[sub_request_id] = piece
-        self._state_of[sub_request_id] = state
-
     def _next_id(self, state: QueryState) -> SubRequestId:
         state.sub_requests += 1
         request_id = state.resolved.request.request_id
--- /dev/null
+++ b/wingquay/query/query_ending.py
@@ -0,0 +1,63 @@
+"""Ends requests: concludes, answers the caller, and tells the claims machine what came of it."""
+
+from wingquay.model.answer import Answer, Outcome
+from wingquay.ports.caller import AnswerCaller
+from wingquay.ports.internal import ClaimFinished, Notify
+from wingquay.ports.machine import Action, Count, Observe
+from wingquay.query.answer_codec import encode_answer
+from wingquay.query.conclusion import conclude, unknown
+from wingquay.query.kind_statistics import KindStatistics
+from wingquay.query.query_state import QueryState
+from wingquay.query.query_table import QueryTable
+
+
+class QueryEnding:
+    """Gives every request its one answer.
+
+    Parameters
+    ----------
+    retry_after_seconds
+        What callers that may come back are told to wait.
+    """
+
+    def __init__(self, table: QueryTable, retry_after_seconds: float) -> None:
+        self._table = table
+        self._retry_after_seconds = retry_after_seconds
+        self.kind_statistics = KindStatistics()
+        """Rates and latencies of what was answered lately."""
+
+    def settle(self, state: QueryState, now: float) -> list[Action]:
+        """Answer if nothing is awaited any more."""
+        if self._table.state(state.request_id) is None:
+            return []
+        if state.answers_on_first and state.merge.covered:
+            return self.finish(state, now)
+        if state.outstanding or state.waiting_retries:
+            return []
+        return self.finish(state, now)
+
+    def finish(self, state: QueryState, now: float) -> list[Action]:
+        """Answer with what there is."""
+        answer = conclude(state, now, self._retry_after_seconds)
+        if state.awaits_claim and not state.is_claimed:
+            reason = "whether it ran before could not be found out in time"
+            answer = unknown(state.request_id, reason, self._retry_after_seconds)
+        return self.answer(state, answer, now)
+
+    def answer(self, state: QueryState, answer: Answer, now: float) -> list[Action]:
+        """Answer with ``answer``."""
+        actions = self._table.forget(state)
+        self.kind_statistics.record(state.resolved, now - state.arrived_at, now)
+        if state.is_claimed:
+            ran = answer.outcome is not Outcome.REFUSED_NOT_RUN
+            stored = encode_answer(answer) if ran else None
+            actions.append(Notify(ClaimFinished(answer.request_id, stored)))
+        labels = (
+            ("class", state.resolved.priority_class.name),
+            ("outcome", answer.outcome.value),
+        )
+        actions.append(Count("wingquay_requests_total", labels=labels))
+        actions.append(Observe("wingquay_request_seconds", now - state.arrived_at, labels))
+        if not state.caller_gone:
+            actions.append(AnswerCaller(answer))
+        return actions
--- a/wingquay/query/query_state.py
+++ b/wingquay/query/query_state.py
@@ -9,7 +9,7 @@
     RequestKind,
     Service,
 )
-from wingquay.model.identifiers import SubRequestId
+from wingquay.model.identifiers import RequestId, SubRequestId
 from wingquay.model.key_range import KeyRange
 from wingquay.model.request import QueryRequest, SubRequest
 from wingquay.ports.peer import NodeIdentity
@@ -77,6 +77,22 @@
     reason: str = ""
     timings: Timings = field(default_factory=Timings)
 
+    @property
+    def request_id(self) -> RequestId:
+        """The request's id."""
+        return self.resolved.request.request_id
+
+    def open_piece(self, sub_request_id: SubRequestId) -> Piece:
+        """Return an open sub-request.
+
+        Raises
+        ------
+        KeyError
+            If it is not one of this request's open sub-requests.
+        """
+        piece = self.outstanding.get(sub_request_id)
+        return self.answered[sub_request_id] if piece is None else piece
+
     def remaining_seconds(self, now: float) -> float:
         """Return the time left for sub-requests."""
         return max(0.0, self.answer_at - now)
