Serve operators; set the demo up through plan and confirm

Cause: the demo handed nodes their configuration past the store. Change: the node serves the operator interface; the demo states ro-nord as intents to an empty store, confirms the plan, waits until both nodes have it in force, and later gives ticket-fetch the top class in the same way.

--- a/wingquay/demo/deployment.py
+++ b/wingquay/demo/deployment.py
@@ -16,7 +16,7 @@
 )
 from wingquay.model.key_range import KeyRange, intersect
 from wingquay.node import Node
-from wingquay.ports.internal import ConfigurationInForce, MembershipChanged
+from wingquay.ports.internal import MembershipChanged
 from wingquay.rehearsal.deployment_profile import DeploymentProfile, ServiceProfile
 from wingquay.rehearsal.deployments import RO_NORD
 from wingquay.rehearsal.models.backend_settings import BackendSettings
@@ -58,6 +58,7 @@
         self.backends: dict[ReplicaId, BackendStandin] = {}
         self.nodes: list[Node] = []
         self.configuration = Configuration()
+        """What the operators set up; no node knows it before its plan is confirmed."""
 
     async def start(self) -> None:
         """Start everything; ``close`` ends it."""
@@ -158,7 +159,6 @@
         identities = tuple(sorted((n.identity for n in self.nodes), key=lambda i: i.node_id))
         for node in self.nodes:
             node.emit(MembershipChanged(identities, ()))
-            node.emit(ConfigurationInForce(self.configuration))
 
 
 def _settings(name: str, zone: str, store_port: int, seeds: list[str]) -> Settings:
--- a/wingquay/demo/report.py
+++ b/wingquay/demo/report.py
@@ -1,7 +1,7 @@
 """The demonstration's results as a table for people and as one JSON object."""
 
 from wingquay.adapters.settings import Endpoint
-from wingquay.demo.deployment import CALLER_TOKEN, DemoDeployment
+from wingquay.demo.deployment import CALLER_TOKEN, OPERATOR_TOKEN, DemoDeployment
 from wingquay.demo.scenario import StepResult
 from wingquay.model.answer import Outcome
 
@@ -67,23 +67,25 @@
     )
 
 
-def curl_lines(callers: list[Endpoint]) -> str:
-    """Return commands to try against the running nodes."""
-    lines: list[str] = []
-    if callers:
-        address = f"http://{callers[0].host}:{callers[0].port}"
-        authorization = f"-H 'Authorization: Bearer {CALLER_TOKEN}'"
-        sweep = '{"service": "coverage-lookup", "kind": "tower-sweep", "key_ranges": [{}]}'
-        ping = (
-            '{"service": "coverage-lookup", "kind": "outage-ping", "keys": ["village-0007"], '
-            '"deadline_ms": 200}'
+def curl_lines(callers: Endpoint, operators: Endpoint) -> str:
+    """Return commands to try against a running node."""
+    sweep = '{"service": "coverage-lookup", "kind": "tower-sweep", "key_ranges": [{}]}'
+    ping = (
+        '{"service": "coverage-lookup", "kind": "outage-ping", "keys": ["village-0007"], '
+        '"deadline_ms": 200}'
+    )
+    caller = f"http://{callers.host}:{callers.port}"
+    operator = f"http://{operators.host}:{operators.port}"
+    query = f"curl -s {caller}/v1/query -H 'Authorization: Bearer {CALLER_TOKEN}'"
+    return "\n".join(
+        (
+            f"{query} -d '{sweep}' -H 'Content-Type: application/json'",
+            f"{query} -d '{ping}' -H 'Content-Type: application/json'",
+            f"curl -s {caller}/health/ready",
+            f"curl -s {operator}/metrics",
+            f"curl -s {operator}/v1/status -H 'Authorization: Bearer {OPERATOR_TOKEN}'",
         )
-        json_type = "-H 'Content-Type: application/json'"
-        for body in (sweep, ping):
-            lines.append(f"curl -s {address}/v1/query {authorization} {json_type} -d '{body}'")
-        lines.append(f"curl -s {address}/health/ready")
-        lines.append(f"curl -s {address}/metrics")
-    return "\n".join(lines)
+    )
 
 
 def _line(cells: tuple[str, ...], widths: list[int]) -> str:
@@ -93,11 +95,15 @@
 
 def _row(result: StepResult) -> tuple[str, ...]:
     outcomes = ", ".join(f"{count} {name}" for name, count in sorted(result.outcomes.items()))
-    latency = f"{_milliseconds(result.median_seconds)} / {_milliseconds(result.worst_seconds)} ms"
+    latency = (
+        "-"
+        if not result.replies
+        else f"{_milliseconds(result.median_seconds)} / {_milliseconds(result.worst_seconds)} ms"
+    )
     snapshots = sorted({str(reply.snapshot) for reply in result.replies if reply.snapshot})
     return (
         result.title,
-        outcomes,
+        outcomes or "-",
         _coverage(result),
         ", ".join(snapshots) or "-",
         latency,
--- a/wingquay/demo/run.py
+++ b/wingquay/demo/run.py
@@ -8,7 +8,8 @@
 from wingquay.adapters.log_writer import write_logs_to
 from wingquay.commands.exit_codes import FAILED, OK
 from wingquay.demo.caller import DemoCaller
-from wingquay.demo.deployment import CALLER_TOKEN, DemoDeployment
+from wingquay.demo.deployment import CALLER_TOKEN, OPERATOR_TOKEN, DemoDeployment
+from wingquay.demo.operator import DemoOperator
 from wingquay.demo.report import curl_lines, explanation, summary, table
 from wingquay.demo.scenario import Scenario, StepResult
 from wingquay.ports.machine import LogLevel
@@ -51,11 +52,14 @@
 async def _run_scenario(deployment: DemoDeployment) -> list[StepResult]:
     addresses = [node.caller_address for node in deployment.nodes]
     caller = DemoCaller(addresses, CALLER_TOKEN, deployment.dataset)
-    scenario = Scenario(deployment, caller)
+    operator_addresses = [node.operator_address for node in deployment.nodes]
+    operator = DemoOperator(operator_addresses, OPERATOR_TOKEN)
+    scenario = Scenario(deployment, caller, operator)
     try:
         await scenario.run()
     finally:
         await caller.close()
+        await operator.close()
     return scenario.results
 
 
@@ -66,12 +70,13 @@
 
 def _text(results: list[StepResult], deployment: DemoDeployment) -> str:
     zones = " and ".join(node.settings.node.zone for node in deployment.nodes)
-    callers = [node.caller_address for node in deployment.nodes]
+    node = deployment.nodes[0]
     faults = sum(len(result.faults) for result in results)
     verdict = "nothing went wrong" if not faults else f"{faults} things went wrong"
+    commands = curl_lines(node.caller_address, node.operator_address)
     return (
         f"{len(deployment.nodes)} nodes (in {zones}), {len(deployment.backends)} back ends and a "
         "key-value store, all on loopback TCP in this process\n\n"
         f"{table(results)}\n\n{explanation()}\nVerdict: {verdict}.\n\n"
-        f"To try by hand (with --serve it stays up):\n{curl_lines(callers)}"
+        f"To try by hand (with --serve it stays up):\n{commands}"
     )
--- a/wingquay/demo/scenario.py
+++ b/wingquay/demo/scenario.py
@@ -8,9 +8,18 @@
 
 from wingquay.demo.caller import DemoCaller, Question, Reply
 from wingquay.demo.deployment import DemoDeployment
+from wingquay.demo.operator import DemoOperator, OperatorCommandError, effect_lines, intents_for
 from wingquay.model.answer import Outcome
-from wingquay.model.identifiers import ReplicaId
-
+from wingquay.model.identifiers import (
+    ClassName,
+    DeploymentName,
+    ReplicaId,
+    RequestKindName,
+    ServiceName,
+)
+from wingquay.model.intent import TOP_CLASS, AssignClass
+
+MILLISECONDS_PER_SECOND = 1000
 SWEEP = Question("coverage-lookup", "tower-sweep")
 PING_COUNT = 60
 PINGS_AT_ONCE = 6
@@ -46,29 +55,34 @@
 
     @property
     def median_seconds(self) -> float:
-        """The median latency that the caller saw."""
-        return statistics.median(reply.seconds for reply in self.replies)
+        """The median latency that the caller saw; 0 without replies."""
+        return statistics.median([reply.seconds for reply in self.replies] or [0.0])
 
     @property
     def worst_seconds(self) -> float:
-        """The greatest latency that the caller saw."""
-        return max(reply.seconds for reply in self.replies)
+        """The greatest latency that the caller saw; 0 without replies."""
+        return max((reply.seconds for reply in self.replies), default=0.0)
 
 
 class Scenario:
     """Runs the steps in order and keeps their results."""
 
-    def __init__(self, deployment: DemoDeployment, caller: DemoCaller) -> None:
+    def __init__(
+        self, deployment: DemoDeployment, caller: DemoCaller, operator: DemoOperator
+    ) -> None:
         self._deployment = deployment
         self._caller = caller
+        self._operator = operator
         self.results: list[StepResult] = []
 
     async def run(self) -> None:
         """Run every step."""
+        await self._step("ro-nord is set up: plan, then confirm", self._set_up)
         await self._step("tower-sweep: every tower record", self._sweep)
         await self._step(f"{PING_COUNT} outage-pings, {PINGS_AT_ONCE} at a time", self._pings)
         await self._step("ticket-fetch: one subscriber's history", self._ticket)
         await self._step("billing-view: all 12 shards", self._billing)
+        await self._step("ticket-fetch gets the top class: plan, confirm", self._assign_top_class)
         await self._step("new index version arrives during sweeps", self._change_version)
         await self._step(f"{STOPPED_REPLICA} is killed, then a sweep", self._stop_replica)
         await self._step(f"{DRAINED_REPLICA} drains, then sweeps", self._drain_replica)
@@ -76,7 +90,10 @@
     async def _step(self, title: str, action: Callable[[StepResult], Awaitable[None]]) -> None:
         result = StepResult(title)
         executions_before = self._deployment.ledger.execution_count
-        await action(result)
+        try:
+            await action(result)
+        except OperatorCommandError as error:
+            result.faults.append(str(error))
         result.executions = self._deployment.ledger.execution_count - executions_before
         self.results.append(result)
         for reply in result.replies:
@@ -92,6 +109,23 @@
         result.replies.append(reply)
         return reply
 
+    async def _set_up(self, result: StepResult) -> None:
+        plan = await self._operator.propose(intents_for(self._deployment.configuration))
+        seconds = await self._operator.confirm(plan["plan_id"])
+        result.note = f"in force on both nodes {_milliseconds(seconds)} ms after the confirm"
+
+    async def _assign_top_class(self, result: StepResult) -> None:
+        intent = AssignClass(
+            service=ServiceName("support-desk"),
+            kind=RequestKindName("ticket-fetch"),
+            class_name=ClassName(TOP_CLASS),
+            deployment=DeploymentName(self._deployment.profile.name),
+        )
+        plan = await self._operator.propose((intent,))
+        seconds = await self._operator.confirm(plan["plan_id"])
+        result.note = f"{effect_lines(plan)}; in force after {_milliseconds(seconds)} ms"
+        await self._ticket(result)
+
     async def _sweep(self, result: StepResult) -> None:
         _expect_complete(result, await self._ask(result, 0, SWEEP))
 
@@ -154,3 +188,7 @@
 def _expect_complete(result: StepResult, reply: Reply) -> None:
     if reply.outcome is not Outcome.COMPLETE:
         result.faults.append(f"expected a complete answer, got {reply.status} {reply.outcome}")
+
+
+def _milliseconds(seconds: float) -> str:
+    return f"{seconds * MILLISECONDS_PER_SECOND:.0f}"
--- a/wingquay/node.py
+++ b/wingquay/node.py
@@ -5,13 +5,14 @@
 import secrets
 
 from wingquay.adapters.backend_client import BackendClient
-from wingquay.adapters.bearer_tokens import ConfiguredCallers
+from wingquay.adapters.bearer_tokens import ConfiguredCallers, TokenOwner, TokenTable
 from wingquay.adapters.caller_server import CallerServer
 from wingquay.adapters.health_pages import HealthPages
 from wingquay.adapters.http_messages import HttpLimits
 from wingquay.adapters.log_writer import LogWriter
 from wingquay.adapters.machine_directory_client import MachineDirectoryClient
 from wingquay.adapters.metrics import Metrics
+from wingquay.adapters.operator_server import OperatorServer
 from wingquay.adapters.peer_link import PeerLink
 from wingquay.adapters.settings import CallerSection, Endpoint, Settings, parse_endpoint
 from wingquay.adapters.settings_tuning import node_machine_settings
@@ -22,6 +23,7 @@
 from wingquay.ports.caller import AnswerCaller, SetCallers, SetReady
 from wingquay.ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
 from wingquay.ports.machine_directory import ReadMachineList
+from wingquay.ports.operator import OperatorReply
 from wingquay.ports.peer import NodeIdentity, SendToPeer
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
 from wingquay.runtime import NodeRuntime
@@ -64,9 +66,12 @@
         self._machine_directory = MachineDirectoryClient(
             _endpoints(settings.machine_directory.endpoints), self.emit
         )
+        self._operator_server = OperatorServer(self.emit, _operators(settings), self._pages)
         self._caller_server: CallerServer | None = None
         self.caller_address = Endpoint(settings.caller_interface.host, 0)
         """Where callers are served, once the node has started."""
+        self.operator_address = Endpoint(settings.operator_interface.host, 0)
+        """Where operators are served, once the node has started."""
 
     @property
     def identity(self) -> NodeIdentity:
@@ -106,8 +111,10 @@
         )
         runtime = NodeRuntime(machine, self._loop)
         self._register(runtime, server)
-        host, port = self.settings.caller_interface.host, self.settings.caller_interface.port
-        self.caller_address = Endpoint(host, await server.start(host, port))
+        operators, callers = self.settings.operator_interface, self.settings.caller_interface
+        operator_port = await self._operator_server.start(operators.host, operators.port)
+        self.operator_address = Endpoint(operators.host, operator_port)
+        self.caller_address = Endpoint(callers.host, await server.start(callers.host, callers.port))
         self._runtime = runtime
         runtime.start()
         self.emit(Start())
@@ -134,6 +141,7 @@
         """Close every adapter; responses already decided leave first, in bounded time."""
         if self._caller_server is not None:
             await self._caller_server.close(RESPONSE_GRACE_SECONDS)
+        await self._operator_server.close(RESPONSE_GRACE_SECONDS)
         await self._peer_link.close()
         await self._backends.close()
         await self._store.close()
@@ -149,6 +157,7 @@
         runtime.register(AnswerCaller, server.perform)
         runtime.register(SetReady, server.perform)
         runtime.register(SetCallers, self._set_callers)
+        runtime.register(OperatorReply, self._operator_server.perform)
         runtime.register(SendToPeer, self._peer_link.perform)
         runtime.register(StartAttempt, self._backends.perform)
         runtime.register(CancelAttempt, self._backends.perform)
@@ -168,6 +177,7 @@
         return (
             ("node_id", self.identity.node_id),
             ("callers", f"{self.caller_address.host}:{self.caller_address.port}"),
+            ("operators", f"{self.operator_address.host}:{self.operator_address.port}"),
             ("peers", f"{self.identity.host}:{self.identity.port}"),
         )
 
@@ -187,6 +197,11 @@
     return tuple(parse_endpoint(text) for text in texts)
 
 
+def _operators(settings: Settings) -> TokenTable:
+    entries = settings.operator_interface.operators
+    return TokenTable(TokenOwner(entry.name, entry.token_sha256) for entry in entries)
+
+
 def _caller_limits(section: CallerSection) -> HttpLimits:
     return HttpLimits(
         header_bytes=section.max_header_bytes,
