--- a/wingquay/adapters/backend_json.py
+++ b/wingquay/adapters/backend_json.py
@@ -6,9 +6,12 @@
 import math
 import re
 from collections.abc import Mapping
+from functools import lru_cache
+from itertools import starmap
 from typing import Any
 
 import orjson
+from pydantic import BaseModel, ConfigDict, ValidationError
 
 from wingquay.adapters.http_client_connection import OutgoingRequest
 from wingquay.adapters.http_messages import HttpResponse, RawHeaders
@@ -35,6 +38,9 @@
 REASON_CHARACTERS = 200
 """Longest piece of a back end's own words that goes into a reason."""
 
+CACHED_HEADERS = 1_024
+"""Load and version headers repeat; so many parsed ones are kept."""
+
 _TRACEPARENT = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
 
 _NOT_RUN_KINDS = {
@@ -49,6 +55,15 @@
 A deadline that passed before the work began means that the work waited too long: overload.
 """
 
+
+class _AnswerBody(BaseModel):
+    model_config = ConfigDict(strict=True)
+
+    snapshot: int | None
+    covered: list[tuple[str, str | None]]
+    rows: list[tuple[str, str]]
+
+
 Problem = Mapping[str, Any]
 
 
@@ -137,34 +152,18 @@
 
 def _read_answer(body: bytes) -> BackendAnswer | None:
     """Return the answer in ``body``, or ``None`` if any part of it is malformed."""
-    document = _loads(body)
-    if not isinstance(document, dict):
-        return None
-    snapshot = document.get("snapshot")
-    covered, rows = document.get("covered"), document.get("rows")
-    if not (snapshot is None or type(snapshot) is int):
-        return None
-    if not isinstance(covered, list) or not isinstance(rows, list):
-        return None
-    if not all(map(_is_range, covered)) or not all(map(_is_row, rows)):
+    try:
+        answer = _AnswerBody.model_validate_json(body)
+    except ValidationError:
         return None
+    snapshot = answer.snapshot
     return BackendAnswer(
         snapshot=None if snapshot is None else SnapshotVersion(snapshot),
-        covered=tuple([KeyRange(start, end) for start, end in covered]),
-        rows=tuple([Row(key, value) for key, value in rows]),
+        covered=tuple(starmap(KeyRange, answer.covered)),
+        rows=tuple(starmap(Row, answer.rows)),
     )
 
 
-def _is_range(pair: Any) -> bool:
-    if type(pair) is not list or len(pair) != 2:
-        return False
-    return type(pair[0]) is str and (pair[1] is None or type(pair[1]) is str)
-
-
-def _is_row(pair: Any) -> bool:
-    return type(pair) is list and len(pair) == 2 and type(pair[0]) is str and type(pair[1]) is str
-
-
 def _read_problem(body: bytes) -> Problem:
     document = _loads(body)
     return document if isinstance(document, dict) else {}
@@ -183,6 +182,7 @@
     return f"status {status} {said[:REASON_CHARACTERS]}".rstrip()
 
 
+@lru_cache(CACHED_HEADERS)
 def _read_versions(text: str) -> tuple[SnapshotVersion | None, SnapshotVersion | None]:
     oldest, _, newest = text.partition("-")
     if not (oldest.isascii() and oldest.isdigit() and newest.isascii() and newest.isdigit()):
@@ -190,6 +190,7 @@
     return SnapshotVersion(int(oldest)), SnapshotVersion(int(newest))
 
 
+@lru_cache(CACHED_HEADERS)
 def _read_utilization(metrics: str) -> float | None:
     """Return the utilization of an ORCA report, or ``None`` if it has none that can be read."""
     form, _, report = metrics.partition(" ")
--- a/wingquay/adapters/http_client.py
+++ b/wingquay/adapters/http_client.py
@@ -19,8 +19,6 @@
 from wingquay.adapters.http_messages import (
     HttpFailureKind,
     HttpResponse,
-    RawHeaders,
-    headers_from_raw,
     headers_to_raw,
 )
 from wingquay.adapters.http_stream import HttpStream, StreamReader
@@ -46,9 +44,9 @@
         "_body_limit_bytes",
         "_connecting",
         "_connection",
+        "_headers",
         "_on_done",
         "_pieces",
-        "_raw_headers",
         "_received_bytes",
         "_request",
         "_response",
@@ -71,7 +69,7 @@
         self._connecting: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._response: HttpResponse | None = None
-        self._raw_headers: RawHeaders = []
+        self._headers: dict[str, str] = {}
         self._pieces: list[bytes] = []
         self._received_bytes = 0
         self._status = 0
@@ -97,10 +95,10 @@
         """End the exchange with a failure after ``timeout_seconds``."""
         self._timer = loop.call_later(timeout_seconds, self._time_out, timeout_seconds)
 
-    def response_started(self, status: int, headers: RawHeaders) -> None:
+    def response_started(self, status: int, headers: dict[str, str]) -> None:
         """Take in status and headers."""
         self._status = status
-        self._raw_headers = headers
+        self._headers = headers
 
     def body_received(self, data: bytes) -> Failure[HttpFailureKind] | None:
         """Take in a piece of the body, up to the limit."""
@@ -113,8 +111,7 @@
 
     def accepts_response(self) -> bool:
         """Ask whoever began the exchange whether the response is its own."""
-        headers = headers_from_raw(self._raw_headers)
-        self._response = HttpResponse(self._status, headers, b"".join(self._pieces))
+        self._response = HttpResponse(self._status, self._headers, b"".join(self._pieces))
         return self._accepts(self._response)
 
     def ended(self) -> None:
--- a/wingquay/adapters/http_client_connection.py
+++ b/wingquay/adapters/http_client_connection.py
@@ -8,9 +8,11 @@
 
 import h11
 
-from wingquay.adapters.http_messages import HttpFailureKind, RawHeaders
+from wingquay.adapters.http_messages import HttpFailureKind, RawHeaders, headers_from_raw
 from wingquay.model.failure import Failure
 
+NO_CONTENT_STATUS = 204
+
 _END_OF_MESSAGE = h11.EndOfMessage()
 
 
@@ -30,8 +32,8 @@
     __slots__ = ()
 
     @abstractmethod
-    def response_started(self, status: int, headers: RawHeaders) -> None:
-        """Take in status and headers."""
+    def response_started(self, status: int, headers: dict[str, str]) -> None:
+        """Take in status and headers (names in lower case)."""
 
     @abstractmethod
     def body_received(self, data: bytes) -> Failure[HttpFailureKind] | None:
@@ -160,8 +162,9 @@
                 self._fail(HttpFailureKind.BROKEN, "connection ended before the response")
 
     def _response_started(self, event: h11.Response, reader: ExchangeReader) -> None:
-        headers = cast(RawHeaders, event.headers)
-        if event.status_code != 204 and not _is_delimited(headers):
+        headers = headers_from_raw(cast(RawHeaders, event.headers))
+        is_delimited = "content-length" in headers or "transfer-encoding" in headers
+        if not is_delimited and event.status_code != NO_CONTENT_STATUS:
             # A body that only the end of the connection ends cannot be told from one cut short.
             self._fail(HttpFailureKind.BROKEN, "response has neither length nor chunks")
             return
@@ -193,7 +196,3 @@
         self.abort()
         if reader is not None:
             reader.failed(Failure(kind, reason))
-
-
-def _is_delimited(headers: RawHeaders) -> bool:
-    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -53,6 +53,7 @@
         self._transport: asyncio.Transport | None = None
         self._phase = _Phase.READING
         self._head: h11.Request | None = None
+        self._headers: dict[str, str] = {}
         self._body = bytearray()
         self._has_partial_request = False
         self._task: asyncio.Task[None] | None = None
@@ -163,16 +164,17 @@
 
     def _take_head(self, head: h11.Request) -> None:
         limits = self._server.limits
-        headers = cast(RawHeaders, head.headers)
-        if _head_bytes(head, headers) > limits.header_bytes:
+        raw_headers = list(cast(RawHeaders, head.headers))
+        if _head_bytes(head, raw_headers) > limits.header_bytes:
             reason = f"request line and headers exceed {limits.header_bytes} bytes"
             self._refuse(431, reason)
             return
-        length = next((value for name, value in headers if name == b"content-length"), b"0")
-        if int(length) > limits.body_bytes:
+        headers = headers_from_raw(raw_headers)
+        if int(headers.get("content-length", "0")) > limits.body_bytes:
             self._refuse_large_body()
             return
         self._head = head
+        self._headers = headers
 
     def _take_body(self, data: bytes) -> None:
         self._body += data
@@ -207,7 +209,7 @@
         self._phase = _Phase.HANDLING
         self._has_partial_request = False
         self._set_timer(None)
-        request = _whole_request(self._head, bytes(self._body))
+        request = _whole_request(self._head, self._headers, bytes(self._body))
         self._body.clear()
         self._task = self._loop.create_task(self._handle(request))
 
@@ -351,14 +353,11 @@
 
 
 def _head_bytes(head: h11.Request, headers: RawHeaders) -> int:
-    size_bytes = len(head.method) + len(head.target)
-    for name, value in headers:
-        size_bytes += len(name) + len(value) + HEADER_SEPARATORS_BYTES
-    return size_bytes
+    size_bytes = len(head.method) + len(head.target) + HEADER_SEPARATORS_BYTES * len(headers)
+    return size_bytes + sum([len(name) + len(value) for name, value in headers])
 
 
-def _whole_request(head: h11.Request, body: bytes) -> HttpRequest:
+def _whole_request(head: h11.Request, headers: dict[str, str], body: bytes) -> HttpRequest:
     path, _, query_text = head.target.decode("ascii").partition("?")
     query = dict(parse_qsl(query_text, keep_blank_values=True)) if query_text else {}
-    headers = headers_from_raw(cast(RawHeaders, head.headers))
     return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
--- a/wingquay/adapters/http_stream.py
+++ b/wingquay/adapters/http_stream.py
@@ -14,8 +14,6 @@
 from wingquay.adapters.http_connection_pool import Address, HttpConnectionPool
 from wingquay.adapters.http_messages import (
     HttpFailureKind,
-    RawHeaders,
-    headers_from_raw,
 )
 from wingquay.model.failure import Failure
 
@@ -84,10 +82,10 @@
             self._connection.abort()
         self._end()
 
-    def response_started(self, status: int, headers: RawHeaders) -> None:
+    def response_started(self, status: int, headers: dict[str, str]) -> None:
         """Take in status and headers."""
         self.status = status
-        self.headers = headers_from_raw(headers)
+        self.headers = headers
         self._mark_started()
 
     def body_received(self, data: bytes) -> Failure[HttpFailureKind] | None:
