--- /dev/null
+++ b/wingquay/rehearsal/baselines/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that wingquay is measured against."""
