--- a/tests/test_log_and_metrics.py
+++ b/tests/test_log_and_metrics.py
@@ -7,6 +7,10 @@
 
 from wingquay.adapters.log_writer import LogWriter, format_line, write_logs_to
 from wingquay.adapters.metrics import Metrics
+from wingquay.adapters.request_log import LINES_PER_SECOND, RequestLog
+from wingquay.model.answer import Answer, Outcome
+from wingquay.model.identifiers import CallerName, RequestId, RequestKindName, ServiceName
+from wingquay.model.request import QueryRequest
 from wingquay.ports.machine import Count, Log, LogLevel, Observe
 
 
@@ -46,6 +50,23 @@
         self.assertThat(lines[0], Contains("level=error event=loud node=n1 request_id=r1"))
 
 
+class RequestLogTest(testtools.TestCase):
+    def test_ends_are_logged_with_ids_and_bounded_in_number(self) -> None:
+        lines: list[Log] = []
+        log = RequestLog(lines.append, lambda: 7.0)
+        request = QueryRequest(
+            RequestId("n1-1"), CallerName("portal"), ServiceName("s"), RequestKindName("k"), ()
+        )
+        log.received(request)
+        log.answered(Answer(RequestId("n1-1"), Outcome.COMPLETE))
+        self.assertEqual((LogLevel.DEBUG, "request_answered"), (lines[0].level, lines[0].message))
+        self.assertEqual("portal", dict(lines[0].fields)["caller"])
+        for _ in range(LINES_PER_SECOND + 10):
+            log.answered(Answer(RequestId("n1-2"), Outcome.REFUSED_NOT_RUN, reason="overloaded"))
+        self.assertEqual(1 + LINES_PER_SECOND, len(lines))
+        self.assertEqual(LogLevel.INFO, lines[-1].level)
+
+
 class MetricsTest(testtools.TestCase):
     def test_page_has_counters_and_histograms(self) -> None:
         metrics = Metrics()
--- a/wingquay/adapters/log_writer.py
+++ b/wingquay/adapters/log_writer.py
@@ -28,13 +28,18 @@
     ----------
     fields
         Pairs that every line of the node carries, such as its id.
+    minimum_level
+        Lines below it cost nothing.
     """
 
-    def __init__(self, fields: Mapping[str, str]) -> None:
+    def __init__(self, fields: Mapping[str, str], minimum_level: str = LogLevel.DEBUG) -> None:
         self._fields = dict(fields)
+        self._levels = frozenset(LEVELS[LEVELS.index(minimum_level) :])
 
     def perform(self, action: Log) -> None:
         """Write one line."""
+        if action.level not in self._levels:
+            return
         fields = {**self._fields, **dict(action.fields), LEVEL_FIELD: action.level}
         eliot.log_message(action.message, **fields)
 
--- a/wingquay/demo/run.py
+++ b/wingquay/demo/run.py
@@ -1,6 +1,7 @@
 """Runs the demonstration and prints its report."""
 
 import asyncio
+import signal
 import sys
 
 import orjson
@@ -39,7 +40,7 @@
         report = summary(results, deployment)
         print(orjson.dumps(report).decode() if as_json else _text(results, deployment), flush=True)
         if serve:
-            await _serve(deployment)
+            await _serve()
         return FAILED if report["wrong"] or report["faults"] else OK
     except TimeoutError:
         print(f"demo: not finished within {TIME_LIMIT_SECONDS:g} s", file=sys.stderr)
@@ -63,9 +64,13 @@
     return scenario.results
 
 
-async def _serve(deployment: DemoDeployment) -> None:
+async def _serve() -> None:
     print("serving until interrupted (Ctrl-C)", file=sys.stderr)
-    await asyncio.Event().wait()
+    interrupted = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, interrupted.set)
+    await interrupted.wait()
 
 
 def _text(results: list[StepResult], deployment: DemoDeployment) -> str:
--- a/wingquay/node.py
+++ b/wingquay/node.py
@@ -14,13 +14,14 @@
 from wingquay.adapters.metrics import Metrics
 from wingquay.adapters.operator_server import OperatorServer
 from wingquay.adapters.peer_link import PeerLink
+from wingquay.adapters.request_log import RequestLog
 from wingquay.adapters.settings import CallerSection, Endpoint, Settings, parse_endpoint
 from wingquay.adapters.settings_tuning import node_machine_settings
 from wingquay.adapters.store_client import StoreClient
 from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
 from wingquay.orchestration.node_machine import NodeMachine
 from wingquay.ports.backend import CancelAttempt, ProbeReplica, StartAttempt
-from wingquay.ports.caller import AnswerCaller, SetCallers, SetReady
+from wingquay.ports.caller import AnswerCaller, CallerGone, CallerRequest, SetCallers, SetReady
 from wingquay.ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
 from wingquay.ports.machine_directory import ReadMachineList
 from wingquay.ports.operator import OperatorReply
@@ -54,7 +55,10 @@
         self._exited: asyncio.Future[Exit] = self._loop.create_future()
         self._callers = ConfiguredCallers()
         self._pages = HealthPages(self.metrics.page)
-        self._log = LogWriter({"node": settings.node.name, "zone": settings.node.zone})
+        self._log = LogWriter(
+            {"node": settings.node.name, "zone": settings.node.zone}, settings.log.level.value
+        )
+        self._requests = RequestLog(self._log.perform, self._loop.time)
         self._peer_link = PeerLink(
             _identity(settings),
             settings.peers.cluster_key.get_secret_value().encode(),
@@ -102,7 +106,9 @@
         await self._store.start()
         await self._machine_directory.start()
         limits = _caller_limits(self.settings.caller_interface)
-        server = CallerServer(identity.node_id, self.emit, self._callers, self._pages, limits)
+        server = CallerServer(
+            identity.node_id, self._emit_of_caller, self._callers, self._pages, limits
+        )
         self._caller_server = server
         machine = NodeMachine(
             identity,
@@ -154,7 +160,7 @@
         runtime.register(Count, self.metrics.count)
         runtime.register(Observe, self.metrics.observe)
         runtime.register(Exit, self._exit)
-        runtime.register(AnswerCaller, server.perform)
+        runtime.register(AnswerCaller, self._answer_caller)
         runtime.register(SetReady, server.perform)
         runtime.register(SetCallers, self._set_callers)
         runtime.register(OperatorReply, self._operator_server.perform)
@@ -166,6 +172,19 @@
             runtime.register(store_action, self._store.perform)
         runtime.register(ReadMachineList, self._machine_directory.perform)
 
+    def _emit_of_caller(self, event: Event) -> None:
+        """Note requests for the log on their way to the decision code."""
+        if isinstance(event, CallerRequest):
+            self._requests.received(event.request)
+        elif isinstance(event, CallerGone):
+            self._requests.abandoned(event.request_id)
+        self.emit(event)
+
+    def _answer_caller(self, action: AnswerCaller) -> None:
+        if self._caller_server is not None:
+            self._caller_server.perform(action)
+        self._requests.answered(action.answer)
+
     def _set_callers(self, action: SetCallers) -> None:
         self._callers.replace(action.callers)
 
