--- a/wingquay/rehearsal/models/backend_model.py
+++ b/wingquay/rehearsal/models/backend_model.py
@@ -16,7 +16,7 @@
 from wingquay.rehearsal.models.backend_settings import BackendSettings
 from wingquay.rehearsal.models.backend_work import Work, WorkEnd, WorkSchedule
 from wingquay.rehearsal.models.dataset import Dataset
-from wingquay.rehearsal.models.execution_ledger import ExecutionLedger, RecordedWrite
+from wingquay.rehearsal.models.execution_ledger import ExecutionLedger
 from wingquay.rehearsal.models.held_index import HeldIndex
 from wingquay.rehearsal.models.load_history import LoadHistory
 from wingquay.rehearsal.models.pace import Pace
@@ -78,7 +78,7 @@
             self.arrivals_while_draining.append(now)
         refusal = self._refusal(exchange)
         if refusal is not None:
-            self._replies.refuse(exchange, refusal, self._history, now)
+            self._replies.refuse(exchange, refusal, self._history.shown(now), now)
             return
         work = Work(exchange, deadline_at=now + exchange.remaining_seconds)
         if len(self._running) < self.settings.slots:
@@ -226,12 +226,12 @@
         exchange = work.exchange
         refusal = self._refusal_at_begin(work, now)
         if refusal is not None:
-            self._replies.refuse(exchange, refusal, self._history, now)
+            self._replies.refuse(exchange, refusal, self._history.shown(now), now)
             return
         work.began_at = now
         work.covered = self._held.covered(exchange)
         self._running.append(work)
-        self._record_execution(exchange, now)
+        self.ledger.record(exchange, self.settings.replica_id, now)
         ends_at, end = self._drawn_end(exchange, now)
         if ends_at > work.deadline_at:
             ends_at = max(work.deadline_at, self._pace.paused_until)
@@ -253,24 +253,11 @@
         ends_at = max(now, self._pace.paused_until) + seconds
         return ends_at, WorkEnd.ERROR if ends_in_error else WorkEnd.ANSWERED
 
-    def _record_execution(self, exchange: BackendExchange, now: float) -> None:
-        self.ledger.record_execution(exchange.attempt_id, exchange.body)
-        if not exchange.is_write:
-            return
-        write = RecordedWrite(
-            service=exchange.service,
-            replica_id=self.settings.replica_id,
-            attempt_id=exchange.attempt_id,
-            body=exchange.body,
-            at_seconds=now,
-        )
-        self.ledger.record_write(write)
-
     def _finish(self, work: Work, now: float) -> None:
         self._running.remove(work)
         self.ledger.record_busy(now - work.began_at)
         if work.end is not WorkEnd.CANCELLED:
-            self._replies.answer(work, self._history, now)
+            self._replies.answer(work, self._history.shown(now), now)
         while self._queue and len(self._running) < self.settings.slots:
             self._begin(self._queue.popleft(), now)
         self._record_load(now)
--- a/wingquay/rehearsal/models/backend_replies.py
+++ b/wingquay/rehearsal/models/backend_replies.py
@@ -3,11 +3,11 @@
 from dataclasses import replace
 
 from wingquay.model.identifiers import AttemptId
+from wingquay.ports.backend import LoadReport
 from wingquay.rehearsal.models.backend_messages import BackendExchange, BackendReply, ReplyKind
 from wingquay.rehearsal.models.backend_work import Work
 from wingquay.rehearsal.models.dataset import Dataset
 from wingquay.rehearsal.models.held_index import HeldIndex
-from wingquay.rehearsal.models.load_history import LoadHistory
 
 _MAY_PASS = frozenset({ReplyKind.SHED, ReplyKind.DRAINING, ReplyKind.DEADLINE_PASSED})
 """Refusals that say when to try again."""
@@ -46,45 +46,40 @@
         self._replies = [reply for reply in self._replies if reply.attempt_id != attempt_id]
 
     def refuse(
-        self, exchange: BackendExchange, kind: ReplyKind, history: LoadHistory, now: float
+        self, exchange: BackendExchange, kind: ReplyKind, load: LoadReport, now: float
     ) -> None:
-        """Reply that the exchange did not run."""
-        reply = self._reply(exchange, kind, history, now, not_run=True)
-        if kind in _MAY_PASS:
-            reply = replace(reply, retry_after_seconds=self._retry_after_seconds)
+        """Reply that the exchange did not run; ``load`` is what the replica shows."""
         if kind is ReplyKind.NOT_HELD:
             # Whoever says that it lacks a version knows at that moment which ones it has.
-            load = replace(reply.load, oldest_version=reply.oldest, newest_version=reply.newest)
-            reply = replace(reply, load=load)
+            oldest, newest = self._held.oldest, self._held.newest
+            load = replace(load, oldest_version=oldest, newest_version=newest)
+        reply = BackendReply(
+            attempt_id=exchange.attempt_id,
+            kind=kind,
+            not_run=True,
+            load=load,
+            oldest=self._held.oldest,
+            newest=self._held.newest,
+            retry_after_seconds=self._retry_after_seconds if kind in _MAY_PASS else None,
+        )
         self._add(reply, now)
 
-    def answer(self, work: Work, history: LoadHistory, now: float) -> None:
-        """Reply as the work's end says."""
+    def answer(self, work: Work, load: LoadReport, now: float) -> None:
+        """Reply as the work's end says; ``load`` is what the replica shows."""
         kind = work.end.reply_kind
-        reply = self._reply(work.exchange, kind, history, now, not_run=False)
-        if kind is ReplyKind.ANSWERED:
-            rows = work.rows(self._dataset)
-            snapshot = work.exchange.snapshot
-            reply = replace(reply, snapshot=snapshot, covered=work.covered, rows=rows)
-        self._add(reply, now)
-
-    def _reply(
-        self,
-        exchange: BackendExchange,
-        kind: ReplyKind,
-        history: LoadHistory,
-        now: float,
-        *,
-        not_run: bool,
-    ) -> BackendReply:
-        return BackendReply(
-            attempt_id=exchange.attempt_id,
+        is_answer = kind is ReplyKind.ANSWERED
+        reply = BackendReply(
+            attempt_id=work.exchange.attempt_id,
             kind=kind,
-            not_run=not_run,
-            load=history.shown(now),
+            not_run=False,
+            load=load,
             oldest=self._held.oldest,
             newest=self._held.newest,
+            snapshot=work.exchange.snapshot if is_answer else None,
+            covered=work.covered if is_answer else (),
+            rows=work.rows(self._dataset) if is_answer else (),
         )
+        self._add(reply, now)
 
     def _add(self, reply: BackendReply, now: float) -> None:
         if not self._replies:
--- a/wingquay/rehearsal/models/dataset.py
+++ b/wingquay/rehearsal/models/dataset.py
@@ -15,6 +15,11 @@
 DEFAULT_KEY_PREFIX = "village-"
 ABSENCE_PERIOD = 17
 """One key in so many is absent from a version; which ones differs between versions."""
+TABLES_KEPT = 64
+"""Tables of a service's rows at a version that are not made anew on each use."""
+
+_Table = tuple[list[str], tuple[Row, ...]]
+"""The keys that have a row, and their rows, both in key order."""
 
 
 class Dataset:
@@ -33,6 +38,7 @@
         key_count: int = DEFAULT_KEY_COUNT,
         key_prefix: str = DEFAULT_KEY_PREFIX,
     ) -> None:
+        self._tables: dict[tuple[ServiceName, SnapshotVersion], _Table] = {}
         self._keys = [f"{key_prefix}{index:04d}" for index in range(key_count)]
 
     @property
@@ -54,15 +60,10 @@
         version: SnapshotVersion,
     ) -> tuple[Row, ...]:
         """Return the rows of ``key_range`` in key order, as index ``version`` has them."""
-        first = bisect_left(self._keys, key_range.start)
-        last = len(self._keys)
-        if key_range.end is not None:
-            last = bisect_left(self._keys, key_range.end)
-        return tuple(
-            Row(self._keys[index], _value_of(service, self._keys[index], version))
-            for index in range(first, last)
-            if not _is_absent(index, version)
-        )
+        keys, rows = self._table(service, version)
+        first = bisect_left(keys, key_range.start)
+        last = len(keys) if key_range.end is None else bisect_left(keys, key_range.end)
+        return rows[first:last]
 
     def rows_of_ranges(
         self,
@@ -71,15 +72,27 @@
         version: SnapshotVersion,
     ) -> tuple[Row, ...]:
         """Return the rows of all ``key_ranges`` in key order, each once."""
+        ranges = tuple(key_ranges)
+        if len(ranges) == 1:
+            return self.rows_for(service, ranges[0], version)
         return tuple(
             row
-            for key_range in normalize(key_ranges)
+            for key_range in normalize(ranges)
             for row in self.rows_for(service, key_range, version)
         )
 
-
-def _value_of(service: ServiceName, key: str, version: SnapshotVersion) -> str:
-    return f"{service}/{key}@{version}"
+    def _table(self, service: ServiceName, version: SnapshotVersion) -> _Table:
+        table = self._tables.get((service, version))
+        if table is None:
+            table = self._make_table(service, version)
+            while len(self._tables) >= TABLES_KEPT:
+                del self._tables[next(iter(self._tables))]
+            self._tables[service, version] = table
+        return table
+
+    def _make_table(self, service: ServiceName, version: SnapshotVersion) -> _Table:
+        keys = [key for index, key in enumerate(self._keys) if not _is_absent(index, version)]
+        return keys, tuple(Row(key, f"{service}/{key}@{version}") for key in keys)
 
 
 def _is_absent(index: int, version: SnapshotVersion) -> bool:
--- a/wingquay/rehearsal/models/execution_ledger.py
+++ b/wingquay/rehearsal/models/execution_ledger.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from wingquay.model.identifiers import AttemptId, ReplicaId, ServiceName
+from wingquay.rehearsal.models.backend_messages import BackendExchange
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,15 @@
         self.execution_count = 0
         self.busy_seconds = 0.0
 
+    def record(self, exchange: BackendExchange, replica_id: ReplicaId, at_seconds: float) -> None:
+        """Record that a replica began to work on an exchange; a write takes effect then."""
+        self.record_execution(exchange.attempt_id, exchange.body)
+        if exchange.is_write:
+            write = RecordedWrite(
+                exchange.service, replica_id, exchange.attempt_id, exchange.body, at_seconds
+            )
+            self.record_write(write)
+
     def record_execution(self, attempt_id: AttemptId, body: str) -> None:
         """Count the start of work on an attempt."""
         self.execution_count += 1
--- a/wingquay/rehearsal/models/held_index.py
+++ b/wingquay/rehearsal/models/held_index.py
@@ -38,7 +38,12 @@
     def covered(self, exchange: BackendExchange) -> tuple[KeyRange, ...]:
         """Return the asked keys that are held."""
         held = self._shards.get(exchange.shard_id)
-        return () if held is None else intersect(exchange.key_ranges, (held,))
+        if held is None:
+            return ()
+        if len(exchange.key_ranges) == 1:
+            overlap = held.intersection(exchange.key_ranges[0])
+            return () if overlap is None else (overlap,)
+        return intersect(exchange.key_ranges, (held,))
 
     def refusal(self, exchange: BackendExchange) -> ReplyKind | None:
         """Return why the exchange cannot be answered from what is held, or ``None``."""
