Let timers for the same instant share one timer of the loop

Cause: a profile of a node under load showed 34 comparisons of timer handles for each sub-request. All hedge timers of a query are due at the same instant, a timer handle's hash is that instant, and so the runtime's set of handles compared each new one with all before it. Ruled out: a dict by running number (mends the comparisons but keeps one timer of the loop, and one place in its heap, for each sub-request). Change: one timer of the loop for each instant; its events follow in order.

--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -29,6 +29,8 @@
             raise RuntimeError("no such word")
         if event.word == "later":
             return [Schedule(now + 0.001, Said("timer"))]
+        if event.word == "twice":
+            return [Schedule(now + 0.001, Said("one")), Schedule(now + 0.001, Said("two"))]
         return [Say(event.word)]
 
 
@@ -70,6 +72,23 @@
 
         self.assertEqual([Say("timer")], run(scenario))
 
+    def test_timers_for_the_same_instant_fire_in_order_and_anew_each_time(self) -> None:
+        async def scenario(runtime: NodeRuntime, performed: list[Action]) -> None:
+            for expected in (2, 4):
+                runtime.emit(Said("twice"))
+                while len(performed) < expected:
+                    await asyncio.sleep(0.001)
+
+        self.assertEqual([Say("one"), Say("two")] * 2, run(scenario))
+
+    def test_closed_runtime_fires_no_timer(self) -> None:
+        async def scenario(runtime: NodeRuntime, performed: list[Action]) -> None:
+            runtime.emit(Said("twice"))
+            runtime.close()
+            await asyncio.sleep(0.01)
+
+        self.assertEqual([], run(scenario))
+
     def test_exception_in_the_machine_is_logged_with_the_event_type(self) -> None:
         async def scenario(runtime: NodeRuntime, performed: list[Action]) -> None:
             runtime.emit(Said("fail"))
--- a/wingquay/runtime.py
+++ b/wingquay/runtime.py
@@ -8,6 +8,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import TypeVar
 
 from wingquay.ports.machine import (
@@ -31,6 +32,14 @@
 Performer = Callable[[Action], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Timer:
+    """A timer of the event loop and what is handed to the machine when it fires, in order."""
+
+    handle: asyncio.TimerHandle
+    events: list[Event] = field(default_factory=list)
+
+
 class NodeRuntime:
     """Owns a machine: hands it every event with the loop's clock and performs what it decides.
 
@@ -49,7 +58,7 @@
         self._pending: deque[Event] = deque()
         self._handling = False
         self._closed = False
-        self._timers: set[asyncio.TimerHandle] = set()
+        self._timers: dict[float, _Timer] = {}
         self._lag_probe: asyncio.TimerHandle | None = None
         self.register(Schedule, self._schedule)
 
@@ -69,8 +78,8 @@
         """Take no more events and forget every timer."""
         self._closed = True
         self._pending.clear()
-        for timer in self._timers:
-            timer.cancel()
+        for timer in self._timers.values():
+            timer.handle.cancel()
         self._timers.clear()
         if self._lag_probe is not None:
             self._lag_probe.cancel()
@@ -128,16 +137,19 @@
             self._loop.call_exception_handler({"message": str(error), "exception": error})
 
     def _schedule(self, action: Schedule) -> None:
+        """Set a timer; events for the same instant, as a query's hedges are, share one."""
         if self._closed:
             return
-        timer: asyncio.TimerHandle
-
-        def fire() -> None:
-            self._timers.discard(timer)
-            self.emit(action.event)
-
-        timer = self._loop.call_at(action.at_seconds, fire)
-        self._timers.add(timer)
+        at_seconds = action.at_seconds
+        timer = self._timers.get(at_seconds)
+        if timer is None:
+            handle = self._loop.call_at(at_seconds, self._fire, at_seconds)
+            timer = self._timers[at_seconds] = _Timer(handle)
+        timer.events.append(action.event)
+
+    def _fire(self, at_seconds: float) -> None:
+        for event in self._timers.pop(at_seconds).events:
+            self.emit(event)
 
     def _probe_lag_at(self, due_seconds: float) -> None:
         self._lag_probe = self._loop.call_at(due_seconds, self._measure_lag, due_seconds)
