--- /dev/null
+++ b/benchmarks/node_throughput.py
@@ -0,0 +1,239 @@
+"""What a query costs a real node: processor time by fan-out, with one node and with two.
+
+Each ``wingquay serve`` node, the back ends and the callers are processes of their own on
+loopback. A node's processor time is what the system accounts to its process. The bare h11
+exchange is measured in the same run, before and after each variant: client alone (against the
+same back ends) and client and server together. One replica a shard and slots without end: hedges
+and queues are left out, the cost of the work is what is seen.
+"""
+
+import asyncio
+import statistics
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+import orjson
+
+from benchmarks.http_exchange import BareServer, bare_exchanges
+from benchmarks.support.accounting import processor_seconds, resident_bytes
+from benchmarks.support.bare_backends import LOOPBACK
+from benchmarks.support.processes import ChildProcess
+from benchmarks.support.tier import BackendProcesses, Tier, configuration_at
+from benchmarks.support.workload import Address
+
+FAN_OUTS = (8, 50, 200, 750)
+NODE_COUNTS = (1, 2)
+ROWS = 4
+BARE_EXCHANGES = 1_000
+SUB_REQUESTS_IN_FLIGHT = 800
+"""Concurrent callers times fan-out: enough to keep a node busy without end."""
+
+MOST_CALLERS = 32
+OPEN_LOOP_SHARE = 0.5
+"""Rate of the open loop as a share of what the closed loop reached."""
+
+WARM_UP_SECONDS = 1.0
+MICROSECONDS = 1e6
+MEGABYTE = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """What one run of callers brought and what it cost the nodes."""
+
+    queries: int
+    others: int
+    queries_per_second: float
+    p50_ms: float
+    p99_ms: float
+    node_seconds: float
+    node_share: float
+    """Processor time a second of the busiest node."""
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """A number of nodes and a fan-out, measured."""
+
+    node_count: int
+    fan_out: int
+    closed: Run
+    open: Run
+    resident_mb: float
+    bare_client_us: float
+    bare_both_us: float
+
+    @property
+    def query_us(self) -> float:
+        """Processor time of all nodes for one query."""
+        return self.closed.node_seconds * MICROSECONDS / self.closed.queries
+
+    @property
+    def sub_request_us(self) -> float:
+        """The same, for each sub-request."""
+        return self.query_us / self.fan_out
+
+
+async def _bare_cost(backends: Sequence[Address]) -> tuple[float, float]:
+    """Return microseconds of a bare exchange: of the client alone, of both sides."""
+    loop = asyncio.get_running_loop()
+    began = time.process_time()
+    await bare_exchanges(backends[0][1], BARE_EXCHANGES)
+    client_seconds = time.process_time() - began
+    server = await loop.create_server(BareServer, LOOPBACK, 0)
+    port = server.sockets[0].getsockname()[1]
+    began = time.process_time()
+    await bare_exchanges(port, BARE_EXCHANGES)
+    both_seconds = time.process_time() - began
+    server.close()
+    scale = MICROSECONDS / BARE_EXCHANGES
+    return client_seconds * scale, both_seconds * scale
+
+
+async def _run_callers(tier: Tier, flags: dict[str, float]) -> Run:
+    """Run the callers' process; account only for what follows its warm-up."""
+    arguments = ["--targets", "+".join(tier.caller_addresses)]
+    arguments += [f"--{name}={value}" for name, value in flags.items()]
+    callers = await ChildProcess.start("benchmarks.support.callers", arguments)
+    try:
+        assert await callers.line() == "begin"
+        before = [processor_seconds(node.process_id) for node in tier.nodes]
+        document = orjson.loads(await callers.line())
+        after = [processor_seconds(node.process_id) for node in tier.nodes]
+    finally:
+        await callers.stop()
+    used = [end - start for start, end in zip(before, after, strict=True)]
+    return Run(
+        queries=document["complete"],
+        others=document["others"],
+        queries_per_second=document["complete"] / document["seconds"],
+        p50_ms=document["p50_ms"],
+        p99_ms=document["p99_ms"],
+        node_seconds=sum(used),
+        node_share=max(used) / document["seconds"],
+    )
+
+
+async def measure(
+    node_count: int, fan_out: int, rows: int, seconds: float, profile_directory: Path | None = None
+) -> Variant:
+    """Measure one variant."""
+    backends = BackendProcesses(fan_out, rows)
+    concurrency = max(2, min(MOST_CALLERS, SUB_REQUESTS_IN_FLIGHT // fan_out)) * node_count
+    try:
+        addresses = await backends.start()
+        bare_before = await _bare_cost(addresses)
+        async with Tier(node_count, configuration_at(addresses), profile_directory) as tier:
+            flags = {"concurrency": concurrency, "warm_up": WARM_UP_SECONDS, "seconds": seconds}
+            closed = await _run_callers(tier, flags)
+            flags["rate"] = max(1.0, closed.queries_per_second * OPEN_LOOP_SHARE)
+            open_run = await _run_callers(tier, flags)
+            resident = max(resident_bytes(node.process_id) for node in tier.nodes)
+        bare_after = await _bare_cost(addresses)
+    finally:
+        await backends.stop()
+    client, both = zip(bare_before, bare_after, strict=True)
+    return Variant(
+        node_count=node_count,
+        fan_out=fan_out,
+        closed=closed,
+        open=open_run,
+        resident_mb=resident / MEGABYTE,
+        bare_client_us=statistics.mean(client),
+        bare_both_us=statistics.mean(both),
+    )
+
+
+async def _measure_all(
+    node_counts: Sequence[int], fan_outs: Sequence[int], rows: int, seconds: float
+) -> list[Variant]:
+    return [
+        await measure(node_count, fan_out, rows, seconds)
+        for node_count in node_counts
+        for fan_out in fan_outs
+    ]
+
+
+def _print_table(variants: list[Variant]) -> None:
+    print(
+        "nodes fan-out |  q/s  node share |  us/query  us/sub-request  of bare client  of bare both"
+        " | half load p50, p99 ms | RSS MB | not complete"
+    )
+    for entry in variants:
+        print(
+            f"{entry.node_count:5} {entry.fan_out:7} |"
+            f" {entry.closed.queries_per_second:6.1f} {entry.closed.node_share:9.2f}  |"
+            f" {entry.query_us:9.0f} {entry.sub_request_us:15.1f}"
+            f" {entry.sub_request_us / entry.bare_client_us:15.2f}"
+            f" {entry.sub_request_us / entry.bare_both_us:13.2f} |"
+            f" {entry.open.p50_ms:9.1f} {entry.open.p99_ms:9.1f}    |"
+            f" {entry.resident_mb:6.0f} | {entry.closed.others + entry.open.others}"
+        )
+    for node_count in sorted({entry.node_count for entry in variants}):
+        chosen = [entry for entry in variants if entry.node_count == node_count]
+        if len(chosen) > 1:
+            _print_slope(node_count, chosen)
+
+
+def _print_slope(node_count: int, variants: list[Variant]) -> None:
+    fan_outs = [float(entry.fan_out) for entry in variants]
+    costs = [entry.query_us for entry in variants]
+    slope, intercept = statistics.linear_regression(fan_outs, costs)
+    bare = statistics.median(entry.bare_both_us for entry in variants)
+    client = statistics.median(entry.bare_client_us for entry in variants)
+    print(
+        f"{node_count} node(s): {intercept:.0f} us a query + {slope:.1f} us a sub-request"
+        f" = {slope / client:.2f} bare clients ({client:.1f} us)"
+        f" = {slope / bare:.2f} bare exchanges ({bare:.1f} us)"
+    )
+
+
+def main(
+    nodes: str = "1,2",
+    fan_outs: str = "8,50,200,750",
+    rows: int = ROWS,
+    seconds: float = 2.0,
+    json: bool = False,
+    profile: str = "",
+) -> None:
+    """Print what a query costs a node.
+
+    Parameters
+    ----------
+    nodes, fan_outs
+        Variants, with commas between them.
+    rows
+        Rows that each shard answers.
+    seconds
+        Length of each run of callers.
+    json
+        Print one JSON object a line instead of tables.
+    profile
+        Existing directory for the nodes' profiles (cProfile); costs are then higher.
+    """
+    if profile:
+        variant = asyncio.run(
+            measure(_numbers(nodes)[0], _numbers(fan_outs)[0], rows, seconds, Path(profile))
+        )
+        _print_table([variant])
+        return
+    variants = asyncio.run(_measure_all(_numbers(nodes), _numbers(fan_outs), rows, seconds))
+    if json:
+        for variant in variants:
+            print(orjson.dumps(variant).decode())
+        return
+    _print_table(variants)
+
+
+def _numbers(text: str | int | tuple[int, ...]) -> list[int]:
+    """Return what fire made of numbers with commas between them."""
+    if isinstance(text, tuple):
+        return list(text)
+    return [int(part) for part in str(text).split(",")]
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/benchmarks/support/__init__.py
@@ -0,0 +1,1 @@
+"""What benchmarks share: configurations, processes, back ends, callers, accounting."""
