Read requests in a module of their own; keep metrics off the caller port

Reading moved to http_request_reader.py. The caller port answers 404 for /metrics; operators have the page. Also new: random bytes against the server (hypothesis) and a client that takes nothing.

--- a/tests/adapters/test_backend_client.py
+++ b/tests/adapters/test_backend_client.py
@@ -229,6 +229,10 @@
 
         self.run_with(replying(200, ANSWER, attempt_id="another"), test)
 
+    def test_answer_that_names_no_attempt_is_dropped(self) -> None:
+        event = self.ask_once(replying(200, ANSWER, attempt_id=""))
+        self.assert_failure(BackendFailureKind.BROKEN, event.result)
+
     def test_cut_connections_and_oversized_answers(self) -> None:
         async def cut(_request: HttpRequest) -> HttpResponse:
             raise ConnectionCutError
--- a/tests/adapters/test_caller_server.py
+++ b/tests/adapters/test_caller_server.py
@@ -11,7 +11,7 @@
 from wingquay.adapters.caller_server import CallerServer
 from wingquay.adapters.health_pages import HealthPages
 from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_messages import HttpLimits, HttpResponse
+from wingquay.adapters.http_messages import HttpLimits, HttpRequest, HttpResponse
 from wingquay.model.answer import Answer, MissingPart, MissingReason, Outcome, Row, Timings
 from wingquay.model.configuration import Caller, CoveragePreference
 from wingquay.model.identifiers import CallerName, NodeId, RequestId, ServiceName, SnapshotVersion
@@ -208,6 +208,8 @@
             "colour": '"red"',
         }
         self.assertEqual(expected, values)
+        key_alone = self.exchange(MINIMAL, {"idempotency-key": "a b"})
+        self.assertEqual(422, key_alone.status)
         self.assertIn("greater than 0", errors["deadline_ms"]["allowed"])
         self.assertIn("latency_first", errors["coverage"]["allowed"])
 
@@ -275,6 +277,11 @@
 
         self.run_with(None, test)
 
+    def test_metrics_page_belongs_to_operators(self) -> None:
+        page = HealthPages(lambda: b"metric 1\n").answer(HttpRequest("GET", "/metrics"))
+        assert page is not None
+        self.assertEqual(b"metric 1\n", page.body)
+
     def test_health_pages(self) -> None:
         async def test(caller: CallerBench) -> None:
             async def status(path: str, method: str = "GET") -> int:
@@ -286,9 +293,9 @@
             caller.server.perform(SetReady(True, ""))
             self.assertEqual(200, await status("/health/ready"))
             self.assertEqual(405, await status("/health/ready", "POST"))
-            metrics = await caller.send(b"", {}, "GET", "/metrics")
-            self.assertEqual(b"metric 1\n", metrics.body)
-            self.assertNotIn("connection", metrics.headers)
+            ready = await caller.send(b"", {}, "GET", "/health/ready")
+            self.assertNotIn("connection", ready.headers)
+            self.assertEqual(404, await status("/metrics"))
             caller.server.perform(SetReady(False, "leaving"))
             leaving = await caller.send(b"", {}, "GET", "/health/ready")
             self.assertEqual((503, "close"), (leaving.status, leaving.headers["connection"]))
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from wingquay.adapters.http_client import HttpClient
 from wingquay.adapters.http_messages import (
@@ -26,6 +28,22 @@
     connections=4,
 )
 RawPeer = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+WHOLE_REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+FRAGMENTS = [
+    WHOLE_REQUEST,
+    b"POST /a?b=%ff&c HTTP/1.1\r\nhost: a\r\n",
+    b"CONNECT a:1 HTTP/1.1\r\nhost: a\r\nupgrade: x\r\n",
+    b"GET / HTTP/1.0\r\n",
+    b"HEAD / HTTP/1.1\r\n",
+    b"content-length: 3\r\n",
+    b"content-length: " + b"9" * 5_000 + b"\r\n",
+    b"transfer-encoding: chunked\r\n",
+    b"expect: 100-continue\r\n",
+    b"\r\n",
+    b"3\r\nabc\r\n",
+    b"0\r\n\r\n",
+    b"\xff\x00: \x00\r\n",
+]
 WHOLE_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
@@ -121,6 +139,42 @@
         self.assert_status(408, self.exchange_raw(b"GET / HT", limits))
         self.assertEqual(b"", self.exchange_raw(b"", limits))
 
+    def test_client_that_takes_nothing_is_cut_off(self) -> None:
+        async def test() -> None:
+            async def answer_much(_request: HttpRequest) -> HttpResponse:
+                return HttpResponse(200, {}, b"x" * 50_000_000)
+
+            server = HttpServer(answer_much, HttpLimits(write_stall_seconds=0.05))
+            port = await server.start(LOOPBACK, 0)
+            reader, writer = await asyncio.open_connection(LOOPBACK, port, limit=1_000)
+            writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            await reader.readuntil(b"\r\n")
+            while server.open_connections:
+                await asyncio.sleep(0.01)
+            writer.close()
+            await server.close()
+
+        run(test())
+
+    @given(st.lists(st.sampled_from(FRAGMENTS) | st.binary(max_size=20), max_size=8))
+    @settings(max_examples=150, deadline=None)
+    def test_no_bytes_break_the_server(self, pieces: list[bytes]) -> None:
+        async def test() -> None:
+            problems: list[object] = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _loop, context: problems.append(context))
+            limits = HttpLimits(request_read_seconds=0.02, idle_seconds=0.02)
+            server = HttpServer(echo, limits)
+            port = await server.start(LOOPBACK, 0)
+            received = await send_raw(port, b"".join(pieces))
+            self.assertTrue(received == b"" or received.startswith(b"HTTP/1.1 "), received)
+            self.assertNotIn(b"HTTP/1.1 500", received)
+            self.assertEqual([], problems)
+            self.assert_status(200, await send_raw(port, WHOLE_REQUEST))
+            await server.close()
+
+        run(test())
+
     def test_expect_continue_is_honoured(self) -> None:
         async def test() -> None:
             server = HttpServer(echo)
--- a/wingquay/adapters/caller_server.py
+++ b/wingquay/adapters/caller_server.py
@@ -1,4 +1,7 @@
-"""The adapter towards callers: ``POST /v1/query`` over HTTP/1.1, and the health pages."""
+"""The adapter towards callers: ``POST /v1/query`` over HTTP/1.1, and the health pages.
+
+The metrics page is not served here: it names services that a caller may not be attached to.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -41,7 +44,7 @@
     callers
         Knows who may call.
     pages
-        The health and metrics pages.
+        The health pages.
     limits
         What a caller may cost.
     """
@@ -96,7 +99,7 @@
             future.set_result(answer)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
-        page = self._pages.answer(request)
+        page = self._pages.health(request)
         if page is not None:
             return page
         if request.path != QUERY_PATH:
--- a/wingquay/adapters/health_pages.py
+++ b/wingquay/adapters/health_pages.py
@@ -33,19 +33,17 @@
         self._state = state
 
     def answer(self, request: HttpRequest) -> HttpResponse | None:
-        """Return the page asked for, or ``None`` if it is none of these."""
-        render = self._page_at(request.path)
-        if render is None:
-            return None
-        return render() if request.method in ("GET", "HEAD") else method_not_allowed("GET, HEAD")
-
-    def _page_at(self, path: str) -> Callable[[], HttpResponse] | None:
-        if path == LIVE_PATH:
-            return self._liveness
-        if path == READY_PATH:
-            return self._readiness
-        if path == METRICS_PATH and self._render_metrics is not None:
-            return self._metrics
+        """Return the health or metrics page asked for, or ``None`` if it is none of these."""
+        if request.path == METRICS_PATH and self._render_metrics is not None:
+            return _page(request, self._metrics)
+        return self.health(request)
+
+    def health(self, request: HttpRequest) -> HttpResponse | None:
+        """Return the health page asked for, or ``None`` if it is none."""
+        if request.path == LIVE_PATH:
+            return _page(request, self._liveness)
+        if request.path == READY_PATH:
+            return _page(request, self._readiness)
         return None
 
     def _liveness(self) -> HttpResponse:
@@ -62,6 +60,10 @@
         return problem(503, "not-ready", self._state.reason, headers)
 
 
+def _page(request: HttpRequest, render: Callable[[], HttpResponse]) -> HttpResponse:
+    return render() if request.method in ("GET", "HEAD") else method_not_allowed("GET, HEAD")
+
+
 def method_not_allowed(allowed: str) -> HttpResponse:
     """Return the refusal of a method that a path does not know."""
     detail = f"method must be one of: {allowed}"
--- a/wingquay/adapters/http_client_connection.py
+++ b/wingquay/adapters/http_client_connection.py
@@ -11,8 +11,6 @@
 from wingquay.adapters.http_messages import HttpFailureKind, RawHeaders, headers_from_raw
 from wingquay.model.failure import Failure
 
-NO_CONTENT_STATUS = 204
-
 _END_OF_MESSAGE = h11.EndOfMessage()
 
 
@@ -136,7 +134,11 @@
             self._fail(HttpFailureKind.BROKEN, f"malformed response: {error}")
 
     def eof_received(self) -> None:
-        """Treat the connection as broken, or as closed if idle (asyncio calls this)."""
+        """Treat the exchange, if any, as broken (asyncio calls this).
+
+        That holds for a body that only the end of the connection ends, too: it cannot be told
+        from one cut short.
+        """
         self._fail(HttpFailureKind.BROKEN, "connection ended before the response was whole")
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -155,21 +157,12 @@
                 if failure is not None:
                     self._fail(failure.kind, failure.reason)
             elif kind is h11.Response:
-                self._response_started(event, reader)
+                reader.response_started(event.status_code, headers_from_raw(event.headers))
             elif kind is h11.EndOfMessage:
                 self._finish(reader)
             elif kind is not h11.InformationalResponse:
                 self._fail(HttpFailureKind.BROKEN, "connection ended before the response")
 
-    def _response_started(self, event: h11.Response, reader: ExchangeReader) -> None:
-        headers = headers_from_raw(cast(RawHeaders, event.headers))
-        is_delimited = "content-length" in headers or "transfer-encoding" in headers
-        if not is_delimited and event.status_code != NO_CONTENT_STATUS:
-            # A body that only the end of the connection ends cannot be told from one cut short.
-            self._fail(HttpFailureKind.BROKEN, "response has neither length nor chunks")
-            return
-        reader.response_started(event.status_code, headers)
-
     def _finish(self, reader: ExchangeReader) -> None:
         self._reader = None
         accepted = reader.accepts_response()
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -3,8 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from enum import Enum
-from typing import TYPE_CHECKING, Any, cast
-from urllib.parse import parse_qsl
+from typing import TYPE_CHECKING, cast
 
 import h11
 
@@ -12,10 +11,9 @@
     ConnectionCutError,
     HttpRequest,
     HttpResponse,
-    RawHeaders,
-    headers_from_raw,
     headers_to_raw,
 )
+from wingquay.adapters.http_request_reader import ReadProgress, RequestReader, RequestRefusal
 
 if TYPE_CHECKING:
     from wingquay.adapters.http_server import HttpServer
@@ -30,8 +28,6 @@
 """
 PIPELINED_BYTES = 65_536
 """Bytes taken in ahead while a request is being handled; then reading pauses."""
-HEADER_SEPARATORS_BYTES = 4
-"""Colon, space and line end of a header line."""
 
 _END_OF_MESSAGE = h11.EndOfMessage()
 
@@ -44,17 +40,19 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """A connection from a client; requests on it are handled one after another."""
+    """A connection from a client; requests on it are handled one after another.
+
+    A client that ends its direction counts as gone: asyncio then closes the connection.
+    """
 
     def __init__(self, server: "HttpServer") -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._http = self._new_http()
+        limits = server.limits
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._reader = RequestReader(self._http, limits)
         self._transport: asyncio.Transport | None = None
         self._phase = _Phase.READING
-        self._head: h11.Request | None = None
-        self._headers: dict[str, str] = {}
-        self._body = bytearray()
         self._has_partial_request = False
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -94,11 +92,7 @@
         if self._phase is _Phase.HANDLING:
             self._count_pipelined(len(data))
             return
-        self._read_events()
-
-    def eof_received(self) -> None:
-        """Treat the client as gone; returning ``None`` closes the connection."""
-        self._cancel_task()
+        self._read_request()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel what was in flight (asyncio calls this)."""
@@ -123,36 +117,22 @@
         if self._stall_timer is not None:
             self._stall_timer.cancel()
 
-    def _new_http(self) -> h11.Connection:
-        limit_bytes = self._server.limits.header_bytes
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=limit_bytes)
-
     # Reading
 
     def _wait_for_request(self) -> None:
         self._phase = _Phase.READING
         self._set_timer(self._server.limits.idle_seconds, self._close)
 
-    def _read_events(self) -> None:
-        try:
-            while self._phase is _Phase.READING:
-                event = self._http.next_event()
-                if event is h11.NEED_DATA:
-                    self._wait_for_rest()
-                    return
-                self._take_event(event)
-        except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint, str(error))
-
-    def _take_event(self, event: Any) -> None:
-        if isinstance(event, h11.Request):
-            self._take_head(event)
-        elif isinstance(event, h11.Data):
-            self._take_body(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            self._start_handler()
+    def _read_request(self) -> None:
+        read = self._reader.next_request()
+        if read is ReadProgress.MORE_NEEDED:
+            self._wait_for_rest()
+        elif isinstance(read, HttpRequest):
+            self._start_handler(read)
+        elif isinstance(read, RequestRefusal):
+            self._refuse(read.status, read.reason)
         else:
-            self._close()
+            self.abort()
 
     def _wait_for_rest(self) -> None:
         if not self._has_partial_request:
@@ -162,28 +142,6 @@
             informational = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(informational))
 
-    def _take_head(self, head: h11.Request) -> None:
-        limits = self._server.limits
-        raw_headers = list(cast(RawHeaders, head.headers))
-        if _head_bytes(head, raw_headers) > limits.header_bytes:
-            reason = f"request line and headers exceed {limits.header_bytes} bytes"
-            self._refuse(431, reason)
-            return
-        headers = headers_from_raw(raw_headers)
-        if int(headers.get("content-length", "0")) > limits.body_bytes:
-            self._refuse_large_body()
-            return
-        self._head = head
-        self._headers = headers
-
-    def _take_body(self, data: bytes) -> None:
-        self._body += data
-        if len(self._body) > self._server.limits.body_bytes:
-            self._refuse_large_body()
-
-    def _refuse_large_body(self) -> None:
-        self._refuse(413, f"request body exceeds {self._server.limits.body_bytes} bytes")
-
     def _refuse_slow(self) -> None:
         seconds = self._server.limits.request_read_seconds
         self._refuse(408, f"request was not whole within {seconds:g} s")
@@ -204,13 +162,10 @@
 
     # Handling
 
-    def _start_handler(self) -> None:
-        assert self._head is not None
+    def _start_handler(self, request: HttpRequest) -> None:
         self._phase = _Phase.HANDLING
         self._has_partial_request = False
         self._set_timer(None)
-        request = _whole_request(self._head, self._headers, bytes(self._body))
-        self._body.clear()
         self._task = self._loop.create_task(self._handle(request))
 
     async def _handle(self, request: HttpRequest) -> None:
@@ -251,12 +206,12 @@
             return
         assert self._transport is not None
         http.start_next_cycle()
-        self._head = None
+        self._reader.forget_request()
         self._pipelined_bytes = 0
         self._transport.resume_reading()
         self._wait_for_request()
         if http.trailing_data[0]:
-            self._read_events()
+            self._read_request()
 
     def _cancel_task(self) -> None:
         if self._task is not None:
@@ -272,14 +227,14 @@
         body = response.whole_body
         head = self._response_head(response)
         data = self._http.send(head) or b""
-        if body and not self._is_head_request():
+        if body and not self._reader.is_head_request:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(_END_OF_MESSAGE) or b""
         self._write(data)
 
     async def _write_stream(self, pieces: AsyncIterator[bytes]) -> None:
         async for piece in pieces:
-            if piece and not self._is_head_request():
+            if piece and not self._reader.is_head_request:
                 self._write(self._http.send(h11.Data(data=piece)))
             await self._writable.wait()
 
@@ -287,13 +242,10 @@
         headers = headers_to_raw(response.headers)
         if isinstance(response.body, bytes):
             headers.append((b"content-length", b"%d" % len(response.body)))
-        if self._server.is_leaving:
+        if self._server.is_leaving or self._http.their_state is h11.ERROR:
             headers.append((b"connection", b"close"))
         return h11.Response(status_code=response.status, headers=headers)
 
-    def _is_head_request(self) -> bool:
-        return self._head is not None and self._head.method == b"HEAD"
-
     def _write(self, data: bytes | None) -> None:
         if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
@@ -350,14 +302,3 @@
             self._timer = None
         if seconds is not None and callback is not None:
             self._timer = self._loop.call_later(seconds, callback, *arguments)
-
-
-def _head_bytes(head: h11.Request, headers: RawHeaders) -> int:
-    size_bytes = len(head.method) + len(head.target) + HEADER_SEPARATORS_BYTES * len(headers)
-    return size_bytes + sum([len(name) + len(value) for name, value in headers])
-
-
-def _whole_request(head: h11.Request, headers: dict[str, str], body: bytes) -> HttpRequest:
-    path, _, query_text = head.target.decode("ascii").partition("?")
-    query = dict(parse_qsl(query_text, keep_blank_values=True)) if query_text else {}
-    return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
