--- a/tests/adapters/test_caller_server.py
+++ b/tests/adapters/test_caller_server.py
@@ -145,6 +145,7 @@
         missing = (MissingPart(KeyRange("m", None), MissingReason.DEADLINE),)
         answer = answer_with(
             outcome=Outcome.PARTIAL,
+            reason="one shard was slow",
             snapshot=SnapshotVersion(7),
             covered=(KeyRange("a", "m"),),
             missing=missing,
@@ -160,6 +161,7 @@
         expected = {
             "request_id": document["request_id"],
             "outcome": "partial",
+            "detail": "one shard was slow",
             "snapshot": 7,
             "covered": [{"start": "a", "end": "m"}],
             "missing": [{"start": "m", "end": None, "reason": "deadline"}],
@@ -196,6 +198,7 @@
         response = self.exchange(document, {"idempotency-key": "a b"})
         errors = {entry["field"]: entry for entry in self.document(response)["errors"]}
         self.assertEqual(422, response.status)
+        self.assertEqual(self.document(response)["request_id"], response.headers["x-request-id"])
         values = {field: entry["value"] for field, entry in errors.items()}
         expected = {
             "Idempotency-Key": '"a b"',
--- a/wingquay/adapters/caller_json.py
+++ b/wingquay/adapters/caller_json.py
@@ -104,9 +104,9 @@
         query = _QueryBody.model_validate_json(body)
     except ValidationError as error:
         errors += [_field_error(entry) for entry in error.errors(include_url=False)]
-        return _invalid_fields(errors)
+        return _invalid_fields(errors, request_id)
     if errors:
-        return _invalid_fields(errors)
+        return _invalid_fields(errors, request_id)
     deadline_ms = query.deadline_ms
     return QueryRequest(
         request_id=request_id,
@@ -142,6 +142,7 @@
     return {
         "request_id": answer.request_id,
         "outcome": answer.outcome.value,
+        "detail": answer.reason,
         "snapshot": answer.snapshot,
         "covered": answer.covered,
         "missing": [
@@ -178,12 +179,12 @@
     return round(seconds * MILLISECONDS_PER_SECOND, 3)
 
 
-def _invalid_fields(errors: list[FieldError]) -> HttpResponse:
+def _invalid_fields(errors: list[FieldError], request_id: RequestId) -> HttpResponse:
     is_syntax = any(error.field == "" for error in errors)
     status, name = (400, "malformed-json") if is_syntax else (422, "invalid")
     detail = "; ".join(error.text().removeprefix(": ") for error in errors)
-    members = {"outcome": Outcome.INVALID.value, "errors": errors}
-    return problem(status, name, detail, members=members)
+    members = {"outcome": Outcome.INVALID.value, "request_id": request_id, "errors": errors}
+    return problem(status, name, detail, {REQUEST_ID_HEADER: request_id}, members)
 
 
 def _field_error(entry: Any) -> FieldError:
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from enum import Enum
+from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
 
 import h11
@@ -29,6 +30,7 @@
 PIPELINED_BYTES = 65_536
 """Bytes taken in ahead while a request is being handled; then reading pauses."""
 
+_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 _END_OF_MESSAGE = h11.EndOfMessage()
 
 
@@ -244,7 +246,8 @@
             headers.append((b"content-length", b"%d" % len(response.body)))
         if self._server.is_leaving or self._http.their_state is h11.ERROR:
             headers.append((b"connection", b"close"))
-        return h11.Response(status_code=response.status, headers=headers)
+        phrase = _PHRASES.get(response.status, b"")
+        return h11.Response(status_code=response.status, headers=headers, reason=phrase)
 
     def _write(self, data: bytes | None) -> None:
         if data and self._transport is not None and not self._transport.is_closing():
