Normalize ranges that are already normal without sorting

Cause: profile of 'wingquay simulate' at load 0.3: key-range arithmetic was a seventh of the time, almost always on ranges that were sorted and disjoint already. Change: one pass to see that; the oracle cuts rows by bisection.

--- a/wingquay/model/key_range.py
+++ b/wingquay/model/key_range.py
@@ -33,10 +33,13 @@
 
     def intersection(self, other: "KeyRange") -> "KeyRange | None":
         """Return the keys that lie in both ranges, or ``None`` if there are none."""
-        start = max(self.start, other.start)
+        start = self.start if self.start >= other.start else other.start
         end = _smaller_end(self.end, other.end)
-        overlap = KeyRange(start, end)
-        return None if overlap.is_empty else overlap
+        if end is not None and end <= start:
+            return None
+        if start == self.start and end == self.end:
+            return self
+        return KeyRange(start, end)
 
 
 EVERYTHING = KeyRange("", None)
@@ -57,6 +60,24 @@
 
 def normalize(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
     """Return the same keys as sorted, disjoint ranges that do not touch."""
+    given = tuple(ranges)
+    return given if _is_normal(given) else _merged(given)
+
+
+def _is_normal(ranges: Sequence[KeyRange]) -> bool:
+    """Whether ``ranges`` are as ``normalize`` returns them; most already are."""
+    previous_end: str | None = None
+    for index, key_range in enumerate(ranges):
+        start, end = key_range.start, key_range.end
+        if end is not None and end <= start:
+            return False
+        if index and (previous_end is None or start <= previous_end):
+            return False
+        previous_end = end
+    return True
+
+
+def _merged(ranges: Sequence[KeyRange]) -> tuple[KeyRange, ...]:
     merged: list[KeyRange] = []
     ordered = sorted(
         (key_range for key_range in ranges if not key_range.is_empty),
--- a/wingquay/rehearsal/oracle_truth.py
+++ b/wingquay/rehearsal/oracle_truth.py
@@ -1,5 +1,6 @@
 """The true contents of the back ends, and what an answer says measured against them."""
 
+from bisect import bisect_left
 from collections.abc import Iterator
 
 from wingquay.model.answer import Answer, Outcome, Row
@@ -78,7 +79,19 @@
 
 
 def _rows_in(rows: tuple[Row, ...], ranges: tuple[KeyRange, ...]) -> tuple[Row, ...]:
-    return tuple(row for row in rows if contains_key(ranges, row.key))
+    """Return the rows in ``ranges``; both are in key order, and the ranges are disjoint."""
+    chosen: list[Row] = []
+    for key_range in ranges:
+        first = bisect_left(rows, key_range.start, key=_key_of)
+        last = len(rows)
+        if key_range.end is not None:
+            last = bisect_left(rows, key_range.end, lo=first, key=_key_of)
+        chosen += rows[first:last]
+    return tuple(chosen)
+
+
+def _key_of(row: Row) -> str:
+    return row.key
 
 
 def _check_parts(request: QueryRequest, answer: Answer) -> Iterator[Finding]:
