--- a/tests/rehearsal/test_simulation.py
+++ b/tests/rehearsal/test_simulation.py
@@ -8,6 +8,7 @@
 import testtools
 
 from wingquay.commands.simulate import read_settings
+from wingquay.rehearsal.faults.catalogue import FAULTS
 from wingquay.rehearsal.simulation import Simulation
 from wingquay.rehearsal.simulation_report import make_report
 
@@ -78,3 +79,18 @@
                 place: text,
             }
             self.assertIn("'x'", read_settings(**arguments).reason)
+
+
+class TestFaults(testtools.TestCase):
+    def test_every_fault_happens_and_the_run_ends(self):
+        for name in FAULTS:
+            simulation = run(faults=name, load=0.02)
+            self.assertIsNot(None, simulation.oracle)
+            self.assertTrue(simulation.measurements.queries > 0, name)
+
+    def test_faults_happen_at_the_same_moments_under_every_policy(self):
+        injected = [
+            run(faults="index_update,zone_cut,replica_loss", policy=policy).faults_injected
+            for policy in ("wingquay", "naive")
+        ]
+        self.assertEqual(injected[0], injected[1])
--- a/wingquay/rehearsal/faults/fault.py
+++ b/wingquay/rehearsal/faults/fault.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from wingquay.rehearsal.simulated_replica import SimulatedReplica
 from wingquay.rehearsal.simulation_settings import WARM_UP_SECONDS
 
 if TYPE_CHECKING:
@@ -40,6 +41,10 @@
             yield at_seconds
             at_seconds += self.random_source.expovariate(1.0 / interval_seconds)
 
+    def any_replica(self) -> SimulatedReplica:
+        """Choose a replica of the first configuration."""
+        return self.random_source.choice(self.simulation.backends.first_replicas)
+
     def at(self, at_seconds: float, happen: Callable[[], None]) -> None:
         """Let it happen at ``at_seconds`` and count it."""
         self.simulation.clock.at(at_seconds, self._happen, happen)
--- a/wingquay/rehearsal/models/store_leases.py
+++ b/wingquay/rehearsal/models/store_leases.py
@@ -33,6 +33,11 @@
             lease.expires_at = now + lease.time_to_live_seconds
         return lease
 
+    @property
+    def ids(self) -> tuple[int, ...]:
+        """The leases that have not lapsed."""
+        return tuple(self._leases)
+
     def holds(self, lease_id: int) -> bool:
         """Whether the lease has not lapsed."""
         return lease_id in self._leases
--- a/wingquay/rehearsal/models/store_model.py
+++ b/wingquay/rehearsal/models/store_model.py
@@ -226,6 +226,15 @@
         self._run_until(now)
         self.state.compact(self.state.revision)
 
+    def limit_rate(self, rate_per_second: float, burst: float) -> None:
+        """Let so many operations through from now on."""
+        self._rate_limit = RateLimit(rate_per_second, burst)
+
+    @property
+    def lease_ids(self) -> tuple[int, ...]:
+        """The leases that have not lapsed."""
+        return self._leases.ids
+
     def lapse_lease(self, lease_id: int, now: float) -> None:
         """Let a lease lapse before its time."""
         self._run_until(now)
--- a/wingquay/rehearsal/oracle.py
+++ b/wingquay/rehearsal/oracle.py
@@ -8,16 +8,15 @@
 from dataclasses import dataclass
 
 from wingquay.model.answer import Answer, Outcome
-from wingquay.model.identifiers import AttemptId, NodeId, ReplicaId, RequestId, Revision
+from wingquay.model.identifiers import AttemptId, NodeId, ReplicaId, RequestId
 from wingquay.model.request import QueryRequest
 from wingquay.ports.backend import StartAttempt
+from wingquay.rehearsal.configuration_oracle import ConfigurationOracle
 from wingquay.rehearsal.invariants import Invariant, Violations
 from wingquay.rehearsal.oracle_truth import Truth
 
 DRAIN_BOUND_SECONDS = 5.0
 """A leaving back end gets no new work later than this ("after a few seconds")."""
-IN_FORCE_BOUND_SECONDS = 5.0
-"""A confirmed configuration is in force everywhere by then ("within seconds")."""
 ANSWER_GRACE_SECONDS = 0.1
 """Beyond deadline and network latency, an answer may take this long."""
 
@@ -36,7 +35,7 @@
     body: str
     repeatable: bool
     node_id: NodeId
-    sent_at: float
+    arrived_at: float
     due_at: float
     answer: Answer | None = None
     answered_at: float | None = None
@@ -56,19 +55,22 @@
         self.violations = Violations()
         self.submissions: dict[RequestId, Submission] = {}
         self.executions_by_body: Counter[str] = Counter()
+        self.configuration = ConfigurationOracle(self.violations)
         self._truth = truth
         self._request_of_attempt: dict[AttemptId, str] = {}
         self._executions_by_trace: Counter[str] = Counter()
         self._leaving_since: dict[ReplicaId, float] = {}
-        self._disturbed_until: dict[NodeId, float] = defaultdict(float)
-        self._confirmed: list[tuple[Revision, float]] = []
-        self._in_force: dict[NodeId, Revision] = {}
+        self._frozen_until: dict[NodeId, float] = defaultdict(float)
+        self._uninformed_until: dict[NodeId, float] = defaultdict(float)
 
     # -- callers -------------------------------------------------------------------------------
 
     def submitted(self, submission: Submission) -> None:
         """Take in that a caller sent a request."""
         self.submissions[submission.request.request_id] = submission
+        # A paused process reads a request when it wakes up, and the deadline counts from then.
+        read_at = max(submission.arrived_at, self._frozen_until[submission.node_id])
+        submission.due_at += read_at - submission.arrived_at
 
     def connection_broken(self, request_id: RequestId) -> None:
         """Take in that the node died: the caller knows that it gets no answer."""
@@ -89,7 +91,7 @@
         self._check_content(submission, answer, now)
 
     def _check_time(self, submission: Submission, now: float) -> None:
-        due_at = max(submission.due_at, self._disturbed_until[submission.node_id])
+        due_at = max(submission.due_at, self._frozen_until[submission.node_id])
         if now > due_at + ANSWER_GRACE_SECONDS:
             late = now - submission.due_at
             what = f"{submission.request.request_id} {late:.3f} s after its deadline"
@@ -100,7 +102,9 @@
         if answer.outcome is Outcome.INVALID:
             self._add(Invariant.OWN_ANSWER, now, f"{name} is valid, said: {answer.reason}")
         elif answer.outcome is Outcome.REFUSED_NOT_RUN:
-            if self.executions_by_body[submission.body]:
+            # Submissions of one unrepeatable request are one request; those of a repeatable one
+            # are as many requests, each of which only answers for itself (see ``finish``).
+            if not submission.repeatable and self.executions_by_body[submission.body]:
                 self._add(Invariant.NOT_RUN_MEANS_NOT_RUN, now, f"{name} had run")
         elif answer.outcome is Outcome.UNKNOWN:
             if submission.repeatable:
@@ -119,7 +123,7 @@
         leaving_since = self._leaving_since.get(attempt.replica_id)
         if leaving_since is None:
             return
-        told_from = max(leaving_since, self._disturbed_until[node_id])
+        told_from = max(leaving_since, self._uninformed_until[node_id])
         if now > told_from + DRAIN_BOUND_SECONDS:
             seconds = now - leaving_since
             what = f"{attempt.replica_id} got work {seconds:.3f} s after it began to leave"
@@ -145,11 +149,17 @@
         """Take in that a back end serves again."""
         self._leaving_since.pop(replica_id, None)
 
-    # -- nodes and configuration ---------------------------------------------------------------
+    # -- nodes ---------------------------------------------------------------------------------
 
-    def disturbed(self, node_id: NodeId, until: float) -> None:
-        """Take in that a node, frozen or cut off, can neither learn nor answer until then."""
-        self._disturbed_until[node_id] = max(self._disturbed_until[node_id], until)
+    def frozen(self, node_id: NodeId, until: float) -> None:
+        """Take in that a node is paused until then: it can neither learn nor answer."""
+        self._frozen_until[node_id] = max(self._frozen_until[node_id], until)
+        self.cut_off(node_id, until)
+
+    def cut_off(self, node_id: NodeId, until: float) -> None:
+        """Take in that a node hears nothing of other zones until then; it must still answer."""
+        self._uninformed_until[node_id] = max(self._uninformed_until[node_id], until)
+        self.configuration.node_uninformed(node_id, until)
 
     def node_exited(self, node_id: NodeId, cut: int, now: float) -> None:
         """Check the end of a planned stop, which left ``cut`` pieces of work unfinished."""
@@ -157,39 +167,6 @@
             what = f"{node_id} cut {cut} requests off"
             self._add(Invariant.PLANNED_STOP_CUTS_NOTHING, now, what)
 
-    def configuration_confirmed(self, revision: Revision, now: float) -> None:
-        """Take in that the store holds a new confirmed revision."""
-        if self._confirmed and revision <= self._confirmed[-1][0]:
-            what = f"revision {revision} confirmed after {self._confirmed[-1][0]}"
-            self._add(Invariant.CONFIGURATION_IN_FORCE_AND_MONOTONIC, now, what)
-        self._confirmed.append((revision, now))
-
-    def configuration_in_force(self, node_id: NodeId, revision: Revision, now: float) -> None:
-        """Check a revision that a node goes by from now on."""
-        before = self._in_force.get(node_id, Revision(0))
-        if revision < before:
-            what = f"{node_id} went back from revision {before} to {revision}"
-            self._add(Invariant.CONFIGURATION_IN_FORCE_AND_MONOTONIC, now, what)
-        if all(revision != known for known, _ in self._confirmed):
-            what = f"{node_id} goes by revision {revision}, which nobody confirmed"
-            self._add(Invariant.CONFIGURATION_IN_FORCE_AND_MONOTONIC, now, what)
-        self._in_force[node_id] = revision
-
-    def check_in_force(self, node_id: NodeId, running_since: float, now: float) -> None:
-        """Check that a running node goes by what was confirmed long enough ago."""
-        able_since = max(running_since, self._disturbed_until[node_id])
-        if now < able_since + IN_FORCE_BOUND_SECONDS:
-            return
-        due = [
-            revision
-            for revision, confirmed_at in self._confirmed
-            if confirmed_at + IN_FORCE_BOUND_SECONDS <= now
-        ]
-        in_force = self._in_force.get(node_id, Revision(0))
-        if due and in_force < max(due):
-            what = f"{node_id} still goes by {in_force}, not {max(due)}"
-            self._add(Invariant.CONFIGURATION_IN_FORCE_AND_MONOTONIC, now, what)
-
     # -- the end -------------------------------------------------------------------------------
 
     def finish(self, now: float) -> None:
@@ -197,7 +174,7 @@
         for submission in self.submissions.values():
             name = submission.request.request_id
             if submission.answer is None:
-                due_at = max(submission.due_at, self._disturbed_until[submission.node_id])
+                due_at = max(submission.due_at, self._frozen_until[submission.node_id])
                 if not submission.broken and now > due_at + ANSWER_GRACE_SECONDS:
                     self._add(Invariant.ANSWERED_BY_DEADLINE, now, f"{name} was never answered")
             elif submission.answer.outcome is Outcome.REFUSED_NOT_RUN:
--- a/wingquay/rehearsal/simulated_backends.py
+++ b/wingquay/rehearsal/simulated_backends.py
@@ -10,6 +10,7 @@
     ServiceName,
     SnapshotVersion,
 )
+from wingquay.ports.machine_directory import MachineState
 from wingquay.rehearsal.deployment_profile import DeploymentProfile, ServiceProfile
 from wingquay.rehearsal.models.backend_model import BackendModel
 from wingquay.rehearsal.models.backend_settings import BackendSettings
@@ -22,6 +23,8 @@
 
 FIRST_VERSION = SnapshotVersion(1)
 WARM_UP_SECONDS = 2.0
+CATCH_UP_SECONDS = 2.0
+"""A replica that restarts on an older index has the newest one after so long."""
 QUEUE_LIMIT_PER_SLOT = 4
 
 
@@ -52,6 +55,10 @@
         Share of executions that are 10 to 50 times slower.
     arrived
         Told of every request that arrives at a replica.
+    lost
+        Told when a replica's process ends.
+    listed
+        Tells the platform's machine list of a replica's state.
     """
 
     def __init__(
@@ -62,12 +69,19 @@
         streams: RandomStreams,
         straggler_share: float,
         arrived: Arrived,
+        lost: Callable[[SimulatedReplica], None],
+        listed: Callable[[SimulatedReplica, MachineState], None],
     ) -> None:
         self.ledger = ReportingLedger(oracle, clock)
         self.replicas: dict[ReplicaId, SimulatedReplica] = {}
         self.newest: dict[ServiceName, SnapshotVersion] = {}
+        self.bounds: dict[ServiceName, tuple[Shard, ...]] = {}
+        """The shards as they are meant to be now."""
         self._clock = clock
         self._arrived = arrived
+        self._lost = lost
+        self._listed = listed
+        self._oracle = oracle
         self._by_address: dict[tuple[str, int], SimulatedReplica] = {}
         self._random = streams.stream("back ends")
         self._profile = profile
@@ -75,7 +89,9 @@
         sizes = {entry.name: entry for entry in profile.services}
         for service in profile.configuration.services:
             self.newest[service.name] = FIRST_VERSION
+            self.bounds[service.name] = service.shards
             self._build_service(service, sizes[service.name])
+        self.first_replicas = list(self.replicas.values())
 
     def find(self, host: str, port: int) -> SimulatedReplica | None:
         """Return the replica that listens at an address."""
@@ -89,25 +105,43 @@
             if replica.model.settings.service == service
         ]
 
-    def add(
-        self, service: Service, shard: Shard, entry: Replica, *, cold: bool
-    ) -> SimulatedReplica:
-        """Start a replica that the configuration may not know yet."""
-        sizes = {profile.name: profile for profile in self._profile.services}
-        replica = self._build(service, sizes[service.name], shard, entry)
-        if cold:
-            newest = self.newest[service.name]
-            replica.model.restart(newest, newest, self._clock.now)
-        return replica
-
-    def for_each_of_shard(
-        self, shard_replicas: tuple[Replica, ...], do: Callable[[SimulatedReplica], None]
-    ) -> None:
-        """Apply ``do`` to the running replicas among ``shard_replicas``."""
-        for entry in shard_replicas:
-            replica = self.replicas.get(entry.replica_id)
-            if replica is not None:
-                do(replica)
+    def lose(self, replica: SimulatedReplica, *, silent: bool) -> None:
+        """End a replica's process, or let its machine fall silent."""
+        replica.condition.alive = silent
+        replica.condition.silent = silent
+        replica.lose_everything()
+        # What ran is lost with the process; a silent machine's work reaches nobody either.
+        oldest, newest = replica.model.held_versions
+        replica.model.restart(oldest, newest, self._clock.now)
+        self._lost(replica)
+
+    def restart(self, replica: SimulatedReplica, *, on_older_index: bool) -> None:
+        """Start a replica's process again, cold, perhaps on an older index for a while."""
+        newest = self.newest[replica.model.settings.service]
+        version = newest
+        if on_older_index and newest > FIRST_VERSION:
+            version = SnapshotVersion(newest - 1)
+            self._clock.after(CATCH_UP_SECONDS, self._catch_up, replica)
+        replica.model.restart(version, version, self._clock.now)
+        replica.condition.alive = True
+        replica.condition.silent = False
+        self._oracle.replica_returned(replica.entry.replica_id)
+        self._listed(replica, MachineState.LIVE)
+
+    def drain(self, replica: SimulatedReplica) -> None:
+        """Let a replica refuse new work because it leaves."""
+        replica.model.drain(self._clock.now)
+        self._oracle.replica_leaving(replica.entry.replica_id, self._clock.now)
+        self._listed(replica, MachineState.LEAVING)
+
+    def list_all(self) -> None:
+        """Put every replica on the machine list."""
+        for replica in self.replicas.values():
+            self._listed(replica, MachineState.LIVE)
+
+    def _catch_up(self, replica: SimulatedReplica) -> None:
+        newest = self.newest[replica.model.settings.service]
+        replica.model.install_version(newest, self._clock.now)
 
     def _build_service(self, service: Service, size: ServiceProfile) -> None:
         for shard in service.shards:
--- a/wingquay/rehearsal/simulated_callers.py
+++ b/wingquay/rehearsal/simulated_callers.py
@@ -109,11 +109,9 @@
             return
         node = self._offered[int(arrival.node_choice * len(self._offered))]
         seconds = self._network.one_way_seconds(CLIENTS, node.identity.zone)
-        self._clock.after(seconds, self._arrive, arrival, node, self._clock.now, tries_left)
+        self._clock.after(seconds, self._arrive, arrival, node, tries_left)
 
-    def _arrive(
-        self, arrival: Arrival, node: SimulatedNode, sent_at: float, tries_left: int
-    ) -> None:
+    def _arrive(self, arrival: Arrival, node: SimulatedNode, tries_left: int) -> None:
         if not node.is_listening:
             # The connection is refused: nothing was sent, so the caller tries another node.
             elsewhere = replace(arrival, node_choice=self._random.random())
@@ -126,7 +124,7 @@
             body=arrival.request.body,
             repeatable=arrival.repeatable,
             node_id=node.identity.node_id,
-            sent_at=sent_at,
+            arrived_at=self._clock.now,
             due_at=self._clock.now + arrival.deadline_seconds + longest_way,
         )
         self._oracle.submitted(submission)
@@ -138,7 +136,7 @@
             self._clock.after(seconds, self._leave, node, request_id)
 
     def _leave(self, node: SimulatedNode, request_id: RequestId) -> None:
-        submission = self._open[node.identity.node_id].pop(request_id, None)
+        submission = self._open.get(node.identity.node_id, {}).pop(request_id, None)
         if submission is not None:
             self._oracle.connection_broken(request_id)
             node.deliver(CallerGone(request_id))
--- a/wingquay/rehearsal/simulated_node.py
+++ b/wingquay/rehearsal/simulated_node.py
@@ -49,8 +49,6 @@
         self.state = ProcessState.RUNNING
         self.ready = False
         self.started_at = clock.now
-        self.disturbed_until = clock.now
-        """End of the last pause; until then the node could not react to anything."""
         self._clock = clock
         self._digest = digest
         self._offset = clock_offset_seconds
@@ -82,7 +80,6 @@
         if self.state is not ProcessState.PAUSED:
             return
         self.state = ProcessState.RUNNING
-        self.disturbed_until = self._clock.now
         held_back, self._held_back = self._held_back, []
         for event, not_before in held_back:
             self._handle(event, not_before)
--- a/wingquay/rehearsal/simulated_nodes.py
+++ b/wingquay/rehearsal/simulated_nodes.py
@@ -30,9 +30,11 @@
         Called when a process ended, with its ``Exit`` or, after a crash, ``None``.
     revised
         Called when a node goes by another revision of the configuration than before.
+    began
+        Called when a process starts.
     """
 
-    def __init__(
+    def __init__(  # noqa: PLR0913 - where a process meets its surroundings
         self,
         profile: DeploymentProfile,
         clock: VirtualClock,
@@ -42,6 +44,7 @@
         perform: Perform,
         ended: Ended,
         revised: Callable[[SimulatedNode], None],
+        began: Callable[[SimulatedNode], None],
     ) -> None:
         self.running: dict[NodeId, SimulatedNode] = {}
         self.started = 0
@@ -53,6 +56,7 @@
         self._perform = perform
         self._ended = ended
         self._revised = revised
+        self._began = began
         self._places = [
             (zone, f"10.200.{zone_index}.{index + 1}")
             for zone_index, zone in enumerate(profile.zones)
@@ -88,6 +92,7 @@
             self._revised,
         )
         self.running[node_id] = node
+        self._began(node)
         node.start()
         return node
 
@@ -102,6 +107,10 @@
                 return node
         return None
 
+    def ready(self) -> list[SimulatedNode]:
+        """Return the processes whose readiness page says that they take requests."""
+        return [node for node in self.running.values() if node.ready]
+
     def in_zone(self, zone: str) -> list[SimulatedNode]:
         """Return the processes of a zone."""
         return [node for node in self.running.values() if node.identity.zone == zone]
@@ -112,10 +121,15 @@
             node.crash()
             self._remove(node, None)
 
-    def replace(self, node: SimulatedNode) -> SimulatedNode:
-        """Crash a process if it still runs, and start another at its address."""
-        self.crash(node)
-        return self.start(node.identity.zone, node.identity.host)
+    def start_again(self, ended: SimulatedNode) -> None:
+        """Start a new process where ``ended`` was, unless there is one already."""
+        if self.at_address(ended.identity) is None:
+            self.start(ended.identity.zone, ended.identity.host)
+
+    def pick(self, choice: float) -> SimulatedNode | None:
+        """Return the running process that ``choice`` (0 to 1) falls on."""
+        nodes = [node for node in self.running.values() if node.state is ProcessState.RUNNING]
+        return nodes[int(choice * len(nodes))] if nodes else None
 
     def _peers(self, host: str) -> tuple[NodeIdentity, ...]:
         """Return the identities that the settings of the process at ``host`` name as peers."""
--- a/wingquay/rehearsal/simulated_store.py
+++ b/wingquay/rehearsal/simulated_store.py
@@ -28,7 +28,7 @@
 WATCH_SILENCE_SECONDS = 2.0
 """After so long without a sign of the store, a watch's connection is given up."""
 
-Confirmed = Callable[[Revision, float], None]
+Confirmed = Callable[[Revision, str, float], None]
 
 
 class SimulatedStore:
@@ -147,7 +147,7 @@
             if entry.modified_at != self._current_modified_at:
                 self._current_modified_at = entry.modified_at
                 configuration = Configuration.model_validate_json(entry.value)
-                self._confirmed(configuration.revision, self._clock.now)
+                self._confirmed(configuration.revision, configuration.confirm_id, self._clock.now)
 
     def _hand_out(self, output: StoreOutput) -> None:
         if isinstance(output, StoreResponse):
--- a/wingquay/rehearsal/simulation.py
+++ b/wingquay/rehearsal/simulation.py
@@ -11,7 +11,8 @@
 from wingquay.ports.backend import CancelAttempt, ProbeReplica, StartAttempt
 from wingquay.ports.caller import AnswerCaller, SetReady
 from wingquay.ports.machine import Action, Exit
-from wingquay.ports.machine_directory import ReadMachineList
+from wingquay.ports.machine_directory import MachineEntry, MachineState, ReadMachineList
+from wingquay.ports.operator import OperatorReply
 from wingquay.ports.peer import SendToPeer
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
 from wingquay.rehearsal.backend_exchanges import BackendExchanges
@@ -19,6 +20,7 @@
 from wingquay.rehearsal.digest import EventDigest
 from wingquay.rehearsal.faults.backend_faults import straggler_share
 from wingquay.rehearsal.faults.catalogue import install_faults
+from wingquay.rehearsal.faults.node_faults import machine_list_lag
 from wingquay.rehearsal.measurements import Measurements
 from wingquay.rehearsal.models.machine_list_model import MachineListModel
 from wingquay.rehearsal.models.store_model import StoreModel, StoreSettings
@@ -33,6 +35,8 @@
 from wingquay.rehearsal.simulated_machine_list import SimulatedMachineList
 from wingquay.rehearsal.simulated_node import SimulatedNode
 from wingquay.rehearsal.simulated_nodes import SimulatedNodes
+from wingquay.rehearsal.simulated_operators import SimulatedOperators
+from wingquay.rehearsal.simulated_replica import SimulatedReplica
 from wingquay.rehearsal.simulated_store import SimulatedStore
 from wingquay.rehearsal.simulation_settings import (
     WARM_UP_SECONDS,
@@ -43,6 +47,9 @@
 from wingquay.rehearsal.virtual_clock import VirtualClock
 from wingquay.rehearsal.workload import Workload
 
+CONFIGURATION_CHECK_SECONDS = 0.5
+SUCCESSOR_SECONDS = 1.0
+"""So long after a planned stop, another process starts at the address."""
 STORE_HEAD_START_SECONDS = 0.1
 """The store holds the first configuration before the first node starts."""
 
@@ -65,6 +72,7 @@
         self.clock = VirtualClock()
         self.digest = EventDigest()
         self.faults_injected = 0
+        self._stopping: set[NodeId] = set()
         profile = settings.profile
         self.truth = Truth(profile.dataset)
         self.oracle = Oracle(self.truth)
@@ -77,6 +85,8 @@
             self.streams,
             straggler_share(settings.faults),
             self._attempt_arrived,
+            self._replica_lost,
+            self._replica_listed,
         )
         self.exchanges = BackendExchanges(
             self.network,
@@ -94,15 +104,18 @@
             self._perform,
             self._node_ended,
             self._node_revised,
+            self._node_began,
         )
         self.store = SimulatedStore(
             StoreModel(StoreSettings(), self.streams.stream("store")),
             self.network,
             self.clock,
             self.nodes.find,
-            self.oracle.configuration_confirmed,
+            self.oracle.configuration.confirmed,
+        )
+        self.machine_list = SimulatedMachineList(
+            MachineListModel(machine_list_lag(settings.faults)), self.network, self.clock
         )
-        self.machine_list = SimulatedMachineList(MachineListModel(), self.network, self.clock)
         self.links = PeerLinks(self.network, self.clock, self.nodes)
         self.callers = SimulatedCallers(
             self.network,
@@ -112,6 +125,13 @@
             self.measurements,
             self.streams.stream("callers"),
         )
+        self.operators = SimulatedOperators(
+            self.network,
+            self.clock,
+            self.oracle.configuration,
+            self.nodes.ready,
+            self.streams.stream("operators"),
+        )
         self._performers: dict[type[Action], Callable[[SimulatedNode, Any], None]] = {
             StartAttempt: self.exchanges.start,
             SendToPeer: self._send_to_peer,
@@ -122,6 +142,7 @@
             StoreRequest: self.store.request,
             StartWatch: self.store.start_watch,
             StopWatch: self.store.stop_watch,
+            OperatorReply: self.operators.reply,
             ReadMachineList: self.machine_list.read,
         }
 
@@ -134,7 +155,9 @@
         """Run from the start of the first node to the end of everything in flight."""
         self.store.write_initial(self.settings.profile.configuration)
         self.clock.run_until(STORE_HEAD_START_SECONDS)
+        self.backends.list_all()
         self.nodes.start_all()
+        self._check_configurations()
         install_faults(self, self.settings.faults)
         for service in self.settings.profile.services:
             for kind in service.kinds:
@@ -145,9 +168,26 @@
         self.clock.run_until(self.traffic_end + WIND_DOWN_SECONDS)
         self.oracle.finish(self.clock.now)
 
-    def disturb(self, node_id: NodeId, seconds: float) -> None:
-        """Tell the oracle that a node can neither learn nor answer for a while."""
-        self.oracle.disturbed(node_id, self.clock.now + seconds)
+    def pause_node(self, choice: float, seconds: float) -> None:
+        """Pause the node that ``choice`` (0 to 1) falls on."""
+        node = self.nodes.pick(choice)
+        if node is not None:
+            self.oracle.frozen(node.identity.node_id, self.clock.now + seconds)
+            node.pause()
+            self.clock.after(seconds, node.resume)
+
+    def stop_node(self, node: SimulatedNode) -> None:
+        """Ask a node for a planned stop; another process takes its place afterwards."""
+        self._list_node(node, MachineState.LEAVING)
+        self._stopping.add(node.identity.node_id)
+        node.request_stop()
+
+    def _check_configurations(self) -> None:
+        now = self.clock.now
+        for node in list(self.nodes.running.values()):
+            if node.identity.node_id not in self._stopping:
+                self.oracle.configuration.check_node(node.identity.node_id, node.started_at, now)
+        self.clock.after(CONFIGURATION_CHECK_SECONDS, self._check_configurations)
 
     def _attempt_arrived(self, attempt: StartAttempt, node_id: NodeId, now: float) -> None:
         self.oracle.attempt_arrived(attempt, node_id, now)
@@ -159,10 +199,26 @@
             performer(node, action)
 
     def _node_revised(self, node: SimulatedNode) -> None:
-        self.oracle.configuration_in_force(
+        self.oracle.configuration.in_force(
             node.identity.node_id, node.machine.revision, self.clock.now
         )
 
+    def _node_began(self, node: SimulatedNode) -> None:
+        self._list_node(node, MachineState.LIVE)
+
+    def _list_node(self, node: SimulatedNode, state: MachineState) -> None:
+        identity = node.identity
+        entry = MachineEntry(identity.host, identity.port, identity.zone, state)
+        self.machine_list.model.put(entry, self.clock.now)
+
+    def _replica_lost(self, replica: SimulatedReplica) -> None:
+        self.exchanges.lose_replica(replica)
+
+    def _replica_listed(self, replica: SimulatedReplica, state: MachineState) -> None:
+        entry = replica.entry
+        listed = MachineEntry(entry.host, entry.port, entry.zone, state)
+        self.machine_list.model.put(listed, self.clock.now)
+
     def _send_to_peer(self, node: SimulatedNode, action: SendToPeer) -> None:
         self.links.send(node.identity, action.to, action.message)
 
@@ -182,3 +238,7 @@
         self.exchanges.lose_node(node)
         self.store.node_lost(node.identity.node_id)
         self.callers.notice(node, False)
+        self.oracle.configuration.node_gone(node.identity.node_id)
+        self.machine_list.model.remove(node.identity.host, node.identity.port, self.clock.now)
+        if node.identity.node_id in self._stopping:
+            self.clock.after(SUCCESSOR_SECONDS, self.nodes.start_again, node)
