Close a connection rather than reuse it when it was idle for long

Cause: servers commonly close idle connections after a minute, as long as our client kept them; an exchange that begins just then breaks after its bytes have left, and an unrepeatable one becomes "unknown" for no fault. The client keeps connections 30 s, checked at reuse; unrepeatable attempts use none that was idle for over 1 s. Ruled out: retrying such a break (the back end may have run it).

--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from wingquay.adapters.http_client import HttpClient
+from wingquay.adapters.http_client_connection import OutgoingRequest
 from wingquay.adapters.http_messages import (
     HttpFailureKind,
     HttpLimits,
@@ -295,6 +296,22 @@
 
         run(test())
 
+    def test_connection_that_was_idle_too_long_is_replaced(self) -> None:
+        async def test() -> None:
+            raw = RawServer(replying(WHOLE_RESPONSE, then_close=False))
+            port = await raw.start()
+            client = HttpClient(connection_limit=1)
+            for max_idle_seconds, connections in ((None, 1), (None, 1), (0.0, 2)):
+                done: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+                request = OutgoingRequest(b"GET", b"/", [])
+                exchange = client.prepare(request, done.set_result)
+                client.begin(exchange, LOOPBACK, port, 10.0, max_idle_seconds=max_idle_seconds)
+                self.assertIsInstance(await done, HttpResponse)
+                self.assertEqual(connections, raw.connections)
+            await client.close()
+
+        run(test())
+
     def test_broken_responses_are_failures(self) -> None:
         for data in (
             b"nonsense\r\n\r\n",
--- a/wingquay/adapters/backend_client.py
+++ b/wingquay/adapters/backend_client.py
@@ -10,8 +10,9 @@
     read_search_response,
     search_request,
 )
-from wingquay.adapters.http_client import HttpClient, HttpExchange, HttpResult
+from wingquay.adapters.http_client import HttpClient
 from wingquay.adapters.http_client_connection import OutgoingRequest
+from wingquay.adapters.http_exchange import HttpExchange, HttpResult
 from wingquay.adapters.http_messages import HttpFailureKind, HttpResponse
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import AttemptId
@@ -32,7 +33,14 @@
 """Counts answers that named another attempt; they are dropped."""
 
 PROBE_CONNECTION_LIMIT = 1
-"""Connections to a replica that no attempt has named the limit of yet."""
+"""Connections to a replica to which no attempt holds one at present."""
+
+UNREPEATABLE_IDLE_SECONDS = 1.0
+"""An unrepeatable attempt uses no connection that was idle for longer.
+
+If the back end closes a connection just as it is reused, nobody can tell whether the attempt ran.
+A new connection costs about a millisecond; such a doubt costs the caller its answer.
+"""
 
 _HEALTH_REQUEST = OutgoingRequest(b"GET", b"/health", [])
 
@@ -77,7 +85,6 @@
         self._count = count
         self._client = HttpClient(body_bytes=answer_bytes)
         self._exchanges: dict[AttemptId, HttpExchange] = {}
-        self._connection_limits: dict[tuple[str, int], int] = {}
 
     async def start(self) -> None:
         """Do nothing: connections are made when they are needed."""
@@ -109,7 +116,6 @@
             failure = Failure(BackendFailureKind.NO_CONNECTION_FREE, reason)
             self._emit(AttemptFinished(attempt.attempt_id, attempt.replica_id, failure))
             return
-        self._connection_limits[attempt.host, attempt.port] = attempt.connection_limit
         exchange = self._client.prepare(
             search_request(attempt),
             on_done=partial(self._attempt_done, attempt),
@@ -122,6 +128,7 @@
             attempt.port,
             attempt.remaining_seconds,
             attempt.connection_limit,
+            None if attempt.repeatable else UNREPEATABLE_IDLE_SECONDS,
         )
 
     def _cancel_attempt(self, attempt_id: AttemptId) -> None:
@@ -150,7 +157,7 @@
     def _probe(self, probe: ProbeReplica) -> None:
         address = probe.host, probe.port
         exchange = self._client.prepare(_HEALTH_REQUEST, on_done=partial(self._probe_done, probe))
-        connection_limit = self._connection_limits.get(address, PROBE_CONNECTION_LIMIT)
+        connection_limit = self._client.limit_in_use(*address) or PROBE_CONNECTION_LIMIT
         self._client.begin(exchange, *address, probe.timeout_seconds, connection_limit)
 
     def _probe_done(self, probe: ProbeReplica, result: HttpResult) -> None:
--- a/wingquay/adapters/http_client.py
+++ b/wingquay/adapters/http_client.py
@@ -8,14 +8,11 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-import h11
-
 from wingquay.adapters.http_client_connection import (
-    ClientConnection,
-    ExchangeReader,
     OutgoingRequest,
 )
-from wingquay.adapters.http_connection_pool import Address, HttpConnectionPool
+from wingquay.adapters.http_connection_pool import HttpConnectionPool
+from wingquay.adapters.http_exchange import HttpExchange, HttpResult
 from wingquay.adapters.http_messages import (
     HttpFailureKind,
     HttpResponse,
@@ -27,143 +24,14 @@
 DEFAULT_CONNECTION_LIMIT = 70
 DEFAULT_HEADER_BYTES = 16_384
 DEFAULT_BODY_BYTES = 16_777_216
-DEFAULT_IDLE_SECONDS = 60.0
-
-HttpResult = HttpResponse | Failure[HttpFailureKind]
+DEFAULT_IDLE_SECONDS = 30.0
+"""Shorter than servers commonly wait, so that they seldom close a connection being reused."""
 
 
 def _accept_any(_response: HttpResponse) -> bool:
     return True
 
 
-class HttpExchange(ExchangeReader):
-    """One request and its response; ``on_done`` is called once unless it is cancelled."""
-
-    __slots__ = (
-        "_accepts",
-        "_body_limit_bytes",
-        "_connecting",
-        "_connection",
-        "_headers",
-        "_on_done",
-        "_pieces",
-        "_received_bytes",
-        "_request",
-        "_response",
-        "_status",
-        "_timer",
-    )
-
-    def __init__(
-        self,
-        request: OutgoingRequest,
-        on_done: Callable[[HttpResult], None],
-        accepts: Callable[[HttpResponse], bool],
-        body_limit_bytes: int,
-    ) -> None:
-        self._request = request
-        self._on_done = on_done
-        self._accepts = accepts
-        self._body_limit_bytes = body_limit_bytes
-        self._connection: ClientConnection | None = None
-        self._connecting: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._response: HttpResponse | None = None
-        self._headers: dict[str, str] = {}
-        self._pieces: list[bytes] = []
-        self._received_bytes = 0
-        self._status = 0
-
-    def cancel(self) -> None:
-        """End the exchange and its connection; ``on_done`` is not called any more."""
-        self._stop()
-        self._on_done = _ignore
-
-    def begin(self, pool: HttpConnectionPool, address: Address, connection_limit: int) -> None:
-        """Send on an idle connection, or on a new one."""
-        connection = pool.borrow_idle(address)
-        if connection is not None:
-            self._borrowed(connection)
-            return
-        connecting = pool.connect(address, connection_limit, self._borrowed)
-        if isinstance(connecting, Failure):
-            self.failed(connecting)
-        else:
-            self._connecting = connecting
-
-    def limit_time(self, loop: asyncio.AbstractEventLoop, timeout_seconds: float) -> None:
-        """End the exchange with a failure after ``timeout_seconds``."""
-        self._timer = loop.call_later(timeout_seconds, self._time_out, timeout_seconds)
-
-    def response_started(self, status: int, headers: dict[str, str]) -> None:
-        """Take in status and headers."""
-        self._status = status
-        self._headers = headers
-
-    def body_received(self, data: bytes) -> Failure[HttpFailureKind] | None:
-        """Take in a piece of the body, up to the limit."""
-        self._received_bytes += len(data)
-        if self._received_bytes > self._body_limit_bytes:
-            reason = f"response body exceeds {self._body_limit_bytes} bytes"
-            return Failure(HttpFailureKind.TOO_LARGE, reason)
-        self._pieces.append(data)
-        return None
-
-    def accepts_response(self) -> bool:
-        """Ask whoever began the exchange whether the response is its own."""
-        self._response = HttpResponse(self._status, self._headers, b"".join(self._pieces))
-        return self._accepts(self._response)
-
-    def ended(self) -> None:
-        """Hand out the whole response."""
-        assert self._response is not None
-        self._finish(self._response)
-
-    def failed(self, failure: Failure[HttpFailureKind]) -> None:
-        """Hand out the failure."""
-        self._finish(failure)
-
-    def _borrowed(self, connection: ClientConnection | Failure[HttpFailureKind]) -> None:
-        self._connecting = None
-        if isinstance(connection, Failure):
-            self._finish(connection)
-            return
-        self._connection = connection
-        try:
-            connection.start_exchange(self._request, self)
-        except h11.LocalProtocolError as error:
-            connection.abort()
-            self._finish(Failure(HttpFailureKind.UNSENDABLE, str(error)))
-
-    def _time_out(self, timeout_seconds: float) -> None:
-        was_sent = self._connection is not None
-        self._stop()
-        kind = HttpFailureKind.TIMED_OUT if was_sent else HttpFailureKind.CONNECT_FAILED
-        missing = "whole response" if was_sent else "connection"
-        self._finish(Failure(kind, f"no {missing} within {timeout_seconds:.3f} s"))
-
-    def _stop(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        if self._connecting is not None:
-            self._connecting.cancel()
-        if self._connection is not None:
-            self._connection.abort()
-            self._connection = None
-
-    def _finish(self, result: HttpResult) -> None:
-        self._connection = None
-        if self._timer is not None:
-            self._timer.cancel()
-        on_done = self._on_done
-        self._on_done = _ignore
-        on_done(result)
-
-
-def _ignore(_result: HttpResult) -> None:
-    """Stand in for ``on_done`` once it was called or is not wanted any more."""
-
-
 class HttpClient:
     """Makes exchanges; create it inside a running event loop.
 
@@ -193,6 +61,10 @@
         """Return the number of connections to an address."""
         return self._pool.open_count((host, port))
 
+    def limit_in_use(self, host: str, port: int) -> int | None:
+        """Return the limit last given for an address; ``None``: there is no connection to it."""
+        return self._pool.connection_limit((host, port))
+
     def prepare(
         self,
         request: OutgoingRequest,
@@ -218,6 +90,7 @@
         port: int,
         timeout_seconds: float,
         connection_limit: int | None = None,
+        max_idle_seconds: float | None = None,
     ) -> None:
         """Send a prepared exchange to ``host`` (an IP number); ``on_done`` may be called at once.
 
@@ -225,9 +98,12 @@
         ----------
         connection_limit
             The most connections to this address.
+        max_idle_seconds
+            A connection that was idle for longer is not used; default: the client's limit.
         """
         exchange.limit_time(self._loop, timeout_seconds)
-        exchange.begin(self._pool, (host, port), connection_limit or self._connection_limit)
+        limit = connection_limit or self._connection_limit
+        exchange.begin(self._pool, (host, port), limit, max_idle_seconds)
 
     async def request(
         self,
--- a/wingquay/adapters/http_connection_pool.py
+++ b/wingquay/adapters/http_connection_pool.py
@@ -49,13 +49,31 @@
         pool = self._pools.get(address)
         return 0 if pool is None else pool.open_count
 
-    def borrow_idle(self, address: Address) -> ClientConnection | None:
-        """Lend an idle connection, or return ``None`` if there is none."""
+    def connection_limit(self, address: Address) -> int | None:
+        """Return the limit last given for ``address``, or ``None`` without a connection to it."""
         pool = self._pools.get(address)
-        while pool is not None and pool.idle:
+        return None if pool is None else pool.connection_limit
+
+    def borrow_idle(
+        self, address: Address, max_idle_seconds: float | None = None
+    ) -> ClientConnection | None:
+        """Lend the connection that was used last, or return ``None`` if there is none.
+
+        One that was idle for longer than ``max_idle_seconds`` (default: the pool's limit) is
+        closed instead: the longer it was idle, the likelier the other side is closing it.
+        """
+        pool = self._pools.get(address)
+        if pool is None:
+            return None
+        limit_seconds = self._idle_seconds if max_idle_seconds is None else max_idle_seconds
+        while pool.idle:
             connection = pool.idle.pop()
-            if connection.is_usable:
+            if not connection.is_usable:
+                continue
+            if self._loop.time() - connection.idle_since_seconds <= limit_seconds:
                 return connection
+            connection.abort()
+            return None
         return None
 
     def connect(
