Spend less on key ranges and load reports for each sub-request

Cause: a profile of a simulated ro-nord (2 virtual seconds, load 0.7) showed normalize called 199,000 times and dataclasses.replace 65,000 times for 30,000 sub-requests. Change: single ranges take a short way through normalize, intersect, subtract and contains_key; rows of one range are filtered by comparison; load reports are built instead of copied. Ruled out: the cyclic garbage collector (18.2 s with, 18.8 s without, 19.3 s frozen: no difference beyond noise).

--- a/wingquay/model/key_range.py
+++ b/wingquay/model/key_range.py
@@ -102,6 +102,9 @@
     right: Sequence[KeyRange],
 ) -> tuple[KeyRange, ...]:
     """Return the keys that lie in both collections of ranges."""
+    if len(left) == 1 and len(right) == 1:
+        overlap = left[0].intersection(right[0])
+        return () if overlap is None else (overlap,)
     overlaps = (one.intersection(other) for one in left for other in right)
     return normalize(overlap for overlap in overlaps if overlap is not None)
 
@@ -111,6 +114,8 @@
     removed: Sequence[KeyRange],
 ) -> tuple[KeyRange, ...]:
     """Return the keys of ``wanted`` that lie in none of ``removed``."""
+    if not removed or wanted == removed:
+        return () if removed else normalize(wanted)
     remaining = list(normalize(wanted))
     for hole in normalize(removed):
         remaining = [piece for whole in remaining for piece in _without(whole, hole)]
@@ -129,4 +134,6 @@
 
 def contains_key(ranges: Sequence[KeyRange], key: str) -> bool:
     """Whether any of ``ranges`` holds ``key``."""
+    if len(ranges) == 1:
+        return ranges[0].contains(key)
     return any(key_range.contains(key) for key_range in ranges)
--- a/wingquay/query/merge.py
+++ b/wingquay/query/merge.py
@@ -51,11 +51,11 @@
         # is asked here cannot be covered yet; each sub-request's result is merged once.
         if answer.covered == asked:
             self._covered += asked
-            self._rows += [row for row in answer.rows if contains_key(asked, row.key)]
+            self._rows += _rows_within(asked, answer.rows)
             return ()
         fresh = intersect(asked, answer.covered)
         self._covered += fresh
-        self._rows += [row for row in answer.rows if contains_key(fresh, row.key)]
+        self._rows += _rows_within(fresh, answer.rows)
         return subtract(asked, answer.covered)
 
     @property
@@ -87,3 +87,13 @@
             remaining = subtract(remaining, hit)
         parts += [MissingPart(key_range, otherwise) for key_range in remaining]
         return tuple(sorted(parts, key=lambda part: part.key_range.start))
+
+
+def _rows_within(key_ranges: tuple[KeyRange, ...], rows: tuple[Row, ...]) -> list[Row]:
+    """Return the rows whose keys lie in ``key_ranges``; rows need not be sorted."""
+    if len(key_ranges) != 1:
+        return [row for row in rows if contains_key(key_ranges, row.key)]
+    start, end = key_ranges[0].start, key_ranges[0].end
+    if end is None:
+        return [row for row in rows if start <= row.key]
+    return [row for row in rows if start <= row.key < end]
--- a/wingquay/rehearsal/models/backend_messages.py
+++ b/wingquay/rehearsal/models/backend_messages.py
@@ -1,6 +1,6 @@
 """What a modelled back end is asked and what it replies, apart from any wire format."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum
 
 from wingquay.model.answer import Row
@@ -116,7 +116,13 @@
 
     def to_attempt_finished(self, replica_id: ReplicaId) -> AttemptFinished:
         """Return the event that a back-end adapter makes of this reply."""
-        load = replace(self.load, oldest_version=self.oldest, newest_version=self.newest)
+        load = LoadReport(
+            utilization=self.load.utilization,
+            draining=self.load.draining,
+            cold=self.load.cold,
+            oldest_version=self.oldest,
+            newest_version=self.newest,
+        )
         return AttemptFinished(self.attempt_id, replica_id, self._result(), load)
 
     def _result(self) -> BackendAnswer | Failure[BackendFailureKind]:
