Know which nodes and replicas there are: SWIM with Lifeguard's additions

Cause: nodes must learn of each other, of dead and leaving nodes and of leaving replicas at a cost that does not grow with their number. Ruled out: heartbeats between all pairs; taking the dead on a fetched list for dead (after a healed cut every healthy node would flap); a digest of the membership on each message (whole lists at long intervals repair the rest). The tests found, and the change mends: a node that had been mute never told its refutation again; a node restarted on a known address pinged itself and took itself for another.

--- /dev/null
+++ b/wingquay/membership/contacts.py
@@ -0,0 +1,67 @@
+"""Addresses worth trying: to join at the start, and to find each other again after a cut."""
+
+import random
+from collections.abc import Iterable
+
+from wingquay.membership.member_table import MemberTable
+from wingquay.membership.settings import SeedAddress
+from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
+from wingquay.ports.peer import NodeIdentity
+
+
+class Contacts:
+    """Seeds, addresses from the machine list, and nodes that are believed dead.
+
+    Parameters
+    ----------
+    own
+        This node's own address, which is never tried.
+    """
+
+    def __init__(
+        self,
+        own: SeedAddress,
+        seeds: Iterable[SeedAddress],
+        table: MemberTable,
+        random_source: random.Random,
+    ) -> None:
+        self._own = own
+        self._seeds = tuple(dict.fromkeys(seeds))
+        self._listed: tuple[SeedAddress, ...] = ()
+        self._table = table
+        self._random = random_source
+
+    def set_listed(self, addresses: Iterable[SeedAddress]) -> None:
+        """Take in the addresses of the machine list that may be nodes."""
+        self._listed = tuple(addresses)
+
+    def choose(self, count: int) -> list[NodeIdentity]:
+        """Return up to ``count`` addresses at which no living node is known."""
+        candidates = [*self._unknown_addresses(), *self._dead()]
+        return self._random.sample(candidates, min(count, len(candidates)))
+
+    def _unknown_addresses(self) -> list[NodeIdentity]:
+        addresses = dict.fromkeys((*self._seeds, *self._listed))
+        return [_anyone_at(address) for address in addresses if self._is_unknown(address)]
+
+    def _is_unknown(self, address: SeedAddress) -> bool:
+        if address == self._own:
+            return False
+        member = self._table.at_address(address.host, address.port)
+        return member is None
+
+    def _dead(self) -> list[NodeIdentity]:
+        return [
+            member.identity for member in self._table.dead() if self._is_last_there(member.identity)
+        ]
+
+    def _is_last_there(self, identity: NodeIdentity) -> bool:
+        """Whether no other node, this one included, is known to have taken the address over."""
+        if SeedAddress(identity.host, identity.port) == self._own:
+            return False
+        latest = self._table.at_address(identity.host, identity.port)
+        return latest is None or latest.identity == identity
+
+
+def _anyone_at(address: SeedAddress) -> NodeIdentity:
+    return NodeIdentity(NodeId(""), DeploymentName(""), ZoneName(""), address.host, address.port)
--- /dev/null
+++ b/wingquay/membership/courier.py
@@ -0,0 +1,121 @@
+"""Puts membership messages together, with the gossip that rides on them."""
+
+import random
+
+from wingquay.membership.gossip_queue import GossipQueue, estimated_bytes
+from wingquay.membership.member_table import MemberTable
+from wingquay.membership.settings import MembershipSettings
+from wingquay.model.identifiers import NodeId, Revision
+from wingquay.ports.machine import Action, Count, Log, LogLevel
+from wingquay.ports.peer import (
+    Acknowledgement,
+    Gossip,
+    NodeIdentity,
+    NodeState,
+    NodeUpdate,
+    PeerMessage,
+    Ping,
+    PingRequest,
+    ReplicaUpdate,
+    SendToPeer,
+)
+
+NO_ANSWER_WANTED = 0
+"""Sequence number of a ping that only carries gossip."""
+
+
+class Outbox:
+    """Collects the actions of one event, in order."""
+
+    def __init__(self) -> None:
+        self._actions: list[Action] = []
+
+    def add(self, action: Action) -> None:
+        """Take an action."""
+        self._actions.append(action)
+
+    def log(self, message: str, *fields: tuple[str, str | int | float]) -> None:
+        """Take a log line."""
+        self._actions.append(Log(message, LogLevel.INFO, fields))
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+        self._actions.append(Count(name))
+
+    def drain(self) -> list[Action]:
+        """Return what was taken since the last time."""
+        actions, self._actions = self._actions, []
+        return actions
+
+
+class Courier:
+    """Sends membership messages.
+
+    Attributes
+    ----------
+    revision
+        Of the configuration in force here; told with every message.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        table: MemberTable,
+        queue: GossipQueue,
+        outbox: Outbox,
+        random_source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._queue = queue
+        self._outbox = outbox
+        self._random = random_source
+        self.revision = Revision(0)
+
+    def send(self, to: NodeIdentity, message: PeerMessage) -> None:
+        """Send any message."""
+        self._outbox.add(SendToPeer(to, message))
+
+    def ping(self, to: NodeIdentity, sequence: int, first: NodeUpdate | None = None) -> None:
+        """Probe a node, or with ``NO_ANSWER_WANTED`` bring it gossip, ``first`` before all."""
+        self.send(to, Ping(sequence, self._gossip_for(to.node_id, first)))
+
+    def acknowledge(self, to: NodeIdentity, sequence: int, subject: NodeId) -> None:
+        """Answer a probe of ``subject``."""
+        self.send(to, Acknowledgement(sequence, subject, self._gossip_for(to.node_id)))
+
+    def request_probe(self, relay: NodeIdentity, sequence: int, subject: NodeIdentity) -> None:
+        """Ask ``relay`` to probe ``subject``."""
+        self.send(relay, PingRequest(sequence, subject, self._gossip_for(relay.node_id)))
+
+    def push(self, fanout: int) -> None:
+        """Bring what is to be spread to ``fanout`` random nodes."""
+        reachable = self._table.reachable()
+        for member in self._random.sample(reachable, min(fanout, len(reachable))):
+            self.ping(member.identity, NO_ANSWER_WANTED)
+
+    def tell(self, update: NodeUpdate) -> None:
+        """Tell a node what is said of it, so that it can refute."""
+        self.ping(update.identity, NO_ANSWER_WANTED, first=update)
+
+    def _gossip_for(self, receiver: NodeId, first: NodeUpdate | None = None) -> Gossip:
+        budget = self._settings.gossip_maximum_bytes
+        node_updates: list[NodeUpdate] = []
+        replica_updates: list[ReplicaUpdate] = []
+        about_receiver = first or self._doubt_about(receiver)
+        if about_receiver is not None:
+            node_updates.append(about_receiver)
+            budget -= estimated_bytes(about_receiver)
+        for update in self._queue.take(budget, self._table.node_count):
+            if isinstance(update, ReplicaUpdate):
+                replica_updates.append(update)
+            else:
+                node_updates.append(update)
+        return Gossip(self.revision, tuple(node_updates), tuple(replica_updates))
+
+    def _doubt_about(self, receiver: NodeId) -> NodeUpdate | None:
+        """Return our suspicion of the receiver, so that it can refute at once (Lifeguard)."""
+        member = self._table.get(receiver)
+        if member is None or member.state in (NodeState.ALIVE, NodeState.LEAVING):
+            return None
+        return member.as_update()
--- /dev/null
+++ b/wingquay/membership/member_table.py
@@ -0,0 +1,114 @@
+"""What this node believes of every other node, and which belief overrides which."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from wingquay.model.identifiers import NodeId
+from wingquay.ports.peer import NodeIdentity, NodeState, NodeUpdate
+
+NOBODY = NodeId("")
+
+_RANKS = {
+    NodeState.ALIVE: 0,
+    NodeState.SUSPECT: 1,
+    NodeState.LEAVING: 2,
+    NodeState.DEAD: 3,
+}
+"""At equal incarnation the higher rank overrides. Only the node itself says that it is leaving,
+and under a new incarnation; a mere suspicion must not undo that."""
+
+
+@dataclass(slots=True)
+class Member:
+    """A node as this one sees it.
+
+    Parameters
+    ----------
+    changed_at
+        When ``state`` was last changed (seconds).
+    answered_at
+        When the node last answered a probe of ours: proof of a way there and back.
+    told_at
+        When the node was last told that it is not believed alive.
+    """
+
+    identity: NodeIdentity
+    state: NodeState
+    incarnation: int
+    changed_at: float
+    answered_at: float = float("-inf")
+    told_at: float = float("-inf")
+
+    def as_update(self, suspected_by: NodeId = NOBODY) -> NodeUpdate:
+        """Return the belief as gossip."""
+        return NodeUpdate(self.identity, self.state, self.incarnation, suspected_by)
+
+
+def overrides(update: NodeUpdate, member: Member) -> bool:
+    """Whether ``update`` replaces what is believed of ``member``."""
+    if update.incarnation != member.incarnation:
+        return update.incarnation > member.incarnation
+    return _RANKS[update.state] > _RANKS[member.state]
+
+
+class MemberTable:
+    """Every other node that is known, the dead included until they are forgotten."""
+
+    def __init__(self) -> None:
+        self._members: dict[NodeId, Member] = {}
+        self._by_address: dict[tuple[str, int], NodeId] = {}
+        self._reachable: list[Member] | None = None
+
+    def get(self, node_id: NodeId) -> Member | None:
+        """Return the member with that id."""
+        return self._members.get(node_id)
+
+    def at_address(self, host: str, port: int) -> Member | None:
+        """Return the member last known to listen there."""
+        node_id = self._by_address.get((host, port))
+        return None if node_id is None else self._members.get(node_id)
+
+    def put(self, update: NodeUpdate, now: float) -> Member:
+        """Believe ``update`` from ``now`` on."""
+        self._reachable = None
+        identity = update.identity
+        member = self._members.get(identity.node_id)
+        if member is None:
+            member = Member(identity, update.state, update.incarnation, now)
+            self._members[identity.node_id] = member
+        else:
+            member.state = update.state
+            member.incarnation = update.incarnation
+            member.changed_at = now
+        if update.state is not NodeState.DEAD:
+            self._by_address[(identity.host, identity.port)] = identity.node_id
+        return member
+
+    def reachable(self) -> list[Member]:
+        """Return the members that are not dead, in the order in which they became known."""
+        if self._reachable is None:
+            members = self._members.values()
+            self._reachable = [entry for entry in members if entry.state is not NodeState.DEAD]
+        return self._reachable
+
+    def all(self) -> Iterable[Member]:
+        """Return every member."""
+        return self._members.values()
+
+    def dead(self) -> list[Member]:
+        """Return the members that are dead."""
+        return [entry for entry in self._members.values() if entry.state is NodeState.DEAD]
+
+    def forget_dead_before(self, moment: float) -> None:
+        """Forget the nodes that have been dead since before ``moment``."""
+        for member in self.dead():
+            if member.changed_at < moment:
+                identity = member.identity
+                del self._members[identity.node_id]
+                if self.at_address(identity.host, identity.port) is None:
+                    self._by_address.pop((identity.host, identity.port), None)
+
+    @property
+    def node_count(self) -> int:
+        """How many nodes there are, this one included."""
+        return len(self.reachable()) + 1
--- /dev/null
+++ b/wingquay/membership/node_beliefs.py
@@ -0,0 +1,288 @@
+"""Takes in what is said of nodes, this one included, and decides what to believe and spread."""
+
+import random
+from enum import Enum
+
+from wingquay.membership.courier import Outbox
+from wingquay.membership.gossip_queue import GossipQueue
+from wingquay.membership.local_health import LocalHealth
+from wingquay.membership.member_table import Member, MemberTable, overrides
+from wingquay.membership.probing import ProbeOrder
+from wingquay.membership.settings import MembershipSettings
+from wingquay.membership.suspicion import Suspicion, new_suspicion
+from wingquay.model.identifiers import NodeId
+from wingquay.ports.internal import MembershipChanged
+from wingquay.ports.peer import NodeIdentity, NodeState, NodeUpdate
+
+TELL_PAUSE_SECONDS = 1.0
+"""Shortest time between two times that a node is told that it is believed dead."""
+
+LONG_DEAD_SECONDS = 10.0
+"""A node that returns after this time was cut off rather than suspected in error."""
+
+_AVAILABLE = (NodeState.ALIVE, NodeState.SUSPECT)
+
+
+class Haste(Enum):
+    """How something that was heard is passed on."""
+
+    AT_ONCE = "at_once"
+    WHERE_THERE_IS_ROOM = "where_there_is_room"
+    NOT = "not"
+
+
+class NodeBeliefs:
+    """What this node believes of the others and says of itself.
+
+    Attributes
+    ----------
+    is_changed
+        Whether the nodes that may be asked have changed since this was last set to ``False``.
+    to_tell
+        Nodes that should hear what is said of them, so that they can refute it.
+    arrivals
+        How many nodes were first heard of or came back from the dead.
+    last_returned
+        The node that last came back after it had been dead for a while: perhaps a cut has healed.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        settings: MembershipSettings,
+        table: MemberTable,
+        queue: GossipQueue,
+        order: ProbeOrder,
+        outbox: Outbox,
+        random_source: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._settings = settings
+        self._table = table
+        self._queue = queue
+        self._order = order
+        self._outbox = outbox
+        self._random = random_source
+        self._suspicions: dict[NodeId, Suspicion] = {}
+        self._own_state = NodeState.ALIVE
+        self._own_incarnation = 0
+        self.health = LocalHealth(settings.health_maximum)
+        self.is_changed = True
+        self.to_tell: dict[NodeId, NodeUpdate] = {}
+        self.arrivals = 0
+        self.last_returned: NodeIdentity | None = None
+
+    def own_update(self) -> NodeUpdate:
+        """Return what this node says of itself."""
+        return NodeUpdate(self._identity, self._own_state, self._own_incarnation)
+
+    def announce(self) -> None:
+        """Spread what this node says of itself."""
+        self._queue.put(self.own_update())
+
+    def leave(self) -> None:
+        """Say from now on that this node is leaving."""
+        self._own_state = NodeState.LEAVING
+        self._own_incarnation += 1
+        self.is_changed = True
+        self.announce()
+
+    def refute(self, incarnation: int) -> None:
+        """Contradict whatever is said of this node at ``incarnation``."""
+        self._own_incarnation = max(self._own_incarnation, incarnation) + 1
+        self._outbox.count("membership_refutations_total")
+        self.announce()
+
+    def refute_unheard(self) -> None:
+        """Contradict what may be said of this node and has not reached it."""
+        self.refute(self._own_incarnation)
+
+    def available(self) -> MembershipChanged:
+        """Return the nodes that may be asked and those that are leaving."""
+        everyone = [(member.identity, member.state) for member in self._table.reachable()]
+        everyone.append((self._identity, self._own_state))
+        available = [identity for identity, state in everyone if state in _AVAILABLE]
+        leaving = [identity for identity, state in everyone if state is NodeState.LEAVING]
+        return MembershipChanged(
+            tuple(sorted(available, key=_node_id)), tuple(sorted(leaving, key=_node_id))
+        )
+
+    def hear_from(self, sender: NodeIdentity, now: float) -> None:
+        """Take note of a message that came from ``sender`` itself."""
+        member = self._table.get(sender.node_id)
+        if member is None:
+            self._replace_predecessor(sender, now)
+            self._add(NodeUpdate(sender, NodeState.ALIVE, 0), now)
+        elif member.state is NodeState.DEAD and now - member.told_at >= TELL_PAUSE_SECONDS:
+            member.told_at = now
+            self.to_tell[sender.node_id] = member.as_update()
+
+    def answered(self, node_id: NodeId, now: float) -> None:
+        """Take note of an answer to a probe of ours."""
+        member = self._table.get(node_id)
+        if member is not None:
+            member.answered_at = now
+
+    def found_other_process(self, expected: NodeId, now: float) -> None:
+        """Take note that another process has the address of ``expected``: it is gone."""
+        member = self._table.get(expected)
+        if member is not None and member.state is not NodeState.DEAD:
+            self._declare_dead(member, now, "its address has a new process")
+
+    def hear_gossip(self, update: NodeUpdate, now: float, haste: Haste = Haste.AT_ONCE) -> None:
+        """Take in one piece of gossip, and spread it if it is new."""
+        if update.identity.node_id == self._identity.node_id:
+            self._hear_of_self(update)
+            return
+        member = self._table.get(update.identity.node_id)
+        if member is None:
+            if update.state is not NodeState.DEAD:
+                self._add(update, now, haste)
+        elif update.state is NodeState.SUSPECT and self._confirm(update):
+            self._queue.put(update)
+        elif overrides(update, member):
+            if update.state is NodeState.DEAD and self._speaks_against(member, now):
+                self._ask_subject(update)
+            else:
+                self._change(member, update, now, haste)
+
+    def hear_listed(self, update: NodeUpdate, now: float, haste: Haste) -> None:
+        """Take in one entry of another node's whole list.
+
+        A list may be from behind a cut that has just healed. So the dead on it are not taken for
+        dead here; they are told, and refute if they live.
+        """
+        member = self._table.get(update.identity.node_id)
+        if update.state is not NodeState.DEAD or update.identity == self._identity:
+            self.hear_gossip(update, now, haste)
+        elif member is not None and overrides(update, member):
+            self._ask_subject(update)
+
+    def suspect(self, node_id: NodeId, now: float) -> None:
+        """Take note that a probe of ours was not answered, directly or through others."""
+        member = self._table.get(node_id)
+        if member is None or member.state is NodeState.DEAD:
+            return
+        if member.state is NodeState.LEAVING:
+            # It says itself that it goes; a suspicion would only hide that.
+            self._suspicions.setdefault(node_id, self._new_suspicion(now))
+            return
+        own_id = self._identity.node_id
+        update = NodeUpdate(member.identity, NodeState.SUSPECT, member.incarnation, own_id)
+        if member.state is NodeState.ALIVE:
+            self._outbox.count("membership_suspicions_total")
+            self._outbox.log("node_suspected", ("node", node_id))
+            self._change(member, update, now)
+        elif self._confirm(update):
+            self._queue.put(update)
+
+    def postpone_suspicions(self, seconds: float) -> None:
+        """Do not count time in which this node itself was paused."""
+        for suspicion in self._suspicions.values():
+            suspicion.postpone(seconds)
+
+    def expire_suspicions(self, now: float) -> None:
+        """Declare those dead that have not refuted in time."""
+        for node_id, suspicion in list(self._suspicions.items()):
+            if suspicion.expires_at > now:
+                continue
+            member = self._table.get(node_id)
+            if member is None:
+                del self._suspicions[node_id]
+            elif member.answered_at > suspicion.started_at:
+                suspicion.started_at = now
+                self.to_tell[node_id] = member.as_update()
+            else:
+                self._declare_dead(member, now, "it did not refute")
+
+    def _hear_of_self(self, update: NodeUpdate) -> None:
+        is_doubt = update.state in (NodeState.SUSPECT, NodeState.DEAD)
+        if update.incarnation > self._own_incarnation or (
+            is_doubt and update.incarnation == self._own_incarnation
+        ):
+            self.health.worsen()
+            self.refute(update.incarnation)
+        elif is_doubt and not self._queue.holds_node(self._identity.node_id):
+            # Refuted before, but not everybody has heard it: we may have been mute.
+            self.announce()
+
+    def _replace_predecessor(self, newcomer: NodeIdentity, now: float) -> None:
+        predecessor = self._table.at_address(newcomer.host, newcomer.port)
+        if predecessor is not None:
+            self.found_other_process(predecessor.identity.node_id, now)
+
+    def _add(self, update: NodeUpdate, now: float, haste: Haste = Haste.AT_ONCE) -> None:
+        member = self._table.put(update, now)
+        node_id = update.identity.node_id
+        self._order.insert(node_id)
+        self.arrivals += 1
+        self._spread(update, haste)
+        self.is_changed = True
+        self._outbox.log("node_joined", ("node", node_id), ("zone", update.identity.zone))
+        if member.state is NodeState.SUSPECT:
+            self._begin_suspicion(update, now)
+
+    def _spread(self, update: NodeUpdate, haste: Haste) -> None:
+        if haste is not Haste.NOT:
+            self._queue.put(update, urgent=haste is Haste.AT_ONCE)
+
+    def _confirm(self, update: NodeUpdate) -> bool:
+        """Count an independent suspicion; return whether it is news."""
+        member = self._table.get(update.identity.node_id)
+        suspicion = self._suspicions.get(update.identity.node_id)
+        if member is None or suspicion is None or member.state is not NodeState.SUSPECT:
+            return False
+        if member.incarnation != update.incarnation:
+            return False
+        return suspicion.confirm(update.suspected_by)
+
+    def _speaks_against(self, member: Member, now: float) -> bool:
+        """Whether what we saw ourselves contradicts that ``member`` is dead."""
+        fresh = now - member.answered_at < self._settings.round_trip_fresh_seconds
+        return fresh and member.state is not NodeState.LEAVING
+
+    def _ask_subject(self, update: NodeUpdate) -> None:
+        self.to_tell[update.identity.node_id] = update
+        self._order.prefer(update.identity.node_id)
+
+    def _change(
+        self, member: Member, update: NodeUpdate, now: float, haste: Haste = Haste.AT_ONCE
+    ) -> None:
+        before, dead_seconds = member.state, now - member.changed_at
+        self._table.put(update, now)
+        self._suspicions.pop(update.identity.node_id, None)
+        if update.state is NodeState.SUSPECT:
+            self._begin_suspicion(update, now)
+        if before is NodeState.DEAD:
+            self.arrivals += 1
+            if dead_seconds >= LONG_DEAD_SECONDS:
+                self.last_returned = update.identity
+            self._outbox.log("node_returned", ("node", update.identity.node_id))
+        self.is_changed |= _kind(before) != _kind(update.state)
+        self._spread(update, haste)
+
+    def _begin_suspicion(self, update: NodeUpdate, now: float) -> None:
+        suspicion = self._new_suspicion(now)
+        suspicion.confirm(update.suspected_by)
+        self._suspicions[update.identity.node_id] = suspicion
+        share = self._settings.confirming_probes / self._table.node_count
+        if self._random.random() < share:
+            self._order.prefer(update.identity.node_id)
+
+    def _new_suspicion(self, now: float) -> Suspicion:
+        return new_suspicion(self._settings, self._table.node_count, now)
+
+    def _declare_dead(self, member: Member, now: float, reason: str) -> None:
+        node_id = member.identity.node_id
+        self._outbox.count("membership_deaths_total")
+        self._outbox.log("node_dead", ("node", node_id), ("reason", reason))
+        self._change(member, NodeUpdate(member.identity, NodeState.DEAD, member.incarnation), now)
+
+
+def _kind(state: NodeState) -> NodeState:
+    """Return the state as the other machines of the node tell them apart."""
+    return NodeState.ALIVE if state is NodeState.SUSPECT else state
+
+
+def _node_id(identity: NodeIdentity) -> NodeId:
+    return identity.node_id
--- /dev/null
+++ b/wingquay/membership/prober.py
@@ -0,0 +1,162 @@
+"""Probes other nodes, and on behalf of others."""
+
+import random
+from dataclasses import dataclass
+
+from wingquay.membership.courier import NO_ANSWER_WANTED, Courier
+from wingquay.membership.member_table import MemberTable
+from wingquay.membership.node_beliefs import NodeBeliefs
+from wingquay.membership.probing import Probe, ProbeOrder, ProbeStep, new_probe
+from wingquay.membership.settings import MembershipSettings
+from wingquay.model.identifiers import NodeId
+from wingquay.ports.peer import (
+    Acknowledgement,
+    NodeIdentity,
+    NodeState,
+    Ping,
+    PingRequest,
+)
+
+MAXIMUM_RELAYED_PROBES = 1_000
+"""Probes on behalf of others that are remembered at once."""
+
+FIRST_SEQUENCE_BITS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class _RelayedProbe:
+    """A probe on behalf of ``requester``, who waits under ``requester_sequence``."""
+
+    requester: NodeIdentity
+    requester_sequence: int
+    subject: NodeId
+    refuse_at: float
+
+
+class Prober:
+    """Drives the probe that is under way and the probes on behalf of others."""
+
+    def __init__(
+        self,
+        own_id: NodeId,
+        settings: MembershipSettings,
+        table: MemberTable,
+        order: ProbeOrder,
+        beliefs: NodeBeliefs,
+        courier: Courier,
+        random_source: random.Random,
+    ) -> None:
+        self._own_id = own_id
+        self._settings = settings
+        self._table = table
+        self._order = order
+        self._beliefs = beliefs
+        self._courier = courier
+        self._random = random_source
+        self._sequence = random_source.getrandbits(FIRST_SEQUENCE_BITS)
+        self._probe: Probe | None = None
+        self._next_probe_at = float("-inf")
+        self._relayed: dict[int, _RelayedProbe] = {}
+
+    def next_sequence(self) -> int:
+        """Return a number that no probe of this node has had."""
+        self._sequence += 1
+        return self._sequence
+
+    def cancel(self) -> None:
+        """Give up the probe under way without a verdict."""
+        self._probe = None
+
+    def tick(self, now: float) -> None:
+        """Go on with the probe under way, or start the next one when it is time."""
+        if self._probe is not None:
+            self._continue(self._probe, now)
+        if self._probe is None and now >= self._next_probe_at:
+            self._start(now)
+        self._refuse_relayed(now)
+
+    def _start(self, now: float) -> None:
+        multiplier = self._beliefs.health.multiplier
+        self._next_probe_at = now + self._settings.probe_interval_seconds * multiplier
+        target = self._order.next_target()
+        if target is None:
+            return
+        sequence = self.next_sequence()
+        self._probe = new_probe(target.identity, sequence, self._settings, multiplier, now)
+        self._courier.ping(target.identity, sequence)
+
+    def _continue(self, probe: Probe, now: float) -> None:
+        match probe.next_step(now):
+            case ProbeStep.SEND_AGAIN:
+                self._courier.ping(probe.target, probe.sequence)
+            case ProbeStep.ASK_OTHERS:
+                self._ask_others(probe)
+            case ProbeStep.GIVE_UP:
+                self._give_up(probe, now)
+
+    def _ask_others(self, probe: Probe) -> None:
+        self._courier.ping(probe.target, probe.sequence)
+        others = [
+            member.identity
+            for member in self._table.reachable()
+            if member.state is NodeState.ALIVE and member.identity != probe.target
+        ]
+        relays = self._random.sample(others, min(self._settings.indirect_probes, len(others)))
+        for relay in relays:
+            self._courier.request_probe(relay, probe.sequence, probe.target)
+        probe.relays = max(1, len(relays))
+
+    def _give_up(self, probe: Probe, now: float) -> None:
+        self._probe = None
+        # Relays that do not even refuse are a sign that this node itself is not heard.
+        self._beliefs.health.worsen(max(0, probe.relays - probe.refusals))
+        self._beliefs.suspect(probe.target.node_id, now)
+
+    def on_ping(self, sender: NodeIdentity, message: Ping) -> None:
+        """Answer a probe."""
+        if message.sequence != NO_ANSWER_WANTED:
+            self._courier.acknowledge(sender, message.sequence, self._own_id)
+
+    def on_acknowledgement(
+        self, sender: NodeIdentity, message: Acknowledgement, now: float
+    ) -> None:
+        """Take in an answer to a probe of ours, or to one on behalf of another node."""
+        relayed = self._relayed.pop(message.sequence, None)
+        if relayed is not None:
+            if message.subject == relayed.subject:
+                requester, sequence = relayed.requester, relayed.requester_sequence
+                self._courier.acknowledge(requester, sequence, relayed.subject)
+            return
+        probe = self._probe
+        if probe is None or message.sequence != probe.sequence:
+            return
+        if message.subject == probe.target.node_id:
+            self._probe = None
+            self._beliefs.health.improve()
+            self._beliefs.answered(probe.target.node_id, now)
+        elif (sender.host, sender.port) == (probe.target.host, probe.target.port):
+            self._probe = None
+            self._beliefs.found_other_process(probe.target.node_id, now)
+        else:
+            probe.refusals += 1
+
+    def on_ping_request(self, sender: NodeIdentity, message: PingRequest, now: float) -> None:
+        """Probe on behalf of ``sender``."""
+        if message.subject.node_id == self._own_id:
+            self._courier.acknowledge(sender, message.sequence, self._own_id)
+            return
+        if len(self._relayed) >= MAXIMUM_RELAYED_PROBES:
+            return
+        sequence = self.next_sequence()
+        refuse_at = now + self._settings.probe_resend_seconds
+        subject = message.subject.node_id
+        self._relayed[sequence] = _RelayedProbe(sender, message.sequence, subject, refuse_at)
+        self._courier.ping(message.subject, sequence)
+
+    def _refuse_relayed(self, now: float) -> None:
+        """Tell those who asked that there was no answer; it shows them that they are heard."""
+        for sequence, relayed in list(self._relayed.items()):
+            if now >= relayed.refuse_at:
+                del self._relayed[sequence]
+                requester, requester_sequence = relayed.requester, relayed.requester_sequence
+                self._courier.acknowledge(requester, requester_sequence, self._own_id)
--- /dev/null
+++ b/wingquay/membership/probing.py
@@ -0,0 +1,112 @@
+"""Which node is probed next, and the probe that is under way.
+
+Source: SWIM (2002), sections 3.1 and 4.3: randomized round robin bounds the time until any node
+is probed; an unanswered probe is repeated through others before it counts.
+"""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from wingquay.membership.member_table import Member, MemberTable
+from wingquay.membership.settings import MembershipSettings
+from wingquay.model.identifiers import NodeId
+from wingquay.ports.peer import NodeIdentity, NodeState
+
+
+class ProbeStep(Enum):
+    """What is to be done about the probe that is under way."""
+
+    WAIT = "wait"
+    SEND_AGAIN = "send_again"
+    ASK_OTHERS = "ask_others"
+    GIVE_UP = "give_up"
+
+
+@dataclass(slots=True)
+class Probe:
+    """A probe that has not been answered yet.
+
+    Parameters
+    ----------
+    again_at, indirect_at, ends_at
+        When to repeat it, to ask others, to give up (seconds).
+    relays, refusals
+        How many others were asked, and how many of them said that they had no answer either.
+    """
+
+    target: NodeIdentity
+    sequence: int
+    again_at: float
+    indirect_at: float
+    ends_at: float
+    sent_again: bool = False
+    relays: int = 0
+    refusals: int = 0
+
+    def next_step(self, now: float) -> ProbeStep:
+        """Return what is due ``now``; each step is returned once."""
+        if now >= self.ends_at:
+            return ProbeStep.GIVE_UP
+        if now >= self.indirect_at and self.relays == 0:
+            return ProbeStep.ASK_OTHERS
+        if now >= self.again_at and not self.sent_again:
+            self.sent_again = True
+            return ProbeStep.SEND_AGAIN
+        return ProbeStep.WAIT
+
+
+def new_probe(
+    target: NodeIdentity,
+    sequence: int,
+    settings: MembershipSettings,
+    health_multiplier: int,
+    now: float,
+) -> Probe:
+    """Return a probe that starts ``now``, with times for this node's own health."""
+    return Probe(
+        target=target,
+        sequence=sequence,
+        again_at=now + settings.probe_resend_seconds * health_multiplier,
+        indirect_at=now + settings.probe_indirect_seconds * health_multiplier,
+        ends_at=now + settings.probe_interval_seconds * health_multiplier,
+    )
+
+
+class ProbeOrder:
+    """Goes through all nodes in a random order, then in another one."""
+
+    def __init__(self, table: MemberTable, random_source: random.Random) -> None:
+        self._table = table
+        self._random = random_source
+        self._remaining: list[NodeId] = []
+        self._preferred: dict[NodeId, None] = {}
+
+    def prefer(self, node_id: NodeId) -> None:
+        """Probe this node next."""
+        self._preferred[node_id] = None
+
+    def next_target(self) -> Member | None:
+        """Return the node to probe now, or ``None`` if there is no other."""
+        while self._preferred:
+            member = self._probeable(self._preferred.popitem()[0])
+            if member is not None:
+                return member
+        for _ in range(2):
+            while self._remaining:
+                member = self._probeable(self._remaining.pop())
+                if member is not None:
+                    return member
+            self._remaining = [entry.identity.node_id for entry in self._table.reachable()]
+            self._random.shuffle(self._remaining)
+        return None
+
+    def insert(self, node_id: NodeId) -> None:
+        """Give a new node a random place in the present round."""
+        self._remaining.insert(self._random.randint(0, len(self._remaining)), node_id)
+
+    def _probeable(self, node_id: NodeId) -> Member | None:
+        member = self._table.get(node_id)
+        if member is None or member.state is NodeState.DEAD:
+            return None
+        return member
--- /dev/null
+++ b/wingquay/membership/revision_spreader.py
@@ -0,0 +1,49 @@
+"""Lets nodes hear soon that there is a newer configuration."""
+
+from wingquay.membership.courier import NO_ANSWER_WANTED, Courier, Outbox
+from wingquay.membership.settings import MembershipSettings
+from wingquay.model.identifiers import Revision
+from wingquay.ports.internal import NewerRevisionHeard, Notify
+from wingquay.ports.peer import NodeIdentity, Ping
+
+
+class RevisionSpreader:
+    """Pushes the revision in force here, and notices greater ones."""
+
+    def __init__(self, settings: MembershipSettings, courier: Courier, outbox: Outbox) -> None:
+        self._settings = settings
+        self._courier = courier
+        self._outbox = outbox
+        self._rounds_left = 0
+        self._last_heard = Revision(0)
+        self._quiet_until = float("-inf")
+
+    def in_force(self, revision: Revision, push_rounds: int) -> None:
+        """Tell ``revision`` from now on, and push it for a number of ticks."""
+        if revision > self._courier.revision:
+            self._courier.revision = revision
+            self._rounds_left = push_rounds
+            self._courier.push(self._settings.gossip_fanout)
+
+    def take_push_round(self) -> bool:
+        """Return whether the revision is to be pushed in this tick."""
+        if self._rounds_left == 0:
+            return False
+        self._rounds_left -= 1
+        return True
+
+    def hear(self, sender: NodeIdentity, revision: Revision, now: float) -> None:
+        """Notify the node of a greater revision, once a tick while it is not in force."""
+        if revision <= self._courier.revision:
+            return
+        if revision <= self._last_heard and now < self._quiet_until:
+            return
+        self._last_heard = revision
+        self._quiet_until = now + self._settings.tick_seconds
+        self._outbox.add(Notify(NewerRevisionHeard(sender, revision)))
+
+    def answer_outdated(self, sender: NodeIdentity, message: Ping) -> None:
+        """Tell a node that pushed an older revision; a probe's answer tells it anyway."""
+        is_outdated = message.gossip.configuration_revision < self._courier.revision
+        if is_outdated and message.sequence == NO_ANSWER_WANTED:
+            self._courier.ping(sender, NO_ANSWER_WANTED)
--- /dev/null
+++ b/wingquay/membership/suspicion.py
@@ -0,0 +1,68 @@
+"""How long a suspected node has to refute.
+
+Source: Lifeguard (2018), section IV-B: the time shrinks as others confirm independently.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from wingquay.membership.settings import MembershipSettings
+from wingquay.model.identifiers import NodeId
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """A suspicion that runs towards death.
+
+    Parameters
+    ----------
+    minimum_seconds, maximum_seconds
+        Time granted with all confirmations and with none.
+    needed
+        Confirmations after which the minimum holds.
+    reporters
+        Who suspects, the first included.
+    """
+
+    started_at: float
+    minimum_seconds: float
+    maximum_seconds: float
+    needed: int
+    reporters: list[NodeId] = field(default_factory=list)
+
+    def confirm(self, reporter: NodeId) -> bool:
+        """Take in who else suspects; return whether that is news worth spreading."""
+        if reporter in self.reporters or len(self.reporters) > self.needed:
+            return False
+        self.reporters.append(reporter)
+        return True
+
+    def postpone(self, seconds: float) -> None:
+        """Do not count ``seconds`` in which this node itself was paused."""
+        self.started_at += seconds
+
+    @property
+    def expires_at(self) -> float:
+        """When the suspected node is to be taken for dead."""
+        confirmations = max(0, len(self.reporters) - 1)
+        if confirmations >= self.needed:
+            return self.started_at + self.minimum_seconds
+        shrunk = math.log(confirmations + 1) / math.log(self.needed + 1)
+        span = self.maximum_seconds - self.minimum_seconds
+        return self.started_at + self.maximum_seconds - span * shrunk
+
+
+def new_suspicion(settings: MembershipSettings, node_count: int, now: float) -> Suspicion:
+    """Return a suspicion that starts ``now`` among ``node_count`` nodes."""
+    scaled = settings.suspicion_factor * math.log10(max(1, node_count))
+    minimum = max(
+        settings.suspicion_minimum_seconds,
+        scaled * settings.probe_interval_seconds,
+    )
+    others = max(0, node_count - 2)
+    return Suspicion(
+        started_at=now,
+        minimum_seconds=minimum,
+        maximum_seconds=minimum * settings.suspicion_spread,
+        needed=min(settings.suspicion_confirmations, others),
+    )
