--- a/wingquay/demo/deployment.py
+++ b/wingquay/demo/deployment.py
@@ -29,7 +29,7 @@
 
 LOOPBACK = "127.0.0.1"
 NODE_ZONES = ("cluj-a", "bistrita")
-"""Zones of the two nodes."""
+"""Zones of the demonstration's two nodes."""
 
 CALLER_TOKEN = "demo-caller-token"
 OPERATOR_TOKEN = "demo-operator-token"
@@ -47,12 +47,22 @@
     ----------
     seed
         Of the service times and stragglers of the back ends.
+    profile
+        What is deployed, and its sizes.
+    node_zones
+        One node is started in each of these zones, in this order.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        profile: DeploymentProfile = RO_NORD,
+        node_zones: Sequence[str] = NODE_ZONES,
+    ) -> None:
         self._random = random.Random(seed)
-        self.profile: DeploymentProfile = RO_NORD
-        self.dataset = RO_NORD.dataset
+        self._node_zones = node_zones
+        self.profile = profile
+        self.dataset = profile.dataset
         self.ledger = ExecutionLedger()
         self.store = StoreStandin(StoreSettings(), random.Random(seed))
         self.backends: dict[ReplicaId, BackendStandin] = {}
@@ -64,9 +74,9 @@
         """Start everything; ``close`` ends it."""
         store_port = await self.store.start(LOOPBACK, 0)
         services = [await self._start_service(service) for service in self._services()]
-        caller = RO_NORD.configuration.callers[0]
+        caller = self.profile.configuration.callers[0]
         token_sha256 = hashlib.sha256(CALLER_TOKEN.encode()).hexdigest()
-        self.configuration = RO_NORD.configuration.model_copy(
+        self.configuration = self.profile.configuration.model_copy(
             update={
                 "services": tuple(services),
                 "callers": (caller.model_copy(update={"token_sha256": token_sha256}),),
@@ -124,11 +134,11 @@
             service.model_copy(update={"kinds": (*service.kinds, unrepeatable)})
             if service.name == UNREPEATABLE_SERVICE
             else service
-            for service in RO_NORD.configuration.services
+            for service in self.profile.configuration.services
         ]
 
     async def _start_service(self, service: Service) -> Service:
-        profile = next(entry for entry in RO_NORD.services if entry.name == service.name)
+        profile = next(entry for entry in self.profile.services if entry.name == service.name)
         shards = [await self._start_shard(service, profile, shard) for shard in service.shards]
         return service.model_copy(update={"shards": tuple(shards)})
 
@@ -151,9 +161,9 @@
         return shard.model_copy(update={"replicas": tuple(replicas)})
 
     async def _start_nodes(self, store_port: int) -> None:
-        for index, zone in enumerate(NODE_ZONES):
+        for index, zone in enumerate(self._node_zones):
             seeds = [f"{node.identity.host}:{node.identity.port}" for node in self.nodes]
-            node = Node(_settings(f"node-{index + 1}", zone, store_port, seeds))
+            node = Node(_settings(self.profile.name, f"node-{index + 1}", zone, store_port, seeds))
             await node.start()
             self.nodes.append(node)
         identities = tuple(sorted((n.identity for n in self.nodes), key=lambda i: i.node_id))
@@ -161,11 +171,11 @@
             node.emit(MembershipChanged(identities, ()))
 
 
-def _settings(name: str, zone: str, store_port: int, seeds: list[str]) -> Settings:
+def _settings(deployment: str, name: str, zone: str, store_port: int, seeds: list[str]) -> Settings:
     operator_token = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
     settings = check_settings(
         {
-            "node": {"name": name, "deployment": RO_NORD.name, "zone": zone},
+            "node": {"name": name, "deployment": deployment, "zone": zone},
             "caller_interface": {"host": LOOPBACK, "port": 0},
             "operator_interface": {
                 "host": LOOPBACK,
