Believe what this node saw of a replica, until membership weighs it

Cause: tests/test_demo.py failed in two runs of the whole suite on a busy machine: 2 sub-requests reached a replica 3 s after it began to drain. The owner had seen its health page, but only a ReplicaBelief sets a replica leaving, and the machine that makes beliefs has not landed. Ruled out: a slow health page (it is read once a second and lags by 0.5 s); waiting longer in the demo. Change: OwnEvidence turns this node's observations into beliefs until then.

--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -14,6 +14,7 @@
 from wingquay.model.identifiers import NodeId, Revision
 from wingquay.orchestration.caller_access import CallerAccess
 from wingquay.orchestration.load_machine import LoadMachine
+from wingquay.orchestration.own_evidence import OwnEvidence
 from wingquay.orchestration.settings import NodeMachineSettings
 from wingquay.orchestration.stop_machine import StopMachine
 from wingquay.ports.internal import Notify
@@ -69,6 +70,7 @@
             self._stop,
             LoadMachine(self._coordinator, self._owner),
             CallerAccess(),
+            OwnEvidence(),
         ]
         self._by_event: dict[type[Event], list[RoutedMachine]] = {}
         self._by_message: dict[type[PeerMessage], list[RoutedMachine]] = {}
