Run membership in every node; weigh evidence about replicas by its source

Cause: membership had landed but nodes were told of each other by hand, or not at all in the simulator, where every node therefore owned every shard alone. Evidence about replicas was reported only when it changed, though it counts only while fresh, and a health page that lags cleared a drain that an answer had shown. Change: MembershipMachine in NodeMachine (seeds from settings and from the simulator); the stand-in OwnEvidence is gone; observations repeat every 0.5 s; a health page clears 'leaving' only after the replica was unreachable, is cold, or 30 s later; only whole answers count as serving. membership and replica_evidence can be tuned in settings.

--- a/wingquay/adapters/settings_tuning.py
+++ b/wingquay/adapters/settings_tuning.py
@@ -14,6 +14,8 @@
 
 from wingquay.adapters.settings import Section, Settings
 from wingquay.admission.settings import AdmissionSettings
+from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
+from wingquay.membership.settings import MembershipSettings
 from wingquay.orchestration.settings import NodeMachineSettings, StopSettings
 from wingquay.query.settings import QuerySettings
 from wingquay.routing.settings import RoutingSettings
@@ -24,6 +26,8 @@
     "query": QuerySettings,
     "admission": AdmissionSettings,
     "routing": RoutingSettings,
+    "membership": MembershipSettings,
+    "replica_evidence": ReplicaEvidenceSettings,
     "stop": StopSettings,
 }
 """Settings classes of the decision code by the section that tunes them."""
--- a/wingquay/admission/health_prober.py
+++ b/wingquay/admission/health_prober.py
@@ -4,9 +4,12 @@
 are hints: they set draining, versions and warmth, and never count as proof that a replica works.
 """
 
+from dataclasses import dataclass
+
 from wingquay.admission.lane_table import LaneTable
 from wingquay.model.answer import HeldVersions
 from wingquay.model.failure import Failure
+from wingquay.model.identifiers import ReplicaId
 from wingquay.ports.backend import (
     AttemptFinished,
     BackendAnswer,
@@ -22,6 +25,22 @@
 from wingquay.routing.replica_tracker import ReplicaTracker
 from wingquay.routing.settings import RoutingSettings
 
+OBSERVATION_REPEAT_SECONDS = 0.5
+"""Evidence that did not change is repeated so often: it counts only while it is fresh."""
+
+PAGE_TRUST_SECONDS = 30.0
+"""Time after the last sign that a replica is leaving in which its health page cannot clear it.
+
+A replica that was unreachable meanwhile, or says that it is cold, has been started again.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class _Observation:
+    state: ReplicaState
+    held: HeldVersions | None
+    at: float
+
 
 class HealthProber:
     """Probes owned replicas and turns what is seen of them into observations."""
@@ -30,7 +49,8 @@
         self._node_id = node_id
         self._settings = settings
         self._lanes = lanes
-        self._last_observed: dict[str, tuple[ReplicaState, HeldVersions | None]] = {}
+        self._last_observed: dict[str, _Observation] = {}
+        self._leaving_at: dict[str, float] = {}
 
     def probe_owned(self, owners: OwnerTable) -> list[Action]:
         """Read the health pages of the replicas whose shards this node owns."""
@@ -52,41 +72,59 @@
     def on_probed(self, event: ReplicaProbed, now: float) -> list[Action]:
         """Take in a health page."""
         if isinstance(event.result, Failure):
+            # A process that went away and comes back has forgotten that it was leaving.
+            self._leaving_at.pop(event.replica_id, None)
+            return []
+        report = event.result
+        held = self._take_report(event.replica_id, report, now, is_on_answer=False)
+        if report.draining:
+            return self._observe(event.replica_id, ReplicaState.LEAVING, held, now)
+        if not self._page_may_clear(event.replica_id, report, now):
             return []
-        return self._on_report(event.replica_id, event.result, now, is_on_answer=False)
+        return self._observe(event.replica_id, ReplicaState.SERVING, held, now)
+
+    def _page_may_clear(self, replica_id: str, report: LoadReport, now: float) -> bool:
+        """Whether "serving" on a health page says anything: pages lag behind a drain."""
+        leaving_at = self._leaving_at.get(replica_id)
+        if leaving_at is None or report.cold:
+            return True
+        return now - leaving_at >= PAGE_TRUST_SECONDS
 
     def on_attempt_finished(self, event: AttemptFinished, now: float) -> list[Action]:
-        """Take in what an answer says of its replica."""
-        actions: list[Action] = []
+        """Take in what an exchange says of its replica."""
+        replica_id = event.replica_id
+        held: HeldVersions | None = None
         if event.load is not None:
-            actions += self._on_report(event.replica_id, event.load, now, is_on_answer=True)
-        if isinstance(event.result, BackendAnswer):
-            return actions
-        state = self._state_after(event.replica_id, event.result.kind)
-        if state is not None:
-            actions += self._observe(event.replica_id, state, None)
-        return actions
+            held = self._take_report(replica_id, event.load, now, is_on_answer=True)
+            if event.load.draining:
+                return self._observe(replica_id, ReplicaState.LEAVING, held, now)
+        state = self._state_after(event)
+        if state is None:
+            return []
+        return self._observe(replica_id, state, held, now)
 
-    def _state_after(self, replica_id: str, kind: BackendFailureKind) -> ReplicaState | None:
+    def _state_after(self, event: AttemptFinished) -> ReplicaState | None:
+        if isinstance(event.result, BackendAnswer):
+            return ReplicaState.SERVING
+        kind = event.result.kind
         if kind is BackendFailureKind.DRAINING:
             return ReplicaState.LEAVING
-        found = self._lanes.tracker(replica_id)
+        found = self._lanes.tracker(event.replica_id)
         if kind is not BackendFailureKind.CONNECT_FAILED or found is None:
             return None
-        refused_often = found[1].failures_in_row >= self._settings.ejection_failures
+        refused_often = found[1].failures_in_row + 1 >= self._settings.ejection_failures
         return ReplicaState.GONE if refused_often else None
 
-    def _on_report(
+    def _take_report(
         self, replica_id: str, report: LoadReport, now: float, is_on_answer: bool
-    ) -> list[Action]:
+    ) -> HeldVersions | None:
         found = self._lanes.tracker(replica_id)
         if found is None:
-            return []
+            return None
         tracker = found[1]
         held = self._held(tracker, report)
         tracker.on_report(report.cold, report.utilization, held, now, is_on_answer)
-        state = ReplicaState.LEAVING if report.draining else ReplicaState.SERVING
-        return self._observe(tracker.replica.replica_id, state, tracker.held)
+        return tracker.held
 
     def _held(self, tracker: ReplicaTracker, report: LoadReport) -> HeldVersions | None:
         if report.oldest_version is None or report.newest_version is None:
@@ -95,16 +133,18 @@
         return HeldVersions(replica_id, report.oldest_version, report.newest_version)
 
     def _observe(
-        self, replica_id: str, state: ReplicaState, held: HeldVersions | None
+        self, replica_id: ReplicaId, state: ReplicaState, held: HeldVersions | None, now: float
     ) -> list[Action]:
-        observed = (state, held)
-        if self._last_observed.get(replica_id) == observed:
+        if state is ReplicaState.LEAVING:
+            self._leaving_at[replica_id] = now
+        if self._lanes.tracker(replica_id) is None:
             return []
-        self._last_observed[replica_id] = observed
-        found = self._lanes.tracker(replica_id)
-        if found is None:
+        last = self._last_observed.get(replica_id)
+        is_news = last is None or (last.state, last.held) != (state, held)
+        if last is not None and not is_news and now - last.at < OBSERVATION_REPEAT_SECONDS:
             return []
-        return [Notify(ReplicaObserved(found[1].replica.replica_id, state, held))]
+        self._last_observed[replica_id] = _Observation(state, held, now)
+        return [Notify(ReplicaObserved(replica_id, state, held))]
 
     def on_belief(self, event: ReplicaBelief) -> None:
         """Take in what the membership machine makes of all evidence about a replica."""
--- a/wingquay/demo/deployment.py
+++ b/wingquay/demo/deployment.py
@@ -16,7 +16,6 @@
 )
 from wingquay.model.key_range import KeyRange, intersect
 from wingquay.node import Node
-from wingquay.ports.internal import MembershipChanged
 from wingquay.rehearsal.deployment_profile import DeploymentProfile, ServiceProfile
 from wingquay.rehearsal.deployments import RO_NORD
 from wingquay.rehearsal.models.backend_settings import BackendSettings
@@ -166,9 +165,6 @@
             node = Node(_settings(self.profile.name, f"node-{index + 1}", zone, store_port, seeds))
             await node.start()
             self.nodes.append(node)
-        identities = tuple(sorted((n.identity for n in self.nodes), key=lambda i: i.node_id))
-        for node in self.nodes:
-            node.emit(MembershipChanged(identities, ()))
 
 
 def _settings(deployment: str, name: str, zone: str, store_port: int, seeds: list[str]) -> Settings:
--- a/wingquay/node.py
+++ b/wingquay/node.py
@@ -18,6 +18,7 @@
 from wingquay.adapters.settings import CallerSection, Endpoint, Settings, parse_endpoint
 from wingquay.adapters.settings_tuning import node_machine_settings
 from wingquay.adapters.store_client import StoreClient
+from wingquay.membership.settings import SeedAddress
 from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
 from wingquay.orchestration.node_machine import NodeMachine
 from wingquay.ports.backend import CancelAttempt, ProbeReplica, StartAttempt
@@ -114,6 +115,7 @@
             identity,
             node_machine_settings(self.settings),
             random.Random(secrets.randbits(SEED_BITS)),
+            _seeds(self.settings),
         )
         runtime = NodeRuntime(machine, self._loop)
         self._register(runtime, server)
@@ -216,6 +218,11 @@
     return tuple(parse_endpoint(text) for text in texts)
 
 
+def _seeds(settings: Settings) -> tuple[SeedAddress, ...]:
+    endpoints = _endpoints(settings.peers.seeds)
+    return tuple(SeedAddress(endpoint.host, endpoint.port) for endpoint in endpoints)
+
+
 def _operators(settings: Settings) -> TokenTable:
     entries = settings.operator_interface.operators
     return TokenTable(TokenOwner(entry.name, entry.token_sha256) for entry in entries)
--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -7,14 +7,16 @@
 
 import random
 from collections import deque
+from collections.abc import Iterable
 from typing import ClassVar, Protocol
 
 from wingquay.admission.owner_machine import OwnerMachine
 from wingquay.configuration.configuration_machine import ConfigurationMachine
+from wingquay.membership.membership_machine import MembershipMachine
+from wingquay.membership.settings import SeedAddress
 from wingquay.model.identifiers import NodeId, Revision
 from wingquay.orchestration.caller_access import CallerAccess
 from wingquay.orchestration.load_machine import LoadMachine
-from wingquay.orchestration.own_evidence import OwnEvidence
 from wingquay.orchestration.settings import NodeMachineSettings
 from wingquay.orchestration.stop_machine import StopMachine
 from wingquay.ports.internal import Notify
@@ -44,6 +46,8 @@
     ----------
     identity
         Who this node is.
+    seeds
+        Addresses of peers that are asked at the start.
     random_source
         Seeds each machine's own source, so that one machine's draws do not shift another's.
     """
@@ -53,6 +57,7 @@
         identity: NodeIdentity,
         settings: NodeMachineSettings,
         random_source: random.Random,
+        seeds: Iterable[SeedAddress] = (),
     ) -> None:
         self._identity = identity
         self._settings = settings
@@ -63,14 +68,21 @@
         self._coordinator = Coordinator(identity, settings.query, links, settings.disabled)
         self._stop = StopMachine(settings.stop, self.in_flight, settings.disabled)
         self._configuration = ConfigurationMachine(identity, _child(random_source))
+        membership = MembershipMachine(
+            identity,
+            seeds,
+            settings.membership,
+            settings.replica_evidence,
+            _child(random_source),
+        )
         machines: list[RoutedMachine] = [
+            membership,
             self._configuration,
             self._coordinator,
             self._owner,
             self._stop,
             LoadMachine(self._coordinator, self._owner),
             CallerAccess(),
-            OwnEvidence(),
         ]
         self._by_event: dict[type[Event], list[RoutedMachine]] = {}
         self._by_message: dict[type[PeerMessage], list[RoutedMachine]] = {}
--- a/wingquay/orchestration/settings.py
+++ b/wingquay/orchestration/settings.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 
 from wingquay.admission.settings import AdmissionSettings
+from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
+from wingquay.membership.settings import MembershipSettings
 from wingquay.model.mechanisms import Mechanism
 from wingquay.query.settings import QuerySettings
 from wingquay.routing.settings import RoutingSettings
@@ -34,5 +36,7 @@
     query: QuerySettings = field(default_factory=QuerySettings)
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
     routing: RoutingSettings = field(default_factory=RoutingSettings)
+    membership: MembershipSettings = field(default_factory=MembershipSettings)
+    replica_evidence: ReplicaEvidenceSettings = field(default_factory=ReplicaEvidenceSettings)
     stop: StopSettings = field(default_factory=StopSettings)
     disabled: frozenset[Mechanism] = frozenset()
--- a/wingquay/rehearsal/node_policies.py
+++ b/wingquay/rehearsal/node_policies.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import Protocol
 
+from wingquay.membership.settings import SeedAddress
 from wingquay.model.identifiers import Revision
 from wingquay.orchestration.node_machine import NodeMachine
 from wingquay.orchestration.settings import NodeMachineSettings
@@ -54,7 +55,7 @@
     def make_wingquay(
         identity: NodeIdentity, peers: tuple[NodeIdentity, ...], random_source: Random
     ) -> RevisedMachine:
-        del peers
-        return NodeMachine(identity, node_settings, random_source)
+        seeds = tuple(SeedAddress(peer.host, peer.port) for peer in peers)
+        return NodeMachine(identity, node_settings, random_source, seeds)
 
     return make_wingquay
