Run the claims machine in every node

Cause: unrepeatable requests waited for a decision that nobody made. Change: NodeMachine routes claims; ClaimsSettings joins NodeMachineSettings.

--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -8,9 +8,11 @@
 import random
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import ClassVar, Protocol
 
 from wingquay.admission.owner_machine import OwnerMachine
+from wingquay.claims.machine import ClaimsMachine
 from wingquay.configuration.configuration_machine import ConfigurationMachine
 from wingquay.membership.membership_machine import MembershipMachine
 from wingquay.membership.settings import SeedAddress
@@ -75,9 +77,12 @@
             settings.replica_evidence,
             _child(random_source),
         )
+        claims_settings = replace(settings.claims, disabled=settings.disabled)
+        claims = ClaimsMachine(claims_settings, identity, _child(random_source))
         machines: list[RoutedMachine] = [
             membership,
             self._configuration,
+            claims,
             self._coordinator,
             self._owner,
             self._stop,
--- a/wingquay/orchestration/settings.py
+++ b/wingquay/orchestration/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from wingquay.admission.settings import AdmissionSettings
+from wingquay.claims.settings import ClaimsSettings
 from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
 from wingquay.membership.settings import MembershipSettings
 from wingquay.model.mechanisms import Mechanism
@@ -38,5 +39,6 @@
     routing: RoutingSettings = field(default_factory=RoutingSettings)
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     replica_evidence: ReplicaEvidenceSettings = field(default_factory=ReplicaEvidenceSettings)
+    claims: ClaimsSettings = field(default_factory=ClaimsSettings)
     stop: StopSettings = field(default_factory=StopSettings)
     disabled: frozenset[Mechanism] = frozenset()
