--- a/tests/membership/hollow_cluster.py
+++ b/tests/membership/hollow_cluster.py
@@ -9,7 +9,7 @@
 from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
 from wingquay.membership.settings import MembershipSettings, SeedAddress
 from wingquay.ports.internal import ConfigurationInForce, MembershipChanged, Notify, ReplicaBelief
-from wingquay.ports.machine import Action, Count, Event, Schedule, Start
+from wingquay.ports.machine import Action, Count, Event, Log, Schedule, Start
 from wingquay.ports.machine_directory import MachineListRead, ReadMachineList
 from wingquay.ports.peer import (
     MembershipMessage,
@@ -61,6 +61,7 @@
         self.cut_zones: set[frozenset[str]] = set()
         self.machine_list: MachineListRead | None = None
         self.on_notify: Callable[[HollowNode, Event], None] | None = None
+        self.on_log: Callable[[HollowNode, Log], None] | None = None
         self._watcher = watcher
         self._by_address: dict[tuple[str, int], HollowNode] = {}
         self._heap: list[tuple[float, int, HollowNode, Event]] = []
@@ -97,9 +98,13 @@
 
     def give(self, node: HollowNode, event: Event) -> None:
         """Hand an event to a node now and perform what it decides."""
-        for action in node.machine.handle(event, self.now):
+        for action in self.decide(node, event):
             self._perform(node, action)
 
+    def decide(self, node: HollowNode, event: Event) -> list[Action]:
+        """Let the machine take in an event."""
+        return node.machine.handle(event, self.now)
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         end = self.now + seconds
@@ -146,6 +151,8 @@
                 self._send(node, action)
             case Notify():
                 self._notify(node, action.event)
+            case Log() if self.on_log is not None:
+                self.on_log(node, action)
             case Count():
                 node.counts[action.name] += 1
             case ReadMachineList():
--- a/tests/membership/test_replica_beliefs.py
+++ b/tests/membership/test_replica_beliefs.py
@@ -164,6 +164,15 @@
         self.assertEqual([], news.urgent_updates)
         self.assertEqual([ReplicaUpdate("r1", SERVING, 1, held)], news.other_updates)
 
+    def test_versions_seen_lately_are_not_replaced_by_older_gossip(self):
+        seen, heard = HeldVersions("r1", 3, 7), HeldVersions("r1", 2, 6)
+        self.table.observe(ReplicaObserved("r1", SERVING, seen), NOW)
+        news = self.table.hear(ReplicaUpdate("r1", SERVING, 5, heard), NOW + 1)
+        self.assertEqual([], news.beliefs)
+        self.assertEqual([ReplicaUpdate("r1", SERVING, 5, heard)], news.other_updates)
+        news = self.table.hear(ReplicaUpdate("r1", SERVING, 6, heard), NOW + 10)
+        self.assertEqual([ReplicaBelief("r1", SERVING, heard)], news.beliefs)
+
     def test_replicas_out_of_the_configuration_are_forgotten(self):
         self.table.hear(ReplicaUpdate("r1", LEAVING, 1), NOW)
         self.table.configure(Configuration())
--- a/wingquay/membership/replica_table.py
+++ b/wingquay/membership/replica_table.py
@@ -28,8 +28,10 @@
     ----------
     version
         Of the newest update that is spread; 0 if there has been none.
-    held, held_at
-        The versions that the replica holds, as last heard from anyone, and when.
+    held
+        The versions that the replica holds, as we last saw, or heard if we saw nothing lately.
+    held_seen_at
+        When we last saw them ourselves (seconds).
     told
         What the node's other machines were last told.
     """
@@ -37,6 +39,7 @@
     evidence: ReplicaEvidence = field(default_factory=ReplicaEvidence)
     version: int = 0
     held: HeldVersions | None = None
+    held_seen_at: float = float("-inf")
     told: tuple[ReplicaState, HeldVersions | None] = (ReplicaState.SERVING, None)
 
 
@@ -94,7 +97,10 @@
         if event.state is not None:
             record.evidence = record.evidence.with_own(event.state, now)
         news = self._conclude(event.replica_id, record, now)
-        if event.held is not None and event.held != record.held:
+        if event.held is None:
+            return news
+        record.held_seen_at = now
+        if event.held != record.held:
             record.held = event.held
             self._tell(event.replica_id, record, now, news)
             if not news.urgent_updates:
@@ -110,7 +116,7 @@
         record.version = update.version
         if state_changed or record.evidence.gossip is None:
             record.evidence = replace(record.evidence, gossip=Evidence(update.state, now))
-        if update.held is not None:
+        if update.held is not None and not self._saw_held_lately(record, now):
             record.held = update.held
         news = self._conclude(update.replica_id, record, now)
         relayed = news.urgent_updates if state_changed else news.other_updates
@@ -157,6 +163,9 @@
             return update.version > record.version
         return _SEVERITIES[update.state] > _SEVERITIES[self._spread_state(record)]
 
+    def _saw_held_lately(self, record: _Record, now: float) -> bool:
+        return now - record.held_seen_at <= self._settings.own_fresh_seconds
+
     def _spread_state(self, record: _Record) -> ReplicaState:
         gossip = record.evidence.gossip
         return ReplicaState.SERVING if gossip is None else gossip.state
