--- a/wingquay/rehearsal/configuration_oracle.py
+++ b/wingquay/rehearsal/configuration_oracle.py
@@ -7,6 +7,8 @@
 
 IN_FORCE_BOUND_SECONDS = 5.0
 """A confirmed configuration is in force everywhere by then ("within seconds")."""
+FIRST_IN_FORCE_BOUND_SECONDS = 15.0
+"""A process that starts has its first configuration by then; until it has, it serves nobody."""
 
 _INVARIANT = Invariant.CONFIGURATION_IN_FORCE_AND_MONOTONIC
 
@@ -29,6 +31,7 @@
         self._revision_of_plan: dict[str, Revision] = {}
         self._in_force: dict[NodeId, Revision] = {}
         self._uninformed_until: dict[NodeId, float] = defaultdict(float)
+        self._frozen_until: dict[NodeId, float] = defaultdict(float)
         self._told_not_landed: set[str] = set()
 
     # -- the store -----------------------------------------------------------------------------
@@ -59,10 +62,19 @@
 
     # -- nodes ---------------------------------------------------------------------------------
 
+    def node_frozen(self, node_id: NodeId, until: float) -> None:
+        """Take in that a node is paused until then."""
+        self._frozen_until[node_id] = max(self._frozen_until[node_id], until)
+
     def node_uninformed(self, node_id: NodeId, until: float) -> None:
         """Take in that a node can learn nothing until then."""
         self._uninformed_until[node_id] = max(self._uninformed_until[node_id], until)
 
+    def healed(self, now: float) -> None:
+        """Take in that no node is cut off any more."""
+        for node_id, until in self._uninformed_until.items():
+            self._uninformed_until[node_id] = min(until, now)
+
     def node_gone(self, node_id: NodeId) -> None:
         """Forget a process that ended."""
         self._in_force.pop(node_id, None)
@@ -81,10 +93,13 @@
 
     def check_node(self, node_id: NodeId, running_since: float, now: float) -> None:
         """Check that a running node goes by what was confirmed long enough ago."""
-        able_since = max(running_since, self._uninformed_until[node_id])
+        able_since = max(
+            running_since, self._uninformed_until[node_id], self._frozen_until[node_id]
+        )
         in_force = self._in_force.get(node_id, Revision(0))
+        bound = IN_FORCE_BOUND_SECONDS if in_force else FIRST_IN_FORCE_BOUND_SECONDS
         for revision, due_from in self._due_from.items():
-            due_at = max(due_from, able_since) + IN_FORCE_BOUND_SECONDS
+            due_at = max(due_from, able_since) + bound
             if revision > in_force and now > due_at:
                 late = now - due_at
                 self._add(now, f"{node_id} goes by {in_force}: {revision} is {late:.3f} s late")
--- a/wingquay/rehearsal/oracle.py
+++ b/wingquay/rehearsal/oracle.py
@@ -123,7 +123,7 @@
         leaving_since = self._leaving_since.get(attempt.replica_id)
         if leaving_since is None:
             return
-        told_from = max(leaving_since, self._uninformed_until[node_id])
+        told_from = max(leaving_since, self._uninformed_until[node_id], self._frozen_until[node_id])
         if now > told_from + DRAIN_BOUND_SECONDS:
             seconds = now - leaving_since
             what = f"{attempt.replica_id} got work {seconds:.3f} s after it began to leave"
@@ -154,13 +154,19 @@
     def frozen(self, node_id: NodeId, until: float) -> None:
         """Take in that a node is paused until then: it can neither learn nor answer."""
         self._frozen_until[node_id] = max(self._frozen_until[node_id], until)
-        self.cut_off(node_id, until)
+        self.configuration.node_frozen(node_id, until)
 
     def cut_off(self, node_id: NodeId, until: float) -> None:
         """Take in that a node hears nothing of other zones until then; it must still answer."""
         self._uninformed_until[node_id] = max(self._uninformed_until[node_id], until)
         self.configuration.node_uninformed(node_id, until)
 
+    def healed(self, now: float) -> None:
+        """Take in that no node is cut off any more."""
+        for node_id, until in self._uninformed_until.items():
+            self._uninformed_until[node_id] = min(until, now)
+        self.configuration.healed(now)
+
     def node_exited(self, node_id: NodeId, cut: int, now: float) -> None:
         """Check the end of a planned stop, which left ``cut`` pieces of work unfinished."""
         if cut:
--- a/wingquay/rehearsal/simulated_callers.py
+++ b/wingquay/rehearsal/simulated_callers.py
@@ -49,6 +49,7 @@
         random_source: Random,
     ) -> None:
         self.repetition = Repetition()
+        self._repetitions = 0
         self._network = network
         self._clock = clock
         self._digest = digest
@@ -84,25 +85,34 @@
 
         def arrive(arrival: Arrival) -> None:
             send_next()
-            self._measurements.arrived(arrival)
-            self._submit(arrival, MOST_REFUSED_CONNECTIONS)
+            self.send(arrival)
             self._maybe_repeat(arrival)
 
         send_next()
 
-    def _maybe_repeat(self, arrival: Arrival) -> None:
-        repetition = self.repetition
-        if not repetition.share or self._random.random() >= repetition.share:
-            return
+    def send(self, arrival: Arrival) -> None:
+        """Send one request now."""
+        self._measurements.arrived(arrival)
+        self._submit(arrival, MOST_REFUSED_CONNECTIONS)
+
+    def repeat(self, arrival: Arrival, node_choice: float, seconds: float) -> None:
+        """Send a request once more in ``seconds``, to another node perhaps."""
+        self._repetitions += 1
         repeated = replace(
             arrival.request,
-            request_id=RequestId(f"{arrival.request.request_id}-again"),
+            request_id=RequestId(f"{arrival.request.request_id}-again-{self._repetitions}"),
             traceparent=make_traceparent(self._random),
         )
-        again = replace(arrival, request=repeated, node_choice=self._random.random())
-        seconds = repetition.within_seconds * self._random.random()
+        again = replace(arrival, request=repeated, node_choice=node_choice)
         self._clock.after(seconds, self._submit, again, MOST_REFUSED_CONNECTIONS)
 
+    def _maybe_repeat(self, arrival: Arrival) -> None:
+        repetition = self.repetition
+        if not repetition.share or self._random.random() >= repetition.share:
+            return
+        seconds = repetition.within_seconds * self._random.random()
+        self.repeat(arrival, self._random.random(), seconds)
+
     def _submit(self, arrival: Arrival, tries_left: int) -> None:
         if not self._offered or tries_left == 0:
             self._measurements.nobody_listened(arrival)
@@ -135,6 +145,11 @@
             seconds = self.repetition.within_seconds * self._random.random()
             self._clock.after(seconds, self._leave, node, request_id)
 
+    def leave(self, request_id: RequestId) -> None:
+        """Let the caller of a request close its connection, if it still waits."""
+        for node in self._offered:
+            self._leave(node, request_id)
+
     def _leave(self, node: SimulatedNode, request_id: RequestId) -> None:
         submission = self._open.get(node.identity.node_id, {}).pop(request_id, None)
         if submission is not None:
--- a/wingquay/rehearsal/simulated_nodes.py
+++ b/wingquay/rehearsal/simulated_nodes.py
@@ -126,6 +126,13 @@
         if self.at_address(ended.identity) is None:
             self.start(ended.identity.zone, ended.identity.host)
 
+    def start_missing(self) -> None:
+        """Start a process wherever none runs."""
+        hosts = {node.identity.host for node in self.running.values()}
+        for zone, host in self._places:
+            if host not in hosts:
+                self.start(zone, host)
+
     def pick(self, choice: float) -> SimulatedNode | None:
         """Return the running process that ``choice`` (0 to 1) falls on."""
         nodes = [node for node in self.running.values() if node.state is ProcessState.RUNNING]
--- a/wingquay/rehearsal/workload.py
+++ b/wingquay/rehearsal/workload.py
@@ -1,7 +1,7 @@
 """Open-loop load: Poisson arrivals for each kind of request, whatever the answers do."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from wingquay.model.identifiers import CallerName, RequestId, RequestKindName, ServiceName
@@ -71,6 +71,7 @@
         self._kind = kind
         self._rate = arrivals_per_second(service, kind, load)
         self._random = streams.stream(f"arrivals/{service.name}/{kind.name}")
+        self._asked = 0
         self._shard_keys = [
             [key for key in profile.dataset.keys if key_range.contains(key)]
             for key_range in profile.dataset.shard_ranges(service.shards)
@@ -79,13 +80,17 @@
     def arrivals(self, start: float, end: float) -> Iterator[Arrival]:
         """Yield the arrivals between ``start`` and ``end``."""
         at_seconds = start
-        number = 0
         while True:
             at_seconds += self._random.expovariate(self._rate)
             if at_seconds >= end:
                 return
-            number += 1
-            yield self._arrival(at_seconds, number)
+            self._asked += 1
+            yield self._arrival(at_seconds, self._asked)
+
+    def next_arrival(self, at_seconds: float, node_choice: float) -> Arrival:
+        """Return one more request, made at ``at_seconds``."""
+        self._asked += 1
+        return replace(self._arrival(at_seconds, self._asked), node_choice=node_choice)
 
     def _arrival(self, at_seconds: float, number: int) -> Arrival:
         name = f"{self._kind.name}-{number}"
