Decode sub-requests and results with fewer calls

Cause: iterating over a repeated protobuf field costs a call an element, and a message for each key range an object: reading one key range took 5 us. Ruled out: attributes set by one keyword call (not faster); leaving out the check for infinite numbers.

--- a/wingquay/adapters/peer_codec_claims.py
+++ b/wingquay/adapters/peer_codec_claims.py
@@ -4,7 +4,7 @@
 
 from google.protobuf.internal.containers import RepeatedCompositeFieldContainer
 
-from wingquay.adapters.peer_codec_error import finite, member_of
+from wingquay.adapters.peer_codec_error import check_finite, member_of
 from wingquay.adapters.proto import peer_pb2
 from wingquay.model.identifiers import RequestId, ZoneName
 from wingquay.ports.peer import (
@@ -180,6 +180,7 @@
 
 def claim_table_from(message: peer_pb2.ClaimTable) -> ClaimTable:
     """Read a piece of a partition's claims."""
+    check_finite(message.confirmed_age_seconds)
     return ClaimTable(
         partition=message.partition,
         transfer_id=message.transfer_id,
@@ -187,7 +188,7 @@
         handed_over=message.handed_over,
         epoch=message.epoch,
         seat_epochs=_seat_epochs_from(message.seat_epochs),
-        confirmed_age_seconds=finite(message.confirmed_age_seconds),
+        confirmed_age_seconds=message.confirmed_age_seconds,
         table_id=message.table_id,
         records=tuple(_claim_record_from(record) for record in message.records),
         piece=message.piece,
@@ -196,11 +197,12 @@
 
 
 def _claim_record_from(message: peer_pb2.ClaimRecord) -> ClaimRecord:
+    check_finite(message.age_seconds)
     return ClaimRecord(
         claim_key=message.claim_key,
         request_id=RequestId(message.request_id),
         request_digest=message.request_digest,
         round_number=message.round_number,
         outcome=message.outcome if message.HasField("outcome") else None,
-        age_seconds=finite(message.age_seconds),
+        age_seconds=message.age_seconds,
     )
--- a/wingquay/adapters/peer_codec_error.py
+++ b/wingquay/adapters/peer_codec_error.py
@@ -1,8 +1,8 @@
 """Why bytes from a peer cannot be understood, and the checks that the codecs share."""
 
-import math
 from collections.abc import Mapping
 from enum import Enum
+from math import isfinite
 from typing import TypeVar
 
 Member = TypeVar("Member", bound=Enum)
@@ -34,14 +34,13 @@
     return member
 
 
-def finite(value: float) -> float:
-    """Return ``value`` unless it is infinite or not a number.
+def check_finite(first: float, second: float = 0.0, third: float = 0.0) -> None:
+    """Refuse numbers that are infinite or not a number.
 
     Raises
     ------
     MalformedError
-        If it is.
+        If one of them is.
     """
-    if not math.isfinite(value):
-        raise MalformedError(f"number {value} is not finite")
-    return value
+    if not (isfinite(first) and isfinite(second) and isfinite(third)):
+        raise MalformedError(f"one of {first}, {second}, {third} is not finite")
--- a/wingquay/adapters/peer_codec_query.py
+++ b/wingquay/adapters/peer_codec_query.py
@@ -1,10 +1,8 @@
 """Protobuf form of sub-requests and their results."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
-from google.protobuf.internal.containers import RepeatedCompositeFieldContainer
-
-from wingquay.adapters.peer_codec_error import MalformedError, finite, member_of
+from wingquay.adapters.peer_codec_error import MalformedError, check_finite, member_of
 from wingquay.adapters.proto import peer_pb2
 from wingquay.model.answer import (
     HeldVersions,
@@ -40,19 +38,25 @@
 _FAILURE_KINDS = {int(number): kind for kind, number in _FAILURE_NUMBERS.items()}
 
 
-def _put_key_ranges(
-    target: RepeatedCompositeFieldContainer[peer_pb2.KeyRange],
-    key_ranges: Iterable[KeyRange],
-) -> None:
-    for key_range in key_ranges:
-        target.add(start=key_range.start, end=key_range.end)
+def _put_key_ranges(target: peer_pb2.KeyRanges, key_ranges: Sequence[KeyRange]) -> None:
+    target.starts.extend([key_range.start for key_range in key_ranges])
+    target.ends.extend([key_range.end or "" for key_range in key_ranges])
+    unbounded = [index for index, key_range in enumerate(key_ranges) if key_range.end is None]
+    if unbounded:
+        target.unbounded.extend(unbounded)
 
 
-def _key_ranges_from(messages: Iterable[peer_pb2.KeyRange]) -> tuple[KeyRange, ...]:
-    return tuple(
-        KeyRange(message.start, message.end if message.HasField("end") else None)
-        for message in messages
-    )
+def _key_ranges_from(message: peer_pb2.KeyRanges) -> tuple[KeyRange, ...]:
+    # Slices of repeated fields are made at once; iterating over one costs a call an element.
+    starts = message.starts[:]
+    ends: list[str | None] = [*message.ends[:]]
+    if len(starts) != len(ends):
+        raise MalformedError("key ranges have not as many starts as ends")
+    for index in message.unbounded[:]:
+        if index >= len(ends):
+            raise MalformedError("an unbounded key range is not there")
+        ends[index] = None
+    return tuple(map(KeyRange, starts, ends))
 
 
 def put_sub_request_batch(target: peer_pb2.SubRequestBatch, message: SubRequestBatch) -> None:
@@ -63,7 +67,7 @@
 
 def sub_request_batch_from(message: peer_pb2.SubRequestBatch) -> SubRequestBatch:
     """Read a batch of sub-requests."""
-    return SubRequestBatch(tuple(_sub_request_from(entry) for entry in message.sub_requests))
+    return SubRequestBatch(tuple([_sub_request_from(entry) for entry in message.sub_requests[:]]))
 
 
 def _put_sub_request(target: peer_pb2.SubRequest, sub_request: SubRequest) -> None:
@@ -83,10 +87,12 @@
     target.body = sub_request.body
     if sub_request.traceparent is not None:
         target.traceparent = sub_request.traceparent
-    target.avoid.extend(sub_request.avoid)
+    if sub_request.avoid:
+        target.avoid.extend(sub_request.avoid)
 
 
 def _sub_request_from(message: peer_pb2.SubRequest) -> SubRequest:
+    check_finite(message.remaining_seconds, message.price, message.promise_seconds)
     return SubRequest(
         sub_request_id=SubRequestId(message.sub_request_id),
         request_id=RequestId(message.request_id),
@@ -95,14 +101,14 @@
         shard_id=ShardId(message.shard_id),
         key_ranges=_key_ranges_from(message.key_ranges),
         snapshot=SnapshotVersion(message.snapshot) if message.HasField("snapshot") else None,
-        remaining_seconds=finite(message.remaining_seconds),
+        remaining_seconds=message.remaining_seconds,
         class_name=ClassName(message.class_name),
-        price=finite(message.price),
-        promise_seconds=finite(message.promise_seconds),
+        price=message.price,
+        promise_seconds=message.promise_seconds,
         repeatable=message.repeatable,
         body=message.body,
         traceparent=message.traceparent if message.HasField("traceparent") else None,
-        avoid=tuple(message.avoid),
+        avoid=tuple(message.avoid[:]),
     )
 
 
@@ -114,7 +120,7 @@
 
 def sub_result_batch_from(message: peer_pb2.SubResultBatch) -> SubResultBatch:
     """Read a batch of results."""
-    return SubResultBatch(tuple(_sub_result_from(entry) for entry in message.results))
+    return SubResultBatch(tuple([_sub_result_from(entry) for entry in message.results[:]]))
 
 
 def _put_sub_result(target: peer_pb2.SubResult, result: SubResult) -> None:
@@ -145,17 +151,18 @@
 
 
 def _sub_result_from(message: peer_pb2.SubResult) -> SubResult:
+    check_finite(message.queue_seconds, message.service_seconds, message.class_delay_seconds)
     return SubResult(
         sub_request_id=SubRequestId(message.sub_request_id),
         shard_id=ShardId(message.shard_id),
         result=_outcome_from(message),
         may_have_run=message.may_have_run,
         attempts=message.attempts,
-        queue_seconds=finite(message.queue_seconds),
-        service_seconds=finite(message.service_seconds),
-        held=tuple(_held_from(held) for held in message.held),
+        queue_seconds=message.queue_seconds,
+        service_seconds=message.service_seconds,
+        held=tuple([_held_from(held) for held in message.held[:]]),
         replica_id=message.replica_id,
-        class_delay_seconds=finite(message.class_delay_seconds),
+        class_delay_seconds=message.class_delay_seconds,
     )
 
 
@@ -178,12 +185,13 @@
 
 
 def _sub_answer_from(message: peer_pb2.SubAnswer) -> SubAnswer:
-    if len(message.row_keys) != len(message.row_values):
+    row_keys, row_values = message.row_keys[:], message.row_values[:]
+    if len(row_keys) != len(row_values):
         raise MalformedError("rows have not as many keys as values")
     return SubAnswer(
         snapshot=SnapshotVersion(message.snapshot) if message.HasField("snapshot") else None,
         covered=_key_ranges_from(message.covered),
-        rows=tuple(map(Row, message.row_keys, message.row_values)),
+        rows=tuple(map(Row, row_keys, row_values)),
     )
 
 
@@ -198,4 +206,4 @@
 
 def cancel_sub_requests_from(message: peer_pb2.CancelSubRequests) -> CancelSubRequests:
     """Read a cancellation."""
-    return CancelSubRequests(tuple(SubRequestId(entry) for entry in message.sub_request_ids))
+    return CancelSubRequests(tuple([SubRequestId(entry) for entry in message.sub_request_ids[:]]))
