Refuse for now, rather than call callers unknown, before the first configuration

Change: until callers are known the caller interface answers 503 refused-not-run with Retry-After (tests/adapters/test_caller_server.py).

--- a/tests/adapters/test_caller_server.py
+++ b/tests/adapters/test_caller_server.py
@@ -254,6 +254,19 @@
 
         self.run_with(ANSWER, test)
 
+    def test_before_the_first_configuration_nobody_is_called_unknown(self) -> None:
+        async def test(caller: CallerBench) -> None:
+            await caller.server.close()
+            caller.server = CallerServer(
+                NodeId("node-1"), caller._emit, ConfiguredCallers(), HealthPages(), LIMITS
+            )
+            caller.port = await caller.server.start(LOOPBACK, 0)
+            refused = await caller.send(orjson.dumps(MINIMAL))
+            self.assertEqual((503, "1"), (refused.status, refused.headers["retry-after"]))
+            self.assertEqual("refused_not_run", self.document(refused)["outcome"])
+
+        self.run_with(ANSWER, test)
+
     def test_caller_that_goes_is_reported_and_late_answers_are_dropped(self) -> None:
         async def test(caller: CallerBench) -> None:
             sending = asyncio.create_task(caller.send(orjson.dumps(MINIMAL)))
--- a/wingquay/adapters/bearer_tokens.py
+++ b/wingquay/adapters/bearer_tokens.py
@@ -18,6 +18,11 @@
 class CallerDirectory(Protocol):
     """Knows who may call."""
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the callers are known yet; until then nobody can be told from a stranger."""
+        ...
+
     def authenticate(self, token: str) -> CallerName | None:
         """Return whose token it is, or ``None`` if it is nobody's."""
         ...
@@ -52,11 +57,18 @@
 
     def __init__(self) -> None:
         self._table = TokenTable(())
+        self._is_known = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a configuration has been in force yet."""
+        return self._is_known
 
     def replace(self, callers: Iterable[Caller]) -> None:
         """Know exactly these callers from now on."""
         owners = (TokenOwner(caller.name, caller.token_sha256) for caller in callers)
         self._table = TokenTable(owners)
+        self._is_known = True
 
     def authenticate(self, token: str) -> CallerName | None:
         """Return whose token it is, or ``None`` if it is nobody's."""
--- a/wingquay/adapters/caller_server.py
+++ b/wingquay/adapters/caller_server.py
@@ -24,6 +24,9 @@
 ANSWER_GRACE_SECONDS = 5.0
 """A request that the node left unanswered for so long after its deadline is given up."""
 
+UNCONFIGURED_RETRY_SECONDS = 1.0
+"""When to try a node again that has just started."""
+
 LONGEST_DEADLINE_SECONDS = LONGEST_DEADLINE_MS / 1_000
 
 Performable = AnswerCaller | SetReady
@@ -116,6 +119,8 @@
         if token is None:
             detail = "Authorization: a bearer token is required"
             return problem(401, "token-missing", detail, CHALLENGE)
+        if not self._callers.is_known:
+            return self._refuse_before_configuration()
         caller = self._callers.authenticate(token)
         if caller is None:
             return problem(401, "token-unknown", "Authorization: the token is unknown", CHALLENGE)
@@ -123,8 +128,20 @@
         if content_type.partition(";")[0].strip().lower() != JSON_TYPE:
             detail = f"Content-Type: {content_type!r} must be {JSON_TYPE}"
             return problem(415, "unsupported-media-type", detail)
-        request_id = RequestId(f"{self._node_id}-{next(self._numbers)}")
-        return read_query(request.body, request.headers, caller, request_id)
+        return read_query(request.body, request.headers, caller, self._next_request_id())
+
+    def _next_request_id(self) -> RequestId:
+        return RequestId(f"{self._node_id}-{next(self._numbers)}")
+
+    def _refuse_before_configuration(self) -> HttpResponse:
+        """Refuse for now, rather than call a caller unknown whom the configuration will name."""
+        answer = Answer(
+            self._next_request_id(),
+            Outcome.REFUSED_NOT_RUN,
+            reason="this node knows no configuration yet; ask another",
+            retry_after_seconds=UNCONFIGURED_RETRY_SECONDS,
+        )
+        return write_answer(answer)
 
     async def _ask(self, query: QueryRequest) -> Answer:
         """Hand the request to the node and wait for its answer."""
--- a/wingquay/demo/caller.py
+++ b/wingquay/demo/caller.py
@@ -8,6 +8,7 @@
 import orjson
 
 from wingquay.adapters.http_client import HttpClient
+from wingquay.adapters.http_messages import HttpFailureKind
 from wingquay.adapters.settings import Endpoint
 from wingquay.model.answer import Outcome
 from wingquay.model.failure import Failure
@@ -70,6 +71,8 @@
         ``None`` if the response is none that the interface describes.
     difference
         How the answer differs from what the back ends hold; empty: it does not.
+    failure
+        Why there is no response at all.
     """
 
     question: Question
@@ -79,6 +82,7 @@
     document: Mapping[str, Any]
     seconds: float
     difference: str
+    failure: HttpFailureKind | None = None
 
     @property
     def snapshot(self) -> int | None:
@@ -122,7 +126,7 @@
         seconds = time.perf_counter() - began
         if isinstance(response, Failure):
             text = f"{response.kind.value}: {response.reason}"
-            return Reply(question, node_index, 0, None, {}, seconds, text)
+            return Reply(question, node_index, 0, None, {}, seconds, text, response.kind)
         document = _document(response.whole_body)
         outcome = _outcome(document)
         difference = self._difference(question, outcome, document)
