Show in the demo that an unrepeatable request runs once

Cause: no step showed it. Change: the demo asks for an install-order, asks again through the other node, and compares answers and the back ends' ledger. ro-nord is run in two of its four zones, since a claim needs the vote of a majority of the zones and the demo has two nodes.

--- a/wingquay/demo/deployment.py
+++ b/wingquay/demo/deployment.py
@@ -30,6 +30,10 @@
 NODE_ZONES = ("cluj-a", "bistrita")
 """Zones of the demonstration's two nodes."""
 
+DEMO_PROFILE = DeploymentProfile.model_validate(RO_NORD.model_dump() | {"zones": NODE_ZONES})
+"""ro-nord at its full sizes in two of its four zones: an unrepeatable request needs the vote of a
+majority of the zones, and each zone votes through a node of its own."""
+
 CALLER_TOKEN = "demo-caller-token"
 OPERATOR_TOKEN = "demo-operator-token"
 CLUSTER_KEY = "demo-cluster-key-of-at-least-32-characters"
@@ -55,7 +59,7 @@
     def __init__(
         self,
         seed: int,
-        profile: DeploymentProfile = RO_NORD,
+        profile: DeploymentProfile = DEMO_PROFILE,
         node_zones: Sequence[str] = NODE_ZONES,
     ) -> None:
         self._random = random.Random(seed)
--- a/wingquay/demo/scenario.py
+++ b/wingquay/demo/scenario.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from wingquay.demo.caller import DemoCaller, Question, Reply
-from wingquay.demo.deployment import DemoDeployment
+from wingquay.demo.deployment import UNREPEATABLE_KIND, UNREPEATABLE_SERVICE, DemoDeployment
 from wingquay.demo.operator import DemoOperator, OperatorCommandError, effect_lines, intents_for
 from wingquay.model.answer import Outcome
 from wingquay.model.identifiers import (
@@ -82,6 +82,7 @@
         await self._step(f"{PING_COUNT} outage-pings, {PINGS_AT_ONCE} at a time", self._pings)
         await self._step("ticket-fetch: one subscriber's history", self._ticket)
         await self._step("billing-view: all 12 shards", self._billing)
+        await self._step("install-order: must run at most once", self._order_once)
         await self._step("ticket-fetch gets the top class: plan, confirm", self._assign_top_class)
         await self._step("new index version arrives during sweeps", self._change_version)
         await self._step(f"{STOPPED_REPLICA} is killed, then a sweep", self._stop_replica)
@@ -97,7 +98,7 @@
         result.executions = self._deployment.ledger.execution_count - executions_before
         self.results.append(result)
         for reply in result.replies:
-            if reply.outcome is not None:
+            if reply.outcome is not None and reply.question.idempotency_key is None:
                 result.needed += self._deployment.shards_asked(
                     reply.question.service, reply.question.key_ranges
                 )
@@ -147,6 +148,26 @@
     async def _billing(self, result: StepResult) -> None:
         _expect_complete(result, await self._ask(result, 1, Question("billing-view", "billing")))
 
+    async def _order_once(self, result: StepResult) -> None:
+        question = Question(
+            UNREPEATABLE_SERVICE,
+            UNREPEATABLE_KIND,
+            (self._deployment.dataset.keys[3],),
+            idempotency_key="order-1",
+            body="fit a router on Tuesday",
+        )
+        first = await self._ask(result, 0, question)
+        _expect_complete(result, first)
+        repeat = await self._ask(result, 1, question)
+        _expect_complete(result, repeat)
+        if _content(first) != _content(repeat):
+            result.faults.append("the repeat through the other node got another answer")
+        times = self._deployment.ledger.executions_by_body[question.body]
+        result.needed = 1
+        result.note = f"asked again through the other node: same answer; it ran {times} time(s)"
+        if times != 1:
+            result.faults.append(f"it ran {times} times")
+
     async def _change_version(self, result: StepResult) -> None:
         sweeps = asyncio.gather(
             *(self._ask(result, index % 2, SWEEP) for index in range(SWEEPS_WHILE_CHANGING))
@@ -185,6 +206,11 @@
             result.faults.append(f"{late} sub-requests reached a draining replica")
 
 
+def _content(reply: Reply) -> tuple[object, ...]:
+    """Return the part of an answer that a repeat must get again."""
+    return tuple(reply.document.get(name) for name in ("outcome", "covered", "rows"))
+
+
 def _expect_complete(result: StepResult, reply: Reply) -> None:
     if reply.outcome is not Outcome.COMPLETE:
         result.faults.append(f"expected a complete answer, got {reply.status} {reply.outcome}")
