Fuzz claims, and show for each mechanism what breaks without it

Cause: the claims machine had scenario tests only; nothing searched for orders of faults, and nothing showed that its mechanisms are needed. Ruled out: random steps alone: they find a missing quorum at once, but in trials not missing seat epochs, rounds or the store's order; those have cases of their own. Change: a Hypothesis state machine and fixed random steps (safety, and liveness after the faults end), one case for each mechanism run with and without it, late and doubled messages. One bug mended: each repeated offer of a seat began one more endless series of requests. Conclusion: the cases fail when the protocol is weakened.

--- /dev/null
+++ b/tests/claims/test_late_messages.py
@@ -0,0 +1,137 @@
+"""Messages that come late, doubled or out of order undo nothing."""
+
+import random
+
+from testtools import TestCase
+
+from tests.claims.world import DEPLOYMENT, World, quick_settings
+from wingquay.claims.keys import claim_key, partition_of, request_digest
+from wingquay.claims.memory import MemoryUse, PartitionMemory
+from wingquay.claims.seat import SeatTable
+from wingquay.claims.voter import Voter
+from wingquay.model.identifiers import CallerName, NodeId, RequestId, ServiceName, ZoneName
+from wingquay.ports.internal import ClaimDecisionKind
+from wingquay.ports.peer import (
+    ClaimOutcome,
+    ClaimRecord,
+    ClaimRequest,
+    ClaimTable,
+    ClaimVote,
+    NodeIdentity,
+    PeerMessage,
+    VoteKind,
+)
+
+KEY_DIGEST = "00" * 16
+ZONES = (ZoneName("z0"),)
+FIRST, SECOND = RequestId("first"), RequestId("second")
+
+
+def partition(key: str) -> int:
+    return partition_of(claim_key(CallerName("surveyor"), ServiceName("survey-intake"), key))
+
+
+def request(request_id: RequestId, round_number: int = 1) -> ClaimRequest:
+    return ClaimRequest(KEY_DIGEST, "digest", request_id, round_number, ZONES)
+
+
+def release(request_id: RequestId, round_number: int) -> ClaimOutcome:
+    return ClaimOutcome(KEY_DIGEST, "digest", request_id, round_number, None)
+
+
+def vouching_voter() -> Voter:
+    identity = NodeIdentity(NodeId("n0"), DEPLOYMENT, ZONES[0], "127.0.0.1", 7000)
+    seats = SeatTable(quick_settings(), identity)
+    seat = seats.seats[partition_of(KEY_DIGEST)]
+    seats.begin_epoch(seat, 1, ZONES)
+    seats.vouch(seat)
+    seat.confirmed_at = 0.0
+    return Voter(seats)
+
+
+class Voters(TestCase):
+    def test_a_late_release_does_not_undo_a_later_round(self) -> None:
+        voter = vouching_voter()
+        self.assertEqual(VoteKind.GRANTED, voter.vote(request(FIRST, 2), 0.0).vote)
+        voter.record_outcome(release(FIRST, 1), 0.0)
+        self.assertEqual(VoteKind.ALREADY_CLAIMED, voter.vote(request(SECOND), 0.0).vote)
+        voter.record_outcome(release(FIRST, 2), 0.0)
+        self.assertEqual(VoteKind.GRANTED, voter.vote(request(SECOND), 0.0).vote)
+
+    def test_a_release_does_not_undo_an_outcome(self) -> None:
+        voter = vouching_voter()
+        voter.vote(request(FIRST), 0.0)
+        voter.record_outcome(ClaimOutcome(KEY_DIGEST, "digest", FIRST, 1, b"done"), 0.0)
+        voter.record_outcome(release(FIRST, 1), 0.0)
+        self.assertEqual(b"done", voter.vote(request(SECOND), 0.0).outcome)
+
+    def test_tables_that_name_different_submissions_keep_both(self) -> None:
+        memory = PartitionMemory(quick_settings(), MemoryUse())
+        for request_id in (FIRST, SECOND, FIRST):
+            memory.merge(ClaimRecord(KEY_DIGEST, request_id, "digest", 1, None, 1.0), now=5.0)
+        remembered = {entry.request_id for entry in memory.submissions(KEY_DIGEST, 5.0)}
+        self.assertEqual({FIRST, SECOND}, remembered)
+        self.assertEqual(2, len(memory.records(5.0)))
+        memory.expire(1000.0)
+        self.assertEqual(0, len(memory))
+
+
+class Delays(TestCase):
+    def test_a_vote_of_an_earlier_round_does_not_count(self) -> None:
+        """Its grant was given back; a rival may have it by the time the vote arrives."""
+        world = World(2, 1)
+        world.settle()
+        asker, other = world.living()
+        world.cut_off({other.identity.node_id})
+        submission = world.submit(asker, "k0")
+        request_id = submission.request.request_id
+        key = claim_key(CallerName("surveyor"), ServiceName("survey-intake"), "k0")
+        digest = request_digest(submission.request)
+        smaller_id = RequestId("0")
+        claimed = VoteKind.ALREADY_CLAIMED
+        world.receive(other, asker, ClaimVote(key, request_id, 1, claimed, 1, smaller_id, digest))
+        world.receive(other, asker, ClaimVote(key, request_id, 1, VoteKind.GRANTED, 1))
+        world.advance(3.0)
+        self.assertEqual(ClaimDecisionKind.IN_PROGRESS, submission.decision)
+
+    def test_a_late_copy_of_a_seat_is_not_taken(self) -> None:
+        """Seat and memory go from n0 to n1 to n2; then n0's first copy reaches n1."""
+        world = World(1, 1)
+        world.settle()
+        held: list[PeerMessage] = []
+
+        def delay(message: PeerMessage) -> float | None:
+            is_seat = isinstance(message, ClaimTable) and message.handed_over
+            if not is_seat or message.partition in {entry.partition for entry in held}:
+                return None
+            held.append(message)
+            return 20.0
+
+        world.delay_rule = delay
+        middle = world.start_node(world.zones[0])
+        world.tell_membership()
+        world.advance(4.0)
+        key = self._key_held_by(world, middle.identity.node_id)
+        world.submit(middle, key)
+        world.advance(2.0)
+        world.delay_rule = None
+        last = world.start_node(world.zones[0])
+        world.tell_membership()
+        world.advance(20.0)
+        world.tell_view(middle, {last.identity.node_id})
+        world.submit(middle, key)
+        world.advance(3.0)
+        self.assertEqual([], world.violations)
+
+    def _key_held_by(self, world: World, node_id: NodeId) -> str:
+        """Return a key that is the node's now and goes to the next node that starts."""
+        source = random.Random(0)
+        spare = World(1, 3)
+        while True:
+            key = f"k{source.randrange(10**6)}"
+            number = partition(key)
+            now = world.living()[0].machine.holder(world.zones[0], number)
+            later = spare.living()[0].machine.holder(world.zones[0], number)
+            if now is not None and later is not None:
+                if (now.node_id, later.node_id) == (node_id, "n2"):
+                    return key
--- /dev/null
+++ b/tests/claims/test_mechanisms.py
@@ -0,0 +1,160 @@
+"""Each mechanism is needed: without it, a sequence of faults makes a request run twice.
+
+Every case is run twice, with all mechanisms and without the one it is about.
+"""
+
+from collections.abc import Callable
+
+from testtools import TestCase
+
+from tests.claims.world import SimulatedNode, World, quick_settings
+from wingquay.claims.keys import claim_key, partition_of
+from wingquay.model.identifiers import CallerName, NodeId, ServiceName
+from wingquay.model.mechanisms import Mechanism
+
+KEY = "k0"
+PARTITION = partition_of(claim_key(CallerName("surveyor"), ServiceName("survey-intake"), KEY))
+
+Case = Callable[[World], None]
+
+
+def ids(nodes: list[SimulatedNode]) -> set[NodeId]:
+    return {node.identity.node_id for node in nodes}
+
+
+def holder(world: World, zone_index: int) -> SimulatedNode:
+    """Return the node that truly holds the zone's seat for the key."""
+    zone = world.zones[zone_index]
+    identity = world.living(zone)[0].machine.holder(zone, PARTITION)
+    assert identity is not None
+    return world.nodes[identity.node_id]
+
+
+def other_than(world: World, node: SimulatedNode) -> SimulatedNode:
+    """Return another node of the same zone."""
+    return next(mate for mate in world.living(node.identity.zone) if mate is not node)
+
+
+def separate(world: World, *groups: list[SimulatedNode]) -> None:
+    """Cut groups off from each other, without anyone's view of the membership changing."""
+    for group in groups:
+        world.cut_off(ids(group))
+
+
+def cut_zones(world: World) -> None:
+    left, right = world.living(world.zones[0]), world.living(world.zones[1])
+    world.cut_off(ids(left))
+    world.submit(left[0], KEY)
+    world.submit(right[0], KEY)
+    world.advance(5.0)
+
+
+def seat_taken_over_from_a_living_holder(world: World) -> None:
+    """The first submission asks the old holder of a seat, the second one the new holder."""
+    old = holder(world, 0)
+    new = other_than(world, old)
+    believers = [node for node in world.living() if node is not old]
+    # Voters hear of the takeover from the new holder only, not from the store.
+    world.store.cut_off |= ids([node for node in world.living() if node is not new])
+    for node in believers:
+        world.tell_view(node, ids([old]))
+    world.advance(5.0)
+    middle, last = holder(world, 1), holder(world, 2)
+    first_asker = other_than(world, middle)
+    world.tell_membership(first_asker)
+    separate(world, [last], [new])
+    world.network.cut.discard(frozenset(ids([last, new])))
+    second_asker = last
+    world.submit(first_asker, KEY)
+    world.advance(5.0)
+    world.submit(second_asker, KEY)
+    world.advance(5.0)
+
+
+def new_holder_after_a_crash(world: World) -> None:
+    """The second submission asks the successor of a lost voter, and a voter never asked before."""
+    old, middle, last = holder(world, 0), holder(world, 1), holder(world, 2)
+    separate(world, [last])
+    world.submit(middle, KEY)
+    world.advance(2.0)
+    world.crash(old)
+    # Whoever ran it cannot tell the outcome to the voter that was never asked.
+    world.network.cut = {frozenset(ids([middle, last]))}
+    world.tell_membership()
+    world.advance(5.0)
+    world.submit(last, KEY)
+    world.advance(5.0)
+
+
+def paused_holder(world: World) -> None:
+    """A holder sleeps until its successor has waited the memory out, then goes on as before."""
+    sleeper = holder(world, 0)
+    successor = other_than(world, sleeper)
+    sleeper.paused = True
+    world.tell_view(successor, ids([sleeper]))
+    world.advance(world.settings.join_takeover_delay_seconds + world.settings.wait_seconds + 5.0)
+    world.submit(successor, KEY)
+    world.advance(2.0)
+    world.submit(sleeper, KEY)
+    sleeper.waiting.reverse()
+    world.random.seed(1)
+    world.resume(sleeper)
+    world.advance(5.0)
+
+
+class Mechanisms(TestCase):
+    def check(self, mechanism: Mechanism, zone_count: int, case: Case) -> None:
+        guarded = World(zone_count, 2, seed=1)
+        guarded.settle()
+        case(guarded)
+        self.assertEqual([], guarded.violations)
+        bare = World(zone_count, 2, 1, quick_settings(frozenset({mechanism})))
+        bare.settle()
+        case(bare)
+        self.assertNotEqual([], bare.violations)
+
+    def test_quorum(self) -> None:
+        self.check(Mechanism.CLAIM_QUORUM, 2, cut_zones)
+
+    def test_seat_epochs(self) -> None:
+        self.check(Mechanism.CLAIM_SEAT_EPOCHS, 3, seat_taken_over_from_a_living_holder)
+
+    def test_rebuild(self) -> None:
+        self.check(Mechanism.CLAIM_REBUILD, 3, new_holder_after_a_crash)
+
+    def test_pause_detection(self) -> None:
+        self.check(Mechanism.CLAIM_PAUSE_DETECTION, 1, paused_holder)
+
+
+class CrossedTakeovers(TestCase):
+    """Two zones' seats are taken over at the same time, each seeing the other's old holder.
+
+    Were the epochs agreed by the voters alone, each new holder could rebuild from the other
+    zone's old one, and two pairs of voters, each blind to the other, would both be a majority.
+    """
+
+    def test_no_two_quorums_are_blind_to_each_other(self) -> None:
+        for zone_count in (2, 4):
+            for left_asks_first in (True, False):
+                world = self._crossed(zone_count)
+                askers = [self.left[0], self.right[0]]
+                for asker in askers if left_asks_first else reversed(askers):
+                    world.submit(asker, KEY)
+                    world.advance(3.0)
+                self.assertEqual([], world.violations)
+
+    def _crossed(self, zone_count: int) -> World:
+        world = World(zone_count, 2, seed=1)
+        world.settle()
+        old = [holder(world, index) for index in range(zone_count)]
+        new = [other_than(world, old[0]), other_than(world, old[1])]
+        self.left = [old[0], new[1], *old[2:3]]
+        self.right = [new[0], old[1], *old[3:4]]
+        world.store.cut_off |= ids(old)
+        world.cut_off(ids(self.left))
+        everyone = ids(world.living())
+        for side in (self.left, self.right):
+            for node in side:
+                world.tell_view(node, everyone - ids(side))
+        world.advance(4.0)
+        return world
--- /dev/null
+++ b/tests/claims/test_stateful.py
@@ -0,0 +1,94 @@
+"""Stateful fuzzing: whatever faults come in whatever order, no key runs twice.
+
+When the faults end, claims are granted again.
+"""
+
+import random
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from testtools import TestCase
+
+from tests.claims.faults import STEPS, WEIGHTS, take_random_steps
+from tests.claims.world import World
+from wingquay.ports.internal import ClaimDecisionKind
+
+SEEDS = st.integers(min_value=0, max_value=2**32)
+STEP_NAMES = tuple(name for name in STEPS for _ in range(WEIGHTS.get(name, 1)))
+
+
+class ClaimsFuzz(RuleBasedStateMachine):
+    """Draws steps; Hypothesis shrinks a failing sequence."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(1, 1)
+
+    @initialize(
+        zone_count=st.integers(min_value=1, max_value=4),
+        nodes_per_zone=st.integers(min_value=1, max_value=2),
+        seed=SEEDS,
+        settles=st.booleans(),
+    )
+    def begin(self, zone_count: int, nodes_per_zone: int, seed: int, settles: bool) -> None:
+        self.world = World(zone_count, nodes_per_zone, seed)
+        if settles:
+            self.world.settle()
+
+    @rule(name=st.sampled_from(STEP_NAMES), seed=SEEDS)
+    def step(self, name: str, seed: int) -> None:
+        STEPS[name](self.world, random.Random(seed))
+
+    @invariant()
+    def no_key_ran_twice(self) -> None:
+        assert self.world.violations == []
+
+    @invariant()
+    def memory_is_accounted_for(self) -> None:
+        for node in self.world.living():
+            report = node.machine.report()
+            assert report.records >= 0
+            assert report.outcome_bytes >= 0
+
+    def teardown(self) -> None:
+        """Everyone gets well; when all memory is waited out, a new key runs."""
+        world = self.world
+        if world.violations:
+            return
+        world.heal()
+        for zone in world.zones:
+            if not any(not node.leaving for node in world.living(zone)):
+                world.start_node(zone)
+        world.tell_membership()
+        world.advance(world.settings.wait_seconds + 180.0)
+        submission = world.submit(world.living()[0], "new")
+        world.advance(3.0)
+        assert submission.decision is ClaimDecisionKind.GRANTED, submission
+        assert world.violations == []
+
+
+FUZZ_SETTINGS = settings(
+    max_examples=25,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+@pytest.mark.timeout(300)
+class TestClaimsFuzz(ClaimsFuzz.TestCase):  # type: ignore[name-defined, misc]
+    settings = FUZZ_SETTINGS
+
+
+class RandomSteps(TestCase):
+    """Longer sequences than Hypothesis draws, from fixed seeds."""
+
+    def test_no_key_runs_twice(self) -> None:
+        for seed in range(12):
+            world = World(1 + seed % 4, 1 + seed // 4 % 2, seed)
+            world.settle()
+            steps = take_random_steps(world, random.Random(seed), 60)
+            self.assertEqual([], world.violations, (seed, steps))
--- a/tests/claims/world.py
+++ b/tests/claims/world.py
@@ -115,6 +115,7 @@
         self.runs: dict[str, list[tuple[float, RequestId]]] = {}
         self.violations: list[str] = []
         self.refuse_to_run = False
+        self.delay_rule: Callable[[PeerMessage], float | None] | None = None
         self.zones_revision = 1
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
@@ -223,10 +224,18 @@
                 broken = PeerLinkBroken(to.node_id, "cut")
                 self._at(self.now + 0.01, lambda: self.give(sender, broken))
             return
+        fixed = self.delay_rule(message) if self.delay_rule else None
+        if fixed is not None:
+            self._at(self.now + fixed, lambda: self.give(receiver, event))
+            return
         copies = 2 if self.random.random() < self.network.duplicates else 1
         for _ in range(copies):
             self._at(self.now + self._delay(), lambda: self.give(receiver, event))
 
+    def receive(self, sender: SimulatedNode, to: SimulatedNode, message: PeerMessage) -> None:
+        """Let a message arrive at once."""
+        self.give(to, PeerReceived(sender.identity, message))
+
     def _delay(self) -> float:
         if self.random.random() < self.network.long_delay:
             return self.random.choice((0.3, 3.0, 30.0, 130.0))
--- a/wingquay/claims/seat.py
+++ b/wingquay/claims/seat.py
@@ -61,6 +61,10 @@
         When the seat may be taken over; infinite while this node does not want it.
     ask_tables_at, ask_tables_delay_seconds
         When tables are next asked for, and how long after that again.
+    offer
+        The offer of this seat to another node.
+    accepted_offer_id, accepted_until
+        Another node's offer of its seat, and how long this node tries to fetch it.
     tables
         The complete tables that were read since ``epoch`` began.
     """
@@ -78,6 +82,8 @@
     ask_tables_delay_seconds: float = 0.0
     forget_at: float = inf
     offer: SeatOffer | None = None
+    accepted_offer_id: str | None = None
+    accepted_until: float = -inf
     tables: dict[ZoneName, TableSource] = field(default_factory=dict)
 
     def seat_epochs(self) -> tuple[SeatEpoch, ...]:
--- a/wingquay/claims/transfers.py
+++ b/wingquay/claims/transfers.py
@@ -119,7 +119,7 @@
         self._transfers += 1
         transfer_id = f"{self._seats.identity.node_id}/{self._transfers}"
         zones = self._zones if offer_id is not None else seat.zones
-        ask_again_at = now + self._settings.table_retry_seconds
+        ask_again_at = now + self._settings.table_retry_seconds if offer_id is not None else inf
         fetch = _Fetch(seat, sender, offer_id, zones, now, ask_again_at)
         self._fetches[transfer_id] = fetch
         request = ClaimTableRequest(
@@ -133,16 +133,14 @@
 
     def _ask_again_for_seats(self, now: float) -> list[Action]:
         """Fetch accepted seats once more: their holder votes no more since it gave them."""
-        late = [
-            fetch
-            for fetch in self._fetches.values()
-            if fetch.offer_id is not None and now >= fetch.ask_again_at
-        ]
+        late = [fetch for fetch in self._fetches.values() if now >= fetch.ask_again_at]
         actions: list[Action] = []
         for fetch in late:
             fetch.ask_again_at = inf
-            if fetch.seat.status is not SeatStatus.VOUCHING:
-                actions.append(self._request(fetch.seat, fetch.sender, fetch.offer_id, now))
+            seat = fetch.seat
+            is_open = seat.accepted_offer_id == fetch.offer_id and now < seat.accepted_until
+            if is_open and seat.status is not SeatStatus.VOUCHING:
+                actions.append(self._request(seat, fetch.sender, fetch.offer_id, now))
         return actions
 
     def _drop_old_fetches(self, now: float) -> None:
@@ -261,8 +259,11 @@
             if not 0 <= partition < len(self._seats.seats):
                 continue
             seat = self._seats.seats[partition]
-            if seat.status is not SeatStatus.VOUCHING:
-                seat.takeover_at += self._settings.table_retry_seconds
+            is_known = seat.accepted_offer_id == offer.offer_id and now < seat.accepted_until
+            if seat.status is not SeatStatus.VOUCHING and not is_known:
+                seat.accepted_offer_id = offer.offer_id
+                seat.accepted_until = now + self._settings.handed_over_keep_seconds
+                seat.takeover_at = max(seat.takeover_at, seat.accepted_until)
                 actions.append(self._request(seat, sender, offer.offer_id, now))
         return actions
 
