--- a/tests/query/test_class_order.py
+++ b/tests/query/test_class_order.py
@@ -95,11 +95,15 @@
         return policy
 
     def test_the_delay_is_a_high_quantile_of_service_times(self) -> None:
-        delay = self.policy().delay_seconds("k", 0)
+        delay = self.policy().delay_seconds("k", 0, 1.0)
         self.assertIsNotNone(delay)
         assert delay is not None
         self.assertTrue(0.0055 <= delay <= 0.0062, delay)
 
+    def test_a_kind_without_samples_is_hedged_by_its_expected_time(self) -> None:
+        delay = self.policy().delay_seconds("new", 0, 0.01)
+        self.assertEqual(0.01 * AdmissionSettings().hedge_initial_factor, delay)
+
     def test_the_budget_bounds_hedges_to_its_ratio(self) -> None:
         policy = self.policy()
         granted = 0
--- a/wingquay/adapters/settings_tuning.py
+++ b/wingquay/adapters/settings_tuning.py
@@ -39,6 +39,7 @@
     "query.stop_linger_seconds": (0, 60),
     "admission.hedge_quantile": (0.5, 0.9999),
     "admission.hedge_budget_burst": (1, 1000),
+    "admission.hedge_initial_factor": (1, 100),
     "admission.most_hedges": (0, 5),
     "admission.retry_budget_burst": (1, 1000),
     "admission.most_retries": (0, 10),
--- a/wingquay/admission/attempts.py
+++ b/wingquay/admission/attempts.py
@@ -101,7 +101,9 @@
     def _schedule_hedge(self, work: Work, attempt: RunningAttempt, now: float) -> list[Action]:
         if not self.may_repeat(work):
             return []
-        delay = self.hedging.delay_seconds(kind_key(work.sub_request), work.hedges)
+        delay = self.hedging.delay_seconds(
+            kind_key(work.sub_request), work.hedges, self.expected_seconds(work.sub_request)
+        )
         if delay is None or now + delay >= work.deadline_at:
             return []
         due = HedgeDue(work.sub_request.sub_request_id, attempt.attempt_id)
--- a/wingquay/admission/hedging.py
+++ b/wingquay/admission/hedging.py
@@ -32,16 +32,25 @@
             self._trackers[kind_key] = tracker
         tracker.record(service_seconds, now)
 
-    def delay_seconds(self, kind_key: str, hedges_so_far: int) -> float | None:
-        """Return the time after an attempt's start at which to hedge it, or ``None``: never."""
+    def delay_seconds(
+        self, kind_key: str, hedges_so_far: int, expected_seconds: float
+    ) -> float | None:
+        """Return the time after an attempt's start at which to hedge it, or ``None``: never.
+
+        A node that has just started knows no quantile yet; it goes by ``expected_seconds``, the
+        expected service time.
+        """
         if not self._enabled or hedges_so_far >= self._settings.most_hedges:
             return None
         tracker = self._trackers.get(kind_key)
-        if tracker is None:
-            return None
-        return tracker.quantile_seconds(
-            self._settings.hedge_quantile, self._settings.hedge_fewest_samples
-        )
+        delay = None
+        if tracker is not None:
+            delay = tracker.quantile_seconds(
+                self._settings.hedge_quantile, self._settings.hedge_fewest_samples
+            )
+        if delay is None:
+            return expected_seconds * self._settings.hedge_initial_factor
+        return delay
 
     def may_hedge(self, class_name: str) -> bool:
         """Take one hedge from the class's budget; ``False`` if it is spent."""
--- a/wingquay/admission/settings.py
+++ b/wingquay/admission/settings.py
@@ -17,7 +17,10 @@
     hedge_budget_burst
         Hedges of a class that may leave at once, 1 to 1000. Default 10.
     hedge_fewest_samples
-        Service times that must be known before anything is hedged. Default 50.
+        Service times of a kind that must be known before their quantile is used. Default 50.
+    hedge_initial_factor
+        Until then, hedges leave after this many times the expected service time, 1 to 100.
+        Default 5.
     most_hedges
         Hedges of one sub-request, 0 to 5. Default 2.
     retry_budget_ratio
@@ -39,6 +42,7 @@
     hedge_budget_ratio: float = 0.03
     hedge_budget_burst: float = 10.0
     hedge_fewest_samples: int = 50
+    hedge_initial_factor: float = 5.0
     most_hedges: int = 2
     retry_budget_ratio: float = 0.1
     retry_budget_burst: float = 20.0
