Bound what waits to be spread; doubt oneself only when nobody answers

Cause: with 2,800 replicas whose versions change, thousands of pieces waited and were sorted for every message; behind a zone cut a node took every relay that it could not reach for a sign that it was mute itself, and took up to 80 s to declare the other side dead. Change: pieces are kept by how often they were sent, at most 300 that are not urgent, sent half as often; the health score worsens only if no relay answered.

--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -5,7 +5,11 @@
 from hypothesis import strategies as st
 
 from wingquay.adapters import peer_codec
-from wingquay.membership.gossip_queue import GossipQueue, estimated_bytes
+from wingquay.membership.gossip_queue import (
+    MAXIMUM_ORDINARY_PIECES,
+    GossipQueue,
+    estimated_bytes,
+)
 from wingquay.membership.local_health import LocalHealth
 from wingquay.membership.member_table import MemberTable, overrides
 from wingquay.membership.probing import ProbeOrder, ProbeStep, new_probe
@@ -58,6 +62,14 @@
         self.assertEqual([update(1)], queue.take(size, 470))
         self.assertEqual([update(2), update(1), replica], queue.take(1000, 470))
 
+    def test_pieces_that_can_wait_are_bounded_in_number(self):
+        queue = GossipQueue(2.0)
+        for number in range(MAXIMUM_ORDINARY_PIECES + 50):
+            queue.put(ReplicaUpdate(f"r{number}", ReplicaState.SERVING, 1), urgent=False)
+        queue.put(update(1))
+        self.assertEqual(MAXIMUM_ORDINARY_PIECES + 1, len(queue))
+        self.assertEqual(update(1), queue.take(1000, 470)[0])
+
     def test_only_urgent_pieces_call_for_messages_of_their_own(self):
         queue = GossipQueue(2.0)
         queue.put(ReplicaUpdate("replica", ReplicaState.SERVING, 1), urgent=False)
--- a/wingquay/membership/gossip_queue.py
+++ b/wingquay/membership/gossip_queue.py
@@ -17,6 +17,15 @@
 """Tags, lengths, state, version and held versions of an encoded replica update."""
 
 
+SMALLEST_UPDATE_BYTES = REPLICA_UPDATE_OVERHEAD_BYTES
+"""With less room than this, no further piece is looked for."""
+
+MAXIMUM_ORDINARY_PIECES = 300
+"""Pieces that are not urgent; when there are more, the most often sent are dropped."""
+
+_Key = tuple[str, NodeId | ReplicaId]
+
+
 def estimated_bytes(update: NodeUpdate | ReplicaUpdate) -> int:
     """Return about how many bytes ``update`` takes on the wire."""
     if isinstance(update, ReplicaUpdate):
@@ -35,46 +44,100 @@
 class _Entry:
     update: NodeUpdate | ReplicaUpdate
     size_bytes: int
-    urgent: bool
-    order: int
     times_sent: int = 0
 
 
+class _Lane:
+    """Pieces of one urgency, by how often they have been sent.
+
+    What has not been sent yet goes newest first, the rest in turn.
+    """
+
+    def __init__(self) -> None:
+        self._levels: list[dict[_Key, _Entry]] = []
+        self._level_of: dict[_Key, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._level_of)
+
+    def __contains__(self, key: _Key) -> bool:
+        return key in self._level_of
+
+    def put(self, key: _Key, entry: _Entry) -> None:
+        level = entry.times_sent
+        while len(self._levels) <= level:
+            self._levels.append({})
+        self._levels[level][key] = entry
+        self._level_of[key] = level
+
+    def remove(self, key: _Key) -> None:
+        level = self._level_of.pop(key, None)
+        if level is not None:
+            del self._levels[level][key]
+
+    def drop_most_sent(self) -> None:
+        """Drop the oldest of the pieces that have been sent most often."""
+        most_sent = next(level for level in reversed(self._levels) if level)
+        self.remove(next(iter(most_sent)))
+
+    def take(self, maximum_bytes: int, limit: int) -> tuple[list[NodeUpdate | ReplicaUpdate], int]:
+        """Return pieces of at most ``maximum_bytes``, least sent first, and the bytes left."""
+        chosen: list[tuple[_Key, _Entry]] = []
+        for times_sent, level in enumerate(self._levels):
+            for key in level if times_sent else reversed(level):
+                entry = level[key]
+                if entry.size_bytes <= maximum_bytes:
+                    maximum_bytes -= entry.size_bytes
+                    chosen.append((key, entry))
+                if maximum_bytes < SMALLEST_UPDATE_BYTES:
+                    break
+            if maximum_bytes < SMALLEST_UPDATE_BYTES:
+                break
+        for key, entry in chosen:
+            self.remove(key)
+            entry.times_sent += 1
+            if entry.times_sent < limit:
+                self.put(key, entry)
+        return [entry.update for _, entry in chosen], maximum_bytes
+
+
 class GossipQueue:
     """Pieces of gossip, at most one for each node and each replica: the newest.
 
     Parameters
     ----------
     retransmission_factor
-        Times the natural logarithm of the number of nodes: how often a piece is sent.
+        Times the natural logarithm of the number of nodes: how often an urgent piece is sent;
+        others are sent half as often.
     """
 
     def __init__(self, retransmission_factor: float) -> None:
         self._factor = retransmission_factor
-        self._entries: dict[tuple[str, NodeId | ReplicaId], _Entry] = {}
-        self._next_order = 0
-        self._urgent_count = 0
+        self._urgent = _Lane()
+        self._ordinary = _Lane()
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return len(self._urgent) + len(self._ordinary)
 
     @property
     def has_urgent(self) -> bool:
         """Whether something waits that is worth messages of its own."""
-        return self._urgent_count > 0
+        return len(self._urgent) > 0
 
     def holds_node(self, node_id: NodeId) -> bool:
         """Whether something about that node still has to be spread."""
-        return ("node", node_id) in self._entries
+        key = ("node", node_id)
+        return key in self._urgent or key in self._ordinary
 
     def put(self, update: NodeUpdate | ReplicaUpdate, urgent: bool = True) -> None:
         """Spread ``update`` instead of what was to be spread about the same subject."""
         key = _key_of(update)
-        self._remove(key)
-        self._next_order += 1
-        entry = _Entry(update, estimated_bytes(update), urgent, self._next_order)
-        self._entries[key] = entry
-        self._urgent_count += urgent
+        self._urgent.remove(key)
+        self._ordinary.remove(key)
+        lane = self._urgent if urgent else self._ordinary
+        lane.put(key, _Entry(update, estimated_bytes(update)))
+        if len(self._ordinary) > MAXIMUM_ORDINARY_PIECES:
+            self._ordinary.drop_most_sent()
 
     def take(
         self,
@@ -82,38 +145,17 @@
         node_count: int,
     ) -> list[NodeUpdate | ReplicaUpdate]:
         """Return what to send now, of at most ``maximum_bytes``, and count it as sent."""
-        if not self._entries:
-            return []
         limit = self.transmissions(node_count)
-        taken: list[NodeUpdate | ReplicaUpdate] = []
-        for key, entry in sorted(self._entries.items(), key=_sending_order):
-            if entry.size_bytes > maximum_bytes:
-                continue
-            maximum_bytes -= entry.size_bytes
-            taken.append(entry.update)
-            entry.times_sent += 1
-            if entry.times_sent >= limit:
-                self._remove(key)
-        return taken
+        urgent, left_bytes = self._urgent.take(maximum_bytes, limit)
+        ordinary, _ = self._ordinary.take(left_bytes, max(1, limit // 2))
+        return urgent + ordinary
 
     def transmissions(self, node_count: int) -> int:
-        """Return how often a piece is sent among ``node_count`` nodes."""
+        """Return how often an urgent piece is sent among ``node_count`` nodes."""
         return max(1, math.ceil(self._factor * math.log(node_count + 1)))
 
-    def _remove(self, key: tuple[str, NodeId | ReplicaId]) -> None:
-        entry = self._entries.pop(key, None)
-        if entry is not None:
-            self._urgent_count -= entry.urgent
-
 
-def _key_of(update: NodeUpdate | ReplicaUpdate) -> tuple[str, NodeId | ReplicaId]:
+def _key_of(update: NodeUpdate | ReplicaUpdate) -> _Key:
     if isinstance(update, ReplicaUpdate):
         return "replica", update.replica_id
     return "node", update.identity.node_id
-
-
-def _sending_order(
-    item: tuple[tuple[str, NodeId | ReplicaId], _Entry],
-) -> tuple[bool, int, int]:
-    entry = item[1]
-    return not entry.urgent, entry.times_sent, -entry.order
--- a/wingquay/membership/prober.py
+++ b/wingquay/membership/prober.py
@@ -104,12 +104,12 @@
         relays = self._random.sample(others, min(self._settings.indirect_probes, len(others)))
         for relay in relays:
             self._courier.request_probe(relay, probe.sequence, probe.target)
-        probe.relays = max(1, len(relays))
 
     def _give_up(self, probe: Probe, now: float) -> None:
         self._probe = None
-        # Relays that do not even refuse are a sign that this node itself is not heard.
-        self._beliefs.health.worsen(max(0, probe.relays - probe.refusals))
+        if probe.refusals == 0:
+            # Not even the relays answer: perhaps it is this node that is not heard.
+            self._beliefs.health.worsen()
         self._beliefs.suspect(probe.target.node_id, now)
 
     def on_ping(self, sender: NodeIdentity, message: Ping) -> None:
--- a/wingquay/membership/probing.py
+++ b/wingquay/membership/probing.py
@@ -31,8 +31,8 @@
     ----------
     again_at, indirect_at, ends_at
         When to repeat it, to ask others, to give up (seconds).
-    relays, refusals
-        How many others were asked, and how many of them said that they had no answer either.
+    refusals
+        How many of the others that were asked said that they had no answer either.
     """
 
     target: NodeIdentity
@@ -41,14 +41,15 @@
     indirect_at: float
     ends_at: float
     sent_again: bool = False
-    relays: int = 0
+    has_asked_others: bool = False
     refusals: int = 0
 
     def next_step(self, now: float) -> ProbeStep:
         """Return what is due ``now``; each step is returned once."""
         if now >= self.ends_at:
             return ProbeStep.GIVE_UP
-        if now >= self.indirect_at and self.relays == 0:
+        if now >= self.indirect_at and not self.has_asked_others:
+            self.has_asked_others = True
             return ProbeStep.ASK_OTHERS
         if now >= self.again_at and not self.sent_again:
             self.sent_again = True
