--- a/tests/adapters/test_peer_link.py
+++ b/tests/adapters/test_peer_link.py
@@ -191,6 +191,45 @@
 
         self.run_async(scenario)
 
+    def test_peer_that_does_not_read_breaks_the_link(self):
+        async def scenario():
+            settings = PeerLinkSettings(write_buffer_limit_bytes=100_000)
+            async with running(Node("a", settings=settings), Node("b")) as (a, b):
+                a.send(b, text(1))
+                await b.wait_for_events(1)
+                for connection in b.link._connections:
+                    connection._transport.pause_reading()
+                for _ in range(2_000):
+                    a.send(b, text(50_000))
+                    await asyncio.sleep(0)
+                    if a.events:
+                        break
+                self.assertIn("the limit is 100000", a.events[0].reason)
+
+        self.run_async(scenario)
+
+    def test_strangers_bytes_do_no_harm(self):
+        async def scenario():
+            async with running(Node("a"), Node("b")) as (a, b):
+                host, port = b.link.identity.host, b.link.identity.port
+                loop = asyncio.get_running_loop()
+                datagrams, _ = await loop.create_datagram_endpoint(
+                    asyncio.DatagramProtocol, remote_addr=(host, port)
+                )
+                for data in (b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\4junk", b"\xff" * 5000):
+                    datagrams.sendto(data)
+                    reader, writer = await asyncio.open_connection(host, port)
+                    writer.write(data)
+                    with contextlib.suppress(ConnectionError):
+                        await reader.read()
+                    writer.close()
+                datagrams.close()
+                await until(lambda: b.link.counters.refused >= 4)
+                a.send(b, text(1))
+                self.assertEqual(text(1), (await b.wait_for_events(1))[0].message)
+
+        self.run_async(scenario)
+
     def test_break_is_told_on_both_sides(self):
         async def scenario():
             async with running(Node("a"), Node("b")) as (a, b):
