Notice replicas that swallow requests; ask for withheld hedges again

Cause: with a zone cut off, a slow replica or late answers, attempts hang until their deadline; hedges spend their budget, and one that was withheld was never looked at again. The p99 then was the deadline. Change: a hedge that the budget did not allow is looked at again one delay later; five hedges in a row that overtake a replica eject it; a silent owner is passed over for 1 s, doubling to 8 s.

--- a/wingquay/adapters/settings_tuning.py
+++ b/wingquay/adapters/settings_tuning.py
@@ -46,6 +46,7 @@
     "routing.owners_per_shard": (0, 16),
     "routing.in_flight_per_slot": (1, 4),
     "routing.ejection_failures": (1, 100),
+    "routing.ejection_lost_races": (1, 100),
     "routing.latency_weight": (0, 1),
     "stop.least_seconds": (0, 600),
     "stop.most_seconds": (0.1, 600),
--- a/wingquay/admission/attempts.py
+++ b/wingquay/admission/attempts.py
@@ -109,6 +109,10 @@
         due = HedgeDue(work.sub_request.sub_request_id, attempt.attempt_id)
         return [Schedule(now + delay, due)]
 
+    def postpone_hedge(self, running: Running, now: float) -> list[Action]:
+        """Look again later at a hedge that the budget did not allow now."""
+        return self._schedule_hedge(running.work, running.attempt, now)
+
     def end(self, attempt_id: AttemptId) -> Running | None:
         """Forget an exchange that ended and free its slot; ``None`` if it was not going on."""
         running = self._running.pop(attempt_id, None)
@@ -140,6 +144,12 @@
         self.hedging.on_service_time(key, service_seconds, now)
         self._service_times.record(key, service_seconds)
 
+    def learn_lost_races(self, winner: Running, now: float) -> None:
+        """Take in that a replica answered before others that were asked earlier."""
+        for attempt in winner.work.running.values():
+            if attempt.started_at < winner.attempt.started_at:
+                self._running[attempt.attempt_id].tracker.on_lost_race(now)
+
     def learn_failure(self, running: Running, kind: BackendFailureKind, now: float) -> None:
         """Take in why an exchange brought no answer."""
         tracker = running.tracker
--- a/wingquay/admission/dispatcher.py
+++ b/wingquay/admission/dispatcher.py
@@ -258,7 +258,8 @@
             return []
         class_name = work.sub_request.class_name
         if now < lane.shedding_until or not self._attempts.hedging.may_hedge(class_name):
-            return [Count("wingquay_hedges_withheld_total")]
+            withheld = Count("wingquay_hedges_withheld_total")
+            return [withheld, *self._attempts.postpone_hedge(running, now)]
         work.wants_hedge = True
         lane.hedge_line.append(work)
         return self._pump(lane, now)
@@ -272,6 +273,7 @@
             return [Count("wingquay_stray_attempts_total")]
         if isinstance(event.result, BackendAnswer):
             self._attempts.learn_answer(running, now)
+            self._attempts.learn_lost_races(running, now)
             actions = self._on_answer(running.work, event.result, now)
         else:
             self._attempts.learn_failure(running, event.result.kind, now)
--- a/wingquay/query/owner_links.py
+++ b/wingquay/query/owner_links.py
@@ -9,7 +9,10 @@
 from wingquay.routing.ownership import OwnerTable
 
 SILENT_HOLD_SECONDS = 1.0
-"""Time for which a silent owner is passed over before it is tried again."""
+"""Time for which a silent owner is passed over before it is tried again, the first time."""
+
+LONGEST_SILENT_HOLD_SECONDS = 8.0
+"""The time doubles with each silence in a row, up to this."""
 
 
 class OwnerLinks:
@@ -34,12 +37,15 @@
         self._available: tuple[NodeIdentity, ...] = (identity,)
         self._heard_at: dict[str, float] = {}
         self._silent_until: dict[str, float] = {}
+        self._silences_in_row: dict[str, int] = {}
 
     def on_membership(self, event: MembershipChanged) -> None:
         """Follow the nodes that may be asked."""
         self._available = event.available
         present = {node.node_id for node in event.available}
-        self._heard_at = {name: at for name, at in self._heard_at.items() if name in present}
+        for known in (self._heard_at, self._silent_until, self._silences_in_row):
+            for node_id in [name for name in known if name not in present]:
+                del known[node_id]
         for deployment, table in self._tables.items():
             table.set_nodes(self._nodes_of(deployment))
 
@@ -87,6 +93,7 @@
         """Take in that an owner sent something."""
         self._heard_at[node_id] = now
         self._silent_until.pop(node_id, None)
+        self._silences_in_row.pop(node_id, None)
 
     def is_silent(self, node_id: str, oldest_sent_at: float, now: float, limit: float) -> bool:
         """Whether an owner asked at ``oldest_sent_at`` has sent nothing for ``limit`` seconds."""
@@ -97,5 +104,9 @@
 
     def pass_over(self, node_id: str, now: float) -> None:
         """Ask other owners for a while."""
-        if node_id != self._identity.node_id:
-            self._silent_until[node_id] = now + SILENT_HOLD_SECONDS
+        if node_id == self._identity.node_id or self._silent_until.get(node_id, 0.0) > now:
+            return
+        silences = self._silences_in_row.get(node_id, 0)
+        hold = min(SILENT_HOLD_SECONDS * 2.0**silences, LONGEST_SILENT_HOLD_SECONDS)
+        self._silences_in_row[node_id] = silences + 1
+        self._silent_until[node_id] = now + hold
--- a/wingquay/routing/replica_tracker.py
+++ b/wingquay/routing/replica_tracker.py
@@ -27,6 +27,7 @@
     in_flight: int = 0
     latency_seconds: float = INITIAL_LATENCY_SECONDS
     failures_in_row: int = 0
+    lost_races_in_row: int = 0
     ejections_in_row: int = 0
     ejected_until: float = 0.0
     leaving: bool = False
@@ -88,6 +89,7 @@
         weight = self.settings.latency_weight
         self.latency_seconds += weight * (latency_seconds - self.latency_seconds)
         self.failures_in_row = 0
+        self.lost_races_in_row = 0
         self.ejections_in_row = 0
         self._recover_limit()
 
@@ -110,8 +112,18 @@
     def on_failure(self, now: float) -> None:
         """Take in a failure; enough in a row eject the replica, longer each time."""
         self.failures_in_row += 1
-        if self.failures_in_row < self.settings.ejection_failures:
-            return
+        if self.failures_in_row >= self.settings.ejection_failures:
+            self._eject(now)
+
+    def on_lost_race(self, now: float) -> None:
+        """Take in that a hedge sent later than this replica's attempt answered first."""
+        self.lost_races_in_row += 1
+        if self.lost_races_in_row >= self.settings.ejection_lost_races:
+            self.lost_races_in_row = 0
+            self.failures_in_row = max(self.failures_in_row, self.settings.ejection_failures)
+            self._eject(now)
+
+    def _eject(self, now: float) -> None:
         duration = self.settings.ejection_base_seconds * 2.0**self.ejections_in_row
         self.ejected_until = now + min(duration, self.settings.ejection_max_seconds)
         self.ejections_in_row = min(self.ejections_in_row + 1, 10)
--- a/wingquay/routing/settings.py
+++ b/wingquay/routing/settings.py
@@ -17,6 +17,10 @@
         idle for a network round trip, nor a slow one hold up the others. Default 2.
     ejection_failures
         Failures in a row after which a replica is left out, 1 to 100. Default 3.
+    ejection_lost_races
+        Hedges in a row that overtook a replica, with no answer of its own between them, after
+        which it is left out too, 1 to 100: so one that swallows requests is noticed before
+        their deadlines. Default 5.
     ejection_base_seconds, ejection_max_seconds
         First and longest time that a replica is left out. Defaults 0.5 and 10.
     slow_start_seconds
@@ -36,6 +40,7 @@
     owners_per_shard: int = 1
     in_flight_per_slot: float = 2.0
     ejection_failures: int = 3
+    ejection_lost_races: int = 5
     ejection_base_seconds: float = 0.5
     ejection_max_seconds: float = 10.0
     slow_start_seconds: float = 5.0
