Tell a node's machines of leaving replicas again once these are configured

Cause: a node that joins hears from its peers which replicas leave before it has a configuration; its owner of shards knew no such replica yet and dropped the belief, and the membership never said it again, since nothing changed. Ruled out: lying or stale health pages (their runs alone show none). Change: ReplicaTable.configure returns the beliefs that differ from what is taken for granted; a test fails without it. Conclusion: whatever is told by change only has to be told again when its reader begins.

--- a/tests/membership/test_replica_beliefs.py
+++ b/tests/membership/test_replica_beliefs.py
@@ -115,6 +115,12 @@
         again = self.table.observe(ReplicaObserved("r1", LEAVING), NOW + 1)
         self.assertEqual(([], []), (again.beliefs, again.urgent_updates))
 
+    def test_what_was_heard_before_the_configuration_is_told_again_with_it(self):
+        table = ReplicaTable(SETTINGS)
+        table.hear(ReplicaUpdate("r1", LEAVING, 1), NOW)
+        news = table.configure(CONFIGURATION)
+        self.assertEqual([ReplicaBelief("r1", LEAVING)], news.beliefs)
+
     def test_greater_version_overrides_and_a_tie_goes_to_the_warning(self):
         self.table.hear(ReplicaUpdate("r1", SERVING, 5), NOW)
         self.assertIsNone(self.table.hear(ReplicaUpdate("r1", LEAVING, 4), NOW))
--- a/wingquay/membership/membership_machine.py
+++ b/wingquay/membership/membership_machine.py
@@ -159,7 +159,7 @@
                 self._courier.push(LEAVING_FANOUT)
                 self._tell_changes()
             case ConfigurationInForce():
-                self._replicas.configure(event.configuration)
+                self._take_news(self._replicas.configure(event.configuration))
                 self._revisions.in_force(event.configuration.revision, self._push_rounds())
 
     def _on_start(self, now: float) -> None:
--- a/wingquay/membership/replica_table.py
+++ b/wingquay/membership/replica_table.py
@@ -20,6 +20,10 @@
 _SEVERITIES = {ReplicaState.SERVING: 0, ReplicaState.LEAVING: 1, ReplicaState.GONE: 2}
 
 
+_UNTOLD: tuple[ReplicaState, HeldVersions | None] = (ReplicaState.SERVING, None)
+"""What the other machines take for granted of a replica that they were told nothing of."""
+
+
 @dataclass(slots=True)
 class _Record:
     """One replica.
@@ -40,7 +44,7 @@
     version: int = 0
     held: HeldVersions | None = None
     held_seen_at: float = float("-inf")
-    told: tuple[ReplicaState, HeldVersions | None] = (ReplicaState.SERVING, None)
+    told: tuple[ReplicaState, HeldVersions | None] = _UNTOLD
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,8 +79,12 @@
         """Whether the configuration has a replica there."""
         return (host, port) in self._by_address
 
-    def configure(self, configuration: Configuration) -> None:
-        """Learn the replicas' addresses; forget replicas that are not configured any more."""
+    def configure(self, configuration: Configuration) -> ReplicaNews:
+        """Learn the replicas' addresses; forget replicas that are not configured any more.
+
+        What was heard of a replica before it was configured here meant nothing to the other
+        machines of this node, so they are told again whatever they would not take for granted.
+        """
         replicas = [
             replica
             for service in configuration.services
@@ -90,6 +98,13 @@
         for replica_id in [key for key in self._records if key not in configured]:
             del self._records[replica_id]
             self._disputed.pop(replica_id, None)
+        return ReplicaNews(
+            beliefs=[
+                ReplicaBelief(replica_id, *record.told)
+                for replica_id, record in self._records.items()
+                if record.told != _UNTOLD
+            ]
+        )
 
     def observe(self, event: ReplicaObserved, now: float) -> ReplicaNews:
         """Take in our own evidence."""
