Hand every tuning section to the decision code

Cause: the sections membership and replica_evidence were checked and documented, but node_machine_settings did not pass them on, so changing them had no effect. Change: all sections are passed on alike; claims gets a section. tests/test_settings.py changes one setting of each section and failed before (membership.tick_seconds stayed 0.25).

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,5 +1,6 @@
 """Settings: all errors at once, one clear line each; the document is current."""
 
+import dataclasses
 import pathlib
 
 import testtools
@@ -8,8 +9,7 @@
 from wingquay.adapters.settings import Settings
 from wingquay.adapters.settings_check import SettingsErrors, read_settings
 from wingquay.adapters.settings_document import settings_document, settings_example
-from wingquay.adapters.settings_tuning import TUNING_SECTIONS, tuning_of
-from wingquay.routing.settings import RoutingSettings
+from wingquay.adapters.settings_tuning import TUNING_SECTIONS, node_machine_settings, tuning_of
 
 DOCUMENT = pathlib.Path(__file__).parent.parent / "docs" / "SETTINGS.md"
 
@@ -93,10 +93,14 @@
         for section, kind in TUNING_SECTIONS.items():
             self.assertEqual(kind(), tuning_of(settings, section, kind))
 
-    def test_tuning_is_taken_over(self) -> None:
-        settings = changed(("# owners_per_shard = 1", "owners_per_shard = 3"))
-        assert isinstance(settings, Settings)
-        self.assertEqual(3, tuning_of(settings, "routing", RoutingSettings).owners_per_shard)
+    def test_every_tuning_section_reaches_the_decision_code(self) -> None:
+        for section, kind in TUNING_SECTIONS.items():
+            names = (entry.name for entry in dataclasses.fields(kind))
+            name = next(name for name in names if name.endswith("_seconds"))
+            settings = read_settings(settings_example(), {section: {name: 0.9}})
+            assert isinstance(settings, Settings), settings
+            tuned = getattr(node_machine_settings(settings), section)
+            self.assertEqual(0.9, getattr(tuned, name), f"{section}.{name}")
 
     def test_document_is_current(self) -> None:
         self.assertEqual(settings_document(), DOCUMENT.read_text(encoding="utf-8"))
--- a/wingquay/adapters/settings_tuning.py
+++ b/wingquay/adapters/settings_tuning.py
@@ -14,6 +14,7 @@
 
 from wingquay.adapters.settings import Section, Settings
 from wingquay.admission.settings import AdmissionSettings
+from wingquay.claims.settings import ClaimsSettings
 from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
 from wingquay.membership.settings import MembershipSettings
 from wingquay.orchestration.settings import NodeMachineSettings, StopSettings
@@ -28,9 +29,11 @@
     "routing": RoutingSettings,
     "membership": MembershipSettings,
     "replica_evidence": ReplicaEvidenceSettings,
+    "claims": ClaimsSettings,
     "stop": StopSettings,
 }
-"""Settings classes of the decision code by the section that tunes them."""
+"""Settings classes of the decision code by the section that tunes them; the sections are fields
+of ``NodeMachineSettings``."""
 
 _RANGES: dict[str, tuple[float, float]] = {
     "query.answer_margin_seconds": (0, 1),
@@ -142,9 +145,7 @@
 
 def node_machine_settings(settings: Settings) -> NodeMachineSettings:
     """Return the settings of the decision code."""
-    return NodeMachineSettings(
-        query=tuning_of(settings, "query", QuerySettings),
-        admission=tuning_of(settings, "admission", AdmissionSettings),
-        routing=tuning_of(settings, "routing", RoutingSettings),
-        stop=tuning_of(settings, "stop", StopSettings),
-    )
+    sections: dict[str, Any] = {
+        section: tuning_of(settings, section, kind) for section, kind in TUNING_SECTIONS.items()
+    }
+    return NodeMachineSettings(**sections)
