--- a/wingquay/serving.py
+++ b/wingquay/serving.py
@@ -67,16 +67,16 @@
     end_logs = write_logs_to(sys.stderr, settings.log.level.value)
     log = LogWriter({"node": settings.node.name, "zone": settings.node.zone})
     node = Node(settings)
-    try:
-        await node.start()
-    except OSError as error:
-        log.perform(Log("start_failed", LogLevel.ERROR, (("reason", str(error)),)))
-        return FAILED
     most_seconds = node_machine_settings(settings).stop.most_seconds
     signals = StopSignals(node, most_seconds + STOP_OVERRUN_SECONDS)
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, signals.receive)
+    try:
+        await node.start()
+    except OSError as error:
+        log.perform(Log("start_failed", LogLevel.ERROR, (("reason", str(error)),)))
+        return FAILED
     ended = await signals.wait()
     await node.close()
     log.perform(_stop_line(ended))
