Decide refusals in one gate; refuse by the node's own load and by hopeless deadlines

Cause: a request with a deadline of 1 ms was answered 'partial' with nothing covered, its sub-requests having left for nothing; callers refused for load were all told to come back in 50 ms; a node whose own processor is the bottleneck noticed nothing. Change: query/admission_gate.py holds every reason to refuse on arrival; deadlines below half the usual service time are refused as not run; Retry-After follows the expected wait; three late event-loop probes in a row refuse the cheapest class, then the next, never the dearest (query/node_pressure.py).

--- a/wingquay/demo/deployment.py
+++ b/wingquay/demo/deployment.py
@@ -35,6 +35,7 @@
 majority of the zones, and each zone votes through a node of its own."""
 
 CALLER_TOKEN = "demo-caller-token"
+SHARED_LOOP_LAG_SECONDS = 30.0
 OPERATOR_TOKEN = "demo-operator-token"
 CLUSTER_KEY = "demo-cluster-key-of-at-least-32-characters"
 
@@ -184,6 +185,9 @@
             },
             "peers": {"host": LOOPBACK, "port": 0, "cluster_key": CLUSTER_KEY, "seeds": seeds},
             "store": {"endpoints": [f"{LOOPBACK}:{store_port}"]},
+            # All back ends share this process and its event loop, whose lateness therefore says
+            # nothing of the nodes alone.
+            "query": {"loop_lag_limit_seconds": SHARED_LOOP_LAG_SECONDS},
         }
     )
     assert not isinstance(settings, SettingsErrors), settings.lines
--- a/wingquay/ports/machine.py
+++ b/wingquay/ports/machine.py
@@ -80,6 +80,13 @@
     """The process is up; sent once, first."""
 
 
+@dataclass(frozen=True, slots=True)
+class EventLoopLag(Event):
+    """How late the event loop fired a timer; sent about ten times a second."""
+
+    lag_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested(Event):
     """A planned stop has been asked for (SIGTERM)."""
--- a/wingquay/query/coordinator.py
+++ b/wingquay/query/coordinator.py
@@ -20,7 +20,7 @@
     Notify,
     ReplicaBelief,
 )
-from wingquay.ports.machine import Action, Count, Event, Schedule
+from wingquay.ports.machine import Action, Count, Event, EventLoopLag, Schedule
 from wingquay.ports.peer import (
     NodeIdentity,
     PeerLinkBroken,
@@ -29,10 +29,10 @@
     ReplicaState,
     SubResultBatch,
 )
+from wingquay.query.admission_gate import AdmissionGate
 from wingquay.query.claim_flow import ClaimFlow
 from wingquay.query.conclusion import invalid, refusal
 from wingquay.query.coordinator_events import AnswerDue, OwnerCheckDue, PieceRetryDue, PromiseDue
-from wingquay.query.delay_table import DelayTable
 from wingquay.query.merge import AnswerMerge
 from wingquay.query.owner_links import OwnerLinks
 from wingquay.query.owner_watch import OwnerWatch
@@ -64,6 +64,7 @@
         ReplicaBelief,
         LeavingStarted,
         PeerLinkBroken,
+        EventLoopLag,
         AnswerDue,
         PromiseDue,
         PieceRetryDue,
@@ -80,11 +81,10 @@
     ) -> None:
         self._settings = settings
         self._links = links
-        self._refuses_early = Mechanism.EARLY_REFUSAL not in disabled
-        self._refuses_from: float | None = None
-        self._delays = DelayTable()
         self._table = QueryTable(cancels=Mechanism.CANCEL_LOSERS not in disabled)
         self._sender = PieceSender(links, self._table)
+        refuses_early = Mechanism.EARLY_REFUSAL not in disabled
+        self._gate = AdmissionGate(settings, self._sender, enabled=refuses_early)
         retry_after = settings.retry_after_seconds
         self._ending = QueryEnding(self._table, retry_after)
         self.kind_statistics = self._ending.kind_statistics
@@ -101,7 +101,7 @@
             self._planning,
             self._sender,
             self._ending,
-            self._delays,
+            self._gate,
             filters_duplicates=Mechanism.DUPLICATE_RESULT_FILTER not in disabled,
         )
         self._owner_watch = OwnerWatch(
@@ -151,13 +151,16 @@
                 return self._claims.on_decided(event, now)
             case ConfigurationInForce():
                 self._planning.apply(event.configuration)
+                self._gate.pressure.apply(event.configuration)
             case MembershipChanged():
                 self._links.on_membership(event)
                 return self._owner_watch.on_membership(event, now)
             case ReplicaBelief():
                 self._on_replica_belief(event)
             case LeavingStarted():
-                self._refuses_from = now + self._settings.stop_linger_seconds
+                self._gate.start_leaving(now)
+            case EventLoopLag():
+                self._gate.pressure.on_lag(event.lag_seconds)
             case PeerLinkBroken():
                 return self._owner_watch.fail_over(event.node_id, now)
         return []
@@ -184,9 +187,9 @@
         resolved = resolve(request, self._planning.configuration)
         if isinstance(resolved, Failure):
             return [self._answer_failure(request.request_id, resolved)]
-        refused = self._refusal(resolved, now)
+        refused = self._gate.refusal(resolved, now)
         if refused is not None:
-            return [self._answer_failure(request.request_id, refused)]
+            return [AnswerCaller(refused)]
         state = self._new_state(resolved, now)
         self._table.add(state)
         actions: list[Action] = [Schedule(state.answer_at, AnswerDue(request.request_id))]
@@ -205,30 +208,6 @@
         merge = AnswerMerge(resolved.request.key_ranges, None)
         return QueryState(resolved, now, now + deadline - margin, merge)
 
-    def _refusal(self, resolved: ResolvedRequest, now: float) -> Failure[QueryFailureKind] | None:
-        if self._refuses_from is not None and now >= self._refuses_from:
-            return Failure(QueryFailureKind.LEAVING, "this node is stopping; ask another")
-        if not self._refuses_early:
-            return None
-        wait = self._expected_wait(resolved, now)
-        promise = resolved.priority_class.promise_seconds * self._settings.promise_share
-        limit = min(promise, resolved.deadline_seconds)
-        if wait <= limit:
-            return None
-        reason = f"would wait {wait:.3f} s for a slot, {limit:.3f} s are allowed"
-        return Failure(QueryFailureKind.OVERLOADED, reason)
-
-    def _expected_wait(self, resolved: ResolvedRequest, now: float) -> float:
-        class_name = resolved.priority_class.name
-        pieces = self._sender.plan(resolved.service, resolved.request.key_ranges).pieces
-        return max(
-            (
-                self._delays.expected_seconds(piece.shard.shard_id, class_name, now)
-                for piece in pieces
-            ),
-            default=0.0,
-        )
-
     def _answer_failure(
         self, request_id: RequestId, failure: Failure[QueryFailureKind]
     ) -> AnswerCaller:
--- a/wingquay/query/request_check.py
+++ b/wingquay/query/request_check.py
@@ -15,8 +15,6 @@
 
     NO_CONFIGURATION = "no_configuration"
     INVALID = "invalid"
-    OVERLOADED = "overloaded"
-    LEAVING = "leaving"
 
 
 def resolve(
--- a/wingquay/query/settings.py
+++ b/wingquay/query/settings.py
@@ -27,6 +27,11 @@
         refused, 0 to 1. Default 0.8.
     retry_after_seconds
         Shortest time that a refused caller is told to wait. Default 0.05.
+    loop_lag_limit_seconds
+        Lateness of the node's event loop from which it refuses the cheapest class, then the
+        next. Default 0.1.
+    pressure_retry_seconds
+        What callers refused for that reason are told to wait. Default 1.
     stop_linger_seconds
         Time after the start of a planned stop in which requests are still taken, while callers
         notice that the node is not ready, 0 to 60. Default 0.5.
@@ -39,4 +44,6 @@
     owner_silence_seconds: float = 0.1
     promise_share: float = 0.8
     retry_after_seconds: float = 0.05
+    loop_lag_limit_seconds: float = 0.1
+    pressure_retry_seconds: float = 1.0
     stop_linger_seconds: float = 0.5
--- a/wingquay/query/sub_result_intake.py
+++ b/wingquay/query/sub_result_intake.py
@@ -4,7 +4,7 @@
 from wingquay.model.configuration import CoveragePreference
 from wingquay.model.failure import Failure
 from wingquay.ports.machine import Action, Count
-from wingquay.query.delay_table import DelayTable
+from wingquay.query.admission_gate import AdmissionGate
 from wingquay.query.piece_sender import PieceSender
 from wingquay.query.query_ending import QueryEnding
 from wingquay.query.query_planning import QueryPlanning
@@ -42,14 +42,14 @@
         planning: QueryPlanning,
         sender: PieceSender,
         ending: QueryEnding,
-        delays: DelayTable,
+        gate: AdmissionGate,
         filters_duplicates: bool,
     ) -> None:
         self._table = table
         self._planning = planning
         self._sender = sender
         self._ending = ending
-        self._delays = delays
+        self._gate = gate
         self._filters_duplicates = filters_duplicates
 
     def take(self, result: SubResult, now: float) -> list[Action]:
@@ -69,8 +69,7 @@
         return actions + self._ending.settle(state, now)
 
     def _learn(self, state: QueryState, result: SubResult, now: float) -> None:
-        class_name = state.resolved.priority_class.name
-        self._delays.learn(result.shard_id, class_name, result.class_delay_seconds, now)
+        self._gate.learn(state, result, now)
         state.attempts += result.attempts
         state.may_have_run = state.may_have_run or result.may_have_run
         state.learn_timing(result.queue_seconds, result.service_seconds)
--- a/wingquay/runtime.py
+++ b/wingquay/runtime.py
@@ -15,6 +15,7 @@
     Action,
     Count,
     Event,
+    EventLoopLag,
     Log,
     LogLevel,
     Machine,
@@ -158,6 +159,7 @@
         now = self._loop.time()
         lag_seconds = now - due_seconds
         self._perform_quietly(Observe("loop_lag_seconds", lag_seconds))
+        self.emit(EventLoopLag(lag_seconds))
         if lag_seconds >= LAG_WARNING_SECONDS:
             self._perform_quietly(Count("loop_stalls_total"))
             fields = (("lag_seconds", round(lag_seconds, 3)),)
