--- a/tests/configuration/test_confirm.py
+++ b/tests/configuration/test_confirm.py
@@ -4,6 +4,7 @@
 
 from tests.configuration.examples import assign, price
 from tests.configuration.fleet import check_history, confirm, founded, plan_id, refused
+from wingquay.configuration import document as document_module
 from wingquay.configuration.confirmation import CONFIRM_BOUND_SECONDS
 from wingquay.configuration.keys import history_key
 from wingquay.model.failure import Failure
@@ -186,6 +187,32 @@
             self.assertEqual(OperatorFailureKind.NOT_FOUND, refusal.kind)
         self.assertEqual(1, self.cluster.lowest_revision())
 
+    def test_a_plan_older_than_the_records_is_refused_landed_or_not(self) -> None:
+        self.patch(document_module, "AUDIT_RECORDS_KEPT", 2)
+        landed, waiting = self.propose(price("early", 4)), self.propose(price("spare", 3))
+        confirm(self.cluster, self.first, landed)
+        for amount in (11, 12, 13):
+            confirm(self.cluster, self.first, self.propose(price("gold", amount)))
+        for plan in (landed, waiting):
+            refusal = refused(self.cluster, self.first, ConfirmPlan(plan_id=plan))
+            self.assertEqual(OperatorFailureKind.CONFLICT, refusal.kind)
+            self.assertIn("too many changes", refusal.reason)
+        self.assertEqual(5, self.first.machine.revision)
+
+    def test_discarding_what_has_landed_says_so(self) -> None:
+        plan = self.propose(assign())
+        confirm(self.cluster, self.first, plan)
+        refusal = refused(self.cluster, self.second, DiscardPlan(plan_id=plan))
+        self.assertIn("already taken effect as revision 2", refusal.reason)
+
+    def test_a_plan_kept_on_its_node_alone_expires_too(self) -> None:
+        self.cluster.store.refuse_until(self.cluster.now + 30.0, self.cluster.now)
+        result = self.cluster.ask(self.first, ProposePlan(intents=(assign(),)))
+        assert isinstance(result, PlanResult)
+        self.cluster.run(901.0)
+        refusal = refused(self.cluster, self.first, ConfirmPlan(plan_id=result.plan.plan_id))
+        self.assertEqual(OperatorFailureKind.EXPIRED, refusal.kind)
+
     def test_going_back_is_a_change_like_any_other(self) -> None:
         confirm(self.cluster, self.first, self.propose(price("gold", 11)))
         confirm(self.cluster, self.first, self.propose(price("silver", 6)))
--- a/tests/configuration/test_in_force_everywhere.py
+++ b/tests/configuration/test_in_force_everywhere.py
@@ -1,12 +1,16 @@
 """A confirmed revision reaches every node soon, and no node ever goes back."""
 
+from random import Random
+
 from testtools import TestCase
 
 from tests.configuration.examples import assign, document, price
 from tests.configuration.fleet import check_history, confirm, founded, plan_id
 from wingquay.configuration import dissemination as dissemination_module
 from wingquay.configuration.document import pack_body
+from wingquay.configuration.in_force import InForce
 from wingquay.configuration.keys import seats_prefix
+from wingquay.configuration.node_view import NodeView
 from wingquay.model.identifiers import Revision, ZoneName
 from wingquay.ports.operator import ConfirmPlan
 from wingquay.ports.peer import ConfigurationBody, PeerReceived
@@ -50,14 +54,26 @@
         confirm(cluster, node, plan)
         self.assertTrue(self.landed_everywhere(cluster))
 
-    def test_without_probes_announcements_the_watch_and_comparisons_suffice(self) -> None:
+    def test_announcements_alone_reach_every_node(self) -> None:
         cluster = founded(5, {"cluj-a": 12, "cluj-b": 12})
-        self.patch(dissemination_module, "ANTI_ENTROPY_SECONDS", 2.0)
         cluster.probes_on = False
-        node = cluster.nodes[5]
+        for node in cluster.nodes[1:]:
+            node.store_cut = True
+        node = cluster.nodes[0]
         confirm(cluster, node, plan_id(cluster, node, assign()))
         self.assertTrue(self.landed_everywhere(cluster))
 
+    def test_comparisons_with_random_nodes_reach_who_missed_everything_else(self) -> None:
+        for name in ("ROUNDS", "NODES_TOLD_IN_EACH_ZONE"):
+            self.patch(dissemination_module, name, 0)
+        cluster = founded(5)
+        cluster.probes_on = False
+        for node in cluster.nodes[1:]:
+            node.store_cut = True
+        node = cluster.nodes[0]
+        confirm(cluster, node, plan_id(cluster, node, assign()))
+        self.assertTrue(cluster.run_until(lambda: cluster.lowest_revision() == 2, 200.0))
+
     def test_watchers_pass_it_on_when_the_confirming_node_dies(self) -> None:
         cluster = founded(6)
         for node in cluster.nodes:
@@ -134,6 +150,17 @@
         node.machine.handle(PeerReceived(other.identity, cut), cluster.now)
         self.assertEqual(2, node.machine.revision)
 
+    def test_two_documents_of_one_revision_are_reported(self) -> None:
+        view = NodeView(founded(2).nodes[0].identity, Random(1))
+        in_force = InForce(view)
+        in_force.take(document(confirm_id="one"), 0.0, "store")
+        again = in_force.take(document(confirm_id="one"), 1.0, "peer")
+        other = in_force.take(document(confirm_id="other"), 1.0, "peer")
+        self.assertEqual([], again)
+        self.assertEqual(["configuration_forked"], [getattr(a, "message", "") for a in other])
+        assert in_force.document is not None
+        self.assertEqual("one", in_force.document.configuration.confirm_id)
+
 
 class StartTest(TestCase):
     """Nodes that start find the configuration, from whoever has it."""
