Look at all of a zone's seats at once; measure configuration at scale

Cause: the benchmark showed a lease granted and revoked every second at 32 nodes and more: the read of the seats left out that it is for a prefix, so every seat looked vacant, and only the swap kept a third holder out. Ruled out: the crowd rule of the seat checks (their rate was as designed).

--- a/tests/configuration/test_in_force_everywhere.py
+++ b/tests/configuration/test_in_force_everywhere.py
@@ -206,6 +206,12 @@
             self.assertEqual(2, len(watchers(cluster, zone)))
             self.assertEqual(2, len(self.seat_keys(cluster, zone)))
 
+    def test_while_the_seats_are_taken_nobody_tries_to_take_them(self) -> None:
+        cluster = founded(20, {"cluj-a": 8})
+        leases = cluster.counts["store_GrantLease"]
+        cluster.run(60.0)
+        self.assertEqual(leases, cluster.counts["store_GrantLease"])
+
     def test_a_seat_whose_holder_died_is_taken_again(self) -> None:
         cluster = founded(21, {"cluj-a": 8})
         for node in watchers(cluster, "cluj-a"):
--- a/wingquay/configuration/watcher.py
+++ b/wingquay/configuration/watcher.py
@@ -154,7 +154,7 @@
     def _try_seat(self) -> Script[bool]:
         """Take a vacant seat if there is one; return whether the store answered."""
         zone = self._view.identity.zone
-        seen = (yield from call_store(Read(seats_prefix(zone)))).outcome
+        seen = (yield from call_store(Read(seats_prefix(zone), prefix=True))).outcome
         if not isinstance(seen, ReadResult):
             return False
         taken = {value.key for value in seen.values}
--- a/wingquay/rehearsal/configuration_cluster.py
+++ b/wingquay/rehearsal/configuration_cluster.py
@@ -81,9 +81,6 @@
     """When which revision, by which confirm, came into force."""
     ready: bool = False
     store_cut: bool = False
-    sent_bytes: int = 0
-    received_bytes: int = 0
-    store_requests: int = 0
     logs: Counter[str] = field(default_factory=Counter)
 
 
@@ -115,6 +112,7 @@
         self.probes_on = True
         """Whether membership's probes tell nodes of newer revisions."""
         self.counts: Counter[str] = Counter()
+        self._store_requests_by_second: Counter[int] = Counter()
         self._by_id: dict[NodeId, HollowNode] = {}
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
@@ -194,6 +192,26 @@
         node.paused_until = self.now + seconds
         self._at(node.paused_until, lambda: self._wake(node))
 
+    def peer_bytes(self) -> int:
+        """Return the bytes that nodes sent to or received from each other, both ends counted."""
+        return self.counts["sent_bytes"] + self.counts["received_bytes"]
+
+    def call_later(self, seconds: float, call: Callable[[], None]) -> None:
+        """Call ``call`` once ``seconds`` of virtual time have passed."""
+        self._at(self.now + seconds, call)
+
+    def store_request_count(self) -> int:
+        """Return how many requests reached the store, or tried to."""
+        return sum(self._store_requests_by_second.values())
+
+    def peak_store_requests(self) -> int:
+        """Return the requests to the store in the second that had the most."""
+        return max(self._store_requests_by_second.values(), default=0)
+
+    def forget_store_requests(self) -> None:
+        """Count the requests to the store anew."""
+        self._store_requests_by_second.clear()
+
     def cut(self, left: str, right: str) -> None:
         """Let no message pass between two zones."""
         self.cut_zones.add(frozenset((ZoneName(left), ZoneName(right))))
@@ -280,7 +298,7 @@
     def _send(self, node: HollowNode, action: SendToPeer) -> None:
         target = self._by_id.get(action.to.node_id)
         size = _size(action, node.identity)
-        node.sent_bytes += size
+        self.counts["sent_bytes"] += size
         kind = type(action.message).__name__
         body = isinstance(action.message, ConfigurationBody) and bool(action.message.body)
         self.counts["bodies" if body else kind] += 1
@@ -288,7 +306,7 @@
             broken = PeerLinkBroken(action.to.node_id, "unreachable")
             self._at(self.now + LINK_FAILURE_SECONDS, lambda: self._give(node, broken))
             return
-        target.received_bytes += size
+        self.counts["received_bytes"] += size
         delay = PEER_DELAY_SECONDS * self.random.uniform(1.0, 1.5)
         event = PeerReceived(node.identity, action.message)
         self._at(self.now + delay, lambda: self._give(target, event))
@@ -304,7 +322,7 @@
         if isinstance(action, StopWatch):
             self.store.stop_watch(owner + action.watch_id, self.now)
             return
-        node.store_requests += 1
+        self._store_requests_by_second[int(self.now)] += 1
         if isinstance(action, StartWatch):
             if node.store_cut:
                 broken = WatchBroken(action.watch_id, "cut")
