--- a/wingquay/rehearsal/measurements.py
+++ b/wingquay/rehearsal/measurements.py
@@ -25,6 +25,8 @@
     answered: int = 0
     coverage_sum: float = 0.0
     latencies_seconds: list[float] = field(default_factory=list)
+    complete_at_seconds: list[float] = field(default_factory=list)
+    """When complete answers reached their callers, for goodput."""
 
     def quantile_ms(self, share: float) -> float | None:
         """Return a quantile of the latencies in milliseconds (``None``: nothing answered)."""
@@ -129,6 +131,8 @@
         for series in self._series(arrival):
             series.answered += 1
             series.latencies_seconds.append(seconds)
+            if answer.outcome is Outcome.COMPLETE:
+                series.complete_at_seconds.append(now)
             series.coverage_sum += coverage
             series.kept += kept
 
