Say 'not run' of a repeated edit only after its claim was granted

The refusal was decided before anybody had been asked whether the key had run. Ruled out: the claims protocol (its decision was never awaited). Change: for unrepeatable requests the gate is asked once the claim is granted, and the claim is given back if it refuses; without a configuration a request with a key is answered as unknown. The service time in the gate follows shorter samples fast, longer ones slowly, and fades by half each second without samples.

--- a/tests/query/test_admission_gate.py
+++ b/tests/query/test_admission_gate.py
@@ -7,6 +7,7 @@
 from wingquay.orchestration.settings import NodeMachineSettings
 from wingquay.ports.machine import EventLoopLag
 from wingquay.query.node_pressure import CALM_PROBES, LATE_PROBES
+from wingquay.query.service_floor import ServiceFloor
 
 
 class AdmissionGateTest(TestCase):
@@ -42,6 +43,13 @@
         self.lag(5.0, LATE_PROBES * 10)
         self.assertEqual(Outcome.COMPLETE, self.outcome("q", "outage-ping"))
 
+    def test_one_slow_answer_does_not_lock_a_kind_out(self) -> None:
+        floor = ServiceFloor(0.005, 0.0)
+        floor.record(6.4, 1.0)
+        self.assertLess(floor.seconds(1.0), 0.1)
+        stuck = ServiceFloor(6.4, 0.0)
+        self.assertLess(stuck.seconds(10.0), 0.01)
+
     def test_it_comes_back_by_itself(self) -> None:
         self.lag(0.5, LATE_PROBES)
         self.lag(0.0, CALM_PROBES)
--- a/wingquay/query/admission_gate.py
+++ b/wingquay/query/admission_gate.py
@@ -9,13 +9,12 @@
 from wingquay.query.node_pressure import NodePressure
 from wingquay.query.piece_sender import PieceSender
 from wingquay.query.query_state import QueryState, ResolvedRequest
+from wingquay.query.service_floor import ServiceFloor
 from wingquay.query.settings import QuerySettings
 
 LEAST_SERVICE_SHARE = 0.5
 """A deadline below this share of the usual service time cannot be met."""
 
-SERVICE_SAMPLE_WEIGHT = 0.05
-
 
 class AdmissionGate:
     """Refuses what cannot keep its promise or deadline.
@@ -31,7 +30,7 @@
         self._sender = sender
         self._enabled = enabled
         self._delays = DelayTable()
-        self._service_seconds: dict[str, float] = {}
+        self._service_floors: dict[str, ServiceFloor] = {}
         self._refuses_from: float | None = None
         self.pressure = NodePressure(settings.loop_lag_limit_seconds)
         """Refusals for the node's own load."""
@@ -45,10 +44,14 @@
         class_name = state.resolved.priority_class.name
         self._delays.learn(result.shard_id, class_name, result.class_delay_seconds, now)
         if isinstance(result.result, SubAnswer):
-            key = _kind_key(state.resolved)
-            average = self._service_seconds.get(key, result.service_seconds)
-            change = SERVICE_SAMPLE_WEIGHT * (result.service_seconds - average)
-            self._service_seconds[key] = average + change
+            self._learn_service(_kind_key(state.resolved), result.service_seconds, now)
+
+    def _learn_service(self, key: str, service_seconds: float, now: float) -> None:
+        floor = self._service_floors.get(key)
+        if floor is None:
+            self._service_floors[key] = ServiceFloor(service_seconds, now)
+        else:
+            floor.record(service_seconds, now)
 
     def refusal(self, resolved: ResolvedRequest, now: float) -> Answer | None:
         """Return the refusal of a request, or ``None`` if it is let in."""
@@ -72,7 +75,8 @@
             reason = f"would wait {wait:.3f} s for a slot; the class allows {promise:.3f} s"
             return refusal(request_id, reason, max(retry_after, wait - promise))
         deadline = resolved.deadline_seconds
-        service = self._service_seconds.get(_kind_key(resolved), 0.0) * LEAST_SERVICE_SHARE
+        floor = self._service_floors.get(_kind_key(resolved))
+        service = 0.0 if floor is None else floor.seconds(now) * LEAST_SERVICE_SHARE
         if wait + service > deadline:
             reason = f"takes at least {wait + service:.3f} s; the deadline is {deadline:.3f} s"
             return refusal(request_id, reason, max(retry_after, wait))
--- a/wingquay/query/claim_flow.py
+++ b/wingquay/query/claim_flow.py
@@ -3,6 +3,7 @@
 from wingquay.model.answer import Answer
 from wingquay.ports.internal import ClaimDecided, ClaimDecisionKind, ClaimFinished, Notify
 from wingquay.ports.machine import Action
+from wingquay.query.admission_gate import AdmissionGate
 from wingquay.query.answer_codec import decode_answer
 from wingquay.query.conclusion import invalid, refusal, unknown
 from wingquay.query.query_ending import QueryEnding
@@ -18,11 +19,13 @@
         table: QueryTable,
         planning: QueryPlanning,
         ending: QueryEnding,
+        gate: AdmissionGate,
         retry_after_seconds: float,
     ) -> None:
         self._table = table
         self._planning = planning
         self._ending = ending
+        self._gate = gate
         self._retry_after_seconds = retry_after_seconds
 
     def on_decided(self, event: ClaimDecided, now: float) -> list[Action]:
@@ -39,6 +42,9 @@
         state.is_claimed = True
         if state.caller_gone:
             return self._ending.answer(state, refusal(event.request_id, "caller gone", 0.0), now)
+        refused = self._gate.refusal(state.resolved, now)
+        if refused is not None:
+            return self._ending.answer(state, refused, now)
         return self._planning.run(state, now)
 
     def _answer(self, event: ClaimDecided) -> Answer:
--- a/wingquay/query/coordinator.py
+++ b/wingquay/query/coordinator.py
@@ -8,8 +8,8 @@
 
 from wingquay.model.configuration import CoveragePreference
 from wingquay.model.failure import Failure
-from wingquay.model.identifiers import RequestId
 from wingquay.model.mechanisms import Mechanism
+from wingquay.model.request import QueryRequest
 from wingquay.ports.caller import AnswerCaller, CallerGone, CallerRequest
 from wingquay.ports.internal import (
     ClaimDecided,
@@ -31,7 +31,7 @@
 )
 from wingquay.query.admission_gate import AdmissionGate
 from wingquay.query.claim_flow import ClaimFlow
-from wingquay.query.conclusion import invalid, refusal
+from wingquay.query.conclusion import invalid, refusal, unknown
 from wingquay.query.coordinator_events import AnswerDue, OwnerCheckDue, PieceRetryDue, PromiseDue
 from wingquay.query.merge import AnswerMerge
 from wingquay.query.owner_links import OwnerLinks
@@ -113,7 +113,7 @@
             settings.owner_silence_seconds,
             enabled=Mechanism.OWNER_FAILOVER not in disabled,
         )
-        self._claims = ClaimFlow(self._table, self._planning, self._ending, retry_after)
+        self._claims = ClaimFlow(self._table, self._planning, self._ending, self._gate, retry_after)
 
     @property
     def in_flight(self) -> int:
@@ -186,14 +186,17 @@
         request = event.request
         resolved = resolve(request, self._planning.configuration)
         if isinstance(resolved, Failure):
-            return [self._answer_failure(request.request_id, resolved)]
-        refused = self._gate.refusal(resolved, now)
-        if refused is not None:
-            return [AnswerCaller(refused)]
+            return [self._answer_failure(request, resolved)]
+        if resolved.repeatable:
+            refused = self._gate.refusal(resolved, now)
+            if refused is not None:
+                return [AnswerCaller(refused)]
         state = self._new_state(resolved, now)
         self._table.add(state)
         actions: list[Action] = [Schedule(state.answer_at, AnswerDue(request.request_id))]
         if not resolved.repeatable:
+            # Whether it is refused is decided once the claim is granted: before that, nobody
+            # can say that an earlier submission of it did not run.
             state.awaits_claim = True
             return [*actions, Notify(ClaimWanted(request, state.remaining_seconds(now)))]
         if resolved.coverage_preference is CoveragePreference.LATENCY_FIRST:
@@ -209,12 +212,15 @@
         return QueryState(resolved, now, now + deadline - margin, merge)
 
     def _answer_failure(
-        self, request_id: RequestId, failure: Failure[QueryFailureKind]
+        self, request: QueryRequest, failure: Failure[QueryFailureKind]
     ) -> AnswerCaller:
         if failure.kind is QueryFailureKind.INVALID:
-            return AnswerCaller(invalid(request_id, failure.reason))
+            return AnswerCaller(invalid(request.request_id, failure.reason))
         retry_after = self._settings.retry_after_seconds
-        return AnswerCaller(refusal(request_id, failure.reason, retry_after))
+        if request.idempotency_key is not None:
+            # An earlier submission with this key may have run through another node.
+            return AnswerCaller(unknown(request.request_id, failure.reason, retry_after))
+        return AnswerCaller(refusal(request.request_id, failure.reason, retry_after))
 
     # Before the end ----------------------------------------------------------------------
 
