Let a planned stop wait until its claims are handed over; rebuild lone nodes sooner

Cause: a node could exit before another had fetched its seats, which in a zone of few nodes loses memory for hours; and the new node of a zone with no other waited a minute for an offer that nobody could make, so that two zones restarted within it left no majority. Ruled out: a short wait for all newcomers (it throws a living holder's memory away). Change: the stop machine asks for seats still to be handed over; a node that has seen no other of its zone for 5 s takes its seats over. Conclusion: lone nodes can be restarted one after the other without losing a claim.

--- a/tests/claims/test_scenarios.py
+++ b/tests/claims/test_scenarios.py
@@ -162,6 +162,17 @@
                 self.assertEqual(PARTITIONS, vouching(world, zone))
             self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, world.living()[-1]))
 
+    def test_a_restarted_lone_node_rebuilds_within_seconds(self) -> None:
+        """So zones with one node each can be restarted one after the other."""
+        world = settled(3, nodes_per_zone=1)
+        decide(world, world.living()[0])
+        for zone in world.zones:
+            world.crash(world.living(zone)[0])
+            world.start_node(zone)
+            world.tell_membership()
+            world.advance(8.0)
+        self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, world.living()[0]))
+
     def test_after_all_memory_was_lost_nothing_is_granted_until_it_is_forgotten_anyway(
         self,
     ) -> None:
--- a/wingquay/claims/directory.py
+++ b/wingquay/claims/directory.py
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         self._nodes: dict[tuple[DeploymentName, ZoneName], list[NodeIdentity]] = {}
         self._leaving: frozenset[NodeId] = frozenset()
+        self._leaving_nodes: tuple[NodeIdentity, ...] = ()
         self._holders: dict[tuple[DeploymentName, ZoneName, int], NodeIdentity | None] = {}
 
     def update(
@@ -34,7 +35,8 @@
         leaving: Iterable[NodeIdentity],
     ) -> None:
         """Take in a new view of the membership."""
-        self._leaving = frozenset(node.node_id for node in leaving)
+        self._leaving_nodes = tuple(leaving)
+        self._leaving = frozenset(node.node_id for node in self._leaving_nodes)
         self._nodes = {}
         self._holders = {}
         for node in available:
@@ -45,6 +47,13 @@
         """Return the available nodes of a zone."""
         return frozenset(node.node_id for node in self._nodes.get((deployment, zone), []))
 
+    def is_alone(self, identity: NodeIdentity) -> bool:
+        """Whether no other node of the zone is there that could offer a seat."""
+        zone = (identity.deployment, identity.zone)
+        leaving = [node for node in self._leaving_nodes if (node.deployment, node.zone) == zone]
+        nodes = (*self._nodes.get(zone, []), *leaving)
+        return all(node.node_id == identity.node_id for node in nodes)
+
     def is_leaving(self, node_id: NodeId) -> bool:
         """Whether the node is in its planned stop."""
         return node_id in self._leaving
--- a/wingquay/claims/settings.py
+++ b/wingquay/claims/settings.py
@@ -35,6 +35,8 @@
         How long a new seat holder waits for an offer of the seat before it takes it over: after
         it saw the last holder crash, and otherwise. The latter is long, since a takeover in
         spite of a living holder throws that one's memory away.
+    alone_takeover_delay_seconds
+        The same while the node has seen no other node of its zone that could offer the seat.
     table_retry_seconds
         How often seats are offered again, and how soon tables are asked for again; the latter
         doubles each time.
@@ -67,6 +69,7 @@
     outcomes_capacity_bytes: int = 64 * MEBIBYTE
     crash_takeover_delay_seconds: float = 0.5
     join_takeover_delay_seconds: float = 60.0
+    alone_takeover_delay_seconds: float = 5.0
     table_retry_seconds: float = 1.0
     table_retry_most_seconds: float = 30.0
     handed_over_keep_seconds: float = 30.0
--- a/wingquay/claims/takeover.py
+++ b/wingquay/claims/takeover.py
@@ -58,6 +58,7 @@
         self._next_operation_at = -inf
         self._confirm_at = -inf
         self._nodes: frozenset[NodeId] = frozenset()
+        self._alone_since = inf
         self._last_holders: dict[int, NodeId] = {}
 
     def set_zones(self, zones: tuple[ZoneName, ...], revision: int) -> None:
@@ -81,6 +82,10 @@
         if not self._nodes:
             self._next_operation_at = now + self._random.uniform(0.0, FIRST_READ_SPREAD_SECONDS)
         self._nodes = nodes
+        if not self._directory.is_alone(identity):
+            self._alone_since = inf
+        elif self._alone_since == inf:
+            self._alone_since = now
         for seat in self._seats.seats:
             self._review_seat(seat, crashed, now)
 
@@ -140,10 +145,12 @@
         return holder is not None and holder.node_id == identity.node_id
 
     def _wanted(self, now: float) -> list[Seat]:
+        alone = now - self._alone_since >= self._settings.alone_takeover_delay_seconds
+        nobody_offers = alone and len(self._zones) > 1
         return [
             seat
             for seat in self._seats.with_status(SeatStatus.EMPTY)
-            if seat.takeover_at <= now and self._is_ours(seat.partition)
+            if self._is_ours(seat.partition) and (seat.takeover_at <= now or nobody_offers)
         ]
 
     def _send(
--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -68,7 +68,6 @@
         )
         links = OwnerLinks(identity, settings.routing.owners_per_shard, _child(random_source))
         self._coordinator = Coordinator(identity, settings.query, links, settings.disabled)
-        self._stop = StopMachine(settings.stop, self.in_flight, settings.disabled)
         self._configuration = ConfigurationMachine(identity, _child(random_source))
         membership = MembershipMachine(
             identity,
@@ -78,11 +77,14 @@
             _child(random_source),
         )
         claims_settings = replace(settings.claims, disabled=settings.disabled)
-        claims = ClaimsMachine(claims_settings, identity, _child(random_source))
+        self._claims = ClaimsMachine(claims_settings, identity, _child(random_source))
+        self._stop = StopMachine(
+            settings.stop, self.in_flight, self.seats_to_hand_over, settings.disabled
+        )
         machines: list[RoutedMachine] = [
             membership,
             self._configuration,
-            claims,
+            self._claims,
             self._coordinator,
             self._owner,
             self._stop,
@@ -119,6 +121,10 @@
         """Return how many requests and sub-requests have not ended here."""
         return self._coordinator.in_flight + self._owner.in_flight
 
+    def seats_to_hand_over(self) -> int:
+        """Return how many seats with remembered claims wait for their next holder."""
+        return self._claims.seats_to_hand_over
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in ``event`` at ``now`` and return what the surroundings must do, in order."""
         outward: list[Action] = []
