Look at one shard, not at all, when a replica's health page is read

Cause: a profile of a node alone at fan-out 750 showed 44% of its processor time in the owner's decisions: each health page made the dispatcher look for startable work in every lane, so 750 replicas cost 750 x 750 looks a second, and each belief that gossip brings the same. Ruled out: looking only at lanes with work that waits (no gain when the node is busy); a periodic look at all lanes (what waits in other lanes is started when an attempt there ends, and something runs there whenever anything waits). Change: a page or a belief starts what waits for that replica's shard. Conclusion: kept; the cost no longer grows with the shards of the configuration.

--- a/wingquay/admission/dispatcher.py
+++ b/wingquay/admission/dispatcher.py
@@ -100,9 +100,10 @@
         actions = self._finish(work, _EXPIRED_RUNNING, now)
         return actions + self._pump_shard(work.sub_request.shard_id, now)
 
-    def pump_all(self, now: float) -> list[Action]:
-        """Start whatever may start after the replicas' state has changed."""
-        return [action for lane in self._lanes for action in self._pump(lane, now)]
+    def on_replica_changed(self, replica_id: str, now: float) -> list[Action]:
+        """Start whatever may start after a replica's state has changed."""
+        found = self._lanes.tracker(replica_id)
+        return [] if found is None else self._pump(found[0], now)
 
     # Arrival -----------------------------------------------------------------------------
 
--- a/wingquay/admission/owner_machine.py
+++ b/wingquay/admission/owner_machine.py
@@ -137,9 +137,10 @@
                 self._owners.set_nodes(own)
             case ReplicaBelief() if Mechanism.REPLICA_LEAVING not in self._disabled:
                 self._prober.on_belief(event)
-                return self._dispatcher.pump_all(now)
+                return self._dispatcher.on_replica_changed(event.replica_id, now)
             case ReplicaProbed():
-                return self._prober.on_probed(event, now) + self._dispatcher.pump_all(now)
+                actions = self._prober.on_probed(event, now)
+                return actions + self._dispatcher.on_replica_changed(event.replica_id, now)
             case ProbeDue():
                 due = Schedule(now + self._routing.health_interval_seconds, ProbeDue())
                 return [due, *self._prober.probe_owned(self._owners)]
