Measure the bare exchange while the nodes are under load

Cause: with other work on the machine, a baseline taken before and after says little about the time between. Change: the baseline runs beside the nodes; answers tell how many exchanges a sub-request took; health pages are read once, since a node alone owns what hundreds share.

--- a/benchmarks/node_throughput.py
+++ b/benchmarks/node_throughput.py
@@ -2,8 +2,8 @@
 
 Each ``wingquay serve`` node, the back ends and the callers are processes of their own on
 loopback. A node's processor time is what the system accounts to its process. The bare h11
-exchange is measured in the same run, before and after each variant: client alone (against the
-same back ends) and client and server together. One replica a shard and slots without end: hedges
+exchange is measured while the nodes are under load: client alone (against one of the back ends)
+and client and server together. One replica a shard and slots without end: hedges
 and queues are left out, the cost of the work is what is seen.
 """
 
@@ -25,17 +25,19 @@
 from benchmarks.support.processes import ChildProcess
 from benchmarks.support.profile_report import report_lines
 from benchmarks.support.tier import BackendProcesses, Tier, configuration_at
-from benchmarks.support.workload import Address
 
 ROWS = 4
-BARE_EXCHANGES = 1_000
-SUB_REQUESTS_IN_FLIGHT = 800
-"""Concurrent callers times fan-out: enough to keep a node busy without end."""
+BARE_EXCHANGES = 300
+"""In each of many short measurements of the baseline, whose median counts."""
+
+SUB_REQUESTS_IN_FLIGHT = 400
+"""Concurrent callers of a node times fan-out, at least one caller."""
 
 MOST_CALLERS = 32
 OPEN_LOOP_SHARE = 0.5
 """Rate of the open loop as a share of what the closed loop reached."""
 
+FEWEST_OPEN_LOOP_REQUESTS = 4
 WARM_UP_SECONDS = 1.0
 MICROSECONDS = 1e6
 MEGABYTE = 1e6
@@ -47,6 +49,9 @@
 
     queries: int
     others: int
+    sub_requests: int
+    """Those sent again to another owner included."""
+    attempts: int
     queries_per_second: float
     p50_ms: float
     p99_ms: float
@@ -77,21 +82,52 @@
         """The same, for each sub-request."""
         return self.query_us / self.fan_out
 
+    @property
+    def exchanges(self) -> float:
+        """Exchanges with back ends for each sub-request that the queries needed."""
+        return self.closed.attempts / (self.closed.queries * self.fan_out)
+
 
-async def _bare_cost(backends: Sequence[Address]) -> tuple[float, float]:
-    """Return microseconds of a bare exchange: of the client alone, of both sides."""
-    loop = asyncio.get_running_loop()
-    began = time.process_time()
-    await bare_exchanges(backends[0][1], BARE_EXCHANGES)
-    client_seconds = time.process_time() - began
-    server = await loop.create_server(BareServer, LOOPBACK, 0)
-    port = server.sockets[0].getsockname()[1]
+class BareMeter:
+    """Measures bare h11 exchanges while the nodes are under load, so that both share the machine.
+
+    Parameters
+    ----------
+    backend_port
+        Of a back end in another process, for the client's side alone.
+    """
+
+    def __init__(self, backend_port: int) -> None:
+        self._backend_port = backend_port
+        self._client: list[float] = []
+        self._both: list[float] = []
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        server = await asyncio.get_running_loop().create_server(BareServer, LOOPBACK, 0)
+        own_port = server.sockets[0].getsockname()[1]
+        try:
+            while True:
+                self._client.append(await _bare_microseconds(self._backend_port))
+                self._both.append(await _bare_microseconds(own_port))
+        finally:
+            server.close()
+
+    @property
+    def client_us(self) -> float:
+        """Processor time of the client for one exchange."""
+        return statistics.median(self._client)
+
+    @property
+    def both_us(self) -> float:
+        """Processor time of client and server for one exchange."""
+        return statistics.median(self._both)
+
+
+async def _bare_microseconds(port: int) -> float:
     began = time.process_time()
     await bare_exchanges(port, BARE_EXCHANGES)
-    both_seconds = time.process_time() - began
-    server.close()
-    scale = MICROSECONDS / BARE_EXCHANGES
-    return client_seconds * scale, both_seconds * scale
+    return (time.process_time() - began) * MICROSECONDS / BARE_EXCHANGES
 
 
 async def _run_callers(tier: Tier, flags: dict[str, float]) -> Run:
@@ -110,6 +146,8 @@
     return Run(
         queries=document["complete"],
         others=document["others"],
+        sub_requests=document["sub_requests"],
+        attempts=document["attempts"],
         queries_per_second=document["complete"] / document["seconds"],
         p50_ms=document["p50_ms"],
         p99_ms=document["p99_ms"],
@@ -123,32 +161,33 @@
 ) -> Variant:
     """Measure one variant."""
     backends = BackendProcesses(fan_out, rows)
-    concurrency = max(2, min(MOST_CALLERS, SUB_REQUESTS_IN_FLIGHT // fan_out)) * node_count
+    concurrency = max(1, min(MOST_CALLERS, SUB_REQUESTS_IN_FLIGHT // fan_out)) * node_count
     try:
         addresses = await backends.start()
-        bare_before = await _bare_cost(addresses)
+        meter = BareMeter(addresses[0][1])
         async with Tier(node_count, configuration_at(addresses), profile_directory) as tier:
             flags = {"concurrency": concurrency, "warm_up": WARM_UP_SECONDS, "seconds": seconds}
             if profile_directory is not None:
                 await _run_callers(tier, {**flags, "seconds": WARM_UP_SECONDS})
                 for node in tier.nodes:
                     node.send(signal.SIGUSR1)
+            metering = asyncio.create_task(meter.run())
             closed = await _run_callers(tier, flags)
-            flags["rate"] = max(1.0, closed.queries_per_second * OPEN_LOOP_SHARE)
+            metering.cancel()
+            flags["rate"] = closed.queries_per_second * OPEN_LOOP_SHARE
+            flags["seconds"] = max(seconds, FEWEST_OPEN_LOOP_REQUESTS / flags["rate"])
             open_run = await _run_callers(tier, flags)
             resident = max(resident_bytes(node.process_id) for node in tier.nodes)
-        bare_after = await _bare_cost(addresses)
     finally:
         await backends.stop()
-    client, both = zip(bare_before, bare_after, strict=True)
     return Variant(
         node_count=node_count,
         fan_out=fan_out,
         closed=closed,
         open=open_run,
         resident_mb=resident / MEGABYTE,
-        bare_client_us=statistics.mean(client),
-        bare_both_us=statistics.mean(both),
+        bare_client_us=meter.client_us,
+        bare_both_us=meter.both_us,
     )
 
 
@@ -164,17 +203,17 @@
 
 def _print_table(variants: list[Variant]) -> None:
     print(
-        "nodes fan-out |  q/s  node share |  us/query  us/sub-request  of bare client  of bare both"
-        " | half load p50, p99 ms | RSS MB | not complete"
+        "nodes fan-out |  q/s  node share |  us/query  us/sub-request  exchanges  of bare client"
+        "  of bare both | half load p50, p99 ms (n) | RSS MB | not complete"
     )
     for entry in variants:
         print(
             f"{entry.node_count:5} {entry.fan_out:7} |"
             f" {entry.closed.queries_per_second:6.1f} {entry.closed.node_share:9.2f}  |"
-            f" {entry.query_us:9.0f} {entry.sub_request_us:15.1f}"
+            f" {entry.query_us:9.0f} {entry.sub_request_us:15.1f} {entry.exchanges:10.2f}"
             f" {entry.sub_request_us / entry.bare_client_us:15.2f}"
             f" {entry.sub_request_us / entry.bare_both_us:13.2f} |"
-            f" {entry.open.p50_ms:9.1f} {entry.open.p99_ms:9.1f}    |"
+            f" {entry.open.p50_ms:9.1f} {entry.open.p99_ms:9.1f} ({entry.open.queries:3}) |"
             f" {entry.resident_mb:6.0f} | {entry.closed.others + entry.open.others}"
         )
     for node_count in sorted({entry.node_count for entry in variants}):
--- a/benchmarks/support/callers.py
+++ b/benchmarks/support/callers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import re
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -20,6 +21,8 @@
 
 QUERY_PATH = "/v1/query"
 CONNECTION_LIMIT = 1_000
+WORK = re.compile(rb'"sub_requests":(\d+),"attempts":(\d+)')
+TAIL_BYTES = 200
 COMPLETE = b'"outcome":"complete"'
 HEADERS = {"authorization": f"Bearer {CALLER_TOKEN}", "content-type": "application/json"}
 BODY = orjson.dumps({"service": SERVICE, "kind": KIND, "key_ranges": [{}]})
@@ -32,8 +35,17 @@
 
     complete: int = 0
     others: int = 0
+    sub_requests: int = 0
+    attempts: int = 0
     latencies_seconds: list[float] = field(default_factory=list)
 
+    def count_work(self, tail: bytes) -> None:
+        """Take in how many sub-requests and exchanges an answer cost, from the end of its body."""
+        said = WORK.search(tail)
+        if said is not None:
+            self.sub_requests += int(said[1])
+            self.attempts += int(said[2])
+
     def quantile_ms(self, quantile: float) -> float:
         """Return a latency quantile of complete answers; 0 without any."""
         ordered = sorted(self.latencies_seconds)
@@ -64,6 +76,7 @@
             tally.others += 1
             return
         tally.complete += 1
+        tally.count_work(response.whole_body[-TAIL_BYTES:])
         tally.latencies_seconds.append(time.perf_counter() - due_at)
 
     async def closed_loop(self, concurrency: int, seconds: float) -> None:
@@ -107,6 +120,8 @@
     document = {
         "complete": tally.complete,
         "others": tally.others,
+        "sub_requests": tally.sub_requests,
+        "attempts": tally.attempts,
         "seconds": elapsed,
         "p50_ms": tally.quantile_ms(0.5),
         "p99_ms": tally.quantile_ms(0.99),
--- a/benchmarks/support/tier.py
+++ b/benchmarks/support/tier.py
@@ -29,6 +29,9 @@
 CLUSTER_KEY = "bench-cluster-key-of-at-least-32-characters"
 OPERATOR_TOKEN_SHA256 = hashlib.sha256(b"bench-operator").hexdigest()
 BACKEND_PROCESSES = 2
+HEALTH_INTERVAL_SECONDS = 600.0
+"""So long that health pages are read once: one node owns here what hundreds share otherwise."""
+
 SHOWN_CHARACTERS = 2_000
 START_SECONDS = 20.0
 START_INTERVAL_SECONDS = 0.05
@@ -56,6 +59,8 @@
 seeds = {seeds}
 [store]
 endpoints = ["127.0.0.1:{store_port}"]
+[routing]
+health_interval_seconds = {health_interval_seconds}
 [log]
 level = "info"
 """
@@ -159,6 +164,7 @@
             cluster_key=CLUSTER_KEY,
             seeds=orjson.dumps(self._peer_addresses).decode(),
             store_port=store_port,
+            health_interval_seconds=HEALTH_INTERVAL_SECONDS,
         )
 
     async def _wait_until_ready(self, address: str) -> None:
