--- a/wingquay/rehearsal/experiments/launcher.py
+++ b/wingquay/rehearsal/experiments/launcher.py
@@ -4,6 +4,8 @@
 """
 
 import multiprocessing
+import os
+import threading
 from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor, as_completed
 
@@ -22,7 +24,9 @@
     """Return the results of all runs, in the order of ``runs``."""
     results: dict[Run, RunResult] = {}
     context = multiprocessing.get_context(START_METHOD)
-    with ProcessPoolExecutor(min(workers, len(runs)), mp_context=context) as pool:
+    with ProcessPoolExecutor(
+        min(workers, len(runs)), mp_context=context, initializer=_end_with_launcher
+    ) as pool:
         try:
             future_runs = {pool.submit(measure, run): run for run in runs}
             for future in as_completed(future_runs):
@@ -32,3 +36,16 @@
             pool.shutdown(wait=False, cancel_futures=True)
             raise
     return [results[run] for run in runs]
+
+
+def _end_with_launcher() -> None:
+    """Let this worker end when its launcher was killed and nobody waits for results any more."""
+    launcher = multiprocessing.parent_process()
+    if launcher is None:
+        return
+
+    def watch() -> None:
+        launcher.join()
+        os._exit(1)
+
+    threading.Thread(target=watch, daemon=True).start()
