--- a/tests/configuration/test_document.py
+++ b/tests/configuration/test_document.py
@@ -38,6 +38,19 @@
         written = document()
         self.assertEqual(written, parse_document(written.body))
 
+    def test_reading_with_a_like_document_gives_the_same(self) -> None:
+        before = document()
+        service = CONFIGURATION.services[0]
+        fewer = service.model_copy(update={"shards": service.shards[:1]})
+        for services in ((service,), (fewer,), ()):
+            changed = CONFIGURATION.model_copy(update={"services": services, "callers": ()})
+            after = next_document(before, changed, record(2))
+            assert not isinstance(after, Failure)
+            self.assertEqual(parse_document(after.body), parse_document(after.body, before))
+        unchanged = parse_document(before.body, before)
+        assert not isinstance(unchanged, Failure)
+        self.assertIs(before.configuration.services[0], unchanged.configuration.services[0])
+
     def test_an_older_writer_keeps_what_it_does_not_know(self) -> None:
         newer = with_extra_keys(document())
         rewritten = next_document(newer, CONFIGURATION, record(2))
--- a/wingquay/configuration/current_key.py
+++ b/wingquay/configuration/current_key.py
@@ -74,7 +74,8 @@
         """Interpret a value of the current key, read or handed out by a watch or a swap."""
         if self._last is not None and value.modified_at == self._last.modified_at:
             return StoredDocument(self._last.document, value.modified_at, store_revision)
-        document = parse_document(value.value)
+        like = self._last.document if self._last is not None else None
+        document = parse_document(value.value, like)
         if isinstance(document, Failure):
             return Failure(ReadFailureKind.MALFORMED, document.reason)
         stored = StoredDocument(document, value.modified_at, store_revision)
--- a/wingquay/configuration/diff.py
+++ b/wingquay/configuration/diff.py
@@ -93,6 +93,8 @@
     prefix = "" if label == "configuration" else f"{label} "
     lines: list[str] = []
     for identity in identities:
+        if left.get(identity) == right.get(identity):
+            continue
         name = "/".join(part for part in identity or () if part)
         entry_label = f"{prefix}{_SINGULAR.get(key, key)} {name}"
         lines += _entry_lines(entry_label, left.get(identity), right.get(identity))
--- a/wingquay/configuration/dissemination.py
+++ b/wingquay/configuration/dissemination.py
@@ -131,7 +131,7 @@
         if not message.body or message.revision <= self._in_force.revision:
             return self.heard(sender, message.revision, now)
         self._spread.heard(sender.node_id, message.revision, now)
-        document = _unpacked(message)
+        document = _unpacked(message, self._in_force.document)
         if isinstance(document, str):
             self._wanted = None
             self._not_before = now + UNREADABLE_PAUSE_SECONDS
@@ -200,12 +200,14 @@
             yield from perform(*self._tell(self._view.sample(self._view.peers, 1)))
 
 
-def _unpacked(message: ConfigurationBody) -> ConfigurationDocument | str:
+def _unpacked(
+    message: ConfigurationBody, like: ConfigurationDocument | None
+) -> ConfigurationDocument | str:
     """Return the document in a message, or why it cannot be believed."""
     body = unpack_body(message.body)
     if isinstance(body, Failure):
         return body.reason
-    document = parse_document(body)
+    document = parse_document(body, like)
     if isinstance(document, Failure):
         return document.reason
     if document.revision != message.revision:
--- a/wingquay/configuration/document.py
+++ b/wingquay/configuration/document.py
@@ -5,13 +5,13 @@
 nothing (docs/design/configuration.md, "Schema versions").
 """
 
-import json
 import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
+import orjson
 from pydantic import ValidationError
 
 from wingquay.model.audit import AuditRecord
@@ -56,21 +56,30 @@
 
     def raw(self) -> Json:
         """Return the document's JSON object, with the keys that this version does not know."""
-        parsed: Json = json.loads(self.body)
+        parsed: Json = orjson.loads(self.body)
         return parsed
 
 
 EMPTY_DOCUMENT = ConfigurationDocument(
-    Configuration(), (), json.dumps(Configuration().model_dump(mode="json")).encode()
+    Configuration(), (), orjson.dumps(Configuration().model_dump(mode="json"))
 )
 """What stands before anything has been confirmed: revision 0."""
 
 
-def parse_document(body: bytes) -> ConfigurationDocument | Failure[DocumentFailureKind]:
-    """Read a document; a whole one or none."""
+def parse_document(
+    body: bytes, like: ConfigurationDocument | None = None
+) -> ConfigurationDocument | Failure[DocumentFailureKind]:
+    """Read a document; a whole one or none.
+
+    Parameters
+    ----------
+    like
+        A document that has been read: services that are the same in both are taken from it,
+        which spares most of the time that a large configuration takes.
+    """
     try:
-        raw = json.loads(body)
-        configuration = Configuration.model_validate(raw)
+        raw = orjson.loads(body)
+        configuration = Configuration.model_validate(_with_known_services(raw, like))
         audit = tuple(AuditRecord.model_validate(entry) for entry in raw.get("audit", ()))
     except (ValueError, ValidationError, TypeError, AttributeError) as error:
         reason = f"configuration document: {str(error)[:300]}"
@@ -78,6 +87,18 @@
     return ConfigurationDocument(configuration, audit, body)
 
 
+def _with_known_services(raw: Json, like: ConfigurationDocument | None) -> Json:
+    if like is None or not isinstance(raw.get("services"), list):
+        return raw
+    before = like.raw().get("services", ())
+    known = like.configuration.services
+    reused = [
+        known[index] if index < len(known) and entry == before[index] else entry
+        for index, entry in enumerate(raw["services"])
+    ]
+    return {**raw, "services": reused}
+
+
 def next_document(
     base: ConfigurationDocument,
     configuration: Configuration,
@@ -111,7 +132,7 @@
         raw["oldest_writer"] = oldest_writer
     audit = [*base_raw.get("audit", ()), record.model_dump(mode="json")][-AUDIT_RECORDS_KEPT:]
     raw["audit"] = audit
-    body = json.dumps(raw, separators=(",", ":")).encode()
+    body = orjson.dumps(raw)
     records = (*base.audit, record)[-AUDIT_RECORDS_KEPT:]
     return ConfigurationDocument(confirmed, records, body)
 
@@ -133,6 +154,8 @@
     one that it does not know. Entries of lists are matched by their identity; what a removed
     entry held goes with it.
     """
+    if written == earlier:
+        return written
     if isinstance(written, dict) and isinstance(earlier, dict):
         unknown = {key: value for key, value in earlier.items() if key not in written}
         known = {
--- a/wingquay/configuration/intents.py
+++ b/wingquay/configuration/intents.py
@@ -5,14 +5,13 @@
 from enum import Enum
 from typing import TypeVar
 
-from pydantic import ValidationError
-
 from wingquay.model.configuration import (
     Attachment,
     Configuration,
     PriorityClass,
     Service,
 )
+from wingquay.model.configuration_check import reference_errors
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import ClassName, Revision
 from wingquay.model.intent import (
@@ -82,10 +81,11 @@
             return _invalid(f"intent {number} ({intent.intent}): {outcome.reason}")
         configuration = outcome
         resolved.append(exact)
-    checked = _checked(configuration)
-    if isinstance(checked, Failure):
-        return checked
-    return AppliedIntents(checked, tuple(resolved))
+    # The entries were checked one by one when they were made; what is left is how they fit.
+    errors = reference_errors(configuration)
+    if errors:
+        return _invalid("; ".join(errors))
+    return AppliedIntents(configuration, tuple(resolved))
 
 
 def class_order(entry: PriorityClass) -> tuple[float, float, str]:
@@ -101,17 +101,6 @@
     return _invalid(f"{field}: {value!r} does not exist; allowed: {sorted(allowed)}")
 
 
-def _checked(configuration: Configuration) -> Configuration | IntentFailure:
-    try:
-        return Configuration.model_validate(configuration.model_dump())
-    except ValidationError as error:
-        reasons = (
-            f"{'.'.join(str(part) for part in detail['loc'])}: {detail['msg']}".removeprefix(": ")
-            for detail in error.errors()
-        )
-        return _invalid("; ".join(reasons))
-
-
 def _resolve(configuration: Configuration, intent: Intent) -> Intent | IntentFailure:
     if not isinstance(intent, AssignClass) or intent.class_name not in RESERVED_CLASS_NAMES:
         return intent
--- a/wingquay/model/configuration_check.py
+++ b/wingquay/model/configuration_check.py
@@ -1,5 +1,6 @@
 """Checks that the parts of a configuration refer to each other correctly."""
 
+import functools
 import ipaddress
 from collections import Counter
 from collections.abc import Iterable
@@ -8,6 +9,9 @@
 if TYPE_CHECKING:
     from wingquay.model.configuration import Configuration, Service
 
+ADDRESSES_REMEMBERED = 8_192
+"""Checked addresses that are remembered: each new revision names the same ones again."""
+
 
 def reference_errors(configuration: "Configuration") -> list[str]:
     """Return one line for each wrong reference, naming field, value and what is allowed."""
@@ -65,11 +69,18 @@
 
 
 def _address_errors(replica_id: str, host: str) -> list[str]:
+    if _is_ip_number(host):
+        return []
+    return [f"replica {replica_id!r}: host {host!r} must be an IP number"]
+
+
+@functools.lru_cache(maxsize=ADDRESSES_REMEMBERED)
+def _is_ip_number(host: str) -> bool:
     try:
         ipaddress.ip_address(host)
     except ValueError:
-        return [f"replica {replica_id!r}: host {host!r} must be an IP number"]
-    return []
+        return False
+    return True
 
 
 def _partition_errors(service: "Service") -> list[str]:
