Serve an exchange on a connection that was reset at once

Cause: two runs of scripts/rehearse_processes.py printed TypeError from connection_made: the other side had reset the connection before asyncio told us of it, so it had no peer address; the exchange on it hung until its deadline and counted as sent. Ruled out: the script, whose callers use the same client as the product. Change: the connection is given its address. Shown by tests/adapters/test_http.py (fails before, passes after). The script now takes ports outside the range of outgoing connections (a node could not bind in one run), starts two nodes a zone and reports the reasons of answers that are not complete.

--- a/scripts/process_rehearsal/load.py
+++ b/scripts/process_rehearsal/load.py
@@ -48,7 +48,7 @@
 
     def start(self) -> None:
         """Begin to ask."""
-        endpoints = [self.system.caller_endpoint(index) for index in range(len(PROFILE.zones))]
+        endpoints = [self.system.caller_endpoint(index) for index in range(self.system.node_count)]
         self._caller = DemoCaller(endpoints, CALLER_TOKEN, PROFILE.dataset)
         for index in range(ASKERS):
             source = random.Random(f"{self.seed}/{index}")
@@ -67,16 +67,24 @@
             for record in self.records
         )
 
+    def reasons(self) -> dict[str, int]:
+        """Return how often each reason for not answering completely was given, by kind."""
+        counts: Counter[str] = Counter()
+        for record in self.records:
+            if record.reply.outcome is not Outcome.COMPLETE:
+                counts[_reason(record.reply)] += 1
+        return dict(counts.most_common())
+
     async def _keep_asking(self, asker: int, source: random.Random) -> None:
         number = 0
         while not self._is_done:
             number += 1
             question = _question(source, f"{asker}-{number}")
-            node_index = source.randrange(len(PROFILE.zones))
+            node_index = source.randrange(self.system.node_count)
             reply = await self._ask(node_index, question)
             if question.service == WRITE_SERVICE and reply.outcome is not Outcome.COMPLETE:
                 # As a caller does that wants to know: the same request through another node.
-                reply = await self._ask((node_index + 1) % len(PROFILE.zones), question)
+                reply = await self._ask((node_index + 1) % self.system.node_count, question)
             if reply.outcome is not Outcome.COMPLETE:
                 await asyncio.sleep(PAUSE_AFTER_REFUSAL_SECONDS)
 
@@ -87,6 +95,15 @@
         return reply
 
 
+def _reason(reply: Reply) -> str:
+    outcome = reply.outcome.value if reply.outcome else "no answer"
+    document = reply.document
+    text = document.get("detail") or reply.difference.partition(":")[0]
+    if reply.outcome is Outcome.PARTIAL:
+        text = ", ".join(sorted({part["reason"] for part in document["missing"]}))
+    return f"{reply.question.kind}: {outcome}: {text}"
+
+
 def _question(source: random.Random, name: str) -> Question:
     keys = PROFILE.dataset.keys
     draw = source.random()
--- a/scripts/process_rehearsal/processes.py
+++ b/scripts/process_rehearsal/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -12,6 +13,10 @@
 CONNECT_RETRY_SECONDS = 0.05
 START_LIMIT_SECONDS = 15.0
 KILL_LIMIT_SECONDS = 5.0
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+
+_PORTS = random.SystemRandom()
 
 
 class StartError(Exception):
@@ -19,12 +24,12 @@
 
 
 def free_port() -> int:
-    """Return a port that is free for TCP and UDP at this moment."""
+    """Return a port that is free for TCP and UDP, outside the range of outgoing connections."""
     while True:
+        port = _PORTS.randrange(FIRST_PORT, LAST_PORT)
         with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-            stream.bind((LOOPBACK, 0))
-            port = int(stream.getsockname()[1])
             try:
+                stream.bind((LOOPBACK, port))
                 datagram.bind((LOOPBACK, port))
             except OSError:
                 continue
--- a/scripts/process_rehearsal/system.py
+++ b/scripts/process_rehearsal/system.py
@@ -76,13 +76,16 @@
     ----------
     directory
         For settings files and logs.
+    nodes_per_zone
+        Nodes in each of the three zones.
     """
 
-    def __init__(self, directory: Path) -> None:
+    def __init__(self, directory: Path, nodes_per_zone: int) -> None:
         self._directory = directory
         self._starts = 0
         self._store_port = free_port()
-        self._node_ports = [(free_port(), free_port(), free_port()) for _ in PROFILE.zones]
+        self.node_count = nodes_per_zone * len(PROFILE.zones)
+        self._node_ports = [(free_port(), free_port(), free_port()) for _ in range(self.node_count)]
         self._http = HttpClient()
         self.replicas: list[Replica] = []
         self.nodes: list[Process] = []
@@ -96,7 +99,7 @@
             "store", self._store_port, ["standin", "store", "--listen", self._at(self._store_port)]
         )
         await self._start_replicas()
-        for index in range(len(PROFILE.zones)):
+        for index in range(self.node_count):
             self.nodes.append(await self.start_node(index))
         await self._set_up()
 
@@ -121,7 +124,7 @@
 [node]
 name = "node-{index}"
 deployment = "{PROFILE.name}"
-zone = "{PROFILE.zones[index]}"
+zone = "{PROFILE.zones[index % len(PROFILE.zones)]}"
 [caller_interface]
 host = "{LOOPBACK}"
 port = {callers}
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -3,13 +3,14 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from typing import Any
+from unittest import mock
 
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_client_connection import OutgoingRequest
+from wingquay.adapters.http_client_connection import ClientConnection, OutgoingRequest
 from wingquay.adapters.http_messages import (
     HttpFailureKind,
     HttpLimits,
@@ -459,3 +460,29 @@
             await client.close()
 
         run(test())
+
+
+class ResetTransport(asyncio.Transport):
+    """The transport of a connection that the other side reset at once: it has no peer any more."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return default
+
+    def is_closing(self) -> bool:
+        return False
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written += bytes(data)
+
+
+class ClientConnectionTest(testtools.TestCase):
+    def test_connection_that_was_reset_at_once_still_serves_its_exchange(self) -> None:
+        connection = ClientConnection(("::1", 8000), 16_384, mock.Mock(), mock.Mock())
+        transport = ResetTransport()
+        connection.connection_made(transport)
+        connection.start_exchange(OutgoingRequest(b"GET", b"/health", []), mock.Mock())
+        self.assertIn(b"[::1]:8000\r\n", transport.written)
--- a/wingquay/adapters/http_client_connection.py
+++ b/wingquay/adapters/http_client_connection.py
@@ -59,6 +59,8 @@
 
     Parameters
     ----------
+    address
+        IP number and port of the other side, for the ``Host`` header.
     on_free
         Called when a response is whole and the connection can serve another exchange.
     on_closed
@@ -67,6 +69,7 @@
 
     def __init__(
         self,
+        address: tuple[str, int],
         header_bytes: int,
         on_free: Callable[["ClientConnection"], None],
         on_closed: Callable[["ClientConnection"], None],
@@ -77,7 +80,8 @@
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._reader: ExchangeReader | None = None
-        self._host = b""
+        host, port = address
+        self._host = f"[{host}]:{port}".encode() if ":" in host else f"{host}:{port}".encode()
         self._is_closed = False
 
     @property
@@ -119,8 +123,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Remember the transport (asyncio calls this)."""
         self._transport = cast(asyncio.Transport, transport)
-        host, port = self._transport.get_extra_info("peername")[:2]
-        self._host = f"[{host}]:{port}".encode() if ":" in host else f"{host}:{port}".encode()
 
     def data_received(self, data: bytes) -> None:
         """Take in bytes of the response (asyncio calls this)."""
--- a/wingquay/adapters/http_connection_pool.py
+++ b/wingquay/adapters/http_connection_pool.py
@@ -113,7 +113,7 @@
         assert task is not None
 
         def make_connection() -> ClientConnection:
-            connection = ClientConnection(self._header_bytes, self._freed, self._closed)
+            connection = ClientConnection(address, self._header_bytes, self._freed, self._closed)
             # From here on the connection, not the task, holds the place in the pool.
             self._connections[connection] = address
             del self._connecting[task]
