--- a/wingquay/claims/claimant.py
+++ b/wingquay/claims/claimant.py
@@ -224,7 +224,7 @@
         decision: ClaimDecisionKind,
         now: float,
     ) -> list[Action]:
-        counted = Count("claims_decided_total", labels=(("decision", decision.value),))
+        counted = Count("wingquay_claims_decided_total", labels=(("decision", decision.value),))
         outcome = None
         actions: list[Action] = [counted]
         if decision is ClaimDecisionKind.GRANTED:
