Send new work back from a stopping owner; ask another replica for keys left out

Cause: an owner that is stopping still took sub-requests from nodes that had not heard of it; an unrepeatable one caught by its exit would have become unknown. And keys that one replica left out (its part had moved) were asked for again without saying of whom not: the same replica could be asked each time. Change: a stopping owner answers OWNER_LEAVING, not run, and the coordinator asks the next; PieceRetryDue and SubRequest.avoid name the replica that left keys out, which is passed over unless there is no other.

--- a/wingquay/adapters/peer_codec_query.py
+++ b/wingquay/adapters/peer_codec_query.py
@@ -108,7 +108,7 @@
         repeatable=message.repeatable,
         body=message.body,
         traceparent=message.traceparent if message.HasField("traceparent") else None,
-        avoid=tuple(message.avoid[:]),
+        avoid=tuple(map(ReplicaId, message.avoid)),
     )
 
 
--- a/wingquay/admission/dispatcher.py
+++ b/wingquay/admission/dispatcher.py
@@ -17,7 +17,7 @@
 from wingquay.admission.work import Work
 from wingquay.model.answer import SubAnswer, SubFailureKind, SubResult
 from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId
+from wingquay.model.identifiers import NodeId, ReplicaId
 from wingquay.model.mechanisms import Mechanism
 from wingquay.model.request import SubRequest
 from wingquay.ports.backend import AttemptFinished, BackendAnswer, BackendFailureKind
@@ -33,6 +33,7 @@
 from wingquay.routing.replica_tracker import ReplicaTracker
 
 _NO_REPLICA = Failure(SubFailureKind.NO_REPLICA, "no replica of the shard is in service")
+_OWNER_LEAVING = Failure(SubFailureKind.OWNER_LEAVING, "the owner is stopping; ask the next")
 _SHARD_GONE = Failure(SubFailureKind.NOT_OWNED, "the shard left the configuration")
 _EXPIRED_WAITING = Failure(SubFailureKind.DEADLINE, "the deadline passed in the queue")
 _EXPIRED_RUNNING = Failure(SubFailureKind.DEADLINE, "no whole answer by the deadline")
@@ -55,12 +56,15 @@
         choice: ReplicaChoice,
         disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
+        self._node_id = node_id
         self._lanes = lanes
         self._choice = choice
         self._disabled = disabled
         self._work: dict[str, Work] = {}
         self._attempts = Attempts(node_id, settings, disabled)
         self._retrying = RetryPolicy(settings, Mechanism.RETRY_BUDGET not in disabled)
+        self.is_leaving = False
+        """Whether this node is stopping: other nodes' new sub-requests are sent back at once."""
         self.requesters = Requesters()
         """The nodes that wait for results."""
 
@@ -117,6 +121,8 @@
         )
         self._work[sub_request.sub_request_id] = work
         self.requesters.on_accepted(sender, now)
+        if self.is_leaving and sender.node_id != self._node_id:
+            return self._finish(work, _OWNER_LEAVING, now)
         lane = self._lanes.lane(sub_request.shard_id)
         if lane is None:
             reason = f"shard {sub_request.shard_id!r} is not in this node's configuration"
@@ -124,6 +130,7 @@
         usable = self._choice.usable(lane.tracker_list, now)
         if not usable:
             return self._finish(work, _NO_REPLICA, now)
+        work.tried += _replicas_to_avoid(sub_request, usable)
         refusal = self._refusal(lane, work, now)
         if refusal is not None:
             return self._finish(work, refusal, now)
@@ -361,6 +368,16 @@
         return self._attempts.cancel_all(work, now)
 
 
+def _replicas_to_avoid(
+    sub_request: SubRequest, usable: list[ReplicaTracker]
+) -> tuple[ReplicaId, ...]:
+    """Return the replicas that left keys out before, unless there are no others."""
+    avoided = sub_request.avoid
+    if not avoided or all(tracker.replica.replica_id in avoided for tracker in usable):
+        return ()
+    return avoided
+
+
 def _unservable(work: Work) -> Failure[SubFailureKind]:
     if work.last_failure is not None:
         return work.last_failure
--- a/wingquay/admission/owner_machine.py
+++ b/wingquay/admission/owner_machine.py
@@ -19,6 +19,7 @@
 from wingquay.ports.backend import AttemptFinished, ReplicaProbed
 from wingquay.ports.internal import (
     ConfigurationInForce,
+    LeavingStarted,
     MembershipChanged,
     ReplicaBelief,
     ServiceLoad,
@@ -45,6 +46,7 @@
         Start,
         ConfigurationInForce,
         MembershipChanged,
+        LeavingStarted,
         ReplicaBelief,
         AttemptFinished,
         ReplicaProbed,
@@ -135,6 +137,8 @@
                 deployment = self._identity.deployment
                 own = [node for node in event.available if node.deployment == deployment]
                 self._owners.set_nodes(own)
+            case LeavingStarted():
+                self._dispatcher.is_leaving = True
             case ReplicaBelief() if Mechanism.REPLICA_LEAVING not in self._disabled:
                 self._prober.on_belief(event)
                 return self._dispatcher.on_replica_changed(event.replica_id, now)
--- a/wingquay/model/request.py
+++ b/wingquay/model/request.py
@@ -6,6 +6,7 @@
 from wingquay.model.identifiers import (
     CallerName,
     ClassName,
+    ReplicaId,
     RequestId,
     RequestKindName,
     ServiceName,
@@ -61,7 +62,7 @@
     promise_seconds, price
         Of the request's priority class.
     avoid
-        Replica ids that a previous owner already tried and that should come last.
+        Replicas that left these keys out before; asked only if there are no others.
     """
 
     sub_request_id: SubRequestId
@@ -78,4 +79,4 @@
     repeatable: bool
     body: str = ""
     traceparent: str | None = None
-    avoid: tuple[str, ...] = ()
+    avoid: tuple[ReplicaId, ...] = ()
--- a/wingquay/query/coordinator_events.py
+++ b/wingquay/query/coordinator_events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.identifiers import RequestId
+from wingquay.model.identifiers import ReplicaId, RequestId
 from wingquay.model.key_range import KeyRange
 from wingquay.ports.machine import Event
 
@@ -29,6 +29,7 @@
     generation: int
     key_ranges: tuple[KeyRange, ...]
     retries: int
+    avoid: tuple[ReplicaId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/query/piece_sender.py
+++ b/wingquay/query/piece_sender.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from wingquay.model.configuration import Service
-from wingquay.model.identifiers import SubRequestId
+from wingquay.model.identifiers import ReplicaId, SubRequestId
 from wingquay.model.key_range import KeyRange
 from wingquay.model.request import SubRequest
 from wingquay.ports.machine import Action
@@ -46,11 +46,12 @@
         pieces: Sequence[ShardPiece],
         now: float,
         retries: int = 0,
+        avoid: tuple[ReplicaId, ...] = (),
     ) -> list[Action]:
         """Send a sub-request for each of ``pieces``."""
         batches: dict[str, tuple[NodeIdentity, list[SubRequest]]] = {}
         for shard_piece in pieces:
-            sub_request = self._sub_request(state, shard_piece, now)
+            sub_request = self._sub_request(state, shard_piece, now, avoid)
             service = state.resolved.service
             owner = self._links.choose(service, shard_piece.shard.shard_id, (), now)
             self._table.add_piece(state, Piece(sub_request, owner, now, retries))
@@ -82,7 +83,9 @@
         remaining = state.remaining_seconds(now)
         return remaining - min(LEAST_RETURN_SECONDS, remaining * 0.1)
 
-    def _sub_request(self, state: QueryState, piece: ShardPiece, now: float) -> SubRequest:
+    def _sub_request(
+        self, state: QueryState, piece: ShardPiece, now: float, avoid: tuple[ReplicaId, ...]
+    ) -> SubRequest:
         resolved = state.resolved
         request = resolved.request
         return SubRequest(
@@ -100,4 +103,5 @@
             repeatable=resolved.repeatable,
             body=request.body,
             traceparent=request.traceparent,
+            avoid=avoid,
         )
--- a/wingquay/query/query_planning.py
+++ b/wingquay/query/query_planning.py
@@ -2,7 +2,7 @@
 
 from wingquay.model.answer import MissingReason
 from wingquay.model.configuration import Configuration, Service
-from wingquay.model.identifiers import ServiceName
+from wingquay.model.identifiers import ReplicaId, ServiceName
 from wingquay.model.key_range import KeyRange
 from wingquay.ports.machine import Action, Count, Schedule
 from wingquay.query.coordinator_events import PieceRetryDue
@@ -62,13 +62,14 @@
         key_ranges: tuple[KeyRange, ...],
         retries: int,
         now: float,
+        avoid: tuple[ReplicaId, ...] = (),
     ) -> list[Action]:
         plan = self._sender.plan(service, key_ranges)
         state.merge.note_missing(plan.unassigned, MissingReason.NO_SHARD)
         if not state.resolved.repeatable and len(plan.pieces) > 1:
             state.reason = "an unrepeatable request must address one shard"
             return self._ending.finish(state, now)
-        actions = self._sender.send(state, plan.pieces, now, retries)
+        actions = self._sender.send(state, plan.pieces, now, retries, avoid)
         return actions + self._ending.settle(state, now)
 
     # Snapshots ---------------------------------------------------------------------------
@@ -95,7 +96,12 @@
     # Missing keys ------------------------------------------------------------------------
 
     def ask_again_later(
-        self, state: QueryState, piece: Piece, key_ranges: tuple[KeyRange, ...], now: float
+        self,
+        state: QueryState,
+        piece: Piece,
+        key_ranges: tuple[KeyRange, ...],
+        now: float,
+        avoid: tuple[ReplicaId, ...] = (),
     ) -> list[Action]:
         """Schedule a second try for keys without an answer, if there is time for one."""
         if piece.retries >= self._settings.most_piece_retries:
@@ -109,6 +115,7 @@
             generation=state.generation,
             key_ranges=key_ranges,
             retries=piece.retries + 1,
+            avoid=avoid,
         )
         return [Schedule(now + wait, due)]
 
@@ -119,7 +126,7 @@
             return []
         state.waiting_retries -= 1
         service = self._current_service(state)
-        return self._send(state, service, event.key_ranges, event.retries, now)
+        return self._send(state, service, event.key_ranges, event.retries, now, event.avoid)
 
     def _current_service(self, state: QueryState) -> Service:
         before = state.resolved.service
--- a/wingquay/query/sub_result_intake.py
+++ b/wingquay/query/sub_result_intake.py
@@ -3,6 +3,7 @@
 from wingquay.model.answer import MissingReason, SubAnswer, SubFailureKind, SubResult
 from wingquay.model.configuration import CoveragePreference
 from wingquay.model.failure import Failure
+from wingquay.model.identifiers import ReplicaId
 from wingquay.ports.machine import Action, Count
 from wingquay.query.admission_gate import AdmissionGate
 from wingquay.query.piece_sender import PieceSender
@@ -63,7 +64,8 @@
         self._learn(state, result, now)
         self._table.close_piece(state, piece, keeps_open=not self._filters_duplicates)
         if isinstance(result.result, SubAnswer):
-            actions = self._on_answer(state, piece, result.result, now)
+            avoid = (ReplicaId(result.replica_id),)
+            actions = self._on_answer(state, piece, result.result, avoid, now)
         else:
             actions = self._on_failure(state, piece, result.result, now)
         return actions + self._ending.settle(state, now)
@@ -75,7 +77,12 @@
         state.learn_timing(result.queue_seconds, result.service_seconds)
 
     def _on_answer(
-        self, state: QueryState, piece: Piece, answer: SubAnswer, now: float
+        self,
+        state: QueryState,
+        piece: Piece,
+        answer: SubAnswer,
+        avoid: tuple[ReplicaId, ...],
+        now: float,
     ) -> list[Action]:
         leftover = state.merge.add(piece.sub_request.key_ranges, answer)
         if not leftover:
@@ -86,7 +93,7 @@
         state.merge.note_missing(leftover, reason)
         if not state.resolved.repeatable:
             return []
-        return self._planning.ask_again_later(state, piece, leftover, now)
+        return self._planning.ask_again_later(state, piece, leftover, now, avoid)
 
     def _on_failure(
         self, state: QueryState, piece: Piece, failure: Failure[SubFailureKind], now: float
