Check each part of the membership protocol on one machine

Cause: tried by taking parts out, the many-node tests did not notice the loss of pause detection, of telling the dead of a list, of replacing a predecessor or of indirect probes: something else healed it in time.

--- /dev/null
+++ b/tests/membership/test_one_machine.py
@@ -0,0 +1,154 @@
+import random
+
+import testtools
+
+from wingquay.membership.membership_machine import MembershipMachine, MembershipTick
+from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
+from wingquay.membership.settings import MembershipSettings
+from wingquay.ports.internal import MembershipChanged, Notify
+from wingquay.ports.machine import Count, Log, Start
+from wingquay.ports.peer import (
+    Acknowledgement,
+    Gossip,
+    NodeIdentity,
+    NodeList,
+    NodeState,
+    NodeUpdate,
+    PeerReceived,
+    Ping,
+    PingRequest,
+    SendToPeer,
+)
+
+SETTINGS = MembershipSettings()
+QUIET = Gossip(0)
+
+
+def identity(node_id, number):
+    return NodeIdentity(node_id, "ro-nord", "dej", f"10.0.0.{number}", 7000)
+
+
+OWN, B, C, D = (identity(name, number) for number, name in enumerate("abcd", 1))
+
+
+class OneMachineTest(testtools.TestCase):
+    """One machine, whose peers are played by the test."""
+
+    def setUp(self):
+        super().setUp()
+        source = random.Random(1)
+        self.machine = MembershipMachine(OWN, [], SETTINGS, ReplicaEvidenceSettings(), source)
+        self.now = 50.0
+        self.actions = []
+        self.handle(Start())
+        for peer in (B, C, D):
+            self.receive(peer, Ping(1, QUIET))
+
+    def handle(self, event):
+        actions = self.machine.handle(event, self.now)
+        self.actions += actions
+        return actions
+
+    def receive(self, sender, message):
+        return self.handle(PeerReceived(sender, message))
+
+    def tick(self, seconds=SETTINGS.tick_seconds):
+        self.now += seconds
+        return self.handle(MembershipTick())
+
+    def sent(self, actions, kind):
+        return [
+            (action.to, action.message)
+            for action in actions
+            if isinstance(action, SendToPeer) and isinstance(action.message, kind)
+        ]
+
+    def start_probe(self):
+        """Tick until a probe leaves; return whom it goes to and its number."""
+        while True:
+            probes = [
+                (to, ping.sequence) for to, ping in self.sent(self.tick(), Ping) if ping.sequence
+            ]
+            if probes:
+                return probes[0]
+
+    def suspected(self):
+        logs = [action for action in self.actions if isinstance(action, Log)]
+        return [dict(log.fields)["node"] for log in logs if log.message == "node_suspected"]
+
+    def available(self):
+        changes = [action.event for action in self.actions if isinstance(action, Notify)]
+        latest = [event for event in changes if isinstance(event, MembershipChanged)][-1]
+        return {entry.node_id for entry in latest.available}
+
+    def test_unanswered_probe_is_repeated_then_asked_of_others_then_suspected(self):
+        target, sequence = self.start_probe()
+        repeated = [(to, ping.sequence) for to, ping in self.sent(self.tick(), Ping)]
+        self.assertIn((target, sequence), repeated)
+        requests = self.sent(self.tick(), PingRequest)
+        self.assertEqual({B, C, D} - {target}, {relay for relay, _ in requests})
+        self.assertEqual({target}, {request.subject for _, request in requests})
+        self.tick()
+        self.assertEqual([], self.suspected())
+        self.tick()
+        self.assertEqual([target.node_id], self.suspected())
+
+    def test_answer_through_another_node_clears_the_probe(self):
+        target, sequence = self.start_probe()
+        self.tick()
+        requests = self.sent(self.tick(), PingRequest)
+        self.receive(requests[0][0], Acknowledgement(sequence, target.node_id, QUIET))
+        self.tick()
+        self.tick()
+        self.assertEqual([], self.suspected())
+
+    def test_relay_brings_the_answer_or_says_that_there_is_none(self):
+        (_, ping) = self.sent(self.receive(B, PingRequest(77, C, QUIET)), Ping)[0]
+        answers = self.sent(
+            self.receive(C, Acknowledgement(ping.sequence, "c", QUIET)), Acknowledgement
+        )
+        self.assertEqual([(B, 77, "c")], [(to, m.sequence, m.subject) for to, m in answers])
+        self.receive(B, PingRequest(78, D, QUIET))
+        refusals = self.sent(self.tick(), Acknowledgement)
+        self.assertEqual([(B, 78, "a")], [(to, m.sequence, m.subject) for to, m in refusals])
+
+    def test_pause_is_not_held_against_the_node_that_was_being_probed(self):
+        self.start_probe()
+        actions = self.tick(10.0)
+        self.assertEqual([], self.suspected())
+        counted = {action.name for action in actions if isinstance(action, Count)}
+        self.assertIn("membership_pauses_total", counted)
+        self.assertIn("membership_refutations_total", counted)
+
+    def test_pause_does_not_count_against_a_suspect(self):
+        suspicion = NodeUpdate(B, NodeState.SUSPECT, 0, "c")
+        self.receive(C, Ping(0, Gossip(0, (suspicion,))))
+        self.tick(100.0)
+        self.tick()
+        self.assertIn("b", self.available())
+
+    def test_the_dead_of_a_list_are_told_and_not_believed(self):
+        dead = NodeUpdate(B, NodeState.DEAD, 0)
+        self.receive(C, NodeList(Gossip(0, (dead,))))
+        tells = [ping for to, ping in self.sent(self.tick(), Ping) if to == B]
+        self.assertIn(dead, [update for ping in tells for update in ping.gossip.node_updates])
+        self.assertIn("b", self.available())
+
+    def test_new_process_at_an_address_replaces_the_old_one_at_once(self):
+        self.receive(identity("b2", 2), Ping(1, QUIET))
+        self.tick()
+        self.assertEqual({"a", "b2", "c", "d"}, self.available())
+
+    def test_doubt_about_this_node_is_refuted(self):
+        doubt = NodeUpdate(OWN, NodeState.SUSPECT, 0, "c")
+        answers = self.sent(self.receive(C, Ping(9, Gossip(0, (doubt,)))), Acknowledgement)
+        refutation = NodeUpdate(OWN, NodeState.ALIVE, 1)
+        self.assertIn(refutation, answers[0][1].gossip.node_updates)
+
+    def test_doubted_node_is_told_even_when_the_gossip_is_spent(self):
+        death = NodeUpdate(B, NodeState.DEAD, 0)
+        self.receive(C, Ping(0, Gossip(0, (death,))))
+        for _ in range(60):
+            self.tick()
+        answers = self.sent(self.receive(B, Ping(9, QUIET)), Acknowledgement)
+        self.assertEqual(death, answers[0][1].gossip.node_updates[0])
