Keep versions that do not fit a message between nodes out at the rim

Cause: a back end that states an index version above 63 bits made a peer message that cannot be encoded, and a version header of thousands of digits raised in the adapter. Lone surrogates were ruled out: pydantic and orjson refuse them already. Change: versions are read within 0 to 2^63-1; others are left out of load reports and make an answer malformed.

--- a/tests/adapters/test_backend_client.py
+++ b/tests/adapters/test_backend_client.py
@@ -202,6 +202,8 @@
             b"[]",
             {**ANSWER, "snapshot": "7"},
             {**ANSWER, "snapshot": True},
+            {**ANSWER, "snapshot": 2**63},
+            {**ANSWER, "snapshot": -1},
             {**ANSWER, "covered": [["a"]]},
             {**ANSWER, "covered": None},
             {**ANSWER, "rows": [["a", 1]]},
--- a/wingquay/adapters/backend_json.py
+++ b/wingquay/adapters/backend_json.py
@@ -8,10 +8,10 @@
 from collections.abc import Mapping
 from functools import lru_cache
 from itertools import starmap
-from typing import Any
+from typing import Annotated, Any
 
 import orjson
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from wingquay.adapters.http_client_connection import OutgoingRequest
 from wingquay.adapters.http_messages import HttpResponse, RawHeaders
@@ -56,10 +56,16 @@
 """
 
 
+LARGEST_VERSION = 2**63 - 1
+"""Greater versions do not fit the messages between nodes."""
+
+_VERSIONS = re.compile(r"([0-9]{1,19})-([0-9]{1,19})", re.ASCII)
+
+
 class _AnswerBody(BaseModel):
     model_config = ConfigDict(strict=True)
 
-    snapshot: int | None
+    snapshot: Annotated[int, Field(ge=0, le=LARGEST_VERSION)] | None
     covered: list[tuple[str, str | None]]
     rows: list[tuple[str, str]]
 
@@ -184,10 +190,10 @@
 
 @lru_cache(CACHED_HEADERS)
 def _read_versions(text: str) -> tuple[SnapshotVersion | None, SnapshotVersion | None]:
-    oldest, _, newest = text.partition("-")
-    if not (oldest.isascii() and oldest.isdigit() and newest.isascii() and newest.isdigit()):
+    matched = _VERSIONS.fullmatch(text)
+    if matched is None:
         return None, None
-    return SnapshotVersion(int(oldest)), SnapshotVersion(int(newest))
+    return _version(int(matched[1])), _version(int(matched[2]))
 
 
 @lru_cache(CACHED_HEADERS)
@@ -220,4 +226,6 @@
 
 
 def _version(value: object) -> SnapshotVersion | None:
-    return SnapshotVersion(value) if type(value) is int else None
+    if type(value) is not int or not 0 <= value <= LARGEST_VERSION:
+        return None
+    return SnapshotVersion(value)
