Let the node of the lost-store test remember what it read

Cause: without the check for a store that counts from an earlier point the test still passed: its node had read nothing before. Ruled out: none. Change: the node reads the history first.

--- a/tests/configuration/test_confirm.py
+++ b/tests/configuration/test_confirm.py
@@ -171,6 +171,8 @@
         self.assertEqual(2, self.cluster.lowest_revision())
 
     def test_a_store_that_lost_everything_is_not_followed(self) -> None:
+        # The node remembers what it read last, and may leave it out when it reads again.
+        self.assertIsInstance(self.cluster.ask(self.first, ShowHistory()), HistoryResult)
         self.cluster.store = StoreModel(StoreSettings(), Random(3))
         self.cluster.run(1.0)
         refusal = refused(self.cluster, self.first, ConfirmPlan(plan_id=self.propose(assign())))
