Delete the copies of revisions that are no longer listed

Cause: every confirm copied the document it replaced, some 390 kB at 2,800 replicas, and nothing ever deleted a copy. A restore of the revision in force was refused as 'not kept', and a confirm of a restore whose revision was gone was retried as if the store were down. Ruled out: reading a copy in order to delete it (transfers it again); leases of months (history would vanish by time, listed or not). Change: each audit record names the store's revision of the copy; the copy goes when its revision drops out of the 64 listed. The scale benchmark has a scenario of a fleet restarted during an outage.

--- a/benchmarks/configuration_scale.py
+++ b/benchmarks/configuration_scale.py
@@ -8,7 +8,9 @@
 
 ``calm``: nothing fails. ``faults``: the store loses replies and is down
 now and then, messages are lost, two zones cannot reach each other, nodes pause and restart.
-``start``: every node starts at once, without memory. Parsed documents are shared between the
+``start``: every node starts at once, without memory; seconds count until its configuration is in
+force. ``return``: the same while the store is down for two minutes; seconds count from the end of
+the outage, requests from the starts. Parsed documents are shared between the
 hollow nodes of this process; what parsing one costs is measured apart.
 """
 
@@ -47,6 +49,7 @@
 CONFIRM_PAUSE_SECONDS = 20.0
 IN_FORCE_LIMIT_SECONDS = 60.0
 SETTLING_SECONDS = 30.0
+STORE_OUTAGE_SECONDS = 120.0
 
 OUTAGE_EVERY_SECONDS = 45.0
 OUTAGE_SECONDS = 5.0
@@ -70,6 +73,8 @@
     not_landed: int = 0
     store_requests_per_second: float = 0.0
     peak_store_requests: int = 0
+    rate_limited: int = 0
+    """Requests that the store refused for its rate limit."""
     idle_bytes_per_second: float = 0.0
     bytes_a_confirm: float = 0.0
     idle_processor_share: float = 0.0
@@ -87,6 +92,7 @@
             f"{self.worst_from_command_seconds:.3f}",
             f"{self.store_requests_per_second:.1f}",
             str(self.peak_store_requests),
+            str(self.rate_limited),
             f"{self.idle_bytes_per_second:.0f}",
             f"{self.bytes_a_confirm / 1000:.0f}",
             f"{self.idle_processor_share:.3%}",
@@ -95,8 +101,8 @@
 
 
 HEADER = """\
-| scenario | nodes | landed | p50 s | p99 s | worst s | worst s from the command | store req/s | store req in worst s | idle B/s a node | kB a node a confirm | processor a node, idle |
-|---|---|---|---|---|---|---|---|---|---|---|---|"""  # noqa: E501
+| scenario | nodes | landed | p50 s | p99 s | worst s | worst s from the command | store req/s | store req in worst s | rate-limited | idle B/s a node | kB a node a confirm | processor a node, idle |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|"""  # noqa: E501
 
 
 def quantile(ordered: list[float], share: float) -> float:
@@ -279,6 +285,7 @@
     measure_idle(cluster, figures)
     measure_confirms(cluster, figures, confirms)
     figures.peak_store_requests = cluster.peak_store_requests()
+    figures.rate_limited = cluster.counts["store_rate_limited"]
     return figures
 
 
@@ -290,23 +297,29 @@
     measure_idle(cluster, figures)
     measure_confirms(cluster, figures, confirms)
     figures.peak_store_requests = cluster.peak_store_requests()
+    figures.rate_limited = cluster.counts["store_rate_limited"]
     return figures
 
 
-def start(nodes: int) -> Figures:
-    """Start every node anew at one moment; seconds count until each is ready."""
-    figures = Figures("start", nodes)
+def start(nodes: int, outage_seconds: float = 0.0) -> Figures:
+    """Start every node anew at one moment, while the store is down or not."""
+    figures = Figures("return" if outage_seconds else "start", nodes)
     cluster = founded(nodes, 3, StoreSettings())
     cluster.forget_store_requests()
-    began_at = cluster.now
+    cluster.counts.clear()
+    cluster.store.refuse_until(cluster.now + outage_seconds, cluster.now)
     for node in list(cluster.nodes):
         cluster.restart(node)
+    cluster.run(outage_seconds)
+    began_at = cluster.now
     cluster.run(SETTLING_SECONDS)
     for node in cluster.nodes:
         times = [at for at, _, _ in node.revisions]
         figures.seconds.append(min(times, default=cluster.now + SETTLING_SECONDS) - began_at)
+    total_seconds = outage_seconds + SETTLING_SECONDS
+    figures.store_requests_per_second = cluster.store_request_count() / total_seconds
     figures.peak_store_requests = cluster.peak_store_requests()
-    figures.store_requests_per_second = cluster.store_request_count() / SETTLING_SECONDS
+    figures.rate_limited = cluster.counts["store_rate_limited"]
     return figures
 
 
@@ -351,8 +364,13 @@
     for nodes in NODE_COUNTS:
         if nodes > largest:
             continue
-        for figures in (calm(nodes, confirms), faults(nodes, confirms), start(nodes)):
-            print(figures.row(), flush=True)
+        for measure in (
+            lambda count: calm(count, confirms),
+            lambda count: faults(count, confirms),
+            start,
+            lambda count: start(count, STORE_OUTAGE_SECONDS),
+        ):
+            print(measure(nodes).row(), flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/configuration/test_confirm.py
+++ b/tests/configuration/test_confirm.py
@@ -213,6 +213,23 @@
             self.assertIn("too many changes", refusal.reason)
         self.assertEqual(5, self.first.machine.revision)
 
+    def test_copies_of_revisions_no_longer_listed_are_deleted(self) -> None:
+        self.patch(document_module, "AUDIT_RECORDS_KEPT", 3)
+        for amount in (11, 12, 13, 14, 15):
+            confirm(self.cluster, self.first, self.propose(price("gold", amount)))
+            self.cluster.run(0.1)
+        history = self.cluster.ask(self.first, ShowHistory())
+        assert isinstance(history, HistoryResult)
+        self.assertEqual([4, 5, 6], [record.revision for record in history.records])
+        kept = stored_keys(self.cluster, "wingquay/configuration/history/")
+        self.assertEqual([history_key(Revision(4)), history_key(Revision(5))], kept)
+        gone = RestoreRevision(revision=Revision(2))
+        refusal = refused(self.cluster, self.first, ProposePlan(intents=(gone,)))
+        self.assertEqual(OperatorFailureKind.NOT_FOUND, refusal.kind)
+        present = RestoreRevision(revision=Revision(6))
+        refusal = refused(self.cluster, self.first, ProposePlan(intents=(present,)))
+        self.assertIn("change nothing", refusal.reason)
+
     def test_discarding_what_has_landed_says_so(self) -> None:
         plan = self.propose(assign())
         confirm(self.cluster, self.first, plan)
--- a/wingquay/configuration/confirmation.py
+++ b/wingquay/configuration/confirmation.py
@@ -35,9 +35,10 @@
 )
 from wingquay.configuration.store_schedule import FullJitterBackoff
 from wingquay.model.failure import Failure
-from wingquay.model.identifiers import OperatorName
+from wingquay.model.identifiers import OperatorName, Revision
 from wingquay.model.intent import Intent
 from wingquay.model.plan import Plan
+from wingquay.ports.machine import Action
 from wingquay.ports.operator import ConfirmOutcome, ConfirmResult, OperatorFailureKind
 from wingquay.ports.store import CompareAndSwap, StoreFailureKind, SwapResult
 
@@ -154,34 +155,42 @@
     def _write(
         self, plan: Plan, current: StoredDocument
     ) -> Script[Landed | OperatorFailure | None]:
-        earlier = yield from read_earlier(plan.intents)
+        earlier = yield from read_earlier(plan.intents, current.document)
         if isinstance(earlier, Failure):
             self._last_reason = earlier.reason
-            return earlier if earlier.kind is OperatorFailureKind.INVALID else None
+            unavailable = earlier.kind is OperatorFailureKind.STORE_UNAVAILABLE
+            return None if unavailable else earlier
+        kept_at = yield from self._keep_history(current)
+        if kept_at is None:
+            return None
         document = document_for_confirm(
             plan,
             current.document,
             earlier,
             self._command.operator,
             self._command.unix_seconds,
+            kept_at,
         )
         if isinstance(document, Failure):
             return Failure(OperatorFailureKind.CONFLICT, document.reason)
-        kept = yield from self._keep_history(current)
-        if not kept:
-            return None
         return (yield from self._swap(document, current))
 
-    def _keep_history(self, current: StoredDocument) -> Script[bool]:
-        """Copy the document that is about to be replaced, so that every revision is kept."""
+    def _keep_history(self, current: StoredDocument) -> Script[int | None]:
+        """Copy the document that is about to be replaced, so that every revision is kept.
+
+        Returns the store's revision of the copy (0: there is nothing to copy), or ``None`` if
+        the store did not answer.
+        """
         if current.modified_at == 0:
-            return True
+            return 0
         key = history_key(current.document.revision)
         reply = yield from call_store(CompareAndSwap(key, 0, current.document.body))
-        if isinstance(reply.outcome, SwapResult):
-            return True
-        self._last_reason = _reason(reply.outcome)
-        return False
+        swap = reply.outcome
+        if isinstance(swap, SwapResult):
+            there = swap.current.modified_at if swap.current is not None else 0
+            return swap.store_revision if swap.succeeded else there
+        self._last_reason = _reason(swap)
+        return None
 
     def _swap(
         self, document: ConfigurationDocument, current: StoredDocument
@@ -227,11 +236,13 @@
 
 
 def read_earlier(
-    intents: tuple[Intent, ...],
+    intents: tuple[Intent, ...], current: ConfigurationDocument
 ) -> Generator[Step, Resumed, EarlierDocuments | OperatorFailure]:
     """Read the revisions that ``RestoreRevision`` intents name."""
-    earlier = {}
+    earlier = {current.revision: current}
     for revision in revisions_named(intents):
+        if revision in earlier:
+            continue
         document = yield from read_revision(revision)
         if isinstance(document, Failure):
             return operator_failure(document)
@@ -239,6 +250,19 @@
     return earlier
 
 
+def delete_unlisted_history(document: ConfigurationDocument) -> Script[list[Action]]:
+    """Delete the copy of the revision that has just dropped out of the document's records.
+
+    Done once after each confirm and not tried again: what a lost request leaves behind is one
+    copy that nobody reads.
+    """
+    oldest = document.audit[0]
+    if oldest.replaced_kept_at:
+        key = history_key(Revision(oldest.revision - 1))
+        yield from call_store(CompareAndSwap(key, oldest.replaced_kept_at, None))
+    return []
+
+
 def operator_failure(failure: Failure[ReadFailureKind]) -> OperatorFailure:
     """Turn a failed read into what operators are told."""
     kinds = {
--- a/wingquay/configuration/operator_desk.py
+++ b/wingquay/configuration/operator_desk.py
@@ -5,6 +5,7 @@
     ConfirmCommand,
     Landed,
     OperatorFailure,
+    delete_unlisted_history,
     operator_failure,
     read_earlier,
 )
@@ -168,7 +169,7 @@
         warnings: tuple[str, ...] = ()
         if self._runner.store_health.reachable is False:
             warnings = (STORE_SILENT_PLAN_WARNING.format(revision=base.revision),)
-        earlier = yield from read_earlier(command.intents)
+        earlier = yield from read_earlier(command.intents, base)
         if isinstance(earlier, Failure):
             return earlier
         proposal = Proposal(
@@ -206,6 +207,8 @@
         landed_at = yield from perform()
         if outcome.result.outcome is ConfirmOutcome.LANDED:
             self._spread.landed(outcome.result.revision, landed_at)
+            cleaning = delete_unlisted_history(outcome.document)
+            yield from perform(*self._runner.start(cleaning, landed_at))
         taken = self._dissemination.take(outcome.document, landed_at, "confirm", from_store=True)
         yield from perform(*taken)
         return outcome.result
--- a/wingquay/configuration/plan.py
+++ b/wingquay/configuration/plan.py
@@ -122,6 +122,7 @@
     earlier: EarlierDocuments,
     confirmed_by: OperatorName,
     unix_seconds: float,
+    replaced_kept_at: int = 0,
 ) -> ConfigurationDocument | PlanFailure:
     """Return the document to write when ``plan`` is confirmed while ``current`` stands.
 
@@ -136,6 +137,7 @@
         confirmed_by=confirmed_by,
         confirmed_unix_seconds=unix_seconds,
         summary=plan.diff[:AUDIT_SUMMARY_LINES],
+        replaced_kept_at=replaced_kept_at,
     )
     change = _change(current, plan.intents, earlier, record)
     if isinstance(change, Failure):
--- a/wingquay/model/audit.py
+++ b/wingquay/model/audit.py
@@ -8,8 +8,15 @@
 class AuditRecord(BaseModel):
     """Who confirmed what, and when (``confirmed_unix_seconds``: wall clock, for people).
 
-    ``confirm_id`` is the id of the plan that was confirmed; ``summary`` holds the first lines
-    of its diff.
+    Parameters
+    ----------
+    confirm_id
+        The id of the plan that was confirmed.
+    summary
+        The first lines of its diff.
+    replaced_kept_at
+        The store's revision of the write that copied the replaced document to the history; 0 if
+        there was none. With it that copy can be deleted when it is no longer listed.
     """
 
     model_config = ConfigDict(frozen=True, extra="ignore")
@@ -21,3 +28,4 @@
     confirmed_by: OperatorName
     confirmed_unix_seconds: float
     summary: tuple[str, ...] = ()
+    replaced_kept_at: int = 0
--- a/wingquay/rehearsal/configuration_cluster.py
+++ b/wingquay/rehearsal/configuration_cluster.py
@@ -351,6 +351,8 @@
         self._note_landing()
         for output in outputs:
             owner, event = _addressed(output)
+            if _is_rate_limited(output):
+                self.counts["store_rate_limited"] += 1
             node = self._by_id.get(NodeId(owner))
             if node is not None and not (node.store_cut and isinstance(event, WatchChanged)):
                 self._give(node, event)
@@ -370,6 +372,12 @@
     return len(encode(action.message, sender))
 
 
+def _is_rate_limited(output: StoreOutput) -> bool:
+    if not isinstance(output, StoreResponse) or not isinstance(output.result, Failure):
+        return False
+    return output.result.kind is StoreFailureKind.RATE_LIMITED
+
+
 def _addressed(output: StoreOutput) -> tuple[str, Event]:
     """Return which node an output is for, and the event as that node knows it."""
     if isinstance(output, StoreResponse):
