--- a/wingquay/adapters/caller_json.py
+++ b/wingquay/adapters/caller_json.py
@@ -153,7 +153,7 @@
             }
             for part in answer.missing
         ],
-        "rows": answer.rows,
+        "rows": [{"key": row.key, "value": row.value} for row in answer.rows],
         "timings": {
             "total_ms": _milliseconds(timings.total_seconds),
             "queue_ms": _milliseconds(timings.queue_seconds),
