Print every benchmark beside a bare h11 exchange of the same run

Cause: figures of a machine that other work shares say little by themselves. Change: one baseline (benchmarks/support/bare_exchange.py) for decisions, codec, link and nodes.

--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -3,8 +3,8 @@
 Whole ``NodeMachine`` instances with every machine wired; requests for all shards, each answered
 at once. The coordinator and the owner of the shards are measured apart (two nodes, of which one
 owns no shard) and together (one node). Timers that the code asks for are fired as well, since
-they cannot be cancelled. Repeats are interleaved; the median counts. The baseline makes plain
-objects of one field in the same run, so that figures of different machines can be compared.
+they cannot be cancelled. Repeats are interleaved; the median counts. The baseline is a
+bare h11 exchange in the same run.
 """
 
 import random
@@ -16,9 +16,9 @@
 import fire
 import orjson
 
+from benchmarks.support.bare_exchange import bare_exchange_us
 from benchmarks.support.workload import (
     DEPLOYMENT,
-    SNAPSHOT,
     ZONE,
     finished,
     made_up_addresses,
@@ -41,7 +41,6 @@
 ROWS = 4
 REPLICAS_PER_SHARD = 2
 SUB_REQUESTS_A_REPEAT = 1_500
-BASELINE_OBJECTS = 20_000
 MICROSECONDS = 1e6
 ANSWER_SECONDS = 0.004
 TIMER_SECONDS = 0.5
@@ -154,27 +153,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Cost:
-    """Microseconds of processor time for one sub-request, by role; baseline: for one object."""
+    """Microseconds of processor time for one sub-request, by role; bare: for a bare exchange."""
 
     coordinator: float
     owner: float
     both: float
-    baseline: float
-
-
-class _Plain:
-    """What the baseline makes: an object with one field."""
-
-    __slots__ = ("number",)
-
-    def __init__(self, number: int) -> None:
-        self.number = number
-
-
-def _baseline_microseconds() -> float:
-    began = time.process_time()
-    made = [_Plain(number) for number in range(BASELINE_OBJECTS)]
-    return (time.process_time() - began) * MICROSECONDS / len(made)
+    bare: float
 
 
 def _sample(apart: Tier, together: Tier, fan_out: int, sub_requests: int) -> Cost:
@@ -188,7 +172,7 @@
         coordinator=apart.coordinator.seconds * scale,
         owner=apart.owner.seconds * scale,
         both=together.owner.seconds * scale,
-        baseline=_baseline_microseconds(),
+        bare=bare_exchange_us(),
     )
 
 
@@ -197,7 +181,7 @@
         coordinator=statistics.median(sample.coordinator for sample in samples),
         owner=statistics.median(sample.owner for sample in samples),
         both=statistics.median(sample.both for sample in samples),
-        baseline=statistics.median(sample.baseline for sample in samples),
+        bare=statistics.median(sample.bare for sample in samples),
     )
 
 
@@ -234,17 +218,20 @@
     if json:
         print(orjson.dumps([_document(variant, cost) for variant, cost in costs.items()]).decode())
         return
-    baseline = statistics.median(cost.baseline for cost in costs.values())
-    print(f"baseline: {baseline:.3f} us to make one small object; snapshot {SNAPSHOT}")
-    print("us a sub-request            coordinator     owner  both in one node   (of baseline)")
+    bare = statistics.median(cost.bare for cost in costs.values())
+    print(f"bare h11 exchange, both sides: {bare:.1f} us")
+    print("us a sub-request            coordinator     owner  both in one node   (of bare)")
     for (fan_out, rows), cost in sorted(costs.items(), key=lambda entry: entry[0][::-1]):
         print(
             f"fan-out {fan_out:4}, rows {rows:3} {cost.coordinator:15.2f} {cost.owner:9.2f}"
-            f" {cost.both:17.2f} {cost.both / cost.baseline:15.0f}x"
+            f" {cost.both:17.2f} {cost.both / cost.bare:15.2f}"
         )
     few, many = costs[FAN_OUTS[1], ROW_COUNTS[0]], costs[FAN_OUTS[1], ROW_COUNTS[-1]]
     slope = (many.coordinator - few.coordinator) / (ROW_COUNTS[-1] - ROW_COUNTS[0])
-    print(f"merge: {slope:.3f} us a row at the coordinator (slope from {ROW_COUNTS})")
+    print(
+        f"merge: {slope:.3f} us a row at the coordinator (slope over {ROW_COUNTS} rows),"
+        f" {1_000 * slope / bare:.2f} thousandths of a bare exchange"
+    )
 
 
 def _document(variant: tuple[int, int], cost: Cost) -> dict[str, float]:
@@ -255,7 +242,7 @@
         "coordinator_microseconds": cost.coordinator,
         "owner_microseconds": cost.owner,
         "both_microseconds": cost.both,
-        "baseline_microseconds": cost.baseline,
+        "bare_exchange_microseconds": cost.bare,
     }
 
 
--- a/benchmarks/node_throughput.py
+++ b/benchmarks/node_throughput.py
@@ -19,9 +19,9 @@
 import fire
 import orjson
 
-from benchmarks.http_exchange import BareServer, bare_exchanges
+from benchmarks.http_exchange import bare_exchanges
 from benchmarks.support.accounting import processor_seconds, resident_bytes
-from benchmarks.support.bare_backends import LOOPBACK
+from benchmarks.support.bare_exchange import measure_bare_exchange
 from benchmarks.support.processes import ChildProcess
 from benchmarks.support.profile_report import report_lines
 from benchmarks.support.tier import BackendProcesses, Tier, configuration_at
@@ -104,14 +104,9 @@
 
     async def run(self) -> None:
         """Measure until cancelled."""
-        server = await asyncio.get_running_loop().create_server(BareServer, LOOPBACK, 0)
-        own_port = server.sockets[0].getsockname()[1]
-        try:
-            while True:
-                self._client.append(await _bare_microseconds(self._backend_port))
-                self._both.append(await _bare_microseconds(own_port))
-        finally:
-            server.close()
+        while True:
+            self._client.append(await _bare_client_us(self._backend_port))
+            self._both.append(await measure_bare_exchange(BARE_EXCHANGES))
 
     @property
     def client_us(self) -> float:
@@ -124,7 +119,7 @@
         return statistics.median(self._both)
 
 
-async def _bare_microseconds(port: int) -> float:
+async def _bare_client_us(port: int) -> float:
     began = time.process_time()
     await bare_exchanges(port, BARE_EXCHANGES)
     return (time.process_time() - began) * MICROSECONDS / BARE_EXCHANGES
--- a/benchmarks/peer_codec_cost.py
+++ b/benchmarks/peer_codec_cost.py
@@ -5,7 +5,6 @@
 by one) and all in one message. The baseline is a bare h11 exchange in the same run.
 """
 
-import asyncio
 import statistics
 import time
 from collections.abc import Callable, Sequence
@@ -14,8 +13,7 @@
 import fire
 import orjson
 
-from benchmarks.http_exchange import BareServer, bare_exchanges
-from benchmarks.support.bare_backends import LOOPBACK
+from benchmarks.support.bare_exchange import bare_exchange_us
 from benchmarks.support.workload import (
     CLASS,
     DEPLOYMENT,
@@ -39,8 +37,7 @@
 BATCH_SIZES = (1, 8, 64)
 SHARDS = 64
 ROWS = 4
-FRAMES_A_REPEAT = 3_000
-BARE_EXCHANGES = 1_000
+ITEMS_A_REPEAT = 3_000
 MICROSECONDS = 1e6
 KEY = bytes(32)
 SENDER = NodeIdentity(NodeId("machine-0123-1a2b3c4d"), DEPLOYMENT, ZONE, "10.12.34.56", 7402)
@@ -134,16 +131,6 @@
 assert FRAME_LENGTH_BYTES < FRAME_OVERHEAD_BYTES
 
 
-async def _bare_microseconds() -> float:
-    server = await asyncio.get_running_loop().create_server(BareServer, LOOPBACK, 0)
-    port = server.sockets[0].getsockname()[1]
-    began = time.process_time()
-    await bare_exchanges(port, BARE_EXCHANGES)
-    spent = time.process_time() - began
-    server.close()
-    return spent * MICROSECONDS / BARE_EXCHANGES
-
-
 NAMES = ("sub-requests", "results, a message each", "results, one message")
 
 
@@ -151,7 +138,7 @@
     return statistics.median(value(cost) for cost in costs)
 
 
-def main(items: int = FRAMES_A_REPEAT, repeats: int = 5, json: bool = False) -> None:
+def main(items: int = ITEMS_A_REPEAT, repeats: int = 5, json: bool = False) -> None:
     """Print what a hop costs.
 
     Parameters
@@ -167,7 +154,7 @@
     samples: dict[tuple[str, int], list[Cost]] = {variant: [] for variant in variants}
     bare: list[float] = []
     for _ in range(repeats):
-        bare.append(asyncio.run(_bare_microseconds()))
+        bare.append(bare_exchange_us())
         for variant in variants:
             samples[variant].append(_measure(*variant, items))
     baseline = statistics.median(bare)
--- a/benchmarks/peer_link_cost.py
+++ b/benchmarks/peer_link_cost.py
@@ -3,7 +3,7 @@
 Two links in one process exchange batches of sub-requests and of results with some rows each:
 encoding, authentication, sockets, checking and decoding of both ends are all counted, so half of
 a figure is one node's share. Repeats are interleaved; the median counts. The codec's share is
-measured apart, without sockets.
+measured apart, without sockets. The baseline is a bare h11 exchange in the same run.
 """
 
 import asyncio
@@ -13,6 +13,7 @@
 
 import fire
 
+from benchmarks.support.bare_exchange import bare_exchange_us
 from wingquay.adapters import peer_codec
 from wingquay.adapters.peer_link import PeerLink
 from wingquay.model.answer import Row, SubAnswer, SubResult
@@ -133,16 +134,21 @@
     sender = _link("first", lambda event: None).identity
     codec: dict[int, list[float]] = {size: [] for size in BATCH_SIZES}
     link: dict[int, list[float]] = {size: [] for size in BATCH_SIZES}
+    bare: list[float] = []
     for _ in range(REPEATS):
+        bare.append(bare_exchange_us())
         for size in BATCH_SIZES:
             codec[size].append(time_codec(size, sender))
             link[size].append(asyncio.run(time_link(size)))
-    print("sub-requests a batch   us each, all of it   of which codec   bytes each")
+    baseline = statistics.median(bare)
+    print(f"bare h11 exchange, both sides: {baseline:.1f} us")
+    print("sub-requests a batch   us each, all of it   of bare   of which codec   bytes each")
     for size in BATCH_SIZES:
         octets = sum(len(peer_codec.encode(message, sender)) for message in batches(size)) / size
         whole = statistics.median(link[size]) * MICROSECONDS
         coded = statistics.median(codec[size]) * MICROSECONDS
-        print(f"{size:>20}   {whole:>18.1f}   {coded:>14.1f}   {octets:>10.0f}")
+        ratio = whole / baseline
+        print(f"{size:>20}   {whole:>18.1f}   {ratio:>7.2f}   {coded:>14.1f}   {octets:>10.0f}")
 
 
 if __name__ == "__main__":
