Measure in the demo when a configuration came into force, not when it was asked

Cause: the demo's 'in force after 0.6 s' was the status command's own wait of 0.3 s, twice. Change: it takes the age that each node gives.

--- a/wingquay/demo/operator.py
+++ b/wingquay/demo/operator.py
@@ -64,18 +64,24 @@
         """
         result = await self._send(self._clients[0], ConfirmPlan(plan_id=plan_id))
         confirmed_at = time.perf_counter()
-        while not await self._is_in_force(result["revision"]):
-            if time.perf_counter() - confirmed_at > IN_FORCE_LIMIT_SECONDS:
-                raise OperatorCommandError(
-                    f"revision {result['revision']} is not in force on every node after "
-                    f"{IN_FORCE_LIMIT_SECONDS:g} s"
-                )
+        moments = await asyncio.gather(
+            *(
+                self._in_force_at(client, result["revision"], confirmed_at + IN_FORCE_LIMIT_SECONDS)
+                for client in self._clients
+            )
+        )
+        return max(0.0, max(moments) - confirmed_at)
+
+    async def _in_force_at(self, client: OperatorClient, revision: int, limit_at: float) -> float:
+        """Return when a revision came into force on a node, on the clock of ``perf_counter``."""
+        while time.perf_counter() < limit_at:
+            state = await self._send(client, ShowStatus())
+            if (state["revision"] or 0) >= revision:
+                return time.perf_counter() - float(state["in_force_since_seconds"])
             await asyncio.sleep(IN_FORCE_CHECK_SECONDS)
-        return time.perf_counter() - confirmed_at
-
-    async def _is_in_force(self, revision: int) -> bool:
-        states = [await self._send(client, ShowStatus()) for client in self._clients]
-        return all((state["revision"] or 0) >= revision for state in states)
+        raise OperatorCommandError(
+            f"revision {revision} is not in force on every node after {IN_FORCE_LIMIT_SECONDS:g} s"
+        )
 
     async def _send(self, client: OperatorClient, command: OperatorMessage) -> dict[str, Any]:
         reply = await client.send(command)
