--- a/tests/test_log_and_metrics.py
+++ b/tests/test_log_and_metrics.py
@@ -76,6 +76,13 @@
         self.assertThat(page, Contains('wingquay_answers_total{outcome="complete"} 2.0'))
         self.assertThat(page, Contains('wingquay_answer_seconds_bucket{le="0.5"} 1.0'))
 
+    def test_gauge_is_read_when_the_page_is_rendered(self) -> None:
+        metrics = Metrics()
+        values = iter((1.0, 2.0))
+        metrics.gauge("work_in_flight", "Work.", lambda: next(values))
+        self.assertThat(metrics.page().decode(), Contains("\nwingquay_work_in_flight 1.0\n"))
+        self.assertThat(metrics.page().decode(), Contains("\nwingquay_work_in_flight 2.0\n"))
+
     def test_labels_that_do_not_fit_are_dropped_and_counted(self) -> None:
         metrics = Metrics()
         metrics.count(Count("answers_total", 1, (("outcome", "complete"),)))
--- a/wingquay/adapters/metrics.py
+++ b/wingquay/adapters/metrics.py
@@ -1,15 +1,20 @@
 """Counters and histograms in the Prometheus text format, through its client library."""
 
 import re
-
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    disable_created_metrics,
+    generate_latest,
+)
 
 from wingquay.ports.machine import Count, Observe
 
-CONTENT_TYPE = CONTENT_TYPE_LATEST
-"""Media type of the page."""
-
 NAME_PREFIX = "wingquay_"
 SERIES_LIMIT = 2_000
 """Label sets kept for one metric; further ones are counted in ``metrics_dropped_total``."""
@@ -34,6 +39,9 @@
 COUNT_BUCKETS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
 RATIO_BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 0.8, 0.9, 0.95, 0.99, 1.0)
 
+# The time at which each series began would double the page, and nothing here resets counters.
+disable_created_metrics()  # type: ignore[no-untyped-call]
+
 _UNSAFE_CHARACTER = re.compile(r"[^a-zA-Z0-9_]")
 
 
@@ -42,6 +50,7 @@
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
         self._counters: dict[str, Counter] = {}
         self._histograms: dict[str, Histogram] = {}
         self._label_names: dict[str, tuple[str, ...]] = {}
@@ -83,6 +92,11 @@
             self._histograms[name] = histogram
         (histogram.labels(*labels) if labels else histogram).observe(action.value)
 
+    def gauge(self, name: str, meaning: str, read: Callable[[], float]) -> None:
+        """Show what ``read`` returns whenever the page is rendered."""
+        gauge = Gauge(_full_name(name), meaning, registry=self._registry)
+        gauge.set_function(read)
+
     def page(self) -> bytes:
         """Return the page in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/wingquay/node.py
+++ b/wingquay/node.py
@@ -117,6 +117,7 @@
             random.Random(secrets.randbits(SEED_BITS)),
             _seeds(self.settings),
         )
+        self._show_gauges(machine)
         runtime = NodeRuntime(machine, self._loop)
         self._register(runtime, server)
         operators, callers = self.settings.operator_interface, self.settings.caller_interface
@@ -157,6 +158,20 @@
         if self._runtime is not None:
             self._runtime.close()
 
+    def _show_gauges(self, machine: NodeMachine) -> None:
+        counters = self._peer_link.counters
+        gauge = self.metrics.gauge
+        gauge("configuration_revision", "Revision in force; 0: none.", lambda: machine.revision)
+        gauge("work_in_flight", "Requests and sub-requests not ended.", machine.in_flight)
+        gauge("caller_requests", "Callers that wait.", lambda: self.requests_in_flight)
+        gauge("peer_bytes_sent", "Bytes sent to peers (TCP).", lambda: counters.bytes_sent)
+        gauge(
+            "peer_datagram_bytes_sent",
+            "Bytes sent to peers (UDP).",
+            lambda: counters.datagram_bytes_sent,
+        )
+        gauge("peer_links_broken", "Links to peers that broke.", lambda: counters.links_broken)
+
     def _register(self, runtime: NodeRuntime, server: CallerServer) -> None:
         runtime.register(Log, self._log.perform)
         runtime.register(Count, self.metrics.count)
