--- a/wingquay/configuration/configuration_machine.py
+++ b/wingquay/configuration/configuration_machine.py
@@ -13,6 +13,7 @@
 from wingquay.configuration.spread import Spread
 from wingquay.configuration.watcher import Watcher
 from wingquay.model.identifiers import Revision
+from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.internal import (
     LeavingStarted,
     LoadObserved,
@@ -41,6 +42,8 @@
         The node itself.
     random
         Seeded source; of the plan ids too, so seed it well in production.
+    disabled
+        Mechanisms that are taken out, for tests only.
     """
 
     EVENTS: ClassVar[tuple[type[Event], ...]] = (
@@ -62,8 +65,13 @@
         ConfigurationBody,
     )
 
-    def __init__(self, identity: NodeIdentity, random: Random) -> None:
-        self._view = NodeView(identity, random)
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        random: Random,
+        disabled: frozenset[Mechanism] = frozenset(),
+    ) -> None:
+        self._view = NodeView(identity, random, disabled)
         self._runner = ScriptRunner("configuration")
         self._in_force = InForce(self._view)
         self._spread = Spread(self._view)
--- a/wingquay/configuration/confirmation.py
+++ b/wingquay/configuration/confirmation.py
@@ -72,7 +72,13 @@
 
 
 class Confirmation:
-    """One operator's confirm, from the first read to its outcome."""
+    """One operator's confirm, from the first read to its outcome.
+
+    Parameters
+    ----------
+    reads_back
+        Whether to look first if the plan has already landed; left out in tests only.
+    """
 
     def __init__(
         self,
@@ -82,6 +88,7 @@
         in_force: InForce,
         dissemination: Dissemination,
         backoff: FullJitterBackoff,
+        reads_back: bool = True,
     ) -> None:
         self._command = command
         self._current_key = current_key
@@ -89,6 +96,7 @@
         self._in_force = in_force
         self._dissemination = dissemination
         self._backoff = backoff
+        self._reads_back = reads_back
         self._plan: Plan | None = None
         self._uncertain_base: int | None = None
         """Where the swap whose reply was lost started from, while it may still take effect."""
@@ -122,9 +130,10 @@
         if not isinstance(current, StoredDocument):
             self._last_reason = current.reason
             return None
-        landed = self._landed(current.document, ConfirmOutcome.LANDED_BEFORE)
-        if landed is not None:
-            return landed
+        if self._reads_back:
+            landed = self._landed(current.document, ConfirmOutcome.LANDED_BEFORE)
+            if landed is not None:
+                return landed
         if current.document.revision < self._in_force.revision:
             return self._store_behind(current.document)
         yield from self._put_in_force(current.document)
--- a/wingquay/configuration/dissemination.py
+++ b/wingquay/configuration/dissemination.py
@@ -17,6 +17,7 @@
 from wingquay.configuration.spread import Spread
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import NodeId, Revision
+from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.machine import Action, Log, LogLevel
 from wingquay.ports.peer import (
     ConfigurationBody,
@@ -88,7 +89,7 @@
         from_store
             Whether this node has it from the store: then every zone is told.
         """
-        if document.revision <= self._in_force.revision:
+        if not self._in_force.is_newer(document.revision):
             return self._in_force.take(document, now, source)
         actions = self._in_force.take(document, now, source)
         if self._wanted is not None and self._wanted.revision <= document.revision:
@@ -98,7 +99,9 @@
     def heard(self, sender: NodeIdentity, revision: Revision, now: float) -> list[Action]:
         """Take in that ``sender`` has ``revision``, and fetch it if it is newer."""
         self._spread.heard(sender.node_id, revision, now)
-        if revision <= self._in_force.revision or now < self._not_before:
+        if not self._in_force.is_newer(revision) or now < self._not_before:
+            return []
+        if Mechanism.PEER_DISSEMINATION in self._view.disabled:
             return []
         wanted = self._wanted
         if wanted is None:
@@ -128,7 +131,7 @@
         self, sender: NodeIdentity, message: ConfigurationBody, now: float
     ) -> list[Action]:
         """Take in a node's configuration, or (an empty body) just which one it has."""
-        if not message.body or message.revision <= self._in_force.revision:
+        if not message.body or not self._in_force.is_newer(message.revision):
             return self.heard(sender, message.revision, now)
         self._spread.heard(sender.node_id, message.revision, now)
         document = _unpacked(message, self._in_force.document)
@@ -187,6 +190,8 @@
         ]
 
     def _tell(self, nodes: list[NodeIdentity]) -> list[Action]:
+        if Mechanism.PEER_DISSEMINATION in self._view.disabled:
+            return []
         announcement = ConfigurationFetch(self._in_force.revision)
         return [SendToPeer(node, announcement) for node in nodes]
 
--- a/wingquay/configuration/in_force.py
+++ b/wingquay/configuration/in_force.py
@@ -3,6 +3,7 @@
 from wingquay.configuration.document import ConfigurationDocument, pack_body
 from wingquay.configuration.node_view import NodeView
 from wingquay.model.identifiers import Revision
+from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.caller import SetReady
 from wingquay.ports.internal import ConfigurationInForce, Notify
 from wingquay.ports.machine import Action, Log, LogLevel
@@ -25,6 +26,12 @@
         """The revision in force; 0 if there is none yet."""
         return self.document.revision if self.document is not None else NO_REVISION
 
+    def is_newer(self, revision: Revision) -> bool:
+        """Whether ``revision`` may replace what is in force: only a greater one ever may."""
+        if Mechanism.REVISION_MONOTONIC in self._view.disabled:
+            return revision != self.revision
+        return revision > self.revision
+
     def packed_body(self) -> bytes:
         """Return the document in force, compressed for peers."""
         assert self.document is not None
@@ -40,7 +47,7 @@
         source
             Where it came from, for the log.
         """
-        if document.revision <= self.revision:
+        if not self.is_newer(document.revision):
             return self._compare(document)
         first = self.document is None
         self.document = document
--- a/wingquay/configuration/node_view.py
+++ b/wingquay/configuration/node_view.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from wingquay.model.identifiers import NodeId, ZoneName
+from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.internal import LoadObserved, MembershipChanged
 from wingquay.ports.peer import NodeIdentity
 
@@ -14,10 +15,18 @@
     ----------
     random
         Seeded source.
+    disabled
+        Mechanisms that are taken out, for tests only.
     """
 
-    def __init__(self, identity: NodeIdentity, random: Random) -> None:
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        random: Random,
+        disabled: frozenset[Mechanism] = frozenset(),
+    ) -> None:
         self.identity = identity
+        self.disabled = disabled
         self.random = random
         self.load = LoadObserved()
         self.leaving = False
--- a/wingquay/configuration/operator_desk.py
+++ b/wingquay/configuration/operator_desk.py
@@ -24,6 +24,7 @@
 from wingquay.configuration.watcher import Watcher
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import Revision
+from wingquay.model.mechanisms import Mechanism
 from wingquay.model.plan import Plan
 from wingquay.ports.machine import Action, Count, Log
 from wingquay.ports.operator import (
@@ -200,6 +201,7 @@
             self._in_force,
             self._dissemination,
             backoff,
+            reads_back=Mechanism.CONFIRM_READ_BACK not in self._view.disabled,
         )
         outcome = yield from confirmation.run(now)
         if not isinstance(outcome, Landed):
--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -68,7 +68,9 @@
         )
         links = OwnerLinks(identity, settings.routing.owners_per_shard, _child(random_source))
         self._coordinator = Coordinator(identity, settings.query, links, settings.disabled)
-        self._configuration = ConfigurationMachine(identity, _child(random_source))
+        self._configuration = ConfigurationMachine(
+            identity, _child(random_source), settings.disabled
+        )
         membership = MembershipMachine(
             identity,
             seeds,
