Leave a process's pauses out of the time of its planned stop

Ruled out: callers that ignore readiness (they came within the notice time). Change: only time in which the process checked regularly counts, for the shortest and for the longest time of a stop. Conclusion: what came during a pause is read before the stop ends.

--- a/wingquay/orchestration/stop_machine.py
+++ b/wingquay/orchestration/stop_machine.py
@@ -14,6 +14,9 @@
 from wingquay.ports.machine import Action, Event, Exit, Log, LogLevel, Schedule, StopRequested
 from wingquay.ports.peer import PeerMessage
 
+LONGEST_CHECK_GAP = 2.0
+"""Between two checks at most this many check intervals count; more is a pause of the process."""
+
 
 @dataclass(frozen=True, slots=True)
 class StopCheckDue(Event):
@@ -46,6 +49,8 @@
         self._seats_to_hand_over = seats_to_hand_over
         self._waits = Mechanism.PLANNED_STOP_DRAIN not in disabled
         self._started_at: float | None = None
+        self._checked_at = 0.0
+        self._observed_seconds = 0.0
         self._is_ready = False
         self._has_exited = False
 
@@ -70,6 +75,7 @@
         if self._started_at is not None:
             return []
         self._started_at = now
+        self._checked_at = now
         return [
             Log("planned_stop_started", fields=(("in_flight", self._in_flight()),)),
             SetReady(False, "planned stop"),
@@ -80,7 +86,7 @@
     def _on_check(self, now: float) -> list[Action]:
         if self._started_at is None or self._has_exited:
             return []
-        elapsed = now - self._started_at
+        elapsed = self._observe(now)
         in_flight = self._in_flight()
         is_drained = in_flight == 0 and self._seats_to_hand_over() == 0
         if elapsed >= self._settings.least_seconds and (is_drained or not self._waits):
@@ -89,6 +95,17 @@
             return self._exit(in_flight)
         return [Schedule(now + self._settings.check_seconds, StopCheckDue())]
 
+    def _observe(self, now: float) -> float:
+        """Return for how long the stop has gone on, pauses of the process left out.
+
+        After a pause, what came meanwhile is still unread: time in which nothing could be read
+        does not count as time in which nothing came.
+        """
+        longest = self._settings.check_seconds * LONGEST_CHECK_GAP
+        self._observed_seconds += min(now - self._checked_at, longest)
+        self._checked_at = now
+        return self._observed_seconds
+
     def _exit(self, in_flight: int) -> list[Action]:
         self._has_exited = True
         level = LogLevel.WARNING if in_flight else LogLevel.INFO
