Keep claims when a deployment's list of zones changes; drop tables asked for too early

Cause: adding a zone made unrepeatable requests unknown for 5 h, since all epochs ended and nobody remembered. And a hole found while going through the argument again: a table that was asked for in an earlier epoch of a seat still counted in a later one, though its giver votes on without knowing of the later epoch. Ruled out: majorities of both lists at once (every list in a row of changes would have to be asked); one zone at a time only (operators cannot be held to it). Change: ended epochs are kept for 10 minutes, and first epochs of a new list rebuild from them; tables count only in the epoch that asked. Offers move to a module of their own.

--- a/tests/claims/faults.py
+++ b/tests/claims/faults.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from tests.claims.world import SimulatedNode, World
+from wingquay.model.identifiers import ZoneName
 
 KEYS = ("k0", "k1", "k2", "k3")
 MOST_NODES = 24
@@ -123,6 +124,16 @@
     world.store.lost_replies = source.choice(PROBABILITIES)
 
 
+def change_zones(world: World, source: random.Random) -> None:
+    """Change the deployment's list of zones; nodes of zones left out go on for a while."""
+    names = [ZoneName(f"z{index}") for index in range(5)]
+    zones = tuple(sorted(source.sample(names, source.randint(1, 4))))
+    for zone in zones:
+        if not world.living(zone):
+            world.start_node(zone)
+    world.change_zones(zones, {node for node in world.nodes if source.random() < 0.2})
+
+
 def refuse_to_run(world: World, source: random.Random) -> None:
     world.refuse_to_run = not world.refuse_to_run
 
@@ -148,6 +159,7 @@
         disturb_network,
         disturb_store,
         refuse_to_run,
+        change_zones,
     )
 }
 WEIGHTS = {"submit": 8, "wait_shortly": 4, "wait_long": 4, "true_views": 2, "start": 2}
--- a/tests/claims/test_late_messages.py
+++ b/tests/claims/test_late_messages.py
@@ -5,9 +5,11 @@
 from testtools import TestCase
 
 from tests.claims.world import DEPLOYMENT, World, quick_settings
+from wingquay.claims.directory import SeatDirectory
 from wingquay.claims.keys import claim_key, partition_of, request_digest
 from wingquay.claims.memory import MemoryUse, PartitionMemory
-from wingquay.claims.seat import SeatTable
+from wingquay.claims.seat import SeatStatus, SeatTable
+from wingquay.claims.transfers import TableTransfers
 from wingquay.claims.voter import Voter
 from wingquay.model.identifiers import CallerName, NodeId, RequestId, ServiceName, ZoneName
 from wingquay.ports.internal import ClaimDecisionKind
@@ -16,9 +18,11 @@
     ClaimRecord,
     ClaimRequest,
     ClaimTable,
+    ClaimTableRequest,
     ClaimVote,
     NodeIdentity,
     PeerMessage,
+    SendToPeer,
     VoteKind,
 )
 
@@ -76,6 +80,35 @@
         self.assertEqual(0, len(memory))
 
 
+class Rebuilding(TestCase):
+    def test_a_table_asked_for_in_an_earlier_epoch_does_not_count(self) -> None:
+        """Its giver votes on without knowing of the later epoch."""
+        zones = (ZoneName("z0"), ZoneName("z1"))
+        here, there = (
+            NodeIdentity(NodeId(zone), DEPLOYMENT, zone, "127.0.0.1", 7000) for zone in zones
+        )
+        seats = SeatTable(quick_settings(), here)
+        directory = SeatDirectory()
+        directory.update((here, there), ())
+        transfers = TableTransfers(quick_settings(), seats, directory)
+        seat = seats.seats[0]
+
+        def request_in(epoch: int) -> ClaimTableRequest:
+            seats.begin_epoch(seat, epoch, zones)
+            seat.ask_tables_soon(0.0, 1.0)
+            (sent,) = transfers.tick(0.0)
+            assert isinstance(sent, SendToPeer)
+            assert isinstance(sent.message, ClaimTableRequest)
+            return sent.message
+
+        first, second = request_in(2), request_in(4)
+        for request, expected in ((first, SeatStatus.REBUILDING), (second, SeatStatus.VOUCHING)):
+            transfer_id = request.transfer_id
+            table = ClaimTable(0, transfer_id, True, False, 1, (), 0.0, "table", ())
+            transfers.receive(there, table, 0.0)
+            self.assertIs(expected, seat.status)
+
+
 class Delays(TestCase):
     def test_a_vote_of_an_earlier_round_does_not_count(self) -> None:
         """Its grant was given back; a rival may have it by the time the vote arrives."""
--- a/tests/claims/test_mechanisms.py
+++ b/tests/claims/test_mechanisms.py
@@ -9,8 +9,9 @@
 
 from tests.claims.world import SimulatedNode, World, quick_settings
 from wingquay.claims.keys import claim_key, partition_of
-from wingquay.model.identifiers import CallerName, NodeId, ServiceName
+from wingquay.model.identifiers import CallerName, NodeId, ServiceName, ZoneName
 from wingquay.model.mechanisms import Mechanism
+from wingquay.ports.internal import ClaimDecisionKind
 
 KEY = "k0"
 PARTITION = partition_of(claim_key(CallerName("surveyor"), ServiceName("survey-intake"), KEY))
@@ -158,3 +159,27 @@
                 world.tell_view(node, everyone - ids(side))
         world.advance(4.0)
         return world
+
+
+class ZoneLists(TestCase):
+    """A node that has not heard of two new zones takes two of three for a majority."""
+
+    def test_claimants_and_voters_of_different_lists_do_not_work_together(self) -> None:
+        world = World(3, 2, seed=1)
+        world.settle()
+        unaware = other_than(world, holder(world, 0))
+        for name in ("z3", "z4"):
+            world.start_node(ZoneName(name))
+        world.tell_membership()
+        zones = (*world.zones, ZoneName("z3"), ZoneName("z4"))
+        world.change_zones(zones, ids([unaware]))
+        world.advance(10.0)
+        left = [unaware, holder(world, 0), holder(world, 1)]
+        right = [holder(world, index) for index in (2, 3, 4)]
+        world.cut_off(ids(left))
+        world.submit(unaware, KEY)
+        world.advance(3.0)
+        second = world.submit(right[0], KEY)
+        world.advance(3.0)
+        self.assertIs(ClaimDecisionKind.GRANTED, second.decision)
+        self.assertEqual([], world.violations)
--- a/wingquay/adapters/peer_codec_claims.py
+++ b/wingquay/adapters/peer_codec_claims.py
@@ -139,6 +139,7 @@
         target.offer_id = message.offer_id
     target.zones.extend(message.zones)
     _put_seat_epochs(target.seat_epochs, message.seat_epochs)
+    target.ended_epoch = message.ended_epoch
 
 
 def claim_table_request_from(message: peer_pb2.ClaimTableRequest) -> ClaimTableRequest:
@@ -149,6 +150,7 @@
         offer_id=message.offer_id if message.HasField("offer_id") else None,
         zones=_zones_from(message.zones),
         seat_epochs=_seat_epochs_from(message.seat_epochs),
+        ended_epoch=message.ended_epoch,
     )
 
 
--- a/wingquay/claims/machine.py
+++ b/wingquay/claims/machine.py
@@ -12,6 +12,7 @@
 )
 from wingquay.claims.directory import SeatDirectory
 from wingquay.claims.keys import PARTITIONS
+from wingquay.claims.offers import SeatOffers
 from wingquay.claims.seat import SeatStatus, SeatTable
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.claims.table_giver import TableGiver
@@ -104,6 +105,7 @@
         self._seats = SeatTable(settings, identity)
         self._voter = Voter(self._seats)
         self._giver = TableGiver(settings, self._seats)
+        self._offers = SeatOffers(settings, self._seats, self._directory)
         self._transfers = TableTransfers(settings, self._seats, self._directory)
         self._keeper = SeatKeeper(settings, self._seats, self._directory, random_source)
         self._claimant = Claimant(settings, self._directory, random_source)
@@ -130,7 +132,7 @@
     @property
     def seats_to_hand_over(self) -> int:
         """Seats that wait for their next holder to fetch them; a planned stop waits for these."""
-        return self._transfers.seats_to_hand_over()
+        return self._offers.seats_to_hand_over()
 
     def holder(self, zone: ZoneName, partition: int) -> NodeIdentity | None:
         """Return the node that this node would ask for the vote of ``zone``."""
@@ -157,12 +159,14 @@
                 self._directory.update(event.available, event.leaving)
                 self._keeper.review(now)
                 self._transfers.on_membership(now)
+                self._offers.offer_soon()
             case ConfigurationInForce():
                 self._take_in_configuration(event.configuration, now)
             case LeavingStarted():
                 self._keeper.stop_taking_over()
-                self._transfers.begin_leaving()
-                return self._transfers.tick(now)
+                self._transfers.stop_accepting()
+                self._offers.begin_leaving()
+                return self._offers.tick(now)
         return []
 
     def _take_in_configuration(self, configuration: Configuration, now: float) -> None:
@@ -197,6 +201,7 @@
         self._claimant.tick(now)
         return [
             *self._transfers.tick(now),
+            *self._offers.tick(now),
             *self._keeper.tick(now),
             self._next_tick(now),
         ]
--- /dev/null
+++ b/wingquay/claims/offers.py
@@ -0,0 +1,70 @@
+"""Offering seats to the nodes that should hold them."""
+
+from wingquay.claims.directory import SeatDirectory
+from wingquay.claims.seat import Seat, SeatOffer, SeatStatus, SeatTable
+from wingquay.claims.settings import ClaimsSettings
+from wingquay.ports.machine import Action
+from wingquay.ports.peer import ClaimSeatOffer, NodeIdentity, SendToPeer
+
+
+class SeatOffers:
+    """Offers the seats that another node should hold, until it has fetched them."""
+
+    def __init__(
+        self,
+        settings: ClaimsSettings,
+        seats: SeatTable,
+        directory: SeatDirectory,
+    ) -> None:
+        self._settings = settings
+        self._seats = seats
+        self._directory = directory
+        self._leaving = False
+        self._offers = 0
+        self._next_offer_at = 0.0
+
+    def begin_leaving(self) -> None:
+        """Offer every seat to the node that holds it next."""
+        self._leaving = True
+        self.offer_soon()
+
+    def offer_soon(self) -> None:
+        """Offer at the next tick, not after the usual time."""
+        self._next_offer_at = 0.0
+
+    def seats_to_hand_over(self) -> int:
+        """Return how many seats are held that another node should hold."""
+        vouching = self._seats.with_status(SeatStatus.VOUCHING)
+        return sum(self._receiver(seat) is not None for seat in vouching)
+
+    def tick(self, now: float) -> list[Action]:
+        """Offer now and then."""
+        if now < self._next_offer_at:
+            return []
+        self._next_offer_at = now + self._settings.table_retry_seconds
+        return self._offer()
+
+    def _offer(self) -> list[Action]:
+        offered: dict[SeatOffer, tuple[NodeIdentity, list[int]]] = {}
+        self._offers += 1
+        offer_id = f"{self._seats.identity.node_id}/{self._offers}"
+        for seat in self._seats.with_status(SeatStatus.VOUCHING):
+            receiver = self._receiver(seat)
+            if receiver is None:
+                seat.offer = None
+                continue
+            if seat.offer is None or seat.offer.receiver != receiver.node_id:
+                seat.offer = SeatOffer(offer_id, receiver.node_id)
+            offered.setdefault(seat.offer, (receiver, []))[1].append(seat.partition)
+        return [
+            SendToPeer(receiver, ClaimSeatOffer(offer.offer_id, tuple(partitions)))
+            for offer, (receiver, partitions) in offered.items()
+        ]
+
+    def _receiver(self, seat: Seat) -> NodeIdentity | None:
+        identity = self._seats.identity
+        if self._leaving:
+            return self._directory.successor(identity, seat.partition)
+        holder = self._directory.holder(identity.deployment, identity.zone, seat.partition)
+        is_other = holder is not None and holder.node_id != identity.node_id
+        return holder if is_other else None
--- a/wingquay/claims/seat.py
+++ b/wingquay/claims/seat.py
@@ -41,6 +41,23 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class PreviousSeats:
+    """The seats of a partition under the list of zones before; nobody votes from them any more."""
+
+    zones: tuple[ZoneName, ...]
+    epochs: dict[ZoneName, int]
+
+
+@dataclass(frozen=True, slots=True)
+class RetiredMemory:
+    """A complete memory of an epoch that has ended, kept for those that rebuild from it."""
+
+    epoch: int
+    memory: PartitionMemory
+    forget_at: float
+
+
 @dataclass(slots=True)
 class Seat:
     """One partition's seat at this node.
@@ -67,6 +84,11 @@
         Another node's offer of its seat, and how long this node tries to fetch it.
     tables
         The complete tables that were read since ``epoch`` began.
+    previous, previous_tables
+        The seats under the last list of zones, while this epoch is the first under the new one,
+        and the zones whose table of then was read.
+    retired
+        This node's own memory of an epoch that has ended.
     """
 
     partition: int
@@ -85,6 +107,9 @@
     accepted_offer_id: str | None = None
     accepted_until: float = -inf
     tables: dict[ZoneName, TableSource] = field(default_factory=dict)
+    previous: PreviousSeats | None = None
+    previous_tables: set[ZoneName] = field(default_factory=set)
+    retired: RetiredMemory | None = None
 
     def seat_epochs(self) -> tuple[SeatEpoch, ...]:
         """Return the newest known epochs, ordered by zone."""
@@ -106,6 +131,8 @@
         self.status = SeatStatus.EMPTY
         self.memory.clear()
         self.tables.clear()
+        self.previous = None
+        self.previous_tables.clear()
         self.offer = None
         self.vouch_at = inf
         self.forget_at = inf
@@ -141,11 +168,25 @@
             return False
         if not self._settings.enabled(Mechanism.CLAIM_SEAT_EPOCHS):
             return False
+        if seat.status is SeatStatus.VOUCHING:
+            self._retire(seat, now)
         seat.become_empty()
         if seat.takeover_at < inf:
             seat.takeover_at = now + self._settings.join_takeover_delay_seconds
         return True
 
+    def _retire(self, seat: Seat, now: float) -> None:
+        self.forget_retired(seat)
+        forget_at = now + self._settings.retired_keep_seconds
+        seat.retired = RetiredMemory(seat.epoch, seat.memory, forget_at)
+        seat.memory = PartitionMemory(self._settings, self.use)
+
+    def forget_retired(self, seat: Seat) -> None:
+        """Drop the memory of an epoch that has ended."""
+        if seat.retired is not None:
+            seat.retired.memory.clear()
+            seat.retired = None
+
     def can_vouch(self, seat: Seat, zones: tuple[ZoneName, ...], now: float) -> bool:
         """Whether the seat's memory is complete for a majority of ``zones``."""
         if seat.status is not SeatStatus.VOUCHING or seat.zones != zones:
--- a/wingquay/claims/seat_document.py
+++ b/wingquay/claims/seat_document.py
@@ -43,6 +43,8 @@
     zones_unchanged
         Whether ``zones`` is the first list ever: only then has a zone without an entry certainly
         never granted anything that matters.
+    previous_zones, previous_epochs
+        The list of zones before, and the newest epochs when it ended.
     """
 
     model_config = ConfigDict(frozen=True, extra="ignore")
@@ -50,6 +52,8 @@
     zones: tuple[ZoneName, ...]
     zones_revision: int
     zones_unchanged: bool = True
+    previous_zones: tuple[ZoneName, ...] = ()
+    previous_epochs: dict[ZoneName, Epochs] = Field(default_factory=dict)
     seats: dict[ZoneName, ZoneSeats] = Field(default_factory=dict)
 
     def seat_epochs(self, partition: int) -> tuple[SeatEpoch, ...]:
@@ -68,6 +72,10 @@
         seats = self.seats.get(zone)
         return NOBODY if seats is None else seats.takers[partition]
 
+    def is_vacant(self, zone: ZoneName, partition: int) -> bool:
+        """Whether nobody has held the seat since the list of zones changed."""
+        return not self.zones_unchanged and self.taker(zone, partition) == NOBODY
+
     def is_genesis(self, zone: ZoneName, partition: int) -> bool:
         """Whether the seat's newest epoch is the first of a zone that never had a holder."""
         return self.zones_unchanged and self.epoch(zone, partition) == 1
@@ -104,6 +112,8 @@
             zones=zones,
             zones_revision=revision,
             zones_unchanged=False,
+            previous_zones=self.zones,
+            previous_epochs={zone: seats.epochs for zone, seats in self.seats.items()},
             seats=ended,
         )
 
--- a/wingquay/claims/settings.py
+++ b/wingquay/claims/settings.py
@@ -44,6 +44,8 @@
         Longest time between two requests for the same table.
     handed_over_keep_seconds
         How long a seat that was handed over can be fetched once more.
+    retired_keep_seconds
+        How long the memory of an epoch that has ended is kept for those that rebuild from it.
     store_retry_seconds
         Least time between two operations on the store after one that brought nothing.
     ask_retry_seconds
@@ -73,6 +75,7 @@
     table_retry_seconds: float = 1.0
     table_retry_most_seconds: float = 30.0
     handed_over_keep_seconds: float = 30.0
+    retired_keep_seconds: float = 600.0
     store_retry_seconds: float = 2.0
     ask_retry_seconds: float = 0.05
     decide_share: float = 0.5
--- a/wingquay/claims/table_giver.py
+++ b/wingquay/claims/table_giver.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 
-from wingquay.claims.seat import SeatOffer, SeatStatus, SeatTable
+from wingquay.claims.memory import PartitionMemory
+from wingquay.claims.seat import Seat, SeatOffer, SeatStatus, SeatTable
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.ports.machine import Action
 from wingquay.ports.peer import (
@@ -35,9 +36,11 @@
             return []
         seat = self._seats.seats[request.partition]
         self._seats.learn(seat, request.seat_epochs, now)
+        if request.ended_epoch:
+            return self._give_retired(asker, request, seat, now)
         if request.offer_id is None:
             complete = self._seats.can_vouch(seat, request.zones, now)
-            return self._pieces(asker, request, complete, now)
+            return self._pieces(asker, request, seat.memory if complete else None, seat.epoch, now)
         offered = seat.offer == SeatOffer(request.offer_id, asker.node_id)
         same_zones = seat.zones == request.zones
         if not offered or not same_zones:
@@ -47,19 +50,33 @@
             seat.forget_at = now + self._settings.handed_over_keep_seconds
         if seat.status is not SeatStatus.HANDED_OVER:
             return []
-        return self._pieces(asker, request, True, now)
+        return self._pieces(asker, request, seat.memory, seat.epoch, now)
+
+    def _give_retired(
+        self,
+        asker: NodeIdentity,
+        request: ClaimTableRequest,
+        seat: Seat,
+        now: float,
+    ) -> list[Action]:
+        retired = seat.retired
+        if retired is None or retired.epoch != request.ended_epoch:
+            return self._pieces(asker, request, None, 0, now)
+        return self._pieces(asker, request, retired.memory, retired.epoch, now)
 
     def _pieces(
         self,
         asker: NodeIdentity,
         request: ClaimTableRequest,
-        complete: bool,
+        memory: PartitionMemory | None,
+        epoch: int,
         now: float,
     ) -> list[Action]:
+        """Return the table as messages; without ``memory`` it is said not to be complete."""
         seat = self._seats.seats[request.partition]
         self._tables_given += 1
         table_id = f"{self._seats.identity.node_id}/{self._tables_given}"
-        records = seat.memory.records(now) if complete else []
+        records = [] if memory is None else memory.records(now)
         groups = list(self._groups(records)) or [[]]
         return [
             SendToPeer(
@@ -67,9 +84,9 @@
                 ClaimTable(
                     partition=seat.partition,
                     transfer_id=request.transfer_id,
-                    complete=complete,
+                    complete=memory is not None,
                     handed_over=request.offer_id is not None,
-                    epoch=seat.epoch,
+                    epoch=epoch,
                     seat_epochs=seat.seat_epochs(),
                     confirmed_age_seconds=min(now - seat.confirmed_at, NEVER_CONFIRMED_SECONDS),
                     table_id=table_id,
--- a/wingquay/claims/takeover.py
+++ b/wingquay/claims/takeover.py
@@ -6,7 +6,7 @@
 
 from wingquay.claims.directory import SeatDirectory
 from wingquay.claims.keys import PARTITIONS
-from wingquay.claims.seat import Seat, SeatStatus, SeatTable
+from wingquay.claims.seat import PreviousSeats, Seat, SeatStatus, SeatTable
 from wingquay.claims.seat_document import SeatDocument, document_key, parse_document
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.model.failure import Failure
@@ -126,7 +126,10 @@
             case ReadResult() as read:
                 return self._read(read, pending.sent_at, now)
             case SwapResult(succeeded=True) if pending.proposed is not None:
-                return self._apply(pending.proposed, pending.sent_at, now)
+                actions = self._apply(pending.proposed, pending.sent_at, now)
+                if self._vacant(pending.proposed):
+                    self._confirm_at = now
+                return actions
             case Failure():
                 self._back_off(now)
         if was_swap:
@@ -153,6 +156,17 @@
             if self._is_ours(seat.partition) and (seat.takeover_at <= now or nobody_offers)
         ]
 
+    def _vacant(self, document: SeatDocument) -> list[Seat]:
+        """Return the seats to be taken over at once, since no node can offer them."""
+        zone = self._seats.identity.zone
+        if document.zones != self._zones:
+            return []
+        return [
+            seat
+            for seat in self._seats.with_status(SeatStatus.EMPTY)
+            if self._is_ours(seat.partition) and document.is_vacant(zone, seat.partition)
+        ]
+
     def _send(
         self,
         operation: StoreOperation,
@@ -200,7 +214,8 @@
         if self._may_be_first(document):
             return document.with_genesis(identity.zone, identity.node_id)
         new_epochs = {
-            seat.partition: self._next_epoch(document, seat) for seat in self._wanted(now)
+            seat.partition: self._next_epoch(document, seat)
+            for seat in (*self._wanted(now), *self._vacant(document))
         }
         if not new_epochs:
             return None
@@ -247,14 +262,21 @@
             return False
         epoch = document.epoch(identity.zone, seat.partition)
         seat.confirmed_at = sent_at
-        if seat.status is SeatStatus.VOUCHING and epoch == seat.epoch + 1:
+        continues = seat.zones == document.zones and epoch == seat.epoch + 1
+        if seat.status is SeatStatus.VOUCHING and continues:
             # The memory came by a handover while the takeover was under way: it is complete,
             # and no other node can have voted in between.
             seat.epoch = epoch
             return True
+        self._seats.learn(seat, document.seat_epochs(seat.partition), now)
         self._seats.begin_epoch(seat, epoch, self._zones)
         seat.vouch_at = now + self._settings.wait_seconds
         seat.ask_tables_soon(now, self._settings.table_retry_seconds)
+        if document.previous_zones:
+            epochs = {
+                zone: epochs[seat.partition] for zone, epochs in document.previous_epochs.items()
+            }
+            seat.previous = PreviousSeats(document.previous_zones, epochs)
         skips_rebuild = not self._settings.enabled(Mechanism.CLAIM_REBUILD)
         if document.is_genesis(identity.zone, seat.partition) or skips_rebuild:
             self._seats.vouch(seat)
--- a/wingquay/claims/transfers.py
+++ b/wingquay/claims/transfers.py
@@ -5,7 +5,7 @@
 
 from wingquay.claims.directory import SeatDirectory
 from wingquay.claims.quorum import tables_needed
-from wingquay.claims.seat import Seat, SeatOffer, SeatStatus, SeatTable, TableSource
+from wingquay.claims.seat import Seat, SeatStatus, SeatTable, TableSource
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.model.identifiers import ZoneName
 from wingquay.model.mechanisms import Mechanism
@@ -21,11 +21,21 @@
 
 @dataclass(slots=True)
 class _Fetch:
-    """A table that was asked for; ``offer_id`` is set when the seat itself is to pass."""
+    """A table that was asked for.
+
+    Parameters
+    ----------
+    seat_epoch
+        The seat's epoch when it asked: whoever answered knew of this one, not of later ones.
+    offer_id
+        Set when the seat itself is to pass.
+    """
 
     seat: Seat
+    seat_epoch: int
     sender: NodeIdentity
     offer_id: str | None
+    ended_epoch: int
     zones: tuple[ZoneName, ...]
     requested_at: float
     ask_again_at: float
@@ -33,7 +43,7 @@
 
 
 class TableTransfers:
-    """Asks for the tables of seats that this node holds, offers those that it should not hold."""
+    """Asks for the tables of seats that this node takes over or is offered."""
 
     def __init__(
         self,
@@ -48,35 +58,22 @@
         self._leaving = False
         self._fetches: dict[str, _Fetch] = {}
         self._transfers = 0
-        self._offers = 0
-        self._next_offer_at = 0.0
 
     def set_zones(self, zones: tuple[ZoneName, ...]) -> None:
         """Take in the deployment's zones from the configuration in force."""
         self._zones = zones
 
-    def begin_leaving(self) -> None:
-        """Offer every seat to the node that holds it next, and accept none."""
+    def stop_accepting(self) -> None:
+        """Accept no more seats: the node leaves."""
         self._leaving = True
-        self.offer_soon()
-
-    def offer_soon(self) -> None:
-        """Offer at the next tick: seats were gained."""
-        self._next_offer_at = 0.0
 
     def on_membership(self, now: float) -> None:
-        """Offer and ask at the next tick: other nodes hold seats now."""
-        self.offer_soon()
+        """Ask at the next tick: other nodes hold seats now."""
         for seat in self._seats.with_status(SeatStatus.REBUILDING):
             seat.ask_tables_soon(now, self._settings.table_retry_seconds)
 
-    def seats_to_hand_over(self) -> int:
-        """Return how many seats are held that another node should hold."""
-        vouching = self._seats.with_status(SeatStatus.VOUCHING)
-        return sum(self._receiver(seat) is not None for seat in vouching)
-
     def tick(self, now: float) -> list[Action]:
-        """Ask for the tables that are missing, offer seats, and forget what was handed over."""
+        """Ask for the tables that are missing, and forget what has served its time."""
         actions: list[Action] = []
         for seat in self._seats.with_status(SeatStatus.REBUILDING):
             if now >= seat.vouch_at:
@@ -88,15 +85,16 @@
                     self._settings.table_retry_most_seconds,
                 )
                 actions += self._ask_for_tables(seat, now)
-        for seat in self._seats.with_status(SeatStatus.HANDED_OVER):
-            if now >= seat.forget_at:
+        self._forget_old(now)
+        return actions + self._ask_again_for_seats(now)
+
+    def _forget_old(self, now: float) -> None:
+        for seat in self._seats.seats:
+            if seat.status is SeatStatus.HANDED_OVER and now >= seat.forget_at:
                 seat.become_empty()
+            if seat.retired is not None and now >= seat.retired.forget_at:
+                self._seats.forget_retired(seat)
         self._drop_old_fetches(now)
-        actions += self._ask_again_for_seats(now)
-        if now >= self._next_offer_at:
-            self._next_offer_at = now + self._settings.table_retry_seconds
-            actions += self._offer()
-        return actions
 
     def _ask_for_tables(self, seat: Seat, now: float) -> list[Action]:
         identity = self._seats.identity
@@ -107,6 +105,20 @@
             holder = self._directory.holder(identity.deployment, zone, seat.partition)
             if holder is not None:
                 actions.append(self._request(seat, holder, None, now))
+        return actions + self._ask_for_previous_tables(seat, now)
+
+    def _ask_for_previous_tables(self, seat: Seat, now: float) -> list[Action]:
+        """Ask for the tables of the last list of zones; this node's own needs no message."""
+        identity = self._seats.identity
+        if seat.previous is None:
+            return []
+        actions: list[Action] = []
+        for zone, epoch in sorted(seat.previous.epochs.items()):
+            if zone in seat.previous_tables or epoch == 0:
+                continue
+            holder = self._directory.holder(identity.deployment, zone, seat.partition)
+            if holder is not None:
+                actions.append(self._request(seat, holder, None, now, epoch))
         return actions
 
     def _request(
@@ -115,12 +127,13 @@
         sender: NodeIdentity,
         offer_id: str | None,
         now: float,
+        ended_epoch: int = 0,
     ) -> SendToPeer:
         self._transfers += 1
         transfer_id = f"{self._seats.identity.node_id}/{self._transfers}"
         zones = self._zones if offer_id is not None else seat.zones
         ask_again_at = now + self._settings.table_retry_seconds if offer_id is not None else inf
-        fetch = _Fetch(seat, sender, offer_id, zones, now, ask_again_at)
+        fetch = _Fetch(seat, seat.epoch, sender, offer_id, ended_epoch, zones, now, ask_again_at)
         self._fetches[transfer_id] = fetch
         request = ClaimTableRequest(
             partition=seat.partition,
@@ -128,6 +141,7 @@
             offer_id=offer_id,
             zones=zones,
             seat_epochs=seat.seat_epochs(),
+            ended_epoch=ended_epoch,
         )
         return SendToPeer(sender, request)
 
@@ -174,13 +188,25 @@
     def _count_table(self, fetch: _Fetch, pieces: tuple[ClaimTable, ...], now: float) -> None:
         seat = fetch.seat
         table = pieces[0]
-        if seat.status is not SeatStatus.REBUILDING or not table.complete:
+        if seat.status is not SeatStatus.REBUILDING or seat.epoch != fetch.seat_epoch:
+            return
+        if not table.complete:
             return
         _merge(seat, pieces, now)
-        seat.tables[fetch.sender.zone] = TableSource(table.epoch)
-        if len(self._counted_tables(seat)) >= tables_needed(len(seat.zones)):
+        zone = fetch.sender.zone
+        if not fetch.ended_epoch:
+            seat.tables[zone] = TableSource(table.epoch)
+        elif seat.previous is not None and seat.previous.epochs.get(zone) == table.epoch:
+            seat.previous_tables.add(zone)
+        if self._is_rebuilt(seat):
             self._seats.vouch(seat)
-            self.offer_soon()
+
+    def _is_rebuilt(self, seat: Seat) -> bool:
+        if len(self._counted_tables(seat)) >= tables_needed(len(seat.zones)):
+            return True
+        if seat.previous is None:
+            return False
+        return len(seat.previous_tables) >= tables_needed(len(seat.previous.zones))
 
     def _counted_tables(self, seat: Seat) -> list[ZoneName]:
         """Return the zones whose table was read from their newest known epoch."""
@@ -205,7 +231,6 @@
         # Counted from the request, so that a table that was long under way is not trusted more.
         seat.confirmed_at = fetch.requested_at - table.confirmed_age_seconds
         self._seats.vouch(seat)
-        self.offer_soon()
 
     def _forget_fetches_of(self, seat: Seat) -> None:
         # A late copy of the same seat must not be taken after this node has handed it on.
@@ -215,31 +240,6 @@
             if fetch.seat is not seat
         }
 
-    def _offer(self) -> list[Action]:
-        offered: dict[SeatOffer, tuple[NodeIdentity, list[int]]] = {}
-        self._offers += 1
-        offer_id = f"{self._seats.identity.node_id}/{self._offers}"
-        for seat in self._seats.with_status(SeatStatus.VOUCHING):
-            receiver = self._receiver(seat)
-            if receiver is None:
-                seat.offer = None
-                continue
-            if seat.offer is None or seat.offer.receiver != receiver.node_id:
-                seat.offer = SeatOffer(offer_id, receiver.node_id)
-            offered.setdefault(seat.offer, (receiver, []))[1].append(seat.partition)
-        return [
-            SendToPeer(receiver, ClaimSeatOffer(offer.offer_id, tuple(partitions)))
-            for offer, (receiver, partitions) in offered.items()
-        ]
-
-    def _receiver(self, seat: Seat) -> NodeIdentity | None:
-        identity = self._seats.identity
-        if self._leaving:
-            return self._directory.successor(identity, seat.partition)
-        holder = self._directory.holder(identity.deployment, identity.zone, seat.partition)
-        is_other = holder is not None and holder.node_id != identity.node_id
-        return holder if is_other else None
-
     def accept_offer(
         self,
         sender: NodeIdentity,
--- a/wingquay/ports/peer.py
+++ b/wingquay/ports/peer.py
@@ -303,6 +303,9 @@
         more. ``None``: the table is asked for by another zone's new holder.
     zones, seat_epochs
         As in ``ClaimRequest``; with the sender's own new epoch when it rebuilds.
+    ended_epoch
+        When not 0, the table as it was when this epoch of the receiver's seat ended is asked
+        for, because the list of zones has changed since.
     """
 
     partition: int
@@ -310,6 +313,7 @@
     offer_id: str | None
     zones: tuple[ZoneName, ...]
     seat_epochs: tuple[SeatEpoch, ...]
+    ended_epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
