Let one piece of code read admin commands, answers and unsendable requests

Cause: the same logic stood in two places each: both stand-ins read their admin commands, the demonstration's caller and the load tally read an answer's document, and both readers of HTTP responses turned a request without a form on the wire into a failure. A constant of the measures was used nowhere. Ruled out: a common base for the two admin classes; they share only how a command is read. Change: standins/admin_commands.py and rehearsal/answer_document.py; the connection itself returns the failure of an unsendable request. No change of behaviour. Conclusion: three pairs of places less in which a repair could miss its twin.

--- a/wingquay/adapters/http_client_connection.py
+++ b/wingquay/adapters/http_client_connection.py
@@ -90,15 +90,25 @@
         transport = self._transport
         return transport is not None and not transport.is_closing() and self._reader is None
 
-    def start_exchange(self, request: OutgoingRequest, reader: ExchangeReader) -> None:
+    def start_exchange(
+        self, request: OutgoingRequest, reader: ExchangeReader
+    ) -> Failure[HttpFailureKind] | None:
         """Send ``request``; from here on its bytes count as having left.
 
-        Raises
-        ------
-        h11.LocalProtocolError
-            The request has no valid form on the wire; nothing was sent.
+        A request that has no valid form on the wire is a failure: nothing was sent, and the
+        connection is aborted.
         """
+        try:
+            data = self._encode(request)
+        except h11.LocalProtocolError as error:
+            self.abort()
+            return Failure(HttpFailureKind.UNSENDABLE, str(error))
         assert self._transport is not None
+        self._reader = reader
+        self._transport.write(data)
+        return None
+
+    def _encode(self, request: OutgoingRequest) -> bytes:
         headers = [(b"host", self._host), *request.headers]
         if request.body or request.method == b"POST":
             headers.append((b"content-length", b"%d" % len(request.body)))
@@ -108,8 +118,7 @@
         if request.body:
             data += http.send(h11.Data(data=request.body)) or b""
         http.send(_END_OF_MESSAGE)
-        self._reader = reader
-        self._transport.write(data)
+        return data
 
     def abort(self) -> None:
         """End the connection at once; the exchange on it, if any, hears nothing more."""
--- a/wingquay/adapters/http_exchange.py
+++ b/wingquay/adapters/http_exchange.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import h11
-
 from wingquay.adapters.http_client_connection import (
     ClientConnection,
     ExchangeReader,
@@ -116,11 +114,9 @@
             self._finish(connection)
             return
         self._connection = connection
-        try:
-            connection.start_exchange(self._request, self)
-        except h11.LocalProtocolError as error:
-            connection.abort()
-            self._finish(Failure(HttpFailureKind.UNSENDABLE, str(error)))
+        failure = connection.start_exchange(self._request, self)
+        if failure is not None:
+            self._finish(failure)
 
     def _time_out(self, timeout_seconds: float) -> None:
         was_sent = self._connection is not None
--- a/wingquay/adapters/http_stream.py
+++ b/wingquay/adapters/http_stream.py
@@ -4,17 +4,13 @@
 from collections import deque
 from collections.abc import AsyncIterator
 
-import h11
-
 from wingquay.adapters.http_client_connection import (
     ClientConnection,
     ExchangeReader,
     OutgoingRequest,
 )
 from wingquay.adapters.http_connection_pool import Address, HttpConnectionPool
-from wingquay.adapters.http_messages import (
-    HttpFailureKind,
-)
+from wingquay.adapters.http_messages import HttpFailureKind
 from wingquay.model.failure import Failure
 
 MAX_WAITING_BYTES = 16_777_216
@@ -116,11 +112,9 @@
             self.failed(connection)
             return
         self._connection = connection
-        try:
-            connection.start_exchange(self._request, self)
-        except h11.LocalProtocolError as error:
-            connection.abort()
-            self.failed(Failure(HttpFailureKind.UNSENDABLE, str(error)))
+        failure = connection.start_exchange(self._request, self)
+        if failure is not None:
+            self.failed(failure)
 
     def _time_out(self, timeout_seconds: float) -> None:
         was_sent = self._connection is not None
--- a/wingquay/demo/caller.py
+++ b/wingquay/demo/caller.py
@@ -14,6 +14,7 @@
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import ServiceName, SnapshotVersion
 from wingquay.model.key_range import KeyRange, normalize
+from wingquay.rehearsal.answer_document import answer_document, outcome_of
 from wingquay.rehearsal.models.dataset import Dataset
 
 QUERY_PATH = "/v1/query"
@@ -127,8 +128,8 @@
         if isinstance(response, Failure):
             text = f"{response.kind.value}: {response.reason}"
             return Reply(question, node_index, 0, None, {}, seconds, text, response.kind)
-        document = _document(response.whole_body)
-        outcome = _outcome(document)
+        document = answer_document(response.whole_body)
+        outcome = outcome_of(document)
         difference = self._difference(question, outcome, document)
         return Reply(question, node_index, response.status, outcome, document, seconds, difference)
 
@@ -156,20 +157,5 @@
         return ""
 
 
-def _document(body: bytes) -> Mapping[str, Any]:
-    try:
-        document = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return {}
-    return document if isinstance(document, dict) else {}
-
-
-def _outcome(document: Mapping[str, Any]) -> Outcome | None:
-    try:
-        return Outcome(document.get("outcome"))
-    except ValueError:
-        return None
-
-
 def _ranges(entries: list[Mapping[str, Any]]) -> tuple[KeyRange, ...]:
     return tuple(KeyRange(entry["start"], entry["end"]) for entry in entries)
--- a/wingquay/rehearsal/load/load_tally.py
+++ b/wingquay/rehearsal/load/load_tally.py
@@ -5,12 +5,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import orjson
-
 from wingquay.adapters.http_messages import HttpFailureKind, HttpResponse
 from wingquay.model.answer import Outcome
 from wingquay.model.failure import Failure
 from wingquay.model.key_range import KeyRange
+from wingquay.rehearsal.answer_document import answer_document, outcome_of
 from wingquay.rehearsal.latency_histogram import LatencyHistogram
 from wingquay.rehearsal.load.load_plan import PlannedRequest
 
@@ -75,8 +74,8 @@
         if isinstance(result, Failure):
             self._fail(result.kind.value, result.reason)
             return
-        document = _document(result.whole_body)
-        outcome = _outcome(document)
+        document = answer_document(result.whole_body)
+        outcome = outcome_of(document)
         if outcome is None:
             detail = document.get("detail", "no problem details")
             self._fail(UNKNOWN_RESPONSE, f"status {result.status}: {detail}")
@@ -117,18 +116,3 @@
         covered = [KeyRange(entry["start"], entry["end"]) for entry in document["covered"]]
         found = sum(any(key_range.contains(key) for key_range in covered) for key in keys)
         return found / len(keys)
-
-
-def _document(body: bytes) -> Mapping[str, Any]:
-    try:
-        document = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return {}
-    return document if isinstance(document, dict) else {}
-
-
-def _outcome(document: Mapping[str, Any]) -> Outcome | None:
-    try:
-        return Outcome(document.get("outcome"))
-    except ValueError:
-        return None
--- a/wingquay/rehearsal/mechanisms.py
+++ b/wingquay/rehearsal/mechanisms.py
@@ -7,7 +7,6 @@
 EXTRA_LOAD = "extra_load"
 COVERAGE = "coverage"
 PROMISE_KEPT = "promise_kept"
-CONVERGENCE = "convergence"
 
 PROTECTS: dict[Mechanism, str] = {
     Mechanism.SNAPSHOT_PINNING: Invariant.SINGLE_SNAPSHOT.value,
--- a/wingquay/standins/backend.py
+++ b/wingquay/standins/backend.py
@@ -11,7 +11,8 @@
 from wingquay.rehearsal.models.backend_settings import BackendSettings
 from wingquay.rehearsal.models.dataset import Dataset
 from wingquay.rehearsal.models.execution_ledger import ExecutionLedger
-from wingquay.standins.backend_admin import ADMIN_PREFIX, BackendAdmin, Misbehaviour
+from wingquay.standins.admin_commands import ADMIN_PREFIX
+from wingquay.standins.backend_admin import BackendAdmin, Misbehaviour
 from wingquay.standins.backend_wire import (
     exchange_from_http,
     health_to_http,
--- a/wingquay/standins/backend_admin.py
+++ b/wingquay/standins/backend_admin.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field
 
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 from wingquay.model.identifiers import ShardId, SnapshotVersion
@@ -11,11 +11,10 @@
 from wingquay.ports.backend import LoadReport
 from wingquay.rehearsal.models.backend_messages import BackendReply
 from wingquay.rehearsal.models.backend_model import BackendModel
-from wingquay.standins.backend_wire import json_response, problem_response
+from wingquay.standins.admin_commands import AdminCommand, command_name, read_command
+from wingquay.standins.backend_wire import json_response
 from wingquay.standins.model_driver import ModelDriver
 
-ADMIN_PREFIX = "/admin/"
-
 
 class Misbehaviour(Enum):
     """Ways to answer wrongly."""
@@ -36,49 +35,45 @@
     """The answer has a row whose key is not in what it covers."""
 
 
-class _Command(BaseModel):
-    model_config = ConfigDict(frozen=True, extra="forbid")
-
-
-class Drain(_Command):
+class Drain(AdminCommand):
     """Refuse new work."""
 
 
-class ChangeVersions(_Command):
+class ChangeVersions(AdminCommand):
     """Install a version, drop versions up to one, or both in this order."""
 
     install: int | None = None
     drop: int | None = None
 
 
-class Straggle(_Command):
+class Straggle(AdminCommand):
     """Be slower by a factor for a while."""
 
     factor: float = Field(gt=0)
     seconds: float = Field(ge=0)
 
 
-class Pause(_Command):
+class Pause(AdminCommand):
     """Make no progress for a while."""
 
     seconds: float = Field(ge=0)
 
 
-class Misbehave(_Command):
+class Misbehave(AdminCommand):
     """Answer the next ``count`` searches wrongly."""
 
     mode: Misbehaviour
     count: int = Field(default=1, ge=0)
 
 
-class Restart(_Command):
+class Restart(AdminCommand):
     """Lose what is in flight and start again with these versions."""
 
     oldest: int
     newest: int
 
 
-class ServeShard(_Command):
+class ServeShard(AdminCommand):
     """Serve a key range for a shard, or (``remove``) none any more."""
 
     shard: str
@@ -87,7 +82,7 @@
     remove: bool = False
 
 
-class Lie(_Command):
+class Lie(AdminCommand):
     """Report this load and state whatever the truth is; without ``utilization``: end the lie."""
 
     utilization: float | None = None
@@ -122,20 +117,15 @@
 
     def handle(self, request: HttpRequest) -> HttpResponse:
         """Carry out one command, or return the ledger."""
-        name = request.path.removeprefix(ADMIN_PREFIX)
-        if name == "ledger":
+        if command_name(request) == "ledger":
             return self._ledger()
-        command_type = _COMMANDS.get(name)
-        if command_type is None:
-            return problem_response(404, "unknown-command", f"no admin command {name!r}")
-        try:
-            command = command_type.model_validate_json(request.body or b"{}")
-        except ValidationError as error:
-            return problem_response(400, "invalid", str(error))
+        command = read_command(request, _COMMANDS)
+        if isinstance(command, HttpResponse):
+            return command
         self.perform(command)
         return json_response(200, {})
 
-    def perform(self, command: _Command) -> None:
+    def perform(self, command: AdminCommand) -> None:
         """Carry out one command."""
         now = self._driver.now
         match command:
@@ -180,7 +170,7 @@
         return json_response(200, document)
 
 
-_COMMANDS: dict[str, type[_Command]] = {
+_COMMANDS: dict[str, type[AdminCommand]] = {
     "drain": Drain,
     "version": ChangeVersions,
     "straggle": Straggle,
--- a/wingquay/standins/store_admin.py
+++ b/wingquay/standins/store_admin.py
@@ -1,6 +1,6 @@
 """What tests and operators of the stand-in may do to the store over HTTP."""
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field
 
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 from wingquay.model.identifiers import ZoneName
@@ -8,62 +8,57 @@
 from wingquay.rehearsal.models.machine_list_model import MachineListModel
 from wingquay.rehearsal.models.store_model import StoreModel
 from wingquay.rehearsal.models.store_operations import StoreOutput
-from wingquay.standins.backend_wire import json_response, problem_response
+from wingquay.standins.admin_commands import AdminCommand, read_command
+from wingquay.standins.backend_wire import json_response
 from wingquay.standins.model_driver import ModelDriver
 
-ADMIN_PREFIX = "/admin/"
 
-
-class _Command(BaseModel):
-    model_config = ConfigDict(frozen=True, extra="forbid")
-
-
-class Refuse(_Command):
+class Refuse(AdminCommand):
     """Be down for a while: break connections and refuse operations."""
 
     seconds: float = Field(ge=0)
 
 
-class Silence(_Command):
+class Silence(AdminCommand):
     """Take requests in for a while, and neither do nor answer anything."""
 
     seconds: float = Field(ge=0)
 
 
-class SlowDown(_Command):
+class SlowDown(AdminCommand):
     """Take longer for a while."""
 
     extra_seconds: float = Field(ge=0)
     seconds: float = Field(ge=0)
 
 
-class LoseReplies(_Command):
+class LoseReplies(AdminCommand):
     """Lose the replies of the next operations after they took effect."""
 
     count: int = Field(ge=0)
 
 
-class BreakWatches(_Command):
+class BreakWatches(AdminCommand):
     """End every watch."""
 
 
-class SkipWatchEvents(_Command):
+class SkipWatchEvents(AdminCommand):
     """Leave out the next watch notices."""
 
     count: int = Field(ge=0)
 
 
-class Compact(_Command):
+class Compact(AdminCommand):
     """Forget the history of changes."""
 
 
-class LapseLease(_Command):
+class LapseLease(AdminCommand):
     """Let a lease lapse before its time."""
 
     lease_id: int
 
 
-class PutMachine(_Command):
+class PutMachine(AdminCommand):
     """List a machine, after the list's lag."""
 
     host: str
@@ -72,14 +67,14 @@
     state: MachineState = MachineState.LIVE
 
 
-class RemoveMachine(_Command):
+class RemoveMachine(AdminCommand):
     """List a machine no more, after the list's lag."""
 
     host: str
     port: int
 
 
-class FailMachineList(_Command):
+class FailMachineList(AdminCommand):
     """Answer no reads of the machine list for a while."""
 
     seconds: float = Field(ge=0)
@@ -100,24 +95,19 @@
 
     def handle(self, request: HttpRequest) -> HttpResponse:
         """Carry out one command."""
-        name = request.path.removeprefix(ADMIN_PREFIX)
-        command_type = _COMMANDS.get(name)
-        if command_type is None:
-            return problem_response(404, "unknown-command", f"no admin command {name!r}")
-        try:
-            command = command_type.model_validate_json(request.body or b"{}")
-        except ValidationError as error:
-            return problem_response(400, "invalid", str(error))
+        command = read_command(request, _COMMANDS)
+        if isinstance(command, HttpResponse):
+            return command
         self.perform(command)
         return json_response(200, {})
 
-    def perform(self, command: _Command) -> None:
+    def perform(self, command: AdminCommand) -> None:
         """Carry out one command."""
         self._perform_on_store(command, self._driver.now)
         self._perform_on_machines(command, self._driver.now)
         self._driver.run()
 
-    def _perform_on_store(self, command: _Command, now: float) -> None:
+    def _perform_on_store(self, command: AdminCommand, now: float) -> None:
         match command:
             case Refuse():
                 self._store.refuse_until(now + command.seconds, now)
@@ -136,7 +126,7 @@
             case LapseLease():
                 self._store.lapse_lease(command.lease_id, now)
 
-    def _perform_on_machines(self, command: _Command, now: float) -> None:
+    def _perform_on_machines(self, command: AdminCommand, now: float) -> None:
         match command:
             case PutMachine():
                 zone = ZoneName(command.zone)
@@ -148,7 +138,7 @@
                 self._machines.fail_until(now + command.seconds)
 
 
-_COMMANDS: dict[str, type[_Command]] = {
+_COMMANDS: dict[str, type[AdminCommand]] = {
     "refuse": Refuse,
     "silence": Silence,
     "slow": SlowDown,
