--- a/wingquay/rehearsal/experiments/plots.py
+++ b/wingquay/rehearsal/experiments/plots.py
@@ -30,6 +30,7 @@
 STRIP_WIDTH_INCHES = 9.5
 STRIP_ROW_INCHES = 0.34
 STRIP_MARGIN_INCHES = 1.3
+MOST_TICK_LABELS = 10
 
 MILLISECONDS = 1000.0
 SHOWN_SHARES = (0.0, 0.5, 0.9, 0.99, 0.999)
@@ -152,7 +153,10 @@
         ticks += [power, 2 * power, 5 * power]
         power *= 10
     axes.set_xscale("symlog", linthresh=threshold)
-    axes.set_xticks(ticks, [f"{tick:g}" for tick in ticks], fontsize=8)
+    # Over many decades there is no room for each number.
+    shown = ticks if len(ticks) <= MOST_TICK_LABELS else [0.0, *ticks[1::3]]
+    labels = [f"{tick:g}" if tick in shown else "" for tick in ticks]
+    axes.set_xticks(ticks, labels, fontsize=8)
     axes.set_xticks([], minor=True)
     axes.set_xlim(-threshold / 5, greatest * 1.5)
 
