Measure nodes with many queries in flight too

Cause: memory and the hop depend on how many queries are in flight; a stall of the loop could make owners look silent.

--- a/benchmarks/node_throughput.py
+++ b/benchmarks/node_throughput.py
@@ -151,12 +151,22 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What the callers ask: rows each shard answers, length of a run, sub-requests in flight."""
+
+    rows: int
+    seconds: float
+    in_flight: int
+
+
 async def measure(
-    node_count: int, fan_out: int, rows: int, seconds: float, profile_directory: Path | None = None
+    node_count: int, fan_out: int, load: Load, profile_directory: Path | None = None
 ) -> Variant:
     """Measure one variant."""
-    backends = BackendProcesses(fan_out, rows)
-    concurrency = max(1, min(MOST_CALLERS, SUB_REQUESTS_IN_FLIGHT // fan_out)) * node_count
+    backends = BackendProcesses(fan_out, load.rows)
+    concurrency = max(1, min(MOST_CALLERS, load.in_flight // fan_out)) * node_count
+    seconds = load.seconds
     try:
         addresses = await backends.start()
         meter = BareMeter(addresses[0][1])
@@ -187,10 +197,10 @@
 
 
 async def _measure_all(
-    node_counts: Sequence[int], fan_outs: Sequence[int], rows: int, seconds: float
+    node_counts: Sequence[int], fan_outs: Sequence[int], load: Load
 ) -> list[Variant]:
     return [
-        await measure(node_count, fan_out, rows, seconds)
+        await measure(node_count, fan_out, load)
         for node_count in node_counts
         for fan_out in fan_outs
     ]
@@ -235,6 +245,7 @@
     fan_outs: str = "8,50,200,750",
     rows: int = ROWS,
     seconds: float = 2.0,
+    in_flight: int = SUB_REQUESTS_IN_FLIGHT,
     json: bool = False,
     profile: bool = False,
 ) -> None:
@@ -248,15 +259,18 @@
         Rows that each shard answers.
     seconds
         Length of each run of callers.
+    in_flight
+        Sub-requests that a node's callers keep in flight; one caller is the least.
     json
         Print one JSON object a line instead of tables.
     profile
         Measure the first variant only and show where the nodes' processor time goes.
     """
+    load = Load(rows, seconds, in_flight)
     if profile:
-        _profile(_numbers(nodes)[0], _numbers(fan_outs)[0], rows, seconds)
+        _profile(_numbers(nodes)[0], _numbers(fan_outs)[0], load)
         return
-    variants = asyncio.run(_measure_all(_numbers(nodes), _numbers(fan_outs), rows, seconds))
+    variants = asyncio.run(_measure_all(_numbers(nodes), _numbers(fan_outs), load))
     if json:
         for variant in variants:
             print(orjson.dumps(variant).decode())
@@ -264,10 +278,10 @@
     _print_table(variants)
 
 
-def _profile(node_count: int, fan_out: int, rows: int, seconds: float) -> None:
+def _profile(node_count: int, fan_out: int, load: Load) -> None:
     with tempfile.TemporaryDirectory() as name:
         directory = Path(name)
-        variant = asyncio.run(measure(node_count, fan_out, rows, seconds, directory))
+        variant = asyncio.run(measure(node_count, fan_out, load, directory))
         _print_table([variant])
         for index in range(node_count):
             print(f"node {index}:")
