Write the flags that all operators' commands share once

Cause: twelve commands in plan.py, configuration.py, intent.py and status.py each repeated the flags server, token_file and json, passed them on one by one, and mostly left them out of their help. Ruled out: a decorator that swaps the parameters, which mypy cannot follow; flags on the command's class, which fire would take only before the subcommand's own. Change: a parameter whose type is a dataclass stands for one flag per field (flag_groups.py); OperatorSession is that dataclass and sends the command. Command lines and output are the same; the help of every such command now explains the shared flags. A test covers the flags and the help. Conclusion: a new operators' command states only what is its own.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,6 +13,7 @@
 import wingquay
 from wingquay import cli
 from wingquay.commands.exit_codes import FAILED, OK, USAGE
+from wingquay.commands.operator_session import OperatorSession
 
 
 class CommandLineTest(testtools.TestCase):
@@ -69,6 +70,20 @@
         self.assertEqual(USAGE, code)
         self.assertThat(text, Contains("--count: 'many' is not allowed; must be a whole number"))
 
+    def test_shared_flags_reach_a_command_as_one_value(self) -> None:
+        sessions: list[OperatorSession] = []
+
+        def command(name: str, *, session: OperatorSession) -> None:
+            sessions.append(session)
+
+        line = ["x", "--server=::1", "--json"]
+        self.assertEqual(OK, self.run_command(command, *line)[0])
+        self.assertEqual([OperatorSession("::1", None, json=True)], sessions)
+        self.assertEqual(USAGE, self.run_command(command, *line, "--session=y")[0])
+        code, text = self.run_command(command, "--help")
+        self.assertEqual(OK, code)
+        self.assertThat(text, Contains("File with the operator's token."))
+
     def test_error_in_a_command_has_no_traceback(self) -> None:
         async def command() -> int:
             raise OSError("address in use")
--- a/wingquay/commands/invocation.py
+++ b/wingquay/commands/invocation.py
@@ -10,11 +10,13 @@
 import inspect
 import types
 from collections.abc import Callable
-from typing import Any, Union, get_args, get_origin, get_type_hints
+from typing import Any, Union, get_args, get_origin
 
 from fire import decorators
 from fire.core import FireError
 
+from wingquay.commands.flag_groups import FlagGroups
+
 # fire lists public attributes of functions in its help; its own mark is not for users.
 decorators.FIRE_METADATA = "_fire_metadata"
 
@@ -58,17 +60,19 @@
 
 
 def _deferred_function(function: Callable[..., Any]) -> Callable[..., Invocation]:
-    signature = inspect.signature(function)
+    groups = FlagGroups(function)
+    signature = groups.signature
 
     @functools.wraps(function)
     def record(*arguments: Any, **flags: Any) -> Invocation:
-        return Invocation(function, signature.bind(*arguments, **flags))
-
-    parsers = {
-        name: _parser(name, kind)
-        for name, kind in get_type_hints(function).items()
-        if name != "return"
-    }
+        given = signature.bind(*arguments, **flags)
+        given.apply_defaults()
+        return Invocation(function, groups.bind(given.arguments))
+
+    # fire reads the flags from the one and their meaning from the other.
+    record.__signature__ = signature  # type: ignore[attr-defined]
+    record.__doc__ = groups.documentation
+    parsers = {name: _parser(name, kind) for name, kind in groups.kinds.items()}
     recorded: Callable[..., Invocation] = decorators.SetParseFns(**parsers)(record)
     return recorded
 
--- a/wingquay/commands/operator_session.py
+++ b/wingquay/commands/operator_session.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from wingquay.adapters.operator_client import OperatorClient
+from wingquay.adapters.operator_client import OperatorClient, OperatorReplyDocument
 from wingquay.commands.exit_codes import FAILED, OK, USAGE
 from wingquay.model.failure import Failure
 from wingquay.ports.operator import OperatorMessage
@@ -53,35 +53,50 @@
     return Path(token_file).read_text(encoding="utf-8").strip()
 
 
-async def run_command(
-    command: OperatorMessage,
-    render: Render,
-    server: str | None,
-    token_file: str | None,
-    json: bool,
-) -> int:
-    """Send a command, print its result as text or as JSON, and return the exit code."""
-    try:
-        access = find_access(server, token_file)
-    except (OSError, UnicodeDecodeError) as error:
-        return complain(f"--token-file: cannot be read: {error}", USAGE)
-    if isinstance(access, str):
-        return complain(access, USAGE)
-    client = OperatorClient(access.host, access.port, access.token)
-    try:
-        reply = await client.send(command)
-    finally:
-        await client.close()
-    if isinstance(reply, Failure):
-        return complain(reply.reason, FAILED)
-    if json:
-        print(json_module.dumps(reply.document, indent=2))
-    elif not reply.is_problem:
-        print(render(reply.document))
-    if reply.is_problem:
-        kind = str(reply.document.get("type", "")).rpartition("/")[2]
-        return complain(f"{kind}: {reply.document.get('detail', '')}", FAILED)
-    return OK
+@dataclass(frozen=True, slots=True)
+class OperatorSession:
+    """Where and how an operator's command runs: flags that all such commands take.
+
+    Parameters
+    ----------
+    server
+        IP:PORT where a node serves operators.
+    token_file
+        File with the operator's token.
+    json
+        Print the node's reply as JSON.
+    """
+
+    server: str | None = None
+    token_file: str | None = None
+    json: bool = False
+
+    async def run(self, command: OperatorMessage, render: Render) -> int:
+        """Send a command, print its result as text or as JSON, and return the exit code."""
+        try:
+            access = find_access(self.server, self.token_file)
+        except (OSError, UnicodeDecodeError) as error:
+            return complain(f"--token-file: cannot be read: {error}", USAGE)
+        if isinstance(access, str):
+            return complain(access, USAGE)
+        client = OperatorClient(access.host, access.port, access.token)
+        try:
+            reply = await client.send(command)
+        finally:
+            await client.close()
+        if isinstance(reply, Failure):
+            return complain(reply.reason, FAILED)
+        return self._print(reply, render)
+
+    def _print(self, reply: OperatorReplyDocument, render: Render) -> int:
+        if self.json:
+            print(json_module.dumps(reply.document, indent=2))
+        elif not reply.is_problem:
+            print(render(reply.document))
+        if reply.is_problem:
+            kind = str(reply.document.get("type", "")).rpartition("/")[2]
+            return complain(f"{kind}: {reply.document.get('detail', '')}", FAILED)
+        return OK
 
 
 def complain(line: str, code: int) -> int:
