Answer status as soon as the nodes asked have; split two long modules

Ruled out: answering from what was heard before (it may be 20 s old). Change: status looks every 10 ms whether all asked have answered, at most 0.3 s as before; class_intents.py, intent_failure.py, revision_reader.py. Conclusion: moves only, but for the status.

--- /dev/null
+++ b/wingquay/configuration/class_intents.py
@@ -0,0 +1,112 @@
+"""Applies the intents about priority classes and which requests they serve."""
+
+from wingquay.configuration.intent_failure import (
+    IntentFailure,
+    invalid,
+    name_of,
+    replaced,
+    unknown,
+)
+from wingquay.model.configuration import Attachment, Configuration, PriorityClass, Service
+from wingquay.model.failure import Failure
+from wingquay.model.identifiers import ClassName
+from wingquay.model.intent import (
+    RESERVED_CLASS_NAMES,
+    AssignClass,
+    RemoveClass,
+    SetClass,
+    UnassignClass,
+)
+
+
+def assign_class(
+    configuration: Configuration, intent: AssignClass
+) -> Configuration | IntentFailure:
+    """Attach a kind to a class, in the place of an earlier attachment."""
+    service = _service_with_kind(configuration, intent.service, intent.kind)
+    if isinstance(service, Failure):
+        return service
+    if service.deployment != intent.deployment:
+        return invalid(
+            f"deployment: service {service.name!r} is not in {intent.deployment!r}; "
+            f"allowed: [{service.deployment!r}]"
+        )
+    if configuration.priority_class(intent.class_name) is None:
+        names = [entry.name for entry in configuration.classes]
+        return unknown("class_name", intent.class_name, [*names, *RESERVED_CLASS_NAMES])
+    if intent.caller is not None and configuration.caller(intent.caller) is None:
+        return unknown("caller", intent.caller, (name_of(entry) for entry in configuration.callers))
+    attachment = Attachment(
+        service=intent.service,
+        kind=intent.kind,
+        class_name=intent.class_name,
+        caller=intent.caller,
+    )
+    attachments = replaced(configuration.attachments, attachment, _subject)
+    return configuration.model_copy(update={"attachments": attachments})
+
+
+def unassign_class(
+    configuration: Configuration, intent: UnassignClass
+) -> Configuration | IntentFailure:
+    """Take an attachment back."""
+    subject = (intent.service, intent.kind, intent.caller)
+    kept = tuple(entry for entry in configuration.attachments if _subject(entry) != subject)
+    if len(kept) == len(configuration.attachments):
+        present = [f"{entry.service}/{entry.kind}" for entry in configuration.attachments]
+        return unknown("service/kind", f"{intent.service}/{intent.kind}", present)
+    return configuration.model_copy(update={"attachments": kept})
+
+
+def set_class(configuration: Configuration, intent: SetClass) -> Configuration | IntentFailure:
+    """Create a class or change its terms."""
+    if intent.name in RESERVED_CLASS_NAMES:
+        return invalid(
+            f"name: {intent.name!r} is reserved; allowed: any but {list(RESERVED_CLASS_NAMES)}"
+        )
+    entry = PriorityClass(
+        name=ClassName(intent.name),
+        price=intent.price,
+        promise_seconds=intent.promise_seconds,
+    )
+    classes = replaced(configuration.classes, entry, name_of)
+    return configuration.model_copy(update={"classes": classes})
+
+
+def remove_class(
+    configuration: Configuration, intent: RemoveClass
+) -> Configuration | IntentFailure:
+    """Remove a class that nothing uses."""
+    if configuration.priority_class(intent.name) is None:
+        return unknown("name", intent.name, (entry.name for entry in configuration.classes))
+    users = [
+        f"{service.name}/{kind.name}"
+        for service in configuration.services
+        for kind in service.kinds
+        if kind.class_name == intent.name
+    ]
+    users += [
+        f"assignment of {entry.service}/{entry.kind}"
+        for entry in configuration.attachments
+        if entry.class_name == intent.name
+    ]
+    if users:
+        return invalid(f"name: class {intent.name!r} is still used by {users}; move these first")
+    kept = tuple(entry for entry in configuration.classes if entry.name != intent.name)
+    return configuration.model_copy(update={"classes": kept})
+
+
+def _service_with_kind(
+    configuration: Configuration, service_name: str, kind_name: str
+) -> Service | IntentFailure:
+    service = configuration.service(service_name)
+    if service is None:
+        names = (entry.name for entry in configuration.services)
+        return unknown("service", service_name, names)
+    if service.kind(kind_name) is None:
+        return unknown("kind", kind_name, (kind.name for kind in service.kinds))
+    return service
+
+
+def _subject(attachment: Attachment) -> tuple[str, str, str | None]:
+    return attachment.service, attachment.kind, attachment.caller
--- a/wingquay/configuration/dissemination.py
+++ b/wingquay/configuration/dissemination.py
@@ -174,35 +174,33 @@
 
     def _announce(self, revision: Revision, from_store: bool) -> Script[list[Action]]:
         if from_store:
-            yield from perform(*self._tell(self._some_of_each_zone()))
+            yield from perform(*self.tell(self.some_of_each_zone()))
         for _ in range(ROUNDS):
             if self._in_force.revision != revision:
                 return []
-            yield from perform(*self._tell(self._view.sample(self._view.peers, FAN_OUT)))
+            yield from perform(*self.tell(self._view.sample(self._view.peers, FAN_OUT)))
             yield from pause(ROUND_PAUSE_SECONDS * self._view.random.uniform(0.5, 1.5))
         return []
 
-    def _some_of_each_zone(self) -> list[NodeIdentity]:
+    def some_of_each_zone(self) -> list[NodeIdentity]:
+        """Return a few random nodes of every zone."""
         return [
             node
             for zone in self._view.zones
             for node in self._view.sample(self._view.zone_peers(zone), NODES_TOLD_IN_EACH_ZONE)
         ]
 
-    def _tell(self, nodes: list[NodeIdentity]) -> list[Action]:
+    def tell(self, nodes: list[NodeIdentity]) -> list[Action]:
+        """Name this node's revision to ``nodes``; they answer with theirs."""
         if Mechanism.PEER_DISSEMINATION in self._view.disabled:
             return []
         announcement = ConfigurationFetch(self._in_force.revision)
         return [SendToPeer(node, announcement) for node in nodes]
 
-    def ask_each_zone(self) -> list[Action]:
-        """Ask some nodes of each zone which revision they have."""
-        return self._tell(self._some_of_each_zone())
-
     def _compare_now_and_then(self) -> Script[list[Action]]:
         while True:
             yield from pause(ANTI_ENTROPY_SECONDS * self._view.random.uniform(0.5, 1.5))
-            yield from perform(*self._tell(self._view.sample(self._view.peers, 1)))
+            yield from perform(*self.tell(self._view.sample(self._view.peers, 1)))
 
 
 def _unpacked(
--- /dev/null
+++ b/wingquay/configuration/intent_failure.py
@@ -0,0 +1,42 @@
+"""What the application of intents has in common: its failure, and entries known by name."""
+
+from collections.abc import Callable, Iterable
+from enum import Enum
+from typing import TypeVar
+
+from wingquay.model.failure import Failure
+
+
+class IntentFailureKind(Enum):
+    """Why intents cannot be applied."""
+
+    INVALID = "invalid"
+
+
+IntentFailure = Failure[IntentFailureKind]
+
+Entry = TypeVar("Entry")
+
+
+def invalid(reason: str) -> IntentFailure:
+    """Return the failure; ``reason`` names field, value and what is allowed."""
+    return Failure(IntentFailureKind.INVALID, reason)
+
+
+def unknown(field: str, value: str, allowed: Iterable[str]) -> IntentFailure:
+    """Return the failure for a name that does not exist."""
+    return invalid(f"{field}: {value!r} does not exist; allowed: {sorted(allowed)}")
+
+
+def name_of(entry: object) -> str:
+    """Return the name by which an entry is known among its neighbours."""
+    return str(getattr(entry, "name"))  # noqa: B009
+
+
+def replaced(
+    entries: tuple[Entry, ...], entry: Entry, identity: Callable[[Entry], object]
+) -> tuple[Entry, ...]:
+    """Return ``entries`` with ``entry`` in the place of its namesake, else at the end."""
+    if all(identity(present) != identity(entry) for present in entries):
+        return (*entries, entry)
+    return tuple(entry if identity(present) == identity(entry) else present for present in entries)
--- a/wingquay/configuration/operator_desk.py
+++ b/wingquay/configuration/operator_desk.py
@@ -4,41 +4,37 @@
     Confirmation,
     ConfirmCommand,
     Landed,
-    OperatorFailure,
     delete_unlisted_history,
-    operator_failure,
     read_earlier,
 )
-from wingquay.configuration.current_key import CurrentKey, StoredDocument, read_revision
-from wingquay.configuration.diff import document_diff
+from wingquay.configuration.current_key import CurrentKey, StoredDocument
 from wingquay.configuration.dissemination import Dissemination
-from wingquay.configuration.document import EMPTY_DOCUMENT, ConfigurationDocument
 from wingquay.configuration.in_force import InForce
 from wingquay.configuration.node_view import NodeView
 from wingquay.configuration.plan import Proposal, make_plan
 from wingquay.configuration.plan_shelf import PlanShelf
+from wingquay.configuration.revision_reader import (
+    NOT_FRESH_WARNING,
+    CommandResult,
+    RevisionReader,
+)
 from wingquay.configuration.script import Script, ScriptRunner, pause, perform
 from wingquay.configuration.spread import Spread
 from wingquay.configuration.status import StatusReporter
 from wingquay.configuration.store_schedule import FullJitterBackoff
 from wingquay.configuration.watcher import Watcher
 from wingquay.model.failure import Failure
-from wingquay.model.identifiers import Revision
 from wingquay.model.mechanisms import Mechanism
 from wingquay.model.plan import Plan
 from wingquay.ports.machine import Action, Count, Log
 from wingquay.ports.operator import (
-    ConfigurationResult,
     ConfirmOutcome,
     ConfirmPlan,
     DiffConfigurations,
-    DiffResult,
     DiscardPlan,
     DiscardResult,
-    HistoryResult,
     ListPlans,
     OperatorFailureKind,
-    OperatorMessage,
     OperatorReply,
     OperatorRequest,
     PlanListResult,
@@ -54,15 +50,15 @@
 STATUS_WAIT_SECONDS = 0.3
 """How long a status waits for nodes of each zone to name their revision."""
 
+STATUS_CHECK_SECONDS = 0.01
+"""How often it looks whether all have."""
+
 RETRY_LAST_CEILING_SECONDS = 1.0
 
-NOT_FRESH_WARNING = "the store does not answer: this is the last revision known to this node"
 STORE_SILENT_PLAN_WARNING = (
     "the store does not answer: the plan is based on revision {revision}, the last known here"
 )
 
-CommandResult = OperatorMessage | OperatorFailure
-
 
 class OperatorDesk:
     """Turns commands into scripts whose result is the reply."""
@@ -85,6 +81,7 @@
         self._current_key = current_key
         self._watcher = watcher
         self._shelf = PlanShelf()
+        self._revisions = RevisionReader(in_force, dissemination, current_key, runner.store_health)
         self._status = StatusReporter(view, in_force, spread, runner.store_health)
 
     def handle(self, request: OperatorRequest, now: float) -> list[Action]:
@@ -112,14 +109,23 @@
             case ShowPlan() | ListPlans() | DiscardPlan():
                 return (yield from self._run_on_plans(request, command))
             case ShowConfiguration() | ShowHistory() | DiffConfigurations():
-                return (yield from self._run_on_revisions(command))
+                return (yield from self._revisions.run(command))
             case ShowStatus():
-                yield from perform(*self._dissemination.ask_each_zone())
-                later = yield from pause(STATUS_WAIT_SECONDS)
-                return self._status.report(later, self._watcher.holds_seat)
+                return (yield from self._show_status(now))
         reason = f"unknown command {type(command).__name__}"
         return Failure(OperatorFailureKind.INVALID, reason)
 
+    def _show_status(self, now: float) -> Script[CommandResult]:
+        """Ask a few nodes of each zone for their revision, and wait for them a little."""
+        asked = self._dissemination.some_of_each_zone()
+        yield from perform(*self._dissemination.tell(asked))
+        later = now
+        while later < now + STATUS_WAIT_SECONDS:
+            if all(self._spread.heard_since(node.node_id, now) for node in asked):
+                break
+            later = yield from pause(STATUS_CHECK_SECONDS)
+        return self._status.report(later, self._watcher.holds_seat)
+
     def _run_on_plans(
         self, request: OperatorRequest, command: ShowPlan | ListPlans | DiscardPlan
     ) -> Script[CommandResult]:
@@ -132,39 +138,8 @@
             case DiscardPlan():
                 return (yield from self._discard(command))
 
-    def _run_on_revisions(
-        self, command: ShowConfiguration | ShowHistory | DiffConfigurations
-    ) -> Script[CommandResult]:
-        match command:
-            case ShowConfiguration():
-                return (yield from self._show(command))
-            case ShowHistory():
-                document = yield from self._newest()
-                if isinstance(document, Failure):
-                    return document
-                return HistoryResult(records=document.audit, warnings=self._freshness())
-            case DiffConfigurations():
-                return (yield from self._diff(command))
-
-    def _newest(self) -> Script[ConfigurationDocument | OperatorFailure]:
-        """Return what the store holds, or what is in force when that is newer or all there is."""
-        stored = yield from self._current_key.read()
-        if isinstance(stored, StoredDocument):
-            now = yield from perform()
-            document = stored.document
-            taken = self._dissemination.take(document, now, "store", from_store=True)
-            yield from perform(*taken)
-            if document.revision >= self._in_force.revision:
-                return document
-        if self._in_force.document is not None:
-            return self._in_force.document
-        return operator_failure(stored) if isinstance(stored, Failure) else EMPTY_DOCUMENT
-
-    def _freshness(self) -> tuple[str, ...]:
-        return (NOT_FRESH_WARNING,) if self._runner.store_health.reachable is False else ()
-
     def _propose(self, request: OperatorRequest, command: ProposePlan) -> Script[CommandResult]:
-        base = yield from self._newest()
+        base = yield from self._revisions.newest()
         if isinstance(base, Failure):
             return base
         warnings: tuple[str, ...] = ()
@@ -217,7 +192,7 @@
 
     def _list_plans(self, request: OperatorRequest) -> Script[CommandResult]:
         found = yield from self._shelf.list()
-        newest = yield from self._newest()
+        newest = yield from self._revisions.newest()
         landed = [] if isinstance(newest, Failure) else newest.audit
         landed_ids = {record.confirm_id for record in landed}
         plans = tuple(
@@ -246,46 +221,6 @@
                 return Failure(OperatorFailureKind.CONFLICT, reason)
         return DiscardResult(plan_id=command.plan_id)
 
-    def _show(self, command: ShowConfiguration) -> Script[CommandResult]:
-        warnings: tuple[str, ...] = ()
-        if command.revision is None:
-            found = yield from self._newest()
-            warnings = self._freshness()
-        else:
-            found = yield from self._revision(command.revision)
-        if isinstance(found, Failure):
-            return found
-        text = found.body.decode()
-        return ConfigurationResult(
-            configuration=found.configuration, document=text, warnings=warnings
-        )
-
-    def _revision(self, revision: Revision) -> Script[ConfigurationDocument | OperatorFailure]:
-        """Return one revision: the newest, or an earlier one from the store's history."""
-        newest = yield from self._newest()
-        if not isinstance(newest, Failure) and newest.revision == revision:
-            return newest
-        if revision == EMPTY_DOCUMENT.revision:
-            return EMPTY_DOCUMENT
-        found = yield from read_revision(revision)
-        return operator_failure(found) if isinstance(found, Failure) else found
-
-    def _diff(self, command: DiffConfigurations) -> Script[CommandResult]:
-        before = yield from self._revision(command.from_revision)
-        if isinstance(before, Failure):
-            return before
-        if command.to_revision is None:
-            after = yield from self._newest()
-        else:
-            after = yield from self._revision(command.to_revision)
-        if isinstance(after, Failure):
-            return after
-        return DiffResult(
-            from_revision=before.revision,
-            to_revision=after.revision,
-            lines=tuple(document_diff(before, after)),
-        )
-
 
 def _remaining(plan: Plan, request: OperatorRequest) -> float:
     return max(0.0, plan.expires_unix_seconds - request.unix_seconds)
--- a/wingquay/configuration/spread.py
+++ b/wingquay/configuration/spread.py
@@ -30,6 +30,7 @@
     def __init__(self, view: NodeView) -> None:
         self._view = view
         self._heard: dict[NodeId, Revision] = {}
+        self._heard_at: dict[NodeId, float] = {}
         self._landed_revision = Revision(0)
         self._landed_at = 0.0
         self._arrived_at: dict[NodeId, float] = {}
@@ -43,6 +44,7 @@
     def heard(self, node_id: NodeId, revision: Revision, now: float) -> None:
         """Note that a node said which revision it has."""
         self._heard[node_id] = max(revision, self._heard.get(node_id, revision))
+        self._heard_at[node_id] = now
         if self._landed_revision and revision >= self._landed_revision:
             self._arrived_at.setdefault(node_id, now)
 
@@ -50,6 +52,11 @@
         """Forget the nodes that membership no longer knows."""
         known = {node.node_id for node in (*self._view.available, *self._view.leaving_nodes)}
         self._heard = {node: seen for node, seen in self._heard.items() if node in known}
+        self._heard_at = {node: at for node, at in self._heard_at.items() if node in known}
+
+    def heard_since(self, node_id: NodeId, at: float) -> bool:
+        """Whether a node said its revision after ``at``."""
+        return self._heard_at.get(node_id, at) > at
 
     def revision_of(self, node_id: NodeId) -> Revision | None:
         """Return the last revision heard of a node."""
