Give the claim messages between nodes a port module of their own

Exporting the moved names from peer.py again; one name, one place. Change: ports/peer_claims.py; importers take the names from there. Nothing on the wire changes: the generated code is the same. Conclusion: who reads about claims need not read about gossip.

--- a/tests/claims/test_late_messages.py
+++ b/tests/claims/test_late_messages.py
@@ -13,16 +13,14 @@
 from wingquay.claims.voter import Voter
 from wingquay.model.identifiers import CallerName, NodeId, RequestId, ServiceName, ZoneName
 from wingquay.ports.internal import ClaimDecisionKind
-from wingquay.ports.peer import (
+from wingquay.ports.peer import NodeIdentity, PeerMessage, SendToPeer
+from wingquay.ports.peer_claims import (
     ClaimOutcome,
     ClaimRecord,
     ClaimRequest,
     ClaimTable,
     ClaimTableRequest,
     ClaimVote,
-    NodeIdentity,
-    PeerMessage,
-    SendToPeer,
     VoteKind,
 )
 
--- a/wingquay/adapters/peer_codec.py
+++ b/wingquay/adapters/peer_codec.py
@@ -14,6 +14,14 @@
 from wingquay.adapters.proto import peer_pb2
 from wingquay.model.failure import Failure
 from wingquay.ports import peer
+from wingquay.ports.peer_claims import (
+    ClaimOutcome,
+    ClaimRequest,
+    ClaimSeatOffer,
+    ClaimTable,
+    ClaimTableRequest,
+    ClaimVote,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,18 +70,18 @@
         configuration.put_configuration_body,
         configuration.configuration_body_from,
     ),
-    peer.ClaimRequest: _Codec("claim_request", claims.put_claim_request, claims.claim_request_from),
-    peer.ClaimVote: _Codec("claim_vote", claims.put_claim_vote, claims.claim_vote_from),
-    peer.ClaimOutcome: _Codec("claim_outcome", claims.put_claim_outcome, claims.claim_outcome_from),
-    peer.ClaimSeatOffer: _Codec(
+    ClaimRequest: _Codec("claim_request", claims.put_claim_request, claims.claim_request_from),
+    ClaimVote: _Codec("claim_vote", claims.put_claim_vote, claims.claim_vote_from),
+    ClaimOutcome: _Codec("claim_outcome", claims.put_claim_outcome, claims.claim_outcome_from),
+    ClaimSeatOffer: _Codec(
         "claim_seat_offer", claims.put_claim_seat_offer, claims.claim_seat_offer_from
     ),
-    peer.ClaimTableRequest: _Codec(
+    ClaimTableRequest: _Codec(
         "claim_table_request",
         claims.put_claim_table_request,
         claims.claim_table_request_from,
     ),
-    peer.ClaimTable: _Codec("claim_table", claims.put_claim_table, claims.claim_table_from),
+    ClaimTable: _Codec("claim_table", claims.put_claim_table, claims.claim_table_from),
 }
 _CODECS_BY_FIELD = {codec.field: codec for codec in _CODECS.values()}
 
--- a/wingquay/adapters/peer_codec_claims.py
+++ b/wingquay/adapters/peer_codec_claims.py
@@ -7,7 +7,7 @@
 from wingquay.adapters.peer_codec_error import check_finite, member_of
 from wingquay.adapters.proto import peer_pb2
 from wingquay.model.identifiers import RequestId, ZoneName
-from wingquay.ports.peer import (
+from wingquay.ports.peer_claims import (
     ClaimOutcome,
     ClaimRecord,
     ClaimRequest,
--- a/wingquay/claims/claimant.py
+++ b/wingquay/claims/claimant.py
@@ -17,14 +17,8 @@
     Notify,
 )
 from wingquay.ports.machine import Action, Count, Event, Schedule
-from wingquay.ports.peer import (
-    ClaimOutcome,
-    ClaimRequest,
-    ClaimVote,
-    NodeIdentity,
-    SendToPeer,
-    VoteKind,
-)
+from wingquay.ports.peer import NodeIdentity, SendToPeer
+from wingquay.ports.peer_claims import ClaimOutcome, ClaimRequest, ClaimVote, VoteKind
 
 QUICK_ASKS = 4
 """Times that a submission asks at short intervals before the intervals double."""
--- a/wingquay/claims/machine.py
+++ b/wingquay/claims/machine.py
@@ -29,18 +29,14 @@
     MembershipChanged,
 )
 from wingquay.ports.machine import Action, Event, Schedule, Start
-from wingquay.ports.peer import (
+from wingquay.ports.peer import NodeIdentity, PeerLinkBroken, PeerMessage, PeerReceived, SendToPeer
+from wingquay.ports.peer_claims import (
     ClaimOutcome,
     ClaimRequest,
     ClaimSeatOffer,
     ClaimTable,
     ClaimTableRequest,
     ClaimVote,
-    NodeIdentity,
-    PeerLinkBroken,
-    PeerMessage,
-    PeerReceived,
-    SendToPeer,
 )
 from wingquay.ports.store import StoreResponse
 
--- a/wingquay/claims/memory.py
+++ b/wingquay/claims/memory.py
@@ -5,7 +5,7 @@
 
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.model.identifiers import RequestId
-from wingquay.ports.peer import ClaimRecord
+from wingquay.ports.peer_claims import ClaimRecord
 
 
 @dataclass(slots=True)
--- a/wingquay/claims/offers.py
+++ b/wingquay/claims/offers.py
@@ -4,7 +4,8 @@
 from wingquay.claims.seat import Seat, SeatOffer, SeatStatus, SeatTable
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.ports.machine import Action
-from wingquay.ports.peer import ClaimSeatOffer, NodeIdentity, SendToPeer
+from wingquay.ports.peer import NodeIdentity, SendToPeer
+from wingquay.ports.peer_claims import ClaimSeatOffer
 
 
 class SeatOffers:
--- a/wingquay/claims/pending_claim.py
+++ b/wingquay/claims/pending_claim.py
@@ -8,7 +8,8 @@
 from wingquay.model.identifiers import RequestId, ZoneName
 from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.internal import ClaimDecisionKind
-from wingquay.ports.peer import ClaimVote, NodeIdentity, SeatEpoch, VoteKind
+from wingquay.ports.peer import NodeIdentity
+from wingquay.ports.peer_claims import ClaimVote, SeatEpoch, VoteKind
 
 FIRST_TELL_DELAY_SECONDS = 1.0
 
--- a/wingquay/claims/seat.py
+++ b/wingquay/claims/seat.py
@@ -10,7 +10,8 @@
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.model.identifiers import NodeId, ZoneName
 from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.peer import NodeIdentity, SeatEpoch
+from wingquay.ports.peer import NodeIdentity
+from wingquay.ports.peer_claims import SeatEpoch
 
 
 class SeatStatus(Enum):
--- a/wingquay/claims/seat_document.py
+++ b/wingquay/claims/seat_document.py
@@ -10,7 +10,7 @@
 
 from wingquay.claims.keys import PARTITIONS
 from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
-from wingquay.ports.peer import SeatEpoch
+from wingquay.ports.peer_claims import SeatEpoch
 
 NOBODY = NodeId("")
 
--- a/wingquay/claims/table_giver.py
+++ b/wingquay/claims/table_giver.py
@@ -6,13 +6,8 @@
 from wingquay.claims.seat import Seat, SeatOffer, SeatStatus, SeatTable
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.ports.machine import Action
-from wingquay.ports.peer import (
-    ClaimRecord,
-    ClaimTable,
-    ClaimTableRequest,
-    NodeIdentity,
-    SendToPeer,
-)
+from wingquay.ports.peer import NodeIdentity, SendToPeer
+from wingquay.ports.peer_claims import ClaimRecord, ClaimTable, ClaimTableRequest
 
 NEVER_CONFIRMED_SECONDS = 1e9
 
--- a/wingquay/claims/transfers.py
+++ b/wingquay/claims/transfers.py
@@ -10,13 +10,8 @@
 from wingquay.model.identifiers import ZoneName
 from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.machine import Action
-from wingquay.ports.peer import (
-    ClaimSeatOffer,
-    ClaimTable,
-    ClaimTableRequest,
-    NodeIdentity,
-    SendToPeer,
-)
+from wingquay.ports.peer import NodeIdentity, SendToPeer
+from wingquay.ports.peer_claims import ClaimSeatOffer, ClaimTable, ClaimTableRequest
 
 
 @dataclass(slots=True)
--- a/wingquay/claims/voter.py
+++ b/wingquay/claims/voter.py
@@ -3,7 +3,7 @@
 from wingquay.claims.keys import partition_of
 from wingquay.claims.memory import Submission
 from wingquay.claims.seat import Seat, SeatStatus, SeatTable
-from wingquay.ports.peer import ClaimOutcome, ClaimRequest, ClaimVote, VoteKind
+from wingquay.ports.peer_claims import ClaimOutcome, ClaimRequest, ClaimVote, VoteKind
 
 
 class Voter:
