--- a/tests/rehearsal/test_experiments.py
+++ b/tests/rehearsal/test_experiments.py
@@ -4,6 +4,7 @@
 import io
 import pathlib
 import tempfile
+from unittest import mock
 
 import testtools
 from testtools.matchers import Contains, FileExists
@@ -140,6 +141,17 @@
         page = (self.directory / "second" / "report.html").read_text(encoding="utf-8")
         self.assertThat(page, Contains("Paired by seed. 0 of "))
 
+    def test_an_interrupt_keeps_the_runs_that_ended(self):
+        def run_all(runs, workers, progress):
+            progress(1, RunResult.of(runs[0]))
+            raise KeyboardInterrupt
+
+        out = self.directory / "out"
+        with mock.patch("wingquay.commands.experiment.run_all", run_all):
+            self.assertRaises(KeyboardInterrupt, self.run_line, self.write(SMALL), "--out", out)
+        (kept,) = read_results(out).runs
+        self.assertEqual("naive", kept.policy)
+
     def test_wrong_flags_are_refused_before_anything_runs(self):
         file = self.write(SMALL)
         out = self.directory / "out"
--- a/wingquay/commands/experiment.py
+++ b/wingquay/commands/experiment.py
@@ -26,6 +26,7 @@
     """Run a matrix of simulations and write a report with tables and pictures.
 
     Writes report.html, its PNG pictures, results.csv and results.json.
+    An interrupt leaves results.json with the runs that ended before.
     Exit code 0: done. 1: a run broke off or violated an invariant.
 
     Parameters
@@ -57,15 +58,22 @@
         return _refuse(f"--out: {out!r} is not allowed; must be a directory: {error.strerror}")
 
     runs = experiment.runs()
+    finished: list[RunResult] = []
 
     def show_progress(done: int, result: RunResult) -> None:
+        finished.append(result)
         end = result.failure or f"{result.violations} violations"
         place = f"{result.scenario.label}, seed {result.seed}"
         seconds = f"{result.wall_seconds:.1f} s"
         print(f"[{done}/{len(runs)}] {place}: {end}, {seconds}", file=sys.stderr, flush=True)
 
-    results = ExperimentResults(title=experiment.title, runs=run_all(runs, workers, show_progress))
-    return _write(results, earlier, directory)
+    try:
+        ordered = run_all(runs, workers, show_progress)
+    except KeyboardInterrupt:
+        # What has been computed is not lost: it can be read, and compared against.
+        write_results(ExperimentResults(title=experiment.title, runs=finished), directory)
+        raise
+    return _write(ExperimentResults(title=experiment.title, runs=ordered), earlier, directory)
 
 
 def _write(results: ExperimentResults, earlier: ExperimentResults | None, directory: Path) -> int:
