Part the dispatcher: what arrives, what is open, what starts and retries

Cause: wingquay/admission/dispatcher.py had 385 lines; bookkeeping of open sub-requests and their results stood among the choice of replicas. Ruled out: splitting _pump and its starts from the ends of attempts; each ends by calling the other. Change: open_work.py keeps sub-requests from arrival to result, arrival.py holds what is decided on arrival, and the lane itself says how long its queue takes. No change of behaviour. Conclusion: the file that starts, hedges and retries now does only that.

--- /dev/null
+++ b/wingquay/admission/arrival.py
@@ -0,0 +1,39 @@
+"""What is decided about a sub-request when it arrives at its owner."""
+
+from wingquay.admission.dispatcher_events import WorkExpired
+from wingquay.admission.shard_lane import ShardLane
+from wingquay.admission.work import Work
+from wingquay.model.answer import SubFailureKind
+from wingquay.model.failure import Failure
+from wingquay.model.identifiers import ReplicaId
+from wingquay.model.request import SubRequest
+from wingquay.ports.machine import Action, Schedule
+from wingquay.routing.replica_tracker import ReplicaTracker
+
+
+def early_refusal(lane: ShardLane, work: Work, now: float) -> Failure[SubFailureKind] | None:
+    """Return why the deadline cannot be met, or ``None`` if it is expected to be."""
+    expected = lane.class_delay_seconds(work.sub_request, now) + work.cost_seconds
+    remaining = work.sub_request.remaining_seconds
+    if expected <= remaining:
+        return None
+    reason = f"expected to take {expected:.3f} s, {remaining:.3f} s are left"
+    return Failure(SubFailureKind.REFUSED, reason)
+
+
+def expiry(work: Work) -> list[Action]:
+    """Schedule the end of an unrepeatable sub-request, whose caller must learn what is known."""
+    if work.sub_request.repeatable:
+        return []
+    expired = WorkExpired(work.sub_request.sub_request_id)
+    return [Schedule(work.deadline_at, expired)]
+
+
+def replicas_to_avoid(
+    sub_request: SubRequest, usable: list[ReplicaTracker]
+) -> tuple[ReplicaId, ...]:
+    """Return the replicas that left keys out before, unless there are no others."""
+    avoided = sub_request.avoid
+    if not avoided or all(tracker.replica.replica_id in avoided for tracker in usable):
+        return ()
+    return avoided
--- a/wingquay/admission/dispatcher.py
+++ b/wingquay/admission/dispatcher.py
@@ -6,28 +6,28 @@
 
 from collections.abc import Callable
 
+from wingquay.admission.arrival import early_refusal, expiry, replicas_to_avoid
 from wingquay.admission.attempts import Attempts, Running
 from wingquay.admission.backend_failures import may_have_run, to_sub_failure
 from wingquay.admission.dispatcher_events import HedgeDue, WorkExpired
 from wingquay.admission.lane_table import LaneTable
+from wingquay.admission.open_work import OpenWork
 from wingquay.admission.requesters import Requesters
 from wingquay.admission.retrying import RetryPolicy
 from wingquay.admission.settings import AdmissionSettings
 from wingquay.admission.shard_lane import ShardLane
 from wingquay.admission.work import Work
-from wingquay.model.answer import SubAnswer, SubFailureKind, SubResult
+from wingquay.model.answer import SubAnswer, SubFailureKind
 from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId, ReplicaId
+from wingquay.model.identifiers import NodeId
 from wingquay.model.mechanisms import Mechanism
 from wingquay.model.request import SubRequest
 from wingquay.ports.backend import AttemptFinished, BackendAnswer, BackendFailureKind
-from wingquay.ports.machine import Action, Count, Schedule
+from wingquay.ports.machine import Action, Count
 from wingquay.ports.peer import (
     CancelSubRequests,
     NodeIdentity,
-    SendToPeer,
     SubRequestBatch,
-    SubResultBatch,
 )
 from wingquay.routing.replica_choice import ReplicaChoice
 from wingquay.routing.replica_tracker import ReplicaTracker
@@ -60,24 +60,27 @@
         self._lanes = lanes
         self._choice = choice
         self._disabled = disabled
-        self._work: dict[str, Work] = {}
         self._attempts = Attempts(node_id, settings, disabled)
+        self._open = OpenWork(lanes, self._attempts, disabled)
         self._retrying = RetryPolicy(settings, Mechanism.RETRY_BUDGET not in disabled)
         self.is_leaving = False
         """Whether this node is stopping: other nodes' new sub-requests are sent back at once."""
-        self.requesters = Requesters()
-        """The nodes that wait for results."""
 
     @property
     def in_flight(self) -> int:
         """Sub-requests that wait or run here."""
-        return len(self._work)
+        return len(self._open)
+
+    @property
+    def requesters(self) -> Requesters:
+        """The nodes that wait for results."""
+        return self._open.requesters
 
     def on_batch(self, batch: SubRequestBatch, sender: NodeIdentity, now: float) -> list[Action]:
         """Take in sub-requests from ``sender``."""
         actions: list[Action] = []
         for sub_request in batch.sub_requests:
-            if sub_request.sub_request_id not in self._work:
+            if sub_request.sub_request_id not in self._open:
                 actions += self._accept(sub_request, sender, now)
         return actions
 
@@ -85,10 +88,10 @@
         """Drop sub-requests that nobody waits for any more; no results follow."""
         actions: list[Action] = []
         for sub_request_id in message.sub_request_ids:
-            work = self._work.get(sub_request_id)
+            work = self._open.find(sub_request_id)
             if work is None:
                 continue
-            actions += self._end(work, now)
+            actions += self._open.end(work, now)
             actions += self._pump_shard(work.sub_request.shard_id, now)
         return actions
 
@@ -98,10 +101,10 @@
 
     def on_work_expired(self, event: WorkExpired, now: float) -> list[Action]:
         """Give the final result of an unrepeatable sub-request at its deadline."""
-        work = self._work.get(event.sub_request_id)
+        work = self._open.find(event.sub_request_id)
         if work is None:
             return []
-        actions = self._finish(work, _EXPIRED_RUNNING, now)
+        actions = self._open.finish(work, _EXPIRED_RUNNING, now)
         return actions + self._pump_shard(work.sub_request.shard_id, now)
 
     def on_replica_changed(self, replica_id: str, now: float) -> list[Action]:
@@ -112,53 +115,22 @@
     # Arrival -----------------------------------------------------------------------------
 
     def _accept(self, sub_request: SubRequest, sender: NodeIdentity, now: float) -> list[Action]:
-        work = Work(
-            sub_request=sub_request,
-            requester=sender,
-            accepted_at=now,
-            deadline_at=now + sub_request.remaining_seconds,
-            cost_seconds=self._attempts.expected_seconds(sub_request),
-        )
-        self._work[sub_request.sub_request_id] = work
-        self.requesters.on_accepted(sender, now)
+        work = self._open.add(sub_request, sender, now)
         if self.is_leaving and sender.node_id != self._node_id:
-            return self._finish(work, _OWNER_LEAVING, now)
+            return self._open.finish(work, _OWNER_LEAVING, now)
         lane = self._lanes.lane(sub_request.shard_id)
         if lane is None:
             reason = f"shard {sub_request.shard_id!r} is not in this node's configuration"
-            return self._finish(work, Failure(SubFailureKind.NOT_OWNED, reason), now)
+            return self._open.finish(work, Failure(SubFailureKind.NOT_OWNED, reason), now)
         usable = self._choice.usable(lane.tracker_list, now)
         if not usable:
-            return self._finish(work, _NO_REPLICA, now)
-        work.tried += _replicas_to_avoid(sub_request, usable)
-        refusal = self._refusal(lane, work, now)
+            return self._open.finish(work, _NO_REPLICA, now)
+        work.tried += replicas_to_avoid(sub_request, usable)
+        refuses_early = Mechanism.EARLY_REFUSAL not in self._disabled
+        refusal = early_refusal(lane, work, now) if refuses_early else None
         if refusal is not None:
-            return self._finish(work, refusal, now)
-        return self._expiry(work) + self._start_or_queue(lane, work, usable, now)
-
-    def _refusal(self, lane: ShardLane, work: Work, now: float) -> Failure[SubFailureKind] | None:
-        if Mechanism.EARLY_REFUSAL in self._disabled:
-            return None
-        expected = self._class_delay(lane, work, now) + work.cost_seconds
-        remaining = work.sub_request.remaining_seconds
-        if expected <= remaining:
-            return None
-        reason = f"expected to take {expected:.3f} s, {remaining:.3f} s are left"
-        return Failure(SubFailureKind.REFUSED, reason)
-
-    def _class_delay(self, lane: ShardLane, work: Work, now: float) -> float:
-        if not lane.queue:
-            return 0.0
-        sub_request = work.sub_request
-        return lane.queue.delay_seconds(
-            sub_request.class_name, sub_request.price, lane.parallelism(), now
-        )
-
-    def _expiry(self, work: Work) -> list[Action]:
-        if work.sub_request.repeatable:
-            return []
-        expired = WorkExpired(work.sub_request.sub_request_id)
-        return [Schedule(work.deadline_at, expired)]
+            return self._open.finish(work, refusal, now)
+        return expiry(work) + self._start_or_queue(lane, work, usable, now)
 
     def _start_or_queue(
         self, lane: ShardLane, work: Work, usable: list[ReplicaTracker], now: float
@@ -223,10 +195,10 @@
         if work is None:
             return None
         if self._is_expired(work, now):
-            return self._finish(work, work.last_failure or _EXPIRED_WAITING, now)
+            return self._open.finish(work, work.last_failure or _EXPIRED_WAITING, now)
         tracker = self._choice.choose(free, work.tried, work.sub_request.snapshot)
         if tracker is None:
-            return self._finish(work, _unservable(work), now)
+            return self._open.finish(work, _unservable(work), now)
         return self._start_first(work, lane, tracker, now)
 
     def _is_expired(self, work: Work, now: float) -> bool:
@@ -295,7 +267,7 @@
         if Mechanism.COVERAGE_ACCOUNTING in self._disabled:
             covered = work.sub_request.key_ranges
         result = SubAnswer(answer.snapshot, covered, answer.rows)
-        return self._finish(work, result, now)
+        return self._open.finish(work, result, now)
 
     def _on_failure(
         self, running: Running, failure: Failure[BackendFailureKind], now: float
@@ -310,7 +282,7 @@
             work.wants_hedge = False
             lane.queue.push_front(work)
             return [Count("wingquay_retries_total", labels=(("service", lane.service.name),))]
-        return self._finish(work, work.last_failure, now)
+        return self._open.finish(work, work.last_failure, now)
 
     def _may_retry(self, lane: ShardLane, work: Work, kind: BackendFailureKind, now: float) -> bool:
         if work.may_have_run and not self._attempts.may_repeat(work):
@@ -333,49 +305,7 @@
             work = lane.queue.pop(lambda _: True, now)
             if work is None:
                 return actions
-            actions += self._finish(work, work.last_failure or failure, now)
-
-    def _finish(
-        self, work: Work, result: SubAnswer | Failure[SubFailureKind], now: float
-    ) -> list[Action]:
-        has_run = isinstance(result, SubAnswer) or work.may_have_run or bool(work.running)
-        if Mechanism.RUN_TRACKING in self._disabled and not isinstance(result, SubAnswer):
-            has_run = False
-        actions = self._end(work, now)
-        lane = self._lanes.lane(work.sub_request.shard_id)
-        sub_result = SubResult(
-            sub_request_id=work.sub_request.sub_request_id,
-            shard_id=work.sub_request.shard_id,
-            result=result,
-            may_have_run=has_run,
-            attempts=work.attempts,
-            queue_seconds=work.queue_seconds(now),
-            service_seconds=work.service_seconds(now),
-            held=() if lane is None else lane.held(),
-            replica_id=work.last_replica,
-            class_delay_seconds=0.0 if lane is None else self._class_delay(lane, work, now),
-        )
-        return [*actions, SendToPeer(work.requester, SubResultBatch((sub_result,)))]
-
-    def _end(self, work: Work, now: float) -> list[Action]:
-        """Forget ``work`` and end its exchanges."""
-        work.is_finished = True
-        self._work.pop(work.sub_request.sub_request_id, None)
-        self.requesters.on_ended(work.requester, now)
-        if work.wants_hedge:
-            work.wants_hedge = False
-            self._attempts.hedging.give_back(work.sub_request.class_name)
-        return self._attempts.cancel_all(work, now)
-
-
-def _replicas_to_avoid(
-    sub_request: SubRequest, usable: list[ReplicaTracker]
-) -> tuple[ReplicaId, ...]:
-    """Return the replicas that left keys out before, unless there are no others."""
-    avoided = sub_request.avoid
-    if not avoided or all(tracker.replica.replica_id in avoided for tracker in usable):
-        return ()
-    return avoided
+            actions += self._open.finish(work, work.last_failure or failure, now)
 
 
 def _unservable(work: Work) -> Failure[SubFailureKind]:
--- /dev/null
+++ b/wingquay/admission/open_work.py
@@ -0,0 +1,91 @@
+"""The sub-requests that wait or run at their owner, and the results that end them."""
+
+from wingquay.admission.attempts import Attempts
+from wingquay.admission.lane_table import LaneTable
+from wingquay.admission.requesters import Requesters
+from wingquay.admission.work import Work
+from wingquay.model.answer import SubAnswer, SubFailureKind, SubResult
+from wingquay.model.failure import Failure
+from wingquay.model.mechanisms import Mechanism
+from wingquay.model.request import SubRequest
+from wingquay.ports.machine import Action
+from wingquay.ports.peer import NodeIdentity, SendToPeer, SubResultBatch
+
+
+class OpenWork:
+    """Keeps each sub-request from its arrival to its one result.
+
+    Parameters
+    ----------
+    lanes
+        The shards, whose state is reported with each result.
+    attempts
+        Ends the exchanges of a sub-request that ends.
+    """
+
+    def __init__(
+        self, lanes: LaneTable, attempts: Attempts, disabled: frozenset[Mechanism]
+    ) -> None:
+        self._lanes = lanes
+        self._attempts = attempts
+        self._disabled = disabled
+        self._work: dict[str, Work] = {}
+        self.requesters = Requesters()
+        """The nodes that wait for results."""
+
+    def __len__(self) -> int:
+        return len(self._work)
+
+    def __contains__(self, sub_request_id: str) -> bool:
+        return sub_request_id in self._work
+
+    def find(self, sub_request_id: str) -> Work | None:
+        """Return a sub-request that has no result yet, or ``None``."""
+        return self._work.get(sub_request_id)
+
+    def add(self, sub_request: SubRequest, sender: NodeIdentity, now: float) -> Work:
+        """Take in a sub-request that ``sender`` waits for."""
+        work = Work(
+            sub_request=sub_request,
+            requester=sender,
+            accepted_at=now,
+            deadline_at=now + sub_request.remaining_seconds,
+            cost_seconds=self._attempts.expected_seconds(sub_request),
+        )
+        self._work[sub_request.sub_request_id] = work
+        self.requesters.on_accepted(sender, now)
+        return work
+
+    def finish(
+        self, work: Work, result: SubAnswer | Failure[SubFailureKind], now: float
+    ) -> list[Action]:
+        """End ``work`` and send its result."""
+        has_run = isinstance(result, SubAnswer) or work.may_have_run or bool(work.running)
+        if Mechanism.RUN_TRACKING in self._disabled and not isinstance(result, SubAnswer):
+            has_run = False
+        actions = self.end(work, now)
+        sub_request = work.sub_request
+        lane = self._lanes.lane(sub_request.shard_id)
+        sub_result = SubResult(
+            sub_request_id=sub_request.sub_request_id,
+            shard_id=sub_request.shard_id,
+            result=result,
+            may_have_run=has_run,
+            attempts=work.attempts,
+            queue_seconds=work.queue_seconds(now),
+            service_seconds=work.service_seconds(now),
+            held=() if lane is None else lane.held(),
+            replica_id=work.last_replica,
+            class_delay_seconds=0.0 if lane is None else lane.class_delay_seconds(sub_request, now),
+        )
+        return [*actions, SendToPeer(work.requester, SubResultBatch((sub_result,)))]
+
+    def end(self, work: Work, now: float) -> list[Action]:
+        """Forget ``work`` and end its exchanges; no result is sent."""
+        work.is_finished = True
+        self._work.pop(work.sub_request.sub_request_id, None)
+        self.requesters.on_ended(work.requester, now)
+        if work.wants_hedge:
+            work.wants_hedge = False
+            self._attempts.hedging.give_back(work.sub_request.class_name)
+        return self._attempts.cancel_all(work, now)
--- a/wingquay/admission/shard_lane.py
+++ b/wingquay/admission/shard_lane.py
@@ -7,6 +7,7 @@
 from wingquay.admission.work import Work
 from wingquay.model.answer import HeldVersions
 from wingquay.model.configuration import Service, Shard
+from wingquay.model.request import SubRequest
 from wingquay.routing.replica_tracker import ReplicaTracker
 
 
@@ -33,6 +34,14 @@
         staying = [tracker for tracker in self.tracker_list if not tracker.leaving]
         return sum(tracker.replica.slots for tracker in staying)
 
+    def class_delay_seconds(self, sub_request: SubRequest, now: float) -> float:
+        """Return how long a new sub-request of this class is expected to wait for a slot."""
+        if not self.queue:
+            return 0.0
+        return self.queue.delay_seconds(
+            sub_request.class_name, sub_request.price, self.parallelism(), now
+        )
+
     def held(self) -> tuple[HeldVersions, ...]:
         """Return the versions that the staying replicas hold, as far as known."""
         return tuple(
