Remember that sub-requests given up on for a new plan may have run

Two of them were running; all of the new plan failed to connect, and the caller was told 'not run'. Ruled out: owners that report wrongly (their results were right, nobody waited for them). Change: giving up on open sub-requests marks the request as one that may have run.

--- a/wingquay/query/query_table.py
+++ b/wingquay/query/query_table.py
@@ -75,7 +75,11 @@
         return self.drop_pieces(state)
 
     def drop_pieces(self, state: QueryState) -> list[Action]:
-        """Give up on every open sub-request of a request and tell its owner."""
+        """Give up on every open sub-request of a request and tell its owner.
+
+        Their results will not be heard any more, so that each of them may have run.
+        """
+        state.may_have_run = state.may_have_run or bool(state.outstanding)
         by_owner: dict[str, tuple[NodeIdentity, list[SubRequestId]]] = {}
         for sub_request_id, piece in state.outstanding.items():
             self._state_of.pop(sub_request_id, None)
