Let the oracle find out whether a revision can be learnt at all

There was no path; the aim is 'wherever a path exists'. Change: a revision's seconds count from when the store or a node that is neither paused nor cut off can tell of it, looked at every half second, not only when the store goes. Conclusion: the check follows the truth about paths on both sides.

--- a/wingquay/rehearsal/simulation.py
+++ b/wingquay/rehearsal/simulation.py
@@ -195,6 +195,7 @@
 
     def _check_configurations(self) -> None:
         now = self.clock.now
+        self.oracle.configuration.look_for_paths(now)
         for node in list(self.nodes.running.values()):
             if node.identity.node_id not in self._stopping:
                 self.oracle.configuration.check_node(node.identity.node_id, node.started_at, now)
