--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 PYTEST_ARGS ?=
 DEMO_ARGS ?=
 BENCH_ARGS ?=
+REHEARSE_ARGS ?=
 
 # The stamp carries the lock's digest, so a changed lock installs again and a touched one does not.
 LOCK_DIGEST := $(shell sha256sum requirements.lock | cut -c1-16)
@@ -17,7 +18,7 @@
 # The tree at hand goes before the installed package, also when .venv is shared by a symbolic link.
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: help venv demo test check format bench proto lock clean
+.PHONY: help venv demo test check format bench rehearse proto lock clean
 
 help:  ## list the targets
 	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
@@ -53,6 +54,9 @@
 bench: venv  ## run the benchmarks (BENCH_ARGS for more arguments)
 	$(RUN) benchmarks $(BENCH_ARGS)
 
+rehearse: venv  ## rehearse failures with real processes (REHEARSE_ARGS for more arguments)
+	$(VENV)/bin/python scripts/rehearse_processes.py $(REHEARSE_ARGS)
+
 proto: venv  ## generate code from the .proto files, beside them
 	$(RUN) grpc_tools.protoc --proto_path=. --python_out=. --pyi_out=. $(PROTO_SOURCES)
 # The generator leaves Mapping without its types, which mypy --strict refuses.
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -45,10 +45,12 @@
 
     def wait_for(self, process: "subprocess.Popen[str]", event: str) -> str:
         assert process.stderr is not None
+        lines: list[str] = []
         for line in process.stderr:
             if f"event={event}" in line:
                 return line
-        raise AssertionError(f"the process ended without {event}")
+            lines.append(line)
+        raise AssertionError(f"the process ended without {event}: {lines}")
 
     def test_first_signal_begins_the_planned_stop(self) -> None:
         process = self.start()
@@ -59,7 +61,10 @@
         self.assertEqual(0, process.wait(TIME_LIMIT_SECONDS))
 
     def test_second_signal_ends_the_stop_and_says_so(self) -> None:
-        process = self.start(("# least_seconds = 1.0", "least_seconds = 600.0"))
+        process = self.start(
+            ("# least_seconds = 1.0", "least_seconds = 600.0"),
+            ("# most_seconds = 30.0", "most_seconds = 600.0"),
+        )
         self.wait_for(process, "node_started")
         process.send_signal(signal.SIGTERM)
         self.wait_for(process, "planned_stop_started")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -75,6 +75,17 @@
     def test_own_address_may_be_a_seed(self) -> None:
         self.assertIsInstance(changed(("# seeds = []", 'seeds = ["10.0.0.1:7402"]')), Settings)
 
+    def test_settings_that_contradict_each_other(self) -> None:
+        self.assert_lines(
+            changed(
+                ("# owner_heartbeat_seconds = 0.02", "owner_heartbeat_seconds = 0.05"),
+                ("# most_seconds = 30.0", "most_seconds = 0.8"),
+            ),
+            "query.owner_silence_seconds: 0.1 is not allowed; must be at least 3 times "
+            "admission.owner_heartbeat_seconds (0.05)",
+            "stop.most_seconds: 0.8 is not allowed; must be at least stop.least_seconds (1)",
+        )
+
     def test_secret_is_never_shown(self) -> None:
         read = changed(("replace-this-with-32-or-more-random-characters", "hush-hush"))
         self.assert_lines(read, "peers.cluster_key: the value given is not allowed")
--- a/wingquay/adapters/settings_check.py
+++ b/wingquay/adapters/settings_check.py
@@ -10,6 +10,7 @@
 from pydantic import ValidationError
 
 from wingquay.adapters.settings import Endpoint, Settings, parse_endpoint
+from wingquay.adapters.settings_contradictions import contradictions
 from wingquay.adapters.settings_fields import (
     FieldDescription,
     describe_all,
@@ -63,6 +64,8 @@
     except TypeError as error:
         lines.append(f"settings hold a value that is not allowed: {error}")
     lines += _repeated_addresses(data)
+    wrong_paths = frozenset(line.partition(":")[0] for line in lines)
+    lines += contradictions(data, wrong_paths)
     if settings is None or lines:
         return SettingsErrors(tuple(lines))
     return settings
