Hedge no sooner than after twice the median service time

Cause: without any straggler 2.5% of the sub-requests were hedged all the same (the floor in docs/MEASUREMENTS.md), spending the budget that true stragglers need: at 2% stragglers the budget was empty at times. Change: the hedge delay is the greater of the 97.5% quantile and twice the median. Ruled out: greater factors, which answer outage-pings later.

--- a/tests/query/test_class_order.py
+++ b/tests/query/test_class_order.py
@@ -87,8 +87,9 @@
 
 
 class HedgePolicyTest(TestCase):
-    def policy(self, budgeted: bool = True) -> HedgePolicy:
-        policy = HedgePolicy(AdmissionSettings(), enabled=True, budgeted=budgeted)
+    def policy(self, least_factor: float = 1.0) -> HedgePolicy:
+        settings = AdmissionSettings(hedge_least_factor=least_factor)
+        policy = HedgePolicy(settings, enabled=True, budgeted=True)
         source = random.Random(1)
         for _ in range(400):
             policy.on_service_time("k", source.uniform(0.004, 0.006), 0.0)
@@ -100,6 +101,11 @@
         assert delay is not None
         self.assertTrue(0.0055 <= delay <= 0.0062, delay)
 
+    def test_nothing_is_hedged_that_is_merely_slower_than_the_median(self) -> None:
+        delay = self.policy(least_factor=3.0).delay_seconds("k", 0, 1.0)
+        assert delay is not None
+        self.assertTrue(0.0145 <= delay <= 0.0155, delay)
+
     def test_a_kind_without_samples_is_hedged_by_its_expected_time(self) -> None:
         delay = self.policy().delay_seconds("new", 0, 0.01)
         self.assertEqual(0.01 * AdmissionSettings().hedge_initial_factor, delay)
--- a/wingquay/adapters/settings_tuning.py
+++ b/wingquay/adapters/settings_tuning.py
@@ -43,6 +43,7 @@
     "admission.hedge_quantile": (0.5, 0.9999),
     "admission.hedge_budget_burst": (1, 1000),
     "admission.hedge_initial_factor": (1, 100),
+    "admission.hedge_least_factor": (1, 100),
     "admission.most_hedges": (0, 5),
     "admission.retry_budget_burst": (1, 1000),
     "admission.most_retries": (0, 10),
--- a/wingquay/admission/hedging.py
+++ b/wingquay/admission/hedging.py
@@ -9,6 +9,8 @@
 from wingquay.admission.settings import AdmissionSettings
 from wingquay.routing.latency_tracker import LatencyTracker
 
+MEDIAN = 0.5
+
 
 class HedgePolicy:
     """Hedge delays by kind of request and hedge budgets by class."""
@@ -43,14 +45,18 @@
         if not self._enabled or hedges_so_far >= self._settings.most_hedges:
             return None
         tracker = self._trackers.get(kind_key)
-        delay = None
-        if tracker is not None:
-            delay = tracker.quantile_seconds(
-                self._settings.hedge_quantile, self._settings.hedge_fewest_samples
-            )
-        if delay is None:
+        measured = None if tracker is None else self._measured_delay(tracker)
+        if measured is None:
             return expected_seconds * self._settings.hedge_initial_factor
-        return delay
+        return measured
+
+    def _measured_delay(self, tracker: LatencyTracker) -> float | None:
+        fewest = self._settings.hedge_fewest_samples
+        slow = tracker.quantile_seconds(self._settings.hedge_quantile, fewest)
+        median = tracker.quantile_seconds(MEDIAN, fewest)
+        if slow is None or median is None:
+            return None
+        return max(slow, median * self._settings.hedge_least_factor)
 
     def may_hedge(self, class_name: str) -> bool:
         """Take one hedge from the class's budget; ``False`` if it is spent."""
--- a/wingquay/admission/settings.py
+++ b/wingquay/admission/settings.py
@@ -12,6 +12,10 @@
     hedge_quantile
         Quantile of recent service times after which a second replica is asked, 0.5 to 0.9999.
         Default 0.975.
+    hedge_least_factor
+        A hedge leaves no sooner than after this many times the median service time, 1 to 100:
+        it is meant for the far slower, and the budget is not spent on the merely slow. Default
+        2.
     hedge_budget_ratio
         Hedges allowed for each first attempt of a class, 0 to 1. Default 0.03.
     hedge_budget_burst
@@ -39,6 +43,7 @@
     """
 
     hedge_quantile: float = 0.975
+    hedge_least_factor: float = 2.0
     hedge_budget_ratio: float = 0.03
     hedge_budget_burst: float = 10.0
     hedge_fewest_samples: int = 50
