Name the sender of membership messages for what it does

Cause: Courier is a metaphor, and courier.py also held the unrelated collection of actions. A comment of query/plan.py used a word of one user's service. Ruled out: the name "sender" for the field; in membership it already means the node that a message came from. Change: message_sender.py with MessageSender, outbox.py with Outbox; no change of behaviour. Conclusion: names say the job, and each module has one.

--- a/wingquay/membership/membership_machine.py
+++ b/wingquay/membership/membership_machine.py
@@ -10,11 +10,12 @@
 from typing import ClassVar
 
 from wingquay.membership.contacts import Contacts
-from wingquay.membership.courier import Courier, Outbox
 from wingquay.membership.gossip_queue import GossipQueue
 from wingquay.membership.member_table import MemberTable
+from wingquay.membership.message_sender import MessageSender
 from wingquay.membership.node_beliefs import NodeBeliefs
 from wingquay.membership.node_lists import NodeLists
+from wingquay.membership.outbox import Outbox
 from wingquay.membership.prober import Prober
 from wingquay.membership.probing import ProbeOrder
 from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
@@ -110,7 +111,9 @@
         self._contacts = Contacts(own_address, seeds, self._table, random_source)
         order = ProbeOrder(self._table, random_source)
         self._order = order
-        self._courier = Courier(settings, self._table, self._queue, self._outbox, random_source)
+        self._messages = MessageSender(
+            settings, self._table, self._queue, self._outbox, random_source
+        )
         self._beliefs = NodeBeliefs(
             identity, settings, self._table, self._queue, order, self._outbox, random_source
         )
@@ -120,13 +123,13 @@
             self._table,
             order,
             self._beliefs,
-            self._courier,
+            self._messages,
             random_source,
         )
         self._lists = NodeLists(
-            settings, self._table, self._beliefs, self._replicas, self._courier, random_source
+            settings, self._table, self._beliefs, self._replicas, self._messages, random_source
         )
-        self._revisions = RevisionSpreader(settings, self._courier, self._outbox)
+        self._revisions = RevisionSpreader(settings, self._messages, self._outbox)
         self._last_event_at: float | None = None
         self._next_contact_at = float("-inf")
         self._next_machine_list_at = float("-inf")
@@ -156,7 +159,7 @@
                 self._on_machine_list(event, now)
             case LeavingStarted():
                 self._beliefs.leave()
-                self._courier.push(LEAVING_FANOUT)
+                self._messages.push(LEAVING_FANOUT)
                 self._tell_changes()
             case ConfigurationInForce():
                 self._take_news(self._replicas.configure(event.configuration))
@@ -191,7 +194,7 @@
         self._tell_subjects()
         is_revision_due = self._revisions.take_push_round()
         if self._queue.has_urgent or is_revision_due:
-            self._courier.push(self._settings.gossip_fanout)
+            self._messages.push(self._settings.gossip_fanout)
         self._lists.tick(now)
         self._try_contacts(now)
         self._read_machine_list(now)
@@ -258,7 +261,7 @@
 
     def _tell_subjects(self) -> None:
         for node_id in list(self._beliefs.to_tell)[:TELLS_PER_TICK]:
-            self._courier.tell(self._beliefs.to_tell.pop(node_id))
+            self._messages.tell(self._beliefs.to_tell.pop(node_id))
 
     def _try_contacts(self, now: float) -> None:
         if now < self._next_contact_at:
@@ -268,7 +271,7 @@
         pause = self._settings.join_seconds if is_alone else self._settings.contact_seconds
         self._next_contact_at = now + pause * self._jitter()
         for identity in self._contacts.choose(count):
-            self._courier.ping(identity, self._prober.next_sequence())
+            self._messages.ping(identity, self._prober.next_sequence())
 
     def _read_machine_list(self, now: float) -> None:
         if now < self._next_machine_list_at:
--- a/wingquay/membership/courier.py
+++ b/wingquay/membership/message_sender.py
@@ -4,9 +4,9 @@
 
 from wingquay.membership.gossip_queue import GossipQueue, estimated_bytes
 from wingquay.membership.member_table import MemberTable
+from wingquay.membership.outbox import Outbox
 from wingquay.membership.settings import MembershipSettings
 from wingquay.model.identifiers import NodeId, Revision
-from wingquay.ports.machine import Action, Count, Log, LogLevel
 from wingquay.ports.peer import (
     Acknowledgement,
     Gossip,
@@ -24,31 +24,7 @@
 """Sequence number of a ping that only carries gossip."""
 
 
-class Outbox:
-    """Collects the actions of one event, in order."""
-
-    def __init__(self) -> None:
-        self._actions: list[Action] = []
-
-    def add(self, action: Action) -> None:
-        """Take an action."""
-        self._actions.append(action)
-
-    def log(self, message: str, *fields: tuple[str, str | int | float]) -> None:
-        """Take a log line."""
-        self._actions.append(Log(message, LogLevel.INFO, fields))
-
-    def count(self, name: str) -> None:
-        """Add one to a counter."""
-        self._actions.append(Count(name))
-
-    def drain(self) -> list[Action]:
-        """Return what was taken since the last time."""
-        actions, self._actions = self._actions, []
-        return actions
-
-
-class Courier:
+class MessageSender:
     """Sends membership messages.
 
     Attributes
--- a/wingquay/membership/node_beliefs.py
+++ b/wingquay/membership/node_beliefs.py
@@ -3,10 +3,10 @@
 import random
 from enum import Enum
 
-from wingquay.membership.courier import Outbox
 from wingquay.membership.gossip_queue import GossipQueue
 from wingquay.membership.local_health import LocalHealth
 from wingquay.membership.member_table import Member, MemberTable, overrides
+from wingquay.membership.outbox import Outbox
 from wingquay.membership.probing import ProbeOrder
 from wingquay.membership.settings import MembershipSettings
 from wingquay.membership.suspicion import Suspicion, new_suspicion
--- a/wingquay/membership/node_lists.py
+++ b/wingquay/membership/node_lists.py
@@ -6,8 +6,8 @@
 
 import random
 
-from wingquay.membership.courier import Courier
 from wingquay.membership.member_table import MemberTable
+from wingquay.membership.message_sender import MessageSender
 from wingquay.membership.node_beliefs import Haste, NodeBeliefs
 from wingquay.membership.replica_table import ReplicaTable
 from wingquay.membership.settings import MembershipSettings
@@ -31,14 +31,14 @@
         table: MemberTable,
         beliefs: NodeBeliefs,
         replicas: ReplicaTable,
-        courier: Courier,
+        messages: MessageSender,
         random_source: random.Random,
     ) -> None:
         self._settings = settings
         self._table = table
         self._beliefs = beliefs
         self._replicas = replicas
-        self._courier = courier
+        self._messages = messages
         self._random = random_source
         self._has_joined = False
         self._requested_at = float("-inf")
@@ -81,7 +81,7 @@
         members = tuple(member.as_update() for member in self._table.all())
         updates = (self._beliefs.own_update(), *members)
         warnings = tuple(self._replicas.warnings())
-        self._courier.send(sender, NodeList(Gossip(self._courier.revision, updates, warnings)))
+        self._messages.send(sender, NodeList(Gossip(self._messages.revision, updates, warnings)))
 
     def take(self, gossip: Gossip, now: float) -> None:
         """Take in a list."""
@@ -102,7 +102,7 @@
             return False
         self._requested_at = now
         self._is_list_due_soon = False
-        self._courier.send(node, NodeListRequest())
+        self._messages.send(node, NodeListRequest())
         return True
 
     def _schedule(self, now: float) -> None:
--- a/wingquay/membership/prober.py
+++ b/wingquay/membership/prober.py
@@ -3,8 +3,8 @@
 import random
 from dataclasses import dataclass
 
-from wingquay.membership.courier import NO_ANSWER_WANTED, Courier
 from wingquay.membership.member_table import MemberTable
+from wingquay.membership.message_sender import NO_ANSWER_WANTED, MessageSender
 from wingquay.membership.node_beliefs import NodeBeliefs
 from wingquay.membership.probing import Probe, ProbeOrder, ProbeStep, new_probe
 from wingquay.membership.settings import MembershipSettings
@@ -43,7 +43,7 @@
         table: MemberTable,
         order: ProbeOrder,
         beliefs: NodeBeliefs,
-        courier: Courier,
+        messages: MessageSender,
         random_source: random.Random,
     ) -> None:
         self._own_id = own_id
@@ -51,7 +51,7 @@
         self._table = table
         self._order = order
         self._beliefs = beliefs
-        self._courier = courier
+        self._messages = messages
         self._random = random_source
         self._sequence = random_source.getrandbits(FIRST_SEQUENCE_BITS)
         self._probe: Probe | None = None
@@ -83,19 +83,19 @@
             return
         sequence = self.next_sequence()
         self._probe = new_probe(target.identity, sequence, self._settings, multiplier, now)
-        self._courier.ping(target.identity, sequence)
+        self._messages.ping(target.identity, sequence)
 
     def _continue(self, probe: Probe, now: float) -> None:
         match probe.next_step(now):
             case ProbeStep.SEND_AGAIN:
-                self._courier.ping(probe.target, probe.sequence)
+                self._messages.ping(probe.target, probe.sequence)
             case ProbeStep.ASK_OTHERS:
                 self._ask_others(probe)
             case ProbeStep.GIVE_UP:
                 self._give_up(probe, now)
 
     def _ask_others(self, probe: Probe) -> None:
-        self._courier.ping(probe.target, probe.sequence)
+        self._messages.ping(probe.target, probe.sequence)
         others = [
             member.identity
             for member in self._table.reachable()
@@ -103,7 +103,7 @@
         ]
         relays = self._random.sample(others, min(self._settings.indirect_probes, len(others)))
         for relay in relays:
-            self._courier.request_probe(relay, probe.sequence, probe.target)
+            self._messages.request_probe(relay, probe.sequence, probe.target)
 
     def _give_up(self, probe: Probe, now: float) -> None:
         self._probe = None
@@ -115,7 +115,7 @@
     def on_ping(self, sender: NodeIdentity, message: Ping) -> None:
         """Answer a probe."""
         if message.sequence != NO_ANSWER_WANTED:
-            self._courier.acknowledge(sender, message.sequence, self._own_id)
+            self._messages.acknowledge(sender, message.sequence, self._own_id)
 
     def on_acknowledgement(
         self, sender: NodeIdentity, message: Acknowledgement, now: float
@@ -125,7 +125,7 @@
         if relayed is not None:
             if message.subject == relayed.subject:
                 requester, sequence = relayed.requester, relayed.requester_sequence
-                self._courier.acknowledge(requester, sequence, relayed.subject)
+                self._messages.acknowledge(requester, sequence, relayed.subject)
             return
         probe = self._probe
         if probe is None or message.sequence != probe.sequence:
@@ -143,7 +143,7 @@
     def on_ping_request(self, sender: NodeIdentity, message: PingRequest, now: float) -> None:
         """Probe on behalf of ``sender``."""
         if message.subject.node_id == self._own_id:
-            self._courier.acknowledge(sender, message.sequence, self._own_id)
+            self._messages.acknowledge(sender, message.sequence, self._own_id)
             return
         if len(self._relayed) >= MAXIMUM_RELAYED_PROBES:
             return
@@ -151,7 +151,7 @@
         refuse_at = now + self._settings.probe_resend_seconds
         subject = message.subject.node_id
         self._relayed[sequence] = _RelayedProbe(sender, message.sequence, subject, refuse_at)
-        self._courier.ping(message.subject, sequence)
+        self._messages.ping(message.subject, sequence)
 
     def _refuse_relayed(self, now: float) -> None:
         """Tell those who asked that there was no answer; it shows them that they are heard."""
@@ -159,4 +159,4 @@
             if now >= relayed.refuse_at:
                 del self._relayed[sequence]
                 requester, requester_sequence = relayed.requester, relayed.requester_sequence
-                self._courier.acknowledge(requester, requester_sequence, self._own_id)
+                self._messages.acknowledge(requester, requester_sequence, self._own_id)
--- a/wingquay/membership/revision_spreader.py
+++ b/wingquay/membership/revision_spreader.py
@@ -1,6 +1,7 @@
 """Lets nodes hear soon that there is a newer configuration."""
 
-from wingquay.membership.courier import NO_ANSWER_WANTED, Courier, Outbox
+from wingquay.membership.message_sender import NO_ANSWER_WANTED, MessageSender
+from wingquay.membership.outbox import Outbox
 from wingquay.membership.settings import MembershipSettings
 from wingquay.model.identifiers import Revision
 from wingquay.ports.internal import NewerRevisionHeard, Notify
@@ -10,9 +11,11 @@
 class RevisionSpreader:
     """Pushes the revision in force here, and notices greater ones."""
 
-    def __init__(self, settings: MembershipSettings, courier: Courier, outbox: Outbox) -> None:
+    def __init__(
+        self, settings: MembershipSettings, messages: MessageSender, outbox: Outbox
+    ) -> None:
         self._settings = settings
-        self._courier = courier
+        self._messages = messages
         self._outbox = outbox
         self._rounds_left = 0
         self._last_heard = Revision(0)
@@ -20,10 +23,10 @@
 
     def in_force(self, revision: Revision, push_rounds: int) -> None:
         """Tell ``revision`` from now on, and push it for a number of ticks."""
-        if revision > self._courier.revision:
-            self._courier.revision = revision
+        if revision > self._messages.revision:
+            self._messages.revision = revision
             self._rounds_left = push_rounds
-            self._courier.push(self._settings.gossip_fanout)
+            self._messages.push(self._settings.gossip_fanout)
 
     def take_push_round(self) -> bool:
         """Return whether the revision is to be pushed in this tick."""
@@ -34,7 +37,7 @@
 
     def hear(self, sender: NodeIdentity, revision: Revision, now: float) -> None:
         """Notify the node of a greater revision, once a tick while it is not in force."""
-        if revision <= self._courier.revision:
+        if revision <= self._messages.revision:
             return
         if revision <= self._last_heard and now < self._quiet_until:
             return
@@ -44,6 +47,6 @@
 
     def answer_outdated(self, sender: NodeIdentity, message: Ping) -> None:
         """Tell a node that pushed an older revision; a probe's answer tells it anyway."""
-        is_outdated = message.gossip.configuration_revision < self._courier.revision
+        is_outdated = message.gossip.configuration_revision < self._messages.revision
         if is_outdated and message.sequence == NO_ANSWER_WANTED:
-            self._courier.ping(sender, NO_ANSWER_WANTED)
+            self._messages.ping(sender, NO_ANSWER_WANTED)
--- a/wingquay/query/plan.py
+++ b/wingquay/query/plan.py
@@ -7,7 +7,7 @@
 from wingquay.model.key_range import KeyRange, intersect, normalize, subtract
 
 REMEMBERED_PLANS = 1024
-"""Plans kept for a service: sweeps ask for the same ranges again and again."""
+"""Plans kept for a service: many requests ask for the same ranges."""
 
 
 @dataclass(frozen=True, slots=True)
