Drop the mark of a hedge that nothing read

Cause: RunningAttempt.is_hedge was set at every attempt and read nowhere. Ruled out: reporting it with results; hedges are counted when they start. Change: the field and the parameter that filled it are gone. Conclusion: what a replica is asked does not depend on why it is asked, and the code shows it.

--- a/wingquay/admission/attempts.py
+++ b/wingquay/admission/attempts.py
@@ -69,13 +69,13 @@
         return Mechanism.UNREPEATABLE_GUARD in self._disabled
 
     def start(
-        self, work: Work, lane: ShardLane, tracker: ReplicaTracker, is_hedge: bool, now: float
+        self, work: Work, lane: ShardLane, tracker: ReplicaTracker, now: float
     ) -> list[Action]:
         """Send a sub-request to a replica."""
         self._counter += 1
         attempt_id = AttemptId(f"{self._node_id}.{self._counter}")
         replica = tracker.replica
-        attempt = RunningAttempt(attempt_id, replica.replica_id, now, is_hedge)
+        attempt = RunningAttempt(attempt_id, replica.replica_id, now)
         tracker.in_flight += 1
         work.on_started(attempt)
         self._running[attempt_id] = Running(work, lane, tracker, attempt)
--- a/wingquay/admission/dispatcher.py
+++ b/wingquay/admission/dispatcher.py
@@ -181,7 +181,7 @@
         work.wants_hedge = False
         work.hedges += 1
         labels = (("class", work.sub_request.class_name),)
-        started = self._attempts.start(work, lane, tracker, True, now)
+        started = self._attempts.start(work, lane, tracker, now)
         return [Count("wingquay_hedges_total", labels=labels), *started]
 
     def _start_waiting(
@@ -225,7 +225,7 @@
         if work.first_started_at is None:
             self._attempts.hedging.on_first_attempt(work.sub_request.class_name)
             self._retrying.on_first_attempt(work.sub_request.service)
-        return self._attempts.start(work, lane, tracker, False, now)
+        return self._attempts.start(work, lane, tracker, now)
 
     def on_hedge_due(self, event: HedgeDue, now: float) -> list[Action]:
         """Let a slow sub-request stand in line for a second replica."""
--- a/wingquay/admission/work.py
+++ b/wingquay/admission/work.py
@@ -16,7 +16,6 @@
     attempt_id: AttemptId
     replica_id: ReplicaId
     started_at: float
-    is_hedge: bool
 
 
 @dataclass(slots=True)
