--- a/tests/configuration/fleet.py
+++ b/tests/configuration/fleet.py
@@ -13,7 +13,8 @@
     PlanResult,
     ProposePlan,
 )
-from wingquay.rehearsal.configuration_cluster import ConfigurationCluster, HollowNode
+from wingquay.rehearsal.configuration_cluster import ConfigurationCluster
+from wingquay.rehearsal.hollow_node import HollowNode
 from wingquay.rehearsal.models.store_model import StoreSettings
 
 SIZES = {"cluj-a": 3, "cluj-b": 3}
--- a/tests/configuration/test_configuration_stateful.py
+++ b/tests/configuration/test_configuration_stateful.py
@@ -36,7 +36,8 @@
     PlanResult,
     ProposePlan,
 )
-from wingquay.rehearsal.configuration_cluster import ConfigurationCluster, HollowNode
+from wingquay.rehearsal.configuration_cluster import ConfigurationCluster
+from wingquay.rehearsal.hollow_node import HollowNode
 from wingquay.rehearsal.models.store_model import StoreSettings
 from wingquay.rehearsal.models.store_operations import prefix_span
 
--- a/tests/configuration/test_in_force_everywhere.py
+++ b/tests/configuration/test_in_force_everywhere.py
@@ -15,7 +15,8 @@
 from wingquay.model.identifiers import Revision, ZoneName
 from wingquay.ports.operator import ConfirmPlan
 from wingquay.ports.peer import ConfigurationBody, PeerReceived
-from wingquay.rehearsal.configuration_cluster import ConfigurationCluster, HollowNode
+from wingquay.rehearsal.configuration_cluster import ConfigurationCluster
+from wingquay.rehearsal.hollow_node import HollowNode
 from wingquay.rehearsal.models.store_model import StoreSettings
 from wingquay.rehearsal.models.store_operations import prefix_span
 
@@ -215,6 +216,19 @@
         cluster.run(60.0)
         self.assertEqual(leases, cluster.counts["store_GrantLease"])
 
+    def test_watches_that_break_again_and_again_are_not_hurried(self) -> None:
+        cluster = founded(25, {"cluj-a": 2})
+        cluster.forget_store_requests()
+
+        def break_again() -> None:
+            cluster.store.break_watches("the store limits the rate", cluster.now)
+            cluster.call_later(0.05, break_again)
+
+        break_again()
+        cluster.run(60.0)
+        # Two watchers: 40 renewals and 12 looks, and some 20 watches with a read each.
+        self.assertLess(cluster.store_request_count(), 150)
+
     def test_a_seat_whose_holder_died_is_taken_again(self) -> None:
         cluster = founded(21, {"cluj-a": 8})
         for node in watchers(cluster, "cluj-a"):
--- a/wingquay/configuration/watcher.py
+++ b/wingquay/configuration/watcher.py
@@ -46,6 +46,9 @@
 SEAT_CHECK_SECONDS = 2.5
 """Mean pause between looks at a zone's seats, by all nodes of the zone together."""
 
+LASTING_WATCH_SECONDS = 10.0
+"""A watch that lasted so long shows that the store is well again."""
+
 POLL_SECONDS = 10.0
 """Mean pause between reads that notice what the watch skipped."""
 
@@ -60,7 +63,10 @@
     """The store's revision of the write that took the seat."""
     valid_until: float
     watch_id: str
+    backoff: FullJitterBackoff
+    """Between the watches of the tenure, so that one that breaks at once is not hurried."""
     watching: bool = False
+    watching_since: float = 0.0
 
 
 class Watcher:
@@ -116,6 +122,8 @@
         if tenure is None or event.watch_id != tenure.watch_id:
             return []
         tenure.watching = False
+        if now - tenure.watching_since > LASTING_WATCH_SECONDS:
+            tenure.backoff.succeeded()
         return self._runner.start(self._watch(tenure, restarted=True), now)
 
     def _holds(self, tenure: _Tenure, now: float) -> bool:
@@ -184,6 +192,7 @@
             fence=swap.store_revision,
             valid_until=asked_at + LEASE_SECONDS,
             watch_id=f"configuration-watch-{lease.lease_id}-0",
+            backoff=FullJitterBackoff(self._view.random),
         )
         self._tenure = tenure
         fields = (("seat", seat), ("fence", tenure.fence))
@@ -209,9 +218,8 @@
 
     def _watch(self, tenure: _Tenure, restarted: bool = False) -> Script[list[Action]]:
         """Read, then watch from just after what was read."""
-        backoff = FullJitterBackoff(self._view.random)
         if restarted:
-            yield from pause(backoff.delay_seconds())
+            yield from pause(tenure.backoff.delay_seconds())
         while True:
             now = yield from perform()
             if not self._holds(tenure, now):
@@ -222,12 +230,13 @@
                 return self._end(tenure, "lease lapsed")
             if isinstance(found, StoredDocument):
                 break
-            yield from pause(backoff.delay_seconds())
+            yield from pause(tenure.backoff.delay_seconds())
         if tenure.watching:
             return []
         stem, _, count = tenure.watch_id.rpartition("-")
         tenure.watch_id = f"{stem}-{int(count) + 1}"
         tenure.watching = True
+        tenure.watching_since = now
         watch = StartWatch(tenure.watch_id, CURRENT_KEY, found.store_revision + 1)
         return [*self._take(found, now), watch]
 
