Measure the control plane with hollow nodes: wingquay capacity

Cause: the aims for control (in force within 4 s, 12 KB/s, 3.1% of a core and 256 MB a node at 470 nodes and 2,800 replicas) had no measure of a whole node. Ruled out: the benchmarks of single machines, which leave out what machines cost together; the simulator of deployments, which has no codec and no regions. Change: hollow nodes in one process on a virtual clock, each a whole NodeMachine, with the real peer codec, authentication, handshake, health page and store coding; crashes, a zone cut and the return of all nodes as options. A node machine takes listeners, so that a rehearsal hears of the membership.

--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -50,6 +50,8 @@
         Who this node is.
     seeds
         Addresses of peers that are asked at the start.
+    listeners
+        Further machines that take events, after all others.
     random_source
         Seeds each machine's own source, so that one machine's draws do not shift another's.
     """
@@ -60,6 +62,7 @@
         settings: NodeMachineSettings,
         random_source: random.Random,
         seeds: Iterable[SeedAddress] = (),
+        listeners: Iterable[RoutedMachine] = (),
     ) -> None:
         self._identity = identity
         self._settings = settings
@@ -92,6 +95,7 @@
             self._stop,
             LoadMachine(self._coordinator, self._owner),
             CallerAccess(),
+            *listeners,
         ]
         self._by_event: dict[type[Event], list[RoutedMachine]] = {}
         self._by_message: dict[type[PeerMessage], list[RoutedMachine]] = {}
--- /dev/null
+++ b/wingquay/rehearsal/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""The control plane at a given size: hollow nodes that share one process, on a virtual clock."""
--- a/wingquay/rehearsal/peer_links.py
+++ b/wingquay/rehearsal/peer_links.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 from wingquay.model.identifiers import NodeId
+from wingquay.ports.machine import Event
 from wingquay.ports.peer import (
     MembershipMessage,
     NodeIdentity,
@@ -13,13 +15,24 @@
 )
 from wingquay.rehearsal.network import Network
 from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.simulated_nodes import SimulatedNodes
 from wingquay.rehearsal.virtual_clock import VirtualClock
 
 SEND_TIMEOUT_SECONDS = 1.0
 """How long a connection that loses everything is believed in."""
 
 
+class RunningNodes(Protocol):
+    """The processes that exist."""
+
+    def find(self, node_id: NodeId) -> SimulatedNode | None:
+        """Return the process with that id if it still exists."""
+        ...
+
+    def at_address(self, identity: NodeIdentity) -> SimulatedNode | None:
+        """Return the process that listens at an address, whatever its id."""
+        ...
+
+
 @dataclass(slots=True)
 class _Connection:
     """One direction of a pair's connection."""
@@ -42,7 +55,7 @@
         self,
         network: Network,
         clock: VirtualClock,
-        nodes: SimulatedNodes,
+        nodes: RunningNodes,
         random_source: Random,
     ) -> None:
         self.repeated_share = 0.0
@@ -57,11 +70,32 @@
         """Carry ``message`` (a ``PeerMessage``) as its kind travels."""
         event = PeerReceived(sender, message)  # type: ignore[arg-type]
         if isinstance(message, MembershipMessage):
-            self._network.send_datagram(
-                sender.zone, receiver.zone, self._deliver_datagram, receiver, event
-            )
+            self.send_datagram(sender, receiver, event)
         else:
-            self._send_in_order(sender, receiver, event)
+            self.send_in_order(sender, receiver, event)
+
+    def send_datagram(self, sender: NodeIdentity, receiver: NodeIdentity, event: Event) -> None:
+        """Carry ``event`` as a datagram."""
+        self._network.send_datagram(
+            sender.zone, receiver.zone, self._deliver_datagram, receiver, event
+        )
+
+    def send_in_order(self, sender: NodeIdentity, receiver: NodeIdentity, event: Event) -> None:
+        """Carry ``event`` on the connection of the two nodes."""
+        connection = self._connection(sender.node_id, receiver.node_id)
+        if not self._network.reaches(sender.zone, receiver.zone):
+            self._time_out(connection, sender.node_id, receiver.node_id)
+            return
+        if not self._network.reaches(receiver.zone, sender.zone):
+            # The message arrives but its acknowledgement does not.
+            self._time_out(connection, sender.node_id, receiver.node_id)
+        seconds = self._network.one_way_seconds(sender.zone, receiver.zone)
+        arrival_at = max(self._clock.now + seconds, connection.last_arrival_at)
+        connection.last_arrival_at = arrival_at
+        self._clock.at(arrival_at, self._arrive, sender, receiver, event, connection.epoch)
+        if self.repeated_share and _carries_results(event):
+            if self._random.random() < self.repeated_share:
+                self._clock.at(arrival_at, self._arrive, sender, receiver, event, connection.epoch)
 
     def break_link(self, one: NodeId, other: NodeId) -> None:
         """Break the connection of two nodes; what is in transit is lost and both are told."""
@@ -82,29 +116,11 @@
             self._connections[source, destination] = connection
         return connection
 
-    def _deliver_datagram(self, receiver: NodeIdentity, event: PeerReceived) -> None:
+    def _deliver_datagram(self, receiver: NodeIdentity, event: Event) -> None:
         node = self._find_receiver(receiver)
         if node is not None:
             node.deliver(event)
 
-    def _send_in_order(
-        self, sender: NodeIdentity, receiver: NodeIdentity, event: PeerReceived
-    ) -> None:
-        connection = self._connection(sender.node_id, receiver.node_id)
-        if not self._network.reaches(sender.zone, receiver.zone):
-            self._time_out(connection, sender.node_id, receiver.node_id)
-            return
-        if not self._network.reaches(receiver.zone, sender.zone):
-            # The message arrives but its acknowledgement does not.
-            self._time_out(connection, sender.node_id, receiver.node_id)
-        seconds = self._network.one_way_seconds(sender.zone, receiver.zone)
-        arrival_at = max(self._clock.now + seconds, connection.last_arrival_at)
-        connection.last_arrival_at = arrival_at
-        self._clock.at(arrival_at, self._arrive, sender, receiver, event, connection.epoch)
-        if self.repeated_share and isinstance(event.message, SubResultBatch):
-            if self._random.random() < self.repeated_share:
-                self._clock.at(arrival_at, self._arrive, sender, receiver, event, connection.epoch)
-
     def _time_out(self, connection: _Connection, sender: NodeId, receiver: NodeId) -> None:
         if connection.broken_until > self._clock.now:
             return
@@ -117,7 +133,7 @@
         self,
         sender: NodeIdentity,
         receiver: NodeIdentity,
-        event: PeerReceived,
+        event: Event,
         epoch: int,
     ) -> None:
         if self._connection(sender.node_id, receiver.node_id).epoch != epoch:
@@ -139,3 +155,7 @@
         node = self._nodes.find(to)
         if node is not None:
             node.deliver(PeerLinkBroken(other, reason))
+
+
+def _carries_results(event: Event) -> bool:
+    return isinstance(event, PeerReceived) and isinstance(event.message, SubResultBatch)
