Read health pages of owned shards of the own deployment alone

Cause: wingquay capacity showed twice the health pages that there should be: an owner table of one deployment was asked about the shards of all, so each region's nodes read the other's replicas too. Every second each node looked at all shards for those it owns, and every five at all replicas for its load. Ruled out: two owners a shard (the setting is one). Change: owned shards are found once after a change of nodes or configuration; those of other deployments never count. The load reported of a service is that of the slots this owner queues for, no longer diluted by all other slots.

--- a/wingquay/admission/health_prober.py
+++ b/wingquay/admission/health_prober.py
@@ -4,9 +4,11 @@
 are hints: they set draining, versions and warmth, and never count as proof that a replica works.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from wingquay.admission.lane_table import LaneTable
+from wingquay.admission.shard_lane import ShardLane
 from wingquay.model.answer import HeldVersions
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import ReplicaId
@@ -21,7 +23,6 @@
 from wingquay.ports.internal import Notify, ReplicaBelief, ReplicaObserved
 from wingquay.ports.machine import Action
 from wingquay.ports.peer import ReplicaState
-from wingquay.routing.ownership import OwnerTable
 from wingquay.routing.replica_tracker import ReplicaTracker
 from wingquay.routing.settings import RoutingSettings
 
@@ -52,17 +53,9 @@
         self._last_observed: dict[str, _Observation] = {}
         self._leaving_at: dict[str, float] = {}
 
-    def probe_owned(self, owners: OwnerTable) -> list[Action]:
+    def probe_owned(self, owned: Iterable[ShardLane]) -> list[Action]:
         """Read the health pages of the replicas whose shards this node owns."""
-        return [
-            self._probe(tracker)
-            for lane in self._lanes
-            if self._owns(owners, lane.shard.shard_id)
-            for tracker in lane.trackers.values()
-        ]
-
-    def _owns(self, owners: OwnerTable, shard_id: str) -> bool:
-        return any(node.node_id == self._node_id for node in owners.owners_of(shard_id))
+        return [self._probe(tracker) for lane in owned for tracker in lane.tracker_list]
 
     def _probe(self, tracker: ReplicaTracker) -> ProbeReplica:
         replica = tracker.replica
--- a/wingquay/admission/owner_machine.py
+++ b/wingquay/admission/owner_machine.py
@@ -13,6 +13,7 @@
 from wingquay.admission.health_prober import HealthProber
 from wingquay.admission.lane_table import LaneTable
 from wingquay.admission.settings import AdmissionSettings
+from wingquay.admission.shard_lane import ShardLane
 from wingquay.model.configuration import Configuration
 from wingquay.model.identifiers import ServiceName
 from wingquay.model.mechanisms import Mechanism
@@ -75,6 +76,7 @@
         self._disabled = disabled
         self._owners = OwnerTable(routing.owners_per_shard)
         self._lanes = LaneTable(routing, Mechanism.CLASS_ORDER not in disabled)
+        self._owned: list[ShardLane] | None = None
         self._heartbeat_scheduled = False
         choice = ReplicaChoice(
             identity.zone,
@@ -92,16 +94,28 @@
         return self._dispatcher.in_flight
 
     def service_loads(self) -> tuple[ServiceLoad, ...]:
-        """Return the share of each service's slots that this owner has in use."""
+        """Return the share in use of the slots that this owner queues for, by service."""
         slots: dict[ServiceName, int] = {}
         in_flight: dict[ServiceName, int] = {}
-        for lane in self._lanes:
+        for lane in self._owned_lanes():
             name = lane.service.name
             for tracker in lane.tracker_list:
                 slots[name] = slots.get(name, 0) + tracker.replica.slots
                 in_flight[name] = in_flight.get(name, 0) + tracker.in_flight
         return tuple(ServiceLoad(name, in_flight[name] / slots[name]) for name in sorted(in_flight))
 
+    def _owned_lanes(self) -> list[ShardLane]:
+        """Return the lanes of the shards that this node owns; found anew after a change."""
+        if self._owned is None:
+            self._owned = [lane for lane in self._lanes if self._owns(lane)]
+        return self._owned
+
+    def _owns(self, lane: ShardLane) -> bool:
+        if lane.service.deployment != self._identity.deployment:
+            return False
+        owners = self._owners.owners_of(lane.shard.shard_id)
+        return any(node.node_id == self._identity.node_id for node in owners)
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in one event."""
         match event:
@@ -137,6 +151,7 @@
                 deployment = self._identity.deployment
                 own = [node for node in event.available if node.deployment == deployment]
                 self._owners.set_nodes(own)
+                self._owned = None
             case LeavingStarted():
                 self._dispatcher.is_leaving = True
             case ReplicaBelief() if Mechanism.REPLICA_LEAVING not in self._disabled:
@@ -147,7 +162,7 @@
                 return actions + self._dispatcher.on_replica_changed(event.replica_id, now)
             case ProbeDue():
                 due = Schedule(now + self._routing.health_interval_seconds, ProbeDue())
-                return [due, *self._prober.probe_owned(self._owners)]
+                return [due, *self._prober.probe_owned(self._owned_lanes())]
             case HeartbeatDue():
                 return self._on_heartbeat_due(now)
         return []
@@ -156,7 +171,8 @@
         actions: list[Action] = []
         for lane in self._lanes.apply(configuration):
             actions += self._dispatcher.on_lane_gone(lane, now)
-        return actions + self._prober.probe_owned(self._owners)
+        self._owned = None
+        return actions + self._prober.probe_owned(self._owned_lanes())
 
     def _schedule_heartbeat(self, sender: NodeIdentity, now: float) -> list[Action]:
         if self._heartbeat_scheduled or sender.node_id == self._identity.node_id:
