Rank the nodes of a shard faster

Cause: at its first configuration a node ranks 235 nodes for each of 700 shards of its region in one event. Ruled out: ranking later, shard by shard: an owner has to know its own shards before it reads their health pages. Change: encode what is the same once, sort the first twelve alone.

--- a/wingquay/routing/ownership.py
+++ b/wingquay/routing/ownership.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from wingquay.ports.peer import NodeIdentity
-from wingquay.routing.rendezvous import rank, score, spread_over_zones
+from wingquay.routing.rendezvous import best, rank, score, spread_over_zones
 
 KEPT_CANDIDATES = 12
 """Best nodes remembered for each shard."""
@@ -65,7 +65,7 @@
     def _choose(self, shard_id: str) -> tuple[NodeIdentity, ...]:
         candidates = self._candidates.get(shard_id)
         if candidates is None:
-            candidates = rank(self._nodes.values(), shard_id)[:KEPT_CANDIDATES]
+            candidates = best(self._nodes.values(), shard_id, KEPT_CANDIDATES)
             self._candidates[shard_id] = candidates
         count = max(1, self._owners_per_shard) + HANDOFF_OWNERS
         return tuple(spread_over_zones(candidates, count))
--- a/wingquay/routing/rendezvous.py
+++ b/wingquay/routing/rendezvous.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from heapq import nsmallest
 
 import xxhash
 
@@ -16,6 +17,14 @@
     return xxhash.xxh64_intdigest(f"{node_id}\0{key}".encode())
 
 
+def best(nodes: Iterable[NodeIdentity], key: str, count: int) -> list[NodeIdentity]:
+    """Return the first ``count`` of ``rank``, much faster when there are many nodes."""
+    suffix = f"\0{key}".encode()
+    digest = xxhash.xxh64_intdigest
+    scored = [(-digest(node.node_id.encode() + suffix), node.node_id, node) for node in nodes]
+    return [node for _, _, node in nsmallest(count, scored)]
+
+
 def rank(nodes: Iterable[NodeIdentity], key: str) -> list[NodeIdentity]:
     """Return the nodes by falling weight for ``key``."""
     return sorted(nodes, key=lambda node: (-score(node.node_id, key), node.node_id))
