Count what a change of the configuration adds to ordinary running

Cause: the cost of a change in wingquay capacity held the health pages of the seconds in which it spread. Change: take ordinary running off, for each node; tell median and worst.

--- a/wingquay/rehearsal/capacity/report.py
+++ b/wingquay/rehearsal/capacity/report.py
@@ -111,18 +111,23 @@
 
 
 def _changes(findings: Findings) -> dict[str, Any] | None:
-    phase, count = findings.changes, findings.settings.changes
-    if phase is None:
+    """Return what changes cost; ``added`` is beyond what ordinary running takes meanwhile."""
+    phase, ordinary, count = findings.changes, findings.ordinary, findings.settings.changes
+    if phase is None or ordinary is None:
         return None
-    seconds = [meter.total_seconds() for meter in phase.meters]
-    sizes = [meter.total_bytes() for meter in phase.meters]
+    pairs = list(zip(phase.meters, ordinary.meters, strict=True))
+    share = phase.seconds / ordinary.seconds
+    seconds = [busy.total_seconds() - share * calm.total_seconds() for busy, calm in pairs]
+    sizes = [busy.total_bytes() - share * calm.total_bytes() for busy, calm in pairs]
     return {
         "confirmed": len(findings.change_times.everywhere_seconds),
         "not_landed": findings.change_times.not_landed,
         "seconds_measured": round(phase.seconds, 1),
-        "core_percent_meanwhile": round(PERCENT * statistics.median(seconds) / phase.seconds, 3),
-        "processor_seconds_each": round(statistics.median(seconds) / count, 4),
-        "bytes_each": round(statistics.median(sizes) / count),
+        "added_processor_seconds_each": round(statistics.median(seconds) / count, 4),
+        "added_bytes_each": {
+            "median": round(statistics.median(sizes) / count),
+            "worst": round(max(sizes) / count),
+        },
         "store_requests_each": round(phase.store_requests / count, 1),
     }
 
