Name the bound on leaving replicas as a constant: no setting that changes nothing

Cause: replica_evidence.replica_leaving_bound_seconds could be set and was read by tests alone; changing it changed nothing. Change: REPLICA_LEAVING_BOUND_SECONDS, which the other settings must add up to. Figures: the membership tests that hold nodes to it pass unchanged but for the name.

--- a/tests/membership/test_membership_machine.py
+++ b/tests/membership/test_membership_machine.py
@@ -2,6 +2,7 @@
 
 from tests.membership.hollow_cluster import HollowCluster
 from wingquay.adapters import peer_codec
+from wingquay.membership.replica_evidence import REPLICA_LEAVING_BOUND_SECONDS
 from wingquay.membership.settings import MembershipSettings
 from wingquay.model.configuration import Configuration
 from wingquay.ports.internal import (
@@ -186,7 +187,7 @@
         cluster = self.cluster()
         cluster.give(self.victim(cluster), ReplicaObserved("r1", ReplicaState.LEAVING))
         belief = ReplicaBelief("r1", ReplicaState.LEAVING)
-        bound = cluster.replica_settings.replica_leaving_bound_seconds
+        bound = REPLICA_LEAVING_BOUND_SECONDS
         cluster.run_until(
             lambda: all(belief in node.notified for node in cluster.nodes.values()), bound
         )
--- a/tests/membership/test_replica_beliefs.py
+++ b/tests/membership/test_replica_beliefs.py
@@ -1,6 +1,7 @@
 import testtools
 
 from wingquay.membership.replica_evidence import (
+    REPLICA_LEAVING_BOUND_SECONDS,
     Evidence,
     ReplicaEvidence,
     ReplicaEvidenceSettings,
@@ -133,7 +134,7 @@
         self.table.observe(ReplicaObserved("r1", SERVING), NOW)
         news = self.table.hear(ReplicaUpdate("r1", LEAVING, 1), NOW + 0.5)
         self.assertEqual([], news.beliefs)
-        news = self.table.tick(NOW + SETTINGS.replica_leaving_bound_seconds)
+        news = self.table.tick(NOW + REPLICA_LEAVING_BOUND_SECONDS)
         self.assertEqual([ReplicaBelief("r1", LEAVING)], news.beliefs)
 
     def test_stale_list_against_live_evidence_changes_nothing(self):
--- a/wingquay/membership/replica_evidence.py
+++ b/wingquay/membership/replica_evidence.py
@@ -11,6 +11,14 @@
 
 from wingquay.ports.peer import ReplicaState
 
+REPLICA_LEAVING_BOUND_SECONDS = 3.0
+"""What the settings below must add up to.
+
+After this time from the first hint that a replica is leaving, no node sends it new work, unless
+the hint came from one lagging source and our own exchanges speak against it. It is no setting
+itself: nothing waits for it.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class ReplicaEvidenceSettings:
@@ -18,9 +26,6 @@
 
     Parameters
     ----------
-    replica_leaving_bound_seconds
-        After this time from the first hint that a replica is leaving, no node may send it new
-        work, unless the hint came from one lagging source and our own exchanges speak against it.
     own_fresh_seconds
         How long our own evidence wins over one other source. Gossip takes the rest of the bound.
     return_seconds
@@ -28,7 +33,6 @@
         before it gets new work again.
     """
 
-    replica_leaving_bound_seconds: float = 3.0
     own_fresh_seconds: float = 2.0
     return_seconds: float = 3.0
 
