--- a/scripts/process_rehearsal/checks.py
+++ b/scripts/process_rehearsal/checks.py
@@ -7,6 +7,8 @@
 from wingquay.adapters.http_messages import NOT_SENT_KINDS
 from wingquay.model.answer import Outcome
 
+FAULT_SIGNS = ("event=event_failed", "event=action_failed", "event=action_unknown", "Traceback")
+
 
 async def violations(system: ProcessSystem, records: list[Record]) -> list[str]:
     """Return a line for each thing that must never be, and was."""
@@ -22,6 +24,16 @@
     ]
 
 
+def faults_in_logs(system: ProcessSystem) -> list[str]:
+    """Return the lines by which processes report a fault of their own."""
+    return [
+        f"{process.log_path.name}: {line}"
+        for process in system.processes
+        for line in process.log_path.read_text(encoding="utf-8").splitlines()
+        if any(sign in line for sign in FAULT_SIGNS)
+    ]
+
+
 def _wrong_answers(records: list[Record]) -> list[str]:
     return [
         f"{record.body}: {record.reply.difference}"
--- a/scripts/rehearse_processes.py
+++ b/scripts/rehearse_processes.py
@@ -13,7 +13,7 @@
 import tempfile
 from pathlib import Path
 
-from process_rehearsal.checks import read_share_complete, violations
+from process_rehearsal.checks import faults_in_logs, read_share_complete, violations
 from process_rehearsal.faults import Faults
 from process_rehearsal.load import Load
 from process_rehearsal.system import ProcessSystem
@@ -38,6 +38,7 @@
         found = faults.violations + await violations(system, load.records)
     finally:
         await system.close()
+    found += faults_in_logs(system)
     return {
         "seed": seed,
         "nodes": system.node_count,
