--- a/wingquay/configuration/effects.py
+++ b/wingquay/configuration/effects.py
@@ -121,7 +121,7 @@
     if not passed_by and not passing:
         return None
     parts = [f"{name} is now served before it" for name in passed_by]
-    parts += [f"{name} no longer is served before it" for name in passing]
+    parts += [f"{name} is no longer served before it" for name in passing]
     direction = EffectDirection.MIXED if passed_by and passing else EffectDirection.LOSES
     return ClassEffect(
         service=service,
--- a/wingquay/configuration/outlook.py
+++ b/wingquay/configuration/outlook.py
@@ -90,11 +90,11 @@
     if seen is None:
         return OutlookVerdict.NOT_KNOWN, "this node has seen no requests of this kind lately"
     if seen.p50_seconds > promise_seconds:
-        reason = f"half of the requests now take longer than {seen.p50_seconds:g} s"
+        reason = f"half of the requests now take longer than {seen.p50_seconds:.3g} s"
         return OutlookVerdict.NOT_KEEPABLE, reason
     if seen.p99_seconds > promise_seconds:
-        reason = f"one request in 100 now takes longer than {seen.p99_seconds:g} s"
+        reason = f"one request in 100 now takes longer than {seen.p99_seconds:.3g} s"
         return OutlookVerdict.AT_RISK, reason
     if utilization is not None and utilization >= RISKY_UTILIZATION:
         return OutlookVerdict.AT_RISK, f"slots would be {utilization:.0%} busy"
-    return OutlookVerdict.KEEPABLE, f"99 requests in 100 now take under {seen.p99_seconds:g} s"
+    return OutlookVerdict.KEEPABLE, f"99 requests in 100 now take under {seen.p99_seconds:.3g} s"
