Take seats over sooner when all nodes of a zone have crashed

Ruled out: a short wait for every newcomer; it throws the memory of living holders away. Change: nodes greet newcomers of their zone with what they have to offer, if anything; a newcomer that has heard all takes over the seats that nobody else can hold. Its rules stand in a module of their own. Conclusion: a zone whose nodes all crash is whole again some seconds after new ones start.

--- a/tests/claims/test_scenarios.py
+++ b/tests/claims/test_scenarios.py
@@ -173,6 +173,18 @@
             world.advance(8.0)
         self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, world.living()[0]))
 
+    def test_a_zone_whose_nodes_all_crashed_rebuilds_within_seconds(self) -> None:
+        world = settled(3)
+        decide(world, world.living()[0])
+        for zone in world.zones:
+            for node in world.living(zone):
+                world.crash(node)
+                world.start_node(zone)
+            world.tell_membership()
+            world.advance(5.0)
+            self.assertEqual(PARTITIONS, vouching(world, zone))
+        self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, world.living()[0]))
+
     def test_after_all_memory_was_lost_nothing_is_granted_until_it_is_forgotten_anyway(
         self,
     ) -> None:
--- a/wingquay/claims/directory.py
+++ b/wingquay/claims/directory.py
@@ -47,12 +47,12 @@
         """Return the available nodes of a zone."""
         return frozenset(node.node_id for node in self._nodes.get((deployment, zone), []))
 
-    def is_alone(self, identity: NodeIdentity) -> bool:
-        """Whether no other node of the zone is there that could offer a seat."""
+    def mates(self, identity: NodeIdentity) -> list[NodeIdentity]:
+        """Return the other nodes of the zone, leaving ones last."""
         zone = (identity.deployment, identity.zone)
         leaving = [node for node in self._leaving_nodes if (node.deployment, node.zone) == zone]
         nodes = (*self._nodes.get(zone, []), *leaving)
-        return all(node.node_id == identity.node_id for node in nodes)
+        return [node for node in nodes if node.node_id != identity.node_id]
 
     def is_leaving(self, node_id: NodeId) -> bool:
         """Whether the node is in its planned stop."""
--- a/wingquay/claims/machine.py
+++ b/wingquay/claims/machine.py
@@ -17,6 +17,7 @@
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.claims.table_giver import TableGiver
 from wingquay.claims.takeover import SeatKeeper
+from wingquay.claims.takeover_timing import TakeoverTiming
 from wingquay.claims.transfers import TableTransfers
 from wingquay.claims.voter import Voter
 from wingquay.model.configuration import Configuration
@@ -103,7 +104,8 @@
         self._giver = TableGiver(settings, self._seats)
         self._offers = SeatOffers(settings, self._seats, self._directory)
         self._transfers = TableTransfers(settings, self._seats, self._directory)
-        self._keeper = SeatKeeper(settings, self._seats, self._directory, random_source)
+        self._timing = TakeoverTiming(settings, self._seats, self._directory)
+        self._keeper = SeatKeeper(settings, self._seats, self._timing, random_source)
         self._claimant = Claimant(settings, self._directory, random_source)
         self._expired_partition = 0
 
@@ -148,18 +150,19 @@
             case Start():
                 return [self._next_tick(now)]
             case PeerLinkBroken():
+                self._offers.link_broken(event.node_id)
                 return self._claimant.link_broken(event.node_id, now)
             case StoreResponse():
                 return self._keeper.respond(event, now)
             case MembershipChanged():
                 self._directory.update(event.available, event.leaving)
-                self._keeper.review(now)
+                self._timing.review(now)
                 self._transfers.on_membership(now)
-                self._offers.offer_soon()
+                self._offers.on_membership()
             case ConfigurationInForce():
                 self._take_in_configuration(event.configuration, now)
             case LeavingStarted():
-                self._keeper.stop_taking_over()
+                self._timing.stop()
                 self._transfers.stop_accepting()
                 self._offers.begin_leaving()
                 return self._offers.tick(now)
@@ -169,8 +172,9 @@
         zones = deployment_zones(configuration, self._identity.deployment)
         self._claimant.set_configuration(configuration)
         self._transfers.set_zones(zones)
+        self._timing.set_zones(zones)
         self._keeper.set_zones(zones, configuration.revision)
-        self._keeper.review(now)
+        self._timing.review(now)
 
     def _receive(self, event: PeerReceived, now: float) -> list[Action]:
         sender = event.sender
@@ -183,6 +187,7 @@
                 self._voter.record_outcome(outcome, now)
                 return []
             case ClaimSeatOffer() as offer:
+                self._timing.hear_from(sender.node_id)
                 return self._transfers.accept_offer(sender, offer, now)
             case ClaimTableRequest() as request:
                 return self._giver.give(sender, request, now)
--- a/wingquay/claims/offers.py
+++ b/wingquay/claims/offers.py
@@ -3,6 +3,7 @@
 from wingquay.claims.directory import SeatDirectory
 from wingquay.claims.seat import Seat, SeatOffer, SeatStatus, SeatTable
 from wingquay.claims.settings import ClaimsSettings
+from wingquay.model.identifiers import NodeId
 from wingquay.ports.machine import Action
 from wingquay.ports.peer import NodeIdentity, SendToPeer
 from wingquay.ports.peer_claims import ClaimSeatOffer
@@ -23,6 +24,17 @@
         self._leaving = False
         self._offers = 0
         self._next_offer_at = 0.0
+        self._greeted: set[NodeId] = set()
+
+    def on_membership(self) -> None:
+        """Offer at the next tick, and greet the nodes that are new in the zone."""
+        self.offer_soon()
+        mates = self._directory.mates(self._seats.identity)
+        self._greeted &= {node.node_id for node in mates}
+
+    def link_broken(self, node_id: NodeId) -> None:
+        """Greet the node again: it may not have heard the first time."""
+        self._greeted.discard(node_id)
 
     def begin_leaving(self) -> None:
         """Offer every seat to the node that holds it next."""
@@ -57,10 +69,19 @@
             if seat.offer is None or seat.offer.receiver != receiver.node_id:
                 seat.offer = SeatOffer(offer_id, receiver.node_id)
             offered.setdefault(seat.offer, (receiver, []))[1].append(seat.partition)
-        return [
+        self._greeted |= {offer.receiver for offer in offered}
+        actions: list[Action] = [
             SendToPeer(receiver, ClaimSeatOffer(offer.offer_id, tuple(partitions)))
             for offer, (receiver, partitions) in offered.items()
         ]
+        return actions + self._greet(offer_id)
+
+    def _greet(self, offer_id: str) -> list[Action]:
+        """Tell nodes seen for the first time that there is nothing to offer them."""
+        mates = self._directory.mates(self._seats.identity)
+        strangers = [node for node in mates if node.node_id not in self._greeted]
+        self._greeted |= {node.node_id for node in strangers}
+        return [SendToPeer(node, ClaimSeatOffer(offer_id, ())) for node in strangers]
 
     def _receiver(self, seat: Seat) -> NodeIdentity | None:
         identity = self._seats.identity
--- a/wingquay/claims/seat.py
+++ b/wingquay/claims/seat.py
@@ -77,6 +77,8 @@
         When everything granted by earlier holders is forgotten anyway.
     takeover_at
         When the seat may be taken over; infinite while this node does not want it.
+    was_anothers
+        Whether this node has seen another that should hold the seat.
     ask_tables_at, ask_tables_delay_seconds
         When tables are next asked for, and how long after that again.
     offer
@@ -101,6 +103,7 @@
     confirmed_at: float = -inf
     vouch_at: float = inf
     takeover_at: float = inf
+    was_anothers: bool = False
     ask_tables_at: float = -inf
     ask_tables_delay_seconds: float = 0.0
     forget_at: float = inf
@@ -207,6 +210,7 @@
     def vouch(self, seat: Seat) -> None:
         """Begin to answer for the partition."""
         seat.status = SeatStatus.VOUCHING
+        seat.accepted_until = -inf
         seat.tables.clear()
         seat.offer = None
         seat.vouch_at = inf
--- a/wingquay/claims/settings.py
+++ b/wingquay/claims/settings.py
@@ -33,8 +33,9 @@
         Size of all kept outcomes together.
     crash_takeover_delay_seconds, join_takeover_delay_seconds
         How long a new seat holder waits for an offer of the seat before it takes it over: after
-        it saw the last holder crash, and otherwise. The latter is long, since a takeover in
-        spite of a living holder throws that one's memory away.
+        it saw the last holder crash, and otherwise, unless every other node of the zone has said
+        that it has nothing to offer. The latter is long, since a takeover in spite of a living
+        holder throws that one's memory away.
     alone_takeover_delay_seconds
         The same while the node has seen no other node of its zone that could offer the seat.
     table_retry_seconds
--- a/wingquay/claims/takeover.py
+++ b/wingquay/claims/takeover.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass
 from math import inf
 
-from wingquay.claims.directory import SeatDirectory
 from wingquay.claims.keys import PARTITIONS
 from wingquay.claims.seat import PreviousSeats, Seat, SeatStatus, SeatTable
 from wingquay.claims.seat_document import SeatDocument, document_key, parse_document
 from wingquay.claims.settings import ClaimsSettings
+from wingquay.claims.takeover_timing import TakeoverTiming
 from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId, ZoneName
+from wingquay.model.identifiers import ZoneName
 from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.machine import Action, Log
 from wingquay.ports.store import (
@@ -43,23 +43,20 @@
         self,
         settings: ClaimsSettings,
         seats: SeatTable,
-        directory: SeatDirectory,
+        timing: TakeoverTiming,
         random_source: random.Random,
     ) -> None:
         self._settings = settings
         self._seats = seats
-        self._directory = directory
+        self._timing = timing
         self._random = random_source
         self._zones: tuple[ZoneName, ...] = ()
         self._zones_revision = 0
-        self._leaving = False
         self._pending: _PendingOperation | None = None
         self._operations = 0
         self._next_operation_at = -inf
         self._confirm_at = -inf
-        self._nodes: frozenset[NodeId] = frozenset()
-        self._alone_since = inf
-        self._last_holders: dict[int, NodeId] = {}
+        self._began = False
 
     def set_zones(self, zones: tuple[ZoneName, ...], revision: int) -> None:
         """Take in the deployment's zones from the configuration in force."""
@@ -68,49 +65,16 @@
         self._zones = zones
         self._zones_revision = revision
 
-    def stop_taking_over(self) -> None:
-        """Take no more seats over: the node leaves."""
-        self._leaving = True
-
-    def review(self, now: float) -> None:
-        """Look anew at which seats this node should hold, after the membership changed."""
-        identity = self._seats.identity
-        nodes = self._directory.node_ids(identity.deployment, identity.zone)
-        crashed = {
-            node_id for node_id in self._nodes - nodes if not self._directory.is_leaving(node_id)
-        }
-        if not self._nodes:
-            self._next_operation_at = now + self._random.uniform(0.0, FIRST_READ_SPREAD_SECONDS)
-        self._nodes = nodes
-        if not self._directory.is_alone(identity):
-            self._alone_since = inf
-        elif self._alone_since == inf:
-            self._alone_since = now
-        for seat in self._seats.seats:
-            self._review_seat(seat, crashed, now)
-
-    def _review_seat(self, seat: Seat, crashed: set[NodeId], now: float) -> None:
-        identity = self._seats.identity
-        holder = self._directory.holder(identity.deployment, identity.zone, seat.partition)
-        last_holder = self._last_holders.get(seat.partition)
-        if holder is not None:
-            self._last_holders[seat.partition] = holder.node_id
-        if not self._is_ours(seat.partition):
-            seat.takeover_at = inf
-        elif seat.takeover_at == inf:
-            seat.takeover_at = now + self._takeover_delay(last_holder in crashed)
-
-    def _takeover_delay(self, holder_crashed: bool) -> float:
-        # In a single zone no other voter has a copy: a holder may be wrongly believed lost.
-        if holder_crashed and len(self._zones) > 1:
-            return self._settings.crash_takeover_delay_seconds
-        return self._settings.join_takeover_delay_seconds
-
     def tick(self, now: float) -> list[Action]:
         """Read the document when something is to be learned from it."""
-        if self._pending is not None or now < self._next_operation_at or not self._in_service():
+        if not self._in_service():
+            return []
+        if not self._began:
+            self._began = True
+            self._next_operation_at = now + self._random.uniform(0.0, FIRST_READ_SPREAD_SECONDS)
+        if self._pending is not None or now < self._next_operation_at:
             return []
-        if now < self._confirm_at and not self._wanted(now):
+        if now < self._confirm_at and not self._timing.wanted(now):
             return []
         key = document_key(self._seats.identity.deployment)
         return self._send(Read(key), None, now)
@@ -138,23 +102,7 @@
         return []
 
     def _in_service(self) -> bool:
-        return self._seats.identity.zone in self._zones and bool(self._nodes)
-
-    def _is_ours(self, partition: int) -> bool:
-        identity = self._seats.identity
-        if self._leaving or identity.zone not in self._zones:
-            return False
-        holder = self._directory.holder(identity.deployment, identity.zone, partition)
-        return holder is not None and holder.node_id == identity.node_id
-
-    def _wanted(self, now: float) -> list[Seat]:
-        alone = now - self._alone_since >= self._settings.alone_takeover_delay_seconds
-        nobody_offers = alone and len(self._zones) > 1
-        return [
-            seat
-            for seat in self._seats.with_status(SeatStatus.EMPTY)
-            if self._is_ours(seat.partition) and (seat.takeover_at <= now or nobody_offers)
-        ]
+        return self._seats.identity.zone in self._zones and self._timing.knows_nodes
 
     def _vacant(self, document: SeatDocument) -> list[Seat]:
         """Return the seats to be taken over at once, since no node can offer them."""
@@ -164,7 +112,7 @@
         return [
             seat
             for seat in self._seats.with_status(SeatStatus.EMPTY)
-            if self._is_ours(seat.partition) and document.is_vacant(zone, seat.partition)
+            if self._timing.is_ours(seat.partition) and document.is_vacant(zone, seat.partition)
         ]
 
     def _send(
@@ -205,8 +153,6 @@
     def _proposal(self, document: SeatDocument, now: float) -> SeatDocument | None:
         """Return what this node wants to write, or ``None``."""
         identity = self._seats.identity
-        if self._leaving:
-            return None
         if document.zones != self._zones:
             if document.zones_revision >= self._zones_revision:
                 return None
@@ -215,7 +161,7 @@
             return document.with_genesis(identity.zone, identity.node_id)
         new_epochs = {
             seat.partition: self._next_epoch(document, seat)
-            for seat in (*self._wanted(now), *self._vacant(document))
+            for seat in (*self._timing.wanted(now), *self._vacant(document))
         }
         if not new_epochs:
             return None
@@ -226,7 +172,7 @@
         if zone in document.seats or not document.zones_unchanged:
             return False
         seats = self._seats.seats
-        holds_any = any(self._is_ours(partition) for partition in range(PARTITIONS))
+        holds_any = any(self._timing.is_ours(partition) for partition in range(PARTITIONS))
         # Whoever has heard of a holder in this zone knows that the document lost something.
         return holds_any and all(seat.known_epochs.get(zone, 0) == 0 for seat in seats)
 
@@ -236,6 +182,7 @@
 
     def _apply(self, document: SeatDocument, sent_at: float, now: float) -> list[Action]:
         """Take in the document as the store had it after ``sent_at``."""
+        self._timing.note_document(document)
         self._confirm_at = now + self._settings.seat_confirm_interval_seconds * (
             self._random.uniform(0.5, 1.0)
         )
--- a/wingquay/ports/peer_claims.py
+++ b/wingquay/ports/peer_claims.py
@@ -110,7 +110,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimSeatOffer(PeerMessage):
-    """The sender holds seats that it believes to be the receiver's: "ask me for them"."""
+    """The sender holds seats that it believes to be the receiver's: "ask me for them".
+
+    Without ``partitions`` it tells a node that it sees for the first time that it has none.
+    """
 
     offer_id: str
     partitions: tuple[int, ...]
