Plan faults of back ends and nodes by named functions

Cause: nested functions that bound loop variables as default arguments read badly. Change: functools.partial over module-level functions.

--- a/wingquay/rehearsal/faults/backend_faults.py
+++ b/wingquay/rehearsal/faults/backend_faults.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Sequence
 from dataclasses import replace
+from functools import partial
 
 from wingquay.ports.backend import LoadReport
 from wingquay.rehearsal.faults.fault import Fault, FaultContext
+from wingquay.rehearsal.models.backend_settings import BackendSettings
 from wingquay.rehearsal.simulated_replica import SimulatedReplica
 from wingquay.rehearsal.simulation_settings import FaultChoice
 
@@ -34,27 +36,20 @@
         silent = context.random_source.random() < 0.5
         seconds = context.random_source.uniform(0.5, 5.0)
         older = context.random_source.random() < 0.3
-
-        def lose(replica: SimulatedReplica = replica, silent: bool = silent) -> None:
-            backends.lose(replica, silent=silent)
-
-        def bring_back(replica: SimulatedReplica = replica, older: bool = older) -> None:
-            backends.restart(replica, on_older_index=older)
-
-        context.at(at_seconds, lose)
+        context.at(at_seconds, partial(backends.lose, replica, silent=silent))
+        bring_back = partial(backends.restart, replica, on_older_index=older)
         context.simulation.clock.at(at_seconds + seconds, bring_back)
 
 
 def _cold_start(context: FaultContext) -> None:
-    backends = context.simulation.backends
     for at_seconds in context.moments():
-        replica = context.any_replica()
+        context.at(at_seconds, partial(_restart, context, context.any_replica()))
 
-        def restart(replica: SimulatedReplica = replica) -> None:
-            backends.lose(replica, silent=False)
-            backends.restart(replica, on_older_index=False)
 
-        context.at(at_seconds, restart)
+def _restart(context: FaultContext, replica: SimulatedReplica) -> None:
+    backends = context.simulation.backends
+    backends.lose(replica, silent=False)
+    backends.restart(replica, on_older_index=False)
 
 
 def _shedding(context: FaultContext) -> None:
@@ -63,88 +58,63 @@
         seconds = context.random_source.uniform(0.5, 4.0)
         normal = replica.model.settings
         pressed = replace(normal, slots=SHEDDING_SLOTS, queue_limit=0)
+        context.at(at_seconds, partial(_set_settings, replica, pressed))
+        context.simulation.clock.at(at_seconds + seconds, _set_settings, replica, normal)
 
-        def press(replica: SimulatedReplica = replica, settings: object = pressed) -> None:
-            replica.model.settings = settings  # type: ignore[assignment]
-
-        def relieve(replica: SimulatedReplica = replica, settings: object = normal) -> None:
-            replica.model.settings = settings  # type: ignore[assignment]
 
-        context.at(at_seconds, press)
-        context.simulation.clock.at(at_seconds + seconds, relieve)
+def _set_settings(replica: SimulatedReplica, settings: BackendSettings) -> None:
+    replica.model.settings = settings
 
 
 def _draining(context: FaultContext) -> None:
-    backends = context.simulation.backends
     for at_seconds in context.moments():
         replica = context.any_replica()
         seconds = context.random_source.uniform(1.0, 15.0)
-
-        def drain(replica: SimulatedReplica = replica) -> None:
-            backends.drain(replica)
-
-        def replace_it(replica: SimulatedReplica = replica) -> None:
-            backends.lose(replica, silent=False)
-            backends.restart(replica, on_older_index=False)
-
-        context.at(at_seconds, drain)
-        context.simulation.clock.at(at_seconds + seconds, replace_it)
+        context.at(at_seconds, partial(context.simulation.backends.drain, replica))
+        context.simulation.clock.at(at_seconds + seconds, _restart, context, replica)
 
 
 def _stale_health(context: FaultContext) -> None:
-    clock = context.simulation.clock
     for at_seconds in context.moments():
         replica = context.any_replica()
         seconds = context.random_source.uniform(2.0, 8.0)
+        context.at(at_seconds, partial(_freeze_report, context, replica))
+        end = replica.model.lie_about_load
+        context.simulation.clock.at(at_seconds + seconds, end, None)
 
-        def freeze(replica: SimulatedReplica = replica) -> None:
-            replica.model.lie_about_load(replica.model.report(clock.now))
-
-        def thaw(replica: SimulatedReplica = replica) -> None:
-            replica.model.lie_about_load(None)
 
-        context.at(at_seconds, freeze)
-        clock.at(at_seconds + seconds, thaw)
+def _freeze_report(context: FaultContext, replica: SimulatedReplica) -> None:
+    shown = replica.model.report(context.simulation.clock.now)
+    replica.model.lie_about_load(shown)
 
 
 def _lying_load(context: FaultContext) -> None:
-    clock = context.simulation.clock
     for at_seconds in context.moments():
         replica = context.any_replica()
         lie = context.random_source.choice(LIES)
         seconds = context.random_source.uniform(1.0, 8.0)
-
-        def begin(replica: SimulatedReplica = replica, lie: LoadReport = lie) -> None:
-            replica.model.lie_about_load(lie)
-
-        def end(replica: SimulatedReplica = replica) -> None:
-            replica.model.lie_about_load(None)
-
-        context.at(at_seconds, begin)
-        clock.at(at_seconds + seconds, end)
+        context.at(at_seconds, partial(replica.model.lie_about_load, lie))
+        context.simulation.clock.at(at_seconds + seconds, replica.model.lie_about_load, None)
 
 
 def _slow_replica(context: FaultContext) -> None:
-    clock = context.simulation.clock
     for at_seconds in context.moments():
         replica = context.any_replica()
         factor = context.random_source.uniform(3.0, 30.0)
         until = at_seconds + context.random_source.uniform(0.5, 5.0)
-        paused = context.random_source.random() < 0.3
-
-        def slow(
-            replica: SimulatedReplica = replica,
-            factor: float = factor,
-            until: float = until,
-            paused: bool = paused,
-        ) -> None:
-            if paused:
-                replica.model.pause(until, clock.now)
-            else:
-                replica.model.slow_down(factor, until, clock.now)
-            replica.wake()
-
-        context.at(at_seconds, slow)
+        pauses = context.random_source.random() < 0.3
+        happen = partial(_pause, until=until) if pauses else partial(_slow, factor, until=until)
+        context.at(at_seconds, partial(happen, context, replica))
+
+
+def _pause(context: FaultContext, replica: SimulatedReplica, until: float) -> None:
+    replica.model.pause(until, context.simulation.clock.now)
+    replica.wake()
+
+
+def _slow(factor: float, context: FaultContext, replica: SimulatedReplica, until: float) -> None:
+    replica.model.slow_down(factor, until, context.simulation.clock.now)
+    replica.wake()
 
 
 BACKEND_FAULTS = (
--- a/wingquay/rehearsal/faults/node_faults.py
+++ b/wingquay/rehearsal/faults/node_faults.py
@@ -1,11 +1,16 @@
 """Faults of nodes, of the machine list, and callers that repeat themselves."""
 
 from collections.abc import Sequence
+from functools import partial
+from typing import TYPE_CHECKING
 
 from wingquay.rehearsal.faults.fault import Fault, FaultContext
 from wingquay.rehearsal.models.machine_list_model import DEFAULT_LAG_SECONDS
 from wingquay.rehearsal.simulation_settings import FaultChoice
 
+if TYPE_CHECKING:
+    from wingquay.rehearsal.simulation import Simulation
+
 LONGEST_PAUSE_SECONDS = 8.0
 REPEATING_SHARE = 0.1
 REPEATED_WITHIN_SECONDS = 1.0
@@ -21,56 +26,50 @@
 
 
 def _node_crash(context: FaultContext) -> None:
-    simulation = context.simulation
     for at_seconds in context.moments(interval_seconds=10.0):
         choice = context.random_source.random()
         seconds = context.random_source.uniform(0.5, 5.0)
+        context.at(at_seconds, partial(_crash, context.simulation, choice, seconds))
 
-        def crash(choice: float = choice, seconds: float = seconds) -> None:
-            node = simulation.nodes.pick(choice)
-            if node is not None:
-                simulation.nodes.crash(node)
-                context.later(seconds, lambda: simulation.nodes.start_again(node))
 
-        context.at(at_seconds, crash)
+def _crash(simulation: "Simulation", choice: float, seconds: float) -> None:
+    """Crash a node; another starts in its place ``seconds`` later."""
+    node = simulation.nodes.pick(choice)
+    if node is not None:
+        simulation.nodes.crash(node)
+        simulation.clock.after(seconds, simulation.nodes.start_again, node)
 
 
 def _node_pause(context: FaultContext) -> None:
     for at_seconds in context.moments():
         choice = context.random_source.random()
         seconds = context.random_source.uniform(0.05, LONGEST_PAUSE_SECONDS)
-
-        def pause(choice: float = choice, seconds: float = seconds) -> None:
-            context.simulation.pause_node(choice, seconds)
-
-        context.at(at_seconds, pause)
+        context.at(at_seconds, partial(context.simulation.pause_node, choice, seconds))
 
 
 def _planned_stop(context: FaultContext) -> None:
-    simulation = context.simulation
     for at_seconds in context.moments(interval_seconds=6.0):
         choice = context.random_source.random()
+        context.at(at_seconds, partial(_stop, context.simulation, choice))
 
-        def stop(choice: float = choice) -> None:
-            node = simulation.nodes.pick(choice)
-            if node is not None:
-                simulation.stop_node(node)
 
-        context.at(at_seconds, stop)
+def _stop(simulation: "Simulation", choice: float) -> None:
+    node = simulation.nodes.pick(choice)
+    if node is not None:
+        simulation.stop_node(node)
 
 
 def _replacement(context: FaultContext) -> None:
-    simulation = context.simulation
     for at_seconds in context.moments(interval_seconds=10.0):
         choice = context.random_source.random()
+        context.at(at_seconds, partial(_replace, context.simulation, choice))
 
-        def replace(choice: float = choice) -> None:
-            node = simulation.nodes.pick(choice)
-            if node is not None:
-                simulation.nodes.crash(node)
-                simulation.nodes.start_again(node)
 
-        context.at(at_seconds, replace)
+def _replace(simulation: "Simulation", choice: float) -> None:
+    node = simulation.nodes.pick(choice)
+    if node is not None:
+        simulation.nodes.crash(node)
+        simulation.nodes.start_again(node)
 
 
 def _lagging_machine_list(context: FaultContext) -> None:
