--- /dev/null
+++ b/tests/query/test_recovery.py
@@ -0,0 +1,50 @@
+"""A tier that was driven far past its capacity, with stragglers, comes back by itself."""
+
+import random
+from dataclasses import replace
+
+from testtools import TestCase
+
+from tests.query.small_tier import SmallTier
+from wingquay.model.key_range import KeyRange
+from wingquay.orchestration.settings import NodeMachineSettings
+from wingquay.rehearsal.models.backend_model import BackendModel
+
+STRAGGLER_SHARE = 0.02
+PINGS = 60
+BURST = 600
+
+
+class RecoveryTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.tier = SmallTier(NodeMachineSettings(), shard_count=2)
+        for replica_id, backend in self.tier.backends.items():
+            settings = backend.settings
+            service_time = replace(settings.service_time, straggler_share=STRAGGLER_SHARE)
+            settings = replace(settings, service_time=service_time)
+            source = random.Random(replica_id)
+            self.tier.backends[replica_id] = BackendModel(settings, source, self.tier.dataset)
+        self.tier.run_until(2.0)
+
+    def slow_pings(self, name: str) -> list[float]:
+        """Return the latencies of spaced pings, slowest last."""
+        latencies: list[float] = []
+        for index in range(PINGS):
+            asked_at = self.tier.now
+            self.tier.ask("n0", f"{name}{index}", "outage-ping", (KeyRange.of_key("village-0001"),))
+            self.tier.run_until(asked_at + 0.2)
+            latencies.append(self.tier.answered_at[f"{name}{index}"] - asked_at)
+        return sorted(latencies)
+
+    def test_pings_are_as_fast_after_a_burst_as_before(self) -> None:
+        self.slow_pings("warm")
+        before = self.slow_pings("before")
+        for index in range(BURST):
+            self.tier.ask("n0", f"sweep{index}", deadline_seconds=3.0)
+        self.tier.run_until(self.tier.now + 4.0)
+        after = self.slow_pings("after")
+        ninety = int(PINGS * 0.9)
+        self.assertLess(after[ninety], before[ninety] * 1.5)
+        self.assertEqual(0, self.tier.nodes["n0"].in_flight())
+        self.assertEqual(0, self.tier.nodes["n1"].in_flight())
