Begin to vouch without waiting for a tick

Change: the document is read when configuration or membership change, and again at once after a swap that came too late; fruitless reads keep a pause.

--- a/tests/claims/test_scenarios.py
+++ b/tests/claims/test_scenarios.py
@@ -258,6 +258,17 @@
         world.advance(world.settings.wait_seconds)
         self.assertEqual(ClaimDecisionKind.GRANTED, decide(world, world.living()[0], "k1"))
 
+    def test_a_node_that_has_not_heard_of_a_new_zone_reads_with_pauses(self) -> None:
+        world = settled(2)
+        unaware = world.living()[0]
+        world.change_zones(world.zones[:1], {unaware.identity.node_id})
+        world.advance(20.0)
+        before = world.store.operations
+        seconds = 20.0
+        world.advance(seconds)
+        operations = world.store.operations - before
+        self.assertTrue(operations <= seconds / world.settings.tick_seconds + 10, operations)
+
     def test_store_traffic_stays_small(self) -> None:
         world = settled(3)
         before = world.store.operations
--- a/wingquay/claims/machine.py
+++ b/wingquay/claims/machine.py
@@ -153,14 +153,17 @@
                 self._offers.link_broken(event.node_id)
                 return self._claimant.link_broken(event.node_id, now)
             case StoreResponse():
-                return self._keeper.respond(event, now)
+                # A node whose swap came too late reads again at once, not at the next tick.
+                return self._keeper.respond(event, now) + self._keeper.tick(now)
             case MembershipChanged():
                 self._directory.update(event.available, event.leaving)
                 self._timing.review(now)
                 self._transfers.on_membership(now)
                 self._offers.on_membership()
+                return self._keeper.tick(now)
             case ConfigurationInForce():
                 self._take_in_configuration(event.configuration, now)
+                return self._keeper.tick(now)
             case LeavingStarted():
                 self._timing.stop()
                 self._transfers.stop_accepting()
--- a/wingquay/claims/takeover.py
+++ b/wingquay/claims/takeover.py
@@ -24,7 +24,6 @@
 )
 
 OPERATION_PREFIX = "claims"
-FIRST_READ_SPREAD_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +55,6 @@
         self._operations = 0
         self._next_operation_at = -inf
         self._confirm_at = -inf
-        self._began = False
 
     def set_zones(self, zones: tuple[ZoneName, ...], revision: int) -> None:
         """Take in the deployment's zones from the configuration in force."""
@@ -67,12 +65,7 @@
 
     def tick(self, now: float) -> list[Action]:
         """Read the document when something is to be learned from it."""
-        if not self._in_service():
-            return []
-        if not self._began:
-            self._began = True
-            self._next_operation_at = now + self._random.uniform(0.0, FIRST_READ_SPREAD_SECONDS)
-        if self._pending is not None or now < self._next_operation_at:
+        if self._pending is not None or now < self._next_operation_at or not self._in_service():
             return []
         if now < self._confirm_at and not self._timing.wanted(now):
             return []
@@ -145,6 +138,8 @@
         actions = self._apply(document, sent_at, now)
         proposed = self._proposal(document, now)
         if proposed is None:
+            # Seats may stay wanted although nothing can be written: do not read without a pause.
+            self._next_operation_at = now + self._settings.tick_seconds
             return actions
         key = document_key(self._seats.identity.deployment)
         swap = CompareAndSwap(key, modified_at, proposed.to_bytes())
