--- a/wingquay/claims/takeover_timing.py
+++ b/wingquay/claims/takeover_timing.py
@@ -101,8 +101,8 @@
         return [
             seat
             for seat in self._seats.seats
-            if self._is_free(seat)
-            and self.is_ours(seat.partition)
+            if self.is_ours(seat.partition)
+            and self._is_free(seat)
             and now >= seat.accepted_until
             and (now >= seat.takeover_at or (nobody_offers and self._is_orphan(seat)))
         ]
