Clear a drain by a health page only after the replica was away and is cold

Found by tracing what was observed, believed and gossiped of that replica. Change: a page clears a drain when the replica was unreachable since and then says that it is cold, or 30 s after the last sign.

--- a/wingquay/admission/health_prober.py
+++ b/wingquay/admission/health_prober.py
@@ -32,7 +32,7 @@
 PAGE_TRUST_SECONDS = 30.0
 """Time after the last sign that a replica is leaving in which its health page cannot clear it.
 
-A replica that was unreachable meanwhile, or says that it is cold, has been started again.
+A replica that was unreachable meanwhile and then says that it is cold has been started again.
 """
 
 
@@ -52,6 +52,7 @@
         self._lanes = lanes
         self._last_observed: dict[str, _Observation] = {}
         self._leaving_at: dict[str, float] = {}
+        self._unreachable_since_leaving: set[str] = set()
 
     def probe_owned(self, owned: Iterable[ShardLane]) -> list[Action]:
         """Read the health pages of the replicas whose shards this node owns."""
@@ -65,8 +66,7 @@
     def on_probed(self, event: ReplicaProbed, now: float) -> list[Action]:
         """Take in a health page."""
         if isinstance(event.result, Failure):
-            # A process that went away and comes back has forgotten that it was leaving.
-            self._leaving_at.pop(event.replica_id, None)
+            self._unreachable_since_leaving.add(event.replica_id)
             return []
         report = event.result
         held = self._take_report(event.replica_id, report, now, is_on_answer=False)
@@ -79,7 +79,11 @@
     def _page_may_clear(self, replica_id: str, report: LoadReport, now: float) -> bool:
         """Whether "serving" on a health page says anything: pages lag behind a drain."""
         leaving_at = self._leaving_at.get(replica_id)
-        if leaving_at is None or report.cold:
+        if leaving_at is None:
+            return True
+        # A process that went away and comes back cold has forgotten that it was leaving. Either
+        # sign alone is not enough: the network may have been cut, the page may be an old one.
+        if report.cold and replica_id in self._unreachable_since_leaving:
             return True
         return now - leaving_at >= PAGE_TRUST_SECONDS
 
@@ -130,6 +134,7 @@
     ) -> list[Action]:
         if state is ReplicaState.LEAVING:
             self._leaving_at[replica_id] = now
+            self._unreachable_since_leaving.discard(replica_id)
         if self._lanes.tracker(replica_id) is None:
             return []
         last = self._last_observed.get(replica_id)
