--- a/wingquay/adapters/http_messages.py
+++ b/wingquay/adapters/http_messages.py
@@ -3,7 +3,7 @@
 Source: RFC 9110 (semantics) and RFC 9112 (HTTP/1.1); the wire format itself is h11's job.
 """
 
-from collections.abc import AsyncIterator, Iterable, Mapping
+from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -30,6 +30,8 @@
         Decoded query parameters; the last of a repeated name counts.
     headers
         Names in lower case; values of a repeated name joined by ``", "``.
+    target, raw_headers
+        The request target and the headers exactly as they came.
     """
 
     method: str
@@ -37,6 +39,8 @@
     query: Mapping[str, str] = field(default_factory=dict)
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
+    target: bytes = b""
+    raw_headers: Sequence[tuple[bytes, bytes]] = ()
 
 
 @value
@@ -44,11 +48,13 @@
     """A response; ``body`` is either whole or (server side only) a stream sent in chunks.
 
     ``content-length``, ``transfer-encoding`` and ``connection`` are added by the server.
+    ``raw_headers`` follow ``headers`` exactly as they are.
     """
 
     status: int
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes | AsyncIterator[bytes] = b""
+    raw_headers: Sequence[tuple[bytes, bytes]] = ()
 
     @property
     def whole_body(self) -> bytes:
--- a/wingquay/adapters/http_request_reader.py
+++ b/wingquay/adapters/http_request_reader.py
@@ -109,7 +109,11 @@
         method = self._head.method.decode("ascii")
         path, _, query_text = self._head.target.decode("ascii").partition("?")
         query = dict(parse_qsl(query_text, keep_blank_values=True)) if query_text else {}
-        return HttpRequest(method, path, query, self._headers, bytes(self._body))
+        head = self._head
+        raw_headers = head.headers.raw_items()
+        return HttpRequest(
+            method, path, query, self._headers, bytes(self._body), head.target, raw_headers
+        )
 
 
 def _head_bytes(head: h11.Request, headers: RawHeaders) -> int:
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -241,7 +241,7 @@
             await self._writable.wait()
 
     def _response_head(self, response: HttpResponse) -> h11.Response:
-        headers = headers_to_raw(response.headers)
+        headers = [*headers_to_raw(response.headers), *response.raw_headers]
         if isinstance(response.body, bytes):
             headers.append((b"content-length", b"%d" % len(response.body)))
         if self._server.is_leaving or self._http.their_state is h11.ERROR:
--- /dev/null
+++ b/wingquay/adapters/replica_client.py
@@ -0,0 +1,196 @@
+"""Performs the sendings of forwarding over kept connections to replicas."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import h11
+
+from wingquay.adapters.replica_connection import RawAnswer, RawSending, ReplicaConnection
+from wingquay.ports.forwarding import (
+    CancelSend,
+    ReplicaAnswer,
+    ReplicaAnswered,
+    ReportedLoad,
+    SendFailed,
+    SendFailureKind,
+    SendToReplica,
+)
+from wingquay.ports.machine import Count, Event
+
+CONNECT_SECONDS = 0.08
+"""Time allowed for a new connection: replicas are near, and another one can be asked."""
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class UnderstoodAnswer:
+    """A raw answer in the terms of the port."""
+
+    answer: ReplicaAnswer
+    load: ReportedLoad | None
+    is_malformed: bool = False
+    """Whether it is no answer that a replica gives, such as one with an encoded body."""
+
+
+class ReplicaDialect(Protocol):
+    """How requests to replicas and their answers are written; the platform provides it."""
+
+    def request_head(self, action: SendToReplica) -> h11.Request:
+        """Return the head of a request as the replica takes it."""
+        ...
+
+    def belongs(self, request_id: str, answer: RawAnswer) -> bool:
+        """Whether an answer belongs to the request with that id."""
+        ...
+
+    def understand(self, answer: RawAnswer) -> UnderstoodAnswer:
+        """Return an answer in the terms of the port."""
+        ...
+
+
+class _Attempt:
+    """A sending under way."""
+
+    __slots__ = ("action", "connecting", "connection")
+
+    def __init__(self, action: SendToReplica) -> None:
+        self.action = action
+        self.connecting: asyncio.Task[None] | None = None
+        self.connection: ReplicaConnection | None = None
+
+
+class ReplicaClient:
+    """Performs ``SendToReplica`` and ``CancelSend``.
+
+    Parameters
+    ----------
+    dialect
+        Writes requests and understands answers.
+    emit
+        Takes the events.
+    count
+        Takes counters.
+    """
+
+    def __init__(
+        self,
+        dialect: ReplicaDialect,
+        emit: Callable[[Event], None],
+        count: Callable[[Count], None],
+    ) -> None:
+        self._dialect = dialect
+        self._emit = emit
+        self._count = count
+        self._loop = asyncio.get_running_loop()
+        self._attempts: dict[int, _Attempt] = {}
+        self._idle: dict[Address, list[ReplicaConnection]] = {}
+        self._open: dict[ReplicaConnection, Address] = {}
+
+    def send(self, action: SendToReplica) -> None:
+        """Send on an idle connection or on a new one."""
+        attempt = _Attempt(action)
+        self._attempts[action.attempt_id] = attempt
+        address = (action.replica.host, action.replica.port)
+        connection = None if action.fresh_connection else self._take_idle(address)
+        if connection is not None:
+            self._send_on(attempt, connection)
+            return
+        attempt.connecting = self._loop.create_task(self._connect(attempt, address))
+
+    def cancel(self, action: CancelSend) -> None:
+        """End an attempt and its connection."""
+        attempt = self._attempts.pop(action.attempt_id, None)
+        if attempt is None:
+            return
+        if attempt.connecting is not None:
+            attempt.connecting.cancel()
+        if attempt.connection is not None:
+            attempt.connection.abort()
+
+    def close(self) -> None:
+        """End every connection; no event follows."""
+        for attempt in self._attempts.values():
+            if attempt.connecting is not None:
+                attempt.connecting.cancel()
+        self._attempts.clear()
+        for connection in list(self._open):
+            connection.abort()
+
+    async def _connect(self, attempt: _Attempt, address: Address) -> None:
+        connection = ReplicaConnection(self._freed, self._closed)
+        self._open[connection] = address
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await self._loop.create_connection(lambda: connection, *address)
+        except (OSError, TimeoutError) as error:
+            connection.abort()
+            reason = f"{type(error).__name__}: {error}"
+            self._failed(attempt, SendFailureKind.NOT_SENT, reason)
+            return
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        attempt.connecting = None
+        self._count(Count("replica_connections_total"))
+        self._send_on(attempt, connection)
+
+    def _send_on(self, attempt: _Attempt, connection: ReplicaConnection) -> None:
+        action = attempt.action
+        attempt.connection = connection
+        request_id = action.request_id
+
+        def belongs(answer: RawAnswer) -> bool:
+            return self._dialect.belongs(request_id, answer)
+
+        def on_answer(answer: RawAnswer) -> None:
+            self._answered(attempt, answer)
+
+        def on_broken(reason: str, is_malformed: bool) -> None:
+            kind = SendFailureKind.MALFORMED if is_malformed else SendFailureKind.BROKEN
+            self._failed(attempt, kind, reason)
+
+        head = self._dialect.request_head(action)
+        connection.send(RawSending(head, action.request.body, belongs, on_answer, on_broken))
+
+    def _answered(self, attempt: _Attempt, answer: RawAnswer) -> None:
+        attempt_id = attempt.action.attempt_id
+        if self._attempts.pop(attempt_id, None) is None:
+            return
+        understood = self._dialect.understand(answer)
+        if understood.is_malformed:
+            reason = f"status {answer.status} without what an answer must bear"
+            self._emit(SendFailed(attempt_id, SendFailureKind.MALFORMED, reason))
+            return
+        self._emit(ReplicaAnswered(attempt_id, understood.answer, understood.load))
+
+    def _failed(self, attempt: _Attempt, kind: SendFailureKind, reason: str) -> None:
+        attempt_id = attempt.action.attempt_id
+        if self._attempts.pop(attempt_id, None) is not None:
+            self._emit(SendFailed(attempt_id, kind, reason))
+
+    def _take_idle(self, address: Address) -> ReplicaConnection | None:
+        idle = self._idle.get(address)
+        now = self._loop.time()
+        while idle:
+            connection = idle.pop()
+            if connection.usable_until > now:
+                return connection
+            connection.abort()
+        return None
+
+    def _freed(self, connection: ReplicaConnection) -> None:
+        address = self._open[connection]
+        self._idle.setdefault(address, []).append(connection)
+
+    def _closed(self, connection: ReplicaConnection) -> None:
+        address = self._open.pop(connection, None)
+        if address is None:
+            return
+        idle = self._idle.get(address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+        if idle is not None and not idle:
+            del self._idle[address]
--- /dev/null
+++ b/wingquay/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests that are passed on unchanged: routes, replicas, hedges, merging."""
--- /dev/null
+++ b/wingquay/forwarding/attempts.py
@@ -0,0 +1,134 @@
+"""Sends attempts of calls to replicas and keeps account of those under way."""
+
+from itertools import count
+
+from wingquay.admission.budget import RatioBudget
+from wingquay.forwarding.exchange import Attempt, ServiceCall
+from wingquay.forwarding.latencies import RouteLatencies
+from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.forwarding.timers import AbandonDue
+from wingquay.model.routing_table import RoutingTable
+from wingquay.ports.forwarding import CancelSend, SendToReplica
+from wingquay.ports.machine import Action, Schedule
+
+DEFAULT_CONNECTION_LIMIT = 24
+
+
+class AttemptSender:
+    """Chooses replicas, spends the budget of extra arrivals, starts and ends attempts."""
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        directory: ReplicaDirectory,
+        latencies: RouteLatencies,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._latencies = latencies
+        self._ids = count(1)
+        self._open: dict[int, Attempt] = {}
+        self._budgets: dict[str, RatioBudget] = {}
+
+    def get(self, attempt_id: int) -> Attempt | None:
+        """Return an attempt under way."""
+        return self._open.get(attempt_id)
+
+    def earn(self, service: str) -> None:
+        """Take in a request for a service: it earns extra arrivals there."""
+        self._budget(service).earn()
+
+    def try_send(self, call: ServiceCall, now: float, is_hedge: bool = False) -> list[Action]:
+        """Send the call to a replica; nothing is returned when none can be asked now."""
+        route = call.exchange.route
+        if len(call.asked) >= route.max_attempts:
+            return []
+        excluded = call.asked | call.refused
+        limit = self._connection_limit(call.exchange.table, call.service)
+        replica = self._directory.choose(call.service, excluded, limit, now, not is_hedge)
+        if replica is None:
+            return []
+        if call.arrivals and not self._budget(call.service).spend():
+            return []
+        attempt_id = next(self._ids)
+        attempt = Attempt(attempt_id, call, replica, now, is_hedge)
+        call.attempts[attempt_id] = attempt
+        call.asked.add(replica.record.replica_id)
+        call.arrivals += 1
+        call.is_waiting = False
+        replica.in_flight[attempt_id] = now + self._latencies.hedge_seconds(route)
+        self._open[attempt_id] = attempt
+        return [self._send_action(attempt, now)]
+
+    def not_arrived(self, attempt: Attempt) -> None:
+        """Take back that a replica may have got the request: no byte of it left."""
+        call = attempt.call
+        call.arrivals -= 1
+        self._not_run(attempt)
+        if call.arrivals:
+            budget = self._budget(call.service)
+            budget.available = min(budget.burst, budget.available + 1.0)
+
+    def not_run(self, attempt: Attempt) -> None:
+        """Take in that a replica did not run the request."""
+        self._not_run(attempt)
+
+    def finish(self, attempt: Attempt) -> None:
+        """Forget an attempt that ended."""
+        self._open.pop(attempt.attempt_id, None)
+        attempt.call.attempts.pop(attempt.attempt_id, None)
+        attempt.replica.in_flight.pop(attempt.attempt_id, None)
+
+    def abandon(self, call: ServiceCall, now: float) -> list[Action]:
+        """Let the call's attempts end by themselves for a short time."""
+        actions: list[Action] = []
+        for attempt in call.attempts.values():
+            if not attempt.is_abandoned:
+                attempt.is_abandoned = True
+                due_at = now + self._settings.abandon_seconds
+                actions.append(Schedule(due_at, AbandonDue(attempt.attempt_id)))
+        return actions
+
+    def cancel(self, attempt: Attempt, now: float) -> list[Action]:
+        """End an attempt and its connection; what it took so far is a lower bound."""
+        self.finish(attempt)
+        self.record_latency(attempt, now)
+        return [CancelSend(attempt.attempt_id)]
+
+    def record_latency(self, attempt: Attempt, now: float) -> None:
+        """Take in how long an attempt took."""
+        route = attempt.call.exchange.route
+        seconds = now - attempt.sent_at
+        self._latencies.record(route, seconds, now)
+        median = self._latencies.median_seconds(route)
+        if median is not None:
+            attempt.replica.on_latency(seconds / median, now)
+
+    def _not_run(self, attempt: Attempt) -> None:
+        call = attempt.call
+        replica_id = attempt.replica.record.replica_id
+        call.asked.discard(replica_id)
+        call.refused.add(replica_id)
+
+    def _send_action(self, attempt: Attempt, now: float) -> SendToReplica:
+        exchange = attempt.call.exchange
+        return SendToReplica(
+            attempt.attempt_id,
+            attempt.replica.record,
+            exchange.event.request_id,
+            exchange.event.request,
+            max(exchange.ends_at - now, 0.001),
+        )
+
+    def _connection_limit(self, table: RoutingTable, service: str) -> int:
+        known = table.services.get(service)
+        limit = DEFAULT_CONNECTION_LIMIT if known is None else known.connection_limit
+        return max(1, limit // self._settings.most_nodes)
+
+    def _budget(self, service: str) -> RatioBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RatioBudget(self._settings.retry_ratio, self._settings.retry_burst)
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/wingquay/forwarding/ending.py
@@ -0,0 +1,145 @@
+"""The replies that end an exchange, and the log line of each that was not simply served."""
+
+from wingquay.forwarding.exchange import Exchange, ServiceCall
+from wingquay.forwarding.merging import merge_greatest
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ForwardRequested,
+    ReplicaAnswer,
+    ReplyFailure,
+    ReplyMerged,
+    ReplyUnchanged,
+)
+from wingquay.ports.machine import Action, Count, Log, LogLevel, Observe
+
+MILLISECONDS_PER_SECOND = 1000.0
+LEAST_RETRY_SECONDS = 0.1
+RETRY_OBJECTIVE_RATIO = 0.5
+"""When a refused caller may come back, as a share of the route's objective."""
+
+
+class ExchangeEnding:
+    """Makes the actions that end an exchange."""
+
+    def refuse_arrival(
+        self, event: ForwardRequested, reason: str, retry_after_seconds: float
+    ) -> list[Action]:
+        """Refuse a request before anything was done for it."""
+        kind = ForwardFailureKind.NOT_RUN
+        return [
+            ReplyFailure(event.exchange_id, kind, reason, retry_after_seconds),
+            _count("refused"),
+            _arrival_line(event, "refused", reason),
+        ]
+
+    def no_route(self, event: ForwardRequested, version: int) -> list[Action]:
+        """Say that no route fits."""
+        reason = f"no route for host {event.host!r} and path {event.path!r}"
+        return [
+            ReplyFailure(event.exchange_id, ForwardFailureKind.NO_ROUTE, reason),
+            _count("no_route"),
+            _arrival_line(event, "no_route", f"{reason} in version {version}"),
+        ]
+
+    def unchanged(self, exchange: Exchange, answer: ReplicaAnswer, now: float) -> list[Action]:
+        """Pass on a replica's answer."""
+        outcome = "late" if now > exchange.in_time_at else "served"
+        return [ReplyUnchanged(exchange.exchange_id, answer), *_end(exchange, outcome, "", now)]
+
+    def merged(self, exchange: Exchange, answered: list[ServiceCall], now: float) -> list[Action]:
+        """Answer with what the shards brought."""
+        answers = [call.answer for call in answered if call.answer is not None]
+        body = merge_greatest([answer.body for answer in answers], exchange.route.merged_records)
+        signatures = tuple(str(answer.signature) for answer in answers)
+        missing = len(exchange.calls) - len(answers)
+        reply = ReplyMerged(exchange.exchange_id, body, signatures, missing)
+        outcome = "served"
+        if missing:
+            outcome = "partial"
+        elif now > exchange.in_time_at + 0.001:
+            outcome = "late"
+        return [reply, *_end(exchange, outcome, "", now)]
+
+    def failed(self, exchange: Exchange, call: ServiceCall, now: float) -> list[Action]:
+        """Answer after every allowed replica failed."""
+        if call.failure is not None:
+            reply: Action = ReplyUnchanged(exchange.exchange_id, call.failure)
+            return [reply, *_end(exchange, "replica_failure", "passed on", now)]
+        reason = "the replicas asked brought no answer"
+        reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.FAILED, reason)
+        return [reply, *_end(exchange, "failed", reason, now)]
+
+    def refuse(self, exchange: Exchange, reason: str, now: float) -> list[Action]:
+        """Refuse a request that has run nowhere."""
+        seconds = exchange.route.objective_seconds * RETRY_OBJECTIVE_RATIO
+        reply = ReplyFailure(
+            exchange.exchange_id,
+            ForwardFailureKind.NOT_RUN,
+            reason,
+            max(LEAST_RETRY_SECONDS, seconds),
+        )
+        return [reply, *_end(exchange, "refused", reason, now)]
+
+    def out_of_time(self, exchange: Exchange, now: float) -> list[Action]:
+        """Answer when the time of the exchange is over."""
+        reason = "no answer within the time allowed"
+        if not exchange.may_have_run:
+            return self.refuse(exchange, reason, now)
+        if len(exchange.calls) == 1 and exchange.calls[0].failure is not None:
+            return self.failed(exchange, exchange.calls[0], now)
+        reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.TIMED_OUT, reason)
+        return [reply, *_end(exchange, "timed_out", reason, now)]
+
+    def caller_left(self, exchange: Exchange, now: float) -> list[Action]:
+        """Take note that nobody waits any more."""
+        return _end(exchange, "caller_left", "", now)
+
+
+def _end(exchange: Exchange, outcome: str, reason: str, now: float) -> list[Action]:
+    seconds = now - exchange.arrived_at
+    labels = (("route", exchange.route.name),)
+    actions: list[Action] = [
+        _count(outcome),
+        Observe("forwarded_request_seconds", seconds, labels),
+    ]
+    if outcome != "served":
+        actions.append(_line(exchange, outcome, reason, seconds))
+    return actions
+
+
+def _count(outcome: str) -> Count:
+    return Count("forwarded_requests_total", labels=(("outcome", outcome),))
+
+
+def _line(exchange: Exchange, outcome: str, reason: str, seconds: float) -> Log:
+    unanswered = [call for call in exchange.calls if call.answer is None]
+    if outcome == "late":
+        unanswered = exchange.calls
+    fields: tuple[tuple[str, str | int | float], ...] = (
+        ("request_id", exchange.event.request_id),
+        ("outcome", outcome),
+        ("route", exchange.route.name),
+        ("version", exchange.table.version),
+        ("total_ms", round(seconds * MILLISECONDS_PER_SECOND, 1)),
+        ("answered", len(exchange.answered_calls)),
+        ("of", len(exchange.calls)),
+        ("arrivals", sum(call.arrivals for call in exchange.calls)),
+    )
+    if reason:
+        fields += (("reason", reason),)
+    detail = "; ".join(_call_text(call) for call in unanswered[:4])
+    if detail:
+        fields += (("unanswered" if outcome != "late" else "calls", detail),)
+    return Log("request_ended", LogLevel.INFO, fields)
+
+
+def _call_text(call: ServiceCall) -> str:
+    open_attempts = [
+        f"open {attempt.replica.record.replica_id}" for attempt in call.attempts.values()
+    ]
+    return f"{call.service}: " + (", ".join(call.history + open_attempts) or "never sent")
+
+
+def _arrival_line(event: ForwardRequested, outcome: str, reason: str) -> Log:
+    fields = (("request_id", event.request_id), ("outcome", outcome), ("reason", reason))
+    return Log("request_ended", LogLevel.INFO, fields)
--- /dev/null
+++ b/wingquay/forwarding/exchange.py
@@ -0,0 +1,80 @@
+"""One caller's request while it is open: its calls to services and their attempts."""
+
+from dataclasses import dataclass, field
+
+from wingquay.forwarding.replica_state import ReplicaState
+from wingquay.model.routing_table import Route, RoutingTable
+from wingquay.ports.forwarding import ForwardRequested, ReplicaAnswer
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One sending of a request to one replica."""
+
+    attempt_id: int
+    call: "ServiceCall"
+    replica: ReplicaState
+    sent_at: float
+    is_hedge: bool
+    is_abandoned: bool = False
+    """Nobody waits for it any more; it may end by itself for a short time."""
+
+
+@dataclass(slots=True, eq=False)
+class ServiceCall:
+    """The part of a request that one service answers."""
+
+    exchange: "Exchange"
+    service: str
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    """Attempts under way, by id."""
+    asked: set[str] = field(default_factory=set)
+    """Replicas that the request was sent to and that may have run it."""
+    refused: set[str] = field(default_factory=set)
+    """Replicas that could not be reached or did not run it, since the last pause."""
+    arrivals: int = 0
+    """Sendings that may have arrived."""
+    answer: ReplicaAnswer | None = None
+    failure: ReplicaAnswer | None = None
+    """A failure that a replica answered, in case nothing better comes."""
+    is_waiting: bool = False
+    """Whether it stands in line for a free connection or for a pause to end."""
+    history: list[str] = field(default_factory=list)
+    """What became of its attempts, for the log."""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run the request."""
+        return bool(self.asked)
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One caller's request and everything that is done for it."""
+
+    event: ForwardRequested
+    table: RoutingTable
+    route: Route
+    arrived_at: float
+    in_time_at: float
+    """Last moment at which an answer still reaches the caller within the objective."""
+    ends_at: float
+    """When it is given up on."""
+    calls: list[ServiceCall] = field(default_factory=list)
+    signatures: set[str] = field(default_factory=set)
+    is_retry_due: bool = False
+
+    @property
+    def exchange_id(self) -> int:
+        """The node's own number for it."""
+        return self.event.exchange_id
+
+    @property
+    def answered_calls(self) -> list[ServiceCall]:
+        """The calls whose answer is in."""
+        return [call for call in self.calls if call.answer is not None]
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any replica may have run the request."""
+        return any(call.may_have_run for call in self.calls)
--- /dev/null
+++ b/wingquay/forwarding/forwarding_node.py
@@ -0,0 +1,203 @@
+"""Joins the decisions of a node that passes requests on: store, replicas, requests, stop."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from wingquay.forwarding.forwarding_machine import ForwardingMachine
+from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.forwarding.store_follower import FollowerHooks, FollowerSettings, StoreFollower
+from wingquay.model.failure import Failure
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.model.routing_table import CallerLimits, RoutingTable
+from wingquay.model.value import value
+from wingquay.ports.forwarding import SetForwarding
+from wingquay.ports.machine import (
+    Action,
+    Count,
+    Event,
+    Exit,
+    Log,
+    LogLevel,
+    Schedule,
+    Start,
+    StopRequested,
+)
+from wingquay.ports.store import StoredValue, StoreResponse, WatchBroken, WatchChanged
+
+SWEEP_SECONDS = 0.5
+"""Time between two looks for replicas whose time of grace is over."""
+STOP_CHECK_SECONDS = 0.1
+
+
+@value
+class SweepDue(Event):
+    """Forget replicas whose time of grace is over."""
+
+
+@value
+class StopCheckDue(Event):
+    """Look whether the stop can end."""
+
+
+class FormatFailureKind(Enum):
+    """Why a value of the store could not be read."""
+
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFormats:
+    """How the store's keys and values are read.
+
+    Parameters
+    ----------
+    configuration_key
+        Holds the configuration in force.
+    replica_prefix
+        Keys of replica records begin with it; the rest is the replica's id.
+    parse_configuration, parse_replica
+        Turn a value into its typed form.
+    """
+
+    configuration_key: str
+    replica_prefix: str
+    parse_configuration: Callable[[bytes], RoutingTable | Failure[FormatFailureKind]]
+    parse_replica: Callable[[str, bytes], ReplicaRecord | Failure[FormatFailureKind]]
+
+
+class ForwardingNode:
+    """The whole decision code of one node that passes requests on."""
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        follower: FollowerSettings,
+        formats: StoreFormats,
+        random_source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._formats = formats
+        self._directory = ReplicaDirectory(settings, random_source)
+        self._forwarding = ForwardingMachine(settings, self._directory, random_source)
+        hooks = FollowerHooks(self._on_listing, self._on_changes, self._directory.note_outage)
+        self._follower = StoreFollower(follower, hooks)
+        self._table: RoutingTable | None = None
+        self._idle_seconds = 0.0
+        self._stopping_since: float | None = None
+        self._was_ready = False
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in an event and return what is to be done."""
+        if isinstance(event, StoreResponse | WatchChanged | WatchBroken):
+            return self._follower.handle(event, now)
+        if isinstance(event, Start):
+            return [*self._follower.handle(event, now), Schedule(now + SWEEP_SECONDS, SweepDue())]
+        if isinstance(event, SweepDue):
+            self._directory.forget_vanished(now)
+            return [Schedule(now + SWEEP_SECONDS, event)]
+        if isinstance(event, StopRequested):
+            return self._stop(now)
+        if isinstance(event, StopCheckDue):
+            return self._check_stop(now)
+        return self._forwarding.handle(event, now) or self._follower.handle(event, now)
+
+    # The store
+
+    def _on_listing(self, values: tuple[StoredValue, ...], now: float) -> list[Action]:
+        actions = self._on_changes(values, (), now)
+        prefix = self._formats.replica_prefix
+        ids = {item.key.removeprefix(prefix) for item in values if item.key.startswith(prefix)}
+        self._directory.keep_only(ids, now)
+        return actions
+
+    def _on_changes(
+        self, changed: tuple[StoredValue, ...], deleted: tuple[str, ...], now: float
+    ) -> list[Action]:
+        actions: list[Action] = []
+        prefix = self._formats.replica_prefix
+        for item in changed:
+            if item.key == self._formats.configuration_key:
+                actions += self._configure(item.value)
+            elif item.key.startswith(prefix):
+                actions += self._put_replica(item, now)
+        for key in deleted:
+            if key.startswith(prefix):
+                self._directory.vanish(key.removeprefix(prefix), now)
+        return actions + self._ready_actions()
+
+    def _configure(self, document: bytes) -> list[Action]:
+        table = self._formats.parse_configuration(document)
+        if isinstance(table, Failure):
+            fields = (("reason", table.reason),)
+            return [Log("configuration_unreadable", LogLevel.ERROR, fields)]
+        if self._table is not None and table.version <= self._table.version:
+            return []
+        self._table = table
+        self._forwarding.set_table(table)
+        line = (("version", table.version), ("routes", len(table.routes)))
+        return [
+            Log("configuration_adopted", LogLevel.INFO, line),
+            Count("configurations_adopted_total"),
+            self._set_forwarding(),
+        ]
+
+    def _put_replica(self, item: StoredValue, now: float) -> list[Action]:
+        replica_id = item.key.removeprefix(self._formats.replica_prefix)
+        record = self._formats.parse_replica(replica_id, item.value)
+        if isinstance(record, Failure):
+            fields = (("key", item.key), ("reason", record.reason))
+            return [Log("replica_record_unreadable", LogLevel.WARNING, fields)]
+        self._directory.put(record, now)
+        return []
+
+    # Ready and stop
+
+    @property
+    def _is_ready(self) -> bool:
+        is_stopping = self._stopping_since is not None
+        return not is_stopping and self._table is not None and len(self._directory) > 0
+
+    def _ready_actions(self) -> list[Action]:
+        if self._is_ready == self._was_ready:
+            return []
+        self._was_ready = self._is_ready
+        line = Log("ready_changed", LogLevel.INFO, (("is_ready", int(self._is_ready)),))
+        return [line, self._set_forwarding()]
+
+    def _set_forwarding(self) -> SetForwarding:
+        limits = CallerLimits() if self._table is None else self._table.limits
+        # A shorter idle time would cut off callers that still go by the longer one.
+        self._idle_seconds = max(self._idle_seconds, limits.idle_seconds)
+        limits = CallerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.request_read_seconds,
+            self._idle_seconds,
+        )
+        return SetForwarding(self._is_ready, self._stopping_since is not None, limits)
+
+    def _stop(self, now: float) -> list[Action]:
+        if self._stopping_since is not None:
+            return []
+        self._stopping_since = now
+        fields = (("open_requests", self._forwarding.open_exchanges),)
+        return [
+            Log("stop_started", LogLevel.INFO, fields),
+            *self._ready_actions(),
+            self._set_forwarding(),
+            Schedule(now + STOP_CHECK_SECONDS, StopCheckDue()),
+        ]
+
+    def _check_stop(self, now: float) -> list[Action]:
+        assert self._stopping_since is not None
+        elapsed = now - self._stopping_since
+        open_requests = self._forwarding.open_exchanges
+        is_over = elapsed >= self._settings.most_stop_seconds
+        if elapsed >= self._settings.unready_stop_seconds and not open_requests:
+            is_over = True
+        if is_over:
+            return [Exit(open_requests)]
+        return [Schedule(now + STOP_CHECK_SECONDS, StopCheckDue())]
--- /dev/null
+++ b/wingquay/forwarding/merging.py
@@ -0,0 +1,20 @@
+"""Merges the records of several shards into the greatest ones."""
+
+import heapq
+from collections.abc import Iterable
+
+RECORD_BYTES = 16
+
+
+def records_of(body: bytes) -> list[bytes]:
+    """Return the whole records of a body; remaining bytes form no record."""
+    end = len(body) - len(body) % RECORD_BYTES
+    return [body[start : start + RECORD_BYTES] for start in range(0, end, RECORD_BYTES)]
+
+
+def merge_greatest(bodies: Iterable[bytes], most_records: int) -> bytes:
+    """Return the greatest records of all bodies, greatest first; equal ones all count."""
+    records: list[bytes] = []
+    for body in bodies:
+        records += records_of(body)
+    return b"".join(heapq.nlargest(most_records, records))
--- /dev/null
+++ b/wingquay/forwarding/replica_directory.py
@@ -0,0 +1,142 @@
+"""All replicas by service, and the choice of the one that a request is sent to."""
+
+import random
+from collections.abc import Container, Iterable
+
+from wingquay.forwarding.replica_state import ReplicaState
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.model.replica_record import ReplicaRecord
+
+
+class ReplicaDirectory:
+    """Follows the records of replicas.
+
+    Parameters
+    ----------
+    settings
+        The zone of this node and the times of grace.
+    random_source
+        Breaks ties.
+    """
+
+    def __init__(self, settings: ForwardingSettings, random_source: random.Random) -> None:
+        self._settings = settings
+        self._random = random_source
+        self._states: dict[str, ReplicaState] = {}
+        self._by_service: dict[str, dict[str, ReplicaState]] = {}
+        self._outage_ended_at = float("-inf")
+
+    def __len__(self) -> int:
+        """Return the number of replicas known."""
+        return len(self._states)
+
+    def get(self, replica_id: str) -> ReplicaState | None:
+        """Return the state of a replica."""
+        return self._states.get(replica_id)
+
+    def put(self, record: ReplicaRecord, now: float) -> None:
+        """Take in a record, new or changed."""
+        state = self._states.get(record.replica_id)
+        if state is None:
+            state = ReplicaState(record, now)
+            self._states[record.replica_id] = state
+            self._by_service.setdefault(record.service, {})[record.replica_id] = state
+            return
+        if state.record.cold_seconds != record.cold_seconds:
+            state.recorded_at = now
+        state.record = record
+        state.vanished_at = None
+
+    def vanish(self, replica_id: str, now: float) -> None:
+        """Take in that a record is gone."""
+        state = self._states.get(replica_id)
+        if state is not None and state.vanished_at is None:
+            state.vanished_at = now
+
+    def keep_only(self, replica_ids: Container[str], now: float) -> None:
+        """Take in a whole listing: what is not in it has vanished."""
+        for replica_id in self._states:
+            if replica_id not in replica_ids:
+                self.vanish(replica_id, now)
+
+    def remove(self, replica_id: str) -> None:
+        """Forget a replica that certainly is gone."""
+        state = self._states.pop(replica_id, None)
+        if state is not None:
+            service = state.record.service
+            del self._by_service[service][replica_id]
+            if not self._by_service[service]:
+                del self._by_service[service]
+
+    def note_outage(self, now: float) -> None:
+        """Take in that the directory is out of reach now."""
+        self._outage_ended_at = now
+
+    def forget_vanished(self, now: float) -> None:
+        """Forget the replicas whose time of grace is over."""
+        for state in list(self._states.values()):
+            if state.vanished_at is not None and not self._has_grace(state, now):
+                self.remove(state.record.replica_id)
+
+    def has_usable(self, service: str, now: float) -> bool:
+        """Whether a replica of the service may be asked and was not just out of reach."""
+        return any(not state.is_blocked(now) for state in self._candidates(service, now))
+
+    def has_any(self, service: str, now: float) -> bool:
+        """Whether the service has a replica that may get work."""
+        return bool(self._candidates(service, now))
+
+    def choose(
+        self,
+        service: str,
+        excluded: Container[str],
+        limit: int,
+        now: float,
+        with_blocked: bool = True,
+    ) -> ReplicaState | None:
+        """Return the replica with the least expected wait.
+
+        Parameters
+        ----------
+        excluded
+            Ids of replicas that must not be returned.
+        limit
+            Attempts under way at which a replica gets no more.
+        with_blocked
+            Whether a replica that just failed may be returned when there is no other.
+        """
+        free = [
+            state
+            for state in self._candidates(service, now)
+            if state.record.replica_id not in excluded and len(state.in_flight) < limit
+        ]
+        unblocked = [state for state in free if not state.is_blocked(now)]
+        if unblocked:
+            return self._best(unblocked, now)
+        return self._best(free, now) if free and with_blocked else None
+
+    def _best(self, states: Iterable[ReplicaState], now: float) -> ReplicaState:
+        zone = self._settings.zone
+        return min(states, key=lambda state: (state.cost(now, zone), self._random.random()))
+
+    def _candidates(self, service: str, now: float) -> list[ReplicaState]:
+        """Return the replicas that may get work; vanished ones only if no other is left."""
+        present: list[ReplicaState] = []
+        vanished: list[ReplicaState] = []
+        for state in self._by_service.get(service, {}).values():
+            if state.record.is_draining:
+                continue
+            if state.vanished_at is None:
+                present.append(state)
+            elif self._has_grace(state, now):
+                vanished.append(state)
+        return present or vanished
+
+    def _has_grace(self, state: ReplicaState, now: float) -> bool:
+        assert state.vanished_at is not None
+        settings = self._settings
+        in_outage = state.vanished_at - self._outage_ended_at < settings.vanished_grace_seconds
+        grace = settings.vanished_grace_seconds
+        if in_outage:
+            grace = settings.vanished_outage_grace_seconds
+        return now - state.vanished_at < grace
--- /dev/null
+++ b/wingquay/forwarding/replica_state.py
@@ -0,0 +1,101 @@
+"""What this node has seen of one replica: attempts under way, slowness, load, failures."""
+
+import math
+from dataclasses import dataclass, field
+
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.ports.forwarding import ReportedLoad
+
+SLOWNESS_WEIGHT = 0.4
+SLOWNESS_MEMORY_SECONDS = 2.0
+"""Time constant with which a replica's slowness is forgotten, so that it is tried again."""
+GREATEST_SLOWNESS = 20.0
+LOAD_MEMORY_SECONDS = 0.1
+"""Time constant with which a reported load is forgotten."""
+OVERDUE_FACTOR = 6.0
+"""Cost factor of a replica that holds an attempt beyond the time at which it is hedged."""
+COLD_FACTOR = 1.6
+OTHER_ZONE_FACTOR = 1.08
+
+
+@dataclass(slots=True)
+class ReplicaState:
+    """One replica as the directory and this node's own attempts show it.
+
+    Parameters
+    ----------
+    vanished_at
+        When its record disappeared from the directory; ``None`` while it is there.
+    """
+
+    record: ReplicaRecord
+    recorded_at: float
+    vanished_at: float | None = None
+    in_flight: dict[int, float] = field(default_factory=dict)
+    """The time at which each attempt under way becomes overdue, by attempt."""
+    blocked_until: float = 0.0
+    failures_in_row: int = 0
+    _slowness: float = 1.0
+    _slowness_at: float = 0.0
+    _load: ReportedLoad | None = None
+    _load_at: float = 0.0
+
+    def is_blocked(self, now: float) -> bool:
+        """Whether the replica gets work only when no other can."""
+        return now < self.blocked_until
+
+    def is_overdue(self, now: float) -> bool:
+        """Whether an attempt at the replica takes longer than attempts should."""
+        return any(overdue_at <= now for overdue_at in self.in_flight.values())
+
+    def slowness(self, now: float) -> float:
+        """Return its latency in usual latencies, drawn towards 1 as time passes."""
+        kept = math.exp(-(now - self._slowness_at) / SLOWNESS_MEMORY_SECONDS)
+        return 1.0 + (self._slowness - 1.0) * kept
+
+    def cost(self, now: float, zone: str) -> float:
+        """Return the expected wait at the replica, in usual latencies."""
+        slots = max(1, self.record.slots)
+        waiting = len(self.in_flight) + self._reported_elsewhere(now)
+        cost = self.slowness(now) * (1.0 + waiting / slots)
+        if self.is_overdue(now):
+            cost *= OVERDUE_FACTOR
+        if now - self.recorded_at < self.record.cold_seconds:
+            cost *= COLD_FACTOR
+        if self.record.zone != zone:
+            cost *= OTHER_ZONE_FACTOR
+        return cost
+
+    def on_latency(self, ratio: float, now: float) -> None:
+        """Take in an attempt's latency in usual latencies."""
+        ratio = min(ratio, GREATEST_SLOWNESS)
+        present = self.slowness(now)
+        self._slowness = present + SLOWNESS_WEIGHT * (ratio - present)
+        self._slowness_at = now
+
+    def on_answer(self, load: ReportedLoad | None, now: float) -> None:
+        """Take in that it answered."""
+        self.failures_in_row = 0
+        self.blocked_until = 0.0
+        if load is not None:
+            self._load = load
+            self._load_at = now
+
+    def on_failure(self, settings: ForwardingSettings, now: float) -> None:
+        """Take in that it could not be reached or broke off: leave it out, longer each time."""
+        seconds = settings.connect_backoff_seconds * 2.0 ** min(self.failures_in_row, 8)
+        self.failures_in_row += 1
+        self.blocked_until = now + min(seconds, settings.connect_backoff_most_seconds)
+
+    def on_shed(self, settings: ForwardingSettings, now: float) -> None:
+        """Take in that it refused work for its load."""
+        self.blocked_until = max(self.blocked_until, now + settings.shed_backoff_seconds)
+
+    def _reported_elsewhere(self, now: float) -> float:
+        """Return the requests of other nodes that it last reported, as far as that still holds."""
+        if self._load is None:
+            return 0.0
+        reported = self._load.running + self._load.waiting
+        kept = math.exp(-(now - self._load_at) / LOAD_MEMORY_SECONDS)
+        return reported * kept
--- /dev/null
+++ b/wingquay/forwarding/settings.py
@@ -0,0 +1,70 @@
+"""Settings of forwarding, each with its unit and default."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingSettings:
+    """What the decisions of forwarding may be tuned by.
+
+    Parameters
+    ----------
+    zone
+        The zone of this node.
+    retry_ratio
+        Extra arrivals at a service for each request for it, of this node's own requests.
+    retry_burst
+        Extra arrivals that this node may send without having earned them.
+    most_nodes
+        Nodes that share the connection limit of a replica.
+    reply_margin_seconds, reply_margin_ratio
+        Time kept for an answer's way back to its caller: a constant, and a share of the route's
+        objective.
+    end_margin_seconds
+        How long before the end of a request's time it is given up on.
+    hedge_quantile
+        A second replica is asked once an attempt takes longer than this share of attempts.
+    hedge_least_factor
+        The least hedge delay in median latencies.
+    hedge_initial_ratio
+        The hedge delay of a route without measurements, as a share of its objective.
+    hedge_greatest_ratio
+        The greatest hedge delay, as a share of the route's objective.
+    abandon_seconds
+        How long an attempt that nobody waits for may still run before it is cancelled.
+    connect_backoff_seconds, connect_backoff_most_seconds
+        How long a replica that cannot be reached gets no work, at first and at most.
+    shed_backoff_seconds
+        How long a replica that refused work for its load gets none.
+    retry_wait_seconds
+        Time between two attempts at a service of which no replica can be asked.
+    vanished_grace_seconds
+        How long a replica whose record vanished may still get work when no other is left.
+    vanished_outage_grace_seconds
+        The same while the directory was just out of reach.
+    unready_stop_seconds
+        Time after a stop was asked for until idle connections are closed.
+    most_stop_seconds
+        Time after a stop was asked for at which the node ends in any case.
+    """
+
+    zone: str
+    retry_ratio: float = 0.18
+    retry_burst: float = 3.0
+    most_nodes: int = 12
+    reply_margin_seconds: float = 0.006
+    reply_margin_ratio: float = 0.04
+    end_margin_seconds: float = 0.02
+    hedge_quantile: float = 0.9
+    hedge_least_factor: float = 1.3
+    hedge_initial_ratio: float = 0.3
+    hedge_greatest_ratio: float = 0.45
+    abandon_seconds: float = 0.25
+    connect_backoff_seconds: float = 0.3
+    connect_backoff_most_seconds: float = 2.0
+    shed_backoff_seconds: float = 0.05
+    retry_wait_seconds: float = 0.06
+    vanished_grace_seconds: float = 1.0
+    vanished_outage_grace_seconds: float = 6.0
+    unready_stop_seconds: float = 3.0
+    most_stop_seconds: float = 5.2
--- /dev/null
+++ b/wingquay/forwarding/store_follower.py
@@ -0,0 +1,164 @@
+"""Keeps up with everything under one prefix of the key-value store."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wingquay.model.failure import Failure
+from wingquay.model.value import value
+from wingquay.ports.machine import Action, Event, Log, LogLevel, Schedule, Start
+from wingquay.ports.store import (
+    Read,
+    ReadResult,
+    StartWatch,
+    StoredValue,
+    StoreRequest,
+    StoreResponse,
+    WatchBroken,
+    WatchChanged,
+)
+
+
+@value
+class FollowAgain(Event):
+    """Look at the store again after a failure."""
+
+    watch_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class FollowerSettings:
+    """How a prefix is followed.
+
+    Parameters
+    ----------
+    prefix
+        Keys that begin with it are followed.
+    gather_seconds
+        Least time between two looks at a prefix that changes all the time.
+    read_timeout_seconds
+        Time allowed for reading everything.
+    first_backoff_seconds, most_backoff_seconds
+        Pause after a failure, doubled each time up to the second figure.
+    """
+
+    prefix: str = ""
+    gather_seconds: float = 1.0
+    read_timeout_seconds: float = 1.5
+    first_backoff_seconds: float = 0.15
+    most_backoff_seconds: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class FollowerHooks:
+    """What the follower tells its owner.
+
+    Parameters
+    ----------
+    on_listing
+        Everything that is there, after it was read anew.
+    on_changes
+        What changed and which keys are gone.
+    on_trouble
+        The store could not be reached.
+    """
+
+    on_listing: Callable[[tuple[StoredValue, ...], float], list[Action]]
+    on_changes: Callable[[tuple[StoredValue, ...], tuple[str, ...], float], list[Action]]
+    on_trouble: Callable[[float], None]
+
+
+class StoreFollower:
+    """Reads a prefix once, then watches it; reads it anew when history is lost.
+
+    Parameters
+    ----------
+    settings
+        What is followed and how often.
+    hooks
+        Take the news.
+    """
+
+    def __init__(self, settings: FollowerSettings, hooks: FollowerHooks) -> None:
+        self._settings = settings
+        self._hooks = hooks
+        self._reads = 0
+        self._watches = 0
+        self._failures = 0
+        self._seen_revision: int | None = None
+        """The store's revision up to which everything is known."""
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in an event of the store or a timer."""
+        if isinstance(event, WatchChanged):
+            return self._changed(event, now)
+        if isinstance(event, StoreResponse):
+            return self._read_done(event, now)
+        if isinstance(event, WatchBroken):
+            return self._broken(event, now)
+        if isinstance(event, Start):
+            return self._look(now)
+        if isinstance(event, FollowAgain) and event.watch_id == self._operation_id:
+            return self._look(now)
+        return []
+
+    @property
+    def _operation_id(self) -> str:
+        return f"follow-{self._reads}"
+
+    @property
+    def _watch_id(self) -> str:
+        return f"follow-{self._watches}"
+
+    def _look(self, now: float) -> list[Action]:
+        if self._seen_revision is not None:
+            return self._watch()
+        self._reads += 1
+        operation = Read(self._settings.prefix, prefix=True)
+        timeout = self._settings.read_timeout_seconds
+        return [StoreRequest(self._operation_id, operation, timeout)]
+
+    def _watch(self) -> list[Action]:
+        assert self._seen_revision is not None
+        self._watches += 1
+        settings = self._settings
+        watch_id = self._watch_id
+        return [StartWatch(watch_id, settings.prefix, self._seen_revision, settings.gather_seconds)]
+
+    def _read_done(self, event: StoreResponse, now: float) -> list[Action]:
+        if event.operation_id != self._operation_id:
+            return []
+        result = event.result
+        if not isinstance(result, ReadResult):
+            reason = result.reason if isinstance(result, Failure) else "unexpected result"
+            return self._failed(reason, now)
+        self._failures = 0
+        self._seen_revision = result.store_revision
+        return self._hooks.on_listing(result.values, now) + self._watch()
+
+    def _changed(self, event: WatchChanged, now: float) -> list[Action]:
+        if event.watch_id != self._watch_id:
+            return []
+        self._failures = 0
+        self._seen_revision = event.store_revision
+        return self._hooks.on_changes(event.changed, event.deleted, now)
+
+    def _broken(self, event: WatchBroken, now: float) -> list[Action]:
+        if event.watch_id != self._watch_id:
+            return []
+        if event.history_lost:
+            self._seen_revision = None
+            line = Log("store_history_lost", LogLevel.WARNING, (("reason", event.reason),))
+            return [line, *self._look(now)]
+        return self._failed(event.reason, now)
+
+    def _failed(self, reason: str, now: float) -> list[Action]:
+        self._hooks.on_trouble(now)
+        settings = self._settings
+        pause = settings.first_backoff_seconds * 2.0 ** min(self._failures, 6)
+        self._failures += 1
+        fields = (("reason", reason), ("failures", self._failures))
+        due_at = now + min(pause, settings.most_backoff_seconds)
+        return [
+            Log("store_unreachable", LogLevel.WARNING, fields),
+            Schedule(due_at, FollowAgain(self._operation_id)),
+        ]
--- /dev/null
+++ b/wingquay/forwarding/timers.py
@@ -0,0 +1,39 @@
+"""Events by which the forwarding machine wakes itself."""
+
+from wingquay.model.value import value
+from wingquay.ports.machine import Event
+
+
+@value
+class HedgeDue(Event):
+    """Look whether attempts of an exchange take too long."""
+
+    exchange_id: int
+
+
+@value
+class CutoffDue(Event):
+    """An answer that is enough must leave now to be in time."""
+
+    exchange_id: int
+
+
+@value
+class ExchangeEndDue(Event):
+    """The time of an exchange is over."""
+
+    exchange_id: int
+
+
+@value
+class RetryDue(Event):
+    """Try again the calls of an exchange that wait for a replica."""
+
+    exchange_id: int
+
+
+@value
+class AbandonDue(Event):
+    """Cancel an attempt that nobody waits for, if it still runs."""
+
+    attempt_id: int
--- /dev/null
+++ b/wingquay/platform/caller_dialect.py
@@ -0,0 +1,100 @@
+"""Callers' requests and the replies to them, as the platform writes them."""
+
+import orjson
+
+from wingquay.adapters.forwarding_server import Reply
+from wingquay.adapters.http_messages import HttpRequest, HttpResponse
+from wingquay.platform.header_lists import end_to_end
+from wingquay.platform.names import (
+    DEADLINE_MS,
+    EXPECTED_REPLICA,
+    MERGED_SIGNATURES,
+    MISSING_SHARDS,
+    REQUEST_ID,
+    RETRY_AFTER,
+)
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ForwardRequested,
+    OpaqueRequest,
+    ReplyFailure,
+    ReplyMerged,
+)
+
+MILLISECONDS_PER_SECOND = 1000.0
+STATUS = {
+    ForwardFailureKind.NO_ROUTE: 404,
+    ForwardFailureKind.NOT_RUN: 503,
+    ForwardFailureKind.FAILED: 502,
+    ForwardFailureKind.TIMED_OUT: 504,
+}
+SIGNATURES_PER_LINE = 50
+
+_SET_BY_US = frozenset({DEADLINE_MS.lower(), EXPECTED_REPLICA.lower(), b"expect"})
+_REQUEST_ID_KEY = REQUEST_ID.decode().lower()
+_DEADLINE_KEY = DEADLINE_MS.decode().lower()
+_JSON = {"content-type": "application/json"}
+
+
+class PlatformCallerDialect:
+    """Understands requests and writes replies."""
+
+    def understand(self, exchange_id: int, request: HttpRequest) -> ForwardRequested | HttpResponse:
+        """Return a request in the terms of the port."""
+        request_id = request.headers.get(_REQUEST_ID_KEY, "")
+        if not request_id:
+            return self.refusal(400, "header Request-Id is missing")
+        host = request.headers.get("host", "")
+        opaque = OpaqueRequest(
+            request.method.encode("ascii"),
+            request.target,
+            end_to_end(request.raw_headers, _SET_BY_US),
+            request.body,
+        )
+        return ForwardRequested(
+            exchange_id,
+            request_id,
+            host.rpartition(":")[0] if ":" in host else host,
+            request.path,
+            opaque,
+            _deadline_seconds(request.headers.get(_DEADLINE_KEY)),
+        )
+
+    def response(self, reply: Reply) -> HttpResponse:
+        """Return a reply as the caller takes it."""
+        if isinstance(reply, ReplyFailure):
+            return _failure(reply)
+        if isinstance(reply, ReplyMerged):
+            return _merged(reply)
+        answer = reply.answer
+        return HttpResponse(answer.status, {}, answer.body, end_to_end(answer.headers))
+
+    def refusal(self, status: int, reason: str) -> HttpResponse:
+        """Return the answer to a request that the server itself refuses."""
+        return HttpResponse(status, _JSON, orjson.dumps({"error": reason}))
+
+
+def _deadline_seconds(text: str | None) -> float | None:
+    try:
+        return None if text is None else max(0.0, float(text)) / MILLISECONDS_PER_SECOND
+    except ValueError:
+        return None
+
+
+def _failure(reply: ReplyFailure) -> HttpResponse:
+    headers = dict(_JSON)
+    if reply.retry_after_seconds is not None:
+        headers[RETRY_AFTER.decode()] = f"{reply.retry_after_seconds:.3f}"
+    body = orjson.dumps({"error": reply.reason})
+    return HttpResponse(STATUS[reply.kind], headers, body)
+
+
+def _merged(reply: ReplyMerged) -> HttpResponse:
+    signatures = reply.signatures
+    headers = [
+        (MERGED_SIGNATURES, ", ".join(signatures[start : start + SIGNATURES_PER_LINE]).encode())
+        for start in range(0, len(signatures), SIGNATURES_PER_LINE)
+    ]
+    if reply.missing_shards:
+        headers.append((MISSING_SHARDS, b"%d" % reply.missing_shards))
+    return HttpResponse(200, {}, reply.body, headers)
--- /dev/null
+++ b/wingquay/platform/node.py
@@ -0,0 +1,127 @@
+"""The composition root of a node on the platform."""
+
+import asyncio
+import random
+import secrets
+import signal
+
+from wingquay.adapters.forwarding_server import ForwardingServer
+from wingquay.adapters.http_messages import HttpRequest, HttpResponse
+from wingquay.adapters.http_server import HttpServer
+from wingquay.adapters.log_writer import LogWriter
+from wingquay.adapters.metrics import Metrics
+from wingquay.adapters.replica_client import ReplicaClient
+from wingquay.forwarding.forwarding_node import ForwardingNode, StoreFormats
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.forwarding.store_follower import FollowerSettings
+from wingquay.platform.caller_dialect import PlatformCallerDialect
+from wingquay.platform.configuration_document import parse_configuration
+from wingquay.platform.names import CONFIGURATION_KEY, READY_PATH, REPLICA_PREFIX
+from wingquay.platform.replica_dialect import PlatformReplicaDialect
+from wingquay.platform.replica_entry import parse_replica
+from wingquay.platform.settings import PlatformSettings
+from wingquay.platform.store_client import PlatformStoreClient
+from wingquay.ports.forwarding import (
+    CancelSend,
+    ReplyFailure,
+    ReplyMerged,
+    ReplyUnchanged,
+    SendToReplica,
+    SetForwarding,
+)
+from wingquay.ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
+from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
+from wingquay.runtime import NodeRuntime
+
+SEED_BITS = 64
+RESPONSE_GRACE_SECONDS = 0.3
+"""How long replies that are decided may still take to leave when the node closes."""
+BUDGET_SHARE = 0.9
+"""Share of the allowed ratio of extra arrivals that is used."""
+NODES_SHARING_BURST = 16
+
+
+class PlatformNode:
+    """Decisions, adapters and the runtime between them; create it inside a running loop."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._metrics = Metrics()
+        self._log = LogWriter({"node": settings.node})
+        self._is_ready = False
+        self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
+        machine = ForwardingNode(
+            ForwardingSettings(
+                zone=settings.zone,
+                retry_ratio=settings.retry_ratio * BUDGET_SHARE,
+                retry_burst=settings.retry_burst / NODES_SHARING_BURST,
+            ),
+            FollowerSettings(),
+            StoreFormats(CONFIGURATION_KEY, REPLICA_PREFIX, parse_configuration, parse_replica),
+            random.Random(secrets.randbits(SEED_BITS)),
+        )
+        self._runtime = NodeRuntime(machine, asyncio.get_running_loop())
+        self._server = ForwardingServer(PlatformCallerDialect(), self._emit)
+        self._readiness = HttpServer(self._answer_readiness)
+        self._page = HttpServer(self._answer_metrics)
+        count = self._metrics.count
+        self._replicas = ReplicaClient(PlatformReplicaDialect(), self._emit, count)
+        store = settings.store
+        self._store = PlatformStoreClient(store.host, store.port, self._emit, count)
+        self._register()
+
+    async def run(self) -> Exit:
+        """Serve until a stop is asked for and over."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._emit, StopRequested())
+        # What the settings say of this node cannot change while it runs.
+        loop.add_signal_handler(signal.SIGHUP, self._log.perform, Log("settings_kept"))
+        settings = self._settings
+        await self._server.start(settings.callers.host, settings.callers.port)
+        await self._readiness.start(settings.readiness.host, settings.readiness.port)
+        if settings.metrics is not None:
+            await self._page.start(settings.metrics.host, settings.metrics.port)
+        self._log.perform(Log("node_started", fields=(("zone", settings.zone),)))
+        self._emit(Start())
+        ended = await self._exited
+        await self._server.close(RESPONSE_GRACE_SECONDS)
+        self._replicas.close()
+        await self._store.close()
+        self._runtime.close()
+        return ended
+
+    def _emit(self, event: Event) -> None:
+        self._runtime.emit(event)
+
+    def _register(self) -> None:
+        runtime = self._runtime
+        runtime.register(Log, self._log.perform)
+        runtime.register(Count, self._metrics.count)
+        runtime.register(Observe, self._metrics.observe)
+        runtime.register(SendToReplica, self._replicas.send)
+        runtime.register(CancelSend, self._replicas.cancel)
+        runtime.register(ReplyUnchanged, self._server.reply)
+        runtime.register(ReplyMerged, self._server.reply)
+        runtime.register(ReplyFailure, self._server.reply)
+        runtime.register(StoreRequest, self._store.perform)
+        runtime.register(StartWatch, self._store.start_watch)
+        runtime.register(StopWatch, self._store.stop_watch)
+        runtime.register(SetForwarding, self._set_forwarding)
+        runtime.register(Exit, self._exit)
+
+    def _set_forwarding(self, action: SetForwarding) -> None:
+        self._is_ready = action.is_ready
+        self._server.configure(action)
+
+    def _exit(self, action: Exit) -> None:
+        if not self._exited.done():
+            self._exited.set_result(action)
+
+    async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
+        if request.path != READY_PATH:
+            return HttpResponse(404)
+        return HttpResponse(200 if self._is_ready else 503)
+
+    async def _answer_metrics(self, _request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, {"content-type": "text/plain"}, self._metrics.page())
--- /dev/null
+++ b/wingquay/platform/replica_dialect.py
@@ -0,0 +1,82 @@
+"""Requests to replicas and their answers, as the platform writes them."""
+
+import h11
+
+from wingquay.adapters.replica_client import UnderstoodAnswer
+from wingquay.adapters.replica_connection import RawAnswer
+from wingquay.platform.names import (
+    DEADLINE_MS,
+    EXPECTED_REPLICA,
+    NOT_RUN,
+    REPORTED_LOAD,
+    REQUEST_ID,
+    SIGNATURE,
+)
+from wingquay.ports.forwarding import ReplicaAnswer, ReportedLoad, SendToReplica
+
+MILLISECONDS_PER_SECOND = 1000.0
+STATUS_OTHER_REPLICA = 421
+LOAD_FIELDS = 3
+
+_REQUEST_ID_KEY = REQUEST_ID.lower()
+_NOT_RUN_KEY = NOT_RUN.lower()
+_SIGNATURE_KEY = SIGNATURE.lower()
+_LOAD_KEY = REPORTED_LOAD.lower()
+_ENCODING_KEY = b"content-encoding"
+
+
+class PlatformReplicaDialect:
+    """Writes requests and understands answers."""
+
+    def request_head(self, action: SendToReplica) -> h11.Request:
+        """Return the head of a request: the caller's headers, the replica's id, the time left."""
+        request = action.request
+        remaining_ms = max(1, int(action.remaining_seconds * MILLISECONDS_PER_SECOND))
+        headers = [
+            *request.headers,
+            (DEADLINE_MS, b"%d" % remaining_ms),
+            (EXPECTED_REPLICA, action.replica.replica_id.encode()),
+        ]
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        return h11.Request(method=request.method, target=request.target, headers=headers)
+
+    def belongs(self, request_id: str, answer: RawAnswer) -> bool:
+        """Whether an answer carries the id back; only refusals may carry none."""
+        given = _find(answer, _REQUEST_ID_KEY)
+        if given is None:
+            return not 200 <= answer.status < 300 or _find(answer, _SIGNATURE_KEY) is None
+        return given.decode("latin-1") == request_id
+
+    def understand(self, answer: RawAnswer) -> UnderstoodAnswer:
+        """Return an answer in the terms of the port."""
+        signature = _find(answer, _SIGNATURE_KEY)
+        is_other_replica = answer.status == STATUS_OTHER_REPLICA
+        not_run = _find(answer, _NOT_RUN_KEY) is not None
+        understood = ReplicaAnswer(
+            answer.status,
+            tuple(answer.headers),
+            answer.body,
+            None if signature is None else signature.decode("latin-1"),
+            not_run,
+            is_other_replica,
+        )
+        is_encoded = _find(answer, _ENCODING_KEY) is not None
+        has_run = not not_run and not is_other_replica
+        is_malformed = is_encoded or (has_run and signature is None)
+        return UnderstoodAnswer(understood, _load(_find(answer, _LOAD_KEY)), is_malformed)
+
+
+def _find(answer: RawAnswer, key: bytes) -> bytes | None:
+    for name, text in answer.headers:
+        if name == key:
+            return text
+    return None
+
+
+def _load(text: bytes | None) -> ReportedLoad | None:
+    parts = [] if text is None else text.split(b",")
+    if len(parts) != LOAD_FIELDS or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running, waiting, slots)
--- /dev/null
+++ b/wingquay/platform/replica_entry.py
@@ -0,0 +1,29 @@
+"""Reads the entry that a replica keeps in the store."""
+
+import orjson
+
+from wingquay.forwarding.forwarding_node import FormatFailureKind
+from wingquay.model.failure import Failure
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.platform.names import DRAINING
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+def parse_replica(replica_id: str, value: bytes) -> ReplicaRecord | Failure[FormatFailureKind]:
+    """Return the record of a stored entry, or why it cannot be read."""
+    try:
+        document = orjson.loads(value)
+        host, _, port = str(document["address"]).rpartition(":")
+        return ReplicaRecord(
+            replica_id=replica_id,
+            service=str(document["service"]),
+            host=host,
+            port=int(port),
+            zone=str(document.get("zone", "")),
+            slots=int(document.get("capacity") or 1),
+            is_draining=document.get("state") == DRAINING,
+            cold_seconds=float(document.get("warmupLeftMs") or 0) / MILLISECONDS_PER_SECOND,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Failure(FormatFailureKind.MALFORMED, f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/wingquay/platform/settings.py
@@ -0,0 +1,122 @@
+"""Settings of a node on the platform: TOML, filled in by the platform from our own template."""
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from ipaddress import ip_address
+from typing import Any
+
+from wingquay.model.failure import Failure
+
+GREATEST_PORT = 65_535
+
+
+class SettingsFailureKind(Enum):
+    """Why settings cannot be used."""
+
+    UNREADABLE = "unreadable"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class ListenAddress:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Checked settings.
+
+    Parameters
+    ----------
+    callers, readiness
+        Where callers' requests and the platform's question for readiness arrive.
+    store
+        Where the platform's store listens.
+    metrics
+        Where figures are told; ``None``: nowhere.
+    retry_ratio, retry_burst
+        Extra arrivals at a service that all nodes together may cause.
+    grace_seconds
+        Time between the request to stop and the end by force.
+    """
+
+    node: str
+    zone: str
+    callers: ListenAddress
+    readiness: ListenAddress
+    store: ListenAddress
+    metrics: ListenAddress | None
+    retry_ratio: float
+    retry_burst: float
+    grace_seconds: float
+
+
+def parse_settings(text: str) -> PlatformSettings | Failure[SettingsFailureKind]:
+    """Return checked settings, or a failure that names the field, its value and what is allowed."""
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Failure(SettingsFailureKind.UNREADABLE, f"not valid TOML: {error}")
+    try:
+        return _settings(document)
+    except _InvalidError as error:
+        return Failure(SettingsFailureKind.INVALID, str(error))
+
+
+class _InvalidError(Exception):
+    """A field whose value is not allowed."""
+
+
+def _settings(document: Mapping[str, Any]) -> PlatformSettings:
+    has_metrics = _find(document, "listen.metrics") is not None
+    return PlatformSettings(
+        node=_text(document, "node.name"),
+        zone=_text(document, "node.zone"),
+        callers=_address(document, "listen.callers"),
+        readiness=_address(document, "listen.readiness"),
+        store=_address(document, "store.address"),
+        metrics=_address(document, "listen.metrics") if has_metrics else None,
+        retry_ratio=_number(document, "retries.ratio", 0.0, 1.0),
+        retry_burst=_number(document, "retries.burst", 0.0, 1e6),
+        grace_seconds=_number(document, "stop.grace_seconds", 0.5, 3600.0),
+    )
+
+
+def _find(document: Mapping[str, Any], field: str) -> Any:
+    section, _, key = field.partition(".")
+    table = document.get(section)
+    return table.get(key) if isinstance(table, Mapping) else None
+
+
+def _text(document: Mapping[str, Any], field: str) -> str:
+    found = _find(document, field)
+    if not isinstance(found, str) or not found:
+        raise _InvalidError(f"{field} is {found!r}; allowed: a text that is not empty")
+    return found
+
+
+def _address(document: Mapping[str, Any], field: str) -> ListenAddress:
+    found = _find(document, field)
+    host, _, port_text = str(found).rpartition(":")
+    is_port = port_text.isdigit() and int(port_text) <= GREATEST_PORT
+    try:
+        ip_address(host)
+    except ValueError:
+        is_port = False
+    if not is_port:
+        allowed = f"an IP number and a port up to {GREATEST_PORT}, such as 10.1.0.9:8104"
+        raise _InvalidError(f"{field} is {found!r}; allowed: {allowed}")
+    return ListenAddress(host, int(port_text))
+
+
+def _number(document: Mapping[str, Any], field: str, least: float, most: float) -> float:
+    found = _find(document, field)
+    is_number = isinstance(found, int | float) and not isinstance(found, bool)
+    if not is_number or not least <= found <= most:
+        raise _InvalidError(f"{field} is {found!r}; allowed: a number from {least:g} to {most:g}")
+    return float(found)
--- /dev/null
+++ b/wingquay/platform/store_client.py
@@ -0,0 +1,195 @@
+"""The store port over the platform's key-value service: HTTP/1.1 and JSON."""
+
+import asyncio
+import base64
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+import orjson
+
+from wingquay.adapters.http_client import HttpClient
+from wingquay.adapters.http_messages import NOT_SENT_KINDS, HttpResponse
+from wingquay.model.failure import Failure
+from wingquay.platform.names import STORE_RANGE, STORE_WATCH
+from wingquay.ports.machine import Count, Event
+from wingquay.ports.store import (
+    Read,
+    ReadResult,
+    StartWatch,
+    StopWatch,
+    StoredValue,
+    StoreFailureKind,
+    StoreRequest,
+    StoreResponse,
+    StoreResult,
+    WatchBroken,
+    WatchChanged,
+)
+
+WATCH_WAIT_SECONDS = 3.0
+"""How long the store holds a watch on which nothing happens."""
+WATCH_SLACK_SECONDS = 1.0
+"""How much longer an answer may take before the watch counts as broken."""
+MILLISECONDS_PER_SECOND = 1000
+STATUS_OK = 200
+STATUS_HISTORY_LOST = 410
+STATUS_RATE_LIMITED = 429
+CONNECTION_LIMIT = 6
+IDLE_SECONDS = 10.0
+NO_REVISION = -1
+
+Result = StoreResult | Failure[StoreFailureKind]
+
+
+class PlatformStoreClient:
+    """Performs ``StoreRequest``, ``StartWatch`` and ``StopWatch``.
+
+    Parameters
+    ----------
+    host, port
+        Where the store listens.
+    emit
+        Takes the events.
+    count
+        Takes counters: calls have a price.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        emit: Callable[[Event], None],
+        count: Callable[[Count], None],
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._emit = emit
+        self._count = count
+        self._client = HttpClient(CONNECTION_LIMIT, idle_seconds=IDLE_SECONDS)
+        self._loop = asyncio.get_running_loop()
+        self._tasks: dict[asyncio.Task[None], None] = {}
+        self._watches: dict[str, asyncio.Task[None]] = {}
+
+    def perform(self, action: StoreRequest) -> None:
+        """Perform an operation."""
+        self._run(self._operate(action))
+
+    def start_watch(self, action: StartWatch) -> None:
+        """Begin a watch."""
+        self._watches[action.watch_id] = self._run(self._watch(action))
+
+    def stop_watch(self, action: StopWatch) -> None:
+        """End a watch."""
+        task = self._watches.pop(action.watch_id, None)
+        if task is not None:
+            task.cancel()
+
+    async def close(self) -> None:
+        """End everything under way; no further events follow."""
+        for task in list(self._tasks):
+            task.cancel()
+        await self._client.close()
+
+    def _run(self, work: Any) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = self._loop.create_task(work)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
+        return task
+
+    async def _operate(self, action: StoreRequest) -> None:
+        operation = action.operation
+        result: Result
+        if isinstance(operation, Read) and operation.prefix:
+            result = await self._read_all(operation, action.timeout_seconds)
+        else:
+            reason = f"{type(operation).__name__} is not offered here"
+            result = Failure(StoreFailureKind.MALFORMED, reason)
+        self._emit(StoreResponse(action.operation_id, result))
+
+    async def _read_all(self, operation: Read, timeout_seconds: float) -> Result:
+        values: list[StoredValue] = []
+        first_revision = NO_REVISION
+        path = f"{STORE_RANGE}?pathPrefix={quote(operation.key, safe='')}"
+        after = ""
+        while True:
+            document = await self._call(path + after, timeout_seconds)
+            if isinstance(document, Failure):
+                return document
+            try:
+                values += [_stored_value(item) for item in document["items"]]
+                # Pages form no snapshot: what changed since the first one is watched again.
+                if first_revision == NO_REVISION:
+                    first_revision = int(document["at"])
+                has_more = bool(document["more"])
+            except (KeyError, TypeError, ValueError) as error:
+                return Failure(StoreFailureKind.MALFORMED, f"page: {error!r}")
+            if not has_more or not values:
+                return ReadResult(tuple(values), first_revision)
+            after = f"&after={quote(values[-1].key, safe='')}"
+
+    async def _watch(self, action: StartWatch) -> None:
+        after = action.from_store_revision
+        prefix = quote(action.key, safe="")
+        wait_ms = int(WATCH_WAIT_SECONDS * MILLISECONDS_PER_SECOND)
+        while True:
+            asked_at = self._loop.time()
+            path = f"{STORE_WATCH}?pathPrefix={prefix}&after={after}&waitMs={wait_ms}"
+            document = await self._call(path, WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS)
+            if isinstance(document, Failure):
+                is_lost = document.kind is StoreFailureKind.HISTORY_LOST
+                self._emit(WatchBroken(action.watch_id, document.reason, is_lost))
+                return
+            try:
+                event = _watch_changed(action.watch_id, document)
+            except (KeyError, TypeError, ValueError) as error:
+                self._emit(WatchBroken(action.watch_id, f"events: {error!r}"))
+                return
+            after = max(after, event.store_revision)
+            self._emit(event)
+            await asyncio.sleep(max(0.0, asked_at + action.gather_seconds - self._loop.time()))
+
+    async def _call(self, path: str, timeout_seconds: float) -> Any:
+        self._count(Count("store_calls_total"))
+        result = await self._client.request(
+            self._host, self._port, "GET", path, timeout_seconds=timeout_seconds
+        )
+        if isinstance(result, Failure):
+            not_sent = result.kind in NOT_SENT_KINDS
+            kind = StoreFailureKind.UNREACHABLE if not_sent else StoreFailureKind.LOST_REPLY
+            return Failure(kind, result.reason)
+        if result.status != STATUS_OK:
+            return _refused(result)
+        try:
+            return orjson.loads(result.whole_body)
+        except ValueError as error:
+            return Failure(StoreFailureKind.MALFORMED, str(error))
+
+
+def _refused(response: HttpResponse) -> Failure[StoreFailureKind]:
+    kind = StoreFailureKind.UNREACHABLE
+    if response.status == STATUS_HISTORY_LOST:
+        kind = StoreFailureKind.HISTORY_LOST
+    elif response.status == STATUS_RATE_LIMITED:
+        kind = StoreFailureKind.RATE_LIMITED
+    return Failure(kind, f"the store answered {response.status}")
+
+
+def _stored_value(item: Any) -> StoredValue:
+    value = base64.b64decode(item["value"])
+    return StoredValue(str(item["tlsKey"]), value, int(item["revision"]), int(item.get("lease", 0)))
+
+
+def _watch_changed(watch_id: str, document: Any) -> WatchChanged:
+    """Return the last state of each key that changed."""
+    changed: dict[str, StoredValue] = {}
+    gone: dict[str, None] = {}
+    for item in document.get("events", ()):
+        key = str(item["tlsKey"])
+        if item.get("gone"):
+            changed.pop(key, None)
+            gone[key] = None
+        else:
+            gone.pop(key, None)
+            changed[key] = _stored_value(item)
+    return WatchChanged(watch_id, tuple(changed.values()), tuple(gone), int(document["at"]))
--- /dev/null
+++ b/wingquay/ports/forwarding.py
@@ -0,0 +1,206 @@
+"""The port for requests that are passed on unchanged, towards callers and replicas."""
+
+from enum import Enum
+
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.model.routing_table import CallerLimits
+from wingquay.model.value import value
+from wingquay.ports.machine import Action, Event
+
+Headers = tuple[tuple[bytes, bytes], ...]
+"""End-to-end headers in the order in which they came, names as they came."""
+
+
+@value
+class OpaqueRequest:
+    """A whole request as its caller sent it, without the headers of one connection."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+@value
+class ForwardRequested(Event):
+    """A caller sent a request.
+
+    Parameters
+    ----------
+    exchange_id
+        This node's own number for it; never used again.
+    request_id
+        The caller's id; each attempt of a caller has its own.
+    deadline_seconds
+        How long the caller waits, from now; ``None``: it did not say.
+    """
+
+    exchange_id: int
+    request_id: str
+    host: str
+    path: str
+    request: OpaqueRequest
+    deadline_seconds: float | None = None
+
+
+@value
+class CallerLeft(Event):
+    """The caller is gone; no reply to this exchange can reach it."""
+
+    exchange_id: int
+
+
+@value
+class ReplicaAnswer:
+    """A whole answer of a replica.
+
+    Parameters
+    ----------
+    signature
+        The replica's signature of this answer, if it bears one.
+    not_run
+        The replica said that it has not run the request and never will.
+    is_other_replica
+        Another replica than the one addressed answered: it did not run the request.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    signature: str | None
+    not_run: bool = False
+    is_other_replica: bool = False
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the replica ran the request and succeeded."""
+        return 200 <= self.status < 300 and self.signature is not None
+
+
+@value
+class ReportedLoad:
+    """What a replica said of its load on an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@value
+class SendToReplica(Action):
+    """Send a request to one replica; one of the two events below follows unless cancelled.
+
+    Parameters
+    ----------
+    remaining_seconds
+        Time left, which the replica is told.
+    fresh_connection
+        Do not use a kept connection.
+    """
+
+    attempt_id: int
+    replica: ReplicaRecord
+    request_id: str
+    request: OpaqueRequest
+    remaining_seconds: float
+    fresh_connection: bool = False
+
+
+@value
+class CancelSend(Action):
+    """End an attempt and its connection; no event of it follows."""
+
+    attempt_id: int
+
+
+@value
+class ReplicaAnswered(Event):
+    """A replica answered an attempt."""
+
+    attempt_id: int
+    answer: ReplicaAnswer
+    load: ReportedLoad | None = None
+
+
+class SendFailureKind(Enum):
+    """Why an attempt brought no whole answer."""
+
+    NOT_SENT = "not_sent"
+    """No connection came up: no byte of the request left."""
+    BROKEN = "broken"
+    """The connection ended after bytes had left; the request may have run."""
+    MALFORMED = "malformed"
+    """What came was no answer to this request; it may have run."""
+
+
+@value
+class SendFailed(Event):
+    """An attempt ended without an answer."""
+
+    attempt_id: int
+    kind: SendFailureKind
+    reason: str
+
+
+@value
+class ReplyUnchanged(Action):
+    """Answer the caller with a replica's answer."""
+
+    exchange_id: int
+    answer: ReplicaAnswer
+
+
+@value
+class ReplyMerged(Action):
+    """Answer the caller with the records merged from several shards.
+
+    Parameters
+    ----------
+    signatures
+        Of the answers that were merged.
+    missing_shards
+        How many shards are left out.
+    """
+
+    exchange_id: int
+    body: bytes
+    signatures: tuple[str, ...]
+    missing_shards: int
+
+
+class ForwardFailureKind(Enum):
+    """Why a request is answered by this node itself."""
+
+    NO_ROUTE = "no_route"
+    """No route of the configuration in force fits."""
+    NOT_RUN = "not_run"
+    """It has run nowhere and never will."""
+    FAILED = "failed"
+    """Replicas failed; it may have run."""
+    TIMED_OUT = "timed_out"
+    """No answer in time; it may have run."""
+
+
+@value
+class ReplyFailure(Action):
+    """Answer the caller with a failure of this node's own.
+
+    Parameters
+    ----------
+    retry_after_seconds
+        When the caller may come back; ``None``: nothing is promised.
+    """
+
+    exchange_id: int
+    kind: ForwardFailureKind
+    reason: str
+    retry_after_seconds: float | None = None
+
+
+@value
+class SetForwarding(Action):
+    """Say whether this node is ready for new connections, and what callers may cost."""
+
+    is_ready: bool
+    closes_connections: bool
+    limits: CallerLimits
--- a/wingquay/ports/store.py
+++ b/wingquay/ports/store.py
@@ -17,6 +17,8 @@
     RATE_LIMITED = "rate_limited"
     """The service refused it; it did not take effect."""
     MALFORMED = "malformed"
+    HISTORY_LOST = "history_lost"
+    """The store no longer knows the changes that were asked for."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,11 +131,18 @@
 
 @dataclass(frozen=True, slots=True)
 class StartWatch(Action):
-    """Watch the keys with prefix ``key`` from ``from_store_revision`` on."""
+    """Watch the keys with prefix ``key`` from ``from_store_revision`` on.
+
+    Parameters
+    ----------
+    gather_seconds
+        Least time between two looks, for prefixes that change all the time: each look costs.
+    """
 
     watch_id: str
     key: str
     from_store_revision: int
+    gather_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,3 +168,5 @@
 
     watch_id: str
     reason: str
+    history_lost: bool = False
+    """Whether the store no longer knows what changed since: everything must be read anew."""
