Test forwarding without the bench: retries, hedges, cut-off, store, stop, bytes of replicas

Cause: the decisions and adapters of the whole path had no tests.

Change: tests/forwarding drives one node's decisions on a virtual clock; tests/platform plays a replica's raw bytes (surplus, late, unframed, cut short, encoded answers) and checks the formats. A test found that a replica once slow was never asked again: its forgotten slowness stayed just above that of its twin; slowness under 1.25 now counts as none.

--- /dev/null
+++ b/tests/forwarding/one_node.py
@@ -0,0 +1,252 @@
+"""One forwarding node on a virtual clock; tests play its replicas, its store and its callers."""
+
+import heapq
+import random
+from collections.abc import Mapping
+from itertools import count
+from typing import TypeVar
+
+from wingquay.forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.forwarding.store_follower import FollowerSettings
+from wingquay.model.failure import Failure
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.model.routing_table import (
+    CallerLimits,
+    Route,
+    RoutingTable,
+    UpstreamService,
+    WeightedService,
+)
+from wingquay.ports.forwarding import (
+    CallerLeft,
+    CancelSend,
+    ForwardRequested,
+    OpaqueRequest,
+    ReplicaAnswer,
+    ReplicaAnswered,
+    ReplyFailure,
+    ReplyMerged,
+    ReplyUnchanged,
+    ReportedLoad,
+    SendFailed,
+    SendFailureKind,
+    SendToReplica,
+)
+from wingquay.ports.machine import Action, Event, Log, Schedule, Start
+from wingquay.ports.store import (
+    ReadResult,
+    StartWatch,
+    StoredValue,
+    StoreRequest,
+    StoreResponse,
+    WatchChanged,
+)
+
+HOST = "search.example"
+CONFIGURATION_KEY = "configuration"
+REPLICA_PREFIX = "replicas/"
+Reply = ReplyUnchanged | ReplyMerged | ReplyFailure
+Kind = TypeVar("Kind", bound=Action)
+
+
+def replica(replica_id: str, service: str, zone: str = "a", **fields: object) -> ReplicaRecord:
+    """Return a record of a warm, ready replica."""
+    return ReplicaRecord(replica_id, service, "10.0.0.1", 80, zone, 2, **fields)  # type: ignore[arg-type]
+
+
+def single_route(prefix: str = "/one/", service: str = "s", **fields: object) -> Route:
+    """Return a route to one service."""
+    defaults: dict[str, object] = {
+        "name": prefix,
+        "services": (WeightedService(service, 1.0),),
+        "is_repeatable": True,
+        "max_attempts": 2,
+        "timeout_seconds": 2.0,
+        "objective_seconds": 0.4,
+    }
+    return Route(host=HOST, path_prefix=prefix, **{**defaults, **fields})  # type: ignore[arg-type]
+
+
+def sharded_route(shards: int = 4, prefix: str = "/all/", **fields: object) -> Route:
+    """Return a route over shards named s0, s1 and so on."""
+    defaults: dict[str, object] = {
+        "name": prefix,
+        "shards": tuple(f"s{number}" for number in range(shards)),
+        "is_repeatable": True,
+        "max_attempts": 2,
+        "timeout_seconds": 1.0,
+        "objective_seconds": 0.1,
+        "merged_records": 3,
+        "least_share": 0.75,
+    }
+    return Route(host=HOST, path_prefix=prefix, **{**defaults, **fields})  # type: ignore[arg-type]
+
+
+def table(version: int, *routes: Route, connections: int = 24) -> RoutingTable:
+    """Return a configuration with the services of its routes."""
+    names = [name for route in routes for name in route.all_services]
+    services: Mapping[str, UpstreamService] = {
+        name: UpstreamService(name, connections) for name in names
+    }
+    return RoutingTable(version, routes, services, CallerLimits())
+
+
+class OneNode:
+    """Drives the decisions of one node; time moves only by ``advance``."""
+
+    def __init__(self, seed: int = 1, **settings: object) -> None:
+        self.now = 100.0
+        self._tables: dict[bytes, RoutingTable] = {}
+        self._records: dict[bytes, ReplicaRecord] = {}
+        self._due: list[tuple[float, int, Event]] = []
+        self._numbers = count(1)
+        self._timers = count()
+        self.actions: list[Action] = []
+        self.sends: list[SendToReplica] = []
+        """Sendings that were neither answered nor cancelled."""
+        self.all_sends: list[SendToReplica] = []
+        self.cancelled: list[int] = []
+        self.replies: dict[int, Reply] = {}
+        self.replied_at: dict[int, float] = {}
+        formats = StoreFormats(
+            CONFIGURATION_KEY, REPLICA_PREFIX, self._parse_table, self._parse_record
+        )
+        forwarding = ForwardingSettings(zone="a", **settings)  # type: ignore[arg-type]
+        self.machine = ForwardingNode(forwarding, FollowerSettings(), formats, random.Random(seed))
+        self.store_revision = 1
+
+    # Surroundings
+
+    def start(self, configuration: RoutingTable | None, *records: ReplicaRecord) -> None:
+        """Start and let the store list what there is."""
+        self.emit(Start())
+        self.list_store(configuration, *records)
+
+    def list_store(self, configuration: RoutingTable | None, *records: ReplicaRecord) -> None:
+        """Answer the last read of everything."""
+        request = self.last(StoreRequest)
+        values = [self._stored(record) for record in records]
+        if configuration is not None:
+            values.append(self._stored_table(configuration))
+        result = ReadResult(tuple(values), self.store_revision)
+        self.emit(StoreResponse(request.operation_id, result))
+
+    def change(
+        self,
+        *records: ReplicaRecord,
+        configuration: RoutingTable | None = None,
+        gone: tuple[str, ...] = (),
+    ) -> None:
+        """Let the watch tell changes."""
+        self.store_revision += 1
+        values = [self._stored(record) for record in records]
+        if configuration is not None:
+            values.append(self._stored_table(configuration))
+        deleted = tuple(REPLICA_PREFIX + replica_id for replica_id in gone)
+        watch = self.last(StartWatch)
+        self.emit(WatchChanged(watch.watch_id, tuple(values), deleted, self.store_revision))
+
+    def request(
+        self, path: str = "/one/x", deadline_seconds: float | None = 2.0, host: str = HOST
+    ) -> int:
+        """Let a caller send a request; return its number."""
+        number = next(self._numbers)
+        opaque = OpaqueRequest(b"GET", path.encode(), ())
+        self.emit(ForwardRequested(number, f"id-{number}", host, path, opaque, deadline_seconds))
+        return number
+
+    def leave(self, number: int) -> None:
+        """Let a caller go away."""
+        self.emit(CallerLeft(number))
+
+    def open_send(self, replica_id: str) -> SendToReplica:
+        """Return the sending under way to a replica."""
+        return next(send for send in self.sends if send.replica.replica_id == replica_id)
+
+    def answer(
+        self,
+        send: SendToReplica,
+        status: int = 200,
+        body: bytes = b"",
+        signature: str | None = "",
+        not_run: bool = False,
+        is_other_replica: bool = False,
+        load: ReportedLoad | None = None,
+    ) -> None:
+        """Let a replica answer; its signature is its own id and the attempt unless given."""
+        self.sends.remove(send)
+        if signature == "":
+            signature = f"{send.replica.replica_id}.{send.attempt_id}"
+        answer = ReplicaAnswer(status, (), body, signature, not_run, is_other_replica)
+        self.emit(ReplicaAnswered(send.attempt_id, answer, load))
+
+    def fail(self, send: SendToReplica, kind: SendFailureKind) -> None:
+        """Let a sending fail."""
+        self.sends.remove(send)
+        self.emit(SendFailed(send.attempt_id, kind, "test"))
+
+    # Time and actions
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass and timers fire."""
+        end = self.now + seconds
+        while self._due and self._due[0][0] <= end:
+            due_at, _, event = heapq.heappop(self._due)
+            self.now = max(self.now, due_at)
+            self.emit(event)
+        self.now = end
+
+    def emit(self, event: Event) -> None:
+        """Hand an event to the node and take its actions."""
+        for action in self.machine.handle(event, self.now):
+            self._take(action)
+
+    def last(self, kind: type[Kind]) -> Kind:
+        """Return the latest action of a kind."""
+        return next(action for action in reversed(self.actions) if isinstance(action, kind))
+
+    def logs(self, message: str) -> list[dict[str, object]]:
+        """Return the fields of the log lines with that message."""
+        return [
+            dict(action.fields)
+            for action in self.actions
+            if isinstance(action, Log) and action.message == message
+        ]
+
+    def _take(self, action: Action) -> None:
+        self.actions.append(action)
+        if isinstance(action, Schedule):
+            heapq.heappush(self._due, (action.at_seconds, next(self._timers), action.event))
+        elif isinstance(action, SendToReplica):
+            self.sends.append(action)
+            self.all_sends.append(action)
+        elif isinstance(action, CancelSend):
+            self.cancelled.append(action.attempt_id)
+            self.sends = [send for send in self.sends if send.attempt_id != action.attempt_id]
+        elif isinstance(action, ReplyUnchanged | ReplyMerged | ReplyFailure):
+            assert action.exchange_id not in self.replies, "a second reply to one request"
+            self.replies[action.exchange_id] = action
+            self.replied_at[action.exchange_id] = self.now
+
+    # The store's formats: values are keys into what the tests put there
+
+    def _stored(self, record: ReplicaRecord) -> StoredValue:
+        value = f"{record!r}".encode()
+        self._records[value] = record
+        return StoredValue(REPLICA_PREFIX + record.replica_id, value, self.store_revision)
+
+    def _stored_table(self, configuration: RoutingTable) -> StoredValue:
+        value = f"version {configuration.version} {id(configuration)}".encode()
+        self._tables[value] = configuration
+        return StoredValue(CONFIGURATION_KEY, value, self.store_revision)
+
+    def _parse_table(self, value: bytes) -> RoutingTable | Failure[FormatFailureKind]:
+        found = self._tables.get(value)
+        return found or Failure(FormatFailureKind.MALFORMED, "test")
+
+    def _parse_record(
+        self, _replica_id: str, value: bytes
+    ) -> ReplicaRecord | Failure[FormatFailureKind]:
+        found = self._records.get(value)
+        return found or Failure(FormatFailureKind.MALFORMED, "test")
--- /dev/null
+++ b/tests/forwarding/test_single_service.py
@@ -0,0 +1,199 @@
+"""Requests that one replica answers: passed on, retried, refused, never run twice."""
+
+from testtools import TestCase
+
+from tests.forwarding.one_node import OneNode, replica, single_route, table
+from wingquay.model.routing_table import WeightedService
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ReplyFailure,
+    ReplyUnchanged,
+    SendFailureKind,
+)
+
+
+def node_with(*, replicas: int = 2, **route: object) -> OneNode:
+    node = OneNode()
+    records = [replica(f"r{number}", "s") for number in range(replicas)]
+    node.start(table(1, single_route(**route)), *records)
+    return node
+
+
+class ArrivalTest(TestCase):
+    def test_without_a_configuration_it_is_refused_and_may_come_back(self) -> None:
+        node = OneNode()
+        node.start(None)
+        reply = node.replies[node.request()]
+        self.assertIsInstance(reply, ReplyFailure)
+        self.assertIs(ForwardFailureKind.NOT_RUN, reply.kind)
+        self.assertIsNotNone(reply.retry_after_seconds)
+
+    def test_without_a_route_there_is_none(self) -> None:
+        node = node_with()
+        for number in (node.request("/other/x"), node.request(host="other.example")):
+            self.assertIs(ForwardFailureKind.NO_ROUTE, node.replies[number].kind)
+        self.assertEqual([], node.all_sends)
+
+    def test_the_answer_is_passed_on_as_it_is(self) -> None:
+        node = node_with()
+        number = node.request()
+        node.answer(node.sends[0], body=b"body")
+        reply = node.replies[number]
+        self.assertIsInstance(reply, ReplyUnchanged)
+        self.assertEqual(b"body", reply.answer.body)
+
+    def test_the_replica_is_told_what_is_left(self) -> None:
+        node = node_with(timeout_seconds=9.0)
+        node.request(deadline_seconds=1.5)
+        self.assertLessEqual(node.sends[0].remaining_seconds, 1.5)
+        node = node_with(timeout_seconds=0.7)
+        node.request(deadline_seconds=9.0)
+        self.assertLessEqual(node.sends[0].remaining_seconds, 0.7)
+
+    def test_weights_divide_requests_exactly(self) -> None:
+        parts = (WeightedService("s", 3.0), WeightedService("t", 1.0))
+        node = OneNode()
+        route = single_route(services=parts)
+        node.start(table(1, route), replica("r0", "s"), replica("r1", "t"))
+        for _ in range(40):
+            node.request()
+            node.answer(node.sends[0])
+        to_s = sum(send.replica.service == "s" for send in node.all_sends)
+        self.assertEqual(30, to_s)
+
+
+class RetryTest(TestCase):
+    def test_a_replica_that_did_not_run_it_is_followed_by_another(self) -> None:
+        node = node_with(is_repeatable=False)
+        number = node.request()
+        first = node.sends[0]
+        node.answer(first, 503, not_run=True, signature=None)
+        second = node.sends[0]
+        self.assertNotEqual(first.replica.replica_id, second.replica.replica_id)
+        node.answer(second)
+        self.assertIsInstance(node.replies[number], ReplyUnchanged)
+
+    def test_another_replica_at_the_address_is_forgotten(self) -> None:
+        node = node_with()
+        number = node.request()
+        first = node.sends[0]
+        node.answer(first, 421, is_other_replica=True, signature=None)
+        node.answer(node.sends[0])
+        self.assertIsInstance(node.replies[number], ReplyUnchanged)
+        for _ in range(4):
+            node.request()
+        later = {send.replica.replica_id for send in node.sends}
+        self.assertNotIn(first.replica.replica_id, later)
+
+    def test_an_unrepeatable_request_that_may_have_run_is_not_sent_again(self) -> None:
+        for kind in (SendFailureKind.BROKEN, SendFailureKind.MALFORMED):
+            node = node_with(is_repeatable=False)
+            number = node.request()
+            node.fail(node.sends[0], kind)
+            node.advance(5.0)
+            self.assertEqual(1, len(node.all_sends))
+            self.assertIs(ForwardFailureKind.FAILED, node.replies[number].kind)
+
+    def test_an_unrepeatable_request_is_never_hedged(self) -> None:
+        node = node_with(is_repeatable=False)
+        number = node.request()
+        node.advance(5.0)
+        self.assertEqual(1, len(node.all_sends))
+        self.assertIs(ForwardFailureKind.TIMED_OUT, node.replies[number].kind)
+
+    def test_an_unrepeatable_request_that_left_no_byte_is_sent_again(self) -> None:
+        node = node_with(is_repeatable=False)
+        number = node.request()
+        node.fail(node.sends[0], SendFailureKind.NOT_SENT)
+        node.answer(node.sends[0])
+        self.assertIsInstance(node.replies[number], ReplyUnchanged)
+
+    def test_no_more_replicas_run_it_than_allowed(self) -> None:
+        node = node_with(replicas=5, max_attempts=2)
+        number = node.request()
+        node.fail(node.sends[0], SendFailureKind.BROKEN)
+        node.fail(node.sends[0], SendFailureKind.BROKEN)
+        node.advance(3.0)
+        self.assertEqual(2, len(node.all_sends))
+        self.assertIs(ForwardFailureKind.FAILED, node.replies[number].kind)
+
+    def test_a_failure_that_a_replica_answered_is_passed_on_when_nothing_better_comes(self) -> None:
+        node = node_with()
+        number = node.request()
+        node.answer(node.sends[0], 500)
+        node.answer(node.sends[0], 500)
+        reply = node.replies[number]
+        self.assertIsInstance(reply, ReplyUnchanged)
+        self.assertEqual(500, reply.answer.status)
+
+    def test_a_slow_attempt_is_hedged_and_the_first_answer_counts(self) -> None:
+        node = node_with()
+        number = node.request()
+        node.advance(0.2)
+        self.assertEqual(2, len(node.sends))
+        node.answer(node.sends[1], body=b"second")
+        self.assertEqual(b"second", node.replies[number].answer.body)
+        node.advance(0.3)
+        self.assertEqual([node.all_sends[0].attempt_id], node.cancelled)
+
+
+class BudgetTest(TestCase):
+    def test_extra_arrivals_stay_within_the_ratio(self) -> None:
+        node = node_with(replicas=4)
+        for _ in range(200):
+            node.request()
+            node.advance(0.2)
+            for send in list(node.sends):
+                node.answer(send)
+        extra = len(node.all_sends) - 200
+        self.assertGreater(extra, 20)
+        self.assertLessEqual(extra, 200 * 0.18 + 3)
+
+    def test_an_attempt_that_left_no_byte_costs_no_budget(self) -> None:
+        node = node_with(replicas=2)
+        for _ in range(30):
+            number = node.request()
+            node.fail(node.sends[0], SendFailureKind.NOT_SENT)
+            node.advance(0.1)
+            node.answer(node.sends[0])
+            self.assertIsInstance(node.replies[number], ReplyUnchanged)
+
+
+class EndTest(TestCase):
+    def test_a_request_that_no_replica_can_take_is_refused_early(self) -> None:
+        node = OneNode()
+        node.start(table(1, single_route()), replica("r0", "other"))
+        number = node.request()
+        node.advance(0.1)
+        reply = node.replies[number]
+        self.assertIs(ForwardFailureKind.NOT_RUN, reply.kind)
+        self.assertGreater(reply.retry_after_seconds, 0.0)
+
+    def test_a_request_that_waits_for_a_connection_goes_in_the_order_of_priority(self) -> None:
+        node = OneNode()
+        urgent = single_route("/urgent/", priority=0, objective_seconds=2.0)
+        usual = single_route("/usual/", priority=2, objective_seconds=2.0)
+        node.start(table(1, urgent, usual, connections=12), replica("r0", "s"))
+        first = node.request("/usual/1")
+        node.request("/usual/2")
+        third = node.request("/urgent/3")
+        node.answer(node.sends[0])
+        self.assertIn(first, node.replies)
+        self.assertEqual(f"id-{third}", node.sends[0].request_id)
+
+    def test_a_caller_that_left_stops_the_replicas_soon(self) -> None:
+        node = node_with()
+        number = node.request()
+        node.leave(number)
+        node.advance(0.5)
+        self.assertEqual([1], node.cancelled)
+        self.assertNotIn(number, node.replies)
+
+    def test_every_failure_is_explained_by_the_request_id(self) -> None:
+        node = node_with(is_repeatable=False)
+        node.request()
+        node.fail(node.sends[0], SendFailureKind.BROKEN)
+        line = node.logs("request_ended")[0]
+        self.assertEqual("id-1", line["request_id"])
+        self.assertEqual("failed", line["outcome"])
+        self.assertIn("broken", str(line["unanswered"]))
--- /dev/null
+++ b/tests/forwarding/test_store_following.py
@@ -0,0 +1,128 @@
+"""Configuration and replicas as the store tells them; drains; readiness; stop."""
+
+from testtools import TestCase
+
+from tests.forwarding.one_node import OneNode, replica, single_route, table
+from wingquay.ports.forwarding import ForwardFailureKind, ReplyFailure, SetForwarding
+from wingquay.ports.machine import Exit, StopRequested
+from wingquay.ports.store import StartWatch, StoreRequest, WatchBroken
+
+
+def started(*replicas: str) -> OneNode:
+    node = OneNode()
+    records = [replica(replica_id, "s") for replica_id in replicas or ("r0", "r1")]
+    node.start(table(1, single_route()), *records)
+    return node
+
+
+def asked(node: OneNode, requests: int = 12) -> set[str]:
+    """Return the replicas that a few requests go to."""
+    before = len(node.all_sends)
+    for _ in range(requests):
+        node.request()
+        for send in list(node.sends):
+            node.answer(send)
+    return {send.replica.replica_id for send in node.all_sends[before:]}
+
+
+class ReplicaRecordsTest(TestCase):
+    def test_a_draining_replica_gets_nothing_new(self) -> None:
+        node = started()
+        node.change(replica("r0", "s", is_draining=True))
+        self.assertEqual({"r1"}, asked(node))
+
+    def test_a_vanished_replica_gets_nothing_while_there_are_others(self) -> None:
+        node = started()
+        node.change(gone=("r0",))
+        self.assertEqual({"r1"}, asked(node))
+
+    def test_the_last_vanished_replica_is_used_for_a_moment_only(self) -> None:
+        node = started("r0")
+        node.change(gone=("r0",))
+        self.assertEqual({"r0"}, asked(node))
+        node.advance(1.1)
+        self.assertEqual(set(), asked(node))
+
+    def test_records_that_lapsed_with_the_store_are_used_for_longer(self) -> None:
+        node = started("r0")
+        node.emit(WatchBroken(node.last(StartWatch).watch_id, "down"))
+        node.advance(0.5)
+        node.change(gone=("r0",))
+        node.advance(2.0)
+        self.assertEqual({"r0"}, asked(node))
+
+    def test_a_listing_shows_what_vanished_unseen(self) -> None:
+        node = started()
+        node.emit(WatchBroken(node.last(StartWatch).watch_id, "gone", history_lost=True))
+        node.list_store(table(1, single_route()), replica("r1", "s"))
+        self.assertEqual({"r1"}, asked(node))
+
+    def test_a_slow_replica_is_tried_again_after_a_while(self) -> None:
+        node = started()
+        for _ in range(60):
+            node.request()
+            for send in list(node.sends):
+                node.advance(0.05 if send.replica.replica_id == "r0" else 0.005)
+                node.answer(send)
+        node.advance(10.0)
+        self.assertEqual({"r0", "r1"}, asked(node))
+
+
+class ConfigurationTest(TestCase):
+    def test_an_older_version_never_replaces_a_newer_one(self) -> None:
+        node = started()
+        node.change(configuration=table(5, single_route("/new/")))
+        node.change(configuration=table(3, single_route()))
+        reply = node.replies[node.request("/one/x")]
+        self.assertIsInstance(reply, ReplyFailure)
+        self.assertIs(ForwardFailureKind.NO_ROUTE, reply.kind)
+
+    def test_a_store_that_cannot_be_reached_is_asked_again_with_pauses(self) -> None:
+        node = started()
+        for _ in range(10):
+            node.emit(WatchBroken(node.last(StartWatch).watch_id, "down"))
+            node.advance(1.1)
+        watches = [action for action in node.actions if isinstance(action, StartWatch)]
+        self.assertEqual(11, len(watches))
+        reads = [action for action in node.actions if isinstance(action, StoreRequest)]
+        self.assertEqual(1, len(reads))
+        self.assertTrue(asked(node))
+
+    def test_an_idle_time_that_shrinks_cuts_no_caller_off(self) -> None:
+        node = started()
+        longest = node.last(SetForwarding).limits.idle_seconds
+        node.change(configuration=table(2, single_route()))
+        self.assertEqual(longest, node.last(SetForwarding).limits.idle_seconds)
+
+
+class StopTest(TestCase):
+    def test_a_node_is_ready_with_configuration_and_replicas(self) -> None:
+        node = OneNode()
+        node.start(table(1, single_route()))
+        self.assertFalse(node.last(SetForwarding).is_ready)
+        node.change(replica("r0", "s"))
+        self.assertTrue(node.last(SetForwarding).is_ready)
+
+    def test_a_stop_serves_what_still_comes_and_ends_within_its_time(self) -> None:
+        node = started()
+        node.emit(StopRequested())
+        said = node.last(SetForwarding)
+        self.assertFalse(said.is_ready)
+        self.assertTrue(said.closes_connections)
+        node.advance(2.5)
+        number = node.request()
+        self.assertEqual([], [action for action in node.actions if isinstance(action, Exit)])
+        node.answer(node.sends[0])
+        self.assertIn(number, node.replies)
+        node.advance(1.0)
+        self.assertEqual(0, node.last(Exit).cut_requests)
+
+    def test_a_stop_waits_for_open_requests_but_not_for_ever(self) -> None:
+        node = OneNode()
+        node.start(table(1, single_route(timeout_seconds=30.0)), replica("r0", "s"))
+        node.request(deadline_seconds=30.0)
+        node.emit(StopRequested())
+        node.advance(4.9)
+        self.assertEqual([], [action for action in node.actions if isinstance(action, Exit)])
+        node.advance(0.6)
+        self.assertEqual(1, node.last(Exit).cut_requests)
--- /dev/null
+++ b/tests/platform/test_formats.py
@@ -0,0 +1,208 @@
+"""What the platform writes, read; what it reads, written."""
+
+from pathlib import Path
+
+import orjson
+from testtools import TestCase
+
+from wingquay.adapters.http_messages import HttpRequest, HttpResponse
+from wingquay.model.failure import Failure
+from wingquay.platform.caller_dialect import PlatformCallerDialect
+from wingquay.platform.configuration_document import parse_configuration
+from wingquay.platform.replica_entry import parse_replica
+from wingquay.platform.settings import parse_settings
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ForwardRequested,
+    ReplicaAnswer,
+    ReplyFailure,
+    ReplyMerged,
+    ReplyUnchanged,
+)
+
+ROOT = Path(__file__).parent.parent.parent
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "A.example",
+            "pathPrefix": "/a/",
+            "routeType": "idempotent",
+            "timeoutMs": 800,
+            "targetLatencyMs": 95,
+            "priority": 2,
+            "fanoutServices": ["x", "y"],
+            "maxAttempts": 2,
+            "topK": 5,
+            "minShardRatio": 0.75,
+        },
+        {
+            "name": "r2",
+            "host": "a.example",
+            "pathPrefix": "/a/b/",
+            "routeType": "non_idempotent",
+            "timeoutMs": 6000,
+            "targetLatencyMs": 400,
+            "backends": [{"service": "x", "weight": 3}, {"service": "y", "weight": 1}],
+            "maxAttempts": 1,
+        },
+    ],
+    "services": [{"name": "x", "healthPath": "/h", "maxConnections": 26}],
+    "limits": {"maxHeaderBytes": 100, "maxBodyBytes": 200, "idleTimeoutMs": 15000},
+}
+SETTINGS = """
+[node]
+name = "n"
+zone = "z"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+[store]
+address = "127.0.0.1:3"
+[retries]
+ratio = 0.2
+burst = 56
+[stop]
+grace_seconds = 6
+"""
+
+
+class ConfigurationTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = parse_configuration(orjson.dumps(CONFIGURATION))
+
+    def test_the_longest_prefix_is_found(self) -> None:
+        for host, path, name in (
+            ("a.example", "/a/x", "r1"),
+            ("A.EXAMPLE", "/a/b/x", "r2"),
+            ("a.example", "/a/bx", "r1"),
+            ("a.example", "/a/b", "r1"),
+        ):
+            self.assertEqual(name, self.table.find(host, path).name, path)
+        for host, path in (("a.example", "/ax"), ("b.example", "/a/"), ("a.example", "x")):
+            self.assertIsNone(self.table.find(host, path))
+
+    def test_every_field_is_read(self) -> None:
+        sharded, weighted = self.table.routes
+        self.assertEqual(("x", "y"), sharded.shards)
+        self.assertEqual(
+            (0.8, 0.095, 5, 0.75, 2),
+            (
+                sharded.timeout_seconds,
+                sharded.objective_seconds,
+                sharded.merged_records,
+                sharded.least_share,
+                sharded.max_attempts,
+            ),
+        )
+        self.assertTrue(sharded.is_repeatable)
+        self.assertFalse(weighted.is_repeatable)
+        self.assertEqual([3.0, 1.0], [part.weight for part in weighted.services])
+        self.assertEqual(26, self.table.services["x"].connection_limit)
+        self.assertEqual(15.0, self.table.limits.idle_seconds)
+
+    def test_what_cannot_be_read_is_a_failure(self) -> None:
+        for value in (b"", b"[]", b"{}", b'{"version": 1, "routes": [{}]}'):
+            self.assertIsInstance(parse_configuration(value), Failure, value)
+
+
+class ReplicaEntryTest(TestCase):
+    def test_an_entry_is_read(self) -> None:
+        entry = {
+            "service": "x",
+            "address": "10.1.2.3:80",
+            "zone": "z",
+            "capacity": 2,
+            "state": "draining",
+            "warmupLeftMs": 1500,
+            "sequence": 4,
+        }
+        record = parse_replica("i-1", orjson.dumps(entry))
+        self.assertEqual(("i-1", "10.1.2.3", 80), (record.replica_id, record.host, record.port))
+        self.assertTrue(record.is_draining)
+        self.assertEqual(1.5, record.cold_seconds)
+
+    def test_what_cannot_be_read_is_a_failure(self) -> None:
+        for value in (b"", b"{}", b'{"service": "x", "address": "nowhere"}'):
+            self.assertIsInstance(parse_replica("i-1", value), Failure, value)
+
+
+class CallerDialectTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.dialect = PlatformCallerDialect()
+
+    def understood(self, *raw_headers: tuple[bytes, bytes]) -> ForwardRequested | HttpResponse:
+        headers = {name.decode().lower(): text.decode() for name, text in raw_headers}
+        request = HttpRequest("GET", "/a/b", {}, headers, b"", b"/a/b?c", raw_headers)
+        return self.dialect.understand(1, request)
+
+    def test_headers_of_one_connection_stay_behind(self) -> None:
+        event = self.understood(
+            (b"Host", b"a.example:80"),
+            (b"Request-Id", b"r1"),
+            (b"Deadline-Ms", b"800"),
+            (b"Connection", b"keep-alive, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"X-Other", b"2"),
+            (b"Expected-Instance", b"forged"),
+        )
+        names = [name for name, _ in event.request.headers]
+        self.assertEqual([b"Host", b"Request-Id", b"X-Other"], names)
+        self.assertEqual(
+            ("a.example", "r1", 0.8),
+            (
+                event.host,
+                event.request_id,
+                event.deadline_seconds,
+            ),
+        )
+
+    def test_a_request_without_an_id_is_refused(self) -> None:
+        self.assertEqual(400, self.understood((b"Host", b"a")).status)
+
+    def test_replies(self) -> None:
+        merged = self.dialect.response(ReplyMerged(1, b"records", ("s1", "s2"), 1))
+        self.assertEqual(
+            [(b"Part-Stamps", b"s1, s2"), (b"Missing-Shards", b"1")], list(merged.raw_headers)
+        )
+        refused = self.dialect.response(
+            ReplyFailure(1, ForwardFailureKind.NOT_RUN, "full", retry_after_seconds=0.25)
+        )
+        self.assertEqual((503, "0.250"), (refused.status, refused.headers["Retry-After"]))
+        statuses = [
+            self.dialect.response(ReplyFailure(1, kind, "why")).status
+            for kind in (
+                ForwardFailureKind.NO_ROUTE,
+                ForwardFailureKind.FAILED,
+                ForwardFailureKind.TIMED_OUT,
+            )
+        ]
+        self.assertEqual([404, 502, 504], statuses)
+        headers = ((b"server-stamp", b"s"), (b"content-length", b"1"), (b"x-a", b"b"))
+        passed = self.dialect.response(ReplyUnchanged(1, ReplicaAnswer(201, headers, b"y", "s")))
+        self.assertEqual([(b"server-stamp", b"s"), (b"x-a", b"b")], list(passed.raw_headers))
+
+
+class SettingsTest(TestCase):
+    def test_settings_are_read(self) -> None:
+        settings = parse_settings(SETTINGS)
+        self.assertEqual(("n", "z", 3), (settings.node, settings.zone, settings.store.port))
+
+    def test_a_bad_field_is_named_with_its_value_and_what_is_allowed(self) -> None:
+        for good, bad, words in (
+            ('"127.0.0.1:1"', '"host:1"', ("listen.callers", "host:1", "IP number")),
+            ("ratio = 0.2", "ratio = 7", ("retries.ratio", "7", "from 0 to 1")),
+            ('name = "n"', "name = 3", ("node.name", "3", "text")),
+        ):
+            failure = parse_settings(SETTINGS.replace(good, bad))
+            self.assertIsInstance(failure, Failure)
+            for word in words:
+                self.assertIn(word, failure.reason)
+
+    def test_the_template_names_every_field_that_is_read(self) -> None:
+        template = (ROOT / "deploy" / "settings.toml.template").read_text()
+        for field in ("name", "zone", "callers", "readiness", "address", "ratio", "burst"):
+            self.assertIn(f"\n{field} = ", template)
--- /dev/null
+++ b/tests/platform/test_replica_exchange.py
@@ -0,0 +1,267 @@
+"""The replica client with the platform's dialect, against a replica that sends raw bytes."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from testtools import TestCase
+
+from tests.adapters.raw_http import LOOPBACK, RawServer, run
+from wingquay.adapters.replica_client import ReplicaClient
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.platform.replica_dialect import PlatformReplicaDialect
+from wingquay.ports.forwarding import (
+    CancelSend,
+    OpaqueRequest,
+    ReplicaAnswered,
+    ReportedLoad,
+    SendFailed,
+    SendFailureKind,
+    SendToReplica,
+)
+from wingquay.ports.machine import Count, Event
+
+
+def answer(request_id: str, body: bytes, extra: str = "", status: str = "200 OK") -> bytes:
+    head = f"HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nServer-Stamp: st-{request_id}\r\n"
+    return f"{head}{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class ScriptedReplica:
+    """Answers the n-th request with the n-th script; ``None`` closes the connection."""
+
+    def __init__(self, *scripts: list[bytes | None]) -> None:
+        self._scripts = list(scripts)
+        self.requests: list[bytes] = []
+        self.ended = asyncio.Event()
+        self.server = RawServer(self._serve)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                self.ended.set()
+                return
+            for line in head.lower().split(b"\r\n"):
+                if line.startswith(b"content-length:"):
+                    head += await reader.readexactly(int(line.split(b":")[1]))
+            self.requests.append(head)
+            for part in self._scripts.pop(0) if self._scripts else []:
+                if part is None:
+                    writer.close()
+                    return
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+
+
+class Exchange:
+    """The client, a replica and the events."""
+
+    def __init__(self, *scripts: list[bytes | None]) -> None:
+        self.replica = ScriptedReplica(*scripts)
+        self.events: asyncio.Queue[Event] = asyncio.Queue()
+        self.counts: list[Count] = []
+        self.client = ReplicaClient(
+            PlatformReplicaDialect(), self.events.put_nowait, self.counts.append
+        )
+        self._attempts = 0
+
+    async def start(self) -> None:
+        self.port = await self.replica.server.start()
+
+    async def send(self, request_id: str, body: bytes = b"") -> Event:
+        self.begin(request_id, body)
+        return await self.events.get()
+
+    def begin(self, request_id: str, body: bytes = b"") -> int:
+        self._attempts += 1
+        record = ReplicaRecord("i-1", "s", LOOPBACK, self.port, "a", 2)
+        headers = ((b"Host", b"search.example"), (b"Request-Id", request_id.encode()))
+        request = OpaqueRequest(b"POST" if body else b"GET", b"/a/b?c=%20d", headers, body)
+        self.client.send(SendToReplica(self._attempts, record, request_id, request, 1.5))
+        return self._attempts
+
+
+def play(test: Coroutine[Any, Any, None]) -> None:
+    run(test)
+
+
+class RequestBytesTest(TestCase):
+    def test_the_request_is_passed_on_unchanged_with_the_replica_and_the_time_left(self) -> None:
+        async def test() -> None:
+            exchange = Exchange([answer("r1", b"x")])
+            await exchange.start()
+            await exchange.send("r1", b"the body")
+            raw = exchange.replica.requests[0]
+            self.assertTrue(raw.startswith(b"POST /a/b?c=%20d HTTP/1.1\r\n"))
+            self.assertTrue(raw.endswith(b"\r\n\r\nthe body"))
+            for line in (
+                b"Host: search.example",
+                b"Request-Id: r1",
+                b"Deadline-Ms: 1500",
+                b"Expected-Instance: i-1",
+                b"Content-Length: 8",
+            ):
+                self.assertEqual(1, raw.count(line + b"\r\n"), line)
+
+        play(test())
+
+
+class AnswerBytesTest(TestCase):
+    def test_answers_with_a_length_in_chunks_and_ended_by_close_are_whole(self) -> None:
+        async def test() -> None:
+            chunked = (
+                b"HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nServer-Stamp: s\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            )
+            unframed = b"HTTP/1.1 200 OK\r\nRequest-Id: r3\r\nServer-Stamp: s\r\n\r\nabcde"
+            exchange = Exchange([answer("r1", b"abcde")], [chunked], [unframed, None])
+            await exchange.start()
+            for request_id in ("r1", "r2", "r3"):
+                event = await exchange.send(request_id)
+                self.assertIsInstance(event, ReplicaAnswered, request_id)
+                self.assertEqual(b"abcde", event.answer.body)
+            self.assertEqual(1, exchange.replica.server.connections)
+
+        play(test())
+
+    def test_an_answer_that_is_cut_short_is_none(self) -> None:
+        async def test() -> None:
+            exchange = Exchange([answer("r1", b"abcdefgh")[:-3], None])
+            await exchange.start()
+            event = await exchange.send("r1")
+            self.assertIsInstance(event, SendFailed)
+            self.assertIsNot(SendFailureKind.NOT_SENT, event.kind)
+
+        play(test())
+
+    def test_bytes_that_are_no_answer_are_told_apart(self) -> None:
+        async def test() -> None:
+            exchange = Exchange([b"\x00\x01garbage\r\n\r\n"])
+            await exchange.start()
+            event = await exchange.send("r1")
+            self.assertIs(SendFailureKind.MALFORMED, event.kind)
+
+        play(test())
+
+    def test_an_encoded_or_unsigned_answer_is_not_the_replicas(self) -> None:
+        async def test() -> None:
+            encoded = answer("r1", b"x", "Content-Encoding: gzip\r\n")
+            unsigned = b"HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nContent-Length: 0\r\n\r\n"
+            exchange = Exchange([encoded], [unsigned])
+            await exchange.start()
+            for request_id in ("r1", "r2"):
+                event = await exchange.send(request_id)
+                self.assertIsInstance(event, SendFailed, request_id)
+                self.assertIs(SendFailureKind.MALFORMED, event.kind)
+
+        play(test())
+
+    def test_refusals_load_and_other_replicas_are_understood(self) -> None:
+        async def test() -> None:
+            shed = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            other = b"HTTP/1.1 421 X\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n"
+            exchange = Exchange([shed], [other], [answer("r3", b"", "Server-Load: 3,1,8\r\n")])
+            await exchange.start()
+            self.assertTrue((await exchange.send("r1")).answer.not_run)
+            self.assertTrue((await exchange.send("r2")).answer.is_other_replica)
+            self.assertEqual(ReportedLoad(3, 1, 8), (await exchange.send("r3")).load)
+
+        play(test())
+
+
+class SurplusTest(TestCase):
+    def test_a_surplus_answer_in_the_place_of_the_next_is_passed_over(self) -> None:
+        async def test() -> None:
+            surplus = answer("r1", b"old")
+            exchange = Exchange([answer("r1", b"one")], [surplus + answer("r2", b"two")])
+            await exchange.start()
+            await exchange.send("r1")
+            event = await exchange.send("r2")
+            self.assertEqual(b"two", event.answer.body)
+
+        play(test())
+
+    def test_a_surplus_answer_that_comes_in_pieces_is_passed_over(self) -> None:
+        async def test() -> None:
+            surplus = answer("r1", b"old")
+            parts = [surplus[:20], surplus[20:], answer("r2", b"two")]
+            exchange = Exchange([answer("r1", b"one")], list(parts))
+            await exchange.start()
+            await exchange.send("r1")
+            self.assertEqual(b"two", (await exchange.send("r2")).answer.body)
+
+        play(test())
+
+    def test_a_connection_with_surplus_bytes_serves_nothing_more(self) -> None:
+        async def test() -> None:
+            surplus = answer("r1", b"one") + answer("r1", b"again")
+            exchange = Exchange([surplus], [answer("r2", b"two")])
+            await exchange.start()
+            self.assertEqual(b"one", (await exchange.send("r1")).answer.body)
+            self.assertEqual(b"two", (await exchange.send("r2")).answer.body)
+            self.assertEqual(2, exchange.replica.server.connections)
+
+        play(test())
+
+    def test_a_late_surplus_answer_ends_the_idle_connection(self) -> None:
+        async def test() -> None:
+            exchange = Exchange(
+                [answer("r1", b"one"), answer("r1", b"again")], [answer("r2", b"two")]
+            )
+            await exchange.start()
+            await exchange.send("r1")
+            await asyncio.wait_for(exchange.replica.ended.wait(), 5.0)
+            self.assertEqual(b"two", (await exchange.send("r2")).answer.body)
+
+        play(test())
+
+
+class ConnectionTest(TestCase):
+    def test_a_connection_that_the_replica_closes_is_not_used_again(self) -> None:
+        async def test() -> None:
+            closing = answer("r1", b"x", "Connection: close\r\n")
+            exchange = Exchange([closing], [answer("r2", b"x")])
+            await exchange.start()
+            await exchange.send("r1")
+            self.assertIsInstance(await exchange.send("r2"), ReplicaAnswered)
+            self.assertEqual(2, exchange.replica.server.connections)
+
+        play(test())
+
+    def test_a_connection_about_to_reach_its_idle_time_is_not_used_again(self) -> None:
+        async def test() -> None:
+            short = answer("r1", b"x", "Keep-Alive: timeout=0\r\n")
+            exchange = Exchange([short], [answer("r2", b"x")])
+            await exchange.start()
+            await exchange.send("r1")
+            await exchange.send("r2")
+            self.assertEqual(2, exchange.replica.server.connections)
+
+        play(test())
+
+    def test_a_cancelled_attempt_closes_its_connection_and_says_nothing(self) -> None:
+        async def test() -> None:
+            exchange = Exchange([])
+            await exchange.start()
+            attempt_id = exchange.begin("r1")
+            while not exchange.replica.requests:
+                await asyncio.sleep(0.001)
+            exchange.client.cancel(CancelSend(attempt_id))
+            await asyncio.wait_for(exchange.replica.ended.wait(), 5.0)
+            self.assertTrue(exchange.events.empty())
+
+        play(test())
+
+    def test_a_dead_port_left_no_byte(self) -> None:
+        async def test() -> None:
+            exchange = Exchange()
+            await exchange.start()
+            exchange.replica.server._server.close()
+            await exchange.replica.server._server.wait_closed()
+            event = await exchange.send("r1")
+            self.assertIs(SendFailureKind.NOT_SENT, event.kind)
+
+        play(test())
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -10,6 +10,8 @@
 SLOWNESS_WEIGHT = 0.4
 SLOWNESS_MEMORY_SECONDS = 2.0
 """Time constant with which a replica's slowness is forgotten, so that it is tried again."""
+SLOWNESS_TOLERANCE = 1.25
+"""Slowness that counts as none: otherwise a replica once slow would never be asked again."""
 GREATEST_SLOWNESS = 20.0
 LOAD_MEMORY_SECONDS = 0.1
 """Time constant with which a reported load is forgotten."""
@@ -57,8 +59,11 @@
     def cost(self, now: float, zone: str) -> float:
         """Return the expected wait at the replica, in usual latencies."""
         slots = max(1, self.record.slots)
+        slowness = self.slowness(now)
+        if slowness < SLOWNESS_TOLERANCE:
+            slowness = 1.0
         waiting = len(self.in_flight) + self._reported_elsewhere(now)
-        cost = self.slowness(now) * (1.0 + waiting / slots)
+        cost = slowness * (1.0 + waiting / slots)
         if self.is_overdue(now):
             cost *= OVERDUE_FACTOR
         if now - self.recorded_at < self.record.cold_seconds:
