Cut answers off by the measured round trip; leave silent replicas out; wait in line instead of refusing

Nodes came back 0.35 to 0.5 s after power, their ports closed.

Change: the server reads the round trip that the kernel measured (TCP_INFO) and counts it twice for a connection's first request; a replica that answered nothing for 0.3 s is out of reach, one attempt at a time tries it again, and merged answers do without shards that are out of reach; requests wait for a free connection and are refused only when no replica can be asked, with the time when one can; the listening socket opens before the program loads, and callers are accepted when the configuration is there. The store is looked at each 1.3 s instead of each second.

--- /dev/null
+++ b/deploy/days/make.py
@@ -0,0 +1,130 @@
+"""Writes the days of this folder: one for each kind of trouble, played on any deployment."""
+
+from pathlib import Path
+
+FOLDER = Path(__file__).parent
+HEAD = """# Written by make.py.
+name = "{name}"
+slot = "trouble"
+seed = {seed}
+one = 0.9
+zero = 0.4
+goal = {{ floor = 0.4 }}
+labels = []
+"""
+GREY_WAYS = ("errors", "shed", "busy", "hang", "reset", "mute", "slow", "errors one_zone")
+
+DAYS: dict[str, tuple[list[str], list[str]]] = {
+    "retry-abuse": ([], ["at = 6, kind = 'retry_abuse', share = 0.3, x = 4, for_s = 6"]),
+    "replace-with-reuse": (
+        [],
+        [
+            "at = 4, kind = 'replace_with_reuse', share = 0.15",
+            "at = 12, kind = 'replace_with_reuse', share = 0.15, how = 'drain'",
+            "at = 20, kind = 'replace_with_reuse', share = 0.15, how = 'dark'",
+        ],
+    ),
+    "scale-in-and-out": (
+        [
+            "at = 4, kind = 'scale_out', share = 0.3, gap_s = 2",
+            "at = 14, kind = 'scale_in', share = 0.3",
+            "at = 20, kind = 'scale_in', share = 0.3, how = 'spot'",
+        ],
+        [],
+    ),
+    "hup-and-roll": (
+        [
+            "at = 4, kind = 'hup', share = 1.0, gap_s = 2",
+            "at = 12, kind = 'roll_term', share = 1.0, x = 2, gap_s = 2, how = 'busy'",
+        ],
+        [],
+    ),
+    "after-ack-kill": (
+        [
+            "at = 5, kind = 'config_change', how = 'route'",
+            "at = 15, kind = 'config_change', how = 'weights'",
+        ],
+        [
+            "at = 5, kind = 'after_ack_kill', count = 2",
+            "at = 15, kind = 'after_ack_kill', count = 3, how = 'timed'",
+        ],
+    ),
+    "big-config-storm": (
+        [
+            "at = 3, kind = 'big_config', count = 450",
+            "at = 6, kind = 'config_storm', for_s = 6, gap_s = 0.2",
+            "at = 16, kind = 'config_change', how = 'weights'",
+            "at = 22, kind = 'reshard', x = 3",
+        ],
+        [],
+    ),
+    "core-cuts": (
+        ["at = 7, kind = 'config_change', how = 'route'"],
+        [
+            "at = 4, kind = 'core_cut', count = 3, for_s = 6, how = 'leader one_way'",
+            "at = 14, kind = 'core_cut', count = 4, for_s = 6, how = 'refuse hard'",
+            "at = 24, kind = 'core_cut', count = 2, for_s = 5, how = 'near'",
+        ],
+    ),
+    "store-troubles": (
+        ["at = 8, kind = 'config_change', how = 'route'"],
+        [
+            "at = 3, kind = 'platform_down', for_s = 4, how = 'silent lapse'",
+            "at = 12, kind = 'platform_lost', x = 0.5, for_s = 4, how = 'late'",
+            "at = 18, kind = 'platform_slow', x = 200, for_s = 4",
+            "at = 25, kind = 'platform_compact', x = 6, for_s = 6, how = 'drain'",
+        ],
+    ),
+    "node-troubles": (
+        [],
+        [
+            "at = 3, kind = 'node_freeze', share = 0.25, for_s = 4",
+            "at = 9, kind = 'node_slow', share = 0.25, x = 5, for_s = 5",
+            "at = 16, kind = 'herd_kill', share = 1.0, for_s = 1, how = 'power'",
+            "at = 25, kind = 'node_cut', share = 0.25, for_s = 4, how = 'servers'",
+        ],
+    ),
+    "garbled-answers": (
+        [],
+        [
+            "at = 3, kind = 'garble', share = 0.6, x = 0.05, for_s = 5, how = 'early'",
+            "at = 9, kind = 'garble', share = 0.6, x = 0.05, for_s = 5, how = 'unframed'",
+            "at = 15, kind = 'garble', share = 0.6, x = 0.05, for_s = 5, how = 'extra late'",
+            "at = 21, kind = 'answer_lost', share = 0.6, x = 0.05, for_s = 5, how = 'reset'",
+        ],
+    ),
+    "links-and-clients": (
+        [],
+        [
+            "at = 3, kind = 'lossy', x = 0.04, for_s = 6",
+            "at = 10, kind = 'reset_conns', share = 1.0, x = 0.7",
+            "at = 14, kind = 'give_up', share = 0.4, for_s = 6",
+            "at = 21, kind = 'burst', x = 2.0, for_s = 4",
+        ],
+    ),
+    "dark-replicas": (
+        [],
+        [
+            "at = 3, kind = 'srv_crash', share = 0.15, for_s = 5, how = 'dark across'",
+            "at = 12, kind = 'srv_crash', share = 0.15, how = 'gone'",
+            "at = 20, kind = 'srv_slow', share = 0.15, x = 10, for_s = 6, how = 'across'",
+        ],
+    ),
+}
+for way in GREY_WAYS:
+    entry = f"at = 5, kind = 'srv_grey', share = 0.15, x = 0.4, for_s = 10, how = '{way}'"
+    again = f"at = 20, kind = 'srv_grey', share = 0.15, x = 0.8, for_s = 6, how = '{way} across'"
+    DAYS["grey-" + way.replace(" ", "-").replace("_", "-")] = ([], [entry, again])
+
+
+def main() -> None:
+    """Write every day."""
+    for number, (name, (plan, faults)) in enumerate(sorted(DAYS.items())):
+        text = HEAD.format(name=name, seed=1_000 + number)
+        text += "plan = [\n" + "".join(f"  {{ {entry} }},\n" for entry in plan) + "]\n"
+        text += "faults = [\n" + "".join(f"  {{ {entry} }},\n" for entry in faults) + "]\n"
+        (FOLDER / f"{name}.toml").write_text(text.replace("'", '"'))
+
+
+if __name__ == "__main__":
+    main()
--- a/wingquay/adapters/forwarding_server.py
+++ b/wingquay/adapters/forwarding_server.py
@@ -1,6 +1,7 @@
 """Takes in requests that are passed on and sends their replies."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Protocol
 
@@ -57,11 +58,16 @@
         self._waiting: dict[int, asyncio.Future[HttpResponse]] = {}
         limits = http_limits(CallerLimits())
         self._server = HttpServer(self._serve, limits, dialect.refusal)
+        self._server.measures_transit = True
 
     async def start(self, host: str, port: int) -> int:
         """Listen; return the port."""
         return await self._server.start(host, port)
 
+    async def serve_on(self, listening: socket.socket) -> None:
+        """Accept connections on a socket that listens already."""
+        await self._server.serve_on(listening)
+
     async def close(self, grace_seconds: float) -> None:
         """Stop listening and end every connection, waiting for replies under way."""
         await self._server.close(grace_seconds)
--- a/wingquay/adapters/http_messages.py
+++ b/wingquay/adapters/http_messages.py
@@ -32,6 +32,9 @@
         Names in lower case; values of a repeated name joined by ``", "``.
     target, raw_headers
         The request target and the headers exactly as they came.
+    transit_seconds
+        Time that its client spends on the network for it: its way here and the answer's way
+        back, and the connection's set-up if it is the first one on it. 0 where unknown.
     """
 
     method: str
@@ -41,6 +44,7 @@
     body: bytes = b""
     target: bytes = b""
     raw_headers: Sequence[tuple[bytes, bytes]] = ()
+    transit_seconds: float = 0.0
 
 
 @value
--- a/wingquay/adapters/http_server.py
+++ b/wingquay/adapters/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server: a handler coroutine for each request, everything a client may cost bounded."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from wingquay.adapters.http_messages import HttpLimits, HttpResponse
@@ -49,6 +50,8 @@
         self.refuse = refuse
         self.is_leaving = False
         """While true, every response closes its connection."""
+        self.measures_transit = False
+        """Whether requests carry what their clients spend on the network for them."""
         self._server: asyncio.Server | None = None
         self._connections: dict[ServerConnection, None] = {}
 
@@ -72,6 +75,13 @@
         bound_port: int = self._server.sockets[0].getsockname()[1]
         return bound_port
 
+    async def serve_on(self, listening: socket.socket) -> None:
+        """Accept connections on a socket that listens already."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_connection, sock=listening, backlog=LISTEN_BACKLOG
+        )
+
     async def close(self, grace_seconds: float = 0.0) -> None:
         """Stop listening, let requests in flight finish for ``grace_seconds``, then cut them."""
         self.is_leaving = True
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
 from enum import Enum
 from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
@@ -15,6 +16,7 @@
     headers_to_raw,
 )
 from wingquay.adapters.http_request_reader import ReadProgress, RequestReader, RequestRefusal
+from wingquay.adapters.round_trip import round_trip_seconds
 
 if TYPE_CHECKING:
     from wingquay.adapters.http_server import HttpServer
@@ -59,6 +61,7 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._pipelined_bytes = 0
+        self._is_first_request = True
         self._writable = asyncio.Event()
         self._writable.set()
         self._stall_timer: asyncio.TimerHandle | None = None
@@ -167,9 +170,20 @@
     def _start_handler(self, request: HttpRequest) -> None:
         self._phase = _Phase.HANDLING
         self._has_partial_request = False
+        request = self._with_transit(request)
         self._set_timer(None)
         self._task = self._loop.create_task(self._handle(request))
 
+    def _with_transit(self, request: HttpRequest) -> HttpRequest:
+        """Add what the request's client spends on the network for it."""
+        if not self._server.measures_transit or self._transport is None:
+            return request
+        transit_seconds = round_trip_seconds(self._transport)
+        if self._is_first_request:
+            transit_seconds *= 2.0
+        self._is_first_request = False
+        return replace(request, transit_seconds=transit_seconds)
+
     async def _handle(self, request: HttpRequest) -> None:
         try:
             response = await self._server.handler(request)
--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -39,14 +39,26 @@
         """Take in a request for a service: it earns extra arrivals there."""
         self._budget(service).earn()
 
-    def try_send(self, call: ServiceCall, now: float, is_hedge: bool = False) -> list[Action]:
-        """Send the call to a replica; nothing is returned when none can be asked now."""
+    def try_send(
+        self,
+        call: ServiceCall,
+        now: float,
+        with_blocked: bool,
+        is_hedge: bool = False,
+    ) -> list[Action]:
+        """Send the call to a replica; nothing is returned when none can be asked now.
+
+        Parameters
+        ----------
+        with_blocked
+            Whether a replica that just failed may be asked when there is no other.
+        """
         route = call.exchange.route
         if len(call.asked) >= route.max_attempts:
             return []
         excluded = call.asked | call.refused
         limit = self._connection_limit(call.exchange.table, call.service)
-        replica = self._directory.choose(call.service, excluded, limit, now, not is_hedge)
+        replica = self._directory.choose(call.service, excluded, limit, now, with_blocked)
         if replica is None:
             return []
         if call.arrivals and not self._budget(call.service).spend():
@@ -57,7 +69,7 @@
         call.asked.add(replica.record.replica_id)
         call.arrivals += 1
         call.is_waiting = False
-        replica.in_flight[attempt_id] = now + self._latencies.hedge_seconds(route)
+        replica.in_flight[attempt_id] = (now, now + self._latencies.hedge_seconds(route))
         self._open[attempt_id] = attempt
         return [self._send_action(attempt, now)]
 
@@ -94,6 +106,9 @@
         """End an attempt and its connection; what it took so far is a lower bound."""
         self.finish(attempt)
         self.record_latency(attempt, now)
+        is_long = now - attempt.sent_at >= self._settings.abandon_seconds
+        if is_long and attempt.replica.is_silent_since(attempt.sent_at):
+            attempt.replica.on_failure(self._settings, True, now)
         return [CancelSend(attempt.attempt_id)]
 
     def record_latency(self, attempt: Attempt, now: float) -> None:
--- a/wingquay/forwarding/cutoff.py
+++ b/wingquay/forwarding/cutoff.py
@@ -11,11 +11,17 @@
 SHARE_TOLERANCE = 1e-9
 
 
-def in_time_seconds(route: Route, settings: ForwardingSettings) -> float:
-    """Return the time after arrival at which an answer still reaches its caller in time."""
+def in_time_seconds(route: Route, transit_seconds: float, settings: ForwardingSettings) -> float:
+    """Return the time after arrival at which an answer still reaches its caller in time.
+
+    Parameters
+    ----------
+    transit_seconds
+        Time that the caller spends on the network for the request, here and back.
+    """
     objective = route.objective_seconds
     margin = settings.reply_margin_seconds + settings.reply_margin_ratio * objective
-    return max(objective - margin, objective / 2)
+    return max(objective - margin - transit_seconds, objective / 2)
 
 
 def is_enough(route: Route, shards_in: int) -> bool:
--- a/wingquay/forwarding/ending.py
+++ b/wingquay/forwarding/ending.py
@@ -14,8 +14,8 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 LEAST_RETRY_SECONDS = 0.1
-RETRY_OBJECTIVE_RATIO = 0.5
-"""When a refused caller may come back, as a share of the route's objective."""
+MOST_RETRY_SECONDS = 1.0
+"""When a caller may come back at the latest, if nothing better is known."""
 
 
 class ExchangeEnding:
@@ -69,22 +69,25 @@
         reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.FAILED, reason)
         return [reply, *_end(exchange, "failed", reason, now)]
 
-    def refuse(self, exchange: Exchange, reason: str, now: float) -> list[Action]:
-        """Refuse a request that has run nowhere."""
-        seconds = exchange.route.objective_seconds * RETRY_OBJECTIVE_RATIO
-        reply = ReplyFailure(
-            exchange.exchange_id,
-            ForwardFailureKind.NOT_RUN,
-            reason,
-            max(LEAST_RETRY_SECONDS, seconds),
-        )
+    def refuse(
+        self, exchange: Exchange, reason: str, usable_after_seconds: float, now: float
+    ) -> list[Action]:
+        """Refuse a request that has run nowhere.
+
+        Parameters
+        ----------
+        usable_after_seconds
+            When replicas may next be asked, from now.
+        """
+        seconds = min(max(LEAST_RETRY_SECONDS, usable_after_seconds), MOST_RETRY_SECONDS)
+        reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.NOT_RUN, reason, seconds)
         return [reply, *_end(exchange, "refused", reason, now)]
 
     def out_of_time(self, exchange: Exchange, now: float) -> list[Action]:
         """Answer when the time of the exchange is over."""
         reason = "no answer within the time allowed"
         if not exchange.may_have_run:
-            return self.refuse(exchange, reason, now)
+            return self.refuse(exchange, reason, LEAST_RETRY_SECONDS, now)
         if len(exchange.calls) == 1 and exchange.calls[0].failure is not None:
             return self.failed(exchange, exchange.calls[0], now)
         reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.TIMED_OUT, reason)
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -32,8 +32,6 @@
 UNCONFIGURED_RETRY_SECONDS = 0.3
 HEDGE_RECHECK_SECONDS = 0.012
 """Time between two looks at attempts that take too long."""
-OFFER_RATIO = 0.25
-"""Share of the objective after which a request that reached no replica is refused."""
 
 
 class ForwardingMachine:
@@ -106,6 +104,8 @@
         exchange = self._open(event, table, route, now)
         services = route.shards or (self._weights.choose(route),)
         exchange.calls = [ServiceCall(exchange, service) for service in services]
+        if route.shards and not self._can_be_enough(exchange, now):
+            return self._close(exchange, self._refuse(exchange, now), now)
         actions: list[Action] = []
         for call in exchange.calls:
             self._sender.earn(call.service)
@@ -125,18 +125,29 @@
         if event.deadline_seconds is not None:
             seconds = min(seconds, event.deadline_seconds)
         ends_at = now + max(seconds - self._settings.end_margin_seconds, seconds / 2)
-        in_time_at = min(now + in_time_seconds(route, self._settings), ends_at)
+        in_time_at = min(
+            now + in_time_seconds(route, event.transit_seconds, self._settings), ends_at
+        )
         exchange = Exchange(event, table, route, now, in_time_at, ends_at)
         self._exchanges[event.exchange_id] = exchange
         return exchange
 
     def _start(self, call: ServiceCall, now: float) -> list[Action]:
         """Send the call, or let it wait for a replica."""
-        actions = self._sender.try_send(call, now)
+        actions = self._sender.try_send(call, now, self._may_ask_blocked(call, now))
         if actions:
             return actions
         return self._wait(call, now)
 
+    def _may_ask_blocked(self, call: ServiceCall, now: float) -> bool:
+        """Whether replicas that just failed are better than none.
+
+        A merged answer does without a shard whose replicas are all out of reach, as long as it
+        can be in time.
+        """
+        exchange = call.exchange
+        return not exchange.route.shards or now >= exchange.in_time_at
+
     def _wait(self, call: ServiceCall, now: float) -> list[Action]:
         exchange = call.exchange
         call.is_waiting = True
@@ -193,9 +204,9 @@
         call = attempt.call
         self._sender.finish(attempt)
         self._note(attempt, event.kind.value, now)
-        if event.kind is not SendFailureKind.MALFORMED:
-            attempt.replica.on_failure(self._settings, now)
         was_sent = event.kind is not SendFailureKind.NOT_SENT
+        if event.kind is not SendFailureKind.MALFORMED:
+            attempt.replica.on_failure(self._settings, not was_sent, now)
         if not was_sent:
             self._sender.not_arrived(attempt)
         actions: list[Action] = []
@@ -218,7 +229,7 @@
         call = self._waiting.first(service)
         if call is None:
             return []
-        return self._sender.try_send(call, now)
+        return self._sender.try_send(call, now, self._may_ask_blocked(call, now))
 
     # Time
 
@@ -234,7 +245,7 @@
                 continue
             may_need_more = True
             if len(call.attempts) == 1 and self._is_overdue(call, delay, now):
-                actions += self._sender.try_send(call, now, is_hedge=True)
+                actions += self._sender.try_send(call, now, False, is_hedge=True)
         if may_need_more and now < exchange.ends_at:
             again_at = now + max(HEDGE_RECHECK_SECONDS, delay / 4)
             actions.append(Schedule(again_at, event))
@@ -307,14 +318,25 @@
         return []
 
     def _refuse_unoffered(self, exchange: Exchange, now: float) -> list[Action]:
-        """Refuse a request that has reached no replica for too long, while it is worth it."""
+        """Refuse a request that can reach no replica, while coming back is worth it."""
         if exchange.may_have_run or any(call.attempts for call in exchange.calls):
             return []
-        latest = exchange.arrived_at + exchange.route.objective_seconds * OFFER_RATIO
-        if now < latest - self._settings.retry_wait_seconds:
+        latest = exchange.in_time_at
+        if not any(self._directory.has_usable(call.service, now) for call in exchange.calls):
+            objective = exchange.route.objective_seconds
+            latest = exchange.arrived_at + objective * self._settings.offer_ratio
+        if now + self._settings.retry_wait_seconds < latest:
             return []
-        actions = self._ending.refuse(exchange, "no replica can be reached", now)
-        return self._close(exchange, actions, now)
+        return self._close(exchange, self._refuse(exchange, now), now)
+
+    def _refuse(self, exchange: Exchange, now: float) -> list[Action]:
+        usable_at = max(self._directory.usable_at(call.service, now) for call in exchange.calls)
+        return self._ending.refuse(exchange, "no replica can be asked", usable_at - now, now)
+
+    def _can_be_enough(self, exchange: Exchange, now: float) -> bool:
+        """Whether the shards of which a replica can be asked make an answer that is a success."""
+        usable = [self._directory.has_usable(call.service, now) for call in exchange.calls]
+        return is_enough(exchange.route, sum(usable))
 
     def _is_hopeless(self, call: ServiceCall, now: float) -> bool:
         """Whether nothing can come of the call before the answer must leave."""
@@ -322,7 +344,7 @@
             return False
         if len(call.asked) >= call.exchange.route.max_attempts:
             return True
-        return not self._directory.has_usable(call.service, call.exchange.in_time_at)
+        return not self._directory.has_usable(call.service, now)
 
     def _close(self, exchange: Exchange, actions: list[Action], now: float) -> list[Action]:
         del self._exchanges[exchange.exchange_id]
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/replica_directory.py
@@ -80,11 +80,16 @@
 
     def has_usable(self, service: str, now: float) -> bool:
         """Whether a replica of the service may be asked and was not just out of reach."""
-        return any(not state.is_blocked(now) for state in self._candidates(service, now))
+        return any(
+            not state.is_blocked(self._settings, now) for state in self._candidates(service, now)
+        )
 
-    def has_any(self, service: str, now: float) -> bool:
-        """Whether the service has a replica that may get work."""
-        return bool(self._candidates(service, now))
+    def usable_at(self, service: str, now: float) -> float:
+        """Return when a replica of the service may next be asked; infinity if there is none."""
+        return min(
+            [max(now, state.blocked_until) for state in self._candidates(service, now)],
+            default=float("inf"),
+        )
 
     def choose(
         self,
@@ -110,7 +115,7 @@
             for state in self._candidates(service, now)
             if state.record.replica_id not in excluded and len(state.in_flight) < limit
         ]
-        unblocked = [state for state in free if not state.is_blocked(now)]
+        unblocked = [state for state in free if not state.is_blocked(self._settings, now)]
         if unblocked:
             return self._best(unblocked, now)
         return self._best(free, now) if free and with_blocked else None
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -19,6 +19,9 @@
 """Cost factor of a replica that holds an attempt beyond the time at which it is hedged."""
 COLD_FACTOR = 1.6
 OTHER_ZONE_FACTOR = 1.08
+ACCIDENTS = 2
+"""Connections that break off in a row from which a replica is left out."""
+MOST_DOUBLINGS = 8
 
 
 @dataclass(slots=True)
@@ -34,8 +37,9 @@
     record: ReplicaRecord
     recorded_at: float
     vanished_at: float | None = None
-    in_flight: dict[int, float] = field(default_factory=dict)
-    """The time at which each attempt under way becomes overdue, by attempt."""
+    in_flight: dict[int, tuple[float, float]] = field(default_factory=dict)
+    """When each attempt under way was sent and when it becomes overdue, by attempt."""
+    answered_at: float = float("-inf")
     blocked_until: float = 0.0
     failures_in_row: int = 0
     _slowness: float = 1.0
@@ -43,13 +47,26 @@
     _load: ReportedLoad | None = None
     _load_at: float = 0.0
 
-    def is_blocked(self, now: float) -> bool:
-        """Whether the replica gets work only when no other can."""
-        return now < self.blocked_until
+    def is_blocked(self, settings: ForwardingSettings, now: float) -> bool:
+        """Whether the replica gets work only when no other can.
+
+        That is so while it is left out, while a first attempt after that is under way, and while
+        it has been silent for long.
+        """
+        if now < self.blocked_until or (self.blocked_until and self.in_flight):
+            return True
+        return any(
+            self.is_silent_since(sent_at) and now - sent_at >= settings.silent_seconds
+            for sent_at, _ in self.in_flight.values()
+        )
+
+    def is_silent_since(self, sent_at: float) -> bool:
+        """Whether it has not answered anything since an attempt was sent."""
+        return self.answered_at < sent_at
 
     def is_overdue(self, now: float) -> bool:
         """Whether an attempt at the replica takes longer than attempts should."""
-        return any(overdue_at <= now for overdue_at in self.in_flight.values())
+        return any(overdue_at <= now for _, overdue_at in self.in_flight.values())
 
     def slowness(self, now: float) -> float:
         """Return its latency in usual latencies, drawn towards 1 as time passes."""
@@ -81,16 +98,27 @@
 
     def on_answer(self, load: ReportedLoad | None, now: float) -> None:
         """Take in that it answered."""
+        self.answered_at = now
         self.failures_in_row = 0
         self.blocked_until = 0.0
         if load is not None:
             self._load = load
             self._load_at = now
 
-    def on_failure(self, settings: ForwardingSettings, now: float) -> None:
-        """Take in that it could not be reached or broke off: leave it out, longer each time."""
-        seconds = settings.connect_backoff_seconds * 2.0 ** min(self.failures_in_row, 8)
+    def on_failure(self, settings: ForwardingSettings, is_certain: bool, now: float) -> None:
+        """Take in that it failed: leave it out, longer each time.
+
+        Parameters
+        ----------
+        is_certain
+            Whether it was out of reach; a connection that broke off may be an accident, so that
+            the second in a row counts.
+        """
         self.failures_in_row += 1
+        if not is_certain and self.failures_in_row < ACCIDENTS:
+            return
+        doublings = min(self.failures_in_row - 1, MOST_DOUBLINGS)
+        seconds = settings.connect_backoff_seconds * 2.0**doublings
         self.blocked_until = now + min(seconds, settings.connect_backoff_most_seconds)
 
     def on_shed(self, settings: ForwardingSettings, now: float) -> None:
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -18,8 +18,8 @@
     most_nodes
         Nodes that share the connection limit of a replica.
     reply_margin_seconds, reply_margin_ratio
-        Time kept for an answer's way back to its caller: a constant, and a share of the route's
-        objective.
+        Time kept, besides the network's, for handing over an answer: a constant, and a share of
+        the route's objective.
     end_margin_seconds
         How long before the end of a request's time it is given up on.
     hedge_quantile
@@ -34,10 +34,14 @@
         How long an attempt that nobody waits for may still run before it is cancelled.
     connect_backoff_seconds, connect_backoff_most_seconds
         How long a replica that cannot be reached gets no work, at first and at most.
+    silent_seconds
+        Time without any answer after which a replica counts as out of reach.
     shed_backoff_seconds
         How long a replica that refused work for its load gets none.
     retry_wait_seconds
         Time between two attempts at a service of which no replica can be asked.
+    offer_ratio
+        Share of the objective after which a request is refused when no replica can be asked.
     vanished_grace_seconds
         How long a replica whose record vanished may still get work when no other is left.
     vanished_outage_grace_seconds
@@ -51,9 +55,9 @@
     zone: str
     retry_ratio: float = 0.18
     retry_burst: float = 3.0
-    most_nodes: int = 12
-    reply_margin_seconds: float = 0.006
-    reply_margin_ratio: float = 0.04
+    most_nodes: int = 10
+    reply_margin_seconds: float = 0.003
+    reply_margin_ratio: float = 0.03
     end_margin_seconds: float = 0.02
     hedge_quantile: float = 0.9
     hedge_least_factor: float = 1.3
@@ -62,8 +66,10 @@
     abandon_seconds: float = 0.25
     connect_backoff_seconds: float = 0.3
     connect_backoff_most_seconds: float = 2.0
+    silent_seconds: float = 0.3
     shed_backoff_seconds: float = 0.05
-    retry_wait_seconds: float = 0.06
+    retry_wait_seconds: float = 0.03
+    offer_ratio: float = 0.2
     vanished_grace_seconds: float = 1.0
     vanished_outage_grace_seconds: float = 6.0
     unready_stop_seconds: float = 3.0
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -42,7 +42,7 @@
     """
 
     prefix: str = ""
-    gather_seconds: float = 1.0
+    gather_seconds: float = 1.3
     read_timeout_seconds: float = 1.5
     first_backoff_seconds: float = 0.15
     most_backoff_seconds: float = 1.0
--- a/wingquay/platform/__main__.py
+++ b/wingquay/platform/__main__.py
@@ -1,14 +1,14 @@
-"""Runs a node on the platform: ``python3 -m wingquay.platform``."""
+"""Runs a node on the platform: ``python3 -S -m wingquay.platform``.
+
+The listening socket is opened before the rest of the program is loaded.
+"""
 
-import asyncio
 import os
 import sys
-from pathlib import Path
 
-from wingquay.adapters.log_writer import write_logs_to
+from wingquay.adapters.listening import open_listening_socket
 from wingquay.model.failure import Failure
 from wingquay.platform.names import SETTINGS_PATH_VARIABLE
-from wingquay.platform.node import PlatformNode
 from wingquay.platform.settings import PlatformSettings, parse_settings
 
 FAILED = 1
@@ -18,23 +18,32 @@
     """Run until stopped; return the exit code."""
     path = os.environ.get(SETTINGS_PATH_VARIABLE)
     if not path:
-        print(f"{SETTINGS_PATH_VARIABLE} is not set; allowed: a file's path", file=sys.stderr)
-        return FAILED
+        return _complain(f"{SETTINGS_PATH_VARIABLE} is not set; allowed: a file's path")
     try:
-        settings = parse_settings(Path(path).read_text())
+        with open(path, encoding="utf-8") as file:
+            settings = parse_settings(file.read())
     except OSError as error:
-        print(f"{SETTINGS_PATH_VARIABLE} is {path!r}: {error}", file=sys.stderr)
-        return FAILED
+        return _complain(f"{SETTINGS_PATH_VARIABLE} is {path!r}: {error}")
     if isinstance(settings, Failure):
-        print(f"{path}: {settings.reason}", file=sys.stderr)
-        return FAILED
-    write_logs_to(sys.stdout)
-    asyncio.run(_run(settings))
+        return _complain(f"{path}: {settings.reason}")
+    return _run(settings)
+
+
+def _run(settings: PlatformSettings) -> int:
+    callers = settings.callers
+    try:
+        listening = open_listening_socket(callers.host, callers.port)
+    except OSError as error:
+        return _complain(f"listen.callers is {callers.host}:{callers.port}: {error}")
+    from wingquay.platform.process import run_process
+
+    run_process(settings, listening)
     return 0
 
 
-async def _run(settings: PlatformSettings) -> None:
-    await PlatformNode(settings).run()
+def _complain(message: str) -> int:
+    print(message, file=sys.stderr)
+    return FAILED
 
 
 if __name__ == "__main__":
--- a/wingquay/platform/caller_dialect.py
+++ b/wingquay/platform/caller_dialect.py
@@ -58,6 +58,7 @@
             request.path,
             opaque,
             _deadline_seconds(request.headers.get(_DEADLINE_KEY)),
+            request.transit_seconds,
         )
 
     def response(self, reply: Reply) -> HttpResponse:
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -1,9 +1,11 @@
 """The composition root of a node on the platform."""
 
 import asyncio
+import contextlib
 import random
 import secrets
 import signal
+import socket
 
 from wingquay.adapters.forwarding_server import ForwardingServer
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
@@ -36,6 +38,8 @@
 SEED_BITS = 64
 RESPONSE_GRACE_SECONDS = 0.3
 """How long replies that are decided may still take to leave when the node closes."""
+ACCEPT_SECONDS = 0.3
+"""Time after the start at which callers are accepted even without a configuration."""
 BUDGET_SHARE = 0.9
 """Share of the allowed ratio of extra arrivals that is used."""
 NODES_SHARING_BURST = 16
@@ -49,6 +53,7 @@
         self._metrics = Metrics()
         self._log = LogWriter({"node": settings.node})
         self._is_ready = False
+        self._has_news = asyncio.Event()
         self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
         machine = ForwardingNode(
             ForwardingSettings(
@@ -70,20 +75,26 @@
         self._store = PlatformStoreClient(store.host, store.port, self._emit, count)
         self._register()
 
-    async def run(self) -> Exit:
-        """Serve until a stop is asked for and over."""
+    async def run(self, listening: socket.socket) -> Exit:
+        """Serve until a stop is asked for and over.
+
+        Callers are accepted once the store has told the configuration, or soon in any case: those
+        that wait for a few milliseconds are served, and without a store they hear that at once.
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._emit, StopRequested())
         # What the settings say of this node cannot change while it runs.
         loop.add_signal_handler(signal.SIGHUP, self._log.perform, Log("settings_kept"))
         settings = self._settings
-        await self._server.start(settings.callers.host, settings.callers.port)
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         if settings.metrics is not None:
             await self._page.start(settings.metrics.host, settings.metrics.port)
         self._log.perform(Log("node_started", fields=(("zone", settings.zone),)))
         self._emit(Start())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._has_news.wait(), ACCEPT_SECONDS)
+        await self._server.serve_on(listening)
         ended = await self._exited
         await self._server.close(RESPONSE_GRACE_SECONDS)
         self._replicas.close()
@@ -112,6 +123,8 @@
 
     def _set_forwarding(self, action: SetForwarding) -> None:
         self._is_ready = action.is_ready
+        if action.is_ready or action.closes_connections:
+            self._has_news.set()
         self._server.configure(action)
 
     def _exit(self, action: Exit) -> None:
--- a/wingquay/ports/forwarding.py
+++ b/wingquay/ports/forwarding.py
@@ -33,6 +33,8 @@
         The caller's id; each attempt of a caller has its own.
     deadline_seconds
         How long the caller waits, from now; ``None``: it did not say.
+    transit_seconds
+        Time that the caller spends on the network for it, here and back.
     """
 
     exchange_id: int
@@ -41,6 +43,7 @@
     path: str
     request: OpaqueRequest
     deadline_seconds: float | None = None
+    transit_seconds: float = 0.0
 
 
 @value
