Give replicas that refuse or fail often little work

Change: each replica keeps a share of failing attempts (moved half way by a failure, a fifth by a success, forgotten with 4 s), which multiplies its cost by up to 11.

--- a/tests/forwarding/test_sharded_service.py
+++ b/tests/forwarding/test_sharded_service.py
@@ -163,3 +163,19 @@
             node.request("/all/x")
             self.assertNotEqual(lost.replica.replica_id, node.sends[0].replica.replica_id)
             node.answer(node.sends[0])
+
+    def test_a_replica_that_refuses_or_fails_often_gets_little(self) -> None:
+        for status, not_run in ((503, True), (500, False)):
+            node = node_with(copies=2, shards=1, least_share=1.0)
+            for _ in range(100):
+                node.request("/all/x")
+                for _ in range(2):
+                    for send in list(node.sends):
+                        is_bad = send.replica.replica_id == "s0r0"
+                        if is_bad:
+                            node.answer(send, status, not_run=not_run)
+                        else:
+                            node.answer(send)
+                node.advance(0.1)
+            to_bad = sum(send.replica.replica_id == "s0r0" for send in node.all_sends)
+            self.assertLess(to_bad, 15)
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -30,6 +30,7 @@
 from wingquay.ports.machine import Action, Event, Schedule
 
 UNCONFIGURED_RETRY_SECONDS = 0.3
+FIRST_SERVER_ERROR_STATUS = 500
 HEDGE_RECHECK_SECONDS = 0.012
 """Time between two looks at attempts that take too long."""
 
@@ -173,6 +174,8 @@
         else:
             attempt.replica.on_answer(event.load, now)
             self._sender.record_latency(attempt, now)
+            if not answer.is_success and answer.status >= FIRST_SERVER_ERROR_STATUS:
+                attempt.replica.on_trouble(now)
         self._note(attempt, f"{answer.status}{' not run' if answer.not_run else ''}", now)
         actions = self._take_answer(attempt, answer, now)
         return actions + self._serve_waiting(attempt.call.service, now)
@@ -207,6 +210,8 @@
         was_sent = event.kind is not SendFailureKind.NOT_SENT
         if event.kind is not SendFailureKind.MALFORMED:
             attempt.replica.on_failure(self._settings, not was_sent, now)
+        else:
+            attempt.replica.on_trouble(now)
         if not was_sent:
             self._sender.not_arrived(attempt)
         actions: list[Action] = []
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -13,6 +13,14 @@
 SLOWNESS_TOLERANCE = 1.25
 """Slowness that counts as none: otherwise a replica once slow would never be asked again."""
 GREATEST_SLOWNESS = 20.0
+TROUBLE_WEIGHT = 0.5
+"""How far one attempt that failed moves the share of failing attempts."""
+RELIEF_WEIGHT = 0.2
+"""How far one attempt that succeeded moves it."""
+TROUBLE_TOLERANCE = 0.05
+TROUBLE_MEMORY_SECONDS = 4.0
+TROUBLE_FACTOR = 10.0
+"""Cost factor, less one, of a replica at which every attempt fails."""
 LOAD_MEMORY_SECONDS = 0.1
 """Time constant with which a reported load is forgotten."""
 OVERDUE_FACTOR = 6.0
@@ -44,6 +52,8 @@
     failures_in_row: int = 0
     _slowness: float = 1.0
     _slowness_at: float = 0.0
+    _trouble: float = 0.0
+    _trouble_at: float = 0.0
     _load: ReportedLoad | None = None
     _load_at: float = 0.0
 
@@ -73,6 +83,12 @@
         kept = math.exp(-(now - self._slowness_at) / SLOWNESS_MEMORY_SECONDS)
         return 1.0 + (self._slowness - 1.0) * kept
 
+    def trouble(self, now: float) -> float:
+        """Return the share of attempts that fail there, forgotten as time passes."""
+        kept = math.exp(-(now - self._trouble_at) / TROUBLE_MEMORY_SECONDS)
+        share = self._trouble * kept
+        return share if share >= TROUBLE_TOLERANCE else 0.0
+
     def cost(self, now: float, zone: str) -> float:
         """Return the expected wait at the replica, in usual latencies."""
         slots = max(1, self.record.slots)
@@ -81,6 +97,7 @@
             slowness = 1.0
         waiting = len(self.in_flight) + self._reported_elsewhere(now)
         cost = slowness * (1.0 + waiting / slots)
+        cost *= 1.0 + TROUBLE_FACTOR * self.trouble(now)
         if self.is_overdue(now):
             cost *= OVERDUE_FACTOR
         if now - self.recorded_at < self.record.cold_seconds:
@@ -99,6 +116,7 @@
     def on_answer(self, load: ReportedLoad | None, now: float) -> None:
         """Take in that it answered."""
         self.answered_at = now
+        self._move_trouble(0.0, RELIEF_WEIGHT, now)
         self.failures_in_row = 0
         self.blocked_until = 0.0
         if load is not None:
@@ -115,6 +133,7 @@
             the second in a row counts.
         """
         self.failures_in_row += 1
+        self.on_trouble(now)
         if not is_certain and self.failures_in_row < ACCIDENTS:
             return
         doublings = min(self.failures_in_row - 1, MOST_DOUBLINGS)
@@ -123,8 +142,19 @@
 
     def on_shed(self, settings: ForwardingSettings, now: float) -> None:
         """Take in that it refused work for its load."""
+        self.answered_at = now
+        self.on_trouble(now)
         self.blocked_until = max(self.blocked_until, now + settings.shed_backoff_seconds)
 
+    def on_trouble(self, now: float) -> None:
+        """Take in that an attempt failed there."""
+        self._move_trouble(1.0, TROUBLE_WEIGHT, now)
+
+    def _move_trouble(self, towards: float, weight: float, now: float) -> None:
+        present = self.trouble(now)
+        self._trouble = present + weight * (towards - present)
+        self._trouble_at = now
+
     def _reported_elsewhere(self, now: float) -> float:
         """Return the requests of other nodes that it last reported, as far as that still holds."""
         if self._load is None:
