Simulate nodes that pass requests on, with 18 faults and an oracle

Change: wingquay/rehearsal/forwarding: the production decisions of several nodes on the virtual clock, replicas with slots, queues, pauses, refusals, errors, lost and surplus answers, reused addresses, drains; a store with watches, outages, compaction, lapses; callers that leave; 18 named faults; an oracle for at most once, refusals, merged answers, drains, configuration, budgets, work for callers that left, time limits. Each rule is shown to catch decisions broken on purpose.

--- /dev/null
+++ b/tests/rehearsal/forwarding/test_forwarding_simulation.py
@@ -0,0 +1,97 @@
+"""Nodes that pass requests on under every fault; and each rule shown to be able to fail."""
+
+from testtools import TestCase
+
+from wingquay.forwarding.attempts import AttemptSender
+from wingquay.forwarding.ending import ExchangeEnding
+from wingquay.forwarding.exchange import Exchange
+from wingquay.forwarding.forwarding_machine import ForwardingMachine
+from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.ports.machine import Action
+from wingquay.rehearsal.forwarding.faults import (
+    FAULTS,
+    Fault,
+    callers_leave,
+    replica_drains,
+    replica_refuses,
+    replica_slow,
+    reshard,
+)
+from wingquay.rehearsal.forwarding.settings import SimulationSettings
+from wingquay.rehearsal.forwarding.simulation import ForwardingSimulation
+
+SHORT = SimulationSettings(seconds=6.0, requests_per_second=50.0)
+
+
+class EveryFaultTest(TestCase):
+    def test_each_fault_by_itself_breaks_no_promise(self) -> None:
+        for seed, fault in enumerate(FAULTS):
+            result = ForwardingSimulation(seed, SHORT, (fault,)).run()
+            self.assertEqual((), result.violations, fault.__name__)
+            self.assertGreater(result.served, result.requests * 0.8, fault.__name__)
+
+    def test_mixes_of_faults_break_no_promise(self) -> None:
+        for seed in range(100, 130):
+            result = ForwardingSimulation(seed, SHORT).run()
+            self.assertEqual((), result.violations, (seed, result.faults))
+
+    def test_a_seed_gives_the_same_history_every_time(self) -> None:
+        first = ForwardingSimulation(7, SHORT).run()
+        self.assertEqual(first, ForwardingSimulation(7, SHORT).run())
+
+
+class OracleTest(TestCase):
+    """Each rule catches decisions that were broken on purpose."""
+
+    def violations(self, *faults: Fault) -> str:
+        texts: list[str] = []
+        for seed in range(3):
+            texts += ForwardingSimulation(seed, SHORT, faults).run().violations
+        return "\n".join(texts)
+
+    def replace(self, owner: type, name: str, function: object) -> None:
+        original = owner.__dict__[name]
+        setattr(owner, name, function)
+        self.addCleanup(setattr, owner, name, original)
+
+    def test_work_for_a_draining_replica_is_caught(self) -> None:
+        self.replace(ReplicaDirectory, "vanish", lambda *_: None)
+        self.replace(ReplicaDirectory, "put", _put_without_drain)
+        self.assertIn("after it drained", self.violations(replica_drains))
+
+    def test_work_for_a_caller_that_left_is_caught(self) -> None:
+        self.replace(AttemptSender, "abandon", lambda *_: [])
+        self.assertIn("after its caller left", self.violations(callers_leave, replica_slow))
+
+    def test_a_second_run_of_an_unrepeatable_request_is_caught(self) -> None:
+        self.replace(Exchange, "is_repeatable", property(lambda _: True))
+        self.assertIn("unrepeatable", self.violations(replica_refuses))
+
+    def test_a_refusal_of_what_may_have_run_is_caught(self) -> None:
+        self.replace(ExchangeEnding, "failed", _refuse_instead)
+        self.assertIn("refused as not run, but it ran", self.violations(replica_refuses))
+
+    def test_an_old_configuration_is_caught(self) -> None:
+        self.replace(ForwardingMachine, "set_table", _set_first_table_only)
+        self.replace(ReplicaDirectory, "put", _put_without_drain)
+        self.assertIn("by an old configuration", self.violations(reshard))
+
+
+_original_put = ReplicaDirectory.put
+_original_set_table = ForwardingMachine.set_table
+
+
+def _put_without_drain(directory: ReplicaDirectory, record: object, now: float) -> None:
+    if not record.is_draining:  # type: ignore[attr-defined]
+        _original_put(directory, record, now)  # type: ignore[arg-type]
+
+
+def _set_first_table_only(machine: ForwardingMachine, table: object) -> None:
+    if machine._table is None:
+        _original_set_table(machine, table)  # type: ignore[arg-type]
+
+
+def _refuse_instead(
+    ending: ExchangeEnding, exchange: Exchange, _call: object, now: float
+) -> list[Action]:
+    return ending.refuse(exchange, "test", 0.1, now)
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -69,6 +69,11 @@
         """The node's own number for it."""
         return self.event.exchange_id
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.is_repeatable
+
     @property
     def answered_calls(self) -> list[ServiceCall]:
         """The calls whose answer is in."""
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -196,7 +196,7 @@
             return self._sender.abandon(call, now) + self._settle(exchange, now)
         if not answer.is_success and answer.signature is not None:
             call.failure = answer
-        if exchange.route.is_repeatable:
+        if exchange.is_repeatable:
             return self._retry(call, now)
         return self._settle(exchange, now)
 
@@ -216,7 +216,7 @@
             self._sender.not_arrived(attempt)
         actions: list[Action] = []
         if self._is_open(call.exchange) and call.answer is None:
-            if was_sent and not call.exchange.route.is_repeatable:
+            if was_sent and not call.exchange.is_repeatable:
                 actions = self._settle(call.exchange, now)
             else:
                 actions = self._retry(call, now)
@@ -321,7 +321,7 @@
         if call.attempts or not call.may_have_run:
             return self._refuse_unoffered(exchange, now)
         exhausted = len(call.asked) >= exchange.route.max_attempts
-        if exhausted or not exchange.route.is_repeatable:
+        if exhausted or not exchange.is_repeatable:
             return self._close(exchange, self._ending.failed(exchange, call, now), now)
         return []
 
--- /dev/null
+++ b/wingquay/rehearsal/forwarding/oracle.py
@@ -0,0 +1,263 @@
+"""Knows what replicas ran and what callers were told, and names every broken promise."""
+
+import bisect
+import heapq
+from dataclasses import dataclass, field
+
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.model.routing_table import Route, RoutingTable
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ForwardRequested,
+    ReplyFailure,
+    ReplyMerged,
+    ReplyUnchanged,
+    SendToReplica,
+)
+from wingquay.rehearsal.forwarding.settings import SimulationSettings
+
+Reply = ReplyUnchanged | ReplyMerged | ReplyFailure
+RECORD_BYTES = 16
+
+
+@dataclass(slots=True)
+class _Signed:
+    request_id: str
+    service: str
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Request:
+    event: ForwardRequested
+    route: Route | None
+    at: float
+    left_at: float | None = None
+    reply: Reply | None = None
+    replied_at: float | None = None
+
+
+@dataclass(slots=True)
+class ForwardingOracle:
+    """Collects what happened; ``violations`` says what must not have."""
+
+    settings: SimulationSettings
+    violations: list[str] = field(default_factory=list)
+    requests: dict[str, _Request] = field(default_factory=dict)
+    tables: list[tuple[float, RoutingTable]] = field(default_factory=list)
+    draining_at: dict[str, float] = field(default_factory=dict)
+    """When the store took that a replica drains or is gone."""
+    unstable: list[tuple[float, float]] = field(default_factory=list)
+    """Spans in which the store was in trouble."""
+    _runs: dict[str, list[str]] = field(default_factory=dict)
+    _signed: dict[str, _Signed] = field(default_factory=dict)
+    _arrivals: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    _asked: dict[str, list[float]] = field(default_factory=dict)
+    _open: dict[tuple[int, int], str] = field(default_factory=dict)
+
+    # What callers see
+
+    def requested(self, event: ForwardRequested, route: Route | None, now: float) -> None:
+        """Take in a request."""
+        self.requests[event.request_id] = _Request(event, route, now)
+        for service in route.all_services if route is not None else ():
+            self._asked.setdefault(service, []).append(now)
+
+    def left(self, request_id: str, now: float) -> None:
+        """Take in that a caller went away."""
+        self.requests[request_id].left_at = now
+
+    def replied(self, request_id: str, reply: Reply, now: float) -> None:
+        """Check a reply against what ran."""
+        request = self.requests[request_id]
+        if request.reply is not None:
+            self._violated(f"{request_id}: replied to twice")
+            return
+        request.reply = reply
+        request.replied_at = now
+        if isinstance(reply, ReplyMerged):
+            self._check_merged(request, reply)
+        elif isinstance(reply, ReplyUnchanged):
+            self._check_unchanged(request, reply)
+        elif reply.kind is ForwardFailureKind.NOT_RUN:
+            self._check_not_run(request_id, reply)
+        elif reply.kind is ForwardFailureKind.NO_ROUTE:
+            self._check_no_route(request)
+
+    # What replicas see
+
+    def arrived(self, node: int, send: SendToReplica, record: ReplicaRecord, now: float) -> None:
+        """Take in that a request reached a replica."""
+        request = self.requests.get(send.request_id)
+        if request is None:
+            self._violated(f"{send.request_id}: sent although nobody asked")
+            return
+        self._arrivals.setdefault(record.service, []).append((now, send.request_id))
+        self._open[node, send.attempt_id] = send.request_id
+        self._check_drain(send, record, now)
+        if request.left_at is not None and now > request.left_at + 0.1:
+            self._violated(f"{send.request_id}: sent after its caller left")
+
+    def ran(self, send: SendToReplica, record: ReplicaRecord, now: float) -> None:
+        """Take in that a replica began to work on a request."""
+        runs = self._runs.setdefault(send.request_id, [])
+        runs.append(record.replica_id)
+        request = self.requests[send.request_id]
+        route = request.route
+        if route is not None and not route.is_repeatable and len(runs) > 1:
+            self._violated(f"{send.request_id}: unrepeatable, ran on {runs}")
+        if isinstance(request.reply, ReplyFailure):
+            if request.reply.kind is ForwardFailureKind.NOT_RUN:
+                self._violated(f"{send.request_id}: ran after it was refused as not run")
+        if not self._is_allowed(request, record.service):
+            self._violated(f"{send.request_id}: ran on {record.service}, which no route names")
+        elif not self._is_in_force(request, record.service):
+            self._violated(f"{send.request_id}: ran on {record.service} by an old configuration")
+
+    def stopped(self, node: int, attempt_id: int) -> None:
+        """Take in that a replica is done with an attempt."""
+        self._open.pop((node, attempt_id), None)
+
+    def signed(
+        self, signature: str, send: SendToReplica, record: ReplicaRecord, status: int, body: bytes
+    ) -> None:
+        """Take in an answer as the replica gave it."""
+        self._signed[signature] = _Signed(send.request_id, record.service, status, body)
+
+    # Checks over the whole run
+
+    def check_open_work(self, now: float) -> None:
+        """Check that nothing works for callers that left long ago."""
+        bound = self.settings.left_bound_seconds
+        for request_id in self._open.values():
+            left_at = self.requests[request_id].left_at
+            if left_at is not None and now > left_at + bound + 0.05:
+                self._violated(f"{request_id}: still worked on long after its caller left")
+
+    def check_end(self, now: float) -> None:
+        """Check what can only be told at the end."""
+        late = self.settings.late_reply_seconds
+        for request_id, request in self.requests.items():
+            if request.route is None or request.left_at is not None:
+                continue
+            due_at = request.at + request.route.timeout_seconds + late
+            if (request.replied_at or now) > due_at:
+                self._violated(f"{request_id}: no reply by its time limit")
+        for service in self._arrivals:
+            self._check_budget(service)
+
+    def is_stable(self, start: float, end: float) -> bool:
+        """Whether the store was out of trouble for a while before and during a span."""
+        return all(end < begun or ended + 4.0 < start for begun, ended in self.unstable)
+
+    def _check_budget(self, service: str) -> None:
+        settings = self.settings
+        window = settings.budget_window_seconds
+        seen: set[str] = set()
+        extra: list[float] = []
+        for at, request_id in self._arrivals[service]:
+            if request_id in seen:
+                extra.append(at)
+            seen.add(request_id)
+        asked = self._asked.get(service, [])
+        for index, at in enumerate(extra):
+            start = at - window
+            count = index + 1 - bisect.bisect_left(extra, start)
+            own = bisect.bisect_right(asked, at) - bisect.bisect_left(asked, start)
+            if count > settings.budget_ratio * own + settings.budget_slack:
+                self._violated(f"{service}: {count} extra arrivals for {own} requests")
+                return
+
+    def _check_drain(self, send: SendToReplica, record: ReplicaRecord, now: float) -> None:
+        draining_at = self.draining_at.get(record.replica_id)
+        if draining_at is None or record.replica_id != send.replica.replica_id:
+            return
+        bound = self.settings.drain_bound_seconds
+        if now > draining_at + bound and self.is_stable(draining_at, now):
+            late = now - draining_at
+            self._violated(f"{record.replica_id}: new work {late:.2f} s after it drained")
+
+    def _check_merged(self, request: _Request, reply: ReplyMerged) -> None:
+        request_id = request.event.request_id
+        route = request.route
+        signed = [self._signed.get(signature) for signature in reply.signatures]
+        if route is None or len(set(reply.signatures)) != len(reply.signatures):
+            self._violated(f"{request_id}: a signature twice, or no route")
+            return
+        parts = [part for part in signed if part is not None and part.status == 200]
+        if len(parts) != len(signed) or any(part.request_id != request_id for part in parts):
+            self._violated(f"{request_id}: a signature that does not answer it")
+            return
+        services = {part.service for part in parts}
+        tables = [table for _, table in self.tables]
+        sets = {
+            table_route.shards
+            for table in tables
+            for table_route in table.routes
+            if table_route.path_prefix == route.path_prefix
+        }
+        fits = [
+            shards
+            for shards in sets
+            if services <= set(shards) and len(shards) == len(parts) + reply.missing_shards
+        ]
+        if not fits or len(services) != len(parts):
+            self._violated(f"{request_id}: parts and missing shards make up no configuration")
+        if len(parts) / (len(parts) + reply.missing_shards) < route.least_share - 1e-9:
+            self._violated(f"{request_id}: a success with too few shards")
+        records = [
+            part.body[start : start + RECORD_BYTES]
+            for part in parts
+            for start in range(0, len(part.body), RECORD_BYTES)
+        ]
+        if reply.body != b"".join(heapq.nlargest(route.merged_records, records)):
+            self._violated(f"{request_id}: not the greatest records of its parts")
+
+    def _check_unchanged(self, request: _Request, reply: ReplyUnchanged) -> None:
+        request_id = request.event.request_id
+        signed = self._signed.get(str(reply.answer.signature))
+        if signed is None or signed.request_id != request_id:
+            self._violated(f"{request_id}: an answer that belongs to another request")
+        elif (signed.status, signed.body) != (reply.answer.status, reply.answer.body):
+            self._violated(f"{request_id}: an answer that the replica did not give")
+
+    def _check_not_run(self, request_id: str, reply: ReplyFailure) -> None:
+        route = self.requests[request_id].route
+        if self._runs.get(request_id) and route is not None and not route.is_repeatable:
+            self._violated(f"{request_id}: refused as not run, but it ran")
+        if reply.retry_after_seconds is None:
+            self._violated(f"{request_id}: refused without saying when to come back")
+
+    def _check_no_route(self, request: _Request) -> None:
+        event = request.event
+        bound = self.settings.configuration_bound_seconds
+        if not self.is_stable(request.at - bound, request.at):
+            return
+        possible = self._possible_tables(request.at)
+        if possible and all(table.find(event.host, event.path) for table in possible):
+            self._violated(f"{event.request_id}: no route although every configuration has one")
+
+    def _is_allowed(self, request: _Request, service: str) -> bool:
+        event = request.event
+        routes = [table.find(event.host, event.path) for _, table in self.tables]
+        return any(route is not None and service in route.all_services for route in routes)
+
+    def _is_in_force(self, request: _Request, service: str) -> bool:
+        bound = self.settings.configuration_bound_seconds
+        if not self.is_stable(request.at - bound, request.at):
+            return True
+        event = request.event
+        tables = [table for at, table in self.tables if at > request.at]
+        tables += self._possible_tables(request.at)
+        routes = [table.find(event.host, event.path) for table in tables]
+        return any(route is not None and service in route.all_services for route in routes)
+
+    def _possible_tables(self, at: float) -> list[RoutingTable]:
+        bound = self.settings.configuration_bound_seconds
+        settled = [index for index, (taken, _) in enumerate(self.tables) if taken + bound <= at]
+        first = settled[-1] if settled else 0
+        return [table for taken, table in self.tables[first:] if taken <= at]
+
+    def _violated(self, text: str) -> None:
+        self.violations.append(text)
--- /dev/null
+++ b/wingquay/rehearsal/forwarding/replica.py
@@ -0,0 +1,167 @@
+"""A model of one replica: slots, a queue, pauses, and the ways in which it goes wrong."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.ports.forwarding import (
+    ReplicaAnswer,
+    ReplicaAnswered,
+    ReportedLoad,
+    SendFailed,
+    SendFailureKind,
+    SendToReplica,
+)
+from wingquay.rehearsal.forwarding.oracle import ForwardingOracle
+from wingquay.rehearsal.forwarding.settings import SimulationSettings
+from wingquay.rehearsal.virtual_clock import VirtualClock
+
+RECORD_BYTES = 16
+RECORDS = 8
+CONNECT_SECONDS = 0.08
+
+Outcome = ReplicaAnswered | SendFailed
+Tell = Callable[[Outcome], None]
+
+
+@dataclass(slots=True, eq=False)
+class _Work:
+    send: SendToReplica
+    tell: Tell
+    seconds: float
+    is_cancelled: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class ReplicaModel:
+    """One replica.
+
+    Parameters
+    ----------
+    pace
+        Factor on the duration of its work.
+    is_dark
+        It says nothing at all.
+    is_dead
+        Its port is closed.
+    refuse_share, fail_share, lose_share
+        Shares of requests that it refuses without running them, runs and answers with an error,
+        and runs and loses the answer of.
+    """
+
+    record: ReplicaRecord
+    clock: VirtualClock
+    settings: SimulationSettings
+    oracle: ForwardingOracle
+    random: random.Random
+    mean_seconds: float
+    pace: float = 1.0
+    is_dark: bool = False
+    is_dead: bool = False
+    refuse_share: float = 0.0
+    fail_share: float = 0.0
+    lose_share: float = 0.0
+    paused_until: float = 0.0
+    _running: int = 0
+    _queue: deque[_Work] = field(default_factory=deque)
+    _works: dict[tuple[int, int], _Work] = field(default_factory=dict)
+
+    def start_pausing(self) -> None:
+        """Pause now and then, each replica at times of its own."""
+        every = self.settings.pause_every_seconds
+        self.clock.after(self.random.uniform(0.0, every), self._pause)
+
+    def receive(self, node: int, send: SendToReplica, tell: Tell) -> None:
+        """Take in a request that a node sent."""
+        if self.is_dead or self.is_dark:
+            wait = CONNECT_SECONDS if self.is_dark else 0.0
+            failure = SendFailed(send.attempt_id, SendFailureKind.NOT_SENT, "no connection")
+            self.clock.after(wait, tell, failure)
+            return
+        self.oracle.arrived(node, send, self.record, self.clock.now)
+        if self.record.replica_id != send.replica.replica_id:
+            self._refuse(node, send, tell, is_other=True)
+            return
+        is_full = len(self._queue) >= self.settings.queue_length
+        if is_full or self.random.random() < self.refuse_share:
+            self._refuse(node, send, tell, is_other=False)
+            return
+        work = _Work(send, tell, self._duration(send))
+        self._works[node, send.attempt_id] = work
+        self._queue.append(work)
+        self._start()
+
+    def cancel(self, node: int, attempt_id: int) -> None:
+        """Drop a request whose connection closed."""
+        work = self._works.pop((node, attempt_id), None)
+        if work is not None:
+            work.is_cancelled = True
+            self.oracle.stopped(node, attempt_id)
+
+    def crash(self) -> None:
+        """End: every connection breaks."""
+        self.is_dead = True
+        for (node, attempt_id), work in list(self._works.items()):
+            self.oracle.stopped(node, attempt_id)
+            work.is_cancelled = True
+            work.tell(SendFailed(attempt_id, SendFailureKind.BROKEN, "reset"))
+        self._works.clear()
+        self._queue.clear()
+
+    def _pause(self) -> None:
+        self.paused_until = self.clock.now + self.settings.pause_seconds
+        self.clock.after(self.settings.pause_every_seconds, self._pause)
+        self.clock.at(self.paused_until, self._start)
+
+    def _start(self) -> None:
+        while self._queue and self._running < self.settings.slots:
+            if self.clock.now < self.paused_until:
+                return
+            work = self._queue.popleft()
+            if work.is_cancelled:
+                continue
+            self._running += 1
+            self.oracle.ran(work.send, self.record, self.clock.now)
+            self.clock.after(work.seconds, self._finish, work)
+
+    def _finish(self, work: _Work) -> None:
+        if self.clock.now < self.paused_until:
+            self.clock.at(self.paused_until, self._finish, work)
+            return
+        self._running -= 1
+        self._start()
+        key = next((key for key, other in self._works.items() if other is work), None)
+        if key is None or self.is_dead or self.is_dark:
+            return
+        del self._works[key]
+        self.oracle.stopped(*key)
+        self._answer(work)
+
+    def _answer(self, work: _Work) -> None:
+        send = work.send
+        if self.random.random() < self.lose_share:
+            work.tell(SendFailed(send.attempt_id, SendFailureKind.BROKEN, "answer lost"))
+            return
+        status = 500 if self.random.random() < self.fail_share else 200
+        body = self.random.randbytes(RECORD_BYTES * RECORDS) if status == 200 else b""
+        signature = f"{self.record.replica_id}:{send.request_id}:{send.attempt_id}"
+        self.oracle.signed(signature, send, self.record, status, body)
+        load = ReportedLoad(self._running, len(self._queue), self.settings.slots)
+        answered = ReplicaAnswered(
+            send.attempt_id, ReplicaAnswer(status, (), body, signature), load
+        )
+        work.tell(answered)
+        if self.random.random() < 0.01:
+            # A surplus answer: the same one again, late.
+            self.clock.after(0.05, work.tell, answered)
+
+    def _refuse(self, node: int, send: SendToReplica, tell: Tell, is_other: bool) -> None:
+        self.oracle.stopped(node, send.attempt_id)
+        status = 421 if is_other else 503
+        answer = ReplicaAnswer(status, (), b"", None, not is_other, is_other)
+        tell(ReplicaAnswered(send.attempt_id, answer))
+
+    def _duration(self, send: SendToReplica) -> float:
+        return self.mean_seconds * self.pace * self.random.lognormvariate(0.0, 0.35)
--- /dev/null
+++ b/wingquay/rehearsal/forwarding/simulation.py
@@ -0,0 +1,388 @@
+"""Plays forwarding nodes, replicas, a store and callers with faults; one seed, one history."""
+
+import random
+from dataclasses import dataclass, replace
+from itertools import count
+
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.model.routing_table import (
+    CallerLimits,
+    Route,
+    RoutingTable,
+    UpstreamService,
+    WeightedService,
+)
+from wingquay.ports.forwarding import (
+    CallerLeft,
+    ForwardRequested,
+    OpaqueRequest,
+    ReplicaAnswered,
+    ReplyFailure,
+    SendFailed,
+    SendToReplica,
+)
+from wingquay.ports.machine import Exit, StopRequested
+from wingquay.rehearsal.forwarding.faults import FAULTS, Fault
+from wingquay.rehearsal.forwarding.oracle import ForwardingOracle
+from wingquay.rehearsal.forwarding.replica import ReplicaModel
+from wingquay.rehearsal.forwarding.settings import SimulationSettings
+from wingquay.rehearsal.forwarding.simulated_node import (
+    CONFIGURATION_KEY,
+    REPLICA_PREFIX,
+    SimulatedForwardingNode,
+)
+from wingquay.rehearsal.forwarding.store import StoreModel
+from wingquay.rehearsal.virtual_clock import VirtualClock
+
+HOST = "search.example"
+LEAD_SECONDS = 3.0
+"""Time between the start of the nodes and the first request."""
+SETTLE_SECONDS = 8.0
+"""Time after the last request in which everything open must end."""
+CHECK_SECONDS = 0.25
+SHARD_MEAN_SECONDS = 0.012
+SINGLE_MEAN_SECONDS = 0.06
+SINGLE_SERVICE = "single"
+EDIT_SERVICE = "edit"
+PATHS = ("/sweep/x", "/check/x", "/fetch/x", "/edit/x", "/none/x")
+PATH_WEIGHTS = (6, 2, 2, 2, 0.2)
+
+
+@dataclass(frozen=True, slots=True)
+class SimulationResult:
+    """What a run showed."""
+
+    seed: int
+    faults: tuple[str, ...]
+    requests: int
+    served: int
+    refused: int
+    violations: tuple[str, ...]
+
+
+class ForwardingSimulation:
+    """One run.
+
+    Parameters
+    ----------
+    seed
+        Draws everything that chance decides.
+    settings
+        Sizes and bounds.
+    faults
+        The faults that strike; ``None``: drawn by the seed.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        settings: SimulationSettings | None = None,
+        faults: tuple[Fault, ...] | None = None,
+    ) -> None:
+        self.settings = settings or SimulationSettings()
+        self.clock = VirtualClock()
+        self.oracle = ForwardingOracle(self.settings)
+        self.store = StoreModel(self.clock)
+        self.tables: dict[bytes, RoutingTable] = {}
+        self.records: dict[bytes, ReplicaRecord] = {}
+        self.leave_share = 0.0
+        self.shard_names: list[str] = []
+        self.nodes: list[SimulatedForwardingNode] = []
+        self._seed = seed
+        self._random = random.Random(seed)
+        self._numbers = count(1)
+        self._replicas: dict[str, ReplicaModel] = {}
+        self._faults = self._draw_faults() if faults is None else faults
+        self._version = 0
+
+    def run(self) -> SimulationResult:
+        """Play the run."""
+        settings = self.settings
+        self._start_replicas()
+        self.change_configuration()
+        for number in range(settings.nodes):
+            node = SimulatedForwardingNode(self, number, self._next_seed())
+            self.nodes.append(node)
+            node.start()
+        self.clock.after(LEAD_SECONDS, self._send_request)
+        for fault in self._faults:
+            at = LEAD_SECONDS + self._random.uniform(0.0, settings.seconds * 0.8)
+            self.clock.at(at, fault, self, random.Random(self._next_seed()))
+        self.clock.after(LEAD_SECONDS, self._check)
+        self.clock.run_until(LEAD_SECONDS + settings.seconds + SETTLE_SECONDS)
+        self.oracle.check_end(self.clock.now)
+        return self._result()
+
+    # Replicas, for faults
+
+    def live_replicas(self) -> list[ReplicaModel]:
+        """Return the replicas that neither ended nor drain."""
+        return [
+            replica
+            for replica in self._replicas.values()
+            if not replica.is_dead and replica.record.replica_id not in self.oracle.draining_at
+        ]
+
+    def some_replicas(self, chance: random.Random, share: float) -> list[ReplicaModel]:
+        """Return a share of the live replicas."""
+        live = self.live_replicas()
+        return chance.sample(live, max(1, int(len(live) * share)))
+
+    def replicas_of(self, service: str) -> list[ReplicaModel]:
+        """Return the live replicas of a service."""
+        return [replica for replica in self.live_replicas() if replica.record.service == service]
+
+    def all_services(self) -> list[str]:
+        """Return the services in use."""
+        return [*self.shard_names, SINGLE_SERVICE, EDIT_SERVICE]
+
+    def start_replica(self, service: str, host: str | None = None) -> ReplicaModel:
+        """Start a replica and let it announce itself."""
+        number = next(self._numbers)
+        address = host or f"host-{number}"
+        zone = f"zone-{number % 2}"
+        record = ReplicaRecord(
+            f"{service}-{number}", service, address, 80, zone, self.settings.slots
+        )
+        is_shard = service not in (SINGLE_SERVICE, EDIT_SERVICE)
+        replica = ReplicaModel(
+            record,
+            self.clock,
+            self.settings,
+            self.oracle,
+            random.Random(self._next_seed()),
+            SHARD_MEAN_SECONDS if is_shard else SINGLE_MEAN_SECONDS,
+        )
+        self._replicas[address] = replica
+        replica.start_pausing()
+        self.put_record(replica)
+        return replica
+
+    def add_replica(self, service: str) -> None:
+        """Start a replica at an address of its own."""
+        self.start_replica(service)
+
+    def start_replica_like(self, replica: ReplicaModel) -> None:
+        """Start a new replica at the address of one that ended."""
+        self.start_replica(replica.record.service, replica.record.host)
+
+    def put_record(self, replica: ReplicaModel) -> None:
+        """Let a replica write its record, unless it ended."""
+        if replica.is_dead:
+            return
+        value = repr(replica.record).encode()
+        self.records[value] = replica.record
+        self.store.put(self.record_key(replica), value)
+
+    def record_key(self, replica: ReplicaModel) -> str:
+        """Return the store's key for a replica."""
+        return REPLICA_PREFIX + replica.record.replica_id
+
+    def announce_drain(self, replica: ReplicaModel) -> None:
+        """Let a replica say that it leaves."""
+        replica.record = replace(replica.record, is_draining=True)
+        self.put_record(replica)
+        self.oracle.draining_at.setdefault(replica.record.replica_id, self.clock.now)
+
+    def remove_record(self, replica: ReplicaModel) -> None:
+        """Take a replica's record away."""
+        self.store.delete(self.record_key(replica))
+        self.oracle.draining_at.setdefault(replica.record.replica_id, self.clock.now)
+
+    def end_replica(self, replica: ReplicaModel) -> None:
+        """End a replica that drained."""
+        self.remove_record(replica)
+        replica.crash()
+
+    # Configuration, for faults
+
+    def change_configuration(self) -> None:
+        """Write the next version; time limits change a little from one to the next."""
+        self._version += self._random.randint(1, 3)
+        table = self._table()
+        value = f"version {table.version}".encode()
+        self.tables[value] = table
+        self.store.put(CONFIGURATION_KEY, value)
+        self.oracle.tables.append((self.clock.now, table))
+
+    def reshard(self) -> None:
+        """Start another set of shards, name it two seconds later, then drain the old one."""
+        old = [replica for name in self.shard_names for replica in self.replicas_of(name)]
+        generation = next(self._numbers)
+        names = [f"shard-{generation}-{index}" for index in range(self.settings.shards + 2)]
+        for name in names:
+            for _ in range(self.settings.copies):
+                self.start_replica(name)
+
+        def switch() -> None:
+            self.shard_names = names
+            self.change_configuration()
+            delay = self.settings.configuration_bound_seconds
+            for replica in old:
+                self.clock.after(delay, self.announce_drain, replica)
+                self.clock.after(delay + 4.5, self.end_replica, replica)
+
+        self.clock.after(2.0, switch)
+
+    # Nodes, for faults
+
+    def kill_node(self, number: int, down_seconds: float) -> None:
+        """Kill a node and start it again."""
+        node = self.nodes[number]
+        if not node.is_alive:
+            return
+        node.kill()
+        self._callers_cut_off(node)
+        self.clock.after(down_seconds, self._restart, number)
+
+    def stop_node(self, number: int) -> None:
+        """Stop a node as planned."""
+        self.nodes[number].emit(StopRequested())
+
+    def node_exited(self, node: SimulatedForwardingNode, action: Exit) -> None:
+        """Start a node again that ended as planned."""
+        if action.cut_requests:
+            self.oracle.violations.append(f"node {node.number}: a planned stop cut requests off")
+        node.kill()
+        self.clock.after(0.3, self._restart, node.number)
+
+    # Surroundings of nodes
+
+    def deliver(self, node: SimulatedForwardingNode, send: SendToReplica) -> None:
+        """Carry a request to the replica at its address, and the outcome back."""
+        delay = self.settings.network_seconds
+
+        def tell(outcome: ReplicaAnswered | SendFailed) -> None:
+            self.clock.after(delay, node.outcome, outcome, send.attempt_id)
+
+        def arrive() -> None:
+            replica = self._replicas.get(send.replica.host)
+            if replica is not None and node.is_alive:
+                replica.receive(node.number, send, tell)
+
+        self.clock.after(delay, arrive)
+
+    def cancel_at(self, host: str, node: int, attempt_id: int) -> None:
+        """Carry the end of a connection to a replica."""
+        replica = self._replicas.get(host)
+        if replica is not None:
+            delay = self.settings.network_seconds
+            self.clock.after(delay, replica.cancel, node, attempt_id)
+
+    # Callers
+
+    def _send_request(self) -> None:
+        settings = self.settings
+        if self.clock.now > LEAD_SECONDS + settings.seconds:
+            return
+        gap = self._random.expovariate(settings.requests_per_second)
+        self.clock.after(gap, self._send_request)
+        ready = [node for node in self.nodes if node.is_alive and node.is_ready]
+        if not ready:
+            return
+        node = self._random.choice(ready)
+        path = self._random.choices(PATHS, PATH_WEIGHTS)[0]
+        number = next(self._numbers)
+        request_id = f"request-{number}"
+        request = OpaqueRequest(b"GET", path.encode(), ())
+        event = ForwardRequested(number, request_id, HOST, path, request, 1.5, 0.002)
+        route = self.oracle.tables[-1][1].find(HOST, path)
+        self.oracle.requested(event, route, self.clock.now)
+        node.open_requests[number] = request_id
+        if self._random.random() < self.leave_share:
+            after = self._random.uniform(0.005, 0.1)
+            self.clock.after(after, self._leave, node, number, request_id)
+        node.emit(event)
+
+    def _leave(self, node: SimulatedForwardingNode, number: int, request_id: str) -> None:
+        if node.open_requests.pop(number, None) is not None:
+            self.oracle.left(request_id, self.clock.now)
+            node.emit(CallerLeft(number))
+
+    def _callers_cut_off(self, node: SimulatedForwardingNode) -> None:
+        for request_id in node.open_requests.values():
+            self.oracle.left(request_id, self.clock.now)
+        node.open_requests.clear()
+
+    def _check(self) -> None:
+        self.oracle.check_open_work(self.clock.now)
+        self.clock.after(CHECK_SECONDS, self._check)
+
+    def _restart(self, number: int) -> None:
+        node = SimulatedForwardingNode(self, number, self._next_seed())
+        self.nodes[number] = node
+        node.start()
+
+    # Building
+
+    def _start_replicas(self) -> None:
+        settings = self.settings
+        self.shard_names = [f"shard-0-{index}" for index in range(settings.shards)]
+        for name in self.shard_names:
+            for _ in range(settings.copies):
+                self.start_replica(name)
+        for name in (SINGLE_SERVICE, EDIT_SERVICE):
+            for _ in range(settings.single_replicas):
+                self.start_replica(name)
+
+    def _table(self) -> RoutingTable:
+        shards = tuple(self.shard_names)
+        limit = self._random.choice([0.9, 1.2, 1.5])
+        routes = (
+            _sharded("sweep", shards, 0.12, 0.66, limit),
+            _sharded("check", shards, 0.06, 0.5, limit),
+            _single("fetch", SINGLE_SERVICE, True),
+            _single("edit", EDIT_SERVICE, False),
+        )
+        services = {name: UpstreamService(name, 26) for name in self.all_services()}
+        return RoutingTable(self._version, routes, services, CallerLimits())
+
+    def _draw_faults(self) -> tuple[Fault, ...]:
+        return tuple(self._random.choice(FAULTS) for _ in range(self.settings.faults))
+
+    def _next_seed(self) -> int:
+        return self._random.getrandbits(32)
+
+    def _result(self) -> SimulationResult:
+        replies = [request.reply for request in self.oracle.requests.values()]
+        failures = [reply for reply in replies if isinstance(reply, ReplyFailure)]
+        refused = [reply for reply in failures if reply.retry_after_seconds is not None]
+        served = sum(reply is not None for reply in replies) - len(failures)
+        return SimulationResult(
+            self._seed,
+            tuple(fault.__name__ for fault in self._faults),
+            len(replies),
+            served,
+            len(refused),
+            tuple(self.oracle.violations),
+        )
+
+
+def _sharded(
+    name: str, shards: tuple[str, ...], objective: float, least: float, limit: float
+) -> Route:
+    return Route(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        shards=shards,
+        is_repeatable=True,
+        max_attempts=2,
+        timeout_seconds=limit,
+        objective_seconds=objective,
+        merged_records=10,
+        least_share=least,
+    )
+
+
+def _single(name: str, service: str, is_repeatable: bool) -> Route:
+    return Route(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        services=(WeightedService(service, 1.0),),
+        is_repeatable=is_repeatable,
+        max_attempts=2,
+        timeout_seconds=2.0,
+        objective_seconds=0.4,
+    )
