--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -30,6 +30,7 @@
         self._ids = count(1)
         self._open: dict[int, Attempt] = {}
         self._budgets: dict[str, RatioBudget] = {}
+        self._first_sent_at: float | None = None
 
     def get(self, attempt_id: int) -> Attempt | None:
         """Return an attempt under way."""
@@ -57,7 +58,7 @@
         if len(call.asked) >= route.max_attempts:
             return []
         excluded = call.asked | call.refused
-        limit = self._connection_limit(call.exchange.table, call.service)
+        limit = self._connection_limit(call.exchange.table, call.service, now)
         replica = self._directory.choose(call.service, excluded, limit, now, with_blocked)
         if replica is None:
             return []
@@ -136,7 +137,11 @@
             max(exchange.ends_at - now, 0.001),
         )
 
-    def _connection_limit(self, table: RoutingTable, service: str) -> int:
+    def _connection_limit(self, table: RoutingTable, service: str, now: float) -> int:
+        if self._first_sent_at is None:
+            self._first_sent_at = now
+        if now - self._first_sent_at < self._settings.first_connections_seconds:
+            return 1
         known = table.services.get(service)
         limit = DEFAULT_CONNECTION_LIMIT if known is None else known.connection_limit
         return max(1, limit // self._settings.most_nodes)
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -17,6 +17,9 @@
         Extra arrivals that this node may send without having earned them.
     most_nodes
         Nodes that share the connection limit of a replica.
+    first_connections_seconds
+        Time after the start in which a node opens one connection to each replica only: replicas
+        may still count those of its last life.
     reply_margin_seconds, reply_margin_ratio
         Time kept, besides the network's, for handing over an answer: a constant, and a share of
         the route's objective.
@@ -56,6 +59,7 @@
     retry_ratio: float = 0.18
     retry_burst: float = 3.0
     most_nodes: int = 12
+    first_connections_seconds: float = 5.0
     reply_margin_seconds: float = 0.003
     reply_margin_ratio: float = 0.03
     end_margin_seconds: float = 0.02
