Prefer replicas of the own zone a little more

Cause: bytes between zones are the greatest price after machines.

Change: factor of another zone 1.08 -> 1.2.

--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -26,7 +26,7 @@
 OVERDUE_FACTOR = 6.0
 """Cost factor of a replica that holds an attempt beyond the time at which it is hedged."""
 COLD_FACTOR = 1.6
-OTHER_ZONE_FACTOR = 1.08
+OTHER_ZONE_FACTOR = 1.2
 ACCIDENTS = 2
 """Connections that break off in a row from which a replica is left out."""
 MOST_DOUBLINGS = 8
