Start faster: load the logging library later, search the standard library first

Change: the logging library is loaded 2 s after the start (kept lines tell when they were written; an error loads it at once), the metrics library 2 s later; the module search path begins with the standard library.

--- a/wingquay/platform/__main__.py
+++ b/wingquay/platform/__main__.py
@@ -14,6 +14,12 @@
 FAILED = 1
 
 
+def search_standard_library_first() -> None:
+    """Reorder the module search path: each entry searched in vain costs a system call."""
+    prefix = os.path.dirname(os.__file__)
+    sys.path.sort(key=lambda entry: not entry.startswith(prefix))
+
+
 def main() -> int:
     """Run until stopped; return the exit code."""
     path = os.environ.get(SETTINGS_PATH_VARIABLE)
@@ -47,4 +53,5 @@
 
 
 if __name__ == "__main__":
+    search_standard_library_first()
     sys.exit(main())
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -6,12 +6,13 @@
 import secrets
 import signal
 import socket
+import sys
 
+from wingquay.adapters.deferred_log import DeferredLog
 from wingquay.adapters.deferred_metrics import DeferredMetrics
 from wingquay.adapters.forwarding_server import ForwardingServer
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 from wingquay.adapters.http_server import HttpServer
-from wingquay.adapters.log_writer import LogWriter
 from wingquay.adapters.replica_client import ReplicaClient
 from wingquay.forwarding.forwarding_node import ForwardingNode, StoreFormats
 from wingquay.forwarding.settings import ForwardingSettings
@@ -40,8 +41,9 @@
 """How long replies that are decided may still take to leave when the node closes."""
 ACCEPT_SECONDS = 0.3
 """Time after the start at which callers are accepted even without a configuration."""
-LOAD_METRICS_SECONDS = 5.0
-"""Time after which the metrics library is loaded; the first requests do not wait for it."""
+LOAD_LOG_SECONDS = 2.0
+LOAD_METRICS_SECONDS = 4.0
+"""Times after which the libraries for logs and metrics are loaded: requests go first."""
 BUDGET_SHARE = 0.9
 """Share of the allowed ratio of extra arrivals that is used."""
 NODES_SHARING_BURST = 16
@@ -53,7 +55,7 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
         self._metrics = DeferredMetrics()
-        self._log = LogWriter({"node": settings.node})
+        self._log = DeferredLog(sys.stdout, {"node": settings.node})
         self._is_ready = False
         self._has_news = asyncio.Event()
         self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
@@ -97,12 +99,14 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._has_news.wait(), ACCEPT_SECONDS)
         await self._server.serve_on(listening)
+        loop.call_later(LOAD_LOG_SECONDS, self._log.load)
         loop.call_later(LOAD_METRICS_SECONDS, self._metrics.load)
         ended = await self._exited
         await self._server.close(RESPONSE_GRACE_SECONDS)
         self._replicas.close()
         await self._store.close()
         self._runtime.close()
+        self._log.load()
         return ended
 
     def _emit(self, event: Event) -> None:
