Bound the log lines by kind; say what is believed of replicas and what held an answer up

Cause: lines about requests were unbounded, a late answer's line told the first shards instead of the slowest, and nothing told when a replica was left out.

Change: each kind of line has a budget a second, failed, refused, timed-out requests the greatest; what was left out is counted and said on the next line; replica_left_out and replica_back lines; the slowest calls with their attempts on a late answer's line.

Tests: a flood of 100 failures leaves 20 lines and the next says 80 were left out.

--- a/tests/forwarding/test_single_service.py
+++ b/tests/forwarding/test_single_service.py
@@ -197,3 +197,31 @@
         self.assertEqual("id-1", line["request_id"])
         self.assertEqual("failed", line["outcome"])
         self.assertIn("broken", str(line["unanswered"]))
+
+
+class LogBoundTest(TestCase):
+    def test_a_flood_of_failures_is_bounded_and_what_was_left_out_is_said(self) -> None:
+        node = node_with(is_repeatable=False)
+        for _ in range(100):
+            node.request()
+            node.fail(node.sends[0], SendFailureKind.MALFORMED)
+        self.assertEqual(20, len(node.logs("request_ended")))
+        node.advance(1.0)
+        node.request()
+        node.fail(node.sends[0], SendFailureKind.MALFORMED)
+        self.assertEqual(80, node.logs("request_ended")[-1]["lines_left_out"])
+
+    def test_what_is_believed_of_a_replica_is_said_when_it_changes(self) -> None:
+        node = node_with()
+        node.request()
+        lost = node.sends[0]
+        node.fail(lost, SendFailureKind.NOT_SENT)
+        line = node.logs("replica_left_out")[0]
+        self.assertEqual(lost.replica.replica_id, line["replica"])
+        node.answer(node.sends[0])
+        node.advance(1.0)
+        for _ in range(4):
+            node.request()
+        for send in list(node.sends):
+            node.answer(send)
+        self.assertEqual(lost.replica.replica_id, node.logs("replica_back")[0]["replica"])
--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -6,11 +6,12 @@
 from wingquay.forwarding.exchange import Attempt, ServiceCall
 from wingquay.forwarding.latencies import RouteLatencies
 from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.forwarding.replica_state import ReplicaState
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.forwarding.timers import AbandonDue
 from wingquay.model.routing_table import RoutingTable
-from wingquay.ports.forwarding import CancelSend, SendToReplica
-from wingquay.ports.machine import Action, Schedule
+from wingquay.ports.forwarding import CancelSend, ReportedLoad, SendToReplica
+from wingquay.ports.machine import Action, Log, LogLevel, Schedule
 
 DEFAULT_CONNECTION_LIMIT = 24
 
@@ -108,9 +109,24 @@
         self.finish(attempt)
         self.record_latency(attempt, now)
         is_long = now - attempt.sent_at >= self._settings.abandon_seconds
+        actions: list[Action] = [CancelSend(attempt.attempt_id)]
         if is_long and attempt.replica.is_silent_since(attempt.sent_at):
-            attempt.replica.on_failure(self._settings, True, now)
-        return [CancelSend(attempt.attempt_id)]
+            actions += self.failed(attempt, "silent", True, now)
+        return actions
+
+    def answered(self, attempt: Attempt, load: ReportedLoad | None, now: float) -> list[Action]:
+        """Take in that a replica answered an attempt."""
+        was_left_out = attempt.replica.on_answer(load, now)
+        self.record_latency(attempt, now)
+        return [replica_line("replica_back", attempt.replica)] if was_left_out else []
+
+    def failed(self, attempt: Attempt, reason: str, is_certain: bool, now: float) -> list[Action]:
+        """Take in that a replica failed an attempt without an answer."""
+        seconds = attempt.replica.on_failure(self._settings, is_certain, now)
+        if not seconds:
+            return []
+        fields = (("reason", reason), ("seconds", round(seconds, 2)))
+        return [replica_line("replica_left_out", attempt.replica, fields)]
 
     def record_latency(self, attempt: Attempt, now: float) -> None:
         """Take in how long an attempt took."""
@@ -152,3 +168,19 @@
             budget = RatioBudget(self._settings.retry_ratio, self._settings.retry_burst)
             self._budgets[service] = budget
         return budget
+
+
+def replica_line(
+    message: str,
+    replica: ReplicaState,
+    fields: tuple[tuple[str, str | int | float], ...] = (),
+) -> Log:
+    """Return a log line about what the node believes of a replica."""
+    record = replica.record
+    known = (
+        ("replica", record.replica_id),
+        ("service", record.service),
+        ("failures", replica.failures_in_row),
+        ("in_flight", len(replica.in_flight)),
+    )
+    return Log(message, LogLevel.INFO, (*known, *fields))
--- a/wingquay/forwarding/ending.py
+++ b/wingquay/forwarding/ending.py
@@ -14,6 +14,8 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 LEAST_RETRY_SECONDS = 0.1
+MOST_CALLS_TOLD = 4
+"""Calls whose attempts a log line tells."""
 MOST_RETRY_SECONDS = 1.0
 """When a caller may come back at the latest, if nothing better is known."""
 
@@ -115,9 +117,9 @@
 
 
 def _line(exchange: Exchange, outcome: str, reason: str, seconds: float) -> Log:
-    unanswered = [call for call in exchange.calls if call.answer is None]
-    if outcome == "late":
-        unanswered = exchange.calls
+    told = [call for call in exchange.calls if call.answer is None]
+    if not told:
+        told = sorted(exchange.calls, key=lambda call: call.answered_at, reverse=True)
     fields: tuple[tuple[str, str | int | float], ...] = (
         ("request_id", exchange.event.request_id),
         ("outcome", outcome),
@@ -130,9 +132,9 @@
     )
     if reason:
         fields += (("reason", reason),)
-    detail = "; ".join(_call_text(call) for call in unanswered[:4])
+    detail = "; ".join(_call_text(call) for call in told[:MOST_CALLS_TOLD])
     if detail:
-        fields += (("unanswered" if outcome != "late" else "calls", detail),)
+        fields += (("slowest" if told[0].answer is not None else "unanswered", detail),)
     return Log("request_ended", LogLevel.INFO, fields)
 
 
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -35,6 +35,7 @@
     arrivals: int = 0
     """Sendings that may have arrived."""
     answer: ReplicaAnswer | None = None
+    answered_at: float = 0.0
     failure: ReplicaAnswer | None = None
     """A failure that a replica answered, in case nothing better comes."""
     is_waiting: bool = False
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -166,18 +166,18 @@
         if attempt is None:
             return []
         answer = event.answer
+        actions: list[Action] = []
         self._sender.finish(attempt)
         if answer.is_other_replica:
             self._directory.remove(attempt.replica.record.replica_id)
         elif answer.not_run:
             attempt.replica.on_shed(self._settings, now)
         else:
-            attempt.replica.on_answer(event.load, now)
-            self._sender.record_latency(attempt, now)
+            actions += self._sender.answered(attempt, event.load, now)
             if not answer.is_success and answer.status >= FIRST_SERVER_ERROR_STATUS:
                 attempt.replica.on_trouble(now)
         self._note(attempt, f"{answer.status}{' not run' if answer.not_run else ''}", now)
-        actions = self._take_answer(attempt, answer, now)
+        actions += self._take_answer(attempt, answer, now)
         return actions + self._serve_waiting(attempt.call.service, now)
 
     def _take_answer(self, attempt: Attempt, answer: ReplicaAnswer, now: float) -> list[Action]:
@@ -192,6 +192,7 @@
             return self._retry(call, now)
         if answer.is_success and answer.signature not in exchange.signatures:
             call.answer = answer
+            call.answered_at = now
             exchange.signatures.add(str(answer.signature))
             return self._sender.abandon(call, now) + self._settle(exchange, now)
         if not answer.is_success and answer.signature is not None:
@@ -208,18 +209,18 @@
         self._sender.finish(attempt)
         self._note(attempt, event.kind.value, now)
         was_sent = event.kind is not SendFailureKind.NOT_SENT
+        actions: list[Action] = []
         if event.kind is not SendFailureKind.MALFORMED:
-            attempt.replica.on_failure(self._settings, not was_sent, now)
+            actions += self._sender.failed(attempt, event.reason, not was_sent, now)
         else:
             attempt.replica.on_trouble(now)
         if not was_sent:
             self._sender.not_arrived(attempt)
-        actions: list[Action] = []
         if self._is_open(call.exchange) and call.answer is None:
             if was_sent and not call.exchange.is_repeatable:
-                actions = self._settle(call.exchange, now)
+                actions += self._settle(call.exchange, now)
             else:
-                actions = self._retry(call, now)
+                actions += self._retry(call, now)
         return actions + self._serve_waiting(call.service, now)
 
     def _retry(self, call: ServiceCall, now: float) -> list[Action]:
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
+from wingquay.forwarding.line_budget import LineBudget
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.forwarding.store_follower import FollowerHooks, FollowerSettings, StoreFollower
@@ -87,9 +88,13 @@
         self._idle_seconds = 0.0
         self._stopping_since: float | None = None
         self._was_ready = False
+        self._lines = LineBudget()
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what is to be done."""
+        return self._lines.admit(self._decide(event, now), now)
+
+    def _decide(self, event: Event, now: float) -> list[Action]:
         if isinstance(event, StoreResponse | WatchChanged | WatchBroken):
             return self._follower.handle(event, now)
         if isinstance(event, Start):
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -113,8 +113,9 @@
         self._slowness = present + SLOWNESS_WEIGHT * (ratio - present)
         self._slowness_at = now
 
-    def on_answer(self, load: ReportedLoad | None, now: float) -> None:
-        """Take in that it answered."""
+    def on_answer(self, load: ReportedLoad | None, now: float) -> bool:
+        """Take in that it answered; return whether it was left out before."""
+        was_left_out = self.blocked_until > 0.0
         self.answered_at = now
         self._move_trouble(0.0, RELIEF_WEIGHT, now)
         self.failures_in_row = 0
@@ -122,9 +123,10 @@
         if load is not None:
             self._load = load
             self._load_at = now
+        return was_left_out
 
-    def on_failure(self, settings: ForwardingSettings, is_certain: bool, now: float) -> None:
-        """Take in that it failed: leave it out, longer each time.
+    def on_failure(self, settings: ForwardingSettings, is_certain: bool, now: float) -> float:
+        """Take in that it failed: leave it out, longer each time; return for how long (seconds).
 
         Parameters
         ----------
@@ -135,10 +137,12 @@
         self.failures_in_row += 1
         self.on_trouble(now)
         if not is_certain and self.failures_in_row < ACCIDENTS:
-            return
+            return 0.0
         doublings = min(self.failures_in_row - 1, MOST_DOUBLINGS)
         seconds = settings.connect_backoff_seconds * 2.0**doublings
-        self.blocked_until = now + min(seconds, settings.connect_backoff_most_seconds)
+        seconds = min(seconds, settings.connect_backoff_most_seconds)
+        self.blocked_until = now + seconds
+        return seconds
 
     def on_shed(self, settings: ForwardingSettings, now: float) -> None:
         """Take in that it refused work for its load."""
