Know the number of nodes; hold requests while records of replicas are missing

Nodes refused after 0.3 s without a configuration.

While records may be missing (4 s after a start or an outage) requests are held up to 0.3 of their time, and the store is looked at each 0.3 s; callers wait up to 1 s for the configuration, which is read each 0.2 s until it is there.

--- a/tests/forwarding/test_sharded_service.py
+++ b/tests/forwarding/test_sharded_service.py
@@ -143,6 +143,7 @@
     def test_a_request_that_reached_no_shard_is_refused(self) -> None:
         node = OneNode()
         node.start(table(1, sharded_route()), replica("r0", "other"))
+        node.advance(10.0)
         number = node.request("/all/x")
         node.advance(0.1)
         reply = node.replies[number]
--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -2,9 +2,10 @@
 
 from itertools import count
 
-from wingquay.admission.budget import RatioBudget
+from wingquay.forwarding.arrival_budget import ArrivalBudget
 from wingquay.forwarding.exchange import Attempt, ServiceCall
 from wingquay.forwarding.latencies import RouteLatencies
+from wingquay.forwarding.presence import NodeCount
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.replica_state import ReplicaState
 from wingquay.forwarding.settings import ForwardingSettings
@@ -24,13 +25,15 @@
         settings: ForwardingSettings,
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
+        nodes: NodeCount,
     ) -> None:
         self._settings = settings
         self._directory = directory
         self._latencies = latencies
+        self._nodes = nodes
         self._ids = count(1)
         self._open: dict[int, Attempt] = {}
-        self._budgets: dict[str, RatioBudget] = {}
+        self._budgets: dict[str, ArrivalBudget] = {}
         self._first_sent_at: float | None = None
 
     def get(self, attempt_id: int) -> Attempt | None:
@@ -63,7 +66,7 @@
         replica = self._directory.choose(call.service, excluded, limit, now, with_blocked)
         if replica is None:
             return []
-        if call.arrivals and not self._budget(call.service).spend():
+        if call.arrivals and not self._may_arrive_again(call, now):
             return []
         attempt_id = next(self._ids)
         attempt = Attempt(attempt_id, call, replica, now, is_hedge)
@@ -81,8 +84,7 @@
         call.arrivals -= 1
         self._not_run(attempt)
         if call.arrivals:
-            budget = self._budget(call.service)
-            budget.available = min(budget.burst, budget.available + 1.0)
+            self._budget(call.service).give_back()
 
     def not_run(self, attempt: Attempt) -> None:
         """Take in that a replica did not run the request."""
@@ -160,12 +162,18 @@
             return 1
         known = table.services.get(service)
         limit = DEFAULT_CONNECTION_LIMIT if known is None else known.connection_limit
-        return max(1, limit // self._settings.most_nodes)
+        return max(1, limit // self._nodes.get(now))
 
-    def _budget(self, service: str) -> RatioBudget:
+    def _may_arrive_again(self, call: ServiceCall, now: float) -> bool:
+        return self._budget(call.service).spend(self._nodes.get(now), now)
+
+    def _budget(self, service: str) -> ArrivalBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RatioBudget(self._settings.retry_ratio, self._settings.retry_burst)
+            settings = self._settings
+            budget = ArrivalBudget(
+                settings.retry_ratio, settings.retry_slack, settings.retry_window_seconds
+            )
             self._budgets[service] = budget
         return budget
 
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -7,6 +7,7 @@
 from wingquay.forwarding.ending import ExchangeEnding
 from wingquay.forwarding.exchange import Attempt, Exchange, ServiceCall
 from wingquay.forwarding.latencies import RouteLatencies
+from wingquay.forwarding.presence import NodeCount
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.forwarding.timers import (
@@ -44,6 +45,8 @@
         Times and budgets.
     directory
         The replicas; kept up to date by another machine.
+    nodes
+        How many nodes there are; kept up to date by another machine.
     random_source
         Starts the rounds of weighted routes.
     """
@@ -52,12 +55,13 @@
         self,
         settings: ForwardingSettings,
         directory: ReplicaDirectory,
+        nodes: NodeCount,
         random_source: random.Random,
     ) -> None:
         self._settings = settings
         self._directory = directory
         self._latencies = RouteLatencies(settings)
-        self._sender = AttemptSender(settings, directory, self._latencies)
+        self._sender = AttemptSender(settings, directory, self._latencies, nodes)
         self._weights = WeightedChoice(random_source)
         self._waiting = WaitingLine()
         self._ending = ExchangeEnding()
@@ -105,11 +109,19 @@
         exchange = self._open(event, table, route, now)
         services = route.shards or (self._weights.choose(route),)
         exchange.calls = [ServiceCall(exchange, service) for service in services]
-        if route.shards and not self._can_be_enough(exchange, now):
-            return self._close(exchange, self._refuse(exchange, now), now)
-        actions: list[Action] = []
         for call in exchange.calls:
             self._sender.earn(call.service)
+        if not self._can_be_enough(exchange, now):
+            return self._hold_or_refuse(exchange, now)
+        return self._begin(exchange, now)
+
+    def _begin(self, exchange: Exchange, now: float) -> list[Action]:
+        """Send all calls and set the timers."""
+        event = exchange.event
+        route = exchange.route
+        exchange.is_held = False
+        actions: list[Action] = []
+        for call in exchange.calls:
             actions += self._start(call, now)
         actions.append(Schedule(exchange.ends_at, ExchangeEndDue(event.exchange_id)))
         if route.shards:
@@ -119,6 +131,16 @@
             actions.append(Schedule(hedge_at, HedgeDue(event.exchange_id)))
         return actions + self._settle(exchange, now)
 
+    def _hold_or_refuse(self, exchange: Exchange, now: float) -> list[Action]:
+        """Hold a request while records of replicas are missing; refuse it otherwise."""
+        whole_seconds = exchange.ends_at - exchange.arrived_at
+        held_until = exchange.arrived_at + whole_seconds * self._settings.hold_ratio
+        if not self._directory.is_settling(now) or now >= held_until:
+            return self._close(exchange, self._refuse(exchange, now), now)
+        exchange.is_held = True
+        due_at = now + self._settings.retry_wait_seconds
+        return [Schedule(due_at, RetryDue(exchange.exchange_id))]
+
     def _open(
         self, event: ForwardRequested, table: RoutingTable, route: Route, now: float
     ) -> Exchange:
@@ -285,6 +307,9 @@
         return self._close(exchange, self._ending.out_of_time(exchange, now), now)
 
     def _retry_due(self, exchange: Exchange, now: float) -> list[Action]:
+        if exchange.is_held:
+            can_begin = self._can_be_enough(exchange, now)
+            return self._begin(exchange, now) if can_begin else self._hold_or_refuse(exchange, now)
         exchange.is_retry_due = False
         actions: list[Action] = []
         for call in exchange.calls:
@@ -343,7 +368,10 @@
         return self._ending.refuse(exchange, "no replica can be asked", usable_at - now, now)
 
     def _can_be_enough(self, exchange: Exchange, now: float) -> bool:
-        """Whether the shards of which a replica can be asked make an answer that is a success."""
+        """Whether the services of which a replica can be asked make a success."""
+        if not exchange.route.shards:
+            service = exchange.calls[0].service
+            return self._directory.has_any(service, now) or not self._directory.is_settling(now)
         usable = [self._directory.has_usable(call.service, now) for call in exchange.calls]
         return is_enough(exchange.route, sum(usable))
 
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -6,6 +6,7 @@
 
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
 from wingquay.forwarding.line_budget import LineBudget
+from wingquay.forwarding.presence import NodeCount, Presence, PresenceDue
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.forwarding.store_follower import FollowerHooks, FollowerSettings, StoreFollower
@@ -58,21 +59,31 @@
         Holds the configuration in force.
     replica_prefix
         Keys of replica records begin with it; the rest is the replica's id.
+    node_prefix
+        Keys of nodes begin with it; the rest is the node's name.
     parse_configuration, parse_replica
         Turn a value into its typed form.
     """
 
     configuration_key: str
     replica_prefix: str
+    node_prefix: str
     parse_configuration: Callable[[bytes], RoutingTable | Failure[FormatFailureKind]]
     parse_replica: Callable[[str, bytes], ReplicaRecord | Failure[FormatFailureKind]]
 
 
 class ForwardingNode:
-    """The whole decision code of one node that passes requests on."""
+    """The whole decision code of one node that passes requests on.
+
+    Parameters
+    ----------
+    name
+        This node's name, which no other node has.
+    """
 
     def __init__(
         self,
+        name: str,
         settings: ForwardingSettings,
         follower: FollowerSettings,
         formats: StoreFormats,
@@ -81,7 +92,9 @@
         self._settings = settings
         self._formats = formats
         self._directory = ReplicaDirectory(settings, random_source)
-        self._forwarding = ForwardingMachine(settings, self._directory, random_source)
+        self._nodes = NodeCount(settings)
+        self._presence = Presence(formats.node_prefix + name, settings, random_source)
+        self._forwarding = ForwardingMachine(settings, self._directory, self._nodes, random_source)
         hooks = FollowerHooks(self._on_listing, self._on_changes, self._directory.note_outage)
         self._follower = StoreFollower(follower, hooks)
         self._table: RoutingTable | None = None
@@ -95,27 +108,38 @@
         return self._lines.admit(self._decide(event, now), now)
 
     def _decide(self, event: Event, now: float) -> list[Action]:
+        if isinstance(event, StoreResponse) and self._presence.is_mine(event):
+            return self._presence.handle(event, now)
         if isinstance(event, StoreResponse | WatchChanged | WatchBroken):
             return self._follower.handle(event, now)
         if isinstance(event, Start):
-            return [*self._follower.handle(event, now), Schedule(now + SWEEP_SECONDS, SweepDue())]
+            return self._start(event, now)
+        if isinstance(event, PresenceDue):
+            return self._presence.handle(event, now)
         if isinstance(event, SweepDue):
             self._directory.forget_vanished(now)
-            return [Schedule(now + SWEEP_SECONDS, event)]
+            return [*self._pace_actions(now), Schedule(now + SWEEP_SECONDS, event)]
         if isinstance(event, StopRequested):
             return self._stop(now)
         if isinstance(event, StopCheckDue):
             return self._check_stop(now)
         return self._forwarding.handle(event, now) or self._follower.handle(event, now)
 
+    def _start(self, event: Start, now: float) -> list[Action]:
+        return [
+            *self._follower.handle(event, now),
+            *self._presence.handle(event, now),
+            Schedule(now + SWEEP_SECONDS, SweepDue()),
+        ]
+
     # The store
 
     def _on_listing(self, values: tuple[StoredValue, ...], now: float) -> list[Action]:
-        actions = self._on_changes(values, (), now)
         prefix = self._formats.replica_prefix
         ids = {item.key.removeprefix(prefix) for item in values if item.key.startswith(prefix)}
         self._directory.keep_only(ids, now)
-        return actions
+        self._nodes.keep_only({item.key for item in values if self._is_node_key(item.key)})
+        return self._on_changes(values, (), now)
 
     def _on_changes(
         self, changed: tuple[StoredValue, ...], deleted: tuple[str, ...], now: float
@@ -127,10 +151,26 @@
                 actions += self._configure(item.value)
             elif item.key.startswith(prefix):
                 actions += self._put_replica(item, now)
+            elif self._is_node_key(item.key):
+                self._nodes.put(item.key)
         for key in deleted:
             if key.startswith(prefix):
                 self._directory.vanish(key.removeprefix(prefix), now)
-        return actions + self._ready_actions()
+            else:
+                self._nodes.remove(key)
+        return actions + self._ready_actions() + self._pace_actions(now)
+
+    def _pace_actions(self, now: float) -> list[Action]:
+        """Look at the store more often while records of replicas are missing."""
+        table = self._table
+        is_hurried = False
+        if table is not None and self._directory.is_settling(now):
+            services = {name for route in table.routes for name in route.all_services}
+            is_hurried = not all(self._directory.has_present(name) for name in services)
+        return self._follower.gather(self._settings.settle_gather_seconds if is_hurried else None)
+
+    def _is_node_key(self, key: str) -> bool:
+        return key.startswith(self._formats.node_prefix)
 
     def _configure(self, document: bytes) -> list[Action]:
         table = self._formats.parse_configuration(document)
--- /dev/null
+++ b/wingquay/forwarding/presence.py
@@ -0,0 +1,160 @@
+"""Keeps this node's key in the store, under a lease, and counts the keys of all nodes.
+
+What nodes share without talking to each other, connections to replicas and the slack of the
+budget, is divided by their number. A node that ends leaves its key until the lease lapses, so the
+count errs on the side of too many.
+"""
+
+import random
+
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.model.failure import Failure
+from wingquay.model.value import value
+from wingquay.ports.machine import Action, Event, Schedule, Start
+from wingquay.ports.store import (
+    CompareAndSwap,
+    GrantLease,
+    KeepLeaseAlive,
+    LeaseState,
+    StoreFailureKind,
+    StoreOperation,
+    StoreRequest,
+    StoreResponse,
+    StoreResult,
+    SwapResult,
+)
+
+OPERATION_PREFIX = "presence-"
+TIMEOUT_SECONDS = 2.0
+
+
+@value
+class PresenceDue(Event):
+    """Take the next step of keeping the key."""
+
+    step: int
+
+
+class Presence:
+    """Keeps one key alive.
+
+    Parameters
+    ----------
+    key
+        This node's key.
+    settings
+        The lease's time and the pauses.
+    random_source
+        Spreads the calls of nodes that start together.
+    """
+
+    def __init__(
+        self, key: str, settings: ForwardingSettings, random_source: random.Random
+    ) -> None:
+        self._key = key
+        self._settings = settings
+        self._random = random_source
+        self._step = 0
+        self._lease_id: int | None = None
+        self._expected_revision = 0
+        self._is_written = False
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in an event of the store or a timer."""
+        if isinstance(event, Start):
+            return self._after(self._settings.presence_delay_seconds, now)
+        if isinstance(event, PresenceDue) and event.step == self._step:
+            return [self._request(self._next_operation())]
+        if isinstance(event, StoreResponse) and event.operation_id == self._operation_id:
+            return self._done(event.result, now)
+        return []
+
+    def is_mine(self, event: StoreResponse) -> bool:
+        """Whether the answer is to one of this machine's requests."""
+        return event.operation_id.startswith(OPERATION_PREFIX)
+
+    @property
+    def _operation_id(self) -> str:
+        return f"{OPERATION_PREFIX}{self._step}"
+
+    def _next_operation(self) -> StoreOperation:
+        if self._lease_id is None:
+            return GrantLease(int(self._settings.presence_lease_seconds))
+        if not self._is_written:
+            return CompareAndSwap(self._key, self._expected_revision, b"1", self._lease_id)
+        return KeepLeaseAlive(self._lease_id)
+
+    def _request(self, operation: StoreOperation) -> StoreRequest:
+        return StoreRequest(self._operation_id, operation, TIMEOUT_SECONDS)
+
+    def _done(self, result: StoreResult | Failure[StoreFailureKind], now: float) -> list[Action]:
+        if isinstance(result, LeaseState):
+            return self._lease_told(result, now)
+        if isinstance(result, SwapResult):
+            return self._swapped(result, now)
+        # The lease may be gone, or the key written: a new lease settles both.
+        if not self._is_written:
+            self._lease_id = None
+        return self._after(self._settings.presence_retry_seconds, now)
+
+    def _lease_told(self, lease: LeaseState, now: float) -> list[Action]:
+        if not lease.time_to_live_seconds:
+            self._lease_id = None
+            self._is_written = False
+            return self._after(0.0, now)
+        if self._lease_id is None:
+            self._lease_id = lease.lease_id
+            return self._after(0.0, now)
+        return self._after(self._settings.presence_lease_seconds / 3, now)
+
+    def _swapped(self, result: SwapResult, now: float) -> list[Action]:
+        if result.succeeded:
+            self._is_written = True
+            return self._after(self._settings.presence_lease_seconds / 3, now)
+        current = result.current
+        self._expected_revision = 0 if current is None else current.modified_at
+        return self._after(0.0, now)
+
+    def _after(self, seconds: float, now: float) -> list[Action]:
+        self._step += 1
+        due_at = now + seconds * self._random.uniform(0.8, 1.2)
+        return [Schedule(due_at, PresenceDue(self._step))]
+
+
+class NodeCount:
+    """How many nodes there are, as their keys tell.
+
+    Parameters
+    ----------
+    settings
+        What to assume while nothing is known, and how long a greater count is remembered.
+    """
+
+    def __init__(self, settings: ForwardingSettings) -> None:
+        self._settings = settings
+        self._names: set[str] = set()
+        self._greatest = 0
+        self._greatest_at = float("-inf")
+
+    def put(self, name: str) -> None:
+        """Take in a node's key."""
+        self._names.add(name)
+
+    def remove(self, name: str) -> None:
+        """Take in that a node's key is gone."""
+        self._names.discard(name)
+
+    def keep_only(self, names: set[str]) -> None:
+        """Take in a whole listing."""
+        self._names = names
+
+    def get(self, now: float) -> int:
+        """Return the greatest recent number of nodes."""
+        present = len(self._names)
+        is_old = now - self._greatest_at > self._settings.node_count_memory_seconds
+        if present >= self._greatest or is_old:
+            self._greatest = present
+            self._greatest_at = now
+        # Nodes that have just started have no key yet.
+        fewest = self._settings.fewest_nodes if present else self._settings.most_nodes
+        return max(self._greatest, fewest)
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/replica_directory.py
@@ -25,6 +25,7 @@
         self._states: dict[str, ReplicaState] = {}
         self._by_service: dict[str, dict[str, ReplicaState]] = {}
         self._outage_ended_at = float("-inf")
+        self._listed_at: float | None = None
 
     def __len__(self) -> int:
         """Return the number of replicas known."""
@@ -55,6 +56,8 @@
 
     def keep_only(self, replica_ids: Container[str], now: float) -> None:
         """Take in a whole listing: what is not in it has vanished."""
+        if self._listed_at is None:
+            self._listed_at = now
         for replica_id in self._states:
             if replica_id not in replica_ids:
                 self.vanish(replica_id, now)
@@ -72,6 +75,22 @@
         """Take in that the directory is out of reach now."""
         self._outage_ended_at = now
 
+    def is_settling(self, now: float) -> bool:
+        """Whether records may be missing that come back by themselves."""
+        begun_at = self._outage_ended_at
+        if self._listed_at is not None:
+            begun_at = max(begun_at, self._listed_at)
+        return now - begun_at < self._settings.settle_seconds
+
+    def has_any(self, service: str, now: float) -> bool:
+        """Whether the service has a replica that may get work."""
+        return bool(self._candidates(service, now))
+
+    def has_present(self, service: str) -> bool:
+        """Whether a record of a replica of the service is there."""
+        states = self._by_service.get(service, {}).values()
+        return any(state.vanished_at is None for state in states)
+
     def forget_vanished(self, now: float) -> None:
         """Forget the replicas whose time of grace is over."""
         for state in list(self._states.values()):
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -13,10 +13,22 @@
         The zone of this node.
     retry_ratio
         Extra arrivals at a service for each request for it, of this node's own requests.
-    retry_burst
-        Extra arrivals that this node may send without having earned them.
+    retry_slack
+        Extra arrivals at a service in a window that all nodes together may cause besides.
+    retry_window_seconds
+        Length of the window.
     most_nodes
-        Nodes that share the connection limit of a replica.
+        Nodes to reckon with while their number is not known.
+    fewest_nodes
+        Nodes to reckon with at least: some may have no key yet.
+    node_count_memory_seconds
+        How long a greater number of nodes is remembered.
+    presence_delay_seconds
+        Time after the start at which a node writes its key: requests go first.
+    presence_lease_seconds
+        Time to live of the key's lease.
+    presence_retry_seconds
+        Pause after a call for the key failed.
     first_connections_seconds
         Time after the start in which a node opens one connection to each replica only: replicas
         may still count those of its last life.
@@ -49,6 +61,14 @@
         How long a replica whose record vanished may still get work when no other is left.
     vanished_outage_grace_seconds
         The same while the directory was just out of reach.
+    settle_seconds
+        Time after the start, or after the store was out of reach, in which records of replicas may
+        still be missing.
+    settle_gather_seconds
+        Least time between two looks at the store while records are missing.
+    hold_ratio
+        Share of a request's time for which it is held, while records are missing, before it is
+        refused.
     unready_stop_seconds
         Time after a stop was asked for until idle connections are closed.
     most_stop_seconds
@@ -57,8 +77,14 @@
 
     zone: str
     retry_ratio: float = 0.18
-    retry_burst: float = 3.0
+    retry_slack: float = 56.0
+    retry_window_seconds: float = 10.0
     most_nodes: int = 12
+    fewest_nodes: int = 6
+    node_count_memory_seconds: float = 30.0
+    presence_delay_seconds: float = 2.0
+    presence_lease_seconds: float = 36.0
+    presence_retry_seconds: float = 2.0
     first_connections_seconds: float = 5.0
     reply_margin_seconds: float = 0.003
     reply_margin_ratio: float = 0.03
@@ -76,5 +102,8 @@
     offer_ratio: float = 0.2
     vanished_grace_seconds: float = 1.0
     vanished_outage_grace_seconds: float = 6.0
+    settle_seconds: float = 4.0
+    settle_gather_seconds: float = 0.3
+    hold_ratio: float = 0.3
     unready_stop_seconds: float = 3.0
     most_stop_seconds: float = 5.2
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -9,6 +9,7 @@
     Read,
     ReadResult,
     StartWatch,
+    StopWatch,
     StoredValue,
     StoreRequest,
     StoreResponse,
@@ -38,6 +39,8 @@
         Time allowed for reading everything.
     first_backoff_seconds, most_backoff_seconds
         Pause after a failure, doubled each time up to the second figure.
+    unknown_backoff_seconds
+        Most pause as long as nothing at all is known: a node cannot serve before.
     """
 
     prefix: str = ""
@@ -45,6 +48,7 @@
     read_timeout_seconds: float = 1.5
     first_backoff_seconds: float = 0.15
     most_backoff_seconds: float = 1.0
+    unknown_backoff_seconds: float = 0.2
 
 
 @value
@@ -83,6 +87,9 @@
         self._reads = 0
         self._watches = 0
         self._failures = 0
+        self._is_listed = False
+        self._is_watching = False
+        self._gather_seconds = settings.gather_seconds
         self._seen_revision: int | None = None
         """The store's revision up to which everything is known."""
 
@@ -100,6 +107,16 @@
             return self._look(now)
         return []
 
+    def gather(self, seconds: float | None) -> list[Action]:
+        """Look at the store at another pace; ``None``: the usual one."""
+        wanted = self._settings.gather_seconds if seconds is None else seconds
+        if wanted == self._gather_seconds:
+            return []
+        self._gather_seconds = wanted
+        if not self._is_watching:
+            return []
+        return [StopWatch(self._watch_id), *self._watch()]
+
     @property
     def _operation_id(self) -> str:
         return f"follow-{self._reads}"
@@ -119,9 +136,9 @@
     def _watch(self) -> list[Action]:
         assert self._seen_revision is not None
         self._watches += 1
-        settings = self._settings
-        watch_id = self._watch_id
-        return [StartWatch(watch_id, settings.prefix, self._seen_revision, settings.gather_seconds)]
+        self._is_watching = True
+        prefix = self._settings.prefix
+        return [StartWatch(self._watch_id, prefix, self._seen_revision, self._gather_seconds)]
 
     def _read_done(self, event: StoreResponse, now: float) -> list[Action]:
         if event.operation_id != self._operation_id:
@@ -131,6 +148,7 @@
             reason = result.reason if isinstance(result, Failure) else "unexpected result"
             return self._failed(reason, now)
         self._failures = 0
+        self._is_listed = True
         self._seen_revision = result.store_revision
         return self._hooks.on_listing(result.values, now) + self._watch()
 
@@ -144,6 +162,7 @@
     def _broken(self, event: WatchBroken, now: float) -> list[Action]:
         if event.watch_id != self._watch_id:
             return []
+        self._is_watching = False
         if event.history_lost:
             self._seen_revision = None
             line = Log("store_history_lost", LogLevel.WARNING, (("reason", event.reason),))
@@ -154,9 +173,12 @@
         self._hooks.on_trouble(now)
         settings = self._settings
         pause = settings.first_backoff_seconds * 2.0 ** min(self._failures, 6)
+        most = settings.most_backoff_seconds
+        if self._seen_revision is None and not self._is_listed:
+            most = settings.unknown_backoff_seconds
         self._failures += 1
         fields = (("reason", reason), ("failures", self._failures))
-        due_at = now + min(pause, settings.most_backoff_seconds)
+        due_at = now + min(pause, most)
         return [
             Log("store_unreachable", LogLevel.WARNING, fields),
             Schedule(due_at, FollowAgain(self._operation_id)),
--- a/wingquay/platform/names.py
+++ b/wingquay/platform/names.py
@@ -20,6 +20,7 @@
 
 CONFIGURATION_KEY = "op/config"
 REPLICA_PREFIX = "servers/"
+NODE_PREFIX = "wingquay/nodes/"
 
 DRAINING = "draining"
 REPEATABLE = "idempotent"
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -19,7 +19,7 @@
 from wingquay.forwarding.store_follower import FollowerSettings
 from wingquay.platform.caller_dialect import PlatformCallerDialect
 from wingquay.platform.configuration_document import parse_configuration
-from wingquay.platform.names import CONFIGURATION_KEY, READY_PATH, REPLICA_PREFIX
+from wingquay.platform.names import CONFIGURATION_KEY, NODE_PREFIX, READY_PATH, REPLICA_PREFIX
 from wingquay.platform.replica_dialect import PlatformReplicaDialect
 from wingquay.platform.replica_entry import parse_replica
 from wingquay.platform.settings import PlatformSettings
@@ -39,14 +39,13 @@
 SEED_BITS = 64
 RESPONSE_GRACE_SECONDS = 0.3
 """How long replies that are decided may still take to leave when the node closes."""
-ACCEPT_SECONDS = 0.3
+ACCEPT_SECONDS = 1.0
 """Time after the start at which callers are accepted even without a configuration."""
 LOAD_LOG_SECONDS = 2.0
 LOAD_METRICS_SECONDS = 4.0
 """Times after which the libraries for logs and metrics are loaded: requests go first."""
 BUDGET_SHARE = 0.9
 """Share of the allowed ratio of extra arrivals that is used."""
-NODES_SHARING_BURST = 16
 
 
 class PlatformNode:
@@ -60,13 +59,15 @@
         self._has_news = asyncio.Event()
         self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
         machine = ForwardingNode(
+            settings.node,
             ForwardingSettings(
                 zone=settings.zone,
                 retry_ratio=settings.retry_ratio * BUDGET_SHARE,
-                retry_burst=settings.retry_burst / NODES_SHARING_BURST,
+                retry_slack=settings.retry_slack,
+                retry_window_seconds=settings.retry_window_seconds,
             ),
             FollowerSettings(),
-            StoreFormats(CONFIGURATION_KEY, REPLICA_PREFIX, parse_configuration, parse_replica),
+            _store_formats(),
             random.Random(secrets.randbits(SEED_BITS)),
         )
         self._runtime = NodeRuntime(machine, asyncio.get_running_loop())
@@ -145,3 +146,9 @@
 
     async def _answer_metrics(self, _request: HttpRequest) -> HttpResponse:
         return HttpResponse(200, {"content-type": "text/plain"}, self._metrics.page())
+
+
+def _store_formats() -> StoreFormats:
+    return StoreFormats(
+        CONFIGURATION_KEY, REPLICA_PREFIX, NODE_PREFIX, parse_configuration, parse_replica
+    )
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -39,8 +39,9 @@
         Where the platform's store listens.
     metrics
         Where figures are told; ``None``: nowhere.
-    retry_ratio, retry_burst
-        Extra arrivals at a service that all nodes together may cause.
+    retry_ratio, retry_slack, retry_window_seconds
+        Extra arrivals at a service that all nodes together may cause in a window: the ratio for
+        each request, and the slack besides.
     grace_seconds
         Time between the request to stop and the end by force.
     """
@@ -52,7 +53,8 @@
     store: ListenAddress
     metrics: ListenAddress | None
     retry_ratio: float
-    retry_burst: float
+    retry_slack: float
+    retry_window_seconds: float
     grace_seconds: float
 
 
@@ -82,7 +84,8 @@
         store=_address(document, "store.address"),
         metrics=_address(document, "listen.metrics") if has_metrics else None,
         retry_ratio=_number(document, "retries.ratio", 0.0, 1.0),
-        retry_burst=_number(document, "retries.burst", 0.0, 1e6),
+        retry_slack=_number(document, "retries.slack", 0.0, 1e6),
+        retry_window_seconds=_number(document, "retries.window_seconds", 0.1, 3600.0),
         grace_seconds=_number(document, "stop.grace_seconds", 0.5, 3600.0),
     )
 
--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -1,7 +1,6 @@
 """The store port over the platform's key-value service: HTTP/1.1 and JSON."""
 
 import asyncio
-import base64
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
@@ -12,6 +11,13 @@
 from wingquay.adapters.http_messages import NOT_SENT_KINDS, HttpResponse
 from wingquay.model.failure import Failure
 from wingquay.platform.names import STORE_RANGE, STORE_WATCH
+from wingquay.platform.store_formats import (
+    refused,
+    stored_value,
+    watch_changed,
+    write_call,
+    write_result,
+)
 from wingquay.ports.machine import Count, Event
 from wingquay.ports.store import (
     Read,
@@ -20,11 +26,11 @@
     StopWatch,
     StoredValue,
     StoreFailureKind,
+    StoreOperation,
     StoreRequest,
     StoreResponse,
     StoreResult,
     WatchBroken,
-    WatchChanged,
 )
 
 WATCH_WAIT_SECONDS = 3.0
@@ -33,8 +39,6 @@
 """How much longer an answer may take before the watch counts as broken."""
 MILLISECONDS_PER_SECOND = 1000
 STATUS_OK = 200
-STATUS_HISTORY_LOST = 410
-STATUS_RATE_LIMITED = 429
 CONNECTION_LIMIT = 6
 IDLE_SECONDS = 10.0
 NO_REVISION = -1
@@ -99,14 +103,21 @@
 
     async def _operate(self, action: StoreRequest) -> None:
         operation = action.operation
-        result: Result
-        if isinstance(operation, Read) and operation.prefix:
+        if isinstance(operation, Read):
             result = await self._read_all(operation, action.timeout_seconds)
         else:
-            reason = f"{type(operation).__name__} is not offered here"
-            result = Failure(StoreFailureKind.MALFORMED, reason)
+            result = await self._write(operation, action.timeout_seconds)
         self._emit(StoreResponse(action.operation_id, result))
 
+    async def _write(self, operation: StoreOperation, timeout_seconds: float) -> Result:
+        call = write_call(operation)
+        if isinstance(call, Failure):
+            return call
+        answer = await self._send("POST", call.path, timeout_seconds, call.body)
+        if isinstance(answer, Failure):
+            return answer
+        return write_result(operation, answer)
+
     async def _read_all(self, operation: Read, timeout_seconds: float) -> Result:
         values: list[StoredValue] = []
         first_revision = NO_REVISION
@@ -117,7 +128,7 @@
             if isinstance(document, Failure):
                 return document
             try:
-                values += [_stored_value(item) for item in document["items"]]
+                values += [stored_value(item) for item in document["items"]]
                 # Pages form no snapshot: what changed since the first one is watched again.
                 if first_revision == NO_REVISION:
                     first_revision = int(document["at"])
@@ -141,7 +152,7 @@
                 self._emit(WatchBroken(action.watch_id, document.reason, is_lost))
                 return
             try:
-                event = _watch_changed(action.watch_id, document)
+                event = watch_changed(action.watch_id, document)
             except (KeyError, TypeError, ValueError) as error:
                 self._emit(WatchBroken(action.watch_id, f"events: {error!r}"))
                 return
@@ -150,46 +161,26 @@
             await asyncio.sleep(max(0.0, asked_at + action.gather_seconds - self._loop.time()))
 
     async def _call(self, path: str, timeout_seconds: float) -> Any:
+        answer = await self._send("GET", path, timeout_seconds)
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != STATUS_OK:
+            return refused(answer)
+        try:
+            return orjson.loads(answer.whole_body)
+        except ValueError as error:
+            return Failure(StoreFailureKind.MALFORMED, str(error))
+
+    async def _send(
+        self, method: str, path: str, timeout_seconds: float, body: bytes = b""
+    ) -> HttpResponse | Failure[StoreFailureKind]:
         self._count(Count("store_calls_total"))
+        headers = {"content-type": "application/json"} if body else {}
         result = await self._client.request(
-            self._host, self._port, "GET", path, timeout_seconds=timeout_seconds
+            self._host, self._port, method, path, headers, body, timeout_seconds
         )
         if isinstance(result, Failure):
             not_sent = result.kind in NOT_SENT_KINDS
             kind = StoreFailureKind.UNREACHABLE if not_sent else StoreFailureKind.LOST_REPLY
             return Failure(kind, result.reason)
-        if result.status != STATUS_OK:
-            return _refused(result)
-        try:
-            return orjson.loads(result.whole_body)
-        except ValueError as error:
-            return Failure(StoreFailureKind.MALFORMED, str(error))
-
-
-def _refused(response: HttpResponse) -> Failure[StoreFailureKind]:
-    kind = StoreFailureKind.UNREACHABLE
-    if response.status == STATUS_HISTORY_LOST:
-        kind = StoreFailureKind.HISTORY_LOST
-    elif response.status == STATUS_RATE_LIMITED:
-        kind = StoreFailureKind.RATE_LIMITED
-    return Failure(kind, f"the store answered {response.status}")
-
-
-def _stored_value(item: Any) -> StoredValue:
-    value = base64.b64decode(item["value"])
-    return StoredValue(str(item["tlsKey"]), value, int(item["revision"]), int(item.get("lease", 0)))
-
-
-def _watch_changed(watch_id: str, document: Any) -> WatchChanged:
-    """Return the last state of each key that changed."""
-    changed: dict[str, StoredValue] = {}
-    gone: dict[str, None] = {}
-    for item in document.get("events", ()):
-        key = str(item["tlsKey"])
-        if item.get("gone"):
-            changed.pop(key, None)
-            gone[key] = None
-        else:
-            gone.pop(key, None)
-            changed[key] = _stored_value(item)
-    return WatchChanged(watch_id, tuple(changed.values()), tuple(gone), int(document["at"]))
+        return result
--- /dev/null
+++ b/wingquay/platform/store_formats.py
@@ -0,0 +1,123 @@
+"""Calls of the platform's key-value service and what it answers, without any I/O."""
+
+import base64
+from typing import Any
+
+import orjson
+
+from wingquay.adapters.http_messages import HttpResponse
+from wingquay.model.failure import Failure
+from wingquay.model.value import value
+from wingquay.platform.names import STORE_KEEP, STORE_LEASE, STORE_TRANSACTION
+from wingquay.ports.store import (
+    CompareAndSwap,
+    GrantLease,
+    KeepLeaseAlive,
+    LeaseState,
+    StoredValue,
+    StoreFailureKind,
+    StoreOperation,
+    StoreResult,
+    SwapResult,
+    WatchChanged,
+)
+
+MILLISECONDS_PER_SECOND = 1000
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_HISTORY_LOST = 410
+STATUS_CONDITION_FAILED = 412
+STATUS_RATE_LIMITED = 429
+
+
+@value
+class StoreCall:
+    """A call that writes: its path and its body."""
+
+    path: str
+    body: bytes
+
+
+def write_call(operation: StoreOperation) -> StoreCall | Failure[StoreFailureKind]:
+    """Return the call for an operation, or why there is none."""
+    if isinstance(operation, GrantLease):
+        milliseconds = operation.time_to_live_seconds * MILLISECONDS_PER_SECOND
+        return StoreCall(STORE_LEASE, orjson.dumps({"ttl_ms": milliseconds}))
+    if isinstance(operation, KeepLeaseAlive):
+        return StoreCall(f"{STORE_KEEP}{operation.lease_id}", b"")
+    if isinstance(operation, CompareAndSwap):
+        return StoreCall(STORE_TRANSACTION, orjson.dumps(_transaction(operation)))
+    reason = f"{type(operation).__name__} is not offered here"
+    return Failure(StoreFailureKind.MALFORMED, reason)
+
+
+def write_result(
+    operation: StoreOperation, response: HttpResponse
+) -> StoreResult | Failure[StoreFailureKind]:
+    """Return what an answer says of an operation."""
+    if isinstance(operation, KeepLeaseAlive) and response.status == STATUS_NOT_FOUND:
+        return LeaseState(operation.lease_id, 0.0)
+    is_swap = isinstance(operation, CompareAndSwap)
+    if response.status != STATUS_OK and not (
+        is_swap and response.status == STATUS_CONDITION_FAILED
+    ):
+        return refused(response)
+    try:
+        document = orjson.loads(response.whole_body)
+        return _result(operation, response.status, document)
+    except (ValueError, KeyError, TypeError) as error:
+        return Failure(StoreFailureKind.MALFORMED, f"answer: {error!r}")
+
+
+def refused(response: HttpResponse) -> Failure[StoreFailureKind]:
+    """Return the failure that a status stands for."""
+    kind = StoreFailureKind.UNREACHABLE
+    if response.status == STATUS_HISTORY_LOST:
+        kind = StoreFailureKind.HISTORY_LOST
+    elif response.status == STATUS_RATE_LIMITED:
+        kind = StoreFailureKind.RATE_LIMITED
+    return Failure(kind, f"the store answered {response.status}")
+
+
+def stored_value(item: Any) -> StoredValue:
+    """Return an item as the port has it."""
+    content = base64.b64decode(item["value"])
+    lease_id = int(item.get("lease", 0))
+    return StoredValue(str(item["tlsKey"]), content, int(item["revision"]), lease_id)
+
+
+def watch_changed(watch_id: str, document: Any) -> WatchChanged:
+    """Return the last state of each key that changed."""
+    changed: dict[str, StoredValue] = {}
+    gone: dict[str, None] = {}
+    for item in document.get("events", ()):
+        key = str(item["tlsKey"])
+        if item.get("gone"):
+            changed.pop(key, None)
+            gone[key] = None
+        else:
+            gone.pop(key, None)
+            changed[key] = stored_value(item)
+    return WatchChanged(watch_id, tuple(changed.values()), tuple(gone), int(document["at"]))
+
+
+def _transaction(operation: CompareAndSwap) -> dict[str, object]:
+    condition = {"tlsKey": operation.key, "revision": operation.expected_modified_at}
+    if operation.value is None:
+        return {"expectedRevision": [condition], "put": [], "remove": [operation.key]}
+    content = base64.b64encode(operation.value).decode("ascii")
+    entry = {"tlsKey": operation.key, "value": content, "lease": operation.lease_id}
+    return {"expectedRevision": [condition], "put": [entry], "remove": []}
+
+
+def _result(operation: StoreOperation, status: int, document: Any) -> StoreResult:
+    if isinstance(operation, CompareAndSwap):
+        if status == STATUS_OK:
+            return SwapResult(True, int(document["revision"]))
+        items = [stored_value(item) for item in document["items"] if item.get("revision")]
+        current = next((item for item in items if item.key == operation.key), None)
+        return SwapResult(False, 0, current)
+    seconds = float(document["ttl_ms"]) / MILLISECONDS_PER_SECOND
+    if isinstance(operation, KeepLeaseAlive):
+        return LeaseState(operation.lease_id, seconds)
+    return LeaseState(int(document["lease"]), seconds)
