--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -108,11 +108,14 @@
         number = node.request("/all/x")
         self.assertEqual(node.now, node.replied_at[number])
 
-    def test_the_store_is_looked_at_more_often_until_all_are_there(self) -> None:
+    def test_the_store_is_looked_at_more_often_while_requests_are_held(self) -> None:
         node = self.node_with_one_shard()
-        hurried = node.last(StartWatch).gather_seconds
+        usual = node.last(StartWatch).gather_seconds
+        node.request("/all/x")
+        self.assertLess(node.last(StartWatch).gather_seconds, usual)
         node.change(replica("s1r0", "s1"))
-        self.assertLess(hurried, node.last(StartWatch).gather_seconds)
+        node.advance(1.0)
+        self.assertEqual(usual, node.last(StartWatch).gather_seconds)
 
 
 class ConfigurationTest(TestCase):
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -64,8 +64,6 @@
     calls: list[ServiceCall] = field(default_factory=list)
     signatures: set[str] = field(default_factory=set)
     is_retry_due: bool = False
-    is_held: bool = False
-    """Nothing was sent yet, since records of replicas are missing."""
 
     @property
     def exchange_id(self) -> int:
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -67,12 +67,18 @@
         self._ending = ExchangeEnding()
         self._table: RoutingTable | None = None
         self._exchanges: dict[int, Exchange] = {}
+        self._held: set[int] = set()
 
     @property
     def open_exchanges(self) -> int:
         """The number of requests without an answer."""
         return len(self._exchanges)
 
+    @property
+    def held_exchanges(self) -> int:
+        """The number of requests that are held for missing records of replicas."""
+        return len(self._held)
+
     def set_table(self, table: RoutingTable) -> None:
         """Use a configuration for requests that arrive from now on."""
         self._table = table
@@ -119,7 +125,7 @@
         """Send all calls and set the timers."""
         event = exchange.event
         route = exchange.route
-        exchange.is_held = False
+        self._held.discard(exchange.exchange_id)
         actions: list[Action] = []
         for call in exchange.calls:
             actions += self._start(call, now)
@@ -137,7 +143,7 @@
         held_until = exchange.arrived_at + whole_seconds * self._settings.hold_ratio
         if not self._directory.is_settling(now) or now >= held_until:
             return self._close(exchange, self._refuse(exchange, now), now)
-        exchange.is_held = True
+        self._held.add(exchange.exchange_id)
         due_at = now + self._settings.retry_wait_seconds
         return [Schedule(due_at, RetryDue(exchange.exchange_id))]
 
@@ -307,7 +313,7 @@
         return self._close(exchange, self._ending.out_of_time(exchange, now), now)
 
     def _retry_due(self, exchange: Exchange, now: float) -> list[Action]:
-        if exchange.is_held:
+        if exchange.exchange_id in self._held:
             can_begin = self._can_be_enough(exchange, now)
             return self._begin(exchange, now) if can_begin else self._hold_or_refuse(exchange, now)
         exchange.is_retry_due = False
@@ -385,6 +391,7 @@
 
     def _close(self, exchange: Exchange, actions: list[Action], now: float) -> list[Action]:
         del self._exchanges[exchange.exchange_id]
+        self._held.discard(exchange.exchange_id)
         for call in exchange.calls:
             call.is_waiting = False
             actions = actions + self._sender.abandon(call, now)
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -9,7 +9,12 @@
 from wingquay.forwarding.presence import NodeCount, Presence, PresenceDue
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.store_follower import FollowerHooks, FollowerSettings, StoreFollower
+from wingquay.forwarding.store_follower import (
+    FollowAgain,
+    FollowerHooks,
+    FollowerSettings,
+    StoreFollower,
+)
 from wingquay.model.failure import Failure
 from wingquay.model.replica_record import ReplicaRecord
 from wingquay.model.routing_table import CallerLimits, RoutingTable
@@ -108,22 +113,26 @@
         return self._lines.admit(self._decide(event, now), now)
 
     def _decide(self, event: Event, now: float) -> list[Action]:
-        if isinstance(event, StoreResponse) and self._presence.is_mine(event):
-            return self._presence.handle(event, now)
-        if isinstance(event, StoreResponse | WatchChanged | WatchBroken):
-            return self._follower.handle(event, now)
+        if isinstance(event, StoreResponse | WatchChanged | WatchBroken | FollowAgain):
+            return self._store_event(event, now)
         if isinstance(event, Start):
             return self._start(event, now)
         if isinstance(event, PresenceDue):
             return self._presence.handle(event, now)
         if isinstance(event, SweepDue):
             self._directory.forget_vanished(now)
-            return [*self._pace_actions(now), Schedule(now + SWEEP_SECONDS, event)]
+            return [*self._pace_actions(), Schedule(now + SWEEP_SECONDS, event)]
         if isinstance(event, StopRequested):
             return self._stop(now)
         if isinstance(event, StopCheckDue):
             return self._check_stop(now)
-        return self._forwarding.handle(event, now) or self._follower.handle(event, now)
+        actions = self._forwarding.handle(event, now)
+        return actions + self._pace_actions() if self._forwarding.held_exchanges else actions
+
+    def _store_event(self, event: Event, now: float) -> list[Action]:
+        if isinstance(event, StoreResponse) and self._presence.is_mine(event):
+            return self._presence.handle(event, now)
+        return self._follower.handle(event, now)
 
     def _start(self, event: Start, now: float) -> list[Action]:
         return [
@@ -158,15 +167,11 @@
                 self._directory.vanish(key.removeprefix(prefix), now)
             else:
                 self._nodes.remove(key)
-        return actions + self._ready_actions() + self._pace_actions(now)
-
-    def _pace_actions(self, now: float) -> list[Action]:
-        """Look at the store more often while records of replicas are missing."""
-        table = self._table
-        is_hurried = False
-        if table is not None and self._directory.is_settling(now):
-            services = {name for route in table.routes for name in route.all_services}
-            is_hurried = not all(self._directory.has_present(name) for name in services)
+        return actions + self._ready_actions()
+
+    def _pace_actions(self) -> list[Action]:
+        """Look at the store more often while requests are held for missing records."""
+        is_hurried = self._forwarding.held_exchanges > 0
         return self._follower.gather(self._settings.settle_gather_seconds if is_hurried else None)
 
     def _is_node_key(self, key: str) -> bool:
