--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -2,15 +2,17 @@
 
 from itertools import count
 
-from wingquay.admission.budget import RatioBudget
+from wingquay.forwarding.arrival_budget import ArrivalBudget
 from wingquay.forwarding.exchange import Attempt, ServiceCall
 from wingquay.forwarding.latencies import RouteLatencies
+from wingquay.forwarding.presence import NodeCount
 from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.forwarding.replica_state import ReplicaState
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.forwarding.timers import AbandonDue
 from wingquay.model.routing_table import RoutingTable
-from wingquay.ports.forwarding import CancelSend, SendToReplica
-from wingquay.ports.machine import Action, Schedule
+from wingquay.ports.forwarding import CancelSend, ReportedLoad, SendToReplica
+from wingquay.ports.machine import Action, Log, LogLevel, Schedule
 
 DEFAULT_CONNECTION_LIMIT = 24
 
@@ -23,13 +25,15 @@
         settings: ForwardingSettings,
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
+        nodes: NodeCount,
     ) -> None:
         self._settings = settings
         self._directory = directory
         self._latencies = latencies
+        self._nodes = nodes
         self._ids = count(1)
         self._open: dict[int, Attempt] = {}
-        self._budgets: dict[str, RatioBudget] = {}
+        self._budgets: dict[str, ArrivalBudget] = {}
         self._first_sent_at: float | None = None
 
     def get(self, attempt_id: int) -> Attempt | None:
@@ -62,7 +66,7 @@
         replica = self._directory.choose(call.service, excluded, limit, now, with_blocked)
         if replica is None:
             return []
-        if call.arrivals and not self._budget(call.service).spend():
+        if call.arrivals and not self._may_arrive_again(call, now):
             return []
         attempt_id = next(self._ids)
         attempt = Attempt(attempt_id, call, replica, now, is_hedge)
@@ -80,8 +84,7 @@
         call.arrivals -= 1
         self._not_run(attempt)
         if call.arrivals:
-            budget = self._budget(call.service)
-            budget.available = min(budget.burst, budget.available + 1.0)
+            self._budget(call.service).give_back()
 
     def not_run(self, attempt: Attempt) -> None:
         """Take in that a replica did not run the request."""
@@ -108,9 +111,24 @@
         self.finish(attempt)
         self.record_latency(attempt, now)
         is_long = now - attempt.sent_at >= self._settings.abandon_seconds
+        actions: list[Action] = [CancelSend(attempt.attempt_id)]
         if is_long and attempt.replica.is_silent_since(attempt.sent_at):
-            attempt.replica.on_failure(self._settings, True, now)
-        return [CancelSend(attempt.attempt_id)]
+            actions += self.failed(attempt, "silent", True, now)
+        return actions
+
+    def answered(self, attempt: Attempt, load: ReportedLoad | None, now: float) -> list[Action]:
+        """Take in that a replica answered an attempt."""
+        was_left_out = attempt.replica.on_answer(load, now)
+        self.record_latency(attempt, now)
+        return [replica_line("replica_back", attempt.replica)] if was_left_out else []
+
+    def failed(self, attempt: Attempt, reason: str, is_certain: bool, now: float) -> list[Action]:
+        """Take in that a replica failed an attempt without an answer."""
+        seconds = attempt.replica.on_failure(self._settings, is_certain, now)
+        if not seconds:
+            return []
+        fields = (("reason", reason), ("seconds", round(seconds, 2)))
+        return [replica_line("replica_left_out", attempt.replica, fields)]
 
     def record_latency(self, attempt: Attempt, now: float) -> None:
         """Take in how long an attempt took."""
@@ -144,11 +162,33 @@
             return 1
         known = table.services.get(service)
         limit = DEFAULT_CONNECTION_LIMIT if known is None else known.connection_limit
-        return max(1, limit // self._settings.most_nodes)
+        return max(1, limit // self._nodes.get(now))
+
+    def _may_arrive_again(self, call: ServiceCall, now: float) -> bool:
+        return self._budget(call.service).spend(self._nodes.get(now), now)
 
-    def _budget(self, service: str) -> RatioBudget:
+    def _budget(self, service: str) -> ArrivalBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RatioBudget(self._settings.retry_ratio, self._settings.retry_burst)
+            settings = self._settings
+            budget = ArrivalBudget(
+                settings.retry_ratio, settings.retry_slack, settings.retry_window_seconds
+            )
             self._budgets[service] = budget
         return budget
+
+
+def replica_line(
+    message: str,
+    replica: ReplicaState,
+    fields: tuple[tuple[str, str | int | float], ...] = (),
+) -> Log:
+    """Return a log line about what the node believes of a replica."""
+    record = replica.record
+    known = (
+        ("replica", record.replica_id),
+        ("service", record.service),
+        ("failures", replica.failures_in_row),
+        ("in_flight", len(replica.in_flight)),
+    )
+    return Log(message, LogLevel.INFO, (*known, *fields))
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -7,6 +7,7 @@
 from wingquay.forwarding.ending import ExchangeEnding
 from wingquay.forwarding.exchange import Attempt, Exchange, ServiceCall
 from wingquay.forwarding.latencies import RouteLatencies
+from wingquay.forwarding.presence import NodeCount
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.forwarding.timers import (
@@ -44,6 +45,8 @@
         Times and budgets.
     directory
         The replicas; kept up to date by another machine.
+    nodes
+        How many nodes there are; kept up to date by another machine.
     random_source
         Starts the rounds of weighted routes.
     """
@@ -52,23 +55,30 @@
         self,
         settings: ForwardingSettings,
         directory: ReplicaDirectory,
+        nodes: NodeCount,
         random_source: random.Random,
     ) -> None:
         self._settings = settings
         self._directory = directory
         self._latencies = RouteLatencies(settings)
-        self._sender = AttemptSender(settings, directory, self._latencies)
+        self._sender = AttemptSender(settings, directory, self._latencies, nodes)
         self._weights = WeightedChoice(random_source)
         self._waiting = WaitingLine()
         self._ending = ExchangeEnding()
         self._table: RoutingTable | None = None
         self._exchanges: dict[int, Exchange] = {}
+        self._held: set[int] = set()
 
     @property
     def open_exchanges(self) -> int:
         """The number of requests without an answer."""
         return len(self._exchanges)
 
+    @property
+    def held_exchanges(self) -> int:
+        """The number of requests that are held for missing records of replicas."""
+        return len(self._held)
+
     def set_table(self, table: RoutingTable) -> None:
         """Use a configuration for requests that arrive from now on."""
         self._table = table
@@ -105,11 +115,19 @@
         exchange = self._open(event, table, route, now)
         services = route.shards or (self._weights.choose(route),)
         exchange.calls = [ServiceCall(exchange, service) for service in services]
-        if route.shards and not self._can_be_enough(exchange, now):
-            return self._close(exchange, self._refuse(exchange, now), now)
-        actions: list[Action] = []
         for call in exchange.calls:
             self._sender.earn(call.service)
+        if not self._can_be_enough(exchange, now):
+            return self._hold_or_refuse(exchange, now)
+        return self._begin(exchange, now)
+
+    def _begin(self, exchange: Exchange, now: float) -> list[Action]:
+        """Send all calls and set the timers."""
+        event = exchange.event
+        route = exchange.route
+        self._held.discard(exchange.exchange_id)
+        actions: list[Action] = []
+        for call in exchange.calls:
             actions += self._start(call, now)
         actions.append(Schedule(exchange.ends_at, ExchangeEndDue(event.exchange_id)))
         if route.shards:
@@ -119,6 +137,16 @@
             actions.append(Schedule(hedge_at, HedgeDue(event.exchange_id)))
         return actions + self._settle(exchange, now)
 
+    def _hold_or_refuse(self, exchange: Exchange, now: float) -> list[Action]:
+        """Hold a request while records of replicas are missing; refuse it otherwise."""
+        whole_seconds = exchange.ends_at - exchange.arrived_at
+        held_until = exchange.arrived_at + whole_seconds * self._settings.hold_ratio
+        if not self._directory.is_settling(now) or now >= held_until:
+            return self._close(exchange, self._refuse(exchange, now), now)
+        self._held.add(exchange.exchange_id)
+        due_at = now + self._settings.retry_wait_seconds
+        return [Schedule(due_at, RetryDue(exchange.exchange_id))]
+
     def _open(
         self, event: ForwardRequested, table: RoutingTable, route: Route, now: float
     ) -> Exchange:
@@ -166,18 +194,18 @@
         if attempt is None:
             return []
         answer = event.answer
+        actions: list[Action] = []
         self._sender.finish(attempt)
         if answer.is_other_replica:
             self._directory.remove(attempt.replica.record.replica_id)
         elif answer.not_run:
             attempt.replica.on_shed(self._settings, now)
         else:
-            attempt.replica.on_answer(event.load, now)
-            self._sender.record_latency(attempt, now)
+            actions += self._sender.answered(attempt, event.load, now)
             if not answer.is_success and answer.status >= FIRST_SERVER_ERROR_STATUS:
                 attempt.replica.on_trouble(now)
         self._note(attempt, f"{answer.status}{' not run' if answer.not_run else ''}", now)
-        actions = self._take_answer(attempt, answer, now)
+        actions += self._take_answer(attempt, answer, now)
         return actions + self._serve_waiting(attempt.call.service, now)
 
     def _take_answer(self, attempt: Attempt, answer: ReplicaAnswer, now: float) -> list[Action]:
@@ -192,6 +220,7 @@
             return self._retry(call, now)
         if answer.is_success and answer.signature not in exchange.signatures:
             call.answer = answer
+            call.answered_at = now
             exchange.signatures.add(str(answer.signature))
             return self._sender.abandon(call, now) + self._settle(exchange, now)
         if not answer.is_success and answer.signature is not None:
@@ -208,18 +237,18 @@
         self._sender.finish(attempt)
         self._note(attempt, event.kind.value, now)
         was_sent = event.kind is not SendFailureKind.NOT_SENT
+        actions: list[Action] = []
         if event.kind is not SendFailureKind.MALFORMED:
-            attempt.replica.on_failure(self._settings, not was_sent, now)
+            actions += self._sender.failed(attempt, event.reason, not was_sent, now)
         else:
             attempt.replica.on_trouble(now)
         if not was_sent:
             self._sender.not_arrived(attempt)
-        actions: list[Action] = []
         if self._is_open(call.exchange) and call.answer is None:
             if was_sent and not call.exchange.is_repeatable:
-                actions = self._settle(call.exchange, now)
+                actions += self._settle(call.exchange, now)
             else:
-                actions = self._retry(call, now)
+                actions += self._retry(call, now)
         return actions + self._serve_waiting(call.service, now)
 
     def _retry(self, call: ServiceCall, now: float) -> list[Action]:
@@ -284,6 +313,9 @@
         return self._close(exchange, self._ending.out_of_time(exchange, now), now)
 
     def _retry_due(self, exchange: Exchange, now: float) -> list[Action]:
+        if exchange.exchange_id in self._held:
+            can_begin = self._can_be_enough(exchange, now)
+            return self._begin(exchange, now) if can_begin else self._hold_or_refuse(exchange, now)
         exchange.is_retry_due = False
         actions: list[Action] = []
         for call in exchange.calls:
@@ -342,7 +374,10 @@
         return self._ending.refuse(exchange, "no replica can be asked", usable_at - now, now)
 
     def _can_be_enough(self, exchange: Exchange, now: float) -> bool:
-        """Whether the shards of which a replica can be asked make an answer that is a success."""
+        """Whether the services of which a replica can be asked make a success."""
+        if not exchange.route.shards:
+            service = exchange.calls[0].service
+            return self._directory.has_any(service, now) or not self._directory.is_settling(now)
         usable = [self._directory.has_usable(call.service, now) for call in exchange.calls]
         return is_enough(exchange.route, sum(usable))
 
@@ -356,6 +391,7 @@
 
     def _close(self, exchange: Exchange, actions: list[Action], now: float) -> list[Action]:
         del self._exchanges[exchange.exchange_id]
+        self._held.discard(exchange.exchange_id)
         for call in exchange.calls:
             call.is_waiting = False
             actions = actions + self._sender.abandon(call, now)
