Test a whole node and the store client on loopback, against stand-ins

Change: a stand-in store (pages, watches, leases, conditions, lost history, refusals) and replicas; tests of the store client and of a whole node: pass-through unchanged, merge, callers that came before the configuration, own answers, chunks, planned stop. Readiness listens on port 0 in tests.

--- /dev/null
+++ b/tests/platform_adapter/test_store_client.py
@@ -0,0 +1,154 @@
+"""The platform's store client against a stand-in of the store on loopback."""
+
+import asyncio
+
+from testtools import TestCase
+
+from tests.adapters.raw_http import LOOPBACK, run
+from tests.platform_adapter.stand_in_platform import StandInStore
+from wingquay.model.failure import Failure
+from wingquay.platform.store_client import PlatformStoreClient
+from wingquay.ports.machine import Count, Event
+from wingquay.ports.store import (
+    CompareAndSwap,
+    GrantLease,
+    KeepLeaseAlive,
+    LeaseState,
+    Read,
+    RevokeLease,
+    StartWatch,
+    StopWatch,
+    StoreFailureKind,
+    StoreOperation,
+    StoreRequest,
+    StoreResponse,
+    StoreResult,
+    SwapResult,
+    WatchBroken,
+    WatchChanged,
+)
+
+
+class Client:
+    def __init__(self) -> None:
+        self.store = StandInStore()
+        self.events: asyncio.Queue[Event] = asyncio.Queue()
+        self.counts: list[Count] = []
+        self._operations = 0
+
+    async def start(self) -> None:
+        port = await self.store.start()
+        self.client = PlatformStoreClient(
+            LOOPBACK, port, self.events.put_nowait, self.counts.append
+        )
+
+    async def ask(self, operation: StoreOperation) -> StoreResult | Failure[StoreFailureKind]:
+        self._operations += 1
+        self.client.perform(StoreRequest(f"o{self._operations}", operation))
+        response = await self.events.get()
+        assert isinstance(response, StoreResponse)
+        assert response.operation_id == f"o{self._operations}"
+        return response.result
+
+
+class OperationsTest(TestCase):
+    def test_all_pages_are_read_and_the_first_ones_revision_counts(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.page_items = 2
+            for number in range(5):
+                client.store.put(f"a/{number}", number)
+            client.store.put("b/0", 0)
+            result = await client.ask(Read("a/", prefix=True))
+            self.assertEqual([f"a/{number}" for number in range(5)], [v.key for v in result.values])
+            self.assertEqual([b"0", b"1"], [v.value for v in result.values[:2]])
+            self.assertEqual(6, result.store_revision)
+
+        run(test())
+
+    def test_leases_and_swaps(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            lease = await client.ask(GrantLease(30))
+            self.assertEqual(LeaseState(1, 30.0), lease)
+            swap = CompareAndSwap("nodes/n", 0, b"1", 1)
+            self.assertTrue((await client.ask(swap)).succeeded)
+            again = await client.ask(swap)
+            self.assertIsInstance(again, SwapResult)
+            self.assertFalse(again.succeeded)
+            self.assertEqual((b"1", 1), (again.current.value, again.current.lease_id))
+            self.assertEqual(30.0, (await client.ask(KeepLeaseAlive(1))).time_to_live_seconds)
+            self.assertEqual(0.0, (await client.ask(KeepLeaseAlive(9))).time_to_live_seconds)
+            self.assertEqual(6, len(client.counts) + 1)
+
+        run(test())
+
+    def test_refusals_are_told_apart(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            for status, kind in (
+                (429, StoreFailureKind.RATE_LIMITED),
+                (503, StoreFailureKind.UNREACHABLE),
+            ):
+                for operation in (Read("", prefix=True), GrantLease(30)):
+                    client.store.statuses.append(status)
+                    self.assertIs(kind, (await client.ask(operation)).kind)
+            failure = await client.ask(RevokeLease(1))
+            self.assertIs(StoreFailureKind.MALFORMED, failure.kind)
+
+        run(test())
+
+
+class WatchTest(TestCase):
+    def test_changes_are_told_with_the_last_state_of_each_key(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.put("a", 1)
+            client.store.put("a", 2)
+            client.store.put("b", 1)
+            client.store.remove("b")
+            client.client.start_watch(StartWatch("w", "", 0))
+            event = await client.events.get()
+            self.assertIsInstance(event, WatchChanged)
+            self.assertEqual([b"2"], [item.value for item in event.changed])
+            self.assertEqual((("b",), 4), (event.deleted, event.store_revision))
+            client.store.put("c", 1)
+            self.assertEqual("c", (await client.events.get()).changed[0].key)
+            client.client.stop_watch(StopWatch("w"))
+
+        run(test())
+
+    def test_lost_history_and_trouble_end_the_watch(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.put("a", 1)
+            client.store.forget_history()
+            client.client.start_watch(StartWatch("w", "", 0))
+            broken = await client.events.get()
+            self.assertIsInstance(broken, WatchBroken)
+            self.assertTrue(broken.history_lost)
+            client.store.statuses.append(503)
+            client.client.start_watch(StartWatch("w2", "", 1))
+            self.assertFalse((await client.events.get()).history_lost)
+
+        run(test())
+
+    def test_a_pace_gathers_changes_into_one_look(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.put("a", 0)
+            client.client.start_watch(StartWatch("w", "", 0, gather_seconds=0.3))
+            await client.events.get()
+            for number in range(5):
+                client.store.put("a", number)
+            event = await client.events.get()
+            self.assertEqual([b"4"], [item.value for item in event.changed])
+            self.assertEqual(2, client.store.calls["/-/kv-watch"])
+
+        run(test())
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -55,6 +55,7 @@
         self._settings = settings
         self._metrics = DeferredMetrics()
         self._log = DeferredLog(sys.stdout, {"node": settings.node})
+        self.readiness_port = settings.readiness.port
         self._is_ready = False
         self._has_news = asyncio.Event()
         self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
@@ -71,13 +72,13 @@
             random.Random(secrets.randbits(SEED_BITS)),
         )
         self._runtime = NodeRuntime(machine, asyncio.get_running_loop())
-        self._server = ForwardingServer(PlatformCallerDialect(), self._emit)
+        self._server = ForwardingServer(PlatformCallerDialect(), self.emit)
         self._readiness = HttpServer(self._answer_readiness)
         self._page = HttpServer(self._answer_metrics)
         count = self._metrics.count
-        self._replicas = ReplicaClient(PlatformReplicaDialect(), self._emit, count)
+        self._replicas = ReplicaClient(PlatformReplicaDialect(), self.emit, count)
         store = settings.store
-        self._store = PlatformStoreClient(store.host, store.port, self._emit, count)
+        self._store = PlatformStoreClient(store.host, store.port, self.emit, count)
         self._register()
 
     async def run(self, listening: socket.socket) -> Exit:
@@ -88,15 +89,16 @@
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._emit, StopRequested())
+            loop.add_signal_handler(number, self.emit, StopRequested())
         # What the settings say of this node cannot change while it runs.
         loop.add_signal_handler(signal.SIGHUP, self._log.perform, Log("settings_kept"))
         settings = self._settings
-        await self._readiness.start(settings.readiness.host, settings.readiness.port)
+        readiness = settings.readiness
+        self.readiness_port = await self._readiness.start(readiness.host, readiness.port)
         if settings.metrics is not None:
             await self._page.start(settings.metrics.host, settings.metrics.port)
         self._log.perform(Log("node_started", fields=(("zone", settings.zone),)))
-        self._emit(Start())
+        self.emit(Start())
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._has_news.wait(), ACCEPT_SECONDS)
         await self._server.serve_on(listening)
@@ -110,7 +112,8 @@
         self._log.load()
         return ended
 
-    def _emit(self, event: Event) -> None:
+    def emit(self, event: Event) -> None:
+        """Hand an event to the decisions."""
         self._runtime.emit(event)
 
     def _register(self) -> None:
