--- a/benchmarks/configuration_scale.py
+++ b/benchmarks/configuration_scale.py
@@ -35,11 +35,11 @@
 from wingquay.configuration.keys import CURRENT_KEY
 from wingquay.model.intent import AssignClass, Intent
 from wingquay.ports.operator import ConfirmPlan, ConfirmResult, PlanResult, ProposePlan
-from wingquay.rehearsal.configuration_cluster import ConfigurationCluster
-from wingquay.rehearsal.hollow_node import HollowNode
-from wingquay.rehearsal.models.store_faults import StoreFaults
-from wingquay.rehearsal.models.store_model import StoreSettings
-from wingquay.rehearsal.models.store_operations import prefix_span
+from wingquay.simulation.configuration_cluster import ConfigurationCluster
+from wingquay.simulation.hollow_node import HollowNode
+from wingquay.simulation.models.store_faults import StoreFaults
+from wingquay.simulation.models.store_model import StoreSettings
+from wingquay.simulation.models.store_operations import prefix_span
 
 NODE_COUNTS = (8, 32, 128, 470)
 LARGEST_BY_DEFAULT = 128
@@ -166,7 +166,7 @@
 
 
 def founded(nodes: int, seed: int, settings: StoreSettings) -> ConfigurationCluster:
-    """Return a fleet with revision 1 in force everywhere and its watcher seats taken."""
+    """Return a fleet with revision 1 in force everywhere and its watcher assignments taken."""
     sizes = {zone: nodes // len(ZONES) for zone in ZONES}
     sizes[ZONES[0]] += nodes - sum(sizes.values())
     cluster = ConfigurationCluster(seed, sizes, settings)
--- a/benchmarks/support/tier.py
+++ b/benchmarks/support/tier.py
@@ -19,7 +19,7 @@
 from wingquay.adapters.http_messages import HttpResponse
 from wingquay.configuration.keys import CURRENT_KEY
 from wingquay.model.configuration import Configuration
-from wingquay.rehearsal.models.store_model import StoreSettings
+from wingquay.simulation.models.store_model import StoreSettings
 from wingquay.standins.store import StoreStandin
 
 LOOPBACK = "127.0.0.1"
--- a/scripts/process_rehearsal/system.py
+++ b/scripts/process_rehearsal/system.py
@@ -13,7 +13,7 @@
 from wingquay.demo.operator import DemoOperator, intents_for
 from wingquay.model.configuration import Configuration
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.deployment_profile import (
+from wingquay.simulation.deployment_profile import (
     ClassProfile,
     DeploymentProfile,
     KindProfile,
--- a/tests/adapters/test_store_client.py
+++ b/tests/adapters/test_store_client.py
@@ -45,7 +45,7 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.rehearsal.models.store_model import StoreSettings
+from wingquay.simulation.models.store_model import StoreSettings
 from wingquay.standins.store import StoreStandin
 from wingquay.standins.store_admin import BreakWatches, FailMachineList, LapseLease, PutMachine
 
--- a/tests/adapters/test_store_client_faults.py
+++ b/tests/adapters/test_store_client_faults.py
@@ -16,8 +16,8 @@
     StoreResponse,
     SwapResult,
 )
-from wingquay.rehearsal.models.store_model import StoreSettings
-from wingquay.rehearsal.models.store_operations import prefix_span
+from wingquay.simulation.models.store_model import StoreSettings
+from wingquay.simulation.models.store_operations import prefix_span
 from wingquay.standins.store import StoreStandin
 from wingquay.standins.store_admin import LoseReplies, Silence, SlowDown
 
--- a/tests/claims/test_late_messages.py
+++ b/tests/claims/test_late_messages.py
@@ -5,10 +5,10 @@
 from testtools import TestCase
 
 from tests.claims.world import DEPLOYMENT, World, quick_settings
-from wingquay.claims.directory import SeatDirectory
+from wingquay.claims.assignment import AssignmentStatus, AssignmentTable
+from wingquay.claims.directory import AssignmentDirectory
 from wingquay.claims.keys import claim_key, partition_of, request_digest
 from wingquay.claims.memory import MemoryUse, PartitionMemory
-from wingquay.claims.seat import SeatStatus, SeatTable
 from wingquay.claims.transfers import TableTransfers
 from wingquay.claims.voter import Voter
 from wingquay.model.identifiers import CallerName, NodeId, RequestId, ServiceName, ZoneName
@@ -41,19 +41,19 @@
     return ClaimOutcome(KEY_DIGEST, "digest", request_id, round_number, None)
 
 
-def vouching_voter() -> Voter:
+def voting_voter() -> Voter:
     identity = NodeIdentity(NodeId("n0"), DEPLOYMENT, ZONES[0], "127.0.0.1", 7000)
-    seats = SeatTable(quick_settings(), identity)
-    seat = seats.seats[partition_of(KEY_DIGEST)]
-    seats.begin_epoch(seat, 1, ZONES)
-    seats.vouch(seat)
-    seat.confirmed_at = 0.0
-    return Voter(seats)
+    assignments = AssignmentTable(quick_settings(), identity)
+    assignment = assignments.assignments[partition_of(KEY_DIGEST)]
+    assignments.begin_epoch(assignment, 1, ZONES)
+    assignments.vote(assignment)
+    assignment.confirmed_at = 0.0
+    return Voter(assignments)
 
 
 class Voters(TestCase):
     def test_a_late_release_does_not_undo_a_later_round(self) -> None:
-        voter = vouching_voter()
+        voter = voting_voter()
         self.assertEqual(VoteKind.GRANTED, voter.vote(request(FIRST, 2), 0.0).vote)
         voter.record_outcome(release(FIRST, 1), 0.0)
         self.assertEqual(VoteKind.ALREADY_CLAIMED, voter.vote(request(SECOND), 0.0).vote)
@@ -61,7 +61,7 @@
         self.assertEqual(VoteKind.GRANTED, voter.vote(request(SECOND), 0.0).vote)
 
     def test_a_release_does_not_undo_an_outcome(self) -> None:
-        voter = vouching_voter()
+        voter = voting_voter()
         voter.vote(request(FIRST), 0.0)
         voter.record_outcome(ClaimOutcome(KEY_DIGEST, "digest", FIRST, 1, b"done"), 0.0)
         voter.record_outcome(release(FIRST, 1), 0.0)
@@ -85,26 +85,29 @@
         here, there = (
             NodeIdentity(NodeId(zone), DEPLOYMENT, zone, "127.0.0.1", 7000) for zone in zones
         )
-        seats = SeatTable(quick_settings(), here)
-        directory = SeatDirectory()
+        assignments = AssignmentTable(quick_settings(), here)
+        directory = AssignmentDirectory()
         directory.update((here, there), ())
-        transfers = TableTransfers(quick_settings(), seats, directory)
-        seat = seats.seats[0]
+        transfers = TableTransfers(quick_settings(), assignments, directory)
+        assignment = assignments.assignments[0]
 
         def request_in(epoch: int) -> ClaimTableRequest:
-            seats.begin_epoch(seat, epoch, zones)
-            seat.ask_tables_soon(0.0, 1.0)
+            assignments.begin_epoch(assignment, epoch, zones)
+            assignment.ask_tables_soon(0.0, 1.0)
             (sent,) = transfers.tick(0.0)
             assert isinstance(sent, SendToPeer)
             assert isinstance(sent.message, ClaimTableRequest)
             return sent.message
 
         first, second = request_in(2), request_in(4)
-        for request, expected in ((first, SeatStatus.REBUILDING), (second, SeatStatus.VOUCHING)):
+        for request, expected in (
+            (first, AssignmentStatus.REBUILDING),
+            (second, AssignmentStatus.VOTING),
+        ):
             transfer_id = request.transfer_id
             table = ClaimTable(0, transfer_id, True, False, 1, (), 0.0, "table", ())
             transfers.receive(there, table, 0.0)
-            self.assertIs(expected, seat.status)
+            self.assertIs(expected, assignment.status)
 
 
 class Delays(TestCase):
@@ -125,15 +128,15 @@
         world.advance(3.0)
         self.assertEqual(ClaimDecisionKind.IN_PROGRESS, submission.decision)
 
-    def test_a_late_copy_of_a_seat_is_not_taken(self) -> None:
-        """Seat and memory go from n0 to n1 to n2; then n0's first copy reaches n1."""
+    def test_a_late_copy_of_a_assignment_is_not_taken(self) -> None:
+        """Assignment and memory go from n0 to n1 to n2; then n0's first copy reaches n1."""
         world = World(1, 1)
         world.settle()
         held: list[PeerMessage] = []
 
         def delay(message: PeerMessage) -> float | None:
-            is_seat = isinstance(message, ClaimTable) and message.handed_over
-            if not is_seat or message.partition in {entry.partition for entry in held}:
+            is_assignment = isinstance(message, ClaimTable) and message.handed_over
+            if not is_assignment or message.partition in {entry.partition for entry in held}:
                 return None
             held.append(message)
             return 20.0
--- a/tests/claims/test_mechanisms.py
+++ b/tests/claims/test_mechanisms.py
@@ -24,7 +24,7 @@
 
 
 def holder(world: World, zone_index: int) -> SimulatedNode:
-    """Return the node that truly holds the zone's seat for the key."""
+    """Return the node that truly holds the zone's assignment for the key."""
     zone = world.zones[zone_index]
     identity = world.living(zone)[0].machine.holder(zone, PARTITION)
     assert identity is not None
@@ -50,8 +50,8 @@
     world.advance(5.0)
 
 
-def seat_taken_over_from_a_living_holder(world: World) -> None:
-    """The first submission asks the old holder of a seat, the second one the new holder."""
+def assignment_taken_over_from_a_living_holder(world: World) -> None:
+    """The first submission asks the old holder of an assignment, the second one the new holder."""
     old = holder(world, 0)
     new = other_than(world, old)
     believers = [node for node in world.living() if node is not old]
@@ -117,8 +117,8 @@
     def test_quorum(self) -> None:
         self.check(Mechanism.CLAIM_QUORUM, 2, cut_zones)
 
-    def test_seat_epochs(self) -> None:
-        self.check(Mechanism.CLAIM_SEAT_EPOCHS, 3, seat_taken_over_from_a_living_holder)
+    def test_assignment_epochs(self) -> None:
+        self.check(Mechanism.CLAIM_ASSIGNMENT_EPOCHS, 3, assignment_taken_over_from_a_living_holder)
 
     def test_rebuild(self) -> None:
         self.check(Mechanism.CLAIM_REBUILD, 3, new_holder_after_a_crash)
@@ -128,7 +128,7 @@
 
 
 class CrossedTakeovers(TestCase):
-    """Two zones' seats are taken over at the same time, each seeing the other's old holder.
+    """Two zones' assignments are taken over at the same time, each seeing the other's old holder.
 
     Were the epochs agreed by the voters alone, each new holder could rebuild from the other
     zone's old one, and two pairs of voters, each blind to the other, would both be a majority.
--- a/tests/claims/test_real_nodes.py
+++ b/tests/claims/test_real_nodes.py
@@ -10,7 +10,7 @@
 from wingquay.demo.deployment import CALLER_TOKEN, OPERATOR_TOKEN, DemoDeployment
 from wingquay.demo.operator import DemoOperator, intents_for
 from wingquay.model.answer import Outcome
-from wingquay.rehearsal.deployment_profile import (
+from wingquay.simulation.deployment_profile import (
     ClassProfile,
     DeploymentProfile,
     KindProfile,
@@ -65,7 +65,7 @@
         return Question("intake", "edit", keys, idempotency_key=key, body=body)
 
     async def ask_until_run(self, node_index: int, question: Question) -> Reply:
-        """Ask until the voters have come to vouch after the start."""
+        """Ask until the voters have come to vote after the start."""
         while True:
             reply = await self.caller.ask(node_index, question)
             if reply.outcome is Outcome.COMPLETE:
--- a/tests/claims/test_scenarios.py
+++ b/tests/claims/test_scenarios.py
@@ -27,8 +27,8 @@
     return submission.decision
 
 
-def vouching(world: World, zone: ZoneName) -> int:
-    return sum(node.machine.report().seats_vouching for node in world.living(zone))
+def voting(world: World, zone: ZoneName) -> int:
+    return sum(node.machine.report().assignments_voting for node in world.living(zone))
 
 
 def holder_of(world: World, key: str, zone: ZoneName) -> SimulatedNode:
@@ -140,7 +140,7 @@
             world.crash(holder_of(world, KEY, world.zones[0]))
             world.tell_membership()
             world.advance(6.0)
-            self.assertEqual(PARTITIONS, vouching(world, world.zones[0]), zone_count)
+            self.assertEqual(PARTITIONS, voting(world, world.zones[0]), zone_count)
             self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, world.living()[-1]))
 
     def test_voters_replaced_one_by_one_lose_nothing(self) -> None:
@@ -154,12 +154,12 @@
                 world.leave(old)
                 world.tell_membership()
                 world.advance(5.0)
-                self.assertEqual(0, old.machine.seats_to_hand_over)
+                self.assertEqual(0, old.machine.assignments_to_hand_over)
                 world.crash(old)
                 world.tell_membership()
                 world.advance(1.0)
             for zone in world.zones:
-                self.assertEqual(PARTITIONS, vouching(world, zone))
+                self.assertEqual(PARTITIONS, voting(world, zone))
             self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, world.living()[-1]))
 
     def test_a_restarted_lone_node_rebuilds_within_seconds(self) -> None:
@@ -182,7 +182,7 @@
                 world.start_node(zone)
             world.tell_membership()
             world.advance(5.0)
-            self.assertEqual(PARTITIONS, vouching(world, zone))
+            self.assertEqual(PARTITIONS, voting(world, zone))
         self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, world.living()[0]))
 
     def test_after_all_memory_was_lost_nothing_is_granted_until_it_is_forgotten_anyway(
@@ -207,7 +207,7 @@
         world = settled(3)
         world.store.is_down = True
         decide(world, world.living()[0])
-        world.advance(world.settings.seat_validity_seconds - 20.0)
+        world.advance(world.settings.assignment_validity_seconds - 20.0)
         self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, world.living()[-1]))
         world.crash(holder_of(world, KEY, world.zones[0]))
         world.tell_membership()
@@ -215,7 +215,7 @@
         self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, world.living()[-1]))
         world.store.is_down = False
         world.advance(10.0)
-        self.assertEqual(PARTITIONS, vouching(world, world.zones[0]))
+        self.assertEqual(PARTITIONS, voting(world, world.zones[0]))
 
     def test_takeovers_get_through_lost_replies(self) -> None:
         for seed in range(10):
@@ -226,7 +226,7 @@
             world.crash(world.living(world.zones[0])[0])
             world.tell_membership()
             world.advance(90.0)
-            self.assertEqual(PARTITIONS, vouching(world, world.zones[0]), seed)
+            self.assertEqual(PARTITIONS, voting(world, world.zones[0]), seed)
 
     def test_another_list_of_zones_keeps_the_memory(self) -> None:
         before = ("z0", "z1", "z2")
@@ -242,7 +242,7 @@
             self.assertEqual(ClaimDecisionKind.ALREADY_DONE, decide(world, node), after)
             self.assertEqual(ClaimDecisionKind.GRANTED, decide(world, node, "k1"), after)
             for zone in world.zones:
-                self.assertEqual(PARTITIONS, vouching(world, zone), after)
+                self.assertEqual(PARTITIONS, voting(world, zone), after)
 
     def test_another_list_of_zones_without_memory_waits(self) -> None:
         world = settled(3, nodes_per_zone=1)
@@ -273,7 +273,7 @@
         world = settled(3)
         before = world.store.operations
         intervals = 20
-        world.advance(intervals * world.settings.seat_confirm_interval_seconds)
+        world.advance(intervals * world.settings.assignment_confirm_interval_seconds)
         reads = world.store.operations - before
         # The interval is shortened by up to a half, so that nodes do not read together.
         self.assertTrue(reads <= 2 * intervals * len(world.living()), reads)
@@ -282,5 +282,5 @@
 class Settings(TestCase):
     def test_defaults_outlast_a_store_outage_of_hours(self) -> None:
         settings = ClaimsSettings()
-        spare = settings.seat_validity_seconds - settings.seat_confirm_interval_seconds
+        spare = settings.assignment_validity_seconds - settings.assignment_confirm_interval_seconds
         self.assertEqual(3.5 * 3600, spare)
--- a/tests/claims/world.py
+++ b/tests/claims/world.py
@@ -52,8 +52,8 @@
     return ClaimsSettings(
         retention_seconds=RETENTION_SECONDS,
         retention_margin_seconds=5.0,
-        seat_validity_seconds=60.0,
-        seat_confirm_interval_seconds=10.0,
+        assignment_validity_seconds=60.0,
+        assignment_confirm_interval_seconds=10.0,
         join_takeover_delay_seconds=15.0,
         disabled=disabled,
     )
@@ -324,5 +324,5 @@
         self.now = until
 
     def settle(self) -> None:
-        """Pass the time in which a tier without faults comes to vouch everywhere."""
+        """Pass the time in which a tier without faults comes to vote everywhere."""
         self.advance(8.0)
--- a/tests/configuration/fleet.py
+++ b/tests/configuration/fleet.py
@@ -13,9 +13,9 @@
     PlanResult,
     ProposePlan,
 )
-from wingquay.rehearsal.configuration_cluster import ConfigurationCluster
-from wingquay.rehearsal.hollow_node import HollowNode
-from wingquay.rehearsal.models.store_model import StoreSettings
+from wingquay.simulation.configuration_cluster import ConfigurationCluster
+from wingquay.simulation.hollow_node import HollowNode
+from wingquay.simulation.models.store_model import StoreSettings
 
 SIZES = {"cluj-a": 3, "cluj-b": 3}
 
@@ -62,7 +62,7 @@
     sizes: dict[str, int] | None = None,
     settings: StoreSettings | None = None,
 ) -> ConfigurationCluster:
-    """Return a fleet in which revision 1 is in force everywhere and the seats are taken."""
+    """Return a fleet in which revision 1 is in force everywhere and the assignments are taken."""
     cluster = ConfigurationCluster(seed, sizes or SIZES, settings)
     cluster.run(5.0)
     first = cluster.nodes[0]
--- a/tests/configuration/test_configuration_stateful.py
+++ b/tests/configuration/test_configuration_stateful.py
@@ -36,10 +36,10 @@
     PlanResult,
     ProposePlan,
 )
-from wingquay.rehearsal.configuration_cluster import ConfigurationCluster
-from wingquay.rehearsal.hollow_node import HollowNode
-from wingquay.rehearsal.models.store_model import StoreSettings
-from wingquay.rehearsal.models.store_operations import prefix_span
+from wingquay.simulation.configuration_cluster import ConfigurationCluster
+from wingquay.simulation.hollow_node import HollowNode
+from wingquay.simulation.models.store_model import StoreSettings
+from wingquay.simulation.models.store_operations import prefix_span
 
 INTENTS: tuple[Intent, ...] = (
     assign(),
--- a/tests/configuration/test_confirm.py
+++ b/tests/configuration/test_confirm.py
@@ -34,9 +34,9 @@
     StatusResult,
 )
 from wingquay.ports.store import CompareAndSwap
-from wingquay.rehearsal.configuration_cluster import ConfigurationCluster
-from wingquay.rehearsal.models.store_model import StoreModel, StoreSettings
-from wingquay.rehearsal.models.store_operations import prefix_span
+from wingquay.simulation.configuration_cluster import ConfigurationCluster
+from wingquay.simulation.models.store_model import StoreModel, StoreSettings
+from wingquay.simulation.models.store_operations import prefix_span
 
 
 def stored_keys(cluster: ConfigurationCluster, prefix: str) -> list[str]:
--- a/tests/configuration/test_in_force_everywhere.py
+++ b/tests/configuration/test_in_force_everywhere.py
@@ -10,26 +10,26 @@
 from wingquay.configuration import watcher as watcher_module
 from wingquay.configuration.document import pack_body
 from wingquay.configuration.in_force import InForce
-from wingquay.configuration.keys import seats_prefix
+from wingquay.configuration.keys import assignments_prefix
 from wingquay.configuration.node_view import NodeView
 from wingquay.model.identifiers import Revision, ZoneName
 from wingquay.ports.operator import ConfirmPlan
 from wingquay.ports.peer import ConfigurationBody, PeerReceived
-from wingquay.rehearsal.configuration_cluster import ConfigurationCluster
-from wingquay.rehearsal.hollow_node import HollowNode
-from wingquay.rehearsal.models.store_model import StoreSettings
-from wingquay.rehearsal.models.store_operations import prefix_span
+from wingquay.simulation.configuration_cluster import ConfigurationCluster
+from wingquay.simulation.hollow_node import HollowNode
+from wingquay.simulation.models.store_model import StoreSettings
+from wingquay.simulation.models.store_operations import prefix_span
 
 IN_FORCE_SECONDS = 4.0
 """The aim of issue 5."""
 
 
 def watchers(cluster: ConfigurationCluster, zone: str) -> list[HollowNode]:
-    """Return the nodes of a zone that hold a seat."""
+    """Return the nodes of a zone that hold an assignment."""
     return [
         node
         for node in cluster.nodes
-        if node.identity.zone == zone and node.machine.holds_watcher_seat
+        if node.identity.zone == zone and node.machine.holds_watcher_assignment
     ]
 
 
@@ -79,7 +79,7 @@
     def test_watchers_pass_it_on_when_the_confirming_node_dies(self) -> None:
         cluster = founded(6)
         for node in cluster.nodes:
-            if not node.machine.holds_watcher_seat:
+            if not node.machine.holds_watcher_assignment:
                 break
         plan = plan_id(cluster, node, assign())
         swaps = cluster.counts["store_CompareAndSwap"]
@@ -200,17 +200,17 @@
 class WatcherTest(TestCase):
     """Few watchers a zone; one that was paused past its lease knows it."""
 
-    def seat_keys(self, cluster: ConfigurationCluster, zone: str) -> list[bytes]:
-        span = prefix_span(seats_prefix(ZoneName(zone)))
+    def assignment_keys(self, cluster: ConfigurationCluster, zone: str) -> list[bytes]:
+        span = prefix_span(assignments_prefix(ZoneName(zone)))
         return [entry.key for entry in cluster.store.state.read(span)]
 
-    def test_two_nodes_of_each_zone_hold_the_seats(self) -> None:
+    def test_two_nodes_of_each_zone_hold_the_assignments(self) -> None:
         cluster = founded(20, {"cluj-a": 8, "cluj-b": 2})
         for zone in ("cluj-a", "cluj-b"):
             self.assertEqual(2, len(watchers(cluster, zone)))
-            self.assertEqual(2, len(self.seat_keys(cluster, zone)))
+            self.assertEqual(2, len(self.assignment_keys(cluster, zone)))
 
-    def test_while_the_seats_are_taken_nobody_tries_to_take_them(self) -> None:
+    def test_while_the_assignments_are_taken_nobody_tries_to_take_them(self) -> None:
         cluster = founded(20, {"cluj-a": 8})
         leases = cluster.counts["store_GrantLease"]
         cluster.run(60.0)
@@ -229,18 +229,18 @@
         # Two watchers: 40 renewals and 12 looks, and some 20 watches with a read each.
         self.assertLess(cluster.store_request_count(), 150)
 
-    def test_a_seat_whose_holder_died_is_taken_again(self) -> None:
+    def test_a_assignment_whose_holder_died_is_taken_again(self) -> None:
         cluster = founded(21, {"cluj-a": 8})
         for node in watchers(cluster, "cluj-a"):
             cluster.restart(node)
         cluster.run(30.0)
         self.assertEqual(2, len(watchers(cluster, "cluj-a")))
 
-    def test_a_planned_stop_gives_the_seat_back_at_once(self) -> None:
+    def test_a_planned_stop_gives_the_assignment_back_at_once(self) -> None:
         cluster = founded(22, {"cluj-a": 2})
         cluster.stop(watchers(cluster, "cluj-a")[0])
         cluster.run(0.1)
-        self.assertEqual(1, len(self.seat_keys(cluster, "cluj-a")))
+        self.assertEqual(1, len(self.assignment_keys(cluster, "cluj-a")))
 
     def test_a_holder_that_was_paused_past_its_lease_does_not_act_on_it(self) -> None:
         cluster = founded(23, {"cluj-a": 8})
@@ -255,7 +255,7 @@
         seen = [event for event in paused.waiting if type(event).__name__ == "WatchChanged"]
         self.assertNotEqual([], seen)
         self.assertEqual([], [a for a in cut_off.handle(seen[0], cluster.now) if is_send(a)])
-        self.assertFalse(cut_off.holds_watcher_seat)
+        self.assertFalse(cut_off.holds_watcher_assignment)
         self.assertEqual(1, cut_off.revision)
 
     def test_a_lease_that_lapsed_in_the_store_ends_the_tenure(self) -> None:
@@ -264,7 +264,7 @@
         for lease_id in range(1, 50):
             cluster.store.lapse_lease(lease_id, cluster.now)
         cluster.run(3.5)
-        self.assertEqual(2, sum(node.logs["watcher_seat_ended"] for node in holders))
+        self.assertEqual(2, sum(node.logs["watcher_assignment_ended"] for node in holders))
 
 
 def is_send(action: object) -> bool:
--- a/tests/models/test_backend_model.py
+++ b/tests/models/test_backend_model.py
@@ -8,11 +8,11 @@
 from wingquay.model.identifiers import SnapshotVersion as Version
 from wingquay.model.key_range import EVERYTHING, KeyRange
 from wingquay.ports.backend import BackendFailureKind, LoadReport
-from wingquay.rehearsal.models.backend_messages import BackendExchange, BackendReply, ReplyKind
-from wingquay.rehearsal.models.backend_model import BackendModel
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.dataset import Dataset
-from wingquay.rehearsal.models.service_time import ServiceTimeSettings, draw_fate
+from wingquay.simulation.models.backend_messages import BackendExchange, BackendReply, ReplyKind
+from wingquay.simulation.models.backend_model import BackendModel
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.dataset import Dataset
+from wingquay.simulation.models.service_time import ServiceTimeSettings, draw_fate
 
 SERVICE = ServiceName("coverage-lookup")
 SHARD = ShardId("coverage-0")
--- a/tests/models/test_backend_model_fuzz.py
+++ b/tests/models/test_backend_model_fuzz.py
@@ -15,11 +15,11 @@
     SnapshotVersion,
 )
 from wingquay.model.key_range import EVERYTHING, KeyRange, intersect
-from wingquay.rehearsal.models.backend_messages import BackendExchange, ReplyKind
-from wingquay.rehearsal.models.backend_model import BackendModel
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.dataset import Dataset
-from wingquay.rehearsal.models.service_time import ServiceTimeSettings
+from wingquay.simulation.models.backend_messages import BackendExchange, ReplyKind
+from wingquay.simulation.models.backend_model import BackendModel
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.dataset import Dataset
+from wingquay.simulation.models.service_time import ServiceTimeSettings
 
 SERVICE = ServiceName("coverage-lookup")
 SHARD = ShardId("coverage-0")
--- a/tests/models/test_store_model.py
+++ b/tests/models/test_store_model.py
@@ -22,9 +22,9 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.rehearsal.models.machine_list_model import MachineListModel
-from wingquay.rehearsal.models.store_model import StoreModel, StoreSettings
-from wingquay.rehearsal.models.store_operations import StoreOutput, prefix_span
+from wingquay.simulation.models.machine_list_model import MachineListModel
+from wingquay.simulation.models.store_model import StoreModel, StoreSettings
+from wingquay.simulation.models.store_operations import StoreOutput, prefix_span
 
 KEY = "wingquay/configuration/current"
 PREFIX = "wingquay/"
--- a/tests/query/small_tier.py
+++ b/tests/query/small_tier.py
@@ -47,10 +47,10 @@
 from wingquay.ports.internal import ConfigurationInForce, MembershipChanged
 from wingquay.ports.machine import Action, Event, Schedule, Start
 from wingquay.ports.peer import NodeIdentity, PeerReceived, SendToPeer
-from wingquay.rehearsal.models.backend_messages import BackendExchange
-from wingquay.rehearsal.models.backend_model import BackendModel
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.dataset import Dataset
+from wingquay.simulation.models.backend_messages import BackendExchange
+from wingquay.simulation.models.backend_model import BackendModel
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.dataset import Dataset
 
 LATENCY_SECONDS = 0.001
 DEPLOYMENT = DeploymentName("ro-nord")
--- a/tests/query/test_recovery.py
+++ b/tests/query/test_recovery.py
@@ -8,7 +8,7 @@
 from tests.query.small_tier import SmallTier
 from wingquay.model.key_range import KeyRange
 from wingquay.orchestration.settings import NodeMachineSettings
-from wingquay.rehearsal.models.backend_model import BackendModel
+from wingquay.simulation.models.backend_model import BackendModel
 
 STRAGGLER_SHARE = 0.02
 PINGS = 60
--- a/tests/rehearsal/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -8,7 +8,7 @@
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.ports.machine import Action
-from wingquay.rehearsal.forwarding.faults import (
+from wingquay.simulation.forwarding.faults import (
     FAULTS,
     Fault,
     callers_leave,
@@ -17,8 +17,8 @@
     replica_slow,
     reshard,
 )
-from wingquay.rehearsal.forwarding.settings import SimulationSettings
-from wingquay.rehearsal.forwarding.simulation import ForwardingSimulation
+from wingquay.simulation.forwarding.settings import SimulationSettings
+from wingquay.simulation.forwarding.simulation import ForwardingSimulation
 
 SHORT = SimulationSettings(seconds=6.0, requests_per_second=50.0)
 
--- a/tests/rehearsal/test_capacity.py
+++ b/tests/simulation/test_capacity.py
@@ -5,11 +5,11 @@
 from wingquay.commands import capacity as capacity_command
 from wingquay.model.identifiers import Revision
 from wingquay.ports.peer import Gossip, NodeListRequest, Ping
-from wingquay.rehearsal.capacity.layout import all_zones, initial_configuration, node_identity
-from wingquay.rehearsal.capacity.report import make_report, report_text
-from wingquay.rehearsal.capacity.run import run
-from wingquay.rehearsal.capacity.settings import CapacitySettings, check
-from wingquay.rehearsal.capacity.wire import Wire
+from wingquay.simulation.capacity.layout import all_zones, initial_configuration, node_identity
+from wingquay.simulation.capacity.report import make_report, report_text
+from wingquay.simulation.capacity.run import run
+from wingquay.simulation.capacity.settings import CapacitySettings, check
+from wingquay.simulation.capacity.wire import Wire
 
 NODES = 8
 REPLICAS = 24
--- a/tests/rehearsal/test_experiments.py
+++ b/tests/simulation/test_experiments.py
@@ -12,12 +12,12 @@
 from wingquay import cli
 from wingquay.commands.exit_codes import OK, USAGE
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.experiments.experiment_file import Experiment, read_experiment
-from wingquay.rehearsal.experiments.measure import measure
-from wingquay.rehearsal.experiments.result_files import read_results
-from wingquay.rehearsal.experiments.run_result import P99_MS, RunResult
-from wingquay.rehearsal.experiments.scenario import Run, make_scenario
-from wingquay.rehearsal.experiments.statistics_over_seeds import (
+from wingquay.simulation.experiments.experiment_file import Experiment, read_experiment
+from wingquay.simulation.experiments.measure import measure
+from wingquay.simulation.experiments.result_files import read_results
+from wingquay.simulation.experiments.run_result import P99_MS, RunResult
+from wingquay.simulation.experiments.scenario import Run, make_scenario
+from wingquay.simulation.experiments.statistics_over_seeds import (
     Spread,
     by_scenario,
     compare,
--- a/tests/rehearsal/test_fuzzing.py
+++ b/tests/simulation/test_fuzzing.py
@@ -5,9 +5,9 @@
 
 import testtools
 
-from wingquay.rehearsal.fuzzing import search_for_violations
-from wingquay.rehearsal.script import Script, Step, StepName, read_script, write_script
-from wingquay.rehearsal.scripted_simulation import ScriptedSimulation
+from wingquay.simulation.fuzzing import search_for_violations
+from wingquay.simulation.script import Script, Step, StepName, read_script, write_script
+from wingquay.simulation.scripted_simulation import ScriptedSimulation
 
 STEPS = 600
 
--- a/tests/rehearsal/test_load.py
+++ b/tests/simulation/test_load.py
@@ -16,9 +16,9 @@
 from wingquay.adapters.http_server import HttpServer
 from wingquay.adapters.settings import Endpoint
 from wingquay.commands.exit_codes import USAGE
-from wingquay.rehearsal.load.load_generator import LoadGenerator
-from wingquay.rehearsal.load.load_plan import LoadPlan, MixEntry, parse_mix
-from wingquay.rehearsal.load.load_report import make_summary
+from wingquay.simulation.load.load_generator import LoadGenerator
+from wingquay.simulation.load.load_plan import LoadPlan, MixEntry, parse_mix
+from wingquay.simulation.load.load_report import make_summary
 
 SLOW_SECONDS = 0.05
 PARTIAL = {
--- a/tests/rehearsal/test_mechanisms.py
+++ b/tests/simulation/test_mechanisms.py
@@ -14,12 +14,12 @@
 from wingquay.model.configuration import Configuration
 from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.peer import NodeIdentity
-from wingquay.rehearsal.configuration_oracle import ConfigurationOracle
-from wingquay.rehearsal.invariants import Invariant, Violations
-from wingquay.rehearsal.mechanisms import PROTECTS
-from wingquay.rehearsal.script import Step, StepName
-from wingquay.rehearsal.scripted_simulation import ScriptedSimulation
-from wingquay.rehearsal.simulation import Simulation
+from wingquay.simulation.configuration_oracle import ConfigurationOracle
+from wingquay.simulation.invariants import Invariant, Violations
+from wingquay.simulation.mechanisms import PROTECTS
+from wingquay.simulation.script import Step, StepName
+from wingquay.simulation.scripted_simulation import ScriptedSimulation
+from wingquay.simulation.simulation import Simulation
 
 SWEEP, CHECK, EDIT = 0, 1, 2
 LOOKUP_REPLICAS = range(6)
--- a/tests/rehearsal/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -8,9 +8,9 @@
 import testtools
 
 from wingquay.commands.simulate import read_settings
-from wingquay.rehearsal.faults.catalogue import FAULTS
-from wingquay.rehearsal.simulation import Simulation
-from wingquay.rehearsal.simulation_report import make_report
+from wingquay.simulation.faults.catalogue import FAULTS
+from wingquay.simulation.simulation import Simulation
+from wingquay.simulation.simulation_report import make_report
 
 SECONDS = 1.0
 LOAD = 0.1
--- a/tests/standins/test_backend_interop.py
+++ b/tests/standins/test_backend_interop.py
@@ -27,9 +27,9 @@
     StartAttempt,
 )
 from wingquay.ports.machine import Event
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.dataset import Dataset
-from wingquay.rehearsal.models.service_time import ServiceTimeSettings
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.dataset import Dataset
+from wingquay.simulation.models.service_time import ServiceTimeSettings
 from wingquay.standins.backend import BackendStandin
 from wingquay.standins.backend_admin import (
     ChangeVersions,
--- a/tests/standins/test_backend_standin.py
+++ b/tests/standins/test_backend_standin.py
@@ -12,9 +12,9 @@
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import ReplicaId, ServiceName, ShardId, SnapshotVersion
 from wingquay.model.key_range import EVERYTHING
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.dataset import Dataset
-from wingquay.rehearsal.models.service_time import ServiceTimeSettings
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.dataset import Dataset
+from wingquay.simulation.models.service_time import ServiceTimeSettings
 from wingquay.standins.backend import BackendStandin
 
 HOST = "127.0.0.1"
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -9,7 +9,7 @@
 from wingquay.demo.operator import DemoOperator, intents_for
 from wingquay.model.answer import Outcome
 from wingquay.ports.machine import Exit
-from wingquay.rehearsal.deployment_profile import (
+from wingquay.simulation.deployment_profile import (
     ClassProfile,
     DeploymentProfile,
     KindProfile,
--- a/wingquay/adapters/peer_codec.py
+++ b/wingquay/adapters/peer_codec.py
@@ -15,9 +15,9 @@
 from wingquay.model.failure import Failure
 from wingquay.ports import peer
 from wingquay.ports.peer_claims import (
+    ClaimAssignmentOffer,
     ClaimOutcome,
     ClaimRequest,
-    ClaimSeatOffer,
     ClaimTable,
     ClaimTableRequest,
     ClaimVote,
@@ -73,8 +73,10 @@
     ClaimRequest: _Codec("claim_request", claims.put_claim_request, claims.claim_request_from),
     ClaimVote: _Codec("claim_vote", claims.put_claim_vote, claims.claim_vote_from),
     ClaimOutcome: _Codec("claim_outcome", claims.put_claim_outcome, claims.claim_outcome_from),
-    ClaimSeatOffer: _Codec(
-        "claim_seat_offer", claims.put_claim_seat_offer, claims.claim_seat_offer_from
+    ClaimAssignmentOffer: _Codec(
+        "claim_assignment_offer",
+        claims.put_claim_assignment_offer,
+        claims.claim_assignment_offer_from,
     ),
     ClaimTableRequest: _Codec(
         "claim_table_request",
--- a/wingquay/adapters/peer_codec_claims.py
+++ b/wingquay/adapters/peer_codec_claims.py
@@ -8,35 +8,37 @@
 from wingquay.adapters.proto import peer_pb2
 from wingquay.model.identifiers import RequestId, ZoneName
 from wingquay.ports.peer_claims import (
+    AssignmentEpoch,
+    ClaimAssignmentOffer,
     ClaimOutcome,
     ClaimRecord,
     ClaimRequest,
-    ClaimSeatOffer,
     ClaimTable,
     ClaimTableRequest,
     ClaimVote,
-    SeatEpoch,
     VoteKind,
 )
 
 _VOTE_NUMBERS = {
     VoteKind.GRANTED: peer_pb2.VOTE_KIND_GRANTED,
     VoteKind.ALREADY_CLAIMED: peer_pb2.VOTE_KIND_ALREADY_CLAIMED,
-    VoteKind.CANNOT_VOUCH: peer_pb2.VOTE_KIND_CANNOT_VOUCH,
+    VoteKind.CANNOT_VOTE: peer_pb2.VOTE_KIND_CANNOT_VOTE,
 }
 _VOTE_KINDS = {int(number): kind for kind, number in _VOTE_NUMBERS.items()}
 
 
-def _put_seat_epochs(
-    target: RepeatedCompositeFieldContainer[peer_pb2.SeatEpoch],
-    seat_epochs: Iterable[SeatEpoch],
+def _put_assignment_epochs(
+    target: RepeatedCompositeFieldContainer[peer_pb2.AssignmentEpoch],
+    assignment_epochs: Iterable[AssignmentEpoch],
 ) -> None:
-    for seat_epoch in seat_epochs:
-        target.add(zone=seat_epoch.zone, epoch=seat_epoch.epoch)
+    for assignment_epoch in assignment_epochs:
+        target.add(zone=assignment_epoch.zone, epoch=assignment_epoch.epoch)
 
 
-def _seat_epochs_from(messages: Iterable[peer_pb2.SeatEpoch]) -> tuple[SeatEpoch, ...]:
-    return tuple(SeatEpoch(ZoneName(message.zone), message.epoch) for message in messages)
+def _assignment_epochs_from(
+    messages: Iterable[peer_pb2.AssignmentEpoch],
+) -> tuple[AssignmentEpoch, ...]:
+    return tuple(AssignmentEpoch(ZoneName(message.zone), message.epoch) for message in messages)
 
 
 def _zones_from(zones: Iterable[str]) -> tuple[ZoneName, ...]:
@@ -50,7 +52,7 @@
     target.request_id = message.request_id
     target.round_number = message.round_number
     target.zones.extend(message.zones)
-    _put_seat_epochs(target.seat_epochs, message.seat_epochs)
+    _put_assignment_epochs(target.assignment_epochs, message.assignment_epochs)
 
 
 def claim_request_from(message: peer_pb2.ClaimRequest) -> ClaimRequest:
@@ -61,7 +63,7 @@
         request_id=RequestId(message.request_id),
         round_number=message.round_number,
         zones=_zones_from(message.zones),
-        seat_epochs=_seat_epochs_from(message.seat_epochs),
+        assignment_epochs=_assignment_epochs_from(message.assignment_epochs),
     )
 
 
@@ -77,7 +79,7 @@
     target.holder_request_digest = message.holder_request_digest
     if message.outcome is not None:
         target.outcome = message.outcome
-    _put_seat_epochs(target.seat_epochs, message.seat_epochs)
+    _put_assignment_epochs(target.assignment_epochs, message.assignment_epochs)
 
 
 def claim_vote_from(message: peer_pb2.ClaimVote) -> ClaimVote:
@@ -92,7 +94,7 @@
         holder_request_id=None if holder is None else RequestId(holder),
         holder_request_digest=message.holder_request_digest,
         outcome=message.outcome if message.HasField("outcome") else None,
-        seat_epochs=_seat_epochs_from(message.seat_epochs),
+        assignment_epochs=_assignment_epochs_from(message.assignment_epochs),
     )
 
 
@@ -117,15 +119,17 @@
     )
 
 
-def put_claim_seat_offer(target: peer_pb2.ClaimSeatOffer, message: ClaimSeatOffer) -> None:
-    """Write an offer of seats."""
+def put_claim_assignment_offer(
+    target: peer_pb2.ClaimAssignmentOffer, message: ClaimAssignmentOffer
+) -> None:
+    """Write an offer of assignments."""
     target.offer_id = message.offer_id
     target.partitions.extend(message.partitions)
 
 
-def claim_seat_offer_from(message: peer_pb2.ClaimSeatOffer) -> ClaimSeatOffer:
-    """Read an offer of seats."""
-    return ClaimSeatOffer(message.offer_id, tuple(message.partitions))
+def claim_assignment_offer_from(message: peer_pb2.ClaimAssignmentOffer) -> ClaimAssignmentOffer:
+    """Read an offer of assignments."""
+    return ClaimAssignmentOffer(message.offer_id, tuple(message.partitions))
 
 
 def put_claim_table_request(
@@ -138,7 +142,7 @@
     if message.offer_id is not None:
         target.offer_id = message.offer_id
     target.zones.extend(message.zones)
-    _put_seat_epochs(target.seat_epochs, message.seat_epochs)
+    _put_assignment_epochs(target.assignment_epochs, message.assignment_epochs)
     target.ended_epoch = message.ended_epoch
 
 
@@ -149,7 +153,7 @@
         transfer_id=message.transfer_id,
         offer_id=message.offer_id if message.HasField("offer_id") else None,
         zones=_zones_from(message.zones),
-        seat_epochs=_seat_epochs_from(message.seat_epochs),
+        assignment_epochs=_assignment_epochs_from(message.assignment_epochs),
         ended_epoch=message.ended_epoch,
     )
 
@@ -161,7 +165,7 @@
     target.complete = message.complete
     target.handed_over = message.handed_over
     target.epoch = message.epoch
-    _put_seat_epochs(target.seat_epochs, message.seat_epochs)
+    _put_assignment_epochs(target.assignment_epochs, message.assignment_epochs)
     target.confirmed_age_seconds = message.confirmed_age_seconds
     target.table_id = message.table_id
     target.piece = message.piece
@@ -189,7 +193,7 @@
         complete=message.complete,
         handed_over=message.handed_over,
         epoch=message.epoch,
-        seat_epochs=_seat_epochs_from(message.seat_epochs),
+        assignment_epochs=_assignment_epochs_from(message.assignment_epochs),
         confirmed_age_seconds=message.confirmed_age_seconds,
         table_id=message.table_id,
         records=tuple(_claim_record_from(record) for record in message.records),
--- a/wingquay/claims/seat_document.py
+++ b/wingquay/claims/assignment_document.py
@@ -1,4 +1,4 @@
-"""The document in the platform's store that puts all takeovers of seats into one order.
+"""The document in the platform's store that puts all takeovers of assignments into one order.
 
 There is one for each deployment. A takeover writes it by compare-and-swap, so each one knows of
 all that came before it. Votes never read it.
@@ -10,7 +10,7 @@
 
 from wingquay.claims.keys import PARTITIONS
 from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
-from wingquay.ports.peer_claims import SeatEpoch
+from wingquay.ports.peer_claims import AssignmentEpoch
 
 NOBODY = NodeId("")
 
@@ -18,8 +18,8 @@
 Takers = Annotated[tuple[NodeId, ...], Field(min_length=PARTITIONS, max_length=PARTITIONS)]
 
 
-class ZoneSeats(BaseModel):
-    """The seats of one zone, by partition.
+class ZoneAssignments(BaseModel):
+    """The assignments of one zone, by partition.
 
     ``epochs`` counts the takeovers (0: never held); ``takers`` names the nodes that made the
     last ones. Handovers leave no trace: the memory stays the same.
@@ -31,8 +31,8 @@
     takers: Takers
 
 
-class SeatDocument(BaseModel):
-    """All seats of a deployment.
+class AssignmentDocument(BaseModel):
+    """All assignments of a deployment.
 
     Parameters
     ----------
@@ -54,85 +54,95 @@
     zones_unchanged: bool = True
     previous_zones: tuple[ZoneName, ...] = ()
     previous_epochs: dict[ZoneName, Epochs] = Field(default_factory=dict)
-    seats: dict[ZoneName, ZoneSeats] = Field(default_factory=dict)
+    assignments: dict[ZoneName, ZoneAssignments] = Field(default_factory=dict)
 
-    def seat_epochs(self, partition: int) -> tuple[SeatEpoch, ...]:
+    def assignment_epochs(self, partition: int) -> tuple[AssignmentEpoch, ...]:
         """Return the epochs of one partition, ordered by zone."""
         return tuple(
-            SeatEpoch(zone, seats.epochs[partition]) for zone, seats in sorted(self.seats.items())
+            AssignmentEpoch(zone, assignments.epochs[partition])
+            for zone, assignments in sorted(self.assignments.items())
         )
 
     def epoch(self, zone: ZoneName, partition: int) -> int:
-        """Return the newest epoch of a seat; 0 if it was never held."""
-        seats = self.seats.get(zone)
-        return 0 if seats is None else seats.epochs[partition]
+        """Return the newest epoch of an assignment; 0 if it was never held."""
+        assignments = self.assignments.get(zone)
+        return 0 if assignments is None else assignments.epochs[partition]
 
     def taker(self, zone: ZoneName, partition: int) -> NodeId:
         """Return the node that began the newest epoch."""
-        seats = self.seats.get(zone)
-        return NOBODY if seats is None else seats.takers[partition]
+        assignments = self.assignments.get(zone)
+        return NOBODY if assignments is None else assignments.takers[partition]
 
     def is_vacant(self, zone: ZoneName, partition: int) -> bool:
-        """Whether nobody has held the seat since the list of zones changed."""
+        """Whether nobody has held the assignment since the list of zones changed."""
         return not self.zones_unchanged and self.taker(zone, partition) == NOBODY
 
     def is_genesis(self, zone: ZoneName, partition: int) -> bool:
-        """Whether the seat's newest epoch is the first of a zone that never had a holder."""
+        """Whether the assignment's newest epoch is the first of a zone that never had a holder."""
         return self.zones_unchanged and self.epoch(zone, partition) == 1
 
-    def with_genesis(self, zone: ZoneName, taker: NodeId) -> "SeatDocument":
-        """Return the document with the first holder of all seats of ``zone``."""
-        seats = ZoneSeats(epochs=(1,) * PARTITIONS, takers=(taker,) * PARTITIONS)
-        return self._with_seats(zone, seats)
+    def with_genesis(self, zone: ZoneName, taker: NodeId) -> "AssignmentDocument":
+        """Return the document with the first holder of all assignments of ``zone``."""
+        assignments = ZoneAssignments(epochs=(1,) * PARTITIONS, takers=(taker,) * PARTITIONS)
+        return self._with_assignments(zone, assignments)
 
     def with_takeover(
         self,
         zone: ZoneName,
         new_epochs: dict[int, int],
         taker: NodeId,
-    ) -> "SeatDocument":
+    ) -> "AssignmentDocument":
         """Return the document with new epochs, by partition, begun by ``taker``."""
         epochs = [self.epoch(zone, partition) for partition in range(PARTITIONS)]
         takers = [self.taker(zone, partition) for partition in range(PARTITIONS)]
         for partition, epoch in new_epochs.items():
             epochs[partition] = epoch
             takers[partition] = taker
-        return self._with_seats(zone, ZoneSeats(epochs=tuple(epochs), takers=tuple(takers)))
+        return self._with_assignments(
+            zone, ZoneAssignments(epochs=tuple(epochs), takers=tuple(takers))
+        )
+
+    def with_zones(self, zones: tuple[ZoneName, ...], revision: int) -> "AssignmentDocument":
+        """Return the document for another list of zones.
 
-    def with_zones(self, zones: tuple[ZoneName, ...], revision: int) -> "SeatDocument":
-        """Return the document for another list of zones: every seat must be taken over anew."""
+        Every assignment must be taken over anew.
+        """
         ended = {
-            zone: ZoneSeats(
-                epochs=tuple(epoch + 1 for epoch in seats.epochs),
+            zone: ZoneAssignments(
+                epochs=tuple(epoch + 1 for epoch in assignments.epochs),
                 takers=(NOBODY,) * PARTITIONS,
             )
-            for zone, seats in self.seats.items()
+            for zone, assignments in self.assignments.items()
         }
-        return SeatDocument(
+        return AssignmentDocument(
             zones=zones,
             zones_revision=revision,
             zones_unchanged=False,
             previous_zones=self.zones,
-            previous_epochs={zone: seats.epochs for zone, seats in self.seats.items()},
-            seats=ended,
+            previous_epochs={
+                zone: assignments.epochs for zone, assignments in self.assignments.items()
+            },
+            assignments=ended,
         )
 
     def to_bytes(self) -> bytes:
         """Return the document as it is stored."""
         return self.model_dump_json().encode()
 
-    def _with_seats(self, zone: ZoneName, seats: ZoneSeats) -> "SeatDocument":
-        return self.model_copy(update={"seats": {**self.seats, zone: seats}})
+    def _with_assignments(
+        self, zone: ZoneName, assignments: ZoneAssignments
+    ) -> "AssignmentDocument":
+        return self.model_copy(update={"assignments": {**self.assignments, zone: assignments}})
 
 
 def document_key(deployment: DeploymentName) -> str:
     """Return the store key of a deployment's document."""
-    return f"wingquay/claims/{deployment}/seats"
+    return f"wingquay/claims/{deployment}/assignments"
 
 
-def parse_document(value: bytes) -> SeatDocument | None:
+def parse_document(value: bytes) -> AssignmentDocument | None:
     """Return the stored document, or ``None`` if it is malformed."""
     try:
-        return SeatDocument.model_validate_json(value)
+        return AssignmentDocument.model_validate_json(value)
     except ValidationError:
         return None
--- a/wingquay/claims/claimant.py
+++ b/wingquay/claims/claimant.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from wingquay.claims.directory import SeatDirectory
+from wingquay.claims.directory import AssignmentDirectory
 from wingquay.claims.keys import claim_key, partition_of, request_digest
 from wingquay.claims.pending_claim import ClaimStage, PendingClaim
 from wingquay.claims.settings import ClaimsSettings
@@ -47,7 +47,7 @@
     def __init__(
         self,
         settings: ClaimsSettings,
-        directory: SeatDirectory,
+        directory: AssignmentDirectory,
         random_source: random.Random,
     ) -> None:
         self._settings = settings
@@ -166,7 +166,7 @@
             del self._deployments[request_id]
 
     def _ask(self, claim: PendingClaim, now: float) -> list[Action]:
-        seat_epochs = claim.seat_epochs()
+        assignment_epochs = claim.assignment_epochs()
         counted = claim.granted_zones(self._settings)
         request = ClaimRequest(
             claim_key=claim.claim_key,
@@ -174,7 +174,7 @@
             request_id=claim.request_id,
             round_number=claim.round_number,
             zones=claim.zones,
-            seat_epochs=seat_epochs,
+            assignment_epochs=assignment_epochs,
         )
         claim.forget_refusals()
         actions: list[Action] = []
--- a/wingquay/claims/directory.py
+++ b/wingquay/claims/directory.py
@@ -1,4 +1,4 @@
-"""Which node holds which seat, as this node believes from its view of the membership."""
+"""Which node holds which assignment, as this node believes from its view of the membership."""
 
 from collections.abc import Iterable
 
@@ -8,7 +8,7 @@
 from wingquay.ports.peer import NodeIdentity
 
 
-def seat_holder(nodes: Iterable[NodeIdentity], partition: int) -> NodeIdentity | None:
+def assignment_holder(nodes: Iterable[NodeIdentity], partition: int) -> NodeIdentity | None:
     """Return the rendezvous-hash winner for ``partition``, or ``None`` if there is no node.
 
     Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
@@ -20,8 +20,8 @@
     return xxhash.xxh3_64_intdigest(f"{partition}/{node_id}".encode()), node_id
 
 
-class SeatDirectory:
-    """The available nodes by zone, and the seat holders that follow from them."""
+class AssignmentDirectory:
+    """The available nodes by zone, and the assignment holders that follow from them."""
 
     def __init__(self) -> None:
         self._nodes: dict[tuple[DeploymentName, ZoneName], list[NodeIdentity]] = {}
@@ -64,15 +64,15 @@
         zone: ZoneName,
         partition: int,
     ) -> NodeIdentity | None:
-        """Return the node that holds the zone's seat for ``partition``."""
+        """Return the node that holds the zone's assignment for ``partition``."""
         key = (deployment, zone, partition)
         if key not in self._holders:
             nodes = self._nodes.get((deployment, zone), [])
-            self._holders[key] = seat_holder(nodes, partition)
+            self._holders[key] = assignment_holder(nodes, partition)
         return self._holders[key]
 
     def successor(self, leaver: NodeIdentity, partition: int) -> NodeIdentity | None:
-        """Return the holder of the seat in the zone of ``leaver`` once it has left."""
+        """Return the holder of the assignment in the zone of ``leaver`` once it has left."""
         nodes = self._nodes.get((leaver.deployment, leaver.zone), [])
         others = (node for node in nodes if node.node_id != leaver.node_id)
-        return seat_holder(others, partition)
+        return assignment_holder(others, partition)
--- a/wingquay/claims/keys.py
+++ b/wingquay/claims/keys.py
@@ -7,7 +7,7 @@
 from wingquay.model.request import QueryRequest
 
 PARTITIONS = 64
-"""Partitions of the claims of a deployment; fixed, since the seat document counts on it."""
+"""Partitions of the claims of a deployment; fixed, since the assignment document counts on it."""
 
 DIGEST_BYTES = 16
 _PARTITION_DIGITS = 8
--- a/wingquay/claims/machine.py
+++ b/wingquay/claims/machine.py
@@ -4,19 +4,19 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
+from wingquay.claims.assignment import AssignmentStatus, AssignmentTable
 from wingquay.claims.claimant import (
     Claimant,
     ClaimAskDue,
     ClaimTellDue,
     deployment_zones,
 )
-from wingquay.claims.directory import SeatDirectory
+from wingquay.claims.directory import AssignmentDirectory
 from wingquay.claims.keys import PARTITIONS
-from wingquay.claims.offers import SeatOffers
-from wingquay.claims.seat import SeatStatus, SeatTable
+from wingquay.claims.offers import AssignmentOffers
 from wingquay.claims.settings import ClaimsSettings
-from wingquay.claims.table_giver import TableGiver
-from wingquay.claims.takeover import SeatKeeper
+from wingquay.claims.table_sender import TableSender
+from wingquay.claims.takeover import AssignmentKeeper
 from wingquay.claims.takeover_timing import TakeoverTiming
 from wingquay.claims.transfers import TableTransfers
 from wingquay.claims.voter import Voter
@@ -32,9 +32,9 @@
 from wingquay.ports.machine import Action, Event, Schedule, Start
 from wingquay.ports.peer import NodeIdentity, PeerLinkBroken, PeerMessage, PeerReceived, SendToPeer
 from wingquay.ports.peer_claims import (
+    ClaimAssignmentOffer,
     ClaimOutcome,
     ClaimRequest,
-    ClaimSeatOffer,
     ClaimTable,
     ClaimTableRequest,
     ClaimVote,
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimsTick(Event):
-    """It is time to look at the timers of seats."""
+    """It is time to look at the timers of assignments."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,8 +53,8 @@
 
     records: int
     outcome_bytes: int
-    seats_vouching: int
-    seats_rebuilding: int
+    assignments_voting: int
+    assignments_rebuilding: int
 
 
 class ClaimsMachine:
@@ -63,7 +63,7 @@
     Parameters
     ----------
     identity
-        This node; its seats are those of its deployment and zone.
+        This node; its assignments are those of its deployment and zone.
     random_source
         Seeded by the surroundings.
     """
@@ -85,7 +85,7 @@
         ClaimRequest,
         ClaimVote,
         ClaimOutcome,
-        ClaimSeatOffer,
+        ClaimAssignmentOffer,
         ClaimTableRequest,
         ClaimTable,
     )
@@ -98,14 +98,14 @@
     ) -> None:
         self._settings = settings
         self._identity = identity
-        self._directory = SeatDirectory()
-        self._seats = SeatTable(settings, identity)
-        self._voter = Voter(self._seats)
-        self._giver = TableGiver(settings, self._seats)
-        self._offers = SeatOffers(settings, self._seats, self._directory)
-        self._transfers = TableTransfers(settings, self._seats, self._directory)
-        self._timing = TakeoverTiming(settings, self._seats, self._directory)
-        self._keeper = SeatKeeper(settings, self._seats, self._timing, random_source)
+        self._directory = AssignmentDirectory()
+        self._assignments = AssignmentTable(settings, identity)
+        self._voter = Voter(self._assignments)
+        self._sender = TableSender(settings, self._assignments)
+        self._offers = AssignmentOffers(settings, self._assignments, self._directory)
+        self._transfers = TableTransfers(settings, self._assignments, self._directory)
+        self._timing = TakeoverTiming(settings, self._assignments, self._directory)
+        self._keeper = AssignmentKeeper(settings, self._assignments, self._timing, random_source)
         self._claimant = Claimant(settings, self._directory, random_source)
         self._expired_partition = 0
 
@@ -128,21 +128,24 @@
                 return self._take_in_change(event, now)
 
     @property
-    def seats_to_hand_over(self) -> int:
-        """Seats that wait for their next holder to fetch them; a planned stop waits for these."""
-        return self._offers.seats_to_hand_over()
+    def assignments_to_hand_over(self) -> int:
+        """Assignments that wait for their next holder to fetch them.
+
+        A planned stop waits for these.
+        """
+        return self._offers.assignments_to_hand_over()
 
     def holder(self, zone: ZoneName, partition: int) -> NodeIdentity | None:
         """Return the node that this node would ask for the vote of ``zone``."""
         return self._directory.holder(self._identity.deployment, zone, partition)
 
     def report(self) -> ClaimsReport:
-        """Return how much is remembered and how many seats answer."""
+        """Return how much is remembered and how many assignments answer."""
         return ClaimsReport(
-            records=self._seats.use.records,
-            outcome_bytes=self._seats.use.outcome_bytes,
-            seats_vouching=len(self._seats.with_status(SeatStatus.VOUCHING)),
-            seats_rebuilding=len(self._seats.with_status(SeatStatus.REBUILDING)),
+            records=self._assignments.use.records,
+            outcome_bytes=self._assignments.use.outcome_bytes,
+            assignments_voting=len(self._assignments.with_status(AssignmentStatus.VOTING)),
+            assignments_rebuilding=len(self._assignments.with_status(AssignmentStatus.REBUILDING)),
         )
 
     def _take_in_change(self, event: Event, now: float) -> list[Action]:
@@ -189,18 +192,18 @@
             case ClaimOutcome() as outcome:
                 self._voter.record_outcome(outcome, now)
                 return []
-            case ClaimSeatOffer() as offer:
+            case ClaimAssignmentOffer() as offer:
                 self._timing.hear_from(sender.node_id)
                 return self._transfers.accept_offer(sender, offer, now)
             case ClaimTableRequest() as request:
-                return self._giver.give(sender, request, now)
+                return self._sender.give(sender, request, now)
             case ClaimTable() as table:
                 return self._transfers.receive(sender, table, now)
             case _:
                 return []
 
     def _tick(self, now: float) -> list[Action]:
-        self._seats.seats[self._expired_partition].memory.expire(now)
+        self._assignments.assignments[self._expired_partition].memory.expire(now)
         self._expired_partition = (self._expired_partition + 1) % PARTITIONS
         self._claimant.tick(now)
         return [
--- a/wingquay/claims/pending_claim.py
+++ b/wingquay/claims/pending_claim.py
@@ -9,7 +9,7 @@
 from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.internal import ClaimDecisionKind
 from wingquay.ports.peer import NodeIdentity
-from wingquay.ports.peer_claims import ClaimVote, SeatEpoch, VoteKind
+from wingquay.ports.peer_claims import AssignmentEpoch, ClaimVote, VoteKind
 
 FIRST_TELL_DELAY_SECONDS = 1.0
 
@@ -71,7 +71,7 @@
     keep_until: float = 0.0
 
     def record(self, zone: ZoneName, vote: ClaimVote) -> None:
-        """Keep the vote of a zone, unless one from a newer epoch of its seat is there."""
+        """Keep the vote of a zone, unless one from a newer epoch of its assignment is there."""
         present = self.votes.get(zone)
         if present is None or vote.epoch >= present.epoch:
             self.votes[zone] = vote
@@ -79,22 +79,27 @@
             self.met_holder = True
 
     def known_epochs(self) -> dict[ZoneName, int]:
-        """Return the newest epoch of each zone's seat that any vote speaks of."""
+        """Return the newest epoch of each zone's assignment that any vote speaks of."""
         known: dict[ZoneName, int] = {}
         for zone, vote in self.votes.items():
             known[zone] = max(known.get(zone, 0), vote.epoch)
-            for entry in vote.seat_epochs:
+            for entry in vote.assignment_epochs:
                 known[entry.zone] = max(known.get(entry.zone, 0), entry.epoch)
         return known
 
-    def seat_epochs(self) -> tuple[SeatEpoch, ...]:
+    def assignment_epochs(self) -> tuple[AssignmentEpoch, ...]:
         """Return the newest known epochs, ordered by zone."""
-        return tuple(SeatEpoch(zone, epoch) for zone, epoch in sorted(self.known_epochs().items()))
+        return tuple(
+            AssignmentEpoch(zone, epoch) for zone, epoch in sorted(self.known_epochs().items())
+        )
 
     def granted_zones(self, settings: ClaimsSettings) -> list[ZoneName]:
-        """Return the zones whose grant counts: no vote speaks of a newer epoch of their seat."""
+        """Return the zones whose grant counts.
+
+        No vote speaks of a newer epoch of their assignment.
+        """
         known = self.known_epochs()
-        uses_epochs = settings.enabled(Mechanism.CLAIM_SEAT_EPOCHS)
+        uses_epochs = settings.enabled(Mechanism.CLAIM_ASSIGNMENT_EPOCHS)
         return [
             zone
             for zone, vote in self.votes.items()
--- a/wingquay/claims/quorum.py
+++ b/wingquay/claims/quorum.py
@@ -1,7 +1,7 @@
 """How many zones must agree.
 
-``majority + tables_needed == zones + 1``, so any zones whose tables a new seat holder has read
-share one with any majority that granted a claim.
+``majority + tables_needed == zones + 1``, so any zones whose tables a new assignment holder has
+read share one with any majority that granted a claim.
 """
 
 
@@ -11,5 +11,5 @@
 
 
 def tables_needed(zone_count: int) -> int:
-    """Return from how many other zones a new seat holder needs complete tables."""
+    """Return from how many other zones a new assignment holder needs complete tables."""
     return zone_count - majority(zone_count) + 1
--- a/wingquay/claims/settings.py
+++ b/wingquay/claims/settings.py
@@ -19,12 +19,12 @@
     retention_margin_seconds
         How much longer claims are kept: covers the deciding, the drift of clocks and the
         longest run of a request.
-    seat_validity_seconds
-        How long a voter vouches after the store last confirmed its seat. The store may be down
+    assignment_validity_seconds
+        How long a voter votes after the store last confirmed its assignment. The store may be down
         for this long without any effect; a zone that must wait out the memory of a lost voter
         waits for this long on top of the retention.
-    seat_confirm_interval_seconds
-        How often a voter reads the seat document.
+    assignment_confirm_interval_seconds
+        How often a voter reads the assignment document.
     capacity_records
         Claims that a node remembers at most; new ones are then refused, none is forgotten early.
     outcome_limit_bytes
@@ -32,19 +32,20 @@
     outcomes_capacity_bytes
         Size of all kept outcomes together.
     crash_takeover_delay_seconds, join_takeover_delay_seconds
-        How long a new seat holder waits for an offer of the seat before it takes it over: after
+        How long a new assignment holder waits for an offer of the assignment before it takes it
+        over: after
         it saw the last holder crash, and otherwise, unless every other node of the zone has said
         that it has nothing to offer. The latter is long, since a takeover in spite of a living
         holder throws that one's memory away.
     alone_takeover_delay_seconds
-        The same while the node has seen no other node of its zone that could offer the seat.
+        The same while the node has seen no other node of its zone that could offer the assignment.
     table_retry_seconds
-        How often seats are offered again, and how soon tables are asked for again; the latter
+        How often assignments are offered again, and how soon tables are asked for again; the latter
         doubles each time.
     table_retry_most_seconds
         Longest time between two requests for the same table.
     handed_over_keep_seconds
-        How long a seat that was handed over can be fetched once more.
+        How long an assignment that was handed over can be fetched once more.
     retired_keep_seconds
         How long the memory of an epoch that has ended is kept for those that rebuild from it.
     store_retry_seconds
@@ -65,8 +66,8 @@
 
     retention_seconds: float = HOUR_SECONDS
     retention_margin_seconds: float = 120.0
-    seat_validity_seconds: float = 4 * HOUR_SECONDS
-    seat_confirm_interval_seconds: float = HOUR_SECONDS / 2
+    assignment_validity_seconds: float = 4 * HOUR_SECONDS
+    assignment_confirm_interval_seconds: float = HOUR_SECONDS / 2
     capacity_records: int = 100_000
     outcome_limit_bytes: int = 16 * 1024
     outcomes_capacity_bytes: int = 64 * MEBIBYTE
@@ -94,7 +95,7 @@
     @property
     def wait_seconds(self) -> float:
         """How long after a takeover every claim of earlier holders is forgotten anyway."""
-        return self.seat_validity_seconds + self.kept_seconds
+        return self.assignment_validity_seconds + self.kept_seconds
 
     def enabled(self, mechanism: Mechanism) -> bool:
         """Whether ``mechanism`` is in place."""
--- a/wingquay/claims/table_giver.py
+++ b/wingquay/claims/table_sender.py
@@ -2,8 +2,13 @@
 
 from collections.abc import Iterator
 
+from wingquay.claims.assignment import (
+    Assignment,
+    AssignmentOffer,
+    AssignmentStatus,
+    AssignmentTable,
+)
 from wingquay.claims.memory import PartitionMemory
-from wingquay.claims.seat import Seat, SeatOffer, SeatStatus, SeatTable
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.ports.machine import Action
 from wingquay.ports.peer import NodeIdentity, SendToPeer
@@ -12,12 +17,12 @@
 NEVER_CONFIRMED_SECONDS = 1e9
 
 
-class TableGiver:
+class TableSender:
     """Answers requests for tables; whoever gets one learns what this node's votes rest on."""
 
-    def __init__(self, settings: ClaimsSettings, seats: SeatTable) -> None:
+    def __init__(self, settings: ClaimsSettings, assignments: AssignmentTable) -> None:
         self._settings = settings
-        self._seats = seats
+        self._assignments = assignments
         self._tables_given = 0
 
     def give(
@@ -26,35 +31,37 @@
         request: ClaimTableRequest,
         now: float,
     ) -> list[Action]:
-        """Answer a request for a table, or for the seat itself if it was offered."""
-        if not 0 <= request.partition < len(self._seats.seats):
+        """Answer a request for a table, or for the assignment itself if it was offered."""
+        if not 0 <= request.partition < len(self._assignments.assignments):
             return []
-        seat = self._seats.seats[request.partition]
-        self._seats.learn(seat, request.seat_epochs, now)
+        assignment = self._assignments.assignments[request.partition]
+        self._assignments.learn(assignment, request.assignment_epochs, now)
         if request.ended_epoch:
-            return self._give_retired(asker, request, seat, now)
+            return self._give_retired(asker, request, assignment, now)
         if request.offer_id is None:
-            complete = self._seats.can_vouch(seat, request.zones, now)
-            return self._pieces(asker, request, seat.memory if complete else None, seat.epoch, now)
-        offered = seat.offer == SeatOffer(request.offer_id, asker.node_id)
-        same_zones = seat.zones == request.zones
+            complete = self._assignments.can_vote(assignment, request.zones, now)
+            return self._pieces(
+                asker, request, assignment.memory if complete else None, assignment.epoch, now
+            )
+        offered = assignment.offer == AssignmentOffer(request.offer_id, asker.node_id)
+        same_zones = assignment.zones == request.zones
         if not offered or not same_zones:
             return []
-        if seat.status is SeatStatus.VOUCHING:
-            seat.status = SeatStatus.HANDED_OVER
-            seat.forget_at = now + self._settings.handed_over_keep_seconds
-        if seat.status is not SeatStatus.HANDED_OVER:
+        if assignment.status is AssignmentStatus.VOTING:
+            assignment.status = AssignmentStatus.HANDED_OVER
+            assignment.forget_at = now + self._settings.handed_over_keep_seconds
+        if assignment.status is not AssignmentStatus.HANDED_OVER:
             return []
-        return self._pieces(asker, request, seat.memory, seat.epoch, now)
+        return self._pieces(asker, request, assignment.memory, assignment.epoch, now)
 
     def _give_retired(
         self,
         asker: NodeIdentity,
         request: ClaimTableRequest,
-        seat: Seat,
+        assignment: Assignment,
         now: float,
     ) -> list[Action]:
-        retired = seat.retired
+        retired = assignment.retired
         if retired is None or retired.epoch != request.ended_epoch:
             return self._pieces(asker, request, None, 0, now)
         return self._pieces(asker, request, retired.memory, retired.epoch, now)
@@ -68,22 +75,24 @@
         now: float,
     ) -> list[Action]:
         """Return the table as messages; without ``memory`` it is said not to be complete."""
-        seat = self._seats.seats[request.partition]
+        assignment = self._assignments.assignments[request.partition]
         self._tables_given += 1
-        table_id = f"{self._seats.identity.node_id}/{self._tables_given}"
+        table_id = f"{self._assignments.identity.node_id}/{self._tables_given}"
         records = [] if memory is None else memory.records(now)
         groups = list(self._groups(records)) or [[]]
         return [
             SendToPeer(
                 asker,
                 ClaimTable(
-                    partition=seat.partition,
+                    partition=assignment.partition,
                     transfer_id=request.transfer_id,
                     complete=memory is not None,
                     handed_over=request.offer_id is not None,
                     epoch=epoch,
-                    seat_epochs=seat.seat_epochs(),
-                    confirmed_age_seconds=min(now - seat.confirmed_at, NEVER_CONFIRMED_SECONDS),
+                    assignment_epochs=assignment.assignment_epochs(),
+                    confirmed_age_seconds=min(
+                        now - assignment.confirmed_at, NEVER_CONFIRMED_SECONDS
+                    ),
                     table_id=table_id,
                     records=tuple(group),
                     piece=piece,
--- a/wingquay/claims/takeover.py
+++ b/wingquay/claims/takeover.py
@@ -1,12 +1,17 @@
-"""Taking seats over: the only part of claims that uses the platform's store."""
+"""Taking assignments over: the only part of claims that uses the platform's store."""
 
 import random
 from dataclasses import dataclass
 from math import inf
 
+from wingquay.claims.assignment import (
+    Assignment,
+    AssignmentStatus,
+    AssignmentTable,
+    PreviousAssignments,
+)
+from wingquay.claims.assignment_document import AssignmentDocument, document_key, parse_document
 from wingquay.claims.keys import PARTITIONS
-from wingquay.claims.seat import PreviousSeats, Seat, SeatStatus, SeatTable
-from wingquay.claims.seat_document import SeatDocument, document_key, parse_document
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.claims.takeover_timing import TakeoverTiming
 from wingquay.model.failure import Failure
@@ -32,21 +37,21 @@
 
     operation_id: str
     sent_at: float
-    proposed: SeatDocument | None
+    proposed: AssignmentDocument | None
 
 
-class SeatKeeper:
-    """Confirms this node's seats by the store, and takes over those that it should hold."""
+class AssignmentKeeper:
+    """Confirms this node's assignments by the store, and takes over those that it should hold."""
 
     def __init__(
         self,
         settings: ClaimsSettings,
-        seats: SeatTable,
+        assignments: AssignmentTable,
         timing: TakeoverTiming,
         random_source: random.Random,
     ) -> None:
         self._settings = settings
-        self._seats = seats
+        self._assignments = assignments
         self._timing = timing
         self._random = random_source
         self._zones: tuple[ZoneName, ...] = ()
@@ -69,7 +74,7 @@
             return []
         if now < self._confirm_at and not self._timing.wanted(now):
             return []
-        key = document_key(self._seats.identity.deployment)
+        key = document_key(self._assignments.identity.deployment)
         return self._send(Read(key), None, now)
 
     def respond(self, response: StoreResponse, now: float) -> list[Action]:
@@ -95,27 +100,28 @@
         return []
 
     def _in_service(self) -> bool:
-        return self._seats.identity.zone in self._zones and self._timing.knows_nodes
+        return self._assignments.identity.zone in self._zones and self._timing.knows_nodes
 
-    def _vacant(self, document: SeatDocument) -> list[Seat]:
-        """Return the seats to be taken over at once, since no node can offer them."""
-        zone = self._seats.identity.zone
+    def _vacant(self, document: AssignmentDocument) -> list[Assignment]:
+        """Return the assignments to be taken over at once, since no node can offer them."""
+        zone = self._assignments.identity.zone
         if document.zones != self._zones:
             return []
         return [
-            seat
-            for seat in self._seats.with_status(SeatStatus.EMPTY)
-            if self._timing.is_ours(seat.partition) and document.is_vacant(zone, seat.partition)
+            assignment
+            for assignment in self._assignments.with_status(AssignmentStatus.EMPTY)
+            if self._timing.is_ours(assignment.partition)
+            and document.is_vacant(zone, assignment.partition)
         ]
 
     def _send(
         self,
         operation: StoreOperation,
-        proposed: SeatDocument | None,
+        proposed: AssignmentDocument | None,
         now: float,
     ) -> list[Action]:
         self._operations += 1
-        node_id = self._seats.identity.node_id
+        node_id = self._assignments.identity.node_id
         operation_id = f"{OPERATION_PREFIX}/{node_id}/{self._operations}"
         self._pending = _PendingOperation(operation_id, now, proposed)
         return [StoreRequest(operation_id, operation)]
@@ -126,28 +132,29 @@
 
     def _read(self, read: ReadResult, sent_at: float, now: float) -> list[Action]:
         stored = read.values[0] if read.values else None
-        document = SeatDocument(zones=self._zones, zones_revision=self._zones_revision)
+        document = AssignmentDocument(zones=self._zones, zones_revision=self._zones_revision)
         modified_at = 0
         if stored is not None:
             parsed = parse_document(stored.value)
             if parsed is None:
                 self._back_off(now)
-                return [Log("claims_seat_document_malformed", "error")]
+                return [Log("claims_assignment_document_malformed", "error")]
             document = parsed
             modified_at = stored.modified_at
         actions = self._apply(document, sent_at, now)
         proposed = self._proposal(document, now)
         if proposed is None:
-            # Seats may stay wanted although nothing can be written: do not read without a pause.
+            # Assignments may stay wanted although nothing can be written: do not read without a
+            # pause.
             self._next_operation_at = now + self._settings.tick_seconds
             return actions
-        key = document_key(self._seats.identity.deployment)
+        key = document_key(self._assignments.identity.deployment)
         swap = CompareAndSwap(key, modified_at, proposed.to_bytes())
         return actions + self._send(swap, proposed, now)
 
-    def _proposal(self, document: SeatDocument, now: float) -> SeatDocument | None:
+    def _proposal(self, document: AssignmentDocument, now: float) -> AssignmentDocument | None:
         """Return what this node wants to write, or ``None``."""
-        identity = self._seats.identity
+        identity = self._assignments.identity
         if document.zones != self._zones:
             if document.zones_revision >= self._zones_revision:
                 return None
@@ -155,71 +162,81 @@
         if self._may_be_first(document):
             return document.with_genesis(identity.zone, identity.node_id)
         new_epochs = {
-            seat.partition: self._next_epoch(document, seat)
-            for seat in (*self._timing.wanted(now), *self._vacant(document))
+            assignment.partition: self._next_epoch(document, assignment)
+            for assignment in (*self._timing.wanted(now), *self._vacant(document))
         }
         if not new_epochs:
             return None
         return document.with_takeover(identity.zone, new_epochs, identity.node_id)
 
-    def _may_be_first(self, document: SeatDocument) -> bool:
-        zone = self._seats.identity.zone
-        if zone in document.seats or not document.zones_unchanged:
+    def _may_be_first(self, document: AssignmentDocument) -> bool:
+        zone = self._assignments.identity.zone
+        if zone in document.assignments or not document.zones_unchanged:
             return False
-        seats = self._seats.seats
+        assignments = self._assignments.assignments
         holds_any = any(self._timing.is_ours(partition) for partition in range(PARTITIONS))
         # Whoever has heard of a holder in this zone knows that the document lost something.
-        return holds_any and all(seat.known_epochs.get(zone, 0) == 0 for seat in seats)
+        return holds_any and all(
+            assignment.known_epochs.get(zone, 0) == 0 for assignment in assignments
+        )
 
-    def _next_epoch(self, document: SeatDocument, seat: Seat) -> int:
-        zone = self._seats.identity.zone
-        return max(document.epoch(zone, seat.partition), seat.known_epochs.get(zone, 0)) + 1
+    def _next_epoch(self, document: AssignmentDocument, assignment: Assignment) -> int:
+        zone = self._assignments.identity.zone
+        return (
+            max(document.epoch(zone, assignment.partition), assignment.known_epochs.get(zone, 0))
+            + 1
+        )
 
-    def _apply(self, document: SeatDocument, sent_at: float, now: float) -> list[Action]:
+    def _apply(self, document: AssignmentDocument, sent_at: float, now: float) -> list[Action]:
         """Take in the document as the store had it after ``sent_at``."""
         self._timing.note_document(document)
-        self._confirm_at = now + self._settings.seat_confirm_interval_seconds * (
+        self._confirm_at = now + self._settings.assignment_confirm_interval_seconds * (
             self._random.uniform(0.5, 1.0)
         )
-        zone = self._seats.identity.zone
+        zone = self._assignments.identity.zone
         begun = 0
         lost = 0
-        for seat in self._seats.seats:
-            newest = document.epoch(zone, seat.partition)
-            if newest > seat.epoch:
-                begun += self._begin(document, seat, sent_at, now)
-            elif newest == seat.epoch:
-                seat.confirmed_at = max(seat.confirmed_at, sent_at)
-            lost += self._seats.learn(seat, document.seat_epochs(seat.partition), now)
+        for assignment in self._assignments.assignments:
+            newest = document.epoch(zone, assignment.partition)
+            if newest > assignment.epoch:
+                begun += self._begin(document, assignment, sent_at, now)
+            elif newest == assignment.epoch:
+                assignment.confirmed_at = max(assignment.confirmed_at, sent_at)
+            lost += self._assignments.learn(
+                assignment, document.assignment_epochs(assignment.partition), now
+            )
         if not begun and not lost:
             return []
         fields = (("begun", begun), ("lost", lost))
-        return [Log("claims_seats_changed", fields=fields)]
-
-    def _begin(self, document: SeatDocument, seat: Seat, sent_at: float, now: float) -> bool:
-        """Begin the seat's newest epoch if this node made it; return whether it did."""
-        identity = self._seats.identity
-        ours = document.taker(identity.zone, seat.partition) == identity.node_id
+        return [Log("claims_assignments_changed", fields=fields)]
+
+    def _begin(
+        self, document: AssignmentDocument, assignment: Assignment, sent_at: float, now: float
+    ) -> bool:
+        """Begin the assignment's newest epoch if this node made it; return whether it did."""
+        identity = self._assignments.identity
+        ours = document.taker(identity.zone, assignment.partition) == identity.node_id
         if not ours or document.zones != self._zones:
             return False
-        epoch = document.epoch(identity.zone, seat.partition)
-        seat.confirmed_at = sent_at
-        continues = seat.zones == document.zones and epoch == seat.epoch + 1
-        if seat.status is SeatStatus.VOUCHING and continues:
+        epoch = document.epoch(identity.zone, assignment.partition)
+        assignment.confirmed_at = sent_at
+        continues = assignment.zones == document.zones and epoch == assignment.epoch + 1
+        if assignment.status is AssignmentStatus.VOTING and continues:
             # The memory came by a handover while the takeover was under way: it is complete,
             # and no other node can have voted in between.
-            seat.epoch = epoch
+            assignment.epoch = epoch
             return True
-        self._seats.learn(seat, document.seat_epochs(seat.partition), now)
-        self._seats.begin_epoch(seat, epoch, self._zones)
-        seat.vouch_at = now + self._settings.wait_seconds
-        seat.ask_tables_soon(now, self._settings.table_retry_seconds)
+        self._assignments.learn(assignment, document.assignment_epochs(assignment.partition), now)
+        self._assignments.begin_epoch(assignment, epoch, self._zones)
+        assignment.vote_at = now + self._settings.wait_seconds
+        assignment.ask_tables_soon(now, self._settings.table_retry_seconds)
         if document.previous_zones:
             epochs = {
-                zone: epochs[seat.partition] for zone, epochs in document.previous_epochs.items()
+                zone: epochs[assignment.partition]
+                for zone, epochs in document.previous_epochs.items()
             }
-            seat.previous = PreviousSeats(document.previous_zones, epochs)
+            assignment.previous = PreviousAssignments(document.previous_zones, epochs)
         skips_rebuild = not self._settings.enabled(Mechanism.CLAIM_REBUILD)
-        if document.is_genesis(identity.zone, seat.partition) or skips_rebuild:
-            self._seats.vouch(seat)
+        if document.is_genesis(identity.zone, assignment.partition) or skips_rebuild:
+            self._assignments.vote(assignment)
         return True
--- a/wingquay/claims/takeover_timing.py
+++ b/wingquay/claims/takeover_timing.py
@@ -1,10 +1,10 @@
-"""When a node should take over a seat: at once, or after waiting for an offer of it."""
+"""When a node should take over an assignment: at once, or after waiting for an offer of it."""
 
 from math import inf
 
-from wingquay.claims.directory import SeatDirectory
-from wingquay.claims.seat import Seat, SeatStatus, SeatTable
-from wingquay.claims.seat_document import SeatDocument
+from wingquay.claims.assignment import Assignment, AssignmentStatus, AssignmentTable
+from wingquay.claims.assignment_document import AssignmentDocument
+from wingquay.claims.directory import AssignmentDirectory
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.model.identifiers import NodeId, ZoneName
 
@@ -19,15 +19,15 @@
     def __init__(
         self,
         settings: ClaimsSettings,
-        seats: SeatTable,
-        directory: SeatDirectory,
+        assignments: AssignmentTable,
+        directory: AssignmentDirectory,
     ) -> None:
         self._settings = settings
-        self._seats = seats
+        self._assignments = assignments
         self._directory = directory
         self._zones: tuple[ZoneName, ...] = ()
         self._leaving = False
-        self._document: SeatDocument | None = None
+        self._document: AssignmentDocument | None = None
         self._nodes: frozenset[NodeId] = frozenset()
         self._alone_since = inf
         self._heard_from: set[NodeId] = set()
@@ -43,11 +43,11 @@
         self._zones = zones
 
     def stop(self) -> None:
-        """Want no more seats: the node leaves."""
+        """Want no more assignments: the node leaves."""
         self._leaving = True
 
-    def note_document(self, document: SeatDocument) -> None:
-        """Take in the seat document as last read."""
+    def note_document(self, document: AssignmentDocument) -> None:
+        """Take in the assignment document as last read."""
         self._document = document
 
     def hear_from(self, node_id: NodeId) -> None:
@@ -55,16 +55,16 @@
         self._heard_from.add(node_id)
 
     def is_ours(self, partition: int) -> bool:
-        """Whether this node should hold the seat."""
-        identity = self._seats.identity
+        """Whether this node should hold the assignment."""
+        identity = self._assignments.identity
         if self._leaving or identity.zone not in self._zones:
             return False
         holder = self._directory.holder(identity.deployment, identity.zone, partition)
         return holder is not None and holder.node_id == identity.node_id
 
     def review(self, now: float) -> None:
-        """Look anew at which seats this node should hold, after the membership changed."""
-        identity = self._seats.identity
+        """Look anew at which assignments this node should hold, after the membership changed."""
+        identity = self._assignments.identity
         nodes = self._directory.node_ids(identity.deployment, identity.zone)
         crashed = {
             node_id for node_id in self._nodes - nodes if not self._directory.is_leaving(node_id)
@@ -74,20 +74,20 @@
             self._alone_since = inf
         elif self._alone_since == inf:
             self._alone_since = now
-        for seat in self._seats.seats:
-            self._review_seat(seat, crashed, now)
+        for assignment in self._assignments.assignments:
+            self._review_assignment(assignment, crashed, now)
 
-    def _review_seat(self, seat: Seat, crashed: set[NodeId], now: float) -> None:
-        identity = self._seats.identity
-        holder = self._directory.holder(identity.deployment, identity.zone, seat.partition)
-        last_holder = self._last_holders.get(seat.partition)
+    def _review_assignment(self, assignment: Assignment, crashed: set[NodeId], now: float) -> None:
+        identity = self._assignments.identity
+        holder = self._directory.holder(identity.deployment, identity.zone, assignment.partition)
+        last_holder = self._last_holders.get(assignment.partition)
         if holder is not None:
-            self._last_holders[seat.partition] = holder.node_id
-            seat.was_anothers = seat.was_anothers or holder.node_id != identity.node_id
-        if not self.is_ours(seat.partition):
-            seat.takeover_at = inf
-        elif seat.takeover_at == inf:
-            seat.takeover_at = now + self._delay(last_holder in crashed)
+            self._last_holders[assignment.partition] = holder.node_id
+            assignment.was_anothers = assignment.was_anothers or holder.node_id != identity.node_id
+        if not self.is_ours(assignment.partition):
+            assignment.takeover_at = inf
+        elif assignment.takeover_at == inf:
+            assignment.takeover_at = now + self._delay(last_holder in crashed)
 
     def _delay(self, holder_crashed: bool) -> float:
         # In a single zone no other voter has a copy: a holder may be wrongly believed lost.
@@ -95,42 +95,42 @@
             return self._settings.crash_takeover_delay_seconds
         return self._settings.join_takeover_delay_seconds
 
-    def wanted(self, now: float) -> list[Seat]:
-        """Return the seats that are to be taken over now."""
+    def wanted(self, now: float) -> list[Assignment]:
+        """Return the assignments that are to be taken over now."""
         nobody_offers = self._nobody_offers(now)
         return [
-            seat
-            for seat in self._seats.seats
-            if self.is_ours(seat.partition)
-            and self._is_free(seat)
-            and now >= seat.accepted_until
-            and (now >= seat.takeover_at or (nobody_offers and self._is_orphan(seat)))
+            assignment
+            for assignment in self._assignments.assignments
+            if self.is_ours(assignment.partition)
+            and self._is_free(assignment)
+            and now >= assignment.accepted_until
+            and (now >= assignment.takeover_at or (nobody_offers and self._is_orphan(assignment)))
         ]
 
-    def _is_free(self, seat: Seat) -> bool:
-        """Whether this node is neither holding the seat nor giving it to a node that is there."""
-        if seat.status is not SeatStatus.HANDED_OVER:
-            return seat.status is SeatStatus.EMPTY
-        receiver = None if seat.offer is None else seat.offer.receiver
-        mates = self._directory.mates(self._seats.identity)
+    def _is_free(self, assignment: Assignment) -> bool:
+        """Whether this node neither holds the assignment nor gives it to a node that is there."""
+        if assignment.status is not AssignmentStatus.HANDED_OVER:
+            return assignment.status is AssignmentStatus.EMPTY
+        receiver = None if assignment.offer is None else assignment.offer.receiver
+        mates = self._directory.mates(self._assignments.identity)
         return all(node.node_id != receiver for node in mates)
 
     def _nobody_offers(self, now: float) -> bool:
         """Whether every other node of the zone that is seen has had its say."""
         if len(self._zones) == 1:
             return False
-        mates = self._directory.mates(self._seats.identity)
+        mates = self._directory.mates(self._assignments.identity)
         if not mates:
             return now - self._alone_since >= self._settings.alone_takeover_delay_seconds
         return all(node.node_id in self._heard_from for node in mates)
 
-    def _is_orphan(self, seat: Seat) -> bool:
-        """Whether nobody seen since this node started can have held the seat.
+    def _is_orphan(self, assignment: Assignment) -> bool:
+        """Whether nobody seen since this node started can have held the assignment.
 
-        What the others said at the beginning tells nothing of seats that they got later.
+        What the others said at the beginning tells nothing of assignments that they got later.
         """
-        if seat.was_anothers or self._document is None:
+        if assignment.was_anothers or self._document is None:
             return False
-        identity = self._seats.identity
-        taker = self._document.taker(identity.zone, seat.partition)
+        identity = self._assignments.identity
+        taker = self._document.taker(identity.zone, assignment.partition)
         return all(node.node_id != taker for node in self._directory.mates(identity))
--- a/wingquay/claims/transfers.py
+++ b/wingquay/claims/transfers.py
@@ -1,17 +1,17 @@
-"""Asking other voters for tables: to rebuild a seat, and to hand a seat over."""
+"""Asking other voters for tables: to rebuild an assignment, and to hand an assignment over."""
 
 from dataclasses import dataclass, field
 from math import inf
 
-from wingquay.claims.directory import SeatDirectory
+from wingquay.claims.assignment import Assignment, AssignmentStatus, AssignmentTable, TableSource
+from wingquay.claims.directory import AssignmentDirectory
 from wingquay.claims.quorum import tables_needed
-from wingquay.claims.seat import Seat, SeatStatus, SeatTable, TableSource
 from wingquay.claims.settings import ClaimsSettings
 from wingquay.model.identifiers import ZoneName
 from wingquay.model.mechanisms import Mechanism
 from wingquay.ports.machine import Action
 from wingquay.ports.peer import NodeIdentity, SendToPeer
-from wingquay.ports.peer_claims import ClaimSeatOffer, ClaimTable, ClaimTableRequest
+from wingquay.ports.peer_claims import ClaimAssignmentOffer, ClaimTable, ClaimTableRequest
 
 
 @dataclass(slots=True)
@@ -20,14 +20,14 @@
 
     Parameters
     ----------
-    seat_epoch
-        The seat's epoch when it asked: whoever answered knew of this one, not of later ones.
+    assignment_epoch
+        The assignment's epoch when it asked: whoever answered knew of this one, not of later ones.
     offer_id
-        Set when the seat itself is to pass.
+        Set when the assignment itself is to pass.
     """
 
-    seat: Seat
-    seat_epoch: int
+    assignment: Assignment
+    assignment_epoch: int
     sender: NodeIdentity
     offer_id: str | None
     ended_epoch: int
@@ -38,16 +38,16 @@
 
 
 class TableTransfers:
-    """Asks for the tables of seats that this node takes over or is offered."""
+    """Asks for the tables of assignments that this node takes over or is offered."""
 
     def __init__(
         self,
         settings: ClaimsSettings,
-        seats: SeatTable,
-        directory: SeatDirectory,
+        assignments: AssignmentTable,
+        directory: AssignmentDirectory,
     ) -> None:
         self._settings = settings
-        self._seats = seats
+        self._assignments = assignments
         self._directory = directory
         self._zones: tuple[ZoneName, ...] = ()
         self._leaving = False
@@ -59,97 +59,101 @@
         self._zones = zones
 
     def stop_accepting(self) -> None:
-        """Accept no more seats: the node leaves."""
+        """Accept no more assignments: the node leaves."""
         self._leaving = True
 
     def on_membership(self, now: float) -> None:
-        """Ask at the next tick: other nodes hold seats now."""
-        for seat in self._seats.with_status(SeatStatus.REBUILDING):
-            seat.ask_tables_soon(now, self._settings.table_retry_seconds)
+        """Ask at the next tick: other nodes hold assignments now."""
+        for assignment in self._assignments.with_status(AssignmentStatus.REBUILDING):
+            assignment.ask_tables_soon(now, self._settings.table_retry_seconds)
 
     def tick(self, now: float) -> list[Action]:
         """Ask for the tables that are missing, and forget what has served its time."""
         actions: list[Action] = []
-        for seat in self._seats.with_status(SeatStatus.REBUILDING):
-            if now >= seat.vouch_at:
-                self._seats.vouch(seat)
-            elif now >= seat.ask_tables_at:
-                seat.ask_tables_at = now + seat.ask_tables_delay_seconds
-                seat.ask_tables_delay_seconds = min(
-                    seat.ask_tables_delay_seconds * 2.0,
+        for assignment in self._assignments.with_status(AssignmentStatus.REBUILDING):
+            if now >= assignment.vote_at:
+                self._assignments.vote(assignment)
+            elif now >= assignment.ask_tables_at:
+                assignment.ask_tables_at = now + assignment.ask_tables_delay_seconds
+                assignment.ask_tables_delay_seconds = min(
+                    assignment.ask_tables_delay_seconds * 2.0,
                     self._settings.table_retry_most_seconds,
                 )
-                actions += self._ask_for_tables(seat, now)
+                actions += self._ask_for_tables(assignment, now)
         self._forget_old(now)
-        return actions + self._ask_again_for_seats(now)
+        return actions + self._ask_again_for_assignments(now)
 
     def _forget_old(self, now: float) -> None:
-        for seat in self._seats.seats:
-            if seat.status is SeatStatus.HANDED_OVER and now >= seat.forget_at:
-                seat.become_empty()
-            if seat.retired is not None and now >= seat.retired.forget_at:
-                self._seats.forget_retired(seat)
+        for assignment in self._assignments.assignments:
+            if assignment.status is AssignmentStatus.HANDED_OVER and now >= assignment.forget_at:
+                assignment.become_empty()
+            if assignment.retired is not None and now >= assignment.retired.forget_at:
+                self._assignments.forget_retired(assignment)
         self._drop_old_fetches(now)
 
-    def _ask_for_tables(self, seat: Seat, now: float) -> list[Action]:
-        identity = self._seats.identity
+    def _ask_for_tables(self, assignment: Assignment, now: float) -> list[Action]:
+        identity = self._assignments.identity
         actions: list[Action] = []
-        for zone in seat.zones:
-            if zone == identity.zone or zone in self._counted_tables(seat):
+        for zone in assignment.zones:
+            if zone == identity.zone or zone in self._counted_tables(assignment):
                 continue
-            holder = self._directory.holder(identity.deployment, zone, seat.partition)
+            holder = self._directory.holder(identity.deployment, zone, assignment.partition)
             if holder is not None:
-                actions.append(self._request(seat, holder, None, now))
-        return actions + self._ask_for_previous_tables(seat, now)
+                actions.append(self._request(assignment, holder, None, now))
+        return actions + self._ask_for_previous_tables(assignment, now)
 
-    def _ask_for_previous_tables(self, seat: Seat, now: float) -> list[Action]:
+    def _ask_for_previous_tables(self, assignment: Assignment, now: float) -> list[Action]:
         """Ask for the tables of the last list of zones; this node's own needs no message."""
-        identity = self._seats.identity
-        if seat.previous is None:
+        identity = self._assignments.identity
+        if assignment.previous is None:
             return []
         actions: list[Action] = []
-        for zone, epoch in sorted(seat.previous.epochs.items()):
-            if zone in seat.previous_tables or epoch == 0:
+        for zone, epoch in sorted(assignment.previous.epochs.items()):
+            if zone in assignment.previous_tables or epoch == 0:
                 continue
-            holder = self._directory.holder(identity.deployment, zone, seat.partition)
+            holder = self._directory.holder(identity.deployment, zone, assignment.partition)
             if holder is not None:
-                actions.append(self._request(seat, holder, None, now, epoch))
+                actions.append(self._request(assignment, holder, None, now, epoch))
         return actions
 
     def _request(
         self,
-        seat: Seat,
+        assignment: Assignment,
         sender: NodeIdentity,
         offer_id: str | None,
         now: float,
         ended_epoch: int = 0,
     ) -> SendToPeer:
         self._transfers += 1
-        transfer_id = f"{self._seats.identity.node_id}/{self._transfers}"
-        zones = self._zones if offer_id is not None else seat.zones
+        transfer_id = f"{self._assignments.identity.node_id}/{self._transfers}"
+        zones = self._zones if offer_id is not None else assignment.zones
         ask_again_at = now + self._settings.table_retry_seconds if offer_id is not None else inf
-        fetch = _Fetch(seat, seat.epoch, sender, offer_id, ended_epoch, zones, now, ask_again_at)
+        fetch = _Fetch(
+            assignment, assignment.epoch, sender, offer_id, ended_epoch, zones, now, ask_again_at
+        )
         self._fetches[transfer_id] = fetch
         request = ClaimTableRequest(
-            partition=seat.partition,
+            partition=assignment.partition,
             transfer_id=transfer_id,
             offer_id=offer_id,
             zones=zones,
-            seat_epochs=seat.seat_epochs(),
+            assignment_epochs=assignment.assignment_epochs(),
             ended_epoch=ended_epoch,
         )
         return SendToPeer(sender, request)
 
-    def _ask_again_for_seats(self, now: float) -> list[Action]:
-        """Fetch accepted seats once more: their holder votes no more since it gave them."""
+    def _ask_again_for_assignments(self, now: float) -> list[Action]:
+        """Fetch accepted assignments once more: their holder votes no more since it gave them."""
         late = [fetch for fetch in self._fetches.values() if now >= fetch.ask_again_at]
         actions: list[Action] = []
         for fetch in late:
             fetch.ask_again_at = inf
-            seat = fetch.seat
-            is_open = seat.accepted_offer_id == fetch.offer_id and now < seat.accepted_until
-            if is_open and seat.status is not SeatStatus.VOUCHING:
-                actions.append(self._request(seat, fetch.sender, fetch.offer_id, now))
+            assignment = fetch.assignment
+            is_open = (
+                assignment.accepted_offer_id == fetch.offer_id and now < assignment.accepted_until
+            )
+            if is_open and assignment.status is not AssignmentStatus.VOTING:
+                actions.append(self._request(assignment, fetch.sender, fetch.offer_id, now))
         return actions
 
     def _drop_old_fetches(self, now: float) -> None:
@@ -165,14 +169,14 @@
         fetch = self._fetches.get(table.transfer_id)
         if fetch is None or fetch.sender.node_id != sender.node_id:
             return []
-        if table.partition != fetch.seat.partition:
+        if table.partition != fetch.assignment.partition:
             return []
         pieces = fetch.pieces.setdefault(table.table_id, {})
         pieces[table.piece] = table
         if len(pieces) < table.pieces:
             return []
         del self._fetches[table.transfer_id]
-        self._seats.learn(fetch.seat, table.seat_epochs, now)
+        self._assignments.learn(fetch.assignment, table.assignment_epochs, now)
         whole = tuple(pieces.values())
         if fetch.offer_id is None:
             self._count_table(fetch, whole, now)
@@ -181,68 +185,75 @@
         return []
 
     def _count_table(self, fetch: _Fetch, pieces: tuple[ClaimTable, ...], now: float) -> None:
-        seat = fetch.seat
+        assignment = fetch.assignment
         table = pieces[0]
-        if seat.status is not SeatStatus.REBUILDING or seat.epoch != fetch.seat_epoch:
+        if (
+            assignment.status is not AssignmentStatus.REBUILDING
+            or assignment.epoch != fetch.assignment_epoch
+        ):
             return
         if not table.complete:
             return
-        _merge(seat, pieces, now)
+        _merge(assignment, pieces, now)
         zone = fetch.sender.zone
         if not fetch.ended_epoch:
-            seat.tables[zone] = TableSource(table.epoch)
-        elif seat.previous is not None and seat.previous.epochs.get(zone) == table.epoch:
-            seat.previous_tables.add(zone)
-        if self._is_rebuilt(seat):
-            self._seats.vouch(seat)
+            assignment.tables[zone] = TableSource(table.epoch)
+        elif (
+            assignment.previous is not None and assignment.previous.epochs.get(zone) == table.epoch
+        ):
+            assignment.previous_tables.add(zone)
+        if self._is_rebuilt(assignment):
+            self._assignments.vote(assignment)
 
-    def _is_rebuilt(self, seat: Seat) -> bool:
-        if len(self._counted_tables(seat)) >= tables_needed(len(seat.zones)):
+    def _is_rebuilt(self, assignment: Assignment) -> bool:
+        if len(self._counted_tables(assignment)) >= tables_needed(len(assignment.zones)):
             return True
-        if seat.previous is None:
+        if assignment.previous is None:
             return False
-        return len(seat.previous_tables) >= tables_needed(len(seat.previous.zones))
+        return len(assignment.previous_tables) >= tables_needed(len(assignment.previous.zones))
 
-    def _counted_tables(self, seat: Seat) -> list[ZoneName]:
+    def _counted_tables(self, assignment: Assignment) -> list[ZoneName]:
         """Return the zones whose table was read from their newest known epoch."""
-        if not self._settings.enabled(Mechanism.CLAIM_SEAT_EPOCHS):
-            return list(seat.tables)
+        if not self._settings.enabled(Mechanism.CLAIM_ASSIGNMENT_EPOCHS):
+            return list(assignment.tables)
         return [
             zone
-            for zone, source in seat.tables.items()
-            if source.epoch >= seat.known_epochs.get(zone, 0)
+            for zone, source in assignment.tables.items()
+            if source.epoch >= assignment.known_epochs.get(zone, 0)
         ]
 
     def _adopt(self, fetch: _Fetch, pieces: tuple[ClaimTable, ...], now: float) -> None:
-        """Continue the epoch of the node that handed its seat over."""
-        seat = fetch.seat
+        """Continue the epoch of the node that handed its assignment over."""
+        assignment = fetch.assignment
         table = pieces[0]
-        newest = seat.known_epochs.get(self._seats.identity.zone, 0)
-        if seat.status is SeatStatus.VOUCHING or table.epoch < max(newest, seat.epoch):
+        newest = assignment.known_epochs.get(self._assignments.identity.zone, 0)
+        if assignment.status is AssignmentStatus.VOTING or table.epoch < max(
+            newest, assignment.epoch
+        ):
             return
-        self._forget_fetches_of(seat)
-        self._seats.begin_epoch(seat, table.epoch, fetch.zones)
-        _merge(seat, pieces, now)
+        self._forget_fetches_of(assignment)
+        self._assignments.begin_epoch(assignment, table.epoch, fetch.zones)
+        _merge(assignment, pieces, now)
         # Counted from the request, so that a table that was long under way is not trusted more.
-        seat.confirmed_at = fetch.requested_at - table.confirmed_age_seconds
-        self._seats.vouch(seat)
+        assignment.confirmed_at = fetch.requested_at - table.confirmed_age_seconds
+        self._assignments.vote(assignment)
 
-    def _forget_fetches_of(self, seat: Seat) -> None:
-        # A late copy of the same seat must not be taken after this node has handed it on.
+    def _forget_fetches_of(self, assignment: Assignment) -> None:
+        # A late copy of the same assignment must not be taken after this node has handed it on.
         self._fetches = {
             transfer_id: fetch
             for transfer_id, fetch in self._fetches.items()
-            if fetch.seat is not seat
+            if fetch.assignment is not assignment
         }
 
     def accept_offer(
         self,
         sender: NodeIdentity,
-        offer: ClaimSeatOffer,
+        offer: ClaimAssignmentOffer,
         now: float,
     ) -> list[Action]:
-        """Ask for the seats that another node of this zone offers."""
-        identity = self._seats.identity
+        """Ask for the assignments that another node of this zone offers."""
+        identity = self._assignments.identity
         same_zone = (sender.deployment, sender.zone) == (
             identity.deployment,
             identity.zone,
@@ -251,19 +262,21 @@
             return []
         actions: list[Action] = []
         for partition in offer.partitions:
-            if not 0 <= partition < len(self._seats.seats):
+            if not 0 <= partition < len(self._assignments.assignments):
                 continue
-            seat = self._seats.seats[partition]
-            is_known = seat.accepted_offer_id == offer.offer_id and now < seat.accepted_until
-            if seat.status is not SeatStatus.VOUCHING and not is_known:
-                seat.accepted_offer_id = offer.offer_id
-                seat.accepted_until = now + self._settings.handed_over_keep_seconds
-                seat.takeover_at = max(seat.takeover_at, seat.accepted_until)
-                actions.append(self._request(seat, sender, offer.offer_id, now))
+            assignment = self._assignments.assignments[partition]
+            is_known = (
+                assignment.accepted_offer_id == offer.offer_id and now < assignment.accepted_until
+            )
+            if assignment.status is not AssignmentStatus.VOTING and not is_known:
+                assignment.accepted_offer_id = offer.offer_id
+                assignment.accepted_until = now + self._settings.handed_over_keep_seconds
+                assignment.takeover_at = max(assignment.takeover_at, assignment.accepted_until)
+                actions.append(self._request(assignment, sender, offer.offer_id, now))
         return actions
 
 
-def _merge(seat: Seat, pieces: tuple[ClaimTable, ...], now: float) -> None:
+def _merge(assignment: Assignment, pieces: tuple[ClaimTable, ...], now: float) -> None:
     for piece in pieces:
         for record in piece.records:
-            seat.memory.merge(record, now)
+            assignment.memory.merge(record, now)
--- a/wingquay/claims/voter.py
+++ b/wingquay/claims/voter.py
@@ -1,46 +1,46 @@
 """The voter: grants claims, remembers what came of them."""
 
+from wingquay.claims.assignment import Assignment, AssignmentStatus, AssignmentTable
 from wingquay.claims.keys import partition_of
 from wingquay.claims.memory import Submission
-from wingquay.claims.seat import Seat, SeatStatus, SeatTable
 from wingquay.ports.peer_claims import ClaimOutcome, ClaimRequest, ClaimVote, VoteKind
 
 
 class Voter:
-    """Answers claim requests from the seats of this node."""
+    """Answers claim requests from the assignments of this node."""
 
-    def __init__(self, seats: SeatTable) -> None:
-        self._seats = seats
+    def __init__(self, assignments: AssignmentTable) -> None:
+        self._assignments = assignments
 
     def vote(self, request: ClaimRequest, now: float) -> ClaimVote:
         """Return the vote on ``request`` and remember a grant."""
-        seat = self._seats.seats[partition_of(request.claim_key)]
-        self._seats.learn(seat, request.seat_epochs, now)
-        vouches = self._seats.can_vouch(seat, request.zones, now)
-        remembered = seat.memory.submissions(request.claim_key, now)
+        assignment = self._assignments.assignments[partition_of(request.claim_key)]
+        self._assignments.learn(assignment, request.assignment_epochs, now)
+        votes = self._assignments.can_vote(assignment, request.zones, now)
+        remembered = assignment.memory.submissions(request.claim_key, now)
         for entry in sorted(remembered, key=_unknown_outcomes_last):
             is_other = entry.request_id != request.request_id
-            if entry.outcome is not None or (vouches and is_other):
-                return _already_claimed(request, seat, entry)
-        if not vouches or (not remembered and seat.memory.is_full):
-            return _vote(request, seat, VoteKind.CANNOT_VOUCH)
+            if entry.outcome is not None or (votes and is_other):
+                return _already_claimed(request, assignment, entry)
+        if not votes or (not remembered and assignment.memory.is_full):
+            return _vote(request, assignment, VoteKind.CANNOT_VOTE)
         grant = Submission(
             request_id=request.request_id,
             request_digest=request.request_digest,
             round_number=request.round_number,
             granted_at=now,
         )
-        seat.memory.remember(request.claim_key, grant)
-        return _vote(request, seat, VoteKind.GRANTED)
+        assignment.memory.remember(request.claim_key, grant)
+        return _vote(request, assignment, VoteKind.GRANTED)
 
     def record_outcome(self, outcome: ClaimOutcome, now: float) -> None:
         """Remember what came of a claim, or that it is free again."""
-        seat = self._seats.seats[partition_of(outcome.claim_key)]
+        assignment = self._assignments.assignments[partition_of(outcome.claim_key)]
         if outcome.outcome is None:
-            seat.memory.release(outcome.claim_key, outcome.request_id, outcome.round_number)
+            assignment.memory.release(outcome.claim_key, outcome.request_id, outcome.round_number)
             return
-        known = seat.memory.submissions(outcome.claim_key, now)
-        has_room = seat.status is SeatStatus.VOUCHING and not seat.memory.is_full
+        known = assignment.memory.submissions(outcome.claim_key, now)
+        has_room = assignment.status is AssignmentStatus.VOTING and not assignment.memory.is_full
         if not known and not has_room:
             return
         finished = Submission(
@@ -50,33 +50,35 @@
             granted_at=now,
             outcome=outcome.outcome,
         )
-        seat.memory.remember(outcome.claim_key, finished)
+        assignment.memory.remember(outcome.claim_key, finished)
 
 
 def _unknown_outcomes_last(entry: Submission) -> bool:
     return entry.outcome is None
 
 
-def _vote(request: ClaimRequest, seat: Seat, kind: VoteKind) -> ClaimVote:
+def _vote(request: ClaimRequest, assignment: Assignment, kind: VoteKind) -> ClaimVote:
     return ClaimVote(
         claim_key=request.claim_key,
         request_id=request.request_id,
         round_number=request.round_number,
         vote=kind,
-        epoch=seat.epoch if seat.status is SeatStatus.VOUCHING else 0,
-        seat_epochs=seat.seat_epochs(),
+        epoch=assignment.epoch if assignment.status is AssignmentStatus.VOTING else 0,
+        assignment_epochs=assignment.assignment_epochs(),
     )
 
 
-def _already_claimed(request: ClaimRequest, seat: Seat, holder: Submission) -> ClaimVote:
+def _already_claimed(
+    request: ClaimRequest, assignment: Assignment, holder: Submission
+) -> ClaimVote:
     return ClaimVote(
         claim_key=request.claim_key,
         request_id=request.request_id,
         round_number=request.round_number,
         vote=VoteKind.ALREADY_CLAIMED,
-        epoch=seat.epoch if seat.status is SeatStatus.VOUCHING else 0,
+        epoch=assignment.epoch if assignment.status is AssignmentStatus.VOTING else 0,
         holder_request_id=holder.request_id,
         holder_request_digest=holder.request_digest,
         outcome=holder.outcome,
-        seat_epochs=seat.seat_epochs(),
+        assignment_epochs=assignment.assignment_epochs(),
     )
--- a/wingquay/commands/capacity.py
+++ b/wingquay/commands/capacity.py
@@ -5,9 +5,9 @@
 import sys
 
 from wingquay.commands.exit_codes import FAILED, OK, USAGE
-from wingquay.rehearsal.capacity.report import make_report, report_text
-from wingquay.rehearsal.capacity.run import run
-from wingquay.rehearsal.capacity.settings import CapacitySettings, check
+from wingquay.simulation.capacity.report import make_report, report_text
+from wingquay.simulation.capacity.run import run
+from wingquay.simulation.capacity.settings import CapacitySettings, check
 
 
 def command(  # noqa: PLR0913 - each argument is a flag
--- a/wingquay/commands/experiment.py
+++ b/wingquay/commands/experiment.py
@@ -6,16 +6,16 @@
 
 from wingquay.commands.exit_codes import FAILED, OK, USAGE
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.experiments.experiment_file import read_experiment
-from wingquay.rehearsal.experiments.launcher import run_all
-from wingquay.rehearsal.experiments.result_files import (
+from wingquay.simulation.experiments.experiment_file import read_experiment
+from wingquay.simulation.experiments.launcher import run_all
+from wingquay.simulation.experiments.result_files import (
     ExperimentResults,
     read_results,
     write_results,
     write_table,
 )
-from wingquay.rehearsal.experiments.run_result import RunResult
-from wingquay.rehearsal.experiments.statistics_over_seeds import by_scenario, compare
+from wingquay.simulation.experiments.run_result import RunResult
+from wingquay.simulation.experiments.statistics_over_seeds import by_scenario, compare
 
 DEFAULT_WORKERS = 4
 MOST_WORKERS = 256
@@ -78,7 +78,7 @@
 
 def _write(results: ExperimentResults, earlier: ExperimentResults | None, directory: Path) -> int:
     # matplotlib is a part of wingquay[report] only, and slow to load.
-    from wingquay.rehearsal.experiments.html_report import write_report
+    from wingquay.simulation.experiments.html_report import write_report
 
     write_results(results, directory)
     write_table(results.runs, directory)
--- a/wingquay/commands/load.py
+++ b/wingquay/commands/load.py
@@ -9,8 +9,8 @@
 
 from wingquay.commands.exit_codes import FAILED, INTERRUPTED, OK, USAGE
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.load.load_generator import LoadGenerator
-from wingquay.rehearsal.load.load_plan import (
+from wingquay.simulation.load.load_generator import LoadGenerator
+from wingquay.simulation.load.load_plan import (
     LoadFailureKind,
     LoadPlan,
     check_plan,
@@ -18,8 +18,8 @@
     parse_mix,
     parse_targets,
 )
-from wingquay.rehearsal.load.load_report import make_summary, progress_line, summary_text
-from wingquay.rehearsal.models.dataset import Dataset
+from wingquay.simulation.load.load_report import make_summary, progress_line, summary_text
+from wingquay.simulation.models.dataset import Dataset
 
 TOKEN_VARIABLE = "WINGQUAY_CALLER_TOKEN"
 DEFAULT_RATE = 50.0
--- a/wingquay/commands/replay.py
+++ b/wingquay/commands/replay.py
@@ -6,9 +6,9 @@
 
 from wingquay.commands.exit_codes import FAILED, OK, USAGE
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.fault_choices import parse_mechanisms
-from wingquay.rehearsal.script import read_script
-from wingquay.rehearsal.scripted_simulation import ScriptedSimulation
+from wingquay.simulation.fault_choices import parse_mechanisms
+from wingquay.simulation.script import read_script
+from wingquay.simulation.scripted_simulation import ScriptedSimulation
 
 
 def command(file: str, json: bool = False) -> int:
--- a/wingquay/commands/simulate.py
+++ b/wingquay/commands/simulate.py
@@ -8,15 +8,15 @@
 from wingquay.commands.exit_codes import FAILED, OK, USAGE
 from wingquay.model.failure import Failure
 from wingquay.model.mechanisms import Mechanism
-from wingquay.rehearsal.deployments import DEPLOYMENTS, find_deployment
-from wingquay.rehearsal.fault_choices import parse_faults, parse_mechanisms
-from wingquay.rehearsal.faults.catalogue import FAULTS
-from wingquay.rehearsal.invariants import Invariant
-from wingquay.rehearsal.mechanisms import PROTECTS
-from wingquay.rehearsal.rehearsal_failure import RehearsalFailureKind
-from wingquay.rehearsal.simulation import Simulation
-from wingquay.rehearsal.simulation_report import make_report, report_text
-from wingquay.rehearsal.simulation_settings import DEFAULT_LOAD, Policy, SimulationSettings
+from wingquay.simulation.deployments import DEPLOYMENTS, find_deployment
+from wingquay.simulation.fault_choices import parse_faults, parse_mechanisms
+from wingquay.simulation.faults.catalogue import FAULTS
+from wingquay.simulation.invariants import Invariant
+from wingquay.simulation.mechanisms import PROTECTS
+from wingquay.simulation.simulation import Simulation
+from wingquay.simulation.simulation_failure import SimulationFailureKind
+from wingquay.simulation.simulation_report import make_report, report_text
+from wingquay.simulation.simulation_settings import DEFAULT_LOAD, Policy, SimulationSettings
 
 LONGEST_SECONDS = 1e6
 GREATEST_LOAD = 100.0
@@ -87,7 +87,7 @@
     policy: str,
     load: float,
     without: str,
-) -> SimulationSettings | Failure[RehearsalFailureKind]:
+) -> SimulationSettings | Failure[SimulationFailureKind]:
     """Check what the command line says."""
     profile = find_deployment(deployment)
     if isinstance(profile, Failure):
@@ -101,13 +101,13 @@
     policies = {entry.value: entry for entry in Policy}
     if policy not in policies:
         reason = f"--policy: {policy!r} must be one of {', '.join(policies)}"
-        return Failure(RehearsalFailureKind.UNKNOWN_NAME, reason)
+        return Failure(SimulationFailureKind.UNKNOWN_NAME, reason)
     if not 0 < seconds <= LONGEST_SECONDS:
         reason = f"--seconds: {seconds:g} must be above 0 and at most {LONGEST_SECONDS:g}"
-        return Failure(RehearsalFailureKind.OUT_OF_RANGE, reason)
+        return Failure(SimulationFailureKind.OUT_OF_RANGE, reason)
     if not 0 < load <= GREATEST_LOAD:
         reason = f"--load: {load:g} must be above 0 and at most {GREATEST_LOAD:g}"
-        return Failure(RehearsalFailureKind.OUT_OF_RANGE, reason)
+        return Failure(SimulationFailureKind.OUT_OF_RANGE, reason)
     return SimulationSettings(
         profile, seed, seconds, chosen_faults, policies[policy], load, mechanisms
     )
--- a/wingquay/commands/standin.py
+++ b/wingquay/commands/standin.py
@@ -10,10 +10,10 @@
 from wingquay.commands.exit_codes import OK, USAGE
 from wingquay.model.identifiers import ReplicaId, ServiceName, ShardId, SnapshotVersion
 from wingquay.model.key_range import KeyRange
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.dataset import DEFAULT_KEY_COUNT, Dataset
-from wingquay.rehearsal.models.service_time import ServiceTimeSettings
-from wingquay.rehearsal.models.store_model import StoreSettings
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.dataset import DEFAULT_KEY_COUNT, Dataset
+from wingquay.simulation.models.service_time import ServiceTimeSettings
+from wingquay.simulation.models.store_model import StoreSettings
 from wingquay.standins.backend import BackendStandin
 from wingquay.standins.store import StoreStandin
 
--- a/wingquay/configuration/seeker.py
+++ b/wingquay/configuration/configuration_finder.py
@@ -23,7 +23,7 @@
 PEERS_ASKED = 2
 
 
-class Seeker:
+class ConfigurationFinder:
     """Looks for a configuration until there is one; meanwhile the node is not ready."""
 
     def __init__(
--- a/wingquay/configuration/configuration_machine.py
+++ b/wingquay/configuration/configuration_machine.py
@@ -3,13 +3,13 @@
 from random import Random
 from typing import ClassVar
 
+from wingquay.configuration.configuration_finder import ConfigurationFinder
 from wingquay.configuration.current_key import CurrentKey
 from wingquay.configuration.dissemination import Dissemination
 from wingquay.configuration.in_force import InForce
 from wingquay.configuration.node_view import NodeView
-from wingquay.configuration.operator_desk import OperatorDesk
+from wingquay.configuration.operator_requests import OperatorRequests
 from wingquay.configuration.script import ScriptRunner, ScriptTimer
-from wingquay.configuration.seeker import Seeker
 from wingquay.configuration.spread import Spread
 from wingquay.configuration.watcher import Watcher
 from wingquay.model.identifiers import Revision
@@ -77,11 +77,13 @@
         self._spread = Spread(self._view)
         self._current_key = CurrentKey()
         self._dissemination = Dissemination(self._view, self._runner, self._in_force, self._spread)
-        self._seeker = Seeker(self._view, self._in_force, self._dissemination, self._current_key)
+        self._finder = ConfigurationFinder(
+            self._view, self._in_force, self._dissemination, self._current_key
+        )
         self._watcher = Watcher(
             self._view, self._runner, self._in_force, self._dissemination, self._current_key
         )
-        self._desk = OperatorDesk(
+        self._operator_requests = OperatorRequests(
             self._view,
             self._runner,
             self._in_force,
@@ -97,9 +99,9 @@
         return self._in_force.revision
 
     @property
-    def holds_watcher_seat(self) -> bool:
-        """Whether this node believes to hold one of its zone's watcher seats."""
-        return self._watcher.holds_seat
+    def holds_watcher_assignment(self) -> bool:
+        """Whether this node believes to hold one of its zone's watcher assignments."""
+        return self._watcher.holds_assignment
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in ``event``; events that do not concern the configuration change nothing."""
@@ -109,7 +111,7 @@
             case PeerReceived():
                 return self._handle_message(event, now)
             case OperatorRequest():
-                return self._desk.handle(event, now)
+                return self._operator_requests.handle(event, now)
             case WatchChanged():
                 return self._watcher.watch_changed(event, now)
             case WatchBroken():
@@ -132,7 +134,7 @@
         match event:
             case Start():
                 return [
-                    *self._runner.start(self._seeker.look(), now),
+                    *self._runner.start(self._finder.look(), now),
                     *self._dissemination.start(now),
                     *self._watcher.start(now),
                 ]
--- a/wingquay/configuration/confirmation.py
+++ b/wingquay/configuration/confirmation.py
@@ -23,7 +23,7 @@
     document_for_confirm,
     revisions_named,
 )
-from wingquay.configuration.plan_shelf import PlanShelf
+from wingquay.configuration.plan_store import PlanStore
 from wingquay.configuration.script import (
     Resumed,
     Script,
@@ -84,7 +84,7 @@
         self,
         command: ConfirmCommand,
         current_key: CurrentKey,
-        shelf: PlanShelf,
+        plan_store: PlanStore,
         in_force: InForce,
         dissemination: Dissemination,
         backoff: FullJitterBackoff,
@@ -92,7 +92,7 @@
     ) -> None:
         self._command = command
         self._current_key = current_key
-        self._shelf = shelf
+        self._plan_store = plan_store
         self._in_force = in_force
         self._dissemination = dissemination
         self._backoff = backoff
@@ -151,7 +151,7 @@
 
     def _find_plan(self, current: ConfigurationDocument) -> Script[Plan | OperatorFailure | None]:
         if self._plan is None:
-            found = yield from self._shelf.find(self._command.plan_id)
+            found = yield from self._plan_store.find(self._command.plan_id)
             if isinstance(found, Failure):
                 self._last_reason = found.reason
                 unavailable = found.kind is OperatorFailureKind.STORE_UNAVAILABLE
--- a/wingquay/configuration/keys.py
+++ b/wingquay/configuration/keys.py
@@ -20,11 +20,11 @@
     return f"{PLANS_PREFIX}{plan_id}"
 
 
-def seats_prefix(zone: ZoneName) -> str:
-    """Return what the keys of a zone's watcher seats begin with."""
+def assignments_prefix(zone: ZoneName) -> str:
+    """Return what the keys of a zone's watcher assignments begin with."""
     return f"{_WATCHERS_PREFIX}{zone}/"
 
 
-def seat_key(zone: ZoneName, seat: int) -> str:
+def assignment_key(zone: ZoneName, assignment: int) -> str:
     """Return the key whose holder watches the store for its zone."""
-    return f"{seats_prefix(zone)}{seat}"
+    return f"{assignments_prefix(zone)}{assignment}"
--- a/wingquay/configuration/operator_desk.py
+++ b/wingquay/configuration/operator_requests.py
@@ -12,7 +12,7 @@
 from wingquay.configuration.in_force import InForce
 from wingquay.configuration.node_view import NodeView
 from wingquay.configuration.plan import Proposal, make_plan
-from wingquay.configuration.plan_shelf import PlanShelf
+from wingquay.configuration.plan_store import PlanStore
 from wingquay.configuration.revision_reader import (
     NOT_FRESH_WARNING,
     CommandResult,
@@ -60,7 +60,7 @@
 )
 
 
-class OperatorDesk:
+class OperatorRequests:
     """Turns commands into scripts whose result is the reply."""
 
     def __init__(  # noqa: PLR0913 - the desk is where the parts meet
@@ -80,7 +80,7 @@
         self._dissemination = dissemination
         self._current_key = current_key
         self._watcher = watcher
-        self._shelf = PlanShelf()
+        self._plan_store = PlanStore()
         self._revisions = RevisionReader(in_force, dissemination, current_key, runner.store_health)
         self._status = StatusReporter(view, in_force, spread, runner.store_health)
 
@@ -124,14 +124,14 @@
             if all(self._spread.heard_since(node.node_id, now) for node in asked):
                 break
             later = yield from pause(STATUS_CHECK_SECONDS)
-        return self._status.report(later, self._watcher.holds_seat)
+        return self._status.report(later, self._watcher.holds_assignment)
 
     def _run_on_plans(
         self, request: OperatorRequest, command: ShowPlan | ListPlans | DiscardPlan
     ) -> Script[CommandResult]:
         match command:
             case ShowPlan():
-                plan = yield from self._shelf.find(command.plan_id)
+                plan = yield from self._plan_store.find(command.plan_id)
                 return plan if isinstance(plan, Failure) else _plan_result(plan, request)
             case ListPlans():
                 return (yield from self._list_plans(request))
@@ -160,7 +160,7 @@
         plan = make_plan(base, proposal)
         if isinstance(plan, Failure):
             return Failure(OperatorFailureKind.INVALID, plan.reason)
-        saved = yield from self._shelf.save(plan)
+        saved = yield from self._plan_store.save(plan)
         return _plan_result(saved, request)
 
     def _confirm(
@@ -172,7 +172,7 @@
         confirmation = Confirmation(
             ConfirmCommand(command.plan_id, request.operator, request.unix_seconds),
             self._current_key,
-            self._shelf,
+            self._plan_store,
             self._in_force,
             self._dissemination,
             backoff,
@@ -191,7 +191,7 @@
         return outcome.result
 
     def _list_plans(self, request: OperatorRequest) -> Script[CommandResult]:
-        found = yield from self._shelf.list()
+        found = yield from self._plan_store.list()
         newest = yield from self._revisions.newest()
         landed = [] if isinstance(newest, Failure) else newest.audit
         landed_ids = {record.confirm_id for record in landed}
@@ -210,7 +210,7 @@
         return PlanListResult(plans=plans, warnings=warnings)
 
     def _discard(self, command: DiscardPlan) -> Script[CommandResult]:
-        failure = yield from self._shelf.discard(command.plan_id)
+        failure = yield from self._plan_store.discard(command.plan_id)
         if failure is not None:
             return failure
         current = yield from self._current_key.read()
--- a/wingquay/configuration/plan_shelf.py
+++ b/wingquay/configuration/plan_store.py
@@ -52,7 +52,7 @@
     complete: bool
 
 
-class PlanShelf:
+class PlanStore:
     """Saves, finds and discards plans."""
 
     def __init__(self) -> None:
--- a/wingquay/configuration/status.py
+++ b/wingquay/configuration/status.py
@@ -27,7 +27,7 @@
         self._store_health = store_health
 
     def report(self, now: float, watcher: bool) -> StatusResult:
-        """Return what is known now; ``watcher``: whether this node holds a watcher seat."""
+        """Return what is known now; ``watcher``: whether this node holds a watcher assignment."""
         document = self._in_force.document
         since = self._in_force.since
         last_reply = self._store_health.last_reply_at
--- a/wingquay/configuration/watcher.py
+++ b/wingquay/configuration/watcher.py
@@ -1,7 +1,7 @@
-"""Holds one of the zone's watcher seats, and while holding it watches the store.
+"""Holds one of the zone's watcher assignments, and while holding it watches the store.
 
-A seat is a key written with a lease. A holder may have been paused past its lease and not know:
-so it counts the lease from the moment it *asked* for it, by its own clock, and looks at that
+An assignment is a key written with a lease. A holder may have been paused past its lease and not
+know: so it counts the lease from the moment it *asked* for it, by its own clock, and looks at that
 before every step. What it passes on carries the revision, which is the fencing token: nobody
 goes back to a smaller one, whoever sends it.
 """
@@ -12,7 +12,7 @@
 from wingquay.configuration.current_key import CurrentKey, StoredDocument
 from wingquay.configuration.dissemination import Dissemination
 from wingquay.configuration.in_force import InForce
-from wingquay.configuration.keys import CURRENT_KEY, seat_key, seats_prefix
+from wingquay.configuration.keys import CURRENT_KEY, assignment_key, assignments_prefix
 from wingquay.configuration.node_view import NodeView
 from wingquay.configuration.script import Script, ScriptRunner, call_store, pause, perform
 from wingquay.configuration.store_schedule import FullJitterBackoff, takes_turn
@@ -32,10 +32,10 @@
     WatchChanged,
 )
 
-SEATS_IN_EACH_ZONE = 2
+ASSIGNMENTS_IN_EACH_ZONE = 2
 
 LEASE_SECONDS = 10
-"""Time to live of a seat's lease."""
+"""Time to live of an assignment's lease."""
 
 LEASE_MARGIN_SECONDS = 1.0
 """A holder stops acting this long before its lease may lapse: clocks do not run alike."""
@@ -43,8 +43,8 @@
 RENEWAL_SECONDS = 3.0
 """Pause between renewals of the lease."""
 
-SEAT_CHECK_SECONDS = 2.5
-"""Mean pause between looks at a zone's seats, by all nodes of the zone together."""
+ASSIGNMENT_CHECK_SECONDS = 2.5
+"""Mean pause between looks at a zone's assignments, by all nodes of the zone together."""
 
 LASTING_WATCH_SECONDS = 10.0
 """A watch that lasted so long shows that the store is well again."""
@@ -55,12 +55,12 @@
 
 @dataclass(slots=True)
 class _Tenure:
-    """One time of holding a seat."""
+    """One time of holding an assignment."""
 
-    seat: int
+    assignment: int
     lease_id: int
     fence: int
-    """The store's revision of the write that took the seat."""
+    """The store's revision of the write that took the assignment."""
     valid_until: float
     watch_id: str
     backoff: FullJitterBackoff
@@ -70,7 +70,7 @@
 
 
 class Watcher:
-    """Takes a vacant seat of the zone, watches while holding it, and gives it up cleanly."""
+    """Takes a vacant assignment of the zone, watches while holding it, and gives it up cleanly."""
 
     def __init__(
         self,
@@ -88,23 +88,23 @@
         self._tenure: _Tenure | None = None
 
     @property
-    def holds_seat(self) -> bool:
-        """Whether the node believes to hold a seat; acting on it checks the lease first."""
+    def holds_assignment(self) -> bool:
+        """Whether the node believes to hold an assignment; acting on it checks the lease first."""
         return self._tenure is not None
 
     def start(self, now: float) -> list[Action]:
-        """Begin to look for a vacant seat now and then."""
-        return self._runner.start(self._look_for_seats(), now)
+        """Begin to look for a vacant assignment now and then."""
+        return self._runner.start(self._look_for_assignments(), now)
 
     def give_up(self, now: float) -> list[Action]:
-        """Give the seat back at once (a planned stop), so that another node takes it."""
+        """Give the assignment back at once (a planned stop), so that another node takes it."""
         tenure = self._tenure
         if tenure is None:
             return []
         return self._end(tenure, "given up") + self._runner.start(_revoke(tenure.lease_id), now)
 
     def watch_changed(self, event: WatchChanged, now: float) -> list[Action]:
-        """Take in what the watch saw, if the seat is still held."""
+        """Take in what the watch saw, if the assignment is still held."""
         tenure = self._tenure
         if tenure is None or event.watch_id != tenure.watch_id:
             return []
@@ -134,24 +134,24 @@
         if self._tenure is not tenure:
             return []
         self._tenure = None
-        fields = (("seat", tenure.seat), ("fence", tenure.fence), ("reason", reason))
-        actions: list[Action] = [Log("watcher_seat_ended", fields=fields)]
+        fields = (("assignment", tenure.assignment), ("fence", tenure.fence), ("reason", reason))
+        actions: list[Action] = [Log("watcher_assignment_ended", fields=fields)]
         if tenure.watching:
             actions.append(StopWatch(tenure.watch_id))
         return actions
 
-    def _look_for_seats(self) -> Script[list[Action]]:
+    def _look_for_assignments(self) -> Script[list[Action]]:
         random = self._view.random
         backoff = FullJitterBackoff(random)
         not_before = 0.0
         while not self._view.leaving:
-            now = yield from pause(SEAT_CHECK_SECONDS * random.uniform(0.5, 1.5))
+            now = yield from pause(ASSIGNMENT_CHECK_SECONDS * random.uniform(0.5, 1.5))
             crowd = self._view.zone_node_count
-            if self.holds_seat or now < not_before or self._view.leaving:
+            if self.holds_assignment or now < not_before or self._view.leaving:
                 continue
             if not takes_turn(random, crowd, expected_turns=1.0):
                 continue
-            answered = yield from self._try_seat()
+            answered = yield from self._try_assignment()
             now = yield from perform()
             if answered:
                 backoff.succeeded()
@@ -159,35 +159,40 @@
                 not_before = now + backoff.delay_seconds(crowd)
         return []
 
-    def _try_seat(self) -> Script[bool]:
-        """Take a vacant seat if there is one; return whether the store answered."""
+    def _try_assignment(self) -> Script[bool]:
+        """Take a vacant assignment if there is one; return whether the store answered."""
         zone = self._view.identity.zone
-        seen = (yield from call_store(Read(seats_prefix(zone), prefix=True))).outcome
+        seen = (yield from call_store(Read(assignments_prefix(zone), prefix=True))).outcome
         if not isinstance(seen, ReadResult):
             return False
         taken = {value.key for value in seen.values}
-        vacant = [s for s in range(SEATS_IN_EACH_ZONE) if seat_key(zone, s) not in taken]
+        vacant = [
+            s for s in range(ASSIGNMENTS_IN_EACH_ZONE) if assignment_key(zone, s) not in taken
+        ]
         if not vacant:
             return True
-        seat = self._view.random.choice(vacant)
+        assignment = self._view.random.choice(vacant)
         asked_at = yield from perform()
         lease = (yield from call_store(GrantLease(LEASE_SECONDS))).outcome
         if not isinstance(lease, LeaseState):
             return False
-        return (yield from self._claim(seat, lease, asked_at))
+        return (yield from self._claim(assignment, lease, asked_at))
 
-    def _claim(self, seat: int, lease: LeaseState, asked_at: float) -> Script[bool]:
+    def _claim(self, assignment: int, lease: LeaseState, asked_at: float) -> Script[bool]:
         identity = self._view.identity
         value = json.dumps({"node_id": identity.node_id, "address": identity.host}).encode()
-        operation = CompareAndSwap(seat_key(identity.zone, seat), 0, value, lease.lease_id)
+        operation = CompareAndSwap(
+            assignment_key(identity.zone, assignment), 0, value, lease.lease_id
+        )
         reply = yield from call_store(operation)
         swap = reply.outcome
         if not isinstance(swap, SwapResult) or not swap.succeeded or self._view.leaving:
-            # After a lost reply the seat may be ours: ending the lease vacates it for certain.
+            # After a lost reply the assignment may be ours: ending the lease vacates it for
+            # certain.
             yield from call_store(RevokeLease(lease.lease_id))
             return isinstance(swap, SwapResult)
         tenure = _Tenure(
-            seat=seat,
+            assignment=assignment,
             lease_id=lease.lease_id,
             fence=swap.store_revision,
             valid_until=asked_at + LEASE_SECONDS,
@@ -195,8 +200,8 @@
             backoff=FullJitterBackoff(self._view.random),
         )
         self._tenure = tenure
-        fields = (("seat", seat), ("fence", tenure.fence))
-        begin: list[Action] = [Log("watcher_seat_taken", fields=fields)]
+        fields = (("assignment", assignment), ("fence", tenure.fence))
+        begin: list[Action] = [Log("watcher_assignment_taken", fields=fields)]
         for script in (self._keep(tenure), self._watch(tenure), self._poll(tenure)):
             begin += self._runner.start(script, reply.now)
         yield from perform(*begin)
--- a/wingquay/demo/caller.py
+++ b/wingquay/demo/caller.py
@@ -14,8 +14,8 @@
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import ServiceName, SnapshotVersion
 from wingquay.model.key_range import KeyRange, normalize
-from wingquay.rehearsal.answer_document import answer_document, outcome_of
-from wingquay.rehearsal.models.dataset import Dataset
+from wingquay.simulation.answer_document import answer_document, outcome_of
+from wingquay.simulation.models.dataset import Dataset
 
 QUERY_PATH = "/v1/query"
 TIMEOUT_SECONDS = 10.0
--- a/wingquay/demo/deployment.py
+++ b/wingquay/demo/deployment.py
@@ -16,12 +16,12 @@
 )
 from wingquay.model.key_range import KeyRange, intersect
 from wingquay.node import Node
-from wingquay.rehearsal.deployment_profile import DeploymentProfile, ServiceProfile
-from wingquay.rehearsal.deployments import RO_NORD
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.execution_ledger import ExecutionLedger
-from wingquay.rehearsal.models.service_time import ServiceTimeSettings
-from wingquay.rehearsal.models.store_model import StoreSettings
+from wingquay.simulation.deployment_profile import DeploymentProfile, ServiceProfile
+from wingquay.simulation.deployments import RO_NORD
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.execution_ledger import ExecutionLedger
+from wingquay.simulation.models.service_time import ServiceTimeSettings
+from wingquay.simulation.models.store_model import StoreSettings
 from wingquay.standins.backend import BackendStandin
 from wingquay.standins.backend_admin import ChangeVersions, Drain
 from wingquay.standins.store import StoreStandin
--- a/wingquay/model/mechanisms.py
+++ b/wingquay/model/mechanisms.py
@@ -17,7 +17,7 @@
     UNREPEATABLE_GUARD = "unrepeatable_guard"
     """Unrepeatable requests are neither hedged nor retried after they may have run."""
     CLAIM_QUORUM = "claim_quorum"
-    CLAIM_SEAT_EPOCHS = "claim_seat_epochs"
+    CLAIM_ASSIGNMENT_EPOCHS = "claim_assignment_epochs"
     CLAIM_REBUILD = "claim_rebuild"
     CLAIM_PAUSE_DETECTION = "claim_pause_detection"
     REPLICA_LEAVING = "replica_leaving"
--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -84,7 +84,7 @@
         claims_settings = replace(settings.claims, disabled=settings.disabled)
         self._claims = ClaimsMachine(claims_settings, identity, _child(random_source))
         self._stop = StopMachine(
-            settings.stop, self.in_flight, self.seats_to_hand_over, settings.disabled
+            settings.stop, self.in_flight, self.assignments_to_hand_over, settings.disabled
         )
         machines: list[RoutedMachine] = [
             membership,
@@ -127,9 +127,9 @@
         """Return how many requests and sub-requests have not ended here."""
         return self._coordinator.in_flight + self._owner.in_flight
 
-    def seats_to_hand_over(self) -> int:
-        """Return how many seats with remembered claims wait for their next holder."""
-        return self._claims.seats_to_hand_over
+    def assignments_to_hand_over(self) -> int:
+        """Return how many assignments with remembered claims wait for their next holder."""
+        return self._claims.assignments_to_hand_over
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in ``event`` at ``now`` and return what the surroundings must do, in order."""
--- a/wingquay/orchestration/stop_machine.py
+++ b/wingquay/orchestration/stop_machine.py
@@ -30,8 +30,8 @@
     ----------
     in_flight
         Returns how many requests and sub-requests this node still has.
-    seats_to_hand_over
-        Returns how many seats with remembered claims wait for their next holder.
+    assignments_to_hand_over
+        Returns how many assignments with remembered claims wait for their next holder.
     """
 
     EVENTS: ClassVar[tuple[type[Event], ...]] = (ConfigurationInForce, StopRequested, StopCheckDue)
@@ -41,12 +41,12 @@
         self,
         settings: StopSettings,
         in_flight: Callable[[], int],
-        seats_to_hand_over: Callable[[], int],
+        assignments_to_hand_over: Callable[[], int],
         disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._settings = settings
         self._in_flight = in_flight
-        self._seats_to_hand_over = seats_to_hand_over
+        self._assignments_to_hand_over = assignments_to_hand_over
         self._waits = Mechanism.PLANNED_STOP_DRAIN not in disabled
         self._started_at: float | None = None
         self._checked_at = 0.0
@@ -88,7 +88,7 @@
             return []
         elapsed = self._observe(now)
         in_flight = self._in_flight()
-        is_drained = in_flight == 0 and self._seats_to_hand_over() == 0
+        is_drained = in_flight == 0 and self._assignments_to_hand_over() == 0
         if elapsed >= self._settings.least_seconds and (is_drained or not self._waits):
             return self._exit(in_flight)
         if elapsed >= self._settings.most_seconds:
--- a/wingquay/ports/internal.py
+++ b/wingquay/ports/internal.py
@@ -115,7 +115,7 @@
     IN_PROGRESS = "in_progress"
     """Another submission of it holds the claim and its end is not known (yet)."""
     CANNOT_TELL = "cannot_tell"
-    """Too few voters can vouch for their memory; this submission did not run."""
+    """Too few voters can vote for their memory; this submission did not run."""
     KEY_REUSED = "key_reused"
     """The key was used before for a request with other content."""
 
--- a/wingquay/ports/peer_claims.py
+++ b/wingquay/ports/peer_claims.py
@@ -14,13 +14,13 @@
     """The voter knows of no other submission and now remembers this claim."""
     ALREADY_CLAIMED = "already_claimed"
     """Another submission holds the claim; ``outcome`` says what came of it, if known."""
-    CANNOT_VOUCH = "cannot_vouch"
-    """The voter's memory is incomplete or full, or it does not hold the zone's seat."""
+    CANNOT_VOTE = "cannot_vote"
+    """The voter's memory is incomplete or full, or it does not hold the zone's assignment."""
 
 
 @dataclass(frozen=True, slots=True)
-class SeatEpoch:
-    """How often the seat of ``zone`` was taken over without the memory of its last holder."""
+class AssignmentEpoch:
+    """How often the assignment of ``zone`` was taken over without the memory of its last holder."""
 
     zone: ZoneName
     epoch: int
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRequest(PeerMessage):
-    """Ask the receiver, which holds its zone's seat for the key, to remember a claim.
+    """Ask the receiver, which holds its zone's assignment for the key, to remember a claim.
 
     Parameters
     ----------
@@ -42,7 +42,7 @@
     zones
         The zones whose majority decides, as the sender knows them; a voter of another list of
         zones does not grant.
-    seat_epochs
+    assignment_epochs
         The newest epochs of the partition that the sender has heard of.
     """
 
@@ -51,7 +51,7 @@
     request_id: RequestId
     round_number: int
     zones: tuple[ZoneName, ...]
-    seat_epochs: tuple[SeatEpoch, ...] = ()
+    assignment_epochs: tuple[AssignmentEpoch, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,11 +61,11 @@
     Parameters
     ----------
     epoch
-        The epoch of the voter's own seat; 0 when it has none.
+        The epoch of the voter's own assignment; 0 when it has none.
     holder_request_id, holder_request_digest, outcome
         Of the submission that holds the claim, when ``vote`` is ``ALREADY_CLAIMED``;
         ``outcome`` is the stored answer (bytes that only the query machine reads).
-    seat_epochs
+    assignment_epochs
         The newest epochs of the partition that the voter had heard of when it voted: a grant
         from an older epoch of one of these zones does not count.
     """
@@ -78,7 +78,7 @@
     holder_request_id: RequestId | None = None
     holder_request_digest: str = ""
     outcome: bytes | None = None
-    seat_epochs: tuple[SeatEpoch, ...] = ()
+    assignment_epochs: tuple[AssignmentEpoch, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,8 +109,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimSeatOffer(PeerMessage):
-    """The sender holds seats that it believes to be the receiver's: "ask me for them".
+class ClaimAssignmentOffer(PeerMessage):
+    """The sender holds assignments that it believes to be the receiver's: "ask me for them".
 
     Without ``partitions`` it tells a node that it sees for the first time that it has none.
     """
@@ -121,19 +121,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimTableRequest(PeerMessage):
-    """Ask for the claims of a partition, to rebuild a seat or to take it over from its holder.
+    """Ask for the claims of a partition, to rebuild an assignment or to take one over.
 
     Parameters
     ----------
     transfer_id
         Names this request; the table carries it back.
     offer_id
-        The ``ClaimSeatOffer`` that is accepted: the receiver hands its seat over and votes no
-        more. ``None``: the table is asked for by another zone's new holder.
-    zones, seat_epochs
+        The ``ClaimAssignmentOffer`` that is accepted: the receiver hands its assignment over and
+        votes no more. ``None``: the table is asked for by another zone's new holder.
+    zones, assignment_epochs
         As in ``ClaimRequest``; with the sender's own new epoch when it rebuilds.
     ended_epoch
-        When not 0, the table as it was when this epoch of the receiver's seat ended is asked
+        When not 0, the table as it was when this epoch of the receiver's assignment ended is asked
         for, because the list of zones has changed since.
     """
 
@@ -141,7 +141,7 @@
     transfer_id: str
     offer_id: str | None
     zones: tuple[ZoneName, ...]
-    seat_epochs: tuple[SeatEpoch, ...]
+    assignment_epochs: tuple[AssignmentEpoch, ...]
     ended_epoch: int = 0
 
 
@@ -152,11 +152,11 @@
     Parameters
     ----------
     complete
-        Whether the sender vouches for its memory.
+        Whether the sender votes for its memory.
     handed_over
-        Whether the seat itself passes to the receiver.
-    epoch, seat_epochs
-        The epoch of the sender's seat, and the newest epochs that it has heard of.
+        Whether the assignment itself passes to the receiver.
+    epoch, assignment_epochs
+        The epoch of the sender's assignment, and the newest epochs that it has heard of.
     confirmed_age_seconds
         Time since the sender's epoch was last confirmed by the platform's store.
     table_id
@@ -170,7 +170,7 @@
     complete: bool
     handed_over: bool
     epoch: int
-    seat_epochs: tuple[SeatEpoch, ...]
+    assignment_epochs: tuple[AssignmentEpoch, ...]
     confirmed_age_seconds: float
     table_id: str
     records: tuple[ClaimRecord, ...]
--- a/wingquay/rehearsal/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Deterministic rehearsal: virtual clock, models of the surroundings, faults, oracle."""
--- /dev/null
+++ b/wingquay/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic simulation: virtual clock, models of the surroundings, faults, oracle."""
--- a/wingquay/rehearsal/backend_exchanges.py
+++ b/wingquay/simulation/backend_exchanges.py
@@ -19,11 +19,11 @@
     ReplicaProbed,
     StartAttempt,
 )
-from wingquay.rehearsal.models.backend_messages import BackendReply
-from wingquay.rehearsal.network import Network
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.simulated_replica import SimulatedReplica
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.models.backend_messages import BackendReply
+from wingquay.simulation.network import Network
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.simulated_replica import SimulatedReplica
+from wingquay.simulation.virtual_clock import VirtualClock
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 
--- a/wingquay/rehearsal/capacity/changes.py
+++ b/wingquay/simulation/capacity/changes.py
@@ -14,10 +14,10 @@
     PlanResult,
     ProposePlan,
 )
-from wingquay.rehearsal.capacity.cluster import CapacityCluster
-from wingquay.rehearsal.capacity.layout import CLASSES, KIND_CLASSES
-from wingquay.rehearsal.network import CLIENTS
-from wingquay.rehearsal.simulated_node import SimulatedNode
+from wingquay.simulation.capacity.cluster import CapacityCluster
+from wingquay.simulation.capacity.layout import CLASSES, KIND_CLASSES
+from wingquay.simulation.network import CLIENTS
+from wingquay.simulation.simulated_node import SimulatedNode
 
 UNIX_SECONDS_AT_START = 1.75e9
 CHANGE_LIMIT_SECONDS = 60.0
--- a/wingquay/rehearsal/capacity/cluster.py
+++ b/wingquay/simulation/capacity/cluster.py
@@ -6,19 +6,19 @@
 from wingquay.ports.machine import Log
 from wingquay.ports.machine_directory import MachineEntry, MachineState
 from wingquay.ports.operator import OperatorReply
-from wingquay.rehearsal.capacity.fleet import Fleet
-from wingquay.rehearsal.capacity.layout import all_zones, initial_configuration
-from wingquay.rehearsal.capacity.regional_network import RegionalNetwork
-from wingquay.rehearsal.capacity.settings import CapacitySettings
-from wingquay.rehearsal.capacity.surroundings import Surroundings
-from wingquay.rehearsal.capacity.wire import Wire
-from wingquay.rehearsal.models.store_model import StoreModel, StoreSettings
-from wingquay.rehearsal.network import PLATFORM
-from wingquay.rehearsal.peer_links import PeerLinks
-from wingquay.rehearsal.random_streams import RandomStreams
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.simulated_store import SimulatedStore
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.capacity.fleet import Fleet
+from wingquay.simulation.capacity.layout import all_zones, initial_configuration
+from wingquay.simulation.capacity.regional_network import RegionalNetwork
+from wingquay.simulation.capacity.settings import CapacitySettings
+from wingquay.simulation.capacity.surroundings import Surroundings
+from wingquay.simulation.capacity.wire import Wire
+from wingquay.simulation.models.store_model import StoreModel, StoreSettings
+from wingquay.simulation.network import PLATFORM
+from wingquay.simulation.peer_links import PeerLinks
+from wingquay.simulation.random_streams import RandomStreams
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.simulated_store import SimulatedStore
+from wingquay.simulation.virtual_clock import VirtualClock
 
 CLUSTER_KEY = b"the key of the rehearsed cluster"
 STORE_HEAD_START_SECONDS = 0.1
--- a/wingquay/rehearsal/capacity/fleet.py
+++ b/wingquay/simulation/capacity/fleet.py
@@ -13,13 +13,13 @@
     NodeUpdate,
     PeerReceived,
 )
-from wingquay.rehearsal.capacity.layout import node_identity
-from wingquay.rehearsal.capacity.metered_machine import MeteredMachine
-from wingquay.rehearsal.capacity.wire import DatagramOnWire, FrameOnWire, Wire
-from wingquay.rehearsal.digest import EventDigest
-from wingquay.rehearsal.random_streams import RandomStreams
-from wingquay.rehearsal.simulated_node import Performers, SimulatedNode
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.capacity.layout import node_identity
+from wingquay.simulation.capacity.metered_machine import MeteredMachine
+from wingquay.simulation.capacity.wire import DatagramOnWire, FrameOnWire, Wire
+from wingquay.simulation.digest import EventDigest
+from wingquay.simulation.random_streams import RandomStreams
+from wingquay.simulation.simulated_node import Performers, SimulatedNode
+from wingquay.simulation.virtual_clock import VirtualClock
 
 CLOCK_OFFSET_SECONDS = 1000.0
 """The clocks of two processes differ by a multiple of this."""
--- a/wingquay/rehearsal/capacity/metered_machine.py
+++ b/wingquay/simulation/capacity/metered_machine.py
@@ -20,9 +20,9 @@
 from wingquay.ports.machine_directory import MachineListRead
 from wingquay.ports.peer import NodeIdentity, PeerMessage, PeerReceived
 from wingquay.ports.store import ReadResult, StoreFailureKind, StoreResponse, WatchChanged
-from wingquay.rehearsal.capacity.layout import NODE_PORT
-from wingquay.rehearsal.capacity.meters import CODING, DECISION, NodeMeter
-from wingquay.rehearsal.capacity.platform_wire import (
+from wingquay.simulation.capacity.layout import NODE_PORT
+from wingquay.simulation.capacity.meters import CODING, DECISION, NodeMeter
+from wingquay.simulation.capacity.platform_wire import (
     HTTP_RESPONSE_HEADER_BYTES,
     WATCH_LINE_BYTES,
     HealthPageArrived,
@@ -32,7 +32,7 @@
     decode_read,
     read_reply_body,
 )
-from wingquay.rehearsal.capacity.wire import (
+from wingquay.simulation.capacity.wire import (
     DatagramOnWire,
     FrameOnWire,
     Wire,
--- a/wingquay/rehearsal/capacity/regional_network.py
+++ b/wingquay/simulation/capacity/regional_network.py
@@ -4,10 +4,10 @@
 from random import Random
 from typing import Any
 
-from wingquay.rehearsal.capacity.layout import all_zones, region_of
-from wingquay.rehearsal.deployment_profile import DeploymentProfile
-from wingquay.rehearsal.network import CLIENTS, PLATFORM, Network
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.capacity.layout import all_zones, region_of
+from wingquay.simulation.deployment_profile import DeploymentProfile
+from wingquay.simulation.network import CLIENTS, PLATFORM, Network
+from wingquay.simulation.virtual_clock import VirtualClock
 
 BETWEEN_REGIONS_SECONDS = 0.015
 """One way; chosen here, since the distance was not told."""
--- a/wingquay/rehearsal/capacity/report.py
+++ b/wingquay/simulation/capacity/report.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from wingquay.rehearsal.capacity.meters import CODING, NodeMeter
-from wingquay.rehearsal.capacity.run import Findings, Phase
+from wingquay.simulation.capacity.meters import CODING, NodeMeter
+from wingquay.simulation.capacity.run import Findings, Phase
 
 SECONDS_IN_A_DAY = 86_400.0
 SECONDS_IN_AN_HOUR = 3_600.0
--- a/wingquay/rehearsal/capacity/run.py
+++ b/wingquay/simulation/capacity/run.py
@@ -5,18 +5,18 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from wingquay.rehearsal.capacity.changes import ChangeTimes, Operator
-from wingquay.rehearsal.capacity.cluster import CapacityCluster
-from wingquay.rehearsal.capacity.fleet import machine_of
-from wingquay.rehearsal.capacity.memory import resident_mb, state_mb
-from wingquay.rehearsal.capacity.meters import NodeMeter
-from wingquay.rehearsal.capacity.scenarios import (
+from wingquay.simulation.capacity.changes import ChangeTimes, Operator
+from wingquay.simulation.capacity.cluster import CapacityCluster
+from wingquay.simulation.capacity.fleet import machine_of
+from wingquay.simulation.capacity.memory import resident_mb, state_mb
+from wingquay.simulation.capacity.meters import NodeMeter
+from wingquay.simulation.capacity.scenarios import (
     ChurnTimes,
     crash_and_replace,
     cut_and_heal,
     restart_all,
 )
-from wingquay.rehearsal.capacity.settings import CapacitySettings
+from wingquay.simulation.capacity.settings import CapacitySettings
 
 START_SPREAD_SECONDS = 0.2
 """Short: whoever starts later is doubted by those that know of it already."""
--- a/wingquay/rehearsal/capacity/scenarios.py
+++ b/wingquay/simulation/capacity/scenarios.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from wingquay.model.identifiers import NodeId
-from wingquay.rehearsal.capacity.cluster import CapacityCluster
-from wingquay.rehearsal.capacity.layout import all_zones
+from wingquay.simulation.capacity.cluster import CapacityCluster
+from wingquay.simulation.capacity.layout import all_zones
 
 CRASH_INTERVAL_SECONDS = 20.0
 REPLACED_AFTER_SECONDS = 12.0
--- a/wingquay/rehearsal/capacity/settings.py
+++ b/wingquay/simulation/capacity/settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.rehearsal_failure import RehearsalFailureKind
+from wingquay.simulation.simulation_failure import SimulationFailureKind
 
 FEWEST_NODES = 2
 MOST_NODES = 2_000
@@ -45,7 +45,7 @@
     restart_all: bool = False
 
 
-def check(settings: CapacitySettings) -> Failure[RehearsalFailureKind] | None:
+def check(settings: CapacitySettings) -> Failure[SimulationFailureKind] | None:
     """Return what is wrong with the settings, if anything is."""
     ranges: tuple[tuple[str, float, float, float], ...] = (
         ("nodes", settings.nodes, FEWEST_NODES, MOST_NODES),
@@ -58,5 +58,5 @@
     for flag, given, least, most in ranges:
         if not least <= given <= most:
             reason = f"--{flag}: {given:g} must be from {least:g} to {most:g}"
-            return Failure(RehearsalFailureKind.OUT_OF_RANGE, reason)
+            return Failure(SimulationFailureKind.OUT_OF_RANGE, reason)
     return None
--- a/wingquay/rehearsal/capacity/surroundings.py
+++ b/wingquay/simulation/capacity/surroundings.py
@@ -10,14 +10,14 @@
 from wingquay.ports.machine_directory import MachineEntry, ReadMachineList
 from wingquay.ports.peer import MembershipMessage, NodeIdentity, SendToPeer
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
-from wingquay.rehearsal.capacity.layout import region_of
-from wingquay.rehearsal.capacity.metered_machine import (
+from wingquay.simulation.capacity.layout import region_of
+from wingquay.simulation.capacity.metered_machine import (
     MACHINE_LIST,
     STORE,
     MeteredMachine,
 )
-from wingquay.rehearsal.capacity.meters import CODING, NodeMeter
-from wingquay.rehearsal.capacity.platform_wire import (
+from wingquay.simulation.capacity.meters import CODING, NodeMeter
+from wingquay.simulation.capacity.platform_wire import (
     HTTP_REQUEST_HEADER_BYTES,
     HealthPageArrived,
     MachineListArrived,
@@ -25,18 +25,18 @@
     machine_list_body,
     store_request_bytes,
 )
-from wingquay.rehearsal.capacity.regional_network import RegionalNetwork
-from wingquay.rehearsal.capacity.wire import (
+from wingquay.simulation.capacity.regional_network import RegionalNetwork
+from wingquay.simulation.capacity.wire import (
     DatagramOnWire,
     Wire,
     acknowledgement_bytes,
     datagram_bytes,
     stream_bytes,
 )
-from wingquay.rehearsal.network import PLATFORM
-from wingquay.rehearsal.peer_links import PeerLinks
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.simulated_store import SimulatedStore
+from wingquay.simulation.network import PLATFORM
+from wingquay.simulation.peer_links import PeerLinks
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.simulated_store import SimulatedStore
 
 FIRST_SNAPSHOT = SnapshotVersion(1000)
 SNAPSHOTS_HELD = 2
--- a/wingquay/rehearsal/configuration_cluster.py
+++ b/wingquay/simulation/configuration_cluster.py
@@ -52,10 +52,10 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.rehearsal.hollow_node import HollowNode, addressed, is_rate_limited
-from wingquay.rehearsal.models.store_model import StoreModel, StoreSettings
-from wingquay.rehearsal.models.store_operations import prefix_span
-from wingquay.rehearsal.models.store_state import KeySpan
+from wingquay.simulation.hollow_node import HollowNode, addressed, is_rate_limited
+from wingquay.simulation.models.store_model import StoreModel, StoreSettings
+from wingquay.simulation.models.store_operations import prefix_span
+from wingquay.simulation.models.store_state import KeySpan
 
 PEER_DELAY_SECONDS = 0.001
 """One way between zones and inside them (brief, "Sizes of today")."""
--- a/wingquay/rehearsal/deployment_profile.py
+++ b/wingquay/simulation/deployment_profile.py
@@ -27,7 +27,7 @@
     ZoneName,
 )
 from wingquay.model.key_range import KeyRange
-from wingquay.rehearsal.models.dataset import Dataset
+from wingquay.simulation.models.dataset import Dataset
 
 SIMULATED_TOKEN_SHA256 = "0" * 64
 REPLICA_PORT = 8000
--- a/wingquay/rehearsal/deployments.py
+++ b/wingquay/simulation/deployments.py
@@ -11,13 +11,13 @@
 
 from wingquay.model.configuration import CoveragePreference
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.deployment_profile import (
+from wingquay.simulation.deployment_profile import (
     ClassProfile,
     DeploymentProfile,
     KindProfile,
     ServiceProfile,
 )
-from wingquay.rehearsal.rehearsal_failure import RehearsalFailureKind
+from wingquay.simulation.simulation_failure import SimulationFailureKind
 
 RO_NORD = DeploymentProfile(
     name="ro-nord",
@@ -149,26 +149,26 @@
 DEPLOYMENTS = {profile.name: profile for profile in (RO_NORD, ISAN_NORTH)}
 
 
-def find_deployment(name: str) -> DeploymentProfile | Failure[RehearsalFailureKind]:
+def find_deployment(name: str) -> DeploymentProfile | Failure[SimulationFailureKind]:
     """Return the deployment called ``name``, or read it from the TOML file of that name."""
     if name in DEPLOYMENTS:
         return DEPLOYMENTS[name]
     return read_deployment(Path(name))
 
 
-def read_deployment(path: Path) -> DeploymentProfile | Failure[RehearsalFailureKind]:
+def read_deployment(path: Path) -> DeploymentProfile | Failure[SimulationFailureKind]:
     """Read a deployment from a TOML file whose keys are the fields of ``DeploymentProfile``."""
     try:
         entries = tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         names = ", ".join(DEPLOYMENTS)
         reason = f"deployment {str(path)!r} is neither one of {names} nor a readable file: {error}"
-        return Failure(RehearsalFailureKind.UNKNOWN_NAME, reason)
+        return Failure(SimulationFailureKind.UNKNOWN_NAME, reason)
     except tomllib.TOMLDecodeError as error:
-        return Failure(RehearsalFailureKind.MALFORMED, f"{path}: not TOML: {error}")
+        return Failure(SimulationFailureKind.MALFORMED, f"{path}: not TOML: {error}")
     try:
         profile = DeploymentProfile.model_validate(entries)
         profile.configuration  # noqa: B018  (checks the references between the parts)
     except ValidationError as error:
-        return Failure(RehearsalFailureKind.MALFORMED, f"{path}: {error}")
+        return Failure(SimulationFailureKind.MALFORMED, f"{path}: {error}")
     return profile
--- a/wingquay/rehearsal/experiments/experiment_file.py
+++ b/wingquay/simulation/experiments/experiment_file.py
@@ -9,10 +9,10 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.deployments import find_deployment
-from wingquay.rehearsal.experiments.scenario import ExperimentFailureKind, Run, make_scenario
-from wingquay.rehearsal.fault_choices import NONE, parse_faults, parse_mechanisms
-from wingquay.rehearsal.simulation_settings import Policy
+from wingquay.simulation.deployments import find_deployment
+from wingquay.simulation.experiments.scenario import ExperimentFailureKind, Run, make_scenario
+from wingquay.simulation.fault_choices import NONE, parse_faults, parse_mechanisms
+from wingquay.simulation.simulation_settings import Policy
 
 DEFAULT_SECONDS = 3.0
 LONGEST_SECONDS = 3600.0
--- a/wingquay/rehearsal/experiments/html_report.py
+++ b/wingquay/simulation/experiments/html_report.py
@@ -5,21 +5,21 @@
 
 from jinja2 import Environment, PackageLoader, StrictUndefined
 
-from wingquay.rehearsal.experiments.plot_groups import (
+from wingquay.simulation.experiments.plot_groups import (
     convergence_lines,
     extra_load_group,
     latency_groups,
     missing_group,
 )
-from wingquay.rehearsal.experiments.plots import (
+from wingquay.simulation.experiments.plots import (
     Picture,
     plot_convergence,
     plot_latencies,
     plot_strip,
 )
-from wingquay.rehearsal.experiments.report_tables import tables
-from wingquay.rehearsal.experiments.result_files import ExperimentResults
-from wingquay.rehearsal.experiments.statistics_over_seeds import (
+from wingquay.simulation.experiments.report_tables import tables
+from wingquay.simulation.experiments.result_files import ExperimentResults
+from wingquay.simulation.experiments.statistics_over_seeds import (
     Change,
     ResultsByScenario,
     by_scenario,
@@ -41,7 +41,7 @@
     """
     grouped = by_scenario(results.runs)
     environment = Environment(
-        loader=PackageLoader("wingquay.rehearsal.experiments", package_path=""),
+        loader=PackageLoader("wingquay.simulation.experiments", package_path=""),
         autoescape=True,
         undefined=StrictUndefined,
     )
--- a/wingquay/rehearsal/experiments/launcher.py
+++ b/wingquay/simulation/experiments/launcher.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor, as_completed
 
-from wingquay.rehearsal.experiments.measure import measure
-from wingquay.rehearsal.experiments.run_result import RunResult
-from wingquay.rehearsal.experiments.scenario import Run
+from wingquay.simulation.experiments.measure import measure
+from wingquay.simulation.experiments.run_result import RunResult
+from wingquay.simulation.experiments.scenario import Run
 
 START_METHOD = "spawn"
 """Workers begin as clean interpreters, whatever the launcher has loaded."""
--- a/wingquay/rehearsal/experiments/measure.py
+++ b/wingquay/simulation/experiments/measure.py
@@ -4,8 +4,8 @@
 import time
 
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.deployment_profile import ServiceProfile
-from wingquay.rehearsal.experiments.run_result import (
+from wingquay.simulation.deployment_profile import ServiceProfile
+from wingquay.simulation.experiments.run_result import (
     ALL,
     COVERAGE,
     EXTRA_LOAD,
@@ -18,11 +18,11 @@
     Metrics,
     RunResult,
 )
-from wingquay.rehearsal.experiments.scenario import Run, simulation_settings
-from wingquay.rehearsal.latency_histogram import LatencyHistogram
-from wingquay.rehearsal.simulation import Simulation
-from wingquay.rehearsal.simulation_report import Report, make_report
-from wingquay.rehearsal.workload import capacity_per_second
+from wingquay.simulation.experiments.scenario import Run, simulation_settings
+from wingquay.simulation.latency_histogram import LatencyHistogram
+from wingquay.simulation.simulation import Simulation
+from wingquay.simulation.simulation_report import Report, make_report
+from wingquay.simulation.workload import capacity_per_second
 
 DIGITS = 6
 
--- a/wingquay/rehearsal/experiments/plot_groups.py
+++ b/wingquay/simulation/experiments/plot_groups.py
@@ -3,20 +3,20 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from wingquay.rehearsal.experiments.run_result import (
+from wingquay.simulation.experiments.run_result import (
     ALL,
     COVERAGE,
     EXTRA_LOAD,
     RunResult,
 )
-from wingquay.rehearsal.experiments.scenario import Scenario
-from wingquay.rehearsal.experiments.statistics_over_seeds import (
+from wingquay.simulation.experiments.scenario import Scenario
+from wingquay.simulation.experiments.statistics_over_seeds import (
     ResultsByScenario,
     floor_of,
     value_of,
 )
-from wingquay.rehearsal.fault_choices import NONE
-from wingquay.rehearsal.simulation_settings import Policy
+from wingquay.simulation.fault_choices import NONE
+from wingquay.simulation.simulation_settings import Policy
 
 FLOOR_LABEL = "floor (no fault)"
 EXTRA_LOAD_AIM = 0.03
--- a/wingquay/rehearsal/experiments/result_files.py
+++ b/wingquay/simulation/experiments/result_files.py
@@ -7,8 +7,8 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.experiments.run_result import RunResult
-from wingquay.rehearsal.experiments.scenario import ExperimentFailureKind
+from wingquay.simulation.experiments.run_result import RunResult
+from wingquay.simulation.experiments.scenario import ExperimentFailureKind
 
 RESULTS_FILE = "results.json"
 TABLE_FILE = "results.csv"
--- a/wingquay/rehearsal/experiments/run_result.py
+++ b/wingquay/simulation/experiments/run_result.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict
 
-from wingquay.rehearsal.experiments.scenario import Run, Scenario
+from wingquay.simulation.experiments.scenario import Run, Scenario
 
 Metrics = dict[str, dict[str, float]]
 """Value by metric and subject; the subject is a kind, class or service, or ``all``."""
--- a/wingquay/rehearsal/experiments/scenario.py
+++ b/wingquay/simulation/experiments/scenario.py
@@ -4,10 +4,10 @@
 from enum import Enum
 
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.deployments import find_deployment
-from wingquay.rehearsal.fault_choices import NONE, parse_faults, parse_mechanisms
-from wingquay.rehearsal.rehearsal_failure import RehearsalFailureKind
-from wingquay.rehearsal.simulation_settings import Policy, SimulationSettings
+from wingquay.simulation.deployments import find_deployment
+from wingquay.simulation.fault_choices import NONE, parse_faults, parse_mechanisms
+from wingquay.simulation.simulation_failure import SimulationFailureKind
+from wingquay.simulation.simulation_settings import Policy, SimulationSettings
 
 
 class ExperimentFailureKind(Enum):
@@ -67,7 +67,7 @@
     return Scenario(deployment, load, faults or NONE, without or NONE, policy, seconds)
 
 
-def simulation_settings(run: Run) -> SimulationSettings | Failure[RehearsalFailureKind]:
+def simulation_settings(run: Run) -> SimulationSettings | Failure[SimulationFailureKind]:
     """Return the settings of a run's simulation."""
     scenario = run.scenario
     profile = find_deployment(scenario.deployment)
--- a/wingquay/rehearsal/faults/backend_faults.py
+++ b/wingquay/simulation/faults/backend_faults.py
@@ -5,10 +5,10 @@
 from functools import partial
 
 from wingquay.ports.backend import LoadReport
-from wingquay.rehearsal.faults.fault import Fault, FaultContext
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.simulated_replica import SimulatedReplica
-from wingquay.rehearsal.simulation_settings import FaultChoice
+from wingquay.simulation.faults.fault import Fault, FaultContext
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.simulated_replica import SimulatedReplica
+from wingquay.simulation.simulation_settings import FaultChoice
 
 STRAGGLERS = "stragglers"
 DEFAULT_STRAGGLER_SHARE = 0.01
--- a/wingquay/rehearsal/faults/bound_move.py
+++ b/wingquay/simulation/faults/bound_move.py
@@ -7,7 +7,7 @@
 from wingquay.model.key_range import KeyRange
 
 if TYPE_CHECKING:
-    from wingquay.rehearsal.simulation import Simulation
+    from wingquay.simulation.simulation import Simulation
 
 
 class BoundMove:
--- a/wingquay/rehearsal/faults/catalogue.py
+++ b/wingquay/simulation/faults/catalogue.py
@@ -3,16 +3,16 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from wingquay.rehearsal.faults.backend_faults import BACKEND_FAULTS
-from wingquay.rehearsal.faults.fault import Fault, FaultContext
-from wingquay.rehearsal.faults.index_faults import INDEX_FAULTS
-from wingquay.rehearsal.faults.network_faults import NETWORK_FAULTS
-from wingquay.rehearsal.faults.node_faults import NODE_FAULTS
-from wingquay.rehearsal.faults.store_faults import STORE_FAULTS
-from wingquay.rehearsal.simulation_settings import FaultChoice
+from wingquay.simulation.faults.backend_faults import BACKEND_FAULTS
+from wingquay.simulation.faults.fault import Fault, FaultContext
+from wingquay.simulation.faults.index_faults import INDEX_FAULTS
+from wingquay.simulation.faults.network_faults import NETWORK_FAULTS
+from wingquay.simulation.faults.node_faults import NODE_FAULTS
+from wingquay.simulation.faults.store_faults import STORE_FAULTS
+from wingquay.simulation.simulation_settings import FaultChoice
 
 if TYPE_CHECKING:
-    from wingquay.rehearsal.simulation import Simulation
+    from wingquay.simulation.simulation import Simulation
 
 FAULTS: dict[str, Fault] = {
     fault.name: fault
--- a/wingquay/rehearsal/faults/index_faults.py
+++ b/wingquay/simulation/faults/index_faults.py
@@ -4,9 +4,9 @@
 
 from wingquay.model.configuration import Service
 from wingquay.model.identifiers import SnapshotVersion
-from wingquay.rehearsal.faults.bound_move import BoundMove
-from wingquay.rehearsal.faults.fault import Fault, FaultContext
-from wingquay.rehearsal.simulated_replica import SimulatedReplica
+from wingquay.simulation.faults.bound_move import BoundMove
+from wingquay.simulation.faults.fault import Fault, FaultContext
+from wingquay.simulation.simulated_replica import SimulatedReplica
 
 UPDATE_SPREAD_SECONDS = 1.5
 """The replicas of a service take a new version in within this time."""
--- a/wingquay/rehearsal/faults/network_faults.py
+++ b/wingquay/simulation/faults/network_faults.py
@@ -2,8 +2,8 @@
 
 from functools import partial
 
-from wingquay.rehearsal.faults.fault import Fault, FaultContext
-from wingquay.rehearsal.network import PLATFORM
+from wingquay.simulation.faults.fault import Fault, FaultContext
+from wingquay.simulation.network import PLATFORM
 
 DATAGRAM_TROUBLE_SHARE = 0.2
 LATE_SHARE = 0.02
--- a/wingquay/rehearsal/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wingquay.rehearsal.forwarding.simulation import ForwardingSimulation
+    from wingquay.simulation.forwarding.simulation import ForwardingSimulation
 
 Fault = Callable[["ForwardingSimulation", random.Random], None]
 
--- a/wingquay/rehearsal/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -14,7 +14,7 @@
     ReplyUnchanged,
     SendToReplica,
 )
-from wingquay.rehearsal.forwarding.settings import SimulationSettings
+from wingquay.simulation.forwarding.settings import SimulationSettings
 
 Reply = ReplyUnchanged | ReplyMerged | ReplyFailure
 RECORD_BYTES = 16
--- a/wingquay/rehearsal/forwarding/replica.py
+++ b/wingquay/simulation/forwarding/replica.py
@@ -14,9 +14,9 @@
     SendFailureKind,
     SendToReplica,
 )
-from wingquay.rehearsal.forwarding.oracle import ForwardingOracle
-from wingquay.rehearsal.forwarding.settings import SimulationSettings
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.forwarding.oracle import ForwardingOracle
+from wingquay.simulation.forwarding.settings import SimulationSettings
+from wingquay.simulation.virtual_clock import VirtualClock
 
 RECORD_BYTES = 16
 RECORDS = 8
--- a/wingquay/rehearsal/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -21,7 +21,7 @@
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
 
 if TYPE_CHECKING:
-    from wingquay.rehearsal.forwarding.simulation import ForwardingSimulation
+    from wingquay.simulation.forwarding.simulation import ForwardingSimulation
 
 CONFIGURATION_KEY = "configuration"
 REPLICA_PREFIX = "replicas/"
--- a/wingquay/rehearsal/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -22,17 +22,17 @@
     SendToReplica,
 )
 from wingquay.ports.machine import Exit, StopRequested
-from wingquay.rehearsal.forwarding.faults import FAULTS, Fault
-from wingquay.rehearsal.forwarding.oracle import ForwardingOracle
-from wingquay.rehearsal.forwarding.replica import ReplicaModel
-from wingquay.rehearsal.forwarding.settings import SimulationSettings
-from wingquay.rehearsal.forwarding.simulated_node import (
+from wingquay.simulation.forwarding.faults import FAULTS, Fault
+from wingquay.simulation.forwarding.oracle import ForwardingOracle
+from wingquay.simulation.forwarding.replica import ReplicaModel
+from wingquay.simulation.forwarding.settings import SimulationSettings
+from wingquay.simulation.forwarding.simulated_node import (
     CONFIGURATION_KEY,
     REPLICA_PREFIX,
     SimulatedForwardingNode,
 )
-from wingquay.rehearsal.forwarding.store import StoreModel
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.forwarding.store import StoreModel
+from wingquay.simulation.virtual_clock import VirtualClock
 
 HOST = "search.example"
 LEAD_SECONDS = 3.0
--- a/wingquay/rehearsal/forwarding/store.py
+++ b/wingquay/simulation/forwarding/store.py
@@ -24,7 +24,7 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.virtual_clock import VirtualClock
 
 LATENCY_SECONDS = 0.004
 LEASE_SECONDS = 36.0
--- a/wingquay/rehearsal/fuzzing.py
+++ b/wingquay/simulation/fuzzing.py
@@ -1,6 +1,6 @@
 """Stateful fuzzing: hypothesis chooses what happens to a small deployment; the oracle judges.
 
-Needs the ``hypothesis`` library, which only the rehearsal kit and the tests use.
+Needs the ``hypothesis`` library, which only the simulator and the tests use.
 """
 
 from dataclasses import dataclass
@@ -15,8 +15,8 @@
 )
 
 from wingquay.model.mechanisms import Mechanism
-from wingquay.rehearsal.script import Script, Step, StepName
-from wingquay.rehearsal.scripted_simulation import ScriptedSimulation
+from wingquay.simulation.script import Script, Step, StepName
+from wingquay.simulation.scripted_simulation import ScriptedSimulation
 
 STEPS_IN_A_SCRIPT = 30
 LONGEST_WAIT_MILLISECONDS = 3000
--- a/wingquay/rehearsal/hollow_node.py
+++ b/wingquay/simulation/hollow_node.py
@@ -9,7 +9,7 @@
 from wingquay.ports.machine import Event
 from wingquay.ports.peer import NodeIdentity
 from wingquay.ports.store import StoreFailureKind, StoreResponse, WatchBroken, WatchChanged
-from wingquay.rehearsal.models.store_operations import StoreOutput
+from wingquay.simulation.models.store_operations import StoreOutput
 
 
 @dataclass(slots=True)
--- a/wingquay/rehearsal/load/load_generator.py
+++ b/wingquay/simulation/load/load_generator.py
@@ -14,8 +14,8 @@
 from wingquay.adapters.http_messages import HttpFailureKind, HttpResponse
 from wingquay.adapters.settings import Endpoint
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.load.load_plan import LoadPlan, PlannedRequest
-from wingquay.rehearsal.load.load_tally import LoadTally
+from wingquay.simulation.load.load_plan import LoadPlan, PlannedRequest
+from wingquay.simulation.load.load_tally import LoadTally
 
 QUERY_PATH = "/v1/query"
 RUN_ID_BYTES = 8
--- a/wingquay/rehearsal/load/load_tally.py
+++ b/wingquay/simulation/load/load_tally.py
@@ -9,9 +9,9 @@
 from wingquay.model.answer import Outcome
 from wingquay.model.failure import Failure
 from wingquay.model.key_range import KeyRange
-from wingquay.rehearsal.answer_document import answer_document, outcome_of
-from wingquay.rehearsal.latency_histogram import LatencyHistogram
-from wingquay.rehearsal.load.load_plan import PlannedRequest
+from wingquay.simulation.answer_document import answer_document, outcome_of
+from wingquay.simulation.latency_histogram import LatencyHistogram
+from wingquay.simulation.load.load_plan import PlannedRequest
 
 UNKNOWN_RESPONSE = "unknown_response"
 """The failure of a response that the interface does not describe."""
--- a/wingquay/rehearsal/measurements.py
+++ b/wingquay/simulation/measurements.py
@@ -6,10 +6,10 @@
 from wingquay.model.answer import Answer, Outcome
 from wingquay.model.identifiers import ShardId
 from wingquay.ports.backend import StartAttempt
-from wingquay.rehearsal.deployment_profile import DeploymentProfile
-from wingquay.rehearsal.oracle import Submission
-from wingquay.rehearsal.oracle_truth import Truth
-from wingquay.rehearsal.workload import Arrival
+from wingquay.simulation.deployment_profile import DeploymentProfile
+from wingquay.simulation.oracle import Submission
+from wingquay.simulation.oracle_truth import Truth
+from wingquay.simulation.workload import Arrival
 
 MILLISECONDS = 1000.0
 
--- a/wingquay/rehearsal/mechanisms.py
+++ b/wingquay/simulation/mechanisms.py
@@ -1,7 +1,7 @@
 """Every protective mechanism, what it protects, and so which check must notice its absence."""
 
 from wingquay.model.mechanisms import Mechanism
-from wingquay.rehearsal.invariants import Invariant
+from wingquay.simulation.invariants import Invariant
 
 TAIL_LATENCY = "tail_latency"
 EXTRA_LOAD = "extra_load"
@@ -15,7 +15,7 @@
     Mechanism.RUN_TRACKING: Invariant.NOT_RUN_MEANS_NOT_RUN.value,
     Mechanism.UNREPEATABLE_GUARD: Invariant.AT_MOST_ONCE.value,
     Mechanism.CLAIM_QUORUM: Invariant.AT_MOST_ONCE.value,
-    Mechanism.CLAIM_SEAT_EPOCHS: Invariant.AT_MOST_ONCE.value,
+    Mechanism.CLAIM_ASSIGNMENT_EPOCHS: Invariant.AT_MOST_ONCE.value,
     Mechanism.CLAIM_REBUILD: Invariant.AT_MOST_ONCE.value,
     Mechanism.CLAIM_PAUSE_DETECTION: Invariant.AT_MOST_ONCE.value,
     Mechanism.REPLICA_LEAVING: Invariant.DRAINING_GETS_NO_NEW_WORK.value,
--- a/wingquay/rehearsal/models/backend_messages.py
+++ b/wingquay/simulation/models/backend_messages.py
@@ -93,7 +93,7 @@
     Parameters
     ----------
     not_run
-        Whether the back end vouches that it did not begin to work on the exchange.
+        Whether the back end votes that it did not begin to work on the exchange.
     load
         The load report that goes with the reply; it lags and may lie, except for the versions
         of a reply that a snapshot is not held.
--- a/wingquay/rehearsal/models/backend_model.py
+++ b/wingquay/simulation/models/backend_model.py
@@ -11,16 +11,16 @@
 from wingquay.model.identifiers import AttemptId, ShardId, SnapshotVersion
 from wingquay.model.key_range import KeyRange
 from wingquay.ports.backend import LoadReport
-from wingquay.rehearsal.models.backend_messages import BackendExchange, BackendReply, ReplyKind
-from wingquay.rehearsal.models.backend_replies import ReplyBox
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.backend_work import Work, WorkEnd, WorkSchedule
-from wingquay.rehearsal.models.dataset import Dataset
-from wingquay.rehearsal.models.execution_ledger import ExecutionLedger
-from wingquay.rehearsal.models.held_index import HeldIndex
-from wingquay.rehearsal.models.load_history import LoadHistory
-from wingquay.rehearsal.models.pace import Pace
-from wingquay.rehearsal.models.service_time import draw_fate
+from wingquay.simulation.models.backend_messages import BackendExchange, BackendReply, ReplyKind
+from wingquay.simulation.models.backend_replies import ReplyBox
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.backend_work import Work, WorkEnd, WorkSchedule
+from wingquay.simulation.models.dataset import Dataset
+from wingquay.simulation.models.execution_ledger import ExecutionLedger
+from wingquay.simulation.models.held_index import HeldIndex
+from wingquay.simulation.models.load_history import LoadHistory
+from wingquay.simulation.models.pace import Pace
+from wingquay.simulation.models.service_time import draw_fate
 
 _SEED_BITS = 64
 
--- a/wingquay/rehearsal/models/backend_replies.py
+++ b/wingquay/simulation/models/backend_replies.py
@@ -4,10 +4,10 @@
 
 from wingquay.model.identifiers import AttemptId
 from wingquay.ports.backend import LoadReport
-from wingquay.rehearsal.models.backend_messages import BackendExchange, BackendReply, ReplyKind
-from wingquay.rehearsal.models.backend_work import Work
-from wingquay.rehearsal.models.dataset import Dataset
-from wingquay.rehearsal.models.held_index import HeldIndex
+from wingquay.simulation.models.backend_messages import BackendExchange, BackendReply, ReplyKind
+from wingquay.simulation.models.backend_work import Work
+from wingquay.simulation.models.dataset import Dataset
+from wingquay.simulation.models.held_index import HeldIndex
 
 _MAY_PASS = frozenset({ReplyKind.SHED, ReplyKind.DRAINING, ReplyKind.DEADLINE_PASSED})
 """Refusals that say when to try again."""
--- a/wingquay/rehearsal/models/backend_work.py
+++ b/wingquay/simulation/models/backend_work.py
@@ -6,8 +6,8 @@
 
 from wingquay.model.answer import Row
 from wingquay.model.key_range import KeyRange
-from wingquay.rehearsal.models.backend_messages import BackendExchange, ReplyKind
-from wingquay.rehearsal.models.dataset import Dataset
+from wingquay.simulation.models.backend_messages import BackendExchange, ReplyKind
+from wingquay.simulation.models.dataset import Dataset
 
 WRITE_RECEIPT = "recorded"
 """Value of the one row that a write is answered with."""
--- a/wingquay/rehearsal/models/execution_ledger.py
+++ b/wingquay/simulation/models/execution_ledger.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from wingquay.model.identifiers import AttemptId, ReplicaId, ServiceName
-from wingquay.rehearsal.models.backend_messages import BackendExchange
+from wingquay.simulation.models.backend_messages import BackendExchange
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/rehearsal/models/held_index.py
+++ b/wingquay/simulation/models/held_index.py
@@ -2,7 +2,7 @@
 
 from wingquay.model.identifiers import ServiceName, ShardId, SnapshotVersion
 from wingquay.model.key_range import KeyRange, intersect, normalize
-from wingquay.rehearsal.models.backend_messages import BackendExchange, ReplyKind
+from wingquay.simulation.models.backend_messages import BackendExchange, ReplyKind
 
 
 class HeldIndex:
--- a/wingquay/rehearsal/models/store_model.py
+++ b/wingquay/simulation/models/store_model.py
@@ -22,10 +22,10 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.rehearsal.models.rate_limit import RateLimit
-from wingquay.rehearsal.models.store_faults import StoreFaults
-from wingquay.rehearsal.models.store_leases import LeaseTable
-from wingquay.rehearsal.models.store_operations import (
+from wingquay.simulation.models.rate_limit import RateLimit
+from wingquay.simulation.models.store_faults import StoreFaults
+from wingquay.simulation.models.store_leases import LeaseTable
+from wingquay.simulation.models.store_operations import (
     ModelOperation,
     ModelResult,
     StoreOutput,
@@ -35,13 +35,13 @@
     swap_result,
     transaction_of_swap,
 )
-from wingquay.rehearsal.models.store_state import (
+from wingquay.simulation.models.store_state import (
     KeySpan,
     StoreState,
     Transaction,
     TransactionResult,
 )
-from wingquay.rehearsal.models.store_watches import Watch, WatchTable
+from wingquay.simulation.models.store_watches import Watch, WatchTable
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/rehearsal/models/store_operations.py
+++ b/wingquay/simulation/models/store_operations.py
@@ -14,7 +14,7 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.rehearsal.models.store_state import (
+from wingquay.simulation.models.store_state import (
     EVERYTHING_FROM_START,
     Compare,
     Delete,
--- a/wingquay/rehearsal/models/store_watches.py
+++ b/wingquay/simulation/models/store_watches.py
@@ -5,7 +5,7 @@
 from itertools import groupby
 
 from wingquay.ports.store import WatchChanged
-from wingquay.rehearsal.models.store_state import Change, KeySpan
+from wingquay.simulation.models.store_state import Change, KeySpan
 
 
 @dataclass(slots=True)
--- a/wingquay/rehearsal/node_policies.py
+++ b/wingquay/simulation/node_policies.py
@@ -9,8 +9,8 @@
 from wingquay.orchestration.settings import NodeMachineSettings
 from wingquay.ports.machine import Machine
 from wingquay.ports.peer import NodeIdentity
-from wingquay.rehearsal.baselines.naive import NaiveNode
-from wingquay.rehearsal.simulation_settings import Policy, SimulationSettings
+from wingquay.simulation.baselines.naive import NaiveNode
+from wingquay.simulation.simulation_settings import Policy, SimulationSettings
 
 
 class RevisedMachine(Machine, Protocol):
--- a/wingquay/rehearsal/oracle.py
+++ b/wingquay/simulation/oracle.py
@@ -11,9 +11,9 @@
 from wingquay.model.identifiers import AttemptId, NodeId, ReplicaId, RequestId
 from wingquay.model.request import QueryRequest
 from wingquay.ports.backend import StartAttempt
-from wingquay.rehearsal.configuration_oracle import ConfigurationOracle
-from wingquay.rehearsal.invariants import Invariant, Violations
-from wingquay.rehearsal.oracle_truth import Truth
+from wingquay.simulation.configuration_oracle import ConfigurationOracle
+from wingquay.simulation.invariants import Invariant, Violations
+from wingquay.simulation.oracle_truth import Truth
 
 DRAIN_BOUND_SECONDS = 5.0
 """A leaving back end gets no new work later than this ("after a few seconds") from any node.
--- a/wingquay/rehearsal/oracle_truth.py
+++ b/wingquay/simulation/oracle_truth.py
@@ -13,8 +13,8 @@
     normalize,
 )
 from wingquay.model.request import QueryRequest
-from wingquay.rehearsal.invariants import Invariant
-from wingquay.rehearsal.models.dataset import Dataset
+from wingquay.simulation.invariants import Invariant
+from wingquay.simulation.models.dataset import Dataset
 
 Finding = tuple[Invariant, str]
 
--- a/wingquay/rehearsal/peer_links.py
+++ b/wingquay/simulation/peer_links.py
@@ -13,9 +13,9 @@
     PeerReceived,
     SubResultBatch,
 )
-from wingquay.rehearsal.network import Network
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.network import Network
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.virtual_clock import VirtualClock
 
 SEND_TIMEOUT_SECONDS = 1.0
 """How long a connection that loses everything is believed in."""
--- a/wingquay/rehearsal/script.py
+++ b/wingquay/simulation/script.py
@@ -9,7 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.rehearsal_failure import RehearsalFailureKind
+from wingquay.simulation.simulation_failure import SimulationFailureKind
 
 LARGEST_NUMBER = 100_000
 MOST_STEPS = 100_000
@@ -72,14 +72,14 @@
     steps: tuple[Step, ...] = Field(max_length=MOST_STEPS)
 
 
-def read_script(path: Path) -> Script | Failure[RehearsalFailureKind]:
+def read_script(path: Path) -> Script | Failure[SimulationFailureKind]:
     """Read a script from a JSON file."""
     try:
         return Script.model_validate_json(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
-        return Failure(RehearsalFailureKind.UNKNOWN_NAME, f"{path}: {error}")
+        return Failure(SimulationFailureKind.UNKNOWN_NAME, f"{path}: {error}")
     except ValidationError as error:
-        return Failure(RehearsalFailureKind.MALFORMED, f"{path}: {error}")
+        return Failure(SimulationFailureKind.MALFORMED, f"{path}: {error}")
 
 
 def write_script(script: Script, path: Path) -> None:
--- a/wingquay/rehearsal/scripted_simulation.py
+++ b/wingquay/simulation/scripted_simulation.py
@@ -7,20 +7,20 @@
 from wingquay.model.identifiers import SnapshotVersion
 from wingquay.model.intent import SetClass
 from wingquay.model.mechanisms import Mechanism
-from wingquay.rehearsal.deployment_profile import (
+from wingquay.simulation.deployment_profile import (
     ClassProfile,
     DeploymentProfile,
     KindProfile,
     ServiceProfile,
 )
-from wingquay.rehearsal.faults.bound_move import BoundMove
-from wingquay.rehearsal.network import PLATFORM
-from wingquay.rehearsal.script import Step, StepName
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.simulated_replica import SimulatedReplica
-from wingquay.rehearsal.simulation import Simulation
-from wingquay.rehearsal.simulation_settings import WARM_UP_SECONDS, SimulationSettings
-from wingquay.rehearsal.workload import Arrival, Workload
+from wingquay.simulation.faults.bound_move import BoundMove
+from wingquay.simulation.network import PLATFORM
+from wingquay.simulation.script import Step, StepName
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.simulated_replica import SimulatedReplica
+from wingquay.simulation.simulation import Simulation
+from wingquay.simulation.simulation_settings import WARM_UP_SECONDS, SimulationSettings
+from wingquay.simulation.workload import Arrival, Workload
 
 MILLISECOND = 0.001
 LATE_SHARE = 0.3
