--- a/wingquay/rehearsal/simulated_backends.py
+++ b/wingquay/simulation/simulated_backends.py
@@ -11,15 +11,15 @@
     SnapshotVersion,
 )
 from wingquay.ports.machine_directory import MachineState
-from wingquay.rehearsal.deployment_profile import DeploymentProfile, ServiceProfile
-from wingquay.rehearsal.models.backend_model import BackendModel
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.execution_ledger import ExecutionLedger, RecordedWrite
-from wingquay.rehearsal.models.service_time import ServiceTimeSettings
-from wingquay.rehearsal.oracle import Oracle
-from wingquay.rehearsal.random_streams import RandomStreams
-from wingquay.rehearsal.simulated_replica import Arrived, SimulatedReplica
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.deployment_profile import DeploymentProfile, ServiceProfile
+from wingquay.simulation.models.backend_model import BackendModel
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.execution_ledger import ExecutionLedger, RecordedWrite
+from wingquay.simulation.models.service_time import ServiceTimeSettings
+from wingquay.simulation.oracle import Oracle
+from wingquay.simulation.random_streams import RandomStreams
+from wingquay.simulation.simulated_replica import Arrived, SimulatedReplica
+from wingquay.simulation.virtual_clock import VirtualClock
 
 FIRST_VERSION = SnapshotVersion(1)
 WARM_UP_SECONDS = 2.0
--- a/wingquay/rehearsal/simulated_callers.py
+++ b/wingquay/simulation/simulated_callers.py
@@ -6,13 +6,13 @@
 from wingquay.model.answer import Answer
 from wingquay.model.identifiers import NodeId, RequestId
 from wingquay.ports.caller import AnswerCaller, CallerGone, CallerRequest
-from wingquay.rehearsal.digest import EventDigest
-from wingquay.rehearsal.measurements import Measurements
-from wingquay.rehearsal.network import CLIENTS, JITTER_SHARE, Network
-from wingquay.rehearsal.oracle import Oracle, Submission
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.virtual_clock import VirtualClock
-from wingquay.rehearsal.workload import Arrival, Workload, make_traceparent
+from wingquay.simulation.digest import EventDigest
+from wingquay.simulation.measurements import Measurements
+from wingquay.simulation.network import CLIENTS, JITTER_SHARE, Network
+from wingquay.simulation.oracle import Oracle, Submission
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.virtual_clock import VirtualClock
+from wingquay.simulation.workload import Arrival, Workload, make_traceparent
 
 READINESS_LAG_SECONDS = 0.5
 """How long callers take to notice what a node's readiness page says."""
--- a/wingquay/rehearsal/simulated_machine_list.py
+++ b/wingquay/simulation/simulated_machine_list.py
@@ -6,10 +6,10 @@
     MachineListRead,
     ReadMachineList,
 )
-from wingquay.rehearsal.models.machine_list_model import MachineListModel
-from wingquay.rehearsal.network import PLATFORM, Network
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.models.machine_list_model import MachineListModel
+from wingquay.simulation.network import PLATFORM, Network
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.virtual_clock import VirtualClock
 
 READ_TIMEOUT_SECONDS = 1.0
 
--- a/wingquay/rehearsal/simulated_node.py
+++ b/wingquay/simulation/simulated_node.py
@@ -7,9 +7,9 @@
 from wingquay.model.identifiers import Revision
 from wingquay.ports.machine import Action, Event, Schedule, Start, StopRequested
 from wingquay.ports.peer import NodeIdentity
-from wingquay.rehearsal.digest import EventDigest
-from wingquay.rehearsal.node_policies import RevisedMachine
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.digest import EventDigest
+from wingquay.simulation.node_policies import RevisedMachine
+from wingquay.simulation.virtual_clock import VirtualClock
 
 Performers = Mapping[type[Action], Callable[["SimulatedNode", Any], None]]
 
--- a/wingquay/rehearsal/simulated_nodes.py
+++ b/wingquay/simulation/simulated_nodes.py
@@ -5,12 +5,12 @@
 from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
 from wingquay.ports.machine import Exit
 from wingquay.ports.peer import NodeIdentity
-from wingquay.rehearsal.deployment_profile import NODE_PORT, DeploymentProfile
-from wingquay.rehearsal.digest import EventDigest
-from wingquay.rehearsal.node_policies import MachineFactory
-from wingquay.rehearsal.random_streams import RandomStreams
-from wingquay.rehearsal.simulated_node import Performers, ProcessState, SimulatedNode
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.deployment_profile import NODE_PORT, DeploymentProfile
+from wingquay.simulation.digest import EventDigest
+from wingquay.simulation.node_policies import MachineFactory
+from wingquay.simulation.random_streams import RandomStreams
+from wingquay.simulation.simulated_node import Performers, ProcessState, SimulatedNode
+from wingquay.simulation.virtual_clock import VirtualClock
 
 CLOCK_OFFSET_SECONDS = 1000.0
 """The clocks of two processes differ by a multiple of this."""
--- a/wingquay/rehearsal/simulated_operators.py
+++ b/wingquay/simulation/simulated_operators.py
@@ -17,10 +17,10 @@
     PlanResult,
     ProposePlan,
 )
-from wingquay.rehearsal.configuration_oracle import ConfigurationOracle
-from wingquay.rehearsal.network import CLIENTS, Network
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.configuration_oracle import ConfigurationOracle
+from wingquay.simulation.network import CLIENTS, Network
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.virtual_clock import VirtualClock
 
 UNIX_SECONDS_AT_START = 1.75e9
 PATIENCE_SECONDS = 15.0
--- a/wingquay/rehearsal/simulated_replica.py
+++ b/wingquay/simulation/simulated_replica.py
@@ -6,9 +6,9 @@
 from wingquay.model.configuration import Replica
 from wingquay.model.identifiers import AttemptId, NodeId
 from wingquay.ports.backend import LoadReport, StartAttempt
-from wingquay.rehearsal.models.backend_messages import BackendExchange, BackendReply
-from wingquay.rehearsal.models.backend_model import BackendModel
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.models.backend_messages import BackendExchange, BackendReply
+from wingquay.simulation.models.backend_model import BackendModel
+from wingquay.simulation.virtual_clock import VirtualClock
 
 Reply = Callable[[BackendReply], None]
 Arrived = Callable[[StartAttempt, NodeId, float], None]
--- a/wingquay/rehearsal/simulated_store.py
+++ b/wingquay/simulation/simulated_store.py
@@ -19,11 +19,11 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.rehearsal.models.store_model import StoreModel
-from wingquay.rehearsal.models.store_operations import StoreOutput, prefix_span, span_of_read
-from wingquay.rehearsal.network import PLATFORM, Network
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.virtual_clock import VirtualClock
+from wingquay.simulation.models.store_model import StoreModel
+from wingquay.simulation.models.store_operations import StoreOutput, prefix_span, span_of_read
+from wingquay.simulation.network import PLATFORM, Network
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.virtual_clock import VirtualClock
 
 WATCH_SILENCE_SECONDS = 2.0
 """After so long without a sign of the store, a watch's connection is given up."""
--- a/wingquay/rehearsal/simulation.py
+++ b/wingquay/simulation/simulation.py
@@ -15,37 +15,37 @@
 from wingquay.ports.operator import OperatorReply
 from wingquay.ports.peer import SendToPeer
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
-from wingquay.rehearsal.backend_exchanges import BackendExchanges
-from wingquay.rehearsal.baselines.floor import without_trouble
-from wingquay.rehearsal.digest import EventDigest
-from wingquay.rehearsal.faults.backend_faults import straggler_share
-from wingquay.rehearsal.faults.catalogue import install_faults
-from wingquay.rehearsal.faults.node_faults import machine_list_lag
-from wingquay.rehearsal.measurements import Measurements
-from wingquay.rehearsal.models.machine_list_model import MachineListModel
-from wingquay.rehearsal.models.store_model import StoreModel, StoreSettings
-from wingquay.rehearsal.network import Network
-from wingquay.rehearsal.node_policies import machine_factory
-from wingquay.rehearsal.oracle import Oracle
-from wingquay.rehearsal.oracle_truth import Truth
-from wingquay.rehearsal.peer_links import PeerLinks
-from wingquay.rehearsal.random_streams import RandomStreams
-from wingquay.rehearsal.simulated_backends import SimulatedBackends
-from wingquay.rehearsal.simulated_callers import SimulatedCallers
-from wingquay.rehearsal.simulated_machine_list import SimulatedMachineList
-from wingquay.rehearsal.simulated_node import SimulatedNode
-from wingquay.rehearsal.simulated_nodes import SimulatedNodes
-from wingquay.rehearsal.simulated_operators import SimulatedOperators
-from wingquay.rehearsal.simulated_replica import SimulatedReplica
-from wingquay.rehearsal.simulated_store import SimulatedStore
-from wingquay.rehearsal.simulation_settings import (
+from wingquay.simulation.backend_exchanges import BackendExchanges
+from wingquay.simulation.baselines.floor import without_trouble
+from wingquay.simulation.digest import EventDigest
+from wingquay.simulation.faults.backend_faults import straggler_share
+from wingquay.simulation.faults.catalogue import install_faults
+from wingquay.simulation.faults.node_faults import machine_list_lag
+from wingquay.simulation.measurements import Measurements
+from wingquay.simulation.models.machine_list_model import MachineListModel
+from wingquay.simulation.models.store_model import StoreModel, StoreSettings
+from wingquay.simulation.network import Network
+from wingquay.simulation.node_policies import machine_factory
+from wingquay.simulation.oracle import Oracle
+from wingquay.simulation.oracle_truth import Truth
+from wingquay.simulation.peer_links import PeerLinks
+from wingquay.simulation.random_streams import RandomStreams
+from wingquay.simulation.simulated_backends import SimulatedBackends
+from wingquay.simulation.simulated_callers import SimulatedCallers
+from wingquay.simulation.simulated_machine_list import SimulatedMachineList
+from wingquay.simulation.simulated_node import SimulatedNode
+from wingquay.simulation.simulated_nodes import SimulatedNodes
+from wingquay.simulation.simulated_operators import SimulatedOperators
+from wingquay.simulation.simulated_replica import SimulatedReplica
+from wingquay.simulation.simulated_store import SimulatedStore
+from wingquay.simulation.simulation_settings import (
     WARM_UP_SECONDS,
     WIND_DOWN_SECONDS,
     Policy,
     SimulationSettings,
 )
-from wingquay.rehearsal.virtual_clock import VirtualClock
-from wingquay.rehearsal.workload import Workload
+from wingquay.simulation.virtual_clock import VirtualClock
+from wingquay.simulation.workload import Workload
 
 CONFIGURATION_CHECK_SECONDS = 0.5
 SUCCESSOR_SECONDS = 1.0
--- a/wingquay/rehearsal/rehearsal_failure.py
+++ b/wingquay/simulation/simulation_failure.py
@@ -1,9 +1,9 @@
-"""Why a rehearsal could not be run."""
+"""Why a simulation could not be run."""
 
 from enum import Enum
 
 
-class RehearsalFailureKind(Enum):
+class SimulationFailureKind(Enum):
     """What was wrong with what was asked for."""
 
     UNKNOWN_NAME = "unknown_name"
--- a/wingquay/rehearsal/simulation_report.py
+++ b/wingquay/simulation/simulation_report.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
-from wingquay.rehearsal.invariants import Invariant
-from wingquay.rehearsal.measurements import Measurements, Series
-from wingquay.rehearsal.simulation import Simulation
+from wingquay.simulation.invariants import Invariant
+from wingquay.simulation.measurements import Measurements, Series
+from wingquay.simulation.simulation import Simulation
 
 MEDIAN = 0.5
 TAIL = 0.99
--- a/wingquay/rehearsal/simulation_settings.py
+++ b/wingquay/simulation/simulation_settings.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from wingquay.model.mechanisms import Mechanism
-from wingquay.rehearsal.deployment_profile import DeploymentProfile
+from wingquay.simulation.deployment_profile import DeploymentProfile
 
 DEFAULT_LOAD = 0.03
 WARM_UP_SECONDS = 3.0
--- a/wingquay/rehearsal/workload.py
+++ b/wingquay/simulation/workload.py
@@ -7,13 +7,13 @@
 from wingquay.model.identifiers import CallerName, RequestId, RequestKindName, ServiceName
 from wingquay.model.key_range import KeyRange
 from wingquay.model.request import QueryRequest
-from wingquay.rehearsal.deployment_profile import (
+from wingquay.simulation.deployment_profile import (
     DeploymentProfile,
     KindProfile,
     ServiceProfile,
 )
-from wingquay.rehearsal.models.service_time import DURATION_DIGITS
-from wingquay.rehearsal.random_streams import RandomStreams
+from wingquay.simulation.models.service_time import DURATION_DIGITS
+from wingquay.simulation.random_streams import RandomStreams
 
 CALLER = CallerName("portal")
 MEAN_OVER_MEDIAN = 1.0833
--- a/wingquay/standins/__init__.py
+++ b/wingquay/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for what surrounds the product: the models of the rehearsal on real sockets."""
+"""Stand-ins for what surrounds the product: the models of the simulation on real sockets."""
--- a/wingquay/standins/backend.py
+++ b/wingquay/standins/backend.py
@@ -6,11 +6,11 @@
 from wingquay.adapters.http_messages import ConnectionCutError, HttpRequest, HttpResponse
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import AttemptId
-from wingquay.rehearsal.models.backend_messages import BackendReply
-from wingquay.rehearsal.models.backend_model import BackendModel
-from wingquay.rehearsal.models.backend_settings import BackendSettings
-from wingquay.rehearsal.models.dataset import Dataset
-from wingquay.rehearsal.models.execution_ledger import ExecutionLedger
+from wingquay.simulation.models.backend_messages import BackendReply
+from wingquay.simulation.models.backend_model import BackendModel
+from wingquay.simulation.models.backend_settings import BackendSettings
+from wingquay.simulation.models.dataset import Dataset
+from wingquay.simulation.models.execution_ledger import ExecutionLedger
 from wingquay.standins.admin_commands import ADMIN_PREFIX
 from wingquay.standins.backend_admin import BackendAdmin, Misbehaviour
 from wingquay.standins.backend_wire import (
--- a/wingquay/standins/backend_admin.py
+++ b/wingquay/standins/backend_admin.py
@@ -9,8 +9,8 @@
 from wingquay.model.identifiers import ShardId, SnapshotVersion
 from wingquay.model.key_range import KeyRange
 from wingquay.ports.backend import LoadReport
-from wingquay.rehearsal.models.backend_messages import BackendReply
-from wingquay.rehearsal.models.backend_model import BackendModel
+from wingquay.simulation.models.backend_messages import BackendReply
+from wingquay.simulation.models.backend_model import BackendModel
 from wingquay.standins.admin_commands import AdminCommand, command_name, read_command
 from wingquay.standins.backend_wire import json_response
 from wingquay.standins.model_driver import ModelDriver
--- a/wingquay/standins/backend_wire.py
+++ b/wingquay/standins/backend_wire.py
@@ -17,7 +17,7 @@
 )
 from wingquay.model.key_range import KeyRange
 from wingquay.ports.backend import LoadReport
-from wingquay.rehearsal.models.backend_messages import BackendExchange, BackendReply, ReplyKind
+from wingquay.simulation.models.backend_messages import BackendExchange, BackendReply, ReplyKind
 
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
--- a/wingquay/standins/etcd_wire.py
+++ b/wingquay/standins/etcd_wire.py
@@ -12,7 +12,7 @@
 from pydantic import Base64Bytes, BaseModel, ConfigDict, Field
 
 from wingquay.ports.store import LeaseState, StoredValue, WatchChanged
-from wingquay.rehearsal.models.store_state import (
+from wingquay.simulation.models.store_state import (
     Compare,
     Delete,
     Entry,
--- a/wingquay/standins/misbehaviour.py
+++ b/wingquay/standins/misbehaviour.py
@@ -6,7 +6,7 @@
 from wingquay.adapters.http_messages import ConnectionCutError, HttpResponse
 from wingquay.model.answer import Row
 from wingquay.model.identifiers import AttemptId, SnapshotVersion
-from wingquay.rehearsal.models.backend_messages import BackendReply
+from wingquay.simulation.models.backend_messages import BackendReply
 from wingquay.standins.backend_admin import Misbehaviour
 from wingquay.standins.backend_wire import reply_to_http
 
--- a/wingquay/standins/model_driver.py
+++ b/wingquay/standins/model_driver.py
@@ -1,4 +1,4 @@
-"""Drives a model of the rehearsal on the event loop's clock."""
+"""Drives a model of the simulation on the event loop's clock."""
 
 import asyncio
 from collections.abc import Callable
--- a/wingquay/standins/store.py
+++ b/wingquay/standins/store.py
@@ -6,8 +6,8 @@
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 from wingquay.adapters.http_server import HttpServer
 from wingquay.model.failure import Failure
-from wingquay.rehearsal.models.machine_list_model import DEFAULT_LAG_SECONDS, MachineListModel
-from wingquay.rehearsal.models.store_model import StoreModel, StoreSettings
+from wingquay.simulation.models.machine_list_model import DEFAULT_LAG_SECONDS, MachineListModel
+from wingquay.simulation.models.store_model import StoreModel, StoreSettings
 from wingquay.standins.admin_commands import ADMIN_PREFIX
 from wingquay.standins.backend_wire import json_response, problem_response
 from wingquay.standins.store_admin import Refuse, StoreAdmin
--- a/wingquay/standins/store_admin.py
+++ b/wingquay/standins/store_admin.py
@@ -5,9 +5,9 @@
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 from wingquay.model.identifiers import ZoneName
 from wingquay.ports.machine_directory import MachineEntry, MachineState
-from wingquay.rehearsal.models.machine_list_model import MachineListModel
-from wingquay.rehearsal.models.store_model import StoreModel
-from wingquay.rehearsal.models.store_operations import StoreOutput
+from wingquay.simulation.models.machine_list_model import MachineListModel
+from wingquay.simulation.models.store_model import StoreModel
+from wingquay.simulation.models.store_operations import StoreOutput
 from wingquay.standins.admin_commands import AdminCommand, read_command
 from wingquay.standins.backend_wire import json_response
 from wingquay.standins.model_driver import ModelDriver
--- a/wingquay/standins/store_gateway.py
+++ b/wingquay/standins/store_gateway.py
@@ -17,14 +17,14 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.rehearsal.models.store_model import StoreModel
-from wingquay.rehearsal.models.store_operations import (
+from wingquay.simulation.models.store_model import StoreModel
+from wingquay.simulation.models.store_operations import (
     ModelOperation,
     ModelResult,
     StoreOutput,
     TransactionReply,
 )
-from wingquay.rehearsal.models.store_state import (
+from wingquay.simulation.models.store_state import (
     Delete,
     Put,
     StateOperation,
