Learn from another node when the store is out of reach at the start

Once the store has spoken, no peer is listened to.

Ruled out: asking peers in steady operation (a node that is cut off from the store keeps what it knows; its bounds are not in force), a protocol of our own.

--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -189,6 +189,11 @@
         self.sends.remove(send)
         self.emit(SendFailed(send.attempt_id, kind, "test"))
 
+    def learn_formats_of(self, other: "OneNode") -> None:
+        """Understand the stored values that another node understands."""
+        self._tables.update(other._tables)
+        self._records.update(other._records)
+
     # Time and actions
 
     def advance(self, seconds: float) -> None:
--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -6,6 +6,7 @@
 from wingquay.model.failure import Failure
 from wingquay.ports.forwarding import ForwardFailureKind, ReplyFailure, SetForwarding
 from wingquay.ports.machine import Exit, Start, StopRequested
+from wingquay.ports.peer_snapshot import AskPeers, PeerSnapshot
 from wingquay.ports.store import (
     Read,
     StartWatch,
@@ -153,6 +154,26 @@
             node.advance(0.2)
         self.assertEqual(10, len(reads))
 
+    def test_a_node_that_knows_nothing_begins_with_what_a_peer_knows(self) -> None:
+        node = OneNode()
+        node.emit(Start())
+        read = node.last(StoreRequest)
+        node.emit(StoreResponse(read.operation_id, Failure(StoreFailureKind.UNREACHABLE, "down")))
+        self.assertIsNotNone(node.last(AskPeers))
+        teacher = started()
+        known = teacher.machine.known_of_store()
+        assert known is not None
+        node.learn_formats_of(teacher)
+        node.emit(PeerSnapshot(known.values, known.store_revision))
+        self.assertEqual({"r0", "r1"}, asked(node))
+        self.assertEqual(known.store_revision, node.last(StartWatch).from_store_revision)
+
+    def test_a_peer_is_not_listened_to_once_the_store_has_spoken(self) -> None:
+        node = started()
+        before = len(node.actions)
+        node.emit(PeerSnapshot((), 99))
+        self.assertEqual(before, len(node.actions))
+
     def test_an_idle_time_that_shrinks_cuts_no_caller_off(self) -> None:
         node = started()
         longest = node.last(SetForwarding).limits.idle_seconds
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -8,6 +8,7 @@
 
 from tests.adapters.raw_http import LOOPBACK, run
 from tests.platform_adapter.stand_in_platform import StandInReplica, StandInStore
+from wingquay.adapters.http_server import HttpServer
 from wingquay.adapters.listening import open_listening_socket
 from wingquay.platform.node import PlatformNode
 from wingquay.platform.settings import ListenAddress, PlatformSettings
@@ -53,6 +54,9 @@
 class Platform:
     """The stand-ins and a node that runs against them."""
 
+    def __init__(self, seeds: tuple[ListenAddress, ...] = ()) -> None:
+        self._seeds = seeds
+
     async def __aenter__(self) -> "Platform":
         self.store = StandInStore()
         store_port = await self.store.start()
@@ -72,6 +76,8 @@
             readiness=ListenAddress(LOOPBACK, 0),
             store=ListenAddress(LOOPBACK, store_port),
             metrics=None,
+            peers=None,
+            seeds=self._seeds,
             retry_ratio=0.2,
             retry_slack=56.0,
             retry_window_seconds=10.0,
@@ -161,6 +167,22 @@
 
         play(test())
 
+    def test_a_node_that_cannot_reach_the_store_learns_from_another(self) -> None:
+        async def test() -> None:
+            async with Platform() as other:
+                await other.configure()
+                peers = HttpServer(other.node.peers.answer)
+                seed = ListenAddress(LOOPBACK, await peers.start(LOOPBACK, 0))
+                dead = ListenAddress(LOOPBACK, 1)
+                async with Platform((dead, seed)) as platform:
+                    platform.store.statuses += [503] * 1000
+                    head, _ = await platform.exchange(request("/one/x"))
+                    self.assertIn("HTTP/1.1 200", head)
+                    self.assertEqual(1, len(other.replicas[2].requests))
+                await peers.close()
+
+        play(test())
+
     def test_own_answers(self) -> None:
         async def test() -> None:
             async with Platform() as platform:
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -31,13 +31,23 @@
     Start,
     StopRequested,
 )
-from wingquay.ports.store import StoredValue, StoreResponse, WatchBroken, WatchChanged
+from wingquay.ports.peer_snapshot import PeerSnapshot
+from wingquay.ports.store import (
+    ReadResult,
+    StoredValue,
+    StoreResponse,
+    WatchBroken,
+    WatchChanged,
+)
 
 SWEEP_SECONDS = 0.5
 """Time between two looks for replicas whose time of grace is over."""
 STOP_CHECK_SECONDS = 0.1
 
 
+STORE_EVENTS = (StoreResponse, WatchChanged, WatchBroken, FollowAgain, PeerSnapshot)
+
+
 @value
 class SweepDue(Event):
     """Forget replicas whose time of grace is over."""
@@ -112,8 +122,12 @@
         """Take in an event and return what is to be done."""
         return self._lines.admit(self._decide(event, now), now)
 
+    def known_of_store(self) -> ReadResult | None:
+        """Return what this node knows of the store, for a node that cannot reach it."""
+        return self._follower.known()
+
     def _decide(self, event: Event, now: float) -> list[Action]:
-        if isinstance(event, StoreResponse | WatchChanged | WatchBroken | FollowAgain):
+        if isinstance(event, STORE_EVENTS):
             return self._store_event(event, now)
         if isinstance(event, Start):
             return self._start(event, now)
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -5,6 +5,7 @@
 from wingquay.model.failure import Failure
 from wingquay.model.value import value
 from wingquay.ports.machine import Action, Event, Log, LogLevel, Schedule, Start
+from wingquay.ports.peer_snapshot import AskPeers, PeerSnapshot
 from wingquay.ports.store import (
     Read,
     ReadResult,
@@ -90,6 +91,7 @@
         self._is_listed = False
         self._is_watching = False
         self._gather_seconds = settings.gather_seconds
+        self._items: dict[str, StoredValue] = {}
         self._seen_revision: int | None = None
         """The store's revision up to which everything is known."""
 
@@ -101,12 +103,20 @@
             return self._read_done(event, now)
         if isinstance(event, WatchBroken):
             return self._broken(event, now)
+        if isinstance(event, PeerSnapshot):
+            return self._peer_told(event, now)
         if isinstance(event, Start):
             return self._look(now)
         if isinstance(event, FollowAgain) and event.watch_id == self._operation_id:
             return self._look(now)
         return []
 
+    def known(self) -> ReadResult | None:
+        """Return everything under the prefix as far as it is known; ``None``: nothing is."""
+        if not self._is_listed or self._seen_revision is None:
+            return None
+        return ReadResult(tuple(self._items.values()), self._seen_revision)
+
     def gather(self, seconds: float | None) -> list[Action]:
         """Look at the store at another pace; ``None``: the usual one."""
         wanted = self._settings.gather_seconds if seconds is None else seconds
@@ -148,15 +158,34 @@
             reason = result.reason if isinstance(result, Failure) else "unexpected result"
             return self._failed(reason, now)
         self._failures = 0
+        return self._listed(result.values, result.store_revision, now)
+
+    def _peer_told(self, event: PeerSnapshot, now: float) -> list[Action]:
+        """Begin with what another node knows; the store's own word follows by the watch."""
+        if self._is_listed:
+            return []
+        # The answer to a read under way would be taken for a second listing.
+        self._reads += 1
+        fields = (("store_revision", event.store_revision), ("values", len(event.values)))
+        line = Log("store_known_from_peer", LogLevel.WARNING, fields)
+        return [line, *self._listed(event.values, event.store_revision, now)]
+
+    def _listed(
+        self, values: tuple[StoredValue, ...], store_revision: int, now: float
+    ) -> list[Action]:
         self._is_listed = True
-        self._seen_revision = result.store_revision
-        return self._hooks.on_listing(result.values, now) + self._watch()
+        self._seen_revision = store_revision
+        self._items = {item.key: item for item in values}
+        return self._hooks.on_listing(values, now) + self._watch()
 
     def _changed(self, event: WatchChanged, now: float) -> list[Action]:
         if event.watch_id != self._watch_id:
             return []
         self._failures = 0
         self._seen_revision = event.store_revision
+        self._items.update({item.key: item for item in event.changed})
+        for key in event.deleted:
+            self._items.pop(key, None)
         return self._hooks.on_changes(event.changed, event.deleted, now)
 
     def _broken(self, event: WatchBroken, now: float) -> list[Action]:
@@ -174,12 +203,15 @@
         settings = self._settings
         pause = settings.first_backoff_seconds * 2.0 ** min(self._failures, 6)
         most = settings.most_backoff_seconds
-        if self._seen_revision is None and not self._is_listed:
+        asking: list[Action] = []
+        if not self._is_listed:
             most = settings.unknown_backoff_seconds
+            asking = [AskPeers()]
         self._failures += 1
         fields = (("reason", reason), ("failures", self._failures))
         due_at = now + min(pause, most)
         return [
             Log("store_unreachable", LogLevel.WARNING, fields),
+            *asking,
             Schedule(due_at, FollowAgain(self._operation_id)),
         ]
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -13,6 +13,7 @@
 from wingquay.adapters.forwarding_server import ForwardingServer
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 from wingquay.adapters.http_server import HttpServer
+from wingquay.adapters.peer_snapshots import PeerSnapshots
 from wingquay.adapters.replica_client import ReplicaClient
 from wingquay.forwarding.forwarding_node import ForwardingNode, StoreFormats
 from wingquay.forwarding.settings import ForwardingSettings
@@ -33,6 +34,7 @@
     SetForwarding,
 )
 from wingquay.ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
+from wingquay.ports.peer_snapshot import AskPeers
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
 from wingquay.runtime import NodeRuntime
 
@@ -71,10 +73,14 @@
             _store_formats(),
             random.Random(secrets.randbits(SEED_BITS)),
         )
+        self._machine = machine
         self._runtime = NodeRuntime(machine, asyncio.get_running_loop())
         self._server = ForwardingServer(PlatformCallerDialect(), self.emit)
         self._readiness = HttpServer(self._answer_readiness)
         self._page = HttpServer(self._answer_metrics)
+        seeds = [(seed.host, seed.port) for seed in settings.seeds if seed != settings.peers]
+        self.peers = PeerSnapshots(seeds, machine.known_of_store, self.emit)
+        self._peer_server = HttpServer(self.peers.answer)
         count = self._metrics.count
         self._replicas = ReplicaClient(PlatformReplicaDialect(), self.emit, count)
         store = settings.store
@@ -95,6 +101,8 @@
         settings = self._settings
         readiness = settings.readiness
         self.readiness_port = await self._readiness.start(readiness.host, readiness.port)
+        if settings.peers is not None:
+            await self._peer_server.start(settings.peers.host, settings.peers.port)
         if settings.metrics is not None:
             await self._page.start(settings.metrics.host, settings.metrics.port)
         self._log.perform(Log("node_started", fields=(("zone", settings.zone),)))
@@ -106,6 +114,7 @@
         loop.call_later(LOAD_METRICS_SECONDS, self._metrics.load)
         ended = await self._exited
         await self._server.close(RESPONSE_GRACE_SECONDS)
+        self.peers.close()
         self._replicas.close()
         await self._store.close()
         self._runtime.close()
@@ -129,6 +138,7 @@
         runtime.register(StoreRequest, self._store.perform)
         runtime.register(StartWatch, self._store.start_watch)
         runtime.register(StopWatch, self._store.stop_watch)
+        runtime.register(AskPeers, self.peers.ask)
         runtime.register(SetForwarding, self._set_forwarding)
         runtime.register(Exit, self._exit)
 
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -39,6 +39,10 @@
         Where the platform's store listens.
     metrics
         Where figures are told; ``None``: nowhere.
+    peers
+        Where other nodes ask what this one knows of the store; ``None``: nowhere.
+    seeds
+        Addresses of other nodes, which may be out of date.
     retry_ratio, retry_slack, retry_window_seconds
         Extra arrivals at a service that all nodes together may cause in a window: the ratio for
         each request, and the slack besides.
@@ -52,6 +56,8 @@
     readiness: ListenAddress
     store: ListenAddress
     metrics: ListenAddress | None
+    peers: ListenAddress | None
+    seeds: tuple[ListenAddress, ...]
     retry_ratio: float
     retry_slack: float
     retry_window_seconds: float
@@ -75,14 +81,15 @@
 
 
 def _settings(document: Mapping[str, Any]) -> PlatformSettings:
-    has_metrics = _find(document, "listen.metrics") is not None
     return PlatformSettings(
         node=_text(document, "node.name"),
         zone=_text(document, "node.zone"),
         callers=_address(document, "listen.callers"),
         readiness=_address(document, "listen.readiness"),
         store=_address(document, "store.address"),
-        metrics=_address(document, "listen.metrics") if has_metrics else None,
+        metrics=_optional_address(document, "listen.metrics"),
+        peers=_optional_address(document, "listen.peers"),
+        seeds=_addresses(document, "peers.seeds"),
         retry_ratio=_number(document, "retries.ratio", 0.0, 1.0),
         retry_slack=_number(document, "retries.slack", 0.0, 1e6),
         retry_window_seconds=_number(document, "retries.window_seconds", 0.1, 3600.0),
@@ -103,8 +110,23 @@
     return found
 
 
+def _optional_address(document: Mapping[str, Any], field: str) -> ListenAddress | None:
+    return _address(document, field) if _find(document, field) else None
+
+
+def _addresses(document: Mapping[str, Any], field: str) -> tuple[ListenAddress, ...]:
+    """Return addresses that are joined by commas; none if the field is missing or empty."""
+    found = _find(document, field) or ""
+    if not isinstance(found, str):
+        raise _InvalidError(f"{field} is {found!r}; allowed: addresses joined by commas")
+    return tuple(_parse_address(part.strip(), field) for part in found.split(",") if part.strip())
+
+
 def _address(document: Mapping[str, Any], field: str) -> ListenAddress:
-    found = _find(document, field)
+    return _parse_address(_find(document, field), field)
+
+
+def _parse_address(found: object, field: str) -> ListenAddress:
     host, _, port_text = str(found).rpartition(":")
     is_port = port_text.isdigit() and int(port_text) <= GREATEST_PORT
     try:
