--- a/wingquay/cli.py
+++ b/wingquay/cli.py
@@ -34,6 +34,7 @@
     "standin": "Run a stand-in for a back end or for the platform's store.",
     "load": "Send a steady load to nodes and report latency and coverage.",
     "simulate": "Run the whole system on a virtual clock under faults.",
+    "forwarding": "Simulate nodes that pass requests on, under faults.",
     "fuzz": "Search for violations with random steps against an oracle.",
     "replay": "Run one simulated history again from its seed.",
     "experiment": "Compare mechanisms in simulation.",
@@ -60,7 +61,7 @@
   1   it ran and found a violation, or could not do what was asked
   2   wrong command line or settings; nothing was started
 
-Try "make demo" first. Guides: docs/OPERATING.md, docs/INTERFACE.md, docs/SETTINGS.md.
+Try "make demo" first. Guides: docs/OPERATIONS.md, docs/INTERFACE.md, docs/SETTINGS.md.
 """
 
 
--- a/wingquay/configuration/confirmation.py
+++ b/wingquay/configuration/confirmation.py
@@ -237,7 +237,7 @@
         self._last_reason = (
             f"the store holds revision {stored.revision}, older than revision "
             f"{self._in_force.revision} in force here: it was set back, or an out-of-date member "
-            "answered. Nothing was changed; see docs/OPERATING.md, 'The store was set back'"
+            "answered. Nothing was changed; see docs/OPERATIONS.md, 'The store was set back'"
         )
         if self._uncertain_base is not None:
             return None
