Part the forwarding machine: settlement, call starter, outcomes of replicas

Also found while reading: a request that waits for a free connection was refused at its objective although most of its time was left.

--- /dev/null
+++ b/wingquay/forwarding/replica_outcomes.py
@@ -0,0 +1,114 @@
+"""What follows from the answers and failures of replicas."""
+
+from wingquay.forwarding.attempts import AttemptSender
+from wingquay.forwarding.call_starter import CallStarter
+from wingquay.forwarding.exchange import Attempt, ServiceCall
+from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.forwarding.settlement import Settlement
+from wingquay.ports.forwarding import (
+    ReplicaAnswer,
+    ReplicaAnswered,
+    SendFailed,
+    SendFailureKind,
+)
+from wingquay.ports.machine import Action
+
+FIRST_SERVER_ERROR_STATUS = 500
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+class ReplicaOutcomes:
+    """Takes in the ends of attempts: an answer, another attempt, or the end of the exchange."""
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        directory: ReplicaDirectory,
+        sender: AttemptSender,
+        starter: CallStarter,
+        settlement: Settlement,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._sender = sender
+        self._starter = starter
+        self._settlement = settlement
+
+    def answered(self, event: ReplicaAnswered, now: float) -> list[Action]:
+        """Take in a whole answer."""
+        attempt = self._sender.get(event.attempt_id)
+        if attempt is None:
+            return []
+        answer = event.answer
+        actions: list[Action] = []
+        self._sender.finish(attempt)
+        if answer.is_other_replica:
+            self._directory.remove(attempt.replica.record.replica_id)
+        elif answer.not_run:
+            attempt.replica.on_shed(self._settings, now)
+        else:
+            actions += self._sender.answered(attempt, event.load, now)
+            if not answer.is_success and answer.status >= FIRST_SERVER_ERROR_STATUS:
+                attempt.replica.on_trouble(now)
+        self._note(attempt, f"{answer.status}{' not run' if answer.not_run else ''}", now)
+        actions += self._take_answer(attempt, answer, now)
+        return actions + self._starter.serve_waiting(attempt.call.service, now)
+
+    def _take_answer(self, attempt: Attempt, answer: ReplicaAnswer, now: float) -> list[Action]:
+        call = attempt.call
+        exchange = call.exchange
+        not_run = answer.not_run or answer.is_other_replica
+        if not_run:
+            self._sender.not_run(attempt)
+        if not self._settlement.is_open(exchange) or call.answer is not None:
+            return []
+        if not_run:
+            return self._retry(call, now)
+        if answer.is_success and answer.signature not in exchange.signatures:
+            call.answer = answer
+            call.answered_at = now
+            exchange.signatures.add(str(answer.signature))
+            return self._sender.abandon(call, now) + self._settlement.settle(exchange, now)
+        if not answer.is_success and answer.signature is not None:
+            call.failure = answer
+        if exchange.is_repeatable:
+            return self._retry(call, now)
+        return self._settlement.settle(exchange, now)
+
+    def send_failed(self, event: SendFailed, now: float) -> list[Action]:
+        """Take in that an attempt brought no answer."""
+        attempt = self._sender.get(event.attempt_id)
+        if attempt is None:
+            return []
+        call = attempt.call
+        self._sender.finish(attempt)
+        self._note(attempt, event.kind.value, now)
+        was_sent = event.kind is not SendFailureKind.NOT_SENT
+        actions: list[Action] = []
+        if event.kind is not SendFailureKind.MALFORMED:
+            actions += self._sender.failed(attempt, event.reason, not was_sent, now)
+        else:
+            attempt.replica.on_trouble(now)
+        if not was_sent:
+            self._sender.not_arrived(attempt)
+        if self._settlement.is_open(call.exchange) and call.answer is None:
+            if was_sent and not call.exchange.is_repeatable:
+                actions += self._settlement.settle(call.exchange, now)
+            else:
+                actions += self._retry(call, now)
+        return actions + self._starter.serve_waiting(call.service, now)
+
+    def _retry(self, call: ServiceCall, now: float) -> list[Action]:
+        """Ask another replica, unless an attempt of the call is still under way."""
+        actions: list[Action] = []
+        if not call.attempts:
+            actions = self._starter.start(call, now)
+        return actions + self._settlement.settle(call.exchange, now)
+
+    @staticmethod
+    def _note(attempt: Attempt, outcome: str, now: float) -> None:
+        took_ms = round((now - attempt.sent_at) * MILLISECONDS_PER_SECOND)
+        kind = "hedge" if attempt.is_hedge else "send"
+        replica_id = attempt.replica.record.replica_id
+        attempt.call.history.append(f"{kind} {replica_id} {took_ms}ms {outcome}")
--- /dev/null
+++ b/wingquay/forwarding/settlement.py
@@ -0,0 +1,138 @@
+"""Decides when an exchange ends and with what, and keeps account of the open ones."""
+
+from wingquay.forwarding.attempts import AttemptSender
+from wingquay.forwarding.cutoff import is_enough
+from wingquay.forwarding.ending import ExchangeEnding
+from wingquay.forwarding.exchange import Exchange, ServiceCall
+from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.ports.machine import Action
+
+TIME_TOLERANCE_SECONDS = 1e-6
+
+
+class Settlement:
+    """The open exchanges and their ends.
+
+    Parameters
+    ----------
+    settings
+        How long requests that reach no replica may wait.
+    directory
+        Tells which services can be asked.
+    sender
+        Ends attempts that nobody waits for any more.
+    """
+
+    def __init__(
+        self, settings: ForwardingSettings, directory: ReplicaDirectory, sender: AttemptSender
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._sender = sender
+        self._ending = ExchangeEnding()
+        self._exchanges: dict[int, Exchange] = {}
+
+    def __len__(self) -> int:
+        """Return the number of open exchanges."""
+        return len(self._exchanges)
+
+    def add(self, exchange: Exchange) -> None:
+        """Take in an exchange."""
+        self._exchanges[exchange.exchange_id] = exchange
+
+    def get(self, exchange_id: int) -> Exchange | None:
+        """Return an open exchange."""
+        return self._exchanges.get(exchange_id)
+
+    def is_open(self, exchange: Exchange) -> bool:
+        """Whether the caller still waits for the answer."""
+        return exchange.exchange_id in self._exchanges
+
+    def caller_left(self, exchange: Exchange, now: float) -> list[Action]:
+        """End an exchange whose caller is gone."""
+        return self._close(exchange, self._ending.caller_left(exchange, now), now)
+
+    def out_of_time(self, exchange: Exchange, now: float) -> list[Action]:
+        """End an exchange whose time is over, with what is in if that is enough."""
+        settled = self.settle(exchange, now)
+        if settled:
+            return settled
+        return self._close(exchange, self._ending.out_of_time(exchange, now), now)
+
+    def refuse(self, exchange: Exchange, now: float) -> list[Action]:
+        """Refuse an exchange that has run nowhere, and say when replicas can be asked."""
+        usable_at = max(self._directory.usable_at(call.service, now) for call in exchange.calls)
+        reason = "no replica can be asked"
+        return self._close(
+            exchange, self._ending.refuse(exchange, reason, usable_at - now, now), now
+        )
+
+    def settle(self, exchange: Exchange, now: float) -> list[Action]:
+        """Answer the caller if there is nothing more to wait for."""
+        if not self.is_open(exchange):
+            return []
+        if exchange.route.shards:
+            return self._settle_merged(exchange, now)
+        return self._settle_single(exchange, now)
+
+    def _settle_merged(self, exchange: Exchange, now: float) -> list[Action]:
+        answered = exchange.answered_calls
+        enough = is_enough(exchange.route, len(answered))
+        is_over = len(answered) == len(exchange.calls)
+        if not is_over and enough:
+            is_over = now >= exchange.in_time_at - TIME_TOLERANCE_SECONDS or all(
+                self._is_hopeless(call, now) for call in exchange.calls if call.answer is None
+            )
+        if not is_over:
+            return self._refuse_unoffered(exchange, now)
+        return self._close(exchange, self._ending.merged(exchange, answered, now), now)
+
+    def _settle_single(self, exchange: Exchange, now: float) -> list[Action]:
+        call = exchange.calls[0]
+        if call.answer is not None:
+            return self._close(exchange, self._ending.unchanged(exchange, call.answer, now), now)
+        if call.attempts or not call.may_have_run:
+            return self._refuse_unoffered(exchange, now)
+        exhausted = len(call.asked) >= exchange.route.max_attempts
+        if exhausted or not exchange.is_repeatable:
+            return self._close(exchange, self._ending.failed(exchange, call, now), now)
+        return []
+
+    def _refuse_unoffered(self, exchange: Exchange, now: float) -> list[Action]:
+        """Refuse a request that can reach no replica, while coming back is worth it."""
+        if exchange.may_have_run or any(call.attempts for call in exchange.calls):
+            return []
+        whole_seconds = exchange.ends_at - exchange.arrived_at
+        latest = max(
+            exchange.in_time_at, exchange.arrived_at + whole_seconds * self._settings.hold_ratio
+        )
+        if not any(self._directory.has_usable(call.service, now) for call in exchange.calls):
+            objective = exchange.route.objective_seconds
+            latest = exchange.arrived_at + objective * self._settings.offer_ratio
+        if now + self._settings.retry_wait_seconds < latest:
+            return []
+        return self.refuse(exchange, now)
+
+    def can_be_enough(self, exchange: Exchange, now: float) -> bool:
+        """Whether the services of which a replica can be asked make a success."""
+        if not exchange.route.shards:
+            service = exchange.calls[0].service
+            return self._directory.has_any(service, now) or not self._directory.is_settling(now)
+        usable = [self._directory.has_usable(call.service, now) for call in exchange.calls]
+        return is_enough(exchange.route, sum(usable))
+
+    def _is_hopeless(self, call: ServiceCall, now: float) -> bool:
+        """Whether nothing can come of the call before the answer must leave."""
+        if call.attempts:
+            return False
+        if len(call.asked) >= call.exchange.route.max_attempts:
+            return True
+        return not self._directory.has_usable(call.service, now)
+
+    def _close(self, exchange: Exchange, actions: list[Action], now: float) -> list[Action]:
+        del self._exchanges[exchange.exchange_id]
+        for call in exchange.calls:
+            call.is_waiting = False
+            actions = actions + self._sender.abandon(call, now)
+        return actions
