Break import circles; part the simulation of forwarding nodes

Cause: http_server with http_server_connection, model/configuration with configuration_check, and the new simulation with its faults and nodes imported each other.

Change: a connection knows its owner by a protocol; the parts of the configuration have a module of their own, which the check imports; faults are handed to a simulation, which asks its nodes' surroundings by a protocol; the routes of a simulation have a module. The circle of the older simulation with its faults stands (TYPE_CHECKING imports); it needs a protocol of 20 members.

--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -10,15 +10,15 @@
 from wingquay.ports.machine import Action
 from wingquay.simulation.forwarding.faults import (
     FAULTS,
-    Fault,
     callers_leave,
+    play,
     replica_drains,
     replica_refuses,
     replica_slow,
     reshard,
 )
 from wingquay.simulation.forwarding.settings import SimulationSettings
-from wingquay.simulation.forwarding.simulation import ForwardingSimulation
+from wingquay.simulation.forwarding.simulation import SimulatedFault
 
 SHORT = SimulationSettings(seconds=6.0, requests_per_second=50.0)
 
@@ -26,27 +26,27 @@
 class EveryFaultTest(TestCase):
     def test_each_fault_by_itself_breaks_no_promise(self) -> None:
         for seed, fault in enumerate(FAULTS):
-            result = ForwardingSimulation(seed, SHORT, (fault,)).run()
+            result = play(seed, SHORT, (fault,))
             self.assertEqual((), result.violations, fault.__name__)
             self.assertGreater(result.served, result.requests * 0.8, fault.__name__)
 
     def test_mixes_of_faults_break_no_promise(self) -> None:
         for seed in range(100, 130):
-            result = ForwardingSimulation(seed, SHORT).run()
+            result = play(seed, SHORT)
             self.assertEqual((), result.violations, (seed, result.faults))
 
     def test_a_seed_gives_the_same_history_every_time(self) -> None:
-        first = ForwardingSimulation(7, SHORT).run()
-        self.assertEqual(first, ForwardingSimulation(7, SHORT).run())
+        first = play(7, SHORT)
+        self.assertEqual(first, play(7, SHORT))
 
 
 class OracleTest(TestCase):
     """Each rule catches decisions that were broken on purpose."""
 
-    def violations(self, *faults: Fault) -> str:
+    def violations(self, *faults: SimulatedFault) -> str:
         texts: list[str] = []
         for seed in range(3):
-            texts += ForwardingSimulation(seed, SHORT, faults).run().violations
+            texts += play(seed, SHORT, faults).violations
         return "\n".join(texts)
 
     def replace(self, owner: type, name: str, function: object) -> None:
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -5,12 +5,13 @@
 from dataclasses import replace
 from enum import Enum
 from http import HTTPStatus
-from typing import TYPE_CHECKING, cast
+from typing import Protocol, cast
 
 import h11
 
 from wingquay.adapters.http_messages import (
     ConnectionCutError,
+    HttpLimits,
     HttpRequest,
     HttpResponse,
     headers_to_raw,
@@ -18,11 +19,27 @@
 from wingquay.adapters.http_request_reader import ReadProgress, RequestReader, RequestRefusal
 from wingquay.adapters.round_trip import round_trip_seconds
 
-if TYPE_CHECKING:
-    from wingquay.adapters.http_server import HttpServer
-
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
+
+class ConnectionOwner(Protocol):
+    """What a connection asks of the server that made it."""
+
+    handler: Handler
+    limits: HttpLimits
+    refuse: Callable[[int, str], HttpResponse]
+    is_leaving: bool
+    measures_transit: bool
+
+    def is_over_connection_limit(self) -> bool:
+        """Whether the connection just made is one too many."""
+        ...
+
+    def connection_ended(self, connection: "ServerConnection") -> None:
+        """Forget a connection."""
+        ...
+
+
 LINGER_SECONDS = 2.0
 """How long a closing connection waits for its client to end too.
 
@@ -49,7 +66,7 @@
     A client that ends its direction counts as gone: asyncio then closes the connection.
     """
 
-    def __init__(self, server: "HttpServer") -> None:
+    def __init__(self, server: ConnectionOwner) -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
         limits = server.limits
--- a/wingquay/commands/forwarding.py
+++ b/wingquay/commands/forwarding.py
@@ -3,9 +3,9 @@
 import sys
 
 from wingquay.commands.exit_codes import FAILED, OK, USAGE
-from wingquay.simulation.forwarding.faults import FAULTS, Fault
+from wingquay.simulation.forwarding.faults import FAULTS, play
 from wingquay.simulation.forwarding.settings import SimulationSettings
-from wingquay.simulation.forwarding.simulation import ForwardingSimulation
+from wingquay.simulation.forwarding.simulation import SimulatedFault
 
 MOST_RUNS = 100_000
 LONGEST_SECONDS = 1e5
@@ -49,7 +49,7 @@
     settings = SimulationSettings(seconds=seconds)
     violations = 0
     for number in range(seed, seed + runs):
-        result = ForwardingSimulation(number, settings, chosen).run()
+        result = play(number, settings, chosen)
         violations += len(result.violations)
         print(
             f"seed={result.seed} faults={','.join(result.faults)} requests={result.requests} "
@@ -60,7 +60,9 @@
     return FAILED if violations else OK
 
 
-def _complaint(runs: int, seconds: float, names: list[str], known: dict[str, Fault]) -> str:
+def _complaint(
+    runs: int, seconds: float, names: list[str], known: dict[str, SimulatedFault]
+) -> str:
     if not 1 <= runs <= MOST_RUNS:
         return f"--runs is {runs}; allowed: a whole number from 1 to {MOST_RUNS}"
     if not 0.0 < seconds <= LONGEST_SECONDS:
--- a/wingquay/model/configuration_check.py
+++ b/wingquay/model/configuration_check.py
@@ -4,16 +4,60 @@
 import ipaddress
 from collections import Counter
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from typing import Protocol
+
+from wingquay.model.configuration_parts import (
+    Attachment,
+    Caller,
+    Deployment,
+    PriorityClass,
+    Service,
+)
+from wingquay.model.identifiers import ClassName, ServiceName
+
+
+class ConfigurationContents(Protocol):
+    """What of a configuration is checked."""
+
+    @property
+    def deployments(self) -> tuple[Deployment, ...]:
+        """The deployments."""
+        ...
+
+    @property
+    def classes(self) -> tuple[PriorityClass, ...]:
+        """The priority classes."""
+        ...
+
+    @property
+    def services(self) -> tuple[Service, ...]:
+        """The services."""
+        ...
+
+    @property
+    def callers(self) -> tuple[Caller, ...]:
+        """The callers."""
+        ...
+
+    @property
+    def attachments(self) -> tuple[Attachment, ...]:
+        """Which class a caller's requests get."""
+        ...
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service by name."""
+        ...
+
+    def priority_class(self, name: ClassName) -> PriorityClass | None:
+        """Return a class by name."""
+        ...
 
-if TYPE_CHECKING:
-    from wingquay.model.configuration import Configuration, Service
 
 ADDRESSES_REMEMBERED = 8_192
 """Checked addresses that are remembered: each new revision names the same ones again."""
 
 
-def reference_errors(configuration: "Configuration") -> list[str]:
+def reference_errors(configuration: ConfigurationContents) -> list[str]:
     """Return one line for each wrong reference, naming field, value and what is allowed."""
     errors = _duplicate_errors(configuration)
     for service in configuration.services:
@@ -31,7 +75,7 @@
     return [f"{label} {name!r} is given {count} times" for name, count in repeated.items()]
 
 
-def _duplicate_errors(configuration: "Configuration") -> list[str]:
+def _duplicate_errors(configuration: ConfigurationContents) -> list[str]:
     shards = [shard for service in configuration.services for shard in service.shards]
     replicas = [replica for shard in shards for replica in shard.replicas]
     return [
@@ -45,7 +89,7 @@
     ]
 
 
-def _service_errors(configuration: "Configuration", service: "Service") -> list[str]:
+def _service_errors(configuration: ConfigurationContents, service: Service) -> list[str]:
     errors: list[str] = []
     deployments = {entry.name: entry for entry in configuration.deployments}
     deployment = deployments.get(service.deployment)
@@ -83,7 +127,7 @@
     return True
 
 
-def _partition_errors(service: "Service") -> list[str]:
+def _partition_errors(service: Service) -> list[str]:
     errors: list[str] = []
     ordered = sorted(service.shards, key=lambda shard: shard.start)
     for left, right in zip(ordered, ordered[1:], strict=False):
@@ -92,7 +136,7 @@
     return errors
 
 
-def _attachment_errors(configuration: "Configuration") -> list[str]:
+def _attachment_errors(configuration: ConfigurationContents) -> list[str]:
     errors: list[str] = []
     for attachment in configuration.attachments:
         service = configuration.service(attachment.service)
--- /dev/null
+++ b/wingquay/model/configuration_parts.py
@@ -0,0 +1,123 @@
+"""The parts of the operators' configuration: classes, services, shards, replicas, callers.
+
+The models are checked on construction by pydantic, immutable, and serialized as JSON in the
+platform's key-value service and between nodes. Source: brief, "The product".
+"""
+
+from enum import Enum
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from wingquay.model.identifiers import (
+    CallerName,
+    ClassName,
+    DeploymentName,
+    ReplicaId,
+    RequestKindName,
+    ServiceName,
+    ShardId,
+    ZoneName,
+)
+from wingquay.model.key_range import KeyRange
+
+
+class CheckedModel(BaseModel):
+    """Base of every part: immutable, unknown keys passed over."""
+
+    # Unknown keys are kept out of the way rather than refused: a newer node may write fields
+    # that an older one beside it does not know yet. Intents are checked strictly at the rim.
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+
+class CoveragePreference(Enum):
+    """What a request kind gives up first when a shard is slow."""
+
+    FULL_COVERAGE = "full_coverage"
+    """Wait for the last shard while the deadline allows."""
+
+    LATENCY_FIRST = "latency_first"
+    """Answer within the class's promise, with what is there by then."""
+
+
+class PriorityClass(CheckedModel):
+    """A priority class: a price and a promise of latency.
+
+    ``price`` weighs the class against others (greater is served sooner);
+    ``promise_seconds`` is the latency within which its requests should be answered.
+    """
+
+    name: ClassName
+    price: float = Field(gt=0, le=1e6)
+    promise_seconds: float = Field(gt=0, le=600)
+
+
+class RequestKind(CheckedModel):
+    """A kind of request that a service serves, with its defaults."""
+
+    name: RequestKindName
+    class_name: ClassName
+    repeatable: bool = True
+    coverage_preference: CoveragePreference = CoveragePreference.FULL_COVERAGE
+    deadline_seconds: float = Field(default=2.0, gt=0, le=600)
+
+
+class Replica(CheckedModel):
+    """A back-end process that serves one shard at ``host:port`` (an IP number)."""
+
+    replica_id: ReplicaId
+    zone: ZoneName
+    host: str
+    port: int = Field(ge=1, le=65535)
+    slots: int = Field(default=5, ge=1, le=10_000)
+    connection_limit: int = Field(default=70, ge=1, le=100_000)
+
+
+class Shard(CheckedModel):
+    """A part of a service's keys, from ``start`` to ``end`` (``None``: unbounded)."""
+
+    shard_id: ShardId
+    start: str = ""
+    end: str | None = None
+    replicas: tuple[Replica, ...]
+
+    @property
+    def key_range(self) -> KeyRange:
+        """The keys that the shard holds."""
+        return KeyRange(self.start, self.end)
+
+
+class Service(CheckedModel):
+    """A sharded back-end service of one deployment."""
+
+    name: ServiceName
+    deployment: DeploymentName
+    kinds: tuple[RequestKind, ...]
+    shards: tuple[Shard, ...]
+
+    def kind(self, name: str) -> RequestKind | None:
+        """Return the request kind called ``name``, or ``None``."""
+        return next((kind for kind in self.kinds if kind.name == name), None)
+
+
+class Deployment(CheckedModel):
+    """A group of zones that are close to each other."""
+
+    name: DeploymentName
+    zones: tuple[ZoneName, ...]
+
+
+class Caller(CheckedModel):
+    """A caller, known by the SHA-256 (hexadecimal) of its bearer token, and what it may see."""
+
+    name: CallerName
+    token_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
+    services: tuple[ServiceName, ...]
+
+
+class Attachment(CheckedModel):
+    """Assigns a request kind of a service, for one caller or (``None``) for all, to a class."""
+
+    service: ServiceName
+    kind: RequestKindName
+    class_name: ClassName
+    caller: CallerName | None = None
--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -1,30 +1,30 @@
 """Faults that strike a simulation of forwarding nodes, each a named function."""
 
 import random
-from collections.abc import Callable
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from wingquay.simulation.forwarding.simulation import ForwardingSimulation
-
-Fault = Callable[["ForwardingSimulation", random.Random], None]
+from wingquay.simulation.forwarding.settings import SimulationSettings
+from wingquay.simulation.forwarding.simulation import (
+    ForwardingSimulation,
+    SimulatedFault,
+    SimulationResult,
+)
 
 
-def replica_slow(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def replica_slow(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Make some replicas take eight times as long."""
     for replica in simulation.some_replicas(chance, 0.2):
         replica.pace = 8.0
         simulation.clock.after(4.0, setattr, replica, "pace", 1.0)
 
 
-def replica_dark(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def replica_dark(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Let some replicas say nothing for a while."""
     for replica in simulation.some_replicas(chance, 0.15):
         replica.is_dark = True
         simulation.clock.after(3.0, setattr, replica, "is_dark", False)
 
 
-def shard_dark(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def shard_dark(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """All replicas of one shard say nothing for a while."""
     service = chance.choice(simulation.shard_names)
     for replica in simulation.replicas_of(service):
@@ -32,7 +32,7 @@
         simulation.clock.after(3.0, setattr, replica, "is_dark", False)
 
 
-def replica_crash(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def replica_crash(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Crash a replica; its record lapses and a new start of it comes up at its address."""
     replica = chance.choice(simulation.live_replicas())
     replica.crash()
@@ -40,7 +40,7 @@
     simulation.clock.after(3.0, simulation.start_replica_like, replica)
 
 
-def address_reused(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def address_reused(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Crash a replica and give its address to a replica of another service at once."""
     replica = chance.choice(simulation.live_replicas())
     service = chance.choice(simulation.all_services())
@@ -50,7 +50,7 @@
     simulation.clock.after(3.0, simulation.add_replica, replica.record.service)
 
 
-def replica_drains(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def replica_drains(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Let a replica announce that it leaves, or just take its record away, and end later."""
     replica = chance.choice(simulation.live_replicas())
     simulation.start_replica(replica.record.service)
@@ -61,7 +61,7 @@
     simulation.clock.after(4.5, simulation.end_replica, replica)
 
 
-def replica_refuses(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def replica_refuses(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Let some replicas refuse, fail, or lose the answers of many requests."""
     name = chance.choice(["refuse_share", "fail_share", "lose_share"])
     for replica in simulation.some_replicas(chance, 0.2):
@@ -69,30 +69,30 @@
         simulation.clock.after(4.0, setattr, replica, name, 0.0)
 
 
-def node_killed(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def node_killed(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Kill a node and start it again."""
     simulation.kill_node(chance.randrange(simulation.settings.nodes), 0.8)
 
 
-def all_nodes_killed(simulation: "ForwardingSimulation", _chance: random.Random) -> None:
+def all_nodes_killed(simulation: ForwardingSimulation, _chance: random.Random) -> None:
     """Kill all nodes at once."""
     for node in range(simulation.settings.nodes):
         simulation.kill_node(node, 1.0)
 
 
-def node_stopped(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def node_stopped(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Stop a node as planned and start it again."""
     simulation.stop_node(chance.randrange(simulation.settings.nodes))
 
 
-def store_down(simulation: "ForwardingSimulation", _chance: random.Random) -> None:
+def store_down(simulation: ForwardingSimulation, _chance: random.Random) -> None:
     """Let the store answer nothing for a while."""
     store = simulation.store
     store.down_until = simulation.clock.now + 3.0
     simulation.oracle.unstable.append((simulation.clock.now, store.down_until))
 
 
-def store_down_lapse(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def store_down_lapse(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Take the store down and let records of live replicas lapse meanwhile."""
     store_down(simulation, chance)
     for replica in simulation.some_replicas(chance, 0.5):
@@ -100,14 +100,14 @@
         simulation.clock.after(4.0, simulation.put_record, replica)
 
 
-def store_slow(simulation: "ForwardingSimulation", _chance: random.Random) -> None:
+def store_slow(simulation: ForwardingSimulation, _chance: random.Random) -> None:
     """Make the store take fifty times as long."""
     store = simulation.store
     store.slow_until = simulation.clock.now + 3.0
     simulation.oracle.unstable.append((simulation.clock.now, store.slow_until))
 
 
-def store_forgets(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def store_forgets(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Deafen watches for a second while a replica drains, then drop the history."""
     store = simulation.store
     store.deaf_until = simulation.clock.now + 1.0
@@ -115,7 +115,7 @@
     simulation.clock.after(1.0, store.forget_history)
 
 
-def node_cut_off(simulation: "ForwardingSimulation", chance: random.Random) -> None:
+def node_cut_off(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Cut a node off from the store for a while."""
     node = chance.randrange(simulation.settings.nodes)
     until = simulation.clock.now + 3.0
@@ -123,24 +123,24 @@
     simulation.oracle.unstable.append((simulation.clock.now, until))
 
 
-def configuration_storm(simulation: "ForwardingSimulation", _chance: random.Random) -> None:
+def configuration_storm(simulation: ForwardingSimulation, _chance: random.Random) -> None:
     """Change the configuration in quick succession."""
     for number in range(6):
         simulation.clock.after(0.2 * number, simulation.change_configuration)
 
 
-def reshard(simulation: "ForwardingSimulation", _chance: random.Random) -> None:
+def reshard(simulation: ForwardingSimulation, _chance: random.Random) -> None:
     """Start another set of shards, name it and drain the old one."""
     simulation.reshard()
 
 
-def callers_leave(simulation: "ForwardingSimulation", _chance: random.Random) -> None:
+def callers_leave(simulation: ForwardingSimulation, _chance: random.Random) -> None:
     """Let many callers leave before their answer."""
     simulation.leave_share = 0.4
     simulation.clock.after(3.0, setattr, simulation, "leave_share", 0.0)
 
 
-FAULTS: tuple[Fault, ...] = (
+FAULTS: tuple[SimulatedFault, ...] = (
     replica_slow,
     replica_dark,
     shard_dark,
@@ -161,3 +161,16 @@
     callers_leave,
 )
 """Every fault, in the order in which seeds draw them."""
+
+
+def play(
+    seed: int,
+    settings: SimulationSettings | None = None,
+    faults: tuple[SimulatedFault, ...] | None = None,
+) -> SimulationResult:
+    """Play one run; without ``faults`` the seed draws as many as the settings say."""
+    settings = settings or SimulationSettings()
+    if faults is None:
+        chance = random.Random(f"faults/{seed}")
+        faults = tuple(chance.choice(FAULTS) for _ in range(settings.faults))
+    return ForwardingSimulation(seed, settings, faults).run()
--- /dev/null
+++ b/wingquay/simulation/forwarding/routes.py
@@ -0,0 +1,61 @@
+"""The configuration that simulated nodes follow: two routes over shards, two to single services."""
+
+from collections.abc import Sequence
+
+from wingquay.model.routing_table import (
+    CallerLimits,
+    Route,
+    RoutingTable,
+    UpstreamService,
+    WeightedService,
+)
+
+HOST = "search.example"
+SINGLE_SERVICE = "single"
+EDIT_SERVICE = "edit"
+CONNECTIONS = 26
+
+
+def routing_table(version: int, shards: Sequence[str], limit_seconds: float) -> RoutingTable:
+    """Return a configuration over a set of shards."""
+    names = tuple(shards)
+    routes = (
+        _sharded("sweep", names, 0.12, 0.66, limit_seconds),
+        _sharded("check", names, 0.06, 0.5, limit_seconds),
+        _single("fetch", SINGLE_SERVICE, True),
+        _single("edit", EDIT_SERVICE, False),
+    )
+    services = {
+        name: UpstreamService(name, CONNECTIONS) for name in (*names, SINGLE_SERVICE, EDIT_SERVICE)
+    }
+    return RoutingTable(version, routes, services, CallerLimits())
+
+
+def _sharded(
+    name: str, shards: tuple[str, ...], objective: float, least: float, limit: float
+) -> Route:
+    return Route(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        shards=shards,
+        is_repeatable=True,
+        max_attempts=2,
+        timeout_seconds=limit,
+        objective_seconds=objective,
+        merged_records=10,
+        least_share=least,
+    )
+
+
+def _single(name: str, service: str, is_repeatable: bool) -> Route:
+    return Route(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        services=(WeightedService(service, 1.0),),
+        is_repeatable=is_repeatable,
+        max_attempts=2,
+        timeout_seconds=2.0,
+        objective_seconds=0.4,
+    )
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -1,7 +1,7 @@
 """One forwarding node under the virtual clock: production decisions, simulated surroundings."""
 
 import random
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from wingquay.forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
 from wingquay.forwarding.settings import ForwardingSettings
@@ -19,19 +19,41 @@
 )
 from wingquay.ports.machine import Action, Event, Exit, Schedule, Start
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
-
-if TYPE_CHECKING:
-    from wingquay.simulation.forwarding.simulation import ForwardingSimulation
+from wingquay.simulation.forwarding.oracle import ForwardingOracle
+from wingquay.simulation.forwarding.store import StoreModel
+from wingquay.simulation.virtual_clock import VirtualClock
 
 CONFIGURATION_KEY = "configuration"
 REPLICA_PREFIX = "replicas/"
 NODE_PREFIX = "nodes/"
 
 
+class Surroundings(Protocol):
+    """What a simulated node asks of the simulation around it."""
+
+    clock: VirtualClock
+    store: StoreModel
+    oracle: ForwardingOracle
+    tables: dict[bytes, RoutingTable]
+    records: dict[bytes, ReplicaRecord]
+
+    def deliver(self, node: "SimulatedForwardingNode", send: SendToReplica) -> None:
+        """Carry a request to the replica at its address, and the outcome back."""
+        ...
+
+    def cancel_at(self, host: str, node: int, attempt_id: int) -> None:
+        """Carry the end of a connection to a replica."""
+        ...
+
+    def node_exited(self, node: "SimulatedForwardingNode", action: Exit) -> None:
+        """Take in that a node ended as planned."""
+        ...
+
+
 class SimulatedForwardingNode:
     """One life of a node; a restart makes another."""
 
-    def __init__(self, simulation: "ForwardingSimulation", number: int, seed: int) -> None:
+    def __init__(self, simulation: Surroundings, number: int, seed: int) -> None:
         self.number = number
         self.is_alive = True
         self.is_ready = False
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -1,17 +1,12 @@
 """Plays forwarding nodes, replicas, a store and callers with faults; one seed, one history."""
 
 import random
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from itertools import count
 
 from wingquay.model.replica_record import ReplicaRecord
-from wingquay.model.routing_table import (
-    CallerLimits,
-    Route,
-    RoutingTable,
-    UpstreamService,
-    WeightedService,
-)
+from wingquay.model.routing_table import RoutingTable
 from wingquay.ports.forwarding import (
     CallerLeft,
     ForwardRequested,
@@ -22,9 +17,14 @@
     SendToReplica,
 )
 from wingquay.ports.machine import Exit, StopRequested
-from wingquay.simulation.forwarding.faults import FAULTS, Fault
 from wingquay.simulation.forwarding.oracle import ForwardingOracle
 from wingquay.simulation.forwarding.replica import ReplicaModel
+from wingquay.simulation.forwarding.routes import (
+    EDIT_SERVICE,
+    HOST,
+    SINGLE_SERVICE,
+    routing_table,
+)
 from wingquay.simulation.forwarding.settings import SimulationSettings
 from wingquay.simulation.forwarding.simulated_node import (
     CONFIGURATION_KEY,
@@ -34,7 +34,6 @@
 from wingquay.simulation.forwarding.store import StoreModel
 from wingquay.simulation.virtual_clock import VirtualClock
 
-HOST = "search.example"
 LEAD_SECONDS = 3.0
 """Time between the start of the nodes and the first request."""
 SETTLE_SECONDS = 8.0
@@ -42,12 +41,16 @@
 CHECK_SECONDS = 0.25
 SHARD_MEAN_SECONDS = 0.012
 SINGLE_MEAN_SECONDS = 0.06
-SINGLE_SERVICE = "single"
-EDIT_SERVICE = "edit"
+LIMITS_SECONDS = (0.9, 1.2, 1.5)
+"""Time limits of the routes over shards; each configuration has one of them."""
 PATHS = ("/sweep/x", "/check/x", "/fetch/x", "/edit/x", "/none/x")
 PATH_WEIGHTS = (6, 2, 2, 2, 0.2)
 
 
+SimulatedFault = Callable[["ForwardingSimulation", random.Random], None]
+"""Strikes a run, at the moment at which it is called."""
+
+
 @dataclass(frozen=True, slots=True)
 class SimulationResult:
     """What a run showed."""
@@ -70,16 +73,16 @@
     settings
         Sizes and bounds.
     faults
-        The faults that strike; ``None``: drawn by the seed.
+        The faults that strike, each at a moment that the seed draws.
     """
 
     def __init__(
         self,
         seed: int,
-        settings: SimulationSettings | None = None,
-        faults: tuple[Fault, ...] | None = None,
+        settings: SimulationSettings,
+        faults: Sequence[SimulatedFault],
     ) -> None:
-        self.settings = settings or SimulationSettings()
+        self.settings = settings
         self.clock = VirtualClock()
         self.oracle = ForwardingOracle(self.settings)
         self.store = StoreModel(self.clock)
@@ -92,7 +95,7 @@
         self._random = random.Random(seed)
         self._numbers = count(1)
         self._replicas: dict[str, ReplicaModel] = {}
-        self._faults = self._draw_faults() if faults is None else faults
+        self._faults = tuple(faults)
         self._version = 0
 
     def run(self) -> SimulationResult:
@@ -199,7 +202,8 @@
     def change_configuration(self) -> None:
         """Write the next version; time limits change a little from one to the next."""
         self._version += self._random.randint(1, 3)
-        table = self._table()
+        limit_seconds = self._random.choice(LIMITS_SECONDS)
+        table = routing_table(self._version, self.shard_names, limit_seconds)
         value = f"version {table.version}".encode()
         self.tables[value] = table
         self.store.put(CONFIGURATION_KEY, value)
@@ -325,21 +329,6 @@
             for _ in range(settings.single_replicas):
                 self.start_replica(name)
 
-    def _table(self) -> RoutingTable:
-        shards = tuple(self.shard_names)
-        limit = self._random.choice([0.9, 1.2, 1.5])
-        routes = (
-            _sharded("sweep", shards, 0.12, 0.66, limit),
-            _sharded("check", shards, 0.06, 0.5, limit),
-            _single("fetch", SINGLE_SERVICE, True),
-            _single("edit", EDIT_SERVICE, False),
-        )
-        services = {name: UpstreamService(name, 26) for name in self.all_services()}
-        return RoutingTable(self._version, routes, services, CallerLimits())
-
-    def _draw_faults(self) -> tuple[Fault, ...]:
-        return tuple(self._random.choice(FAULTS) for _ in range(self.settings.faults))
-
     def _next_seed(self) -> int:
         return self._random.getrandbits(32)
 
@@ -356,33 +345,3 @@
             len(refused),
             tuple(self.oracle.violations),
         )
-
-
-def _sharded(
-    name: str, shards: tuple[str, ...], objective: float, least: float, limit: float
-) -> Route:
-    return Route(
-        name=name,
-        host=HOST,
-        path_prefix=f"/{name}/",
-        shards=shards,
-        is_repeatable=True,
-        max_attempts=2,
-        timeout_seconds=limit,
-        objective_seconds=objective,
-        merged_records=10,
-        least_share=least,
-    )
-
-
-def _single(name: str, service: str, is_repeatable: bool) -> Route:
-    return Route(
-        name=name,
-        host=HOST,
-        path_prefix=f"/{name}/",
-        services=(WeightedService(service, 1.0),),
-        is_repeatable=is_repeatable,
-        max_attempts=2,
-        timeout_seconds=2.0,
-        objective_seconds=0.4,
-    )
