--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -13,6 +13,7 @@
 from wingquay.adapters.forwarding_server import ForwardingServer
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 from wingquay.adapters.http_server import HttpServer
+from wingquay.adapters.peer_snapshots import PeerSnapshots
 from wingquay.adapters.replica_client import ReplicaClient
 from wingquay.forwarding.forwarding_node import ForwardingNode, StoreFormats
 from wingquay.forwarding.settings import ForwardingSettings
@@ -33,6 +34,7 @@
     SetForwarding,
 )
 from wingquay.ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
+from wingquay.ports.peer_snapshot import AskPeers
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
 from wingquay.runtime import NodeRuntime
 
@@ -55,6 +57,7 @@
         self._settings = settings
         self._metrics = DeferredMetrics()
         self._log = DeferredLog(sys.stdout, {"node": settings.node})
+        self.readiness_port = settings.readiness.port
         self._is_ready = False
         self._has_news = asyncio.Event()
         self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
@@ -70,14 +73,18 @@
             _store_formats(),
             random.Random(secrets.randbits(SEED_BITS)),
         )
+        self._machine = machine
         self._runtime = NodeRuntime(machine, asyncio.get_running_loop())
-        self._server = ForwardingServer(PlatformCallerDialect(), self._emit)
+        self._server = ForwardingServer(PlatformCallerDialect(), self.emit)
         self._readiness = HttpServer(self._answer_readiness)
         self._page = HttpServer(self._answer_metrics)
+        seeds = [(seed.host, seed.port) for seed in settings.seeds if seed != settings.peers]
+        self.peers = PeerSnapshots(seeds, machine.known_of_store, self.emit)
+        self._peer_server = HttpServer(self.peers.answer)
         count = self._metrics.count
-        self._replicas = ReplicaClient(PlatformReplicaDialect(), self._emit, count)
+        self._replicas = ReplicaClient(PlatformReplicaDialect(), self.emit, count)
         store = settings.store
-        self._store = PlatformStoreClient(store.host, store.port, self._emit, count)
+        self._store = PlatformStoreClient(store.host, store.port, self.emit, count)
         self._register()
 
     async def run(self, listening: socket.socket) -> Exit:
@@ -88,15 +95,18 @@
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._emit, StopRequested())
+            loop.add_signal_handler(number, self.emit, StopRequested())
         # What the settings say of this node cannot change while it runs.
         loop.add_signal_handler(signal.SIGHUP, self._log.perform, Log("settings_kept"))
         settings = self._settings
-        await self._readiness.start(settings.readiness.host, settings.readiness.port)
+        readiness = settings.readiness
+        self.readiness_port = await self._readiness.start(readiness.host, readiness.port)
+        if settings.peers is not None:
+            await self._peer_server.start(settings.peers.host, settings.peers.port)
         if settings.metrics is not None:
             await self._page.start(settings.metrics.host, settings.metrics.port)
         self._log.perform(Log("node_started", fields=(("zone", settings.zone),)))
-        self._emit(Start())
+        self.emit(Start())
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._has_news.wait(), ACCEPT_SECONDS)
         await self._server.serve_on(listening)
@@ -104,13 +114,15 @@
         loop.call_later(LOAD_METRICS_SECONDS, self._metrics.load)
         ended = await self._exited
         await self._server.close(RESPONSE_GRACE_SECONDS)
+        self.peers.close()
         self._replicas.close()
         await self._store.close()
         self._runtime.close()
         self._log.load()
         return ended
 
-    def _emit(self, event: Event) -> None:
+    def emit(self, event: Event) -> None:
+        """Hand an event to the decisions."""
         self._runtime.emit(event)
 
     def _register(self) -> None:
@@ -126,6 +138,7 @@
         runtime.register(StoreRequest, self._store.perform)
         runtime.register(StartWatch, self._store.start_watch)
         runtime.register(StopWatch, self._store.stop_watch)
+        runtime.register(AskPeers, self.peers.ask)
         runtime.register(SetForwarding, self._set_forwarding)
         runtime.register(Exit, self._exit)
 
