--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -203,6 +203,15 @@
             for word in words:
                 self.assertIn(word, failure.reason)
 
+    def test_addresses_that_are_not_given_may_be_empty(self) -> None:
+        text = SETTINGS.replace("[store]", 'peers = ""\n[peers]\nseeds = ""\n[store]')
+        settings = parse_settings(text)
+        self.assertEqual((None, ()), (settings.peers, settings.seeds))
+        text = SETTINGS.replace("[store]", '[peers]\nseeds = "127.0.0.1:8,127.0.0.2:9"\n[store]')
+        self.assertEqual([8, 9], [seed.port for seed in parse_settings(text).seeds])
+        failure = parse_settings(text.replace("127.0.0.2:9", "here"))
+        self.assertIn("peers.seeds", failure.reason)
+
     def test_the_template_names_every_field_that_is_read(self) -> None:
         template = (ROOT / "deploy" / "settings.toml.template").read_text()
         for field in ("name", "zone", "callers", "readiness", "address", "ratio", "slack"):
