Open the callers' socket before the settings are checked

Cause: 1,183 system calls and the loading of the settings' check came before the port was open.

A bad start still names field, value and what is allowed.

--- a/wingquay/platform/__main__.py
+++ b/wingquay/platform/__main__.py
@@ -1,23 +1,18 @@
 """Runs a node on the platform: ``python3 -S -m wingquay.platform``.
 
-The listening socket is opened before the rest of the program is loaded.
+The socket on which callers arrive is opened first of all, by a quick look at the settings: until
+then callers are turned away by a closed port, afterwards they wait in its queue. What takes time to
+load, the check of the settings included, comes after it.
 """
 
 import os
 import sys
 
 from wingquay.adapters.listening import open_listening_socket
-from wingquay.model.failure import Failure
 from wingquay.platform.names import SETTINGS_PATH_VARIABLE
-from wingquay.platform.settings import PlatformSettings, parse_settings
 
 FAILED = 1
-
-
-def search_standard_library_first() -> None:
-    """Reorder the module search path: each entry searched in vain costs a system call."""
-    prefix = os.path.dirname(os.__file__)
-    sys.path.sort(key=lambda entry: not entry.startswith(prefix))
+CALLERS_FIELD = "callers"
 
 
 def main() -> int:
@@ -27,26 +22,47 @@
         return _complain(f"{SETTINGS_PATH_VARIABLE} is not set; allowed: a file's path")
     try:
         with open(path, encoding="utf-8") as file:
-            settings = parse_settings(file.read())
+            text = file.read()
     except OSError as error:
         return _complain(f"{SETTINGS_PATH_VARIABLE} is {path!r}: {error}")
-    if isinstance(settings, Failure):
-        return _complain(f"{path}: {settings.reason}")
-    return _run(settings)
-
-
-def _run(settings: PlatformSettings) -> int:
-    callers = settings.callers
+    host, port = glance_at_callers(text)
     try:
-        listening = open_listening_socket(callers.host, callers.port)
+        listening = open_listening_socket(host, port)
     except OSError as error:
-        return _complain(f"listen.callers is {callers.host}:{callers.port}: {error}")
+        listening = None
+        reason = str(error)
+    from wingquay.model.failure import Failure
     from wingquay.platform.process import run_process
+    from wingquay.platform.settings import parse_settings
 
+    settings = parse_settings(text)
+    if isinstance(settings, Failure):
+        return _complain(f"{path}: {settings.reason}")
+    if listening is None:
+        return _complain(f"listen.callers is {host}:{port}: {reason}")
     run_process(settings, listening)
     return 0
 
 
+def glance_at_callers(text: str) -> tuple[str, int]:
+    """Return the host and port of ``listen.callers`` without reading the settings properly.
+
+    What is found in no proper place is refused later, by the check of the settings.
+    """
+    for line in text.splitlines():
+        name, _, address = line.partition("=")
+        if name.strip() == CALLERS_FIELD:
+            host, _, port = address.strip().strip('"').rpartition(":")
+            return host, int(port) if port.isdigit() and len(port) < 6 else 0
+    return "", 0
+
+
+def search_standard_library_first() -> None:
+    """Reorder the module search path: each entry searched in vain costs a system call."""
+    prefix = os.path.dirname(os.__file__)
+    sys.path.sort(key=lambda entry: not entry.startswith(prefix))
+
+
 def _complain(message: str) -> int:
     print(message, file=sys.stderr)
     return FAILED
