--- /dev/null
+++ b/tests/forwarding/test_stateful.py
@@ -0,0 +1,170 @@
+"""Random histories of one forwarding node against what must always hold."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from tests.forwarding.one_node import OneNode, replica, sharded_route, single_route, table
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ReplyFailure,
+    ReplyMerged,
+    SendFailureKind,
+    SendToReplica,
+)
+from wingquay.ports.store import StartWatch, WatchBroken
+
+SHARDS = 3
+PATHS = ("/all/x", "/one/x", "/edit/x")
+CONNECTIONS = 24
+LONGEST_SECONDS = 1.2
+"""No request of these routes may stay open for longer."""
+
+
+class ForwardingHistory(RuleBasedStateMachine):
+    """Callers, replicas, the store and time act in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.node = OneNode()
+        self.records: dict[str, ReplicaRecord] = {}
+        self.requests: dict[int, tuple[str, float]] = {}
+        self.left: set[int] = set()
+        self.may_have_run: dict[tuple[str, str], set[str]] = {}
+        self.draining: dict[str, int] = {}
+        self.numbers = 0
+
+    @initialize()
+    def start(self) -> None:
+        services = [f"s{number}" for number in range(SHARDS)] + ["one", "edit"]
+        for service in services:
+            for copy in range(2):
+                record = replica(f"{service}r{copy}", service)
+                self.records[record.replica_id] = record
+        routes = (
+            sharded_route(SHARDS, least_share=0.6),
+            single_route("/one/", "one", timeout_seconds=1.0),
+            single_route(
+                "/edit/", "edit", is_repeatable=False, max_attempts=2, timeout_seconds=1.0
+            ),
+        )
+        self.configuration = table(1, *routes, connections=CONNECTIONS)
+        self.node.start(self.configuration, *self.records.values())
+        self.node.advance(5.0)
+
+    @rule(path=st.sampled_from(PATHS), deadline=st.floats(0.05, 1.0))
+    def request(self, path: str, deadline: float) -> None:
+        number = self.node.request(path, deadline)
+        self.requests[number] = (path, self.node.now)
+
+    @rule(data=st.data())
+    def caller_leaves(self, data: st.DataObject) -> None:
+        open_requests = [number for number in self.requests if number not in self.node.replies]
+        if open_requests:
+            number = data.draw(st.sampled_from(open_requests))
+            self.left.add(number)
+            self.node.leave(number)
+
+    @precondition(lambda self: self.node.sends)
+    @rule(
+        data=st.data(),
+        outcome=st.sampled_from(["ok", "ok", "ok", "error", "refused", "other", "unsigned"]),
+    )
+    def replica_answers(self, data: st.DataObject, outcome: str) -> None:
+        send = data.draw(st.sampled_from(self.node.sends))
+        if outcome in ("refused", "other"):
+            self._did_not_run(send)
+            is_other = outcome == "other"
+            status = 421 if is_other else 503
+            self.node.answer(send, status, b"", None, not is_other, is_other)
+            if is_other:
+                self.records.pop(send.replica.replica_id, None)
+        elif outcome == "error":
+            self.node.answer(send, 500)
+        elif outcome == "unsigned":
+            self.node.fail(send, SendFailureKind.MALFORMED)
+        else:
+            self.node.answer(send, body=b"\x07" * 16)
+
+    @precondition(lambda self: self.node.sends)
+    @rule(data=st.data(), was_sent=st.booleans())
+    def connection_fails(self, data: st.DataObject, was_sent: bool) -> None:
+        send = data.draw(st.sampled_from(self.node.sends))
+        if not was_sent:
+            self._did_not_run(send)
+        kind = SendFailureKind.BROKEN if was_sent else SendFailureKind.NOT_SENT
+        self.node.fail(send, kind)
+
+    @rule(seconds=st.floats(0.001, 0.4))
+    def time_passes(self, seconds: float) -> None:
+        self.node.advance(seconds)
+
+    @rule(data=st.data(), how=st.sampled_from(["drain", "vanish", "return"]))
+    def directory_changes(self, data: st.DataObject, how: str) -> None:
+        if not self.records:
+            return
+        replica_id = data.draw(st.sampled_from(sorted(self.records)))
+        record = self.records[replica_id]
+        if how == "return":
+            if replica_id not in self.draining:
+                self.node.change(record)
+        elif how == "vanish":
+            self.node.change(gone=(replica_id,))
+        else:
+            self.draining.setdefault(replica_id, len(self.node.all_sends))
+            self.node.change(
+                replica(replica_id, record.service, is_draining=True),
+            )
+
+    @rule()
+    def store_breaks(self) -> None:
+        self.node.emit(WatchBroken(self.node.last(StartWatch).watch_id, "test"))
+        self.node.advance(0.2)
+
+    @invariant()
+    def sends_keep_their_bounds(self) -> None:
+        for send in self.node.all_sends[self._seen() :]:
+            key = (send.request_id, send.replica.service)
+            self.may_have_run.setdefault(key, set()).add(send.replica.replica_id)
+            assert len(self.may_have_run[key]) <= 2, f"{key} on {self.may_have_run[key]}"
+            if send.replica.service == "edit":
+                assert len(self.may_have_run[key]) <= 1, f"{key} may have run twice"
+            number = int(send.request_id.removeprefix("id-"))
+            assert number not in self.left, f"{send.request_id} sent after its caller left"
+            assert send.replica.replica_id not in self.draining, "new work for a draining replica"
+        self.numbers = len(self.node.all_sends)
+        in_use: dict[str, int] = {}
+        for send in self.node.sends:
+            replica_id = send.replica.replica_id
+            in_use[replica_id] = in_use.get(replica_id, 0) + 1
+        assert all(count <= CONNECTIONS // 6 for count in in_use.values()), in_use
+
+    @invariant()
+    def replies_are_true(self) -> None:
+        for number, reply in self.node.replies.items():
+            request_id = f"id-{number}"
+            if isinstance(reply, ReplyFailure) and reply.kind is ForwardFailureKind.NOT_RUN:
+                ran = [ids for (owner, _), ids in self.may_have_run.items() if owner == request_id]
+                assert not any(ran), f"{request_id} was refused, but may have run on {ran}"
+                assert reply.retry_after_seconds, f"{request_id} is not told when to come back"
+            if isinstance(reply, ReplyMerged):
+                assert len(set(reply.signatures)) == len(reply.signatures)
+                assert len(reply.signatures) + reply.missing_shards == SHARDS
+                assert len(reply.signatures) / SHARDS >= 0.6
+
+    @invariant()
+    def nobody_waits_for_ever(self) -> None:
+        for number, (_, arrived_at) in self.requests.items():
+            if number not in self.node.replies and number not in self.left:
+                assert self.node.now - arrived_at < LONGEST_SECONDS, f"id-{number} is forgotten"
+
+    def _seen(self) -> int:
+        return self.numbers
+
+    def _did_not_run(self, send: SendToReplica) -> None:
+        # Sends are looked at between the steps; this one certainly was.
+        key = (send.request_id, send.replica.service)
+        self.may_have_run[key].discard(send.replica.replica_id)
+
+
+TestForwardingHistory = ForwardingHistory.TestCase
