--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -151,12 +151,20 @@
         self.emit(WatchChanged(watch.watch_id, tuple(values), deleted, self.store_revision))
 
     def request(
-        self, path: str = "/one/x", deadline_seconds: float | None = 2.0, host: str = HOST
+        self,
+        path: str = "/one/x",
+        deadline_seconds: float | None = 2.0,
+        host: str = HOST,
+        transit_seconds: float = 0.0,
     ) -> int:
         """Let a caller send a request; return its number."""
         number = next(self._numbers)
         opaque = OpaqueRequest(b"GET", path.encode(), ())
-        self.emit(ForwardRequested(number, f"id-{number}", host, path, opaque, deadline_seconds))
+        self.emit(
+            ForwardRequested(
+                number, f"id-{number}", host, path, opaque, deadline_seconds, transit_seconds
+            )
+        )
         return number
 
     def leave(self, number: int) -> None:
--- a/tests/forwarding/test_sharded_service.py
+++ b/tests/forwarding/test_sharded_service.py
@@ -188,3 +188,61 @@
                 node.advance(0.1)
             to_bad = sum(send.replica.replica_id == "s0r0" for send in node.all_sends)
             self.assertLess(to_bad, 15)
+
+
+class TransitTest(TestCase):
+    def test_time_on_the_network_is_taken_from_the_time_for_shards(self) -> None:
+        replied = {}
+        for transit_seconds in (0.0, 0.012):
+            node = node_with()
+            number = node.request("/all/x", transit_seconds=transit_seconds)
+            for send in list(node.sends)[1:]:
+                node.answer(send)
+            node.advance(0.2)
+            replied[transit_seconds] = node.replied_at[number]
+        self.assertAlmostEqual(0.012, replied[0.0] - replied[0.012], places=6)
+
+
+class ConnectionsTest(TestCase):
+    def test_a_node_opens_one_connection_to_each_replica_at_first(self) -> None:
+        node = node_with(copies=1, shards=1, objective_seconds=1.0, least_share=1.0)
+        node.request("/all/x")
+        node.request("/all/x")
+        self.assertEqual(1, len(node.sends))
+        node.answer(node.sends[0])
+        node.answer(node.sends[0])
+        node.advance(6.0)
+        node.request("/all/x")
+        node.request("/all/x")
+        self.assertEqual(2, len(node.sends))
+
+    def test_a_request_waits_when_all_connections_are_in_use(
+        self,
+    ) -> None:
+        node = node_with(copies=1)
+        node.request("/all/x")
+        waiting = node.request("/all/x")
+        node.advance(0.01)
+        self.assertNotIn(waiting, node.replies)
+        for send in list(node.sends):
+            node.answer(send)
+        for send in list(node.sends):
+            node.answer(send)
+        self.assertEqual(0, node.replies[waiting].missing_shards)
+
+
+class SilentShardTest(TestCase):
+    def test_an_answer_does_not_wait_for_a_shard_whose_replicas_stay_silent(self) -> None:
+        node = node_with(objective_seconds=0.5)
+        for _ in range(3):
+            node.request("/all/x")
+            for send in list(node.sends):
+                if send.replica.service != "s0":
+                    node.answer(send)
+            node.advance(0.6)
+        number = node.request("/all/x")
+        for send in list(node.sends):
+            if send.replica.service != "s0":
+                node.answer(send)
+        self.assertEqual(1, node.replies[number].missing_shards)
+        self.assertEqual(node.now, node.replied_at[number])
--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -2,11 +2,16 @@
 
 from testtools import TestCase
 
+from wingquay.forwarding import ending
+from wingquay.forwarding.arrival_budget import ArrivalBudget
 from wingquay.forwarding.attempts import AttemptSender
+from wingquay.forwarding.call_starter import CallStarter
 from wingquay.forwarding.ending import ExchangeEnding
 from wingquay.forwarding.exchange import Exchange
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
+from wingquay.forwarding.latencies import RouteLatencies
 from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.forwarding.settlement import Settlement
 from wingquay.ports.machine import Action
 from wingquay.simulation.forwarding.faults import (
     FAULTS,
@@ -50,6 +55,9 @@
         return "\n".join(texts)
 
     def replace(self, owner: type, name: str, function: object) -> None:
+        self.replace_in(owner, name, function)
+
+    def replace_in(self, owner: object, name: str, function: object) -> None:
         original = owner.__dict__[name]
         setattr(owner, name, function)
         self.addCleanup(setattr, owner, name, original)
@@ -72,6 +80,20 @@
         self.replace(ExchangeEnding, "failed", _refuse_instead)
         self.assertIn("refused as not run, but it ran", self.violations(replica_refuses))
 
+    def test_a_merged_answer_that_leaves_records_out_is_caught(self) -> None:
+        self.replace_in(ending, "merge_greatest", lambda bodies, most: b"")
+        self.assertIn("not the greatest records", self.violations(replica_slow))
+
+    def test_extra_arrivals_beyond_the_budget_are_caught(self) -> None:
+        self.replace(ArrivalBudget, "spend", lambda *_: True)
+        self.replace(RouteLatencies, "hedge_seconds", lambda *_: 0.001)
+        self.assertIn("extra arrivals", self.violations(replica_slow))
+
+    def test_a_request_without_a_reply_is_caught(self) -> None:
+        self.replace(Settlement, "out_of_time", lambda *_: [])
+        self.replace(CallStarter, "start", lambda *_: [])
+        self.assertIn("no reply by its time limit", self.violations(replica_slow))
+
     def test_an_old_configuration_is_caught(self) -> None:
         self.replace(ForwardingMachine, "set_table", _set_first_table_only)
         self.replace(ReplicaDirectory, "put", _put_without_drain)
