Part the peer link from the messages that it carries

Cause: the link between nodes loads the messages of queries, claims and membership, and through them pydantic, which a node on the platform does not load. Forwarding nodes are to talk to each other.

Change: the port of the link (ports/peer_link.py) and the form of an identity stand by themselves; a link is given its codec. No behaviour changes.

Ruled out: a second link for forwarding nodes: handshake, frames and dials would stand twice.

--- a/benchmarks/membership_scale.py
+++ b/benchmarks/membership_scale.py
@@ -317,7 +317,7 @@
         identity = NodeIdentity(
             NodeId(node_id), DeploymentName("ro-nord"), ZoneName("dej"), "127.0.0.1", 0
         )
-        links.append(PeerLink(identity, CLUSTER_KEY, take, log=lambda line: None))
+        links.append(PeerLink(identity, CLUSTER_KEY, peer_codec, take, log=lambda line: None))
     first, second = [await link.start() for link in links]
     update = NodeUpdate(second, NodeState.ALIVE, 1)
     ping = Ping(1, Gossip(Revision(1), (update,)))
--- a/benchmarks/peer_link_cost.py
+++ b/benchmarks/peer_link_cost.py
@@ -126,7 +126,7 @@
     identity = NodeIdentity(
         NodeId(node_id), DeploymentName("ro-nord"), ZoneName("dej"), "127.0.0.1", 0
     )
-    return PeerLink(identity, CLUSTER_KEY, emit, log=lambda line: None)
+    return PeerLink(identity, CLUSTER_KEY, peer_codec, emit, log=lambda line: None)
 
 
 def main() -> None:
--- a/tests/adapters/test_peer_link.py
+++ b/tests/adapters/test_peer_link.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from wingquay.adapters import peer_codec
 from wingquay.adapters.peer_channel import PeerLinkSettings
 from wingquay.adapters.peer_link import PeerLink
 from wingquay.ports.peer import (
@@ -26,7 +27,7 @@
         identity = NodeIdentity(node_id, "ro-nord", "dej", "127.0.0.1", port)
         self.events, self.logs = [], []
         self.changed = asyncio.Event()
-        self.link = PeerLink(identity, key, self.take, self.logs.append, settings)
+        self.link = PeerLink(identity, key, peer_codec, self.take, self.logs.append, settings)
 
     def take(self, event):
         self.events.append(event)
--- a/tests/membership/test_over_sockets.py
+++ b/tests/membership/test_over_sockets.py
@@ -3,6 +3,7 @@
 
 import testtools
 
+from wingquay.adapters import peer_codec
 from wingquay.adapters.peer_link import PeerLink
 from wingquay.membership.membership_machine import MembershipMachine
 from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
@@ -30,7 +31,9 @@
 
     def __init__(self, node_id):
         identity = NodeIdentity(node_id, "ro-nord", "dej", "127.0.0.1", 0)
-        self.link = PeerLink(identity, KEY, lambda event: self.runtime.emit(event), lambda _: None)
+        self.link = PeerLink(
+            identity, KEY, peer_codec, lambda event: self.runtime.emit(event), lambda _: None
+        )
         self.available = set()
 
     async def start(self, seeds):
--- a/wingquay/adapters/peer_channel.py
+++ b/wingquay/adapters/peer_channel.py
@@ -13,7 +13,7 @@
     HandshakeFailure,
     HandshakeFailureKind,
 )
-from wingquay.ports.peer import NodeIdentity
+from wingquay.ports.peer_link import NodeIdentity
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/adapters/peer_codec.py
+++ b/wingquay/adapters/peer_codec.py
@@ -11,6 +11,7 @@
 from wingquay.adapters import peer_codec_membership as membership
 from wingquay.adapters import peer_codec_query as query
 from wingquay.adapters.peer_codec_error import PeerCodecFailureKind
+from wingquay.adapters.peer_codec_identity import identity_from_bytes, identity_to_bytes
 from wingquay.adapters.proto import peer_pb2
 from wingquay.model.failure import Failure
 from wingquay.ports import peer
@@ -101,7 +102,7 @@
         UTF-8 cannot carry; both are to be refused where they enter the node.
     """
     codec = _CODECS[type(message)]
-    envelope = peer_pb2.Envelope(sender=membership.identity_to_bytes(sender))
+    envelope = peer_pb2.Envelope(sender=identity_to_bytes(sender))
     target = getattr(envelope, codec.field)
     target.SetInParent()
     codec.put(target, message)
@@ -117,7 +118,7 @@
         field = envelope.WhichOneof("message")
         if field is None:
             return Failure(PeerCodecFailureKind.UNKNOWN_MESSAGE, "no message of a known kind")
-        sender = membership.identity_from_bytes(envelope.sender)
+        sender = identity_from_bytes(envelope.sender)
         return sender, _CODECS_BY_FIELD[field].read(getattr(envelope, field))
     except (DecodeError, ValueError) as error:
         return Failure(PeerCodecFailureKind.MALFORMED, str(error))
--- a/wingquay/adapters/peer_codec_membership.py
+++ b/wingquay/adapters/peer_codec_membership.py
@@ -1,22 +1,18 @@
 """Protobuf form of the membership messages."""
 
-from functools import lru_cache
-
 from wingquay.adapters.peer_codec_error import member_of
+from wingquay.adapters.peer_codec_identity import identity_from_bytes, identity_to_bytes
 from wingquay.adapters.proto import peer_pb2
 from wingquay.model.answer import HeldVersions
 from wingquay.model.identifiers import (
-    DeploymentName,
     NodeId,
     ReplicaId,
     Revision,
     SnapshotVersion,
-    ZoneName,
 )
 from wingquay.ports.peer import (
     Acknowledgement,
     Gossip,
-    NodeIdentity,
     NodeList,
     NodeListRequest,
     NodeState,
@@ -27,9 +23,6 @@
     ReplicaUpdate,
 )
 
-IDENTITY_CACHE_SIZE = 4096
-"""Identities kept in both forms: several times the nodes of the largest deployment."""
-
 _NODE_STATE_NUMBERS = {
     NodeState.ALIVE: peer_pb2.NODE_STATE_ALIVE,
     NodeState.SUSPECT: peer_pb2.NODE_STATE_SUSPECT,
@@ -46,38 +39,6 @@
 _REPLICA_STATES = {int(number): state for state, number in _REPLICA_STATE_NUMBERS.items()}
 
 
-@lru_cache(maxsize=IDENTITY_CACHE_SIZE)
-def identity_to_bytes(identity: NodeIdentity) -> bytes:
-    """Return the serialized form of ``identity``."""
-    message = peer_pb2.NodeIdentity(
-        node_id=identity.node_id,
-        deployment=identity.deployment,
-        zone=identity.zone,
-        host=identity.host,
-        port=identity.port,
-    )
-    return message.SerializeToString(deterministic=True)
-
-
-@lru_cache(maxsize=IDENTITY_CACHE_SIZE)
-def identity_from_bytes(data: bytes) -> NodeIdentity:
-    """Return the identity that ``data`` holds.
-
-    Raises
-    ------
-    google.protobuf.message.DecodeError
-        If ``data`` is not a serialized identity.
-    """
-    message = peer_pb2.NodeIdentity.FromString(data)
-    return NodeIdentity(
-        NodeId(message.node_id),
-        DeploymentName(message.deployment),
-        ZoneName(message.zone),
-        message.host,
-        message.port,
-    )
-
-
 def put_gossip(target: peer_pb2.Gossip, gossip: Gossip) -> None:
     """Write ``gossip`` into ``target``."""
     target.configuration_revision = gossip.configuration_revision
--- a/wingquay/adapters/peer_link.py
+++ b/wingquay/adapters/peer_link.py
@@ -9,8 +9,8 @@
 import dataclasses
 import secrets
 from collections.abc import Callable
+from typing import Protocol
 
-from wingquay.adapters import peer_codec
 from wingquay.adapters.log_writer import LogWriter
 from wingquay.adapters.peer_channel import (
     ChannelContext,
@@ -18,6 +18,7 @@
     PeerLinkCounters,
     PeerLinkSettings,
 )
+from wingquay.adapters.peer_codec_error import PeerCodecFailureKind
 from wingquay.adapters.peer_connection import PeerConnection
 from wingquay.adapters.peer_datagrams import PeerDatagrams
 from wingquay.adapters.peer_frames import ClusterKey
@@ -32,10 +33,11 @@
 from wingquay.model.failure import Failure
 from wingquay.model.identifiers import NodeId
 from wingquay.ports.machine import Event, Log, LogLevel
-from wingquay.ports.peer import (
+from wingquay.ports.peer_link import (
     MembershipMessage,
     NodeIdentity,
     PeerLinkBroken,
+    PeerMessage,
     PeerReceived,
     SendToPeer,
 )
@@ -52,6 +54,20 @@
 )
 
 
+class PeerCodec(Protocol):
+    """Encodes and decodes the messages that a link carries."""
+
+    def encode(self, message: PeerMessage, sender: NodeIdentity) -> bytes:
+        """Return a message as bytes; raise ``ValueError`` for one that has no wire form."""
+        ...
+
+    def decode(
+        self, data: bytes
+    ) -> tuple[NodeIdentity, PeerMessage] | Failure[PeerCodecFailureKind]:
+        """Return the sender and the message, or why there is none."""
+        ...
+
+
 class PeerLink:
     """Carries messages to and from other nodes.
 
@@ -62,6 +78,8 @@
         be unique for each start of a process.
     cluster_key
         The secret that all nodes share, at least 16 random bytes.
+    codec
+        Encodes and decodes the messages.
     emit
         Takes ``PeerReceived`` and ``PeerLinkBroken``.
     log
@@ -77,6 +95,7 @@
         self,
         identity: NodeIdentity,
         cluster_key: bytes,
+        codec: PeerCodec,
         emit: Callable[[Event], None],
         log: Callable[[Log], None] | None = None,
         settings: PeerLinkSettings | None = None,
@@ -84,6 +103,7 @@
         self.identity = identity
         self.counters = PeerLinkCounters()
         self._key = ClusterKey(cluster_key)
+        self._codec = codec
         self._emit = emit
         self._log = log or LogWriter({}).perform
         self._settings = settings or PeerLinkSettings()
@@ -160,7 +180,7 @@
         if self._closing:
             return
         try:
-            data = peer_codec.encode(action.message, self.identity)
+            data = self._codec.encode(action.message, self.identity)
         except ValueError as error:
             self._report_unsendable(action, str(error))
             return
@@ -266,7 +286,7 @@
 
     def _decode(self, message: bytes) -> PeerReceived | None:
         """Read a message; one of a newer version of wingquay is logged and skipped."""
-        decoded = peer_codec.decode(message)
+        decoded = self._codec.decode(message)
         if isinstance(decoded, Failure):
             fields = (("kind", decoded.kind.value), ("reason", decoded.reason))
             self._log(Log("peer_message_skipped", LogLevel.WARNING, fields))
--- a/wingquay/node.py
+++ b/wingquay/node.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 
+from wingquay.adapters import peer_codec
 from wingquay.adapters.backend_client import BackendClient
 from wingquay.adapters.bearer_tokens import ConfiguredCallers, TokenOwner, TokenTable
 from wingquay.adapters.caller_server import CallerServer
@@ -63,6 +64,7 @@
         self._peer_link = PeerLink(
             _identity(settings),
             settings.peers.cluster_key.get_secret_value().encode(),
+            peer_codec,
             self.emit,
             self._log.perform,
         )
--- a/wingquay/ports/peer.py
+++ b/wingquay/ports/peer.py
@@ -10,31 +10,19 @@
 
 from wingquay.model.answer import HeldVersions, SubResult
 from wingquay.model.identifiers import (
-    DeploymentName,
     NodeId,
     ReplicaId,
     Revision,
     SubRequestId,
-    ZoneName,
 )
 from wingquay.model.request import SubRequest
 from wingquay.model.value import value
-from wingquay.ports.machine import Action, Event
-
-
-@dataclass(frozen=True, slots=True)
-class NodeIdentity:
-    """Who a node is and where it listens for peers (IP number and port, TCP and UDP alike).
-
-    A membership message may be sent to an identity with an empty ``node_id``: then whoever
-    listens at the address gets it. That is how a node joins.
-    """
-
-    node_id: NodeId
-    deployment: DeploymentName
-    zone: ZoneName
-    host: str
-    port: int
+from wingquay.ports.peer_link import MembershipMessage as MembershipMessage
+from wingquay.ports.peer_link import NodeIdentity as NodeIdentity
+from wingquay.ports.peer_link import PeerLinkBroken as PeerLinkBroken
+from wingquay.ports.peer_link import PeerMessage as PeerMessage
+from wingquay.ports.peer_link import PeerReceived as PeerReceived
+from wingquay.ports.peer_link import SendToPeer as SendToPeer
 
 
 class NodeState(Enum):
@@ -87,18 +75,6 @@
     replica_updates: tuple[ReplicaUpdate, ...] = ()
 
 
-class PeerMessage:
-    """Base of every message between nodes."""
-
-    __slots__ = ()
-
-
-class MembershipMessage(PeerMessage):
-    """Base of the messages that travel as datagrams."""
-
-    __slots__ = ()
-
-
 @dataclass(frozen=True, slots=True)
 class Ping(MembershipMessage):
     """Direct probe; with ``sequence`` 0 it only carries gossip and is not answered.
@@ -178,27 +154,3 @@
 
     revision: Revision
     body: bytes
-
-
-@value
-class SendToPeer(Action):
-    """Send ``message`` to a node; to oneself it is handled at once without the network."""
-
-    to: NodeIdentity
-    message: PeerMessage
-
-
-@value
-class PeerReceived(Event):
-    """A message came from an authenticated peer."""
-
-    sender: NodeIdentity
-    message: PeerMessage
-
-
-@dataclass(frozen=True, slots=True)
-class PeerLinkBroken(Event):
-    """The connection to a node broke or could not be made; sent messages may be lost."""
-
-    node_id: NodeId
-    reason: str
--- /dev/null
+++ b/wingquay/ports/peer_link.py
@@ -0,0 +1,58 @@
+"""The port to the link between nodes, whatever the messages on it mean."""
+
+from dataclasses import dataclass
+
+from ..model.identifiers import DeploymentName, NodeId, ZoneName
+from ..model.value import value
+from .machine import Action, Event
+
+
+@dataclass(frozen=True, slots=True)
+class NodeIdentity:
+    """Who a node is and where it listens for peers (IP number and port, TCP and UDP alike).
+
+    A membership message may be sent to an identity with an empty ``node_id``: then whoever
+    listens at the address gets it. That is how a node joins.
+    """
+
+    node_id: NodeId
+    deployment: DeploymentName
+    zone: ZoneName
+    host: str
+    port: int
+
+
+class PeerMessage:
+    """Base of every message between nodes."""
+
+    __slots__ = ()
+
+
+class MembershipMessage(PeerMessage):
+    """Base of the messages that travel as datagrams."""
+
+    __slots__ = ()
+
+
+@value
+class SendToPeer(Action):
+    """Send ``message`` to a node; to oneself it is handled at once without the network."""
+
+    to: NodeIdentity
+    message: PeerMessage
+
+
+@value
+class PeerReceived(Event):
+    """A message came from an authenticated peer."""
+
+    sender: NodeIdentity
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLinkBroken(Event):
+    """The connection to a node broke or could not be made; sent messages may be lost."""
+
+    node_id: NodeId
+    reason: str
