Look at the store as seldom as the bounds allow

Change: the pace follows the shorter of the drain and configuration bounds, less 1.7 s for a look that fails once: 1.3 s at a bound of 3 s as before, 3.3 s at 5 s.

Ruled out: stale reads at a tenth of the price; they may be seconds old, and a drain must be known in 5 s.

--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import OneNode, replica, sharded_route, single_route, table
+from wingquay.forwarding.store_follower import gather_seconds_within
 from wingquay.model.failure import Failure
 from wingquay.ports.forwarding import ForwardFailureKind, ReplyFailure, SetForwarding
 from wingquay.ports.machine import Exit, Start, StopRequested
@@ -212,3 +213,12 @@
         self.assertEqual([], [action for action in node.actions if isinstance(action, Exit)])
         node.advance(0.6)
         self.assertEqual(1, node.last(Exit).cut_requests)
+
+
+class GatherTest(TestCase):
+    def test_the_store_is_looked_at_as_seldom_as_the_bounds_allow(self) -> None:
+        self.assertAlmostEqual(1.3, gather_seconds_within(3.0))
+        self.assertAlmostEqual(3.3, gather_seconds_within(5.0))
+        for bound_seconds in (0.5, 1.0, 2.0, 3.0, 5.0, 30.0):
+            self.assertLess(gather_seconds_within(bound_seconds), bound_seconds)
+            self.assertGreater(gather_seconds_within(bound_seconds), 0.0)
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -60,6 +60,8 @@
 readiness = "127.0.0.1:2"
 [store]
 address = "127.0.0.1:3"
+drain_ms = 3000
+configuration_ms = 5000
 [retries]
 ratio = 0.2
 slack = 56
@@ -191,12 +193,14 @@
     def test_settings_are_read(self) -> None:
         settings = parse_settings(SETTINGS)
         self.assertEqual(("n", "z", 3), (settings.node, settings.zone, settings.store.port))
+        self.assertEqual((3.0, 5.0), (settings.drain_seconds, settings.configuration_seconds))
 
     def test_a_bad_field_is_named_with_its_value_and_what_is_allowed(self) -> None:
         for good, bad, words in (
             ('"127.0.0.1:1"', '"host:1"', ("listen.callers", "host:1", "IP number")),
             ("ratio = 0.2", "ratio = 7", ("retries.ratio", "7", "from 0 to 1")),
             ('name = "n"', "name = 3", ("node.name", "3", "text")),
+            ("drain_ms = 3000", "drain_ms = 0", ("store.drain_ms", "0", "from 100")),
         ):
             failure = parse_settings(SETTINGS.replace(good, bad))
             self.assertIsInstance(failure, Failure)
@@ -216,3 +220,5 @@
         template = (ROOT / "deploy" / "settings.toml.template").read_text()
         for field in ("name", "zone", "callers", "readiness", "address", "ratio", "slack"):
             self.assertIn(f"\n{field} = ", template)
+        for field in ("drain_ms", "configuration_ms"):
+            self.assertIn(f"\n{field} = ", template)
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -75,6 +75,8 @@
             callers=ListenAddress(LOOPBACK, self.port),
             readiness=ListenAddress(LOOPBACK, 0),
             store=ListenAddress(LOOPBACK, store_port),
+            drain_seconds=3.0,
+            configuration_seconds=3.0,
             metrics=None,
             peers=None,
             seeds=self._seeds,
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -52,6 +52,22 @@
     unknown_backoff_seconds: float = 0.2
 
 
+GATHER_RESERVE_SECONDS = 1.7
+"""Time left for a look that fails once, its answer, and requests on their way."""
+LEAST_GATHER_RATIO = 0.4
+
+
+def gather_seconds_within(bound_seconds: float) -> float:
+    """Return how often to look at the store so that its news are in force in time.
+
+    Parameters
+    ----------
+    bound_seconds
+        Time after the store took a change at which every node must have followed it.
+    """
+    return max(bound_seconds - GATHER_RESERVE_SECONDS, bound_seconds * LEAST_GATHER_RATIO)
+
+
 @value
 class FollowerHooks:
     """What the follower tells its owner.
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -17,7 +17,7 @@
 from wingquay.adapters.replica_client import ReplicaClient
 from wingquay.forwarding.forwarding_node import ForwardingNode, StoreFormats
 from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.store_follower import FollowerSettings
+from wingquay.forwarding.store_follower import FollowerSettings, gather_seconds_within
 from wingquay.platform.caller_dialect import PlatformCallerDialect
 from wingquay.platform.configuration_document import parse_configuration
 from wingquay.platform.names import CONFIGURATION_KEY, NODE_PREFIX, READY_PATH, REPLICA_PREFIX
@@ -61,6 +61,7 @@
         self._is_ready = False
         self._has_news = asyncio.Event()
         self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
+        bound_seconds = min(settings.drain_seconds, settings.configuration_seconds)
         machine = ForwardingNode(
             settings.node,
             ForwardingSettings(
@@ -69,7 +70,7 @@
                 retry_slack=settings.retry_slack,
                 retry_window_seconds=settings.retry_window_seconds,
             ),
-            FollowerSettings(),
+            FollowerSettings(gather_seconds=gather_seconds_within(bound_seconds)),
             _store_formats(),
             random.Random(secrets.randbits(SEED_BITS)),
         )
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -10,6 +10,9 @@
 from wingquay.model.value import value
 
 GREATEST_PORT = 65_535
+MILLISECONDS_PER_SECOND = 1000.0
+LEAST_BOUND_MS = 100.0
+GREATEST_BOUND_MS = 600_000.0
 
 
 class SettingsFailureKind(Enum):
@@ -37,6 +40,10 @@
         Where callers' requests and the platform's question for readiness arrive.
     store
         Where the platform's store listens.
+    drain_seconds
+        Time after which a replica that the store says is leaving must get nothing more.
+    configuration_seconds
+        Time after which a configuration in the store must be in force.
     metrics
         Where figures are told; ``None``: nowhere.
     peers
@@ -55,6 +62,8 @@
     callers: ListenAddress
     readiness: ListenAddress
     store: ListenAddress
+    drain_seconds: float
+    configuration_seconds: float
     metrics: ListenAddress | None
     peers: ListenAddress | None
     seeds: tuple[ListenAddress, ...]
@@ -87,6 +96,8 @@
         callers=_address(document, "listen.callers"),
         readiness=_address(document, "listen.readiness"),
         store=_address(document, "store.address"),
+        drain_seconds=_milliseconds(document, "store.drain_ms"),
+        configuration_seconds=_milliseconds(document, "store.configuration_ms"),
         metrics=_optional_address(document, "listen.metrics"),
         peers=_optional_address(document, "listen.peers"),
         seeds=_addresses(document, "peers.seeds"),
@@ -139,6 +150,12 @@
     return ListenAddress(host, int(port_text))
 
 
+def _milliseconds(document: Mapping[str, Any], field: str) -> float:
+    """Return a time in seconds that the settings give in milliseconds."""
+    milliseconds = _number(document, field, LEAST_BOUND_MS, GREATEST_BOUND_MS)
+    return milliseconds / MILLISECONDS_PER_SECOND
+
+
 def _number(document: Mapping[str, Any], field: str, least: float, most: float) -> float:
     found = _find(document, field)
     is_number = isinstance(found, int | float) and not isinstance(found, bool)
