--- /dev/null
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -0,0 +1,155 @@
+"""The messages between forwarding nodes, as bytes and over a real link."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from tests.adapters.raw_http import LOOPBACK, run
+from wingquay.adapters import forwarding_peer_codec as codec
+from wingquay.adapters.deferred_peer_link import DeferredPeerLink
+from wingquay.adapters.peer_codec_error import PeerCodecFailureKind
+from wingquay.adapters.proto import peer_pb2
+from wingquay.model.failure import Failure
+from wingquay.ports.delegation import (
+    AllowAttempts,
+    CancelDelegation,
+    DelegatedAnswer,
+    DelegatedRequest,
+)
+from wingquay.ports.forwarding import OpaqueRequest
+from wingquay.ports.machine import Event
+from wingquay.ports.peer import ConfigurationFetch
+from wingquay.ports.peer_link import (
+    NodeIdentity,
+    OpenPeerLink,
+    PeerLinkOpened,
+    PeerReceived,
+    SendToPeer,
+)
+
+SENDER = NodeIdentity("n-1", "", "a", "127.0.0.1", 7)
+NUMBERS = st.integers(0, 2**63)
+SECONDS = st.floats(0.0, 1e6)
+HEADERS = st.lists(st.tuples(st.binary(max_size=9), st.binary(max_size=9)), max_size=4).map(tuple)
+REQUESTS = st.builds(
+    DelegatedRequest,
+    delegation_id=NUMBERS,
+    request_id=st.text(max_size=9),
+    request=st.builds(
+        OpaqueRequest,
+        st.binary(max_size=9),
+        st.binary(max_size=9),
+        HEADERS,
+        st.binary(max_size=9),
+    ),
+    route_name=st.text(max_size=9),
+    shards=st.lists(st.text(max_size=9), max_size=5).map(tuple),
+    merged_records=st.integers(0, 2**31),
+    priority=st.integers(0, 2**31),
+    objective_seconds=SECONDS,
+    in_time_seconds=SECONDS,
+    remaining_seconds=SECONDS,
+)
+ANSWERS = st.lists(st.tuples(st.integers(0, 2**31), st.text(max_size=9)), max_size=5).flatmap(
+    lambda pairs: st.builds(
+        DelegatedAnswer,
+        NUMBERS,
+        st.just(tuple(place for place, _ in pairs)),
+        st.just(tuple(text for _, text in pairs)),
+        st.binary(max_size=40),
+        st.booleans(),
+    )
+)
+MESSAGES = st.one_of(
+    REQUESTS,
+    ANSWERS,
+    st.builds(AllowAttempts, NUMBERS, st.integers(0, 2**31)),
+    st.builds(CancelDelegation, NUMBERS),
+)
+
+
+class CodecTest(TestCase):
+    @given(MESSAGES)
+    def test_what_is_written_is_read(self, message: object) -> None:
+        self.assertEqual((SENDER, message), codec.decode(codec.encode(message, SENDER)))
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_read_or_refused(self, data: bytes) -> None:
+        codec.decode(data)
+
+    def test_messages_of_another_kind_are_refused(self) -> None:
+        self.assertRaises(ValueError, codec.encode, ConfigurationFetch(1), SENDER)
+        envelope = peer_pb2.Envelope(sender=b"")
+        envelope.configuration_fetch.known_revision = 1
+        failure = codec.decode(envelope.SerializeToString())
+        assert isinstance(failure, Failure)
+        self.assertEqual(PeerCodecFailureKind.UNKNOWN_MESSAGE, failure.kind)
+
+    def test_an_answer_with_more_shards_than_signatures_is_refused(self) -> None:
+        envelope = peer_pb2.Envelope(sender=b"")
+        envelope.delegated_answer.shards.append(1)
+        failure = codec.decode(envelope.SerializeToString())
+        assert isinstance(failure, Failure)
+        self.assertEqual(PeerCodecFailureKind.MALFORMED, failure.kind)
+
+
+class _Node:
+    def __init__(self, name: str) -> None:
+        self.events: list[Event] = []
+        self.changed = asyncio.Event()
+        self.link = DeferredPeerLink(name, "a", LOOPBACK, 0, self._take, lambda _: None)
+
+    def _take(self, event: Event) -> None:
+        self.events.append(event)
+        self.changed.set()
+
+    async def open(self) -> NodeIdentity:
+        self.link.open(OpenPeerLink(b"a secret of the cluster that is long enough"))
+        event = await self.next(PeerLinkOpened)
+        assert isinstance(event, PeerLinkOpened)
+        return event.identity
+
+    async def next(self, kind: type[Event]) -> Event:
+        async with asyncio.timeout(20.0):
+            while True:
+                found = next((event for event in self.events if isinstance(event, kind)), None)
+                if found is not None:
+                    return found
+                self.changed.clear()
+                await self.changed.wait()
+
+
+class DeferredLinkTest(TestCase):
+    def test_a_message_reaches_another_node(self) -> None:
+        async def scenario() -> None:
+            here, there = _Node("here"), _Node("there")
+            identity = await here.open()
+            other = await there.open()
+            here.link.send(SendToPeer(other, CancelDelegation(3)))
+            received = await there.next(PeerReceived)
+            self.assertEqual(PeerReceived(identity, CancelDelegation(3)), received)
+            await here.link.close()
+            await there.link.close()
+
+        run(scenario())
+
+    def test_an_address_that_is_taken_is_said(self) -> None:
+        async def scenario() -> None:
+            here = _Node("here")
+            identity = await here.open()
+            lines: list[object] = []
+            second = DeferredPeerLink(
+                "second", "a", LOOPBACK, identity.port, lambda _: None, lines.append
+            )
+            second.open(OpenPeerLink(b"a secret of the cluster that is long enough"))
+            async with asyncio.timeout(20.0):
+                while not lines:
+                    await asyncio.sleep(0.01)
+            self.assertIn("peer_link_unavailable", str(lines[0]))
+            second.send(SendToPeer(identity, CancelDelegation(3)))
+            await second.close()
+            await here.link.close()
+
+        run(scenario())
--- /dev/null
+++ b/tests/forwarding/test_delegation.py
@@ -0,0 +1,299 @@
+"""Shards of wide requests that other nodes of the group are asked for, and both sides of it."""
+
+from testtools import TestCase
+
+from tests.forwarding.one_node import NODE_PREFIX, OneNode, replica, sharded_route, table
+from wingquay.adapters.node_record import node_value
+from wingquay.ports.delegation import (
+    AllowAttempts,
+    CancelDelegation,
+    DelegatedAnswer,
+    DelegatedRequest,
+)
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    OpaqueRequest,
+    ReplyFailure,
+    ReplyMerged,
+    SendFailureKind,
+)
+from wingquay.ports.machine import StopRequested
+from wingquay.ports.peer_link import (
+    NodeIdentity,
+    PeerLinkBroken,
+    PeerLinkOpened,
+    PeerReceived,
+    SendToPeer,
+)
+from wingquay.ports.store import StoredValue, WatchChanged
+
+SHARDS = 12
+OWN = NodeIdentity("node-1-a", "", "a", "10.0.1.1", 7)
+OTHERS = [NodeIdentity(f"node-{number}-a", "", "a", f"10.0.1.{number}", 7) for number in (2, 3)]
+OBJECTIVE_SECONDS = 0.1
+
+
+def node_in_group(**route: object) -> OneNode:
+    """Return a node whose link is open, with two others in its zone and two replicas a shard."""
+    node = OneNode(delegate_least_shards=10)
+    records = [
+        replica(f"r{number}-{copy}", f"s{number}") for number in range(SHARDS) for copy in "abc"
+    ]
+    node.start(table(1, sharded_route(SHARDS, **route)), *records)
+    node.emit(PeerLinkOpened(OWN))
+    join(node, *OTHERS)
+    return node
+
+
+def join(node: OneNode, *identities: NodeIdentity) -> None:
+    """Let the watch tell the keys of nodes."""
+    node.store_revision += 1
+    values = [
+        StoredValue(NODE_PREFIX + item.host, node_value(item), node.store_revision)
+        for item in identities
+    ]
+    watch = node.last_watch_id
+    node.emit(WatchChanged(watch, tuple(values), (), node.store_revision))
+
+
+def delegated(node: OneNode) -> list[tuple[NodeIdentity, DelegatedRequest]]:
+    """Return the requests that the node has asked others for."""
+    return [
+        (action.to, action.message)
+        for action in node.actions
+        if isinstance(action, SendToPeer) and isinstance(action.message, DelegatedRequest)
+    ]
+
+
+def told(node: OneNode, kind: type) -> list[object]:
+    """Return the messages of a kind that the node has sent to others."""
+    messages = [action.message for action in node.actions if isinstance(action, SendToPeer)]
+    return [message for message in messages if isinstance(message, kind)]
+
+
+def whole_answer(message: DelegatedRequest, body: bytes = b"") -> DelegatedAnswer:
+    """Return an answer with every shard that was asked for."""
+    positions = tuple(range(len(message.shards)))
+    return DelegatedAnswer(message.delegation_id, positions, message.shards, body)
+
+
+class AskingTest(TestCase):
+    """The node that a caller's request reached."""
+
+    def test_every_shard_is_asked_once_by_one_node_of_the_group(self) -> None:
+        node = node_in_group()
+        node.request("/all/x")
+        asked = [shard for _, message in delegated(node) for shard in message.shards]
+        own = [send.replica.service for send in node.sends]
+        self.assertEqual({f"s{number}" for number in range(SHARDS)}, set(asked + own))
+        self.assertEqual(SHARDS, len(asked + own))
+        self.assertEqual([4, 4], [len(message.shards) for _, message in delegated(node)])
+
+    def test_narrow_requests_and_small_groups_are_asked_directly(self) -> None:
+        narrow = OneNode()
+        records = [replica(f"r{number}", f"s{number}") for number in range(4)]
+        narrow.start(table(1, sharded_route(4)), *records)
+        narrow.emit(PeerLinkOpened(OWN))
+        join(narrow, *OTHERS)
+        narrow.request("/all/x")
+        self.assertEqual((4, []), (len(narrow.sends), delegated(narrow)))
+        small = node_in_group()
+        small.emit(PeerLinkBroken(OTHERS[0].node_id, "test"))
+        small.request("/all/x")
+        self.assertEqual((SHARDS, []), (len(small.sends), delegated(small)))
+
+    def test_answers_of_nodes_are_merged_with_own_ones(self) -> None:
+        node = node_in_group()
+        number = node.request("/all/x")
+        for place, (sender, message) in enumerate(delegated(node)):
+            body = bytes([place + 7]) * 16
+            node.emit(PeerReceived(sender, whole_answer(message, body)))
+        for send in list(node.sends):
+            node.answer(send, body=b"\x01" * 16)
+        reply = node.replies[number]
+        assert isinstance(reply, ReplyMerged)
+        self.assertEqual(b"\x08" * 16 + b"\x07" * 16 + b"\x01" * 16, reply.body)
+        self.assertEqual((SHARDS, 0), (len(set(reply.signatures)), reply.missing_shards))
+
+    def test_a_node_that_says_nothing_is_stepped_in_for_and_passed_over(self) -> None:
+        node = node_in_group()
+        node.request("/all/x")
+        (silent, message), (lively, _) = delegated(node)
+        node.emit(PeerReceived(lively, DelegatedAnswer(delegated(node)[1][1].delegation_id)))
+        before = len(node.sends)
+        node.advance(OBJECTIVE_SECONDS * 0.6)
+        direct = {send.replica.service for send in node.sends[before:]}
+        self.assertEqual(set(message.shards), direct & set(message.shards))
+        self.assertEqual("silent", node.logs("delegation_lost")[0]["reason"])
+        node.request("/all/y")
+        self.assertNotIn(silent, [to for to, _ in delegated(node)[2:]])
+
+    def test_until_a_node_is_heard_one_attempt_is_its_and_the_others_are_ours(self) -> None:
+        node = node_in_group()
+        node.request("/all/x")
+        _, message = delegated(node)[0]
+        node.advance(OBJECTIVE_SECONDS * 0.9)
+        shard = message.shards[0]
+        direct = [send for send in node.all_sends if send.replica.service == shard]
+        self.assertEqual(1, len(direct))
+        node.fail(direct[0], SendFailureKind.BROKEN)
+        node.advance(0.5)
+        self.assertEqual(1, len([send for send in node.all_sends if send.replica.service == shard]))
+
+    def test_a_node_that_is_heard_gets_all_attempts(self) -> None:
+        node = node_in_group()
+        node.request("/all/x")
+        sender, message = delegated(node)[0]
+        node.emit(PeerReceived(sender, DelegatedAnswer(message.delegation_id)))
+        self.assertEqual([AllowAttempts(message.delegation_id, 2)], told(node, AllowAttempts))
+        node.emit(PeerLinkBroken(sender.node_id, "killed"))
+        node.advance(0.3)
+        direct = [send for send in node.all_sends if send.replica.service in message.shards]
+        self.assertEqual([], direct)
+
+    def test_a_node_heard_after_we_stepped_in_gets_no_further_attempts(self) -> None:
+        node = node_in_group()
+        node.request("/all/x")
+        sender, message = delegated(node)[0]
+        node.advance(OBJECTIVE_SECONDS * 0.6)
+        node.emit(PeerReceived(sender, DelegatedAnswer(message.delegation_id)))
+        self.assertEqual([], told(node, AllowAttempts))
+
+    def test_records_of_a_shard_that_both_asked_count_once(self) -> None:
+        node = node_in_group()
+        number = node.request("/all/x")
+        (slow, message), (other, rest) = delegated(node)
+        node.emit(PeerReceived(other, whole_answer(rest)))
+        node.advance(OBJECTIVE_SECONDS * 0.5)
+        for send in list(node.sends):
+            is_direct = send.replica.service == message.shards[0]
+            node.answer(send, body=b"\x05" * 16 if is_direct else b"")
+            if is_direct:
+                break
+        node.emit(PeerReceived(slow, whole_answer(message, b"\x05" * 16)))
+        for send in list(node.sends):
+            node.answer(send)
+        reply = node.replies[number]
+        assert isinstance(reply, ReplyMerged)
+        self.assertEqual(b"\x05" * 16, reply.body)
+        self.assertEqual(SHARDS, len(reply.signatures))
+
+    def test_a_rejected_request_is_asked_directly_at_once(self) -> None:
+        node = node_in_group()
+        node.request("/all/x")
+        sender, message = delegated(node)[0]
+        node.emit(PeerReceived(sender, DelegatedAnswer(message.delegation_id, is_rejected=True)))
+        direct = [send.replica.service for send in node.sends]
+        self.assertEqual(set(message.shards), set(direct) & set(message.shards))
+
+    def test_answers_of_strangers_are_passed_over(self) -> None:
+        node = node_in_group()
+        number = node.request("/all/x")
+        (_, message), (other, _) = delegated(node)
+        node.emit(PeerReceived(other, whole_answer(message)))
+        for send in list(node.sends):
+            node.answer(send)
+        self.assertNotIn(number, node.replies)
+
+    def test_a_caller_that_leaves_ends_the_work_of_nodes(self) -> None:
+        node = node_in_group()
+        number = node.request("/all/x")
+        node.leave(number)
+        cancelled = {message.delegation_id for message in told(node, CancelDelegation)}
+        self.assertEqual({message.delegation_id for _, message in delegated(node)}, cancelled)
+
+    def test_a_request_that_lost_too_much_fails_at_once(self) -> None:
+        node = node_in_group()
+        number = node.request("/all/x")
+        for sender, message in delegated(node):
+            node.emit(PeerReceived(sender, DelegatedAnswer(message.delegation_id)))
+            node.emit(PeerLinkBroken(sender.node_id, "killed"))
+        reply = node.replies[number]
+        assert isinstance(reply, ReplyFailure)
+        self.assertEqual(ForwardFailureKind.FAILED, reply.kind)
+        (line,) = node.logs("request_ended")
+        self.assertIn("asked through", str(line["unanswered"]))
+
+
+class AskedTest(TestCase):
+    """The node that another one asked."""
+
+    def ask(self, node: OneNode, delegation_id: int = 5) -> DelegatedRequest:
+        message = DelegatedRequest(
+            delegation_id=delegation_id,
+            request_id="id-9",
+            request=OpaqueRequest(b"GET", b"/all/x", ()),
+            route_name="/all/",
+            shards=("s0", "s1"),
+            merged_records=3,
+            priority=0,
+            objective_seconds=OBJECTIVE_SECONDS,
+            in_time_seconds=0.09,
+            remaining_seconds=1.0,
+        )
+        node.emit(PeerReceived(OTHERS[0], message))
+        return message
+
+    def test_the_request_is_acknowledged_before_it_is_sent(self) -> None:
+        node = node_in_group()
+        before = len(node.actions)
+        self.ask(node)
+        self.assertEqual(SendToPeer(OTHERS[0], DelegatedAnswer(5)), node.actions[before])
+        self.assertEqual(["s0", "s1"], [send.replica.service for send in node.sends])
+
+    def test_what_came_in_is_told_once_all_is_in(self) -> None:
+        node = node_in_group()
+        self.ask(node)
+        first, second = node.sends
+        node.answer(first, body=b"\x01" * 16, signature="one")
+        self.assertEqual([DelegatedAnswer(5)], told(node, DelegatedAnswer))
+        node.answer(second, body=b"\x02" * 16, signature="two")
+        expected = DelegatedAnswer(5, (0, 1), ("one", "two"), b"\x02" * 16 + b"\x01" * 16)
+        self.assertEqual(expected, told(node, DelegatedAnswer)[-1])
+
+    def test_what_is_in_is_told_in_time_and_the_rest_as_it_comes(self) -> None:
+        node = node_in_group()
+        self.ask(node)
+        first, second = node.sends
+        node.answer(first, signature="one")
+        node.advance(0.095)
+        self.assertEqual(DelegatedAnswer(5, (0,), ("one",)), told(node, DelegatedAnswer)[-1])
+        node.answer(second, signature="two")
+        self.assertEqual(DelegatedAnswer(5, (1,), ("two",)), told(node, DelegatedAnswer)[-1])
+
+    def test_a_second_replica_is_asked_only_once_that_is_allowed(self) -> None:
+        node = node_in_group()
+        self.ask(node)
+        node.advance(0.08)
+        self.assertEqual(2, len(node.all_sends))
+        node.emit(PeerReceived(OTHERS[0], AllowAttempts(5, 2)))
+        node.advance(0.001)
+        self.assertEqual(4, len(node.all_sends))
+
+    def test_a_failed_attempt_is_made_good_once_that_is_allowed(self) -> None:
+        node = node_in_group()
+        self.ask(node)
+        node.fail(node.sends[0], SendFailureKind.BROKEN)
+        self.assertEqual(2, len(node.all_sends))
+        node.emit(PeerReceived(OTHERS[0], AllowAttempts(5, 2)))
+        node.advance(0.04)
+        self.assertIn("s0", [send.replica.service for send in node.all_sends[2:]])
+
+    def test_work_ends_when_nobody_waits_for_it(self) -> None:
+        for end in (
+            PeerReceived(OTHERS[0], CancelDelegation(5)),
+            PeerLinkBroken(OTHERS[0].node_id, "test"),
+        ):
+            node = node_in_group()
+            self.ask(node)
+            node.emit(end)
+            node.advance(0.3)
+            self.assertEqual([], node.sends)
+            self.assertEqual("id-9", node.logs("request_ended")[0]["request_id"])
+
+    def test_a_node_that_stops_rejects(self) -> None:
+        node = node_in_group()
+        node.emit(StopRequested())
+        self.ask(node)
+        self.assertEqual([DelegatedAnswer(5, is_rejected=True)], told(node, DelegatedAnswer))
+        self.assertEqual([], node.sends)
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -79,6 +79,7 @@
             configuration_seconds=3.0,
             metrics=None,
             peers=None,
+            peer_link=None,
             seeds=self._seeds,
             retry_ratio=0.2,
             retry_slack=56.0,
--- /dev/null
+++ b/wingquay/adapters/deferred_peer_link.py
@@ -0,0 +1,80 @@
+"""The link to other nodes, loaded when it is asked for: nodes that need none never pay for it."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ..model.identifiers import DeploymentName, NodeId, ZoneName
+from ..ports.machine import Event, Log, LogLevel
+from ..ports.peer_link import NodeIdentity, OpenPeerLink, PeerLinkOpened, SendToPeer
+
+if TYPE_CHECKING:
+    from .peer_link import PeerLink
+
+NODE_ID_BYTES = 4
+
+
+class DeferredPeerLink:
+    """Performs ``OpenPeerLink`` and ``SendToPeer``.
+
+    Parameters
+    ----------
+    name, zone
+        This node; its id is the name and a random suffix, new at each start.
+    host, port
+        Where other nodes reach it.
+    emit
+        Takes the events.
+    log
+        Takes log lines.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        host: str,
+        port: int,
+        emit: Callable[[Event], None],
+        log: Callable[[Log], None],
+    ) -> None:
+        node_id = NodeId(f"{name}-{secrets.token_hex(NODE_ID_BYTES)}")
+        self._identity = NodeIdentity(node_id, DeploymentName(""), ZoneName(zone), host, port)
+        self._emit = emit
+        self._log = log
+        self._link: PeerLink | None = None
+        self._opening: asyncio.Task[None] | None = None
+
+    def open(self, action: OpenPeerLink) -> None:
+        """Load the link and listen."""
+        if self._opening is None:
+            self._opening = asyncio.get_running_loop().create_task(self._open(action))
+
+    def send(self, action: SendToPeer) -> None:
+        """Send a message to another node."""
+        if self._link is not None:
+            self._link.perform(action)
+
+    async def close(self) -> None:
+        """Send what is buffered, within a bounded time, and close."""
+        if self._opening is not None:
+            self._opening.cancel()
+        if self._link is not None:
+            await self._link.close()
+
+    async def _open(self, action: OpenPeerLink) -> None:
+        from . import forwarding_peer_codec
+        from .peer_link import PeerLink
+
+        link = PeerLink(
+            self._identity, action.cluster_key, forwarding_peer_codec, self._emit, self._log
+        )
+        try:
+            identity = await link.start()
+        except OSError as error:
+            fields = (("port", self._identity.port), ("reason", str(error)))
+            self._log(Log("peer_link_unavailable", LogLevel.ERROR, fields))
+            return
+        self._link = link
+        self._emit(PeerLinkOpened(identity))
--- /dev/null
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -0,0 +1,114 @@
+"""Encode and decode the messages between forwarding nodes (protobuf, ``proto/peer.proto``)."""
+
+from google.protobuf.message import DecodeError
+
+from ..model.failure import Failure
+from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
+from ..ports.forwarding import OpaqueRequest
+from ..ports.peer_link import NodeIdentity, PeerMessage
+from .peer_codec_error import PeerCodecFailureKind
+from .peer_codec_identity import identity_from_bytes, identity_to_bytes
+from .proto import peer_pb2
+
+
+def encode(message: PeerMessage, sender: NodeIdentity) -> bytes:
+    """Return ``message`` from ``sender`` as bytes.
+
+    Raises
+    ------
+    ValueError
+        If the message has no wire form.
+    """
+    envelope = peer_pb2.Envelope(sender=identity_to_bytes(sender))
+    match message:
+        case DelegatedRequest():
+            _put_request(envelope.delegated_request, message)
+        case DelegatedAnswer():
+            _put_answer(envelope.delegated_answer, message)
+        case AllowAttempts():
+            envelope.allow_attempts.delegation_id = message.delegation_id
+            envelope.allow_attempts.max_attempts = message.max_attempts
+        case CancelDelegation():
+            envelope.cancel_delegation.delegation_id = message.delegation_id
+        case _:
+            raise ValueError(f"{type(message).__name__} is not a message of forwarding nodes")
+    return envelope.SerializeToString()
+
+
+def decode(
+    data: bytes,
+) -> tuple[NodeIdentity, PeerMessage] | Failure[PeerCodecFailureKind]:
+    """Return the sender and the message that ``data`` holds; never raises."""
+    try:
+        envelope = peer_pb2.Envelope.FromString(data)
+        sender = identity_from_bytes(envelope.sender)
+    except (DecodeError, ValueError) as error:
+        return Failure(PeerCodecFailureKind.MALFORMED, str(error))
+    match envelope.WhichOneof("message"):
+        case "delegated_request":
+            return sender, _request_from(envelope.delegated_request)
+        case "delegated_answer":
+            return _answer_from(sender, envelope.delegated_answer)
+        case "allow_attempts":
+            allowed = envelope.allow_attempts
+            return sender, AllowAttempts(allowed.delegation_id, allowed.max_attempts)
+        case "cancel_delegation":
+            return sender, CancelDelegation(envelope.cancel_delegation.delegation_id)
+        case _:
+            return Failure(PeerCodecFailureKind.UNKNOWN_MESSAGE, "no message of a known kind")
+
+
+def _put_request(target: peer_pb2.DelegatedRequest, message: DelegatedRequest) -> None:
+    request = message.request
+    target.delegation_id = message.delegation_id
+    target.request_id = message.request_id
+    target.method = request.method
+    target.target = request.target
+    for name, text in request.headers:
+        target.headers.add(name=name, value=text)
+    target.body = request.body
+    target.route_name = message.route_name
+    target.shards.extend(message.shards)
+    target.merged_records = message.merged_records
+    target.priority = message.priority
+    target.objective_seconds = message.objective_seconds
+    target.in_time_seconds = message.in_time_seconds
+    target.remaining_seconds = message.remaining_seconds
+
+
+def _request_from(message: peer_pb2.DelegatedRequest) -> DelegatedRequest:
+    headers = tuple((header.name, header.value) for header in message.headers)
+    return DelegatedRequest(
+        message.delegation_id,
+        message.request_id,
+        OpaqueRequest(message.method, message.target, headers, message.body),
+        message.route_name,
+        tuple(message.shards),
+        message.merged_records,
+        message.priority,
+        message.objective_seconds,
+        message.in_time_seconds,
+        message.remaining_seconds,
+    )
+
+
+def _put_answer(target: peer_pb2.DelegatedAnswer, message: DelegatedAnswer) -> None:
+    target.SetInParent()
+    target.delegation_id = message.delegation_id
+    target.shards.extend(message.shards)
+    target.signatures.extend(message.signatures)
+    target.body = message.body
+    target.is_rejected = message.is_rejected
+
+
+def _answer_from(
+    sender: NodeIdentity, message: peer_pb2.DelegatedAnswer
+) -> tuple[NodeIdentity, DelegatedAnswer] | Failure[PeerCodecFailureKind]:
+    shards = tuple(message.shards)
+    signatures = tuple(message.signatures)
+    if len(shards) != len(signatures):
+        reason = f"{len(shards)} shards and {len(signatures)} signatures"
+        return Failure(PeerCodecFailureKind.MALFORMED, reason)
+    return sender, DelegatedAnswer(
+        message.delegation_id, shards, signatures, message.body, message.is_rejected
+    )
--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -1,6 +1,7 @@
 """Sends attempts of calls to replicas and keeps account of those under way."""
 
 from itertools import count
+from typing import TYPE_CHECKING
 
 from wingquay.forwarding.arrival_budget import ArrivalBudget
 from wingquay.forwarding.exchange import Attempt, ServiceCall
@@ -10,11 +11,15 @@
 from wingquay.forwarding.replica_state import ReplicaState
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.forwarding.timers import AbandonDue
-from wingquay.model.routing_table import RoutingTable
 from wingquay.ports.forwarding import CancelSend, ReportedLoad, SendToReplica
 from wingquay.ports.machine import Action, Log, LogLevel, Schedule
 
+if TYPE_CHECKING:
+    from wingquay.forwarding.node_groups import NodeGroups
+
 DEFAULT_CONNECTION_LIMIT = 24
+OWNERS_RESERVE = 2
+"""Owners of a shard take this part of what all nodes share: others may have to step in."""
 
 
 class AttemptSender:
@@ -35,6 +40,8 @@
         self._open: dict[int, Attempt] = {}
         self._budgets: dict[str, ArrivalBudget] = {}
         self._first_sent_at: float | None = None
+        self.groups: NodeGroups | None = None
+        """The groups of nodes, once shards are divided among them."""
 
     def get(self, attempt_id: int) -> Attempt | None:
         """Return an attempt under way."""
@@ -59,10 +66,10 @@
             Whether a replica that just failed may be asked when there is no other.
         """
         route = call.exchange.route
-        if len(call.asked) >= route.max_attempts:
+        if call.attempts_left <= 0:
             return []
         excluded = call.asked | call.refused
-        limit = self._connection_limit(call.exchange.table, call.service, now)
+        limit = self._connection_limit(call, now)
         prefers_proven = not route.is_repeatable
         replica = self._directory.choose(
             call.service, excluded, limit, now, with_blocked, prefers_proven
@@ -122,6 +129,8 @@
     def answered(self, attempt: Attempt, load: ReportedLoad | None, now: float) -> list[Action]:
         """Take in that a replica answered an attempt."""
         was_left_out = attempt.replica.on_answer(load, now)
+        if now - attempt.sent_at <= attempt.call.exchange.route.objective_seconds:
+            attempt.replica.on_good_answer(now)
         self.record_latency(attempt, now)
         return [replica_line("replica_back", attempt.replica)] if was_left_out else []
 
@@ -158,17 +167,24 @@
             max(exchange.ends_at - now, 0.001),
         )
 
-    def _connection_limit(self, table: RoutingTable, service: str, now: float) -> int:
+    def _sharing_nodes(self, call: ServiceCall, now: float) -> int:
+        """Return among how many nodes the limits of a call's service are divided."""
+        nodes = self._nodes.get(now)
+        if self.groups is None or not call.is_owned:
+            return nodes
+        return min(nodes, OWNERS_RESERVE * self.groups.sharing_nodes(nodes))
+
+    def _connection_limit(self, call: ServiceCall, now: float) -> int:
         if self._first_sent_at is None:
             self._first_sent_at = now
         if now - self._first_sent_at < self._settings.first_connections_seconds:
             return 1
-        known = table.services.get(service)
+        known = call.exchange.table.services.get(call.service)
         limit = DEFAULT_CONNECTION_LIMIT if known is None else known.connection_limit
-        return max(1, limit // self._nodes.get(now))
+        return max(1, limit // self._sharing_nodes(call, now))
 
     def _may_arrive_again(self, call: ServiceCall, now: float) -> bool:
-        return self._budget(call.service).spend(self._nodes.get(now), now)
+        return self._budget(call.service).spend(self._sharing_nodes(call, now), now)
 
     def _budget(self, service: str) -> ArrivalBudget:
         budget = self._budgets.get(service)
--- a/wingquay/forwarding/call_starter.py
+++ b/wingquay/forwarding/call_starter.py
@@ -16,6 +16,11 @@
         self._sender = sender
         self._waiting = WaitingLine()
 
+    def begin(self, call: ServiceCall, now: float) -> list[Action]:
+        """Start a call for the first time: the request earns extra arrivals at its service."""
+        self._sender.earn(call.service)
+        return self.start(call, now)
+
     def start(self, call: ServiceCall, now: float) -> list[Action]:
         """Send the call, or let it wait for a replica."""
         actions = self._sender.try_send(call, now, self._may_ask_blocked(call, now))
--- /dev/null
+++ b/wingquay/forwarding/delegated_work.py
@@ -0,0 +1,146 @@
+"""Asks shards for another node's request and reports what comes in.
+
+The work is an exchange like any other, with the same replicas, hedges and budgets; only its replies
+go to the node that asked, piece by piece.
+"""
+
+from dataclasses import replace
+from itertools import count
+
+import attrs
+
+from ..model.routing_table import Route, RoutingTable
+from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
+from ..ports.forwarding import ForwardRequested
+from ..ports.machine import Action, Count, Schedule
+from ..ports.peer_link import NodeIdentity, SendToPeer
+from .exchange import Exchange, ServiceCall
+from .merging import merge_greatest
+from .settlement import Settlement
+from .timers import HedgeDue
+
+
+@attrs.define(eq=False)
+class NodeOrigin:
+    """The node that waits for an exchange, and what it has been told."""
+
+    node: NodeIdentity
+    delegation_id: int
+    _reported: set[str] = attrs.field(factory=set)
+
+    @property
+    def name(self) -> str:
+        """The id of the node, for the log."""
+        return self.node.node_id
+
+    def report(self, exchange: Exchange) -> list[Action]:
+        """Return the message that tells what is in and has not been told, if there is anything."""
+        fresh = [
+            (position, call)
+            for position, call in enumerate(exchange.calls)
+            if call.answer is not None and call.service not in self._reported
+        ]
+        if not fresh:
+            return []
+        self._reported.update(call.service for _, call in fresh)
+        answers = [call.answer for _, call in fresh if call.answer is not None]
+        message = DelegatedAnswer(
+            self.delegation_id,
+            tuple(position for position, _ in fresh),
+            tuple(str(answer.signature) for answer in answers),
+            merge_greatest([answer.body for answer in answers], exchange.route.merged_records),
+        )
+        return [SendToPeer(self.node, message)]
+
+
+class DelegatedWork:
+    """What other nodes have asked of this one."""
+
+    def __init__(self, settlement: Settlement) -> None:
+        self._settlement = settlement
+        self._ids = count(1)
+        self._open: dict[tuple[str, int], Exchange] = {}
+
+    def accept(
+        self, sender: NodeIdentity, message: DelegatedRequest, table: RoutingTable, now: float
+    ) -> Exchange:
+        """Return an exchange for a node's request; whoever calls starts its calls."""
+        # Numbers of callers' exchanges are positive.
+        exchange_id = -next(self._ids)
+        event = ForwardRequested(exchange_id, message.request_id, "", "", message.request)
+        exchange = Exchange(
+            event,
+            table,
+            route_of(message),
+            now,
+            now + message.in_time_seconds,
+            now + message.remaining_seconds,
+        )
+        exchange.origin = NodeOrigin(sender, message.delegation_id)
+        exchange.calls = [ServiceCall(exchange, shard) for shard in message.shards]
+        for call in exchange.calls:
+            call.is_owned = True
+        self._settlement.add(exchange)
+        self._forget_ended()
+        self._open[(sender.node_id, message.delegation_id)] = exchange
+        return exchange
+
+    def acknowledge(self, sender: NodeIdentity, message: DelegatedRequest) -> list[Action]:
+        """Tell a node that its request was taken."""
+        labels = (("side", "taken"),)
+        return [
+            SendToPeer(sender, DelegatedAnswer(message.delegation_id)),
+            Count("delegated_requests_total", labels=labels),
+        ]
+
+    def allowed(self, sender: NodeIdentity, message: AllowAttempts, now: float) -> list[Action]:
+        """Send to further replicas from now on, where attempts fail or take too long."""
+        exchange = self._open.get((sender.node_id, message.delegation_id))
+        if exchange is None or not self._settlement.is_open(exchange):
+            return []
+        exchange.route = replace(exchange.route, max_attempts=message.max_attempts)
+        return [Schedule(now, HedgeDue(exchange.exchange_id))]
+
+    def cancelled(
+        self, sender: NodeIdentity, message: CancelDelegation, now: float
+    ) -> list[Action]:
+        """Stop working for a request that nobody waits for."""
+        exchange = self._open.pop((sender.node_id, message.delegation_id), None)
+        if exchange is None or not self._settlement.is_open(exchange):
+            return []
+        return self._settlement.caller_left(exchange, now)
+
+    def link_broken(self, node_id: str, now: float) -> list[Action]:
+        """Stop working for a node that cannot be told."""
+        actions: list[Action] = []
+        for key in [key for key in self._open if key[0] == node_id]:
+            exchange = self._open.pop(key)
+            if self._settlement.is_open(exchange):
+                actions += self._settlement.caller_left(exchange, now)
+        return actions
+
+    def reject(self, sender: NodeIdentity, message: DelegatedRequest) -> list[Action]:
+        """Tell a node that its request was not taken."""
+        answer = DelegatedAnswer(message.delegation_id, is_rejected=True)
+        labels = (("side", "rejected"),)
+        return [SendToPeer(sender, answer), Count("delegated_requests_total", labels=labels)]
+
+    def _forget_ended(self) -> None:
+        ended = [key for key, item in self._open.items() if not self._settlement.is_open(item)]
+        for key in ended:
+            del self._open[key]
+
+
+def route_of(message: DelegatedRequest) -> Route:
+    """Return the part of the sender's route that concerns its shards."""
+    return Route(
+        name=message.route_name,
+        host="",
+        path_prefix="",
+        shards=message.shards,
+        is_repeatable=True,
+        max_attempts=1,
+        objective_seconds=message.objective_seconds,
+        priority=message.priority,
+        merged_records=message.merged_records,
+    )
--- /dev/null
+++ b/wingquay/forwarding/delegation.py
@@ -0,0 +1,238 @@
+"""Lets other nodes of the group ask most shards of a wide request, and steps in for lost ones.
+
+A node that is asked says so at once, so that one which is killed, frozen or cut off is noticed
+while there is still time to ask its shards directly. Until it is heard, it may send to one replica
+of each shard and this node to the others; from then on all attempts are the other node's. So no
+request reaches more replicas of a shard than its route allows, whatever the two know of each other.
+"""
+
+from itertools import count
+
+import attrs
+
+from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
+from ..ports.forwarding import ReplicaAnswer
+from ..ports.machine import Action, Count, Log, LogLevel, Schedule
+from ..ports.peer_link import NodeIdentity, SendToPeer
+from .call_starter import CallStarter
+from .exchange import Exchange, ServiceCall
+from .node_groups import NodeGroups
+from .settings import ForwardingSettings
+from .settlement import Settlement
+from .timers import DelegationDue
+
+MERGED_STATUS = 200
+
+
+@attrs.define(eq=False)
+class Delegation:
+    """Shards of one request that another node was asked for."""
+
+    delegation_id: int
+    node: NodeIdentity
+    exchange: Exchange
+    calls: tuple[ServiceCall, ...]
+    is_heard: bool = False
+    is_lost: bool = False
+
+    @property
+    def open_calls(self) -> list[ServiceCall]:
+        """The calls without an answer."""
+        return [call for call in self.calls if call.answer is None]
+
+
+class Delegations:
+    """What this node has asked of others."""
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        groups: NodeGroups,
+        starter: CallStarter,
+        settlement: Settlement,
+    ) -> None:
+        self._settings = settings
+        self._groups = groups
+        self._starter = starter
+        self._settlement = settlement
+        self._ids = count(1)
+        self._open: dict[int, Delegation] = {}
+        self._by_exchange: dict[int, list[Delegation]] = {}
+
+    def start(self, exchange: Exchange, now: float) -> list[Action]:
+        """Start every call of a request: own shards directly, the others through their nodes."""
+        shards = exchange.route.shards
+        is_wide = len(shards) >= self._settings.delegate_least_shards
+        if not is_wide or not exchange.is_repeatable:
+            return self._begin_directly(exchange.calls, now)
+        owners = self._groups.owners(shards, now)
+        shares: dict[str, list[ServiceCall]] = {}
+        nodes: dict[str, NodeIdentity] = {}
+        own: list[ServiceCall] = []
+        for call in exchange.calls:
+            owner = owners[call.service]
+            if owner is None:
+                own.append(call)
+                continue
+            nodes[owner.node_id] = owner
+            shares.setdefault(owner.node_id, []).append(call)
+        actions: list[Action] = []
+        for node_id, calls in shares.items():
+            actions += self._delegate(exchange, nodes[node_id], calls, now)
+        for call in own:
+            call.is_owned = bool(shares)
+        return actions + self._begin_directly(own, now)
+
+    def answered(self, sender: NodeIdentity, message: DelegatedAnswer, now: float) -> list[Action]:
+        """Take in what a node reports."""
+        delegation = self._open.get(message.delegation_id)
+        if delegation is None or delegation.node.node_id != sender.node_id:
+            return []
+        if message.is_rejected:
+            return self._rejected(delegation, now)
+        actions: list[Action] = []
+        if not delegation.is_heard:
+            actions += self._heard(delegation)
+        self._take_answers(delegation, message, now)
+        if not delegation.open_calls:
+            self._forget(delegation)
+        return actions + self._settlement.settle(delegation.exchange, now)
+
+    def due(self, event: DelegationDue, now: float) -> list[Action]:
+        """Step in for a node that has not reported in time."""
+        delegation = self._open.get(event.delegation_id)
+        if delegation is None or delegation.is_heard or delegation.is_lost:
+            return []
+        return self._lost(delegation, "silent", now)
+
+    def link_broken(self, node_id: str, reason: str, now: float) -> list[Action]:
+        """Step in for a node whose connection broke."""
+        lost = [item for item in self._open.values() if item.node.node_id == node_id]
+        actions: list[Action] = []
+        for delegation in lost:
+            actions += self._lost(delegation, reason, now)
+        self._groups.suspect(node_id, now)
+        return actions
+
+    def closed(self, exchange: Exchange) -> list[Action]:
+        """Let nodes stop working for a request that ended."""
+        actions: list[Action] = []
+        for delegation in self._by_exchange.pop(exchange.exchange_id, ()):
+            if self._open.pop(delegation.delegation_id, None) is None:
+                continue
+            if delegation.open_calls:
+                message = CancelDelegation(delegation.delegation_id)
+                actions.append(SendToPeer(delegation.node, message))
+        return actions
+
+    def _begin_directly(self, calls: list[ServiceCall], now: float) -> list[Action]:
+        actions: list[Action] = []
+        for call in calls:
+            actions += self._starter.begin(call, now)
+        return actions
+
+    def _start_directly(self, calls: list[ServiceCall], now: float) -> list[Action]:
+        actions: list[Action] = []
+        for call in calls:
+            actions += self._starter.start(call, now)
+        return actions
+
+    def _delegate(
+        self, exchange: Exchange, node: NodeIdentity, calls: list[ServiceCall], now: float
+    ) -> list[Action]:
+        settings = self._settings
+        route = exchange.route
+        delegation = Delegation(next(self._ids), node, exchange, tuple(calls))
+        self._open[delegation.delegation_id] = delegation
+        self._by_exchange.setdefault(exchange.exchange_id, []).append(delegation)
+        for call in calls:
+            call.delegated_attempts = 1
+            call.arrivals += 1
+            call.history.append(f"asked through {node.node_id}")
+        in_time_seconds = exchange.in_time_at - now - settings.delegate_return_seconds
+        message = DelegatedRequest(
+            delegation_id=delegation.delegation_id,
+            request_id=exchange.event.request_id,
+            request=exchange.event.request,
+            route_name=route.name,
+            shards=tuple(call.service for call in calls),
+            merged_records=route.merged_records,
+            priority=route.priority,
+            objective_seconds=route.objective_seconds,
+            in_time_seconds=max(in_time_seconds, 0.0),
+            remaining_seconds=max(exchange.ends_at - now, 0.001),
+        )
+        due_at = now + route.objective_seconds * settings.delegate_takeover_ratio
+        return [
+            SendToPeer(node, message),
+            Count("delegated_requests_total", labels=(("side", "sent"),)),
+            Schedule(due_at, DelegationDue(delegation.delegation_id)),
+        ]
+
+    def _heard(self, delegation: Delegation) -> list[Action]:
+        """Leave further attempts to a node that is there, unless this node has stepped in."""
+        delegation.is_heard = True
+        self._groups.trust(delegation.node.node_id)
+        most = delegation.exchange.route.max_attempts
+        if delegation.is_lost or most <= 1:
+            return []
+        for call in delegation.calls:
+            call.delegated_attempts = most
+        return [SendToPeer(delegation.node, AllowAttempts(delegation.delegation_id, most))]
+
+    def _take_answers(self, delegation: Delegation, message: DelegatedAnswer, now: float) -> None:
+        """Take in merged records: they stand with the first shard that they came from."""
+        exchange = delegation.exchange
+        body = message.body
+        for position, signature in zip(message.shards, message.signatures, strict=True):
+            call = delegation.calls[position]
+            if call.answer is not None:
+                # Asked directly as well: its records are also among the merged ones.
+                exchange.signatures.discard(str(call.answer.signature))
+            call.answer = ReplicaAnswer(MERGED_STATUS, (), body, signature)
+            call.answered_at = now
+            exchange.signatures.add(signature)
+            body = b""
+
+    def _rejected(self, delegation: Delegation, now: float) -> list[Action]:
+        calls = delegation.open_calls
+        for call in calls:
+            call.delegated_attempts = 0
+            call.arrivals -= 1
+        return self._step_in(delegation, calls, "rejected", now)
+
+    def _lost(self, delegation: Delegation, reason: str, now: float) -> list[Action]:
+        calls = [call for call in delegation.open_calls if not call.attempts]
+        for call in calls:
+            call.is_delegate_lost = True
+        return self._step_in(delegation, calls, reason, now)
+
+    def _step_in(
+        self, delegation: Delegation, calls: list[ServiceCall], reason: str, now: float
+    ) -> list[Action]:
+        """Ask the shards of a node directly and pass the node over for a while.
+
+        What the node still brings is taken, unless it has rejected the request.
+        """
+        delegation.is_lost = True
+        node_id = delegation.node.node_id
+        self._groups.suspect(node_id, now)
+        fields = (
+            ("request_id", delegation.exchange.event.request_id),
+            ("node_asked", node_id),
+            ("shards", len(calls)),
+            ("reason", reason),
+        )
+        actions: list[Action] = [
+            Log("delegation_lost", LogLevel.INFO, fields),
+            Count("delegations_lost_total"),
+        ]
+        startable = [call for call in calls if call.attempts_left > 0]
+        actions += self._start_directly(startable, now)
+        return actions + self._settlement.settle(delegation.exchange, now)
+
+    def _forget(self, delegation: Delegation) -> None:
+        self._open.pop(delegation.delegation_id, None)
+        siblings = self._by_exchange.get(delegation.exchange.exchange_id)
+        if siblings is not None:
+            siblings.remove(delegation)
--- a/wingquay/forwarding/ending.py
+++ b/wingquay/forwarding/ending.py
@@ -71,6 +71,12 @@
         reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.FAILED, reason)
         return [reply, *_end(exchange, "failed", reason, now)]
 
+    def too_few(self, exchange: Exchange, now: float) -> list[Action]:
+        """Answer when too many shards have failed for a success."""
+        reason = "too few shards can still answer"
+        reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.FAILED, reason)
+        return [reply, *_end(exchange, "failed", reason, now)]
+
     def refuse(
         self, exchange: Exchange, reason: str, usable_after_seconds: float, now: float
     ) -> list[Action]:
@@ -95,6 +101,11 @@
         reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.TIMED_OUT, reason)
         return [reply, *_end(exchange, "timed_out", reason, now)]
 
+    def for_node(self, exchange: Exchange, now: float) -> list[Action]:
+        """Take note of what another node asked for and did not get or no longer wants."""
+        line = _line(exchange, "delegated_open", "", now - exchange.arrived_at)
+        return [_count("delegated_open"), line]
+
     def caller_left(self, exchange: Exchange, now: float) -> list[Action]:
         """Take note that nobody waits any more."""
         return _end(exchange, "caller_left", "", now)
@@ -130,6 +141,8 @@
         ("of", len(exchange.calls)),
         ("arrivals", sum(call.arrivals for call in exchange.calls)),
     )
+    if exchange.origin is not None:
+        fields += (("asked_by", exchange.origin.name),)
     if reason:
         fields += (("reason", reason),)
     detail = "; ".join(_call_text(call) for call in told[:MOST_CALLS_TOLD])
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -1,10 +1,25 @@
 """One caller's request while it is open: its calls to services and their attempts."""
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from wingquay.forwarding.replica_state import ReplicaState
 from wingquay.model.routing_table import Route, RoutingTable
 from wingquay.ports.forwarding import ForwardRequested, ReplicaAnswer
+from wingquay.ports.machine import Action
+
+
+class Origin(Protocol):
+    """Another node that waits for an exchange in place of a caller."""
+
+    @property
+    def name(self) -> str:
+        """The id of the node, for the log."""
+        ...
+
+    def report(self, exchange: "Exchange") -> list[Action]:
+        """Return the message that tells what is in and has not been told, if there is anything."""
+        ...
 
 
 @dataclass(slots=True, eq=False)
@@ -40,13 +55,29 @@
     """A failure that a replica answered, in case nothing better comes."""
     is_waiting: bool = False
     """Whether it stands in line for a free connection or for a pause to end."""
+    delegated_attempts: int = 0
+    """How many replicas another node may send the request to."""
+    is_delegate_lost: bool = False
+    """Whether nothing more is expected of that node."""
+    is_owned: bool = False
+    """Whether the nodes of a group leave its service to this node."""
     history: list[str] = field(default_factory=list)
     """What became of its attempts, for the log."""
 
     @property
     def may_have_run(self) -> bool:
         """Whether a replica may have run the request."""
-        return bool(self.asked)
+        return bool(self.asked) or self.delegated_attempts > 0
+
+    @property
+    def attempts_left(self) -> int:
+        """How many more replicas this node may send the request to."""
+        return self.exchange.route.max_attempts - len(self.asked) - self.delegated_attempts
+
+    @property
+    def is_delegated(self) -> bool:
+        """Whether another node asks a replica and may still bring its answer."""
+        return self.delegated_attempts > 0 and not self.is_delegate_lost
 
 
 @dataclass(slots=True, eq=False)
@@ -64,6 +95,8 @@
     calls: list[ServiceCall] = field(default_factory=list)
     signatures: set[str] = field(default_factory=set)
     is_retry_due: bool = False
+    origin: Origin | None = None
+    """The node that waits for it; ``None``: a caller does."""
 
     @property
     def exchange_id(self) -> int:
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -1,6 +1,7 @@
 """Passes requests on to replicas: one replica, or one of each shard with a merged answer."""
 
 import random
+from typing import TYPE_CHECKING
 
 from wingquay.forwarding.attempts import AttemptSender
 from wingquay.forwarding.call_starter import CallStarter
@@ -16,6 +17,7 @@
 from wingquay.forwarding.timers import (
     AbandonDue,
     CutoffDue,
+    DelegationDue,
     ExchangeEndDue,
     HedgeDue,
     RetryDue,
@@ -29,6 +31,11 @@
     SendFailed,
 )
 from wingquay.ports.machine import Action, Event, Schedule
+from wingquay.ports.peer_link import PeerLinkBroken, PeerReceived
+
+if TYPE_CHECKING:
+    from wingquay.forwarding.node_groups import NodeGroups
+    from wingquay.forwarding.peer_work import PeerWork
 
 UNCONFIGURED_RETRY_SECONDS = 0.3
 HEDGE_RECHECK_SECONDS = 0.012
@@ -69,6 +76,9 @@
             settings, directory, self._sender, self._starter, self._settlement
         )
         self._table: RoutingTable | None = None
+        self._peers: PeerWork | None = None
+        self.is_stopping = False
+        """Whether work of other nodes is rejected."""
         self._held: set[int] = set()
 
     @property
@@ -81,6 +91,13 @@
         """The number of requests that are held for missing records of replicas."""
         return len(self._held)
 
+    def enable_peers(self, groups: "NodeGroups") -> None:
+        """Ask other nodes for shards, and be asked by them, from now on."""
+        from wingquay.forwarding.peer_work import PeerWork
+
+        self._peers = PeerWork(self._settings, groups, self._starter, self._settlement, self._begin)
+        self._sender.groups = groups
+
     def set_table(self, table: RoutingTable) -> None:
         """Use a configuration for requests that arrive from now on."""
         self._table = table
@@ -101,6 +118,8 @@
             return self._abandon_due(event, now)
         if isinstance(event, CutoffDue | ExchangeEndDue | RetryDue | CallerLeft):
             return self._exchange_event(event, now)
+        if isinstance(event, DelegationDue | PeerReceived | PeerLinkBroken):
+            return self._peer_event(event, now)
         return []
 
     # Arrival
@@ -117,8 +136,6 @@
         exchange = self._open(event, table, route, now)
         services = route.shards or (self._weights.choose(route),)
         exchange.calls = [ServiceCall(exchange, service) for service in services]
-        for call in exchange.calls:
-            self._sender.earn(call.service)
         if not self._settlement.can_be_enough(exchange, now):
             return self._hold_or_refuse(exchange, now)
         return self._begin(exchange, now)
@@ -129,8 +146,11 @@
         route = exchange.route
         self._held.discard(exchange.exchange_id)
         actions: list[Action] = []
-        for call in exchange.calls:
-            actions += self._starter.start(call, now)
+        if self._peers is not None and route.shards and exchange.origin is None:
+            actions += self._peers.delegations.start(exchange, now)
+        else:
+            for call in exchange.calls:
+                actions += self._starter.begin(call, now)
         actions.append(Schedule(exchange.ends_at, ExchangeEndDue(event.exchange_id)))
         if route.shards:
             actions.append(Schedule(exchange.in_time_at, CutoffDue(event.exchange_id)))
@@ -164,6 +184,14 @@
         self._settlement.add(exchange)
         return exchange
 
+    def _peer_event(
+        self, event: DelegationDue | PeerReceived | PeerLinkBroken, now: float
+    ) -> list[Action]:
+        if self._peers is None:
+            return []
+        table = None if self.is_stopping else self._table
+        return self._peers.handle(event, table, now)
+
     # Time
 
     def _hedge_due(self, event: HedgeDue, now: float) -> list[Action]:
@@ -174,7 +202,9 @@
         actions: list[Action] = []
         may_need_more = False
         for call in exchange.calls:
-            if call.answer is not None or len(call.asked) >= exchange.route.max_attempts:
+            if call.answer is not None or call.attempts_left <= 0:
+                continue
+            if call.is_delegated and not call.attempts:
                 continue
             may_need_more = True
             if len(call.attempts) == 1 and self._is_overdue(call, delay, now):
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -1,11 +1,10 @@
 """Joins the decisions of a node that passes requests on: store, replicas, requests, stop."""
 
 import random
-from collections.abc import Callable
-from enum import Enum
 
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
 from wingquay.forwarding.line_budget import LineBudget
+from wingquay.forwarding.node_membership import NodeMembership
 from wingquay.forwarding.presence import NodeCount, Presence, PresenceDue
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
@@ -15,8 +14,9 @@
     FollowerSettings,
     StoreFollower,
 )
+from wingquay.forwarding.store_formats import FormatFailureKind as FormatFailureKind
+from wingquay.forwarding.store_formats import StoreFormats as StoreFormats
 from wingquay.model.failure import Failure
-from wingquay.model.replica_record import ReplicaRecord
 from wingquay.model.routing_table import CallerLimits, RoutingTable
 from wingquay.model.value import value
 from wingquay.ports.forwarding import SetForwarding
@@ -31,6 +31,7 @@
     Start,
     StopRequested,
 )
+from wingquay.ports.peer_link import PeerLinkOpened
 from wingquay.ports.peer_snapshot import PeerSnapshot
 from wingquay.ports.store import (
     ReadResult,
@@ -43,6 +44,7 @@
 SWEEP_SECONDS = 0.5
 """Time between two looks for replicas whose time of grace is over."""
 STOP_CHECK_SECONDS = 0.1
+CLUSTER_KEY_BYTES = 32
 
 
 STORE_EVENTS = (StoreResponse, WatchChanged, WatchBroken, FollowAgain, PeerSnapshot)
@@ -58,35 +60,6 @@
     """Look whether the stop can end."""
 
 
-class FormatFailureKind(Enum):
-    """Why a value of the store could not be read."""
-
-    MALFORMED = "malformed"
-
-
-@value
-class StoreFormats:
-    """How the store's keys and values are read.
-
-    Parameters
-    ----------
-    configuration_key
-        Holds the configuration in force.
-    replica_prefix
-        Keys of replica records begin with it; the rest is the replica's id.
-    node_prefix
-        Keys of nodes begin with it; the rest is the node's name.
-    parse_configuration, parse_replica
-        Turn a value into its typed form.
-    """
-
-    configuration_key: str
-    replica_prefix: str
-    node_prefix: str
-    parse_configuration: Callable[[bytes], RoutingTable | Failure[FormatFailureKind]]
-    parse_replica: Callable[[str, bytes], ReplicaRecord | Failure[FormatFailureKind]]
-
-
 class ForwardingNode:
     """The whole decision code of one node that passes requests on.
 
@@ -117,6 +90,10 @@
         self._stopping_since: float | None = None
         self._was_ready = False
         self._lines = LineBudget()
+        candidate = random_source.randbytes(CLUSTER_KEY_BYTES)
+        self._members = NodeMembership(
+            name, settings, formats, self._nodes, self._presence, candidate
+        )
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what is to be done."""
@@ -132,7 +109,11 @@
         if isinstance(event, Start):
             return self._start(event, now)
         if isinstance(event, PresenceDue):
-            return self._presence.handle(event, now)
+            return self._members.presence_due(event, self._table, now)
+        if isinstance(event, PeerLinkOpened):
+            actions = self._members.link_opened(event, self._table)
+            self._forwarding.enable_peers(self._members.groups)
+            return actions
         if isinstance(event, SweepDue):
             self._directory.forget_vanished(now)
             return [*self._pace_actions(), Schedule(now + SWEEP_SECONDS, event)]
@@ -144,8 +125,8 @@
         return actions + self._pace_actions() if self._forwarding.held_exchanges else actions
 
     def _store_event(self, event: Event, now: float) -> list[Action]:
-        if isinstance(event, StoreResponse) and self._presence.is_mine(event):
-            return self._presence.handle(event, now)
+        if isinstance(event, StoreResponse) and self._members.is_mine(event):
+            return self._members.answered(event, now)
         return self._follower.handle(event, now)
 
     def _start(self, event: Start, now: float) -> list[Action]:
@@ -161,7 +142,7 @@
         prefix = self._formats.replica_prefix
         ids = {item.key.removeprefix(prefix) for item in values if item.key.startswith(prefix)}
         self._directory.keep_only(ids, now)
-        self._nodes.keep_only({item.key for item in values if self._is_node_key(item.key)})
+        self._members.keep_only({item.key for item in values if self._is_node_key(item.key)})
         return self._on_changes(values, (), now)
 
     def _on_changes(
@@ -175,12 +156,14 @@
             elif item.key.startswith(prefix):
                 actions += self._put_replica(item, now)
             elif self._is_node_key(item.key):
-                self._nodes.put(item.key)
+                self._members.put(item)
+            elif item.key == self._formats.cluster_key:
+                self._members.learn_cluster_key(item.value)
         for key in deleted:
             if key.startswith(prefix):
                 self._directory.vanish(key.removeprefix(prefix), now)
             else:
-                self._nodes.remove(key)
+                self._members.remove(key)
         return actions + self._ready_actions()
 
     def _pace_actions(self) -> list[Action]:
@@ -200,6 +183,7 @@
             return []
         self._table = table
         self._forwarding.set_table(table)
+        self._members.configure(table)
         line = (("version", table.version), ("routes", len(table.routes)))
         return [
             Log("configuration_adopted", LogLevel.INFO, line),
@@ -246,6 +230,7 @@
         if self._stopping_since is not None:
             return []
         self._stopping_since = now
+        self._forwarding.is_stopping = True
         fields = (("open_requests", self._forwarding.open_exchanges),)
         return [
             Log("stop_started", LogLevel.INFO, fields),
--- /dev/null
+++ b/wingquay/forwarding/node_membership.py
@@ -0,0 +1,131 @@
+"""The nodes as their keys in the store tell, and this node's own key among them."""
+
+from typing import TYPE_CHECKING
+
+from ..model.routing_table import RoutingTable
+from ..ports.machine import Action, Log, LogLevel, Schedule
+from ..ports.peer_link import NodeIdentity, PeerLinkOpened
+from ..ports.store import StoredValue, StoreResponse
+from .peer_setup import PeerSetup, widest_route
+from .presence import NodeCount, Presence, PresenceDue
+from .settings import ForwardingSettings
+from .store_formats import StoreFormats
+
+if TYPE_CHECKING:
+    from .node_groups import NodeGroups
+
+LINK_WAIT_SECONDS = 0.4
+"""Time between two looks whether the link to other nodes is open."""
+MOST_LINK_WAITS = 6
+"""Looks after which the node's key is written without an address."""
+
+
+class NodeMembership:
+    """Counts the nodes, and knows where each listens once the link to them is open.
+
+    Parameters
+    ----------
+    name
+        This node's name.
+    nodes
+        Counts the keys of nodes.
+    presence
+        Keeps this node's own key.
+    candidate
+        The cluster's key to write if there is none.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: ForwardingSettings,
+        formats: StoreFormats,
+        nodes: NodeCount,
+        presence: Presence,
+        candidate: bytes,
+    ) -> None:
+        self._name = name
+        self._settings = settings
+        self._formats = formats
+        self._nodes = nodes
+        self._presence = presence
+        self._setup = PeerSetup(settings, formats.cluster_key, candidate)
+        self._link_waits = 0
+        self._identities: dict[str, NodeIdentity | None] = {}
+        self._groups: NodeGroups | None = None
+
+    @property
+    def groups(self) -> "NodeGroups":
+        """The groups of nodes; only once the link is open."""
+        assert self._groups is not None
+        return self._groups
+
+    def is_mine(self, event: StoreResponse) -> bool:
+        """Whether the store's answer is to a request of this part."""
+        return self._presence.is_mine(event) or self._setup.is_mine(event)
+
+    def answered(self, event: StoreResponse, now: float) -> list[Action]:
+        """Take in the store's answer."""
+        if self._presence.is_mine(event):
+            return self._presence.handle(event, now)
+        return self._setup.answered(event.result)
+
+    def presence_due(
+        self, event: PresenceDue, table: RoutingTable | None, now: float
+    ) -> list[Action]:
+        """Write the node's key, but open the link before: the key tells where it listens."""
+        is_open = self._groups is not None
+        if is_open or not self._setup.is_wanted(table):
+            return self._presence.handle(event, now)
+        self._link_waits += 1
+        if self._link_waits > MOST_LINK_WAITS:
+            return self._presence.handle(event, now)
+        return [*self._setup.step(), Schedule(now + LINK_WAIT_SECONDS, event)]
+
+    def link_opened(self, event: PeerLinkOpened, table: RoutingTable | None) -> list[Action]:
+        """Say where this node listens, and group the nodes from now on."""
+        from .node_groups import NodeGroups
+
+        self._presence.set_value(self._formats.node_value(event.identity))
+        self._groups = NodeGroups(self._settings, self._name)
+        for name, identity in self._identities.items():
+            self._groups.put(name, identity)
+        self._groups.put(self._name, event.identity)
+        if table is not None:
+            self.configure(table)
+        fields = (("nodes", len(self._identities)), ("port", event.identity.port))
+        return [Log("peer_link_opened", LogLevel.INFO, fields)]
+
+    def configure(self, table: RoutingTable) -> None:
+        """Take in a configuration."""
+        if self._groups is not None:
+            self._groups.set_fan_out(widest_route(table))
+
+    def learn_cluster_key(self, cluster_key: bytes) -> None:
+        """Take in the key that stands in the store."""
+        self._setup.learn(cluster_key)
+
+    def put(self, item: StoredValue) -> None:
+        """Take in the key of a node."""
+        self._nodes.put(item.key)
+        name = item.key.removeprefix(self._formats.node_prefix)
+        identity = self._formats.parse_node(item.value)
+        self._identities[name] = identity
+        if self._groups is not None and name != self._name:
+            self._groups.put(name, identity)
+
+    def remove(self, key: str) -> None:
+        """Take in that the key of a node is gone."""
+        self._nodes.remove(key)
+        name = key.removeprefix(self._formats.node_prefix)
+        self._identities.pop(name, None)
+        if self._groups is not None and name != self._name:
+            self._groups.remove(name)
+
+    def keep_only(self, keys: set[str]) -> None:
+        """Take in a whole listing: nodes that are not in it are gone."""
+        self._nodes.keep_only(keys)
+        prefix = self._formats.node_prefix
+        names = {key.removeprefix(prefix) for key in keys}
+        for name in [name for name in self._identities if name not in names]:
+            self.remove(prefix + name)
--- /dev/null
+++ b/wingquay/forwarding/peer_work.py
@@ -0,0 +1,91 @@
+"""What forwarding nodes do for each other: joins both sides of delegation.
+
+Loaded when the link to other nodes opens; a node serves before that.
+"""
+
+from collections.abc import Callable
+
+from ..model.routing_table import RoutingTable
+from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
+from ..ports.machine import Action
+from ..ports.peer_link import NodeIdentity, PeerLinkBroken, PeerReceived
+from .call_starter import CallStarter
+from .delegated_work import DelegatedWork
+from .delegation import Delegations
+from .exchange import Exchange
+from .node_groups import NodeGroups
+from .settings import ForwardingSettings
+from .settlement import Settlement
+from .timers import DelegationDue
+
+Begin = Callable[[Exchange, float], list[Action]]
+"""Starts the calls of an exchange and sets its timers."""
+
+
+class PeerWork:
+    """Handles the messages of other nodes.
+
+    Parameters
+    ----------
+    groups
+        The nodes; kept up to date by another machine.
+    begin
+        Starts an exchange that another node asked for.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        groups: NodeGroups,
+        starter: CallStarter,
+        settlement: Settlement,
+        begin: Begin,
+    ) -> None:
+        self.groups = groups
+        self.delegations = Delegations(settings, groups, starter, settlement)
+        self._work = DelegatedWork(settlement)
+        self._begin = begin
+        settlement.on_closed = self.delegations.closed
+
+    def handle(
+        self,
+        event: DelegationDue | PeerReceived | PeerLinkBroken,
+        table: RoutingTable | None,
+        now: float,
+    ) -> list[Action]:
+        """Take in an event.
+
+        Parameters
+        ----------
+        table
+            The configuration for work of other nodes; ``None``: none is taken.
+        """
+        match event:
+            case DelegationDue():
+                return self.delegations.due(event, now)
+            case PeerLinkBroken(node_id, reason):
+                actions = self._work.link_broken(node_id, now)
+                return actions + self.delegations.link_broken(node_id, reason, now)
+            case PeerReceived(sender, DelegatedRequest() as message):
+                return self._requested(sender, message, table, now)
+            case PeerReceived(sender, DelegatedAnswer() as message):
+                return self.delegations.answered(sender, message, now)
+            case PeerReceived(sender, AllowAttempts() as message):
+                return self._work.allowed(sender, message, now)
+            case PeerReceived(sender, CancelDelegation() as message):
+                return self._work.cancelled(sender, message, now)
+            case _:
+                return []
+
+    def _requested(
+        self,
+        sender: NodeIdentity,
+        message: DelegatedRequest,
+        table: RoutingTable | None,
+        now: float,
+    ) -> list[Action]:
+        if table is None:
+            return self._work.reject(sender, message)
+        exchange = self._work.accept(sender, message, table, now)
+        taken = self._work.acknowledge(sender, message)
+        return taken + self._begin(exchange, now)
--- a/wingquay/forwarding/presence.py
+++ b/wingquay/forwarding/presence.py
@@ -26,6 +26,8 @@
 
 OPERATION_PREFIX = "presence-"
 TIMEOUT_SECONDS = 2.0
+NO_ADDRESS = b"1"
+"""The value of a node that other nodes cannot reach."""
 
 
 @value
@@ -58,6 +60,12 @@
         self._lease_id: int | None = None
         self._expected_revision = 0
         self._is_written = False
+        self._value = NO_ADDRESS
+
+    def set_value(self, value: bytes) -> None:
+        """Say something else of this node, from the next writing of the key on."""
+        self._value = value
+        self._is_written = False
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event of the store or a timer."""
@@ -81,7 +89,7 @@
         if self._lease_id is None:
             return GrantLease(int(self._settings.presence_lease_seconds))
         if not self._is_written:
-            return CompareAndSwap(self._key, self._expected_revision, b"1", self._lease_id)
+            return CompareAndSwap(self._key, self._expected_revision, self._value, self._lease_id)
         return KeepLeaseAlive(self._lease_id)
 
     def _request(self, operation: StoreOperation) -> StoreRequest:
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -54,6 +54,7 @@
     answered_at: float = float("-inf")
     blocked_until: float = 0.0
     failures_in_row: int = 0
+    _proved_at: float = float("-inf")
     _slowness: float = 1.0
     _slowness_at: float = 0.0
     _trouble: float = 0.0
@@ -95,7 +96,7 @@
 
     def is_proven(self, now: float) -> bool:
         """Whether it answered lately, and well."""
-        return now - self.answered_at < PROVEN_SECONDS and self._slowness < SLOWNESS_TOLERANCE
+        return now - self._proved_at < PROVEN_SECONDS and self._slowness < SLOWNESS_TOLERANCE
 
     def cost(self, now: float, zone: str, prefers_proven: bool) -> float:
         """Return the expected wait at the replica, in usual latencies.
@@ -141,6 +142,10 @@
             self._load_at = now
         return was_left_out
 
+    def on_good_answer(self, now: float) -> None:
+        """Take in that it answered within the objective of a route."""
+        self._proved_at = now
+
     def on_failure(self, settings: ForwardingSettings, is_certain: bool, now: float) -> float:
         """Take in that it failed: leave it out, longer each time; return for how long (seconds).
 
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -69,6 +69,18 @@
     hold_ratio
         Share of a request's time for which it is held, while records are missing, before it is
         refused.
+    delegate_least_shards
+        Shards of a route from which on other nodes are asked for most of them: below, a node
+        codes its requests sooner than it would hear from the others.
+    delegate_least_nodes
+        Nodes of a group, this one included, from which on it is worth it.
+    delegate_return_seconds
+        Time kept for the reports of nodes to come back and be merged.
+    delegate_takeover_ratio
+        Share of the objective after which the shards of a node that has not said anything are
+        asked directly.
+    node_suspect_seconds, node_suspect_most_seconds
+        How long a node that did not report is passed over, at first and at most.
     unready_stop_seconds
         Time after a stop was asked for until idle connections are closed.
     most_stop_seconds
@@ -105,5 +117,11 @@
     settle_seconds: float = 4.0
     settle_gather_seconds: float = 0.3
     hold_ratio: float = 0.3
+    delegate_least_shards: int = 40
+    delegate_least_nodes: int = 3
+    delegate_return_seconds: float = 0.006
+    delegate_takeover_ratio: float = 0.45
+    node_suspect_seconds: float = 1.0
+    node_suspect_most_seconds: float = 8.0
     unready_stop_seconds: float = 3.0
     most_stop_seconds: float = 5.2
--- a/wingquay/forwarding/settlement.py
+++ b/wingquay/forwarding/settlement.py
@@ -1,5 +1,7 @@
 """Decides when an exchange ends and with what, and keeps account of the open ones."""
 
+from collections.abc import Callable
+
 from wingquay.forwarding.attempts import AttemptSender
 from wingquay.forwarding.cutoff import is_enough
 from wingquay.forwarding.ending import ExchangeEnding
@@ -32,6 +34,8 @@
         self._sender = sender
         self._ending = ExchangeEnding()
         self._exchanges: dict[int, Exchange] = {}
+        self.on_closed: Callable[[Exchange], list[Action]] = _nothing_more
+        """Returns what else is to be done when an exchange ends."""
 
     def __len__(self) -> int:
         """Return the number of open exchanges."""
@@ -51,13 +55,17 @@
 
     def caller_left(self, exchange: Exchange, now: float) -> list[Action]:
         """End an exchange whose caller is gone."""
+        if exchange.origin is not None:
+            return self._close(exchange, self._ending.for_node(exchange, now), now)
         return self._close(exchange, self._ending.caller_left(exchange, now), now)
 
     def out_of_time(self, exchange: Exchange, now: float) -> list[Action]:
         """End an exchange whose time is over, with what is in if that is enough."""
         settled = self.settle(exchange, now)
-        if settled:
+        if not self.is_open(exchange):
             return settled
+        if exchange.origin is not None:
+            return self._close(exchange, [*settled, *self._ending.for_node(exchange, now)], now)
         return self._close(exchange, self._ending.out_of_time(exchange, now), now)
 
     def refuse(self, exchange: Exchange, now: float) -> list[Action]:
@@ -72,10 +80,23 @@
         """Answer the caller if there is nothing more to wait for."""
         if not self.is_open(exchange):
             return []
+        if exchange.origin is not None:
+            return self._settle_for_node(exchange, now)
         if exchange.route.shards:
             return self._settle_merged(exchange, now)
         return self._settle_single(exchange, now)
 
+    def _settle_for_node(self, exchange: Exchange, now: float) -> list[Action]:
+        """Report what is in once all of it is, or once the node has to answer its caller."""
+        assert exchange.origin is not None
+        is_over = all(call.answer is not None for call in exchange.calls)
+        if not is_over and now < exchange.in_time_at - TIME_TOLERANCE_SECONDS:
+            return []
+        actions = exchange.origin.report(exchange)
+        if not is_over:
+            return actions
+        return self._close(exchange, actions, now)
+
     def _settle_merged(self, exchange: Exchange, now: float) -> list[Action]:
         answered = exchange.answered_calls
         enough = is_enough(exchange.route, len(answered))
@@ -85,16 +106,29 @@
                 self._is_hopeless(call, now) for call in exchange.calls if call.answer is None
             )
         if not is_over:
+            if not is_enough(exchange.route, len(exchange.calls) - self._exhausted(exchange)):
+                return self._close(exchange, self._ending.too_few(exchange, now), now)
             return self._refuse_unoffered(exchange, now)
         return self._close(exchange, self._ending.merged(exchange, answered, now), now)
 
+    @staticmethod
+    def _exhausted(exchange: Exchange) -> int:
+        """Return how many shards certainly bring no answer any more."""
+        return sum(
+            call.answer is None
+            and call.attempts_left <= 0
+            and not call.attempts
+            and not call.is_delegated
+            for call in exchange.calls
+        )
+
     def _settle_single(self, exchange: Exchange, now: float) -> list[Action]:
         call = exchange.calls[0]
         if call.answer is not None:
             return self._close(exchange, self._ending.unchanged(exchange, call.answer, now), now)
         if call.attempts or not call.may_have_run:
             return self._refuse_unoffered(exchange, now)
-        exhausted = len(call.asked) >= exchange.route.max_attempts
+        exhausted = call.attempts_left <= 0
         if exhausted or not exchange.is_repeatable:
             return self._close(exchange, self._ending.failed(exchange, call, now), now)
         return []
@@ -124,15 +158,20 @@
 
     def _is_hopeless(self, call: ServiceCall, now: float) -> bool:
         """Whether nothing can come of the call before the answer must leave."""
-        if call.attempts:
+        if call.attempts or call.is_delegated:
             return False
-        if len(call.asked) >= call.exchange.route.max_attempts:
+        if call.attempts_left <= 0:
             return True
         return not self._directory.has_usable(call.service, now)
 
     def _close(self, exchange: Exchange, actions: list[Action], now: float) -> list[Action]:
         del self._exchanges[exchange.exchange_id]
+        actions = actions + self.on_closed(exchange)
         for call in exchange.calls:
             call.is_waiting = False
             actions = actions + self._sender.abandon(call, now)
         return actions
+
+
+def _nothing_more(_exchange: Exchange) -> list[Action]:
+    return []
--- /dev/null
+++ b/wingquay/forwarding/store_formats.py
@@ -0,0 +1,48 @@
+"""How the keys and values of the store are read; whoever knows its formats provides it."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from ..model.failure import Failure
+from ..model.replica_record import ReplicaRecord
+from ..model.routing_table import RoutingTable
+from ..model.value import value
+from ..ports.peer_link import NodeIdentity
+
+
+class FormatFailureKind(Enum):
+    """Why a value of the store could not be read."""
+
+    MALFORMED = "malformed"
+
+
+@value
+class StoreFormats:
+    """How the store's keys and values are read.
+
+    Parameters
+    ----------
+    configuration_key
+        Holds the configuration in force.
+    replica_prefix
+        Keys of replica records begin with it; the rest is the replica's id.
+    node_prefix
+        Keys of nodes begin with it; the rest is the node's name.
+    cluster_key
+        Holds the secret that all nodes share.
+    parse_configuration, parse_replica
+        Turn a value into its typed form.
+    parse_node
+        Turns the value of a node's key into its identity; ``None``: it cannot be reached.
+    node_value
+        Returns the value of a node's key for its identity.
+    """
+
+    configuration_key: str
+    replica_prefix: str
+    node_prefix: str
+    cluster_key: str
+    parse_configuration: Callable[[bytes], RoutingTable | Failure[FormatFailureKind]]
+    parse_replica: Callable[[str, bytes], ReplicaRecord | Failure[FormatFailureKind]]
+    parse_node: Callable[[bytes], NodeIdentity | None]
+    node_value: Callable[[NodeIdentity], bytes]
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -32,6 +32,13 @@
     exchange_id: int
 
 
+@value
+class DelegationDue(Event):
+    """Look whether a node that was asked for shards has said anything."""
+
+    delegation_id: int
+
+
 @value
 class AbandonDue(Event):
     """Cancel an attempt that nobody waits for, if it still runs."""
--- a/wingquay/platform/names.py
+++ b/wingquay/platform/names.py
@@ -21,6 +21,7 @@
 CONFIGURATION_KEY = "op/config"
 REPLICA_PREFIX = "servers/"
 NODE_PREFIX = "wingquay/nodes/"
+CLUSTER_KEY = "wingquay/cluster-key"
 
 DRAINING = "draining"
 REPEATABLE = "idempotent"
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -10,9 +10,11 @@
 
 from wingquay.adapters.deferred_log import DeferredLog
 from wingquay.adapters.deferred_metrics import DeferredMetrics
+from wingquay.adapters.deferred_peer_link import DeferredPeerLink
 from wingquay.adapters.forwarding_server import ForwardingServer
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 from wingquay.adapters.http_server import HttpServer
+from wingquay.adapters.node_record import node_value, parse_node
 from wingquay.adapters.peer_snapshots import PeerSnapshots
 from wingquay.adapters.replica_client import ReplicaClient
 from wingquay.forwarding.forwarding_node import ForwardingNode, StoreFormats
@@ -20,7 +22,13 @@
 from wingquay.forwarding.store_follower import FollowerSettings, gather_seconds_within
 from wingquay.platform.caller_dialect import PlatformCallerDialect
 from wingquay.platform.configuration_document import parse_configuration
-from wingquay.platform.names import CONFIGURATION_KEY, NODE_PREFIX, READY_PATH, REPLICA_PREFIX
+from wingquay.platform.names import (
+    CLUSTER_KEY,
+    CONFIGURATION_KEY,
+    NODE_PREFIX,
+    READY_PATH,
+    REPLICA_PREFIX,
+)
 from wingquay.platform.replica_dialect import PlatformReplicaDialect
 from wingquay.platform.replica_entry import parse_replica
 from wingquay.platform.settings import PlatformSettings
@@ -34,6 +42,7 @@
     SetForwarding,
 )
 from wingquay.ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
+from wingquay.ports.peer_link import OpenPeerLink, SendToPeer
 from wingquay.ports.peer_snapshot import AskPeers
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
 from wingquay.runtime import NodeRuntime
@@ -82,6 +91,7 @@
         seeds = [(seed.host, seed.port) for seed in settings.seeds if seed != settings.peers]
         self.peers = PeerSnapshots(seeds, machine.known_of_store, self.emit)
         self._peer_server = HttpServer(self.peers.answer)
+        self._link = self._peer_link()
         count = self._metrics.count
         self._replicas = ReplicaClient(PlatformReplicaDialect(), self.emit, count)
         store = settings.store
@@ -116,6 +126,8 @@
         ended = await self._exited
         await self._server.close(RESPONSE_GRACE_SECONDS)
         self.peers.close()
+        if self._link is not None:
+            await self._link.close()
         self._replicas.close()
         await self._store.close()
         self._runtime.close()
@@ -140,9 +152,28 @@
         runtime.register(StartWatch, self._store.start_watch)
         runtime.register(StopWatch, self._store.stop_watch)
         runtime.register(AskPeers, self.peers.ask)
+        runtime.register(OpenPeerLink, self._open_link)
+        runtime.register(SendToPeer, self._send_to_peer)
         runtime.register(SetForwarding, self._set_forwarding)
         runtime.register(Exit, self._exit)
 
+    def _peer_link(self) -> DeferredPeerLink | None:
+        address = self._settings.peer_link
+        if address is None:
+            return None
+        settings = self._settings
+        return DeferredPeerLink(
+            settings.node, settings.zone, address.host, address.port, self.emit, self._log.perform
+        )
+
+    def _open_link(self, action: OpenPeerLink) -> None:
+        if self._link is not None:
+            self._link.open(action)
+
+    def _send_to_peer(self, action: SendToPeer) -> None:
+        if self._link is not None:
+            self._link.send(action)
+
     def _set_forwarding(self, action: SetForwarding) -> None:
         self._is_ready = action.is_ready
         if action.is_ready or action.closes_connections:
@@ -164,5 +195,12 @@
 
 def _store_formats() -> StoreFormats:
     return StoreFormats(
-        CONFIGURATION_KEY, REPLICA_PREFIX, NODE_PREFIX, parse_configuration, parse_replica
+        CONFIGURATION_KEY,
+        REPLICA_PREFIX,
+        NODE_PREFIX,
+        CLUSTER_KEY,
+        parse_configuration,
+        parse_replica,
+        parse_node,
+        node_value,
     )
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -48,6 +48,8 @@
         Where figures are told; ``None``: nowhere.
     peers
         Where other nodes ask what this one knows of the store; ``None``: nowhere.
+    peer_link
+        Where other nodes reach this one with requests; ``None``: nowhere.
     seeds
         Addresses of other nodes, which may be out of date.
     retry_ratio, retry_slack, retry_window_seconds
@@ -66,6 +68,7 @@
     configuration_seconds: float
     metrics: ListenAddress | None
     peers: ListenAddress | None
+    peer_link: ListenAddress | None
     seeds: tuple[ListenAddress, ...]
     retry_ratio: float
     retry_slack: float
@@ -100,6 +103,7 @@
         configuration_seconds=_milliseconds(document, "store.configuration_ms"),
         metrics=_optional_address(document, "listen.metrics"),
         peers=_optional_address(document, "listen.peers"),
+        peer_link=_optional_address(document, "listen.peer_link"),
         seeds=_addresses(document, "peers.seeds"),
         retry_ratio=_number(document, "retries.ratio", 0.0, 1.0),
         retry_slack=_number(document, "retries.slack", 0.0, 1e6),
--- /dev/null
+++ b/wingquay/ports/delegation.py
@@ -0,0 +1,84 @@
+"""Messages by which a node lets another one ask some of the shards of a request."""
+
+import attrs
+
+from .forwarding import OpaqueRequest
+from .peer_link import PeerMessage
+
+
+@attrs.frozen
+class DelegatedRequest(PeerMessage):
+    """Ask one replica of each of these shards.
+
+    The receiver says at once that it has taken the request, by an answer with nothing in it, and
+    sends to a second replica of a shard only after an ``AllowAttempts``: until then the sender may
+    do so itself, and no shard's replicas must get the request more often than the route allows.
+
+    Parameters
+    ----------
+    delegation_id
+        The sender's own number for it; never used again by that process.
+    route_name
+        The route's name, by which latencies are kept.
+    merged_records
+        Records in a merged answer.
+    in_time_seconds
+        Time after which whatever is in must leave, to be of use to a caller that wants it in time.
+    remaining_seconds
+        Time after which nobody waits any more.
+    """
+
+    delegation_id: int
+    request_id: str
+    request: OpaqueRequest
+    route_name: str
+    shards: tuple[str, ...]
+    merged_records: int
+    priority: int
+    objective_seconds: float
+    in_time_seconds: float
+    remaining_seconds: float
+
+
+@attrs.frozen
+class DelegatedAnswer(PeerMessage):
+    """What came in since the last such message; several may follow one request.
+
+    Parameters
+    ----------
+    shards
+        Positions, in the request, of the shards whose answer came in.
+    signatures
+        The signatures of their answers, in the same order.
+    body
+        The greatest records of these answers.
+    is_rejected
+        The request was not taken: nothing ran and nothing will.
+    """
+
+    delegation_id: int
+    shards: tuple[int, ...] = ()
+    signatures: tuple[str, ...] = ()
+    body: bytes = b""
+    is_rejected: bool = False
+
+
+@attrs.frozen
+class AllowAttempts(PeerMessage):
+    """Leave all further attempts to the receiver.
+
+    Parameters
+    ----------
+    max_attempts
+        Most replicas of each shard that the request may be sent to.
+    """
+
+    delegation_id: int
+    max_attempts: int
+
+
+@attrs.frozen
+class CancelDelegation(PeerMessage):
+    """Nobody waits for the request any more."""
+
+    delegation_id: int
--- a/wingquay/ports/peer_link.py
+++ b/wingquay/ports/peer_link.py
@@ -56,3 +56,29 @@
 
     node_id: NodeId
     reason: str
+
+
+@value
+class OpenPeerLink(Action):
+    """Listen for other nodes; ``PeerLinkOpened`` follows unless the address cannot be bound.
+
+    Parameters
+    ----------
+    cluster_key
+        The secret that all nodes share.
+    """
+
+    cluster_key: bytes
+
+
+@value
+class PeerLinkOpened(Event):
+    """Other nodes can reach this one.
+
+    Parameters
+    ----------
+    identity
+        What they have to know for that.
+    """
+
+    identity: NodeIdentity
--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -85,6 +85,17 @@
     simulation.stop_node(chance.randrange(simulation.settings.nodes))
 
 
+def node_frozen(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Let a node stand still for a moment."""
+    simulation.freeze_node(chance.randrange(simulation.settings.nodes), chance.uniform(0.05, 0.4))
+
+
+def node_separated(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Hold up what a node and the other nodes say to each other, until it all comes at once."""
+    number = chance.randrange(simulation.settings.nodes)
+    simulation.separate_node(number, chance.uniform(0.03, 3.0))
+
+
 def store_down(simulation: ForwardingSimulation, _chance: random.Random) -> None:
     """Let the store answer nothing for a while."""
     store = simulation.store
@@ -151,6 +162,8 @@
     node_killed,
     all_nodes_killed,
     node_stopped,
+    node_frozen,
+    node_separated,
     store_down,
     store_down_lapse,
     store_slow,
--- a/wingquay/simulation/forwarding/settings.py
+++ b/wingquay/simulation/forwarding/settings.py
@@ -21,6 +21,10 @@
         After a caller left, its work must have stopped on most replicas.
     late_reply_seconds
         How long after its route's time limit a request may still be without a reply.
+    zones
+        Zones among which nodes are divided.
+    delegate_least_shards
+        Shards of a route from which on nodes ask each other for some of them.
     budget_ratio, budget_slack, budget_window_seconds
         Extra arrivals at a service over all nodes in any window.
     """
@@ -37,6 +41,8 @@
     network_seconds: float = 0.001
     pause_seconds: float = 0.15
     pause_every_seconds: float = 4.0
+    zones: int = 2
+    delegate_least_shards: int = 40
     drain_bound_seconds: float = 3.0
     configuration_bound_seconds: float = 3.0
     left_bound_seconds: float = 0.5
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -3,6 +3,7 @@
 import random
 from typing import Protocol
 
+from wingquay.adapters.node_record import node_value, parse_node
 from wingquay.forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.forwarding.store_follower import FollowerSettings
@@ -18,14 +19,19 @@
     SetForwarding,
 )
 from wingquay.ports.machine import Action, Event, Exit, Schedule, Start
+from wingquay.ports.peer_link import OpenPeerLink, SendToPeer
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
+from wingquay.simulation.forwarding.node_links import NodeLinks
 from wingquay.simulation.forwarding.oracle import ForwardingOracle
+from wingquay.simulation.forwarding.settings import SimulationSettings
 from wingquay.simulation.forwarding.store import StoreModel
 from wingquay.simulation.virtual_clock import VirtualClock
 
 CONFIGURATION_KEY = "configuration"
 REPLICA_PREFIX = "replicas/"
 NODE_PREFIX = "nodes/"
+CLUSTER_KEY = "cluster-key"
+PRESENCE_DELAY_SECONDS = 0.6
 
 
 class Surroundings(Protocol):
@@ -34,6 +40,8 @@
     clock: VirtualClock
     store: StoreModel
     oracle: ForwardingOracle
+    links: NodeLinks
+    settings: SimulationSettings
     tables: dict[bytes, RoutingTable]
     records: dict[bytes, ReplicaRecord]
 
@@ -57,21 +65,42 @@
         self.number = number
         self.is_alive = True
         self.is_ready = False
+        self.frozen_until = 0.0
+        """Until then events wait."""
         self.open_requests: dict[int, str] = {}
         self._simulation = simulation
         self._clock = simulation.clock
         self._sends: dict[int, str] = {}
         formats = StoreFormats(
-            CONFIGURATION_KEY, REPLICA_PREFIX, NODE_PREFIX, self._parse_table, self._parse_record
+            CONFIGURATION_KEY,
+            REPLICA_PREFIX,
+            NODE_PREFIX,
+            CLUSTER_KEY,
+            self._parse_table,
+            self._parse_record,
+            parse_node,
+            node_value,
         )
         self._machine = ForwardingNode(
             f"node-{number}",
-            ForwardingSettings(zone=f"zone-{number % 2}"),
+            self._settings(),
             FollowerSettings(),
             formats,
             random.Random(seed),
         )
 
+    def _settings(self) -> ForwardingSettings:
+        settings = self._simulation.settings
+        return ForwardingSettings(
+            zone=self._zone,
+            presence_delay_seconds=PRESENCE_DELAY_SECONDS,
+            delegate_least_shards=settings.delegate_least_shards,
+        )
+
+    @property
+    def _zone(self) -> str:
+        return f"zone-{self.number % self._simulation.settings.zones}"
+
     def start(self) -> None:
         """Begin."""
         self.emit(Start())
@@ -80,6 +109,9 @@
         """Hand an event to the decisions and perform what they decide."""
         if not self.is_alive:
             return
+        if self._clock.now < self.frozen_until:
+            self._clock.at(self.frozen_until, self.emit, event)
+            return
         for action in self._machine.handle(event, self._clock.now):
             self._perform(action)
 
@@ -87,30 +119,42 @@
         """End at once; replicas see the connections close."""
         self.is_alive = False
         self._simulation.store.forget_node(self.emit)
+        self._simulation.links.node_ended(self.number)
         for attempt_id, replica_host in self._sends.items():
             self._simulation.cancel_at(replica_host, self.number, attempt_id)
 
     def _perform(self, action: Action) -> None:
         simulation = self._simulation
-        if isinstance(action, Schedule):
-            self._clock.at(action.at_seconds, self.emit, action.event)
-        elif isinstance(action, SendToReplica):
-            self._sends[action.attempt_id] = action.replica.host
-            simulation.deliver(self, action)
-        elif isinstance(action, CancelSend):
-            self._cancel(action)
-        elif isinstance(action, ReplyUnchanged | ReplyMerged | ReplyFailure):
-            self._reply(action)
-        elif isinstance(action, StoreRequest):
-            simulation.store.perform(self.number, action, self.emit)
-        elif isinstance(action, StartWatch):
-            simulation.store.watch(self.number, action, self.emit)
-        elif isinstance(action, StopWatch):
-            simulation.store.stop_watch(action.watch_id, self.emit)
-        elif isinstance(action, SetForwarding):
-            self.is_ready = action.is_ready
-        elif isinstance(action, Exit):
-            simulation.node_exited(self, action)
+        match action:
+            case Schedule():
+                self._clock.at(action.at_seconds, self.emit, action.event)
+            case SendToReplica():
+                self._sends[action.attempt_id] = action.replica.host
+                simulation.deliver(self, action)
+            case CancelSend():
+                self._cancel(action)
+            case ReplyUnchanged() | ReplyMerged() | ReplyFailure():
+                self._reply(action)
+            case SetForwarding():
+                self.is_ready = action.is_ready
+            case Exit():
+                simulation.node_exited(self, action)
+            case OpenPeerLink():
+                simulation.links.open(self.number, self._zone, self.emit)
+            case SendToPeer():
+                simulation.links.send(self.number, action)
+            case _:
+                self._perform_on_store(action)
+
+    def _perform_on_store(self, action: Action) -> None:
+        store = self._simulation.store
+        match action:
+            case StoreRequest():
+                store.perform(self.number, action, self.emit)
+            case StartWatch():
+                store.watch(self.number, action, self.emit)
+            case StopWatch():
+                store.stop_watch(action.watch_id, self.emit)
 
     def _cancel(self, action: CancelSend) -> None:
         host = self._sends.pop(action.attempt_id, None)
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -17,6 +17,7 @@
     SendToReplica,
 )
 from wingquay.ports.machine import Exit, StopRequested
+from wingquay.simulation.forwarding.node_links import NodeLinks
 from wingquay.simulation.forwarding.oracle import ForwardingOracle
 from wingquay.simulation.forwarding.replica import ReplicaModel
 from wingquay.simulation.forwarding.routes import (
@@ -86,6 +87,7 @@
         self.clock = VirtualClock()
         self.oracle = ForwardingOracle(self.settings)
         self.store = StoreModel(self.clock)
+        self.links = NodeLinks(self.clock, settings.network_seconds)
         self.tables: dict[bytes, RoutingTable] = {}
         self.records: dict[bytes, ReplicaRecord] = {}
         self.leave_share = 0.0
@@ -239,6 +241,17 @@
         self._callers_cut_off(node)
         self.clock.after(down_seconds, self._restart, number)
 
+    def freeze_node(self, number: int, seconds: float) -> None:
+        """Let a node stand still; what reaches it meanwhile waits."""
+        self.nodes[number].frozen_until = self.clock.now + seconds
+        self.oracle.disturbed.append((self.clock.now, self.clock.now + seconds))
+
+    def separate_node(self, number: int, seconds: float) -> None:
+        """Hold up what a node and the others say to each other."""
+        self.links.cut.add(number)
+        self.clock.after(seconds, self.links.heal, number)
+        self.oracle.disturbed.append((self.clock.now, self.clock.now + seconds))
+
     def stop_node(self, number: int) -> None:
         """Stop a node as planned."""
         self.nodes[number].emit(StopRequested())
