Follow up an answer of the store's watch that may have been cut

Change: after an answer of 400 events or 0.7 MB the watch asks on at once.

Test: 1,200 changes are told in three answers at a pace of an hour; fails without the change.

--- a/tests/platform_adapter/stand_in_platform.py
+++ b/tests/platform_adapter/stand_in_platform.py
@@ -34,6 +34,7 @@
         self.leases: dict[int, int] = {}
         self.forgotten_revision = 0
         self.page_items = 500
+        self.page_events = 500
         self.statuses: list[int] = []
         """Statuses with which the next calls are refused."""
         self.calls: dict[str, int] = defaultdict(int)
@@ -124,6 +125,9 @@
                 return 410, {}
             events = [item for item in self.history if int(str(item["revision"])) > after]
             left = deadline - asyncio.get_running_loop().time()
+            if len(events) > self.page_events:
+                page = events[: self.page_events]
+                return 200, {"events": page, "at": page[-1]["revision"]}
             if events or left <= 0:
                 return 200, {"events": events, "at": self.revision}
             try:
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -8,6 +8,7 @@
 from tests.platform_adapter.stand_in_platform import StandInStore
 from wingquay.model.failure import Failure
 from wingquay.platform.store_client import PlatformStoreClient
+from wingquay.platform.store_formats import is_full_watch
 from wingquay.ports.machine import Count, Event
 from wingquay.ports.store import (
     CompareAndSwap,
@@ -152,3 +153,19 @@
             self.assertEqual(2, client.store.calls["/-/kv-watch"])
 
         run(test())
+
+    def test_an_answer_that_may_have_been_cut_is_followed_up_at_once(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            for number in range(1_200):
+                client.store.put(f"k{number:04}", number)
+            client.client.start_watch(StartWatch("w", "", 0, gather_seconds=3_600.0))
+            revisions = [(await client.events.get()).store_revision for _ in range(3)]
+            self.assertEqual([500, 1_000, 1_200], revisions)
+
+        run(test())
+
+    def test_few_large_values_may_have_been_cut_as_well(self) -> None:
+        self.assertTrue(is_full_watch({"events": [{"value": "a" * 800_000}]}))
+        self.assertFalse(is_full_watch({"events": [{"value": "a"}, {"gone": True}]}))
--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -12,6 +12,7 @@
 from wingquay.model.failure import Failure
 from wingquay.platform.names import STORE_RANGE, STORE_WATCH
 from wingquay.platform.store_formats import (
+    is_full_watch,
     refused,
     stored_value,
     watch_changed,
@@ -158,6 +159,8 @@
                 return
             after = max(after, event.store_revision)
             self._emit(event)
+            if is_full_watch(document):
+                continue
             await asyncio.sleep(max(0.0, asked_at + action.gather_seconds - self._loop.time()))
 
     async def _call(self, path: str, timeout_seconds: float) -> Any:
--- a/wingquay/platform/store_formats.py
+++ b/wingquay/platform/store_formats.py
@@ -28,6 +28,9 @@
 STATUS_HISTORY_LOST = 410
 STATUS_CONDITION_FAILED = 412
 STATUS_RATE_LIMITED = 429
+FULL_EVENTS = 400
+FULL_BYTES = 700_000
+"""Sizes from which on an answer may have been cut, somewhat below the store's own limits."""
 
 
 @value
@@ -101,6 +104,17 @@
     return WatchChanged(watch_id, tuple(changed.values()), tuple(gone), int(document["at"]))
 
 
+def is_full_watch(document: Any) -> bool:
+    """Whether an answer to a watch may hold only a part of what has changed.
+
+    The store cuts answers at about 500 events or 1 MB and does not say so; the next one goes on
+    where the last one ended.
+    """
+    events = document.get("events", ())
+    size_bytes = sum(len(item.get("value") or "") for item in events)
+    return len(events) >= FULL_EVENTS or size_bytes >= FULL_BYTES
+
+
 def _transaction(operation: CompareAndSwap) -> dict[str, object]:
     condition = {"tlsKey": operation.key, "revision": operation.expected_modified_at}
     if operation.value is None:
