Keep owners in their zone; look at the store soon when a record proves old

Change: the cost factor of another zone is 1.7 for an owner of the shard, 1.2 as before otherwise. A replica that turns out to be another one makes the node look at the store each 0.3 s for 0.6 s. Keys of nodes are looked for during 2.5 s after the link opened, not 4.

--- a/tests/forwarding/test_delegation.py
+++ b/tests/forwarding/test_delegation.py
@@ -227,6 +227,30 @@
         self.assertIn("asked through", str(line["unanswered"]))
 
 
+class NearReplicaTest(TestCase):
+    def test_an_owner_stays_in_its_zone_while_a_near_replica_has_a_free_slot(self) -> None:
+        node = OneNode(delegate_least_shards=10)
+        records = [
+            replica(f"r{number}-{zone}", f"s{number}", zone)
+            for number in range(SHARDS)
+            for zone in "abc"
+        ]
+        node.start(table(1, sharded_route(SHARDS)), *records)
+        node.request("/all/x")
+        node.request("/all/y")
+        zones = [send.replica.zone for send in node.sends]
+        self.assertGreater(zones.count("b") + zones.count("c"), 0)
+        for send in list(node.sends):
+            node.answer(send)
+        node.emit(PeerLinkOpened(OWN))
+        join(node, *OTHERS)
+        node.advance(10.0)
+        before = len(node.all_sends)
+        node.request("/all/x")
+        node.request("/all/y")
+        self.assertEqual({"a"}, {send.replica.zone for send in node.all_sends[before:]})
+
+
 class AskedTest(TestCase):
     """The node that another one asked."""
 
--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -120,6 +120,18 @@
         self.assertEqual(usual, node.last(StartWatch).gather_seconds)
 
 
+class OldRecordTest(TestCase):
+    def test_a_replica_that_is_another_one_makes_the_node_look_at_the_store_soon(self) -> None:
+        node = started("r0", "r1")
+        usual = node.last(StartWatch).gather_seconds
+        node.request()
+        node.answer(node.sends[0], 421, signature=None, is_other_replica=True)
+        node.advance(0.55)
+        self.assertLess(node.last(StartWatch).gather_seconds, usual)
+        node.advance(1.0)
+        self.assertEqual(usual, node.last(StartWatch).gather_seconds)
+
+
 class ConfigurationTest(TestCase):
     def test_an_older_version_never_replaces_a_newer_one(self) -> None:
         node = started()
--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -72,7 +72,7 @@
         limit = self._connection_limit(call, now)
         prefers_proven = not route.is_repeatable
         replica = self._directory.choose(
-            call.service, excluded, limit, now, with_blocked, prefers_proven
+            call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned
         )
         if replica is None:
             return []
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -168,7 +168,8 @@
 
     def _pace_actions(self, now: float) -> list[Action]:
         """Look at the store more often while records of replicas or nodes are missing."""
-        if self._forwarding.held_exchanges > 0:
+        is_old = self._directory.is_contradicted(now)
+        if is_old or self._forwarding.held_exchanges > 0:
             return self._follower.gather(self._settings.settle_gather_seconds)
         if self._members.is_joining(now):
             return self._follower.gather(self._settings.join_gather_seconds)
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/replica_directory.py
@@ -26,6 +26,7 @@
         self._by_service: dict[str, dict[str, ReplicaState]] = {}
         self._outage_ended_at = float("-inf")
         self._listed_at: float | None = None
+        self._contradicted_at = float("-inf")
 
     def __len__(self) -> int:
         """Return the number of replicas known."""
@@ -71,6 +72,15 @@
             if not self._by_service[service]:
                 del self._by_service[service]
 
+    def contradict(self, replica_id: str, now: float) -> None:
+        """Take in that another replica answers at a replica's address: its record is old."""
+        self._contradicted_at = now
+        self.remove(replica_id)
+
+    def is_contradicted(self, now: float) -> bool:
+        """Whether a replica has just shown that records are old."""
+        return now - self._contradicted_at < self._settings.contradiction_seconds
+
     def note_outage(self, now: float) -> None:
         """Take in that the directory is out of reach now."""
         self._outage_ended_at = now
@@ -118,6 +128,7 @@
         now: float,
         with_blocked: bool = True,
         prefers_proven: bool = False,
+        is_owned: bool = False,
     ) -> ReplicaState | None:
         """Return the replica with the least expected wait.
 
@@ -131,6 +142,8 @@
             Whether a replica that just failed may be returned when there is no other.
         prefers_proven
             Whether a replica that answered well lately goes before one of which nothing is known.
+        is_owned
+            Whether the nodes of a group leave the service to this node.
         """
         free = [
             state
@@ -139,16 +152,18 @@
         ]
         unblocked = [state for state in free if not state.is_blocked(self._settings, now)]
         if unblocked:
-            return self._best(unblocked, now, prefers_proven)
-        return self._best(free, now, prefers_proven) if free and with_blocked else None
+            return self._best(unblocked, now, prefers_proven, is_owned)
+        if free and with_blocked:
+            return self._best(free, now, prefers_proven, is_owned)
+        return None
 
     def _best(
-        self, states: Iterable[ReplicaState], now: float, prefers_proven: bool
+        self, states: Iterable[ReplicaState], now: float, prefers_proven: bool, is_owned: bool
     ) -> ReplicaState:
         zone = self._settings.zone
 
         def rank(state: ReplicaState) -> tuple[float, float]:
-            return state.cost(now, zone, prefers_proven), self._random.random()
+            return state.cost(now, zone, prefers_proven, is_owned), self._random.random()
 
         return min(states, key=rank)
 
--- a/wingquay/forwarding/replica_outcomes.py
+++ b/wingquay/forwarding/replica_outcomes.py
@@ -44,7 +44,7 @@
         actions: list[Action] = []
         self._sender.finish(attempt)
         if answer.is_other_replica:
-            self._directory.remove(attempt.replica.record.replica_id)
+            self._directory.contradict(attempt.replica.record.replica_id, now)
         elif answer.not_run:
             attempt.replica.on_shed(self._settings, now)
         else:
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -27,6 +27,9 @@
 """Cost factor of a replica that holds an attempt beyond the time at which it is hedged."""
 COLD_FACTOR = 1.6
 OTHER_ZONE_FACTOR = 1.2
+OWNED_OTHER_ZONE_FACTOR = 1.7
+"""The same for an owner of the shard: it sends for a whole group, and groups of every zone share a
+replica, so one request more at a near replica costs less than the way to a far one."""
 PROVEN_SECONDS = 6.0
 """Time for which a good answer proves a replica."""
 UNPROVEN_FACTOR = 1.3
@@ -98,13 +101,15 @@
         """Whether it answered lately, and well."""
         return now - self._proved_at < PROVEN_SECONDS and self._slowness < SLOWNESS_TOLERANCE
 
-    def cost(self, now: float, zone: str, prefers_proven: bool) -> float:
+    def cost(self, now: float, zone: str, prefers_proven: bool, is_owned: bool = False) -> float:
         """Return the expected wait at the replica, in usual latencies.
 
         Parameters
         ----------
         prefers_proven
             Whether a replica that answered well lately goes before one of which nothing is known.
+        is_owned
+            Whether the nodes of a group leave the replica's service to this node.
         """
         slots = max(1, self.record.slots)
         slowness = self.slowness(now)
@@ -118,7 +123,7 @@
         if now - self.recorded_at < self.record.cold_seconds:
             cost *= COLD_FACTOR
         if self.record.zone != zone:
-            cost *= OTHER_ZONE_FACTOR
+            cost *= OWNED_OTHER_ZONE_FACTOR if is_owned else OTHER_ZONE_FACTOR
         if prefers_proven and not self.is_proven(now):
             cost *= UNPROVEN_FACTOR
         return cost
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -69,6 +69,9 @@
     settle_seconds
         Time after the start, or after the store was out of reach, in which records of replicas may
         still be missing.
+    contradiction_seconds
+        Time for which the store is looked at more often once a replica has shown that its record
+        is old: new ones may be there already.
     settle_gather_seconds
         Least time between two looks at the store while records are missing.
     hold_ratio
@@ -101,7 +104,7 @@
     node_count_memory_seconds: float = 30.0
     presence_delay_seconds: float = 2.0
     join_delay_seconds: float = 0.6
-    join_seconds: float = 4.0
+    join_seconds: float = 2.5
     join_gather_seconds: float = 0.8
     presence_lease_seconds: float = 36.0
     presence_retry_seconds: float = 2.0
@@ -124,6 +127,7 @@
     vanished_grace_seconds: float = 1.0
     vanished_outage_grace_seconds: float = 6.0
     settle_seconds: float = 4.0
+    contradiction_seconds: float = 0.6
     settle_gather_seconds: float = 0.3
     hold_ratio: float = 0.3
     delegate_least_shards: int = 40
