--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -134,6 +134,10 @@
         self._log.load()
         return ended
 
+    def metrics_page(self) -> bytes:
+        """Return the figures of this node, as text."""
+        return self._metrics.page()
+
     def emit(self, event: Event) -> None:
         """Hand an event to the decisions."""
         self._runtime.emit(event)
@@ -190,7 +194,7 @@
         return HttpResponse(200 if self._is_ready else 503)
 
     async def _answer_metrics(self, _request: HttpRequest) -> HttpResponse:
-        return HttpResponse(200, {"content-type": "text/plain"}, self._metrics.page())
+        return HttpResponse(200, {"content-type": "text/plain"}, self.metrics_page())
 
 
 def _store_formats() -> StoreFormats:
