--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -8,9 +8,11 @@
 
 from tests.adapters.raw_http import LOOPBACK, run
 from tests.platform_adapter.stand_in_platform import StandInReplica, StandInStore
+from wingquay.adapters.deferred_peer_link import CLOSE_SECONDS
 from wingquay.adapters.http_server import HttpServer
 from wingquay.adapters.listening import open_listening_socket
-from wingquay.platform.node import PlatformNode
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.platform.node import RESPONSE_GRACE_SECONDS, PlatformNode
 from wingquay.platform.settings import ListenAddress, PlatformSettings
 from wingquay.ports.machine import Exit, StopRequested
 
@@ -227,3 +229,11 @@
                 self.assertEqual(Exit(0), await platform.task)
 
         play(test())
+
+
+class EndTest(TestCase):
+    def test_a_stop_is_over_within_the_time_of_grace_in_any_case(self) -> None:
+        grace_seconds = 6.0
+        most_stop_seconds = ForwardingSettings(zone="z").most_stop_seconds
+        closing_seconds = RESPONSE_GRACE_SECONDS + CLOSE_SECONDS
+        self.assertLess(most_stop_seconds + closing_seconds, grace_seconds - 0.2)
--- a/wingquay/adapters/deferred_peer_link.py
+++ b/wingquay/adapters/deferred_peer_link.py
@@ -13,6 +13,9 @@
     from .peer_link import PeerLink
 
 NODE_ID_BYTES = 4
+DIAL_SECONDS = 1.0
+CLOSE_SECONDS = 0.2
+"""Time for what is buffered to leave when the node ends: it must end within its time of grace."""
 
 
 class DeferredPeerLink:
@@ -65,10 +68,19 @@
 
     async def _open(self, action: OpenPeerLink) -> None:
         from . import forwarding_peer_codec
+        from .peer_channel import PeerLinkSettings
         from .peer_link import PeerLink
 
+        settings = PeerLinkSettings(
+            dial_timeout_seconds=DIAL_SECONDS, close_timeout_seconds=CLOSE_SECONDS
+        )
         link = PeerLink(
-            self._identity, action.cluster_key, forwarding_peer_codec, self._emit, self._log
+            self._identity,
+            action.cluster_key,
+            forwarding_peer_codec,
+            self._emit,
+            self._log,
+            settings,
         )
         try:
             identity = await link.start()
