--- a/tests/forwarding/test_node_groups.py
+++ b/tests/forwarding/test_node_groups.py
@@ -14,6 +14,7 @@
     CompareAndSwap,
     GrantLease,
     LeaseState,
+    StartWatch,
     StoredValue,
     StoreRequest,
     StoreResponse,
@@ -167,6 +168,17 @@
         assert isinstance(operation, CompareAndSwap)
         self.assertEqual(node_value(own), operation.value)
 
+    def test_keys_of_nodes_that_start_together_are_looked_for_soon(self) -> None:
+        node = self.started(4, StoredValue(CLUSTER_KEY, b"known", 5))
+        usual = node.last(StartWatch).gather_seconds
+        node.advance(0.8)
+        self.assertEqual(1, len(self.opened(node)))
+        node.emit(PeerLinkOpened(NodeIdentity("node-1-a", "", "a", "10.0.1.1", 7)))
+        node.advance(0.5)
+        self.assertLess(node.last(StartWatch).gather_seconds, usual)
+        node.advance(3.0)
+        self.assertEqual(usual, node.last(StartWatch).gather_seconds)
+
     def test_a_link_that_does_not_open_does_not_keep_the_node_from_being_counted(self) -> None:
         node = self.started(4, StoredValue(CLUSTER_KEY, b"known", 5))
         node.advance(6.0)
--- a/tests/forwarding/test_sharded_service.py
+++ b/tests/forwarding/test_sharded_service.py
@@ -3,7 +3,9 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import OneNode, replica, sharded_route, table
+from wingquay.forwarding.cutoff import in_time_seconds
 from wingquay.forwarding.merging import RECORD_BYTES, merge_greatest
+from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.ports.forwarding import (
     ForwardFailureKind,
     ReplyFailure,
@@ -249,3 +251,10 @@
                 node.answer(send)
         self.assertEqual(1, node.replies[number].missing_shards)
         self.assertEqual(node.now, node.replied_at[number])
+
+
+class MarginTest(TestCase):
+    def test_an_answer_of_many_shards_leaves_earlier(self) -> None:
+        settings = ForwardingSettings(zone="a")
+        narrow, wide = (in_time_seconds(sharded_route(count), 0.0, settings) for count in (4, 104))
+        self.assertAlmostEqual(0.005, narrow - wide)
