--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -3,9 +3,14 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import OneNode, replica, sharded_route, single_route, table
-from wingquay.forwarding.store_follower import gather_seconds_within
+from wingquay.forwarding.store_follower import gather_seconds_within, lapse_grace_seconds
 from wingquay.model.failure import Failure
-from wingquay.ports.forwarding import ForwardFailureKind, ReplyFailure, SetForwarding
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ReplyFailure,
+    ReplyUnchanged,
+    SetForwarding,
+)
 from wingquay.ports.machine import Exit, Start, StopRequested
 from wingquay.ports.peer_snapshot import AskPeers, PeerSnapshot
 from wingquay.ports.store import (
@@ -61,6 +66,23 @@
         node.advance(2.0)
         self.assertEqual({"r0"}, asked(node))
 
+    def test_a_replica_that_left_is_left_alone_also_while_the_store_is_in_trouble(self) -> None:
+        drain_seconds = 3.0
+        for history_lost in (False, True):
+            node = started("r0")
+            if history_lost:
+                node.emit(WatchBroken(node.last(StartWatch).watch_id, "gone", history_lost=True))
+                node.list_store(table(1, single_route()))
+            else:
+                node.emit(WatchBroken(node.last(StartWatch).watch_id, "down"))
+                node.advance(0.5)
+                node.change(gone=("r0",))
+            for _ in range(40):
+                node.advance(0.1)
+                node.emit(WatchBroken(node.last(StartWatch).watch_id, "down"))
+                if node.now >= 100.0 + drain_seconds + 0.5:
+                    self.assertEqual(set(), asked(node, 1))
+
     def test_a_listing_shows_what_vanished_unseen(self) -> None:
         node = started()
         node.emit(WatchBroken(node.last(StartWatch).watch_id, "gone", history_lost=True))
@@ -216,6 +238,18 @@
         node.advance(1.0)
         self.assertEqual(0, node.last(Exit).cut_requests)
 
+    def test_requests_that_were_on_their_way_when_a_stop_ends_get_the_rest_of_its_time(
+        self,
+    ) -> None:
+        node = started()
+        node.emit(StopRequested())
+        node.advance(3.15)
+        ended = node.last(Exit)
+        self.assertAlmostEqual(5.2 - 3.0, ended.grace_seconds, delta=0.11)
+        number = node.request()
+        node.answer(node.sends[0])
+        self.assertIsInstance(node.replies[number], ReplyUnchanged)
+
     def test_a_stop_waits_for_open_requests_but_not_for_ever(self) -> None:
         node = OneNode()
         node.start(table(1, single_route(timeout_seconds=30.0)), replica("r0", "s"))
@@ -227,6 +261,42 @@
         self.assertEqual(1, node.last(Exit).cut_requests)
 
 
+class OutageTest(TestCase):
+    """The store alone is in trouble: requests are none the worse for it."""
+
+    def test_an_open_request_is_answered_while_the_store_is_away(self) -> None:
+        for is_repeatable in (True, False):
+            node = OneNode()
+            route = single_route(is_repeatable=is_repeatable)
+            node.start(table(1, route), replica("r0", "s"))
+            number = node.request()
+            node.emit(WatchBroken(node.last(StartWatch).watch_id, "down"))
+            node.emit(StopRequested())
+            node.advance(1.0)
+            node.answer(node.sends[0])
+            self.assertIsInstance(node.replies[number], ReplyUnchanged)
+
+    def test_a_lapsed_record_is_waited_for_within_the_time_of_a_drain(self) -> None:
+        for drain_seconds in (0.3, 1.0, 3.0, 5.0, 30.0):
+            gather_seconds = gather_seconds_within(drain_seconds)
+            grace_seconds = lapse_grace_seconds(gather_seconds, drain_seconds)
+            self.assertLess(grace_seconds, drain_seconds)
+            self.assertLessEqual(grace_seconds, 2.3 + gather_seconds)
+        self.assertEqual(2.5, lapse_grace_seconds(gather_seconds_within(3.0), 3.0))
+
+    def test_records_that_stay_away_after_the_store_is_back_are_gone(self) -> None:
+        node = OneNode()
+        node.start(table(1, sharded_route(2)), replica("s0r0", "s0"))
+        node.advance(10.0)
+        node.emit(WatchBroken(node.last(StartWatch).watch_id, "down"))
+        node.advance(2.0)
+        number = node.request("/all/x")
+        self.assertNotIn(number, node.replies)
+        node.advance(1.5)
+        number = node.request("/all/x")
+        self.assertEqual(node.now, node.replied_at[number])
+
+
 class GatherTest(TestCase):
     def test_the_store_is_looked_at_as_seldom_as_the_bounds_allow(self) -> None:
         self.assertAlmostEqual(1.3, gather_seconds_within(3.0))
--- a/tests/platform_adapter/stand_in_platform.py
+++ b/tests/platform_adapter/stand_in_platform.py
@@ -153,6 +153,7 @@
         self.replica_id = replica_id
         self.service = service
         self.body = body
+        self.answers_after_seconds = 0.0
         self.requests: list[tuple[str, str, dict[str, str], bytes]] = []
 
     async def start(self, store: StandInStore) -> None:
@@ -176,6 +177,7 @@
             except (asyncio.IncompleteReadError, ConnectionError):
                 return
             self.requests.append(request)
+            await asyncio.sleep(self.answers_after_seconds)
             request_id = request[2]["request-id"]
             head = (
                 f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nX-Own: yes\r\n"
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -12,7 +12,7 @@
 from wingquay.adapters.http_server import HttpServer
 from wingquay.adapters.listening import open_listening_socket
 from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.platform.node import RESPONSE_GRACE_SECONDS, PlatformNode
+from wingquay.platform.node import RESPONSE_GRACE_SECONDS, PlatformNode, most_stop_seconds
 from wingquay.platform.settings import ListenAddress, PlatformSettings
 from wingquay.ports.machine import Exit, StopRequested
 
@@ -226,14 +226,37 @@
                 ready = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
                 head, _ = await platform.exchange(ready, platform.node.readiness_port)
                 self.assertIn("HTTP/1.1 503", head)
-                self.assertEqual(Exit(0), await platform.task)
+                ended = await platform.task
+                self.assertEqual(0, ended.cut_requests)
+                self.assertLess(0.0, ended.grace_seconds)
+
+        play(test())
+
+    def test_a_request_that_was_on_its_way_when_the_end_was_decided_is_answered(self) -> None:
+        async def test() -> None:
+            async with Platform() as platform:
+                await platform.configure()
+                platform.replicas[2].answers_after_seconds = 2.5 * RESPONSE_GRACE_SECONDS
+                asked = asyncio.create_task(platform.exchange(request("/one/x")))
+                while not platform.replicas[2].requests:
+                    await asyncio.sleep(0.01)
+                platform.node.perform(Exit(0, grace_seconds=5.0))
+                head, body = await asked
+                self.assertIn("HTTP/1.1 200", head)
+                self.assertEqual(b"the replica's bytes", body)
+                self.assertEqual(5.0, (await platform.task).grace_seconds)
 
         play(test())
 
 
 class EndTest(TestCase):
     def test_a_stop_is_over_within_the_time_of_grace_in_any_case(self) -> None:
-        grace_seconds = 6.0
-        most_stop_seconds = ForwardingSettings(zone="z").most_stop_seconds
         closing_seconds = RESPONSE_GRACE_SECONDS + CLOSE_SECONDS
-        self.assertLess(most_stop_seconds + closing_seconds, grace_seconds - 0.2)
+        for grace_seconds in (3.0, 6.0, 30.0):
+            stop_seconds = most_stop_seconds(grace_seconds)
+            self.assertLess(stop_seconds + closing_seconds, grace_seconds - 0.2)
+            self.assertGreaterEqual(stop_seconds, grace_seconds / 2)
+
+    def test_a_short_time_of_grace_is_shared_evenly(self) -> None:
+        self.assertEqual(0.5, most_stop_seconds(1.0))
+        self.assertEqual(ForwardingSettings(zone="z").most_stop_seconds, most_stop_seconds(6.0))
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -247,9 +247,10 @@
         assert self._stopping_since is not None
         elapsed = now - self._stopping_since
         open_requests = self._forwarding.open_exchanges
-        is_over = elapsed >= self._settings.most_stop_seconds
+        most_seconds = self._settings.most_stop_seconds
+        is_over = elapsed >= most_seconds
         if elapsed >= self._settings.unready_stop_seconds and not open_requests:
             is_over = True
         if is_over:
-            return [Exit(open_requests)]
+            return [Exit(open_requests, grace_seconds=max(most_seconds - elapsed, 0.0))]
         return [Schedule(now + STOP_CHECK_SECONDS, StopCheckDue())]
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -65,10 +65,12 @@
     vanished_grace_seconds
         How long a replica whose record vanished may still get work when no other is left.
     vanished_outage_grace_seconds
-        The same while the directory was just out of reach.
+        The same while the directory was just out of reach; always within the time after which a
+        replica that is leaving must get nothing more.
     settle_seconds
-        Time after the start, or after the store was out of reach, in which records of replicas may
-        still be missing.
+        Time after the start, or after the store was last seen out of reach, in which records of
+        replicas may still be missing: they are back 2 s after its return, which is noticed within
+        another second.
     contradiction_seconds
         Time for which the store is looked at more often once a replica has shown that its record
         is old: new ones may be there already.
@@ -125,8 +127,8 @@
     retry_wait_seconds: float = 0.03
     offer_ratio: float = 0.2
     vanished_grace_seconds: float = 1.0
-    vanished_outage_grace_seconds: float = 6.0
-    settle_seconds: float = 4.0
+    vanished_outage_grace_seconds: float = 2.5
+    settle_seconds: float = 3.3
     contradiction_seconds: float = 0.6
     settle_gather_seconds: float = 0.3
     hold_ratio: float = 0.3
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -68,6 +68,31 @@
     return max(bound_seconds - GATHER_RESERVE_SECONDS, bound_seconds * LEAST_GATHER_RATIO)
 
 
+RETURN_SECONDS = 2.0
+"""Time after the store's return in which entries that lapsed meanwhile are written again."""
+LOOK_SECONDS = 0.3
+"""Time for the look that shows them."""
+DRAIN_RESERVE_SECONDS = 0.5
+"""Time left for requests that are on their way to a replica that counts as gone."""
+
+
+def lapse_grace_seconds(gather_seconds: float, drain_seconds: float) -> float:
+    """Return how long a replica whose record lapsed in an outage may still get work.
+
+    That is until its record would be back and seen, but always within the time after which a
+    replica that the store said is gone must get nothing more.
+
+    Parameters
+    ----------
+    gather_seconds
+        Time between two looks at the store.
+    drain_seconds
+        Time after which a replica that the store says is leaving must get nothing more.
+    """
+    back_seconds = RETURN_SECONDS + gather_seconds + LOOK_SECONDS
+    return max(min(back_seconds, drain_seconds - DRAIN_RESERVE_SECONDS), 0.0)
+
+
 @value
 class FollowerHooks:
     """What the follower tells its owner.
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -19,7 +19,11 @@
 from wingquay.adapters.replica_client import ReplicaClient
 from wingquay.forwarding.forwarding_node import ForwardingNode, StoreFormats
 from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.store_follower import FollowerSettings, gather_seconds_within
+from wingquay.forwarding.store_follower import (
+    FollowerSettings,
+    gather_seconds_within,
+    lapse_grace_seconds,
+)
 from wingquay.platform.caller_dialect import PlatformCallerDialect
 from wingquay.platform.configuration_document import parse_configuration
 from wingquay.platform.names import (
@@ -41,7 +45,7 @@
     SendToReplica,
     SetForwarding,
 )
-from wingquay.ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
+from wingquay.ports.machine import Action, Count, Event, Exit, Log, Observe, Start, StopRequested
 from wingquay.ports.peer_link import OpenPeerLink, SendToPeer
 from wingquay.ports.peer_snapshot import AskPeers
 from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
@@ -57,6 +61,11 @@
 """Times after which the libraries for logs and metrics are loaded: requests go first."""
 BUDGET_SHARE = 0.9
 """Share of the allowed ratio of extra arrivals that is used."""
+UNREADY_STOP_SHARE = 0.5
+"""Share of the time of grace for which callers' idle connections stay open after a stop began."""
+END_RESERVE_SECONDS = 0.8
+"""Time of grace kept for replies to leave and for the process to end by itself."""
+LEAST_STOP_SHARE = 0.5
 
 
 class PlatformNode:
@@ -71,6 +80,7 @@
         self._has_news = asyncio.Event()
         self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
         bound_seconds = min(settings.drain_seconds, settings.configuration_seconds)
+        gather_seconds = gather_seconds_within(bound_seconds)
         machine = ForwardingNode(
             settings.node,
             ForwardingSettings(
@@ -78,8 +88,13 @@
                 retry_ratio=settings.retry_ratio * BUDGET_SHARE,
                 retry_slack=settings.retry_slack,
                 retry_window_seconds=settings.retry_window_seconds,
+                vanished_outage_grace_seconds=lapse_grace_seconds(
+                    gather_seconds, settings.drain_seconds
+                ),
+                unready_stop_seconds=settings.grace_seconds * UNREADY_STOP_SHARE,
+                most_stop_seconds=most_stop_seconds(settings.grace_seconds),
             ),
-            FollowerSettings(gather_seconds=gather_seconds_within(bound_seconds)),
+            FollowerSettings(gather_seconds=gather_seconds),
             _store_formats(),
             random.Random(secrets.randbits(SEED_BITS)),
         )
@@ -124,7 +139,7 @@
         loop.call_later(LOAD_LOG_SECONDS, self._log.load)
         loop.call_later(LOAD_METRICS_SECONDS, self._metrics.load)
         ended = await self._exited
-        await self._server.close(RESPONSE_GRACE_SECONDS)
+        await self._server.close(ended.grace_seconds + RESPONSE_GRACE_SECONDS)
         self.peers.close()
         if self._link is not None:
             await self._link.close()
@@ -142,6 +157,10 @@
         """Hand an event to the decisions."""
         self._runtime.emit(event)
 
+    def perform(self, action: Action) -> None:
+        """Perform an action that was decided."""
+        self._runtime.perform(action)
+
     def _register(self) -> None:
         runtime = self._runtime
         runtime.register(Log, self._log.perform)
@@ -197,6 +216,11 @@
         return HttpResponse(200, {"content-type": "text/plain"}, self.metrics_page())
 
 
+def most_stop_seconds(grace_seconds: float) -> float:
+    """Return how long a stop may wait for requests, given the time until the end by force."""
+    return max(grace_seconds - END_RESERVE_SECONDS, grace_seconds * LEAST_STOP_SHARE)
+
+
 def _store_formats() -> StoreFormats:
     return StoreFormats(
         CONFIGURATION_KEY,
--- a/wingquay/ports/machine.py
+++ b/wingquay/ports/machine.py
@@ -100,7 +100,11 @@
     ----------
     cut_requests
         Requests cut off because the bounded time ran out.
+    grace_seconds
+        Time left for requests that were on their way to the node when it decided to end: what has
+        been read by then is still answered.
     """
 
     cut_requests: int = 0
     notes: tuple[str, ...] = field(default=())
+    grace_seconds: float = 0.0
