--- /dev/null
+++ b/tests/forwarding/test_relays.py
@@ -0,0 +1,165 @@
+"""Shards without a replica in a node's zone are asked through one node of a zone that has them."""
+
+import random
+
+from testtools import TestCase
+
+from tests.forwarding.one_node import OneNode, replica, sharded_route, table
+from tests.forwarding.test_delegation import delegated, join, told, whole_answer
+from wingquay.forwarding.peer_setup import has_far_shards
+from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.ports.delegation import AllowAttempts, DelegatedAnswer
+from wingquay.ports.forwarding import ReplyMerged
+from wingquay.ports.machine import StopRequested
+from wingquay.ports.peer_link import (
+    NodeIdentity,
+    PeerLinkBroken,
+    PeerLinkOpened,
+    PeerReceived,
+    SendToPeer,
+)
+
+SHARDS = 6
+OWN = NodeIdentity("node-1-a", "", "a", "10.0.1.1", 7)
+NEIGHBOUR = NodeIdentity("node-2-a", "", "a", "10.0.1.2", 7)
+FAR = [NodeIdentity(f"node-{number}-b", "", "b", f"10.0.2.{number}", 7) for number in (1, 2)]
+OTHER = NodeIdentity("node-1-c", "", "c", "10.0.3.1", 7)
+
+
+def node_apart(*zones: str, shards: int = SHARDS, nodes: list[NodeIdentity] = FAR) -> OneNode:
+    """Return a node of zone a whose shards each have a replica in every one of ``zones``."""
+    node = OneNode()
+    records = [
+        replica(f"r{number}{zone}", f"s{number}", zone)
+        for number in range(shards)
+        for zone in zones
+    ]
+    node.start(table(1, sharded_route(shards)), *records)
+    node.emit(PeerLinkOpened(OWN))
+    join(node, NEIGHBOUR, *nodes)
+    return node
+
+
+class ChoiceTest(TestCase):
+    def test_one_far_node_is_asked_for_all_far_shards(self) -> None:
+        node = node_apart("b", "c")
+        node.request("/all/x")
+        ((to, message),) = delegated(node)
+        self.assertIn(to, FAR)
+        self.assertEqual(SHARDS, len(message.shards))
+        self.assertFalse(message.is_group_share)
+        self.assertEqual([], node.sends)
+
+    def test_shards_with_a_replica_in_the_zone_are_asked_directly(self) -> None:
+        node = node_apart("a", "b")
+        node.request("/all/x")
+        self.assertEqual([], delegated(node))
+        self.assertEqual(SHARDS, len(node.sends))
+
+    def test_a_few_far_shards_are_not_worth_a_hop(self) -> None:
+        node = node_apart("b", shards=3)
+        node.request("/all/x")
+        self.assertEqual([], delegated(node))
+        self.assertEqual(3, len(node.sends))
+
+    def test_nodes_of_zones_without_the_replicas_are_not_asked(self) -> None:
+        node = node_apart("b", nodes=[OTHER])
+        node.request("/all/x")
+        self.assertEqual([], delegated(node))
+        self.assertEqual(SHARDS, len(node.sends))
+
+    def test_each_zone_is_asked_for_the_shards_that_only_it_holds(self) -> None:
+        node = OneNode()
+        records = [replica(f"b{number}", f"s{number}", "b") for number in range(4)]
+        records += [replica(f"c{number}", f"s{number}", "c") for number in range(4, 8)]
+        node.start(table(1, sharded_route(8)), *records)
+        node.emit(PeerLinkOpened(OWN))
+        join(node, FAR[0], OTHER)
+        node.request("/all/x")
+        asked = {to.zone: set(message.shards) for to, message in delegated(node)}
+        self.assertEqual(
+            {"b": {"s0", "s1", "s2", "s3"}, "c": {"s4", "s5", "s6", "s7"}},
+            asked,
+        )
+
+    def test_the_least_busy_node_is_asked(self) -> None:
+        node = node_apart("b")
+        node.request("/all/x")
+        ((first, message),) = delegated(node)
+        node.request("/all/x")
+        (_, (second, _)) = delegated(node)
+        self.assertNotEqual(first, second)
+        node.emit(PeerReceived(first, whole_answer(message)))
+        node.request("/all/x")
+        self.assertEqual(first, delegated(node)[-1][0])
+
+    def test_a_node_that_failed_is_passed_over(self) -> None:
+        node = node_apart("b", nodes=FAR[:1])
+        node.emit(PeerLinkBroken(FAR[0].node_id, "test"))
+        node.request("/all/x")
+        self.assertEqual([], delegated(node))
+
+
+class FailureTest(TestCase):
+    def test_the_answer_of_the_far_node_is_the_answer(self) -> None:
+        node = node_apart("b")
+        number = node.request("/all/x")
+        ((to, message),) = delegated(node)
+        node.emit(PeerReceived(to, whole_answer(message, b"\x02" * 16)))
+        reply = node.replies[number]
+        self.assertIsInstance(reply, ReplyMerged)
+        self.assertEqual((b"\x02" * 16, 0), (reply.body, reply.missing_shards))
+
+    def test_a_far_node_that_breaks_off_is_stepped_in_for_where_no_replica_is_one_too_many(
+        self,
+    ) -> None:
+        node = node_apart("b", "c")
+        number = node.request("/all/x")
+        ((to, message),) = delegated(node)
+        node.emit(PeerReceived(to, DelegatedAnswer(message.delegation_id)))
+        self.assertEqual(1, len(told(node, AllowAttempts)))
+        node.emit(PeerLinkBroken(to.node_id, "test"))
+        self.assertEqual(SHARDS, len(node.sends))
+        for send in list(node.sends):
+            node.answer(send)
+        self.assertEqual(0, node.replies[number].missing_shards)
+
+    def test_it_is_not_where_a_third_replica_could_be_asked(self) -> None:
+        node = node_apart("b", "c", "d")
+        node.request("/all/x")
+        ((to, message),) = delegated(node)
+        node.emit(PeerReceived(to, DelegatedAnswer(message.delegation_id)))
+        node.emit(PeerLinkBroken(to.node_id, "test"))
+        self.assertEqual([], node.sends)
+
+    def test_a_far_node_that_stops_leaves_the_request_to_the_asking_one(self) -> None:
+        asking, far = node_apart("b"), node_apart("b")
+        far.emit(StopRequested())
+        number = asking.request("/all/x")
+        ((to, message),) = delegated(asking)
+        far.emit(PeerReceived(OWN, message))
+        asking.emit(PeerReceived(to, far.last(SendToPeer).message))
+        self.assertEqual(SHARDS, len(asking.sends))
+        for send in list(asking.sends):
+            asking.answer(send)
+        self.assertEqual(0, asking.replies[number].missing_shards)
+
+
+class LinkWantedTest(TestCase):
+    def wanted(self, *replica_zones: str, shards: int = SHARDS) -> bool:
+        settings = ForwardingSettings(zone="a", zones=("a", "b"))
+        directory = ReplicaDirectory(settings, random.Random(1))
+        for number in range(shards):
+            for zone in replica_zones:
+                directory.put(replica(f"r{number}{zone}", f"s{number}", zone), 1.0)
+        return has_far_shards(table(1, sharded_route(SHARDS)), directory, settings, 1.0)
+
+    def test_a_link_is_wanted_where_a_zone_lacks_replicas(self) -> None:
+        self.assertTrue(self.wanted("a"))
+        self.assertTrue(self.wanted("b", "c"))
+
+    def test_none_is_where_every_zone_has_them_or_nothing_is_known(self) -> None:
+        self.assertFalse(self.wanted("a", "b"))
+        self.assertFalse(self.wanted("a", shards=3))
+        self.assertFalse(self.wanted())
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -74,6 +74,7 @@
         settings = PlatformSettings(
             node="n",
             zone="z",
+            zones=("z",),
             callers=ListenAddress(LOOPBACK, self.port),
             readiness=ListenAddress(LOOPBACK, 0),
             store=ListenAddress(LOOPBACK, store_port),
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -74,6 +74,7 @@
     target.objective_seconds = message.objective_seconds
     target.in_time_seconds = message.in_time_seconds
     target.remaining_seconds = message.remaining_seconds
+    target.is_group_share = message.is_group_share
 
 
 def _request_from(message: peer_pb2.DelegatedRequest) -> DelegatedRequest:
@@ -89,6 +90,7 @@
         message.objective_seconds,
         message.in_time_seconds,
         message.remaining_seconds,
+        message.is_group_share,
     )
 
 
--- a/wingquay/forwarding/delegated_work.py
+++ b/wingquay/forwarding/delegated_work.py
@@ -79,7 +79,7 @@
         exchange.origin = NodeOrigin(sender, message.delegation_id)
         exchange.calls = [ServiceCall(exchange, shard) for shard in message.shards]
         for call in exchange.calls:
-            call.is_owned = True
+            call.is_owned = message.is_group_share
         self._settlement.add(exchange)
         self._forget_ended()
         self._open[(sender.node_id, message.delegation_id)] = exchange
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -1,4 +1,7 @@
-"""Lets other nodes of the group ask most shards of a wide request, and steps in for lost ones.
+"""Lets other nodes ask shards of a request, and steps in for lost ones.
+
+Nodes of the group are asked for most shards of a wide request, a node of another zone for the
+shards that have no replica in this one.
 
 A node that is asked says so at once, so that one which is killed, frozen or cut off is noticed
 while there is still time to ask its shards directly. Until it is heard, it may send to one replica
@@ -6,6 +9,7 @@
 request reaches more replicas of a shard than its route allows, whatever the two know of each other.
 """
 
+from collections.abc import Mapping
 from itertools import count
 
 import attrs
@@ -17,6 +21,8 @@
 from .call_starter import CallStarter
 from .exchange import Exchange, ServiceCall
 from .node_groups import NodeGroups
+from .relays import Relays
+from .replica_directory import ReplicaDirectory
 from .settings import ForwardingSettings
 from .settlement import Settlement
 from .timers import DelegationDue
@@ -48,11 +54,14 @@
         self,
         settings: ForwardingSettings,
         groups: NodeGroups,
+        directory: ReplicaDirectory,
         starter: CallStarter,
         settlement: Settlement,
     ) -> None:
         self._settings = settings
         self._groups = groups
+        self._directory = directory
+        self._relays = Relays(settings, groups, directory, self._open_requests)
         self._starter = starter
         self._settlement = settlement
         self._ids = count(1)
@@ -62,15 +71,17 @@
     def start(self, exchange: Exchange, now: float) -> list[Action]:
         """Start every call of a request: own shards directly, the others through their nodes."""
         shards = exchange.route.shards
-        is_wide = len(shards) >= self._settings.delegate_least_shards
-        if not is_wide or not exchange.is_repeatable:
+        if not exchange.is_repeatable:
             return self._begin_directly(exchange.calls, now)
-        owners = self._groups.owners(shards, now)
+        is_wide = len(shards) >= self._settings.delegate_least_shards
+        owners: Mapping[str, NodeIdentity | None] = (
+            self._groups.owners(shards, now) if is_wide else self._relays.owners(shards, now)
+        )
         shares: dict[str, list[ServiceCall]] = {}
         nodes: dict[str, NodeIdentity] = {}
         own: list[ServiceCall] = []
         for call in exchange.calls:
-            owner = owners[call.service]
+            owner = owners.get(call.service)
             if owner is None:
                 own.append(call)
                 continue
@@ -78,9 +89,9 @@
             shares.setdefault(owner.node_id, []).append(call)
         actions: list[Action] = []
         for node_id, calls in shares.items():
-            actions += self._delegate(exchange, nodes[node_id], calls, now)
+            actions += self._delegate(exchange, nodes[node_id], calls, is_wide, now)
         for call in own:
-            call.is_owned = bool(shares)
+            call.is_owned = is_wide and bool(shares)
         return actions + self._begin_directly(own, now)
 
     def answered(self, sender: NodeIdentity, message: DelegatedAnswer, now: float) -> list[Action]:
@@ -141,8 +152,16 @@
             actions += self._starter.start(call, now)
         return actions
 
+    def _open_requests(self, node: NodeIdentity) -> int:
+        return sum(item.node.node_id == node.node_id for item in self._open.values())
+
     def _delegate(
-        self, exchange: Exchange, node: NodeIdentity, calls: list[ServiceCall], now: float
+        self,
+        exchange: Exchange,
+        node: NodeIdentity,
+        calls: list[ServiceCall],
+        is_group_share: bool,
+        now: float,
     ) -> list[Action]:
         settings = self._settings
         route = exchange.route
@@ -165,6 +184,7 @@
             objective_seconds=route.objective_seconds,
             in_time_seconds=max(in_time_seconds, 0.0),
             remaining_seconds=max(exchange.ends_at - now, 0.001),
+            is_group_share=is_group_share,
         )
         due_at = now + route.objective_seconds * settings.delegate_takeover_ratio
         return [
@@ -210,8 +230,15 @@
         calls = [call for call in delegation.open_calls if not call.attempts]
         for call in calls:
             call.is_delegate_lost = True
+            if self._can_ask_again(call):
+                call.delegated_attempts = 0
         return self._step_in(delegation, calls, reason, now)
 
+    def _can_ask_again(self, call: ServiceCall) -> bool:
+        """Whether no replica is left that would be one too many, whomever the lost node asked."""
+        known = self._directory.replicas_of(call.service)
+        return known <= call.exchange.route.max_attempts
+
     def _step_in(
         self, delegation: Delegation, calls: list[ServiceCall], reason: str, now: float
     ) -> list[Action]:
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -93,9 +93,13 @@
 
     def enable_peers(self, groups: "NodeGroups") -> None:
         """Ask other nodes for shards, and be asked by them, from now on."""
+        from wingquay.forwarding.delegation import Delegations
         from wingquay.forwarding.peer_work import PeerWork
 
-        self._peers = PeerWork(self._settings, groups, self._starter, self._settlement, self._begin)
+        delegations = Delegations(
+            self._settings, groups, self._directory, self._starter, self._settlement
+        )
+        self._peers = PeerWork(delegations, self._settlement, self._begin)
         self._sender.groups = groups
 
     def set_table(self, table: RoutingTable) -> None:
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -5,6 +5,7 @@
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
 from wingquay.forwarding.line_budget import LineBudget
 from wingquay.forwarding.node_membership import NodeMembership
+from wingquay.forwarding.peer_setup import has_far_shards
 from wingquay.forwarding.presence import NodeCount, Presence, PresenceDue
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
@@ -109,7 +110,7 @@
         if isinstance(event, Start):
             return self._start(event, now)
         if isinstance(event, PresenceDue):
-            return self._members.presence_due(event, self._table, now)
+            return self._presence_due(event, now)
         if isinstance(event, PeerLinkOpened):
             actions = self._members.link_opened(event, self._table, now)
             self._forwarding.enable_peers(self._members.groups)
@@ -136,6 +137,11 @@
             Schedule(now + SWEEP_SECONDS, SweepDue()),
         ]
 
+    def _presence_due(self, event: PresenceDue, now: float) -> list[Action]:
+        table = self._table
+        is_far = table is not None and has_far_shards(table, self._directory, self._settings, now)
+        return self._members.presence_due(event, table, is_far, now)
+
     # The store
 
     def _on_listing(self, values: tuple[StoredValue, ...], now: float) -> list[Action]:
--- a/wingquay/forwarding/node_groups.py
+++ b/wingquay/forwarding/node_groups.py
@@ -97,6 +97,14 @@
             self._owners[shards] = owners
         return owners
 
+    def reachable(self, now: float) -> list[NodeIdentity]:
+        """Return the other nodes that can be asked now, sorted by name."""
+        return [
+            member.identity
+            for name, member in sorted(self._members.items())
+            if name != self._name and now >= member.suspect_until
+        ]
+
     def sharing_nodes(self, nodes: int) -> int:
         """Return how many of ``nodes`` usually ask the same shard: one of each group."""
         size = len(self._group_names())
--- a/wingquay/forwarding/node_membership.py
+++ b/wingquay/forwarding/node_membership.py
@@ -74,11 +74,11 @@
         return self._setup.answered(event.result)
 
     def presence_due(
-        self, event: PresenceDue, table: RoutingTable | None, now: float
+        self, event: PresenceDue, table: RoutingTable | None, has_far_shards: bool, now: float
     ) -> list[Action]:
         """Write the node's key, but open the link before: the key tells where it listens."""
         is_open = self._groups is not None
-        if not is_open and not self._setup.is_wanted(table):
+        if not is_open and not self._setup.is_wanted(table, has_far_shards):
             return self._without_link(event, now)
         if is_open:
             return self._presence.handle(event, now)
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -9,12 +9,9 @@
 from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
 from ..ports.machine import Action
 from ..ports.peer_link import NodeIdentity, PeerLinkBroken, PeerReceived
-from .call_starter import CallStarter
 from .delegated_work import DelegatedWork
 from .delegation import Delegations
 from .exchange import Exchange
-from .node_groups import NodeGroups
-from .settings import ForwardingSettings
 from .settlement import Settlement
 from .timers import DelegationDue
 
@@ -27,22 +24,19 @@
 
     Parameters
     ----------
-    groups
-        The nodes; kept up to date by another machine.
+    delegations
+        What this node asks of others.
     begin
         Starts an exchange that another node asked for.
     """
 
     def __init__(
         self,
-        settings: ForwardingSettings,
-        groups: NodeGroups,
-        starter: CallStarter,
+        delegations: Delegations,
         settlement: Settlement,
         begin: Begin,
     ) -> None:
-        self.groups = groups
-        self.delegations = Delegations(settings, groups, starter, settlement)
+        self.delegations = delegations
         self._work = DelegatedWork(settlement)
         self._begin = begin
         settlement.on_closed = self.delegations.closed
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/replica_directory.py
@@ -101,6 +101,14 @@
         states = self._by_service.get(service, {}).values()
         return any(state.vanished_at is None for state in states)
 
+    def zones_of(self, service: str, now: float) -> set[str]:
+        """Return the zones that hold a replica of the service that may get work."""
+        return {state.record.zone for state in self._candidates(service, now)}
+
+    def replicas_of(self, service: str) -> int:
+        """Return how many replicas of the service are known, whether they may get work or not."""
+        return len(self._by_service.get(service, {}))
+
     def forget_vanished(self, now: float) -> None:
         """Forget the replicas whose time of grace is over."""
         for state in list(self._states.values()):
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -84,6 +84,11 @@
         codes its requests sooner than it would hear from the others.
     delegate_least_nodes
         Nodes of a group, this one included, from which on it is worth it.
+    zones
+        All zones of the deployment, as far as they are known.
+    relay_least_shards
+        Shards without a replica in this node's zone from which on a node of another zone is asked
+        for them: it is nearer to their replicas, and one merged answer crosses between the zones.
     delegate_return_seconds
         Time kept for the reports of nodes to come back and be merged.
     delegate_takeover_ratio
@@ -134,6 +139,8 @@
     hold_ratio: float = 0.3
     delegate_least_shards: int = 40
     delegate_least_nodes: int = 3
+    zones: tuple[str, ...] = ()
+    relay_least_shards: int = 4
     delegate_return_seconds: float = 0.008
     delegate_takeover_ratio: float = 0.45
     node_suspect_seconds: float = 1.0
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -85,6 +85,7 @@
             settings.node,
             ForwardingSettings(
                 zone=settings.zone,
+                zones=settings.zones,
                 retry_ratio=settings.retry_ratio * BUDGET_SHARE,
                 retry_slack=settings.retry_slack,
                 retry_window_seconds=settings.retry_window_seconds,
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -36,6 +36,8 @@
 
     Parameters
     ----------
+    zones
+        All zones of the deployment; none if they are not told.
     callers, readiness
         Where callers' requests and the platform's question for readiness arrive.
     store
@@ -61,6 +63,7 @@
 
     node: str
     zone: str
+    zones: tuple[str, ...]
     callers: ListenAddress
     readiness: ListenAddress
     store: ListenAddress
@@ -96,6 +99,7 @@
     return PlatformSettings(
         node=_text(document, "node.name"),
         zone=_text(document, "node.zone"),
+        zones=_names(document, "node.zones"),
         callers=_address(document, "listen.callers"),
         readiness=_address(document, "listen.readiness"),
         store=_address(document, "store.address"),
@@ -125,6 +129,14 @@
     return found
 
 
+def _names(document: Mapping[str, Any], field: str) -> tuple[str, ...]:
+    """Return names that are joined by commas; none if the field is missing or empty."""
+    found = _find(document, field) or ""
+    if not isinstance(found, str):
+        raise _InvalidError(f"{field} is {found!r}; allowed: names joined by commas")
+    return tuple(part.strip() for part in found.split(",") if part.strip())
+
+
 def _optional_address(document: Mapping[str, Any], field: str) -> ListenAddress | None:
     return _address(document, field) if _find(document, field) else None
 
--- a/wingquay/ports/delegation.py
+++ b/wingquay/ports/delegation.py
@@ -26,6 +26,9 @@
         Time after which whatever is in must leave, to be of use to a caller that wants it in time.
     remaining_seconds
         Time after which nobody waits any more.
+    is_group_share
+        Whether the nodes of the sender's group leave these shards to the receiver; otherwise any
+        node may ask the same replicas.
     """
 
     delegation_id: int
@@ -38,6 +41,7 @@
     objective_seconds: float
     in_time_seconds: float
     remaining_seconds: float
+    is_group_share: bool = True
 
 
 @attrs.frozen
