--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -146,6 +146,42 @@
         self.assertEqual(0, asking.replies[number].missing_shards)
 
 
+class DeclinedTest(TestCase):
+    """The other node has not heard of some replicas: the store turns it away, say."""
+
+    def far_node(self, *services: str) -> OneNode:
+        node = OneNode()
+        node.start(table(1, sharded_route(SHARDS)), *(replica(f"r{s}", s, "b") for s in services))
+        node.emit(PeerLinkOpened(FAR[0]))
+        join(node, OWN)
+        return node
+
+    def test_shards_that_the_far_node_does_not_know_are_asked_directly(self) -> None:
+        asking, far = node_apart("b", nodes=FAR[:1]), self.far_node("s0", "s1", "s3", "s4")
+        number = asking.request("/all/x")
+        ((_, message),) = delegated(asking)
+        far.emit(PeerReceived(OWN, message))
+        taken = told(far, DelegatedAnswer)[0]
+        self.assertEqual((2, 5), taken.declined)
+        self.assertEqual(4, len(far.sends))
+        asking.emit(PeerReceived(FAR[0], taken))
+        self.assertEqual({"s2", "s5"}, {send.replica.service for send in asking.sends})
+        for send in list(far.sends):
+            far.answer(send)
+        asking.emit(PeerReceived(FAR[0], told(far, DelegatedAnswer)[-1]))
+        self.assertNotIn(number, asking.replies)
+        for send in list(asking.sends):
+            asking.answer(send)
+        self.assertEqual(0, asking.replies[number].missing_shards)
+
+    def test_a_node_that_knows_none_rejects(self) -> None:
+        asking, far = node_apart("b", nodes=FAR[:1]), self.far_node("else")
+        asking.request("/all/x")
+        ((_, message),) = delegated(asking)
+        far.emit(PeerReceived(OWN, message))
+        self.assertEqual([True], [answer.is_rejected for answer in told(far, DelegatedAnswer)])
+
+
 class LinkWantedTest(TestCase):
     def wanted(self, *replica_zones: str, shards: int = SHARDS) -> bool:
         settings = ForwardingSettings(zone="a", zones=("a", "b"))
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -101,6 +101,7 @@
     target.signatures.extend(message.signatures)
     target.body = message.body
     target.is_rejected = message.is_rejected
+    target.declined.extend(message.declined)
 
 
 def _answer_from(
@@ -112,5 +113,10 @@
         reason = f"{len(shards)} shards and {len(signatures)} signatures"
         return Failure(PeerCodecFailureKind.MALFORMED, reason)
     return sender, DelegatedAnswer(
-        message.delegation_id, shards, signatures, message.body, message.is_rejected
+        message.delegation_id,
+        shards,
+        signatures,
+        message.body,
+        message.is_rejected,
+        tuple(message.declined),
     )
--- a/wingquay/forwarding/delegated_work.py
+++ b/wingquay/forwarding/delegated_work.py
@@ -16,6 +16,7 @@
 from ..ports.peer_link import NodeIdentity, SendToPeer
 from .exchange import Exchange, ServiceCall
 from .merging import merge_greatest
+from .replica_directory import ReplicaDirectory
 from .settlement import Settlement
 from .timers import HedgeDue
 
@@ -26,6 +27,8 @@
 
     node: NodeIdentity
     delegation_id: int
+    positions: dict[str, int]
+    """Where each shard stands in the node's request."""
     _reported: set[str] = attrs.field(factory=set)
 
     @property
@@ -36,8 +39,8 @@
     def report(self, exchange: Exchange) -> list[Action]:
         """Return the message that tells what is in and has not been told, if there is anything."""
         fresh = [
-            (position, call)
-            for position, call in enumerate(exchange.calls)
+            (self.positions[call.service], call)
+            for call in exchange.calls
             if call.answer is not None and call.service not in self._reported
         ]
         if not fresh:
@@ -56,13 +59,30 @@
 class DelegatedWork:
     """What other nodes have asked of this one."""
 
-    def __init__(self, settlement: Settlement) -> None:
+    def __init__(self, directory: ReplicaDirectory, settlement: Settlement) -> None:
+        self._directory = directory
         self._settlement = settlement
         self._ids = count(1)
         self._open: dict[tuple[str, int], Exchange] = {}
 
+    def unknown(self, message: DelegatedRequest, now: float) -> tuple[int, ...]:
+        """Return the positions of the shards of which this node knows no replica.
+
+        It may have been cut off from the store while the sender was not.
+        """
+        return tuple(
+            position
+            for position, shard in enumerate(message.shards)
+            if not self._directory.has_any(shard, now)
+        )
+
     def accept(
-        self, sender: NodeIdentity, message: DelegatedRequest, table: RoutingTable, now: float
+        self,
+        sender: NodeIdentity,
+        message: DelegatedRequest,
+        table: RoutingTable,
+        declined: tuple[int, ...],
+        now: float,
     ) -> Exchange:
         """Return an exchange for a node's request; whoever calls starts its calls."""
         # Numbers of callers' exchanges are positive.
@@ -76,8 +96,13 @@
             now + message.in_time_seconds,
             now + message.remaining_seconds,
         )
-        exchange.origin = NodeOrigin(sender, message.delegation_id)
-        exchange.calls = [ServiceCall(exchange, shard) for shard in message.shards]
+        positions = {shard: position for position, shard in enumerate(message.shards)}
+        exchange.origin = NodeOrigin(sender, message.delegation_id, positions)
+        exchange.calls = [
+            ServiceCall(exchange, shard)
+            for position, shard in enumerate(message.shards)
+            if position not in declined
+        ]
         for call in exchange.calls:
             call.is_owned = message.is_group_share
         self._settlement.add(exchange)
@@ -85,11 +110,13 @@
         self._open[(sender.node_id, message.delegation_id)] = exchange
         return exchange
 
-    def acknowledge(self, sender: NodeIdentity, message: DelegatedRequest) -> list[Action]:
-        """Tell a node that its request was taken."""
+    def acknowledge(
+        self, sender: NodeIdentity, message: DelegatedRequest, declined: tuple[int, ...]
+    ) -> list[Action]:
+        """Tell a node that its request was taken, but for the shards at some positions."""
         labels = (("side", "taken"),)
         return [
-            SendToPeer(sender, DelegatedAnswer(message.delegation_id)),
+            SendToPeer(sender, DelegatedAnswer(message.delegation_id, declined=declined)),
             Count("delegated_requests_total", labels=labels),
         ]
 
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -40,11 +40,17 @@
     calls: tuple[ServiceCall, ...]
     is_heard: bool = False
     is_lost: bool = False
+    given_back: set[str] = attrs.field(factory=set)
+    """Services of the calls that the node has declined."""
 
     @property
     def open_calls(self) -> list[ServiceCall]:
-        """The calls without an answer."""
-        return [call for call in self.calls if call.answer is None]
+        """The calls without an answer that the node may still bring."""
+        return [
+            call
+            for call in self.calls
+            if call.answer is None and call.service not in self.given_back
+        ]
 
 
 class Delegations:
@@ -101,7 +107,7 @@
             return []
         if message.is_rejected:
             return self._not_taken(delegation, "rejected", now)
-        actions: list[Action] = []
+        actions = self._declined(delegation, message.declined, now)
         if not delegation.is_heard:
             actions += self._heard(delegation)
         self._take_answers(delegation, message, now)
@@ -201,9 +207,24 @@
         if delegation.is_lost or most <= 1:
             return []
         for call in delegation.calls:
-            call.delegated_attempts = most
+            if call.service not in delegation.given_back:
+                call.delegated_attempts = most
         return [SendToPeer(delegation.node, AllowAttempts(delegation.delegation_id, most))]
 
+    def _declined(
+        self, delegation: Delegation, positions: tuple[int, ...], now: float
+    ) -> list[Action]:
+        """Ask the shards directly of which the other node knows no replica."""
+        if not positions or delegation.is_lost:
+            return []
+        calls = [delegation.calls[position] for position in positions]
+        delegation.given_back.update(call.service for call in calls)
+        for call in calls:
+            call.delegated_attempts = 0
+            call.arrivals -= 1
+            call.history.append("declined")
+        return self._start_directly(calls, now)
+
     def _take_answers(self, delegation: Delegation, message: DelegatedAnswer, now: float) -> None:
         """Take in merged records: they stand with the first shard that they came from."""
         exchange = delegation.exchange
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -12,6 +12,7 @@
 from .delegated_work import DelegatedWork
 from .delegation import Delegations
 from .exchange import Exchange
+from .replica_directory import ReplicaDirectory
 from .settlement import Settlement
 from .timers import DelegationDue
 
@@ -33,11 +34,12 @@
     def __init__(
         self,
         delegations: Delegations,
+        directory: ReplicaDirectory,
         settlement: Settlement,
         begin: Begin,
     ) -> None:
         self.delegations = delegations
-        self._work = DelegatedWork(settlement)
+        self._work = DelegatedWork(directory, settlement)
         self._begin = begin
         settlement.on_closed = self.delegations.closed
 
@@ -80,6 +82,9 @@
     ) -> list[Action]:
         if table is None:
             return self._work.reject(sender, message)
-        exchange = self._work.accept(sender, message, table, now)
-        taken = self._work.acknowledge(sender, message)
+        declined = self._work.unknown(message, now)
+        if len(declined) == len(message.shards):
+            return self._work.reject(sender, message)
+        exchange = self._work.accept(sender, message, table, declined, now)
+        taken = self._work.acknowledge(sender, message, declined)
         return taken + self._begin(exchange, now)
--- a/wingquay/ports/delegation.py
+++ b/wingquay/ports/delegation.py
@@ -56,6 +56,8 @@
         The signatures of their answers, in the same order.
     body
         The greatest records of these answers.
+    declined
+        Positions of the shards of which the receiver knows no replica: it asks for none of them.
     is_rejected
         The request was not taken: nothing ran and nothing will.
     """
@@ -65,6 +67,7 @@
     signatures: tuple[str, ...] = ()
     body: bytes = b""
     is_rejected: bool = False
+    declined: tuple[int, ...] = ()
 
 
 @attrs.frozen
