--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -60,6 +60,7 @@
         st.just(tuple(text for _, text in pairs)),
         st.binary(max_size=40),
         st.booleans(),
+        st.lists(st.integers(0, 2**31), max_size=3).map(tuple),
     )
 )
 MESSAGES = st.one_of(
--- a/wingquay/adapters/deferred_peer_link.py
+++ b/wingquay/adapters/deferred_peer_link.py
@@ -8,6 +8,7 @@
 from ..model.identifiers import DeploymentName, NodeId, ZoneName
 from ..ports.machine import Event, Log, LogLevel
 from ..ports.peer_link import NodeIdentity, OpenPeerLink, PeerLinkOpened, SendToPeer
+from .gradual_import import LINK_MODULES, import_gradually
 
 if TYPE_CHECKING:
     from .peer_link import PeerLink
@@ -67,6 +68,7 @@
             await self._link.close()
 
     async def _open(self, action: OpenPeerLink) -> None:
+        await import_gradually(LINK_MODULES)
         from . import forwarding_peer_codec
         from .peer_channel import PeerLinkSettings
         from .peer_link import PeerLink
--- /dev/null
+++ b/wingquay/adapters/gradual_import.py
@@ -0,0 +1,71 @@
+"""Loads a library piece by piece, so that a node goes on serving meanwhile.
+
+An import keeps the event loop busy until it is done, and the libraries for logs, metrics and the
+link to other nodes take 30 to 100 ms of processor time each: longer than some requests may take.
+Their modules are loaded here one by one, those first that others need, and whatever waits on the
+loop goes between. A module that a release of the library does not have is left out; the import that
+follows loads what is then missing.
+"""
+
+import asyncio
+import importlib
+from collections.abc import Iterable
+
+PAUSE_SECONDS = 0.01
+"""Time left to other work after each module."""
+
+LOG_MODULES = (
+    "pathlib",
+    "zope.interface",
+    "pyrsistent",
+    "boltons.funcutils",
+    "eliot",
+    "wingquay.adapters.log_writer",
+)
+METRICS_MODULES = (
+    "decimal",
+    "gzip",
+    "email.message",
+    "email.parser",
+    "http.client",
+    "html",
+    "shutil",
+    "socketserver",
+    "http.server",
+    "urllib.request",
+    "wsgiref.simple_server",
+    "prometheus_client",
+    "wingquay.adapters.metrics",
+)
+LINK_MODULES = (
+    "attrs",
+    "google.protobuf.message",
+    "google.protobuf.descriptor_pool",
+    "google.protobuf.internal.builder",
+    "wingquay.adapters.proto.peer_pb2",
+    "wingquay.ports.delegation",
+    "wingquay.adapters.forwarding_peer_codec",
+    "wingquay.adapters.peer_frames",
+    "wingquay.adapters.peer_handshake",
+    "wingquay.adapters.peer_connection",
+    "wingquay.adapters.peer_datagrams",
+    "wingquay.adapters.peer_channel",
+    "wingquay.adapters.peer_refusal_log",
+    "wingquay.adapters.peer_link",
+    "xxhash",
+    "wingquay.forwarding.node_groups",
+    "wingquay.forwarding.relays",
+    "wingquay.forwarding.delegated_work",
+    "wingquay.forwarding.delegation",
+    "wingquay.forwarding.peer_work",
+)
+
+
+async def import_gradually(names: Iterable[str], pause_seconds: float = PAUSE_SECONDS) -> None:
+    """Load modules by name, each followed by a pause."""
+    for name in names:
+        try:
+            importlib.import_module(name)
+        except ImportError:
+            continue
+        await asyncio.sleep(pause_seconds)
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -12,6 +12,7 @@
 from wingquay.adapters.deferred_metrics import DeferredMetrics
 from wingquay.adapters.deferred_peer_link import DeferredPeerLink
 from wingquay.adapters.forwarding_server import ForwardingServer
+from wingquay.adapters.gradual_import import LOG_MODULES, METRICS_MODULES, import_gradually
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 from wingquay.adapters.http_server import HttpServer
 from wingquay.adapters.node_record import node_value, parse_node
@@ -57,8 +58,9 @@
 ACCEPT_SECONDS = 1.0
 """Time after the start at which callers are accepted even without a configuration."""
 LOAD_LOG_SECONDS = 2.0
-LOAD_METRICS_SECONDS = 4.0
-"""Times after which the libraries for logs and metrics are loaded: requests go first."""
+"""Time after the start at which the library for logs is loaded: requests go first."""
+LOAD_METRICS_SECONDS = 2.0
+"""Time after that at which the library for metrics is loaded."""
 BUDGET_SHARE = 0.9
 """Share of the allowed ratio of extra arrivals that is used."""
 UNREADY_STOP_SHARE = 0.5
@@ -137,9 +139,9 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._has_news.wait(), ACCEPT_SECONDS)
         await self._server.serve_on(listening)
-        loop.call_later(LOAD_LOG_SECONDS, self._log.load)
-        loop.call_later(LOAD_METRICS_SECONDS, self._metrics.load)
+        loading = loop.create_task(self._load_libraries())
         ended = await self._exited
+        loading.cancel()
         await self._server.close(ended.grace_seconds + RESPONSE_GRACE_SECONDS)
         self.peers.close()
         if self._link is not None:
@@ -150,6 +152,14 @@
         self._log.load()
         return ended
 
+    async def _load_libraries(self) -> None:
+        await asyncio.sleep(LOAD_LOG_SECONDS)
+        await import_gradually(LOG_MODULES)
+        self._log.load()
+        await asyncio.sleep(LOAD_METRICS_SECONDS)
+        await import_gradually(METRICS_MODULES)
+        self._metrics.load()
+
     def metrics_page(self) -> bytes:
         """Return the figures of this node, as text."""
         return self._metrics.page()
