--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -28,6 +28,8 @@
     PeerReceived,
     SendToPeer,
 )
+from wingquay.ports.store import StoredValue
+from wingquay.ports.store_news import StoreNews
 
 SENDER = NodeIdentity("n-1", "", "a", "127.0.0.1", 7)
 NUMBERS = st.integers(0, 2**63)
@@ -63,9 +65,20 @@
         st.lists(st.integers(0, 2**31), max_size=3).map(tuple),
     )
 )
+ITEMS = st.builds(
+    StoredValue, st.text(max_size=9), st.binary(max_size=9), NUMBERS, NUMBERS, NUMBERS
+)
+NEWS = st.builds(
+    StoreNews,
+    NUMBERS,
+    NUMBERS,
+    st.lists(ITEMS, max_size=3).map(tuple),
+    st.lists(st.text(max_size=9), max_size=3).map(tuple),
+)
 MESSAGES = st.one_of(
     REQUESTS,
     ANSWERS,
+    NEWS,
     st.builds(AllowAttempts, NUMBERS, st.integers(0, 2**31)),
     st.builds(CancelDelegation, NUMBERS),
 )
--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -148,9 +148,9 @@
     ) -> None:
         """Answer the last read of everything."""
         request = self.last(StoreRequest)
-        listed = [*values, *(self._stored(record) for record in records)]
+        listed = [*values, *(self.stored(record) for record in records)]
         if configuration is not None:
-            listed.append(self._stored_table(configuration))
+            listed.append(self.stored_table(configuration))
         result = ReadResult(tuple(listed), self.store_revision)
         self.emit(StoreResponse(request.operation_id, result))
 
@@ -162,9 +162,9 @@
     ) -> None:
         """Let the watch tell changes."""
         self.store_revision += 1
-        values = [self._stored(record) for record in records]
+        values = [self.stored(record) for record in records]
         if configuration is not None:
-            values.append(self._stored_table(configuration))
+            values.append(self.stored_table(configuration))
         deleted = tuple(REPLICA_PREFIX + replica_id for replica_id in gone)
         watch = self.last(StartWatch)
         self.emit(WatchChanged(watch.watch_id, tuple(values), deleted, self.store_revision))
@@ -271,12 +271,14 @@
 
     # The store's formats: values are keys into what the tests put there
 
-    def _stored(self, record: ReplicaRecord) -> StoredValue:
+    def stored(self, record: ReplicaRecord) -> StoredValue:
+        """Return a record as the store holds it."""
         value = f"{record!r}".encode()
         self._records[value] = record
         return StoredValue(REPLICA_PREFIX + record.replica_id, value, self.store_revision)
 
-    def _stored_table(self, configuration: RoutingTable) -> StoredValue:
+    def stored_table(self, configuration: RoutingTable) -> StoredValue:
+        """Return a configuration as the store holds it."""
         value = f"version {configuration.version} {id(configuration)}".encode()
         self._tables[value] = configuration
         return StoredValue(CONFIGURATION_KEY, value, self.store_revision)
--- /dev/null
+++ b/tests/forwarding/test_store_news.py
@@ -0,0 +1,160 @@
+"""Nodes tell each other what they read of the store, so that one of them looks at it for all."""
+
+from testtools import TestCase
+
+from tests.forwarding.one_node import (
+    NODE_PREFIX,
+    REPLICA_PREFIX,
+    OneNode,
+    replica,
+    single_route,
+    table,
+)
+from tests.forwarding.test_delegation import join
+from wingquay.ports.machine import Action
+from wingquay.ports.peer_link import (
+    NodeIdentity,
+    PeerLinkBroken,
+    PeerLinkOpened,
+    PeerReceived,
+    SendToPeer,
+)
+from wingquay.ports.store import StartWatch, StopWatch, StoredValue, WatchBroken, WatchChanged
+from wingquay.ports.store_news import StoreNews
+
+FIRST = NodeIdentity("node-0-a", "", "a", "node-0", 7)
+OWN = NodeIdentity("node-1-a", "", "a", "node-1", 7)
+LAST = NodeIdentity("node-2-a", "", "a", "node-2", 7)
+GATHER_SECONDS = 1.0
+
+
+def linked(*others: NodeIdentity) -> OneNode:
+    """Return a node with a replica that looks at the store each second and knows other nodes."""
+    node = OneNode()
+    node.start(table(1, single_route()), replica("r0", "s"))
+    node.emit(PeerLinkOpened(OWN))
+    join(node, *others)
+    node.advance(5.0)
+    return node
+
+
+def told(node: OneNode) -> list[tuple[NodeIdentity, StoreNews]]:
+    """Return the news that the node has sent."""
+    sent = [action for action in node.actions if isinstance(action, SendToPeer)]
+    return [(item.to, item.message) for item in sent if isinstance(item.message, StoreNews)]
+
+
+def news_for(node: OneNode, *changed: StoredValue, deleted: tuple[str, ...] = ()) -> StoreNews:
+    """Return news that begin with what the node knows."""
+    revision = node.store_revision
+    node.store_revision += 1
+    return StoreNews(revision, revision + 1, changed, deleted)
+
+
+def since(node: OneNode, actions: int) -> list[Action]:
+    """Return what the node did after so many actions, store and link only."""
+    kinds = (StartWatch, StopWatch, SendToPeer)
+    return [action for action in node.actions[actions:] if isinstance(action, kinds)]
+
+
+class TellingTest(TestCase):
+    def test_what_a_look_shows_is_told_to_the_other_nodes(self) -> None:
+        node = linked(FIRST, LAST)
+        before = node.store_revision
+        item = StoredValue(NODE_PREFIX + "else", b"1", before + 1)
+        node.emit(WatchChanged(self.watch_id(node), (item,), (), before + 1))
+        expected = StoreNews(before, before + 1, (item,), ())
+        self.assertEqual([(FIRST, expected), (LAST, expected)], told(node))
+
+    def test_entries_that_were_only_written_again_are_left_out(self) -> None:
+        node = linked(FIRST)
+        node.actions = [action for action in node.actions if isinstance(action, StartWatch)]
+        node.change(replica("r0", "s"), replica("r1", "s"))
+        ((_, news),) = told(node)
+        self.assertEqual([REPLICA_PREFIX + "r1"], [item.key for item in news.changed])
+
+    def test_an_entry_that_was_gone_in_between_is_told(self) -> None:
+        node = linked(FIRST)
+        before = node.store_revision
+        known = node.stored(replica("r0", "s"))
+        again = StoredValue(known.key, known.value, before + 2, created_at=before + 2)
+        node.emit(WatchChanged(self.watch_id(node), (again,), (), before + 2))
+        self.assertEqual((again,), told(node)[-1][1].changed)
+
+    def test_a_node_whose_key_was_taken_is_told_until_its_link_breaks(self) -> None:
+        node = linked(FIRST)
+        gone = NODE_PREFIX + FIRST.host
+        node.emit(WatchChanged(self.watch_id(node), (), (gone,), node.store_revision + 1))
+        self.assertEqual(FIRST, told(node)[-1][0])
+        node.emit(PeerLinkBroken(FIRST.node_id, "test"))
+        count = len(told(node))
+        node.store_revision += 1
+        node.change(replica("r1", "s"))
+        self.assertEqual(count, len(told(node)))
+
+    def watch_id(self, node: OneNode) -> str:
+        return next(
+            action.watch_id
+            for action in reversed(node.actions)
+            if isinstance(action, StartWatch) and action.key == ""
+        )
+
+
+class HearingTest(TestCase):
+    def test_news_are_taken_in_and_the_own_look_is_put_off(self) -> None:
+        node = linked(FIRST, LAST)
+        node.change()
+        before = len(node.actions)
+        item = node.stored(replica("r1", "s"))
+        node.emit(PeerReceived(FIRST, news_for(node, item)))
+        stop, start = since(node, before)
+        self.assertIsInstance(stop, StopWatch)
+        self.assertEqual(node.store_revision, start.from_store_revision)
+        # The second of three nodes waits one step longer than the first.
+        self.assertAlmostEqual(1.3 + 0.04, start.pause_seconds)
+        node.request()
+        node.request()
+        self.assertEqual({"r0", "r1"}, {send.replica.replica_id for send in node.sends})
+
+    def test_news_are_not_passed_on(self) -> None:
+        node = linked(FIRST, LAST)
+        count = len(told(node))
+        node.emit(PeerReceived(FIRST, news_for(node, node.stored(replica("r1", "s")))))
+        self.assertEqual(count, len(told(node)))
+
+    def test_news_with_a_gap_before_them_are_passed_over(self) -> None:
+        node = linked(FIRST)
+        before = len(node.actions)
+        revision = node.store_revision
+        item = node.stored(replica("r1", "s"))
+        node.emit(PeerReceived(FIRST, StoreNews(revision + 1, revision + 2, (item,))))
+        self.assertEqual([], since(node, before))
+
+    def test_old_news_put_nothing_off(self) -> None:
+        node = linked(FIRST)
+        before = len(node.actions)
+        gone = (REPLICA_PREFIX + "r0",)
+        node.emit(PeerReceived(FIRST, StoreNews(0, node.store_revision - 1, (), gone)))
+        self.assertEqual([], since(node, before))
+        node.request()
+        self.assertEqual(1, len(node.sends))
+
+    def test_a_look_that_has_begun_is_not_put_off(self) -> None:
+        node = linked(FIRST)
+        node.change()
+        node.advance(1.4)
+        before = len(node.actions)
+        node.emit(PeerReceived(FIRST, news_for(node)))
+        self.assertEqual([], since(node, before))
+
+    def test_a_node_that_the_store_turns_away_goes_by_the_news(self) -> None:
+        node = linked(FIRST)
+        node.emit(WatchBroken(node.last(StartWatch).watch_id, "refused"))
+        changed = node.stored_table(table(2, single_route(service="new")))
+        news = news_for(node, changed, node.stored(replica("n0", "new")))
+        node.emit(PeerReceived(FIRST, news))
+        node.request()
+        self.assertEqual(["n0"], [send.replica.replica_id for send in node.sends])
+        # It goes on asking the store, from where the news ended.
+        node.advance(1.5)
+        self.assertEqual(node.store_revision, node.last(StartWatch).from_store_revision)
--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -170,8 +170,9 @@
     sender: NodeIdentity,
     message: DelegatedRequest,
     table: RoutingTable,
+    declined: tuple[int, ...],
     now: float,
 ) -> Exchange:
-    exchange = _accept(work, sender, message, table, now)
+    exchange = _accept(work, sender, message, table, declined, now)
     exchange.route = replace(exchange.route, max_attempts=2)
     return exchange
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -6,6 +6,8 @@
 from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
+from ..ports.store import StoredValue
+from ..ports.store_news import StoreNews
 from .peer_codec_error import PeerCodecFailureKind
 from .peer_codec_identity import identity_from_bytes, identity_to_bytes
 from .proto import peer_pb2
@@ -30,6 +32,8 @@
             envelope.allow_attempts.max_attempts = message.max_attempts
         case CancelDelegation():
             envelope.cancel_delegation.delegation_id = message.delegation_id
+        case StoreNews():
+            _put_news(envelope.store_news, message)
         case _:
             raise ValueError(f"{type(message).__name__} is not a message of forwarding nodes")
     return envelope.SerializeToString()
@@ -54,6 +58,8 @@
             return sender, AllowAttempts(allowed.delegation_id, allowed.max_attempts)
         case "cancel_delegation":
             return sender, CancelDelegation(envelope.cancel_delegation.delegation_id)
+        case "store_news":
+            return sender, _news_from(envelope.store_news)
         case _:
             return Failure(PeerCodecFailureKind.UNKNOWN_MESSAGE, "no message of a known kind")
 
@@ -120,3 +126,26 @@
         message.is_rejected,
         tuple(message.declined),
     )
+
+
+def _put_news(target: peer_pb2.StoreNews, message: StoreNews) -> None:
+    target.SetInParent()
+    target.from_revision = message.from_revision
+    target.store_revision = message.store_revision
+    for item in message.changed:
+        target.changed.add(
+            key=item.key,
+            value=item.value,
+            modified_at=item.modified_at,
+            lease_id=item.lease_id,
+            created_at=item.created_at,
+        )
+    target.deleted.extend(message.deleted)
+
+
+def _news_from(message: peer_pb2.StoreNews) -> StoreNews:
+    changed = tuple(
+        StoredValue(item.key, item.value, item.modified_at, item.lease_id, item.created_at)
+        for item in message.changed
+    )
+    return StoreNews(message.from_revision, message.store_revision, changed, tuple(message.deleted))
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -32,7 +32,7 @@
     Start,
     StopRequested,
 )
-from wingquay.ports.peer_link import PeerLinkOpened
+from wingquay.ports.peer_link import PeerLinkOpened, PeerReceived, SendToPeer
 from wingquay.ports.peer_snapshot import PeerSnapshot
 from wingquay.ports.store import (
     ReadResult,
@@ -41,6 +41,7 @@
     WatchBroken,
     WatchChanged,
 )
+from wingquay.ports.store_news import StoreNews
 
 SWEEP_SECONDS = 0.5
 """Time between two looks for replicas whose time of grace is over."""
@@ -48,9 +49,6 @@
 CLUSTER_KEY_BYTES = 32
 
 
-STORE_EVENTS = (StoreResponse, WatchChanged, WatchBroken, FollowAgain, PeerSnapshot)
-
-
 @value
 class SweepDue(Event):
     """Forget replicas whose time of grace is over."""
@@ -84,12 +82,16 @@
         self._nodes = NodeCount(settings)
         self._presence = Presence(formats.node_prefix + name, settings, random_source)
         self._forwarding = ForwardingMachine(settings, self._directory, self._nodes, random_source)
-        hooks = FollowerHooks(self._on_listing, self._on_changes, self._directory.note_outage)
+        hooks = FollowerHooks(
+            self._on_listing, self._on_changes, self._directory.note_outage, self._on_look
+        )
         self._follower = StoreFollower(follower, hooks)
         self._table: RoutingTable | None = None
         self._idle_seconds = 0.0
         self._stopping_since: float | None = None
         self._was_ready = False
+        self._rewritten: set[str] = set()
+        """Keys of replicas' entries that the last changes left as they were but for the writing."""
         self._lines = LineBudget()
         candidate = random_source.randbytes(CLUSTER_KEY_BYTES)
         self._members = NodeMembership(
@@ -105,26 +107,37 @@
         return self._follower.known()
 
     def _decide(self, event: Event, now: float) -> list[Action]:
-        if isinstance(event, STORE_EVENTS):
-            return self._store_event(event, now)
-        if isinstance(event, Start):
-            return self._start(event, now)
-        if isinstance(event, PresenceDue):
-            return self._presence_due(event, now)
-        if isinstance(event, PeerLinkOpened):
-            actions = self._members.link_opened(event, self._table, now)
-            self._forwarding.enable_peers(self._members.groups)
-            return actions
-        if isinstance(event, SweepDue):
-            self._directory.forget_vanished(now)
-            return [*self._pace_actions(now), Schedule(now + SWEEP_SECONDS, event)]
-        if isinstance(event, StopRequested):
-            return self._stop(now)
-        if isinstance(event, StopCheckDue):
-            return self._check_stop(now)
+        match event:
+            case StoreResponse() | WatchChanged() | WatchBroken() | FollowAgain() | PeerSnapshot():
+                return self._store_event(event, now)
+            case Start():
+                return self._start(event, now)
+            case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
+                return self._membership_event(event, now)
+            case SweepDue():
+                self._directory.forget_vanished(now)
+                return [*self._pace_actions(now), Schedule(now + SWEEP_SECONDS, event)]
+            case StopRequested():
+                return self._stop(now)
+            case StopCheckDue():
+                return self._check_stop(now)
         actions = self._forwarding.handle(event, now)
         return actions + self._pace_actions(now) if self._forwarding.held_exchanges else actions
 
+    def _membership_event(
+        self, event: PresenceDue | PeerLinkOpened | PeerReceived, now: float
+    ) -> list[Action]:
+        match event:
+            case PeerReceived(message=StoreNews() as news):
+                return self._news(news, now)
+            case PresenceDue():
+                return self._presence_due(event, now)
+            case PeerLinkOpened():
+                actions = self._members.link_opened(event, self._table, now)
+                self._forwarding.enable_peers(self._members.groups)
+                return actions
+        return []
+
     def _store_event(self, event: Event, now: float) -> list[Action]:
         if isinstance(event, StoreResponse) and self._members.is_mine(event):
             return self._members.answered(event, now)
@@ -156,6 +169,7 @@
     ) -> list[Action]:
         actions: list[Action] = []
         prefix = self._formats.replica_prefix
+        self._rewritten.clear()
         for item in changed:
             if item.key == self._formats.configuration_key:
                 actions += self._configure(item.value)
@@ -172,14 +186,36 @@
                 self._members.remove(key)
         return actions + self._ready_actions()
 
+    def _on_look(self, news: StoreNews) -> list[Action]:
+        """Tell the nodes that would look at the same what this one has seen."""
+        listeners = self._members.listeners()
+        if not listeners:
+            return []
+        told = StoreNews(
+            news.from_revision,
+            news.store_revision,
+            tuple(
+                item
+                for item in news.changed
+                if item.key not in self._rewritten or item.created_at > news.from_revision
+            ),
+            news.deleted,
+        )
+        return [SendToPeer(listener, told) for listener in listeners]
+
+    def _news(self, news: StoreNews, now: float) -> list[Action]:
+        rank_seconds = self._settings.news_rank_seconds * self._members.rank()
+        pause_seconds = self._follower.usual_gather_seconds + rank_seconds
+        return self._follower.absorb(news, pause_seconds, now)
+
     def _pace_actions(self, now: float) -> list[Action]:
         """Look at the store more often while records of replicas or nodes are missing."""
         is_old = self._directory.is_contradicted(now)
         if is_old or self._forwarding.held_exchanges > 0:
-            return self._follower.gather(self._settings.settle_gather_seconds)
+            return self._follower.gather(self._settings.settle_gather_seconds, now)
         if self._members.is_joining(now):
-            return self._follower.gather(self._settings.join_gather_seconds)
-        return self._follower.gather(None)
+            return self._follower.gather(self._settings.join_gather_seconds, now)
+        return self._follower.gather(None, now)
 
     def _is_node_key(self, key: str) -> bool:
         return key.startswith(self._formats.node_prefix)
@@ -207,6 +243,8 @@
         if isinstance(record, Failure):
             fields = (("key", item.key), ("reason", record.reason))
             return [Log("replica_record_unreadable", LogLevel.WARNING, fields)]
+        if self._directory.holds(record):
+            self._rewritten.add(item.key)
         self._directory.put(record, now)
         return []
 
--- a/wingquay/forwarding/node_groups.py
+++ b/wingquay/forwarding/node_groups.py
@@ -42,6 +42,8 @@
         self._settings = settings
         self._name = name
         self._members: dict[str, _Member] = {}
+        self._departed: dict[str, NodeIdentity] = {}
+        """Nodes whose keys are gone, until their links break."""
         self._fan_out = 0
         self._owners: dict[tuple[str, ...], dict[str, NodeIdentity | None]] = {}
         self._valid_until = float("inf")
@@ -49,6 +51,7 @@
     def put(self, name: str, identity: NodeIdentity | None) -> None:
         """Take in what a node says of itself; ``None``: it cannot be reached."""
         present = self._members.get(name)
+        self._departed.pop(name, None)
         if identity is None:
             self.remove(name)
         elif present is None or present.identity != identity:
@@ -57,7 +60,11 @@
 
     def remove(self, name: str) -> None:
         """Take in that a node is gone."""
-        if self._members.pop(name, None) is not None:
+        member = self._members.pop(name, None)
+        if member is not None:
+            self._departed[name] = member.identity
+            if len(self._departed) > self._settings.news_most_nodes:
+                del self._departed[next(iter(self._departed))]
             self._forget_owners()
 
     def keep_only(self, names: Collection[str]) -> None:
@@ -73,6 +80,8 @@
 
     def suspect(self, node_id: str, now: float) -> None:
         """Pass a node over for a while, longer each time in a row."""
+        for name in [name for name, item in self._departed.items() if item.node_id == node_id]:
+            del self._departed[name]
         for member in self._members.values():
             if member.identity.node_id == node_id and now >= member.suspect_until:
                 seconds = self._settings.node_suspect_seconds * 2.0**member.failures
@@ -105,6 +114,31 @@
             if name != self._name and now >= member.suspect_until
         ]
 
+    def listeners(self) -> list[NodeIdentity]:
+        """Return the nodes that are told what this one reads of the store.
+
+        A node whose key is gone from the store while its link stands is told as well: the store may
+        have taken the key from a node that it turns away, and that one needs the news most.
+        """
+        names = [name for name in self._news_names() if name != self._name]
+        present = [self._members[name].identity for name in names]
+        return present + [item for item in self._departed.values() if item not in present]
+
+    def rank(self) -> int:
+        """Return this node's place among those that tell each other of the store."""
+        names = self._news_names()
+        return names.index(self._name) if self._name in names else 0
+
+    def _news_names(self) -> list[str]:
+        """Return the names of the group, or of all nodes while the group is small."""
+        names = self._group_names()
+        if len(names) >= self._settings.news_least_nodes or self._name not in self._members:
+            return names
+        names = sorted(self._members)
+        place = names.index(self._name)
+        around = names[place:] + names[:place]
+        return sorted(around[: self._settings.news_most_nodes])
+
     def sharing_nodes(self, nodes: int) -> int:
         """Return how many of ``nodes`` usually ask the same shard: one of each group."""
         size = len(self._group_names())
@@ -129,7 +163,7 @@
         """Return the sorted names of this node's group; empty while it cannot be reached."""
         if self._name not in self._members or not self._fan_out:
             return []
-        zone = self._settings.zone
+        zone = self._members[self._name].identity.zone
         names = sorted(
             name for name, member in self._members.items() if member.identity.zone == zone
         )
--- a/wingquay/forwarding/node_membership.py
+++ b/wingquay/forwarding/node_membership.py
@@ -113,6 +113,14 @@
         fields = (("nodes", len(self._identities)), ("port", event.identity.port))
         return [Log("peer_link_opened", LogLevel.INFO, fields)]
 
+    def listeners(self) -> list[NodeIdentity]:
+        """Return the nodes that are told what this one reads of the store."""
+        return [] if self._groups is None else self._groups.listeners()
+
+    def rank(self) -> int:
+        """Return this node's place among the nodes that tell each other of the store."""
+        return 0 if self._groups is None else self._groups.rank()
+
     def is_joining(self, now: float) -> bool:
         """Whether keys of nodes that started together with this one may soon appear."""
         return now - self._opened_at < self._settings.join_seconds
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/replica_directory.py
@@ -36,6 +36,11 @@
         """Return the state of a replica."""
         return self._states.get(replica_id)
 
+    def holds(self, record: ReplicaRecord) -> bool:
+        """Whether just this is known of a replica, and its record is there."""
+        state = self._states.get(record.replica_id)
+        return state is not None and state.vanished_at is None and state.record == record
+
     def put(self, record: ReplicaRecord, now: float) -> None:
         """Take in a record, new or changed."""
         state = self._states.get(record.replica_id)
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -84,6 +84,11 @@
         codes its requests sooner than it would hear from the others.
     delegate_least_nodes
         Nodes of a group, this one included, from which on it is worth it.
+    news_rank_seconds
+        Time by which each node of those that tell each other what they read of the store waits
+        longer than the one before it, so that usually one of them looks.
+    news_least_nodes, news_most_nodes
+        Nodes of a group from which on it keeps to itself; how many nodes are told at most.
     zones
         All zones of the deployment, as far as they are known.
     relay_least_shards
@@ -139,6 +144,9 @@
     hold_ratio: float = 0.3
     delegate_least_shards: int = 40
     delegate_least_nodes: int = 3
+    news_rank_seconds: float = 0.04
+    news_least_nodes: int = 5
+    news_most_nodes: int = 12
     zones: tuple[str, ...] = ()
     relay_least_shards: int = 4
     delegate_return_seconds: float = 0.008
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -17,6 +17,7 @@
     WatchBroken,
     WatchChanged,
 )
+from wingquay.ports.store_news import StoreNews
 
 
 @value
@@ -105,11 +106,14 @@
         What changed and which keys are gone.
     on_trouble
         The store could not be reached.
+    on_look
+        A look of its own showed changes: what was known before, and what is now.
     """
 
     on_listing: Callable[[tuple[StoredValue, ...], float], list[Action]]
     on_changes: Callable[[tuple[StoredValue, ...], tuple[str, ...], float], list[Action]]
     on_trouble: Callable[[float], None]
+    on_look: Callable[[StoreNews], list[Action]]
 
 
 class StoreFollower:
@@ -132,6 +136,8 @@
         self._is_listed = False
         self._is_watching = False
         self._gather_seconds = settings.gather_seconds
+        self._look_at = 0.0
+        """When the next look begins; one that has begun is not put off."""
         self._items: dict[str, StoredValue] = {}
         self._seen_revision: int | None = None
         """The store's revision up to which everything is known."""
@@ -158,7 +164,7 @@
             return None
         return ReadResult(tuple(self._items.values()), self._seen_revision)
 
-    def gather(self, seconds: float | None) -> list[Action]:
+    def gather(self, seconds: float | None, now: float) -> list[Action]:
         """Look at the store at another pace; ``None``: the usual one."""
         wanted = self._settings.gather_seconds if seconds is None else seconds
         if wanted == self._gather_seconds:
@@ -166,7 +172,36 @@
         self._gather_seconds = wanted
         if not self._is_watching:
             return []
-        return [StopWatch(self._watch_id), *self._watch()]
+        return [StopWatch(self._watch_id), *self._watch(now)]
+
+    def absorb(self, news: StoreNews, pause_seconds: float, now: float) -> list[Action]:
+        """Take in what another node has read; put the own look off.
+
+        News that begin after what is known here, or end before it, are passed over: the own look
+        shows what they told, as it does when no more news come.
+
+        Parameters
+        ----------
+        pause_seconds
+            Time until the own look, if nothing more is heard by then.
+        """
+        seen = self._seen_revision
+        if not self._is_listed or seen is None:
+            return []
+        if not news.from_revision <= seen <= news.store_revision:
+            return []
+        self._seen_revision = news.store_revision
+        actions = self._hooks.on_changes(news.changed, news.deleted, now)
+        self._remember(news.changed, news.deleted)
+        is_hurried = self._gather_seconds < self._settings.gather_seconds
+        if not self._is_watching or is_hurried or now >= self._look_at:
+            return actions
+        return [*actions, StopWatch(self._watch_id), *self._watch(now, pause_seconds)]
+
+    @property
+    def usual_gather_seconds(self) -> float:
+        """The time between two looks when nothing is missing."""
+        return self._settings.gather_seconds
 
     @property
     def _operation_id(self) -> str:
@@ -178,18 +213,31 @@
 
     def _look(self, now: float) -> list[Action]:
         if self._seen_revision is not None:
-            return self._watch()
+            return self._watch(now)
         self._reads += 1
         operation = Read(self._settings.prefix, prefix=True)
         timeout = self._settings.read_timeout_seconds
         return [StoreRequest(self._operation_id, operation, timeout)]
 
-    def _watch(self) -> list[Action]:
+    def _watch(self, now: float, pause_seconds: float = 0.0) -> list[Action]:
         assert self._seen_revision is not None
+        self._look_at = now + pause_seconds
         self._watches += 1
         self._is_watching = True
-        prefix = self._settings.prefix
-        return [StartWatch(self._watch_id, prefix, self._seen_revision, self._gather_seconds)]
+        return [
+            StartWatch(
+                self._watch_id,
+                self._settings.prefix,
+                self._seen_revision,
+                self._gather_seconds,
+                pause_seconds,
+            )
+        ]
+
+    def _remember(self, changed: tuple[StoredValue, ...], deleted: tuple[str, ...]) -> None:
+        self._items.update({item.key: item for item in changed})
+        for key in deleted:
+            self._items.pop(key, None)
 
     def _read_done(self, event: StoreResponse, now: float) -> list[Action]:
         if event.operation_id != self._operation_id:
@@ -217,17 +265,20 @@
         self._is_listed = True
         self._seen_revision = store_revision
         self._items = {item.key: item for item in values}
-        return self._hooks.on_listing(values, now) + self._watch()
+        return self._hooks.on_listing(values, now) + self._watch(now)
 
     def _changed(self, event: WatchChanged, now: float) -> list[Action]:
         if event.watch_id != self._watch_id:
             return []
+        assert self._seen_revision is not None
         self._failures = 0
-        self._seen_revision = event.store_revision
-        self._items.update({item.key: item for item in event.changed})
-        for key in event.deleted:
-            self._items.pop(key, None)
-        return self._hooks.on_changes(event.changed, event.deleted, now)
+        self._look_at = now + self._gather_seconds
+        before = self._seen_revision
+        self._seen_revision = max(before, event.store_revision)
+        self._remember(event.changed, event.deleted)
+        actions = self._hooks.on_changes(event.changed, event.deleted, now)
+        news = StoreNews(before, self._seen_revision, event.changed, event.deleted)
+        return actions + self._hooks.on_look(news)
 
     def _broken(self, event: WatchBroken, now: float) -> list[Action]:
         if event.watch_id != self._watch_id:
--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -144,6 +144,7 @@
         after = action.from_store_revision
         prefix = quote(action.key, safe="")
         wait_ms = int(WATCH_WAIT_SECONDS * MILLISECONDS_PER_SECOND)
+        await asyncio.sleep(action.pause_seconds)
         while True:
             asked_at = self._loop.time()
             path = f"{STORE_WATCH}?pathPrefix={prefix}&after={after}&waitMs={wait_ms}"
--- a/wingquay/platform/store_formats.py
+++ b/wingquay/platform/store_formats.py
@@ -86,7 +86,8 @@
     """Return an item as the port has it."""
     content = base64.b64decode(item["value"])
     lease_id = int(item.get("lease", 0))
-    return StoredValue(str(item["tlsKey"]), content, int(item["revision"]), lease_id)
+    created_at = int(item.get("made", 0))
+    return StoredValue(str(item["tlsKey"]), content, int(item["revision"]), lease_id, created_at)
 
 
 def watch_changed(watch_id: str, document: Any) -> WatchChanged:
--- a/wingquay/ports/store.py
+++ b/wingquay/ports/store.py
@@ -23,12 +23,16 @@
 
 @value
 class StoredValue:
-    """A key's value; ``modified_at`` is the store's revision of the write, usable as a fence."""
+    """A key's value; ``modified_at`` is the store's revision of the write, usable as a fence.
+
+    ``created_at`` is the revision at which the key came to be; 0 where the store does not tell.
+    """
 
     key: str
     value: bytes
     modified_at: int
     lease_id: int = 0
+    created_at: int = 0
 
 
 @value
@@ -137,12 +141,15 @@
     ----------
     gather_seconds
         Least time between two looks, for prefixes that change all the time: each look costs.
+    pause_seconds
+        Time until the first look.
     """
 
     watch_id: str
     key: str
     from_store_revision: int
     gather_seconds: float = 0.0
+    pause_seconds: float = 0.0
 
 
 @value
--- /dev/null
+++ b/wingquay/ports/store_news.py
@@ -0,0 +1,23 @@
+"""What a node has just read of the store, for the nodes that would read the same."""
+
+from ..model.value import value
+from .peer_link import PeerMessage
+from .store import StoredValue
+
+
+@value
+class StoreNews(PeerMessage):
+    """Everything that changed between two revisions of the store, as far as it matters.
+
+    Left out are replicas' entries that were only written again.
+
+    Parameters
+    ----------
+    from_revision
+        Whoever knows the store up to here knows it up to ``store_revision`` with these changes.
+    """
+
+    from_revision: int
+    store_revision: int
+    changed: tuple[StoredValue, ...] = ()
+    deleted: tuple[str, ...] = ()
--- a/wingquay/simulation/forwarding/store.py
+++ b/wingquay/simulation/forwarding/store.py
@@ -151,7 +151,8 @@
         """Begin a watch."""
         watch = _Watch(action, emit, node, action.from_store_revision)
         self._watches.append(watch)
-        self.clock.after(self._latency(), self._look, watch)
+        watch.next_look = self.clock.now + action.pause_seconds
+        self.clock.after(action.pause_seconds + self._latency(), self._look, watch)
 
     def stop_watch(self, watch_id: str, emit: Emit) -> None:
         """End one watch."""
