--- a/tests/admission/test_owned_shards.py
+++ b/tests/admission/test_owned_shards.py
@@ -4,12 +4,12 @@
 
 import testtools
 
+from tests.admission.two_regions import initial_configuration, node_identity
 from wingquay.admission.owner_machine import OwnerMachine
 from wingquay.admission.settings import AdmissionSettings
 from wingquay.ports.backend import ProbeReplica
 from wingquay.ports.internal import ConfigurationInForce, MembershipChanged
 from wingquay.routing.settings import RoutingSettings
-from wingquay.simulation.capacity.layout import initial_configuration, node_identity
 
 NODES = 8
 REPLICAS = 48
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -7,13 +7,12 @@
 from benchmarks.decision_cost import measure
 from benchmarks.peer_codec_cost import NAMES, _measure
 from benchmarks.support.batch_backend import BatchBackend
-from benchmarks.target_size import caller_bytes, cases, exchange_bytes
 
 
 class BenchmarksTest(testtools.TestCase):
     def test_every_module_with_a_main_is_found(self) -> None:
         found = find_benchmarks()
-        for name in ("decision_cost", "http_exchange", "node_throughput", "target_size"):
+        for name in ("decision_cost", "http_exchange", "node_throughput", "peer_link_cost"):
             self.assertIn(name, found)
         self.assertNotIn("support", found)
 
@@ -34,8 +33,3 @@
         answers = _read_results(BatchBackend(3)._results(_request_body(attempts)))
         self.assertEqual(attempts, list(answers))
         self.assertEqual([3, 3], [len(answer.rows) for answer in answers.values()])
-
-    def test_target_size_counts_real_messages(self) -> None:
-        self.assertTrue(all(case.ratio > 0 for case in cases()))
-        self.assertTrue(min(exchange_bytes(4)) > 0)
-        self.assertTrue(caller_bytes(4) > caller_bytes(1))
--- a/wingquay/cli.py
+++ b/wingquay/cli.py
@@ -38,7 +38,6 @@
     "fuzz": "Search for violations with random steps against an oracle.",
     "replay": "Run one simulated history again from its seed.",
     "experiment": "Compare mechanisms in simulation.",
-    "capacity": "Work out what a size of deployment needs.",
 }
 """Every command and its summary; a command whose module is not installed is not offered."""
 
