--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -149,7 +149,7 @@
         self._latencies.record(route, seconds, now)
         median = self._latencies.median_seconds(route)
         if median is not None:
-            attempt.replica.on_latency(seconds / median, now)
+            attempt.replica.on_latency(seconds / median, attempt.sent_at, now)
 
     def _not_run(self, attempt: Attempt) -> None:
         call = attempt.call
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/replica_directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Container, Iterable
 
 from wingquay.forwarding.replica_state import ReplicaState
+from wingquay.forwarding.replica_trials import ReplicaTrials
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.model.replica_record import ReplicaRecord
 
@@ -23,6 +24,7 @@
         self._settings = settings
         self._random = random_source
         self._states: dict[str, ReplicaState] = {}
+        self._trials = ReplicaTrials(settings)
         self._by_service: dict[str, dict[str, ReplicaState]] = {}
         self._outage_ended_at = float("-inf")
         self._listed_at: float | None = None
@@ -176,9 +178,13 @@
         zone = self._settings.zone
 
         def rank(state: ReplicaState) -> tuple[float, float]:
-            return state.cost(now, zone, prefers_proven, is_owned), self._random.random()
+            may_try = self._trials.is_allowed(state, now)
+            cost = state.cost(now, zone, prefers_proven, is_owned, may_try)
+            return cost, self._random.random()
 
-        return min(states, key=rank)
+        best = min(states, key=rank)
+        self._trials.chosen(best, now)
+        return best
 
     def _candidates(self, service: str, now: float) -> list[ReplicaState]:
         """Return the replicas that may get work; vanished ones only if no other is left."""
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -13,6 +13,8 @@
 SLOWNESS_TOLERANCE = 1.25
 """Slowness that counts as none: otherwise a replica once slow would never be asked again."""
 GREATEST_SLOWNESS = 20.0
+SLOW_RATIO = 2.5
+"""Latency of an attempt, in usual latencies, from which on it counts as slow."""
 TROUBLE_WEIGHT = 0.5
 """How far one attempt that failed moves the share of failing attempts."""
 RELIEF_WEIGHT = 0.2
@@ -26,7 +28,7 @@
 OVERDUE_FACTOR = 6.0
 """Cost factor of a replica that holds an attempt beyond the time at which it is hedged."""
 COLD_FACTOR = 1.6
-OTHER_ZONE_FACTOR = 1.2
+OTHER_ZONE_FACTOR = 2.5
 OWNED_OTHER_ZONE_FACTOR = 1.7
 """The same for an owner of the shard: it sends for a whole group, and groups of every zone share a
 replica, so one request more at a near replica costs less than the way to a far one."""
@@ -58,6 +60,10 @@
     blocked_until: float = 0.0
     failures_in_row: int = 0
     _proved_at: float = float("-inf")
+    slow_in_row: int = 0
+    """Slow attempts since the last usual one, each sent after the one before had ended: attempts
+    that met one pause count once."""
+    _slow_at: float = float("-inf")
     _slowness: float = 1.0
     _slowness_at: float = 0.0
     _trouble: float = 0.0
@@ -101,18 +107,28 @@
         """Whether it answered lately, and well."""
         return now - self._proved_at < PROVEN_SECONDS and self._slowness < SLOWNESS_TOLERANCE
 
-    def cost(self, now: float, zone: str, prefers_proven: bool, is_owned: bool = False) -> float:
+    def cost(
+        self,
+        now: float,
+        zone: str,
+        prefers_proven: bool,
+        is_owned: bool = False,
+        may_try: bool = True,
+    ) -> float:
         """Return the expected wait at the replica, in usual latencies.
 
         Parameters
         ----------
+        may_try
+            Whether a replica that was slow may be taken for faster by now; otherwise it counts as
+            slow as it was.
         prefers_proven
             Whether a replica that answered well lately goes before one of which nothing is known.
         is_owned
             Whether the nodes of a group leave the replica's service to this node.
         """
         slots = max(1, self.record.slots)
-        slowness = self.slowness(now)
+        slowness = self.slowness(now) if may_try else self._slowness
         if slowness < SLOWNESS_TOLERANCE:
             slowness = 1.0
         waiting = len(self.in_flight) + self._reported_elsewhere(now)
@@ -128,9 +144,14 @@
             cost *= UNPROVEN_FACTOR
         return cost
 
-    def on_latency(self, ratio: float, now: float) -> None:
-        """Take in an attempt's latency in usual latencies."""
+    def on_latency(self, ratio: float, sent_at: float, now: float) -> None:
+        """Take in the latency of an attempt, in usual latencies."""
         ratio = min(ratio, GREATEST_SLOWNESS)
+        if ratio < SLOW_RATIO:
+            self.slow_in_row = 0
+        elif sent_at >= self._slow_at:
+            self.slow_in_row += 1
+            self._slow_at = now
         present = self.slowness(now)
         self._slowness = present + SLOWNESS_WEIGHT * (ratio - present)
         self._slowness_at = now
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -58,6 +58,9 @@
         Time without any answer after which a replica counts as out of reach.
     shed_backoff_seconds
         How long a replica that refused work for its load gets none.
+    paused_trial_seconds, slow_trial_seconds
+        Least time between two attempts of this node at replicas that were slow once, or again when
+        they were tried.
     retry_wait_seconds
         Time between two attempts at a service of which no replica can be asked.
     offer_ratio
@@ -134,6 +137,8 @@
     connect_backoff_most_seconds: float = 2.0
     silent_seconds: float = 0.3
     shed_backoff_seconds: float = 0.05
+    paused_trial_seconds: float = 0.1
+    slow_trial_seconds: float = 1.0
     retry_wait_seconds: float = 0.03
     offer_ratio: float = 0.2
     vanished_grace_seconds: float = 1.0
