--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -17,6 +17,7 @@
     CancelDelegation,
     DelegatedAnswer,
     DelegatedRequest,
+    Heartbeat,
 )
 from wingquay.ports.forwarding import OpaqueRequest
 from wingquay.ports.machine import Event
@@ -79,6 +80,7 @@
     REQUESTS,
     ANSWERS,
     NEWS,
+    st.just(Heartbeat()),
     st.builds(AllowAttempts, NUMBERS, st.integers(0, 2**31)),
     st.builds(CancelDelegation, NUMBERS),
 )
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -3,7 +3,13 @@
 from google.protobuf.message import DecodeError
 
 from ..model.failure import Failure
-from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
+from ..ports.delegation import (
+    AllowAttempts,
+    CancelDelegation,
+    DelegatedAnswer,
+    DelegatedRequest,
+    Heartbeat,
+)
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
 from ..ports.store import StoredValue
@@ -32,6 +38,8 @@
             envelope.allow_attempts.max_attempts = message.max_attempts
         case CancelDelegation():
             envelope.cancel_delegation.delegation_id = message.delegation_id
+        case Heartbeat():
+            envelope.heartbeat.SetInParent()
         case StoreNews():
             _put_news(envelope.store_news, message)
         case _:
@@ -58,6 +66,8 @@
             return sender, AllowAttempts(allowed.delegation_id, allowed.max_attempts)
         case "cancel_delegation":
             return sender, CancelDelegation(envelope.cancel_delegation.delegation_id)
+        case "heartbeat":
+            return sender, Heartbeat()
         case "store_news":
             return sender, _news_from(envelope.store_news)
         case _:
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -99,7 +99,7 @@
         delegations = Delegations(
             self._settings, groups, self._directory, self._starter, self._settlement
         )
-        self._peers = PeerWork(delegations, self._directory, self._settlement, self._begin)
+        self._peers = PeerWork(groups, delegations, self._directory, self._settlement, self._begin)
         self._sender.groups = groups
 
     def set_table(self, table: RoutingTable) -> None:
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -17,6 +17,7 @@
 )
 from wingquay.forwarding.store_formats import FormatFailureKind as FormatFailureKind
 from wingquay.forwarding.store_formats import StoreFormats as StoreFormats
+from wingquay.forwarding.timers import HeartbeatDue
 from wingquay.model.failure import Failure
 from wingquay.model.routing_table import CallerLimits, RoutingTable
 from wingquay.model.value import value
@@ -112,7 +113,12 @@
                 return self._store_event(event, now)
             case Start():
                 return self._start(event, now)
-            case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
+            case (
+                PresenceDue()
+                | PeerLinkOpened()
+                | HeartbeatDue()
+                | PeerReceived(message=StoreNews())
+            ):
                 return self._membership_event(event, now)
             case SweepDue():
                 self._directory.forget_vanished(now)
@@ -125,7 +131,7 @@
         return actions + self._pace_actions(now) if self._forwarding.held_exchanges else actions
 
     def _membership_event(
-        self, event: PresenceDue | PeerLinkOpened | PeerReceived, now: float
+        self, event: PresenceDue | PeerLinkOpened | HeartbeatDue | PeerReceived, now: float
     ) -> list[Action]:
         match event:
             case PeerReceived(message=StoreNews() as news):
@@ -135,7 +141,9 @@
             case PeerLinkOpened():
                 actions = self._members.link_opened(event, self._table, now)
                 self._forwarding.enable_peers(self._members.groups)
-                return actions
+                return [*actions, Schedule(now, HeartbeatDue())]
+            case HeartbeatDue():
+                return self._members.heartbeat(now)
         return []
 
     def _store_event(self, event: Event, now: float) -> list[Action]:
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -6,12 +6,19 @@
 from collections.abc import Callable
 
 from ..model.routing_table import RoutingTable
-from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
+from ..ports.delegation import (
+    AllowAttempts,
+    CancelDelegation,
+    DelegatedAnswer,
+    DelegatedRequest,
+    Heartbeat,
+)
 from ..ports.machine import Action
 from ..ports.peer_link import NodeIdentity, PeerLinkBroken, PeerReceived
 from .delegated_work import DelegatedWork
 from .delegation import Delegations
 from .exchange import Exchange
+from .node_groups import NodeGroups
 from .replica_directory import ReplicaDirectory
 from .settlement import Settlement
 from .timers import DelegationDue
@@ -25,6 +32,8 @@
 
     Parameters
     ----------
+    groups
+        The nodes; heartbeats keep them up to date here.
     delegations
         What this node asks of others.
     begin
@@ -33,11 +42,13 @@
 
     def __init__(
         self,
+        groups: NodeGroups,
         delegations: Delegations,
         directory: ReplicaDirectory,
         settlement: Settlement,
         begin: Begin,
     ) -> None:
+        self._groups = groups
         self.delegations = delegations
         self._work = DelegatedWork(directory, settlement)
         self._begin = begin
@@ -62,6 +73,9 @@
             case PeerLinkBroken():
                 actions = self._work.link_broken(event.node_id, now)
                 return actions + self.delegations.link_broken(event, now)
+            case PeerReceived(sender, Heartbeat()):
+                self._groups.heard(sender.node_id, now)
+                return []
             case PeerReceived(sender, DelegatedRequest() as message):
                 return self._requested(sender, message, table, now)
             case PeerReceived(sender, DelegatedAnswer() as message):
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -32,6 +32,11 @@
     exchange_id: int
 
 
+@value
+class HeartbeatDue(Event):
+    """Tell the nodes around that this one is there."""
+
+
 @value
 class DelegationDue(Event):
     """Look whether a node that was asked for shards has said anything."""
