--- a/wingquay/__main__.py
+++ b/wingquay/__main__.py
@@ -1,5 +1,5 @@
 """Runs the command line: ``python -m wingquay``."""
 
-from wingquay.cli import main
+from .cli import main
 
 main()
--- a/wingquay/adapters/backend_client.py
+++ b/wingquay/adapters/backend_client.py
@@ -3,20 +3,9 @@
 from collections.abc import Callable
 from functools import partial
 
-from wingquay.adapters.backend_json import (
-    ATTEMPT_HEADER,
-    read_health,
-    read_load,
-    read_search_response,
-    search_request,
-)
-from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_client_connection import OutgoingRequest
-from wingquay.adapters.http_exchange import HttpExchange, HttpResult
-from wingquay.adapters.http_messages import HttpFailureKind, HttpResponse
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import AttemptId
-from wingquay.ports.backend import (
+from ..model.failure import Failure
+from ..model.identifiers import AttemptId
+from ..ports.backend import (
     AttemptFinished,
     BackendFailureKind,
     CancelAttempt,
@@ -24,7 +13,18 @@
     ReplicaProbed,
     StartAttempt,
 )
-from wingquay.ports.machine import Action, Count, Event
+from ..ports.machine import Action, Count, Event
+from .backend_json import (
+    ATTEMPT_HEADER,
+    read_health,
+    read_load,
+    read_search_response,
+    search_request,
+)
+from .http_client import HttpClient
+from .http_client_connection import OutgoingRequest
+from .http_exchange import HttpExchange, HttpResult
+from .http_messages import HttpFailureKind, HttpResponse
 
 ANSWER_BYTES = 16_777_216
 """Largest body of a back end's answer; a larger one is an error."""
--- a/wingquay/adapters/backend_json.py
+++ b/wingquay/adapters/backend_json.py
@@ -13,13 +13,13 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from wingquay.adapters.http_client_connection import OutgoingRequest
-from wingquay.adapters.http_messages import HttpResponse, RawHeaders
-from wingquay.model.answer import Row
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import SnapshotVersion
-from wingquay.model.key_range import KeyRange
-from wingquay.ports.backend import BackendAnswer, BackendFailureKind, LoadReport, StartAttempt
+from ..model.answer import Row
+from ..model.failure import Failure
+from ..model.identifiers import SnapshotVersion
+from ..model.key_range import KeyRange
+from ..ports.backend import BackendAnswer, BackendFailureKind, LoadReport, StartAttempt
+from .http_client_connection import OutgoingRequest
+from .http_messages import HttpResponse, RawHeaders
 
 ATTEMPT_HEADER = "wingquay-attempt"
 VERSIONS_HEADER = "wingquay-versions"
--- a/wingquay/adapters/bearer_tokens.py
+++ b/wingquay/adapters/bearer_tokens.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from wingquay.model.configuration import Caller
-from wingquay.model.identifiers import CallerName
+from ..model.configuration import Caller
+from ..model.identifiers import CallerName
 
 AUTHORIZATION_HEADER = "authorization"
 SCHEME = "bearer"
--- a/wingquay/adapters/caller_json.py
+++ b/wingquay/adapters/caller_json.py
@@ -8,13 +8,13 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-from wingquay.adapters.http_messages import HttpResponse
-from wingquay.adapters.problem_details import json_response, problem, retry_after
-from wingquay.model.answer import Answer, Outcome
-from wingquay.model.configuration import CoveragePreference
-from wingquay.model.identifiers import CallerName, RequestId, RequestKindName, ServiceName
-from wingquay.model.key_range import KeyRange
-from wingquay.model.request import QueryRequest
+from ..model.answer import Answer, Outcome
+from ..model.configuration import CoveragePreference
+from ..model.identifiers import CallerName, RequestId, RequestKindName, ServiceName
+from ..model.key_range import KeyRange
+from ..model.request import QueryRequest
+from .http_messages import HttpResponse
+from .problem_details import json_response, problem, retry_after
 
 IDEMPOTENCY_HEADER = "idempotency-key"
 TRACEPARENT_HEADER = "traceparent"
--- a/wingquay/adapters/caller_server.py
+++ b/wingquay/adapters/caller_server.py
@@ -7,17 +7,17 @@
 from collections.abc import Callable
 from itertools import count
 
-from wingquay.adapters.bearer_tokens import CHALLENGE, CallerDirectory, bearer_token
-from wingquay.adapters.caller_json import LONGEST_DEADLINE_MS, read_query, write_answer
-from wingquay.adapters.health_pages import HealthPages, method_not_allowed
-from wingquay.adapters.http_messages import HttpLimits, HttpRequest, HttpResponse
-from wingquay.adapters.http_server import HttpServer
-from wingquay.adapters.problem_details import JSON_TYPE, problem, server_refusal
-from wingquay.model.answer import Answer, Outcome
-from wingquay.model.identifiers import NodeId, RequestId
-from wingquay.model.request import QueryRequest
-from wingquay.ports.caller import AnswerCaller, CallerGone, CallerRequest, SetReady
-from wingquay.ports.machine import Event
+from ..model.answer import Answer, Outcome
+from ..model.identifiers import NodeId, RequestId
+from ..model.request import QueryRequest
+from ..ports.caller import AnswerCaller, CallerGone, CallerRequest, SetReady
+from ..ports.machine import Event
+from .bearer_tokens import CHALLENGE, CallerDirectory, bearer_token
+from .caller_json import LONGEST_DEADLINE_MS, read_query, write_answer
+from .health_pages import HealthPages, method_not_allowed
+from .http_messages import HttpLimits, HttpRequest, HttpResponse
+from .http_server import HttpServer
+from .problem_details import JSON_TYPE, problem, server_refusal
 
 QUERY_PATH = "/v1/query"
 
--- a/wingquay/adapters/deferred_log.py
+++ b/wingquay/adapters/deferred_log.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, TextIO
 
-from wingquay.ports.machine import Log, LogLevel
+from ..ports.machine import Log, LogLevel
 
 if TYPE_CHECKING:
-    from wingquay.adapters.log_writer import LogWriter
+    from .log_writer import LogWriter
 
 KEPT_LINES = 500
 """Lines kept until the library is loaded; a further one loads it."""
@@ -58,7 +58,7 @@
         """Load the library and write what was kept."""
         if self._writer is not None:
             return
-        from wingquay.adapters.log_writer import LogWriter, write_logs_to
+        from .log_writer import LogWriter, write_logs_to
 
         write_logs_to(self._stream)
         self._writer = LogWriter(self._fields)
--- a/wingquay/adapters/deferred_metrics.py
+++ b/wingquay/adapters/deferred_metrics.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from wingquay.ports.machine import Count, Observe
+from ..ports.machine import Count, Observe
 
 if TYPE_CHECKING:
-    from wingquay.adapters.metrics import Metrics
+    from .metrics import Metrics
 
 KEPT_ACTIONS = 20_000
 """Actions kept until the library is loaded; further ones load it."""
@@ -40,7 +40,7 @@
     def load(self) -> "Metrics":
         """Load the library and hand on what was kept."""
         if self._metrics is None:
-            from wingquay.adapters.metrics import Metrics
+            from .metrics import Metrics
 
             self._metrics = Metrics()
             for action in self._kept:
--- a/wingquay/adapters/etcd_json.py
+++ b/wingquay/adapters/etcd_json.py
@@ -12,8 +12,8 @@
 import orjson
 from pydantic import Base64Bytes, BaseModel, ConfigDict, Field, ValidationError
 
-from wingquay.model.failure import Failure
-from wingquay.ports.store import (
+from ..model.failure import Failure
+from ..ports.store import (
     CompareAndSwap,
     GrantLease,
     KeepLeaseAlive,
--- a/wingquay/adapters/etcd_watch_json.py
+++ b/wingquay/adapters/etcd_watch_json.py
@@ -6,9 +6,9 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from wingquay.adapters.etcd_json import KeyValue, malformed, prefix_bounds, to_base64
-from wingquay.model.failure import Failure
-from wingquay.ports.store import StartWatch, StoreFailureKind, WatchBroken, WatchChanged
+from ..model.failure import Failure
+from ..ports.store import StartWatch, StoreFailureKind, WatchBroken, WatchChanged
+from .etcd_json import KeyValue, malformed, prefix_bounds, to_base64
 
 WATCH_PATH = "/v3/watch"
 MAX_LINE_BYTES = 16_777_216
--- a/wingquay/adapters/forwarding_server.py
+++ b/wingquay/adapters/forwarding_server.py
@@ -5,10 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from wingquay.adapters.http_messages import HttpLimits, HttpRequest, HttpResponse
-from wingquay.adapters.http_server import HttpServer
-from wingquay.model.routing_table import CallerLimits
-from wingquay.ports.forwarding import (
+from ..model.routing_table import CallerLimits
+from ..ports.forwarding import (
     CallerLeft,
     ForwardRequested,
     ReplyFailure,
@@ -16,7 +14,9 @@
     ReplyUnchanged,
     SetForwarding,
 )
-from wingquay.ports.machine import Event
+from ..ports.machine import Event
+from .http_messages import HttpLimits, HttpRequest, HttpResponse
+from .http_server import HttpServer
 
 CONNECTIONS = 3_000
 """Connections of callers; descriptors are left for replicas and the store."""
--- a/wingquay/adapters/health_pages.py
+++ b/wingquay/adapters/health_pages.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.adapters.problem_details import json_response, problem, retry_after
-from wingquay.ports.caller import SetReady
+from ..ports.caller import SetReady
+from .http_messages import HttpRequest, HttpResponse
+from .problem_details import json_response, problem, retry_after
 
 LIVE_PATH = "/health/live"
 READY_PATH = "/health/ready"
--- a/wingquay/adapters/http_client.py
+++ b/wingquay/adapters/http_client.py
@@ -8,18 +8,18 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from wingquay.adapters.http_client_connection import (
+from ..model.failure import Failure
+from .http_client_connection import (
     OutgoingRequest,
 )
-from wingquay.adapters.http_connection_pool import HttpConnectionPool
-from wingquay.adapters.http_exchange import HttpExchange, HttpResult
-from wingquay.adapters.http_messages import (
+from .http_connection_pool import HttpConnectionPool
+from .http_exchange import HttpExchange, HttpResult
+from .http_messages import (
     HttpFailureKind,
     HttpResponse,
     headers_to_raw,
 )
-from wingquay.adapters.http_stream import HttpStream, StreamReader
-from wingquay.model.failure import Failure
+from .http_stream import HttpStream, StreamReader
 
 DEFAULT_CONNECTION_LIMIT = 70
 DEFAULT_HEADER_BYTES = 16_384
--- a/wingquay/adapters/http_client_connection.py
+++ b/wingquay/adapters/http_client_connection.py
@@ -7,9 +7,9 @@
 
 import h11
 
-from wingquay.adapters.http_messages import HttpFailureKind, RawHeaders, headers_from_raw
-from wingquay.model.failure import Failure
-from wingquay.model.value import value
+from ..model.failure import Failure
+from ..model.value import value
+from .http_messages import HttpFailureKind, RawHeaders, headers_from_raw
 
 _END_OF_MESSAGE = h11.EndOfMessage()
 
--- a/wingquay/adapters/http_connection_pool.py
+++ b/wingquay/adapters/http_connection_pool.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wingquay.adapters.http_client_connection import ClientConnection
-from wingquay.adapters.http_messages import HttpFailureKind
-from wingquay.model.failure import Failure
+from ..model.failure import Failure
+from .http_client_connection import ClientConnection
+from .http_messages import HttpFailureKind
 
 Address = tuple[str, int]
 """IP number and port."""
--- a/wingquay/adapters/http_exchange.py
+++ b/wingquay/adapters/http_exchange.py
@@ -3,14 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
-from wingquay.adapters.http_client_connection import (
+from ..model.failure import Failure
+from .http_client_connection import (
     ClientConnection,
     ExchangeReader,
     OutgoingRequest,
 )
-from wingquay.adapters.http_connection_pool import Address, HttpConnectionPool
-from wingquay.adapters.http_messages import HttpFailureKind, HttpResponse
-from wingquay.model.failure import Failure
+from .http_connection_pool import Address, HttpConnectionPool
+from .http_messages import HttpFailureKind, HttpResponse
 
 HttpResult = HttpResponse | Failure[HttpFailureKind]
 
--- a/wingquay/adapters/http_messages.py
+++ b/wingquay/adapters/http_messages.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from wingquay.model.value import value
+from ..model.value import value
 
 HEADER_ENCODING = "latin-1"
 """Header bytes map to text one to one."""
--- a/wingquay/adapters/http_request_reader.py
+++ b/wingquay/adapters/http_request_reader.py
@@ -6,13 +6,13 @@
 
 import h11
 
-from wingquay.adapters.http_messages import (
+from ..model.value import value
+from .http_messages import (
     HttpLimits,
     HttpRequest,
     RawHeaders,
     headers_from_raw,
 )
-from wingquay.model.value import value
 
 HEADER_SEPARATORS_BYTES = 4
 """Colon, space and line end of a header line."""
--- a/wingquay/adapters/http_server.py
+++ b/wingquay/adapters/http_server.py
@@ -4,8 +4,8 @@
 import socket
 from collections.abc import Callable
 
-from wingquay.adapters.http_messages import HttpLimits, HttpResponse
-from wingquay.adapters.http_server_connection import Handler, ServerConnection
+from .http_messages import HttpLimits, HttpResponse
+from .http_server_connection import Handler, ServerConnection
 
 LISTEN_BACKLOG = 1_024
 
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -9,15 +9,15 @@
 
 import h11
 
-from wingquay.adapters.http_messages import (
+from .http_messages import (
     ConnectionCutError,
     HttpLimits,
     HttpRequest,
     HttpResponse,
     headers_to_raw,
 )
-from wingquay.adapters.http_request_reader import ReadProgress, RequestReader, RequestRefusal
-from wingquay.adapters.round_trip import round_trip_seconds
+from .http_request_reader import ReadProgress, RequestReader, RequestRefusal
+from .round_trip import round_trip_seconds
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
--- a/wingquay/adapters/http_stream.py
+++ b/wingquay/adapters/http_stream.py
@@ -4,14 +4,14 @@
 from collections import deque
 from collections.abc import AsyncIterator
 
-from wingquay.adapters.http_client_connection import (
+from ..model.failure import Failure
+from .http_client_connection import (
     ClientConnection,
     ExchangeReader,
     OutgoingRequest,
 )
-from wingquay.adapters.http_connection_pool import Address, HttpConnectionPool
-from wingquay.adapters.http_messages import HttpFailureKind
-from wingquay.model.failure import Failure
+from .http_connection_pool import Address, HttpConnectionPool
+from .http_messages import HttpFailureKind
 
 MAX_WAITING_BYTES = 16_777_216
 """A stream whose reader falls further behind is ended."""
--- a/wingquay/adapters/log_writer.py
+++ b/wingquay/adapters/log_writer.py
@@ -11,7 +11,7 @@
 
 import eliot
 
-from wingquay.ports.machine import Log, LogLevel
+from ..ports.machine import Log, LogLevel
 
 LEVELS = (LogLevel.DEBUG, LogLevel.INFO, LogLevel.WARNING, LogLevel.ERROR)
 """Severities, from least to greatest."""
--- a/wingquay/adapters/machine_directory_client.py
+++ b/wingquay/adapters/machine_directory_client.py
@@ -6,18 +6,18 @@
 
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError, field_validator
 
-from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.settings import Endpoint
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import ZoneName
-from wingquay.ports.machine import Action, Event
-from wingquay.ports.machine_directory import (
+from ..model.failure import Failure
+from ..model.identifiers import ZoneName
+from ..ports.machine import Action, Event
+from ..ports.machine_directory import (
     DirectoryFailureKind,
     MachineEntry,
     MachineListRead,
     MachineState,
     ReadMachineList,
 )
+from .http_client import HttpClient
+from .settings import Endpoint
 
 MACHINES_PATH = "/machines"
 CONNECTION_LIMIT = 2
--- a/wingquay/adapters/metrics.py
+++ b/wingquay/adapters/metrics.py
@@ -13,7 +13,7 @@
     generate_latest,
 )
 
-from wingquay.ports.machine import Count, Observe
+from ..ports.machine import Count, Observe
 
 NAME_PREFIX = "wingquay_"
 SERIES_LIMIT = 2_000
--- a/wingquay/adapters/operator_client.py
+++ b/wingquay/adapters/operator_client.py
@@ -6,12 +6,12 @@
 
 import orjson
 
-from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_messages import NOT_SENT_KINDS, HttpResponse
-from wingquay.adapters.operator_json import call_of
-from wingquay.adapters.problem_details import JSON_TYPE
-from wingquay.model.failure import Failure
-from wingquay.ports.operator import OperatorMessage
+from ..model.failure import Failure
+from ..ports.operator import OperatorMessage
+from .http_client import HttpClient
+from .http_messages import NOT_SENT_KINDS, HttpResponse
+from .operator_json import call_of
+from .problem_details import JSON_TYPE
 
 TIMEOUT_SECONDS = 40.0
 """Longer than a node takes to reply."""
--- a/wingquay/adapters/operator_json.py
+++ b/wingquay/adapters/operator_json.py
@@ -7,12 +7,9 @@
 import orjson
 from pydantic import ValidationError
 
-from wingquay.adapters.health_pages import method_not_allowed
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.adapters.problem_details import json_response, problem, retry_after
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import Revision
-from wingquay.ports.operator import (
+from ..model.failure import Failure
+from ..model.identifiers import Revision
+from ..ports.operator import (
     ConfigurationResult,
     ConfirmPlan,
     DiffConfigurations,
@@ -26,6 +23,9 @@
     ShowPlan,
     ShowStatus,
 )
+from .health_pages import method_not_allowed
+from .http_messages import HttpRequest, HttpResponse
+from .problem_details import json_response, problem, retry_after
 
 PLANS_PATH = "/v1/plans"
 CONFIGURATION_PATH = "/v1/configuration"
--- a/wingquay/adapters/operator_server.py
+++ b/wingquay/adapters/operator_server.py
@@ -5,21 +5,21 @@
 from collections.abc import Callable
 from itertools import count
 
-from wingquay.adapters.bearer_tokens import CHALLENGE, TokenTable, bearer_token
-from wingquay.adapters.health_pages import HealthPages
-from wingquay.adapters.http_messages import HttpLimits, HttpRequest, HttpResponse
-from wingquay.adapters.http_server import HttpServer
-from wingquay.adapters.operator_json import command_of, result_response
-from wingquay.adapters.problem_details import problem, server_refusal
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import OperatorName
-from wingquay.ports.machine import Event
-from wingquay.ports.operator import (
+from ..model.failure import Failure
+from ..model.identifiers import OperatorName
+from ..ports.machine import Event
+from ..ports.operator import (
     OperatorFailureKind,
     OperatorMessage,
     OperatorReply,
     OperatorRequest,
 )
+from .bearer_tokens import CHALLENGE, TokenTable, bearer_token
+from .health_pages import HealthPages
+from .http_messages import HttpLimits, HttpRequest, HttpResponse
+from .http_server import HttpServer
+from .operator_json import command_of, result_response
+from .problem_details import problem, server_refusal
 
 REPLY_LIMIT_SECONDS = 30.0
 """A command that the node left unanswered for so long is given up."""
--- a/wingquay/adapters/peer_channel.py
+++ b/wingquay/adapters/peer_channel.py
@@ -5,15 +5,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from wingquay.adapters.peer_connection import ConnectionOwner, PeerConnection
-from wingquay.adapters.peer_frames import MAXIMUM_FRAME_BYTES, MESSAGE_OVERHEAD_BYTES, ClusterKey
-from wingquay.adapters.peer_handshake import (
+from ..ports.peer_link import NodeIdentity
+from .peer_connection import ConnectionOwner, PeerConnection
+from .peer_frames import MAXIMUM_FRAME_BYTES, MESSAGE_OVERHEAD_BYTES, ClusterKey
+from .peer_handshake import (
     NONCE_BYTES,
     DiallingHandshake,
     HandshakeFailure,
     HandshakeFailureKind,
 )
-from wingquay.ports.peer_link import NodeIdentity
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/adapters/peer_codec.py
+++ b/wingquay/adapters/peer_codec.py
@@ -6,16 +6,9 @@
 
 from google.protobuf.message import DecodeError
 
-from wingquay.adapters import peer_codec_claims as claims
-from wingquay.adapters import peer_codec_configuration as configuration
-from wingquay.adapters import peer_codec_membership as membership
-from wingquay.adapters import peer_codec_query as query
-from wingquay.adapters.peer_codec_error import PeerCodecFailureKind
-from wingquay.adapters.peer_codec_identity import identity_from_bytes, identity_to_bytes
-from wingquay.adapters.proto import peer_pb2
-from wingquay.model.failure import Failure
-from wingquay.ports import peer
-from wingquay.ports.peer_claims import (
+from ..model.failure import Failure
+from ..ports import peer
+from ..ports.peer_claims import (
     ClaimAssignmentOffer,
     ClaimOutcome,
     ClaimRequest,
@@ -23,6 +16,13 @@
     ClaimTableRequest,
     ClaimVote,
 )
+from . import peer_codec_claims as claims
+from . import peer_codec_configuration as configuration
+from . import peer_codec_membership as membership
+from . import peer_codec_query as query
+from .peer_codec_error import PeerCodecFailureKind
+from .peer_codec_identity import identity_from_bytes, identity_to_bytes
+from .proto import peer_pb2
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/adapters/peer_codec_claims.py
+++ b/wingquay/adapters/peer_codec_claims.py
@@ -4,10 +4,8 @@
 
 from google.protobuf.internal.containers import RepeatedCompositeFieldContainer
 
-from wingquay.adapters.peer_codec_error import check_finite, member_of
-from wingquay.adapters.proto import peer_pb2
-from wingquay.model.identifiers import RequestId, ZoneName
-from wingquay.ports.peer_claims import (
+from ..model.identifiers import RequestId, ZoneName
+from ..ports.peer_claims import (
     AssignmentEpoch,
     ClaimAssignmentOffer,
     ClaimOutcome,
@@ -18,6 +16,8 @@
     ClaimVote,
     VoteKind,
 )
+from .peer_codec_error import check_finite, member_of
+from .proto import peer_pb2
 
 _VOTE_NUMBERS = {
     VoteKind.GRANTED: peer_pb2.VOTE_KIND_GRANTED,
--- a/wingquay/adapters/peer_codec_configuration.py
+++ b/wingquay/adapters/peer_codec_configuration.py
@@ -1,8 +1,8 @@
 """Protobuf form of the configuration messages."""
 
-from wingquay.adapters.proto import peer_pb2
-from wingquay.model.identifiers import Revision
-from wingquay.ports.peer import ConfigurationBody, ConfigurationFetch
+from ..model.identifiers import Revision
+from ..ports.peer import ConfigurationBody, ConfigurationFetch
+from .proto import peer_pb2
 
 
 def put_configuration_fetch(
--- a/wingquay/adapters/peer_codec_membership.py
+++ b/wingquay/adapters/peer_codec_membership.py
@@ -1,16 +1,13 @@
 """Protobuf form of the membership messages."""
 
-from wingquay.adapters.peer_codec_error import member_of
-from wingquay.adapters.peer_codec_identity import identity_from_bytes, identity_to_bytes
-from wingquay.adapters.proto import peer_pb2
-from wingquay.model.answer import HeldVersions
-from wingquay.model.identifiers import (
+from ..model.answer import HeldVersions
+from ..model.identifiers import (
     NodeId,
     ReplicaId,
     Revision,
     SnapshotVersion,
 )
-from wingquay.ports.peer import (
+from ..ports.peer import (
     Acknowledgement,
     Gossip,
     NodeList,
@@ -22,6 +19,9 @@
     ReplicaState,
     ReplicaUpdate,
 )
+from .peer_codec_error import member_of
+from .peer_codec_identity import identity_from_bytes, identity_to_bytes
+from .proto import peer_pb2
 
 _NODE_STATE_NUMBERS = {
     NodeState.ALIVE: peer_pb2.NODE_STATE_ALIVE,
--- a/wingquay/adapters/peer_codec_query.py
+++ b/wingquay/adapters/peer_codec_query.py
@@ -2,17 +2,15 @@
 
 from collections.abc import Sequence
 
-from wingquay.adapters.peer_codec_error import MalformedError, check_finite, member_of
-from wingquay.adapters.proto import peer_pb2
-from wingquay.model.answer import (
+from ..model.answer import (
     HeldVersions,
     Row,
     SubAnswer,
     SubFailureKind,
     SubResult,
 )
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import (
+from ..model.failure import Failure
+from ..model.identifiers import (
     ClassName,
     ReplicaId,
     RequestId,
@@ -22,9 +20,11 @@
     SnapshotVersion,
     SubRequestId,
 )
-from wingquay.model.key_range import KeyRange
-from wingquay.model.request import SubRequest
-from wingquay.ports.peer import CancelSubRequests, SubRequestBatch, SubResultBatch
+from ..model.key_range import KeyRange
+from ..model.request import SubRequest
+from ..ports.peer import CancelSubRequests, SubRequestBatch, SubResultBatch
+from .peer_codec_error import MalformedError, check_finite, member_of
+from .proto import peer_pb2
 
 _FAILURE_NUMBERS = {
     SubFailureKind.REFUSED: peer_pb2.SUB_FAILURE_KIND_REFUSED,
--- a/wingquay/adapters/peer_connection.py
+++ b/wingquay/adapters/peer_connection.py
@@ -5,7 +5,9 @@
 from collections.abc import Sequence
 from typing import Protocol, cast
 
-from wingquay.adapters.peer_frames import (
+from ..model.failure import Failure
+from ..model.identifiers import NodeId
+from .peer_frames import (
     FRAME_OVERHEAD_BYTES,
     MAXIMUM_FRAME_BYTES,
     MESSAGE_OVERHEAD_BYTES,
@@ -13,14 +15,12 @@
     FrameSealer,
     FrameSplitter,
 )
-from wingquay.adapters.peer_handshake import (
+from .peer_handshake import (
     Handshake,
     HandshakeFailure,
     HandshakeFailureKind,
     Session,
 )
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId
 
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
 """How long a connection may take to shake hands."""
--- a/wingquay/adapters/peer_datagrams.py
+++ b/wingquay/adapters/peer_datagrams.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from typing import cast
 
-from wingquay.adapters.peer_frames import MAXIMUM_DATAGRAM_BYTES, ClusterKey, DatagramSealer
-from wingquay.model.failure import Failure
+from ..model.failure import Failure
+from .peer_frames import MAXIMUM_DATAGRAM_BYTES, ClusterKey, DatagramSealer
 
 Address = tuple[str, int]
 
--- a/wingquay/adapters/peer_frames.py
+++ b/wingquay/adapters/peer_frames.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 from enum import Enum
 
-from wingquay.model.failure import Failure
+from ..model.failure import Failure
 
 MAC_BYTES = 16
 """Size of a message authentication code: 128 bits."""
--- a/wingquay/adapters/peer_handshake.py
+++ b/wingquay/adapters/peer_handshake.py
@@ -13,12 +13,12 @@
 
 from google.protobuf.message import DecodeError, Message
 
-from wingquay.adapters.peer_codec_identity import identity_from_bytes, identity_to_bytes
-from wingquay.adapters.peer_frames import ClusterKey, compute_mac, with_length
-from wingquay.adapters.proto import peer_pb2
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.peer_link import NodeIdentity
+from ..model.failure import Failure
+from ..model.identifiers import NodeId
+from ..ports.peer_link import NodeIdentity
+from .peer_codec_identity import identity_from_bytes, identity_to_bytes
+from .peer_frames import ClusterKey, compute_mac, with_length
+from .proto import peer_pb2
 
 PROTOCOL_VERSION = 1
 
--- a/wingquay/adapters/peer_link.py
+++ b/wingquay/adapters/peer_link.py
@@ -11,36 +11,36 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from wingquay.adapters.log_writer import LogWriter
-from wingquay.adapters.peer_channel import (
+from ..model.failure import Failure
+from ..model.identifiers import NodeId
+from ..ports.machine import Event, Log, LogLevel
+from ..ports.peer_link import (
+    MembershipMessage,
+    NodeIdentity,
+    PeerLinkBroken,
+    PeerMessage,
+    PeerReceived,
+    SendToPeer,
+)
+from .log_writer import LogWriter
+from .peer_channel import (
     ChannelContext,
     PeerChannel,
     PeerLinkCounters,
     PeerLinkSettings,
 )
-from wingquay.adapters.peer_codec_error import PeerCodecFailureKind
-from wingquay.adapters.peer_connection import PeerConnection
-from wingquay.adapters.peer_datagrams import PeerDatagrams
-from wingquay.adapters.peer_frames import ClusterKey
-from wingquay.adapters.peer_handshake import (
+from .peer_codec_error import PeerCodecFailureKind
+from .peer_connection import PeerConnection
+from .peer_datagrams import PeerDatagrams
+from .peer_frames import ClusterKey
+from .peer_handshake import (
     NONCE_BYTES,
     AcceptingHandshake,
     HandshakeFailure,
     HandshakeFailureKind,
     Session,
 )
-from wingquay.adapters.peer_refusal_log import PeerRefusalLog
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.machine import Event, Log, LogLevel
-from wingquay.ports.peer_link import (
-    MembershipMessage,
-    NodeIdentity,
-    PeerLinkBroken,
-    PeerMessage,
-    PeerReceived,
-    SendToPeer,
-)
+from .peer_refusal_log import PeerRefusalLog
 
 BIND_ATTEMPTS = 32
 """Tries to find a port number that is free for both TCP and UDP."""
--- a/wingquay/adapters/peer_refusal_log.py
+++ b/wingquay/adapters/peer_refusal_log.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from wingquay.ports.machine import Log, LogLevel
+from ..ports.machine import Log, LogLevel
 
 QUIET_SECONDS = 1.0
 """At most one line in this time; the next line tells how many were left out."""
--- a/wingquay/adapters/peer_snapshots.py
+++ b/wingquay/adapters/peer_snapshots.py
@@ -7,12 +7,12 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.model.failure import Failure
-from wingquay.ports.machine import Event
-from wingquay.ports.peer_snapshot import AskPeers, PeerSnapshot
-from wingquay.ports.store import ReadResult, StoredValue
+from ..model.failure import Failure
+from ..ports.machine import Event
+from ..ports.peer_snapshot import AskPeers, PeerSnapshot
+from ..ports.store import ReadResult, StoredValue
+from .http_client import HttpClient
+from .http_messages import HttpRequest, HttpResponse
 
 PATH = "/store-snapshot"
 CONTENT_TYPE = "application/x-protobuf"
@@ -88,7 +88,7 @@
 
 def encode_snapshot(known: ReadResult) -> bytes:
     """Return a snapshot as peers exchange it."""
-    from wingquay.adapters.proto import peer_pb2
+    from .proto import peer_pb2
 
     message = peer_pb2.StoreSnapshot(store_revision=known.store_revision)
     for item in known.values:
@@ -100,7 +100,7 @@
     """Return a peer's snapshot; ``None``: it is malformed."""
     from google.protobuf.message import DecodeError
 
-    from wingquay.adapters.proto import peer_pb2
+    from .proto import peer_pb2
 
     message = peer_pb2.StoreSnapshot()
     try:
--- a/wingquay/adapters/problem_details.py
+++ b/wingquay/adapters/problem_details.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from wingquay.adapters.http_messages import HttpResponse
+from .http_messages import HttpResponse
 
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -6,9 +6,8 @@
 
 import h11
 
-from wingquay.adapters.replica_connection import RawAnswer, RawSending, ReplicaConnection
-from wingquay.model.value import value
-from wingquay.ports.forwarding import (
+from ..model.value import value
+from ..ports.forwarding import (
     CancelSend,
     ReplicaAnswer,
     ReplicaAnswered,
@@ -17,7 +16,8 @@
     SendFailureKind,
     SendToReplica,
 )
-from wingquay.ports.machine import Count, Event
+from ..ports.machine import Count, Event
+from .replica_connection import RawAnswer, RawSending, ReplicaConnection
 
 CONNECT_SECONDS = 0.08
 """Time allowed for a new connection: replicas are near, and another one can be asked."""
--- a/wingquay/adapters/replica_connection.py
+++ b/wingquay/adapters/replica_connection.py
@@ -11,8 +11,8 @@
 
 import h11
 
-from wingquay.adapters.http_messages import RawHeaders
-from wingquay.model.value import value
+from ..model.value import value
+from .http_messages import RawHeaders
 
 HEADER_BYTES = 32_768
 BODY_BYTES = 16_777_216
--- a/wingquay/adapters/request_log.py
+++ b/wingquay/adapters/request_log.py
@@ -5,10 +5,10 @@
 
 from collections.abc import Callable
 
-from wingquay.model.answer import Answer, Outcome
-from wingquay.model.identifiers import RequestId
-from wingquay.model.request import QueryRequest
-from wingquay.ports.machine import Log, LogLevel
+from ..model.answer import Answer, Outcome
+from ..model.identifiers import RequestId
+from ..model.request import QueryRequest
+from ..ports.machine import Log, LogLevel
 
 LINES_PER_SECOND = 50
 """Most lines at level info in one second; the next one tells how many were left out."""
--- a/wingquay/adapters/settings.py
+++ b/wingquay/adapters/settings.py
@@ -11,7 +11,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, JsonValue, SecretStr
 
-from wingquay.ports.machine import LogLevel
+from ..ports.machine import LogLevel
 
 LARGEST_PORT = 65_535
 SHORTEST_CLUSTER_KEY = 32
--- a/wingquay/adapters/settings_check.py
+++ b/wingquay/adapters/settings_check.py
@@ -9,14 +9,14 @@
 import orjson
 from pydantic import ValidationError
 
-from wingquay.adapters.settings import Endpoint, Settings, parse_endpoint
-from wingquay.adapters.settings_contradictions import contradictions
-from wingquay.adapters.settings_fields import (
+from .settings import Endpoint, Settings, parse_endpoint
+from .settings_contradictions import contradictions
+from .settings_fields import (
     FieldDescription,
     describe_all,
     section_models,
 )
-from wingquay.adapters.settings_tuning import COMPLETE_SETTINGS
+from .settings_tuning import COMPLETE_SETTINGS
 
 LISTENERS = ("caller_interface", "operator_interface", "peers")
 """Sections that give a ``host`` and a ``port`` to listen on."""
--- a/wingquay/adapters/settings_contradictions.py
+++ b/wingquay/adapters/settings_contradictions.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wingquay.adapters.settings_tuning import TUNING_SECTIONS
+from .settings_tuning import TUNING_SECTIONS
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/adapters/settings_document.py
+++ b/wingquay/adapters/settings_document.py
@@ -2,13 +2,13 @@
 
 from pydantic import BaseModel
 
-from wingquay.adapters.settings_fields import (
+from .settings_fields import (
     FieldDescription,
     describe,
     entry_model,
     section_models,
 )
-from wingquay.adapters.settings_tuning import COMPLETE_SETTINGS
+from .settings_tuning import COMPLETE_SETTINGS
 
 _HEADING = """\
 # Settings
--- a/wingquay/adapters/settings_tuning.py
+++ b/wingquay/adapters/settings_tuning.py
@@ -12,14 +12,14 @@
 from annotated_types import Ge, Le
 from pydantic import Field, create_model
 
-from wingquay.adapters.settings import Section, Settings
-from wingquay.admission.settings import AdmissionSettings
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
-from wingquay.membership.settings import MembershipSettings
-from wingquay.orchestration.settings import NodeMachineSettings, StopSettings
-from wingquay.query.settings import QuerySettings
-from wingquay.routing.settings import RoutingSettings
+from ..admission.settings import AdmissionSettings
+from ..claims.settings import ClaimsSettings
+from ..membership.replica_evidence import ReplicaEvidenceSettings
+from ..membership.settings import MembershipSettings
+from ..orchestration.settings import NodeMachineSettings, StopSettings
+from ..query.settings import QuerySettings
+from ..routing.settings import RoutingSettings
+from .settings import Section, Settings
 
 Tuning = TypeVar("Tuning")
 
--- a/wingquay/adapters/store_client.py
+++ b/wingquay/adapters/store_client.py
@@ -4,14 +4,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from wingquay.adapters.etcd_json import GatewayRequest, decode, encode, malformed, not_found
-from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_messages import NOT_SENT_KINDS, HttpResponse
-from wingquay.adapters.settings import Endpoint
-from wingquay.adapters.store_watch import run_watch
-from wingquay.model.failure import Failure
-from wingquay.ports.machine import Action, Event
-from wingquay.ports.store import (
+from ..model.failure import Failure
+from ..ports.machine import Action, Event
+from ..ports.store import (
     CompareAndSwap,
     LeaseState,
     StartWatch,
@@ -23,6 +18,11 @@
     StoreResult,
     WatchBroken,
 )
+from .etcd_json import GatewayRequest, decode, encode, malformed, not_found
+from .http_client import HttpClient
+from .http_messages import NOT_SENT_KINDS, HttpResponse
+from .settings import Endpoint
+from .store_watch import run_watch
 
 CONNECTION_LIMIT = 16
 """Connections to one endpoint; each watch holds one."""
--- a/wingquay/adapters/store_watch.py
+++ b/wingquay/adapters/store_watch.py
@@ -2,17 +2,17 @@
 
 from collections.abc import AsyncIterator, Callable
 
-from wingquay.adapters.etcd_watch_json import (
+from ..model.failure import Failure
+from ..ports.machine import Event
+from ..ports.store import StartWatch, WatchBroken
+from .etcd_watch_json import (
     WATCH_PATH,
     LineSplitter,
     decode_watch_line,
     encode_watch,
 )
-from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_stream import HttpStream
-from wingquay.model.failure import Failure
-from wingquay.ports.machine import Event
-from wingquay.ports.store import StartWatch, WatchBroken
+from .http_client import HttpClient
+from .http_stream import HttpStream
 
 OPEN_TIMEOUT_SECONDS = 5.0
 STATUS_OK = 200
--- a/wingquay/admission/arrival.py
+++ b/wingquay/admission/arrival.py
@@ -1,14 +1,14 @@
 """What is decided about a sub-request when it arrives at its owner."""
 
-from wingquay.admission.dispatcher_events import WorkExpired
-from wingquay.admission.shard_lane import ShardLane
-from wingquay.admission.work import Work
-from wingquay.model.answer import SubFailureKind
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import ReplicaId
-from wingquay.model.request import SubRequest
-from wingquay.ports.machine import Action, Schedule
-from wingquay.routing.replica_tracker import ReplicaTracker
+from ..model.answer import SubFailureKind
+from ..model.failure import Failure
+from ..model.identifiers import ReplicaId
+from ..model.request import SubRequest
+from ..ports.machine import Action, Schedule
+from ..routing.replica_tracker import ReplicaTracker
+from .dispatcher_events import WorkExpired
+from .shard_lane import ShardLane
+from .work import Work
 
 
 def early_refusal(lane: ShardLane, work: Work, now: float) -> Failure[SubFailureKind] | None:
--- a/wingquay/admission/attempts.py
+++ b/wingquay/admission/attempts.py
@@ -1,19 +1,19 @@
 """The exchanges with replicas that are going on, and what is learnt when they end."""
 
-from wingquay.admission.backend_failures import REPLICA_AT_FAULT
-from wingquay.admission.dispatcher_events import HedgeDue
-from wingquay.admission.hedging import HedgePolicy
-from wingquay.admission.service_times import ServiceTimes
-from wingquay.admission.settings import AdmissionSettings
-from wingquay.admission.shard_lane import ShardLane
-from wingquay.admission.work import RunningAttempt, Work
-from wingquay.model.identifiers import AttemptId, NodeId
-from wingquay.model.mechanisms import Mechanism
-from wingquay.model.request import SubRequest
-from wingquay.model.value import value
-from wingquay.ports.backend import BackendFailureKind, CancelAttempt, StartAttempt
-from wingquay.ports.machine import Action, Schedule
-from wingquay.routing.replica_tracker import ReplicaTracker
+from ..model.identifiers import AttemptId, NodeId
+from ..model.mechanisms import Mechanism
+from ..model.request import SubRequest
+from ..model.value import value
+from ..ports.backend import BackendFailureKind, CancelAttempt, StartAttempt
+from ..ports.machine import Action, Schedule
+from ..routing.replica_tracker import ReplicaTracker
+from .backend_failures import REPLICA_AT_FAULT
+from .dispatcher_events import HedgeDue
+from .hedging import HedgePolicy
+from .service_times import ServiceTimes
+from .settings import AdmissionSettings
+from .shard_lane import ShardLane
+from .work import RunningAttempt, Work
 
 
 @value
--- a/wingquay/admission/backend_failures.py
+++ b/wingquay/admission/backend_failures.py
@@ -1,8 +1,8 @@
 """Turns failures of the back-end port into those of a sub-request."""
 
-from wingquay.model.answer import SubFailureKind
-from wingquay.model.failure import Failure
-from wingquay.ports.backend import NOT_RUN_KINDS, BackendFailureKind
+from ..model.answer import SubFailureKind
+from ..model.failure import Failure
+from ..ports.backend import NOT_RUN_KINDS, BackendFailureKind
 
 _TRANSLATION = {
     BackendFailureKind.CONNECT_FAILED: SubFailureKind.NO_REPLICA,
--- a/wingquay/admission/dispatcher.py
+++ b/wingquay/admission/dispatcher.py
@@ -6,31 +6,31 @@
 
 from collections.abc import Callable
 
-from wingquay.admission.arrival import early_refusal, expiry, replicas_to_avoid
-from wingquay.admission.attempts import Attempts, Running
-from wingquay.admission.backend_failures import may_have_run, to_sub_failure
-from wingquay.admission.dispatcher_events import HedgeDue, WorkExpired
-from wingquay.admission.lane_table import LaneTable
-from wingquay.admission.open_work import OpenWork
-from wingquay.admission.requesters import Requesters
-from wingquay.admission.retrying import RetryPolicy
-from wingquay.admission.settings import AdmissionSettings
-from wingquay.admission.shard_lane import ShardLane
-from wingquay.admission.work import Work
-from wingquay.model.answer import SubAnswer, SubFailureKind
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId
-from wingquay.model.mechanisms import Mechanism
-from wingquay.model.request import SubRequest
-from wingquay.ports.backend import AttemptFinished, BackendAnswer, BackendFailureKind
-from wingquay.ports.machine import Action, Count
-from wingquay.ports.peer import (
+from ..model.answer import SubAnswer, SubFailureKind
+from ..model.failure import Failure
+from ..model.identifiers import NodeId
+from ..model.mechanisms import Mechanism
+from ..model.request import SubRequest
+from ..ports.backend import AttemptFinished, BackendAnswer, BackendFailureKind
+from ..ports.machine import Action, Count
+from ..ports.peer import (
     CancelSubRequests,
     NodeIdentity,
     SubRequestBatch,
 )
-from wingquay.routing.replica_choice import ReplicaChoice
-from wingquay.routing.replica_tracker import ReplicaTracker
+from ..routing.replica_choice import ReplicaChoice
+from ..routing.replica_tracker import ReplicaTracker
+from .arrival import early_refusal, expiry, replicas_to_avoid
+from .attempts import Attempts, Running
+from .backend_failures import may_have_run, to_sub_failure
+from .dispatcher_events import HedgeDue, WorkExpired
+from .lane_table import LaneTable
+from .open_work import OpenWork
+from .requesters import Requesters
+from .retrying import RetryPolicy
+from .settings import AdmissionSettings
+from .shard_lane import ShardLane
+from .work import Work
 
 _NO_REPLICA = Failure(SubFailureKind.NO_REPLICA, "no replica of the shard is in service")
 _OWNER_LEAVING = Failure(SubFailureKind.OWNER_LEAVING, "the owner is stopping; ask the next")
--- a/wingquay/admission/dispatcher_events.py
+++ b/wingquay/admission/dispatcher_events.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.identifiers import AttemptId, SubRequestId
-from wingquay.model.value import value
-from wingquay.ports.machine import Event
+from ..model.identifiers import AttemptId, SubRequestId
+from ..model.value import value
+from ..ports.machine import Event
 
 
 @value
--- a/wingquay/admission/fair_queue.py
+++ b/wingquay/admission/fair_queue.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wingquay.admission.decaying_rate import DecayingRate
-from wingquay.admission.work import Work
+from .decaying_rate import DecayingRate
+from .work import Work
 
 SERVED_SECONDS = 0.25
 """Time constant of the rate at which a class was served."""
--- a/wingquay/admission/health_prober.py
+++ b/wingquay/admission/health_prober.py
@@ -7,12 +7,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from wingquay.admission.lane_table import LaneTable
-from wingquay.admission.shard_lane import ShardLane
-from wingquay.model.answer import HeldVersions
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import ReplicaId
-from wingquay.ports.backend import (
+from ..model.answer import HeldVersions
+from ..model.failure import Failure
+from ..model.identifiers import ReplicaId
+from ..ports.backend import (
     AttemptFinished,
     BackendAnswer,
     BackendFailureKind,
@@ -20,11 +18,13 @@
     ProbeReplica,
     ReplicaProbed,
 )
-from wingquay.ports.internal import Notify, ReplicaBelief, ReplicaObserved
-from wingquay.ports.machine import Action
-from wingquay.ports.peer import ReplicaState
-from wingquay.routing.replica_tracker import ReplicaTracker
-from wingquay.routing.settings import RoutingSettings
+from ..ports.internal import Notify, ReplicaBelief, ReplicaObserved
+from ..ports.machine import Action
+from ..ports.peer import ReplicaState
+from ..routing.replica_tracker import ReplicaTracker
+from ..routing.settings import RoutingSettings
+from .lane_table import LaneTable
+from .shard_lane import ShardLane
 
 OBSERVATION_REPEAT_SECONDS = 0.5
 """Evidence that did not change is repeated so often: it counts only while it is fresh."""
--- a/wingquay/admission/hedging.py
+++ b/wingquay/admission/hedging.py
@@ -5,9 +5,9 @@
 queueing and keep an overload alive.
 """
 
-from wingquay.admission.budget import RatioBudget
-from wingquay.admission.settings import AdmissionSettings
-from wingquay.routing.latency_tracker import LatencyTracker
+from ..routing.latency_tracker import LatencyTracker
+from .budget import RatioBudget
+from .settings import AdmissionSettings
 
 MEDIAN = 0.5
 
--- a/wingquay/admission/lane_table.py
+++ b/wingquay/admission/lane_table.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterator
 
-from wingquay.admission.fair_queue import FairQueue
-from wingquay.admission.shard_lane import ShardLane
-from wingquay.model.configuration import Configuration, Replica, Service, Shard
-from wingquay.routing.replica_tracker import ReplicaTracker
-from wingquay.routing.settings import RoutingSettings
+from ..model.configuration import Configuration, Replica, Service, Shard
+from ..routing.replica_tracker import ReplicaTracker
+from ..routing.settings import RoutingSettings
+from .fair_queue import FairQueue
+from .shard_lane import ShardLane
 
 
 class LaneTable:
--- a/wingquay/admission/open_work.py
+++ b/wingquay/admission/open_work.py
@@ -1,15 +1,15 @@
 """The sub-requests that wait or run at their owner, and the results that end them."""
 
-from wingquay.admission.attempts import Attempts
-from wingquay.admission.lane_table import LaneTable
-from wingquay.admission.requesters import Requesters
-from wingquay.admission.work import Work
-from wingquay.model.answer import SubAnswer, SubFailureKind, SubResult
-from wingquay.model.failure import Failure
-from wingquay.model.mechanisms import Mechanism
-from wingquay.model.request import SubRequest
-from wingquay.ports.machine import Action
-from wingquay.ports.peer import NodeIdentity, SendToPeer, SubResultBatch
+from ..model.answer import SubAnswer, SubFailureKind, SubResult
+from ..model.failure import Failure
+from ..model.mechanisms import Mechanism
+from ..model.request import SubRequest
+from ..ports.machine import Action
+from ..ports.peer import NodeIdentity, SendToPeer, SubResultBatch
+from .attempts import Attempts
+from .lane_table import LaneTable
+from .requesters import Requesters
+from .work import Work
 
 
 class OpenWork:
--- a/wingquay/admission/owner_machine.py
+++ b/wingquay/admission/owner_machine.py
@@ -3,30 +3,19 @@
 import random
 from typing import ClassVar
 
-from wingquay.admission.dispatcher import Dispatcher
-from wingquay.admission.dispatcher_events import (
-    HeartbeatDue,
-    HedgeDue,
-    ProbeDue,
-    WorkExpired,
-)
-from wingquay.admission.health_prober import HealthProber
-from wingquay.admission.lane_table import LaneTable
-from wingquay.admission.settings import AdmissionSettings
-from wingquay.admission.shard_lane import ShardLane
-from wingquay.model.configuration import Configuration
-from wingquay.model.identifiers import ServiceName
-from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.backend import AttemptFinished, ReplicaProbed
-from wingquay.ports.internal import (
+from ..model.configuration import Configuration
+from ..model.identifiers import ServiceName
+from ..model.mechanisms import Mechanism
+from ..ports.backend import AttemptFinished, ReplicaProbed
+from ..ports.internal import (
     ConfigurationInForce,
     LeavingStarted,
     MembershipChanged,
     ReplicaBelief,
     ServiceLoad,
 )
-from wingquay.ports.machine import Action, Event, Schedule, Start
-from wingquay.ports.peer import (
+from ..ports.machine import Action, Event, Schedule, Start
+from ..ports.peer import (
     CancelSubRequests,
     NodeIdentity,
     PeerMessage,
@@ -35,9 +24,20 @@
     SubRequestBatch,
     SubResultBatch,
 )
-from wingquay.routing.ownership import OwnerTable
-from wingquay.routing.replica_choice import ReplicaChoice
-from wingquay.routing.settings import RoutingSettings
+from ..routing.ownership import OwnerTable
+from ..routing.replica_choice import ReplicaChoice
+from ..routing.settings import RoutingSettings
+from .dispatcher import Dispatcher
+from .dispatcher_events import (
+    HeartbeatDue,
+    HedgeDue,
+    ProbeDue,
+    WorkExpired,
+)
+from .health_prober import HealthProber
+from .lane_table import LaneTable
+from .settings import AdmissionSettings
+from .shard_lane import ShardLane
 
 
 class OwnerMachine:
--- a/wingquay/admission/requesters.py
+++ b/wingquay/admission/requesters.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wingquay.ports.peer import NodeIdentity
+from ..ports.peer import NodeIdentity
 
 
 @dataclass(slots=True)
--- a/wingquay/admission/retrying.py
+++ b/wingquay/admission/retrying.py
@@ -3,8 +3,8 @@
 So a zone that goes down costs a bounded share of extra work and no storm.
 """
 
-from wingquay.admission.budget import RatioBudget
-from wingquay.admission.settings import AdmissionSettings
+from .budget import RatioBudget
+from .settings import AdmissionSettings
 
 
 class RetryPolicy:
--- a/wingquay/admission/shard_lane.py
+++ b/wingquay/admission/shard_lane.py
@@ -3,12 +3,12 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from wingquay.admission.fair_queue import FairQueue
-from wingquay.admission.work import Work
-from wingquay.model.answer import HeldVersions
-from wingquay.model.configuration import Service, Shard
-from wingquay.model.request import SubRequest
-from wingquay.routing.replica_tracker import ReplicaTracker
+from ..model.answer import HeldVersions
+from ..model.configuration import Service, Shard
+from ..model.request import SubRequest
+from ..routing.replica_tracker import ReplicaTracker
+from .fair_queue import FairQueue
+from .work import Work
 
 
 @dataclass(slots=True)
--- a/wingquay/admission/work.py
+++ b/wingquay/admission/work.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass, field
 
-from wingquay.model.answer import SubFailureKind
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import AttemptId, ReplicaId
-from wingquay.model.request import SubRequest
-from wingquay.ports.peer import NodeIdentity
+from ..model.answer import SubFailureKind
+from ..model.failure import Failure
+from ..model.identifiers import AttemptId, ReplicaId
+from ..model.request import SubRequest
+from ..ports.peer import NodeIdentity
 
 
 @dataclass(slots=True)
--- a/wingquay/claims/assignment.py
+++ b/wingquay/claims/assignment.py
@@ -5,13 +5,13 @@
 from enum import Enum
 from math import inf
 
-from wingquay.claims.keys import PARTITIONS
-from wingquay.claims.memory import MemoryUse, PartitionMemory
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.model.identifiers import NodeId, ZoneName
-from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.peer import NodeIdentity
-from wingquay.ports.peer_claims import AssignmentEpoch
+from ..model.identifiers import NodeId, ZoneName
+from ..model.mechanisms import Mechanism
+from ..ports.peer import NodeIdentity
+from ..ports.peer_claims import AssignmentEpoch
+from .keys import PARTITIONS
+from .memory import MemoryUse, PartitionMemory
+from .settings import ClaimsSettings
 
 
 class AssignmentStatus(Enum):
--- a/wingquay/claims/assignment_document.py
+++ b/wingquay/claims/assignment_document.py
@@ -8,9 +8,9 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from wingquay.claims.keys import PARTITIONS
-from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
-from wingquay.ports.peer_claims import AssignmentEpoch
+from ..model.identifiers import DeploymentName, NodeId, ZoneName
+from ..ports.peer_claims import AssignmentEpoch
+from .keys import PARTITIONS
 
 NOBODY = NodeId("")
 
--- a/wingquay/claims/claimant.py
+++ b/wingquay/claims/claimant.py
@@ -3,22 +3,22 @@
 import random
 from dataclasses import dataclass
 
-from wingquay.claims.directory import AssignmentDirectory
-from wingquay.claims.keys import claim_key, partition_of, request_digest
-from wingquay.claims.pending_claim import ClaimStage, PendingClaim
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.model.configuration import Configuration
-from wingquay.model.identifiers import DeploymentName, NodeId, RequestId, ZoneName
-from wingquay.ports.internal import (
+from ..model.configuration import Configuration
+from ..model.identifiers import DeploymentName, NodeId, RequestId, ZoneName
+from ..ports.internal import (
     ClaimDecided,
     ClaimDecisionKind,
     ClaimFinished,
     ClaimWanted,
     Notify,
 )
-from wingquay.ports.machine import Action, Count, Event, Schedule
-from wingquay.ports.peer import NodeIdentity, SendToPeer
-from wingquay.ports.peer_claims import ClaimOutcome, ClaimRequest, ClaimVote, VoteKind
+from ..ports.machine import Action, Count, Event, Schedule
+from ..ports.peer import NodeIdentity, SendToPeer
+from ..ports.peer_claims import ClaimOutcome, ClaimRequest, ClaimVote, VoteKind
+from .directory import AssignmentDirectory
+from .keys import claim_key, partition_of, request_digest
+from .pending_claim import ClaimStage, PendingClaim
+from .settings import ClaimsSettings
 
 QUICK_ASKS = 4
 """Times that a submission asks at short intervals before the intervals double."""
--- a/wingquay/claims/directory.py
+++ b/wingquay/claims/directory.py
@@ -4,8 +4,8 @@
 
 import xxhash
 
-from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
-from wingquay.ports.peer import NodeIdentity
+from ..model.identifiers import DeploymentName, NodeId, ZoneName
+from ..ports.peer import NodeIdentity
 
 
 def assignment_holder(nodes: Iterable[NodeIdentity], partition: int) -> NodeIdentity | None:
--- a/wingquay/claims/keys.py
+++ b/wingquay/claims/keys.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from wingquay.model.identifiers import CallerName, ServiceName
-from wingquay.model.request import QueryRequest
+from ..model.identifiers import CallerName, ServiceName
+from ..model.request import QueryRequest
 
 PARTITIONS = 64
 """Partitions of the claims of a deployment; fixed, since the assignment document counts on it."""
--- a/wingquay/claims/machine.py
+++ b/wingquay/claims/machine.py
@@ -4,34 +4,18 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from wingquay.claims.assignment import AssignmentStatus, AssignmentTable
-from wingquay.claims.claimant import (
-    Claimant,
-    ClaimAskDue,
-    ClaimTellDue,
-    deployment_zones,
-)
-from wingquay.claims.directory import AssignmentDirectory
-from wingquay.claims.keys import PARTITIONS
-from wingquay.claims.offers import AssignmentOffers
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.claims.table_sender import TableSender
-from wingquay.claims.takeover import AssignmentKeeper
-from wingquay.claims.takeover_timing import TakeoverTiming
-from wingquay.claims.transfers import TableTransfers
-from wingquay.claims.voter import Voter
-from wingquay.model.configuration import Configuration
-from wingquay.model.identifiers import ZoneName
-from wingquay.ports.internal import (
+from ..model.configuration import Configuration
+from ..model.identifiers import ZoneName
+from ..ports.internal import (
     ClaimFinished,
     ClaimWanted,
     ConfigurationInForce,
     LeavingStarted,
     MembershipChanged,
 )
-from wingquay.ports.machine import Action, Event, Schedule, Start
-from wingquay.ports.peer import NodeIdentity, PeerLinkBroken, PeerMessage, PeerReceived, SendToPeer
-from wingquay.ports.peer_claims import (
+from ..ports.machine import Action, Event, Schedule, Start
+from ..ports.peer import NodeIdentity, PeerLinkBroken, PeerMessage, PeerReceived, SendToPeer
+from ..ports.peer_claims import (
     ClaimAssignmentOffer,
     ClaimOutcome,
     ClaimRequest,
@@ -39,7 +23,23 @@
     ClaimTableRequest,
     ClaimVote,
 )
-from wingquay.ports.store import StoreResponse
+from ..ports.store import StoreResponse
+from .assignment import AssignmentStatus, AssignmentTable
+from .claimant import (
+    Claimant,
+    ClaimAskDue,
+    ClaimTellDue,
+    deployment_zones,
+)
+from .directory import AssignmentDirectory
+from .keys import PARTITIONS
+from .offers import AssignmentOffers
+from .settings import ClaimsSettings
+from .table_sender import TableSender
+from .takeover import AssignmentKeeper
+from .takeover_timing import TakeoverTiming
+from .transfers import TableTransfers
+from .voter import Voter
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/claims/memory.py
+++ b/wingquay/claims/memory.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.model.identifiers import RequestId
-from wingquay.ports.peer_claims import ClaimRecord
+from ..model.identifiers import RequestId
+from ..ports.peer_claims import ClaimRecord
+from .settings import ClaimsSettings
 
 
 @dataclass(slots=True)
--- a/wingquay/claims/offers.py
+++ b/wingquay/claims/offers.py
@@ -1,17 +1,17 @@
 """Offering assignments to the nodes that should hold them."""
 
-from wingquay.claims.assignment import (
+from ..model.identifiers import NodeId
+from ..ports.machine import Action
+from ..ports.peer import NodeIdentity, SendToPeer
+from ..ports.peer_claims import ClaimAssignmentOffer
+from .assignment import (
     Assignment,
     AssignmentOffer,
     AssignmentStatus,
     AssignmentTable,
 )
-from wingquay.claims.directory import AssignmentDirectory
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.machine import Action
-from wingquay.ports.peer import NodeIdentity, SendToPeer
-from wingquay.ports.peer_claims import ClaimAssignmentOffer
+from .directory import AssignmentDirectory
+from .settings import ClaimsSettings
 
 
 class AssignmentOffers:
--- a/wingquay/claims/pending_claim.py
+++ b/wingquay/claims/pending_claim.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from wingquay.claims.quorum import majority
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.model.identifiers import RequestId, ZoneName
-from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.internal import ClaimDecisionKind
-from wingquay.ports.peer import NodeIdentity
-from wingquay.ports.peer_claims import AssignmentEpoch, ClaimVote, VoteKind
+from ..model.identifiers import RequestId, ZoneName
+from ..model.mechanisms import Mechanism
+from ..ports.internal import ClaimDecisionKind
+from ..ports.peer import NodeIdentity
+from ..ports.peer_claims import AssignmentEpoch, ClaimVote, VoteKind
+from .quorum import majority
+from .settings import ClaimsSettings
 
 FIRST_TELL_DELAY_SECONDS = 1.0
 
--- a/wingquay/claims/settings.py
+++ b/wingquay/claims/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.mechanisms import Mechanism
+from ..model.mechanisms import Mechanism
 
 HOUR_SECONDS = 3600.0
 MEBIBYTE = 1024 * 1024
--- a/wingquay/claims/table_sender.py
+++ b/wingquay/claims/table_sender.py
@@ -2,17 +2,17 @@
 
 from collections.abc import Iterator
 
-from wingquay.claims.assignment import (
+from ..ports.machine import Action
+from ..ports.peer import NodeIdentity, SendToPeer
+from ..ports.peer_claims import ClaimRecord, ClaimTable, ClaimTableRequest
+from .assignment import (
     Assignment,
     AssignmentOffer,
     AssignmentStatus,
     AssignmentTable,
 )
-from wingquay.claims.memory import PartitionMemory
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.ports.machine import Action
-from wingquay.ports.peer import NodeIdentity, SendToPeer
-from wingquay.ports.peer_claims import ClaimRecord, ClaimTable, ClaimTableRequest
+from .memory import PartitionMemory
+from .settings import ClaimsSettings
 
 NEVER_CONFIRMED_SECONDS = 1e9
 
--- a/wingquay/claims/takeover.py
+++ b/wingquay/claims/takeover.py
@@ -4,21 +4,11 @@
 from dataclasses import dataclass
 from math import inf
 
-from wingquay.claims.assignment import (
-    Assignment,
-    AssignmentStatus,
-    AssignmentTable,
-    PreviousAssignments,
-)
-from wingquay.claims.assignment_document import AssignmentDocument, document_key, parse_document
-from wingquay.claims.keys import PARTITIONS
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.claims.takeover_timing import TakeoverTiming
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import ZoneName
-from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.machine import Action, Log
-from wingquay.ports.store import (
+from ..model.failure import Failure
+from ..model.identifiers import ZoneName
+from ..model.mechanisms import Mechanism
+from ..ports.machine import Action, Log
+from ..ports.store import (
     CompareAndSwap,
     Read,
     ReadResult,
@@ -27,6 +17,16 @@
     StoreResponse,
     SwapResult,
 )
+from .assignment import (
+    Assignment,
+    AssignmentStatus,
+    AssignmentTable,
+    PreviousAssignments,
+)
+from .assignment_document import AssignmentDocument, document_key, parse_document
+from .keys import PARTITIONS
+from .settings import ClaimsSettings
+from .takeover_timing import TakeoverTiming
 
 OPERATION_PREFIX = "claims"
 
--- a/wingquay/claims/takeover_timing.py
+++ b/wingquay/claims/takeover_timing.py
@@ -2,11 +2,11 @@
 
 from math import inf
 
-from wingquay.claims.assignment import Assignment, AssignmentStatus, AssignmentTable
-from wingquay.claims.assignment_document import AssignmentDocument
-from wingquay.claims.directory import AssignmentDirectory
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.model.identifiers import NodeId, ZoneName
+from ..model.identifiers import NodeId, ZoneName
+from .assignment import Assignment, AssignmentStatus, AssignmentTable
+from .assignment_document import AssignmentDocument
+from .directory import AssignmentDirectory
+from .settings import ClaimsSettings
 
 
 class TakeoverTiming:
--- a/wingquay/claims/transfers.py
+++ b/wingquay/claims/transfers.py
@@ -3,15 +3,15 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from wingquay.claims.assignment import Assignment, AssignmentStatus, AssignmentTable, TableSource
-from wingquay.claims.directory import AssignmentDirectory
-from wingquay.claims.quorum import tables_needed
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.model.identifiers import ZoneName
-from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.machine import Action
-from wingquay.ports.peer import NodeIdentity, SendToPeer
-from wingquay.ports.peer_claims import ClaimAssignmentOffer, ClaimTable, ClaimTableRequest
+from ..model.identifiers import ZoneName
+from ..model.mechanisms import Mechanism
+from ..ports.machine import Action
+from ..ports.peer import NodeIdentity, SendToPeer
+from ..ports.peer_claims import ClaimAssignmentOffer, ClaimTable, ClaimTableRequest
+from .assignment import Assignment, AssignmentStatus, AssignmentTable, TableSource
+from .directory import AssignmentDirectory
+from .quorum import tables_needed
+from .settings import ClaimsSettings
 
 
 @dataclass(slots=True)
--- a/wingquay/claims/voter.py
+++ b/wingquay/claims/voter.py
@@ -1,9 +1,9 @@
 """The voter: grants claims, remembers what came of them."""
 
-from wingquay.claims.assignment import Assignment, AssignmentStatus, AssignmentTable
-from wingquay.claims.keys import partition_of
-from wingquay.claims.memory import Submission
-from wingquay.ports.peer_claims import ClaimOutcome, ClaimRequest, ClaimVote, VoteKind
+from ..ports.peer_claims import ClaimOutcome, ClaimRequest, ClaimVote, VoteKind
+from .assignment import Assignment, AssignmentStatus, AssignmentTable
+from .keys import partition_of
+from .memory import Submission
 
 
 class Voter:
--- a/wingquay/cli.py
+++ b/wingquay/cli.py
@@ -18,8 +18,9 @@
 import fire.core
 
 import wingquay
-from wingquay.commands.exit_codes import FAILED, INTERRUPTED, OK, USAGE
-from wingquay.commands.invocation import Invocation, carry_out, deferred
+
+from .commands.exit_codes import FAILED, INTERRUPTED, OK, USAGE
+from .commands.invocation import Invocation, carry_out, deferred
 
 PROGRAM = "wingquay"
 
--- a/wingquay/commands/configuration.py
+++ b/wingquay/commands/configuration.py
@@ -1,9 +1,9 @@
 """``wingquay configuration``: show revisions, their history and what differs between them."""
 
-from wingquay.commands.operator_session import OperatorSession
-from wingquay.commands.operator_text import configuration_text, diff_text, history_text
-from wingquay.model.identifiers import Revision
-from wingquay.ports.operator import DiffConfigurations, ShowConfiguration, ShowHistory
+from ..model.identifiers import Revision
+from ..ports.operator import DiffConfigurations, ShowConfiguration, ShowHistory
+from .operator_session import OperatorSession
+from .operator_text import configuration_text, diff_text, history_text
 
 
 class command:  # noqa: N801 - looked up by this name
--- a/wingquay/commands/demo.py
+++ b/wingquay/commands/demo.py
@@ -1,6 +1,6 @@
 """``wingquay demo``: a whole small system on this machine."""
 
-from wingquay.demo.run import run_demo
+from ..demo.run import run_demo
 
 
 async def command(json: bool = False, serve: bool = False, seed: int = 1) -> int:
--- a/wingquay/commands/experiment.py
+++ b/wingquay/commands/experiment.py
@@ -4,18 +4,18 @@
 import sys
 from pathlib import Path
 
-from wingquay.commands.exit_codes import FAILED, OK, USAGE
-from wingquay.model.failure import Failure
-from wingquay.simulation.experiments.experiment_file import read_experiment
-from wingquay.simulation.experiments.launcher import run_all
-from wingquay.simulation.experiments.result_files import (
+from ..model.failure import Failure
+from ..simulation.experiments.experiment_file import read_experiment
+from ..simulation.experiments.launcher import run_all
+from ..simulation.experiments.result_files import (
     ExperimentResults,
     read_results,
     write_results,
     write_table,
 )
-from wingquay.simulation.experiments.run_result import RunResult
-from wingquay.simulation.experiments.statistics_over_seeds import by_scenario, compare
+from ..simulation.experiments.run_result import RunResult
+from ..simulation.experiments.statistics_over_seeds import by_scenario, compare
+from .exit_codes import FAILED, OK, USAGE
 
 DEFAULT_WORKERS = 4
 MOST_WORKERS = 256
@@ -78,7 +78,7 @@
 
 def _write(results: ExperimentResults, earlier: ExperimentResults | None, directory: Path) -> int:
     # matplotlib is a part of wingquay[report] only, and slow to load.
-    from wingquay.simulation.experiments.html_report import write_report
+    from ..simulation.experiments.html_report import write_report
 
     write_results(results, directory)
     write_table(results.runs, directory)
--- a/wingquay/commands/forwarding.py
+++ b/wingquay/commands/forwarding.py
@@ -2,10 +2,10 @@
 
 import sys
 
-from wingquay.commands.exit_codes import FAILED, OK, USAGE
-from wingquay.simulation.forwarding.faults import FAULTS, play
-from wingquay.simulation.forwarding.settings import SimulationSettings
-from wingquay.simulation.forwarding.simulation import SimulatedFault
+from ..simulation.forwarding.faults import FAULTS, play
+from ..simulation.forwarding.settings import SimulationSettings
+from ..simulation.forwarding.simulation import SimulatedFault
+from .exit_codes import FAILED, OK, USAGE
 
 MOST_RUNS = 100_000
 LONGEST_SECONDS = 1e5
--- a/wingquay/commands/fuzz.py
+++ b/wingquay/commands/fuzz.py
@@ -6,10 +6,10 @@
 import sys
 from pathlib import Path
 
-from wingquay.commands.exit_codes import FAILED, OK, USAGE
-from wingquay.model.failure import Failure
-from wingquay.simulation.fault_choices import parse_mechanisms
-from wingquay.simulation.script import write_script
+from ..model.failure import Failure
+from ..simulation.fault_choices import parse_mechanisms
+from ..simulation.script import write_script
+from .exit_codes import FAILED, OK, USAGE
 
 MOST_STEPS = 100_000_000
 
@@ -44,7 +44,7 @@
     if not 0 < steps <= MOST_STEPS:
         return _refuse(f"--steps: {steps} must be from 1 to {MOST_STEPS}")
     try:
-        from wingquay.simulation.fuzzing import search_for_violations
+        from ..simulation.fuzzing import search_for_violations
     except ImportError:
         return _refuse("the hypothesis library is needed; install wingquay[dev]")
     with contextlib.redirect_stdout(io.StringIO()):
--- a/wingquay/commands/intent.py
+++ b/wingquay/commands/intent.py
@@ -6,11 +6,11 @@
 
 from pydantic import ValidationError
 
-from wingquay.adapters.operator_json import validation_lines
-from wingquay.commands.exit_codes import USAGE
-from wingquay.commands.operator_session import OperatorSession, complain
-from wingquay.commands.operator_text import plan_text
-from wingquay.ports.operator import ProposePlan
+from ..adapters.operator_json import validation_lines
+from ..ports.operator import ProposePlan
+from .exit_codes import USAGE
+from .operator_session import OperatorSession, complain
+from .operator_text import plan_text
 
 
 class command:  # noqa: N801 - looked up by this name
--- a/wingquay/commands/invocation.py
+++ b/wingquay/commands/invocation.py
@@ -15,7 +15,7 @@
 from fire import decorators
 from fire.core import FireError
 
-from wingquay.commands.flag_groups import FlagGroups
+from .flag_groups import FlagGroups
 
 # fire lists public attributes of functions in its help; its own mark is not for users.
 decorators.FIRE_METADATA = "_fire_metadata"
--- a/wingquay/commands/load.py
+++ b/wingquay/commands/load.py
@@ -7,10 +7,9 @@
 import sys
 from pathlib import Path
 
-from wingquay.commands.exit_codes import FAILED, INTERRUPTED, OK, USAGE
-from wingquay.model.failure import Failure
-from wingquay.simulation.load.load_generator import LoadGenerator
-from wingquay.simulation.load.load_plan import (
+from ..model.failure import Failure
+from ..simulation.load.load_generator import LoadGenerator
+from ..simulation.load.load_plan import (
     LoadFailureKind,
     LoadPlan,
     check_plan,
@@ -18,8 +17,9 @@
     parse_mix,
     parse_targets,
 )
-from wingquay.simulation.load.load_report import make_summary, progress_line, summary_text
-from wingquay.simulation.models.dataset import Dataset
+from ..simulation.load.load_report import make_summary, progress_line, summary_text
+from ..simulation.models.dataset import Dataset
+from .exit_codes import FAILED, INTERRUPTED, OK, USAGE
 
 TOKEN_VARIABLE = "WINGQUAY_CALLER_TOKEN"
 DEFAULT_RATE = 50.0
--- a/wingquay/commands/operator_session.py
+++ b/wingquay/commands/operator_session.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-from wingquay.adapters.operator_client import OperatorClient, OperatorReplyDocument
-from wingquay.commands.exit_codes import FAILED, OK, USAGE
-from wingquay.model.failure import Failure
-from wingquay.ports.operator import OperatorMessage
+from ..adapters.operator_client import OperatorClient, OperatorReplyDocument
+from ..model.failure import Failure
+from ..ports.operator import OperatorMessage
+from .exit_codes import FAILED, OK, USAGE
 
 SERVER_VARIABLE = "WINGQUAY_OPERATOR_SERVER"
 TOKEN_VARIABLE = "WINGQUAY_OPERATOR_TOKEN"
--- a/wingquay/commands/plan.py
+++ b/wingquay/commands/plan.py
@@ -1,13 +1,13 @@
 """``wingquay plan``: show, list, confirm or discard plans."""
 
-from wingquay.commands.operator_session import OperatorSession
-from wingquay.commands.operator_text import (
+from ..ports.operator import ConfirmPlan, DiscardPlan, ListPlans, ShowPlan
+from .operator_session import OperatorSession
+from .operator_text import (
     confirm_text,
     discard_text,
     plan_list_text,
     plan_text,
 )
-from wingquay.ports.operator import ConfirmPlan, DiscardPlan, ListPlans, ShowPlan
 
 
 class command:  # noqa: N801 - looked up by this name
--- a/wingquay/commands/replay.py
+++ b/wingquay/commands/replay.py
@@ -4,11 +4,11 @@
 import sys
 from pathlib import Path
 
-from wingquay.commands.exit_codes import FAILED, OK, USAGE
-from wingquay.model.failure import Failure
-from wingquay.simulation.fault_choices import parse_mechanisms
-from wingquay.simulation.script import read_script
-from wingquay.simulation.scripted_simulation import ScriptedSimulation
+from ..model.failure import Failure
+from ..simulation.fault_choices import parse_mechanisms
+from ..simulation.script import read_script
+from ..simulation.scripted_simulation import ScriptedSimulation
+from .exit_codes import FAILED, OK, USAGE
 
 
 def command(file: str, json: bool = False) -> int:
--- a/wingquay/commands/serve.py
+++ b/wingquay/commands/serve.py
@@ -3,10 +3,10 @@
 import sys
 from pathlib import Path
 
-from wingquay.adapters.settings import parse_endpoint
-from wingquay.adapters.settings_check import SettingsErrors, read_settings
-from wingquay.commands.exit_codes import USAGE
-from wingquay.serving import serve
+from ..adapters.settings import parse_endpoint
+from ..adapters.settings_check import SettingsErrors, read_settings
+from ..serving import serve
+from .exit_codes import USAGE
 
 _LISTEN_FLAGS = {
     "callers": "caller_interface",
--- a/wingquay/commands/settings.py
+++ b/wingquay/commands/settings.py
@@ -3,9 +3,9 @@
 import sys
 from pathlib import Path
 
-from wingquay.adapters.settings_check import SettingsErrors, read_settings
-from wingquay.adapters.settings_document import settings_document, settings_example
-from wingquay.commands.exit_codes import OK, USAGE
+from ..adapters.settings_check import SettingsErrors, read_settings
+from ..adapters.settings_document import settings_document, settings_example
+from .exit_codes import OK, USAGE
 
 
 class command:  # noqa: N801 - looked up by this name
--- a/wingquay/commands/simulate.py
+++ b/wingquay/commands/simulate.py
@@ -5,18 +5,18 @@
 import sys
 from typing import Any
 
-from wingquay.commands.exit_codes import FAILED, OK, USAGE
-from wingquay.model.failure import Failure
-from wingquay.model.mechanisms import Mechanism
-from wingquay.simulation.deployments import DEPLOYMENTS, find_deployment
-from wingquay.simulation.fault_choices import parse_faults, parse_mechanisms
-from wingquay.simulation.faults.catalogue import FAULTS
-from wingquay.simulation.invariants import Invariant
-from wingquay.simulation.mechanisms import PROTECTS
-from wingquay.simulation.simulation import Simulation
-from wingquay.simulation.simulation_failure import SimulationFailureKind
-from wingquay.simulation.simulation_report import make_report, report_text
-from wingquay.simulation.simulation_settings import DEFAULT_LOAD, Policy, SimulationSettings
+from ..model.failure import Failure
+from ..model.mechanisms import Mechanism
+from ..simulation.deployments import DEPLOYMENTS, find_deployment
+from ..simulation.fault_choices import parse_faults, parse_mechanisms
+from ..simulation.faults.catalogue import FAULTS
+from ..simulation.invariants import Invariant
+from ..simulation.mechanisms import PROTECTS
+from ..simulation.simulation import Simulation
+from ..simulation.simulation_failure import SimulationFailureKind
+from ..simulation.simulation_report import make_report, report_text
+from ..simulation.simulation_settings import DEFAULT_LOAD, Policy, SimulationSettings
+from .exit_codes import FAILED, OK, USAGE
 
 LONGEST_SECONDS = 1e6
 GREATEST_LOAD = 100.0
--- a/wingquay/commands/standin.py
+++ b/wingquay/commands/standin.py
@@ -6,16 +6,16 @@
 import sys
 from typing import Protocol
 
-from wingquay.adapters.settings import Endpoint, parse_endpoint
-from wingquay.commands.exit_codes import OK, USAGE
-from wingquay.model.identifiers import ReplicaId, ServiceName, ShardId, SnapshotVersion
-from wingquay.model.key_range import KeyRange
-from wingquay.simulation.models.backend_settings import BackendSettings
-from wingquay.simulation.models.dataset import DEFAULT_KEY_COUNT, Dataset
-from wingquay.simulation.models.service_time import ServiceTimeSettings
-from wingquay.simulation.models.store_model import StoreSettings
-from wingquay.standins.backend import BackendStandin
-from wingquay.standins.store import StoreStandin
+from ..adapters.settings import Endpoint, parse_endpoint
+from ..model.identifiers import ReplicaId, ServiceName, ShardId, SnapshotVersion
+from ..model.key_range import KeyRange
+from ..simulation.models.backend_settings import BackendSettings
+from ..simulation.models.dataset import DEFAULT_KEY_COUNT, Dataset
+from ..simulation.models.service_time import ServiceTimeSettings
+from ..simulation.models.store_model import StoreSettings
+from ..standins.backend import BackendStandin
+from ..standins.store import StoreStandin
+from .exit_codes import OK, USAGE
 
 
 class _Standin(Protocol):
--- a/wingquay/commands/status.py
+++ b/wingquay/commands/status.py
@@ -1,8 +1,8 @@
 """``wingquay status``: what a node knows of revisions, zones, nodes and the store."""
 
-from wingquay.commands.operator_session import OperatorSession
-from wingquay.commands.operator_text import status_text
-from wingquay.ports.operator import ShowStatus
+from ..ports.operator import ShowStatus
+from .operator_session import OperatorSession
+from .operator_text import status_text
 
 
 async def command(*, session: OperatorSession) -> int:
--- a/wingquay/configuration/class_intents.py
+++ b/wingquay/configuration/class_intents.py
@@ -1,22 +1,22 @@
 """Applies the intents about priority classes and which requests they serve."""
 
-from wingquay.configuration.intent_failure import (
-    IntentFailure,
-    invalid,
-    name_of,
-    replaced,
-    unknown,
-)
-from wingquay.model.configuration import Attachment, Configuration, PriorityClass, Service
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import ClassName
-from wingquay.model.intent import (
+from ..model.configuration import Attachment, Configuration, PriorityClass, Service
+from ..model.failure import Failure
+from ..model.identifiers import ClassName
+from ..model.intent import (
     RESERVED_CLASS_NAMES,
     AssignClass,
     RemoveClass,
     SetClass,
     UnassignClass,
 )
+from .intent_failure import (
+    IntentFailure,
+    invalid,
+    name_of,
+    replaced,
+    unknown,
+)
 
 
 def assign_class(
--- a/wingquay/configuration/configuration_finder.py
+++ b/wingquay/configuration/configuration_finder.py
@@ -1,18 +1,18 @@
 """Finds the configuration when a node starts: from any peer, else from the store."""
 
-from wingquay.configuration.current_key import CurrentKey, StoredDocument
-from wingquay.configuration.dissemination import Dissemination
-from wingquay.configuration.in_force import InForce
-from wingquay.configuration.node_view import NodeView
-from wingquay.configuration.script import Script, pause, perform
-from wingquay.configuration.store_schedule import (
+from ..ports.caller import SetReady
+from ..ports.machine import Action
+from ..ports.peer import ConfigurationFetch, SendToPeer
+from .current_key import CurrentKey, StoredDocument
+from .dissemination import Dissemination
+from .in_force import InForce
+from .node_view import NodeView
+from .script import Script, pause, perform
+from .store_schedule import (
     CROWD_REQUESTS_PER_SECOND,
     FullJitterBackoff,
     takes_turn,
 )
-from wingquay.ports.caller import SetReady
-from wingquay.ports.machine import Action
-from wingquay.ports.peer import ConfigurationFetch, SendToPeer
 
 FIRST_LOOK_SECONDS = 0.5
 """The first look is spread over this time, so that a fleet that starts at once does not knock."""
--- a/wingquay/configuration/configuration_machine.py
+++ b/wingquay/configuration/configuration_machine.py
@@ -3,26 +3,17 @@
 from random import Random
 from typing import ClassVar
 
-from wingquay.configuration.configuration_finder import ConfigurationFinder
-from wingquay.configuration.current_key import CurrentKey
-from wingquay.configuration.dissemination import Dissemination
-from wingquay.configuration.in_force import InForce
-from wingquay.configuration.node_view import NodeView
-from wingquay.configuration.operator_requests import OperatorRequests
-from wingquay.configuration.script import ScriptRunner, ScriptTimer
-from wingquay.configuration.spread import Spread
-from wingquay.configuration.watcher import Watcher
-from wingquay.model.identifiers import Revision
-from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.internal import (
+from ..model.identifiers import Revision
+from ..model.mechanisms import Mechanism
+from ..ports.internal import (
     LeavingStarted,
     LoadObserved,
     MembershipChanged,
     NewerRevisionHeard,
 )
-from wingquay.ports.machine import Action, Event, Start, StopRequested
-from wingquay.ports.operator import OperatorRequest
-from wingquay.ports.peer import (
+from ..ports.machine import Action, Event, Start, StopRequested
+from ..ports.operator import OperatorRequest
+from ..ports.peer import (
     ConfigurationBody,
     ConfigurationFetch,
     NodeIdentity,
@@ -30,7 +21,16 @@
     PeerMessage,
     PeerReceived,
 )
-from wingquay.ports.store import StoreResponse, WatchBroken, WatchChanged
+from ..ports.store import StoreResponse, WatchBroken, WatchChanged
+from .configuration_finder import ConfigurationFinder
+from .current_key import CurrentKey
+from .dissemination import Dissemination
+from .in_force import InForce
+from .node_view import NodeView
+from .operator_requests import OperatorRequests
+from .script import ScriptRunner, ScriptTimer
+from .spread import Spread
+from .watcher import Watcher
 
 
 class ConfigurationMachine:
--- a/wingquay/configuration/confirmation.py
+++ b/wingquay/configuration/confirmation.py
@@ -8,23 +8,30 @@
 from collections.abc import Generator
 from dataclasses import dataclass
 
-from wingquay.configuration.current_key import (
+from ..model.failure import Failure
+from ..model.identifiers import OperatorName, Revision
+from ..model.intent import Intent
+from ..model.plan import Plan
+from ..ports.machine import Action
+from ..ports.operator import ConfirmOutcome, ConfirmResult, OperatorFailureKind
+from ..ports.store import CompareAndSwap, StoreFailureKind, SwapResult
+from .current_key import (
     CurrentKey,
     ReadFailureKind,
     StoredDocument,
     read_revision,
 )
-from wingquay.configuration.dissemination import Dissemination
-from wingquay.configuration.document import ConfigurationDocument
-from wingquay.configuration.in_force import InForce
-from wingquay.configuration.keys import CURRENT_KEY, history_key
-from wingquay.configuration.plan import (
+from .dissemination import Dissemination
+from .document import ConfigurationDocument
+from .in_force import InForce
+from .keys import CURRENT_KEY, history_key
+from .plan import (
     EarlierDocuments,
     document_for_confirm,
     revisions_named,
 )
-from wingquay.configuration.plan_store import PlanStore
-from wingquay.configuration.script import (
+from .plan_store import PlanStore
+from .script import (
     Resumed,
     Script,
     Step,
@@ -33,14 +40,7 @@
     pause,
     perform,
 )
-from wingquay.configuration.store_schedule import FullJitterBackoff
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import OperatorName, Revision
-from wingquay.model.intent import Intent
-from wingquay.model.plan import Plan
-from wingquay.ports.machine import Action
-from wingquay.ports.operator import ConfirmOutcome, ConfirmResult, OperatorFailureKind
-from wingquay.ports.store import CompareAndSwap, StoreFailureKind, SwapResult
+from .store_schedule import FullJitterBackoff
 
 CONFIRM_BOUND_SECONDS = 5.0
 """No new attempt begins after this time; one under way still ends by its own timeout."""
--- a/wingquay/configuration/current_key.py
+++ b/wingquay/configuration/current_key.py
@@ -3,16 +3,16 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.configuration.document import (
+from ..model.failure import Failure
+from ..model.identifiers import Revision
+from ..ports.store import Read, ReadResult, StoredValue
+from .document import (
     EMPTY_DOCUMENT,
     ConfigurationDocument,
     parse_document,
 )
-from wingquay.configuration.keys import CURRENT_KEY, history_key
-from wingquay.configuration.script import Script, call_store
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import Revision
-from wingquay.ports.store import Read, ReadResult, StoredValue
+from .keys import CURRENT_KEY, history_key
+from .script import Script, call_store
 
 
 class ReadFailureKind(Enum):
--- a/wingquay/configuration/diff.py
+++ b/wingquay/configuration/diff.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable, Sequence
 from typing import Any
 
-from wingquay.configuration.document import ConfigurationDocument, Json, entry_identity
-from wingquay.model.plan import ClassEffect
+from ..model.plan import ClassEffect
+from .document import ConfigurationDocument, Json, entry_identity
 
 _NOT_COMPARED = frozenset({"revision", "confirm_id", "audit", "schema_version", "oldest_writer"})
 
--- a/wingquay/configuration/dissemination.py
+++ b/wingquay/configuration/dissemination.py
@@ -10,21 +10,21 @@
 
 from dataclasses import dataclass
 
-from wingquay.configuration.document import ConfigurationDocument, parse_document, unpack_body
-from wingquay.configuration.in_force import InForce
-from wingquay.configuration.node_view import NodeView
-from wingquay.configuration.script import Script, ScriptRunner, pause, perform
-from wingquay.configuration.spread import Spread
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId, Revision
-from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.machine import Action, Log, LogLevel
-from wingquay.ports.peer import (
+from ..model.failure import Failure
+from ..model.identifiers import NodeId, Revision
+from ..model.mechanisms import Mechanism
+from ..ports.machine import Action, Log, LogLevel
+from ..ports.peer import (
     ConfigurationBody,
     ConfigurationFetch,
     NodeIdentity,
     SendToPeer,
 )
+from .document import ConfigurationDocument, parse_document, unpack_body
+from .in_force import InForce
+from .node_view import NodeView
+from .script import Script, ScriptRunner, pause, perform
+from .spread import Spread
 
 FAN_OUT = 3
 """Random nodes told in each round of an announcement."""
--- a/wingquay/configuration/document.py
+++ b/wingquay/configuration/document.py
@@ -14,10 +14,10 @@
 import orjson
 from pydantic import ValidationError
 
-from wingquay.model.audit import AuditRecord
-from wingquay.model.configuration import SCHEMA_VERSION, Configuration
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import Revision
+from ..model.audit import AuditRecord
+from ..model.configuration import SCHEMA_VERSION, Configuration
+from ..model.failure import Failure
+from ..model.identifiers import Revision
 
 AUDIT_RECORDS_KEPT = 64
 """Confirms listed in the document; as many earlier revisions are kept in the store."""
--- a/wingquay/configuration/effects.py
+++ b/wingquay/configuration/effects.py
@@ -1,8 +1,8 @@
 """Who gains and who loses by a change of configuration."""
 
-from wingquay.model.configuration import Configuration, RequestKind, Service
-from wingquay.model.identifiers import CallerName, RequestKindName, ServiceName
-from wingquay.model.plan import ClassEffect, ClassTerms, EffectDirection
+from ..model.configuration import Configuration, RequestKind, Service
+from ..model.identifiers import CallerName, RequestKindName, ServiceName
+from ..model.plan import ClassEffect, ClassTerms, EffectDirection
 
 Subject = tuple[ServiceName, RequestKindName, CallerName | None]
 """A request kind, for one caller or (``None``) for all that have no assignment of their own."""
--- a/wingquay/configuration/in_force.py
+++ b/wingquay/configuration/in_force.py
@@ -1,12 +1,12 @@
 """The configuration in force on this node: it only ever moves to a greater revision."""
 
-from wingquay.configuration.document import ConfigurationDocument, pack_body
-from wingquay.configuration.node_view import NodeView
-from wingquay.model.identifiers import Revision
-from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.caller import SetReady
-from wingquay.ports.internal import ConfigurationInForce, Notify
-from wingquay.ports.machine import Action, Log, LogLevel
+from ..model.identifiers import Revision
+from ..model.mechanisms import Mechanism
+from ..ports.caller import SetReady
+from ..ports.internal import ConfigurationInForce, Notify
+from ..ports.machine import Action, Log, LogLevel
+from .document import ConfigurationDocument, pack_body
+from .node_view import NodeView
 
 NO_REVISION = Revision(0)
 
--- a/wingquay/configuration/intent_failure.py
+++ b/wingquay/configuration/intent_failure.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import TypeVar
 
-from wingquay.model.failure import Failure
+from ..model.failure import Failure
 
 
 class IntentFailureKind(Enum):
--- a/wingquay/configuration/intents.py
+++ b/wingquay/configuration/intents.py
@@ -3,24 +3,11 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from wingquay.configuration.class_intents import (
-    assign_class,
-    remove_class,
-    set_class,
-    unassign_class,
-)
-from wingquay.configuration.intent_failure import (
-    IntentFailure,
-    invalid,
-    name_of,
-    replaced,
-    unknown,
-)
-from wingquay.model.configuration import Configuration, PriorityClass
-from wingquay.model.configuration_check import reference_errors
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import Revision
-from wingquay.model.intent import (
+from ..model.configuration import Configuration, PriorityClass
+from ..model.configuration_check import reference_errors
+from ..model.failure import Failure
+from ..model.identifiers import Revision
+from ..model.intent import (
     LOWEST_CLASS,
     RESERVED_CLASS_NAMES,
     TOP_CLASS,
@@ -37,6 +24,19 @@
     SetShards,
     UnassignClass,
 )
+from .class_intents import (
+    assign_class,
+    remove_class,
+    set_class,
+    unassign_class,
+)
+from .intent_failure import (
+    IntentFailure,
+    invalid,
+    name_of,
+    replaced,
+    unknown,
+)
 
 History = Mapping[Revision, Configuration]
 """Earlier revisions that ``RestoreRevision`` may name."""
--- a/wingquay/configuration/keys.py
+++ b/wingquay/configuration/keys.py
@@ -1,6 +1,6 @@
 """Where things lie in the platform's key-value store."""
 
-from wingquay.model.identifiers import Revision, ZoneName
+from ..model.identifiers import Revision, ZoneName
 
 CURRENT_KEY = "wingquay/configuration/current"
 """The confirmed document; changed only by compare-and-swap."""
--- a/wingquay/configuration/node_view.py
+++ b/wingquay/configuration/node_view.py
@@ -2,10 +2,10 @@
 
 from random import Random
 
-from wingquay.model.identifiers import NodeId, ZoneName
-from wingquay.model.mechanisms import Mechanism
-from wingquay.ports.internal import LoadObserved, MembershipChanged
-from wingquay.ports.peer import NodeIdentity
+from ..model.identifiers import NodeId, ZoneName
+from ..model.mechanisms import Mechanism
+from ..ports.internal import LoadObserved, MembershipChanged
+from ..ports.peer import NodeIdentity
 
 
 class NodeView:
--- a/wingquay/configuration/operator_requests.py
+++ b/wingquay/configuration/operator_requests.py
@@ -1,33 +1,10 @@
 """Carries out operators' commands, one script for each."""
 
-from wingquay.configuration.confirmation import (
-    Confirmation,
-    ConfirmCommand,
-    Landed,
-    delete_unlisted_history,
-    read_earlier,
-)
-from wingquay.configuration.current_key import CurrentKey, StoredDocument
-from wingquay.configuration.dissemination import Dissemination
-from wingquay.configuration.in_force import InForce
-from wingquay.configuration.node_view import NodeView
-from wingquay.configuration.plan import Proposal, make_plan
-from wingquay.configuration.plan_store import PlanStore
-from wingquay.configuration.revision_reader import (
-    NOT_FRESH_WARNING,
-    CommandResult,
-    RevisionReader,
-)
-from wingquay.configuration.script import Script, ScriptRunner, pause, perform
-from wingquay.configuration.spread import Spread
-from wingquay.configuration.status import StatusReporter
-from wingquay.configuration.store_schedule import FullJitterBackoff
-from wingquay.configuration.watcher import Watcher
-from wingquay.model.failure import Failure
-from wingquay.model.mechanisms import Mechanism
-from wingquay.model.plan import Plan
-from wingquay.ports.machine import Action, Count, Log
-from wingquay.ports.operator import (
+from ..model.failure import Failure
+from ..model.mechanisms import Mechanism
+from ..model.plan import Plan
+from ..ports.machine import Action, Count, Log
+from ..ports.operator import (
     ConfirmOutcome,
     ConfirmPlan,
     DiffConfigurations,
@@ -46,6 +23,29 @@
     ShowPlan,
     ShowStatus,
 )
+from .confirmation import (
+    Confirmation,
+    ConfirmCommand,
+    Landed,
+    delete_unlisted_history,
+    read_earlier,
+)
+from .current_key import CurrentKey, StoredDocument
+from .dissemination import Dissemination
+from .in_force import InForce
+from .node_view import NodeView
+from .plan import Proposal, make_plan
+from .plan_store import PlanStore
+from .revision_reader import (
+    NOT_FRESH_WARNING,
+    CommandResult,
+    RevisionReader,
+)
+from .script import Script, ScriptRunner, pause, perform
+from .spread import Spread
+from .status import StatusReporter
+from .store_schedule import FullJitterBackoff
+from .watcher import Watcher
 
 STATUS_WAIT_SECONDS = 0.3
 """How long a status waits for nodes of each zone to name their revision."""
--- a/wingquay/configuration/outlook.py
+++ b/wingquay/configuration/outlook.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
-from wingquay.model.configuration import Configuration, Service
-from wingquay.model.plan import ClassEffect, OutlookVerdict, PromiseOutlook
-from wingquay.ports.internal import KindLoad, LoadObserved
+from ..model.configuration import Configuration, Service
+from ..model.plan import ClassEffect, OutlookVerdict, PromiseOutlook
+from ..ports.internal import KindLoad, LoadObserved
 
 RISKY_UTILIZATION = 0.8
 """Queues grow quickly above this share of busy slots."""
--- a/wingquay/configuration/plan.py
+++ b/wingquay/configuration/plan.py
@@ -4,20 +4,20 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.configuration.diff import change_digest, document_diff
-from wingquay.configuration.document import (
+from ..model.audit import AuditRecord
+from ..model.failure import Failure
+from ..model.identifiers import OperatorName, Revision
+from ..model.intent import Intent, RestoreRevision
+from ..model.plan import ClassEffect, OutlookVerdict, Plan, PromiseOutlook
+from ..ports.internal import LoadObserved
+from .diff import change_digest, document_diff
+from .document import (
     ConfigurationDocument,
     next_document,
 )
-from wingquay.configuration.effects import class_effects
-from wingquay.configuration.intents import apply_intents
-from wingquay.configuration.outlook import promise_outlook
-from wingquay.model.audit import AuditRecord
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import OperatorName, Revision
-from wingquay.model.intent import Intent, RestoreRevision
-from wingquay.model.plan import ClassEffect, OutlookVerdict, Plan, PromiseOutlook
-from wingquay.ports.internal import LoadObserved
+from .effects import class_effects
+from .intents import apply_intents
+from .outlook import promise_outlook
 
 PLAN_LIFETIME_SECONDS = 900
 """How long a plan can be confirmed."""
--- a/wingquay/configuration/plan_store.py
+++ b/wingquay/configuration/plan_store.py
@@ -8,13 +8,10 @@
 
 from pydantic import ValidationError
 
-from wingquay.configuration.keys import PLANS_PREFIX, plan_key
-from wingquay.configuration.plan import PLAN_LIFETIME_SECONDS
-from wingquay.configuration.script import Script, call_store, perform
-from wingquay.model.failure import Failure
-from wingquay.model.plan import Plan
-from wingquay.ports.operator import OperatorFailureKind
-from wingquay.ports.store import (
+from ..model.failure import Failure
+from ..model.plan import Plan
+from ..ports.operator import OperatorFailureKind
+from ..ports.store import (
     CompareAndSwap,
     GrantLease,
     LeaseState,
@@ -24,6 +21,9 @@
     StoredValue,
     SwapResult,
 )
+from .keys import PLANS_PREFIX, plan_key
+from .plan import PLAN_LIFETIME_SECONDS
+from .script import Script, call_store, perform
 
 MAXIMUM_PLANS_IN_MEMORY = 200
 """Plans that a node keeps while the store does not answer; the oldest go first."""
--- a/wingquay/configuration/revision_reader.py
+++ b/wingquay/configuration/revision_reader.py
@@ -1,15 +1,8 @@
 """Answers operators' questions about revisions: what stands, what stood, what differs."""
 
-from wingquay.configuration.confirmation import OperatorFailure, operator_failure
-from wingquay.configuration.current_key import CurrentKey, StoredDocument, read_revision
-from wingquay.configuration.diff import document_diff
-from wingquay.configuration.dissemination import Dissemination
-from wingquay.configuration.document import EMPTY_DOCUMENT, ConfigurationDocument
-from wingquay.configuration.in_force import InForce
-from wingquay.configuration.script import Script, StoreHealth, perform
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import Revision
-from wingquay.ports.operator import (
+from ..model.failure import Failure
+from ..model.identifiers import Revision
+from ..ports.operator import (
     ConfigurationResult,
     DiffConfigurations,
     DiffResult,
@@ -18,6 +11,13 @@
     ShowConfiguration,
     ShowHistory,
 )
+from .confirmation import OperatorFailure, operator_failure
+from .current_key import CurrentKey, StoredDocument, read_revision
+from .diff import document_diff
+from .dissemination import Dissemination
+from .document import EMPTY_DOCUMENT, ConfigurationDocument
+from .in_force import InForce
+from .script import Script, StoreHealth, perform
 
 NOT_FRESH_WARNING = "the store does not answer: this is the last revision known to this node"
 
--- a/wingquay/configuration/script.py
+++ b/wingquay/configuration/script.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from wingquay.model.failure import Failure
-from wingquay.ports.machine import Action, Count, Event, Schedule
-from wingquay.ports.store import (
+from ..model.failure import Failure
+from ..ports.machine import Action, Count, Event, Schedule
+from ..ports.store import (
     StoreFailureKind,
     StoreOperation,
     StoreRequest,
--- a/wingquay/configuration/spread.py
+++ b/wingquay/configuration/spread.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from wingquay.configuration.node_view import NodeView
-from wingquay.model.identifiers import NodeId, Revision, ZoneName
+from ..model.identifiers import NodeId, Revision, ZoneName
+from .node_view import NodeView
 
 NODES_WAITED_FOR = 2
 """Nodes of a zone that must have said so before a revision counts as in force there."""
--- a/wingquay/configuration/status.py
+++ b/wingquay/configuration/status.py
@@ -1,12 +1,12 @@
 """Puts together what a node knows, for ``wingquay status``."""
 
-from wingquay.configuration.in_force import InForce
-from wingquay.configuration.node_view import NodeView
-from wingquay.configuration.script import StoreHealth
-from wingquay.configuration.spread import Spread
-from wingquay.model.identifiers import NodeId, Revision, ZoneName
-from wingquay.ports.operator import NodeStatus, StatusResult, ZoneStatus
-from wingquay.ports.peer import NodeIdentity, NodeState
+from ..model.identifiers import NodeId, Revision, ZoneName
+from ..ports.operator import NodeStatus, StatusResult, ZoneStatus
+from ..ports.peer import NodeIdentity, NodeState
+from .in_force import InForce
+from .node_view import NodeView
+from .script import StoreHealth
+from .spread import Spread
 
 BEHIND_WARNING = "zone {zone}: a node was last heard with revision {lowest}, behind {own}"
 STORE_WARNING = (
--- a/wingquay/configuration/watcher.py
+++ b/wingquay/configuration/watcher.py
@@ -9,15 +9,8 @@
 import json
 from dataclasses import dataclass
 
-from wingquay.configuration.current_key import CurrentKey, StoredDocument
-from wingquay.configuration.dissemination import Dissemination
-from wingquay.configuration.in_force import InForce
-from wingquay.configuration.keys import CURRENT_KEY, assignment_key, assignments_prefix
-from wingquay.configuration.node_view import NodeView
-from wingquay.configuration.script import Script, ScriptRunner, call_store, pause, perform
-from wingquay.configuration.store_schedule import FullJitterBackoff, takes_turn
-from wingquay.ports.machine import Action, Count, Log, LogLevel
-from wingquay.ports.store import (
+from ..ports.machine import Action, Count, Log, LogLevel
+from ..ports.store import (
     CompareAndSwap,
     GrantLease,
     KeepLeaseAlive,
@@ -31,6 +24,13 @@
     WatchBroken,
     WatchChanged,
 )
+from .current_key import CurrentKey, StoredDocument
+from .dissemination import Dissemination
+from .in_force import InForce
+from .keys import CURRENT_KEY, assignment_key, assignments_prefix
+from .node_view import NodeView
+from .script import Script, ScriptRunner, call_store, pause, perform
+from .store_schedule import FullJitterBackoff, takes_turn
 
 ASSIGNMENTS_IN_EACH_ZONE = 2
 
--- a/wingquay/demo/caller.py
+++ b/wingquay/demo/caller.py
@@ -7,15 +7,15 @@
 
 import orjson
 
-from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_messages import HttpFailureKind
-from wingquay.adapters.settings import Endpoint
-from wingquay.model.answer import Outcome
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import ServiceName, SnapshotVersion
-from wingquay.model.key_range import KeyRange, normalize
-from wingquay.simulation.answer_document import answer_document, outcome_of
-from wingquay.simulation.models.dataset import Dataset
+from ..adapters.http_client import HttpClient
+from ..adapters.http_messages import HttpFailureKind
+from ..adapters.settings import Endpoint
+from ..model.answer import Outcome
+from ..model.failure import Failure
+from ..model.identifiers import ServiceName, SnapshotVersion
+from ..model.key_range import KeyRange, normalize
+from ..simulation.answer_document import answer_document, outcome_of
+from ..simulation.models.dataset import Dataset
 
 QUERY_PATH = "/v1/query"
 TIMEOUT_SECONDS = 10.0
--- a/wingquay/demo/deployment.py
+++ b/wingquay/demo/deployment.py
@@ -4,27 +4,27 @@
 import random
 from collections.abc import Sequence
 
-from wingquay.adapters.settings import Settings
-from wingquay.adapters.settings_check import SettingsErrors, check_settings
-from wingquay.model.configuration import Configuration, Replica, RequestKind, Service, Shard
-from wingquay.model.identifiers import (
+from ..adapters.settings import Settings
+from ..adapters.settings_check import SettingsErrors, check_settings
+from ..model.configuration import Configuration, Replica, RequestKind, Service, Shard
+from ..model.identifiers import (
     ClassName,
     ReplicaId,
     RequestKindName,
     ServiceName,
     SnapshotVersion,
 )
-from wingquay.model.key_range import KeyRange, intersect
-from wingquay.node import Node
-from wingquay.simulation.deployment_profile import DeploymentProfile, ServiceProfile
-from wingquay.simulation.deployments import RO_NORD
-from wingquay.simulation.models.backend_settings import BackendSettings
-from wingquay.simulation.models.execution_ledger import ExecutionLedger
-from wingquay.simulation.models.service_time import ServiceTimeSettings
-from wingquay.simulation.models.store_model import StoreSettings
-from wingquay.standins.backend import BackendStandin
-from wingquay.standins.backend_admin import ChangeVersions, Drain
-from wingquay.standins.store import StoreStandin
+from ..model.key_range import KeyRange, intersect
+from ..node import Node
+from ..simulation.deployment_profile import DeploymentProfile, ServiceProfile
+from ..simulation.deployments import RO_NORD
+from ..simulation.models.backend_settings import BackendSettings
+from ..simulation.models.execution_ledger import ExecutionLedger
+from ..simulation.models.service_time import ServiceTimeSettings
+from ..simulation.models.store_model import StoreSettings
+from ..standins.backend import BackendStandin
+from ..standins.backend_admin import ChangeVersions, Drain
+from ..standins.store import StoreStandin
 
 LOOPBACK = "127.0.0.1"
 NODE_ZONES = ("cluj-a", "bistrita")
--- a/wingquay/demo/operator.py
+++ b/wingquay/demo/operator.py
@@ -4,18 +4,18 @@
 import time
 from typing import Any
 
-from wingquay.adapters.operator_client import OperatorClient
-from wingquay.adapters.settings import Endpoint
-from wingquay.model.configuration import Configuration
-from wingquay.model.failure import Failure
-from wingquay.model.intent import (
+from ..adapters.operator_client import OperatorClient
+from ..adapters.settings import Endpoint
+from ..model.configuration import Configuration
+from ..model.failure import Failure
+from ..model.intent import (
     Intent,
     SetCaller,
     SetClass,
     SetDeployment,
     SetService,
 )
-from wingquay.ports.operator import ConfirmPlan, OperatorMessage, ProposePlan, ShowStatus
+from ..ports.operator import ConfirmPlan, OperatorMessage, ProposePlan, ShowStatus
 
 IN_FORCE_LIMIT_SECONDS = 5.0
 IN_FORCE_CHECK_SECONDS = 0.02
--- a/wingquay/demo/report.py
+++ b/wingquay/demo/report.py
@@ -1,9 +1,9 @@
 """The demonstration's results as a table for people and as one JSON object."""
 
-from wingquay.adapters.settings import Endpoint
-from wingquay.demo.deployment import CALLER_TOKEN, OPERATOR_TOKEN, DemoDeployment
-from wingquay.demo.scenario import StepResult
-from wingquay.model.answer import Outcome
+from ..adapters.settings import Endpoint
+from ..model.answer import Outcome
+from .deployment import CALLER_TOKEN, OPERATOR_TOKEN, DemoDeployment
+from .scenario import StepResult
 
 MILLISECONDS_PER_SECOND = 1000
 _HEADINGS = ("step", "answers", "coverage", "snapshot", "latency", "extra load")
--- a/wingquay/demo/run.py
+++ b/wingquay/demo/run.py
@@ -6,14 +6,14 @@
 
 import orjson
 
-from wingquay.adapters.log_writer import write_logs_to
-from wingquay.commands.exit_codes import FAILED, OK
-from wingquay.demo.caller import DemoCaller
-from wingquay.demo.deployment import CALLER_TOKEN, OPERATOR_TOKEN, DemoDeployment
-from wingquay.demo.operator import DemoOperator
-from wingquay.demo.report import curl_lines, explanation, summary, table
-from wingquay.demo.scenario import Scenario, StepResult
-from wingquay.ports.machine import LogLevel
+from ..adapters.log_writer import write_logs_to
+from ..commands.exit_codes import FAILED, OK
+from ..ports.machine import LogLevel
+from .caller import DemoCaller
+from .deployment import CALLER_TOKEN, OPERATOR_TOKEN, DemoDeployment
+from .operator import DemoOperator
+from .report import curl_lines, explanation, summary, table
+from .scenario import Scenario, StepResult
 
 TIME_LIMIT_SECONDS = 20.0
 """The demonstration is ended and counted as failed after this time."""
--- a/wingquay/demo/scenario.py
+++ b/wingquay/demo/scenario.py
@@ -6,18 +6,18 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from wingquay.demo.caller import DemoCaller, Question, Reply
-from wingquay.demo.deployment import UNREPEATABLE_KIND, UNREPEATABLE_SERVICE, DemoDeployment
-from wingquay.demo.operator import DemoOperator, OperatorCommandError, effect_lines, intents_for
-from wingquay.model.answer import Outcome
-from wingquay.model.identifiers import (
+from ..model.answer import Outcome
+from ..model.identifiers import (
     ClassName,
     DeploymentName,
     ReplicaId,
     RequestKindName,
     ServiceName,
 )
-from wingquay.model.intent import TOP_CLASS, AssignClass
+from ..model.intent import TOP_CLASS, AssignClass
+from .caller import DemoCaller, Question, Reply
+from .deployment import UNREPEATABLE_KIND, UNREPEATABLE_SERVICE, DemoDeployment
+from .operator import DemoOperator, OperatorCommandError, effect_lines, intents_for
 
 MILLISECONDS_PER_SECOND = 1000
 SWEEP = Question("coverage-lookup", "tower-sweep")
--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -3,19 +3,19 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from wingquay.forwarding.arrival_budget import ArrivalBudget
-from wingquay.forwarding.exchange import Attempt, ServiceCall
-from wingquay.forwarding.latencies import RouteLatencies
-from wingquay.forwarding.presence import NodeCount
-from wingquay.forwarding.replica_directory import ReplicaDirectory
-from wingquay.forwarding.replica_state import ReplicaState
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.timers import AbandonDue
-from wingquay.ports.forwarding import CancelSend, ReportedLoad, SendToReplica
-from wingquay.ports.machine import Action, Log, LogLevel, Schedule
+from ..ports.forwarding import CancelSend, ReportedLoad, SendToReplica
+from ..ports.machine import Action, Log, LogLevel, Schedule
+from .arrival_budget import ArrivalBudget
+from .exchange import Attempt, ServiceCall
+from .latencies import RouteLatencies
+from .presence import NodeCount
+from .replica_directory import ReplicaDirectory
+from .replica_state import ReplicaState
+from .settings import ForwardingSettings
+from .timers import AbandonDue
 
 if TYPE_CHECKING:
-    from wingquay.forwarding.node_groups import NodeGroups
+    from .node_groups import NodeGroups
 
 DEFAULT_CONNECTION_LIMIT = 24
 OWNERS_RESERVE = 2
--- a/wingquay/forwarding/call_starter.py
+++ b/wingquay/forwarding/call_starter.py
@@ -1,11 +1,11 @@
 """Sends calls to replicas, or lets them stand in line until one can be asked."""
 
-from wingquay.forwarding.attempts import AttemptSender
-from wingquay.forwarding.exchange import ServiceCall
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.timers import RetryDue
-from wingquay.forwarding.waiting_line import WaitingLine
-from wingquay.ports.machine import Action, Schedule
+from ..ports.machine import Action, Schedule
+from .attempts import AttemptSender
+from .exchange import ServiceCall
+from .settings import ForwardingSettings
+from .timers import RetryDue
+from .waiting_line import WaitingLine
 
 
 class CallStarter:
--- a/wingquay/forwarding/cutoff.py
+++ b/wingquay/forwarding/cutoff.py
@@ -5,8 +5,8 @@
 for a success; after that, an answer leaves as soon as it is enough.
 """
 
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.model.routing_table import Route
+from ..model.routing_table import Route
+from .settings import ForwardingSettings
 
 SHARE_TOLERANCE = 1e-9
 
--- a/wingquay/forwarding/ending.py
+++ b/wingquay/forwarding/ending.py
@@ -1,8 +1,6 @@
 """The replies that end an exchange, and the log line of each that was not simply served."""
 
-from wingquay.forwarding.exchange import Exchange, ServiceCall
-from wingquay.forwarding.merging import merge_greatest
-from wingquay.ports.forwarding import (
+from ..ports.forwarding import (
     ForwardFailureKind,
     ForwardRequested,
     ReplicaAnswer,
@@ -10,7 +8,9 @@
     ReplyMerged,
     ReplyUnchanged,
 )
-from wingquay.ports.machine import Action, Count, Log, LogLevel, Observe
+from ..ports.machine import Action, Count, Log, LogLevel, Observe
+from .exchange import Exchange, ServiceCall
+from .merging import merge_greatest
 
 MILLISECONDS_PER_SECOND = 1000.0
 LEAST_RETRY_SECONDS = 0.1
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from wingquay.forwarding.replica_state import ReplicaState
-from wingquay.model.routing_table import Route, RoutingTable
-from wingquay.ports.forwarding import ForwardRequested, ReplicaAnswer
-from wingquay.ports.machine import Action
+from ..model.routing_table import Route, RoutingTable
+from ..ports.forwarding import ForwardRequested, ReplicaAnswer
+from ..ports.machine import Action
+from .replica_state import ReplicaState
 
 
 class Origin(Protocol):
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -3,18 +3,27 @@
 import random
 from typing import TYPE_CHECKING
 
-from wingquay.forwarding.attempts import AttemptSender
-from wingquay.forwarding.call_starter import CallStarter
-from wingquay.forwarding.cutoff import in_time_seconds
-from wingquay.forwarding.ending import ExchangeEnding
-from wingquay.forwarding.exchange import Exchange, ServiceCall
-from wingquay.forwarding.latencies import RouteLatencies
-from wingquay.forwarding.presence import NodeCount
-from wingquay.forwarding.replica_directory import ReplicaDirectory
-from wingquay.forwarding.replica_outcomes import ReplicaOutcomes
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.settlement import Settlement
-from wingquay.forwarding.timers import (
+from ..model.routing_table import Route, RoutingTable
+from ..ports.forwarding import (
+    CallerLeft,
+    ForwardRequested,
+    ReplicaAnswered,
+    SendFailed,
+)
+from ..ports.machine import Action, Event, Schedule
+from ..ports.peer_link import PeerLinkBroken, PeerReceived
+from .attempts import AttemptSender
+from .call_starter import CallStarter
+from .cutoff import in_time_seconds
+from .ending import ExchangeEnding
+from .exchange import Exchange, ServiceCall
+from .latencies import RouteLatencies
+from .presence import NodeCount
+from .replica_directory import ReplicaDirectory
+from .replica_outcomes import ReplicaOutcomes
+from .settings import ForwardingSettings
+from .settlement import Settlement
+from .timers import (
     AbandonDue,
     CutoffDue,
     DelegationDue,
@@ -22,20 +31,11 @@
     HedgeDue,
     RetryDue,
 )
-from wingquay.forwarding.weighted_choice import WeightedChoice
-from wingquay.model.routing_table import Route, RoutingTable
-from wingquay.ports.forwarding import (
-    CallerLeft,
-    ForwardRequested,
-    ReplicaAnswered,
-    SendFailed,
-)
-from wingquay.ports.machine import Action, Event, Schedule
-from wingquay.ports.peer_link import PeerLinkBroken, PeerReceived
+from .weighted_choice import WeightedChoice
 
 if TYPE_CHECKING:
-    from wingquay.forwarding.node_groups import NodeGroups
-    from wingquay.forwarding.peer_work import PeerWork
+    from .node_groups import NodeGroups
+    from .peer_work import PeerWork
 
 UNCONFIGURED_RETRY_SECONDS = 0.3
 HEDGE_RECHECK_SECONDS = 0.012
@@ -93,8 +93,8 @@
 
     def enable_peers(self, groups: "NodeGroups") -> None:
         """Ask other nodes for shards, and be asked by them, from now on."""
-        from wingquay.forwarding.delegation import Delegations
-        from wingquay.forwarding.peer_work import PeerWork
+        from .delegation import Delegations
+        from .peer_work import PeerWork
 
         delegations = Delegations(
             self._settings, groups, self._directory, self._starter, self._settlement
@@ -110,20 +110,21 @@
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what is to be done."""
-        if isinstance(event, ReplicaAnswered):
-            return self._outcomes.answered(event, now)
-        if isinstance(event, ForwardRequested):
-            return self._requested(event, now)
-        if isinstance(event, HedgeDue):
-            return self._hedge_due(event, now)
-        if isinstance(event, SendFailed):
-            return self._outcomes.send_failed(event, now)
-        if isinstance(event, AbandonDue):
-            return self._abandon_due(event, now)
-        if isinstance(event, CutoffDue | ExchangeEndDue | RetryDue | CallerLeft):
-            return self._exchange_event(event, now)
-        if isinstance(event, DelegationDue | PeerReceived | PeerLinkBroken):
-            return self._peer_event(event, now)
+        match event:
+            case ReplicaAnswered():
+                return self._outcomes.answered(event, now)
+            case ForwardRequested():
+                return self._requested(event, now)
+            case HedgeDue():
+                return self._hedge_due(event, now)
+            case SendFailed():
+                return self._outcomes.send_failed(event, now)
+            case AbandonDue():
+                return self._abandon_due(event, now)
+            case CutoffDue() | ExchangeEndDue() | RetryDue() | CallerLeft():
+                return self._exchange_event(event, now)
+            case DelegationDue() | PeerReceived() | PeerLinkBroken():
+                return self._peer_event(event, now)
         return []
 
     # Arrival
@@ -234,14 +235,16 @@
         exchange = self._settlement.get(event.exchange_id)
         if exchange is None:
             return []
-        if isinstance(event, RetryDue):
-            return self._retry_due(exchange, now)
-        if isinstance(event, CutoffDue):
-            return self._settlement.settle(exchange, now)
-        if isinstance(event, CallerLeft):
-            self._held.discard(exchange.exchange_id)
-            return self._settlement.caller_left(exchange, now)
-        return self._settlement.out_of_time(exchange, now)
+        match event:
+            case RetryDue():
+                return self._retry_due(exchange, now)
+            case CutoffDue():
+                return self._settlement.settle(exchange, now)
+            case CallerLeft():
+                self._held.discard(exchange.exchange_id)
+                return self._settlement.caller_left(exchange, now)
+            case ExchangeEndDue():
+                return self._settlement.out_of_time(exchange, now)
 
     def _retry_due(self, exchange: Exchange, now: float) -> list[Action]:
         if exchange.exchange_id in self._held:
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -2,27 +2,11 @@
 
 import random
 
-from wingquay.forwarding.forwarding_machine import ForwardingMachine
-from wingquay.forwarding.line_budget import LineBudget
-from wingquay.forwarding.node_membership import NodeMembership
-from wingquay.forwarding.peer_setup import has_far_shards
-from wingquay.forwarding.presence import NodeCount, Presence, PresenceDue
-from wingquay.forwarding.replica_directory import ReplicaDirectory
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.store_follower import (
-    FollowAgain,
-    FollowerHooks,
-    FollowerSettings,
-    StoreFollower,
-)
-from wingquay.forwarding.store_formats import FormatFailureKind as FormatFailureKind
-from wingquay.forwarding.store_formats import StoreFormats as StoreFormats
-from wingquay.forwarding.timers import HeartbeatDue
-from wingquay.model.failure import Failure
-from wingquay.model.routing_table import CallerLimits, RoutingTable
-from wingquay.model.value import value
-from wingquay.ports.forwarding import SetForwarding
-from wingquay.ports.machine import (
+from ..model.failure import Failure
+from ..model.routing_table import CallerLimits, RoutingTable
+from ..model.value import value
+from ..ports.forwarding import SetForwarding
+from ..ports.machine import (
     Action,
     Count,
     Event,
@@ -33,16 +17,32 @@
     Start,
     StopRequested,
 )
-from wingquay.ports.peer_link import PeerLinkOpened, PeerReceived, SendToPeer
-from wingquay.ports.peer_snapshot import PeerSnapshot
-from wingquay.ports.store import (
+from ..ports.peer_link import PeerLinkOpened, PeerReceived, SendToPeer
+from ..ports.peer_snapshot import PeerSnapshot
+from ..ports.store import (
     ReadResult,
     StoredValue,
     StoreResponse,
     WatchBroken,
     WatchChanged,
 )
-from wingquay.ports.store_news import StoreNews
+from ..ports.store_news import StoreNews
+from .forwarding_machine import ForwardingMachine
+from .line_budget import LineBudget
+from .node_membership import NodeMembership
+from .peer_setup import has_far_shards
+from .presence import NodeCount, Presence, PresenceDue
+from .replica_directory import ReplicaDirectory
+from .settings import ForwardingSettings
+from .store_follower import (
+    FollowAgain,
+    FollowerHooks,
+    FollowerSettings,
+    StoreFollower,
+)
+from .store_formats import FormatFailureKind as FormatFailureKind
+from .store_formats import StoreFormats as StoreFormats
+from .timers import HeartbeatDue
 
 SWEEP_SECONDS = 0.5
 """Time between two looks for replicas whose time of grace is over."""
--- a/wingquay/forwarding/latencies.py
+++ b/wingquay/forwarding/latencies.py
@@ -1,8 +1,8 @@
 """Latencies of attempts by route, and the delay after which an attempt is hedged."""
 
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.model.routing_table import Route
-from wingquay.routing.latency_tracker import LatencyTracker
+from ..model.routing_table import Route
+from ..routing.latency_tracker import LatencyTracker
+from .settings import ForwardingSettings
 
 PERIOD_SECONDS = 10.0
 FEWEST_SAMPLES = 40
--- a/wingquay/forwarding/line_budget.py
+++ b/wingquay/forwarding/line_budget.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from wingquay.ports.machine import Action, Count, Log
+from ..ports.machine import Action, Count, Log
 
 LINES_PER_SECOND = {
     "failed": 20,
--- a/wingquay/forwarding/presence.py
+++ b/wingquay/forwarding/presence.py
@@ -7,11 +7,10 @@
 
 import random
 
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.model.failure import Failure
-from wingquay.model.value import value
-from wingquay.ports.machine import Action, Event, Schedule, Start
-from wingquay.ports.store import (
+from ..model.failure import Failure
+from ..model.value import value
+from ..ports.machine import Action, Event, Schedule, Start
+from ..ports.store import (
     CompareAndSwap,
     GrantLease,
     KeepLeaseAlive,
@@ -23,6 +22,7 @@
     StoreResult,
     SwapResult,
 )
+from .settings import ForwardingSettings
 
 OPERATION_PREFIX = "presence-"
 TIMEOUT_SECONDS = 2.0
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/replica_directory.py
@@ -3,10 +3,10 @@
 import random
 from collections.abc import Container, Iterable
 
-from wingquay.forwarding.replica_state import ReplicaState
-from wingquay.forwarding.replica_trials import ReplicaTrials
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.model.replica_record import ReplicaRecord
+from ..model.replica_record import ReplicaRecord
+from .replica_state import ReplicaState
+from .replica_trials import ReplicaTrials
+from .settings import ForwardingSettings
 
 
 class ReplicaDirectory:
--- a/wingquay/forwarding/replica_outcomes.py
+++ b/wingquay/forwarding/replica_outcomes.py
@@ -1,18 +1,18 @@
 """What follows from the answers and failures of replicas."""
 
-from wingquay.forwarding.attempts import AttemptSender
-from wingquay.forwarding.call_starter import CallStarter
-from wingquay.forwarding.exchange import Attempt, ServiceCall
-from wingquay.forwarding.replica_directory import ReplicaDirectory
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.settlement import Settlement
-from wingquay.ports.forwarding import (
+from ..ports.forwarding import (
     ReplicaAnswer,
     ReplicaAnswered,
     SendFailed,
     SendFailureKind,
 )
-from wingquay.ports.machine import Action
+from ..ports.machine import Action
+from .attempts import AttemptSender
+from .call_starter import CallStarter
+from .exchange import Attempt, ServiceCall
+from .replica_directory import ReplicaDirectory
+from .settings import ForwardingSettings
+from .settlement import Settlement
 
 FIRST_SERVER_ERROR_STATUS = 500
 MILLISECONDS_PER_SECOND = 1000.0
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -1,6 +1,6 @@
 """Settings of forwarding, each with its unit and default."""
 
-from wingquay.model.value import value
+from ..model.value import value
 
 
 @value
--- a/wingquay/forwarding/settlement.py
+++ b/wingquay/forwarding/settlement.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 
-from wingquay.forwarding.attempts import AttemptSender
-from wingquay.forwarding.cutoff import is_enough
-from wingquay.forwarding.ending import ExchangeEnding
-from wingquay.forwarding.exchange import Exchange, ServiceCall
-from wingquay.forwarding.replica_directory import ReplicaDirectory
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.ports.machine import Action
+from ..ports.machine import Action
+from .attempts import AttemptSender
+from .cutoff import is_enough
+from .ending import ExchangeEnding
+from .exchange import Exchange, ServiceCall
+from .replica_directory import ReplicaDirectory
+from .settings import ForwardingSettings
 
 TIME_TOLERANCE_SECONDS = 1e-6
 
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 
-from wingquay.model.failure import Failure
-from wingquay.model.value import value
-from wingquay.ports.machine import Action, Event, Log, LogLevel, Schedule, Start
-from wingquay.ports.peer_snapshot import AskPeers, PeerSnapshot
-from wingquay.ports.store import (
+from ..model.failure import Failure
+from ..model.value import value
+from ..ports.machine import Action, Event, Log, LogLevel, Schedule, Start
+from ..ports.peer_snapshot import AskPeers, PeerSnapshot
+from ..ports.store import (
     Read,
     ReadResult,
     StartWatch,
@@ -17,7 +17,7 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.ports.store_news import StoreNews
+from ..ports.store_news import StoreNews
 
 
 @value
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -1,7 +1,7 @@
 """Events by which the forwarding machine wakes itself."""
 
-from wingquay.model.value import value
-from wingquay.ports.machine import Event
+from ..model.value import value
+from ..ports.machine import Event
 
 
 @value
--- a/wingquay/membership/contacts.py
+++ b/wingquay/membership/contacts.py
@@ -3,10 +3,10 @@
 import random
 from collections.abc import Iterable
 
-from wingquay.membership.member_table import MemberTable
-from wingquay.membership.settings import SeedAddress
-from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
-from wingquay.ports.peer import NodeIdentity
+from ..model.identifiers import DeploymentName, NodeId, ZoneName
+from ..ports.peer import NodeIdentity
+from .member_table import MemberTable
+from .settings import SeedAddress
 
 
 class Contacts:
--- a/wingquay/membership/gossip_queue.py
+++ b/wingquay/membership/gossip_queue.py
@@ -7,8 +7,8 @@
 import math
 from dataclasses import dataclass
 
-from wingquay.model.identifiers import NodeId, ReplicaId
-from wingquay.ports.peer import NodeIdentity, NodeUpdate, ReplicaUpdate
+from ..model.identifiers import NodeId, ReplicaId
+from ..ports.peer import NodeIdentity, NodeUpdate, ReplicaUpdate
 
 NODE_UPDATE_OVERHEAD_BYTES = 22
 """Tags, lengths, port, state and incarnation of an encoded node update."""
--- a/wingquay/membership/member_table.py
+++ b/wingquay/membership/member_table.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.peer import NodeIdentity, NodeState, NodeUpdate
+from ..model.identifiers import NodeId
+from ..ports.peer import NodeIdentity, NodeState, NodeUpdate
 
 NOBODY = NodeId("")
 
--- a/wingquay/membership/membership_machine.py
+++ b/wingquay/membership/membership_machine.py
@@ -9,29 +9,16 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from wingquay.membership.contacts import Contacts
-from wingquay.membership.gossip_queue import GossipQueue
-from wingquay.membership.member_table import MemberTable
-from wingquay.membership.message_sender import MessageSender
-from wingquay.membership.node_beliefs import NodeBeliefs
-from wingquay.membership.node_lists import NodeLists
-from wingquay.membership.outbox import Outbox
-from wingquay.membership.prober import Prober
-from wingquay.membership.probing import ProbeOrder
-from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
-from wingquay.membership.replica_table import ReplicaNews, ReplicaTable
-from wingquay.membership.revision_spreader import RevisionSpreader
-from wingquay.membership.settings import MembershipSettings, SeedAddress
-from wingquay.model.failure import Failure
-from wingquay.ports.internal import (
+from ..model.failure import Failure
+from ..ports.internal import (
     ConfigurationInForce,
     LeavingStarted,
     Notify,
     ReplicaObserved,
 )
-from wingquay.ports.machine import Action, Event, Schedule, Start
-from wingquay.ports.machine_directory import MachineListRead, MachineState, ReadMachineList
-from wingquay.ports.peer import (
+from ..ports.machine import Action, Event, Schedule, Start
+from ..ports.machine_directory import MachineListRead, MachineState, ReadMachineList
+from ..ports.peer import (
     Acknowledgement,
     Gossip,
     MembershipMessage,
@@ -44,6 +31,19 @@
     Ping,
     PingRequest,
 )
+from .contacts import Contacts
+from .gossip_queue import GossipQueue
+from .member_table import MemberTable
+from .message_sender import MessageSender
+from .node_beliefs import NodeBeliefs
+from .node_lists import NodeLists
+from .outbox import Outbox
+from .prober import Prober
+from .probing import ProbeOrder
+from .replica_evidence import ReplicaEvidenceSettings
+from .replica_table import ReplicaNews, ReplicaTable
+from .revision_spreader import RevisionSpreader
+from .settings import MembershipSettings, SeedAddress
 
 JOIN_CONTACTS = 3
 """Addresses that a node without any other tries at once."""
--- a/wingquay/membership/message_sender.py
+++ b/wingquay/membership/message_sender.py
@@ -2,12 +2,8 @@
 
 import random
 
-from wingquay.membership.gossip_queue import GossipQueue, estimated_bytes
-from wingquay.membership.member_table import MemberTable
-from wingquay.membership.outbox import Outbox
-from wingquay.membership.settings import MembershipSettings
-from wingquay.model.identifiers import NodeId, Revision
-from wingquay.ports.peer import (
+from ..model.identifiers import NodeId, Revision
+from ..ports.peer import (
     Acknowledgement,
     Gossip,
     NodeIdentity,
@@ -19,6 +15,10 @@
     ReplicaUpdate,
     SendToPeer,
 )
+from .gossip_queue import GossipQueue, estimated_bytes
+from .member_table import MemberTable
+from .outbox import Outbox
+from .settings import MembershipSettings
 
 NO_ANSWER_WANTED = 0
 """Sequence number of a ping that only carries gossip."""
--- a/wingquay/membership/node_beliefs.py
+++ b/wingquay/membership/node_beliefs.py
@@ -3,16 +3,16 @@
 import random
 from enum import Enum
 
-from wingquay.membership.gossip_queue import GossipQueue
-from wingquay.membership.local_health import LocalHealth
-from wingquay.membership.member_table import Member, MemberTable, overrides
-from wingquay.membership.outbox import Outbox
-from wingquay.membership.probing import ProbeOrder
-from wingquay.membership.settings import MembershipSettings
-from wingquay.membership.suspicion import Suspicion, new_suspicion
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.internal import MembershipChanged
-from wingquay.ports.peer import NodeIdentity, NodeState, NodeUpdate
+from ..model.identifiers import NodeId
+from ..ports.internal import MembershipChanged
+from ..ports.peer import NodeIdentity, NodeState, NodeUpdate
+from .gossip_queue import GossipQueue
+from .local_health import LocalHealth
+from .member_table import Member, MemberTable, overrides
+from .outbox import Outbox
+from .probing import ProbeOrder
+from .settings import MembershipSettings
+from .suspicion import Suspicion, new_suspicion
 
 TELL_PAUSE_SECONDS = 1.0
 """Shortest time between two times that a node is told that it is believed dead."""
--- a/wingquay/membership/node_lists.py
+++ b/wingquay/membership/node_lists.py
@@ -6,12 +6,12 @@
 
 import random
 
-from wingquay.membership.member_table import MemberTable
-from wingquay.membership.message_sender import MessageSender
-from wingquay.membership.node_beliefs import Haste, NodeBeliefs
-from wingquay.membership.replica_table import ReplicaTable
-from wingquay.membership.settings import MembershipSettings
-from wingquay.ports.peer import Gossip, NodeIdentity, NodeList, NodeListRequest
+from ..ports.peer import Gossip, NodeIdentity, NodeList, NodeListRequest
+from .member_table import MemberTable
+from .message_sender import MessageSender
+from .node_beliefs import Haste, NodeBeliefs
+from .replica_table import ReplicaTable
+from .settings import MembershipSettings
 
 MANY_ARRIVALS = 3
 MANY_ARRIVALS_SHARE = 0.1
--- a/wingquay/membership/outbox.py
+++ b/wingquay/membership/outbox.py
@@ -1,6 +1,6 @@
 """Where the parts of the membership machine put the actions of one event."""
 
-from wingquay.ports.machine import Action, Count, Log, LogLevel
+from ..ports.machine import Action, Count, Log, LogLevel
 
 
 class Outbox:
--- a/wingquay/membership/prober.py
+++ b/wingquay/membership/prober.py
@@ -3,19 +3,19 @@
 import random
 from dataclasses import dataclass
 
-from wingquay.membership.member_table import MemberTable
-from wingquay.membership.message_sender import NO_ANSWER_WANTED, MessageSender
-from wingquay.membership.node_beliefs import NodeBeliefs
-from wingquay.membership.probing import Probe, ProbeOrder, ProbeStep, new_probe
-from wingquay.membership.settings import MembershipSettings
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.peer import (
+from ..model.identifiers import NodeId
+from ..ports.peer import (
     Acknowledgement,
     NodeIdentity,
     NodeState,
     Ping,
     PingRequest,
 )
+from .member_table import MemberTable
+from .message_sender import NO_ANSWER_WANTED, MessageSender
+from .node_beliefs import NodeBeliefs
+from .probing import Probe, ProbeOrder, ProbeStep, new_probe
+from .settings import MembershipSettings
 
 MAXIMUM_RELAYED_PROBES = 1_000
 """Probes on behalf of others that are remembered at once."""
--- a/wingquay/membership/probing.py
+++ b/wingquay/membership/probing.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.membership.member_table import Member, MemberTable
-from wingquay.membership.settings import MembershipSettings
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.peer import NodeIdentity, NodeState
+from ..model.identifiers import NodeId
+from ..ports.peer import NodeIdentity, NodeState
+from .member_table import Member, MemberTable
+from .settings import MembershipSettings
 
 
 class ProbeStep(Enum):
--- a/wingquay/membership/replica_evidence.py
+++ b/wingquay/membership/replica_evidence.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from wingquay.ports.peer import ReplicaState
+from ..ports.peer import ReplicaState
 
 REPLICA_LEAVING_BOUND_SECONDS = 3.0
 """What the settings below must add up to.
--- a/wingquay/membership/replica_table.py
+++ b/wingquay/membership/replica_table.py
@@ -3,19 +3,19 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
-from wingquay.membership.replica_evidence import (
+from ..model.answer import HeldVersions
+from ..model.configuration import Configuration
+from ..model.identifiers import ReplicaId
+from ..ports.internal import ReplicaBelief, ReplicaObserved
+from ..ports.machine_directory import MachineEntry, MachineState
+from ..ports.peer import ReplicaState, ReplicaUpdate
+from .replica_evidence import (
     Evidence,
     ReplicaEvidence,
     ReplicaEvidenceSettings,
     believed_state,
     state_to_spread,
 )
-from wingquay.model.answer import HeldVersions
-from wingquay.model.configuration import Configuration
-from wingquay.model.identifiers import ReplicaId
-from wingquay.ports.internal import ReplicaBelief, ReplicaObserved
-from wingquay.ports.machine_directory import MachineEntry, MachineState
-from wingquay.ports.peer import ReplicaState, ReplicaUpdate
 
 _SEVERITIES = {ReplicaState.SERVING: 0, ReplicaState.LEAVING: 1, ReplicaState.GONE: 2}
 
--- a/wingquay/membership/revision_spreader.py
+++ b/wingquay/membership/revision_spreader.py
@@ -1,11 +1,11 @@
 """Lets nodes hear soon that there is a newer configuration."""
 
-from wingquay.membership.message_sender import NO_ANSWER_WANTED, MessageSender
-from wingquay.membership.outbox import Outbox
-from wingquay.membership.settings import MembershipSettings
-from wingquay.model.identifiers import Revision
-from wingquay.ports.internal import NewerRevisionHeard, Notify
-from wingquay.ports.peer import NodeIdentity, Ping
+from ..model.identifiers import Revision
+from ..ports.internal import NewerRevisionHeard, Notify
+from ..ports.peer import NodeIdentity, Ping
+from .message_sender import NO_ANSWER_WANTED, MessageSender
+from .outbox import Outbox
+from .settings import MembershipSettings
 
 
 class RevisionSpreader:
--- a/wingquay/membership/suspicion.py
+++ b/wingquay/membership/suspicion.py
@@ -6,8 +6,8 @@
 import math
 from dataclasses import dataclass, field
 
-from wingquay.membership.settings import MembershipSettings
-from wingquay.model.identifiers import NodeId
+from ..model.identifiers import NodeId
+from .settings import MembershipSettings
 
 
 @dataclass(slots=True)
--- a/wingquay/model/answer.py
+++ b/wingquay/model/answer.py
@@ -3,16 +3,16 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import (
+from .failure import Failure
+from .identifiers import (
     ReplicaId,
     RequestId,
     ShardId,
     SnapshotVersion,
     SubRequestId,
 )
-from wingquay.model.key_range import KeyRange
-from wingquay.model.value import value
+from .key_range import KeyRange
+from .value import value
 
 
 @value
--- a/wingquay/model/audit.py
+++ b/wingquay/model/audit.py
@@ -2,7 +2,7 @@
 
 from pydantic import BaseModel, ConfigDict
 
-from wingquay.model.identifiers import OperatorName, Revision
+from .identifiers import OperatorName, Revision
 
 
 class AuditRecord(BaseModel):
--- a/wingquay/model/configuration.py
+++ b/wingquay/model/configuration.py
@@ -6,8 +6,8 @@
 
 from pydantic import model_validator
 
-from wingquay.model.configuration_check import reference_errors
-from wingquay.model.configuration_parts import (
+from .configuration_check import reference_errors
+from .configuration_parts import (
     Attachment,
     Caller,
     CheckedModel,
@@ -19,7 +19,7 @@
     Service,
     Shard,
 )
-from wingquay.model.identifiers import (
+from .identifiers import (
     ClassName,
     Revision,
 )
--- a/wingquay/model/configuration_check.py
+++ b/wingquay/model/configuration_check.py
@@ -6,14 +6,14 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from wingquay.model.configuration_parts import (
+from .configuration_parts import (
     Attachment,
     Caller,
     Deployment,
     PriorityClass,
     Service,
 )
-from wingquay.model.identifiers import ClassName, ServiceName
+from .identifiers import ClassName, ServiceName
 
 
 class ConfigurationContents(Protocol):
--- a/wingquay/model/configuration_parts.py
+++ b/wingquay/model/configuration_parts.py
@@ -8,7 +8,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from wingquay.model.identifiers import (
+from .identifiers import (
     CallerName,
     ClassName,
     DeploymentName,
@@ -18,7 +18,7 @@
     ShardId,
     ZoneName,
 )
-from wingquay.model.key_range import KeyRange
+from .key_range import KeyRange
 
 
 class CheckedModel(BaseModel):
--- a/wingquay/model/intent.py
+++ b/wingquay/model/intent.py
@@ -9,8 +9,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from wingquay.model.configuration import Caller, Deployment, Service, Shard
-from wingquay.model.identifiers import (
+from .configuration import Caller, Deployment, Service, Shard
+from .identifiers import (
     CallerName,
     ClassName,
     DeploymentName,
--- a/wingquay/model/key_range.py
+++ b/wingquay/model/key_range.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from wingquay.model.value import value
+from .value import value
 
 SMALLEST_SUFFIX = "\0"
 
--- a/wingquay/model/plan.py
+++ b/wingquay/model/plan.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict
 
-from wingquay.model.identifiers import (
+from .identifiers import (
     CallerName,
     ClassName,
     OperatorName,
@@ -12,7 +12,7 @@
     Revision,
     ServiceName,
 )
-from wingquay.model.intent import Intent
+from .intent import Intent
 
 
 class _Shown(BaseModel):
--- a/wingquay/model/replica_record.py
+++ b/wingquay/model/replica_record.py
@@ -1,6 +1,6 @@
 """What a replica states about itself in the directory of replicas."""
 
-from wingquay.model.value import value
+from .value import value
 
 
 @value
--- a/wingquay/model/request.py
+++ b/wingquay/model/request.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.configuration import CoveragePreference
-from wingquay.model.identifiers import (
+from .configuration import CoveragePreference
+from .identifiers import (
     CallerName,
     ClassName,
     ReplicaId,
@@ -14,8 +14,8 @@
     SnapshotVersion,
     SubRequestId,
 )
-from wingquay.model.key_range import KeyRange
-from wingquay.model.value import value
+from .key_range import KeyRange
+from .value import value
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/model/routing_table.py
+++ b/wingquay/model/routing_table.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from wingquay.model.value import value
+from .value import value
 
 
 @value
--- a/wingquay/node.py
+++ b/wingquay/node.py
@@ -4,32 +4,32 @@
 import random
 import secrets
 
-from wingquay.adapters import peer_codec
-from wingquay.adapters.backend_client import BackendClient
-from wingquay.adapters.bearer_tokens import ConfiguredCallers, TokenOwner, TokenTable
-from wingquay.adapters.caller_server import CallerServer
-from wingquay.adapters.health_pages import HealthPages
-from wingquay.adapters.http_messages import HttpLimits
-from wingquay.adapters.log_writer import LogWriter
-from wingquay.adapters.machine_directory_client import MachineDirectoryClient
-from wingquay.adapters.metrics import Metrics
-from wingquay.adapters.operator_server import OperatorServer
-from wingquay.adapters.peer_link import PeerLink
-from wingquay.adapters.request_log import RequestLog
-from wingquay.adapters.settings import CallerSection, Endpoint, Settings, parse_endpoint
-from wingquay.adapters.settings_tuning import node_machine_settings
-from wingquay.adapters.store_client import StoreClient
-from wingquay.membership.settings import SeedAddress
-from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
-from wingquay.orchestration.node_machine import NodeMachine
-from wingquay.ports.backend import CancelAttempt, ProbeReplica, StartAttempt
-from wingquay.ports.caller import AnswerCaller, CallerGone, CallerRequest, SetCallers, SetReady
-from wingquay.ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
-from wingquay.ports.machine_directory import ReadMachineList
-from wingquay.ports.operator import OperatorReply
-from wingquay.ports.peer import NodeIdentity, SendToPeer
-from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
-from wingquay.runtime import NodeRuntime
+from .adapters import peer_codec
+from .adapters.backend_client import BackendClient
+from .adapters.bearer_tokens import ConfiguredCallers, TokenOwner, TokenTable
+from .adapters.caller_server import CallerServer
+from .adapters.health_pages import HealthPages
+from .adapters.http_messages import HttpLimits
+from .adapters.log_writer import LogWriter
+from .adapters.machine_directory_client import MachineDirectoryClient
+from .adapters.metrics import Metrics
+from .adapters.operator_server import OperatorServer
+from .adapters.peer_link import PeerLink
+from .adapters.request_log import RequestLog
+from .adapters.settings import CallerSection, Endpoint, Settings, parse_endpoint
+from .adapters.settings_tuning import node_machine_settings
+from .adapters.store_client import StoreClient
+from .membership.settings import SeedAddress
+from .model.identifiers import DeploymentName, NodeId, ZoneName
+from .orchestration.node_machine import NodeMachine
+from .ports.backend import CancelAttempt, ProbeReplica, StartAttempt
+from .ports.caller import AnswerCaller, CallerGone, CallerRequest, SetCallers, SetReady
+from .ports.machine import Count, Event, Exit, Log, Observe, Start, StopRequested
+from .ports.machine_directory import ReadMachineList
+from .ports.operator import OperatorReply
+from .ports.peer import NodeIdentity, SendToPeer
+from .ports.store import StartWatch, StopWatch, StoreRequest
+from .runtime import NodeRuntime
 
 NODE_ID_RANDOM_BYTES = 4
 SEED_BITS = 64
--- a/wingquay/orchestration/caller_access.py
+++ b/wingquay/orchestration/caller_access.py
@@ -2,10 +2,10 @@
 
 from typing import ClassVar
 
-from wingquay.ports.caller import SetCallers
-from wingquay.ports.internal import ConfigurationInForce
-from wingquay.ports.machine import Action, Event
-from wingquay.ports.peer import PeerMessage
+from ..ports.caller import SetCallers
+from ..ports.internal import ConfigurationInForce
+from ..ports.machine import Action, Event
+from ..ports.peer import PeerMessage
 
 
 class CallerAccess:
--- a/wingquay/orchestration/load_machine.py
+++ b/wingquay/orchestration/load_machine.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from wingquay.admission.owner_machine import OwnerMachine
-from wingquay.ports.internal import LoadObserved, Notify
-from wingquay.ports.machine import Action, Event, Schedule, Start
-from wingquay.ports.peer import PeerMessage
-from wingquay.query.coordinator import Coordinator
+from ..admission.owner_machine import OwnerMachine
+from ..ports.internal import LoadObserved, Notify
+from ..ports.machine import Action, Event, Schedule, Start
+from ..ports.peer import PeerMessage
+from ..query.coordinator import Coordinator
 
 REPORT_SECONDS = 5.0
 
--- a/wingquay/orchestration/node_machine.py
+++ b/wingquay/orchestration/node_machine.py
@@ -11,21 +11,21 @@
 from dataclasses import replace
 from typing import ClassVar, Protocol
 
-from wingquay.admission.owner_machine import OwnerMachine
-from wingquay.claims.machine import ClaimsMachine
-from wingquay.configuration.configuration_machine import ConfigurationMachine
-from wingquay.membership.membership_machine import MembershipMachine
-from wingquay.membership.settings import SeedAddress
-from wingquay.model.identifiers import NodeId, Revision
-from wingquay.orchestration.caller_access import CallerAccess
-from wingquay.orchestration.load_machine import LoadMachine
-from wingquay.orchestration.settings import NodeMachineSettings
-from wingquay.orchestration.stop_machine import StopMachine
-from wingquay.ports.internal import Notify
-from wingquay.ports.machine import Action, Event
-from wingquay.ports.peer import NodeIdentity, PeerMessage, PeerReceived, SendToPeer
-from wingquay.query.coordinator import Coordinator
-from wingquay.query.owner_links import OwnerLinks
+from ..admission.owner_machine import OwnerMachine
+from ..claims.machine import ClaimsMachine
+from ..configuration.configuration_machine import ConfigurationMachine
+from ..membership.membership_machine import MembershipMachine
+from ..membership.settings import SeedAddress
+from ..model.identifiers import NodeId, Revision
+from ..ports.internal import Notify
+from ..ports.machine import Action, Event
+from ..ports.peer import NodeIdentity, PeerMessage, PeerReceived, SendToPeer
+from ..query.coordinator import Coordinator
+from ..query.owner_links import OwnerLinks
+from .caller_access import CallerAccess
+from .load_machine import LoadMachine
+from .settings import NodeMachineSettings
+from .stop_machine import StopMachine
 
 SEED_BITS = 64
 
--- a/wingquay/orchestration/settings.py
+++ b/wingquay/orchestration/settings.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from wingquay.admission.settings import AdmissionSettings
-from wingquay.claims.settings import ClaimsSettings
-from wingquay.membership.replica_evidence import ReplicaEvidenceSettings
-from wingquay.membership.settings import MembershipSettings
-from wingquay.model.mechanisms import Mechanism
-from wingquay.query.settings import QuerySettings
-from wingquay.routing.settings import RoutingSettings
+from ..admission.settings import AdmissionSettings
+from ..claims.settings import ClaimsSettings
+from ..membership.replica_evidence import ReplicaEvidenceSettings
+from ..membership.settings import MembershipSettings
+from ..model.mechanisms import Mechanism
+from ..query.settings import QuerySettings
+from ..routing.settings import RoutingSettings
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/orchestration/stop_machine.py
+++ b/wingquay/orchestration/stop_machine.py
@@ -7,12 +7,12 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from wingquay.model.mechanisms import Mechanism
-from wingquay.orchestration.settings import StopSettings
-from wingquay.ports.caller import SetReady
-from wingquay.ports.internal import ConfigurationInForce, LeavingStarted, Notify, WorkDrained
-from wingquay.ports.machine import Action, Event, Exit, Log, LogLevel, Schedule, StopRequested
-from wingquay.ports.peer import PeerMessage
+from ..model.mechanisms import Mechanism
+from ..ports.caller import SetReady
+from ..ports.internal import ConfigurationInForce, LeavingStarted, Notify, WorkDrained
+from ..ports.machine import Action, Event, Exit, Log, LogLevel, Schedule, StopRequested
+from ..ports.peer import PeerMessage
+from .settings import StopSettings
 
 LONGEST_CHECK_GAP = 2.0
 """Between two checks at most this many check intervals count; more is a pause of the process."""
--- a/wingquay/platform/__main__.py
+++ b/wingquay/platform/__main__.py
@@ -8,8 +8,8 @@
 import os
 import sys
 
-from wingquay.adapters.listening import open_listening_socket
-from wingquay.platform.names import SETTINGS_PATH_VARIABLE
+from ..adapters.listening import open_listening_socket
+from .names import SETTINGS_PATH_VARIABLE
 
 FAILED = 1
 CALLERS_FIELD = "callers"
@@ -31,9 +31,9 @@
     except OSError as error:
         listening = None
         reason = str(error)
-    from wingquay.model.failure import Failure
-    from wingquay.platform.process import run_process
-    from wingquay.platform.settings import parse_settings
+    from ..model.failure import Failure
+    from .process import run_process
+    from .settings import parse_settings
 
     settings = parse_settings(text)
     if isinstance(settings, Failure):
--- a/wingquay/platform/caller_dialect.py
+++ b/wingquay/platform/caller_dialect.py
@@ -2,10 +2,17 @@
 
 import orjson
 
-from wingquay.adapters.forwarding_server import Reply
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.platform.header_lists import end_to_end
-from wingquay.platform.names import (
+from ..adapters.forwarding_server import Reply
+from ..adapters.http_messages import HttpRequest, HttpResponse
+from ..ports.forwarding import (
+    ForwardFailureKind,
+    ForwardRequested,
+    OpaqueRequest,
+    ReplyFailure,
+    ReplyMerged,
+)
+from .header_lists import end_to_end
+from .names import (
     DEADLINE_MS,
     EXPECTED_REPLICA,
     MERGED_SIGNATURES,
@@ -13,13 +20,6 @@
     REQUEST_ID,
     RETRY_AFTER,
 )
-from wingquay.ports.forwarding import (
-    ForwardFailureKind,
-    ForwardRequested,
-    OpaqueRequest,
-    ReplyFailure,
-    ReplyMerged,
-)
 
 MILLISECONDS_PER_SECOND = 1000.0
 STATUS = {
--- a/wingquay/platform/configuration_document.py
+++ b/wingquay/platform/configuration_document.py
@@ -5,16 +5,16 @@
 
 import orjson
 
-from wingquay.forwarding.forwarding_node import FormatFailureKind
-from wingquay.model.failure import Failure
-from wingquay.model.routing_table import (
+from ..forwarding.forwarding_node import FormatFailureKind
+from ..model.failure import Failure
+from ..model.routing_table import (
     CallerLimits,
     Route,
     RoutingTable,
     UpstreamService,
     WeightedService,
 )
-from wingquay.platform.names import REPEATABLE
+from .names import REPEATABLE
 
 MILLISECONDS_PER_SECOND = 1000.0
 DEFAULT_TIMEOUT_MS = 30_000
--- a/wingquay/platform/header_lists.py
+++ b/wingquay/platform/header_lists.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Container, Iterable
 
-from wingquay.ports.forwarding import Headers
+from ..ports.forwarding import Headers
 
 _OF_ONE_CONNECTION = frozenset(
     {
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -8,37 +8,24 @@
 import socket
 import sys
 
-from wingquay.adapters.deferred_log import DeferredLog
-from wingquay.adapters.deferred_metrics import DeferredMetrics
-from wingquay.adapters.deferred_peer_link import DeferredPeerLink
-from wingquay.adapters.forwarding_server import ForwardingServer
-from wingquay.adapters.gradual_import import LOG_MODULES, METRICS_MODULES, import_gradually
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.adapters.http_server import HttpServer
-from wingquay.adapters.node_record import node_value, parse_node
-from wingquay.adapters.peer_snapshots import PeerSnapshots
-from wingquay.adapters.replica_client import ReplicaClient
-from wingquay.forwarding.forwarding_node import ForwardingNode, StoreFormats
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.store_follower import (
+from ..adapters.deferred_log import DeferredLog
+from ..adapters.deferred_metrics import DeferredMetrics
+from ..adapters.deferred_peer_link import DeferredPeerLink
+from ..adapters.forwarding_server import ForwardingServer
+from ..adapters.gradual_import import LOG_MODULES, METRICS_MODULES, import_gradually
+from ..adapters.http_messages import HttpRequest, HttpResponse
+from ..adapters.http_server import HttpServer
+from ..adapters.node_record import node_value, parse_node
+from ..adapters.peer_snapshots import PeerSnapshots
+from ..adapters.replica_client import ReplicaClient
+from ..forwarding.forwarding_node import ForwardingNode, StoreFormats
+from ..forwarding.settings import ForwardingSettings
+from ..forwarding.store_follower import (
     FollowerSettings,
     gather_seconds_within,
     lapse_grace_seconds,
 )
-from wingquay.platform.caller_dialect import PlatformCallerDialect
-from wingquay.platform.configuration_document import parse_configuration
-from wingquay.platform.names import (
-    CLUSTER_KEY,
-    CONFIGURATION_KEY,
-    NODE_PREFIX,
-    READY_PATH,
-    REPLICA_PREFIX,
-)
-from wingquay.platform.replica_dialect import PlatformReplicaDialect
-from wingquay.platform.replica_entry import parse_replica
-from wingquay.platform.settings import PlatformSettings
-from wingquay.platform.store_client import PlatformStoreClient
-from wingquay.ports.forwarding import (
+from ..ports.forwarding import (
     CancelSend,
     ReplyFailure,
     ReplyMerged,
@@ -46,11 +33,24 @@
     SendToReplica,
     SetForwarding,
 )
-from wingquay.ports.machine import Action, Count, Event, Exit, Log, Observe, Start, StopRequested
-from wingquay.ports.peer_link import OpenPeerLink, SendToPeer
-from wingquay.ports.peer_snapshot import AskPeers
-from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
-from wingquay.runtime import NodeRuntime
+from ..ports.machine import Action, Count, Event, Exit, Log, Observe, Start, StopRequested
+from ..ports.peer_link import OpenPeerLink, SendToPeer
+from ..ports.peer_snapshot import AskPeers
+from ..ports.store import StartWatch, StopWatch, StoreRequest
+from ..runtime import NodeRuntime
+from .caller_dialect import PlatformCallerDialect
+from .configuration_document import parse_configuration
+from .names import (
+    CLUSTER_KEY,
+    CONFIGURATION_KEY,
+    NODE_PREFIX,
+    READY_PATH,
+    REPLICA_PREFIX,
+)
+from .replica_dialect import PlatformReplicaDialect
+from .replica_entry import parse_replica
+from .settings import PlatformSettings
+from .store_client import PlatformStoreClient
 
 SEED_BITS = 64
 RESPONSE_GRACE_SECONDS = 0.3
--- a/wingquay/platform/process.py
+++ b/wingquay/platform/process.py
@@ -3,8 +3,8 @@
 import asyncio
 import socket
 
-from wingquay.platform.node import PlatformNode
-from wingquay.platform.settings import PlatformSettings
+from .node import PlatformNode
+from .settings import PlatformSettings
 
 
 def run_process(settings: PlatformSettings, listening: socket.socket) -> None:
--- a/wingquay/platform/replica_dialect.py
+++ b/wingquay/platform/replica_dialect.py
@@ -2,9 +2,10 @@
 
 import h11
 
-from wingquay.adapters.replica_client import UnderstoodAnswer
-from wingquay.adapters.replica_connection import RawAnswer
-from wingquay.platform.names import (
+from ..adapters.replica_client import UnderstoodAnswer
+from ..adapters.replica_connection import RawAnswer
+from ..ports.forwarding import ReplicaAnswer, ReportedLoad, SendToReplica
+from .names import (
     DEADLINE_MS,
     EXPECTED_REPLICA,
     NOT_RUN,
@@ -12,7 +13,6 @@
     REQUEST_ID,
     SIGNATURE,
 )
-from wingquay.ports.forwarding import ReplicaAnswer, ReportedLoad, SendToReplica
 
 MILLISECONDS_PER_SECOND = 1000.0
 STATUS_OTHER_REPLICA = 421
--- a/wingquay/platform/replica_entry.py
+++ b/wingquay/platform/replica_entry.py
@@ -2,10 +2,10 @@
 
 import orjson
 
-from wingquay.forwarding.forwarding_node import FormatFailureKind
-from wingquay.model.failure import Failure
-from wingquay.model.replica_record import ReplicaRecord
-from wingquay.platform.names import DRAINING
+from ..forwarding.forwarding_node import FormatFailureKind
+from ..model.failure import Failure
+from ..model.replica_record import ReplicaRecord
+from .names import DRAINING
 
 MILLISECONDS_PER_SECOND = 1000.0
 
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -6,8 +6,8 @@
 from ipaddress import ip_address
 from typing import Any
 
-from wingquay.model.failure import Failure
-from wingquay.model.value import value
+from ..model.failure import Failure
+from ..model.value import value
 
 GREATEST_PORT = 65_535
 MILLISECONDS_PER_SECOND = 1000.0
--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -7,20 +7,11 @@
 
 import orjson
 
-from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_messages import NOT_SENT_KINDS, HttpResponse
-from wingquay.model.failure import Failure
-from wingquay.platform.names import STORE_RANGE, STORE_WATCH
-from wingquay.platform.store_formats import (
-    is_full_watch,
-    refused,
-    stored_value,
-    watch_changed,
-    write_call,
-    write_result,
-)
-from wingquay.ports.machine import Count, Event
-from wingquay.ports.store import (
+from ..adapters.http_client import HttpClient
+from ..adapters.http_messages import NOT_SENT_KINDS, HttpResponse
+from ..model.failure import Failure
+from ..ports.machine import Count, Event
+from ..ports.store import (
     Read,
     ReadResult,
     StartWatch,
@@ -33,6 +24,15 @@
     StoreResult,
     WatchBroken,
 )
+from .names import STORE_RANGE, STORE_WATCH
+from .store_formats import (
+    is_full_watch,
+    refused,
+    stored_value,
+    watch_changed,
+    write_call,
+    write_result,
+)
 
 WATCH_WAIT_SECONDS = 3.0
 """How long the store holds a watch on which nothing happens."""
--- a/wingquay/platform/store_formats.py
+++ b/wingquay/platform/store_formats.py
@@ -5,11 +5,10 @@
 
 import orjson
 
-from wingquay.adapters.http_messages import HttpResponse
-from wingquay.model.failure import Failure
-from wingquay.model.value import value
-from wingquay.platform.names import STORE_KEEP, STORE_LEASE, STORE_TRANSACTION
-from wingquay.ports.store import (
+from ..adapters.http_messages import HttpResponse
+from ..model.failure import Failure
+from ..model.value import value
+from ..ports.store import (
     CompareAndSwap,
     GrantLease,
     KeepLeaseAlive,
@@ -21,6 +20,7 @@
     SwapResult,
     WatchChanged,
 )
+from .names import STORE_KEEP, STORE_LEASE, STORE_TRANSACTION
 
 MILLISECONDS_PER_SECOND = 1000
 STATUS_OK = 200
--- a/wingquay/ports/backend.py
+++ b/wingquay/ports/backend.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.model.answer import Row
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import (
+from ..model.answer import Row
+from ..model.failure import Failure
+from ..model.identifiers import (
     AttemptId,
     ReplicaId,
     RequestKindName,
@@ -13,9 +13,9 @@
     ShardId,
     SnapshotVersion,
 )
-from wingquay.model.key_range import KeyRange
-from wingquay.model.value import value
-from wingquay.ports.machine import Action, Event
+from ..model.key_range import KeyRange
+from ..model.value import value
+from .machine import Action, Event
 
 
 @value
--- a/wingquay/ports/caller.py
+++ b/wingquay/ports/caller.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.answer import Answer
-from wingquay.model.configuration import Caller
-from wingquay.model.identifiers import RequestId
-from wingquay.model.request import QueryRequest
-from wingquay.ports.machine import Action, Event
+from ..model.answer import Answer
+from ..model.configuration import Caller
+from ..model.identifiers import RequestId
+from ..model.request import QueryRequest
+from .machine import Action, Event
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/ports/forwarding.py
+++ b/wingquay/ports/forwarding.py
@@ -2,10 +2,10 @@
 
 from enum import Enum
 
-from wingquay.model.replica_record import ReplicaRecord
-from wingquay.model.routing_table import CallerLimits
-from wingquay.model.value import value
-from wingquay.ports.machine import Action, Event
+from ..model.replica_record import ReplicaRecord
+from ..model.routing_table import CallerLimits
+from ..model.value import value
+from .machine import Action, Event
 
 Headers = tuple[tuple[bytes, bytes], ...]
 """End-to-end headers in the order in which they came, names as they came."""
--- a/wingquay/ports/internal.py
+++ b/wingquay/ports/internal.py
@@ -3,18 +3,18 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.model.answer import HeldVersions
-from wingquay.model.configuration import Configuration
-from wingquay.model.identifiers import (
+from ..model.answer import HeldVersions
+from ..model.configuration import Configuration
+from ..model.identifiers import (
     ReplicaId,
     RequestId,
     RequestKindName,
     Revision,
     ServiceName,
 )
-from wingquay.model.request import QueryRequest
-from wingquay.ports.machine import Action, Event
-from wingquay.ports.peer import NodeIdentity, ReplicaState
+from ..model.request import QueryRequest
+from .machine import Action, Event
+from .peer import NodeIdentity, ReplicaState
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/ports/machine.py
+++ b/wingquay/ports/machine.py
@@ -8,7 +8,7 @@
 from dataclasses import field
 from typing import Protocol
 
-from wingquay.model.value import value
+from ..model.value import value
 
 
 class Event:
--- a/wingquay/ports/machine_directory.py
+++ b/wingquay/ports/machine_directory.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import ZoneName
-from wingquay.ports.machine import Action, Event
+from ..model.failure import Failure
+from ..model.identifiers import ZoneName
+from .machine import Action, Event
 
 
 class MachineState(Enum):
--- a/wingquay/ports/operator.py
+++ b/wingquay/ports/operator.py
@@ -10,13 +10,13 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from wingquay.model.audit import AuditRecord
-from wingquay.model.configuration import Configuration
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId, OperatorName, Revision, ZoneName
-from wingquay.model.intent import Intent
-from wingquay.model.plan import Plan
-from wingquay.ports.machine import Action, Event
+from ..model.audit import AuditRecord
+from ..model.configuration import Configuration
+from ..model.failure import Failure
+from ..model.identifiers import NodeId, OperatorName, Revision, ZoneName
+from ..model.intent import Intent
+from ..model.plan import Plan
+from .machine import Action, Event
 
 MAXIMUM_INTENTS = 1000
 """Intents that one plan may hold."""
--- a/wingquay/ports/peer.py
+++ b/wingquay/ports/peer.py
@@ -8,21 +8,21 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.model.answer import HeldVersions, SubResult
-from wingquay.model.identifiers import (
+from ..model.answer import HeldVersions, SubResult
+from ..model.identifiers import (
     NodeId,
     ReplicaId,
     Revision,
     SubRequestId,
 )
-from wingquay.model.request import SubRequest
-from wingquay.model.value import value
-from wingquay.ports.peer_link import MembershipMessage as MembershipMessage
-from wingquay.ports.peer_link import NodeIdentity as NodeIdentity
-from wingquay.ports.peer_link import PeerLinkBroken as PeerLinkBroken
-from wingquay.ports.peer_link import PeerMessage as PeerMessage
-from wingquay.ports.peer_link import PeerReceived as PeerReceived
-from wingquay.ports.peer_link import SendToPeer as SendToPeer
+from ..model.request import SubRequest
+from ..model.value import value
+from .peer_link import MembershipMessage as MembershipMessage
+from .peer_link import NodeIdentity as NodeIdentity
+from .peer_link import PeerLinkBroken as PeerLinkBroken
+from .peer_link import PeerMessage as PeerMessage
+from .peer_link import PeerReceived as PeerReceived
+from .peer_link import SendToPeer as SendToPeer
 
 
 class NodeState(Enum):
--- a/wingquay/ports/peer_claims.py
+++ b/wingquay/ports/peer_claims.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.model.identifiers import RequestId, ZoneName
-from wingquay.ports.peer import PeerMessage
+from ..model.identifiers import RequestId, ZoneName
+from .peer import PeerMessage
 
 
 class VoteKind(Enum):
--- a/wingquay/ports/peer_snapshot.py
+++ b/wingquay/ports/peer_snapshot.py
@@ -1,8 +1,8 @@
 """The port by which a node that cannot reach the store learns from another node what is there."""
 
-from wingquay.model.value import value
-from wingquay.ports.machine import Action, Event
-from wingquay.ports.store import StoredValue
+from ..model.value import value
+from .machine import Action, Event
+from .store import StoredValue
 
 
 @value
--- a/wingquay/ports/store.py
+++ b/wingquay/ports/store.py
@@ -2,9 +2,9 @@
 
 from enum import Enum
 
-from wingquay.model.failure import Failure
-from wingquay.model.value import value
-from wingquay.ports.machine import Action, Event
+from ..model.failure import Failure
+from ..model.value import value
+from .machine import Action, Event
 
 
 class StoreFailureKind(Enum):
--- a/wingquay/query/admission_gate.py
+++ b/wingquay/query/admission_gate.py
@@ -3,14 +3,14 @@
 Source: brief, "refused rather than delayed"; docs/design/admission-and-classes.md.
 """
 
-from wingquay.model.answer import Answer, SubAnswer, SubResult
-from wingquay.query.conclusion import refusal
-from wingquay.query.delay_table import DelayTable
-from wingquay.query.node_pressure import NodePressure
-from wingquay.query.piece_sender import PieceSender
-from wingquay.query.query_state import QueryState, ResolvedRequest
-from wingquay.query.service_floor import ServiceFloor
-from wingquay.query.settings import QuerySettings
+from ..model.answer import Answer, SubAnswer, SubResult
+from .conclusion import refusal
+from .delay_table import DelayTable
+from .node_pressure import NodePressure
+from .piece_sender import PieceSender
+from .query_state import QueryState, ResolvedRequest
+from .service_floor import ServiceFloor
+from .settings import QuerySettings
 
 LEAST_SERVICE_SHARE = 0.5
 """A deadline below this share of the usual service time cannot be met."""
--- a/wingquay/query/answer_codec.py
+++ b/wingquay/query/answer_codec.py
@@ -4,8 +4,8 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from wingquay.model.answer import Answer
-from wingquay.model.identifiers import RequestId
+from ..model.answer import Answer
+from ..model.identifiers import RequestId
 
 _ADAPTER = TypeAdapter(Answer)
 
--- a/wingquay/query/claim_flow.py
+++ b/wingquay/query/claim_flow.py
@@ -1,14 +1,14 @@
 """What follows the claims machine's decision on an unrepeatable request."""
 
-from wingquay.model.answer import Answer
-from wingquay.ports.internal import ClaimDecided, ClaimDecisionKind, ClaimFinished, Notify
-from wingquay.ports.machine import Action
-from wingquay.query.admission_gate import AdmissionGate
-from wingquay.query.answer_codec import decode_answer
-from wingquay.query.conclusion import invalid, refusal, unknown
-from wingquay.query.query_ending import QueryEnding
-from wingquay.query.query_planning import QueryPlanning
-from wingquay.query.query_table import QueryTable
+from ..model.answer import Answer
+from ..ports.internal import ClaimDecided, ClaimDecisionKind, ClaimFinished, Notify
+from ..ports.machine import Action
+from .admission_gate import AdmissionGate
+from .answer_codec import decode_answer
+from .conclusion import invalid, refusal, unknown
+from .query_ending import QueryEnding
+from .query_planning import QueryPlanning
+from .query_table import QueryTable
 
 
 class ClaimFlow:
--- a/wingquay/query/conclusion.py
+++ b/wingquay/query/conclusion.py
@@ -2,10 +2,10 @@
 
 from dataclasses import replace
 
-from wingquay.model.answer import Answer, MissingReason, Outcome
-from wingquay.model.identifiers import RequestId
-from wingquay.query.merge import AnswerMerge
-from wingquay.query.query_state import QueryState
+from ..model.answer import Answer, MissingReason, Outcome
+from ..model.identifiers import RequestId
+from .merge import AnswerMerge
+from .query_state import QueryState
 
 
 def refusal(request_id: RequestId, reason: str, retry_after_seconds: float) -> Answer:
--- a/wingquay/query/coordinator.py
+++ b/wingquay/query/coordinator.py
@@ -6,12 +6,12 @@
 
 from typing import ClassVar
 
-from wingquay.model.configuration import CoveragePreference
-from wingquay.model.failure import Failure
-from wingquay.model.mechanisms import Mechanism
-from wingquay.model.request import QueryRequest
-from wingquay.ports.caller import AnswerCaller, CallerGone, CallerRequest
-from wingquay.ports.internal import (
+from ..model.configuration import CoveragePreference
+from ..model.failure import Failure
+from ..model.mechanisms import Mechanism
+from ..model.request import QueryRequest
+from ..ports.caller import AnswerCaller, CallerGone, CallerRequest
+from ..ports.internal import (
     ClaimDecided,
     ClaimWanted,
     ConfigurationInForce,
@@ -20,8 +20,8 @@
     Notify,
     ReplicaBelief,
 )
-from wingquay.ports.machine import Action, Count, Event, EventLoopLag, Schedule
-from wingquay.ports.peer import (
+from ..ports.machine import Action, Count, Event, EventLoopLag, Schedule
+from ..ports.peer import (
     NodeIdentity,
     PeerLinkBroken,
     PeerMessage,
@@ -29,21 +29,21 @@
     ReplicaState,
     SubResultBatch,
 )
-from wingquay.query.admission_gate import AdmissionGate
-from wingquay.query.claim_flow import ClaimFlow
-from wingquay.query.conclusion import invalid, refusal, unknown
-from wingquay.query.coordinator_events import AnswerDue, OwnerCheckDue, PieceRetryDue, PromiseDue
-from wingquay.query.merge import AnswerMerge
-from wingquay.query.owner_links import OwnerLinks
-from wingquay.query.owner_watch import OwnerWatch
-from wingquay.query.piece_sender import PieceSender
-from wingquay.query.query_ending import QueryEnding
-from wingquay.query.query_planning import QueryPlanning
-from wingquay.query.query_state import QueryState, ResolvedRequest
-from wingquay.query.query_table import QueryTable
-from wingquay.query.request_check import QueryFailureKind, resolve
-from wingquay.query.settings import QuerySettings
-from wingquay.query.sub_result_intake import SubResultIntake
+from .admission_gate import AdmissionGate
+from .claim_flow import ClaimFlow
+from .conclusion import invalid, refusal, unknown
+from .coordinator_events import AnswerDue, OwnerCheckDue, PieceRetryDue, PromiseDue
+from .merge import AnswerMerge
+from .owner_links import OwnerLinks
+from .owner_watch import OwnerWatch
+from .piece_sender import PieceSender
+from .query_ending import QueryEnding
+from .query_planning import QueryPlanning
+from .query_state import QueryState, ResolvedRequest
+from .query_table import QueryTable
+from .request_check import QueryFailureKind, resolve
+from .settings import QuerySettings
+from .sub_result_intake import SubResultIntake
 
 
 class Coordinator:
--- a/wingquay/query/coordinator_events.py
+++ b/wingquay/query/coordinator_events.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.identifiers import ReplicaId, RequestId
-from wingquay.model.key_range import KeyRange
-from wingquay.ports.machine import Event
+from ..model.identifiers import ReplicaId, RequestId
+from ..model.key_range import KeyRange
+from ..ports.machine import Event
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/query/kind_statistics.py
+++ b/wingquay/query/kind_statistics.py
@@ -1,9 +1,9 @@
 """What this node lately saw of each kind of request, for the outlook in operators' plans."""
 
-from wingquay.model.identifiers import RequestKindName, ServiceName
-from wingquay.ports.internal import KindLoad
-from wingquay.query.query_state import ResolvedRequest
-from wingquay.routing.latency_tracker import LatencyTracker
+from ..model.identifiers import RequestKindName, ServiceName
+from ..ports.internal import KindLoad
+from ..routing.latency_tracker import LatencyTracker
+from .query_state import ResolvedRequest
 
 PERIOD_SECONDS = 10.0
 
--- a/wingquay/query/merge.py
+++ b/wingquay/query/merge.py
@@ -5,9 +5,9 @@
 
 from collections.abc import Iterable
 
-from wingquay.model.answer import MissingPart, MissingReason, Row, SubAnswer
-from wingquay.model.identifiers import SnapshotVersion
-from wingquay.model.key_range import (
+from ..model.answer import MissingPart, MissingReason, Row, SubAnswer
+from ..model.identifiers import SnapshotVersion
+from ..model.key_range import (
     KeyRange,
     contains_key,
     intersect,
--- a/wingquay/query/node_pressure.py
+++ b/wingquay/query/node_pressure.py
@@ -5,7 +5,7 @@
 (SoCC 2018), section 4. The class with the highest price is never refused here.
 """
 
-from wingquay.model.configuration import Configuration
+from ..model.configuration import Configuration
 
 LATE_PROBES = 3
 """Late probes in a row after which one more class is refused: one alone may be a pause."""
--- a/wingquay/query/owner_links.py
+++ b/wingquay/query/owner_links.py
@@ -3,10 +3,10 @@
 import random
 from collections.abc import Sequence
 
-from wingquay.model.configuration import Service
-from wingquay.ports.internal import MembershipChanged
-from wingquay.ports.peer import NodeIdentity
-from wingquay.routing.ownership import OwnerTable
+from ..model.configuration import Service
+from ..ports.internal import MembershipChanged
+from ..ports.peer import NodeIdentity
+from ..routing.ownership import OwnerTable
 
 SILENT_HOLD_SECONDS = 1.0
 """Time for which a silent owner is passed over before it is tried again, the first time."""
--- a/wingquay/query/owner_watch.py
+++ b/wingquay/query/owner_watch.py
@@ -1,14 +1,14 @@
 """Notices owners that are lost or silent and asks others for what they were asked."""
 
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.internal import MembershipChanged
-from wingquay.ports.machine import Action, Count, Schedule
-from wingquay.ports.peer import NodeIdentity
-from wingquay.query.coordinator_events import OwnerCheckDue
-from wingquay.query.owner_links import OwnerLinks
-from wingquay.query.piece_sender import PieceSender
-from wingquay.query.query_ending import QueryEnding
-from wingquay.query.query_table import QueryTable
+from ..model.identifiers import NodeId
+from ..ports.internal import MembershipChanged
+from ..ports.machine import Action, Count, Schedule
+from ..ports.peer import NodeIdentity
+from .coordinator_events import OwnerCheckDue
+from .owner_links import OwnerLinks
+from .piece_sender import PieceSender
+from .query_ending import QueryEnding
+from .query_table import QueryTable
 
 
 class OwnerWatch:
--- a/wingquay/query/piece_sender.py
+++ b/wingquay/query/piece_sender.py
@@ -3,16 +3,16 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from wingquay.model.configuration import Service
-from wingquay.model.identifiers import ReplicaId, SubRequestId
-from wingquay.model.key_range import KeyRange
-from wingquay.model.request import SubRequest
-from wingquay.ports.machine import Action
-from wingquay.ports.peer import NodeIdentity, SendToPeer, SubRequestBatch
-from wingquay.query.owner_links import OwnerLinks
-from wingquay.query.plan import ShardIndex, ShardPiece, ShardPlan
-from wingquay.query.query_state import Piece, QueryState
-from wingquay.query.query_table import QueryTable
+from ..model.configuration import Service
+from ..model.identifiers import ReplicaId, SubRequestId
+from ..model.key_range import KeyRange
+from ..model.request import SubRequest
+from ..ports.machine import Action
+from ..ports.peer import NodeIdentity, SendToPeer, SubRequestBatch
+from .owner_links import OwnerLinks
+from .plan import ShardIndex, ShardPiece, ShardPlan
+from .query_state import Piece, QueryState
+from .query_table import QueryTable
 
 LEAST_RETURN_SECONDS = 0.005
 """Time kept for an owner's result to come back before the answer leaves."""
--- a/wingquay/query/plan.py
+++ b/wingquay/query/plan.py
@@ -3,8 +3,8 @@
 from bisect import bisect_right
 from dataclasses import dataclass
 
-from wingquay.model.configuration import Service, Shard
-from wingquay.model.key_range import KeyRange, intersect, normalize, subtract
+from ..model.configuration import Service, Shard
+from ..model.key_range import KeyRange, intersect, normalize, subtract
 
 REMEMBERED_PLANS = 1024
 """Plans kept for a service: many requests ask for the same ranges."""
--- a/wingquay/query/query_ending.py
+++ b/wingquay/query/query_ending.py
@@ -1,14 +1,14 @@
 """Ends requests: concludes, answers the caller, and tells the claims machine what came of it."""
 
-from wingquay.model.answer import Answer, Outcome
-from wingquay.ports.caller import AnswerCaller
-from wingquay.ports.internal import ClaimFinished, Notify
-from wingquay.ports.machine import Action, Count, Observe
-from wingquay.query.answer_codec import encode_answer
-from wingquay.query.conclusion import conclude, unknown
-from wingquay.query.kind_statistics import KindStatistics
-from wingquay.query.query_state import QueryState
-from wingquay.query.query_table import QueryTable
+from ..model.answer import Answer, Outcome
+from ..ports.caller import AnswerCaller
+from ..ports.internal import ClaimFinished, Notify
+from ..ports.machine import Action, Count, Observe
+from .answer_codec import encode_answer
+from .conclusion import conclude, unknown
+from .kind_statistics import KindStatistics
+from .query_state import QueryState
+from .query_table import QueryTable
 
 
 class QueryEnding:
--- a/wingquay/query/query_planning.py
+++ b/wingquay/query/query_planning.py
@@ -1,18 +1,18 @@
 """Plans requests: pins a snapshot, sends the pieces, plans anew, asks again for what is missing."""
 
-from wingquay.model.answer import MissingReason
-from wingquay.model.configuration import Configuration, Service
-from wingquay.model.identifiers import ReplicaId, ServiceName
-from wingquay.model.key_range import KeyRange
-from wingquay.ports.machine import Action, Count, Schedule
-from wingquay.query.coordinator_events import PieceRetryDue
-from wingquay.query.merge import AnswerMerge
-from wingquay.query.piece_sender import PieceSender
-from wingquay.query.query_ending import QueryEnding
-from wingquay.query.query_state import Piece, QueryState
-from wingquay.query.query_table import QueryTable
-from wingquay.query.settings import QuerySettings
-from wingquay.query.version_table import VersionTable
+from ..model.answer import MissingReason
+from ..model.configuration import Configuration, Service
+from ..model.identifiers import ReplicaId, ServiceName
+from ..model.key_range import KeyRange
+from ..ports.machine import Action, Count, Schedule
+from .coordinator_events import PieceRetryDue
+from .merge import AnswerMerge
+from .piece_sender import PieceSender
+from .query_ending import QueryEnding
+from .query_state import Piece, QueryState
+from .query_table import QueryTable
+from .settings import QuerySettings
+from .version_table import VersionTable
 
 
 class QueryPlanning:
--- a/wingquay/query/query_state.py
+++ b/wingquay/query/query_state.py
@@ -2,18 +2,18 @@
 
 from dataclasses import dataclass, field
 
-from wingquay.model.answer import Timings
-from wingquay.model.configuration import (
+from ..model.answer import Timings
+from ..model.configuration import (
     CoveragePreference,
     PriorityClass,
     RequestKind,
     Service,
 )
-from wingquay.model.identifiers import RequestId, SubRequestId
-from wingquay.model.key_range import KeyRange
-from wingquay.model.request import QueryRequest, SubRequest
-from wingquay.ports.peer import NodeIdentity
-from wingquay.query.merge import AnswerMerge
+from ..model.identifiers import RequestId, SubRequestId
+from ..model.key_range import KeyRange
+from ..model.request import QueryRequest, SubRequest
+from ..ports.peer import NodeIdentity
+from .merge import AnswerMerge
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/query/query_table.py
+++ b/wingquay/query/query_table.py
@@ -1,9 +1,9 @@
 """The requests that a coordinator has not answered yet, and their open sub-requests."""
 
-from wingquay.model.identifiers import RequestId, SubRequestId
-from wingquay.ports.machine import Action
-from wingquay.ports.peer import CancelSubRequests, NodeIdentity, SendToPeer
-from wingquay.query.query_state import Piece, QueryState
+from ..model.identifiers import RequestId, SubRequestId
+from ..ports.machine import Action
+from ..ports.peer import CancelSubRequests, NodeIdentity, SendToPeer
+from .query_state import Piece, QueryState
 
 
 class QueryTable:
--- a/wingquay/query/request_check.py
+++ b/wingquay/query/request_check.py
@@ -2,10 +2,10 @@
 
 from enum import Enum
 
-from wingquay.model.configuration import Configuration, RequestKind
-from wingquay.model.failure import Failure
-from wingquay.model.request import QueryRequest
-from wingquay.query.query_state import ResolvedRequest
+from ..model.configuration import Configuration, RequestKind
+from ..model.failure import Failure
+from ..model.request import QueryRequest
+from .query_state import ResolvedRequest
 
 LONGEST_DEADLINE_SECONDS = 600.0
 
--- a/wingquay/query/sub_result_intake.py
+++ b/wingquay/query/sub_result_intake.py
@@ -1,16 +1,16 @@
 """Takes in sub-results: merges answers, decides what follows a failure."""
 
-from wingquay.model.answer import MissingReason, SubAnswer, SubFailureKind, SubResult
-from wingquay.model.configuration import CoveragePreference
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import ReplicaId
-from wingquay.ports.machine import Action, Count
-from wingquay.query.admission_gate import AdmissionGate
-from wingquay.query.piece_sender import PieceSender
-from wingquay.query.query_ending import QueryEnding
-from wingquay.query.query_planning import QueryPlanning
-from wingquay.query.query_state import Piece, QueryState
-from wingquay.query.query_table import QueryTable
+from ..model.answer import MissingReason, SubAnswer, SubFailureKind, SubResult
+from ..model.configuration import CoveragePreference
+from ..model.failure import Failure
+from ..model.identifiers import ReplicaId
+from ..ports.machine import Action, Count
+from .admission_gate import AdmissionGate
+from .piece_sender import PieceSender
+from .query_ending import QueryEnding
+from .query_planning import QueryPlanning
+from .query_state import Piece, QueryState
+from .query_table import QueryTable
 
 _MISSING_REASONS = {
     SubFailureKind.REFUSED: MissingReason.OVERLOADED,
--- a/wingquay/query/version_table.py
+++ b/wingquay/query/version_table.py
@@ -5,9 +5,9 @@
 the one before it.
 """
 
-from wingquay.model.answer import HeldVersions
-from wingquay.model.configuration import Configuration, Service
-from wingquay.model.identifiers import ServiceName, SnapshotVersion
+from ..model.answer import HeldVersions
+from ..model.configuration import Configuration, Service
+from ..model.identifiers import ServiceName, SnapshotVersion
 
 UNKNOWN_SNAPSHOT = SnapshotVersion(0)
 """Pinned while nothing is known: no replica holds it, and each says what it does hold."""
--- a/wingquay/routing/ownership.py
+++ b/wingquay/routing/ownership.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Iterable
 
-from wingquay.ports.peer import NodeIdentity
-from wingquay.routing.rendezvous import best, rank, score, spread_over_zones
+from ..ports.peer import NodeIdentity
+from .rendezvous import best, rank, score, spread_over_zones
 
 KEPT_CANDIDATES = 12
 """Best nodes remembered for each shard."""
--- a/wingquay/routing/rendezvous.py
+++ b/wingquay/routing/rendezvous.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from wingquay.ports.peer_link import NodeIdentity
+from ..ports.peer_link import NodeIdentity
 
 
 def score(node_id: str, key: str) -> int:
--- a/wingquay/routing/replica_choice.py
+++ b/wingquay/routing/replica_choice.py
@@ -8,8 +8,8 @@
 import random
 from collections.abc import Sequence
 
-from wingquay.model.identifiers import SnapshotVersion, ZoneName
-from wingquay.routing.replica_tracker import ReplicaTracker
+from ..model.identifiers import SnapshotVersion, ZoneName
+from .replica_tracker import ReplicaTracker
 
 OTHER_ZONE_PENALTY = 1.1
 """Factor on the cost of a replica in another zone: breaks ties, does not herd."""
--- a/wingquay/routing/replica_tracker.py
+++ b/wingquay/routing/replica_tracker.py
@@ -3,10 +3,10 @@
 import math
 from dataclasses import dataclass, field
 
-from wingquay.model.answer import HeldVersions
-from wingquay.model.configuration import Replica
-from wingquay.model.identifiers import SnapshotVersion
-from wingquay.routing.settings import RoutingSettings
+from ..model.answer import HeldVersions
+from ..model.configuration import Replica
+from ..model.identifiers import SnapshotVersion
+from .settings import RoutingSettings
 
 INITIAL_LATENCY_SECONDS = 0.005
 ANSWER_TRUST_SECONDS = 2.0
--- a/wingquay/runtime.py
+++ b/wingquay/runtime.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-from wingquay.ports.machine import (
+from .ports.machine import (
     Action,
     Count,
     Event,
--- a/wingquay/serving.py
+++ b/wingquay/serving.py
@@ -4,12 +4,12 @@
 import signal
 import sys
 
-from wingquay.adapters.log_writer import LogWriter, write_logs_to
-from wingquay.adapters.settings import Settings
-from wingquay.adapters.settings_tuning import node_machine_settings
-from wingquay.commands.exit_codes import FAILED, OK
-from wingquay.node import Node
-from wingquay.ports.machine import Exit, Log, LogLevel
+from .adapters.log_writer import LogWriter, write_logs_to
+from .adapters.settings import Settings
+from .adapters.settings_tuning import node_machine_settings
+from .commands.exit_codes import FAILED, OK
+from .node import Node
+from .ports.machine import Exit, Log, LogLevel
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 STOP_OVERRUN_SECONDS = 5.0
--- a/wingquay/simulation/answer_document.py
+++ b/wingquay/simulation/answer_document.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from wingquay.model.answer import Outcome
+from ..model.answer import Outcome
 
 
 def answer_document(body: bytes) -> Mapping[str, Any]:
--- a/wingquay/simulation/backend_exchanges.py
+++ b/wingquay/simulation/backend_exchanges.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import AttemptId, NodeId, ReplicaId
-from wingquay.ports.backend import (
+from ..model.failure import Failure
+from ..model.identifiers import AttemptId, NodeId, ReplicaId
+from ..ports.backend import (
     AttemptFinished,
     BackendAnswer,
     BackendFailureKind,
@@ -19,11 +19,11 @@
     ReplicaProbed,
     StartAttempt,
 )
-from wingquay.simulation.models.backend_messages import BackendReply
-from wingquay.simulation.network import Network
-from wingquay.simulation.simulated_node import SimulatedNode
-from wingquay.simulation.simulated_replica import SimulatedReplica
-from wingquay.simulation.virtual_clock import VirtualClock
+from .models.backend_messages import BackendReply
+from .network import Network
+from .simulated_node import SimulatedNode
+from .simulated_replica import SimulatedReplica
+from .virtual_clock import VirtualClock
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 
--- a/wingquay/simulation/baselines/floor.py
+++ b/wingquay/simulation/baselines/floor.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from wingquay.simulation.simulation_settings import Policy, SimulationSettings
+from ..simulation_settings import Policy, SimulationSettings
 
 
 def without_trouble(settings: SimulationSettings) -> SimulationSettings:
--- a/wingquay/simulation/baselines/naive.py
+++ b/wingquay/simulation/baselines/naive.py
@@ -7,12 +7,12 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from wingquay.model.answer import Answer, MissingPart, MissingReason, Outcome, Row
-from wingquay.model.configuration import Configuration, Replica, RequestKind, Service, Shard
-from wingquay.model.identifiers import AttemptId, RequestId, Revision, ServiceName, SnapshotVersion
-from wingquay.model.key_range import KeyRange, intersect, normalize, subtract
-from wingquay.model.request import QueryRequest
-from wingquay.ports.backend import (
+from ...model.answer import Answer, MissingPart, MissingReason, Outcome, Row
+from ...model.configuration import Configuration, Replica, RequestKind, Service, Shard
+from ...model.identifiers import AttemptId, RequestId, Revision, ServiceName, SnapshotVersion
+from ...model.key_range import KeyRange, intersect, normalize, subtract
+from ...model.request import QueryRequest
+from ...ports.backend import (
     AttemptFinished,
     BackendAnswer,
     CancelAttempt,
@@ -21,9 +21,9 @@
     ReplicaProbed,
     StartAttempt,
 )
-from wingquay.ports.caller import AnswerCaller, CallerGone, CallerRequest, SetReady
-from wingquay.ports.machine import Action, Event, Exit, Schedule, Start, StopRequested
-from wingquay.ports.peer import NodeIdentity
+from ...ports.caller import AnswerCaller, CallerGone, CallerRequest, SetReady
+from ...ports.machine import Action, Event, Exit, Schedule, Start, StopRequested
+from ...ports.peer import NodeIdentity
 
 MOST_ATTEMPTS = 3
 PROBE_TIMEOUT_SECONDS = 0.5
--- a/wingquay/simulation/configuration_cluster.py
+++ b/wingquay/simulation/configuration_cluster.py
@@ -10,40 +10,40 @@
 from collections import Counter
 from collections.abc import Callable
 
-from wingquay.adapters.peer_codec import encode
-from wingquay.configuration.configuration_machine import ConfigurationMachine
-from wingquay.configuration.keys import CURRENT_KEY
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import (
+from ..adapters.peer_codec import encode
+from ..configuration.configuration_machine import ConfigurationMachine
+from ..configuration.keys import CURRENT_KEY
+from ..model.failure import Failure
+from ..model.identifiers import (
     DeploymentName,
     NodeId,
     OperatorName,
     Revision,
     ZoneName,
 )
-from wingquay.ports.caller import SetReady
-from wingquay.ports.internal import (
+from ..ports.caller import SetReady
+from ..ports.internal import (
     ConfigurationInForce,
     LeavingStarted,
     MembershipChanged,
     NewerRevisionHeard,
     Notify,
 )
-from wingquay.ports.machine import Action, Event, Log, Schedule, Start
-from wingquay.ports.operator import (
+from ..ports.machine import Action, Event, Log, Schedule, Start
+from ..ports.operator import (
     OperatorFailureKind,
     OperatorMessage,
     OperatorReply,
     OperatorRequest,
 )
-from wingquay.ports.peer import (
+from ..ports.peer import (
     ConfigurationBody,
     NodeIdentity,
     PeerLinkBroken,
     PeerReceived,
     SendToPeer,
 )
-from wingquay.ports.store import (
+from ..ports.store import (
     StartWatch,
     StopWatch,
     StoreFailureKind,
@@ -52,10 +52,10 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.simulation.hollow_node import HollowNode, addressed, is_rate_limited
-from wingquay.simulation.models.store_model import StoreModel, StoreSettings
-from wingquay.simulation.models.store_operations import prefix_span
-from wingquay.simulation.models.store_state import KeySpan
+from .hollow_node import HollowNode, addressed, is_rate_limited
+from .models.store_model import StoreModel, StoreSettings
+from .models.store_operations import prefix_span
+from .models.store_state import KeySpan
 
 PEER_DELAY_SECONDS = 0.001
 """One way between zones and inside them (brief, "Sizes of today")."""
--- a/wingquay/simulation/configuration_oracle.py
+++ b/wingquay/simulation/configuration_oracle.py
@@ -2,8 +2,8 @@
 
 from collections import defaultdict
 
-from wingquay.model.identifiers import NodeId, Revision
-from wingquay.simulation.invariants import Invariant, Violations
+from ..model.identifiers import NodeId, Revision
+from .invariants import Invariant, Violations
 
 IN_FORCE_BOUND_SECONDS = 5.0
 """A confirmed configuration is in force everywhere by then ("within seconds")."""
--- a/wingquay/simulation/deployment_profile.py
+++ b/wingquay/simulation/deployment_profile.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from wingquay.model.configuration import (
+from ..model.configuration import (
     Caller,
     Configuration,
     CoveragePreference,
@@ -15,7 +15,7 @@
     Service,
     Shard,
 )
-from wingquay.model.identifiers import (
+from ..model.identifiers import (
     CallerName,
     ClassName,
     DeploymentName,
@@ -26,8 +26,8 @@
     ShardId,
     ZoneName,
 )
-from wingquay.model.key_range import KeyRange
-from wingquay.simulation.models.dataset import Dataset
+from ..model.key_range import KeyRange
+from .models.dataset import Dataset
 
 SIMULATED_TOKEN_SHA256 = "0" * 64
 REPLICA_PORT = 8000
--- a/wingquay/simulation/deployments.py
+++ b/wingquay/simulation/deployments.py
@@ -9,15 +9,15 @@
 
 from pydantic import ValidationError
 
-from wingquay.model.configuration import CoveragePreference
-from wingquay.model.failure import Failure
-from wingquay.simulation.deployment_profile import (
+from ..model.configuration import CoveragePreference
+from ..model.failure import Failure
+from .deployment_profile import (
     ClassProfile,
     DeploymentProfile,
     KindProfile,
     ServiceProfile,
 )
-from wingquay.simulation.simulation_failure import SimulationFailureKind
+from .simulation_failure import SimulationFailureKind
 
 RO_NORD = DeploymentProfile(
     name="ro-nord",
--- a/wingquay/simulation/digest.py
+++ b/wingquay/simulation/digest.py
@@ -2,12 +2,12 @@
 
 from hashlib import blake2b
 
-from wingquay.model.answer import Answer
-from wingquay.model.failure import Failure
-from wingquay.ports.backend import AttemptFinished
-from wingquay.ports.caller import CallerRequest
-from wingquay.ports.machine import Event
-from wingquay.ports.peer import PeerReceived, SubRequestBatch, SubResultBatch
+from ..model.answer import Answer
+from ..model.failure import Failure
+from ..ports.backend import AttemptFinished
+from ..ports.caller import CallerRequest
+from ..ports.machine import Event
+from ..ports.peer import PeerReceived, SubRequestBatch, SubResultBatch
 
 _DIGEST_BYTES = 16
 
