--- a/wingquay/simulation/experiments/experiment_file.py
+++ b/wingquay/simulation/experiments/experiment_file.py
@@ -8,11 +8,11 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
-from wingquay.model.failure import Failure
-from wingquay.simulation.deployments import find_deployment
-from wingquay.simulation.experiments.scenario import ExperimentFailureKind, Run, make_scenario
-from wingquay.simulation.fault_choices import NONE, parse_faults, parse_mechanisms
-from wingquay.simulation.simulation_settings import Policy
+from ...model.failure import Failure
+from ..deployments import find_deployment
+from ..fault_choices import NONE, parse_faults, parse_mechanisms
+from ..simulation_settings import Policy
+from .scenario import ExperimentFailureKind, Run, make_scenario
 
 DEFAULT_SECONDS = 3.0
 LONGEST_SECONDS = 3600.0
--- a/wingquay/simulation/experiments/html_report.py
+++ b/wingquay/simulation/experiments/html_report.py
@@ -5,21 +5,21 @@
 
 from jinja2 import Environment, PackageLoader, StrictUndefined
 
-from wingquay.simulation.experiments.plot_groups import (
+from .plot_groups import (
     convergence_lines,
     extra_load_group,
     latency_groups,
     missing_group,
 )
-from wingquay.simulation.experiments.plots import (
+from .plots import (
     Picture,
     plot_convergence,
     plot_latencies,
     plot_strip,
 )
-from wingquay.simulation.experiments.report_tables import tables
-from wingquay.simulation.experiments.result_files import ExperimentResults
-from wingquay.simulation.experiments.statistics_over_seeds import (
+from .report_tables import tables
+from .result_files import ExperimentResults
+from .statistics_over_seeds import (
     Change,
     ResultsByScenario,
     by_scenario,
--- a/wingquay/simulation/experiments/launcher.py
+++ b/wingquay/simulation/experiments/launcher.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor, as_completed
 
-from wingquay.simulation.experiments.measure import measure
-from wingquay.simulation.experiments.run_result import RunResult
-from wingquay.simulation.experiments.scenario import Run
+from .measure import measure
+from .run_result import RunResult
+from .scenario import Run
 
 START_METHOD = "spawn"
 """Workers begin as clean interpreters, whatever the launcher has loaded."""
--- a/wingquay/simulation/experiments/measure.py
+++ b/wingquay/simulation/experiments/measure.py
@@ -3,9 +3,13 @@
 import gc
 import time
 
-from wingquay.model.failure import Failure
-from wingquay.simulation.deployment_profile import ServiceProfile
-from wingquay.simulation.experiments.run_result import (
+from ...model.failure import Failure
+from ..deployment_profile import ServiceProfile
+from ..latency_histogram import LatencyHistogram
+from ..simulation import Simulation
+from ..simulation_report import Report, make_report
+from ..workload import capacity_per_second
+from .run_result import (
     ALL,
     COVERAGE,
     EXTRA_LOAD,
@@ -18,11 +22,7 @@
     Metrics,
     RunResult,
 )
-from wingquay.simulation.experiments.scenario import Run, simulation_settings
-from wingquay.simulation.latency_histogram import LatencyHistogram
-from wingquay.simulation.simulation import Simulation
-from wingquay.simulation.simulation_report import Report, make_report
-from wingquay.simulation.workload import capacity_per_second
+from .scenario import Run, simulation_settings
 
 DIGITS = 6
 
--- a/wingquay/simulation/experiments/plot_groups.py
+++ b/wingquay/simulation/experiments/plot_groups.py
@@ -3,20 +3,20 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from wingquay.simulation.experiments.run_result import (
+from ..fault_choices import NONE
+from ..simulation_settings import Policy
+from .run_result import (
     ALL,
     COVERAGE,
     EXTRA_LOAD,
     RunResult,
 )
-from wingquay.simulation.experiments.scenario import Scenario
-from wingquay.simulation.experiments.statistics_over_seeds import (
+from .scenario import Scenario
+from .statistics_over_seeds import (
     ResultsByScenario,
     floor_of,
     value_of,
 )
-from wingquay.simulation.fault_choices import NONE
-from wingquay.simulation.simulation_settings import Policy
 
 FLOOR_LABEL = "floor (no fault)"
 EXTRA_LOAD_AIM = 0.03
--- a/wingquay/simulation/experiments/plots.py
+++ b/wingquay/simulation/experiments/plots.py
@@ -15,13 +15,13 @@
 from matplotlib.figure import Figure  # noqa: E402
 from matplotlib.ticker import FuncFormatter, LogLocator, NullFormatter  # noqa: E402
 
-from wingquay.simulation.experiments.plot_groups import (  # noqa: E402
+from ..latency_histogram import LatencyHistogram  # noqa: E402
+from .plot_groups import (  # noqa: E402
     FLOOR_LABEL,
     LatencyGroup,
     StripGroup,
 )
-from wingquay.simulation.experiments.run_result import RunResult  # noqa: E402
-from wingquay.simulation.latency_histogram import LatencyHistogram  # noqa: E402
+from .run_result import RunResult  # noqa: E402
 
 DOTS_PER_INCH = 110
 PANEL_WIDTH_INCHES = 4.4
--- a/wingquay/simulation/experiments/report_tables.py
+++ b/wingquay/simulation/experiments/report_tables.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from wingquay.simulation.experiments.run_result import (
+from .run_result import (
     ALL,
     COVERAGE,
     EXTRA_LOAD,
@@ -15,8 +15,8 @@
     PROMISE_KEPT,
     RunResult,
 )
-from wingquay.simulation.experiments.scenario import Scenario
-from wingquay.simulation.experiments.statistics_over_seeds import (
+from .scenario import Scenario
+from .statistics_over_seeds import (
     Change,
     ResultsByScenario,
     Spread,
--- a/wingquay/simulation/experiments/result_files.py
+++ b/wingquay/simulation/experiments/result_files.py
@@ -6,9 +6,9 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from wingquay.model.failure import Failure
-from wingquay.simulation.experiments.run_result import RunResult
-from wingquay.simulation.experiments.scenario import ExperimentFailureKind
+from ...model.failure import Failure
+from .run_result import RunResult
+from .scenario import ExperimentFailureKind
 
 RESULTS_FILE = "results.json"
 TABLE_FILE = "results.csv"
--- a/wingquay/simulation/experiments/run_result.py
+++ b/wingquay/simulation/experiments/run_result.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict
 
-from wingquay.simulation.experiments.scenario import Run, Scenario
+from .scenario import Run, Scenario
 
 Metrics = dict[str, dict[str, float]]
 """Value by metric and subject; the subject is a kind, class or service, or ``all``."""
--- a/wingquay/simulation/experiments/scenario.py
+++ b/wingquay/simulation/experiments/scenario.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingquay.model.failure import Failure
-from wingquay.simulation.deployments import find_deployment
-from wingquay.simulation.fault_choices import NONE, parse_faults, parse_mechanisms
-from wingquay.simulation.simulation_failure import SimulationFailureKind
-from wingquay.simulation.simulation_settings import Policy, SimulationSettings
+from ...model.failure import Failure
+from ..deployments import find_deployment
+from ..fault_choices import NONE, parse_faults, parse_mechanisms
+from ..simulation_failure import SimulationFailureKind
+from ..simulation_settings import Policy, SimulationSettings
 
 
 class ExperimentFailureKind(Enum):
--- a/wingquay/simulation/experiments/statistics_over_seeds.py
+++ b/wingquay/simulation/experiments/statistics_over_seeds.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from wingquay.simulation.experiments.run_result import RunResult
-from wingquay.simulation.experiments.scenario import Scenario
-from wingquay.simulation.simulation_settings import Policy
+from ..simulation_settings import Policy
+from .run_result import RunResult
+from .scenario import Scenario
 
 ResultsByScenario = Mapping[Scenario, Mapping[int, RunResult]]
 """The whole runs of each scenario by seed."""
--- a/wingquay/simulation/fault_choices.py
+++ b/wingquay/simulation/fault_choices.py
@@ -1,10 +1,10 @@
 """Reads the names of faults and mechanisms from a command line."""
 
-from wingquay.model.failure import Failure
-from wingquay.model.mechanisms import Mechanism
-from wingquay.simulation.faults.catalogue import FAULTS
-from wingquay.simulation.simulation_failure import SimulationFailureKind
-from wingquay.simulation.simulation_settings import FaultChoice
+from ..model.failure import Failure
+from ..model.mechanisms import Mechanism
+from .faults.catalogue import FAULTS
+from .simulation_failure import SimulationFailureKind
+from .simulation_settings import FaultChoice
 
 ALL = "all"
 NONE = "none"
--- a/wingquay/simulation/faults/backend_faults.py
+++ b/wingquay/simulation/faults/backend_faults.py
@@ -4,11 +4,11 @@
 from dataclasses import replace
 from functools import partial
 
-from wingquay.ports.backend import LoadReport
-from wingquay.simulation.faults.fault import Fault, FaultContext
-from wingquay.simulation.models.backend_settings import BackendSettings
-from wingquay.simulation.simulated_replica import SimulatedReplica
-from wingquay.simulation.simulation_settings import FaultChoice
+from ...ports.backend import LoadReport
+from ..models.backend_settings import BackendSettings
+from ..simulated_replica import SimulatedReplica
+from ..simulation_settings import FaultChoice
+from .fault import Fault, FaultContext
 
 STRAGGLERS = "stragglers"
 DEFAULT_STRAGGLER_SHARE = 0.01
--- a/wingquay/simulation/faults/bound_move.py
+++ b/wingquay/simulation/faults/bound_move.py
@@ -2,12 +2,12 @@
 
 from typing import TYPE_CHECKING
 
-from wingquay.model.configuration import Service, Shard
-from wingquay.model.intent import SetShards
-from wingquay.model.key_range import KeyRange
+from ...model.configuration import Service, Shard
+from ...model.intent import SetShards
+from ...model.key_range import KeyRange
 
 if TYPE_CHECKING:
-    from wingquay.simulation.simulation import Simulation
+    from ..simulation import Simulation
 
 
 class BoundMove:
--- a/wingquay/simulation/faults/catalogue.py
+++ b/wingquay/simulation/faults/catalogue.py
@@ -3,16 +3,16 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from wingquay.simulation.faults.backend_faults import BACKEND_FAULTS
-from wingquay.simulation.faults.fault import Fault, FaultContext
-from wingquay.simulation.faults.index_faults import INDEX_FAULTS
-from wingquay.simulation.faults.network_faults import NETWORK_FAULTS
-from wingquay.simulation.faults.node_faults import NODE_FAULTS
-from wingquay.simulation.faults.store_faults import STORE_FAULTS
-from wingquay.simulation.simulation_settings import FaultChoice
+from ..simulation_settings import FaultChoice
+from .backend_faults import BACKEND_FAULTS
+from .fault import Fault, FaultContext
+from .index_faults import INDEX_FAULTS
+from .network_faults import NETWORK_FAULTS
+from .node_faults import NODE_FAULTS
+from .store_faults import STORE_FAULTS
 
 if TYPE_CHECKING:
-    from wingquay.simulation.simulation import Simulation
+    from ..simulation import Simulation
 
 FAULTS: dict[str, Fault] = {
     fault.name: fault
--- a/wingquay/simulation/faults/fault.py
+++ b/wingquay/simulation/faults/fault.py
@@ -5,12 +5,12 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from wingquay.simulation.models.service_time import DURATION_DIGITS
-from wingquay.simulation.simulated_replica import SimulatedReplica
-from wingquay.simulation.simulation_settings import WARM_UP_SECONDS
+from ..models.service_time import DURATION_DIGITS
+from ..simulated_replica import SimulatedReplica
+from ..simulation_settings import WARM_UP_SECONDS
 
 if TYPE_CHECKING:
-    from wingquay.simulation.simulation import Simulation
+    from ..simulation import Simulation
 
 MEAN_INTERVAL_SECONDS = 8.0
 """Mean time between two happenings of one fault; there is at least one a run."""
--- a/wingquay/simulation/faults/index_faults.py
+++ b/wingquay/simulation/faults/index_faults.py
@@ -2,11 +2,11 @@
 
 from functools import partial
 
-from wingquay.model.configuration import Service
-from wingquay.model.identifiers import SnapshotVersion
-from wingquay.simulation.faults.bound_move import BoundMove
-from wingquay.simulation.faults.fault import Fault, FaultContext
-from wingquay.simulation.simulated_replica import SimulatedReplica
+from ...model.configuration import Service
+from ...model.identifiers import SnapshotVersion
+from ..simulated_replica import SimulatedReplica
+from .bound_move import BoundMove
+from .fault import Fault, FaultContext
 
 UPDATE_SPREAD_SECONDS = 1.5
 """The replicas of a service take a new version in within this time."""
--- a/wingquay/simulation/faults/network_faults.py
+++ b/wingquay/simulation/faults/network_faults.py
@@ -2,8 +2,8 @@
 
 from functools import partial
 
-from wingquay.simulation.faults.fault import Fault, FaultContext
-from wingquay.simulation.network import PLATFORM
+from ..network import PLATFORM
+from .fault import Fault, FaultContext
 
 DATAGRAM_TROUBLE_SHARE = 0.2
 LATE_SHARE = 0.02
--- a/wingquay/simulation/faults/node_faults.py
+++ b/wingquay/simulation/faults/node_faults.py
@@ -4,12 +4,12 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from wingquay.simulation.faults.fault import Fault, FaultContext
-from wingquay.simulation.models.machine_list_model import DEFAULT_LAG_SECONDS
-from wingquay.simulation.simulation_settings import FaultChoice
+from ..models.machine_list_model import DEFAULT_LAG_SECONDS
+from ..simulation_settings import FaultChoice
+from .fault import Fault, FaultContext
 
 if TYPE_CHECKING:
-    from wingquay.simulation.simulation import Simulation
+    from ..simulation import Simulation
 
 LONGEST_PAUSE_SECONDS = 8.0
 REPEATING_SHARE = 0.1
--- a/wingquay/simulation/faults/store_faults.py
+++ b/wingquay/simulation/faults/store_faults.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from functools import partial
 
-from wingquay.model.intent import SetClass
-from wingquay.simulation.faults.fault import Fault, FaultContext
+from ...model.intent import SetClass
+from .fault import Fault, FaultContext
 
 SLOW_EXTRA_SECONDS = 3.0
 LIMITED_RATE_PER_SECOND = 1.0
--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -2,8 +2,8 @@
 
 import random
 
-from wingquay.simulation.forwarding.settings import SimulationSettings
-from wingquay.simulation.forwarding.simulation import (
+from .settings import SimulationSettings
+from .simulation import (
     ForwardingSimulation,
     SimulatedFault,
     SimulationResult,
--- a/wingquay/simulation/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -4,9 +4,9 @@
 import heapq
 from dataclasses import dataclass, field
 
-from wingquay.model.replica_record import ReplicaRecord
-from wingquay.model.routing_table import Route, RoutingTable
-from wingquay.ports.forwarding import (
+from ...model.replica_record import ReplicaRecord
+from ...model.routing_table import Route, RoutingTable
+from ...ports.forwarding import (
     ForwardFailureKind,
     ForwardRequested,
     ReplyFailure,
@@ -14,7 +14,7 @@
     ReplyUnchanged,
     SendToReplica,
 )
-from wingquay.simulation.forwarding.settings import SimulationSettings
+from .settings import SimulationSettings
 
 Reply = ReplyUnchanged | ReplyMerged | ReplyFailure
 RECORD_BYTES = 16
--- a/wingquay/simulation/forwarding/replica.py
+++ b/wingquay/simulation/forwarding/replica.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wingquay.model.replica_record import ReplicaRecord
-from wingquay.ports.forwarding import (
+from ...model.replica_record import ReplicaRecord
+from ...ports.forwarding import (
     ReplicaAnswer,
     ReplicaAnswered,
     ReportedLoad,
@@ -14,9 +14,9 @@
     SendFailureKind,
     SendToReplica,
 )
-from wingquay.simulation.forwarding.oracle import ForwardingOracle
-from wingquay.simulation.forwarding.settings import SimulationSettings
-from wingquay.simulation.virtual_clock import VirtualClock
+from ..virtual_clock import VirtualClock
+from .oracle import ForwardingOracle
+from .settings import SimulationSettings
 
 RECORD_BYTES = 16
 RECORDS = 8
--- a/wingquay/simulation/forwarding/routes.py
+++ b/wingquay/simulation/forwarding/routes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from wingquay.model.routing_table import (
+from ...model.routing_table import (
     CallerLimits,
     Route,
     RoutingTable,
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -3,14 +3,14 @@
 import random
 from typing import Protocol
 
-from wingquay.adapters.node_record import node_value, parse_node
-from wingquay.forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
-from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.store_follower import FollowerSettings
-from wingquay.model.failure import Failure
-from wingquay.model.replica_record import ReplicaRecord
-from wingquay.model.routing_table import RoutingTable
-from wingquay.ports.forwarding import (
+from ...adapters.node_record import node_value, parse_node
+from ...forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
+from ...forwarding.settings import ForwardingSettings
+from ...forwarding.store_follower import FollowerSettings
+from ...model.failure import Failure
+from ...model.replica_record import ReplicaRecord
+from ...model.routing_table import RoutingTable
+from ...ports.forwarding import (
     CancelSend,
     ReplyFailure,
     ReplyMerged,
@@ -18,14 +18,14 @@
     SendToReplica,
     SetForwarding,
 )
-from wingquay.ports.machine import Action, Event, Exit, Schedule, Start
-from wingquay.ports.peer_link import OpenPeerLink, SendToPeer
-from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
-from wingquay.simulation.forwarding.node_links import NodeLinks
-from wingquay.simulation.forwarding.oracle import ForwardingOracle
-from wingquay.simulation.forwarding.settings import SimulationSettings
-from wingquay.simulation.forwarding.store import StoreModel
-from wingquay.simulation.virtual_clock import VirtualClock
+from ...ports.machine import Action, Event, Exit, Schedule, Start
+from ...ports.peer_link import OpenPeerLink, SendToPeer
+from ...ports.store import StartWatch, StopWatch, StoreRequest
+from ..virtual_clock import VirtualClock
+from .node_links import NodeLinks
+from .oracle import ForwardingOracle
+from .settings import SimulationSettings
+from .store import StoreModel
 
 CONFIGURATION_KEY = "configuration"
 REPLICA_PREFIX = "replicas/"
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, replace
 from itertools import count
 
-from wingquay.model.replica_record import ReplicaRecord
-from wingquay.model.routing_table import RoutingTable
-from wingquay.ports.forwarding import (
+from ...model.replica_record import ReplicaRecord
+from ...model.routing_table import RoutingTable
+from ...ports.forwarding import (
     CallerLeft,
     ForwardRequested,
     OpaqueRequest,
@@ -16,24 +16,24 @@
     SendFailed,
     SendToReplica,
 )
-from wingquay.ports.machine import Exit, StopRequested
-from wingquay.simulation.forwarding.node_links import NodeLinks
-from wingquay.simulation.forwarding.oracle import ForwardingOracle
-from wingquay.simulation.forwarding.replica import ReplicaModel
-from wingquay.simulation.forwarding.routes import (
+from ...ports.machine import Exit, StopRequested
+from ..virtual_clock import VirtualClock
+from .node_links import NodeLinks
+from .oracle import ForwardingOracle
+from .replica import ReplicaModel
+from .routes import (
     EDIT_SERVICE,
     HOST,
     SINGLE_SERVICE,
     routing_table,
 )
-from wingquay.simulation.forwarding.settings import SimulationSettings
-from wingquay.simulation.forwarding.simulated_node import (
+from .settings import SimulationSettings
+from .simulated_node import (
     CONFIGURATION_KEY,
     REPLICA_PREFIX,
     SimulatedForwardingNode,
 )
-from wingquay.simulation.forwarding.store import StoreModel
-from wingquay.simulation.virtual_clock import VirtualClock
+from .store import StoreModel
 
 LEAD_SECONDS = 3.0
 """Time between the start of the nodes and the first request."""
--- a/wingquay/simulation/forwarding/store.py
+++ b/wingquay/simulation/forwarding/store.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from wingquay.model.failure import Failure
-from wingquay.ports.machine import Event
-from wingquay.ports.store import (
+from ...model.failure import Failure
+from ...ports.machine import Event
+from ...ports.store import (
     CompareAndSwap,
     GrantLease,
     KeepLeaseAlive,
@@ -24,7 +24,7 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.simulation.virtual_clock import VirtualClock
+from ..virtual_clock import VirtualClock
 
 LATENCY_SECONDS = 0.004
 LEASE_SECONDS = 36.0
--- a/wingquay/simulation/fuzzing.py
+++ b/wingquay/simulation/fuzzing.py
@@ -14,9 +14,9 @@
     run_state_machine_as_test,
 )
 
-from wingquay.model.mechanisms import Mechanism
-from wingquay.simulation.script import Script, Step, StepName
-from wingquay.simulation.scripted_simulation import ScriptedSimulation
+from ..model.mechanisms import Mechanism
+from .script import Script, Step, StepName
+from .scripted_simulation import ScriptedSimulation
 
 STEPS_IN_A_SCRIPT = 30
 LONGEST_WAIT_MILLISECONDS = 3000
--- a/wingquay/simulation/hollow_node.py
+++ b/wingquay/simulation/hollow_node.py
@@ -3,13 +3,13 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field, replace
 
-from wingquay.configuration.configuration_machine import ConfigurationMachine
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import Revision
-from wingquay.ports.machine import Event
-from wingquay.ports.peer import NodeIdentity
-from wingquay.ports.store import StoreFailureKind, StoreResponse, WatchBroken, WatchChanged
-from wingquay.simulation.models.store_operations import StoreOutput
+from ..configuration.configuration_machine import ConfigurationMachine
+from ..model.failure import Failure
+from ..model.identifiers import Revision
+from ..ports.machine import Event
+from ..ports.peer import NodeIdentity
+from ..ports.store import StoreFailureKind, StoreResponse, WatchBroken, WatchChanged
+from .models.store_operations import StoreOutput
 
 
 @dataclass(slots=True)
--- a/wingquay/simulation/load/load_generator.py
+++ b/wingquay/simulation/load/load_generator.py
@@ -9,13 +9,13 @@
 
 import orjson
 
-from wingquay.adapters.caller_json import IDEMPOTENCY_HEADER
-from wingquay.adapters.http_client import HttpClient
-from wingquay.adapters.http_messages import HttpFailureKind, HttpResponse
-from wingquay.adapters.settings import Endpoint
-from wingquay.model.failure import Failure
-from wingquay.simulation.load.load_plan import LoadPlan, PlannedRequest
-from wingquay.simulation.load.load_tally import LoadTally
+from ...adapters.caller_json import IDEMPOTENCY_HEADER
+from ...adapters.http_client import HttpClient
+from ...adapters.http_messages import HttpFailureKind, HttpResponse
+from ...adapters.settings import Endpoint
+from ...model.failure import Failure
+from .load_plan import LoadPlan, PlannedRequest
+from .load_tally import LoadTally
 
 QUERY_PATH = "/v1/query"
 RUN_ID_BYTES = 8
--- a/wingquay/simulation/load/load_plan.py
+++ b/wingquay/simulation/load/load_plan.py
@@ -7,8 +7,8 @@
 from enum import Enum
 from random import Random
 
-from wingquay.adapters.settings import Endpoint, parse_endpoint
-from wingquay.model.failure import Failure
+from ...adapters.settings import Endpoint, parse_endpoint
+from ...model.failure import Failure
 
 GREATEST_RATE = 100_000.0
 LONGEST_SECONDS = 86_400.0
--- a/wingquay/simulation/load/load_report.py
+++ b/wingquay/simulation/load/load_report.py
@@ -2,11 +2,11 @@
 
 from typing import Any
 
-from wingquay.model.answer import Outcome
-from wingquay.simulation.latency_histogram import LatencyHistogram
-from wingquay.simulation.load.load_generator import LoadGenerator
-from wingquay.simulation.load.load_plan import LoadPlan
-from wingquay.simulation.load.load_tally import KindTally
+from ...model.answer import Outcome
+from ..latency_histogram import LatencyHistogram
+from .load_generator import LoadGenerator
+from .load_plan import LoadPlan
+from .load_tally import KindTally
 
 QUANTILES = {"p50_ms": 0.5, "p90_ms": 0.9, "p99_ms": 0.99, "p999_ms": 0.999, "max_ms": 1.0}
 DIGITS = 3
--- a/wingquay/simulation/load/load_tally.py
+++ b/wingquay/simulation/load/load_tally.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from wingquay.adapters.http_messages import HttpFailureKind, HttpResponse
-from wingquay.model.answer import Outcome
-from wingquay.model.failure import Failure
-from wingquay.model.key_range import KeyRange
-from wingquay.simulation.answer_document import answer_document, outcome_of
-from wingquay.simulation.latency_histogram import LatencyHistogram
-from wingquay.simulation.load.load_plan import PlannedRequest
+from ...adapters.http_messages import HttpFailureKind, HttpResponse
+from ...model.answer import Outcome
+from ...model.failure import Failure
+from ...model.key_range import KeyRange
+from ..answer_document import answer_document, outcome_of
+from ..latency_histogram import LatencyHistogram
+from .load_plan import PlannedRequest
 
 UNKNOWN_RESPONSE = "unknown_response"
 """The failure of a response that the interface does not describe."""
--- a/wingquay/simulation/measurements.py
+++ b/wingquay/simulation/measurements.py
@@ -3,13 +3,13 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from wingquay.model.answer import Answer, Outcome
-from wingquay.model.identifiers import ShardId
-from wingquay.ports.backend import StartAttempt
-from wingquay.simulation.deployment_profile import DeploymentProfile
-from wingquay.simulation.oracle import Submission
-from wingquay.simulation.oracle_truth import Truth
-from wingquay.simulation.workload import Arrival
+from ..model.answer import Answer, Outcome
+from ..model.identifiers import ShardId
+from ..ports.backend import StartAttempt
+from .deployment_profile import DeploymentProfile
+from .oracle import Submission
+from .oracle_truth import Truth
+from .workload import Arrival
 
 MILLISECONDS = 1000.0
 
--- a/wingquay/simulation/mechanisms.py
+++ b/wingquay/simulation/mechanisms.py
@@ -1,7 +1,7 @@
 """Every protective mechanism, what it protects, and so which check must notice its absence."""
 
-from wingquay.model.mechanisms import Mechanism
-from wingquay.simulation.invariants import Invariant
+from ..model.mechanisms import Mechanism
+from .invariants import Invariant
 
 TAIL_LATENCY = "tail_latency"
 EXTRA_LOAD = "extra_load"
--- a/wingquay/simulation/models/backend_model.py
+++ b/wingquay/simulation/models/backend_model.py
@@ -8,19 +8,19 @@
 import random
 from collections import deque
 
-from wingquay.model.identifiers import AttemptId, ShardId, SnapshotVersion
-from wingquay.model.key_range import KeyRange
-from wingquay.ports.backend import LoadReport
-from wingquay.simulation.models.backend_messages import BackendExchange, BackendReply, ReplyKind
-from wingquay.simulation.models.backend_replies import ReplyBox
-from wingquay.simulation.models.backend_settings import BackendSettings
-from wingquay.simulation.models.backend_work import Work, WorkEnd, WorkSchedule
-from wingquay.simulation.models.dataset import Dataset
-from wingquay.simulation.models.execution_ledger import ExecutionLedger
-from wingquay.simulation.models.held_index import HeldIndex
-from wingquay.simulation.models.load_history import LoadHistory
-from wingquay.simulation.models.pace import Pace
-from wingquay.simulation.models.service_time import draw_fate
+from ...model.identifiers import AttemptId, ShardId, SnapshotVersion
+from ...model.key_range import KeyRange
+from ...ports.backend import LoadReport
+from .backend_messages import BackendExchange, BackendReply, ReplyKind
+from .backend_replies import ReplyBox
+from .backend_settings import BackendSettings
+from .backend_work import Work, WorkEnd, WorkSchedule
+from .dataset import Dataset
+from .execution_ledger import ExecutionLedger
+from .held_index import HeldIndex
+from .load_history import LoadHistory
+from .pace import Pace
+from .service_time import draw_fate
 
 _SEED_BITS = 64
 
--- a/wingquay/simulation/models/backend_replies.py
+++ b/wingquay/simulation/models/backend_replies.py
@@ -2,12 +2,12 @@
 
 from dataclasses import replace
 
-from wingquay.model.identifiers import AttemptId
-from wingquay.ports.backend import LoadReport
-from wingquay.simulation.models.backend_messages import BackendExchange, BackendReply, ReplyKind
-from wingquay.simulation.models.backend_work import Work
-from wingquay.simulation.models.dataset import Dataset
-from wingquay.simulation.models.held_index import HeldIndex
+from ...model.identifiers import AttemptId
+from ...ports.backend import LoadReport
+from .backend_messages import BackendExchange, BackendReply, ReplyKind
+from .backend_work import Work
+from .dataset import Dataset
+from .held_index import HeldIndex
 
 _MAY_PASS = frozenset({ReplyKind.SHED, ReplyKind.DRAINING, ReplyKind.DEADLINE_PASSED})
 """Refusals that say when to try again."""
--- a/wingquay/simulation/models/backend_settings.py
+++ b/wingquay/simulation/models/backend_settings.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.identifiers import ReplicaId, ServiceName, ShardId, SnapshotVersion
-from wingquay.model.key_range import EVERYTHING, KeyRange
-from wingquay.simulation.models.service_time import ServiceTimeSettings
+from ...model.identifiers import ReplicaId, ServiceName, ShardId, SnapshotVersion
+from ...model.key_range import EVERYTHING, KeyRange
+from .service_time import ServiceTimeSettings
 
 FIRST_VERSION = SnapshotVersion(1)
 DEFAULT_SERVICE_TIME = ServiceTimeSettings()
--- a/wingquay/simulation/models/backend_work.py
+++ b/wingquay/simulation/models/backend_work.py
@@ -4,10 +4,10 @@
 from enum import Enum
 from heapq import heappop, heappush
 
-from wingquay.model.answer import Row
-from wingquay.model.key_range import KeyRange
-from wingquay.simulation.models.backend_messages import BackendExchange, ReplyKind
-from wingquay.simulation.models.dataset import Dataset
+from ...model.answer import Row
+from ...model.key_range import KeyRange
+from .backend_messages import BackendExchange, ReplyKind
+from .dataset import Dataset
 
 WRITE_RECEIPT = "recorded"
 """Value of the one row that a write is answered with."""
--- a/wingquay/simulation/models/dataset.py
+++ b/wingquay/simulation/models/dataset.py
@@ -7,9 +7,9 @@
 from bisect import bisect_left
 from collections.abc import Iterable
 
-from wingquay.model.answer import Row
-from wingquay.model.identifiers import ServiceName, SnapshotVersion
-from wingquay.model.key_range import KeyRange, normalize
+from ...model.answer import Row
+from ...model.identifiers import ServiceName, SnapshotVersion
+from ...model.key_range import KeyRange, normalize
 
 DEFAULT_KEY_COUNT = 400
 DEFAULT_KEY_PREFIX = "village-"
--- a/wingquay/simulation/models/execution_ledger.py
+++ b/wingquay/simulation/models/execution_ledger.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from wingquay.model.identifiers import AttemptId, ReplicaId, ServiceName
-from wingquay.simulation.models.backend_messages import BackendExchange
+from ...model.identifiers import AttemptId, ReplicaId, ServiceName
+from .backend_messages import BackendExchange
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/simulation/models/held_index.py
+++ b/wingquay/simulation/models/held_index.py
@@ -1,8 +1,8 @@
 """Which index versions and which keys a modelled replica holds."""
 
-from wingquay.model.identifiers import ServiceName, ShardId, SnapshotVersion
-from wingquay.model.key_range import KeyRange, intersect, normalize
-from wingquay.simulation.models.backend_messages import BackendExchange, ReplyKind
+from ...model.identifiers import ServiceName, ShardId, SnapshotVersion
+from ...model.key_range import KeyRange, intersect, normalize
+from .backend_messages import BackendExchange, ReplyKind
 
 
 class HeldIndex:
--- a/wingquay/simulation/models/load_history.py
+++ b/wingquay/simulation/models/load_history.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import replace
 
-from wingquay.ports.backend import LoadReport
+from ...ports.backend import LoadReport
 
 
 class LoadHistory:
--- a/wingquay/simulation/models/machine_list_model.py
+++ b/wingquay/simulation/models/machine_list_model.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.failure import Failure
-from wingquay.ports.machine_directory import DirectoryFailureKind, MachineEntry
+from ...model.failure import Failure
+from ...ports.machine_directory import DirectoryFailureKind, MachineEntry
 
 DEFAULT_LAG_SECONDS = 5.0
 
--- a/wingquay/simulation/models/service_time.py
+++ b/wingquay/simulation/models/service_time.py
@@ -10,7 +10,7 @@
 from hashlib import blake2b
 from statistics import NormalDist
 
-from wingquay.model.identifiers import ReplicaId, RequestKindName
+from ...model.identifiers import ReplicaId, RequestKindName
 
 DURATION_DIGITS = 9
 """Durations are rounded to nanoseconds: the last bit of ``exp`` differs between libraries."""
--- a/wingquay/simulation/models/store_model.py
+++ b/wingquay/simulation/models/store_model.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 
-from wingquay.ports.store import (
+from ...ports.store import (
     CompareAndSwap,
     GrantLease,
     KeepLeaseAlive,
@@ -22,10 +22,10 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.simulation.models.rate_limit import RateLimit
-from wingquay.simulation.models.store_faults import StoreFaults
-from wingquay.simulation.models.store_leases import LeaseTable
-from wingquay.simulation.models.store_operations import (
+from .rate_limit import RateLimit
+from .store_faults import StoreFaults
+from .store_leases import LeaseTable
+from .store_operations import (
     ModelOperation,
     ModelResult,
     StoreOutput,
@@ -35,13 +35,13 @@
     swap_result,
     transaction_of_swap,
 )
-from wingquay.simulation.models.store_state import (
+from .store_state import (
     KeySpan,
     StoreState,
     Transaction,
     TransactionResult,
 )
-from wingquay.simulation.models.store_watches import Watch, WatchTable
+from .store_watches import Watch, WatchTable
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingquay/simulation/models/store_operations.py
+++ b/wingquay/simulation/models/store_operations.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from wingquay.model.failure import Failure
-from wingquay.ports.store import (
+from ...model.failure import Failure
+from ...ports.store import (
     CompareAndSwap,
     Read,
     StoreFailureKind,
@@ -14,7 +14,7 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.simulation.models.store_state import (
+from .store_state import (
     EVERYTHING_FROM_START,
     Compare,
     Delete,
--- a/wingquay/simulation/models/store_state.py
+++ b/wingquay/simulation/models/store_state.py
@@ -7,7 +7,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from wingquay.ports.store import StoredValue
+from ...ports.store import StoredValue
 
 FIRST_REVISION = 1
 EVERYTHING_FROM_START = b"\0"
--- a/wingquay/simulation/models/store_watches.py
+++ b/wingquay/simulation/models/store_watches.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from itertools import groupby
 
-from wingquay.ports.store import WatchChanged
-from wingquay.simulation.models.store_state import Change, KeySpan
+from ...ports.store import WatchChanged
+from .store_state import Change, KeySpan
 
 
 @dataclass(slots=True)
--- a/wingquay/simulation/network.py
+++ b/wingquay/simulation/network.py
@@ -8,8 +8,8 @@
 from random import Random
 from typing import Any
 
-from wingquay.simulation.deployment_profile import DeploymentProfile
-from wingquay.simulation.virtual_clock import VirtualClock
+from .deployment_profile import DeploymentProfile
+from .virtual_clock import VirtualClock
 
 CLIENTS = "clients"
 PLATFORM = "platform"
--- a/wingquay/simulation/node_policies.py
+++ b/wingquay/simulation/node_policies.py
@@ -3,14 +3,14 @@
 from random import Random
 from typing import Protocol
 
-from wingquay.membership.settings import SeedAddress
-from wingquay.model.identifiers import Revision
-from wingquay.orchestration.node_machine import NodeMachine
-from wingquay.orchestration.settings import NodeMachineSettings
-from wingquay.ports.machine import Machine
-from wingquay.ports.peer import NodeIdentity
-from wingquay.simulation.baselines.naive import NaiveNode
-from wingquay.simulation.simulation_settings import Policy, SimulationSettings
+from ..membership.settings import SeedAddress
+from ..model.identifiers import Revision
+from ..orchestration.node_machine import NodeMachine
+from ..orchestration.settings import NodeMachineSettings
+from ..ports.machine import Machine
+from ..ports.peer import NodeIdentity
+from .baselines.naive import NaiveNode
+from .simulation_settings import Policy, SimulationSettings
 
 
 class RevisedMachine(Machine, Protocol):
--- a/wingquay/simulation/oracle.py
+++ b/wingquay/simulation/oracle.py
@@ -7,13 +7,13 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass
 
-from wingquay.model.answer import Answer, Outcome
-from wingquay.model.identifiers import AttemptId, NodeId, ReplicaId, RequestId
-from wingquay.model.request import QueryRequest
-from wingquay.ports.backend import StartAttempt
-from wingquay.simulation.configuration_oracle import ConfigurationOracle
-from wingquay.simulation.invariants import Invariant, Violations
-from wingquay.simulation.oracle_truth import Truth
+from ..model.answer import Answer, Outcome
+from ..model.identifiers import AttemptId, NodeId, ReplicaId, RequestId
+from ..model.request import QueryRequest
+from ..ports.backend import StartAttempt
+from .configuration_oracle import ConfigurationOracle
+from .invariants import Invariant, Violations
+from .oracle_truth import Truth
 
 DRAIN_BOUND_SECONDS = 5.0
 """A leaving back end gets no new work later than this ("after a few seconds") from any node.
--- a/wingquay/simulation/oracle_truth.py
+++ b/wingquay/simulation/oracle_truth.py
@@ -3,18 +3,18 @@
 from bisect import bisect_left
 from collections.abc import Iterator
 
-from wingquay.model.answer import Answer, Outcome, Row
-from wingquay.model.identifiers import ServiceName, SnapshotVersion
-from wingquay.model.key_range import (
+from ..model.answer import Answer, Outcome, Row
+from ..model.identifiers import ServiceName, SnapshotVersion
+from ..model.key_range import (
     EVERYTHING,
     KeyRange,
     contains_key,
     intersect,
     normalize,
 )
-from wingquay.model.request import QueryRequest
-from wingquay.simulation.invariants import Invariant
-from wingquay.simulation.models.dataset import Dataset
+from ..model.request import QueryRequest
+from .invariants import Invariant
+from .models.dataset import Dataset
 
 Finding = tuple[Invariant, str]
 
--- a/wingquay/simulation/peer_links.py
+++ b/wingquay/simulation/peer_links.py
@@ -4,18 +4,18 @@
 from random import Random
 from typing import Protocol
 
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.machine import Event
-from wingquay.ports.peer import (
+from ..model.identifiers import NodeId
+from ..ports.machine import Event
+from ..ports.peer import (
     MembershipMessage,
     NodeIdentity,
     PeerLinkBroken,
     PeerReceived,
     SubResultBatch,
 )
-from wingquay.simulation.network import Network
-from wingquay.simulation.simulated_node import SimulatedNode
-from wingquay.simulation.virtual_clock import VirtualClock
+from .network import Network
+from .simulated_node import SimulatedNode
+from .virtual_clock import VirtualClock
 
 SEND_TIMEOUT_SECONDS = 1.0
 """How long a connection that loses everything is believed in."""
--- a/wingquay/simulation/script.py
+++ b/wingquay/simulation/script.py
@@ -8,8 +8,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from wingquay.model.failure import Failure
-from wingquay.simulation.simulation_failure import SimulationFailureKind
+from ..model.failure import Failure
+from .simulation_failure import SimulationFailureKind
 
 LARGEST_NUMBER = 100_000
 MOST_STEPS = 100_000
--- a/wingquay/simulation/scripted_simulation.py
+++ b/wingquay/simulation/scripted_simulation.py
@@ -3,24 +3,24 @@
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
-from wingquay.model.configuration import CoveragePreference
-from wingquay.model.identifiers import SnapshotVersion
-from wingquay.model.intent import SetClass
-from wingquay.model.mechanisms import Mechanism
-from wingquay.simulation.deployment_profile import (
+from ..model.configuration import CoveragePreference
+from ..model.identifiers import SnapshotVersion
+from ..model.intent import SetClass
+from ..model.mechanisms import Mechanism
+from .deployment_profile import (
     ClassProfile,
     DeploymentProfile,
     KindProfile,
     ServiceProfile,
 )
-from wingquay.simulation.faults.bound_move import BoundMove
-from wingquay.simulation.network import PLATFORM
-from wingquay.simulation.script import Step, StepName
-from wingquay.simulation.simulated_node import SimulatedNode
-from wingquay.simulation.simulated_replica import SimulatedReplica
-from wingquay.simulation.simulation import Simulation
-from wingquay.simulation.simulation_settings import WARM_UP_SECONDS, SimulationSettings
-from wingquay.simulation.workload import Arrival, Workload
+from .faults.bound_move import BoundMove
+from .network import PLATFORM
+from .script import Step, StepName
+from .simulated_node import SimulatedNode
+from .simulated_replica import SimulatedReplica
+from .simulation import Simulation
+from .simulation_settings import WARM_UP_SECONDS, SimulationSettings
+from .workload import Arrival, Workload
 
 MILLISECOND = 0.001
 LATE_SHARE = 0.3
--- a/wingquay/simulation/simulated_backends.py
+++ b/wingquay/simulation/simulated_backends.py
@@ -2,24 +2,24 @@
 
 from collections.abc import Callable
 
-from wingquay.model.configuration import Replica, Service, Shard
-from wingquay.model.identifiers import (
+from ..model.configuration import Replica, Service, Shard
+from ..model.identifiers import (
     AttemptId,
     ReplicaId,
     RequestKindName,
     ServiceName,
     SnapshotVersion,
 )
-from wingquay.ports.machine_directory import MachineState
-from wingquay.simulation.deployment_profile import DeploymentProfile, ServiceProfile
-from wingquay.simulation.models.backend_model import BackendModel
-from wingquay.simulation.models.backend_settings import BackendSettings
-from wingquay.simulation.models.execution_ledger import ExecutionLedger, RecordedWrite
-from wingquay.simulation.models.service_time import ServiceTimeSettings
-from wingquay.simulation.oracle import Oracle
-from wingquay.simulation.random_streams import RandomStreams
-from wingquay.simulation.simulated_replica import Arrived, SimulatedReplica
-from wingquay.simulation.virtual_clock import VirtualClock
+from ..ports.machine_directory import MachineState
+from .deployment_profile import DeploymentProfile, ServiceProfile
+from .models.backend_model import BackendModel
+from .models.backend_settings import BackendSettings
+from .models.execution_ledger import ExecutionLedger, RecordedWrite
+from .models.service_time import ServiceTimeSettings
+from .oracle import Oracle
+from .random_streams import RandomStreams
+from .simulated_replica import Arrived, SimulatedReplica
+from .virtual_clock import VirtualClock
 
 FIRST_VERSION = SnapshotVersion(1)
 WARM_UP_SECONDS = 2.0
--- a/wingquay/simulation/simulated_callers.py
+++ b/wingquay/simulation/simulated_callers.py
@@ -3,16 +3,16 @@
 from dataclasses import replace
 from random import Random
 
-from wingquay.model.answer import Answer
-from wingquay.model.identifiers import NodeId, RequestId
-from wingquay.ports.caller import AnswerCaller, CallerGone, CallerRequest
-from wingquay.simulation.digest import EventDigest
-from wingquay.simulation.measurements import Measurements
-from wingquay.simulation.network import CLIENTS, JITTER_SHARE, Network
-from wingquay.simulation.oracle import Oracle, Submission
-from wingquay.simulation.simulated_node import SimulatedNode
-from wingquay.simulation.virtual_clock import VirtualClock
-from wingquay.simulation.workload import Arrival, Workload, make_traceparent
+from ..model.answer import Answer
+from ..model.identifiers import NodeId, RequestId
+from ..ports.caller import AnswerCaller, CallerGone, CallerRequest
+from .digest import EventDigest
+from .measurements import Measurements
+from .network import CLIENTS, JITTER_SHARE, Network
+from .oracle import Oracle, Submission
+from .simulated_node import SimulatedNode
+from .virtual_clock import VirtualClock
+from .workload import Arrival, Workload, make_traceparent
 
 READINESS_LAG_SECONDS = 0.5
 """How long callers take to notice what a node's readiness page says."""
--- a/wingquay/simulation/simulated_machine_list.py
+++ b/wingquay/simulation/simulated_machine_list.py
@@ -1,15 +1,15 @@
 """The platform's list of machines on the virtual clock, reached over the simulated network."""
 
-from wingquay.model.failure import Failure
-from wingquay.ports.machine_directory import (
+from ..model.failure import Failure
+from ..ports.machine_directory import (
     DirectoryFailureKind,
     MachineListRead,
     ReadMachineList,
 )
-from wingquay.simulation.models.machine_list_model import MachineListModel
-from wingquay.simulation.network import PLATFORM, Network
-from wingquay.simulation.simulated_node import SimulatedNode
-from wingquay.simulation.virtual_clock import VirtualClock
+from .models.machine_list_model import MachineListModel
+from .network import PLATFORM, Network
+from .simulated_node import SimulatedNode
+from .virtual_clock import VirtualClock
 
 READ_TIMEOUT_SECONDS = 1.0
 
--- a/wingquay/simulation/simulated_node.py
+++ b/wingquay/simulation/simulated_node.py
@@ -4,12 +4,12 @@
 from enum import Enum
 from typing import Any
 
-from wingquay.model.identifiers import Revision
-from wingquay.ports.machine import Action, Event, Schedule, Start, StopRequested
-from wingquay.ports.peer import NodeIdentity
-from wingquay.simulation.digest import EventDigest
-from wingquay.simulation.node_policies import RevisedMachine
-from wingquay.simulation.virtual_clock import VirtualClock
+from ..model.identifiers import Revision
+from ..ports.machine import Action, Event, Schedule, Start, StopRequested
+from ..ports.peer import NodeIdentity
+from .digest import EventDigest
+from .node_policies import RevisedMachine
+from .virtual_clock import VirtualClock
 
 Performers = Mapping[type[Action], Callable[["SimulatedNode", Any], None]]
 
--- a/wingquay/simulation/simulated_nodes.py
+++ b/wingquay/simulation/simulated_nodes.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable
 
-from wingquay.model.identifiers import DeploymentName, NodeId, ZoneName
-from wingquay.ports.machine import Exit
-from wingquay.ports.peer import NodeIdentity
-from wingquay.simulation.deployment_profile import NODE_PORT, DeploymentProfile
-from wingquay.simulation.digest import EventDigest
-from wingquay.simulation.node_policies import MachineFactory
-from wingquay.simulation.random_streams import RandomStreams
-from wingquay.simulation.simulated_node import Performers, ProcessState, SimulatedNode
-from wingquay.simulation.virtual_clock import VirtualClock
+from ..model.identifiers import DeploymentName, NodeId, ZoneName
+from ..ports.machine import Exit
+from ..ports.peer import NodeIdentity
+from .deployment_profile import NODE_PORT, DeploymentProfile
+from .digest import EventDigest
+from .node_policies import MachineFactory
+from .random_streams import RandomStreams
+from .simulated_node import Performers, ProcessState, SimulatedNode
+from .virtual_clock import VirtualClock
 
 CLOCK_OFFSET_SECONDS = 1000.0
 """The clocks of two processes differ by a multiple of this."""
--- a/wingquay/simulation/simulated_operators.py
+++ b/wingquay/simulation/simulated_operators.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 from random import Random
 
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import OperatorName
-from wingquay.model.intent import Intent
-from wingquay.ports.operator import (
+from ..model.failure import Failure
+from ..model.identifiers import OperatorName
+from ..model.intent import Intent
+from ..ports.operator import (
     ConfirmPlan,
     ConfirmResult,
     OperatorFailureKind,
@@ -17,10 +17,10 @@
     PlanResult,
     ProposePlan,
 )
-from wingquay.simulation.configuration_oracle import ConfigurationOracle
-from wingquay.simulation.network import CLIENTS, Network
-from wingquay.simulation.simulated_node import SimulatedNode
-from wingquay.simulation.virtual_clock import VirtualClock
+from .configuration_oracle import ConfigurationOracle
+from .network import CLIENTS, Network
+from .simulated_node import SimulatedNode
+from .virtual_clock import VirtualClock
 
 UNIX_SECONDS_AT_START = 1.75e9
 PATIENCE_SECONDS = 15.0
--- a/wingquay/simulation/simulated_replica.py
+++ b/wingquay/simulation/simulated_replica.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from wingquay.model.configuration import Replica
-from wingquay.model.identifiers import AttemptId, NodeId
-from wingquay.ports.backend import LoadReport, StartAttempt
-from wingquay.simulation.models.backend_messages import BackendExchange, BackendReply
-from wingquay.simulation.models.backend_model import BackendModel
-from wingquay.simulation.virtual_clock import VirtualClock
+from ..model.configuration import Replica
+from ..model.identifiers import AttemptId, NodeId
+from ..ports.backend import LoadReport, StartAttempt
+from .models.backend_messages import BackendExchange, BackendReply
+from .models.backend_model import BackendModel
+from .virtual_clock import VirtualClock
 
 Reply = Callable[[BackendReply], None]
 Arrived = Callable[[StartAttempt, NodeId, float], None]
--- a/wingquay/simulation/simulated_store.py
+++ b/wingquay/simulation/simulated_store.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from wingquay.configuration.keys import CURRENT_KEY
-from wingquay.model.configuration import Configuration
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import NodeId, Revision
-from wingquay.ports.machine import Event
-from wingquay.ports.store import (
+from ..configuration.keys import CURRENT_KEY
+from ..model.configuration import Configuration
+from ..model.failure import Failure
+from ..model.identifiers import NodeId, Revision
+from ..ports.machine import Event
+from ..ports.store import (
     CompareAndSwap,
     Read,
     StartWatch,
@@ -19,11 +19,11 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.simulation.models.store_model import StoreModel
-from wingquay.simulation.models.store_operations import StoreOutput, prefix_span, span_of_read
-from wingquay.simulation.network import PLATFORM, Network
-from wingquay.simulation.simulated_node import SimulatedNode
-from wingquay.simulation.virtual_clock import VirtualClock
+from .models.store_model import StoreModel
+from .models.store_operations import StoreOutput, prefix_span, span_of_read
+from .network import PLATFORM, Network
+from .simulated_node import SimulatedNode
+from .virtual_clock import VirtualClock
 
 WATCH_SILENCE_SECONDS = 2.0
 """After so long without a sign of the store, a watch's connection is given up."""
--- a/wingquay/simulation/simulation.py
+++ b/wingquay/simulation/simulation.py
@@ -7,45 +7,45 @@
 from collections.abc import Callable
 from typing import Any
 
-from wingquay.model.identifiers import NodeId
-from wingquay.ports.backend import CancelAttempt, ProbeReplica, StartAttempt
-from wingquay.ports.caller import AnswerCaller, SetReady
-from wingquay.ports.machine import Action, Exit
-from wingquay.ports.machine_directory import MachineEntry, MachineState, ReadMachineList
-from wingquay.ports.operator import OperatorReply
-from wingquay.ports.peer import SendToPeer
-from wingquay.ports.store import StartWatch, StopWatch, StoreRequest
-from wingquay.simulation.backend_exchanges import BackendExchanges
-from wingquay.simulation.baselines.floor import without_trouble
-from wingquay.simulation.digest import EventDigest
-from wingquay.simulation.faults.backend_faults import straggler_share
-from wingquay.simulation.faults.catalogue import install_faults
-from wingquay.simulation.faults.node_faults import machine_list_lag
-from wingquay.simulation.measurements import Measurements
-from wingquay.simulation.models.machine_list_model import MachineListModel
-from wingquay.simulation.models.store_model import StoreModel, StoreSettings
-from wingquay.simulation.network import Network
-from wingquay.simulation.node_policies import machine_factory
-from wingquay.simulation.oracle import Oracle
-from wingquay.simulation.oracle_truth import Truth
-from wingquay.simulation.peer_links import PeerLinks
-from wingquay.simulation.random_streams import RandomStreams
-from wingquay.simulation.simulated_backends import SimulatedBackends
-from wingquay.simulation.simulated_callers import SimulatedCallers
-from wingquay.simulation.simulated_machine_list import SimulatedMachineList
-from wingquay.simulation.simulated_node import SimulatedNode
-from wingquay.simulation.simulated_nodes import SimulatedNodes
-from wingquay.simulation.simulated_operators import SimulatedOperators
-from wingquay.simulation.simulated_replica import SimulatedReplica
-from wingquay.simulation.simulated_store import SimulatedStore
-from wingquay.simulation.simulation_settings import (
+from ..model.identifiers import NodeId
+from ..ports.backend import CancelAttempt, ProbeReplica, StartAttempt
+from ..ports.caller import AnswerCaller, SetReady
+from ..ports.machine import Action, Exit
+from ..ports.machine_directory import MachineEntry, MachineState, ReadMachineList
+from ..ports.operator import OperatorReply
+from ..ports.peer import SendToPeer
+from ..ports.store import StartWatch, StopWatch, StoreRequest
+from .backend_exchanges import BackendExchanges
+from .baselines.floor import without_trouble
+from .digest import EventDigest
+from .faults.backend_faults import straggler_share
+from .faults.catalogue import install_faults
+from .faults.node_faults import machine_list_lag
+from .measurements import Measurements
+from .models.machine_list_model import MachineListModel
+from .models.store_model import StoreModel, StoreSettings
+from .network import Network
+from .node_policies import machine_factory
+from .oracle import Oracle
+from .oracle_truth import Truth
+from .peer_links import PeerLinks
+from .random_streams import RandomStreams
+from .simulated_backends import SimulatedBackends
+from .simulated_callers import SimulatedCallers
+from .simulated_machine_list import SimulatedMachineList
+from .simulated_node import SimulatedNode
+from .simulated_nodes import SimulatedNodes
+from .simulated_operators import SimulatedOperators
+from .simulated_replica import SimulatedReplica
+from .simulated_store import SimulatedStore
+from .simulation_settings import (
     WARM_UP_SECONDS,
     WIND_DOWN_SECONDS,
     Policy,
     SimulationSettings,
 )
-from wingquay.simulation.virtual_clock import VirtualClock
-from wingquay.simulation.workload import Workload
+from .virtual_clock import VirtualClock
+from .workload import Workload
 
 CONFIGURATION_CHECK_SECONDS = 0.5
 SUCCESSOR_SECONDS = 1.0
--- a/wingquay/simulation/simulation_report.py
+++ b/wingquay/simulation/simulation_report.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
-from wingquay.simulation.invariants import Invariant
-from wingquay.simulation.measurements import Measurements, Series
-from wingquay.simulation.simulation import Simulation
+from .invariants import Invariant
+from .measurements import Measurements, Series
+from .simulation import Simulation
 
 MEDIAN = 0.5
 TAIL = 0.99
--- a/wingquay/simulation/simulation_settings.py
+++ b/wingquay/simulation/simulation_settings.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from wingquay.model.mechanisms import Mechanism
-from wingquay.simulation.deployment_profile import DeploymentProfile
+from ..model.mechanisms import Mechanism
+from .deployment_profile import DeploymentProfile
 
 DEFAULT_LOAD = 0.03
 WARM_UP_SECONDS = 3.0
--- a/wingquay/simulation/workload.py
+++ b/wingquay/simulation/workload.py
@@ -4,16 +4,16 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from wingquay.model.identifiers import CallerName, RequestId, RequestKindName, ServiceName
-from wingquay.model.key_range import KeyRange
-from wingquay.model.request import QueryRequest
-from wingquay.simulation.deployment_profile import (
+from ..model.identifiers import CallerName, RequestId, RequestKindName, ServiceName
+from ..model.key_range import KeyRange
+from ..model.request import QueryRequest
+from .deployment_profile import (
     DeploymentProfile,
     KindProfile,
     ServiceProfile,
 )
-from wingquay.simulation.models.service_time import DURATION_DIGITS
-from wingquay.simulation.random_streams import RandomStreams
+from .models.service_time import DURATION_DIGITS
+from .random_streams import RandomStreams
 
 CALLER = CallerName("portal")
 MEAN_OVER_MEDIAN = 1.0833
--- a/wingquay/standins/admin_commands.py
+++ b/wingquay/standins/admin_commands.py
@@ -4,8 +4,8 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.standins.backend_wire import problem_response
+from ..adapters.http_messages import HttpRequest, HttpResponse
+from .backend_wire import problem_response
 
 ADMIN_PREFIX = "/admin/"
 
--- a/wingquay/standins/backend.py
+++ b/wingquay/standins/backend.py
@@ -3,25 +3,25 @@
 import asyncio
 import random
 
-from wingquay.adapters.http_messages import ConnectionCutError, HttpRequest, HttpResponse
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import AttemptId
-from wingquay.simulation.models.backend_messages import BackendReply
-from wingquay.simulation.models.backend_model import BackendModel
-from wingquay.simulation.models.backend_settings import BackendSettings
-from wingquay.simulation.models.dataset import Dataset
-from wingquay.simulation.models.execution_ledger import ExecutionLedger
-from wingquay.standins.admin_commands import ADMIN_PREFIX
-from wingquay.standins.backend_admin import BackendAdmin, Misbehaviour
-from wingquay.standins.backend_wire import (
+from ..adapters.http_messages import ConnectionCutError, HttpRequest, HttpResponse
+from ..model.failure import Failure
+from ..model.identifiers import AttemptId
+from ..simulation.models.backend_messages import BackendReply
+from ..simulation.models.backend_model import BackendModel
+from ..simulation.models.backend_settings import BackendSettings
+from ..simulation.models.dataset import Dataset
+from ..simulation.models.execution_ledger import ExecutionLedger
+from .admin_commands import ADMIN_PREFIX
+from .backend_admin import BackendAdmin, Misbehaviour
+from .backend_wire import (
     exchange_from_http,
     health_to_http,
     problem_response,
     reply_to_http,
 )
-from wingquay.standins.costly_server import CostlyServer
-from wingquay.standins.misbehaviour import wrong_response
-from wingquay.standins.model_driver import ModelDriver
+from .costly_server import CostlyServer
+from .misbehaviour import wrong_response
+from .model_driver import ModelDriver
 
 
 class BackendStandin:
--- a/wingquay/standins/backend_admin.py
+++ b/wingquay/standins/backend_admin.py
@@ -5,15 +5,15 @@
 
 from pydantic import Field
 
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.model.identifiers import ShardId, SnapshotVersion
-from wingquay.model.key_range import KeyRange
-from wingquay.ports.backend import LoadReport
-from wingquay.simulation.models.backend_messages import BackendReply
-from wingquay.simulation.models.backend_model import BackendModel
-from wingquay.standins.admin_commands import AdminCommand, command_name, read_command
-from wingquay.standins.backend_wire import json_response
-from wingquay.standins.model_driver import ModelDriver
+from ..adapters.http_messages import HttpRequest, HttpResponse
+from ..model.identifiers import ShardId, SnapshotVersion
+from ..model.key_range import KeyRange
+from ..ports.backend import LoadReport
+from ..simulation.models.backend_messages import BackendReply
+from ..simulation.models.backend_model import BackendModel
+from .admin_commands import AdminCommand, command_name, read_command
+from .backend_wire import json_response
+from .model_driver import ModelDriver
 
 
 class Misbehaviour(Enum):
--- a/wingquay/standins/backend_wire.py
+++ b/wingquay/standins/backend_wire.py
@@ -6,18 +6,18 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.model.failure import Failure
-from wingquay.model.identifiers import (
+from ..adapters.http_messages import HttpRequest, HttpResponse
+from ..model.failure import Failure
+from ..model.identifiers import (
     AttemptId,
     RequestKindName,
     ServiceName,
     ShardId,
     SnapshotVersion,
 )
-from wingquay.model.key_range import KeyRange
-from wingquay.ports.backend import LoadReport
-from wingquay.simulation.models.backend_messages import BackendExchange, BackendReply, ReplyKind
+from ..model.key_range import KeyRange
+from ..ports.backend import LoadReport
+from ..simulation.models.backend_messages import BackendExchange, BackendReply, ReplyKind
 
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
--- a/wingquay/standins/costly_server.py
+++ b/wingquay/standins/costly_server.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from wingquay.adapters.http_messages import HttpLimits, HttpResponse
-from wingquay.adapters.http_server import HttpServer
-from wingquay.adapters.http_server_connection import Handler, ServerConnection
-from wingquay.standins.backend_wire import problem_response
+from ..adapters.http_messages import HttpLimits, HttpResponse
+from ..adapters.http_server import HttpServer
+from ..adapters.http_server_connection import Handler, ServerConnection
+from .backend_wire import problem_response
 
 CONNECTION_REFUSED_STATUS = 503
 
--- a/wingquay/standins/etcd_wire.py
+++ b/wingquay/standins/etcd_wire.py
@@ -11,8 +11,8 @@
 import orjson
 from pydantic import Base64Bytes, BaseModel, ConfigDict, Field
 
-from wingquay.ports.store import LeaseState, StoredValue, WatchChanged
-from wingquay.simulation.models.store_state import (
+from ..ports.store import LeaseState, StoredValue, WatchChanged
+from ..simulation.models.store_state import (
     Compare,
     Delete,
     Entry,
--- a/wingquay/standins/misbehaviour.py
+++ b/wingquay/standins/misbehaviour.py
@@ -3,12 +3,12 @@
 from collections.abc import AsyncIterator
 from dataclasses import replace
 
-from wingquay.adapters.http_messages import ConnectionCutError, HttpResponse
-from wingquay.model.answer import Row
-from wingquay.model.identifiers import AttemptId, SnapshotVersion
-from wingquay.simulation.models.backend_messages import BackendReply
-from wingquay.standins.backend_admin import Misbehaviour
-from wingquay.standins.backend_wire import reply_to_http
+from ..adapters.http_messages import ConnectionCutError, HttpResponse
+from ..model.answer import Row
+from ..model.identifiers import AttemptId, SnapshotVersion
+from ..simulation.models.backend_messages import BackendReply
+from .backend_admin import Misbehaviour
+from .backend_wire import reply_to_http
 
 CROSSED_SUFFIX = "-crossed"
 OUTSIDE_ROW = Row("~outside", "a row that nobody asked for")
--- a/wingquay/standins/store.py
+++ b/wingquay/standins/store.py
@@ -3,15 +3,15 @@
 import asyncio
 import random
 
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.adapters.http_server import HttpServer
-from wingquay.model.failure import Failure
-from wingquay.simulation.models.machine_list_model import DEFAULT_LAG_SECONDS, MachineListModel
-from wingquay.simulation.models.store_model import StoreModel, StoreSettings
-from wingquay.standins.admin_commands import ADMIN_PREFIX
-from wingquay.standins.backend_wire import json_response, problem_response
-from wingquay.standins.store_admin import Refuse, StoreAdmin
-from wingquay.standins.store_gateway import GATEWAY_PREFIX, StoreGateway
+from ..adapters.http_messages import HttpRequest, HttpResponse
+from ..adapters.http_server import HttpServer
+from ..model.failure import Failure
+from ..simulation.models.machine_list_model import DEFAULT_LAG_SECONDS, MachineListModel
+from ..simulation.models.store_model import StoreModel, StoreSettings
+from .admin_commands import ADMIN_PREFIX
+from .backend_wire import json_response, problem_response
+from .store_admin import Refuse, StoreAdmin
+from .store_gateway import GATEWAY_PREFIX, StoreGateway
 
 REFUSE_PATH = f"{ADMIN_PREFIX}refuse"
 STATUS_OK = 200
--- a/wingquay/standins/store_admin.py
+++ b/wingquay/standins/store_admin.py
@@ -2,15 +2,15 @@
 
 from pydantic import Field
 
-from wingquay.adapters.http_messages import HttpRequest, HttpResponse
-from wingquay.model.identifiers import ZoneName
-from wingquay.ports.machine_directory import MachineEntry, MachineState
-from wingquay.simulation.models.machine_list_model import MachineListModel
-from wingquay.simulation.models.store_model import StoreModel
-from wingquay.simulation.models.store_operations import StoreOutput
-from wingquay.standins.admin_commands import AdminCommand, read_command
-from wingquay.standins.backend_wire import json_response
-from wingquay.standins.model_driver import ModelDriver
+from ..adapters.http_messages import HttpRequest, HttpResponse
+from ..model.identifiers import ZoneName
+from ..ports.machine_directory import MachineEntry, MachineState
+from ..simulation.models.machine_list_model import MachineListModel
+from ..simulation.models.store_model import StoreModel
+from ..simulation.models.store_operations import StoreOutput
+from .admin_commands import AdminCommand, read_command
+from .backend_wire import json_response
+from .model_driver import ModelDriver
 
 
 class Refuse(AdminCommand):
--- a/wingquay/standins/store_gateway.py
+++ b/wingquay/standins/store_gateway.py
@@ -5,9 +5,9 @@
 
 from pydantic import ValidationError
 
-from wingquay.adapters.http_messages import ConnectionCutError, HttpRequest, HttpResponse
-from wingquay.model.failure import Failure
-from wingquay.ports.store import (
+from ..adapters.http_messages import ConnectionCutError, HttpRequest, HttpResponse
+from ..model.failure import Failure
+from ..ports.store import (
     GrantLease,
     KeepLeaseAlive,
     LeaseState,
@@ -17,22 +17,22 @@
     WatchBroken,
     WatchChanged,
 )
-from wingquay.simulation.models.store_model import StoreModel
-from wingquay.simulation.models.store_operations import (
+from ..simulation.models.store_model import StoreModel
+from ..simulation.models.store_operations import (
     ModelOperation,
     ModelResult,
     StoreOutput,
     TransactionReply,
 )
-from wingquay.simulation.models.store_state import (
+from ..simulation.models.store_state import (
     Delete,
     Put,
     StateOperation,
     Transaction,
     TransactionResult,
 )
-from wingquay.standins.backend_wire import json_response
-from wingquay.standins.etcd_wire import (
+from .backend_wire import json_response
+from .etcd_wire import (
     LeaseGrantRequest,
     LeaseRequest,
     PutRequest,
@@ -47,7 +47,7 @@
     watch_created_line,
     write_document,
 )
-from wingquay.standins.model_driver import ModelDriver
+from .model_driver import ModelDriver
 
 GATEWAY_PREFIX = "/v3/"
 
