--- a/tests/forwarding/test_delegation.py
+++ b/tests/forwarding/test_delegation.py
@@ -297,6 +297,19 @@
         node.answer(second, signature="two")
         self.assertEqual(DelegatedAnswer(5, (1,), ("two",)), told(node, DelegatedAnswer)[-1])
 
+    def test_most_of_it_is_told_before_the_last_moment(self) -> None:
+        node = node_in_group()
+        self.ask(node)
+        first, second = node.sends
+        node.answer(first, signature="one")
+        node.advance(0.062)
+        self.assertEqual([DelegatedAnswer(5)], told(node, DelegatedAnswer))
+        node.advance(0.002)
+        early = DelegatedAnswer(5, (0,), ("one",))
+        self.assertEqual([DelegatedAnswer(5), early], told(node, DelegatedAnswer))
+        node.answer(second, signature="two")
+        self.assertEqual(DelegatedAnswer(5, (1,), ("two",)), told(node, DelegatedAnswer)[-1])
+
     def test_a_second_replica_is_asked_only_once_that_is_allowed(self) -> None:
         node = node_in_group()
         self.ask(node)
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -29,6 +29,7 @@
     DelegationDue,
     ExchangeEndDue,
     HedgeDue,
+    ReportDue,
     RetryDue,
 )
 from .weighted_choice import WeightedChoice
@@ -99,7 +100,14 @@
         delegations = Delegations(
             self._settings, groups, self._directory, self._starter, self._settlement
         )
-        self._peers = PeerWork(groups, delegations, self._directory, self._settlement, self._begin)
+        self._peers = PeerWork(
+            self._settings,
+            groups,
+            delegations,
+            self._directory,
+            self._settlement,
+            self._begin,
+        )
         self._sender.groups = groups
 
     def set_table(self, table: RoutingTable) -> None:
@@ -121,7 +129,7 @@
                 return self._outcomes.send_failed(event, now)
             case AbandonDue():
                 return self._abandon_due(event, now)
-            case CutoffDue() | ExchangeEndDue() | RetryDue() | CallerLeft():
+            case CutoffDue() | ExchangeEndDue() | RetryDue() | CallerLeft() | ReportDue():
                 return self._exchange_event(event, now)
             case DelegationDue() | PeerReceived() | PeerLinkBroken():
                 return self._peer_event(event, now)
@@ -230,7 +238,9 @@
         return actions + self._starter.serve_waiting(attempt.call.service, now)
 
     def _exchange_event(
-        self, event: CutoffDue | ExchangeEndDue | RetryDue | CallerLeft, now: float
+        self,
+        event: CutoffDue | ExchangeEndDue | RetryDue | CallerLeft | ReportDue,
+        now: float,
     ) -> list[Action]:
         exchange = self._settlement.get(event.exchange_id)
         if exchange is None:
@@ -240,6 +250,8 @@
                 return self._retry_due(exchange, now)
             case CutoffDue():
                 return self._settlement.settle(exchange, now)
+            case ReportDue():
+                return [] if exchange.origin is None else exchange.origin.report(exchange)
             case CallerLeft():
                 self._held.discard(exchange.exchange_id)
                 return self._settlement.caller_left(exchange, now)
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -13,15 +13,16 @@
     DelegatedRequest,
     Heartbeat,
 )
-from ..ports.machine import Action
+from ..ports.machine import Action, Schedule
 from ..ports.peer_link import NodeIdentity, PeerLinkBroken, PeerReceived
 from .delegated_work import DelegatedWork
 from .delegation import Delegations
 from .exchange import Exchange
 from .node_groups import NodeGroups
 from .replica_directory import ReplicaDirectory
+from .settings import ForwardingSettings
 from .settlement import Settlement
-from .timers import DelegationDue
+from .timers import DelegationDue, ReportDue
 
 Begin = Callable[[Exchange, float], list[Action]]
 """Starts the calls of an exchange and sets its timers."""
@@ -42,12 +43,14 @@
 
     def __init__(
         self,
+        settings: ForwardingSettings,
         groups: NodeGroups,
         delegations: Delegations,
         directory: ReplicaDirectory,
         settlement: Settlement,
         begin: Begin,
     ) -> None:
+        self._settings = settings
         self._groups = groups
         self.delegations = delegations
         self._work = DelegatedWork(directory, settlement)
@@ -101,4 +104,6 @@
             return self._work.reject(sender, message)
         exchange = self._work.accept(sender, message, table, declined, now)
         taken = self._work.acknowledge(sender, message, declined)
-        return taken + self._begin(exchange, now)
+        report_at = now + message.in_time_seconds * self._settings.delegate_report_ratio
+        reporting = Schedule(report_at, ReportDue(exchange.exchange_id))
+        return [*taken, *self._begin(exchange, now), reporting]
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -99,6 +99,9 @@
         for them: it is nearer to their replicas, and one merged answer crosses between the zones.
     delegate_return_seconds
         Time kept for the reports of nodes to come back and be merged.
+    delegate_report_ratio
+        Share of the time for a report after which what is in is told, even if more may come: if
+        every node told all it has at the last moment, the asking one would take too long to read.
     delegate_takeover_ratio
         Share of the objective after which the shards of a node that has not said anything are
         asked directly.
@@ -158,6 +161,7 @@
     zones: tuple[str, ...] = ()
     relay_least_shards: int = 4
     delegate_return_seconds: float = 0.008
+    delegate_report_ratio: float = 0.7
     delegate_takeover_ratio: float = 0.45
     node_suspect_seconds: float = 1.0
     node_suspect_most_seconds: float = 8.0
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -37,6 +37,13 @@
     """Tell the nodes around that this one is there."""
 
 
+@value
+class ReportDue(Event):
+    """Tell the node that waits for an exchange what is in so far."""
+
+    exchange_id: int
+
+
 @value
 class DelegationDue(Event):
     """Look whether a node that was asked for shards has said anything."""
