--- a/deploy/days/make.py
+++ b/deploy/days/make.py
@@ -111,6 +111,29 @@
         ],
     ),
 }
+DAYS["machines-come-and-go"] = (
+    [
+        "at = 4, kind = 'add_nodes'",
+        "at = 9, kind = 'roll_term', share = 0.3, gap_s = 2, how = 'remove'",
+        "at = 20, kind = 'config_change', how = 'route'",
+    ],
+    [
+        "at = 16, kind = 'node_kill', on = 'core', count = 1, for_s = 3, how = 'power leader'",
+        "at = 20, kind = 'after_ack_kill', for_s = 3, how = ''",
+        "at = 25, kind = 'herd_kill', share = 0.5, for_s = 2, how = 'power'",
+    ],
+)
+DAYS["drains-around-outages"] = (
+    [],
+    [
+        "at = 2, kind = 'platform_down', how = 'nodes busy revoke meet', share = 0.35, for_s = 8",
+        "at = 3, kind = 'garble', share = 0.6, x = 0.05, for_s = 5, how = 'extra late'",
+        "at = 12, kind = 'node_kill', on = 'core', count = 1, how = 'leader race drain'",
+        "at = 17, kind = 'node_kill', on = 'core', count = 1, for_s = 3, how = 'meet drain'",
+        "at = 22, kind = 'core_cut', for_s = 4, how = 'leader race drain'",
+        "at = 27, kind = 'platform_down', for_s = 4, how = 'silent lapse'",
+    ],
+)
 for way in GREY_WAYS:
     entry = f"at = 5, kind = 'srv_grey', share = 0.15, x = 0.4, for_s = 10, how = '{way}'"
     again = f"at = 20, kind = 'srv_grey', share = 0.15, x = 0.8, for_s = 6, how = '{way} across'"
--- a/wingquay/forwarding/presence.py
+++ b/wingquay/forwarding/presence.py
@@ -26,6 +26,9 @@
 
 OPERATION_PREFIX = "presence-"
 TIMEOUT_SECONDS = 2.0
+RENEWAL_SHARE = 0.5
+"""Share of the lease's time after which it is renewed: calls are priced, and what is left
+is time for several tries."""
 NO_ADDRESS = b"1"
 """The value of a node that other nodes cannot reach."""
 
@@ -113,12 +116,12 @@
         if self._lease_id is None:
             self._lease_id = lease.lease_id
             return self._after(0.0, now)
-        return self._after(self._settings.presence_lease_seconds / 3, now)
+        return self._after(self._settings.presence_lease_seconds * RENEWAL_SHARE, now)
 
     def _swapped(self, result: SwapResult, now: float) -> list[Action]:
         if result.succeeded:
             self._is_written = True
-            return self._after(self._settings.presence_lease_seconds / 3, now)
+            return self._after(self._settings.presence_lease_seconds * RENEWAL_SHARE, now)
         current = result.current
         self._expected_revision = 0 if current is None else current.modified_at
         return self._after(0.0, now)
