--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -75,6 +75,7 @@
     NUMBERS,
     st.lists(ITEMS, max_size=3).map(tuple),
     st.lists(st.text(max_size=9), max_size=3).map(tuple),
+    SECONDS,
 )
 MESSAGES = st.one_of(
     REQUESTS,
--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -232,6 +232,11 @@
             self.emit(event)
         self.now = end
 
+    def stall(self, seconds: float) -> None:
+        """Let time pass while the node does something else; what is due fires late."""
+        self.now += seconds
+        self.advance(0.0)
+
     def emit(self, event: Event) -> None:
         """Hand an event to the node and take its actions."""
         for action in self.machine.handle(event, self.now):
--- a/tests/forwarding/test_store_news.py
+++ b/tests/forwarding/test_store_news.py
@@ -52,6 +52,13 @@
     return StoreNews(revision, revision + 1, changed, deleted)
 
 
+def older(news: StoreNews, age_seconds: float) -> StoreNews:
+    """Return the same news, sent later."""
+    return StoreNews(
+        news.from_revision, news.store_revision, news.changed, news.deleted, age_seconds
+    )
+
+
 def since(node: OneNode, actions: int) -> list[Action]:
     """Return what the node did after so many actions, store and link only."""
     kinds = (StartWatch, StopWatch, SendToPeer)
@@ -100,6 +107,13 @@
             if isinstance(action, StartWatch) and action.key == ""
         )
 
+    def test_a_sender_says_how_late_it_is_with_its_work(self) -> None:
+        node = linked(FIRST)
+        node.stall(0.9)
+        node.change(replica("r1", "s"))
+        late_seconds = told(node)[-1][1].age_seconds
+        self.assertTrue(0.4 <= late_seconds <= 0.9, late_seconds)
+
 
 class HearingTest(TestCase):
     def test_news_are_taken_in_and_the_own_look_is_put_off(self) -> None:
@@ -140,6 +154,34 @@
         node.request()
         self.assertEqual(1, len(node.sends))
 
+    def test_the_time_that_news_have_taken_is_taken_off(self) -> None:
+        node = linked(FIRST, LAST)
+        node.change()
+        node.advance(0.5)
+        node.emit(PeerReceived(FIRST, older(news_for(node), 0.2)))
+        self.assertAlmostEqual(1.3 + 0.04 - 0.2, node.last(StartWatch).pause_seconds)
+
+    def test_news_that_took_long_put_nothing_off(self) -> None:
+        node = linked(FIRST, LAST)
+        node.change()
+        before = len(node.actions)
+        node.emit(PeerReceived(FIRST, older(news_for(node), 0.4)))
+        self.assertEqual([], since(node, before))
+        # What they tell counts all the same.
+        item = node.stored(replica("r1", "s"))
+        node.emit(PeerReceived(FIRST, older(news_for(node, item), 0.4)))
+        node.request()
+        node.request()
+        self.assertEqual({"r0", "r1"}, {send.replica.replica_id for send in node.sends})
+
+    def test_a_node_that_is_late_with_its_work_looks_itself(self) -> None:
+        node = linked(FIRST, LAST)
+        node.change()
+        node.stall(0.9)
+        before = len(node.actions)
+        node.emit(PeerReceived(FIRST, news_for(node)))
+        self.assertEqual([], since(node, before))
+
     def test_a_look_that_has_begun_is_not_put_off(self) -> None:
         node = linked(FIRST)
         node.change()
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -151,6 +151,7 @@
             created_at=item.created_at,
         )
     target.deleted.extend(message.deleted)
+    target.age_seconds = message.age_seconds
 
 
 def _news_from(message: peer_pb2.StoreNews) -> StoreNews:
@@ -158,4 +159,10 @@
         StoredValue(item.key, item.value, item.modified_at, item.lease_id, item.created_at)
         for item in message.changed
     )
-    return StoreNews(message.from_revision, message.store_revision, changed, tuple(message.deleted))
+    return StoreNews(
+        message.from_revision,
+        message.store_revision,
+        changed,
+        tuple(message.deleted),
+        message.age_seconds,
+    )
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -52,7 +52,9 @@
 
 @value
 class SweepDue(Event):
-    """Forget replicas whose time of grace is over."""
+    """Forget replicas whose time of grace is over, and see how late this node does its work."""
+
+    due_at: float
 
 
 @value
@@ -93,6 +95,8 @@
         self._was_ready = False
         self._rewritten: set[str] = set()
         """Keys of replicas' entries that the last changes left as they were but for the writing."""
+        self._late_seconds = 0.0
+        """How late the last regular timer fired."""
         self._lines = LineBudget()
         candidate = random_source.randbytes(CLUSTER_KEY_BYTES)
         self._members = NodeMembership(
@@ -121,8 +125,10 @@
             ):
                 return self._membership_event(event, now)
             case SweepDue():
+                self._late_seconds = max(now - event.due_at, 0.0)
                 self._directory.forget_vanished(now)
-                return [*self._pace_actions(now), Schedule(now + SWEEP_SECONDS, event)]
+                due_at = now + SWEEP_SECONDS
+                return [*self._pace_actions(now), Schedule(due_at, SweepDue(due_at))]
             case StopRequested():
                 return self._stop(now)
             case StopCheckDue():
@@ -155,7 +161,7 @@
         return [
             *self._follower.handle(event, now),
             *self._presence.handle(event, now),
-            Schedule(now + SWEEP_SECONDS, SweepDue()),
+            Schedule(now + SWEEP_SECONDS, SweepDue(now + SWEEP_SECONDS)),
         ]
 
     def _presence_due(self, event: PresenceDue, now: float) -> list[Action]:
@@ -208,12 +214,21 @@
                 if item.key not in self._rewritten or item.created_at > news.from_revision
             ),
             news.deleted,
+            self._late_seconds,
         )
         return [SendToPeer(listener, told) for listener in listeners]
 
     def _news(self, news: StoreNews, now: float) -> list[Action]:
+        """Take in what another node has read.
+
+        The own look is put off, but for the time that the news have taken, as far as it is known:
+        at the sender, and behind other work of this node.
+        """
         rank_seconds = self._settings.news_rank_seconds * self._members.rank()
-        pause_seconds = self._follower.usual_gather_seconds + rank_seconds
+        taken_seconds = news.age_seconds + self._late_seconds
+        pause_seconds = self._follower.usual_gather_seconds + rank_seconds - taken_seconds
+        if taken_seconds >= self._settings.news_late_seconds:
+            pause_seconds = 0.0
         return self._follower.absorb(news, pause_seconds, now)
 
     def _pace_actions(self, now: float) -> list[Action]:
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -90,6 +90,9 @@
     news_rank_seconds
         Time by which each node of those that tell each other what they read of the store waits
         longer than the one before it, so that usually one of them looks.
+    news_late_seconds
+        Time that news may have taken on their way, as far as it is known; older ones put no look
+        off.
     news_least_nodes, news_most_nodes
         Nodes of a group from which on it keeps to itself; how many nodes are told at most.
     zones
@@ -156,6 +159,7 @@
     delegate_least_shards: int = 40
     delegate_least_nodes: int = 3
     news_rank_seconds: float = 0.04
+    news_late_seconds: float = 0.3
     news_least_nodes: int = 5
     news_most_nodes: int = 12
     zones: tuple[str, ...] = ()
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -183,7 +183,7 @@
         Parameters
         ----------
         pause_seconds
-            Time until the own look, if nothing more is heard by then.
+            Time until the own look, if nothing more is heard by then; 0: it is not put off.
         """
         seen = self._seen_revision
         if not self._is_listed or seen is None:
@@ -194,7 +194,8 @@
         actions = self._hooks.on_changes(news.changed, news.deleted, now)
         self._remember(news.changed, news.deleted)
         is_hurried = self._gather_seconds < self._settings.gather_seconds
-        if not self._is_watching or is_hurried or now >= self._look_at:
+        is_later = now + pause_seconds > self._look_at
+        if not self._is_watching or is_hurried or now >= self._look_at or not is_later:
             return actions
         return [*actions, StopWatch(self._watch_id), *self._watch(now, pause_seconds)]
 
--- a/wingquay/ports/store_news.py
+++ b/wingquay/ports/store_news.py
@@ -15,9 +15,12 @@
     ----------
     from_revision
         Whoever knows the store up to here knows it up to ``store_revision`` with these changes.
+    age_seconds
+        How late the sender is with its work: the store may have said it as long ago as that.
     """
 
     from_revision: int
     store_revision: int
     changed: tuple[StoredValue, ...] = ()
     deleted: tuple[str, ...] = ()
+    age_seconds: float = 0.0
