--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -3,13 +3,7 @@
 from google.protobuf.message import DecodeError
 
 from ..model.failure import Failure
-from ..ports.delegation import (
-    AllowAttempts,
-    CancelDelegation,
-    DelegatedAnswer,
-    DelegatedRequest,
-    Heartbeat,
-)
+from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
 from ..ports.store import StoredValue
@@ -38,8 +32,6 @@
             envelope.allow_attempts.max_attempts = message.max_attempts
         case CancelDelegation():
             envelope.cancel_delegation.delegation_id = message.delegation_id
-        case Heartbeat():
-            envelope.heartbeat.SetInParent()
         case StoreNews():
             _put_news(envelope.store_news, message)
         case _:
@@ -66,8 +58,6 @@
             return sender, AllowAttempts(allowed.delegation_id, allowed.max_attempts)
         case "cancel_delegation":
             return sender, CancelDelegation(envelope.cancel_delegation.delegation_id)
-        case "heartbeat":
-            return sender, Heartbeat()
         case "store_news":
             return sender, _news_from(envelope.store_news)
         case _:
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -102,7 +102,6 @@
         )
         self._peers = PeerWork(
             self._settings,
-            groups,
             delegations,
             self._directory,
             self._settlement,
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -42,7 +42,6 @@
 )
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
-from .timers import HeartbeatDue
 
 SWEEP_SECONDS = 0.5
 """Time between two looks for replicas whose time of grace is over."""
@@ -117,12 +116,7 @@
                 return self._store_event(event, now)
             case Start():
                 return self._start(event, now)
-            case (
-                PresenceDue()
-                | PeerLinkOpened()
-                | HeartbeatDue()
-                | PeerReceived(message=StoreNews())
-            ):
+            case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
                 return self._membership_event(event, now)
             case SweepDue():
                 self._late_seconds = max(now - event.due_at, 0.0)
@@ -137,7 +131,7 @@
         return actions + self._pace_actions(now) if self._forwarding.held_exchanges else actions
 
     def _membership_event(
-        self, event: PresenceDue | PeerLinkOpened | HeartbeatDue | PeerReceived, now: float
+        self, event: PresenceDue | PeerLinkOpened | PeerReceived, now: float
     ) -> list[Action]:
         match event:
             case PeerReceived(message=StoreNews() as news):
@@ -147,9 +141,7 @@
             case PeerLinkOpened():
                 actions = self._members.link_opened(event, self._table, now)
                 self._forwarding.enable_peers(self._members.groups)
-                return [*actions, Schedule(now, HeartbeatDue())]
-            case HeartbeatDue():
-                return self._members.heartbeat(now)
+                return actions
         return []
 
     def _store_event(self, event: Event, now: float) -> list[Action]:
--- a/wingquay/forwarding/node_groups.py
+++ b/wingquay/forwarding/node_groups.py
@@ -25,25 +25,6 @@
     identity: NodeIdentity
     failures: int = 0
     suspect_until: float = float("-inf")
-    suspected_at: float = float("-inf")
-    heard_at: float | None = None
-    """When its last heartbeat came; ``None``: it has sent none."""
-
-    def is_usable(self, settings: ForwardingSettings, now: float) -> bool:
-        """Whether it may be asked: by its heartbeats, or else by the time since it failed.
-
-        A node that failed is passed over until the next heartbeat shows that it is there.
-        """
-        if self.heard_at is None:
-            return now >= self.suspect_until
-        is_silent = now - self.heard_at >= settings.node_silence_seconds
-        return not is_silent and self.heard_at > self.suspected_at
-
-    def changes_at(self, settings: ForwardingSettings) -> float:
-        """Return when it may become usable or cease to be without anything being heard."""
-        if self.heard_at is None:
-            return self.suspect_until
-        return self.heard_at + settings.node_silence_seconds
 
 
 class NodeGroups:
@@ -102,27 +83,13 @@
         for name in [name for name, item in self._departed.items() if item.node_id == node_id]:
             del self._departed[name]
         for member in self._members.values():
-            if member.identity.node_id != node_id:
-                continue
-            if member.heard_at is not None:
-                member.suspected_at = now
-                self._forget_owners()
-            elif now >= member.suspect_until:
+            if member.identity.node_id == node_id and now >= member.suspect_until:
                 seconds = self._settings.node_suspect_seconds * 2.0**member.failures
                 seconds = min(seconds, self._settings.node_suspect_most_seconds)
                 member.suspect_until = now + seconds
                 member.failures += 1
                 self._forget_owners()
 
-    def heard(self, node_id: str, now: float) -> None:
-        """Take in a heartbeat."""
-        for member in self._members.values():
-            if member.identity.node_id == node_id:
-                was_usable = member.is_usable(self._settings, now)
-                member.heard_at = now
-                if not was_usable:
-                    self._forget_owners()
-
     def trust(self, node_id: str) -> None:
         """Take in that a node answered in time."""
         for member in self._members.values():
@@ -144,7 +111,7 @@
         return [
             member.identity
             for name, member in sorted(self._members.items())
-            if name != self._name and member.is_usable(self._settings, now)
+            if name != self._name and now >= member.suspect_until
         ]
 
     def listeners(self) -> list[NodeIdentity]:
@@ -179,14 +146,11 @@
 
     def _assign(self, shards: tuple[str, ...], now: float) -> dict[str, NodeIdentity | None]:
         names = self._group_names()
-        others = {name: self._members[name] for name in names if name != self._name}
         usable = [
-            name
-            for name in names
-            if name not in others or others[name].is_usable(self._settings, now)
+            name for name in names if name == self._name or now >= self._members[name].suspect_until
         ]
-        changes = [member.changes_at(self._settings) for member in others.values()]
-        self._valid_until = min([self._valid_until, *(at for at in changes if at > now)])
+        waits = [self._members[name].suspect_until for name in names if name not in usable]
+        self._valid_until = min([self._valid_until, *waits])
         if len(usable) < self._settings.delegate_least_nodes:
             return dict.fromkeys(shards)
         assigned = assign_bounded(usable, shards)
--- a/wingquay/forwarding/node_membership.py
+++ b/wingquay/forwarding/node_membership.py
@@ -4,13 +4,12 @@
 
 from ..model.routing_table import RoutingTable
 from ..ports.machine import Action, Log, LogLevel, Schedule
-from ..ports.peer_link import NodeIdentity, PeerLinkOpened, SendToPeer
+from ..ports.peer_link import NodeIdentity, PeerLinkOpened
 from ..ports.store import StoredValue, StoreResponse
 from .peer_setup import PeerSetup, widest_route
 from .presence import NodeCount, Presence, PresenceDue
 from .settings import ForwardingSettings
 from .store_formats import StoreFormats
-from .timers import HeartbeatDue
 
 if TYPE_CHECKING:
     from .node_groups import NodeGroups
@@ -118,13 +117,6 @@
         """Return the nodes that are told what this one reads of the store."""
         return [] if self._groups is None else self._groups.listeners()
 
-    def heartbeat(self, now: float) -> list[Action]:
-        """Tell the nodes around that this one is there."""
-        from ..ports.delegation import Heartbeat
-
-        sent: list[Action] = [SendToPeer(node, Heartbeat()) for node in self.listeners()]
-        return [*sent, Schedule(now + self._settings.heartbeat_seconds, HeartbeatDue())]
-
     def rank(self) -> int:
         """Return this node's place among the nodes that tell each other of the store."""
         return 0 if self._groups is None else self._groups.rank()
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -11,14 +11,12 @@
     CancelDelegation,
     DelegatedAnswer,
     DelegatedRequest,
-    Heartbeat,
 )
 from ..ports.machine import Action, Schedule
 from ..ports.peer_link import NodeIdentity, PeerLinkBroken, PeerReceived
 from .delegated_work import DelegatedWork
 from .delegation import Delegations
 from .exchange import Exchange
-from .node_groups import NodeGroups
 from .replica_directory import ReplicaDirectory
 from .settings import ForwardingSettings
 from .settlement import Settlement
@@ -33,8 +31,6 @@
 
     Parameters
     ----------
-    groups
-        The nodes; heartbeats keep them up to date here.
     delegations
         What this node asks of others.
     begin
@@ -44,14 +40,12 @@
     def __init__(
         self,
         settings: ForwardingSettings,
-        groups: NodeGroups,
         delegations: Delegations,
         directory: ReplicaDirectory,
         settlement: Settlement,
         begin: Begin,
     ) -> None:
         self._settings = settings
-        self._groups = groups
         self.delegations = delegations
         self._work = DelegatedWork(directory, settlement)
         self._begin = begin
@@ -76,9 +70,6 @@
             case PeerLinkBroken():
                 actions = self._work.link_broken(event.node_id, now)
                 return actions + self.delegations.link_broken(event, now)
-            case PeerReceived(sender, Heartbeat()):
-                self._groups.heard(sender.node_id, now)
-                return []
             case PeerReceived(sender, DelegatedRequest() as message):
                 return self._requested(sender, message, table, now)
             case PeerReceived(sender, DelegatedAnswer() as message):
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -110,9 +110,6 @@
         asked directly.
     node_suspect_seconds, node_suspect_most_seconds
         How long a node that did not report is passed over, at first and at most.
-    heartbeat_seconds, node_silence_seconds
-        How often a node tells those around it that it is there, and after how long without a word
-        it is passed over until it is heard again.
     unready_stop_seconds
         Time after a stop was asked for until idle connections are closed.
     most_stop_seconds
@@ -169,7 +166,5 @@
     delegate_takeover_ratio: float = 0.45
     node_suspect_seconds: float = 1.0
     node_suspect_most_seconds: float = 8.0
-    heartbeat_seconds: float = 0.8
-    node_silence_seconds: float = 2.0
     unready_stop_seconds: float = 3.0
     most_stop_seconds: float = 5.2
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -32,11 +32,6 @@
     exchange_id: int
 
 
-@value
-class HeartbeatDue(Event):
-    """Tell the nodes around that this one is there."""
-
-
 @value
 class ReportDue(Event):
     """Tell the node that waits for an exchange what is in so far."""
--- a/wingquay/ports/delegation.py
+++ b/wingquay/ports/delegation.py
@@ -84,11 +84,6 @@
     max_attempts: int
 
 
-@attrs.frozen
-class Heartbeat(PeerMessage):
-    """The sender is there; it says so at a steady pace to the nodes around it."""
-
-
 @attrs.frozen
 class CancelDelegation(PeerMessage):
     """Nobody waits for the request any more."""
