--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -21,6 +21,7 @@
 from ..ports.peer_snapshot import PeerSnapshot
 from ..ports.store import (
     ReadResult,
+    StartWatch,
     StoredValue,
     StoreResponse,
     WatchBroken,
@@ -208,7 +209,8 @@
             news.deleted,
             self._late_seconds,
         )
-        return [SendToPeer(listener, told) for listener in listeners]
+        sent: list[Action] = [SendToPeer(listener, told) for listener in listeners]
+        return [*sent, Count("store_news_total", len(listeners), (("side", "told"),))]
 
     def _news(self, news: StoreNews, now: float) -> list[Action]:
         """Take in what another node has read.
@@ -221,7 +223,10 @@
         pause_seconds = self._follower.usual_gather_seconds + rank_seconds - taken_seconds
         if taken_seconds >= self._settings.news_late_seconds:
             pause_seconds = 0.0
-        return self._follower.absorb(news, pause_seconds, now)
+        actions = self._follower.absorb(news, pause_seconds, now)
+        is_put_off = any(isinstance(action, StartWatch) for action in actions)
+        side = "look_put_off" if is_put_off else "heard"
+        return [*actions, Count("store_news_total", labels=(("side", side),))]
 
     def _pace_actions(self, now: float) -> list[Action]:
         """Look at the store more often while records of replicas or nodes are missing."""
