--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -40,6 +40,8 @@
     nodes=6, copies=3, seconds=6.0, requests_per_second=50.0, delegate_least_shards=4
 )
 """Nodes ask each other for most shards."""
+APART = SimulationSettings(nodes=6, zones=3, seconds=6.0, requests_per_second=50.0)
+"""A third of the nodes have no replica in their zone and ask nodes of the other zones."""
 
 
 class EveryFaultTest(TestCase):
@@ -65,6 +67,30 @@
             result = play(seed, SHARED)
             self.assertEqual((), result.violations, (seed, result.faults))
 
+    def test_each_fault_by_itself_breaks_no_promise_of_nodes_without_near_replicas(self) -> None:
+        for seed, fault in enumerate(FAULTS):
+            result = play(seed, APART, (fault,))
+            self.assertEqual((), result.violations, fault.__name__)
+            self.assertGreater(result.served, result.requests * 0.8, fault.__name__)
+
+    def test_mixes_of_faults_break_no_promise_of_nodes_without_near_replicas(self) -> None:
+        for seed in range(300, 330):
+            result = play(seed, APART)
+            self.assertEqual((), result.violations, (seed, result.faults))
+
+    def test_nodes_without_near_replicas_ask_others(self) -> None:
+        taken: list[DelegatedRequest] = []
+        accept = DelegatedWork.accept
+
+        def counting(work: DelegatedWork, sender: NodeIdentity, *rest: object) -> Exchange:
+            taken.append(rest[0])  # type: ignore[arg-type]
+            return accept(work, sender, *rest)  # type: ignore[arg-type]
+
+        DelegatedWork.accept = counting  # type: ignore[assignment,method-assign]
+        self.addCleanup(setattr, DelegatedWork, "accept", accept)
+        play(1, APART, ())
+        self.assertGreater(len(taken), 20)
+
     def test_a_seed_gives_the_same_history_every_time(self) -> None:
         first = play(7, SHORT)
         self.assertEqual(first, play(7, SHORT))
--- a/wingquay/simulation/forwarding/settings.py
+++ b/wingquay/simulation/forwarding/settings.py
@@ -22,7 +22,7 @@
     late_reply_seconds
         How long after its route's time limit a request may still be without a reply.
     zones
-        Zones among which nodes are divided.
+        Zones among which nodes are divided; the first two hold replicas.
     delegate_least_shards
         Shards of a route from which on nodes ask each other for some of them.
     budget_ratio, budget_slack, budget_window_seconds
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -93,6 +93,7 @@
         settings = self._simulation.settings
         return ForwardingSettings(
             zone=self._zone,
+            zones=tuple(f"zone-{number}" for number in range(settings.zones)),
             presence_delay_seconds=PRESENCE_DELAY_SECONDS,
             delegate_least_shards=settings.delegate_least_shards,
         )
