--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -10,7 +10,12 @@
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.ports.delegation import AllowAttempts, DelegatedAnswer
-from wingquay.ports.forwarding import ReplyMerged
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ReplyFailure,
+    ReplyMerged,
+    SendFailureKind,
+)
 from wingquay.ports.machine import StopRequested
 from wingquay.ports.peer_link import (
     NodeIdentity,
@@ -125,6 +130,23 @@
             node.answer(send)
         self.assertEqual(0, node.replies[number].missing_shards)
 
+    def test_what_a_lost_node_may_still_run_is_never_refused_as_not_run(self) -> None:
+        for reason in ("silent", "broken"):
+            node = node_apart("b", "c")
+            number = node.request("/all/x")
+            ((to, message),) = delegated(node)
+            if reason == "broken":
+                node.emit(PeerReceived(to, DelegatedAnswer(message.delegation_id)))
+                node.emit(PeerLinkBroken(to.node_id, "test"))
+            node.advance(0.06)
+            for _ in range(60):
+                for send in list(node.sends):
+                    node.fail(send, SendFailureKind.NOT_SENT)
+                node.advance(0.03)
+            reply = node.replies[number]
+            self.assertIsInstance(reply, ReplyFailure)
+            self.assertIsNot(ForwardFailureKind.NOT_RUN, reply.kind, reason)
+
     def test_it_is_not_where_a_third_replica_could_be_asked(self) -> None:
         node = node_apart("b", "c", "d")
         node.request("/all/x")
--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -78,6 +78,10 @@
             result = play(seed, APART)
             self.assertEqual((), result.violations, (seed, result.faults))
 
+    def test_seeds_that_failed_once_break_no_promise(self) -> None:
+        for settings, seed in ((APART, 20261209),):
+            self.assertEqual((), play(seed, settings).violations, seed)
+
     def test_nodes_without_near_replicas_ask_others(self) -> None:
         taken: list[DelegatedRequest] = []
         accept = DelegatedWork.accept
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -66,8 +66,8 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Whether a replica may have run the request."""
-        return bool(self.asked) or self.delegated_attempts > 0
+        """Whether a replica may have run the request, or may yet for a node that was lost."""
+        return bool(self.asked) or self.delegated_attempts > 0 or self.is_delegate_lost
 
     def take_answer(self, answer: ReplicaAnswer, now: float) -> None:
         """Take in the shard's answer, or a better one than before."""
