--- a/tests/forwarding/test_store_news.py
+++ b/tests/forwarding/test_store_news.py
@@ -189,6 +189,21 @@
         node.emit(PeerReceived(FIRST, news_for(node)))
         self.assertEqual([], since(node, before))
 
+    def test_an_answer_of_the_store_that_is_older_than_the_news_changes_nothing(self) -> None:
+        node = linked(FIRST)
+        node.change(replica("r1", "s"))
+        looking = node.last(StartWatch).watch_id
+        revision = node.store_revision
+        node.advance(1.4)
+        draining = node.stored(replica("r1", "s", is_draining=True))
+        node.emit(PeerReceived(FIRST, StoreNews(revision, revision + 2, (draining,))))
+        # The look had begun; its answer was given before the replica began to drain.
+        ready = node.stored(replica("r1", "s"))
+        node.emit(WatchChanged(looking, (ready,), (), revision + 1))
+        for _ in range(8):
+            node.request()
+        self.assertEqual({"r0"}, {send.replica.replica_id for send in node.sends})
+
     def test_a_node_that_the_store_turns_away_goes_by_the_news(self) -> None:
         node = linked(FIRST)
         node.emit(WatchBroken(node.last(StartWatch).watch_id, "refused"))
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -275,7 +275,10 @@
         self._failures = 0
         self._look_at = now + self._gather_seconds
         before = self._seen_revision
-        self._seen_revision = max(before, event.store_revision)
+        if event.store_revision < before:
+            # News of another node have told all of it since this look began, and more.
+            return []
+        self._seen_revision = event.store_revision
         self._remember(event.changed, event.deleted)
         actions = self._hooks.on_changes(event.changed, event.deleted, now)
         news = StoreNews(before, self._seen_revision, event.changed, event.deleted)
