Read the store's copy at a start, then ask for what has changed since

Change: a listing may come from a copy that lags, at a tenth of the price a page; one look at the watch from the oldest page's revision brings it up to date before anything goes by it. If the copy is older than the store's history, the pages are read as before. Five tests against the stand-in.

--- a/tests/platform_adapter/stand_in_platform.py
+++ b/tests/platform_adapter/stand_in_platform.py
@@ -33,10 +33,14 @@
         self.history: list[Item] = []
         self.leases: dict[int, int] = {}
         self.forgotten_revision = 0
+        self._copy: tuple[int, dict[str, Item]] | None = None
+        """What stale reads show, if that is older than what is there."""
         self.page_items = 500
         self.page_events = 500
         self.statuses: list[int] = []
         """Statuses with which the next calls are refused."""
+        self.refused_paths: set[str] = set()
+        """Calls that are all refused."""
         self.calls: dict[str, int] = defaultdict(int)
         self._changed = asyncio.Event()
 
@@ -64,6 +68,10 @@
         self.history.append({"tlsKey": key, "revision": self.revision, "gone": True})
         self._wake()
 
+    def keep_copy(self) -> None:
+        """Let stale reads show what is there now from here on."""
+        self._copy = (self.revision, dict(self.items))
+
     def forget_history(self) -> None:
         self.forgotten_revision = self.revision
         self.history.clear()
@@ -83,6 +91,8 @@
             self.calls[url.path] += 1
             if self.statuses:
                 status, document = self.statuses.pop(0), {}
+            elif url.path in self.refused_paths:
+                status, document = 503, {}
             else:
                 query = {name: texts[0] for name, texts in parse_qs(url.query).items()}
                 status, document = await self._answer(method, url.path, query, body)
@@ -110,12 +120,14 @@
 
     def _range(self, query: dict[str, str]) -> dict[str, object]:
         after = query.get("after", "")
-        keys = sorted(
-            key for key in self.items if key.startswith(query.get("pathPrefix", "")) and key > after
-        )
-        page = keys[: self.page_items]
-        items = [self.items[key] for key in page]
-        return {"items": items, "more": len(keys) > len(page), "at": self.revision}
+        prefix = query.get("pathPrefix", "")
+        revision, items = self.revision, self.items
+        if query.get("stale") == "1":
+            self.calls["stale"] += 1
+            revision, items = self._copy or (revision, items)
+        keys = sorted(key for key in items if key.startswith(prefix) and key > after)
+        page = [items[key] for key in keys[: self.page_items]]
+        return {"items": page, "more": len(keys) > len(page), "at": revision}
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, object]]:
         after = int(query["after"])
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -68,6 +68,77 @@
 
         run(test())
 
+    def test_a_listing_from_a_copy_is_brought_up_to_date(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            store = client.store
+            store.page_items = 2
+            for number in range(5):
+                store.put(f"a/{number}", number)
+            store.keep_copy()
+            store.put("a/1", 11)
+            store.remove("a/3")
+            store.put("a/9", 9)
+            result = await client.ask(Read("a/", prefix=True, may_lag_at_first=True))
+            known = {item.key: item.value for item in result.values}
+            wanted = {"a/0": b"0", "a/1": b"11", "a/2": b"2", "a/4": b"4", "a/9": b"9"}
+            self.assertEqual(wanted, known)
+            self.assertEqual(8, result.store_revision)
+            self.assertEqual((3, 1), (store.calls["stale"], store.calls["/-/kv-watch"]))
+
+        run(test())
+
+    def test_a_copy_with_nothing_new_is_current(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.put("a", 1)
+            result = await client.ask(Read("", prefix=True, may_lag_at_first=True))
+            self.assertEqual((["a"], 1), ([v.key for v in result.values], result.store_revision))
+
+        run(test())
+
+    def test_a_copy_far_behind_is_caught_up_with_in_several_answers(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.keep_copy()
+            for number in range(1_200):
+                client.store.put(f"k{number:04}", number)
+            result = await client.ask(Read("", prefix=True, may_lag_at_first=True))
+            self.assertEqual((1_200, 1_200), (len(result.values), result.store_revision))
+            self.assertEqual(3, client.store.calls["/-/kv-watch"])
+
+        run(test())
+
+    def test_a_copy_older_than_the_stores_history_is_not_used(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.put("a", 1)
+            client.store.keep_copy()
+            client.store.put("b", 1)
+            client.store.forget_history()
+            result = await client.ask(Read("", prefix=True, may_lag_at_first=True))
+            self.assertEqual(["a", "b"], sorted(item.key for item in result.values))
+            self.assertEqual(2, result.store_revision)
+
+        run(test())
+
+    def test_a_store_that_fails_after_the_copy_leaves_nothing_to_go_by(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.put("a", 1)
+            client.store.statuses += [503]
+            operation = Read("", prefix=True, may_lag_at_first=True)
+            self.assertIs(StoreFailureKind.UNREACHABLE, (await client.ask(operation)).kind)
+            client.store.refused_paths.add("/-/kv-watch")
+            self.assertIs(StoreFailureKind.UNREACHABLE, (await client.ask(operation)).kind)
+
+        run(test())
+
     def test_leases_and_swaps(self) -> None:
         async def test() -> None:
             client = Client()
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -216,7 +216,7 @@
         if self._seen_revision is not None:
             return self._watch(now)
         self._reads += 1
-        operation = Read(self._settings.prefix, prefix=True)
+        operation = Read(self._settings.prefix, prefix=True, may_lag_at_first=True)
         timeout = self._settings.read_timeout_seconds
         return [StoreRequest(self._operation_id, operation, timeout)]
 
--- a/wingquay/platform/names.py
+++ b/wingquay/platform/names.py
@@ -12,6 +12,8 @@
 
 READY_PATH = "/-/ready"
 STORE_RANGE = "/-/kv-range"
+STALE_ALLOWED = "&stale=1"
+"""Lets a page come from a copy that is seconds old, at a tenth of the price."""
 STORE_WATCH = "/-/kv-watch"
 STORE_TRANSACTION = "/-/kv-txn"
 STORE_LEASE = "/-/kv-lease"
--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -24,27 +24,30 @@
     StoreResult,
     WatchBroken,
 )
-from .names import STORE_RANGE, STORE_WATCH
+from .names import STALE_ALLOWED, STORE_RANGE
 from .store_formats import (
     is_full_watch,
     refused,
     stored_value,
     watch_changed,
+    watch_path,
     write_call,
     write_result,
 )
 
 WATCH_WAIT_SECONDS = 3.0
 """How long the store holds a watch on which nothing happens."""
+CATCH_UP_WAIT_MS = 1
+"""How long the store holds a watch that only asks for what has changed so far."""
 WATCH_SLACK_SECONDS = 1.0
 """How much longer an answer may take before the watch counts as broken."""
 MILLISECONDS_PER_SECOND = 1000
 STATUS_OK = 200
 CONNECTION_LIMIT = 6
 IDLE_SECONDS = 10.0
-NO_REVISION = -1
 
 Result = StoreResult | Failure[StoreFailureKind]
+PagesResult = ReadResult | Failure[StoreFailureKind]
 
 
 class PlatformStoreClient:
@@ -120,9 +123,28 @@
         return write_result(operation, answer)
 
     async def _read_all(self, operation: Read, timeout_seconds: float) -> Result:
+        """Read all pages, from a copy first where that is allowed: a tenth of the price a page."""
+        if not operation.may_lag_at_first:
+            return await self._read_pages(operation.key, False, timeout_seconds)
+        copy = await self._read_pages(operation.key, True, timeout_seconds)
+        if isinstance(copy, Failure):
+            return copy
+        current = await self._catch_up(operation.key, copy, timeout_seconds)
+        if isinstance(current, Failure) and current.kind is StoreFailureKind.HISTORY_LOST:
+            # The copy is older than what the store remembers of its changes.
+            return await self._read_pages(operation.key, False, timeout_seconds)
+        return current
+
+    async def _read_pages(self, key: str, is_copy: bool, timeout_seconds: float) -> PagesResult:
+        """Return all pages and the oldest revision among them.
+
+        Pages form no snapshot: what changed since the oldest one has to be asked for.
+        """
         values: list[StoredValue] = []
-        first_revision = NO_REVISION
-        path = f"{STORE_RANGE}?pathPrefix={quote(operation.key, safe='')}"
+        revisions: list[int] = []
+        path = f"{STORE_RANGE}?pathPrefix={quote(key, safe='')}"
+        if is_copy:
+            path += STALE_ALLOWED
         after = ""
         while True:
             document = await self._call(path + after, timeout_seconds)
@@ -130,24 +152,41 @@
                 return document
             try:
                 values += [stored_value(item) for item in document["items"]]
-                # Pages form no snapshot: what changed since the first one is watched again.
-                if first_revision == NO_REVISION:
-                    first_revision = int(document["at"])
+                revisions.append(int(document["at"]))
                 has_more = bool(document["more"])
             except (KeyError, TypeError, ValueError) as error:
                 return Failure(StoreFailureKind.MALFORMED, f"page: {error!r}")
             if not has_more or not values:
-                return ReadResult(tuple(values), first_revision)
+                return ReadResult(tuple(values), min(revisions))
             after = f"&after={quote(values[-1].key, safe='')}"
 
+    async def _catch_up(self, key: str, copy: ReadResult, timeout_seconds: float) -> PagesResult:
+        """Return what a copy becomes by all that has changed since."""
+        items = {item.key: item for item in copy.values}
+        revision = copy.store_revision
+        while True:
+            path = watch_path(key, revision, CATCH_UP_WAIT_MS)
+            document = await self._call(path, timeout_seconds)
+            if isinstance(document, Failure):
+                return document
+            try:
+                event = watch_changed("", document)
+            except (KeyError, TypeError, ValueError) as error:
+                return Failure(StoreFailureKind.MALFORMED, f"events: {error!r}")
+            items.update({item.key: item for item in event.changed})
+            for gone in event.deleted:
+                items.pop(gone, None)
+            revision = max(revision, event.store_revision)
+            if not is_full_watch(document):
+                return ReadResult(tuple(items.values()), revision)
+
     async def _watch(self, action: StartWatch) -> None:
         after = action.from_store_revision
-        prefix = quote(action.key, safe="")
         wait_ms = int(WATCH_WAIT_SECONDS * MILLISECONDS_PER_SECOND)
         await asyncio.sleep(action.pause_seconds)
         while True:
             asked_at = self._loop.time()
-            path = f"{STORE_WATCH}?pathPrefix={prefix}&after={after}&waitMs={wait_ms}"
+            path = watch_path(action.key, after, wait_ms)
             document = await self._call(path, WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS)
             if isinstance(document, Failure):
                 is_lost = document.kind is StoreFailureKind.HISTORY_LOST
--- a/wingquay/platform/store_formats.py
+++ b/wingquay/platform/store_formats.py
@@ -2,6 +2,7 @@
 
 import base64
 from typing import Any
+from urllib.parse import quote
 
 import orjson
 
@@ -20,7 +21,7 @@
     SwapResult,
     WatchChanged,
 )
-from .names import STORE_KEEP, STORE_LEASE, STORE_TRANSACTION
+from .names import STORE_KEEP, STORE_LEASE, STORE_TRANSACTION, STORE_WATCH
 
 MILLISECONDS_PER_SECOND = 1000
 STATUS_OK = 200
@@ -90,6 +91,18 @@
     return StoredValue(str(item["tlsKey"]), content, int(item["revision"]), lease_id, created_at)
 
 
+def watch_path(prefix: str, after_revision: int, wait_ms: int) -> str:
+    """Return the call that asks for what has changed since a revision.
+
+    Parameters
+    ----------
+    wait_ms
+        How long the store holds the call while nothing has.
+    """
+    key = quote(prefix, safe="")
+    return f"{STORE_WATCH}?pathPrefix={key}&after={after_revision}&waitMs={wait_ms}"
+
+
 def watch_changed(watch_id: str, document: Any) -> WatchChanged:
     """Return the last state of each key that changed."""
     changed: dict[str, StoredValue] = {}
--- a/wingquay/ports/store.py
+++ b/wingquay/ports/store.py
@@ -44,11 +44,15 @@
     modified_after
         Leave out values last modified at this store revision or before (etcd's
         ``min_mod_revision``), so that looking again costs little when nothing changed.
+    may_lag_at_first
+        The values may come from a copy that lags behind, where that costs less. The result is
+        current all the same: the store is asked for what has changed since.
     """
 
     key: str
     prefix: bool = False
     modified_after: int = 0
+    may_lag_at_first: bool = False
 
 
 @value
