Let a few owners in the zones of the replicas ask the shards of wide requests

Ruled out: a relay for each member (one more hop, and the same spread of knowledge); one relay a zone (29 shards are 30 ms of coding on half a core, against 35 ms of a plot-check). Change: forwarding/shard_placement.py. Owners are the strongest nodes of each zone that holds replicas, as many as the root of the shards asks for, more as the rate of all nodes needs it; a request goes to owners in the fewest zones that hold all its shards, the own zone first. Node records tell the processor, which the settings give. Connections to owners are opened before a request needs them (Greeting). Limits of owners are divided by the zones that hold the shard; in the first seconds of a life an owner has half of its connections instead of one. node_groups.py keeps who can be reached and who is told news.

--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -17,6 +17,7 @@
     CancelDelegation,
     DelegatedAnswer,
     DelegatedRequest,
+    Greeting,
 )
 from wingquay.ports.forwarding import OpaqueRequest
 from wingquay.ports.machine import Event
@@ -83,6 +84,7 @@
     StoreNews: NEWS,
     AllowAttempts: st.builds(AllowAttempts, NUMBERS, st.integers(0, 2**31)),
     CancelDelegation: st.builds(CancelDelegation, NUMBERS),
+    Greeting: st.just(Greeting()),
 }
 MESSAGES = st.one_of(list(BY_KIND.values()))
 PORTS = ("wingquay.ports.delegation", "wingquay.ports.store_news")
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -55,6 +55,8 @@
 [node]
 name = "n"
 zone = "z"
+processor_share = 0.5
+processor_speed = 3
 [listen]
 callers = "127.0.0.1:1"
 readiness = "127.0.0.1:2"
@@ -193,6 +195,7 @@
     def test_settings_are_read(self) -> None:
         settings = parse_settings(SETTINGS)
         self.assertEqual(("n", "z", 3), (settings.node, settings.zone, settings.store.port))
+        self.assertEqual(1.5, settings.processor)
         self.assertEqual((3.0, 5.0), (settings.drain_seconds, settings.configuration_seconds))
 
     def test_a_bad_field_is_named_with_its_value_and_what_is_allowed(self) -> None:
@@ -201,6 +204,7 @@
             ("ratio = 0.2", "ratio = 7", ("retries.ratio", "7", "from 0 to 1")),
             ('name = "n"', "name = 3", ("node.name", "3", "text")),
             ("drain_ms = 3000", "drain_ms = 0", ("store.drain_ms", "0", "from 100")),
+            ("speed = 3", "speed = 0", ("node.processor_speed", "0", "from 0.001")),
         ):
             failure = parse_settings(SETTINGS.replace(good, bad))
             self.assertIsInstance(failure, Failure)
--- a/tests/platform_adapter/test_group_on_loopback.py
+++ b/tests/platform_adapter/test_group_on_loopback.py
@@ -66,6 +66,7 @@
         return PlatformSettings(
             node=f"n{number}",
             zone="z",
+            processor=1.0,
             zones=("z",),
             callers=ListenAddress(LOOPBACK, self.ports[number]),
             readiness=ListenAddress(LOOPBACK, 0),
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -74,6 +74,7 @@
         settings = PlatformSettings(
             node="n",
             zone="z",
+            processor=1.0,
             zones=("z",),
             callers=ListenAddress(LOOPBACK, self.port),
             readiness=ListenAddress(LOOPBACK, 0),
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -3,7 +3,13 @@
 from google.protobuf.message import DecodeError
 
 from ..model.failure import Failure
-from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
+from ..ports.delegation import (
+    AllowAttempts,
+    CancelDelegation,
+    DelegatedAnswer,
+    DelegatedRequest,
+    Greeting,
+)
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
 from ..ports.store import StoredValue
@@ -34,6 +40,8 @@
             envelope.cancel_delegation.delegation_id = message.delegation_id
         case StoreNews():
             _put_news(envelope.store_news, message)
+        case Greeting():
+            envelope.greeting.SetInParent()
         case _:
             raise ValueError(f"{type(message).__name__} is not a message of forwarding nodes")
     return envelope.SerializeToString()
@@ -60,6 +68,8 @@
             return sender, CancelDelegation(envelope.cancel_delegation.delegation_id)
         case "store_news":
             return sender, _news_from(envelope.store_news)
+        case "greeting":
+            return sender, Greeting()
         case _:
             return Failure(PeerCodecFailureKind.UNKNOWN_MESSAGE, "no message of a known kind")
 
--- a/wingquay/adapters/node_record.py
+++ b/wingquay/adapters/node_record.py
@@ -3,11 +3,12 @@
 import orjson
 
 from ..model.identifiers import DeploymentName, NodeId, ZoneName
-from ..ports.peer_link import NodeIdentity
+from ..ports.peer_link import NodeIdentity, NodeRecord
 
 
-def node_value(identity: NodeIdentity) -> bytes:
-    """Return the value that tells an identity."""
+def node_value(record: NodeRecord) -> bytes:
+    """Return the value that tells a node's record."""
+    identity = record.identity
     return orjson.dumps(
         {
             "node_id": identity.node_id,
@@ -15,20 +16,22 @@
             "zone": identity.zone,
             "host": identity.host,
             "port": identity.port,
+            "processor": record.processor,
         }
     )
 
 
-def parse_node(value: bytes) -> NodeIdentity | None:
-    """Return the identity that a value tells; ``None``: the node cannot be reached."""
+def parse_node(value: bytes) -> NodeRecord | None:
+    """Return the record that a value tells; ``None``: the node cannot be reached."""
     try:
         document = orjson.loads(value)
-        return NodeIdentity(
+        identity = NodeIdentity(
             NodeId(str(document["node_id"])),
             DeploymentName(str(document["deployment"])),
             ZoneName(str(document["zone"])),
             str(document["host"]),
             int(document["port"]),
         )
+        return NodeRecord(identity, float(document["processor"]))
     except (ValueError, KeyError, TypeError):
         return None
--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -15,13 +15,17 @@
 from .timers import AbandonDue
 
 if TYPE_CHECKING:
-    from .node_groups import NodeGroups
+    from .shard_placement import ShardPlacement
 
 DEFAULT_CONNECTION_LIMIT = 24
 OWNERS_RESERVE = 2
 """Owners of a shard take this part of what all nodes share: others may have to step in."""
 
 
+LIVES = 2
+"""Lives of this process whose connections a replica may still count after a start."""
+
+
 class AttemptSender:
     """Chooses replicas, spends the budget of extra arrivals, starts and ends attempts."""
 
@@ -40,8 +44,8 @@
         self._open: dict[int, Attempt] = {}
         self._budgets: dict[str, ArrivalBudget] = {}
         self._first_sent_at: float | None = None
-        self.groups: NodeGroups | None = None
-        """The groups of nodes, once shards are divided among them."""
+        self.placement: ShardPlacement | None = None
+        """Who asks which shard, once shards are divided among nodes."""
 
     def get(self, attempt_id: int) -> Attempt | None:
         """Return an attempt under way."""
@@ -170,17 +174,19 @@
     def _sharing_nodes(self, call: ServiceCall, now: float) -> int:
         """Return among how many nodes the limits of a call's service are divided."""
         nodes = self._nodes.get(now)
-        if self.groups is None or not call.is_owned:
+        if self.placement is None or not call.is_owned:
             return nodes
-        return min(nodes, OWNERS_RESERVE * self.groups.sharing_nodes(nodes))
+        return min(nodes, OWNERS_RESERVE * self.placement.sharing_nodes(call.service, now))
 
     def _connection_limit(self, call: ServiceCall, now: float) -> int:
         if self._first_sent_at is None:
             self._first_sent_at = now
-        if now - self._first_sent_at < self._settings.first_connections_seconds:
-            return 1
         known = call.exchange.table.services.get(call.service)
         limit = DEFAULT_CONNECTION_LIMIT if known is None else known.connection_limit
+        if now - self._first_sent_at < self._settings.first_connections_seconds:
+            if not call.is_owned:
+                return 1
+            limit //= LIVES
         return max(1, limit // self._sharing_nodes(call, now))
 
     def _may_arrive_again(self, call: ServiceCall, now: float) -> bool:
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -1,7 +1,7 @@
 """Lets other nodes ask shards of a request, and steps in for lost ones.
 
-Nodes of the group are asked for most shards of a wide request, a node of another zone for the
-shards that have no replica in this one.
+The owners of shards are asked for those of a wide request, a node of another zone for the shards of
+a narrow one that have no replica in this zone.
 
 A node that is asked says so at once, so that one which is killed, frozen or cut off is noticed
 while there is still time to ask its shards directly. Until it is heard, it may send to one replica
@@ -14,7 +14,14 @@
 
 import attrs
 
-from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
+from ..model.routing_table import RoutingTable
+from ..ports.delegation import (
+    AllowAttempts,
+    CancelDelegation,
+    DelegatedAnswer,
+    DelegatedRequest,
+    Greeting,
+)
 from ..ports.forwarding import ReplicaAnswer
 from ..ports.machine import Action, Count, Log, LogLevel, Schedule
 from ..ports.peer_link import NodeIdentity, PeerLinkBroken, SendToPeer
@@ -23,11 +30,16 @@
 from .node_groups import NodeGroups
 from .relays import Relays
 from .replica_directory import ReplicaDirectory
+from .request_rate import RequestRate
 from .settings import ForwardingSettings
 from .settlement import Settlement
+from .shard_placement import ShardPlacement
 from .timers import DelegationDue
 
 MERGED_STATUS = 200
+MOST_GREETINGS = 3
+"""Connections opened at once before a request needs them: a handshake takes about a millisecond of
+processor time at either side, and an owner may hear from a whole fleet that starts."""
 
 
 @attrs.define(eq=False)
@@ -68,6 +80,10 @@
         self._groups = groups
         self._directory = directory
         self._relays = Relays(settings, groups, directory, self._open_requests)
+        self._rate = RequestRate()
+        self.placement = ShardPlacement(settings, groups, directory, self._rate)
+        self._greeted: set[str] = set()
+        """Nodes to which the connection was opened, by id."""
         self._starter = starter
         self._settlement = settlement
         self._ids = count(1)
@@ -79,10 +95,13 @@
         shards = exchange.route.shards
         if not exchange.is_repeatable:
             return self._begin_directly(exchange.calls, now)
-        is_wide = len(shards) >= self._settings.delegate_least_shards
-        owners: Mapping[str, NodeIdentity | None] = (
-            self._groups.owners(shards, now) if is_wide else self._relays.owners(shards, now)
-        )
+        is_wide = self._is_wide(shards)
+        owners: Mapping[str, NodeIdentity | None]
+        if is_wide:
+            self._rate.count(now)
+            owners = self.placement.owners(shards, now)
+        else:
+            owners = self._relays.owners(shards, now)
         shares: dict[str, list[ServiceCall]] = {}
         nodes: dict[str, NodeIdentity] = {}
         own: list[ServiceCall] = []
@@ -97,9 +116,21 @@
         for node_id, calls in shares.items():
             actions += self._delegate(exchange, nodes[node_id], calls, is_wide, now)
         for call in own:
-            call.is_owned = is_wide and bool(shares)
+            call.is_owned = is_wide and call.service in owners
         return actions + self._begin_directly(own, now)
 
+    def greet(self, table: RoutingTable, now: float) -> list[Action]:
+        """Open connections to owners of shards before a request needs them, a few at a time."""
+        actions: list[Action] = []
+        for route in table.routes:
+            if not route.is_repeatable or not self._is_wide(route.shards):
+                continue
+            for owner in self.placement.contacts(route.shards, now):
+                if owner.node_id not in self._greeted and len(actions) < MOST_GREETINGS:
+                    self._greeted.add(owner.node_id)
+                    actions.append(SendToPeer(owner, Greeting()))
+        return actions
+
     def answered(self, sender: NodeIdentity, message: DelegatedAnswer, now: float) -> list[Action]:
         """Take in what a node reports."""
         delegation = self._open.get(message.delegation_id)
@@ -125,6 +156,7 @@
     def link_broken(self, event: PeerLinkBroken, now: float) -> list[Action]:
         """Step in for a node whose connection broke or did not come up."""
         node_id = event.node_id
+        self._greeted.discard(node_id)
         lost = [item for item in self._open.values() if item.node.node_id == node_id]
         actions: list[Action] = []
         for delegation in lost:
@@ -146,6 +178,9 @@
                 actions.append(SendToPeer(delegation.node, message))
         return actions
 
+    def _is_wide(self, shards: tuple[str, ...]) -> bool:
+        return len(shards) >= self._settings.delegate_least_shards
+
     def _begin_directly(self, calls: list[ServiceCall], now: float) -> list[Action]:
         actions: list[Action] = []
         for call in calls:
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -28,6 +28,7 @@
     CutoffDue,
     DelegationDue,
     ExchangeEndDue,
+    GreetingDue,
     HedgeDue,
     ReportDue,
     RetryDue,
@@ -107,7 +108,7 @@
             self._settlement,
             self._begin,
         )
-        self._sender.groups = groups
+        self._sender.placement = delegations.placement
 
     def set_table(self, table: RoutingTable) -> None:
         """Use a configuration for requests that arrive from now on."""
@@ -130,7 +131,7 @@
                 return self._abandon_due(event, now)
             case CutoffDue() | ExchangeEndDue() | RetryDue() | CallerLeft() | ReportDue():
                 return self._exchange_event(event, now)
-            case DelegationDue() | PeerReceived() | PeerLinkBroken():
+            case GreetingDue() | DelegationDue() | PeerReceived() | PeerLinkBroken():
                 return self._peer_event(event, now)
         return []
 
@@ -197,7 +198,7 @@
         return exchange
 
     def _peer_event(
-        self, event: DelegationDue | PeerReceived | PeerLinkBroken, now: float
+        self, event: GreetingDue | DelegationDue | PeerReceived | PeerLinkBroken, now: float
     ) -> list[Action]:
         if self._peers is None:
             return []
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -43,6 +43,7 @@
 )
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
+from .timers import GreetingDue
 
 SWEEP_SECONDS = 0.5
 """Time between two looks for replicas whose time of grace is over."""
@@ -123,7 +124,8 @@
                 self._late_seconds = max(now - event.due_at, 0.0)
                 self._directory.forget_vanished(now)
                 due_at = now + SWEEP_SECONDS
-                return [*self._pace_actions(now), Schedule(due_at, SweepDue(due_at))]
+                greetings = self._forwarding.handle(GreetingDue(), now)
+                return [*greetings, *self._pace_actions(now), Schedule(due_at, SweepDue(due_at))]
             case StopRequested():
                 return self._stop(now)
             case StopCheckDue():
--- a/wingquay/forwarding/node_membership.py
+++ b/wingquay/forwarding/node_membership.py
@@ -4,7 +4,7 @@
 
 from ..model.routing_table import RoutingTable
 from ..ports.machine import Action, Log, LogLevel, Schedule
-from ..ports.peer_link import NodeIdentity, PeerLinkOpened
+from ..ports.peer_link import NodeIdentity, NodeRecord, PeerLinkOpened
 from ..ports.store import StoredValue, StoreResponse
 from .peer_setup import PeerSetup, widest_route
 from .presence import NodeCount, Presence, PresenceDue
@@ -54,7 +54,7 @@
         self._is_early = True
         """Whether the first moment at which the key may be written has yet to come."""
         self._opened_at = float("-inf")
-        self._identities: dict[str, NodeIdentity | None] = {}
+        self._records: dict[str, NodeRecord | None] = {}
         self._groups: NodeGroups | None = None
 
     @property
@@ -103,14 +103,15 @@
         from .node_groups import NodeGroups
 
         self._opened_at = now
-        self._presence.set_value(self._formats.node_value(event.identity))
+        own = NodeRecord(event.identity, self._settings.processor)
+        self._presence.set_value(self._formats.node_value(own))
         self._groups = NodeGroups(self._settings, self._name)
-        for name, identity in self._identities.items():
-            self._groups.put(name, identity)
-        self._groups.put(self._name, event.identity)
+        for name, record in self._records.items():
+            self._groups.put(name, record)
+        self._groups.put(self._name, own)
         if table is not None:
             self.configure(table)
-        fields = (("nodes", len(self._identities)), ("port", event.identity.port))
+        fields = (("nodes", len(self._records)), ("port", event.identity.port))
         return [Log("peer_link_opened", LogLevel.INFO, fields)]
 
     def listeners(self) -> list[NodeIdentity]:
@@ -138,16 +139,16 @@
         """Take in the key of a node."""
         self._nodes.put(item.key)
         name = item.key.removeprefix(self._formats.node_prefix)
-        identity = self._formats.parse_node(item.value)
-        self._identities[name] = identity
+        record = self._formats.parse_node(item.value)
+        self._records[name] = record
         if self._groups is not None and name != self._name:
-            self._groups.put(name, identity)
+            self._groups.put(name, record)
 
     def remove(self, key: str) -> None:
         """Take in that the key of a node is gone."""
         self._nodes.remove(key)
         name = key.removeprefix(self._formats.node_prefix)
-        self._identities.pop(name, None)
+        self._records.pop(name, None)
         if self._groups is not None and name != self._name:
             self._groups.remove(name)
 
@@ -156,5 +157,5 @@
         self._nodes.keep_only(keys)
         prefix = self._formats.node_prefix
         names = {key.removeprefix(prefix) for key in keys}
-        for name in [name for name in self._identities if name not in names]:
+        for name in [name for name in self._records if name not in names]:
             self.remove(prefix + name)
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -20,7 +20,7 @@
 from .replica_directory import ReplicaDirectory
 from .settings import ForwardingSettings
 from .settlement import Settlement
-from .timers import DelegationDue, ReportDue
+from .timers import DelegationDue, GreetingDue, ReportDue
 
 Begin = Callable[[Exchange, float], list[Action]]
 """Starts the calls of an exchange and sets its timers."""
@@ -53,7 +53,7 @@
 
     def handle(
         self,
-        event: DelegationDue | PeerReceived | PeerLinkBroken,
+        event: GreetingDue | DelegationDue | PeerReceived | PeerLinkBroken,
         table: RoutingTable | None,
         now: float,
     ) -> list[Action]:
@@ -65,6 +65,8 @@
             The configuration for work of other nodes; ``None``: none is taken.
         """
         match event:
+            case GreetingDue():
+                return [] if table is None else self.delegations.greet(table, now)
             case DelegationDue():
                 return self.delegations.due(event, now)
             case PeerLinkBroken():
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -97,6 +97,8 @@
         Nodes of a group from which on it keeps to itself; how many nodes are told at most.
     zones
         All zones of the deployment, as far as they are known.
+    processor
+        How fast this node computes, in whole cores.
     relay_least_shards
         Shards without a replica in this node's zone from which on a node of another zone is asked
         for them: it is nearer to their replicas, and one merged answer crosses between the zones.
@@ -160,6 +162,7 @@
     news_least_nodes: int = 5
     news_most_nodes: int = 12
     zones: tuple[str, ...] = ()
+    processor: float = 1.0
     relay_least_shards: int = 4
     delegate_return_seconds: float = 0.008
     delegate_report_ratio: float = 0.7
--- /dev/null
+++ b/wingquay/forwarding/shard_placement.py
@@ -0,0 +1,211 @@
+"""Which node asks which shard of a wide request.
+
+A few nodes of each zone own the shards that have a replica there: as many as share out the coding
+of one request, and more only when the requests of all nodes need it. So whoever asks a shard does
+so for many nodes: its connections are open, it knows the replicas' latencies, and the budget of
+extra arrivals is divided among few. A request goes to owners in as few zones as hold all its
+shards, the node's own zone first, and each owner merges what it has before that crosses between
+zones.
+
+Within a zone the strongest nodes are owners, and every shard belongs to one of them by rendezvous
+hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded
+loads", 2018), so that nobody has much more to do than the others and few shards move when a node is
+lost. Views of nodes may differ: any node takes any shard.
+"""
+
+import math
+from collections.abc import Collection, Mapping
+from itertools import combinations
+
+import attrs
+import xxhash
+
+from ..ports.peer_link import NodeIdentity
+from .node_groups import GroupNode, NodeGroups
+from .replica_directory import ReplicaDirectory
+from .request_rate import RequestRate
+from .settings import ForwardingSettings
+
+VALID_SECONDS = 2.0
+"""Time for which a placement stands while nodes stay the same: owners decline shards that moved."""
+MOST_PLACEMENTS = 8
+"""Sets of shards whose placement is remembered; old configurations name others."""
+MOST_ZONES_SEARCHED = 10
+"""Zones up to which every choice is weighed (1,023 of them); beyond, one zone after the other."""
+CODING_SECONDS = 0.0005
+"""Processor time of asking one shard, on a whole core (docs/design/delegation.md)."""
+OWNER_LOAD = 0.2
+"""Part of a core that the coding of shards may take at an owner before there are more owners: the
+weakest machines of the deployments have half a core, so they are two fifths busy then."""
+
+
+@attrs.frozen
+class _Placement:
+    """Who asks each shard, for as long as the nodes are the same."""
+
+    nodes_version: int
+    valid_until: float
+    owners: dict[str, NodeIdentity | None]
+
+
+class ShardPlacement:
+    """Chooses the owners of the shards of wide requests.
+
+    Parameters
+    ----------
+    settings
+        The zone of this node and when other nodes are asked at all.
+    groups
+        The nodes that can be reached.
+    directory
+        Tells where replicas are.
+    rate
+        How many wide requests arrive at this node.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        groups: NodeGroups,
+        directory: ReplicaDirectory,
+        rate: RequestRate,
+    ) -> None:
+        self._settings = settings
+        self._groups = groups
+        self._directory = directory
+        self._rate = rate
+        self._placements: dict[tuple[str, ...], _Placement] = {}
+
+    def owners(self, shards: tuple[str, ...], now: float) -> Mapping[str, NodeIdentity | None]:
+        """Return who asks each shard.
+
+        ``None`` stands for this node, which also asks the shards that are missing.
+        """
+        known = self._placements.get(shards)
+        version = self._groups.version(now)
+        if known is None or known.nodes_version != version or now >= known.valid_until:
+            if len(self._placements) >= MOST_PLACEMENTS:
+                self._placements.clear()
+            known = _Placement(version, now + VALID_SECONDS, self._place(shards, now))
+            self._placements[shards] = known
+        return known.owners
+
+    def contacts(self, shards: tuple[str, ...], now: float) -> list[NodeIdentity]:
+        """Return the nodes that a request over these shards would be sent to."""
+        owners = {owner.node_id: owner for owner in self.owners(shards, now).values() if owner}
+        return list(owners.values())
+
+    def sharing_nodes(self, shard: str, now: float) -> int:
+        """Return how many nodes usually ask a shard."""
+        zones = len(self._directory.zones_of(shard, now)) or 1
+        return zones * self._teams(now)
+
+    def _place(self, shards: tuple[str, ...], now: float) -> dict[str, NodeIdentity | None]:
+        nodes = self._groups.usable_by_zone(now)
+        if sum(map(len, nodes.values())) < self._settings.delegate_least_nodes:
+            return {}
+        held = {shard: self._directory.zones_of(shard, now) & nodes.keys() for shard in shards}
+        zones = choose_zones(self._settings.zone, sorted(nodes), held)
+        owners: dict[str, NodeIdentity | None] = {}
+        for zone in set(zones.values()):
+            held_there = tuple(shard for shard in shards if zone in held[shard])
+            assigned = self._assign(nodes[zone], held_there, len(shards), now)
+            for shard in held_there:
+                if zones[shard] == zone:
+                    owners[shard] = self._identity(assigned[shard])
+        return owners
+
+    def _identity(self, node: GroupNode) -> NodeIdentity | None:
+        return None if node.name == self._groups.name else node.record.identity
+
+    def _assign(
+        self, nodes: list[GroupNode], held: tuple[str, ...], shards: int, now: float
+    ) -> dict[str, GroupNode]:
+        """Return which of a zone's nodes asks each shard that has a replica there."""
+        size = max(1, round(len(held) / math.sqrt(shards)))
+        teams = self._teams(now)
+        members = strongest(nodes, size * teams)
+        own_team = members[_team(self._groups.name, teams) :: teams] or members
+        by_name = {node.name: node for node in own_team}
+        assigned = assign_bounded(sorted(by_name), held)
+        return {shard: by_name[name] for shard, name in assigned.items()}
+
+    def _teams(self, now: float) -> int:
+        """Return how many sets of owners the requests of all nodes need."""
+        shards = self._groups.fan_out
+        zones = max(1, self._groups.zones)
+        requests_per_second = self._rate.per_second(now) * self._groups.size
+        coding = requests_per_second * CODING_SECONDS * shards / zones
+        owners = max(1.0, math.sqrt(shards) / zones)
+        return max(1, math.ceil(coding / (owners * OWNER_LOAD)))
+
+
+def strongest(nodes: Collection[GroupNode], count: int) -> list[GroupNode]:
+    """Return the nodes with the fastest processors; of equal ones the same on every node."""
+
+    def rank(node: GroupNode) -> tuple[float, int]:
+        return -node.record.processor, xxhash.xxh64_intdigest(node.name.encode())
+
+    return sorted(nodes, key=rank)[:count]
+
+
+def assign_bounded(names: list[str], shards: tuple[str, ...]) -> dict[str, str]:
+    """Return a name for each shard; nobody gets more than an even share, rounded up."""
+    capacity = math.ceil(len(shards) / len(names))
+    taken = dict.fromkeys(names, 0)
+    assigned: dict[str, str] = {}
+    for shard in shards:
+        suffix = f"\0{shard}"
+        free = [name for name in names if taken[name] < capacity]
+        chosen = max(free, key=lambda name: xxhash.xxh64_intdigest((name + suffix).encode()))
+        taken[chosen] += 1
+        assigned[shard] = chosen
+    return assigned
+
+
+def choose_zones(
+    own_zone: str, zones: list[str], held: Mapping[str, Collection[str]]
+) -> dict[str, str]:
+    """Return the zone in which each shard is asked: few zones, the own one wherever it can be.
+
+    Parameters
+    ----------
+    zones
+        The zones that have nodes, sorted; every node goes on from its own, so that none of them is
+        the second choice of all.
+    held
+        The zones that hold a replica of each shard; a shard that none holds is left out.
+    """
+    far = {
+        shard: frozenset(found) for shard, found in held.items() if found and own_zone not in found
+    }
+    place = zones.index(own_zone) if own_zone in zones else 0
+    others = [zone for zone in zones[place:] + zones[:place] if zone != own_zone]
+    chosen = _fewest_zones(others, set(far.values()))
+    asked = dict.fromkeys(chosen, 0)
+    result = {shard: own_zone for shard, found in held.items() if own_zone in found}
+    for shard, found in far.items():
+        zone = min((zone for zone in chosen if zone in found), key=lambda zone: asked[zone])
+        asked[zone] += 1
+        result[shard] = zone
+    return result
+
+
+def _fewest_zones(zones: list[str], wanted: set[frozenset[str]]) -> tuple[str, ...]:
+    """Return a smallest choice of zones that has one of each wanted set."""
+    if len(zones) <= MOST_ZONES_SEARCHED:
+        for count in range(len(zones) + 1):
+            for chosen in combinations(zones, count):
+                if all(not found.isdisjoint(chosen) for found in wanted):
+                    return chosen
+    chosen_so_far: tuple[str, ...] = ()
+    left = set(wanted)
+    while left:
+        best = max(zones, key=lambda zone: sum(zone in found for found in left))
+        chosen_so_far += (best,)
+        left = {found for found in left if best not in found}
+    return chosen_so_far
+
+
+def _team(name: str, teams: int) -> int:
+    return xxhash.xxh64_intdigest(name.encode()) % teams
--- a/wingquay/forwarding/store_formats.py
+++ b/wingquay/forwarding/store_formats.py
@@ -7,7 +7,7 @@
 from ..model.replica_record import ReplicaRecord
 from ..model.routing_table import RoutingTable
 from ..model.value import value
-from ..ports.peer_link import NodeIdentity
+from ..ports.peer_link import NodeRecord
 
 
 class FormatFailureKind(Enum):
@@ -33,9 +33,9 @@
     parse_configuration, parse_replica
         Turn a value into its typed form.
     parse_node
-        Turns the value of a node's key into its identity; ``None``: it cannot be reached.
+        Turns the value of a node's key into its record; ``None``: it cannot be reached.
     node_value
-        Returns the value of a node's key for its identity.
+        Returns the value of a node's key for its record.
     """
 
     configuration_key: str
@@ -44,5 +44,5 @@
     cluster_key: str
     parse_configuration: Callable[[bytes], RoutingTable | Failure[FormatFailureKind]]
     parse_replica: Callable[[str, bytes], ReplicaRecord | Failure[FormatFailureKind]]
-    parse_node: Callable[[bytes], NodeIdentity | None]
-    node_value: Callable[[NodeIdentity], bytes]
+    parse_node: Callable[[bytes], NodeRecord | None]
+    node_value: Callable[[NodeRecord], bytes]
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -46,6 +46,11 @@
     delegation_id: int
 
 
+@value
+class GreetingDue(Event):
+    """Open connections to other nodes that requests will need."""
+
+
 @value
 class AbandonDue(Event):
     """Cancel an attempt that nobody waits for, if it still runs."""
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -88,6 +88,7 @@
             ForwardingSettings(
                 zone=settings.zone,
                 zones=settings.zones,
+                processor=settings.processor,
                 retry_ratio=settings.retry_ratio * BUDGET_SHARE,
                 retry_slack=settings.retry_slack,
                 retry_window_seconds=settings.retry_window_seconds,
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -13,6 +13,8 @@
 MILLISECONDS_PER_SECOND = 1000.0
 LEAST_BOUND_MS = 100.0
 GREATEST_BOUND_MS = 600_000.0
+LEAST_PROCESSOR = 0.001
+GREATEST_PROCESSOR = 1024.0
 
 
 class SettingsFailureKind(Enum):
@@ -36,6 +38,8 @@
 
     Parameters
     ----------
+    processor
+        How fast the node computes, in whole cores: its share of a core times that core's speed.
     zones
         All zones of the deployment; none if they are not told.
     callers, readiness
@@ -63,6 +67,7 @@
 
     node: str
     zone: str
+    processor: float
     zones: tuple[str, ...]
     callers: ListenAddress
     readiness: ListenAddress
@@ -99,6 +104,8 @@
     return PlatformSettings(
         node=_text(document, "node.name"),
         zone=_text(document, "node.zone"),
+        processor=_number(document, "node.processor_share", LEAST_PROCESSOR, GREATEST_PROCESSOR)
+        * _number(document, "node.processor_speed", LEAST_PROCESSOR, GREATEST_PROCESSOR),
         zones=_names(document, "node.zones"),
         callers=_address(document, "listen.callers"),
         readiness=_address(document, "listen.readiness"),
--- a/wingquay/ports/delegation.py
+++ b/wingquay/ports/delegation.py
@@ -84,6 +84,11 @@
     max_attempts: int
 
 
+@attrs.frozen
+class Greeting(PeerMessage):
+    """Opens the connection before a request needs it; nothing follows from it."""
+
+
 @attrs.frozen
 class CancelDelegation(PeerMessage):
     """Nobody waits for the request any more."""
--- a/wingquay/ports/peer_link.py
+++ b/wingquay/ports/peer_link.py
@@ -22,6 +22,20 @@
     port: int
 
 
+@value
+class NodeRecord:
+    """What a node says of itself in the store.
+
+    Parameters
+    ----------
+    processor
+        How fast it computes, in whole cores.
+    """
+
+    identity: NodeIdentity
+    processor: float = 1.0
+
+
 class PeerMessage:
     """Base of every message between nodes."""
 
