Listen after a third of the loading: start by a script, open the socket with the interpreter's module

Ruled out: anything of our own before the socket; of the 35 ms above the bare interpreter 11 were python's way of running a module, 11 the standard library's socket with its enumerations (importtime). Change: deploy/start_node.py in place of python -m; the socket is opened by _socket and wrapped later. A test names what must not be loaded before that.

--- a/tests/platform_adapter/test_main.py
+++ b/tests/platform_adapter/test_main.py
@@ -4,10 +4,13 @@
 import io
 import os
 import socket
+import subprocess
+import sys
 import tempfile
 from pathlib import Path
 from unittest import mock
 
+import h11
 from testtools import TestCase
 
 from tests.adapters.raw_http import LOOPBACK
@@ -32,6 +35,28 @@
             self.assertEqual(0, glance_at_callers(text)[1])
 
 
+class QuickStartTest(TestCase):
+    def test_little_is_loaded_before_callers_can_connect(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            text = SETTINGS.replace('"127.0.0.1:1"', '"127.0.0.1:0"')
+            path.write_text(text.replace("ratio = 0.2", "ratio = -1"))
+            command = [sys.executable, "-S", "-X", "importtime", "deploy/start_node.py"]
+            libraries = str(Path(h11.__file__).parents[1])
+            environment = {"WINGQUAY_BOOT": str(path), "PYTHONPATH": libraries}
+            played = subprocess.run(  # noqa: S603
+                command, cwd=ROOT, env=environment, capture_output=True, text=True, check=False
+            )
+        self.assertIn("retries.ratio is -1", played.stderr)
+        lines = played.stderr.splitlines()
+        loaded = [line.rpartition("|")[2].strip() for line in lines if "import time:" in line]
+        # The first module that is loaded once the socket listens.
+        before = set(loaded[: loaded.index("wingquay.model.failure")])
+        self.assertIn("_socket", before)
+        dear = {"runpy", "socket", "enum", "typing", "contextlib", "collections", "selectors"}
+        self.assertEqual(set(), before & dear)
+
+
 class BadStartTest(TestCase):
     def complaint(self, settings: str | None) -> str:
         output = io.StringIO()
--- a/wingquay/platform/__main__.py
+++ b/wingquay/platform/__main__.py
@@ -1,4 +1,4 @@
-"""Runs a node on the platform: ``python3 -S -m wingquay.platform``.
+"""Runs a node on the platform: ``python3 -S deploy/start_node.py``.
 
 The socket on which callers arrive is opened first of all, by a quick look at the settings: until
 then callers are turned away by a closed port, afterwards they wait in its queue. What takes time to
@@ -8,7 +8,7 @@
 import os
 import sys
 
-from ..adapters.listening import open_listening_socket
+from ..adapters.listening import listen_on, socket_of
 from .names import SETTINGS_PATH_VARIABLE
 
 FAILED = 1
@@ -27,9 +27,9 @@
         return _complain(f"{SETTINGS_PATH_VARIABLE} is {path!r}: {error}")
     host, port = glance_at_callers(text)
     try:
-        listening = open_listening_socket(host, port)
+        descriptor = listen_on(host, port)
     except OSError as error:
-        listening = None
+        descriptor = None
         reason = str(error)
     from ..model.failure import Failure
     from .process import run_process
@@ -38,9 +38,9 @@
     settings = parse_settings(text)
     if isinstance(settings, Failure):
         return _complain(f"{path}: {settings.reason}")
-    if listening is None:
+    if descriptor is None:
         return _complain(f"listen.callers is {host}:{port}: {reason}")
-    run_process(settings, listening)
+    run_process(settings, socket_of(descriptor))
     return 0
 
 
