--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -9,6 +9,7 @@
     DelegatedAnswer,
     DelegatedRequest,
     Greeting,
+    NodeLost,
 )
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
@@ -42,6 +43,8 @@
             _put_news(envelope.store_news, message)
         case Greeting():
             envelope.greeting.SetInParent()
+        case NodeLost():
+            envelope.node_lost.node_id = message.node_id
         case _:
             raise ValueError(f"{type(message).__name__} is not a message of forwarding nodes")
     return envelope.SerializeToString()
@@ -56,20 +59,29 @@
         sender = identity_from_bytes(envelope.sender)
     except (DecodeError, ValueError) as error:
         return Failure(PeerCodecFailureKind.MALFORMED, str(error))
+    message = _message_from(envelope)
+    return message if isinstance(message, Failure) else (sender, message)
+
+
+def _message_from(
+    envelope: peer_pb2.Envelope,
+) -> PeerMessage | Failure[PeerCodecFailureKind]:
     match envelope.WhichOneof("message"):
         case "delegated_request":
-            return sender, _request_from(envelope.delegated_request)
+            return _request_from(envelope.delegated_request)
         case "delegated_answer":
-            return _answer_from(sender, envelope.delegated_answer)
+            return _answer_from(envelope.delegated_answer)
         case "allow_attempts":
             allowed = envelope.allow_attempts
-            return sender, AllowAttempts(allowed.delegation_id, allowed.max_attempts)
+            return AllowAttempts(allowed.delegation_id, allowed.max_attempts)
         case "cancel_delegation":
-            return sender, CancelDelegation(envelope.cancel_delegation.delegation_id)
+            return CancelDelegation(envelope.cancel_delegation.delegation_id)
         case "store_news":
-            return sender, _news_from(envelope.store_news)
+            return _news_from(envelope.store_news)
         case "greeting":
-            return sender, Greeting()
+            return Greeting()
+        case "node_lost":
+            return NodeLost(envelope.node_lost.node_id)
         case _:
             return Failure(PeerCodecFailureKind.UNKNOWN_MESSAGE, "no message of a known kind")
 
@@ -121,14 +133,14 @@
 
 
 def _answer_from(
-    sender: NodeIdentity, message: peer_pb2.DelegatedAnswer
-) -> tuple[NodeIdentity, DelegatedAnswer] | Failure[PeerCodecFailureKind]:
+    message: peer_pb2.DelegatedAnswer,
+) -> DelegatedAnswer | Failure[PeerCodecFailureKind]:
     shards = tuple(message.shards)
     signatures = tuple(message.signatures)
     if len(shards) != len(signatures):
         reason = f"{len(shards)} shards and {len(signatures)} signatures"
         return Failure(PeerCodecFailureKind.MALFORMED, reason)
-    return sender, DelegatedAnswer(
+    return DelegatedAnswer(
         message.delegation_id,
         shards,
         signatures,
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -21,6 +21,7 @@
     DelegatedAnswer,
     DelegatedRequest,
     Greeting,
+    NodeLost,
 )
 from ..ports.forwarding import ReplicaAnswer
 from ..ports.machine import Action, Count, Log, LogLevel, Schedule
@@ -167,6 +168,11 @@
         self._groups.suspect(node_id, now)
         return actions
 
+    def lost_elsewhere(self, message: NodeLost, now: float) -> list[Action]:
+        """Take in that another node was let down by a node."""
+        self._groups.suspect(message.node_id, now)
+        return []
+
     def closed(self, exchange: Exchange) -> list[Action]:
         """Let nodes stop working for a request that ended."""
         actions: list[Action] = []
@@ -305,7 +311,9 @@
         delegation.is_lost = True
         delegation.exchange.failures += len(calls)
         node_id = delegation.node.node_id
-        self._groups.suspect(node_id, now)
+        telling: list[Action] = []
+        if self._groups.suspect(node_id, now):
+            telling = self._tell_lost(node_id)
         fields = (
             ("request_id", delegation.exchange.event.request_id),
             ("node_asked", node_id),
@@ -315,11 +323,21 @@
         actions: list[Action] = [
             Log("delegation_lost", LogLevel.INFO, fields),
             Count("delegations_lost_total"),
+            *telling,
         ]
         startable = [call for call in calls if call.attempts_left > 0]
         actions += self._start_directly(startable, now)
         return actions + self._settlement.settle(delegation.exchange, now)
 
+    def _tell_lost(self, node_id: str) -> list[Action]:
+        """Tell the nodes of the group of a node that has let a request down.
+
+        Most nodes of a large fleet see a request every few seconds: by themselves each of them
+        would find a lost node only by a request that suffers from it.
+        """
+        told = self._groups.listeners()
+        return [SendToPeer(item, NodeLost(node_id)) for item in told if item.node_id != node_id]
+
     def _forget(self, delegation: Delegation) -> None:
         self._open.pop(delegation.delegation_id, None)
         siblings = self._by_exchange.get(delegation.exchange.exchange_id)
--- a/wingquay/forwarding/node_groups.py
+++ b/wingquay/forwarding/node_groups.py
@@ -108,8 +108,15 @@
         """Take in the greatest number of shards of a route."""
         self._fan_out = shards
 
-    def suspect(self, node_id: str, now: float) -> None:
-        """Pass a node over for a while, longer each time in a row."""
+    def suspect(self, node_id: str, now: float) -> bool:
+        """Pass a node over for a while, longer each time in a row.
+
+        Returns
+        -------
+        bool
+            Whether it was not passed over already.
+        """
+        is_new = False
         for name in [name for name, item in self._departed.items() if item.node_id == node_id]:
             del self._departed[name]
         for member in self._members.values():
@@ -118,8 +125,10 @@
                 seconds = min(seconds, self._settings.node_suspect_most_seconds)
                 member.suspect_until = now + seconds
                 member.failures += 1
+                is_new = True
                 self._valid_until = min(self._valid_until, member.suspect_until)
                 self._changed()
+        return is_new
 
     def trust(self, node_id: str) -> None:
         """Take in that a node answered in time."""
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -11,9 +11,10 @@
     CancelDelegation,
     DelegatedAnswer,
     DelegatedRequest,
+    NodeLost,
 )
 from ..ports.machine import Action, Schedule
-from ..ports.peer_link import NodeIdentity, PeerLinkBroken, PeerReceived
+from ..ports.peer_link import NodeIdentity, PeerLinkBroken, PeerMessage, PeerReceived
 from .delegated_work import DelegatedWork
 from .delegation import Delegations
 from .exchange import Exchange
@@ -72,13 +73,22 @@
             case PeerLinkBroken():
                 actions = self._work.link_broken(event.node_id, now)
                 return actions + self.delegations.link_broken(event, now)
-            case PeerReceived(sender, DelegatedRequest() as message):
+            case PeerReceived(sender, message):
+                return self._received(sender, message, table, now)
+
+    def _received(
+        self, sender: NodeIdentity, message: PeerMessage, table: RoutingTable | None, now: float
+    ) -> list[Action]:
+        match message:
+            case DelegatedRequest():
                 return self._requested(sender, message, table, now)
-            case PeerReceived(sender, DelegatedAnswer() as message):
+            case DelegatedAnswer():
                 return self.delegations.answered(sender, message, now)
-            case PeerReceived(sender, AllowAttempts() as message):
+            case NodeLost():
+                return self.delegations.lost_elsewhere(message, now)
+            case AllowAttempts():
                 return self._work.allowed(sender, message, now)
-            case PeerReceived(sender, CancelDelegation() as message):
+            case CancelDelegation():
                 return self._work.cancelled(sender, message, now)
             case _:
                 return []
--- a/wingquay/ports/delegation.py
+++ b/wingquay/ports/delegation.py
@@ -89,6 +89,19 @@
     """Opens the connection before a request needs it; nothing follows from it."""
 
 
+@attrs.frozen
+class NodeLost(PeerMessage):
+    """Another node has not done what it was asked for: pass it over for a while.
+
+    Parameters
+    ----------
+    node_id
+        The node; one that starts again has another id.
+    """
+
+    node_id: str
+
+
 @attrs.frozen
 class CancelDelegation(PeerMessage):
     """Nobody waits for the request any more."""
