Put no look off for news of an answer that was cut

At this size an answer of the watch holds 500 of some 1,600 events; whoever read the first part told it as news, the listeners put their own looks off for the whole usual time, and the rest reached them through another path or never. Ruled out: nodes that the store turned away (the judged ones logged no trouble of the store); lateness of nodes (their other lines are on time). Change: an answer that may have been cut says so, in news too; such news are taken in and put nothing off, and a look whose answer was cut goes on whatever is heard. Four tests, seen to fail before.

--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -78,6 +78,7 @@
     st.lists(ITEMS, max_size=3).map(tuple),
     st.lists(st.text(max_size=9), max_size=3).map(tuple),
     SECONDS,
+    st.booleans(),
 )
 BY_KIND: dict[type[PeerMessage], st.SearchStrategy[PeerMessage]] = {
     DelegatedRequest: REQUESTS,
--- a/tests/forwarding/test_store_news.py
+++ b/tests/forwarding/test_store_news.py
@@ -58,6 +58,11 @@
     )
 
 
+def cut(news: StoreNews) -> StoreNews:
+    """Return the same news, of an answer that may hold only a part of what changed."""
+    return StoreNews(news.from_revision, news.store_revision, news.changed, news.deleted, 0.0, True)
+
+
 def since(node: OneNode, actions: int) -> list[Action]:
     """Return what the node did after so many actions, store and link only."""
     kinds = (StartWatch, StopWatch, SendToPeer)
@@ -130,6 +135,20 @@
         node.request()
         self.assertEqual({"r0", "r1"}, {send.replica.replica_id for send in node.sends})
 
+    def test_news_of_an_answer_that_was_cut_put_nothing_off(self) -> None:
+        # The rest of what changed, a configuration perhaps, may never be heard of.
+        node = linked(FIRST, LAST)
+        node.change()
+        before = len(node.actions)
+        news = news_for(node, node.stored(replica("r1", "s")))
+        node.emit(PeerReceived(FIRST, cut(news)))
+        self.assertEqual([], since(node, before))
+        node.request()
+        node.request()
+        self.assertEqual({"r0", "r1"}, {send.replica.replica_id for send in node.sends})
+        node.emit(PeerReceived(FIRST, news_for(node)))
+        self.assertAlmostEqual(1.3 + 0.04, node.last(StartWatch).pause_seconds)
+
     def test_news_are_not_passed_on(self) -> None:
         node = linked(FIRST, LAST)
         count = len(told(node))
@@ -189,6 +208,17 @@
         node.emit(PeerReceived(FIRST, news_for(node)))
         self.assertEqual([], since(node, before))
 
+    def test_a_look_whose_answer_was_cut_goes_on_whatever_is_heard(self) -> None:
+        node = linked(FIRST)
+        watch = node.last(StartWatch).watch_id
+        revision = node.store_revision
+        node.emit(WatchChanged(watch, (), (), revision + 1, may_have_more=True))
+        self.assertTrue(told(node)[-1][1].may_have_more)
+        node.store_revision = revision + 1
+        before = len(node.actions)
+        node.emit(PeerReceived(FIRST, news_for(node)))
+        self.assertEqual([], since(node, before))
+
     def test_an_answer_of_the_store_that_is_older_than_the_news_changes_nothing(self) -> None:
         node = linked(FIRST)
         node.change(replica("r1", "s"))
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -232,8 +232,9 @@
             for number in range(1_200):
                 client.store.put(f"k{number:04}", number)
             client.client.start_watch(StartWatch("w", "", 0, gather_seconds=3_600.0))
-            revisions = [(await client.events.get()).store_revision for _ in range(3)]
-            self.assertEqual([500, 1_000, 1_200], revisions)
+            events = [await client.events.get() for _ in range(3)]
+            self.assertEqual([500, 1_000, 1_200], [event.store_revision for event in events])
+            self.assertEqual([True, True, False], [event.may_have_more for event in events])
 
         run(test())
 
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -164,6 +164,7 @@
         )
     target.deleted.extend(message.deleted)
     target.age_seconds = message.age_seconds
+    target.may_have_more = message.may_have_more
 
 
 def _news_from(message: peer_pb2.StoreNews) -> StoreNews:
@@ -177,4 +178,5 @@
         changed,
         tuple(message.deleted),
         message.age_seconds,
+        message.may_have_more,
     )
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -210,6 +210,7 @@
             ),
             news.deleted,
             self._late_seconds,
+            news.may_have_more,
         )
         sent: list[Action] = [SendToPeer(listener, told) for listener in listeners]
         return [*sent, Count("store_news_total", len(listeners), (("side", "told"),))]
@@ -223,7 +224,7 @@
         rank_seconds = self._settings.news_rank_seconds * self._members.rank()
         taken_seconds = news.age_seconds + self._late_seconds
         pause_seconds = self._follower.usual_gather_seconds + rank_seconds - taken_seconds
-        if taken_seconds >= self._settings.news_late_seconds:
+        if news.may_have_more or taken_seconds >= self._settings.news_late_seconds:
             pause_seconds = 0.0
         actions = self._follower.absorb(news, pause_seconds, now)
         is_put_off = any(isinstance(action, StartWatch) for action in actions)
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -273,7 +273,8 @@
             return []
         assert self._seen_revision is not None
         self._failures = 0
-        self._look_at = now + self._gather_seconds
+        # An answer that was cut is followed up at once: that look has begun already.
+        self._look_at = now if event.may_have_more else now + self._gather_seconds
         before = self._seen_revision
         if event.store_revision < before:
             # News of another node have told all of it since this look began, and more.
@@ -281,7 +282,13 @@
         self._seen_revision = event.store_revision
         self._remember(event.changed, event.deleted)
         actions = self._hooks.on_changes(event.changed, event.deleted, now)
-        news = StoreNews(before, self._seen_revision, event.changed, event.deleted)
+        news = StoreNews(
+            before,
+            self._seen_revision,
+            event.changed,
+            event.deleted,
+            may_have_more=event.may_have_more,
+        )
         return actions + self._hooks.on_look(news)
 
     def _broken(self, event: WatchBroken, now: float) -> list[Action]:
--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -26,7 +26,6 @@
 )
 from .names import STALE_ALLOWED, STORE_RANGE
 from .store_formats import (
-    is_full_watch,
     refused,
     stored_value,
     watch_changed,
@@ -177,7 +176,7 @@
             for gone in event.deleted:
                 items.pop(gone, None)
             revision = max(revision, event.store_revision)
-            if not is_full_watch(document):
+            if not event.may_have_more:
                 return ReadResult(tuple(items.values()), revision)
 
     async def _watch(self, action: StartWatch) -> None:
@@ -199,7 +198,7 @@
                 return
             after = max(after, event.store_revision)
             self._emit(event)
-            if is_full_watch(document):
+            if event.may_have_more:
                 continue
             await asyncio.sleep(max(0.0, asked_at + action.gather_seconds - self._loop.time()))
 
--- a/wingquay/platform/store_formats.py
+++ b/wingquay/platform/store_formats.py
@@ -115,7 +115,13 @@
         else:
             gone.pop(key, None)
             changed[key] = stored_value(item)
-    return WatchChanged(watch_id, tuple(changed.values()), tuple(gone), int(document["at"]))
+    return WatchChanged(
+        watch_id,
+        tuple(changed.values()),
+        tuple(gone),
+        int(document["at"]),
+        is_full_watch(document),
+    )
 
 
 def is_full_watch(document: Any) -> bool:
--- a/wingquay/ports/store.py
+++ b/wingquay/ports/store.py
@@ -165,12 +165,19 @@
 
 @value
 class WatchChanged(Event):
-    """Watched keys changed; ``value`` of ``None`` in ``deleted`` keys. May skip or repeat."""
+    """Watched keys changed; ``value`` of ``None`` in ``deleted`` keys. May skip or repeat.
+
+    Parameters
+    ----------
+    may_have_more
+        Whether the store may have told only a part of what has changed: the rest follows at once.
+    """
 
     watch_id: str
     changed: tuple[StoredValue, ...]
     deleted: tuple[str, ...]
     store_revision: int
+    may_have_more: bool = False
 
 
 @value
--- a/wingquay/ports/store_news.py
+++ b/wingquay/ports/store_news.py
@@ -17,6 +17,8 @@
         Whoever knows the store up to here knows it up to ``store_revision`` with these changes.
     age_seconds
         How late the sender is with its work: the store may have said it as long ago as that.
+    may_have_more
+        Whether the store may have told the sender only a part of what had changed by then.
     """
 
     from_revision: int
@@ -24,3 +26,4 @@
     changed: tuple[StoredValue, ...] = ()
     deleted: tuple[str, ...] = ()
     age_seconds: float = 0.0
+    may_have_more: bool = False
