Count a listing as a look, keep the pace of looks through changes, look less often while idle

The pages of the listing were one or two, not 13: they hold about 500 entries. Ruled out: the listing (0.1 to 0.2 of a call since it reads the copy). Change: after a listing that is enough to serve by, the first look is due after the usual time; a change of pace counts from the last look; nodes that start look each 0.8 s only once requests arrive, each 1.6 s before; a store that refuses is asked each 2 s at most by a node that needs no news.

--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -81,6 +81,8 @@
         self._peers: PeerWork | None = None
         self.is_stopping = False
         """Whether work of other nodes is rejected."""
+        self.is_asked = False
+        """Whether a request has arrived."""
         self._held: set[int] = set()
 
     @property
@@ -138,6 +140,7 @@
     # Arrival
 
     def _requested(self, event: ForwardRequested, now: float) -> list[Action]:
+        self.is_asked = True
         table = self._table
         if table is None:
             return self._ending.refuse_arrival(
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -87,7 +87,11 @@
         self._presence = Presence(formats.node_prefix + name, settings, random_source)
         self._forwarding = ForwardingMachine(settings, self._directory, self._nodes, random_source)
         hooks = FollowerHooks(
-            self._on_listing, self._on_changes, self._directory.note_outage, self._on_look
+            self._on_listing,
+            self._on_changes,
+            self._directory.note_outage,
+            self._on_look,
+            lambda: self._is_ready,
         )
         self._follower = StoreFollower(follower, hooks)
         self._table: RoutingTable | None = None
@@ -237,7 +241,10 @@
         if is_old or self._forwarding.held_exchanges > 0:
             return self._follower.gather(self._settings.settle_gather_seconds, now)
         if self._members.is_joining(now):
-            return self._follower.gather(self._settings.join_gather_seconds, now)
+            seconds = self._settings.join_idle_gather_seconds
+            if self._forwarding.is_asked:
+                seconds = self._settings.join_gather_seconds
+            return self._follower.gather(seconds, now)
         return self._follower.gather(None, now)
 
     def _is_node_key(self, key: str) -> bool:
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -27,9 +27,10 @@
         Time after the start at which a node writes its key: requests go first.
     join_delay_seconds
         The same where the key tells other nodes where to reach this one: wide requests wait for it.
-    join_seconds, join_gather_seconds
+    join_seconds, join_gather_seconds, join_idle_gather_seconds
         Time after the link to other nodes opened in which their keys are looked for more often, and
-        the least time between two looks in it.
+        the least time between two looks in it, once requests arrive and before: nodes that start
+        together have written their keys within 1.5 s, so an idle one looks once.
     presence_lease_seconds
         Time to live of the key's lease.
     presence_retry_seconds
@@ -129,6 +130,7 @@
     join_delay_seconds: float = 0.6
     join_seconds: float = 2.5
     join_gather_seconds: float = 0.8
+    join_idle_gather_seconds: float = 1.6
     presence_lease_seconds: float = 36.0
     presence_retry_seconds: float = 2.0
     first_connections_seconds: float = 5.0
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -39,8 +39,10 @@
         Least time between two looks at a prefix that changes all the time.
     read_timeout_seconds
         Time allowed for reading everything.
-    first_backoff_seconds, most_backoff_seconds
-        Pause after a failure, doubled each time up to the second figure.
+    first_backoff_seconds, most_backoff_seconds, idle_backoff_seconds
+        Pause after a failure, doubled each time up to the second figure, or up to the third while
+        nobody waits for news: calls that are refused are priced, too, and the least bounds leave
+        5 s after the end of an outage.
     unknown_backoff_seconds
         Most pause as long as nothing at all is known: a node cannot serve before.
     """
@@ -50,6 +52,7 @@
     read_timeout_seconds: float = 1.5
     first_backoff_seconds: float = 0.15
     most_backoff_seconds: float = 1.0
+    idle_backoff_seconds: float = 2.0
     unknown_backoff_seconds: float = 0.2
 
 
@@ -108,12 +111,15 @@
         The store could not be reached.
     on_look
         A look of its own showed changes: what was known before, and what is now.
+    is_enough
+        Whether what is known is enough to go by until the next look is due.
     """
 
     on_listing: Callable[[tuple[StoredValue, ...], float], list[Action]]
     on_changes: Callable[[tuple[StoredValue, ...], tuple[str, ...], float], list[Action]]
     on_trouble: Callable[[float], None]
     on_look: Callable[[StoreNews], list[Action]]
+    is_enough: Callable[[], bool]
 
 
 class StoreFollower:
@@ -136,6 +142,10 @@
         self._is_listed = False
         self._is_watching = False
         self._gather_seconds = settings.gather_seconds
+        self._watch_gather_seconds = settings.gather_seconds
+        """The pace of the watch under way."""
+        self._looked_at = float("-inf")
+        """When the store last told what there is."""
         self._look_at = 0.0
         """When the next look begins; one that has begun is not put off."""
         self._items: dict[str, StoredValue] = {}
@@ -170,9 +180,10 @@
         if wanted == self._gather_seconds:
             return []
         self._gather_seconds = wanted
-        if not self._is_watching:
+        if not self._is_watching or now >= self._look_at:
+            # A look that has begun tells every change at once; the next one keeps the new pace.
             return []
-        return [StopWatch(self._watch_id), *self._watch(now)]
+        return [StopWatch(self._watch_id), *self._watch(now, self._pause_seconds(now))]
 
     def absorb(self, news: StoreNews, pause_seconds: float, now: float) -> list[Action]:
         """Take in what another node has read; put the own look off.
@@ -220,8 +231,13 @@
         timeout = self._settings.read_timeout_seconds
         return [StoreRequest(self._operation_id, operation, timeout)]
 
+    def _pause_seconds(self, now: float) -> float:
+        """Return the time until the next look is due at the present pace."""
+        return max(0.0, self._looked_at + self._gather_seconds - now)
+
     def _watch(self, now: float, pause_seconds: float = 0.0) -> list[Action]:
         assert self._seen_revision is not None
+        self._watch_gather_seconds = self._gather_seconds
         self._look_at = now + pause_seconds
         self._watches += 1
         self._is_watching = True
@@ -248,6 +264,7 @@
             reason = result.reason if isinstance(result, Failure) else "unexpected result"
             return self._failed(reason, now)
         self._failures = 0
+        self._looked_at = now
         return self._listed(result.values, result.store_revision, now)
 
     def _peer_told(self, event: PeerSnapshot, now: float) -> list[Action]:
@@ -266,13 +283,16 @@
         self._is_listed = True
         self._seen_revision = store_revision
         self._items = {item.key: item for item in values}
-        return self._hooks.on_listing(values, now) + self._watch(now)
+        actions = self._hooks.on_listing(values, now)
+        pause_seconds = self._pause_seconds(now) if self._hooks.is_enough() else 0.0
+        return actions + self._watch(now, pause_seconds)
 
     def _changed(self, event: WatchChanged, now: float) -> list[Action]:
         if event.watch_id != self._watch_id:
             return []
         assert self._seen_revision is not None
         self._failures = 0
+        self._looked_at = now
         # An answer that was cut is followed up at once: that look has begun already.
         self._look_at = now if event.may_have_more else now + self._gather_seconds
         before = self._seen_revision
@@ -289,7 +309,10 @@
             event.deleted,
             may_have_more=event.may_have_more,
         )
-        return actions + self._hooks.on_look(news)
+        actions += self._hooks.on_look(news)
+        if event.may_have_more or self._watch_gather_seconds == self._gather_seconds:
+            return actions
+        return [*actions, StopWatch(self._watch_id), *self._watch(now, self._gather_seconds)]
 
     def _broken(self, event: WatchBroken, now: float) -> list[Action]:
         if event.watch_id != self._watch_id:
@@ -305,7 +328,8 @@
         self._hooks.on_trouble(now)
         settings = self._settings
         pause = settings.first_backoff_seconds * 2.0 ** min(self._failures, 6)
-        most = settings.most_backoff_seconds
+        is_hurried = self._gather_seconds < settings.gather_seconds
+        most = settings.most_backoff_seconds if is_hurried else settings.idle_backoff_seconds
         asking: list[Action] = []
         if not self._is_listed:
             most = settings.unknown_backoff_seconds
