--- a/tests/forwarding/test_node_groups.py
+++ b/tests/forwarding/test_node_groups.py
@@ -117,6 +117,34 @@
         self.assertIsInstance(self.operation(node), GrantLease)
         self.assertEqual([], self.opened(node))
 
+    def test_the_link_is_opened_sooner_where_requests_cannot_do_without(self) -> None:
+        known = StoredValue(CLUSTER_KEY, b"known", 5)
+        wide = self.started(4, known)
+        wide.advance(0.2)
+        self.assertEqual(1, len(self.opened(wide)))
+        far = OneNode()
+        records = [replica(f"r{number}", f"s{number}", "b") for number in range(6)]
+        far.start(table(1, sharded_route(6)), *records, values=(known,))
+        far.advance(0.4)
+        self.assertEqual([], self.opened(far))
+        far.advance(0.5)
+        self.assertEqual(1, len(self.opened(far)))
+
+    def test_a_configuration_that_comes_late_is_waited_for(self) -> None:
+        node = OneNode(delegate_least_shards=4)
+        node.start(None, values=(StoredValue(CLUSTER_KEY, b"known", 5),))
+        node.advance(1.0)
+        records = [replica(f"r{number}", f"s{number}") for number in range(4)]
+        node.change(*records, configuration=table(1, sharded_route(4)))
+        node.advance(0.2)
+        self.assertEqual(1, len(self.opened(node)))
+
+    def test_a_node_without_a_configuration_is_counted_all_the_same(self) -> None:
+        node = OneNode()
+        node.start(None)
+        node.advance(4.0)
+        self.assertIsInstance(self.operation(node), GrantLease)
+
     def test_the_first_node_writes_the_cluster_key(self) -> None:
         node = self.started(4)
         node.advance(2.5)
--- a/wingquay/forwarding/node_membership.py
+++ b/wingquay/forwarding/node_membership.py
@@ -16,6 +16,10 @@
 
 LINK_WAIT_SECONDS = 0.4
 """Time between two looks whether the link to other nodes is open."""
+TABLE_WAIT_SECONDS = 0.1
+"""Time between two looks whether a configuration tells how wide routes are."""
+MOST_TABLE_WAITS = 15
+"""Looks after which the node's key is written all the same: a node counts without the link, too."""
 MOST_LINK_WAITS = 6
 """Looks after which the node's key is written without an address."""
 
@@ -51,6 +55,7 @@
         self._presence = presence
         self._setup = PeerSetup(settings, formats.cluster_key, candidate)
         self._link_waits = 0
+        self._table_waits = 0
         self._is_early = True
         """Whether the first moment at which the key may be written has yet to come."""
         self._opened_at = float("-inf")
@@ -78,8 +83,14 @@
     ) -> list[Action]:
         """Write the node's key, but open the link before: the key tells where it listens."""
         is_open = self._groups is not None
+        if table is None and self._table_waits < MOST_TABLE_WAITS:
+            self._table_waits += 1
+            return [Schedule(now + TABLE_WAIT_SECONDS, event)]
         if not is_open and not self._setup.is_wanted(table, has_far_shards):
             return self._without_link(event, now)
+        if self._is_early and not self._setup.is_wide(table):
+            settings = self._settings
+            return self._later(settings.join_delay_seconds, event, now)
         if is_open:
             return self._presence.handle(event, now)
         self._link_waits += 1
@@ -89,13 +100,16 @@
 
     def _without_link(self, event: PresenceDue, now: float) -> list[Action]:
         """Write the node's key, but let requests go first."""
-        settings = self._settings
         if self._is_early:
-            self._is_early = False
-            wait_seconds = settings.presence_delay_seconds - settings.join_delay_seconds
-            return [Schedule(now + max(0.0, wait_seconds), event)]
+            return self._later(self._settings.presence_delay_seconds, event, now)
         return self._presence.handle(event, now)
 
+    def _later(self, delay_seconds: float, event: PresenceDue, now: float) -> list[Action]:
+        """Wait until so long after the start, once."""
+        self._is_early = False
+        wait_seconds = delay_seconds - self._settings.join_wide_delay_seconds
+        return [Schedule(now + max(0.0, wait_seconds), event)]
+
     def link_opened(
         self, event: PeerLinkOpened, table: RoutingTable | None, now: float
     ) -> list[Action]:
--- a/wingquay/forwarding/peer_setup.py
+++ b/wingquay/forwarding/peer_setup.py
@@ -49,8 +49,11 @@
 
     def is_wanted(self, table: RoutingTable | None, has_far_shards: bool) -> bool:
         """Whether a route has enough shards, or a zone too few of their replicas."""
-        least = self._settings.delegate_least_shards
-        return table is not None and (has_far_shards or widest_route(table) >= least)
+        return self.is_wide(table) or (table is not None and has_far_shards)
+
+    def is_wide(self, table: RoutingTable | None) -> bool:
+        """Whether a route has so many shards that other nodes are asked for most of them."""
+        return table is not None and widest_route(table) >= self._settings.delegate_least_shards
 
     def learn(self, cluster_key: bytes) -> None:
         """Take in the key that stands in the store."""
--- a/wingquay/forwarding/presence.py
+++ b/wingquay/forwarding/presence.py
@@ -73,7 +73,7 @@
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event of the store or a timer."""
         if isinstance(event, Start):
-            return self._after(self._settings.join_delay_seconds, now)
+            return self._after(self._settings.join_wide_delay_seconds, now)
         if isinstance(event, PresenceDue) and event.step == self._step:
             return [self._request(self._next_operation())]
         if isinstance(event, StoreResponse) and event.operation_id == self._operation_id:
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -26,7 +26,10 @@
     presence_delay_seconds
         Time after the start at which a node writes its key: requests go first.
     join_delay_seconds
-        The same where the key tells other nodes where to reach this one: wide requests wait for it.
+        The same where the key tells other nodes where to reach this one and routes are narrow: far
+        shards wait for it.
+    join_wide_delay_seconds
+        The same where a route is wide: by itself a node answers such requests too late anyway.
     join_seconds, join_gather_seconds, join_idle_gather_seconds
         Time after the link to other nodes opened in which their keys are looked for more often, and
         the least time between two looks in it, once requests arrive and before: nodes that start
@@ -128,6 +131,7 @@
     node_count_memory_seconds: float = 30.0
     presence_delay_seconds: float = 2.0
     join_delay_seconds: float = 0.6
+    join_wide_delay_seconds: float = 0.15
     join_seconds: float = 2.5
     join_gather_seconds: float = 0.8
     join_idle_gather_seconds: float = 1.6
