--- a/tests/forwarding/test_delegation.py
+++ b/tests/forwarding/test_delegation.py
@@ -21,7 +21,7 @@
     ReplyMerged,
     SendFailureKind,
 )
-from wingquay.ports.machine import StopRequested
+from wingquay.ports.machine import Count, StopRequested
 from wingquay.ports.peer_link import (
     NodeIdentity,
     NodeRecord,
@@ -156,6 +156,10 @@
         first = {to.node_id for to, _ in delegated(node)}
         for node_id in sorted(first):
             node.emit(PeerReceived(OTHERS[0], NodeLost(node_id)))
+            node.emit(PeerReceived(OTHERS[1], NodeLost(node_id)))
+        counted = [action for action in node.actions if isinstance(action, Count)]
+        names = [action.name for action in counted]
+        self.assertEqual(len(first), names.count("nodes_lost_elsewhere_total"))
         before = len(delegated(node))
         node.request("/all/y")
         self.assertEqual(set(), first & {to.node_id for to, _ in delegated(node)[before:]})
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -170,8 +170,9 @@
 
     def lost_elsewhere(self, message: NodeLost, now: float) -> list[Action]:
         """Take in that another node was let down by a node."""
-        self._groups.suspect(message.node_id, now)
-        return []
+        if not self._groups.suspect(message.node_id, now):
+            return []
+        return [Count("nodes_lost_elsewhere_total")]
 
     def closed(self, exchange: Exchange) -> list[Action]:
         """Let nodes stop working for a request that ended."""
