--- a/wingquay/forwarding/shard_placement.py
+++ b/wingquay/forwarding/shard_placement.py
@@ -32,6 +32,8 @@
 """Sets of shards whose placement is remembered; old configurations name others."""
 MOST_ZONES_SEARCHED = 10
 """Zones up to which every choice is weighed (1,023 of them); beyond, one zone after the other."""
+ROUNDING_TOLERANCE = 1e-9
+"""Part of a shard by which the sum of weights may be off."""
 CODING_SECONDS = 0.0005
 """Processor time of asking one shard, on a whole core (docs/design/delegation.md)."""
 OWNER_LOAD = 0.2
@@ -127,7 +129,8 @@
         members = strongest(nodes, size * teams)
         own_team = members[_team(self._groups.name, teams) :: teams] or members
         by_name = {node.name: node for node in own_team}
-        assigned = assign_bounded(sorted(by_name), held)
+        weights = {name: node.record.processor for name, node in sorted(by_name.items())}
+        assigned = assign_bounded(weights, held)
         return {shard: by_name[name] for shard, name in assigned.items()}
 
     def _teams(self, now: float) -> int:
@@ -149,14 +152,24 @@
     return sorted(nodes, key=rank)[:count]
 
 
-def assign_bounded(names: list[str], shards: tuple[str, ...]) -> dict[str, str]:
-    """Return a name for each shard; nobody gets more than an even share, rounded up."""
-    capacity = math.ceil(len(shards) / len(names))
-    taken = dict.fromkeys(names, 0)
+def assign_bounded(weights: Mapping[str, float], shards: tuple[str, ...]) -> dict[str, str]:
+    """Return a name for each shard; nobody gets more than its share by weight, rounded up.
+
+    Parameters
+    ----------
+    weights
+        How much of the work each name can take: all of them are done at about the same time.
+    """
+    whole = sum(weights.values())
+    capacity = {
+        name: math.ceil(len(shards) * part / whole - ROUNDING_TOLERANCE)
+        for name, part in weights.items()
+    }
+    taken = dict.fromkeys(weights, 0)
     assigned: dict[str, str] = {}
     for shard in shards:
         suffix = f"\0{shard}"
-        free = [name for name in names if taken[name] < capacity]
+        free = [name for name in weights if taken[name] < capacity[name]]
         chosen = max(free, key=lambda name: xxhash.xxh64_intdigest((name + suffix).encode()))
         taken[chosen] += 1
         assigned[shard] = chosen
