Read the load that replicas report with the pace of work behind it

Cause: replicas of the shifted deployment report a fourth figure, how long work takes there at this moment. The decoder wanted three and passed the whole header over, so no node knew any load. Change: three or four fields are read, what follows is passed over, what cannot be read is counted (replica_loads_unreadable_total). The pace is a factor of the choice, forgotten with 0.4 s, and stands beside measured slowness: the greater of the two counts, since both see the same delay. Ruled out: multiplying the two, which counts one slowness twice. The test of the decoder fails on the code before.

--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -171,6 +171,29 @@
 
         play(test())
 
+    def test_a_load_is_read_with_the_pace_of_work_and_whatever_follows(self) -> None:
+        cases: list[tuple[str, ReportedLoad | None]] = [
+            ("3,1,8,250", ReportedLoad(3, 1, 8, 2.5)),
+            ("3, 1, 8, 90, new", ReportedLoad(3, 1, 8, 0.9)),
+            ("3,1", None),
+            ("3,1,8,fast", None),
+        ]
+
+        async def test() -> None:
+            scripts = [
+                [answer(f"r{number}", b"", f"Server-Load: {text}\r\n")]
+                for number, (text, _) in enumerate(cases)
+            ]
+            exchange = Exchange(*scripts)
+            await exchange.start()
+            for number, (text, expected) in enumerate(cases):
+                event = await exchange.send(f"r{number}")
+                self.assertEqual(expected, event.load, text)
+            unreadable = Count("replica_loads_unreadable_total")
+            self.assertEqual(2, exchange.counts.count(unreadable))
+
+        play(test())
+
 
 class SurplusTest(TestCase):
     def test_a_surplus_answer_in_the_place_of_the_next_is_passed_over(self) -> None:
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -33,6 +33,8 @@
     load: ReportedLoad | None
     is_malformed: bool = False
     """Whether it is no answer that a replica gives, such as one with an encoded body."""
+    has_unreadable_load: bool = False
+    """Whether it reported a load in a form that is not known."""
 
 
 class ReplicaDialect(Protocol):
@@ -160,6 +162,8 @@
         if self._attempts.pop(attempt_id, None) is None:
             return
         understood = self._dialect.understand(answer)
+        if understood.has_unreadable_load:
+            self._count(Count("replica_loads_unreadable_total"))
         if understood.is_malformed:
             reason = f"status {answer.status} without what an answer must bear"
             self._emit(SendFailed(attempt_id, SendFailureKind.MALFORMED, reason))
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -25,6 +25,9 @@
 """Cost factor, less one, of a replica at which every attempt fails."""
 LOAD_MEMORY_SECONDS = 0.1
 """Time constant with which a reported load is forgotten."""
+WORK_MEMORY_SECONDS = 0.4
+"""Time constant with which the reported pace of work is forgotten: replicas that share a machine
+are slow for some half a second."""
 OVERDUE_FACTOR = 6.0
 """Cost factor of a replica that holds an attempt beyond the time at which it is hedged."""
 COLD_FACTOR = 1.6
@@ -132,7 +135,7 @@
         if slowness < SLOWNESS_TOLERANCE:
             slowness = 1.0
         waiting = len(self.in_flight) + self._reported_elsewhere(now)
-        cost = slowness * (1.0 + waiting / slots)
+        cost = max(slowness, self._reported_work(now)) * (1.0 + waiting / slots)
         cost *= 1.0 + TROUBLE_FACTOR * self.trouble(now)
         if self.is_overdue(now):
             cost *= OVERDUE_FACTOR
@@ -213,3 +216,10 @@
         reported = self._load.running + self._load.waiting
         kept = math.exp(-(now - self._load_at) / LOAD_MEMORY_SECONDS)
         return reported * kept
+
+    def _reported_work(self, now: float) -> float:
+        """Return how long work takes there, in usual times, as far as its last word still holds."""
+        if self._load is None:
+            return 1.0
+        kept = math.exp(-(now - self._load_at) / WORK_MEMORY_SECONDS)
+        return 1.0 + (self._load.work_factor - 1.0) * kept
--- a/wingquay/platform/replica_dialect.py
+++ b/wingquay/platform/replica_dialect.py
@@ -17,6 +17,9 @@
 MILLISECONDS_PER_SECOND = 1000.0
 STATUS_OTHER_REPLICA = 421
 LOAD_FIELDS = 3
+"""Whole numbers that every report of load has: running, waiting, slots."""
+USUAL_WORK = 100.0
+"""The figure of work, in the field after these, that stands for the usual time."""
 
 _REQUEST_ID_KEY = REQUEST_ID.lower()
 _NOT_RUN_KEY = NOT_RUN.lower()
@@ -64,7 +67,10 @@
         is_encoded = _find(answer, _ENCODING_KEY) is not None
         has_run = not not_run and not is_other_replica
         is_malformed = is_encoded or (has_run and signature is None)
-        return UnderstoodAnswer(understood, _load(_find(answer, _LOAD_KEY)), is_malformed)
+        load_text = _find(answer, _LOAD_KEY)
+        load = _load(load_text)
+        is_unreadable = load_text is not None and load is None
+        return UnderstoodAnswer(understood, load, is_malformed, is_unreadable)
 
 
 def _find(answer: RawAnswer, key: bytes) -> bytes | None:
@@ -75,8 +81,11 @@
 
 
 def _load(text: bytes | None) -> ReportedLoad | None:
-    parts = [] if text is None else text.split(b",")
-    if len(parts) != LOAD_FIELDS or not all(part.strip().isdigit() for part in parts):
+    """Return the load that a header tells; fields behind the known ones are passed over."""
+    parts = [] if text is None else [part.strip() for part in text.split(b",")]
+    known = parts[: LOAD_FIELDS + 1]
+    if len(known) < LOAD_FIELDS or not all(part.isdigit() for part in known):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ReportedLoad(running, waiting, slots)
+    running, waiting, slots = (int(part) for part in known[:LOAD_FIELDS])
+    work_factor = int(known[LOAD_FIELDS]) / USUAL_WORK if len(known) > LOAD_FIELDS else 1.0
+    return ReportedLoad(running, waiting, slots, work_factor)
--- a/wingquay/ports/forwarding.py
+++ b/wingquay/ports/forwarding.py
@@ -82,11 +82,22 @@
 
 @value
 class ReportedLoad:
-    """What a replica said of its load on an answer."""
+    """What a replica said of its load on an answer.
+
+    Parameters
+    ----------
+    running, waiting
+        Requests of all callers that it worked on, and that waited for a slot.
+    slots
+        Requests that it works on at a time.
+    work_factor
+        How long work took there just then, in usual times; it changes many times a second.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_factor: float = 1.0
 
 
 @value
