Send nothing to the replicas of a zone that the store says is evacuated

Change: the directory of replicas leaves the zone's replicas out of every choice, so of first sendings, hedges, retries and the parts that other nodes ask for. The platform's bound for it joins the bounds that decide how often the store is looked at. Ruled out: a filter in the sender, which the owners of shards and the cut-off would not see.

--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -49,6 +49,7 @@
 REPLICA_PREFIX = "replicas/"
 NODE_PREFIX = "nodes/"
 CLUSTER_KEY = "cluster-key"
+EVACUATION_PREFIX = "evacuate/"
 Reply = ReplyUnchanged | ReplyMerged | ReplyFailure
 Kind = TypeVar("Kind", bound=Action)
 
@@ -117,6 +118,7 @@
             REPLICA_PREFIX,
             NODE_PREFIX,
             CLUSTER_KEY,
+            EVACUATION_PREFIX,
             self._parse_table,
             self._parse_record,
             parse_node,
@@ -159,15 +161,17 @@
         *records: ReplicaRecord,
         configuration: RoutingTable | None = None,
         gone: tuple[str, ...] = (),
+        values: tuple[StoredValue, ...] = (),
+        gone_keys: tuple[str, ...] = (),
     ) -> None:
-        """Let the watch tell changes."""
+        """Let the watch tell changes; ``gone`` are replicas, ``gone_keys`` whole keys."""
         self.store_revision += 1
-        values = [self.stored(record) for record in records]
+        changed = [*values, *(self.stored(record) for record in records)]
         if configuration is not None:
-            values.append(self.stored_table(configuration))
-        deleted = tuple(REPLICA_PREFIX + replica_id for replica_id in gone)
+            changed.append(self.stored_table(configuration))
+        deleted = (*gone_keys, *(REPLICA_PREFIX + replica_id for replica_id in gone))
         watch = self.last(StartWatch)
-        self.emit(WatchChanged(watch.watch_id, tuple(values), deleted, self.store_revision))
+        self.emit(WatchChanged(watch.watch_id, tuple(changed), deleted, self.store_revision))
 
     def request(
         self,
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -220,9 +220,20 @@
         failure = parse_settings(text.replace("127.0.0.2:9", "here"))
         self.assertIn("peers.seeds", failure.reason)
 
+    def test_the_bound_of_an_evacuation_may_be_missing(self) -> None:
+        for text, expected in (('""', None), ('"5000"', 5.0)):
+            line = f"configuration_ms = 5000\nevacuation_ms = {text}"
+            settings = parse_settings(SETTINGS.replace("configuration_ms = 5000", line))
+            self.assertEqual(expected, settings.evacuation_seconds)
+        for text in ('"soon"', '"1"', "5000"):
+            line = f"configuration_ms = 5000\nevacuation_ms = {text}"
+            failure = parse_settings(SETTINGS.replace("configuration_ms = 5000", line))
+            self.assertIn("store.evacuation_ms", failure.reason)
+            self.assertIn("allowed", failure.reason)
+
     def test_the_template_names_every_field_that_is_read(self) -> None:
         template = (ROOT / "deploy" / "settings.toml.template").read_text()
         for field in ("name", "zone", "callers", "readiness", "address", "ratio", "slack"):
             self.assertIn(f"\n{field} = ", template)
-        for field in ("drain_ms", "configuration_ms"):
+        for field in ("drain_ms", "configuration_ms", "evacuation_ms"):
             self.assertIn(f"\n{field} = ", template)
--- a/tests/platform_adapter/test_group_on_loopback.py
+++ b/tests/platform_adapter/test_group_on_loopback.py
@@ -73,6 +73,7 @@
             store=ListenAddress(LOOPBACK, store_port),
             drain_seconds=3.0,
             configuration_seconds=3.0,
+            evacuation_seconds=None,
             metrics=None,
             peers=None,
             peer_link=ListenAddress(LOOPBACK, 0),
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -81,6 +81,7 @@
             store=ListenAddress(LOOPBACK, store_port),
             drain_seconds=3.0,
             configuration_seconds=3.0,
+            evacuation_seconds=None,
             metrics=None,
             peers=None,
             peer_link=None,
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/replica_directory.py
@@ -29,6 +29,12 @@
         self._outage_ended_at = float("-inf")
         self._listed_at: float | None = None
         self._contradicted_at = float("-inf")
+        self._evacuated: frozenset[str] = frozenset()
+
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """The zones whose replicas must get nothing."""
+        return self._evacuated
 
     def __len__(self) -> int:
         """Return the number of replicas known."""
@@ -79,6 +85,10 @@
             if not self._by_service[service]:
                 del self._by_service[service]
 
+    def evacuate(self, zones: frozenset[str]) -> None:
+        """Take in the zones whose replicas must get nothing, until they are taken back."""
+        self._evacuated = zones
+
     def contradict(self, replica_id: str, now: float) -> None:
         """Take in that another replica answers at a replica's address: its record is old."""
         self._contradicted_at = now
@@ -191,7 +201,7 @@
         present: list[ReplicaState] = []
         vanished: list[ReplicaState] = []
         for state in self._by_service.get(service, {}).values():
-            if state.record.is_draining:
+            if state.record.is_draining or state.record.zone in self._evacuated:
                 continue
             if state.vanished_at is None:
                 present.append(state)
--- a/wingquay/forwarding/store_formats.py
+++ b/wingquay/forwarding/store_formats.py
@@ -30,6 +30,8 @@
         Keys of nodes begin with it; the rest is the node's name.
     cluster_key
         Holds the secret that all nodes share.
+    evacuation_prefix
+        Keys of zones whose replicas must get nothing begin with it; the rest is the zone's name.
     parse_configuration, parse_replica
         Turn a value into its typed form.
     parse_node
@@ -42,6 +44,7 @@
     replica_prefix: str
     node_prefix: str
     cluster_key: str
+    evacuation_prefix: str
     parse_configuration: Callable[[bytes], RoutingTable | Failure[FormatFailureKind]]
     parse_replica: Callable[[str, bytes], ReplicaRecord | Failure[FormatFailureKind]]
     parse_node: Callable[[bytes], NodeRecord | None]
--- a/wingquay/platform/names.py
+++ b/wingquay/platform/names.py
@@ -22,6 +22,7 @@
 
 CONFIGURATION_KEY = "op/config"
 REPLICA_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 NODE_PREFIX = "wingquay/nodes/"
 CLUSTER_KEY = "wingquay/cluster-key"
 
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -43,6 +43,7 @@
 from .names import (
     CLUSTER_KEY,
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     NODE_PREFIX,
     READY_PATH,
     REPLICA_PREFIX,
@@ -81,7 +82,11 @@
         self._is_ready = False
         self._has_news = asyncio.Event()
         self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
-        bound_seconds = min(settings.drain_seconds, settings.configuration_seconds)
+        bound_seconds = min(
+            settings.drain_seconds,
+            settings.configuration_seconds,
+            settings.evacuation_seconds or settings.configuration_seconds,
+        )
         gather_seconds = gather_seconds_within(bound_seconds)
         machine = ForwardingNode(
             settings.node,
@@ -239,6 +244,7 @@
         REPLICA_PREFIX,
         NODE_PREFIX,
         CLUSTER_KEY,
+        EVACUATION_PREFIX,
         parse_configuration,
         parse_replica,
         parse_node,
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -50,6 +50,9 @@
         Time after which a replica that the store says is leaving must get nothing more.
     configuration_seconds
         Time after which a configuration in the store must be in force.
+    evacuation_seconds
+        Time after which the replicas of a zone that the store says is evacuated must get nothing
+        more; ``None``: the platform states no bound.
     metrics
         Where figures are told; ``None``: nowhere.
     peers
@@ -74,6 +77,7 @@
     store: ListenAddress
     drain_seconds: float
     configuration_seconds: float
+    evacuation_seconds: float | None
     metrics: ListenAddress | None
     peers: ListenAddress | None
     peer_link: ListenAddress | None
@@ -112,6 +116,7 @@
         store=_address(document, "store.address"),
         drain_seconds=_milliseconds(document, "store.drain_ms"),
         configuration_seconds=_milliseconds(document, "store.configuration_ms"),
+        evacuation_seconds=_optional_milliseconds(document, "store.evacuation_ms"),
         metrics=_optional_address(document, "listen.metrics"),
         peers=_optional_address(document, "listen.peers"),
         peer_link=_optional_address(document, "listen.peer_link"),
@@ -179,6 +184,24 @@
     return milliseconds / MILLISECONDS_PER_SECOND
 
 
+def _optional_milliseconds(document: Mapping[str, Any], field: str) -> float | None:
+    """Return a time in seconds; ``None`` if the field is missing or an empty text.
+
+    The platform fills in an empty text where it has no such bound, and a number in quotes where it
+    has one.
+    """
+    found = _find(document, field)
+    if found is None or found == "":
+        return None
+    if not isinstance(found, str) or not found.isdigit():
+        raise _InvalidError(f"{field} is {found!r}; allowed: whole milliseconds in quotes")
+    milliseconds = float(found)
+    if not LEAST_BOUND_MS <= milliseconds <= GREATEST_BOUND_MS:
+        allowed = f"a number from {LEAST_BOUND_MS:g} to {GREATEST_BOUND_MS:g}"
+        raise _InvalidError(f"{field} is {found!r}; allowed: {allowed}")
+    return milliseconds / MILLISECONDS_PER_SECOND
+
+
 def _number(document: Mapping[str, Any], field: str, least: float, most: float) -> float:
     found = _find(document, field)
     is_number = isinstance(found, int | float) and not isinstance(found, bool)
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -31,6 +31,7 @@
 REPLICA_PREFIX = "replicas/"
 NODE_PREFIX = "nodes/"
 CLUSTER_KEY = "cluster-key"
+EVACUATION_PREFIX = "evacuate/"
 PRESENCE_DELAY_SECONDS = 0.6
 
 
@@ -76,6 +77,7 @@
             REPLICA_PREFIX,
             NODE_PREFIX,
             CLUSTER_KEY,
+            EVACUATION_PREFIX,
             self._parse_table,
             self._parse_record,
             parse_node,
