Refuse a request at once for whose service there is no replica

Cause: once the records of replicas had settled, a request for a service without any began all the same, and waited a fifth of its objective before it was refused. Tests: the last case of the evacuation's tests, which failed before.

--- a/wingquay/forwarding/settlement.py
+++ b/wingquay/forwarding/settlement.py
@@ -158,8 +158,7 @@
     def can_be_enough(self, exchange: Exchange, now: float) -> bool:
         """Whether the services of which a replica can be asked make a success."""
         if not exchange.route.shards:
-            service = exchange.calls[0].service
-            return self._directory.has_any(service, now) or not self._directory.is_settling(now)
+            return self._directory.has_any(exchange.calls[0].service, now)
         usable = [self._directory.has_usable(call.service, now) for call in exchange.calls]
         return is_enough(exchange.route, sum(usable))
 
