Tell large values of the store compressed, encoded once for all who are told

Cause: whoever reads a configuration tells the nodes of its group. With 2,000 routes that is 350 kB a node, eight to twelve times over a link of 19 to 38 Mbit/s: one to two seconds in which requests wait behind it, and each copy was encoded anew. Ruled out: parsing, 10 ms of processor time for such a document (trial on this machine); telling only the version, which leaves nodes blind that the store turns away. Change: values of 4 kB and more travel compressed (zlib, its fastest level; bounded in size when read), and a message that goes to several nodes is encoded once. Tests: the size on the wire, sizes that lie, bytes that are not compressed; encoding counted.

--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -124,6 +124,36 @@
         self.assertEqual(PeerCodecFailureKind.MALFORMED, failure.kind)
 
 
+class LargeValueTest(TestCase):
+    """Whoever has read a large configuration tells some ten nodes over one link."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        routes = b",".join(b'{"name":"r%d","service":"s","timeoutMs":900}' % i for i in range(2000))
+        self.item = StoredValue("configuration", b"[" + routes + b"]", 9)
+        self.news = StoreNews(1, 9, (self.item,))
+
+    def test_it_is_a_fraction_of_its_size_on_the_wire(self) -> None:
+        data = codec.encode(self.news, SENDER)
+        self.assertLess(len(data), len(self.item.value) / 8)
+        self.assertEqual((SENDER, self.news), codec.decode(data))
+
+    def test_a_value_of_another_size_than_it_says_is_refused(self) -> None:
+        for size in (10, len(self.item.value) + 1, 2**31):
+            envelope = peer_pb2.Envelope.FromString(codec.encode(self.news, SENDER))
+            envelope.store_news.changed[0].plain_bytes = size
+            failure = codec.decode(envelope.SerializeToString())
+            assert isinstance(failure, Failure)
+            self.assertEqual(PeerCodecFailureKind.MALFORMED, failure.kind)
+
+    def test_a_value_that_is_not_compressed_as_it_says_is_refused(self) -> None:
+        envelope = peer_pb2.Envelope.FromString(codec.encode(self.news, SENDER))
+        envelope.store_news.changed[0].value = b"plain"
+        failure = codec.decode(envelope.SerializeToString())
+        assert isinstance(failure, Failure)
+        self.assertEqual(PeerCodecFailureKind.MALFORMED, failure.kind)
+
+
 class _Node:
     def __init__(self, name: str) -> None:
         self.events: list[Event] = []
--- a/tests/adapters/test_peer_link.py
+++ b/tests/adapters/test_peer_link.py
@@ -105,6 +105,31 @@
 
         self.run_async(scenario)
 
+    def test_a_message_for_several_nodes_is_encoded_once(self):
+        async def scenario():
+            async with running(Node("a"), Node("b"), Node("c")) as (a, b, c):
+                encoded = []
+
+                class CountingCodec:
+                    decode = staticmethod(peer_codec.decode)
+
+                    @staticmethod
+                    def encode(message, sender):
+                        encoded.append(message)
+                        return peer_codec.encode(message, sender)
+
+                a.link._codec = CountingCodec
+                first, second = text(1), text(2)
+                for message in (first, second):
+                    for other in (b, c):
+                        a.send(other, message)
+                for other in (b, c):
+                    received = await other.wait_for_events(2)
+                    self.assertEqual([first, second], [event.message for event in received])
+                self.assertEqual([first, second], encoded)
+
+        self.run_async(scenario)
+
     def test_simultaneous_dials_lose_nothing(self):
         async def scenario():
             async with running(Node("a"), Node("b")) as (a, b):
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -1,5 +1,7 @@
 """Encode and decode the messages between forwarding nodes (protobuf, ``proto/peer.proto``)."""
 
+import zlib
+
 from google.protobuf.message import DecodeError
 
 from ..model.failure import Failure
@@ -19,6 +21,15 @@
 from .peer_codec_identity import identity_from_bytes, identity_to_bytes
 from .proto import peer_pb2
 
+COMPRESSED_FROM_BYTES = 4_096
+"""Size of a stored value from which on it is compressed: a configuration of 2,000 routes has 350
+kB, and each node that has read it tells about ten others over a link of some 20 to 40 Mbit/s, which
+it kept busy for over a second."""
+COMPRESSION_LEVEL = 1
+"""Fastest: documents of like entries shrink to a fifteenth and less all the same."""
+GREATEST_VALUE_BYTES = 8 * 1024 * 1024
+"""Largest value that is taken from another node, eight times what the store holds."""
+
 
 def encode(message: PeerMessage, sender: NodeIdentity) -> bytes:
     """Return ``message`` from ``sender`` as bytes.
@@ -155,23 +166,34 @@
     target.from_revision = message.from_revision
     target.store_revision = message.store_revision
     for item in message.changed:
-        target.changed.add(
+        added = target.changed.add(
             key=item.key,
-            value=item.value,
             modified_at=item.modified_at,
             lease_id=item.lease_id,
             created_at=item.created_at,
         )
+        if len(item.value) < COMPRESSED_FROM_BYTES:
+            added.value = item.value
+        else:
+            added.value = zlib.compress(item.value, COMPRESSION_LEVEL)
+            added.plain_bytes = len(item.value)
     target.deleted.extend(message.deleted)
     target.age_seconds = message.age_seconds
     target.may_have_more = message.may_have_more
 
 
-def _news_from(message: peer_pb2.StoreNews) -> StoreNews:
-    changed = tuple(
-        StoredValue(item.key, item.value, item.modified_at, item.lease_id, item.created_at)
-        for item in message.changed
-    )
+def _news_from(
+    message: peer_pb2.StoreNews,
+) -> StoreNews | Failure[PeerCodecFailureKind]:
+    try:
+        changed = tuple(
+            StoredValue(
+                item.key, _plain_value(item), item.modified_at, item.lease_id, item.created_at
+            )
+            for item in message.changed
+        )
+    except (zlib.error, ValueError) as error:
+        return Failure(PeerCodecFailureKind.MALFORMED, f"a stored value: {error}")
     return StoreNews(
         message.from_revision,
         message.store_revision,
@@ -180,3 +202,24 @@
         message.age_seconds,
         message.may_have_more,
     )
+
+
+def _plain_value(item: peer_pb2.StoreItem) -> bytes:
+    """Return a value as the store holds it.
+
+    Raises
+    ------
+    ValueError
+        If it has another size than it says, or is too large.
+    zlib.error
+        If it is not compressed as it says.
+    """
+    if not item.plain_bytes:
+        return item.value
+    if item.plain_bytes > GREATEST_VALUE_BYTES:
+        raise ValueError(f"{item.plain_bytes} bytes; allowed: up to {GREATEST_VALUE_BYTES}")
+    # One byte more than it says would show that it is longer.
+    plain = zlib.decompressobj().decompress(item.value, item.plain_bytes + 1)
+    if len(plain) != item.plain_bytes:
+        raise ValueError(f"{len(plain)} bytes instead of {item.plain_bytes}")
+    return plain
--- a/wingquay/adapters/peer_link.py
+++ b/wingquay/adapters/peer_link.py
@@ -114,6 +114,8 @@
         self._server: asyncio.Server | None = None
         self._datagrams: PeerDatagrams | None = None
         self._closing = False
+        self._encoded: tuple[PeerMessage, bytes] | None = None
+        """The message encoded last: the same one often goes to several nodes."""
 
     async def start(self) -> NodeIdentity:
         """Listen; return the identity with the port that was bound.
@@ -180,7 +182,7 @@
         if self._closing:
             return
         try:
-            data = self._codec.encode(action.message, self.identity)
+            data = self._encode(action.message)
         except ValueError as error:
             self._report_unsendable(action, str(error))
             return
@@ -189,6 +191,11 @@
         else:
             self._enqueue(action.to, data)
 
+    def _encode(self, message: PeerMessage) -> bytes:
+        if self._encoded is None or self._encoded[0] is not message:
+            self._encoded = (message, self._codec.encode(message, self.identity))
+        return self._encoded[1]
+
     def _report_unsendable(self, action: SendToPeer, reason: str) -> None:
         """Break the link over a message that has no wire form, so that nobody waits for it."""
         kind = type(action.message).__name__
