Encode what a request has in common at all replicas once

Cause: a request to 135 shards differs from shard to shard in two headers, and h11 checked and wrote all of them each time. Change: request_encoder.py has h11 encode the common lines once and adds the replica's own; the parser of the connection is told of the method only. A request that has no form on the wire is a failed attempt now, not an exception that leaves it open.

--- a/benchmarks/wide_request.py
+++ b/benchmarks/wide_request.py
@@ -134,9 +134,7 @@
         request = OpaqueRequest(b"GET", b"/all/2f", headers)
         future = asyncio.get_running_loop().create_future()
         self._replies[number] = future
-        self._emit(
-            ForwardRequested(number, headers[1][1].decode(), HOST, "/all/2f", request, 60.0)
-        )
+        self._emit(ForwardRequested(number, headers[1][1].decode(), HOST, "/all/2f", request, 60.0))
         reply: ReplyMerged | ReplyFailure = await future
         assert isinstance(reply, ReplyMerged), reply
         return reply
@@ -189,9 +187,7 @@
     try:
         assert replicas.stdout is not None
         port = int(replicas.stdout.readline().removeprefix(READY))
-        runs = [
-            asyncio.run(_measure(shards, requests, port, profile)) for _ in range(repeats)
-        ]
+        runs = [asyncio.run(_measure(shards, requests, port, profile)) for _ in range(repeats)]
     finally:
         replicas.terminate()
         replicas.wait()
--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -75,10 +75,10 @@
         self.begin(request_id, body)
         return await self.events.get()
 
-    def begin(self, request_id: str, body: bytes = b"") -> int:
+    def begin(self, request_id: str, body: bytes = b"", host: bytes = b"search.example") -> int:
         self._attempts += 1
         record = ReplicaRecord("i-1", "s", LOOPBACK, self.port, "a", 2)
-        headers = ((b"Host", b"search.example"), (b"Request-Id", request_id.encode()))
+        headers = ((b"Host", host), (b"Request-Id", request_id.encode()))
         request = OpaqueRequest(b"POST" if body else b"GET", b"/a/b?c=%20d", headers, body)
         self.client.send(SendToReplica(self._attempts, record, request_id, request, 1.5))
         return self._attempts
@@ -195,6 +195,23 @@
         play(test())
 
 
+class UnsendableTest(TestCase):
+    def test_a_request_without_a_form_on_the_wire_fails_and_its_connection_is_kept(self) -> None:
+        async def test() -> None:
+            exchange = Exchange([answer("r2", b"x")])
+            await exchange.start()
+            exchange.begin("r1", host=b"a\nb")
+            event = await exchange.events.get()
+            self.assertIsInstance(event, SendFailed)
+            self.assertIs(SendFailureKind.NOT_SENT, event.kind)
+            self.assertIn("no form on the wire", event.reason)
+            await exchange.send("r2")
+            connected = Count("replica_connections_total")
+            self.assertEqual(1, exchange.counts.count(connected))
+
+        play(test())
+
+
 class SurplusTest(TestCase):
     def test_a_surplus_answer_in_the_place_of_the_next_is_passed_over(self) -> None:
         async def test() -> None:
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -9,6 +9,7 @@
 from ..model.value import value
 from ..ports.forwarding import (
     CancelSend,
+    Headers,
     ReplicaAnswer,
     ReplicaAnswered,
     ReportedLoad,
@@ -18,6 +19,7 @@
 )
 from ..ports.machine import Count, Event
 from .replica_connection import RawAnswer, RawSending, ReplicaConnection
+from .request_encoder import RequestEncoder
 
 CONNECT_SECONDS = 0.08
 """Time allowed for a new connection: replicas are near, and another one can be asked."""
@@ -40,8 +42,8 @@
 class ReplicaDialect(Protocol):
     """How requests to replicas and their answers are written; the platform provides it."""
 
-    def request_head(self, action: SendToReplica) -> h11.Request:
-        """Return the head of a request as the replica takes it."""
+    def own_headers(self, action: SendToReplica) -> Headers:
+        """Return the headers that differ from replica to replica, in visible ASCII."""
         ...
 
     def belongs(self, request_id: str, answer: RawAnswer) -> bool:
@@ -84,6 +86,7 @@
         count: Callable[[Count], None],
     ) -> None:
         self._dialect = dialect
+        self._encoder = RequestEncoder(dialect)
         self._emit = emit
         self._count = count
         self._loop = asyncio.get_running_loop()
@@ -141,6 +144,12 @@
 
     def _send_on(self, attempt: _Attempt, connection: ReplicaConnection) -> None:
         action = attempt.action
+        try:
+            data = self._encoder.encode(action)
+        except h11.LocalProtocolError as error:
+            self._freed(connection)
+            self._failed(attempt, SendFailureKind.NOT_SENT, f"no form on the wire: {error}")
+            return
         attempt.connection = connection
         request_id = action.request_id
 
@@ -154,8 +163,8 @@
             kind = SendFailureKind.MALFORMED if is_malformed else SendFailureKind.BROKEN
             self._failed(attempt, kind, reason)
 
-        head = self._dialect.request_head(action)
-        connection.send(RawSending(head, action.request.body, belongs, on_answer, on_broken))
+        method = action.request.method
+        connection.send(RawSending(data, method, belongs, on_answer, on_broken))
 
     def _answered(self, attempt: _Attempt, answer: RawAnswer) -> None:
         attempt_id = attempt.action.attempt_id
--- a/wingquay/adapters/replica_connection.py
+++ b/wingquay/adapters/replica_connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import lru_cache
 from typing import Any, cast
 
 import h11
@@ -16,6 +17,8 @@
 
 HEADER_BYTES = 32_768
 BODY_BYTES = 16_777_216
+KNOWN_METHODS = 16
+"""Methods for which the parser's notice is kept."""
 SURPLUS_ANSWERS = 3
 """Answers to other requests that are passed over before the connection is given up."""
 
@@ -37,6 +40,10 @@
 
     Parameters
     ----------
+    data
+        The whole request.
+    method
+        Its method, by which the end of an answer is found.
     belongs
         Whether an answer belongs to this request.
     on_answer
@@ -45,8 +52,8 @@
         Takes the reason why no whole answer came, and whether what came was malformed.
     """
 
-    head: h11.Request
-    body: bytes
+    data: bytes
+    method: bytes
     belongs: Callable[[RawAnswer], bool]
     on_answer: Callable[[RawAnswer], None]
     on_broken: Callable[[str, bool], None]
@@ -90,11 +97,8 @@
         self._sending = sending
         self._head = None
         self._body.clear()
-        data = self._http.send(sending.head) or b""
-        if sending.body:
-            data += self._http.send(h11.Data(data=sending.body)) or b""
-        data += self._http.send(_END_OF_MESSAGE) or b""
-        self._transport.write(data)
+        self._expect_answer(sending.method)
+        self._transport.write(sending.data)
 
     def abort(self) -> None:
         """End the connection at once; nothing more is heard of its request."""
@@ -174,15 +178,17 @@
             self._fail("answer belongs to another request", True)
             return
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_BYTES)
-        self._http.send(sending.head)
-        if sending.body:
-            self._http.send(h11.Data(data=sending.body))
-        self._http.send(_END_OF_MESSAGE)
+        self._expect_answer(sending.method)
         self._head = None
         self._body.clear()
         if rest:
             self._http.receive_data(rest)
 
+    def _expect_answer(self, method: bytes) -> None:
+        """Tell the parser that a request by this method is on its way."""
+        self._http.send(_request_by(method))
+        self._http.send(_END_OF_MESSAGE)
+
     def _can_be_reused(self) -> bool:
         assert self._transport is not None
         http = self._http
@@ -211,3 +217,8 @@
         self.abort()
         if sending is not None:
             sending.on_broken(reason, is_malformed)
+
+
+@lru_cache(maxsize=KNOWN_METHODS)
+def _request_by(method: bytes) -> h11.Request:
+    return h11.Request(method=method, target=b"/", headers=[(b"Host", b"replica")])
--- a/wingquay/platform/replica_dialect.py
+++ b/wingquay/platform/replica_dialect.py
@@ -1,10 +1,8 @@
 """Requests to replicas and their answers, as the platform writes them."""
 
-import h11
-
 from ..adapters.replica_client import UnderstoodAnswer
 from ..adapters.replica_connection import RawAnswer
-from ..ports.forwarding import ReplicaAnswer, ReportedLoad, SendToReplica
+from ..ports.forwarding import Headers, ReplicaAnswer, ReportedLoad, SendToReplica
 from .names import (
     DEADLINE_MS,
     EXPECTED_REPLICA,
@@ -31,18 +29,13 @@
 class PlatformReplicaDialect:
     """Writes requests and understands answers."""
 
-    def request_head(self, action: SendToReplica) -> h11.Request:
-        """Return the head of a request: the caller's headers, the replica's id, the time left."""
-        request = action.request
+    def own_headers(self, action: SendToReplica) -> Headers:
+        """Return the headers that differ from replica to replica: its id and the time left."""
         remaining_ms = max(1, int(action.remaining_seconds * MILLISECONDS_PER_SECOND))
-        headers = [
-            *request.headers,
+        return (
             (DEADLINE_MS, b"%d" % remaining_ms),
             (EXPECTED_REPLICA, action.replica.replica_id.encode()),
-        ]
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
-            headers.append((b"Content-Length", b"%d" % len(request.body)))
-        return h11.Request(method=request.method, target=request.target, headers=headers)
+        )
 
     def belongs(self, request_id: str, answer: RawAnswer) -> bool:
         """Whether an answer carries the id back; only refusals may carry none."""
