Reach other nodes sooner after a start: by their last lives, with a lighter link, past absent ones

Cause: after a loss of power of all machines a node answers wide requests by itself, too late, until its link is open and the others' keys are there: the link waited 0.15 s, loaded the library for logs and attrs, paused 10 ms after each of 20 modules, and a key of a last life could not be dialled since each life had an id of its own. Change: a node's id is its name, so that others are reached by the keys that still stand in the store; numbers of delegations begin anywhere, so that no answer meets another life's request. The link loads neither eliot nor attrs, without pauses but for a turn of the loop, 0.02 s after the configuration is known. Shards of a node where nobody listens yet go to another owner at once, and it is asked again after 0.2 s. Ruled out: a rejecting node is still followed by asking directly, as before. Tests: a dial by what was known of a last life over real sockets, early and late failing dials, numbers of two lives; all fail on the code before.

--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -155,10 +155,10 @@
 
 
 class _Node:
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, port: int = 0) -> None:
         self.events: list[Event] = []
         self.changed = asyncio.Event()
-        self.link = DeferredPeerLink(name, "a", LOOPBACK, 0, self._take, lambda _: None)
+        self.link = DeferredPeerLink(name, "a", LOOPBACK, port, self._take, lambda _: None)
 
     def _take(self, event: Event) -> None:
         self.events.append(event)
@@ -194,6 +194,22 @@
 
         run(scenario())
 
+    def test_a_node_is_reached_by_what_was_known_of_its_last_life(self) -> None:
+        async def scenario() -> None:
+            here, there = _Node("here"), _Node("there")
+            identity = await here.open()
+            last_life = await there.open()
+            await there.link.close()
+            again = _Node("there", last_life.port)
+            self.assertEqual(last_life, await again.open())
+            here.link.send(SendToPeer(last_life, CancelDelegation(3)))
+            received = await again.next(PeerReceived)
+            self.assertEqual(PeerReceived(identity, CancelDelegation(3)), received)
+            await here.link.close()
+            await again.link.close()
+
+        run(scenario())
+
     def test_an_address_that_is_taken_is_said(self) -> None:
         async def scenario() -> None:
             here = _Node("here")
--- a/tests/forwarding/test_delegation.py
+++ b/tests/forwarding/test_delegation.py
@@ -131,6 +131,54 @@
         node.advance(4.0)
         self.assertGreater(len(told(node, Greeting)), before)
 
+    def test_the_shards_of_a_node_that_is_not_there_go_to_another(self) -> None:
+        node = node_apart_from_owners()
+        number = node.request("/all/x")
+        (absent, share), *others = delegated(node)
+        node.emit(PeerLinkBroken(absent.node_id, "refused", was_open=False))
+        again = delegated(node)[1 + len(others) :]
+        self.assertNotIn(absent.node_id, {to.node_id for to, _ in again})
+        moved = [shard for _, message in again for shard in message.shards]
+        self.assertEqual(sorted(share.shards), sorted(moved))
+        self.assertEqual([], node.sends)
+        for to, message in [*others, *again]:
+            node.emit(PeerReceived(to, whole_answer(message)))
+        self.assertEqual(0, node.replies[number].missing_shards)
+
+    def test_late_in_a_request_they_are_asked_directly(self) -> None:
+        node = node_apart_from_owners()
+        node.request("/all/x")
+        ((absent, share), *_) = delegated(node)
+        node.stall(OBJECTIVE_SECONDS * 0.46)
+        before = len(delegated(node))
+        node.emit(PeerLinkBroken(absent.node_id, "timed out", was_open=False))
+        self.assertEqual(before, len(delegated(node)))
+        asked = {send.replica.service for send in node.all_sends}
+        self.assertTrue(set(share.shards) <= asked)
+
+    def test_a_node_that_is_not_there_is_asked_again_sooner_than_one_that_is_silent(self) -> None:
+        for was_open, seconds in ((False, 0.25), (True, 1.05)):
+            node = node_apart_from_owners()
+            node.request("/all/x")
+            ((gone, _), *_) = delegated(node)
+            node.emit(PeerLinkBroken(gone.node_id, "test", was_open))
+            groups = node.machine._members.groups
+            self.assertNotIn(gone, groups.reachable(node.now + seconds - 0.1))
+            self.assertIn(gone, groups.reachable(node.now + seconds))
+
+    def test_numbers_of_two_lives_differ(self) -> None:
+        numbers = set()
+        for seed in range(3):
+            node = OneNode(seed=seed, delegate_least_shards=10)
+            records = [replica(f"r{number}", f"s{number}", "b") for number in range(SHARDS)]
+            node.start(table(1, sharded_route(SHARDS)), *records)
+            node.emit(PeerLinkOpened(OWN))
+            join(node, *FAR_NODES)
+            node.request("/all/x")
+            numbers |= {message.delegation_id for _, message in delegated(node)}
+        self.assertGreaterEqual(len(numbers), 3)
+        self.assertGreater(max(numbers) - min(numbers), 1_000)
+
     def test_nodes_around_are_told_once_of_a_node_that_says_nothing(self) -> None:
         node = node_apart_from_owners()
         node.request("/all/x")
--- a/wingquay/adapters/deferred_peer_link.py
+++ b/wingquay/adapters/deferred_peer_link.py
@@ -1,19 +1,17 @@
 """The link to other nodes, loaded when it is asked for: nodes that need none never pay for it."""
 
 import asyncio
-import secrets
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from ..model.identifiers import DeploymentName, NodeId, ZoneName
 from ..ports.machine import Event, Log, LogLevel
 from ..ports.peer_link import NodeIdentity, OpenPeerLink, PeerLinkOpened, SendToPeer
-from .gradual_import import LINK_MODULES, import_gradually
+from .gradual_import import LINK_MODULES, LINK_PAUSE_SECONDS, import_gradually
 
 if TYPE_CHECKING:
     from .peer_link import PeerLink
 
-NODE_ID_BYTES = 4
 DIAL_SECONDS = 1.0
 CLOSE_SECONDS = 0.2
 """Time for what is buffered to leave when the node ends: it must end within its time of grace."""
@@ -25,7 +23,7 @@
     Parameters
     ----------
     name, zone
-        This node; its id is the name and a random suffix, new at each start.
+        This node; its id is its name, so that others reach it by what they knew of its last life.
     host, port
         Where other nodes reach it.
     emit
@@ -43,8 +41,7 @@
         emit: Callable[[Event], None],
         log: Callable[[Log], None],
     ) -> None:
-        node_id = NodeId(f"{name}-{secrets.token_hex(NODE_ID_BYTES)}")
-        self._identity = NodeIdentity(node_id, DeploymentName(""), ZoneName(zone), host, port)
+        self._identity = NodeIdentity(NodeId(name), DeploymentName(""), ZoneName(zone), host, port)
         self._emit = emit
         self._log = log
         self._link: PeerLink | None = None
@@ -68,7 +65,7 @@
             await self._link.close()
 
     async def _open(self, action: OpenPeerLink) -> None:
-        await import_gradually(LINK_MODULES)
+        await import_gradually(LINK_MODULES, LINK_PAUSE_SECONDS)
         from . import forwarding_peer_codec
         from .peer_channel import PeerLinkSettings
         from .peer_link import PeerLink
--- a/wingquay/adapters/gradual_import.py
+++ b/wingquay/adapters/gradual_import.py
@@ -13,6 +13,9 @@
 
 PAUSE_SECONDS = 0.01
 """Time left to other work after each module."""
+LINK_PAUSE_SECONDS = 0.0
+"""The same for the link: one turn of the loop. Wide requests are late until it is open, so whatever
+waits for its turn loses more by longer pauses, which added up to 0.2 s."""
 
 LOG_MODULES = (
     "pathlib",
@@ -38,7 +41,6 @@
     "wingquay.adapters.metrics",
 )
 LINK_MODULES = (
-    "attrs",
     "google.protobuf.message",
     "google.protobuf.descriptor_pool",
     "google.protobuf.internal.builder",
--- a/wingquay/adapters/peer_link.py
+++ b/wingquay/adapters/peer_link.py
@@ -22,7 +22,6 @@
     PeerReceived,
     SendToPeer,
 )
-from .log_writer import LogWriter
 from .peer_channel import (
     ChannelContext,
     PeerChannel,
@@ -105,7 +104,7 @@
         self._key = ClusterKey(cluster_key)
         self._codec = codec
         self._emit = emit
-        self._log = log or LogWriter({}).perform
+        self._log = log or _standard_log()
         self._settings = settings or PeerLinkSettings()
         self._refusals = PeerRefusalLog(self._log)
         self._channels: dict[NodeId, PeerChannel] = {}
@@ -305,3 +304,10 @@
             return
         self.counters.messages_received += 1
         self._emit(received)
+
+
+def _standard_log() -> Callable[[Log], None]:
+    # The library for logs takes as long to load as the rest of the link.
+    from .log_writer import LogWriter
+
+    return LogWriter({}).perform
--- a/wingquay/forwarding/delegated_work.py
+++ b/wingquay/forwarding/delegated_work.py
@@ -4,11 +4,9 @@
 go to the node that asked, piece by piece.
 """
 
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from itertools import count
 
-import attrs
-
 from ..model.routing_table import Route, RoutingTable
 from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
 from ..ports.forwarding import ForwardRequested
@@ -21,7 +19,7 @@
 from .timers import HedgeDue
 
 
-@attrs.define(eq=False)
+@dataclass(slots=True, eq=False)
 class NodeOrigin:
     """The node that waits for an exchange, and what it has been told."""
 
@@ -29,7 +27,7 @@
     delegation_id: int
     positions: dict[str, int]
     """Where each shard stands in the node's request."""
-    _reported: set[str] = attrs.field(factory=set)
+    _reported: set[str] = field(default_factory=set)
 
     @property
     def name(self) -> str:
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -10,10 +10,9 @@
 """
 
 from collections.abc import Mapping
+from dataclasses import dataclass, field
 from itertools import count
 
-import attrs
-
 from ..model.routing_table import RoutingTable
 from ..ports.delegation import (
     AllowAttempts,
@@ -43,7 +42,7 @@
 processor time at either side, and an owner may hear from a whole fleet that starts."""
 
 
-@attrs.define(eq=False)
+@dataclass(slots=True, eq=False)
 class Delegation:
     """Shards of one request that another node was asked for."""
 
@@ -53,7 +52,7 @@
     calls: tuple[ServiceCall, ...]
     is_heard: bool = False
     is_lost: bool = False
-    given_back: set[str] = attrs.field(factory=set)
+    given_back: set[str] = field(default_factory=set)
     """Services of the calls that the node has declined."""
 
     @property
@@ -67,7 +66,14 @@
 
 
 class Delegations:
-    """What this node has asked of others."""
+    """What this node has asked of others.
+
+    Parameters
+    ----------
+    first_id
+        Number of the first delegation, drawn anew at each start: a node keeps its id over its
+        lives, and what its last life has asked for may still be answered.
+    """
 
     def __init__(
         self,
@@ -76,6 +82,7 @@
         directory: ReplicaDirectory,
         starter: CallStarter,
         settlement: Settlement,
+        first_id: int,
     ) -> None:
         self._settings = settings
         self._groups = groups
@@ -87,26 +94,34 @@
         """Nodes to which the connection was opened, by id."""
         self._starter = starter
         self._settlement = settlement
-        self._ids = count(1)
+        self._ids = count(first_id)
         self._open: dict[int, Delegation] = {}
         self._by_exchange: dict[int, list[Delegation]] = {}
 
     def start(self, exchange: Exchange, now: float) -> list[Action]:
         """Start every call of a request: own shards directly, the others through their nodes."""
-        shards = exchange.route.shards
         if not exchange.is_repeatable:
             return self._begin_directly(exchange.calls, now)
+        if self._is_wide(exchange.route.shards):
+            self._rate.count(now)
+        own, actions = self._divide(exchange, exchange.calls, now)
+        return actions + self._begin_directly(own, now)
+
+    def _divide(
+        self, exchange: Exchange, calls: list[ServiceCall], now: float
+    ) -> tuple[list[ServiceCall], list[Action]]:
+        """Ask other nodes for calls; return those that are left to this one, too."""
+        shards = exchange.route.shards
         is_wide = self._is_wide(shards)
         owners: Mapping[str, NodeIdentity | None]
         if is_wide:
-            self._rate.count(now)
             owners = self.placement.owners(shards, now)
         else:
             owners = self._relays.owners(shards, now)
         shares: dict[str, list[ServiceCall]] = {}
         nodes: dict[str, NodeIdentity] = {}
         own: list[ServiceCall] = []
-        for call in exchange.calls:
+        for call in calls:
             owner = owners.get(call.service)
             if owner is None:
                 own.append(call)
@@ -114,11 +129,11 @@
             nodes[owner.node_id] = owner
             shares.setdefault(owner.node_id, []).append(call)
         actions: list[Action] = []
-        for node_id, calls in shares.items():
-            actions += self._delegate(exchange, nodes[node_id], calls, is_wide, now)
+        for node_id, share in shares.items():
+            actions += self._delegate(exchange, nodes[node_id], share, is_wide, now)
         for call in own:
             call.is_owned = is_wide and call.service in owners
-        return actions + self._begin_directly(own, now)
+        return own, actions
 
     def greet(self, table: RoutingTable, now: float) -> list[Action]:
         """Open connections to owners of shards before a request needs them, a few at a time."""
@@ -164,8 +179,8 @@
             if event.was_open:
                 actions += self._lost(delegation, event.reason, now)
             else:
-                actions += self._not_taken(delegation, event.reason, now)
-        self._groups.suspect(node_id, now)
+                actions += self._not_reached(delegation, event.reason, now)
+        self._groups.suspect(node_id, now, is_absent=not event.was_open)
         return actions
 
     def lost_elsewhere(self, message: NodeLost, now: float) -> list[Action]:
@@ -234,13 +249,17 @@
             remaining_seconds=max(exchange.ends_at - now, 0.001),
             is_group_share=is_group_share,
         )
-        due_at = now + route.objective_seconds * settings.delegate_takeover_ratio
+        due_at = now + self._takeover_seconds(exchange)
         return [
             SendToPeer(node, message),
             Count("delegated_requests_total", labels=(("side", "sent"),)),
             Schedule(due_at, DelegationDue(delegation.delegation_id)),
         ]
 
+    def _takeover_seconds(self, exchange: Exchange) -> float:
+        """Return the time after which a node that has not said anything counts as lost."""
+        return exchange.route.objective_seconds * self._settings.delegate_takeover_ratio
+
     def _heard(self, delegation: Delegation) -> list[Action]:
         """Leave further attempts to a node that is there, unless this node has stepped in."""
         delegation.is_heard = True
@@ -281,13 +300,31 @@
             body = b""
 
     def _not_taken(self, delegation: Delegation, reason: str, now: float) -> list[Action]:
-        """Ask the shards of a node that has asked nobody."""
+        """Ask the shards of a node that has rejected the request."""
+        self._take_back(delegation)
+        return self._step_in(delegation, delegation.open_calls, reason, now)
+
+    def _not_reached(self, delegation: Delegation, reason: str, now: float) -> list[Action]:
+        """Ask for the shards of a node that cannot be reached, through others while it is early.
+
+        Most dials that fail do so within the first milliseconds of a request: nothing listens on a
+        machine that is starting.
+        """
+        self._take_back(delegation)
         calls = delegation.open_calls
-        for call in calls:
+        exchange = delegation.exchange
+        if now >= exchange.arrived_at + self._takeover_seconds(exchange):
+            return self._step_in(delegation, calls, reason, now)
+        lost = self._pass_over(delegation, calls, reason, is_absent=True, now=now)
+        own, divided = self._divide(exchange, calls, now)
+        return [*lost, *divided, *self._start_directly(own, now)]
+
+    def _take_back(self, delegation: Delegation) -> None:
+        """Forget a delegation for which nobody was asked."""
+        for call in delegation.open_calls:
             call.delegated_attempts = 0
             call.arrivals -= 1
         self._forget(delegation)
-        return self._step_in(delegation, calls, reason, now)
 
     def _lost(self, delegation: Delegation, reason: str, now: float) -> list[Action]:
         calls = [call for call in delegation.open_calls if not call.attempts]
@@ -309,11 +346,26 @@
 
         What the node still brings is taken, unless it has rejected the request.
         """
+        exchange = delegation.exchange
+        exchange.failures += len(calls)
+        lost = self._pass_over(delegation, calls, reason, is_absent=False, now=now)
+        startable = [call for call in calls if call.attempts_left > 0]
+        started = self._start_directly(startable, now)
+        return [*lost, *started, *self._settlement.settle(exchange, now)]
+
+    def _pass_over(
+        self,
+        delegation: Delegation,
+        calls: list[ServiceCall],
+        reason: str,
+        is_absent: bool,
+        now: float,
+    ) -> list[Action]:
+        """Pass a node over for a while."""
         delegation.is_lost = True
-        delegation.exchange.failures += len(calls)
         node_id = delegation.node.node_id
         telling: list[Action] = []
-        if self._groups.suspect(node_id, now):
+        if self._groups.suspect(node_id, now, is_absent):
             telling = self._tell_lost(node_id)
         fields = (
             ("request_id", delegation.exchange.event.request_id),
@@ -321,14 +373,11 @@
             ("shards", len(calls)),
             ("reason", reason),
         )
-        actions: list[Action] = [
+        return [
             Log("delegation_lost", LogLevel.INFO, fields),
             Count("delegations_lost_total"),
             *telling,
         ]
-        startable = [call for call in calls if call.attempts_left > 0]
-        actions += self._start_directly(startable, now)
-        return actions + self._settlement.settle(delegation.exchange, now)
 
     def _tell_lost(self, node_id: str) -> list[Action]:
         """Tell the nodes of the group of a node that has let a request down.
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -40,6 +40,8 @@
     from .peer_work import PeerWork
 
 UNCONFIGURED_RETRY_SECONDS = 0.3
+DELEGATION_ID_BITS = 62
+"""Size of the first number of what is asked of other nodes: no two lives of a node share one."""
 HEDGE_RECHECK_SECONDS = 0.012
 """Time between two looks at attempts that take too long."""
 
@@ -56,7 +58,7 @@
     nodes
         How many nodes there are; kept up to date by another machine.
     random_source
-        Starts the rounds of weighted routes.
+        Starts the rounds of weighted routes and the numbers of what is asked of other nodes.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self._directory = directory
         self._latencies = RouteLatencies(settings)
         self._sender = AttemptSender(settings, directory, self._latencies, nodes)
+        self._random = random_source
         self._weights = WeightedChoice(random_source)
         self._ending = ExchangeEnding()
         self._settlement = Settlement(settings, directory, self._sender)
@@ -101,7 +104,12 @@
         from .peer_work import PeerWork
 
         delegations = Delegations(
-            self._settings, groups, self._directory, self._starter, self._settlement
+            self._settings,
+            groups,
+            self._directory,
+            self._starter,
+            self._settlement,
+            self._random.getrandbits(DELEGATION_ID_BITS),
         )
         self._peers = PeerWork(
             self._settings,
--- a/wingquay/forwarding/node_groups.py
+++ b/wingquay/forwarding/node_groups.py
@@ -6,14 +6,14 @@
 
 import math
 from collections.abc import Collection
+from dataclasses import dataclass
 
-import attrs
-
+from ..model.value import value
 from ..ports.peer_link import NodeIdentity, NodeRecord
 from .settings import ForwardingSettings
 
 
-@attrs.frozen
+@value
 class GroupNode:
     """A node that can be asked now, this one included."""
 
@@ -21,7 +21,7 @@
     record: NodeRecord
 
 
-@attrs.define(eq=False)
+@dataclass(slots=True, eq=False)
 class _Member:
     """A node that other nodes can reach."""
 
@@ -108,9 +108,14 @@
         """Take in the greatest number of shards of a route."""
         self._fan_out = shards
 
-    def suspect(self, node_id: str, now: float) -> bool:
+    def suspect(self, node_id: str, now: float, is_absent: bool = False) -> bool:
         """Pass a node over for a while, longer each time in a row.
 
+        Parameters
+        ----------
+        is_absent
+            Whether nobody answered at its address: it may be starting.
+
         Returns
         -------
         bool
@@ -121,7 +126,9 @@
             del self._departed[name]
         for member in self._members.values():
             if member.record.identity.node_id == node_id and now >= member.suspect_until:
-                seconds = self._settings.node_suspect_seconds * 2.0**member.failures
+                settings = self._settings
+                first = settings.node_absent_seconds if is_absent else settings.node_suspect_seconds
+                seconds = first * 2.0**member.failures
                 seconds = min(seconds, self._settings.node_suspect_most_seconds)
                 member.suspect_until = now + seconds
                 member.failures += 1
--- a/wingquay/forwarding/node_membership.py
+++ b/wingquay/forwarding/node_membership.py
@@ -16,11 +16,11 @@
 
 LINK_WAIT_SECONDS = 0.4
 """Time between two looks whether the link to other nodes is open."""
-TABLE_WAIT_SECONDS = 0.1
+TABLE_WAIT_SECONDS = 0.03
 """Time between two looks whether a configuration tells how wide routes are."""
-MOST_TABLE_WAITS = 15
+MOST_TABLE_WAITS = 50
 """Looks after which the node's key is written all the same: a node counts without the link, too."""
-MOST_LINK_WAITS = 6
+MOST_LINK_WAITS = 7
 """Looks after which the node's key is written without an address."""
 
 
--- a/wingquay/forwarding/relays.py
+++ b/wingquay/forwarding/relays.py
@@ -8,8 +8,7 @@
 
 from collections.abc import Callable
 
-import attrs
-
+from ..model.value import value
 from ..ports.peer_link import NodeIdentity
 from .node_groups import NodeGroups
 from .replica_directory import ReplicaDirectory
@@ -22,7 +21,7 @@
 """Sets of shards that are remembered; old configurations name others."""
 
 
-@attrs.frozen
+@value
 class _FarShards:
     """The shards of a route that have replicas in other zones only, with these zones."""
 
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -116,6 +116,9 @@
         asked directly.
     node_suspect_seconds, node_suspect_most_seconds
         How long a node that did not report is passed over, at first and at most.
+    node_absent_seconds
+        The same at first for one whose link did not come up: when all start together, the next
+        one listens a few tenths of a second later.
     unready_stop_seconds
         Time after a stop was asked for until idle connections are closed.
     most_stop_seconds
@@ -131,7 +134,7 @@
     node_count_memory_seconds: float = 30.0
     presence_delay_seconds: float = 2.0
     join_delay_seconds: float = 0.6
-    join_wide_delay_seconds: float = 0.15
+    join_wide_delay_seconds: float = 0.02
     join_seconds: float = 2.5
     join_gather_seconds: float = 0.8
     join_idle_gather_seconds: float = 1.6
@@ -175,5 +178,6 @@
     delegate_takeover_ratio: float = 0.45
     node_suspect_seconds: float = 1.0
     node_suspect_most_seconds: float = 8.0
+    node_absent_seconds: float = 0.2
     unready_stop_seconds: float = 3.0
     most_stop_seconds: float = 5.2
--- a/wingquay/forwarding/shard_placement.py
+++ b/wingquay/forwarding/shard_placement.py
@@ -17,9 +17,9 @@
 from collections.abc import Collection, Mapping
 from itertools import combinations
 
-import attrs
 import xxhash
 
+from ..model.value import value
 from ..ports.peer_link import NodeIdentity
 from .node_groups import GroupNode, NodeGroups
 from .replica_directory import ReplicaDirectory
@@ -41,7 +41,7 @@
 weakest machines of the deployments have half a core, so they are two fifths busy then."""
 
 
-@attrs.frozen
+@value
 class _Placement:
     """Who asks each shard, for as long as the nodes are the same."""
 
--- a/wingquay/ports/delegation.py
+++ b/wingquay/ports/delegation.py
@@ -1,12 +1,11 @@
 """Messages by which a node lets another one ask some of the shards of a request."""
 
-import attrs
-
+from ..model.value import value
 from .forwarding import OpaqueRequest
 from .peer_link import PeerMessage
 
 
-@attrs.frozen
+@value
 class DelegatedRequest(PeerMessage):
     """Ask one replica of each of these shards.
 
@@ -17,7 +16,7 @@
     Parameters
     ----------
     delegation_id
-        The sender's own number for it; never used again by that process.
+        The sender's own number for it; never used again by that node, also not after a restart.
     route_name
         The route's name, by which latencies are kept.
     merged_records
@@ -44,7 +43,7 @@
     is_group_share: bool = True
 
 
-@attrs.frozen
+@value
 class DelegatedAnswer(PeerMessage):
     """What came in since the last such message; several may follow one request.
 
@@ -70,7 +69,7 @@
     declined: tuple[int, ...] = ()
 
 
-@attrs.frozen
+@value
 class AllowAttempts(PeerMessage):
     """Leave all further attempts to the receiver.
 
@@ -84,12 +83,12 @@
     max_attempts: int
 
 
-@attrs.frozen
+@value
 class Greeting(PeerMessage):
     """Opens the connection before a request needs it; nothing follows from it."""
 
 
-@attrs.frozen
+@value
 class NodeLost(PeerMessage):
     """Another node has not done what it was asked for: pass it over for a while.
 
@@ -102,7 +101,7 @@
     node_id: str
 
 
-@attrs.frozen
+@value
 class CancelDelegation(PeerMessage):
     """Nobody waits for the request any more."""
 
