Notice connections that have gone silent for good within about a second of use

Cause: connections may go silent without a reset while new ones work. A link to another node was broken after 5 s without acknowledgement, an idle one after 19 s; a watch of the store waited its 4 s; a replica's kept connections were found out by one request each. Change: adapters/silence.py has the kernel break links and connections to the store after 1 s without acknowledgement, idle ones after 4 s. When an attempt on a kept connection to a replica is cancelled without a byte for 0.25 s, the other idle connections of its address are dropped, so that the next attempt goes out on a new one. Ruled out: probes of our own on replicas' connections: health checks are dear. Cost: 100 bytes each 2 s for an idle connection. Tests: the options on real sockets of each kind; dropped and kept connections by a patched clock.

--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections.abc import Coroutine
 from typing import Any
+from unittest import mock
 
 from testtools import TestCase
 
 from tests.adapters.raw_http import LOOPBACK, RawServer, run
-from wingquay.adapters.replica_client import ReplicaClient
+from wingquay.adapters.replica_client import SILENT_SECONDS, ReplicaClient
 from wingquay.model.replica_record import ReplicaRecord
 from wingquay.platform.replica_dialect import PlatformReplicaDialect
 from wingquay.ports.forwarding import (
@@ -195,6 +196,36 @@
         play(test())
 
 
+class SilentConnectionTest(TestCase):
+    """Two connections are kept; one of them has gone silent when it is cancelled."""
+
+    async def kept_after(self, seconds: float) -> int:
+        """Return how many connections are idle after one was cancelled so late."""
+        exchange = Exchange([answer("r1", b"x"), b""], [answer("r2", b"x")])
+        await exchange.start()
+        for request_id in ("r1", "r2"):
+            exchange.begin(request_id)
+        for _ in range(2):
+            self.assertIsInstance(await exchange.events.get(), ReplicaAnswered)
+        silent = exchange.begin("r3")
+        begun_at = exchange.client._attempts[silent].begun_at
+        with mock.patch.object(exchange.client._loop, "time", lambda: begun_at + seconds):
+            exchange.client.cancel(CancelSend(silent))
+        return sum(len(idle) for idle in exchange.client._idle.values())
+
+    def test_the_others_of_its_address_are_dropped(self) -> None:
+        async def test() -> None:
+            self.assertEqual(0, await self.kept_after(SILENT_SECONDS + 0.01))
+
+        play(test())
+
+    def test_they_are_kept_while_it_is_early(self) -> None:
+        async def test() -> None:
+            self.assertEqual(1, await self.kept_after(SILENT_SECONDS - 0.01))
+
+        play(test())
+
+
 class UnsendableTest(TestCase):
     def test_a_request_without_a_form_on_the_wire_fails_and_its_connection_is_kept(self) -> None:
         async def test() -> None:
--- a/wingquay/adapters/http_client_connection.py
+++ b/wingquay/adapters/http_client_connection.py
@@ -10,6 +10,7 @@
 from ..model.failure import Failure
 from ..model.value import value
 from .http_messages import HttpFailureKind, RawHeaders, headers_from_raw
+from .silence import notice_silence
 
 _END_OF_MESSAGE = h11.EndOfMessage()
 
@@ -132,6 +133,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Remember the transport (asyncio calls this)."""
         self._transport = cast(asyncio.Transport, transport)
+        notice_silence(self._transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """Take in bytes of the response (asyncio calls this)."""
--- a/wingquay/adapters/peer_connection.py
+++ b/wingquay/adapters/peer_connection.py
@@ -1,7 +1,6 @@
 """One TCP connection between two nodes, as an asyncio protocol."""
 
 import asyncio
-import socket
 from collections.abc import Sequence
 from typing import Protocol, cast
 
@@ -21,17 +20,11 @@
     HandshakeFailureKind,
     Session,
 )
+from .silence import notice_silence
 
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
 """How long a connection may take to shake hands."""
 
-UNACKNOWLEDGED_TIMEOUT_SECONDS = 5
-"""How long sent bytes may stay unacknowledged by the peer's machine before the link is broken."""
-
-KEEPALIVE_IDLE_SECONDS = 10
-KEEPALIVE_INTERVAL_SECONDS = 3
-KEEPALIVE_PROBES = 3
-
 PREFERRED_FRAME_BYTES = 1024 * 1024
 """Messages of one write are put into frames of about this size."""
 
@@ -86,7 +79,7 @@
         address = self._transport.get_extra_info("peername")
         if address:
             self.remote_address = f"{address[0]}:{address[1]}"
-        _set_timeouts(self._transport.get_extra_info("socket"))
+        notice_silence(self._transport.get_extra_info("socket"))
         self._handshake_timer = self._loop.call_later(
             HANDSHAKE_TIMEOUT_SECONDS, self.abort, "no handshake in time"
         )
@@ -208,16 +201,3 @@
         groups[-1].append(message)
         size += cost
     return groups
-
-
-def _set_timeouts(connected: socket.socket | None) -> None:
-    """Let the kernel notice a peer whose machine is gone without a word."""
-    if connected is None:
-        return
-    timeout_milliseconds = UNACKNOWLEDGED_TIMEOUT_SECONDS * 1000
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -24,6 +24,11 @@
 CONNECT_SECONDS = 0.08
 """Time allowed for a new connection: replicas are near, and another one can be asked."""
 
+SILENT_SECONDS = 0.25
+"""Time without a byte after which a kept connection counts as gone silent. Others of its address
+may be, too, since they may break off together without a word, while new ones work: so they are
+dropped rather than found out by one request each."""
+
 Address = tuple[str, int]
 
 
@@ -58,10 +63,13 @@
 class _Attempt:
     """A sending under way."""
 
-    __slots__ = ("action", "connecting", "connection")
+    __slots__ = ("action", "begun_at", "connecting", "connection", "is_on_kept")
 
-    def __init__(self, action: SendToReplica) -> None:
+    def __init__(self, action: SendToReplica, begun_at: float) -> None:
         self.action = action
+        self.begun_at = begun_at
+        self.is_on_kept = False
+        """Whether it went out on a connection that had served before."""
         self.connecting: asyncio.Task[None] | None = None
         self.connection: ReplicaConnection | None = None
 
@@ -96,11 +104,12 @@
 
     def send(self, action: SendToReplica) -> None:
         """Send on an idle connection or on a new one."""
-        attempt = _Attempt(action)
+        attempt = _Attempt(action, self._loop.time())
         self._attempts[action.attempt_id] = attempt
         address = (action.replica.host, action.replica.port)
         connection = None if action.fresh_connection else self._take_idle(address)
         if connection is not None:
+            attempt.is_on_kept = True
             self._send_on(attempt, connection)
             return
         attempt.connecting = self._loop.create_task(self._connect(attempt, address))
@@ -113,8 +122,21 @@
         if attempt.connecting is not None:
             attempt.connecting.cancel()
         if attempt.connection is not None:
+            if self._has_gone_silent(attempt, attempt.connection):
+                self._drop_idle(self._open[attempt.connection])
             attempt.connection.abort()
 
+    def _has_gone_silent(self, attempt: _Attempt, connection: ReplicaConnection) -> bool:
+        lasted_seconds = self._loop.time() - attempt.begun_at
+        is_silent = attempt.is_on_kept and not connection.has_begun_answer
+        return is_silent and lasted_seconds >= SILENT_SECONDS and connection in self._open
+
+    def _drop_idle(self, address: Address) -> None:
+        dropped = self._idle.pop(address, [])
+        for connection in dropped:
+            connection.abort()
+        self._count(Count("replica_connections_dropped_total", len(dropped)))
+
     def close(self) -> None:
         """End every connection; no event follows."""
         for attempt in self._attempts.values():
--- a/wingquay/adapters/replica_connection.py
+++ b/wingquay/adapters/replica_connection.py
@@ -86,6 +86,12 @@
         self._body = bytearray()
         self._surplus = 0
         self._is_closed = False
+        self._has_begun = False
+
+    @property
+    def has_begun_answer(self) -> bool:
+        """Whether anything has arrived since the request under way was sent."""
+        return self._has_begun
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Remember the transport (asyncio calls this)."""
@@ -95,6 +101,7 @@
         """Send a request; one of its callbacks is called unless the connection is aborted."""
         assert self._transport is not None
         self._sending = sending
+        self._has_begun = False
         self._head = None
         self._body.clear()
         self._expect_answer(sending.method)
@@ -130,6 +137,7 @@
         self._fail(f"connection lost: {error or 'closed'}", False)
 
     def _take(self, data: bytes) -> None:
+        self._has_begun = True
         try:
             self._http.receive_data(data)
             self._read_events()
