Go on under the last life's lease after a restart, and look no sooner for nodes that are known

Cause: a start made some ten calls of the store. Three of them replaced a key that stood there and said the same, and three looked for the keys of nodes that were known by their last lives. Change: a key that already says what this life says goes on under its lease, for a tenth of a call; one that says something else is replaced at its known revision, without a failed try. Looks at the shorter pace are made only where fewer than five keys stood there when the link opened.

--- a/tests/forwarding/test_node_groups.py
+++ b/tests/forwarding/test_node_groups.py
@@ -2,7 +2,14 @@
 
 from testtools import TestCase
 
-from tests.forwarding.one_node import CLUSTER_KEY, OneNode, replica, sharded_route, table
+from tests.forwarding.one_node import (
+    CLUSTER_KEY,
+    NODE_PREFIX,
+    OneNode,
+    replica,
+    sharded_route,
+    table,
+)
 from wingquay.adapters.node_record import node_value, parse_node
 from wingquay.forwarding.node_groups import NodeGroups
 from wingquay.forwarding.settings import ForwardingSettings
@@ -192,6 +199,23 @@
         node.change()
         self.assertEqual(usual, node.last(StartWatch).gather_seconds)
 
+    def test_nodes_that_know_each_other_by_their_last_lives_do_not_look_sooner(self) -> None:
+        others = [
+            StoredValue(
+                f"{NODE_PREFIX}n{number}",
+                node_value(NodeRecord(NodeIdentity(f"n{number}", "", "a", "10.0.1.9", number))),
+                5,
+            )
+            for number in range(5)
+        ]
+        node = self.started(4, StoredValue(CLUSTER_KEY, b"known", 5), *others)
+        usual = node.last(StartWatch).gather_seconds
+        node.advance(0.8)
+        node.emit(PeerLinkOpened(NodeIdentity("node-1", "", "a", "10.0.1.1", 7)))
+        node.request("/all/x")
+        node.advance(1.0)
+        self.assertEqual(usual, node.last(StartWatch).gather_seconds)
+
     def test_a_link_that_does_not_open_does_not_keep_the_node_from_being_counted(self) -> None:
         node = self.started(4, StoredValue(CLUSTER_KEY, b"known", 5))
         node.advance(6.0)
--- a/wingquay/forwarding/node_membership.py
+++ b/wingquay/forwarding/node_membership.py
@@ -59,6 +59,7 @@
         self._is_early = True
         """Whether the first moment at which the key may be written has yet to come."""
         self._opened_at = float("-inf")
+        self._known_at_opening = 0
         self._records: dict[str, NodeRecord | None] = {}
         self._groups: NodeGroups | None = None
 
@@ -117,6 +118,7 @@
         from .node_groups import NodeGroups
 
         self._opened_at = now
+        self._known_at_opening = len(self._records)
         own = NodeRecord(event.identity, self._settings.processor)
         self._presence.set_value(self._formats.node_value(own))
         self._groups = NodeGroups(self._settings, self._name)
@@ -137,7 +139,13 @@
         return 0 if self._groups is None else self._groups.rank()
 
     def is_joining(self, now: float) -> bool:
-        """Whether keys of nodes that started together with this one may soon appear."""
+        """Whether keys of nodes that started together with this one may soon appear.
+
+        Where enough keys stood there already, nodes know each other by these: a node keeps its id
+        and its address when it starts again.
+        """
+        if self._known_at_opening >= self._settings.news_least_nodes:
+            return False
         return now - self._opened_at < self._settings.join_seconds
 
     def configure(self, table: RoutingTable) -> None:
@@ -155,6 +163,8 @@
         name = item.key.removeprefix(self._formats.node_prefix)
         record = self._formats.parse_node(item.value)
         self._records[name] = record
+        if name == self._name:
+            self._presence.learn(item)
         if self._groups is not None and name != self._name:
             self._groups.put(name, record)
 
--- a/wingquay/forwarding/presence.py
+++ b/wingquay/forwarding/presence.py
@@ -15,6 +15,7 @@
     GrantLease,
     KeepLeaseAlive,
     LeaseState,
+    StoredValue,
     StoreFailureKind,
     StoreOperation,
     StoreRequest,
@@ -64,12 +65,24 @@
         self._expected_revision = 0
         self._is_written = False
         self._value = NO_ADDRESS
+        self._standing: StoredValue | None = None
+        """The key as the last life of this node has left it."""
 
     def set_value(self, value: bytes) -> None:
         """Say something else of this node, from the next writing of the key on."""
         self._value = value
         self._is_written = False
 
+    def learn(self, standing: StoredValue) -> None:
+        """Take in the key as it stands in the store, before this life has written it.
+
+        If it says what this life says as well, its lease is renewed instead of another one: a tenth
+        of a call in place of three.
+        """
+        if self._lease_id is None:
+            self._standing = standing
+            self._expected_revision = standing.modified_at
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event of the store or a timer."""
         if isinstance(event, Start):
@@ -89,12 +102,23 @@
         return f"{OPERATION_PREFIX}{self._step}"
 
     def _next_operation(self) -> StoreOperation:
+        if self._lease_id is None and self._can_go_on():
+            assert self._standing is not None
+            self._lease_id = self._standing.lease_id
+            self._is_written = True
         if self._lease_id is None:
             return GrantLease(int(self._settings.presence_lease_seconds))
         if not self._is_written:
             return CompareAndSwap(self._key, self._expected_revision, self._value, self._lease_id)
         return KeepLeaseAlive(self._lease_id)
 
+    def _can_go_on(self) -> bool:
+        """Whether the last life's key can serve this one; asked once."""
+        standing = self._standing
+        if standing is None or not standing.lease_id or standing.value != self._value:
+            return False
+        return True
+
     def _request(self, operation: StoreOperation) -> StoreRequest:
         return StoreRequest(self._operation_id, operation, TIMEOUT_SECONDS)
 
@@ -111,6 +135,7 @@
     def _lease_told(self, lease: LeaseState, now: float) -> list[Action]:
         if not lease.time_to_live_seconds:
             self._lease_id = None
+            self._standing = None
             self._is_written = False
             return self._after(0.0, now)
         if self._lease_id is None:
