--- a/deploy/days/make.py
+++ b/deploy/days/make.py
@@ -1,5 +1,6 @@
 """Writes the days of this folder: one for each kind of trouble, played on any deployment."""
 
+import zlib
 from pathlib import Path
 
 FOLDER = Path(__file__).parent
@@ -110,6 +111,35 @@
             "at = 20, kind = 'srv_slow', share = 0.15, x = 10, for_s = 6, how = 'across'",
         ],
     ),
+    "evacuations": (
+        [
+            "at = 5, kind = 'evacuate', for_s = 8",
+            "at = 10, kind = 'config_change', how = 'route'",
+            "at = 20, kind = 'evacuate', for_s = 6, how = 'warm'",
+        ],
+        [
+            "at = 4, kind = 'platform_down', how = 'nodes reset', share = 0.3, for_s = 8",
+            "at = 19, kind = 'herd_kill', share = 0.4",
+        ],
+    ),
+    "cold-zones": (
+        ["at = 14, kind = 'reshard', x = 3"],
+        [
+            "at = 4, kind = 'cold_return', for_s = 4",
+            "at = 20, kind = 'cold_return', for_s = 3, how = 'dark'",
+            "at = 27, kind = 'zone_loss', for_s = 2",
+        ],
+    ),
+    "frozen-and-reset": (
+        [],
+        [
+            "at = 4, kind = 'reset_conns', share = 1.0, x = 1.0, for_s = 1",
+            "at = 9, kind = 'node_freeze', share = 0.2, for_s = 3",
+            "at = 15, kind = 'give_up', share = 0.3, for_s = 6",
+            "at = 18, kind = 'reset_conns', share = 0.5, x = 0.5, for_s = 5",
+            "at = 26, kind = 'zone_cut', for_s = 4",
+        ],
+    ),
 }
 DAYS["machines-come-and-go"] = (
     [
@@ -142,8 +172,8 @@
 
 def main() -> None:
     """Write every day."""
-    for number, (name, (plan, faults)) in enumerate(sorted(DAYS.items())):
-        text = HEAD.format(name=name, seed=1_000 + number)
+    for name, (plan, faults) in DAYS.items():
+        text = HEAD.format(name=name, seed=zlib.crc32(name.encode()))
         text += "plan = [\n" + "".join(f"  {{ {entry} }},\n" for entry in plan) + "]\n"
         text += "faults = [\n" + "".join(f"  {{ {entry} }},\n" for entry in faults) + "]\n"
         (FOLDER / f"{name}.toml").write_text(text.replace("'", '"'))
