--- a/wingquay/adapters/deferred_peer_link.py
+++ b/wingquay/adapters/deferred_peer_link.py
@@ -1,4 +1,8 @@
-"""The link to other nodes, loaded when it is asked for: nodes that need none never pay for it."""
+"""The link to other nodes, loaded while a node reads the store for the first time.
+
+That reading waits for the network most of the time, a tenth of a second and more on a large
+deployment, and the link is wanted as soon as it has told that routes are wide.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -45,10 +49,18 @@
         self._emit = emit
         self._log = log
         self._link: PeerLink | None = None
+        self._loading: asyncio.Task[None] | None = None
         self._opening: asyncio.Task[None] | None = None
 
+    def load(self) -> None:
+        """Begin to load the link."""
+        if self._loading is None:
+            loading = import_gradually(LINK_MODULES, LINK_PAUSE_SECONDS)
+            self._loading = asyncio.get_running_loop().create_task(loading)
+
     def open(self, action: OpenPeerLink) -> None:
-        """Load the link and listen."""
+        """Listen, once the link is loaded."""
+        self.load()
         if self._opening is None:
             self._opening = asyncio.get_running_loop().create_task(self._open(action))
 
@@ -59,13 +71,15 @@
 
     async def close(self) -> None:
         """Send what is buffered, within a bounded time, and close."""
-        if self._opening is not None:
-            self._opening.cancel()
+        for task in (self._loading, self._opening):
+            if task is not None:
+                task.cancel()
         if self._link is not None:
             await self._link.close()
 
     async def _open(self, action: OpenPeerLink) -> None:
-        await import_gradually(LINK_MODULES, LINK_PAUSE_SECONDS)
+        assert self._loading is not None
+        await self._loading
         from . import forwarding_peer_codec
         from .peer_channel import PeerLinkSettings
         from .peer_link import PeerLink
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -143,6 +143,8 @@
             await self._page.start(settings.metrics.host, settings.metrics.port)
         self._log.perform(Log("node_started", fields=(("zone", settings.zone),)))
         self.emit(Start())
+        if self._link is not None:
+            self._link.load()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._has_news.wait(), ACCEPT_SECONDS)
         await self._server.serve_on(listening)
