Fail a request at once when no other replica can bring an answer

Change: it fails as soon as no replica is left that was not asked, unless records may be missing. Tests: both cases; the first fails on the code before.

--- a/tests/forwarding/test_single_service.py
+++ b/tests/forwarding/test_single_service.py
@@ -256,3 +256,28 @@
             node.answer(send)
             node.advance(0.8)
         return sum(send.replica.replica_id in slow for send in node.all_sends)
+
+
+class NoOtherReplicaTest(TestCase):
+    """The only replica of a service broke off."""
+
+    def failed_after(self, settled_seconds: float) -> float | None:
+        """Return how long the caller waited for the failure; ``None``: it waits still."""
+        node = OneNode()
+        node.start(table(1, single_route(max_attempts=3)), replica("r0", "s"))
+        node.advance(settled_seconds)
+        number = node.request()
+        begun_at = node.now
+        node.advance(0.001)
+        node.fail(node.sends[0], SendFailureKind.BROKEN)
+        node.advance(1.0)
+        if number not in node.replies:
+            return None
+        self.assertIs(ForwardFailureKind.FAILED, node.replies[number].kind)
+        return node.replied_at[number] - begun_at
+
+    def test_the_caller_hears_of_it_at_once(self) -> None:
+        self.assertAlmostEqual(0.001, self.failed_after(10.0))
+
+    def test_records_that_may_be_missing_are_waited_for(self) -> None:
+        self.assertIsNone(self.failed_after(0.5))
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/replica_directory.py
@@ -113,6 +113,11 @@
         """Whether the service has a replica that may get work."""
         return bool(self._candidates(service, now))
 
+    def has_other(self, service: str, excluded: Container[str], now: float) -> bool:
+        """Whether the service has a replica that may get work and is not among ``excluded`` ids."""
+        candidates = self._candidates(service, now)
+        return any(state.record.replica_id not in excluded for state in candidates)
+
     def has_present(self, service: str) -> bool:
         """Whether a record of a replica of the service is there."""
         states = self._by_service.get(service, {}).values()
--- a/wingquay/forwarding/settlement.py
+++ b/wingquay/forwarding/settlement.py
@@ -135,11 +135,20 @@
             return self._close(exchange, self._ending.unchanged(exchange, call.answer, now), now)
         if call.attempts or not call.may_have_run:
             return self._refuse_unoffered(exchange, now)
-        exhausted = call.attempts_left <= 0
-        if exhausted or not exchange.is_repeatable:
+        if not exchange.is_repeatable or self._is_exhausted(call, now):
             return self._close(exchange, self._ending.failed(exchange, call, now), now)
         return []
 
+    def _is_exhausted(self, call: ServiceCall, now: float) -> bool:
+        """Whether no replica can be asked any more, besides those that have failed the call.
+
+        Records may be missing for a while after the store was out of reach: they are waited for.
+        """
+        if call.attempts_left <= 0:
+            return True
+        has_other = self._directory.has_other(call.service, call.asked, now)
+        return not has_other and not self._directory.is_settling(now)
+
     def _refuse_unoffered(self, exchange: Exchange, now: float) -> list[Action]:
         """Refuse a request that can reach no replica, while coming back is worth it."""
         if exchange.may_have_run or any(call.attempts for call in exchange.calls):
