--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -10,6 +10,7 @@
 from wingquay.forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.forwarding.store_follower import FollowerSettings
+from wingquay.forwarding.timers import BeginDue
 from wingquay.model.failure import Failure
 from wingquay.model.replica_record import ReplicaRecord
 from wingquay.model.routing_table import (
@@ -242,9 +243,15 @@
         self.advance(0.0)
 
     def emit(self, event: Event) -> None:
-        """Hand an event to the node and take its actions."""
+        """Hand an event to the node and take its actions; its own work of this moment follows."""
+        at_once: list[Event] = []
         for action in self.machine.handle(event, self.now):
-            self._take(action)
+            if isinstance(action, Schedule) and isinstance(action.event, BeginDue):
+                at_once.append(action.event)
+            else:
+                self._take(action)
+        for later in at_once:
+            self.emit(later)
 
     @property
     def last_watch_id(self) -> str:
--- a/tests/forwarding/test_delegation.py
+++ b/tests/forwarding/test_delegation.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from tests.forwarding.one_node import NODE_PREFIX, OneNode, replica, sharded_route, table
+from tests.forwarding.one_node import HOST, NODE_PREFIX, OneNode, replica, sharded_route, table
 from wingquay.adapters.node_record import node_value
 from wingquay.ports.delegation import (
     AllowAttempts,
@@ -16,10 +16,12 @@
 )
 from wingquay.ports.forwarding import (
     ForwardFailureKind,
+    ForwardRequested,
     OpaqueRequest,
     ReplyFailure,
     ReplyMerged,
     SendFailureKind,
+    SendToReplica,
 )
 from wingquay.ports.machine import Count, StopRequested
 from wingquay.ports.peer_link import (
@@ -166,6 +168,45 @@
             self.assertNotIn(gone, groups.reachable(node.now + seconds - 0.1))
             self.assertIn(gone, groups.reachable(node.now + seconds))
 
+    def test_a_node_that_answers_late_is_asked_again_at_once(self) -> None:
+        node = node_apart_from_owners()
+        node.request("/all/x")
+        ((late, message), *_) = delegated(node)
+        node.advance(OBJECTIVE_SECONDS * 0.5)
+        groups = node.machine._members.groups
+        self.assertNotIn(late, groups.reachable(node.now))
+        node.emit(PeerReceived(late, DelegatedAnswer(message.delegation_id)))
+        self.assertIn(late, groups.reachable(node.now))
+
+    def test_nodes_that_usually_take_long_are_given_longer(self) -> None:
+        for hearing_seconds, is_lost in ((0.001, True), (0.02, False)):
+            node = node_apart_from_owners()
+            for _ in range(30):
+                before = len(delegated(node))
+                node.request("/all/x")
+                node.advance(hearing_seconds)
+                for to, message in delegated(node)[before:]:
+                    node.emit(PeerReceived(to, whole_answer(message)))
+            node.request("/all/x")
+            before = len(node.logs("delegation_lost"))
+            node.advance(OBJECTIVE_SECONDS * 0.5)
+            self.assertEqual(is_lost, len(node.logs("delegation_lost")) > before)
+            node.advance(OBJECTIVE_SECONDS * 0.25)
+            self.assertGreater(len(node.logs("delegation_lost")), before)
+
+    def test_messages_to_other_nodes_leave_before_own_work(self) -> None:
+        node = node_in_group()
+        request = OpaqueRequest(b"GET", b"/all/x", ())
+        event = ForwardRequested(9, "id-9", HOST, "/all/x", request, 2.0)
+        actions = node.machine.handle(event, node.now)
+        kinds = [type(action) for action in actions]
+        self.assertIn(SendToPeer, kinds)
+        self.assertNotIn(SendToReplica, kinds)
+        asked = DelegatedRequest(1, "id-8", request, "/all/", ("s0", "s1"), 3, 1, 0.1, 0.08, 1.0)
+        actions = node.machine.handle(PeerReceived(OTHERS[0], asked), node.now)
+        self.assertIn(SendToPeer, [type(action) for action in actions])
+        self.assertNotIn(SendToReplica, [type(action) for action in actions])
+
     def test_numbers_of_two_lives_differ(self) -> None:
         numbers = set()
         for seed in range(3):
--- a/tests/forwarding/test_shard_placement.py
+++ b/tests/forwarding/test_shard_placement.py
@@ -11,7 +11,12 @@
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.request_rate import RequestRate
 from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.shard_placement import ShardPlacement, assign_bounded, choose_zones
+from wingquay.forwarding.shard_placement import (
+    ShardPlacement,
+    assign_bounded,
+    choose_zones,
+    spread_zones,
+)
 from wingquay.ports.peer_link import NodeIdentity, NodeRecord
 
 ZONES = ("a", "b", "c", "d", "e", "f")
@@ -209,3 +214,34 @@
             rate.count(number / 2.0)
         self.assertAlmostEqual(2.0, rate.per_second(100.0), delta=0.1)
         self.assertLess(rate.per_second(130.0), 0.15)
+
+
+class SpreadTest(TestCase):
+    """Zones with few nodes, each of which would have too many shards to code by itself."""
+
+    SHARDS = tuple(f"s{number:02}" for number in range(90))
+
+    def spread(self, members: dict[str, int], held: str = "abc") -> Counter[str]:
+        zones = dict.fromkeys(self.SHARDS, "a")
+        by_shard = {shard: set(held) for shard in self.SHARDS}
+        return Counter(spread_zones("a", members, by_shard, zones).values())
+
+    def test_a_zone_with_enough_nodes_keeps_its_requests(self) -> None:
+        self.assertEqual({"a": 90}, self.spread({"a": 19, "b": 20, "c": 18, "d": 19}))
+        self.assertEqual({"a": 90}, self.spread({"a": 8, "b": 8, "c": 8}))
+
+    def test_small_zones_share_by_their_nodes(self) -> None:
+        self.assertEqual({"a": 45, "b": 45}, self.spread({"a": 4, "b": 4, "c": 4, "d": 4}))
+        shares = self.spread({"a": 2, "b": 2, "c": 4, "d": 4})
+        self.assertEqual({"a": 23, "b": 23, "c": 44}, shares)
+
+    def test_zones_without_replicas_are_left_out(self) -> None:
+        self.assertEqual({"a": 90}, self.spread({"a": 4, "b": 4}, held="a"))
+
+    def test_a_shard_that_only_another_zone_holds_stays_there(self) -> None:
+        held = {shard: {"d"} if shard == "s00" else {"a", "b"} for shard in self.SHARDS}
+        zones = {shard: "d" if shard == "s00" else "a" for shard in self.SHARDS}
+        members = {"a": 2, "b": 2, "d": 1}
+        spread = spread_zones("a", members, held, zones)
+        self.assertEqual("d", spread["s00"])
+        self.assertEqual({"a", "b", "d"}, set(spread.values()))
--- a/wingquay/adapters/gradual_import.py
+++ b/wingquay/adapters/gradual_import.py
@@ -55,6 +55,7 @@
     "wingquay.adapters.peer_refusal_log",
     "wingquay.adapters.peer_link",
     "xxhash",
+    "wingquay.forwarding.hearing_time",
     "wingquay.forwarding.node_groups",
     "wingquay.forwarding.relays",
     "wingquay.forwarding.connections_ahead",
--- a/wingquay/forwarding/call_starter.py
+++ b/wingquay/forwarding/call_starter.py
@@ -19,6 +19,7 @@
     def begin(self, call: ServiceCall, now: float) -> list[Action]:
         """Start a call for the first time: the request earns extra arrivals at its service."""
         self._sender.earn(call.service)
+        call.is_begun = True
         return self.start(call, now)
 
     def start(self, call: ServiceCall, now: float) -> list[Action]:
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -27,6 +27,7 @@
 from ..ports.peer_link import NodeIdentity, PeerLinkBroken, SendToPeer
 from .call_starter import CallStarter
 from .exchange import Exchange, ServiceCall
+from .hearing_time import HearingTime
 from .node_groups import NodeGroups
 from .relays import Relays
 from .replica_directory import ReplicaDirectory
@@ -34,7 +35,7 @@
 from .settings import ForwardingSettings
 from .settlement import Settlement
 from .shard_placement import ShardPlacement
-from .timers import DelegationDue
+from .timers import BeginDue, DelegationDue
 
 MERGED_STATUS = 200
 MOST_GREETINGS = 3
@@ -50,6 +51,7 @@
     node: NodeIdentity
     exchange: Exchange
     calls: tuple[ServiceCall, ...]
+    sent_at: float
     is_heard: bool = False
     is_lost: bool = False
     given_back: set[str] = field(default_factory=set)
@@ -90,6 +92,7 @@
         self._relays = Relays(settings, groups, directory, self._open_requests)
         self._rate = RequestRate()
         self.placement = ShardPlacement(settings, groups, directory, self._rate)
+        self._hearing = HearingTime()
         self._greeted: set[str] = set()
         """Nodes to which the connection was opened, by id."""
         self._starter = starter
@@ -105,7 +108,9 @@
         if self._is_wide(exchange.route.shards):
             self._rate.count(now)
         own, actions = self._divide(exchange, exchange.calls, now)
-        return actions + self._begin_directly(own, now)
+        if not actions:
+            return self._begin_directly(own, now)
+        return [*actions, Schedule(now, BeginDue(exchange.exchange_id))]
 
     def _divide(
         self, exchange: Exchange, calls: list[ServiceCall], now: float
@@ -156,7 +161,7 @@
             return self._not_taken(delegation, "rejected", now)
         actions = self._declined(delegation, message.declined, now)
         if not delegation.is_heard:
-            actions += self._heard(delegation)
+            actions += self._heard(delegation, now)
         self._take_answers(delegation, message, now)
         if not delegation.open_calls:
             self._forget(delegation)
@@ -228,10 +233,11 @@
     ) -> list[Action]:
         settings = self._settings
         route = exchange.route
-        delegation = Delegation(next(self._ids), node, exchange, tuple(calls))
+        delegation = Delegation(next(self._ids), node, exchange, tuple(calls), now)
         self._open[delegation.delegation_id] = delegation
         self._by_exchange.setdefault(exchange.exchange_id, []).append(delegation)
         for call in calls:
+            call.is_begun = True
             call.delegated_attempts = 1
             call.arrivals += 1
             call.history.append(f"asked through {node.node_id}")
@@ -257,12 +263,21 @@
         ]
 
     def _takeover_seconds(self, exchange: Exchange) -> float:
-        """Return the time after which a node that has not said anything counts as lost."""
-        return exchange.route.objective_seconds * self._settings.delegate_takeover_ratio
+        """Return the time after which a node that has not said anything counts as lost.
 
-    def _heard(self, delegation: Delegation) -> list[Action]:
+        Where nodes usually take long to say that they are there, since their machines are weak, it
+        is longer: to step in for all of them would make every node do all work by itself.
+        """
+        settings = self._settings
+        objective = exchange.route.objective_seconds
+        usual = objective * settings.delegate_takeover_ratio
+        slow = self._hearing.usual_seconds * settings.delegate_takeover_factor
+        return max(usual, min(slow, objective * settings.delegate_takeover_most_ratio))
+
+    def _heard(self, delegation: Delegation, now: float) -> list[Action]:
         """Leave further attempts to a node that is there, unless this node has stepped in."""
         delegation.is_heard = True
+        self._hearing.take(now - delegation.sent_at)
         self._groups.trust(delegation.node.node_id)
         most = delegation.exchange.route.max_attempts
         if delegation.is_lost or most <= 1:
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -53,6 +53,8 @@
     answered_at: float = 0.0
     failure: ReplicaAnswer | None = None
     """A failure that a replica answered, in case nothing better comes."""
+    is_begun: bool = False
+    """Whether this node or another one has begun to ask for it."""
     is_waiting: bool = False
     """Whether it stands in line for a free connection or for a pause to end."""
     delegated_attempts: int = 0
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -26,6 +26,7 @@
 from .settlement import Settlement
 from .timers import (
     AbandonDue,
+    BeginDue,
     CutoffDue,
     DelegationDue,
     ExchangeEndDue,
@@ -118,7 +119,6 @@
             delegations,
             self._directory,
             self._settlement,
-            self._begin,
         )
         self._sender.placement = delegations.placement
 
@@ -141,7 +141,14 @@
                 return self._outcomes.send_failed(event, now)
             case AbandonDue() | ReachDue() | ConnectionTried():
                 return self._replica_event(event, now)
-            case CutoffDue() | ExchangeEndDue() | RetryDue() | CallerLeft() | ReportDue():
+            case (
+                BeginDue()
+                | CutoffDue()
+                | ExchangeEndDue()
+                | RetryDue()
+                | CallerLeft()
+                | ReportDue()
+            ):
                 return self._exchange_event(event, now)
             case GreetingDue() | DelegationDue() | PeerReceived() | PeerLinkBroken():
                 return self._peer_event(event, now)
@@ -263,13 +270,15 @@
 
     def _exchange_event(
         self,
-        event: CutoffDue | ExchangeEndDue | RetryDue | CallerLeft | ReportDue,
+        event: BeginDue | CutoffDue | ExchangeEndDue | RetryDue | CallerLeft | ReportDue,
         now: float,
     ) -> list[Action]:
         exchange = self._settlement.get(event.exchange_id)
         if exchange is None:
             return []
         match event:
+            case BeginDue():
+                return self._begin_due(exchange, now)
             case RetryDue():
                 return self._retry_due(exchange, now)
             case CutoffDue():
@@ -282,6 +291,15 @@
             case ExchangeEndDue():
                 return self._settlement.out_of_time(exchange, now)
 
+    def _begin_due(self, exchange: Exchange, now: float) -> list[Action]:
+        if exchange.origin is not None:
+            return self._begin(exchange, now)
+        actions: list[Action] = []
+        for call in exchange.calls:
+            if not call.is_begun and not call.is_delegated:
+                actions += self._starter.begin(call, now)
+        return actions + self._settlement.settle(exchange, now)
+
     def _retry_due(self, exchange: Exchange, now: float) -> list[Action]:
         if exchange.exchange_id in self._held:
             can_begin = self._settlement.can_be_enough(exchange, now)
--- a/wingquay/forwarding/node_groups.py
+++ b/wingquay/forwarding/node_groups.py
@@ -138,10 +138,14 @@
         return is_new
 
     def trust(self, node_id: str) -> None:
-        """Take in that a node answered in time."""
+        """Take in that a node has answered: it is there, however late it was."""
         for member in self._members.values():
-            if member.record.identity.node_id == node_id:
-                member.failures = 0
+            if member.record.identity.node_id != node_id:
+                continue
+            member.failures = 0
+            if member.suspect_until > float("-inf"):
+                member.suspect_until = float("-inf")
+                self._changed()
 
     def usable_by_zone(self, now: float) -> dict[str, list[GroupNode]]:
         """Return the nodes of each zone that can be asked now, this one included."""
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -3,8 +3,6 @@
 Loaded when the link to other nodes opens; a node serves before that.
 """
 
-from collections.abc import Callable
-
 from ..model.routing_table import RoutingTable
 from ..ports.delegation import (
     AllowAttempts,
@@ -18,14 +16,10 @@
 from .connections_ahead import ConnectionsAhead
 from .delegated_work import DelegatedWork
 from .delegation import Delegations
-from .exchange import Exchange
 from .replica_directory import ReplicaDirectory
 from .settings import ForwardingSettings
 from .settlement import Settlement
-from .timers import DelegationDue, GreetingDue, ReportDue
-
-Begin = Callable[[Exchange, float], list[Action]]
-"""Starts the calls of an exchange and sets its timers."""
+from .timers import BeginDue, DelegationDue, GreetingDue, ReportDue
 
 
 class PeerWork:
@@ -35,8 +29,6 @@
     ----------
     delegations
         What this node asks of others.
-    begin
-        Starts an exchange that another node asked for.
     """
 
     def __init__(
@@ -45,13 +37,11 @@
         delegations: Delegations,
         directory: ReplicaDirectory,
         settlement: Settlement,
-        begin: Begin,
     ) -> None:
         self._settings = settings
         self.delegations = delegations
         self._ahead = ConnectionsAhead(settings, directory, delegations.placement)
         self._work = DelegatedWork(directory, settlement)
-        self._begin = begin
         settlement.on_closed = self.delegations.closed
 
     def handle(
@@ -115,4 +105,5 @@
         taken = self._work.acknowledge(sender, message, declined)
         report_at = now + message.in_time_seconds * self._settings.delegate_report_ratio
         reporting = Schedule(report_at, ReportDue(exchange.exchange_id))
-        return [*taken, *self._begin(exchange, now), reporting]
+        beginning = Schedule(now, BeginDue(exchange.exchange_id))
+        return [*taken, beginning, reporting]
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -114,6 +114,9 @@
     delegate_takeover_ratio
         Share of the objective after which the shards of a node that has not said anything are
         asked directly.
+    delegate_takeover_factor, delegate_takeover_most_ratio
+        The same in times that nodes usually take to say that they are there, where that is longer,
+        up to a share of the objective.
     node_suspect_seconds, node_suspect_most_seconds
         How long a node that did not report is passed over, at first and at most.
     node_absent_seconds
@@ -176,6 +179,8 @@
     delegate_return_seconds: float = 0.008
     delegate_report_ratio: float = 0.7
     delegate_takeover_ratio: float = 0.45
+    delegate_takeover_factor: float = 3.0
+    delegate_takeover_most_ratio: float = 0.7
     node_suspect_seconds: float = 1.0
     node_suspect_most_seconds: float = 8.0
     node_absent_seconds: float = 0.2
--- a/wingquay/forwarding/shard_placement.py
+++ b/wingquay/forwarding/shard_placement.py
@@ -32,6 +32,9 @@
 """Sets of shards whose placement is remembered; old configurations name others."""
 MOST_ZONES_SEARCHED = 10
 """Zones up to which every choice is weighed (1,023 of them); beyond, one zone after the other."""
+FEWEST_OWNERS_SHARE = 0.75
+"""Owners, as a part of the square root of the number of shards, below which a request goes to
+further zones: some 9 owners of 90 shards are best, and 7 are hardly worse."""
 ROUNDING_TOLERANCE = 1e-9
 """Part of a shard by which the sum of weights may be off."""
 CODING_SECONDS = 0.0005
@@ -107,7 +110,9 @@
         if sum(map(len, nodes.values())) < self._settings.delegate_least_nodes:
             return {}
         held = {shard: self._directory.zones_of(shard, now) & nodes.keys() for shard in shards}
-        zones = choose_zones(self._settings.zone, sorted(nodes), held)
+        few = choose_zones(self._settings.zone, sorted(nodes), held)
+        members = {zone: len(found) for zone, found in nodes.items()}
+        zones = spread_zones(self._settings.zone, members, held, few)
         owners: dict[str, NodeIdentity | None] = {}
         for zone in set(zones.values()):
             # Sorted: the same set of shards has the same owners in whatever order it is named.
@@ -205,6 +210,50 @@
     return result
 
 
+def spread_zones(
+    own_zone: str,
+    members: Mapping[str, int],
+    held: Mapping[str, Collection[str]],
+    zones: Mapping[str, str],
+) -> Mapping[str, str]:
+    """Return the zone in which each shard is asked, in more zones where these have too few nodes.
+
+    With fewer owners than the square root of the number of shards each of them codes so many that
+    their time outweighs that of a message more, and of the way between zones.
+
+    Parameters
+    ----------
+    members
+        The number of nodes in each zone.
+    held
+        The zones that hold a replica of each shard.
+    zones
+        The zone in which each shard would be asked, in as few zones as possible.
+    """
+    wanted = math.sqrt(len(zones)) * FEWEST_OWNERS_SHARE
+    names = sorted(members)
+    place = names.index(own_zone) if own_zone in names else 0
+    used = set(zones.values())
+    for zone in names[place:] + names[:place]:
+        if sum(members[name] for name in used) >= wanted:
+            break
+        if any(zone in found for found in held.values()):
+            used.add(zone)
+    if used == set(zones.values()):
+        return zones
+    asked = dict.fromkeys(used, 0)
+    spread: dict[str, str] = {}
+    for shard in sorted(zones):
+        zone = min(
+            (name for name in sorted(used) if name in held[shard]),
+            key=lambda name: asked[name] / members[name],
+            default=zones[shard],
+        )
+        asked[zone] += 1
+        spread[shard] = zone
+    return spread
+
+
 def _fewest_zones(zones: list[str], wanted: set[frozenset[str]]) -> tuple[str, ...]:
     """Return a smallest choice of zones that has one of each wanted set."""
     if len(zones) <= MOST_ZONES_SEARCHED:
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -63,3 +63,14 @@
     """Try whether a connection to a replica that was out of reach comes up."""
 
     replica_id: str
+
+
+@value
+class BeginDue(Event):
+    """Start the calls of an exchange that are left to this node.
+
+    They wait for one turn of the event loop, so that the messages to other nodes leave before: to
+    send 20 parts takes a weak machine some 20 ms, in which the others could have begun.
+    """
+
+    exchange_id: int
