Give a new connection longer where the event loop is late

Cause: with 40 ms for a connection a weak machine took replicas for out of reach that had answered: on a small twin connections failed after 189 ms that were given 40, 32 replicas were left out in 20 s. Change: the time grows by three times what the beginning had to wait for the loop. Test: times given at two lags, on a patched clock; fails on the code before.

--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 
 from tests.adapters.raw_http import LOOPBACK, RawServer, run
+from wingquay.adapters import replica_client
 from wingquay.adapters.replica_client import SILENT_SECONDS, ReplicaClient
 from wingquay.model.replica_record import ReplicaRecord
 from wingquay.platform.replica_dialect import PlatformReplicaDialect
@@ -226,6 +227,26 @@
         play(test())
 
 
+class SlowLoopTest(TestCase):
+    def test_a_connection_that_had_to_wait_for_the_loop_has_longer(self) -> None:
+        async def allowed_after(lag_seconds: float) -> float:
+            exchange = Exchange([answer("r1", b"x")])
+            await exchange.start()
+            loop = exchange.client._loop
+            with mock.patch.object(
+                replica_client.asyncio, "timeout", wraps=asyncio.timeout
+            ) as made:
+                begun_at = loop.time() - lag_seconds
+                await exchange.client._new_connection((LOOPBACK, exchange.port), begun_at)
+            return float(made.call_args.args[0])
+
+        async def test() -> None:
+            self.assertLess(await allowed_after(0.0), 0.05)
+            self.assertGreater(await allowed_after(0.03), 0.12)
+
+        play(test())
+
+
 class UnsendableTest(TestCase):
     def test_a_request_without_a_form_on_the_wire_fails_and_its_connection_is_kept(self) -> None:
         async def test() -> None:
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -27,6 +27,10 @@
 """Time allowed for a new connection: replicas are some milliseconds away, and another one can be
 asked while the answer can still be in time (the shortest objectives are 56 to 70 ms)."""
 
+LAG_FACTOR = 3.0
+"""Time added for a new connection, in times that its beginning had to wait for the event loop. A
+weak machine that opens 20 at once sees them come up 100 ms late, and would take every replica for
+one that is out of reach."""
 SILENT_SECONDS = 0.25
 """Time without a byte after which a kept connection counts as gone silent. Others of its address
 may be, too, since they may break off together without a word, while new ones work: so they are
@@ -144,7 +148,7 @@
 
     def open(self, action: OpenConnection) -> None:
         """Open a connection that no request needs yet."""
-        task = self._loop.create_task(self._open_ahead(action))
+        task = self._loop.create_task(self._open_ahead(action, self._loop.time()))
         self._opening[task] = None
         task.add_done_callback(lambda done: self._opening.pop(done, None))
 
@@ -160,28 +164,29 @@
             connection.abort()
 
     async def _connect(self, attempt: _Attempt, address: Address) -> None:
-        connection = await self._new_connection(address)
+        connection = await self._new_connection(address, attempt.begun_at)
         if isinstance(connection, str):
             self._failed(attempt, SendFailureKind.NOT_SENT, connection)
             return
         attempt.connecting = None
         self._send_on(attempt, connection)
 
-    async def _open_ahead(self, action: OpenConnection) -> None:
+    async def _open_ahead(self, action: OpenConnection, begun_at: float) -> None:
         record = action.replica
-        connection = await self._new_connection((record.host, record.port))
+        connection = await self._new_connection((record.host, record.port), begun_at)
         if isinstance(connection, str):
             self._emit(ConnectionTried(record.replica_id, connection))
             return
         self._freed(connection)
         self._emit(ConnectionTried(record.replica_id))
 
-    async def _new_connection(self, address: Address) -> ReplicaConnection | str:
+    async def _new_connection(self, address: Address, begun_at: float) -> ReplicaConnection | str:
         """Return a new connection, or why there is none."""
+        lag_seconds = self._loop.time() - begun_at
         connection = ReplicaConnection(self._freed, self._closed)
         self._open[connection] = address
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(CONNECT_SECONDS + LAG_FACTOR * lag_seconds):
                 await self._loop.create_connection(lambda: connection, *address)
         except (OSError, TimeoutError) as error:
             connection.abort()
