--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -233,16 +233,15 @@
             exchange = Exchange([answer("r1", b"x")])
             await exchange.start()
             loop = exchange.client._loop
-            with mock.patch.object(
-                replica_client.asyncio, "timeout", wraps=asyncio.timeout
-            ) as made:
-                begun_at = loop.time() - lag_seconds
-                await exchange.client._new_connection((LOOPBACK, exchange.port), begun_at)
+            wrapped = mock.patch.object(replica_client.asyncio, "timeout", wraps=asyncio.timeout)
+            with mock.patch.object(loop, "time", lambda: 100.0), wrapped as made:
+                address = (LOOPBACK, exchange.port)
+                await exchange.client._new_connection(address, 100.0 - lag_seconds)
             return float(made.call_args.args[0])
 
         async def test() -> None:
-            self.assertLess(await allowed_after(0.0), 0.05)
-            self.assertGreater(await allowed_after(0.03), 0.12)
+            self.assertAlmostEqual(0.04, await allowed_after(0.0))
+            self.assertAlmostEqual(0.13, await allowed_after(0.03))
 
         play(test())
 
