--- a/tests/adapters/test_request_encoder.py
+++ b/tests/adapters/test_request_encoder.py
@@ -14,7 +14,7 @@
 
 
 class OwnHeaders:
-    def own_headers(self, action: SendToReplica) -> Headers:
+    def own_headers(self, action: SendToReplica, waited_seconds: float) -> Headers:
         return ((b"Replica", action.replica.replica_id.encode()),)
 
 
@@ -44,7 +44,7 @@
             request = OpaqueRequest(method, b"/a?b=%20", COMMON, body)
             encoder = RequestEncoder(OwnHeaders())
             for replica_id in ("i-1", "i-22"):
-                data = encoder.encode(sending(request, replica_id))
+                data = encoder.encode(sending(request, replica_id), 0.0)
                 self.assertEqual(by_h11(request, replica_id, *more), data)
 
     def test_sendings_of_one_request_share_what_they_have_in_common(self) -> None:
@@ -52,12 +52,12 @@
         first, second = (OpaqueRequest(b"GET", b"/%d" % number, COMMON) for number in range(2))
         with mock.patch.object(request_encoder.h11, "Request", wraps=h11.Request) as made:
             for replica_id in ("i-1", "i-2", "i-3"):
-                encoder.encode(sending(first, replica_id))
+                encoder.encode(sending(first, replica_id), 0.0)
             self.assertEqual(1, made.call_count)
-            self.assertIn(b"/1 ", encoder.encode(sending(second)))
+            self.assertIn(b"/1 ", encoder.encode(sending(second), 0.0))
             self.assertEqual(2, made.call_count)
 
     def test_a_request_without_a_form_on_the_wire_is_refused(self) -> None:
         request = OpaqueRequest(b"GET", b"/a", ((b"Host", b"a\nb"),))
         encoder = RequestEncoder(OwnHeaders())
-        self.assertRaises(h11.LocalProtocolError, encoder.encode, sending(request))
+        self.assertRaises(h11.LocalProtocolError, encoder.encode, sending(request), 0.0)
--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -95,7 +95,8 @@
         async def test() -> None:
             exchange = Exchange([answer("r1", b"x")])
             await exchange.start()
-            await exchange.send("r1", b"the body")
+            with mock.patch.object(exchange.client._loop, "time", lambda: 100.0):
+                await exchange.send("r1", b"the body")
             raw = exchange.replica.requests[0]
             self.assertTrue(raw.startswith(b"POST /a/b?c=%20d HTTP/1.1\r\n"))
             self.assertTrue(raw.endswith(b"\r\n\r\nthe body"))
@@ -356,3 +357,13 @@
             self.assertIs(SendFailureKind.NOT_SENT, event.kind)
 
         play(test())
+
+
+class TimeLeftTest(TestCase):
+    def test_the_replica_is_told_what_is_left_when_the_request_leaves(self) -> None:
+        record = ReplicaRecord("i-1", "s", LOOPBACK, 80, "a", 2)
+        request = OpaqueRequest(b"GET", b"/a", ())
+        action = SendToReplica(1, record, "r1", request, 1.5)
+        for waited_seconds, expected in ((0.0, b"1500"), (0.4, b"1100"), (2.0, b"1")):
+            headers = dict(PlatformReplicaDialect().own_headers(action, waited_seconds))
+            self.assertEqual(expected, headers[b"Deadline-Ms"])
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -54,7 +54,7 @@
 class ReplicaDialect(Protocol):
     """How requests to replicas and their answers are written; the platform provides it."""
 
-    def own_headers(self, action: SendToReplica) -> Headers:
+    def own_headers(self, action: SendToReplica, waited_seconds: float) -> Headers:
         """Return the headers that differ from replica to replica, in visible ASCII."""
         ...
 
@@ -200,7 +200,7 @@
     def _send_on(self, attempt: _Attempt, connection: ReplicaConnection) -> None:
         action = attempt.action
         try:
-            data = self._encoder.encode(action)
+            data = self._encoder.encode(action, self._loop.time() - attempt.begun_at)
         except h11.LocalProtocolError as error:
             self._freed(connection)
             self._failed(attempt, SendFailureKind.NOT_SENT, f"no form on the wire: {error}")
--- a/wingquay/adapters/request_encoder.py
+++ b/wingquay/adapters/request_encoder.py
@@ -18,8 +18,8 @@
 class ReplicaHeaders(Protocol):
     """Writes the headers that differ from replica to replica; the platform provides it."""
 
-    def own_headers(self, action: SendToReplica) -> Headers:
-        """Return these headers; their texts must be visible ASCII."""
+    def own_headers(self, action: SendToReplica, waited_seconds: float) -> Headers:
+        """Return these headers, ``waited_seconds`` after the action; texts are visible ASCII."""
         ...
 
 
@@ -37,9 +37,14 @@
         self._request: OpaqueRequest | None = None
         self._begin = b""
 
-    def encode(self, action: SendToReplica) -> bytes:
+    def encode(self, action: SendToReplica, waited_seconds: float) -> bytes:
         """Return the bytes of a whole request.
 
+        Parameters
+        ----------
+        waited_seconds
+            How long ago the action was decided: a connection had to come up, or others went first.
+
         Raises
         ------
         h11.LocalProtocolError
@@ -49,7 +54,8 @@
         if request is not self._request:
             self._begin = _shared_lines(request)
             self._request = request
-        own = b"".join(b"%b: %b\r\n" % header for header in self._headers.own_headers(action))
+        headers = self._headers.own_headers(action, waited_seconds)
+        own = b"".join(b"%b: %b\r\n" % header for header in headers)
         return self._begin + own + _END_OF_LINE + request.body
 
 
--- a/wingquay/forwarding/delegated_work.py
+++ b/wingquay/forwarding/delegated_work.py
@@ -13,6 +13,7 @@
 from ..ports.machine import Action, Count, Schedule
 from ..ports.peer_link import NodeIdentity, SendToPeer
 from .exchange import Exchange, ServiceCall
+from .loop_lag import LoopLag
 from .merging import merge_greatest
 from .replica_directory import ReplicaDirectory
 from .settlement import Settlement
@@ -57,7 +58,8 @@
 class DelegatedWork:
     """What other nodes have asked of this one."""
 
-    def __init__(self, directory: ReplicaDirectory, settlement: Settlement) -> None:
+    def __init__(self, directory: ReplicaDirectory, settlement: Settlement, lag: LoopLag) -> None:
+        self._lag = lag
         self._directory = directory
         self._settlement = settlement
         self._ids = count(1)
@@ -86,13 +88,14 @@
         # Numbers of callers' exchanges are positive.
         exchange_id = -next(self._ids)
         event = ForwardRequested(exchange_id, message.request_id, "", "", message.request)
+        sent_at = now - self._lag.seconds
         exchange = Exchange(
             event,
             table,
             route_of(message),
             now,
-            now + message.in_time_seconds,
-            now + message.remaining_seconds,
+            max(sent_at + message.in_time_seconds, now),
+            max(sent_at + message.remaining_seconds, now),
         )
         positions = {shard: position for position, shard in enumerate(message.shards)}
         exchange.origin = NodeOrigin(sender, message.delegation_id, positions)
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -19,6 +19,7 @@
 from .ending import ExchangeEnding
 from .exchange import Exchange, ServiceCall
 from .latencies import RouteLatencies
+from .loop_lag import LoopLag
 from .presence import NodeCount
 from .replica_directory import ReplicaDirectory
 from .replica_outcomes import ReplicaOutcomes
@@ -90,6 +91,8 @@
         self.is_asked = False
         """Whether a request has arrived."""
         self._held: set[int] = set()
+        self.lag = LoopLag()
+        """How late this node is; kept up to date by its owner."""
 
     @property
     def open_exchanges(self) -> int:
@@ -119,6 +122,7 @@
             delegations,
             self._directory,
             self._settlement,
+            self.lag,
         )
         self._sender.placement = delegations.placement
 
@@ -209,10 +213,11 @@
         seconds = route.timeout_seconds
         if event.deadline_seconds is not None:
             seconds = min(seconds, event.deadline_seconds)
-        ends_at = now + max(seconds - self._settings.end_margin_seconds, seconds / 2)
-        in_time_at = min(
-            now + in_time_seconds(route, event.transit_seconds, self._settings), ends_at
-        )
+        sent_at = now - self.lag.seconds
+        ends_at = sent_at + max(seconds - self._settings.end_margin_seconds, seconds / 2)
+        in_time_at = sent_at + in_time_seconds(route, event.transit_seconds, self._settings)
+        ends_at = max(ends_at, now)
+        in_time_at = min(max(in_time_at, now), ends_at)
         exchange = Exchange(event, table, route, now, in_time_at, ends_at)
         self._settlement.add(exchange)
         return exchange
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -10,6 +10,7 @@
     Action,
     Count,
     Event,
+    EventLoopLag,
     Exit,
     Log,
     LogLevel,
@@ -130,6 +131,9 @@
                 due_at = now + SWEEP_SECONDS
                 greetings = self._forwarding.handle(GreetingDue(), now)
                 return [*greetings, *self._pace_actions(now), Schedule(due_at, SweepDue(due_at))]
+            case EventLoopLag():
+                self._forwarding.lag.seconds = max(event.lag_seconds, 0.0)
+                return []
             case StopRequested():
                 return self._stop(now)
             case StopCheckDue():
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -16,6 +16,7 @@
 from .connections_ahead import ConnectionsAhead
 from .delegated_work import DelegatedWork
 from .delegation import Delegations
+from .loop_lag import LoopLag
 from .replica_directory import ReplicaDirectory
 from .settings import ForwardingSettings
 from .settlement import Settlement
@@ -37,11 +38,12 @@
         delegations: Delegations,
         directory: ReplicaDirectory,
         settlement: Settlement,
+        lag: LoopLag,
     ) -> None:
         self._settings = settings
         self.delegations = delegations
         self._ahead = ConnectionsAhead(settings, directory, delegations.placement)
-        self._work = DelegatedWork(directory, settlement)
+        self._work = DelegatedWork(directory, settlement, lag)
         settlement.on_closed = self.delegations.closed
 
     def handle(
--- a/wingquay/platform/replica_dialect.py
+++ b/wingquay/platform/replica_dialect.py
@@ -29,9 +29,10 @@
 class PlatformReplicaDialect:
     """Writes requests and understands answers."""
 
-    def own_headers(self, action: SendToReplica) -> Headers:
+    def own_headers(self, action: SendToReplica, waited_seconds: float) -> Headers:
         """Return the headers that differ from replica to replica: its id and the time left."""
-        remaining_ms = max(1, int(action.remaining_seconds * MILLISECONDS_PER_SECOND))
+        remaining_seconds = action.remaining_seconds - waited_seconds
+        remaining_ms = max(1, int(remaining_seconds * MILLISECONDS_PER_SECOND))
         return (
             (DEADLINE_MS, b"%d" % remaining_ms),
             (EXPECTED_REPLICA, action.replica.replica_id.encode()),
