--- a/tests/adapters/raw_http.py
+++ b/tests/adapters/raw_http.py
@@ -7,6 +7,8 @@
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
 
 LOOPBACK = "127.0.0.1"
+PATIENT_SECONDS = 20.0
+"""Time for a connection on a machine that is busy with other things."""
 TEST_LIMIT_SECONDS = 20.0
 RawPeer = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 WHOLE_REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -11,7 +11,6 @@
     DelegatedAnswer,
     DelegatedRequest,
     Greeting,
-    NodeLost,
 )
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
@@ -54,8 +53,6 @@
             _put_news(envelope.store_news, message)
         case Greeting():
             envelope.greeting.SetInParent()
-        case NodeLost():
-            envelope.node_lost.node_id = message.node_id
         case _:
             raise ValueError(f"{type(message).__name__} is not a message of forwarding nodes")
     return envelope.SerializeToString()
@@ -91,8 +88,6 @@
             return _news_from(envelope.store_news)
         case "greeting":
             return Greeting()
-        case "node_lost":
-            return NodeLost(envelope.node_lost.node_id)
         case _:
             return Failure(PeerCodecFailureKind.UNKNOWN_MESSAGE, "no message of a known kind")
 
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -92,6 +92,8 @@
         Takes the events.
     count
         Takes counters.
+    connect_seconds
+        Time allowed for a new connection.
     """
 
     def __init__(
@@ -99,7 +101,9 @@
         dialect: ReplicaDialect,
         emit: Callable[[Event], None],
         count: Callable[[Count], None],
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> None:
+        self._connect_seconds = connect_seconds
         self._dialect = dialect
         self._encoder = RequestEncoder(dialect)
         self._emit = emit
@@ -186,7 +190,7 @@
         connection = ReplicaConnection(self._freed, self._closed)
         self._open[connection] = address
         try:
-            async with asyncio.timeout(CONNECT_SECONDS + LAG_FACTOR * lag_seconds):
+            async with asyncio.timeout(self._connect_seconds + LAG_FACTOR * lag_seconds):
                 await self._loop.create_connection(lambda: connection, *address)
         except (OSError, TimeoutError) as error:
             connection.abort()
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -20,7 +20,6 @@
     DelegatedAnswer,
     DelegatedRequest,
     Greeting,
-    NodeLost,
 )
 from ..ports.forwarding import ReplicaAnswer
 from ..ports.machine import Action, Count, Log, LogLevel, Schedule
@@ -188,12 +187,6 @@
         self._groups.suspect(node_id, now, is_absent=not event.was_open)
         return actions
 
-    def lost_elsewhere(self, message: NodeLost, now: float) -> list[Action]:
-        """Take in that another node was let down by a node."""
-        if not self._groups.suspect(message.node_id, now):
-            return []
-        return [Count("nodes_lost_elsewhere_total")]
-
     def closed(self, exchange: Exchange) -> list[Action]:
         """Let nodes stop working for a request that ended."""
         actions: list[Action] = []
@@ -379,9 +372,7 @@
         """Pass a node over for a while."""
         delegation.is_lost = True
         node_id = delegation.node.node_id
-        telling: list[Action] = []
-        if self._groups.suspect(node_id, now, is_absent):
-            telling = self._tell_lost(node_id)
+        self._groups.suspect(node_id, now, is_absent)
         fields = (
             ("request_id", delegation.exchange.event.request_id),
             ("node_asked", node_id),
@@ -391,18 +382,8 @@
         return [
             Log("delegation_lost", LogLevel.INFO, fields),
             Count("delegations_lost_total"),
-            *telling,
         ]
 
-    def _tell_lost(self, node_id: str) -> list[Action]:
-        """Tell the nodes of the group of a node that has let a request down.
-
-        Most nodes of a large fleet see a request every few seconds: by themselves each of them
-        would find a lost node only by a request that suffers from it.
-        """
-        told = self._groups.listeners()
-        return [SendToPeer(item, NodeLost(node_id)) for item in told if item.node_id != node_id]
-
     def _forget(self, delegation: Delegation) -> None:
         self._open.pop(delegation.delegation_id, None)
         siblings = self._by_exchange.get(delegation.exchange.exchange_id)
--- a/wingquay/forwarding/node_groups.py
+++ b/wingquay/forwarding/node_groups.py
@@ -108,20 +108,14 @@
         """Take in the greatest number of shards of a route."""
         self._fan_out = shards
 
-    def suspect(self, node_id: str, now: float, is_absent: bool = False) -> bool:
+    def suspect(self, node_id: str, now: float, is_absent: bool = False) -> None:
         """Pass a node over for a while, longer each time in a row.
 
         Parameters
         ----------
         is_absent
             Whether nobody answered at its address: it may be starting.
-
-        Returns
-        -------
-        bool
-            Whether it was not passed over already.
         """
-        is_new = False
         for name in [name for name, item in self._departed.items() if item.node_id == node_id]:
             del self._departed[name]
         for member in self._members.values():
@@ -132,10 +126,8 @@
                 seconds = min(seconds, self._settings.node_suspect_most_seconds)
                 member.suspect_until = now + seconds
                 member.failures += 1
-                is_new = True
                 self._valid_until = min(self._valid_until, member.suspect_until)
                 self._changed()
-        return is_new
 
     def trust(self, node_id: str) -> None:
         """Take in that a node has answered: it is there, however late it was."""
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -9,7 +9,6 @@
     CancelDelegation,
     DelegatedAnswer,
     DelegatedRequest,
-    NodeLost,
 )
 from ..ports.machine import Action, Schedule
 from ..ports.peer_link import NodeIdentity, PeerLinkBroken, PeerMessage, PeerReceived
@@ -82,8 +81,6 @@
                 return self._requested(sender, message, table, now)
             case DelegatedAnswer():
                 return self.delegations.answered(sender, message, now)
-            case NodeLost():
-                return self.delegations.lost_elsewhere(message, now)
             case AllowAttempts():
                 return self._work.allowed(sender, message, now)
             case CancelDelegation():
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -17,7 +17,7 @@
 from ..adapters.http_server import HttpServer
 from ..adapters.node_record import node_value, parse_node
 from ..adapters.peer_snapshots import PeerSnapshots
-from ..adapters.replica_client import ReplicaClient
+from ..adapters.replica_client import CONNECT_SECONDS, ReplicaClient
 from ..forwarding.forwarding_node import ForwardingNode, StoreFormats
 from ..forwarding.settings import ForwardingSettings
 from ..forwarding.store_follower import (
@@ -73,9 +73,17 @@
 
 
 class PlatformNode:
-    """Decisions, adapters and the runtime between them; create it inside a running loop."""
+    """Decisions, adapters and the runtime between them; create it inside a running loop.
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    Parameters
+    ----------
+    connect_seconds
+        Time allowed for a new connection to a replica.
+    """
+
+    def __init__(
+        self, settings: PlatformSettings, connect_seconds: float = CONNECT_SECONDS
+    ) -> None:
         self._settings = settings
         self._metrics = DeferredMetrics()
         self._log = DeferredLog(sys.stdout, {"node": settings.node})
@@ -118,7 +126,8 @@
         self._peer_server = HttpServer(self.peers.answer)
         self._link = self._peer_link()
         count = self._metrics.count
-        self._replicas = ReplicaClient(PlatformReplicaDialect(), self.emit, count)
+        dialect = PlatformReplicaDialect()
+        self._replicas = ReplicaClient(dialect, self.emit, count, connect_seconds)
         store = settings.store
         self._store = PlatformStoreClient(store.host, store.port, self.emit, count)
         self._register()
--- a/wingquay/ports/delegation.py
+++ b/wingquay/ports/delegation.py
@@ -88,19 +88,6 @@
     """Opens the connection before a request needs it; nothing follows from it."""
 
 
-@value
-class NodeLost(PeerMessage):
-    """Another node has not done what it was asked for: pass it over for a while.
-
-    Parameters
-    ----------
-    node_id
-        The node; one that starts again has another id.
-    """
-
-    node_id: str
-
-
 @value
 class CancelDelegation(PeerMessage):
     """Nobody waits for the request any more."""
