Simulate evacuations, nodes that keep their ids, and connections that are tried

The simulation gave each life of a node an id of its own, and passed over connections that no request needs. Nodes keep their ids now, a message between two lives is lost when one of them ends, and a connection comes up or not as the replica is. A fault evacuates a zone; the oracle checks that its replicas get nothing once the bound is over, and is shown to fail without the decision.

--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -24,6 +24,7 @@
     FAULTS,
     callers_leave,
     node_frozen,
+    node_separated,
     play,
     replica_dark,
     replica_drains,
@@ -31,6 +32,7 @@
     replica_slow,
     reshard,
     shard_dark,
+    zone_evacuated,
 )
 from wingquay.simulation.forwarding.settings import SimulationSettings
 from wingquay.simulation.forwarding.simulation import SimulatedFault
@@ -84,8 +86,9 @@
             self.assertEqual((), result.violations, (seed, result.faults))
 
     def test_seeds_that_failed_once_break_no_promise(self) -> None:
-        for settings, seed in ((APART, 20261209),):
-            self.assertEqual((), play(seed, settings).violations, seed)
+        drawn = (node_separated, callers_leave, shard_dark, callers_leave)
+        for settings, seed, faults in ((APART, 20261209, drawn),):
+            self.assertEqual((), play(seed, settings, faults).violations, seed)
 
     def test_each_fault_by_itself_breaks_no_promise_of_owners_in_other_zones(self) -> None:
         for seed, fault in enumerate(FAULTS):
@@ -140,6 +143,10 @@
         self.replace(ReplicaDirectory, "put", _put_without_drain)
         self.assertIn("after it drained", self.violations(replica_drains))
 
+    def test_work_in_an_evacuated_zone_is_caught(self) -> None:
+        self.replace(ReplicaDirectory, "evacuate", lambda *_: None)
+        self.assertIn("which is evacuated", self.violations(zone_evacuated))
+
     def test_work_for_a_caller_that_left_is_caught(self) -> None:
         self.replace(AttemptSender, "abandon", lambda *_: [])
         faults = (callers_leave, callers_leave, replica_slow, replica_slow, replica_slow)
--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -151,6 +151,11 @@
     simulation.clock.after(3.0, setattr, simulation, "leave_share", 0.0)
 
 
+def zone_evacuated(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Ask that nothing is sent to the replicas of a zone for a while."""
+    simulation.evacuate(f"zone-{chance.randrange(2)}", 6.0)
+
+
 FAULTS: tuple[SimulatedFault, ...] = (
     replica_slow,
     replica_dark,
@@ -172,6 +177,7 @@
     configuration_storm,
     reshard,
     callers_leave,
+    zone_evacuated,
 )
 """Every fault, in the order in which seeds draw them."""
 
--- a/wingquay/simulation/forwarding/node_links.py
+++ b/wingquay/simulation/forwarding/node_links.py
@@ -10,7 +10,6 @@
     NodeIdentity,
     PeerLinkBroken,
     PeerLinkOpened,
-    PeerMessage,
     PeerReceived,
     SendToPeer,
 )
@@ -44,15 +43,13 @@
         self._clock = clock
         self._delay_seconds = delay_seconds
         self._ends: dict[NodeId, _End] = {}
-        self._starts = 0
         self.cut: set[int] = set()
         """Nodes whose messages are held up, in both directions."""
         self._held: list[tuple[int, int, Callable[[], None]]] = []
 
     def open(self, number: int, zone: str, emit: Emit) -> None:
-        """Let a node listen and tell it where."""
-        self._starts += 1
-        node_id = NodeId(f"node-{number}-{self._starts}")
+        """Let a node listen and tell it where; it keeps its id over its lives."""
+        node_id = NodeId(f"node-{number}")
         identity = NodeIdentity(node_id, DeploymentName(""), ZoneName(zone), f"node-{number}", PORT)
         self._ends[node_id] = _End(number, identity, emit)
         self._clock.after(self._delay_seconds, emit, PeerLinkOpened(identity))
@@ -60,11 +57,11 @@
     def send(self, number: int, action: SendToPeer) -> None:
         """Carry a message of a node."""
         sender = next(end for end in self._ends.values() if end.number == number)
-        target_id = action.to.node_id
-        sender.spoken_with.add(target_id)
+        target = self._ends.get(action.to.node_id)
+        sender.spoken_with.add(action.to.node_id)
 
         def arrive() -> None:
-            self._arrive(sender, target_id, action.message)
+            self._arrive(sender, target, action)
 
         self._carry(number, self._number_of(action.to), arrive)
 
@@ -91,14 +88,19 @@
             return
         self._clock.after(self._delay_seconds, arrive)
 
-    def _arrive(self, sender: _End, target_id: NodeId, message: PeerMessage) -> None:
-        target = self._ends.get(target_id)
-        if target is not None and sender.identity.node_id in self._ends:
-            sender.reached.add(target_id)
-            target.reached.add(sender.identity.node_id)
-            target.emit(PeerReceived(sender.identity, message))
-        elif target is None:
-            self._break(sender, target_id)
+    def _arrive(self, sender: _End, target: _End | None, action: SendToPeer) -> None:
+        """Hand a message over, unless one of the two lives that it is between has ended."""
+        if not self._is_open(sender):
+            return
+        if target is None or not self._is_open(target):
+            self._break(sender, action.to.node_id)
+            return
+        sender.reached.add(target.identity.node_id)
+        target.reached.add(sender.identity.node_id)
+        target.emit(PeerReceived(sender.identity, action.message))
+
+    def _is_open(self, end: _End) -> bool:
+        return self._ends.get(end.identity.node_id) is end
 
     def _break(self, end: _End, node_id: NodeId) -> None:
         event = PeerLinkBroken(node_id, "the node ended", node_id in end.reached)
--- a/wingquay/simulation/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -52,6 +52,8 @@
     tables: list[tuple[float, RoutingTable]] = field(default_factory=list)
     draining_at: dict[str, float] = field(default_factory=dict)
     """When the store took that a replica drains or is gone."""
+    evacuated: list[tuple[str, float, float]] = field(default_factory=list)
+    """Zones whose replicas must get nothing, from when the store took that and until when."""
     unstable: list[tuple[float, float]] = field(default_factory=list)
     """Spans in which the store was in trouble."""
     disturbed: list[tuple[float, float]] = field(default_factory=list)
@@ -103,6 +105,7 @@
         self._arrivals.setdefault(record.service, []).append((now, send.request_id))
         self._open[node, send.attempt_id] = send.request_id
         self._check_drain(send, record, now)
+        self._check_evacuated(record, now)
         has_left = request.left_at is not None and now > request.left_at + 0.1
         if has_left and not self.is_disturbed(now):
             self._violated(f"{send.request_id}: sent after its caller left")
@@ -200,6 +203,13 @@
             late = now - draining_at
             self._violated(f"{record.replica_id}: new work {late:.2f} s after it drained")
 
+    def _check_evacuated(self, record: ReplicaRecord, now: float) -> None:
+        bound = self.settings.evacuation_bound_seconds
+        for zone, begun, ended in self.evacuated:
+            is_due = record.zone == zone and begun + bound < now < ended
+            if is_due and self.is_stable(begun, now):
+                self._violated(f"{record.replica_id}: work in {zone}, which is evacuated")
+
     def _check_merged(self, request: _Request, reply: ReplyMerged) -> None:
         request_id = request.event.request_id
         route = request.route
--- a/wingquay/simulation/forwarding/replica.py
+++ b/wingquay/simulation/forwarding/replica.py
@@ -7,6 +7,7 @@
 
 from ...model.replica_record import ReplicaRecord
 from ...ports.forwarding import (
+    ConnectionTried,
     ReplicaAnswer,
     ReplicaAnswered,
     ReportedLoad,
@@ -14,6 +15,7 @@
     SendFailureKind,
     SendToReplica,
 )
+from ...ports.machine import Event
 from ..virtual_clock import VirtualClock
 from .oracle import ForwardingOracle
 from .settings import SimulationSettings
@@ -93,6 +95,15 @@
         self._queue.append(work)
         self._start()
 
+    def connect(self, emit: Callable[[Event], None]) -> None:
+        """Take a connection, or let it come to nothing."""
+        replica_id = self.record.replica_id
+        if self.is_dark:
+            event = ConnectionTried(replica_id, "no answer")
+            self.clock.after(CONNECT_SECONDS, emit, event)
+            return
+        emit(ConnectionTried(replica_id, "refused" if self.is_dead else ""))
+
     def cancel(self, node: int, attempt_id: int) -> None:
         """Drop a request whose connection closed."""
         work = self._works.pop((node, attempt_id), None)
--- a/wingquay/simulation/forwarding/settings.py
+++ b/wingquay/simulation/forwarding/settings.py
@@ -15,6 +15,8 @@
         How many faults strike, at random moments.
     drain_bound_seconds
         After the store took that a replica drains, it must get nothing new later than this.
+    evacuation_bound_seconds
+        After the store took that a zone is evacuated, it must get nothing later than this.
     configuration_bound_seconds
         After the store took a configuration, it must be in force on every node.
     left_bound_seconds
@@ -44,6 +46,7 @@
     zones: int = 2
     delegate_least_shards: int = 40
     drain_bound_seconds: float = 3.0
+    evacuation_bound_seconds: float = 3.0
     configuration_bound_seconds: float = 3.0
     left_bound_seconds: float = 0.5
     late_reply_seconds: float = 0.5
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -1,6 +1,7 @@
 """One forwarding node under the virtual clock: production decisions, simulated surroundings."""
 
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from ...adapters.node_record import node_value, parse_node
@@ -12,6 +13,7 @@
 from ...model.routing_table import RoutingTable
 from ...ports.forwarding import (
     CancelSend,
+    OpenConnection,
     ReplyFailure,
     ReplyMerged,
     ReplyUnchanged,
@@ -50,6 +52,10 @@
         """Carry a request to the replica at its address, and the outcome back."""
         ...
 
+    def connect(self, record: ReplicaRecord, emit: Callable[[Event], None]) -> None:
+        """Try a connection to a replica and tell whether it came up."""
+        ...
+
     def cancel_at(self, host: str, node: int, attempt_id: int) -> None:
         """Carry the end of a connection to a replica."""
         ...
@@ -136,6 +142,8 @@
                 simulation.deliver(self, action)
             case CancelSend():
                 self._cancel(action)
+            case OpenConnection():
+                simulation.connect(action.replica, self.emit)
             case ReplyUnchanged() | ReplyMerged() | ReplyFailure():
                 self._reply(action)
             case SetForwarding():
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -9,6 +9,7 @@
 from ...model.routing_table import RoutingTable
 from ...ports.forwarding import (
     CallerLeft,
+    ConnectionTried,
     ForwardRequested,
     OpaqueRequest,
     ReplicaAnswered,
@@ -16,7 +17,7 @@
     SendFailed,
     SendToReplica,
 )
-from ...ports.machine import Exit, StopRequested
+from ...ports.machine import Event, Exit, StopRequested
 from ..virtual_clock import VirtualClock
 from .node_links import NodeLinks
 from .oracle import ForwardingOracle
@@ -30,6 +31,7 @@
 from .settings import SimulationSettings
 from .simulated_node import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     REPLICA_PREFIX,
     SimulatedForwardingNode,
 )
@@ -199,6 +201,13 @@
         self.remove_record(replica)
         replica.crash()
 
+    def evacuate(self, zone: str, seconds: float) -> None:
+        """Let the operator ask that nothing is sent to a zone's replicas for a while."""
+        key = EVACUATION_PREFIX + zone
+        self.store.put(key, b"{}")
+        self.oracle.evacuated.append((zone, self.clock.now, self.clock.now + seconds))
+        self.clock.after(seconds, self.store.delete, key)
+
     # Configuration, for faults
 
     def change_configuration(self) -> None:
@@ -279,6 +288,15 @@
 
         self.clock.after(delay, arrive)
 
+    def connect(self, record: ReplicaRecord, emit: Callable[[Event], None]) -> None:
+        """Try a connection to a replica and tell whether it came up."""
+        replica = self._replicas.get(record.host)
+        if replica is None or replica.record.replica_id != record.replica_id:
+            emit_later = ConnectionTried(record.replica_id, "refused")
+            self.clock.after(self.settings.network_seconds, emit, emit_later)
+            return
+        self.clock.after(self.settings.network_seconds, replica.connect, emit)
+
     def cancel_at(self, host: str, node: int, attempt_id: int) -> None:
         """Carry the end of a connection to a replica."""
         replica = self._replicas.get(host)
