Divide what a cold replica may get in a second among all nodes

Cause: FAILBACK counts the requests of all nodes at one cold replica in each second; here it only cost a factor more. What does not fit goes to another replica or waits for its turn. Ruled out: a share saved up over seconds (as the budget of retries does): all may use it at once.

--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -239,9 +239,24 @@
             self.assertIn("store.evacuation_ms", failure.reason)
             self.assertIn("allowed", failure.reason)
 
+    def test_the_bound_of_cold_replicas_may_be_missing(self) -> None:
+        for text, expected in (("", (1.0, 0.0)), ('overage = "1.5"\nslack = "5"', (1.5, 5.0))):
+            settings = parse_settings(f"{SETTINGS}[cold]\n{text}")
+            self.assertEqual(expected, (settings.cold_overage, settings.cold_slack))
+        for text in ('"much"', '"-1"', "3"):
+            failure = parse_settings(f"{SETTINGS}[cold]\nslack = {text}")
+            self.assertIn("cold.slack", failure.reason)
+            self.assertIn("allowed", failure.reason)
+
+    def test_a_service_may_bound_its_cold_replicas(self) -> None:
+        document = {"version": 1, "services": [{"name": "x", "warmupPerS": 12.5}, {"name": "y"}]}
+        services = parse_configuration(orjson.dumps(document)).services
+        self.assertEqual(12.5, services["x"].cold_requests_per_second)
+        self.assertEqual(0.0, services["y"].cold_requests_per_second)
+
     def test_the_template_names_every_field_that_is_read(self) -> None:
         template = (ROOT / "deploy" / "settings.toml.template").read_text()
         for field in ("name", "zone", "callers", "readiness", "address", "ratio", "slack"):
             self.assertIn(f"\n{field} = ", template)
-        for field in ("drain_ms", "configuration_ms", "evacuation_ms"):
+        for field in ("drain_ms", "configuration_ms", "evacuation_ms", "overage", "slack"):
             self.assertIn(f"\n{field} = ", template)
--- a/tests/platform_adapter/test_group_on_loopback.py
+++ b/tests/platform_adapter/test_group_on_loopback.py
@@ -81,6 +81,8 @@
             retry_ratio=0.2,
             retry_slack=56.0,
             retry_window_seconds=10.0,
+            cold_overage=1.0,
+            cold_slack=0.0,
             grace_seconds=6.0,
         )
 
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -89,6 +89,8 @@
             retry_ratio=0.2,
             retry_slack=56.0,
             retry_window_seconds=10.0,
+            cold_overage=1.0,
+            cold_slack=0.0,
             grace_seconds=6.0,
         )
         self.node = PlatformNode(settings, PATIENT_SECONDS)
--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -12,6 +12,7 @@
 )
 from ..ports.machine import Action, Log, LogLevel, Schedule
 from .arrival_budget import ArrivalBudget
+from .cold_share import ColdShare
 from .exchange import Attempt, ServiceCall
 from .latencies import RouteLatencies
 from .presence import NodeCount
@@ -41,7 +42,9 @@
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
         nodes: NodeCount,
+        key: str = "",
     ) -> None:
+        self._cold_share = ColdShare(settings.cold_overage, settings.cold_slack, nodes, key)
         self._settings = settings
         self._directory = directory
         self._latencies = latencies
@@ -78,7 +81,7 @@
         route = call.exchange.route
         if call.attempts_left <= 0:
             return []
-        excluded = call.asked | call.refused
+        excluded = call.asked | call.refused | self._too_cold(call, now)
         limit = self._connection_limit(call, now)
         prefers_proven = not route.is_repeatable
         replica = self._directory.choose(
@@ -94,6 +97,8 @@
         call.asked.add(replica.record.replica_id)
         call.arrivals += 1
         call.is_waiting = False
+        if replica.is_cold(now):
+            replica.on_sent_cold(now)
         replica.in_flight[attempt_id] = (now, now + self._latencies.hedge_seconds(route))
         self._open[attempt_id] = attempt
         return [self._send_action(attempt, now)]
@@ -224,6 +229,19 @@
             return nodes
         return min(nodes, OWNERS_RESERVE * self.placement.sharing_nodes(call.service, now))
 
+    def _too_cold(self, call: ServiceCall, now: float) -> set[str]:
+        """Return the ids of the cold replicas to which this node may send nothing more now."""
+        known = call.exchange.table.services.get(call.service)
+        per_second = 0.0 if known is None else known.cold_requests_per_second
+        if not per_second:
+            return set()
+        sharing = self._sharing_nodes(call, now)
+        return {
+            state.record.replica_id
+            for state in self._directory.usable(call.service, now)
+            if not self._cold_share.may_send(state, per_second, sharing, now)
+        }
+
     def _connection_limit(self, call: ServiceCall, now: float) -> int:
         if self._first_sent_at is None:
             self._first_sent_at = now
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -61,6 +61,8 @@
         The replicas; kept up to date by another machine.
     nodes
         How many nodes there are; kept up to date by another machine.
+    key
+        This node's key in the store.
     random_source
         Starts the rounds of weighted routes and the numbers of what is asked of other nodes.
     """
@@ -71,11 +73,12 @@
         directory: ReplicaDirectory,
         nodes: NodeCount,
         random_source: random.Random,
+        key: str = "",
     ) -> None:
         self._settings = settings
         self._directory = directory
         self._latencies = RouteLatencies(settings)
-        self._sender = AttemptSender(settings, directory, self._latencies, nodes)
+        self._sender = AttemptSender(settings, directory, self._latencies, nodes, key)
         self._random = random_source
         self._weights = WeightedChoice(random_source)
         self._ending = ExchangeEnding()
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -94,8 +94,11 @@
         self._formats = formats
         self._directory = ReplicaDirectory(settings, random_source)
         self._nodes = NodeCount(settings)
-        self._presence = Presence(formats.node_prefix + name, settings, random_source)
-        self._forwarding = ForwardingMachine(settings, self._directory, self._nodes, random_source)
+        key = formats.node_prefix + name
+        self._presence = Presence(key, settings, random_source)
+        self._forwarding = ForwardingMachine(
+            settings, self._directory, self._nodes, random_source, key
+        )
         hooks = FollowerHooks(
             self._on_listing,
             self._on_changes,
--- a/wingquay/forwarding/presence.py
+++ b/wingquay/forwarding/presence.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import zlib
 
 from ..model.failure import Failure
 from ..model.value import value
@@ -180,6 +181,16 @@
         """Take in that a node's key is gone."""
         self._names.discard(name)
 
+    def rank(self, name: str, salt: str) -> int | None:
+        """Return a node's place among all, in an order of its own for each salt.
+
+        ``None``: the node's key is not there.
+        """
+        if name not in self._names:
+            return None
+        own = (zlib.crc32((salt + name).encode()), name)
+        return sum((zlib.crc32((salt + other).encode()), other) < own for other in self._names)
+
     def keep_only(self, names: set[str]) -> None:
         """Take in a whole listing."""
         self._names = names
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/replica_state.py
@@ -31,6 +31,8 @@
 OVERDUE_FACTOR = 6.0
 """Cost factor of a replica that holds an attempt beyond the time at which it is hedged."""
 COLD_FACTOR = 1.6
+COLD_MEMORY_SECONDS = 2.0
+"""Time for which sendings to a cold replica are remembered; bounds count those of a second."""
 OTHER_ZONE_FACTOR = 2.5
 OWNED_OTHER_ZONE_FACTOR = 1.7
 """The same for an owner of the shard: it sends for a whole group, and groups of every zone share a
@@ -66,6 +68,8 @@
     """Whether no connection to it came up the last time: it gets work once one does."""
     is_reach_due: bool = False
     """Whether a connection to it will be tried by itself."""
+    _sent_cold: list[float] = field(default_factory=list)
+    """When requests were sent lately while it was cold."""
     _proved_at: float = float("-inf")
     slow_in_row: int = 0
     """Slow attempts since the last usual one, each sent after the one before had ended: attempts
@@ -98,6 +102,19 @@
         """Whether nothing was ever sent to it or heard of it."""
         return not self.in_flight and not self.failures_in_row and self.answered_at < 0.0
 
+    def is_cold(self, now: float) -> bool:
+        """Whether it is slow from its start, or again."""
+        return now - self.recorded_at < self.record.cold_seconds
+
+    def on_sent_cold(self, now: float) -> None:
+        """Take in that a request was sent while it is cold."""
+        self._sent_cold = [at for at in self._sent_cold if at > now - COLD_MEMORY_SECONDS]
+        self._sent_cold.append(now)
+
+    def sent_since(self, begun_at: float) -> int:
+        """Return how many requests were sent to it since a moment, while it was cold."""
+        return sum(at > begun_at for at in self._sent_cold)
+
     def is_silent_since(self, sent_at: float) -> bool:
         """Whether it has not answered anything since an attempt was sent."""
         return self.answered_at < sent_at
@@ -150,7 +167,7 @@
         cost *= 1.0 + TROUBLE_FACTOR * self.trouble(now)
         if self.is_overdue(now):
             cost *= OVERDUE_FACTOR
-        if now - self.recorded_at < self.record.cold_seconds:
+        if self.is_cold(now):
             cost *= COLD_FACTOR
         if self.record.zone != zone:
             cost *= OWNED_OTHER_ZONE_FACTOR if is_owned else OTHER_ZONE_FACTOR
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -11,6 +11,9 @@
     ----------
     zone
         The zone of this node.
+    cold_overage, cold_slack
+        A cold replica may get as many requests a second as its service states, times the first,
+        plus the second, from all nodes together.
     retry_ratio
         Extra arrivals at a service for each request for it, of this node's own requests.
     retry_slack
@@ -129,6 +132,8 @@
     """
 
     zone: str
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
     retry_ratio: float = 0.18
     retry_slack: float = 56.0
     retry_window_seconds: float = 10.0
--- a/wingquay/model/routing_table.py
+++ b/wingquay/model/routing_table.py
@@ -63,11 +63,19 @@
 
 @value
 class UpstreamService:
-    """What is known of a service besides its replicas."""
+    """What is known of a service besides its replicas.
+
+    Parameters
+    ----------
+    connection_limit
+        Most connections that one replica takes, from all callers together.
+    cold_requests_per_second
+        Requests that a cold replica handles, from all callers together; 0: they are not bounded.
+    """
 
     name: str
     connection_limit: int
-    """Most connections that one replica takes, from all callers together."""
+    cold_requests_per_second: float = 0.0
 
 
 @value
--- a/wingquay/platform/configuration_document.py
+++ b/wingquay/platform/configuration_document.py
@@ -67,7 +67,8 @@
 
 def _service(document: Document) -> UpstreamService:
     connections = int(document.get("maxConnections") or DEFAULT_CONNECTIONS)
-    return UpstreamService(str(document["name"]), connections)
+    cold = float(document.get("warmupPerS") or 0.0)
+    return UpstreamService(str(document["name"]), connections, cold)
 
 
 def _limits(document: Document) -> CallerLimits:
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -103,6 +103,8 @@
                 zone=settings.zone,
                 zones=settings.zones,
                 processor=settings.processor,
+                cold_overage=settings.cold_overage,
+                cold_slack=settings.cold_slack,
                 retry_ratio=settings.retry_ratio * BUDGET_SHARE,
                 retry_slack=settings.retry_slack,
                 retry_window_seconds=settings.retry_window_seconds,
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -15,6 +15,7 @@
 GREATEST_BOUND_MS = 600_000.0
 LEAST_PROCESSOR = 0.001
 GREATEST_PROCESSOR = 1024.0
+GREATEST_COLD_FIGURE = 1e6
 
 
 class SettingsFailureKind(Enum):
@@ -64,6 +65,9 @@
     retry_ratio, retry_slack, retry_window_seconds
         Extra arrivals at a service that all nodes together may cause in a window: the ratio for
         each request, and the slack besides.
+    cold_overage, cold_slack
+        A cold replica may get as many requests a second as its service states, times the first,
+        plus the second.
     grace_seconds
         Time between the request to stop and the end by force.
     """
@@ -85,6 +89,8 @@
     retry_ratio: float
     retry_slack: float
     retry_window_seconds: float
+    cold_overage: float
+    cold_slack: float
     grace_seconds: float
 
 
@@ -124,6 +130,8 @@
         retry_ratio=_number(document, "retries.ratio", 0.0, 1.0),
         retry_slack=_number(document, "retries.slack", 0.0, 1e6),
         retry_window_seconds=_number(document, "retries.window_seconds", 0.1, 3600.0),
+        cold_overage=_optional_number(document, "cold.overage", 1.0),
+        cold_slack=_optional_number(document, "cold.slack", 0.0),
         grace_seconds=_number(document, "stop.grace_seconds", 0.5, 3600.0),
     )
 
@@ -202,6 +210,21 @@
     return milliseconds / MILLISECONDS_PER_SECOND
 
 
+def _optional_number(document: Mapping[str, Any], field: str, missing: float) -> float:
+    """Return a number that stands in quotes; ``missing`` if the field is missing or empty."""
+    found = _find(document, field)
+    if found is None or found == "":
+        return missing
+    try:
+        number = float(found) if isinstance(found, str) else -1.0
+    except ValueError:
+        number = -1.0
+    if not 0.0 <= number <= GREATEST_COLD_FIGURE:
+        allowed = f"a number from 0 to {GREATEST_COLD_FIGURE:g} in quotes"
+        raise _InvalidError(f"{field} is {found!r}; allowed: {allowed}")
+    return number
+
+
 def _number(document: Mapping[str, Any], field: str, least: float, most: float) -> float:
     found = _find(document, field)
     is_number = isinstance(found, int | float) and not isinstance(found, bool)
