--- a/tests/forwarding/test_shard_placement.py
+++ b/tests/forwarding/test_shard_placement.py
@@ -11,12 +11,8 @@
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.request_rate import RequestRate
 from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.shard_placement import (
-    ShardPlacement,
-    assign_bounded,
-    choose_zones,
-    spread_zones,
-)
+from wingquay.forwarding.shard_placement import ShardPlacement, assign_bounded
+from wingquay.forwarding.zone_choice import choose_zones, spread_zones
 from wingquay.ports.peer_link import NodeIdentity, NodeRecord
 
 ZONES = ("a", "b", "c", "d", "e", "f")
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -10,8 +10,6 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
-from itertools import count
 
 from ..model.routing_table import RoutingTable
 from ..ports.delegation import (
@@ -26,14 +24,15 @@
 from ..ports.peer_link import NodeIdentity, PeerLinkBroken, SendToPeer
 from .call_starter import CallStarter
 from .exchange import Exchange, ServiceCall
-from .hearing_time import HearingTime
 from .node_groups import NodeGroups
+from .open_delegations import Delegation, OpenDelegations
 from .relays import Relays
 from .replica_directory import ReplicaDirectory
 from .request_rate import RequestRate
 from .settings import ForwardingSettings
 from .settlement import Settlement
 from .shard_placement import ShardPlacement
+from .takeover_time import TakeoverTime
 from .timers import BeginDue, DelegationDue
 
 MERGED_STATUS = 200
@@ -42,30 +41,6 @@
 processor time at either side, and an owner may hear from a whole fleet that starts."""
 
 
-@dataclass(slots=True, eq=False)
-class Delegation:
-    """Shards of one request that another node was asked for."""
-
-    delegation_id: int
-    node: NodeIdentity
-    exchange: Exchange
-    calls: tuple[ServiceCall, ...]
-    sent_at: float
-    is_heard: bool = False
-    is_lost: bool = False
-    given_back: set[str] = field(default_factory=set)
-    """Services of the calls that the node has declined."""
-
-    @property
-    def open_calls(self) -> list[ServiceCall]:
-        """The calls without an answer that the node may still bring."""
-        return [
-            call
-            for call in self.calls
-            if call.answer is None and call.service not in self.given_back
-        ]
-
-
 class Delegations:
     """What this node has asked of others.
 
@@ -88,17 +63,15 @@
         self._settings = settings
         self._groups = groups
         self._directory = directory
-        self._relays = Relays(settings, groups, directory, self._open_requests)
+        self._open = OpenDelegations(first_id)
+        self._relays = Relays(settings, groups, directory, self._open.count_at)
         self._rate = RequestRate()
         self.placement = ShardPlacement(settings, groups, directory, self._rate)
-        self._hearing = HearingTime()
+        self._takeover = TakeoverTime(settings)
         self._greeted: set[str] = set()
         """Nodes to which the connection was opened, by id."""
         self._starter = starter
         self._settlement = settlement
-        self._ids = count(first_id)
-        self._open: dict[int, Delegation] = {}
-        self._by_exchange: dict[int, list[Delegation]] = {}
 
     def start(self, exchange: Exchange, now: float) -> list[Action]:
         """Start every call of a request: own shards directly, the others through their nodes."""
@@ -163,7 +136,7 @@
             actions += self._heard(delegation, now)
         self._take_answers(delegation, message, now)
         if not delegation.open_calls:
-            self._forget(delegation)
+            self._open.forget(delegation)
         return actions + self._settlement.settle(delegation.exchange, now)
 
     def due(self, event: DelegationDue, now: float) -> list[Action]:
@@ -177,7 +150,7 @@
         """Step in for a node whose connection broke or did not come up."""
         node_id = event.node_id
         self._greeted.discard(node_id)
-        lost = [item for item in self._open.values() if item.node.node_id == node_id]
+        lost = self._open.at(node_id)
         actions: list[Action] = []
         for delegation in lost:
             if event.was_open:
@@ -190,9 +163,7 @@
     def closed(self, exchange: Exchange) -> list[Action]:
         """Let nodes stop working for a request that ended."""
         actions: list[Action] = []
-        for delegation in self._by_exchange.pop(exchange.exchange_id, ()):
-            if self._open.pop(delegation.delegation_id, None) is None:
-                continue
+        for delegation in self._open.take_all_of(exchange):
             if delegation.open_calls:
                 message = CancelDelegation(delegation.delegation_id)
                 actions.append(SendToPeer(delegation.node, message))
@@ -213,9 +184,6 @@
             actions += self._starter.start(call, now)
         return actions
 
-    def _open_requests(self, node: NodeIdentity) -> int:
-        return sum(item.node.node_id == node.node_id for item in self._open.values())
-
     def _delegate(
         self,
         exchange: Exchange,
@@ -226,9 +194,7 @@
     ) -> list[Action]:
         settings = self._settings
         route = exchange.route
-        delegation = Delegation(next(self._ids), node, exchange, tuple(calls), now)
-        self._open[delegation.delegation_id] = delegation
-        self._by_exchange.setdefault(exchange.exchange_id, []).append(delegation)
+        delegation = self._open.add(node, exchange, calls, now)
         for call in calls:
             call.is_begun = True
             call.delegated_attempts = 1
@@ -248,29 +214,17 @@
             remaining_seconds=max(exchange.ends_at - now, 0.001),
             is_group_share=is_group_share,
         )
-        due_at = now + self._takeover_seconds(exchange)
+        due_at = now + self._takeover.seconds(exchange.route)
         return [
             SendToPeer(node, message),
             Count("delegated_requests_total", labels=(("side", "sent"),)),
             Schedule(due_at, DelegationDue(delegation.delegation_id)),
         ]
 
-    def _takeover_seconds(self, exchange: Exchange) -> float:
-        """Return the time after which a node that has not said anything counts as lost.
-
-        Where nodes usually take long to say that they are there, since their machines are weak, it
-        is longer: to step in for all of them would make every node do all work by itself.
-        """
-        settings = self._settings
-        objective = exchange.route.objective_seconds
-        usual = objective * settings.delegate_takeover_ratio
-        slow = self._hearing.usual_seconds * settings.delegate_takeover_factor
-        return max(usual, min(slow, objective * settings.delegate_takeover_most_ratio))
-
     def _heard(self, delegation: Delegation, now: float) -> list[Action]:
         """Leave further attempts to a node that is there, unless this node has stepped in."""
         delegation.is_heard = True
-        self._hearing.take(now - delegation.sent_at)
+        self._takeover.heard(now - delegation.sent_at)
         self._groups.trust(delegation.node.node_id)
         most = delegation.exchange.route.max_attempts
         if delegation.is_lost or most <= 1:
@@ -321,7 +275,7 @@
         self._take_back(delegation)
         calls = delegation.open_calls
         exchange = delegation.exchange
-        if now >= exchange.arrived_at + self._takeover_seconds(exchange):
+        if now >= exchange.arrived_at + self._takeover.seconds(exchange.route):
             return self._step_in(delegation, calls, reason, now)
         lost = self._pass_over(delegation, calls, reason, is_absent=True, now=now)
         own, divided = self._divide(exchange, calls, now)
@@ -332,7 +286,7 @@
         for call in delegation.open_calls:
             call.delegated_attempts = 0
             call.arrivals -= 1
-        self._forget(delegation)
+        self._open.forget(delegation)
 
     def _lost(self, delegation: Delegation, reason: str, now: float) -> list[Action]:
         calls = [call for call in delegation.open_calls if not call.attempts]
@@ -383,9 +337,3 @@
             Log("delegation_lost", LogLevel.INFO, fields),
             Count("delegations_lost_total"),
         ]
-
-    def _forget(self, delegation: Delegation) -> None:
-        self._open.pop(delegation.delegation_id, None)
-        siblings = self._by_exchange.get(delegation.exchange.exchange_id)
-        if siblings is not None:
-            siblings.remove(delegation)
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -18,6 +18,7 @@
 from .cutoff import in_time_seconds
 from .ending import ExchangeEnding
 from .exchange import Exchange, ServiceCall
+from .hedging import Hedging
 from .latencies import RouteLatencies
 from .loop_lag import LoopLag
 from .presence import NodeCount
@@ -46,8 +47,6 @@
 UNCONFIGURED_RETRY_SECONDS = 0.3
 DELEGATION_ID_BITS = 62
 """Size of the first number of what is asked of other nodes: no two lives of a node share one."""
-HEDGE_RECHECK_SECONDS = 0.012
-"""Time between two looks at attempts that take too long."""
 
 
 class ForwardingMachine:
@@ -84,6 +83,7 @@
         self._ending = ExchangeEnding()
         self._settlement = Settlement(settings, directory, self._sender)
         self._starter = CallStarter(settings, self._sender)
+        self._hedging = Hedging(self._latencies, self._sender, self._settlement)
         self._outcomes = ReplicaOutcomes(
             settings, directory, self._sender, self._starter, self._settlement
         )
@@ -143,7 +143,7 @@
             case ForwardRequested():
                 return self._requested(event, now)
             case HedgeDue():
-                return self._hedge_due(event, now)
+                return self._hedging.due(event, now)
             case SendFailed():
                 return self._outcomes.send_failed(event, now)
             case AbandonDue() | ReachDue() | ConnectionTried():
@@ -236,29 +236,6 @@
 
     # Time
 
-    def _hedge_due(self, event: HedgeDue, now: float) -> list[Action]:
-        exchange = self._settlement.get(event.exchange_id)
-        if exchange is None:
-            return []
-        delay = self._latencies.hedge_seconds(exchange.route)
-        actions: list[Action] = []
-        may_need_more = False
-        for call in exchange.calls:
-            if call.answer is not None or call.attempts_left <= 0:
-                continue
-            if call.is_delegated and not call.attempts:
-                continue
-            may_need_more = True
-            if len(call.attempts) == 1 and self._is_overdue(call, delay, now):
-                actions += self._sender.try_send(call, now, False, is_hedge=True)
-        if may_need_more and now < exchange.ends_at:
-            again_at = now + max(HEDGE_RECHECK_SECONDS, delay / 4)
-            actions.append(Schedule(again_at, event))
-        return actions
-
-    def _is_overdue(self, call: ServiceCall, delay: float, now: float) -> bool:
-        return all(now - attempt.sent_at >= delay * 0.99 for attempt in call.attempts.values())
-
     def _replica_event(
         self, event: AbandonDue | ReachDue | ConnectionTried, now: float
     ) -> list[Action]:
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -28,6 +28,7 @@
     WatchChanged,
 )
 from ..ports.store_news import StoreNews
+from .evacuations import Evacuations
 from .forwarding_machine import ForwardingMachine
 from .line_budget import LineBudget
 from .node_membership import NodeMembership
@@ -93,6 +94,7 @@
         self._settings = settings
         self._formats = formats
         self._directory = ReplicaDirectory(settings, random_source)
+        self._evacuations = Evacuations(formats.evacuation_prefix, self._directory)
         self._nodes = NodeCount(settings)
         key = formats.node_prefix + name
         self._presence = Presence(key, settings, random_source)
@@ -196,12 +198,7 @@
         ids = {item.key.removeprefix(prefix) for item in values if item.key.startswith(prefix)}
         self._directory.keep_only(ids, now)
         self._members.keep_only({item.key for item in values if self._is_node_key(item.key)})
-        listed = {item.key for item in values}
-        taken_back = tuple(
-            key
-            for key in map(self._evacuation_key, sorted(self._directory.evacuated_zones))
-            if key not in listed
-        )
+        taken_back = self._evacuations.missing_from({item.key for item in values})
         return self._on_changes(values, taken_back, now)
 
     def _on_changes(
@@ -219,34 +216,17 @@
                 self._members.put(item)
             elif item.key == self._formats.cluster_key:
                 self._members.learn_cluster_key(item.value)
-            elif item.key.startswith(self._formats.evacuation_prefix):
-                actions += self._evacuate(item.key, True)
+            elif self._evacuations.is_mine(item.key):
+                actions += self._evacuations.put(item.key)
         for key in deleted:
             if key.startswith(prefix):
                 self._directory.vanish(key.removeprefix(prefix), now)
-            elif key.startswith(self._formats.evacuation_prefix):
-                actions += self._evacuate(key, False)
+            elif self._evacuations.is_mine(key):
+                actions += self._evacuations.remove(key)
             else:
                 self._members.remove(key)
         return actions + self._ready_actions()
 
-    def _evacuation_key(self, zone: str) -> str:
-        return self._formats.evacuation_prefix + zone
-
-    def _evacuate(self, key: str, is_evacuated: bool) -> list[Action]:
-        """Send nothing to the replicas of a zone from now on, or again."""
-        zone = key.removeprefix(self._formats.evacuation_prefix)
-        before = self._directory.evacuated_zones
-        zones = before | {zone} if is_evacuated else before - {zone}
-        if zones == before:
-            return []
-        self._directory.evacuate(zones)
-        message = "zone_evacuated" if is_evacuated else "zone_taken_back"
-        return [
-            Log(message, LogLevel.WARNING, (("zone", zone), ("zones", len(zones)))),
-            Count("zone_evacuations_total", labels=(("change", message),)),
-        ]
-
     def _on_look(self, news: StoreNews) -> list[Action]:
         """Tell the nodes that would look at the same what this one has seen."""
         listeners = self._members.listeners()
--- /dev/null
+++ b/wingquay/forwarding/hedging.py
@@ -0,0 +1,59 @@
+"""When a second replica is asked because the first one takes too long."""
+
+from ..ports.machine import Action, Schedule
+from .attempts import AttemptSender
+from .exchange import ServiceCall
+from .latencies import RouteLatencies
+from .settlement import Settlement
+from .timers import HedgeDue
+
+RECHECK_SECONDS = 0.012
+"""Least time between two looks at attempts that take too long."""
+DUE_SHARE = 0.99
+"""Part of the delay after which an attempt is due: timers may fire a little early."""
+
+
+class Hedging:
+    """Looks at the attempts of an exchange until none may need another one.
+
+    Parameters
+    ----------
+    latencies
+        Tell how long attempts of a route usually take.
+    sender
+        Sends to the second replica, within the budget of extra arrivals.
+    settlement
+        Knows the open exchanges.
+    """
+
+    def __init__(
+        self, latencies: RouteLatencies, sender: AttemptSender, settlement: Settlement
+    ) -> None:
+        self._latencies = latencies
+        self._sender = sender
+        self._settlement = settlement
+
+    def due(self, event: HedgeDue, now: float) -> list[Action]:
+        """Ask second replicas where attempts take too long, and look again later."""
+        exchange = self._settlement.get(event.exchange_id)
+        if exchange is None:
+            return []
+        delay = self._latencies.hedge_seconds(exchange.route)
+        actions: list[Action] = []
+        may_need_more = False
+        for call in exchange.calls:
+            if call.answer is not None or call.attempts_left <= 0:
+                continue
+            if call.is_delegated and not call.attempts:
+                continue
+            may_need_more = True
+            if len(call.attempts) == 1 and _is_overdue(call, delay, now):
+                actions += self._sender.try_send(call, now, False, is_hedge=True)
+        if may_need_more and now < exchange.ends_at:
+            again_at = now + max(RECHECK_SECONDS, delay / 4)
+            actions.append(Schedule(again_at, event))
+        return actions
+
+
+def _is_overdue(call: ServiceCall, delay: float, now: float) -> bool:
+    return all(now - attempt.sent_at >= delay * DUE_SHARE for attempt in call.attempts.values())
