--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -176,7 +176,12 @@
     def test_an_idle_node_asks_less_often_in_an_outage_than_one_that_needs_news(self) -> None:
         def longest_pause(pace: float | None) -> float:
             hooks = FollowerHooks(
-                lambda *_: [], lambda *_: [], lambda _: None, lambda _: [], lambda: True
+                lambda *_: [],
+                lambda *_: [],
+                lambda _: None,
+                lambda _: [],
+                lambda: True,
+                lambda: True,
             )
             follower = StoreFollower(FollowerSettings(), hooks)
             (reading,) = follower.handle(Start(), 0.0)
--- a/tests/forwarding/test_store_news.py
+++ b/tests/forwarding/test_store_news.py
@@ -245,3 +245,42 @@
         # It goes on asking the store, from where the news ended.
         node.advance(1.5)
         self.assertEqual(node.store_revision, node.last(StartWatch).from_store_revision)
+
+
+class WaitingTest(TestCase):
+    """Only the first node of a group lets the store hold its looks."""
+
+    def waits(self, *others: NodeIdentity) -> bool:
+        """Return whether looks of a node may be held once it has seen where it stands."""
+        node = linked(*others)
+        watch = node.last(StartWatch)
+        node.emit(WatchChanged(watch.watch_id, (), (), node.store_revision))
+        return node.last(StartWatch).may_wait
+
+    def test_the_first_one_waits_at_the_store(self) -> None:
+        self.assertTrue(self.waits(LAST))
+
+    def test_the_others_do_not(self) -> None:
+        self.assertFalse(self.waits(FIRST))
+
+    def test_a_node_alone_does(self) -> None:
+        self.assertTrue(self.waits())
+
+    def test_a_look_that_showed_nothing_is_told_as_well(self) -> None:
+        node = linked(FIRST)
+        before = len(told(node))
+        revision = node.store_revision
+        node.emit(WatchChanged(node.last_watch_id, (), (), revision))
+        self.assertEqual([(FIRST, StoreNews(revision, revision))], told(node)[before:])
+
+    def test_news_put_the_next_look_off_again_and_again(self) -> None:
+        node = linked(FIRST)
+        node.emit(WatchChanged(node.last_watch_id, (), (), node.store_revision))
+        for _ in range(5):
+            node.advance(0.9)
+            before = len(node.actions)
+            node.emit(PeerReceived(FIRST, StoreNews(node.store_revision, node.store_revision)))
+            started = [item for item in since(node, before) if isinstance(item, StartWatch)]
+            self.assertEqual(1, len(started))
+            self.assertGreater(started[0].pause_seconds, GATHER_SECONDS)
+            self.assertFalse(started[0].may_wait)
--- a/tests/platform_adapter/stand_in_platform.py
+++ b/tests/platform_adapter/stand_in_platform.py
@@ -42,6 +42,8 @@
         self.refused_paths: set[str] = set()
         """Calls that are all refused."""
         self.calls: dict[str, int] = defaultdict(int)
+        self.waits: list[str] = []
+        """Milliseconds for which each watch allowed the store to wait."""
         self._changed = asyncio.Event()
 
     async def start(self) -> int:
@@ -131,6 +133,7 @@
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, object]]:
         after = int(query["after"])
+        self.waits.append(query["waitMs"])
         deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while True:
             if after < self.forgotten_revision:
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -225,6 +225,19 @@
 
         run(test())
 
+    def test_a_look_that_must_not_wait_is_answered_at_once(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.put("a", 0)
+            watch = StartWatch("w", "", 1, gather_seconds=3_600.0, may_wait=False)
+            client.client.start_watch(watch)
+            event = await client.events.get()
+            self.assertEqual(((), 1), (event.changed, event.store_revision))
+            self.assertEqual(["1"], client.store.waits)
+
+        run(test())
+
     def test_an_answer_that_may_have_been_cut_is_followed_up_at_once(self) -> None:
         async def test() -> None:
             client = Client()
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -111,6 +111,8 @@
         The store could not be reached.
     on_look
         A look of its own showed changes: what was known before, and what is now.
+    is_first
+        Whether this node is the first to look of those that tell each other what they read.
     is_enough
         Whether what is known is enough to go by until the next look is due.
     """
@@ -119,6 +121,7 @@
     on_changes: Callable[[tuple[StoredValue, ...], tuple[str, ...], float], list[Action]]
     on_trouble: Callable[[float], None]
     on_look: Callable[[StoreNews], list[Action]]
+    is_first: Callable[[], bool]
     is_enough: Callable[[], bool]
 
 
@@ -144,6 +147,8 @@
         self._gather_seconds = settings.gather_seconds
         self._watch_gather_seconds = settings.gather_seconds
         """The pace of the watch under way."""
+        self._watch_may_wait = True
+        """Whether the store may hold its looks."""
         self._looked_at = float("-inf")
         """When the store last told what there is."""
         self._look_at = 0.0
@@ -238,6 +243,7 @@
     def _watch(self, now: float, pause_seconds: float = 0.0) -> list[Action]:
         assert self._seen_revision is not None
         self._watch_gather_seconds = self._gather_seconds
+        self._watch_may_wait = self._hooks.is_first()
         self._look_at = now + pause_seconds
         self._watches += 1
         self._is_watching = True
@@ -248,6 +254,10 @@
                 self._seen_revision,
                 self._gather_seconds,
                 pause_seconds,
+                # One node of a group waits at the store and tells the others. If all did, their
+                # looks would have begun when its news come, and none would be put off: 8 looks a
+                # node and minute where one in ten nodes needs 18.
+                self._watch_may_wait,
             )
         ]
 
@@ -310,7 +320,9 @@
             may_have_more=event.may_have_more,
         )
         actions += self._hooks.on_look(news)
-        if event.may_have_more or self._watch_gather_seconds == self._gather_seconds:
+        is_same_pace = self._watch_gather_seconds == self._gather_seconds
+        is_same_place = self._watch_may_wait == self._hooks.is_first()
+        if event.may_have_more or (is_same_pace and is_same_place):
             return actions
         return [*actions, StopWatch(self._watch_id), *self._watch(now, self._gather_seconds)]
 
--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -38,6 +38,8 @@
 """How long the store holds a watch on which nothing happens."""
 CATCH_UP_WAIT_MS = 1
 """How long the store holds a watch that only asks for what has changed so far."""
+LOOK_TIMEOUT_SECONDS = 1.5
+"""Time for the answer to a look that the store does not hold."""
 WATCH_SLACK_SECONDS = 1.0
 """How much longer an answer may take before the watch counts as broken."""
 MILLISECONDS_PER_SECOND = 1000
@@ -181,12 +183,15 @@
 
     async def _watch(self, action: StartWatch) -> None:
         after = action.from_store_revision
-        wait_ms = int(WATCH_WAIT_SECONDS * MILLISECONDS_PER_SECOND)
+        wait_ms, timeout_seconds = CATCH_UP_WAIT_MS, LOOK_TIMEOUT_SECONDS
+        if action.may_wait:
+            wait_ms = int(WATCH_WAIT_SECONDS * MILLISECONDS_PER_SECOND)
+            timeout_seconds = WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS
         await asyncio.sleep(action.pause_seconds)
         while True:
             asked_at = self._loop.time()
             path = watch_path(action.key, after, wait_ms)
-            document = await self._call(path, WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS)
+            document = await self._call(path, timeout_seconds)
             if isinstance(document, Failure):
                 is_lost = document.kind is StoreFailureKind.HISTORY_LOST
                 self._emit(WatchBroken(action.watch_id, document.reason, is_lost))
--- a/wingquay/ports/store.py
+++ b/wingquay/ports/store.py
@@ -147,6 +147,8 @@
         Least time between two looks, for prefixes that change all the time: each look costs.
     pause_seconds
         Time until the first look.
+    may_wait
+        Whether the store may hold a look on which nothing has changed; else it answers at once.
     """
 
     watch_id: str
@@ -154,6 +156,7 @@
     from_store_revision: int
     gather_seconds: float = 0.0
     pause_seconds: float = 0.0
+    may_wait: bool = True
 
 
 @value
--- a/wingquay/simulation/forwarding/store.py
+++ b/wingquay/simulation/forwarding/store.py
@@ -197,7 +197,7 @@
                 gone[key] = None
             else:
                 changed[key] = item
-        if not changed and not gone:
+        if not changed and not gone and watch.action.may_wait:
             return
         watch.seen_revision = self.revision
         watch.next_look = self.clock.now + watch.action.gather_seconds
