Let a node that hears nothing any more wait at the store instead of the first one

Change: a node whose look came due, since no news put it off, lets the store hold the next one. Tests: first, heard, left alone, heard again.

--- a/tests/forwarding/test_store_news.py
+++ b/tests/forwarding/test_store_news.py
@@ -250,21 +250,35 @@
 class WaitingTest(TestCase):
     """Only the first node of a group lets the store hold its looks."""
 
-    def waits(self, *others: NodeIdentity) -> bool:
-        """Return whether looks of a node may be held once it has seen where it stands."""
-        node = linked(*others)
-        watch = node.last(StartWatch)
-        node.emit(WatchChanged(watch.watch_id, (), (), node.store_revision))
+    def look(self, node: OneNode) -> bool:
+        """Let a look show nothing; return whether the next one may be held."""
+        node.emit(WatchChanged(node.last_watch_id, (), (), node.store_revision))
         return node.last(StartWatch).may_wait
 
+    def hear(self, node: OneNode) -> None:
+        """Let the first node tell that nothing has changed."""
+        node.emit(PeerReceived(FIRST, StoreNews(node.store_revision, node.store_revision)))
+
     def test_the_first_one_waits_at_the_store(self) -> None:
-        self.assertTrue(self.waits(LAST))
+        node = linked(LAST)
+        self.hear(node)
+        self.assertTrue(self.look(node))
+
+    def test_the_others_do_not_while_they_hear_of_it(self) -> None:
+        node = linked(FIRST)
+        self.hear(node)
+        self.assertFalse(self.look(node))
 
-    def test_the_others_do_not(self) -> None:
-        self.assertFalse(self.waits(FIRST))
+    def test_one_that_hears_nothing_any_more_waits_instead(self) -> None:
+        node = linked(FIRST)
+        self.hear(node)
+        self.look(node)
+        self.assertTrue(self.look(node))
+        self.hear(node)
+        self.assertFalse(self.look(node))
 
     def test_a_node_alone_does(self) -> None:
-        self.assertTrue(self.waits())
+        self.assertTrue(self.look(linked()))
 
     def test_a_look_that_showed_nothing_is_told_as_well(self) -> None:
         node = linked(FIRST)
@@ -275,7 +289,8 @@
 
     def test_news_put_the_next_look_off_again_and_again(self) -> None:
         node = linked(FIRST)
-        node.emit(WatchChanged(node.last_watch_id, (), (), node.store_revision))
+        self.hear(node)
+        self.look(node)
         for _ in range(5):
             node.advance(0.9)
             before = len(node.actions)
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -149,6 +149,10 @@
         """The pace of the watch under way."""
         self._watch_may_wait = True
         """Whether the store may hold its looks."""
+        self._has_heard = False
+        """Whether news of another node were taken in since the last look."""
+        self._is_left_alone = False
+        """Whether none were before that look: those that go first may be turned away."""
         self._looked_at = float("-inf")
         """When the store last told what there is."""
         self._look_at = 0.0
@@ -207,6 +211,8 @@
         if not news.from_revision <= seen <= news.store_revision:
             return []
         self._seen_revision = news.store_revision
+        self._has_heard = True
+        self._is_left_alone = False
         actions = self._hooks.on_changes(news.changed, news.deleted, now)
         self._remember(news.changed, news.deleted)
         is_hurried = self._gather_seconds < self._settings.gather_seconds
@@ -220,6 +226,16 @@
         """The time between two looks when nothing is missing."""
         return self._settings.gather_seconds
 
+    @property
+    def _may_wait(self) -> bool:
+        """Whether this node lets the store hold its looks, and so hears of changes at once.
+
+        One node of a group does, and tells the others. If all did, their looks would have begun
+        when its news come, and none would be put off: 8 looks a node and minute, where one node in
+        ten needs 18.
+        """
+        return self._hooks.is_first() or self._is_left_alone
+
     @property
     def _operation_id(self) -> str:
         return f"follow-{self._reads}"
@@ -243,7 +259,7 @@
     def _watch(self, now: float, pause_seconds: float = 0.0) -> list[Action]:
         assert self._seen_revision is not None
         self._watch_gather_seconds = self._gather_seconds
-        self._watch_may_wait = self._hooks.is_first()
+        self._watch_may_wait = self._may_wait
         self._look_at = now + pause_seconds
         self._watches += 1
         self._is_watching = True
@@ -254,9 +270,6 @@
                 self._seen_revision,
                 self._gather_seconds,
                 pause_seconds,
-                # One node of a group waits at the store and tells the others. If all did, their
-                # looks would have begun when its news come, and none would be put off: 8 looks a
-                # node and minute where one in ten nodes needs 18.
                 self._watch_may_wait,
             )
         ]
@@ -321,7 +334,9 @@
         )
         actions += self._hooks.on_look(news)
         is_same_pace = self._watch_gather_seconds == self._gather_seconds
-        is_same_place = self._watch_may_wait == self._hooks.is_first()
+        self._is_left_alone = not self._has_heard
+        self._has_heard = False
+        is_same_place = self._watch_may_wait == self._may_wait
         if event.may_have_more or (is_same_pace and is_same_place):
             return actions
         return [*actions, StopWatch(self._watch_id), *self._watch(now, self._gather_seconds)]
