--- a/wingquay/forwarding/presence.py
+++ b/wingquay/forwarding/presence.py
@@ -114,11 +114,9 @@
         return KeepLeaseAlive(self._lease_id)
 
     def _can_go_on(self) -> bool:
-        """Whether the last life's key can serve this one; asked once."""
+        """Whether the last life's key stands there and says what this life says."""
         standing = self._standing
-        if standing is None or not standing.lease_id or standing.value != self._value:
-            return False
-        return True
+        return standing is not None and standing.lease_id > 0 and standing.value == self._value
 
     def _request(self, operation: StoreOperation) -> StoreRequest:
         return StoreRequest(self._operation_id, operation, TIMEOUT_SECONDS)
