--- a/tests/forwarding/test_connections_ahead.py
+++ b/tests/forwarding/test_connections_ahead.py
@@ -4,8 +4,8 @@
 
 from testtools import TestCase
 
+from tests.forwarding.linked_nodes import OTHERS, OWN, join
 from tests.forwarding.one_node import OneNode, replica, sharded_route, single_route, table
-from tests.forwarding.test_delegation import OTHERS, OWN, join
 from wingquay.model.replica_record import ReplicaRecord
 from wingquay.ports.forwarding import (
     ConnectionTried,
--- a/tests/forwarding/test_delegation.py
+++ b/tests/forwarding/test_delegation.py
@@ -2,225 +2,38 @@
 
 from testtools import TestCase
 
-from tests.forwarding.one_node import HOST, NODE_PREFIX, OneNode, replica, sharded_route, table
-from wingquay.adapters.node_record import node_value
+from tests.forwarding.linked_nodes import (
+    OBJECTIVE_SECONDS,
+    OTHERS,
+    OWN,
+    SHARDS,
+    delegated,
+    join,
+    node_in_group,
+    told,
+    whole_answer,
+)
+from tests.forwarding.one_node import OneNode, replica, sharded_route, table
 from wingquay.ports.delegation import (
     AllowAttempts,
     CancelDelegation,
     DelegatedAnswer,
     DelegatedRequest,
-    Greeting,
 )
 from wingquay.ports.forwarding import (
     ForwardFailureKind,
-    ForwardRequested,
     OpaqueRequest,
     ReplyFailure,
     ReplyMerged,
     SendFailureKind,
-    SendToReplica,
 )
 from wingquay.ports.machine import StopRequested
 from wingquay.ports.peer_link import (
-    NodeIdentity,
-    NodeRecord,
     PeerLinkBroken,
     PeerLinkOpened,
     PeerReceived,
     SendToPeer,
 )
-from wingquay.ports.store import StoredValue, WatchChanged
-
-SHARDS = 12
-OWN = NodeIdentity("node-1-a", "", "a", "10.0.1.1", 7)
-OTHERS = [NodeIdentity(f"node-{number}-a", "", "a", f"10.0.1.{number}", 7) for number in (2, 3)]
-FAR_NODES = [NodeIdentity(f"far-{number}-b", "", "b", f"10.0.2.{number}", 7) for number in range(9)]
-OBJECTIVE_SECONDS = 0.1
-
-
-def node_in_group(**route: object) -> OneNode:
-    """Return a node whose link is open, with two others in its zone and two replicas a shard."""
-    node = OneNode(delegate_least_shards=10)
-    records = [
-        replica(f"r{number}-{copy}", f"s{number}") for number in range(SHARDS) for copy in "abc"
-    ]
-    node.start(table(1, sharded_route(SHARDS, **route)), *records)
-    node.emit(PeerLinkOpened(OWN))
-    join(node, *OTHERS)
-    return node
-
-
-def join(node: OneNode, *identities: NodeIdentity) -> None:
-    """Let the watch tell the keys of nodes."""
-    node.store_revision += 1
-    values = [
-        StoredValue(NODE_PREFIX + item.host, node_value(NodeRecord(item)), node.store_revision)
-        for item in identities
-    ]
-    watch = node.last_watch_id
-    node.emit(WatchChanged(watch, tuple(values), (), node.store_revision))
-
-
-def delegated(node: OneNode) -> list[tuple[NodeIdentity, DelegatedRequest]]:
-    """Return the requests that the node has asked others for."""
-    return [
-        (action.to, action.message)
-        for action in node.actions
-        if isinstance(action, SendToPeer) and isinstance(action.message, DelegatedRequest)
-    ]
-
-
-def told(node: OneNode, kind: type) -> list[object]:
-    """Return the messages of a kind that the node has sent to others."""
-    messages = [action.message for action in node.actions if isinstance(action, SendToPeer)]
-    return [message for message in messages if isinstance(message, kind)]
-
-
-def whole_answer(message: DelegatedRequest, body: bytes = b"") -> DelegatedAnswer:
-    """Return an answer with every shard that was asked for."""
-    positions = tuple(range(len(message.shards)))
-    return DelegatedAnswer(message.delegation_id, positions, message.shards, body)
-
-
-def node_apart_from_owners(shards: int = SHARDS) -> OneNode:
-    """Return a node whose shards all have their replicas in another zone, with nodes there."""
-    node = OneNode(delegate_least_shards=10)
-    records = [replica(f"r{number}", f"s{number}", "b") for number in range(shards)]
-    node.start(table(1, sharded_route(shards)), *records)
-    node.emit(PeerLinkOpened(OWN))
-    join(node, *OTHERS, *FAR_NODES)
-    return node
-
-
-class FarOwnersTest(TestCase):
-    """Wide requests whose shards have no replica in the zone of the node that they reached."""
-
-    def test_nodes_of_the_zone_that_holds_the_replicas_ask_them(self) -> None:
-        node = node_apart_from_owners()
-        node.request("/all/x")
-        self.assertEqual([], node.sends)
-        asked = delegated(node)
-        self.assertTrue({to.node_id for to, _ in asked} <= {item.node_id for item in FAR_NODES})
-        self.assertEqual(SHARDS, sum(len(message.shards) for _, message in asked))
-        self.assertTrue(all(message.is_group_share for _, message in asked))
-
-    def test_connections_to_them_are_opened_before_a_request_needs_them(self) -> None:
-        node = node_apart_from_owners()
-        node.advance(1.1)
-        node.advance(1.1)
-        greeted = [
-            action.to.node_id
-            for action in node.actions
-            if isinstance(action, SendToPeer) and isinstance(action.message, Greeting)
-        ]
-        node.request("/all/x")
-        self.assertEqual({to.node_id for to, _ in delegated(node)}, set(greeted))
-        self.assertEqual(len(set(greeted)), len(greeted))
-
-    def test_a_connection_that_broke_is_opened_again(self) -> None:
-        node = node_apart_from_owners()
-        node.advance(1.1)
-        before = len(told(node, Greeting))
-        broken = next(
-            action.to
-            for action in node.actions
-            if isinstance(action, SendToPeer) and isinstance(action.message, Greeting)
-        )
-        node.emit(PeerLinkBroken(broken.node_id, "reset", True))
-        node.advance(4.0)
-        self.assertGreater(len(told(node, Greeting)), before)
-
-    def test_the_shards_of_a_node_that_is_not_there_go_to_another(self) -> None:
-        node = node_apart_from_owners()
-        number = node.request("/all/x")
-        (absent, share), *others = delegated(node)
-        node.emit(PeerLinkBroken(absent.node_id, "refused", was_open=False))
-        again = delegated(node)[1 + len(others) :]
-        self.assertNotIn(absent.node_id, {to.node_id for to, _ in again})
-        moved = [shard for _, message in again for shard in message.shards]
-        self.assertEqual(sorted(share.shards), sorted(moved))
-        self.assertEqual([], node.sends)
-        for to, message in [*others, *again]:
-            node.emit(PeerReceived(to, whole_answer(message)))
-        self.assertEqual(0, node.replies[number].missing_shards)
-
-    def test_late_in_a_request_they_are_asked_directly(self) -> None:
-        node = node_apart_from_owners()
-        node.request("/all/x")
-        ((absent, share), *_) = delegated(node)
-        node.stall(OBJECTIVE_SECONDS * 0.46)
-        before = len(delegated(node))
-        node.emit(PeerLinkBroken(absent.node_id, "timed out", was_open=False))
-        self.assertEqual(before, len(delegated(node)))
-        asked = {send.replica.service for send in node.all_sends}
-        self.assertTrue(set(share.shards) <= asked)
-
-    def test_a_node_that_is_not_there_is_asked_again_sooner_than_one_that_is_silent(self) -> None:
-        for was_open, seconds in ((False, 0.25), (True, 1.05)):
-            node = node_apart_from_owners()
-            node.request("/all/x")
-            ((gone, _), *_) = delegated(node)
-            node.emit(PeerLinkBroken(gone.node_id, "test", was_open))
-            groups = node.machine._members.groups
-            self.assertNotIn(gone, groups.reachable(node.now + seconds - 0.1))
-            self.assertIn(gone, groups.reachable(node.now + seconds))
-
-    def test_a_node_that_answers_late_is_asked_again_at_once(self) -> None:
-        node = node_apart_from_owners()
-        node.request("/all/x")
-        ((late, message), *_) = delegated(node)
-        node.advance(OBJECTIVE_SECONDS * 0.5)
-        groups = node.machine._members.groups
-        self.assertNotIn(late, groups.reachable(node.now))
-        node.emit(PeerReceived(late, DelegatedAnswer(message.delegation_id)))
-        self.assertIn(late, groups.reachable(node.now))
-
-    def test_nodes_that_usually_take_long_are_given_longer(self) -> None:
-        for hearing_seconds, is_lost in ((0.001, True), (0.02, False)):
-            node = node_apart_from_owners()
-            for _ in range(30):
-                before = len(delegated(node))
-                node.request("/all/x")
-                node.advance(hearing_seconds)
-                for to, message in delegated(node)[before:]:
-                    node.emit(PeerReceived(to, whole_answer(message)))
-            node.request("/all/x")
-            before = len(node.logs("delegation_lost"))
-            node.advance(OBJECTIVE_SECONDS * 0.5)
-            self.assertEqual(is_lost, len(node.logs("delegation_lost")) > before)
-            node.advance(OBJECTIVE_SECONDS * 0.25)
-            self.assertGreater(len(node.logs("delegation_lost")), before)
-
-    def test_messages_to_other_nodes_leave_before_own_work(self) -> None:
-        node = node_in_group()
-        request = OpaqueRequest(b"GET", b"/all/x", ())
-        event = ForwardRequested(9, "id-9", HOST, "/all/x", request, 2.0)
-        actions = node.machine.handle(event, node.now)
-        kinds = [type(action) for action in actions]
-        self.assertIn(SendToPeer, kinds)
-        self.assertNotIn(SendToReplica, kinds)
-        asked = DelegatedRequest(1, "id-8", request, "/all/", ("s0", "s1"), 3, 1, 0.1, 0.08, 1.0)
-        actions = node.machine.handle(PeerReceived(OTHERS[0], asked), node.now)
-        self.assertIn(SendToPeer, [type(action) for action in actions])
-        self.assertNotIn(SendToReplica, [type(action) for action in actions])
-
-    def test_numbers_of_two_lives_differ(self) -> None:
-        numbers = set()
-        for seed in range(3):
-            node = OneNode(seed=seed, delegate_least_shards=10)
-            records = [replica(f"r{number}", f"s{number}", "b") for number in range(SHARDS)]
-            node.start(table(1, sharded_route(SHARDS)), *records)
-            node.emit(PeerLinkOpened(OWN))
-            join(node, *FAR_NODES)
-            node.request("/all/x")
-            numbers |= {message.delegation_id for _, message in delegated(node)}
-        self.assertGreaterEqual(len(numbers), 3)
-        self.assertGreater(max(numbers) - min(numbers), 1_000)
-
-    def test_narrow_routes_open_no_connections(self) -> None:
-        node = node_apart_from_owners(shards=9)
-        node.advance(2.0)
-        self.assertEqual([], told(node, Greeting))
 
 
 class AskingTest(TestCase):
--- a/tests/forwarding/test_loop_lag.py
+++ b/tests/forwarding/test_loop_lag.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 
+from tests.forwarding.linked_nodes import OTHERS, OWN
 from tests.forwarding.one_node import OneNode, replica, sharded_route, single_route, table
-from tests.forwarding.test_delegation import OTHERS, OWN
 from wingquay.ports.delegation import DelegatedRequest
 from wingquay.ports.forwarding import OpaqueRequest
 from wingquay.ports.peer_link import PeerLinkOpened, PeerReceived
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -4,8 +4,8 @@
 
 from testtools import TestCase
 
+from tests.forwarding.linked_nodes import delegated, join, told, whole_answer
 from tests.forwarding.one_node import OneNode, replica, sharded_route, table
-from tests.forwarding.test_delegation import delegated, join, told, whole_answer
 from wingquay.forwarding.peer_setup import has_far_shards
 from wingquay.forwarding.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
--- a/tests/forwarding/test_store_news.py
+++ b/tests/forwarding/test_store_news.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 
+from tests.forwarding.linked_nodes import join
 from tests.forwarding.one_node import (
     NODE_PREFIX,
     REPLICA_PREFIX,
@@ -10,7 +11,6 @@
     single_route,
     table,
 )
-from tests.forwarding.test_delegation import join
 from wingquay.ports.machine import Action
 from wingquay.ports.peer_link import (
     NodeIdentity,
