--- a/wingquay/adapters/peer_link.py
+++ b/wingquay/adapters/peer_link.py
@@ -73,8 +73,8 @@
     Parameters
     ----------
     identity
-        This node; a port of 0 is replaced by a free one when the link starts. Its node id must
-        be unique for each start of a process.
+        This node; a port of 0 is replaced by a free one when the link starts. No other node may
+        have its id; a process that starts again with the same one takes the place of its last life.
     cluster_key
         The secret that all nodes share, at least 16 random bytes.
     codec
