Say how a configuration came, how long a failed look took, and which news were passed over

Change: configuration_adopted told_by; store_unreachable waited_ms, silent_ms, pause_ms; a line store_news_passed_over. No decision is changed.

--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -107,6 +107,21 @@
         self.assertEqual({"r0", "r1"}, asked(node))
 
 
+class FailedLookTest(TestCase):
+    def test_the_line_of_a_failed_look_tells_how_long_it_took_and_when_the_next_is(self) -> None:
+        node = started()
+        node.advance(4.0)
+        node.emit(WatchBroken(node.last_watch_id, "no answer"))
+        expected = {
+            "reason": "no answer",
+            "failures": 1,
+            "waited_ms": 2700,
+            "silent_ms": 4000,
+            "pause_ms": 150,
+        }
+        self.assertEqual([expected], node.logs("store_unreachable"))
+
+
 class MissingRecordsTest(TestCase):
     """Records lapse while the store is down; a node that starts then finds few."""
 
--- a/tests/forwarding/test_store_news.py
+++ b/tests/forwarding/test_store_news.py
@@ -163,6 +163,31 @@
         node.emit(PeerReceived(FIRST, StoreNews(revision + 1, revision + 2, (item,))))
         self.assertEqual([], since(node, before))
 
+    def test_a_line_tells_of_news_that_were_passed_over(self) -> None:
+        node = linked(FIRST)
+        node.emit(WatchBroken(node.last_watch_id, "silent"))
+        node.advance(0.1)
+        revision = node.store_revision
+        node.emit(PeerReceived(FIRST, StoreNews(revision + 1, revision + 2)))
+        expected = {
+            "known_revision": revision,
+            "from_revision": revision + 1,
+            "failures": 1,
+            "silent_ms": 5100,
+        }
+        self.assertEqual([expected], node.logs("store_news_passed_over"))
+
+    def test_a_configuration_says_who_told_it(self) -> None:
+        node = linked(FIRST)
+        for version in (2, 3):
+            changed = node.stored_table(table(version, single_route()))
+            if version == 2:
+                node.emit(PeerReceived(FIRST, news_for(node, changed)))
+            else:
+                node.change(values=(changed,))
+        lines = node.logs("configuration_adopted")
+        self.assertEqual(["listing", FIRST.node_id, "look"], [line["told_by"] for line in lines])
+
     def test_old_news_put_nothing_off(self) -> None:
         node = linked(FIRST)
         before = len(node.actions)
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -119,6 +119,8 @@
         """Keys of replicas' entries that the last changes left as they were but for the writing."""
         self._late_seconds = 0.0
         """How late the last regular timer fired."""
+        self._told_by = ""
+        """By which way the present news of the store came: a look, a listing, or a node's id."""
         self._lines = LineBudget()
         candidate = random_source.randbytes(CLUSTER_KEY_BYTES)
         self._members = NodeMembership(
@@ -160,7 +162,8 @@
         self, event: PresenceDue | PeerLinkOpened | PeerReceived, now: float
     ) -> list[Action]:
         match event:
-            case PeerReceived(message=StoreNews() as news):
+            case PeerReceived(sender=sender, message=StoreNews() as news):
+                self._told_by = sender.node_id
                 return self._news(news, now)
             case PresenceDue():
                 return self._presence_due(event, now)
@@ -173,6 +176,7 @@
     def _store_event(self, event: Event, now: float) -> list[Action]:
         if isinstance(event, StoreResponse) and self._members.is_mine(event):
             return self._members.answered(event, now)
+        self._told_by = "look" if isinstance(event, WatchChanged) else "listing"
         return self._follower.handle(event, now)
 
     def _start(self, event: Start, now: float) -> list[Action]:
@@ -290,7 +294,11 @@
         self._table = table
         self._forwarding.set_table(table)
         self._members.configure(table)
-        line = (("version", table.version), ("routes", len(table.routes)))
+        line = (
+            ("version", table.version),
+            ("routes", len(table.routes)),
+            ("told_by", self._told_by),
+        )
         return [
             Log("configuration_adopted", LogLevel.INFO, line),
             Count("configurations_adopted_total"),
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -215,7 +215,9 @@
         seen = self._seen_revision
         if not self._is_listed or seen is None:
             return []
-        if not news.from_revision <= seen <= news.store_revision:
+        if news.from_revision > seen:
+            return [self._passed_over(news, seen, now)]
+        if seen > news.store_revision:
             return []
         self._seen_revision = news.store_revision
         self._has_heard = True
@@ -262,6 +264,7 @@
         if self._seen_revision is not None:
             return self._watch(now)
         self._reads += 1
+        self._look_at = now
         operation = Read(self._settings.prefix, prefix=True, may_lag_at_first=True)
         timeout = self._settings.read_timeout_seconds
         return [StoreRequest(self._operation_id, operation, timeout)]
@@ -376,10 +379,36 @@
             most = settings.unknown_backoff_seconds
             asking = [AskPeers()]
         self._failures += 1
-        fields = (("reason", reason), ("failures", self._failures))
         due_at = now + min(pause, most)
+        fields = (
+            ("reason", reason),
+            ("failures", self._failures),
+            ("waited_ms", _milliseconds(now - self._look_at)),
+            ("silent_ms", self._silent_ms(now)),
+            ("pause_ms", _milliseconds(due_at - now)),
+        )
         return [
             Log("store_unreachable", LogLevel.WARNING, fields),
             *asking,
             Schedule(due_at, FollowAgain(self._operation_id)),
         ]
+
+    def _passed_over(self, news: StoreNews, seen_revision: int, now: float) -> Log:
+        """Return the line that tells of news with a gap before them."""
+        fields = (
+            ("known_revision", seen_revision),
+            ("from_revision", news.from_revision),
+            ("failures", self._failures),
+            ("silent_ms", self._silent_ms(now)),
+        )
+        return Log("store_news_passed_over", LogLevel.INFO, fields)
+
+    def _silent_ms(self, now: float) -> int:
+        """Return for how long the store itself has told nothing; -1: it never did."""
+        if self._looked_at == float("-inf"):
+            return -1
+        return _milliseconds(now - self._looked_at)
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000.0)
