--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -99,7 +99,7 @@
 def store_down(simulation: ForwardingSimulation, _chance: random.Random) -> None:
     """Let the store answer nothing for a while."""
     store = simulation.store
-    store.down_until = simulation.clock.now + 3.0
+    store.take_down(3.0)
     simulation.oracle.unstable.append((simulation.clock.now, store.down_until))
 
 
@@ -129,9 +129,8 @@
 def node_cut_off(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Cut a node off from the store for a while."""
     node = chance.randrange(simulation.settings.nodes)
-    until = simulation.clock.now + 3.0
-    simulation.store.cut_off[node] = until
-    simulation.oracle.unstable.append((simulation.clock.now, until))
+    simulation.store.cut_off_node(node, 3.0)
+    simulation.oracle.unstable.append((simulation.clock.now, simulation.clock.now + 3.0))
 
 
 def configuration_storm(simulation: ForwardingSimulation, _chance: random.Random) -> None:
--- a/wingquay/simulation/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -174,7 +174,15 @@
 
     def is_stable(self, start: float, end: float) -> bool:
         """Whether the store was out of trouble for a while before and during a span."""
-        return all(end < begun or ended + 4.0 < start for begun, ended in self.unstable)
+        contact = self.settings.contact_seconds
+        return all(end < begun or ended + contact < start for begun, ended in self.unstable)
+
+    def check_configuration(self, node: int, version: int, now: float) -> None:
+        """Take in by which configuration a node goes that has been in touch for long enough."""
+        bound = self.settings.configuration_bound_seconds
+        due = [table.version for taken, table in self.tables if taken + bound < now]
+        if due and version < due[-1]:
+            self._violated(f"node {node} goes by version {version} at {now:.3f}, {due[-1]} is due")
 
     def _check_budget(self, service: str) -> None:
         settings = self.settings
@@ -266,8 +274,7 @@
 
     def _check_no_route(self, request: _Request) -> None:
         event = request.event
-        bound = self.settings.configuration_bound_seconds
-        if not self.is_stable(request.at - bound, request.at):
+        if not self.is_stable(request.at, request.at):
             return
         possible = self._possible_tables(request.at)
         if possible and all(table.find(event.host, event.path) for table in possible):
@@ -279,8 +286,7 @@
         return any(route is not None and service in route.all_services for route in routes)
 
     def _is_in_force(self, request: _Request, service: str) -> bool:
-        bound = self.settings.configuration_bound_seconds
-        if not self.is_stable(request.at - bound, request.at):
+        if not self.is_stable(request.at, request.at):
             return True
         event = request.event
         tables = [table for at, table in self.tables if at > request.at]
--- a/wingquay/simulation/forwarding/settings.py
+++ b/wingquay/simulation/forwarding/settings.py
@@ -19,6 +19,9 @@
         After the store took that a zone is evacuated, it must get nothing later than this.
     configuration_bound_seconds
         After the store took a configuration, it must be in force on every node.
+    contact_seconds
+        After the end of trouble with a node or with its way to the store, it is held to its bounds
+        from then on; the spans do not add up.
     left_bound_seconds
         After a caller left, its work must have stopped on most replicas.
     late_reply_seconds
@@ -48,6 +51,7 @@
     drain_bound_seconds: float = 3.0
     evacuation_bound_seconds: float = 3.0
     configuration_bound_seconds: float = 3.0
+    contact_seconds: float = 4.0
     left_bound_seconds: float = 0.5
     late_reply_seconds: float = 0.5
     budget_ratio: float = 0.2
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -20,7 +20,7 @@
     SendToReplica,
     SetForwarding,
 )
-from ...ports.machine import Action, Event, Exit, Schedule, Start
+from ...ports.machine import Action, Event, Exit, Log, Schedule, Start
 from ...ports.peer_link import OpenPeerLink, SendToPeer
 from ...ports.store import StartWatch, StopWatch, StoreRequest
 from ..virtual_clock import VirtualClock
@@ -72,8 +72,10 @@
         self.number = number
         self.is_alive = True
         self.is_ready = False
-        self.frozen_until = 0.0
+        self.frozen_until = simulation.clock.now
         """Until then events wait."""
+        self.configuration_version = 0
+        """The configuration that it goes by; 0: none."""
         self.open_requests: dict[int, str] = {}
         self._simulation = simulation
         self._clock = simulation.clock
@@ -148,15 +150,23 @@
                 self._reply(action)
             case SetForwarding():
                 self.is_ready = action.is_ready
+            case Log(message="configuration_adopted"):
+                self.configuration_version = int(str(dict(action.fields)["version"]))
             case Exit():
                 simulation.node_exited(self, action)
-            case OpenPeerLink():
-                simulation.links.open(self.number, self._zone, self.emit)
-            case SendToPeer():
-                simulation.links.send(self.number, action)
+            case OpenPeerLink() | SendToPeer():
+                self._perform_on_links(action)
             case _:
                 self._perform_on_store(action)
 
+    def _perform_on_links(self, action: OpenPeerLink | SendToPeer) -> None:
+        links = self._simulation.links
+        match action:
+            case OpenPeerLink():
+                links.open(self.number, self._zone, self.emit)
+            case SendToPeer():
+                links.send(self.number, action)
+
     def _perform_on_store(self, action: Action) -> None:
         store = self._simulation.store
         match action:
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -340,7 +340,12 @@
         node.open_requests.clear()
 
     def _check(self) -> None:
-        self.oracle.check_open_work(self.clock.now)
+        now = self.clock.now
+        self.oracle.check_open_work(now)
+        for node in self.nodes:
+            undisturbed_since = max(node.frozen_until, self.store.reached_since(node.number))
+            if node.is_alive and undisturbed_since + self.settings.contact_seconds < now:
+                self.oracle.check_configuration(node.number, node.configuration_version, now)
         self.clock.after(CHECK_SECONDS, self._check)
 
     def _restart(self, number: int) -> None:
--- a/wingquay/simulation/forwarding/store.py
+++ b/wingquay/simulation/forwarding/store.py
@@ -29,7 +29,11 @@
 LATENCY_SECONDS = 0.004
 LEASE_SECONDS = 36.0
 WATCH_SECONDS = 3.0
-"""How long the store holds a watch on which nothing happens."""
+"""How long the store holds a look on which nothing happens."""
+HELD_LOOK_SECONDS = 4.0
+"""After this time a node gives up a look that the store may hold."""
+PLAIN_LOOK_SECONDS = 1.5
+"""After this time a node gives up a look that the store answers at once."""
 LOST_ANSWER_SECONDS = 1.5
 """After this time a caller gives an answer up that was lost."""
 
@@ -38,11 +42,16 @@
 
 @dataclass(slots=True, eq=False)
 class _Watch:
+    """Looks at the store, one after the other, as a node's client of the store makes them."""
+
     action: StartWatch
     emit: Emit
     node: int
     seen_revision: int
-    next_look: float = 0.0
+    asked_at: float | None = None
+    """When the look under way began; ``None`` between two."""
+    is_lost: bool = False
+    """Whether the look under way, or its answer, was lost on the way."""
     is_ended: bool = False
 
 
@@ -92,7 +101,8 @@
         self._forgotten_revision = self.revision
         self._history.clear()
         for watch in list(self._watches):
-            self._look(watch)
+            if watch.asked_at is not None:
+                self._look(watch, watch.asked_at)
 
     def perform(self, node: int, request: StoreRequest, emit: Emit) -> None:
         """Carry out an operation, unless the store is out of the node's reach."""
@@ -147,12 +157,30 @@
             if item.lease_id == lease_id:
                 self.delete(key)
 
+    def take_down(self, seconds: float) -> None:
+        """Answer nobody for a while; looks that are held by then are lost."""
+        self.down_until = self.clock.now + seconds
+        self._lose_looks(self._watches)
+
+    def cut_off_node(self, node: int, seconds: float) -> None:
+        """Answer one node nothing for a while; a look of it that is held is lost."""
+        self.cut_off[node] = self.clock.now + seconds
+        self._lose_looks([watch for watch in self._watches if watch.node == node])
+
+    def reached_since(self, node: int) -> float:
+        """Return when the last trouble between a node and the store ended, or will end."""
+        return max(self.down_until, self.slow_until, self.cut_off.get(node, 0.0))
+
+    @staticmethod
+    def _lose_looks(watches: list[_Watch]) -> None:
+        for watch in watches:
+            watch.is_lost = watch.asked_at is not None
+
     def watch(self, node: int, action: StartWatch, emit: Emit) -> None:
         """Begin a watch."""
         watch = _Watch(action, emit, node, action.from_store_revision)
         self._watches.append(watch)
-        watch.next_look = self.clock.now + action.pause_seconds
-        self.clock.after(action.pause_seconds + self._latency(), self._look, watch)
+        self.clock.after(action.pause_seconds, self._ask, watch)
 
     def stop_watch(self, watch_id: str, emit: Emit) -> None:
         """End one watch."""
@@ -168,24 +196,41 @@
 
     def _wake(self) -> None:
         for watch in list(self._watches):
-            self.clock.after(self._latency(), self._look, watch)
+            if watch.asked_at is not None:
+                self.clock.after(self._latency(), self._look, watch, watch.asked_at)
 
-    def _look(self, watch: _Watch) -> None:
-        if watch.is_ended or self.clock.now < watch.next_look:
+    def _ask(self, watch: _Watch) -> None:
+        """Begin a look."""
+        if watch.is_ended:
             return
-        if self._is_out_of_reach(watch.node):
+        now = self.clock.now
+        watch.asked_at = now
+        watch.is_lost = self._is_out_of_reach(watch.node)
+        may_wait = watch.action.may_wait
+        timeout_seconds = HELD_LOOK_SECONDS if may_wait else PLAIN_LOOK_SECONDS
+        self.clock.after(timeout_seconds, self._give_up, watch, now)
+        self.clock.after(self._latency(), self._look, watch, now)
+        if may_wait:
+            self.clock.after(WATCH_SECONDS + self._latency(), self._look, watch, now)
+
+    def _give_up(self, watch: _Watch, asked_at: float) -> None:
+        if not watch.is_ended and watch.asked_at == asked_at:
             self._end(watch)
-            self.clock.after(WATCH_SECONDS, watch.emit, self._broken(watch, "no answer", False))
+            watch.emit(self._broken(watch, "no answer", False))
+
+    def _look(self, watch: _Watch, asked_at: float) -> None:
+        if watch.is_ended or watch.is_lost or watch.asked_at != asked_at:
             return
         if watch.seen_revision < self._forgotten_revision:
             self._end(watch)
             watch.emit(self._broken(watch, "history is forgotten", True))
             return
         if self.clock.now < self.deaf_until:
+            self.clock.at(self.deaf_until, self._look, watch, asked_at)
             return
-        self._tell(watch)
+        self._tell(watch, asked_at)
 
-    def _tell(self, watch: _Watch) -> None:
+    def _tell(self, watch: _Watch, asked_at: float) -> None:
         changed: dict[str, StoredValue] = {}
         gone: dict[str, None] = {}
         for revision, key, item in self._history:
@@ -197,11 +242,12 @@
                 gone[key] = None
             else:
                 changed[key] = item
-        if not changed and not gone and watch.action.may_wait:
+        is_held = watch.action.may_wait and self.clock.now < asked_at + WATCH_SECONDS
+        if not changed and not gone and is_held:
             return
         watch.seen_revision = self.revision
-        watch.next_look = self.clock.now + watch.action.gather_seconds
-        self.clock.at(watch.next_look, self._look, watch)
+        watch.asked_at = None
+        self.clock.at(asked_at + watch.action.gather_seconds, self._ask, watch)
         watch.emit(
             WatchChanged(watch.action.watch_id, tuple(changed.values()), tuple(gone), self.revision)
         )
