Simulate outages of any length, and hold drains and evacuations to the moment at which bounds hold

Evacuations and drains come by the same looks, but the oracle wanted a store out of trouble from the change until now; and every simulated outage took 3.0 s, after which a lost look of 3.0 s was over at once: why neither tests nor soaks saw it. Change: outages and cuts of 0.3 to 7 s, drawn; records that lapsed come back 1 s after the store; drains count if the store was well when it took them, evacuations always, and both if it is now. Test: three outages after which evacuations broke their bound; fails on the code before the repair (with this oracle), as does the one of the configuration; both pass now. Tried and not kept: a look at once when news with a gap show that the store answers others.

--- a/tests/simulation/forwarding/test_store_outage.py
+++ b/tests/simulation/forwarding/test_store_outage.py
@@ -28,12 +28,17 @@
 """Time from the store's return to the change of the configuration."""
 DOWN_SECONDS = 0.5
 """Time for which a node that is killed is away."""
+EVACUATED_SECONDS = 8.0
 
 
-def violations(begins_at: float, seconds: float, nodes: int) -> tuple[str, ...]:
+def violations(
+    begins_at: float, seconds: float, nodes: int, requests_per_second: float = 2.0, seed: int = 1
+) -> tuple[str, ...]:
     """Play an outage of the store in which all nodes but the first are killed."""
-    settings = SimulationSettings(nodes=nodes, seconds=24.0, requests_per_second=2.0)
-    simulation = ForwardingSimulation(1, settings, ())
+    settings = SimulationSettings(
+        nodes=nodes, seconds=24.0, requests_per_second=requests_per_second
+    )
+    simulation = ForwardingSimulation(seed, settings, ())
     clock = simulation.clock
     returns_at = begins_at + seconds
 
@@ -48,6 +53,7 @@
     clock.at(begins_at, outage)
     clock.at(begins_at + seconds / 2.0, kill_others)
     clock.at(returns_at + CONFIRMED_SECONDS, simulation.change_configuration)
+    clock.at(returns_at + CONFIRMED_SECONDS, simulation.evacuate, "zone-1", EVACUATED_SECONDS)
     return simulation.run().violations
 
 
@@ -59,3 +65,8 @@
                 seconds = 0.4 + step * 0.17
                 found = violations(begins_at, seconds, nodes)
                 self.assertEqual((), found, (nodes, begins_at, seconds))
+
+    def test_an_evacuated_zone_gets_nothing_in_time_either(self) -> None:
+        # An evacuation comes by the same looks: these three outages broke its bound as well.
+        for seed, begins_at, seconds in ((17, 8.2, 1.76), (76, 7.65, 6.775), (86, 6.55, 7.625)):
+            self.assertEqual((), violations(begins_at, seconds, 4, 30.0, seed), seed)
--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -9,6 +9,11 @@
     SimulationResult,
 )
 
+OUTAGE_SECONDS = (0.3, 7.0)
+"""An outage of the store, or of a node's way to it, takes a time between these."""
+RECORDS_BACK_SECONDS = 1.0
+"""Time after the store's return in which records that lapsed meanwhile are written again."""
+
 
 def replica_slow(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Make some replicas take eight times as long."""
@@ -96,19 +101,20 @@
     simulation.separate_node(number, chance.uniform(0.03, 3.0))
 
 
-def store_down(simulation: ForwardingSimulation, _chance: random.Random) -> None:
-    """Let the store answer nothing for a while."""
+def store_down(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Let the store answer nothing for a while: shorter or longer than a look at it may take."""
     store = simulation.store
-    store.take_down(3.0)
+    store.take_down(chance.uniform(*OUTAGE_SECONDS))
     simulation.oracle.unstable.append((simulation.clock.now, store.down_until))
 
 
 def store_down_lapse(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Take the store down and let records of live replicas lapse meanwhile."""
     store_down(simulation, chance)
+    store = simulation.store
     for replica in simulation.some_replicas(chance, 0.5):
-        simulation.store.delete(simulation.record_key(replica))
-        simulation.clock.after(4.0, simulation.put_record, replica)
+        store.delete(simulation.record_key(replica))
+        simulation.clock.at(store.down_until + RECORDS_BACK_SECONDS, simulation.put_record, replica)
 
 
 def store_slow(simulation: ForwardingSimulation, _chance: random.Random) -> None:
@@ -129,8 +135,9 @@
 def node_cut_off(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Cut a node off from the store for a while."""
     node = chance.randrange(simulation.settings.nodes)
-    simulation.store.cut_off_node(node, 3.0)
-    simulation.oracle.unstable.append((simulation.clock.now, simulation.clock.now + 3.0))
+    seconds = chance.uniform(*OUTAGE_SECONDS)
+    simulation.store.cut_off_node(node, seconds)
+    simulation.oracle.unstable.append((simulation.clock.now, simulation.clock.now + seconds))
 
 
 def configuration_storm(simulation: ForwardingSimulation, _chance: random.Random) -> None:
--- a/wingquay/simulation/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -207,7 +207,8 @@
         if draining_at is None or record.replica_id != send.replica.replica_id:
             return
         bound = self.settings.drain_bound_seconds
-        if now > draining_at + bound and self.is_stable(draining_at, now):
+        is_stable = self.is_stable(draining_at, draining_at) and self.is_stable(now, now)
+        if now > draining_at + bound and is_stable:
             late = now - draining_at
             self._violated(f"{record.replica_id}: new work {late:.2f} s after it drained")
 
@@ -218,7 +219,7 @@
         bound = self.settings.evacuation_bound_seconds
         for zone, begun, ended in self.evacuated:
             is_due = record.zone == zone and begun + bound < now < ended
-            if is_due and self.is_stable(begun, now):
+            if is_due and self.is_stable(now, now):
                 self._violated(f"{record.replica_id}: work in {zone}, which is evacuated")
 
     def _check_merged(self, request: _Request, reply: ReplyMerged) -> None:
--- a/wingquay/simulation/forwarding/store.py
+++ b/wingquay/simulation/forwarding/store.py
@@ -153,12 +153,12 @@
 
     def take_down(self, seconds: float) -> None:
         """Answer nobody for a while; looks that are held by then are lost."""
-        self.down_until = self.clock.now + seconds
+        self.down_until = max(self.down_until, self.clock.now + seconds)
         self._lose_looks(self._watches)
 
     def cut_off_node(self, node: int, seconds: float) -> None:
         """Answer one node nothing for a while; a look of it that is held is lost."""
-        self.cut_off[node] = self.clock.now + seconds
+        self.cut_off[node] = max(self.cut_off.get(node, 0.0), self.clock.now + seconds)
         self._lose_looks([watch for watch in self._watches if watch.node == node])
 
     def reached_since(self, node: int) -> float:
