Leave a held look a second for its answer, as before, and the hold what remains

Cause: the first repair left 0.6 s for the answer to a held look. A store that answers 200 times slower than usual takes 0.8 s: each held look would count as lost, and the directory as old. Change: 1.0 s again; of the 4 s after an outage the hold pays for it (2.45 s), with 5 s and more held looks are what they were (3.0 + 1.0 s). The default of the follower and the simulated nodes follow the same function. The scan of outages begins at 0.02 s now, a lost look without an outage.

--- a/tests/forwarding/test_look_times.py
+++ b/tests/forwarding/test_look_times.py
@@ -6,7 +6,6 @@
 from wingquay.forwarding.look_times import (
     CONTACT_RESERVE_SECONDS,
     HELD_ANSWER_SECONDS,
-    LookTimes,
     gather_seconds_within,
     look_times_within,
 )
@@ -36,10 +35,11 @@
             self.assertGreaterEqual(look.hold_seconds, 0.0)
 
     def test_times_of_usual_deployments(self) -> None:
-        self.assertEqual(LookTimes(), look_times_within(5.0))
-        look = look_times_within(4.0)
-        self.assertAlmostEqual(3.45 - HELD_ANSWER_SECONDS, look.hold_seconds)
-        self.assertEqual((1.5, 2.0), (look.timeout_seconds, look.most_backoff_seconds))
+        for contact_seconds, hold_seconds in ((4.0, 2.45), (5.0, 3.0), (6.0, 3.0)):
+            look = look_times_within(contact_seconds)
+            self.assertAlmostEqual(hold_seconds, look.hold_seconds)
+            self.assertAlmostEqual(hold_seconds + HELD_ANSWER_SECONDS, look.held_timeout_seconds)
+            self.assertEqual((1.5, 2.0), (look.timeout_seconds, look.most_backoff_seconds))
 
 
 class LostLookTest(TestCase):
@@ -51,6 +51,6 @@
             node.emit(WatchBroken(node.last_watch_id, "no answer"))
             node.advance(2.1)
             self.assertEqual(0.0, node.last(StartWatch).hold_seconds)
-            self.assertEqual(LookTimes().timeout_seconds, node.last(StartWatch).timeout_seconds)
+            self.assertEqual(1.5, node.last(StartWatch).timeout_seconds)
         node.emit(WatchChanged(node.last_watch_id, (), (), node.store_revision))
         self.assertGreater(node.last(StartWatch).hold_seconds, 0.0)
--- a/tests/simulation/forwarding/test_store_outage.py
+++ b/tests/simulation/forwarding/test_store_outage.py
@@ -62,7 +62,7 @@
         for nodes in (1, 4):
             for step in range(60):
                 begins_at = OUTAGE_AT_SECONDS + step % 6 * 0.55
-                seconds = 0.4 + step * 0.17
+                seconds = 0.02 + step * 0.17
                 found = violations(begins_at, seconds, nodes)
                 self.assertEqual((), found, (nodes, begins_at, seconds))
 
--- a/wingquay/forwarding/look_times.py
+++ b/wingquay/forwarding/look_times.py
@@ -49,8 +49,9 @@
 """Time left, once the look after an outage begins, for its answer and requests on their way."""
 MOST_HOLD_SECONDS = 3.0
 """A look that the store holds for longer saves a call each minute, and is noticed later if lost."""
-HELD_ANSWER_SECONDS = 0.6
-"""Time for the answer to a held look to arrive: 150 times what the store usually takes."""
+HELD_ANSWER_SECONDS = 1.0
+"""Time for the answer to a held look to arrive: a store that is 200 times slower than usual takes
+0.8 s, and looks that count as lost while it answers would have it seem out of reach."""
 MOST_ANSWER_SECONDS = 1.5
 """Time for the answer to a look that the store does not hold."""
 MOST_ANSWER_SHARE = 0.45
@@ -75,11 +76,11 @@
         Pause after the first lost look, doubled each time up to the second figure.
     """
 
-    hold_seconds: float = MOST_HOLD_SECONDS
-    held_timeout_seconds: float = MOST_HOLD_SECONDS + HELD_ANSWER_SECONDS
-    timeout_seconds: float = MOST_ANSWER_SECONDS
-    first_backoff_seconds: float = FIRST_BACKOFF_SECONDS
-    most_backoff_seconds: float = MOST_BACKOFF_SECONDS
+    hold_seconds: float
+    held_timeout_seconds: float
+    timeout_seconds: float
+    first_backoff_seconds: float
+    most_backoff_seconds: float
 
 
 def look_times_within(contact_seconds: float) -> LookTimes:
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -18,7 +18,7 @@
     WatchChanged,
 )
 from ..ports.store_news import StoreNews
-from .look_times import LookTimes
+from .look_times import DEFAULT_CONTACT_SECONDS, LookTimes, look_times_within
 
 
 @value
@@ -53,7 +53,7 @@
     prefix: str = ""
     gather_seconds: float = 1.3
     shared_gather_seconds: float = 0.8
-    look: LookTimes = LookTimes()
+    look: LookTimes = look_times_within(DEFAULT_CONTACT_SECONDS)
     hurried_backoff_seconds: float = 1.0
     unknown_backoff_seconds: float = 0.2
 
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -6,6 +6,7 @@
 
 from ...adapters.node_record import node_value, parse_node
 from ...forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
+from ...forwarding.look_times import look_times_within
 from ...forwarding.settings import ForwardingSettings
 from ...forwarding.store_follower import FollowerSettings
 from ...model.failure import Failure
@@ -94,7 +95,7 @@
         self._machine = ForwardingNode(
             f"node-{number}",
             self._settings(),
-            FollowerSettings(),
+            FollowerSettings(look=look_times_within(simulation.settings.contact_seconds)),
             formats,
             random.Random(seed),
         )
