--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -228,27 +228,30 @@
         failure = parse_settings(text.replace("127.0.0.2:9", "here"))
         self.assertIn("peers.seeds", failure.reason)
 
-    def test_the_bound_of_an_evacuation_may_be_missing(self) -> None:
-        for text, expected in (('""', None), ('"5000"', 5.0)):
-            line = f"configuration_ms = 5000\nevacuation_ms = {text}"
-            settings = parse_settings(SETTINGS.replace("configuration_ms = 5000", line))
-            self.assertEqual(expected, settings.evacuation_seconds)
-        for text in ('"soon"', '"1"', "5000"):
-            line = f"configuration_ms = 5000\nevacuation_ms = {text}"
-            failure = parse_settings(SETTINGS.replace("configuration_ms = 5000", line))
-            self.assertIn("store.evacuation_ms", failure.reason)
-            self.assertIn("allowed", failure.reason)
+    def test_bounds_that_the_platform_may_not_state(self) -> None:
+        for name, field in (
+            ("evacuation_ms", "evacuation_seconds"),
+            ("contact_ms", "contact_seconds"),
+        ):
+            for text, expected in (('""', None), ('"5000"', 5.0)):
+                settings = parse_settings(self.with_bound(name, text))
+                self.assertEqual(expected, getattr(settings, field))
+            for text in ('"soon"', '"1"', "5000"):
+                failure = parse_settings(self.with_bound(name, text))
+                self.assertIn(f"store.{name}", failure.reason)
+                self.assertIn("allowed", failure.reason)
 
-    def test_the_time_after_an_outage_may_be_missing(self) -> None:
-        for text, expected in (('""', None), ('"4000"', 4.0)):
-            line = f"configuration_ms = 5000\ncontact_ms = {text}"
-            settings = parse_settings(SETTINGS.replace("configuration_ms = 5000", line))
-            self.assertEqual(expected, settings.contact_seconds)
-        for text in ('"soon"', '"999"', "4000"):
-            line = f"configuration_ms = 5000\ncontact_ms = {text}"
-            failure = parse_settings(SETTINGS.replace("configuration_ms = 5000", line))
-            self.assertIn("store.contact_ms", failure.reason)
-            self.assertIn("allowed", failure.reason)
+    def with_bound(self, name: str, text: str) -> str:
+        """Return the settings with one more bound of the store."""
+        line = f"configuration_ms = 5000\n{name} = {text}"
+        return SETTINGS.replace("configuration_ms = 5000", line)
+
+    def test_the_time_after_an_outage_is_a_second_at_least(self) -> None:
+        self.assertEqual(
+            1.0, parse_settings(self.with_bound("contact_ms", '"1000"')).contact_seconds
+        )
+        failure = parse_settings(self.with_bound("contact_ms", '"999"'))
+        self.assertIn("from 1000", failure.reason)
 
     def test_the_bound_of_cold_replicas_may_be_missing(self) -> None:
         for text, expected in (("", (1.0, 0.0)), ('overage = "1.5"\nslack = "5"', (1.5, 5.0))):
