--- a/tests/forwarding/test_store_news.py
+++ b/tests/forwarding/test_store_news.py
@@ -118,6 +118,24 @@
         late_seconds = told(node)[-1][1].age_seconds
         self.assertTrue(0.4 <= late_seconds <= 0.9, late_seconds)
 
+    def test_a_sender_that_stood_still_says_so_although_its_timers_fire_later(self) -> None:
+        # A configuration came late on other nodes: what waited at the sockets of a node that had
+        # stood still was handled before its timers, so that news of before told an age of 0.
+        node = linked(FIRST)
+        node.now += 3.0
+        node.change(replica("r1", "s"))
+        age_seconds = told(node)[-1][1].age_seconds
+        self.assertTrue(2.7 <= age_seconds <= 3.0, age_seconds)
+
+    def test_a_look_that_took_long_makes_old_news(self) -> None:
+        node = linked(FIRST)
+        node.emit(PeerReceived(FIRST, StoreNews(node.store_revision, node.store_revision)))
+        node.emit(WatchChanged(node.last_watch_id, (), (), node.store_revision))
+        self.assertEqual(0.0, node.last(StartWatch).hold_seconds)
+        node.advance(node.last(StartWatch).gather_seconds + 1.2)
+        node.emit(WatchChanged(node.last_watch_id, (), (), node.store_revision))
+        self.assertAlmostEqual(1.2, told(node)[-1][1].age_seconds)
+
 
 class HearingTest(TestCase):
     def test_news_are_taken_in_and_the_own_look_is_put_off(self) -> None:
@@ -225,6 +243,14 @@
         node.emit(PeerReceived(FIRST, news_for(node)))
         self.assertEqual([], since(node, before))
 
+    def test_a_node_that_stood_still_looks_itself_although_its_timers_fire_later(self) -> None:
+        node = linked(FIRST, LAST)
+        node.change()
+        node.now += 0.7
+        before = len(node.actions)
+        node.emit(PeerReceived(FIRST, news_for(node)))
+        self.assertEqual([], since(node, before))
+
     def test_a_look_that_has_begun_is_not_put_off(self) -> None:
         node = linked(FIRST)
         node.change()
