Tell how old news are by overdue timers and by the look they come from

Lateness was that of the last timer that had fired; after a node stood still the store's answer, up to seconds old, is handled before any timer is. Change: a timer that is overdue counts as lateness at once, where news are told and where they are heard; news of a look that is not held are as old as that look took. Ruled out: the age of a held look from its beginning (each would be up to 3 s old, no look would be put off by it).

--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -193,7 +193,7 @@
                 lambda *_: [],
                 lambda *_: [],
                 lambda _: None,
-                lambda _: [],
+                lambda *_: [],
                 lambda: False,
                 lambda: True,
                 lambda: True,
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -119,6 +119,8 @@
         """Keys of replicas' entries that the last changes left as they were but for the writing."""
         self._late_seconds = 0.0
         """How late the last regular timer fired."""
+        self._lag_due_at = float("inf")
+        """When the next one that shows how late this node is should fire."""
         self._told_by = ""
         """By which way the present news of the store came: a look, a listing, or a node's id."""
         self._lines = LineBudget()
@@ -184,13 +186,16 @@
             *self._follower.handle(event, now),
             *self._presence.handle(event, now),
             Schedule(now + SWEEP_SECONDS, SweepDue(now + SWEEP_SECONDS)),
-            Schedule(now + LAG_SECONDS, LagDue(now + LAG_SECONDS)),
+            *self._schedule_lag(now),
         ]
 
     def _lag_due(self, event: LagDue, now: float) -> list[Action]:
         self._forwarding.lag.seconds = max(now - event.due_at, 0.0)
-        due_at = now + LAG_SECONDS
-        return [Schedule(due_at, LagDue(due_at))]
+        return self._schedule_lag(now)
+
+    def _schedule_lag(self, now: float) -> list[Action]:
+        self._lag_due_at = now + LAG_SECONDS
+        return [Schedule(self._lag_due_at, LagDue(self._lag_due_at))]
 
     def _presence_due(self, event: PresenceDue, now: float) -> list[Action]:
         table = self._table
@@ -233,7 +238,7 @@
                 self._members.remove(key)
         return actions + self._ready_actions()
 
-    def _on_look(self, news: StoreNews) -> list[Action]:
+    def _on_look(self, news: StoreNews, now: float) -> list[Action]:
         """Tell the nodes that would look at the same what this one has seen."""
         listeners = self._members.listeners()
         if not listeners:
@@ -247,12 +252,20 @@
                 if item.key not in self._rewritten or item.created_at > news.from_revision
             ),
             news.deleted,
-            self._late_seconds,
+            max(news.age_seconds, self._lateness(now)),
             news.may_have_more,
         )
         sent: list[Action] = [SendToPeer(listener, told) for listener in listeners]
         return [*sent, Count("store_news_total", len(listeners), (("side", "told"),))]
 
+    def _lateness(self, now: float) -> float:
+        """Return how late this node is with its work, in seconds.
+
+        A timer that is overdue counts as well: after a node stood still, what waits at its sockets
+        is handled before its timers, and is as old as that.
+        """
+        return max(self._late_seconds, now - self._lag_due_at)
+
     def _news(self, news: StoreNews, now: float) -> list[Action]:
         """Take in what another node has read.
 
@@ -260,7 +273,7 @@
         at the sender, and behind other work of this node.
         """
         rank_seconds = self._settings.news_rank_seconds * self._members.rank()
-        taken_seconds = news.age_seconds + self._late_seconds
+        taken_seconds = news.age_seconds + self._lateness(now)
         pause_seconds = self._follower.usual_gather_seconds + rank_seconds - taken_seconds
         if news.may_have_more or taken_seconds >= self._settings.news_late_seconds:
             pause_seconds = 0.0
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -83,7 +83,7 @@
     on_listing: Callable[[tuple[StoredValue, ...], float], list[Action]]
     on_changes: Callable[[tuple[StoredValue, ...], tuple[str, ...], float], list[Action]]
     on_trouble: Callable[[float], None]
-    on_look: Callable[[StoreNews], list[Action]]
+    on_look: Callable[[StoreNews, float], list[Action]]
     tells_others: Callable[[], bool]
     is_first: Callable[[], bool]
     is_enough: Callable[[], bool]
@@ -302,6 +302,7 @@
         assert self._seen_revision is not None
         self._failures = 0
         self._looked_at = now
+        looked_for = self._look_at
         # An answer that was cut is followed up at once: that look has begun already.
         self._look_at = now if event.may_have_more else now + self._pace_seconds
         before = self._seen_revision
@@ -316,9 +317,10 @@
             self._seen_revision,
             event.changed,
             event.deleted,
-            may_have_more=event.may_have_more,
+            self._age_seconds(looked_for, now),
+            event.may_have_more,
         )
-        actions += self._hooks.on_look(news)
+        actions += self._hooks.on_look(news, now)
         self._is_left_alone = not self._has_heard
         self._has_heard = False
         is_same_pace = self._watch_gather_seconds == self._pace_seconds
@@ -327,6 +329,10 @@
             return actions
         return [*actions, StopWatch(self._watch_id), *self._watch(now, self._pace_seconds)]
 
+    def _age_seconds(self, looked_at: float, now: float) -> float:
+        """Return how old an answer may be; that of a held look may be as new as it is late."""
+        return 0.0 if self._watch_hold_seconds > 0.0 else max(now - looked_at, 0.0)
+
     def _broken(self, event: WatchBroken, now: float) -> list[Action]:
         if event.watch_id != self._watch_id:
             return []
