Name the time at which a look was due, and say what the limits of looks are for

Cause: read as a newcomer: looked_for is the time at which the look was due; two limits had no purpose beside them, and one claimed a saving that was not measured. No behaviour is changed.

--- a/wingquay/forwarding/look_times.py
+++ b/wingquay/forwarding/look_times.py
@@ -48,7 +48,7 @@
 CONTACT_RESERVE_SECONDS = 0.4
 """Time left, once the look after an outage begins, for its answer and requests on their way."""
 MOST_HOLD_SECONDS = 3.0
-"""A look that the store holds for longer saves a call each minute, and is noticed later if lost."""
+"""Held for longer, looks are fewer calls, and one that is lost is noticed later."""
 HELD_ANSWER_SECONDS = 1.0
 """Time for the answer to a held look to arrive: a store that is 200 times slower than usual takes
 0.8 s, and looks that count as lost while it answers would have it seem out of reach."""
@@ -57,7 +57,9 @@
 MOST_ANSWER_SHARE = 0.45
 """Share of the time after an outage that a look which is lost in it may take."""
 FIRST_BACKOFF_SECONDS = 0.15
+"""A look that was cut off by chance is made again soon."""
 MOST_BACKOFF_SECONDS = 2.0
+"""In an outage looks are priced and tell nothing."""
 
 
 @value
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -302,7 +302,7 @@
         assert self._seen_revision is not None
         self._failures = 0
         self._looked_at = now
-        looked_for = self._look_at
+        look_due_at = self._look_at
         # An answer that was cut is followed up at once: that look has begun already.
         self._look_at = now if event.may_have_more else now + self._pace_seconds
         before = self._seen_revision
@@ -317,7 +317,7 @@
             self._seen_revision,
             event.changed,
             event.deleted,
-            self._age_seconds(looked_for, now),
+            self._age_seconds(look_due_at, now),
             event.may_have_more,
         )
         actions += self._hooks.on_look(news, now)
@@ -329,9 +329,9 @@
             return actions
         return [*actions, StopWatch(self._watch_id), *self._watch(now, self._pace_seconds)]
 
-    def _age_seconds(self, looked_at: float, now: float) -> float:
+    def _age_seconds(self, look_due_at: float, now: float) -> float:
         """Return how old an answer may be; that of a held look may be as new as it is late."""
-        return 0.0 if self._watch_hold_seconds > 0.0 else max(now - looked_at, 0.0)
+        return 0.0 if self._watch_hold_seconds > 0.0 else max(now - look_due_at, 0.0)
 
     def _broken(self, event: WatchBroken, now: float) -> list[Action]:
         if event.watch_id != self._watch_id:
