--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -37,7 +37,7 @@
     zone_evacuated,
 )
 from wingquay.simulation.forwarding.settings import SimulationSettings
-from wingquay.simulation.forwarding.simulation import SimulatedFault
+from wingquay.simulation.forwarding.simulation import ForwardingSimulation, SimulatedFault
 
 SHORT = SimulationSettings(seconds=6.0, requests_per_second=50.0)
 SHARED = SimulationSettings(
@@ -93,6 +93,13 @@
         for settings, seed, faults in ((APART, 20261209, drawn), (APART, 20263460, reused)):
             self.assertEqual((), play(seed, settings, faults).violations, seed)
 
+    def test_two_evacuations_of_a_zone_that_overlap_end_with_the_later_one(self) -> None:
+        # Two soaked minutes broke the promise: the first one's end took the second one's key away.
+        simulation = ForwardingSimulation(1, SHORT, ())
+        for at_seconds, seconds in ((3.2, 3.5), (4.0, 5.0)):
+            simulation.clock.at(at_seconds, simulation.evacuate, "zone-1", seconds)
+        self.assertEqual((), simulation.run().violations)
+
     def test_each_fault_by_itself_breaks_no_promise_of_owners_in_other_zones(self) -> None:
         for seed, fault in enumerate(FAULTS):
             result = play(seed, SPREAD, (fault,))
