--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -206,7 +206,13 @@
         key = EVACUATION_PREFIX + zone
         self.store.put(key, b"{}")
         self.oracle.evacuated.append((zone, self.clock.now, self.clock.now + seconds))
-        self.clock.after(seconds, self.store.delete, key)
+        self.clock.after(seconds, self._take_back, zone)
+
+    def _take_back(self, zone: str) -> None:
+        """End an evacuation, unless a later one of the zone goes on."""
+        now = self.clock.now
+        if all(name != zone or ended <= now for name, _, ended in self.oracle.evacuated):
+            self.store.delete(EVACUATION_PREFIX + zone)
 
     # Configuration, for faults
 
