Tell which requests are the same, who sent them, and how their attempts ended

Change: request_ended carries a digest of what stays the same in repeats and the caller's address; an attempt says whether its connection ended before a byte of an answer. No decision goes by either yet. Ruled out as parts of the digest: the attempt's id, other headers (they may change from try to try), the caller's address (no replica sees it).

--- a/tests/adapters/raw_http.py
+++ b/tests/adapters/raw_http.py
@@ -45,6 +45,11 @@
         self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
         return int(self._server.sockets[0].getsockname()[1])
 
+    async def stop(self) -> None:
+        """Close the port."""
+        self._server.close()
+        await self._server.wait_closed()
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         await self._peer(reader, writer)
--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -249,6 +249,44 @@
         play(test())
 
 
+class UnansweredTest(TestCase):
+    """A replica that ends under a request closes its connections without a byte of an answer."""
+
+    def outcome(self, *script: bytes | None) -> SendFailed:
+        ended: list[Event] = []
+
+        async def test() -> None:
+            exchange = Exchange(list(script))
+            await exchange.start()
+            ended.append(await exchange.send("r1"))
+
+        play(test())
+        event = ended[0]
+        assert isinstance(event, SendFailed)
+        return event
+
+    def test_a_connection_that_ends_without_a_byte_is_told_as_unanswered(self) -> None:
+        self.assertTrue(self.outcome(None).is_unanswered)
+
+    def test_one_that_ends_within_an_answer_is_not(self) -> None:
+        self.assertFalse(self.outcome(answer("r1", b"one")[:20], None).is_unanswered)
+
+    def test_nor_one_that_never_came_up(self) -> None:
+        ended: list[Event] = []
+
+        async def test() -> None:
+            exchange = Exchange([])
+            await exchange.start()
+            await exchange.replica.server.stop()
+            ended.append(await exchange.send("r1"))
+
+        play(test())
+        event = ended[0]
+        assert isinstance(event, SendFailed)
+        self.assertIs(SendFailureKind.NOT_SENT, event.kind)
+        self.assertFalse(event.is_unanswered)
+
+
 class UnsendableTest(TestCase):
     def test_a_request_without_a_form_on_the_wire_fails_and_its_connection_is_kept(self) -> None:
         async def test() -> None:
--- a/wingquay/adapters/http_messages.py
+++ b/wingquay/adapters/http_messages.py
@@ -35,6 +35,8 @@
     transit_seconds
         Time that its client spends on the network for it: its way here and the answer's way
         back, and the connection's set-up if it is the first one on it. 0 where unknown.
+    client_host
+        The address that it came from, without the port; empty where unknown.
     """
 
     method: str
@@ -45,6 +47,7 @@
     target: bytes = b""
     raw_headers: Sequence[tuple[bytes, bytes]] = ()
     transit_seconds: float = 0.0
+    client_host: str = ""
 
 
 @value
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -187,19 +187,21 @@
     def _start_handler(self, request: HttpRequest) -> None:
         self._phase = _Phase.HANDLING
         self._has_partial_request = False
-        request = self._with_transit(request)
+        request = self._with_client(request)
         self._set_timer(None)
         self._task = self._loop.create_task(self._handle(request))
 
-    def _with_transit(self, request: HttpRequest) -> HttpRequest:
-        """Add what the request's client spends on the network for it."""
+    def _with_client(self, request: HttpRequest) -> HttpRequest:
+        """Add where the request came from, and what its client spends on the network for it."""
         if not self._server.measures_transit or self._transport is None:
             return request
         transit_seconds = round_trip_seconds(self._transport)
         if self._is_first_request:
             transit_seconds *= 2.0
         self._is_first_request = False
-        return replace(request, transit_seconds=transit_seconds)
+        peer = self._transport.get_extra_info("peername")
+        client_host = str(peer[0]) if peer else ""
+        return replace(request, transit_seconds=transit_seconds, client_host=client_host)
 
     async def _handle(self, request: HttpRequest) -> None:
         try:
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -220,7 +220,7 @@
 
         def on_broken(reason: str, is_malformed: bool) -> None:
             kind = SendFailureKind.MALFORMED if is_malformed else SendFailureKind.BROKEN
-            self._failed(attempt, kind, reason)
+            self._failed(attempt, kind, reason, not connection.has_begun_answer)
 
         method = action.request.method
         connection.send(RawSending(data, method, belongs, on_answer, on_broken))
@@ -238,10 +238,16 @@
             return
         self._emit(ReplicaAnswered(attempt_id, understood.answer, understood.load))
 
-    def _failed(self, attempt: _Attempt, kind: SendFailureKind, reason: str) -> None:
+    def _failed(
+        self,
+        attempt: _Attempt,
+        kind: SendFailureKind,
+        reason: str,
+        is_unanswered: bool = False,
+    ) -> None:
         attempt_id = attempt.action.attempt_id
         if self._attempts.pop(attempt_id, None) is not None:
-            self._emit(SendFailed(attempt_id, kind, reason))
+            self._emit(SendFailed(attempt_id, kind, reason, is_unanswered))
 
     def _take_idle(self, address: Address) -> ReplicaConnection | None:
         idle = self._idle.get(address)
--- a/wingquay/adapters/replica_connection.py
+++ b/wingquay/adapters/replica_connection.py
@@ -90,7 +90,7 @@
 
     @property
     def has_begun_answer(self) -> bool:
-        """Whether anything has arrived since the request under way was sent."""
+        """Whether a byte has arrived since the request under way was sent."""
         return self._has_begun
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -137,7 +137,7 @@
         self._fail(f"connection lost: {error or 'closed'}", False)
 
     def _take(self, data: bytes) -> None:
-        self._has_begun = True
+        self._has_begun = self._has_begun or bool(data)
         try:
             self._http.receive_data(data)
             self._read_events()
--- a/wingquay/forwarding/ending.py
+++ b/wingquay/forwarding/ending.py
@@ -11,6 +11,7 @@
 from ..ports.machine import Action, Count, Log, LogLevel, Observe
 from .exchange import Exchange, ServiceCall
 from .merging import merge_greatest
+from .request_identity import identity_of
 
 MILLISECONDS_PER_SECOND = 1000.0
 LEAST_RETRY_SECONDS = 0.1
@@ -141,6 +142,9 @@
         ("of", len(exchange.calls)),
         ("arrivals", sum(call.arrivals for call in exchange.calls)),
     )
+    fields += (("digest", exchange.identity.hex()),)
+    if exchange.event.caller:
+        fields += (("caller", exchange.event.caller),)
     if exchange.origin is not None:
         fields += (("asked_by", exchange.origin.name),)
     if reason:
@@ -159,5 +163,11 @@
 
 
 def _arrival_line(event: ForwardRequested, outcome: str, reason: str) -> Log:
-    fields = (("request_id", event.request_id), ("outcome", outcome), ("reason", reason))
+    fields = (
+        ("request_id", event.request_id),
+        ("outcome", outcome),
+        ("reason", reason),
+        ("digest", identity_of(event.request).hex()),
+        ("caller", event.caller),
+    )
     return Log("request_ended", LogLevel.INFO, fields)
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -7,6 +7,7 @@
 from ..ports.forwarding import ForwardRequested, ReplicaAnswer
 from ..ports.machine import Action
 from .replica_state import ReplicaState
+from .request_identity import identity_of
 
 
 class Origin(Protocol):
@@ -110,12 +111,20 @@
     is_retry_due: bool = False
     origin: Origin | None = None
     """The node that waits for it; ``None``: a caller does."""
+    _identity: bytes = b""
 
     @property
     def exchange_id(self) -> int:
         """The node's own number for it."""
         return self.event.exchange_id
 
+    @property
+    def identity(self) -> bytes:
+        """What its repeats have in common; worked out when it is first asked for."""
+        if not self._identity:
+            self._identity = identity_of(self.event.request)
+        return self._identity
+
     @property
     def is_repeatable(self) -> bool:
         """Whether the request may run more than once."""
--- a/wingquay/forwarding/replica_outcomes.py
+++ b/wingquay/forwarding/replica_outcomes.py
@@ -86,7 +86,7 @@
         call = attempt.call
         call.exchange.failures += 1
         self._sender.finish(attempt)
-        self._note(attempt, event.kind.value, now)
+        self._note(attempt, _failure_text(event), now)
         was_sent = event.kind is not SendFailureKind.NOT_SENT
         actions: list[Action] = []
         if not was_sent:
@@ -125,3 +125,8 @@
         kind = "hedge" if attempt.is_hedge else "send"
         replica_id = attempt.replica.record.replica_id
         attempt.call.history.append(f"{kind} {replica_id} {took_ms}ms {outcome}")
+
+
+def _failure_text(event: SendFailed) -> str:
+    """Return how an attempt ended, for the log."""
+    return f"{event.kind.value} unanswered" if event.is_unanswered else event.kind.value
--- a/wingquay/platform/caller_dialect.py
+++ b/wingquay/platform/caller_dialect.py
@@ -59,6 +59,7 @@
             opaque,
             _deadline_seconds(request.headers.get(_DEADLINE_KEY)),
             request.transit_seconds,
+            request.client_host,
         )
 
     def response(self, reply: Reply) -> HttpResponse:
--- a/wingquay/ports/forwarding.py
+++ b/wingquay/ports/forwarding.py
@@ -35,6 +35,8 @@
         How long the caller waits, from now; ``None``: it did not say.
     transit_seconds
         Time that the caller spends on the network for it, here and back.
+    caller
+        The address that it came from, for the log; empty where unknown.
     """
 
     exchange_id: int
@@ -44,6 +46,7 @@
     request: OpaqueRequest
     deadline_seconds: float | None = None
     transit_seconds: float = 0.0
+    caller: str = ""
 
 
 @value
@@ -175,11 +178,18 @@
 
 @value
 class SendFailed(Event):
-    """An attempt ended without an answer."""
+    """An attempt ended without an answer.
+
+    Parameters
+    ----------
+    is_unanswered
+        The connection ended after the request had left and before a byte of an answer came.
+    """
 
     attempt_id: int
     kind: SendFailureKind
     reason: str
+    is_unanswered: bool = False
 
 
 @value
--- a/wingquay/simulation/forwarding/replica.py
+++ b/wingquay/simulation/forwarding/replica.py
@@ -117,7 +117,7 @@
         for (node, attempt_id), work in list(self._works.items()):
             self.oracle.stopped(node, attempt_id)
             work.is_cancelled = True
-            work.tell(SendFailed(attempt_id, SendFailureKind.BROKEN, "reset"))
+            work.tell(SendFailed(attempt_id, SendFailureKind.BROKEN, "reset", True))
         self._works.clear()
         self._queue.clear()
 
@@ -153,7 +153,7 @@
     def _answer(self, work: _Work) -> None:
         send = work.send
         if self.random.random() < self.lose_share:
-            work.tell(SendFailed(send.attempt_id, SendFailureKind.BROKEN, "answer lost"))
+            work.tell(SendFailed(send.attempt_id, SendFailureKind.BROKEN, "answer lost", True))
             return
         status = 500 if self.random.random() < self.fail_share else 200
         body = self.random.randbytes(RECORD_BYTES * RECORDS) if status == 200 else b""
