Ask no second replicas before one of several has answered, up to half the objective

Change: while four attempts or more are under way and none was answered, nothing is hedged until half of the objective is over.

--- a/wingquay/forwarding/hedging.py
+++ b/wingquay/forwarding/hedging.py
@@ -3,7 +3,7 @@
 from ..ports.machine import Action, Schedule
 from .attempts import AttemptSender
 from .crashing.careful_sending import CarefulSending
-from .exchange import ServiceCall
+from .exchange import Exchange, ServiceCall
 from .latencies import RouteLatencies
 from .settlement import Settlement
 from .timers import HedgeDue
@@ -12,6 +12,11 @@
 """Least time between two looks at attempts that take too long."""
 DUE_SHARE = 0.99
 """Part of the delay after which an attempt is due: timers may fire a little early."""
+UNANSWERED_SHARDS = 4
+"""Attempts under way from which on it says something that none was answered."""
+UNANSWERED_SHARE = 0.5
+"""Part of the objective for which second replicas are then not asked: a request that ends replicas
+would end the second ones as well, before the first end is heard."""
 
 
 class Hedging:
@@ -48,6 +53,7 @@
             return []
         delay = self._latencies.hedge_seconds(exchange.route)
         actions = self._careful.step(exchange, now) if exchange.is_careful else []
+        waits_for_first = _waits_for_first_answer(exchange, now)
         may_need_more = False
         for call in exchange.calls:
             if call.answer is not None or call.attempts_left <= 0:
@@ -55,6 +61,8 @@
             if call.is_delegated and not call.attempts:
                 continue
             may_need_more = True
+            if waits_for_first:
+                continue
             if len(call.attempts) == 1 and _is_overdue(call, delay, now):
                 actions += self._sender.try_send(call, now, False, is_hedge=True)
         if may_need_more and now < exchange.ends_at:
@@ -63,5 +71,14 @@
         return actions
 
 
+def _waits_for_first_answer(exchange: Exchange, now: float) -> bool:
+    """Whether it is early and none of several replicas has answered the request."""
+    if exchange.is_cleared:
+        return False
+    if now >= exchange.arrived_at + exchange.route.objective_seconds * UNANSWERED_SHARE:
+        return False
+    return sum(len(call.attempts) for call in exchange.calls) >= UNANSWERED_SHARDS
+
+
 def _is_overdue(call: ServiceCall, delay: float, now: float) -> bool:
     return all(now - attempt.sent_at >= delay * DUE_SHARE for attempt in call.attempts.values())
