--- a/tests/simulation/forwarding/test_soak.py
+++ b/tests/simulation/forwarding/test_soak.py
@@ -41,3 +41,19 @@
 
     def test_a_fourth_minute(self) -> None:
         self.soak(14)
+
+    def test_the_minute_of_seed_8015(self) -> None:
+        """A merged answer is compared with what just its parts' signatures stand for.
+
+        Symptom: an answer merged from 8 of 12 parts lacked two records of one of them.
+
+        Sequence: a node asks a replica of a shard itself after another node, which it had asked for
+        that shard, was silent; that one asks the same replica 70 ms later. Both attempts are the
+        665th of their nodes. The answer is merged from the first; the second is answered after.
+
+        Cause: the model's replica signed both alike, so that the oracle's book of the first answer
+        was overwritten by the second. The nodes had merged what their parts brought.
+
+        What settled it: the same signature, `shard-80-5-96:request-538:665`, told by two nodes.
+        """
+        self.soak(8015)
