Let simulated replicas sign the attempts of each node apart

The class, one key for what two nodes number by themselves, was looked for elsewhere: the product knows delegations by node and number, attempts by node only, and signatures by the replica's own word. Change: a signature names the node as well; the oracle refuses two answers that are signed alike, which would have shown this at once, so the check is stricter than before.

--- a/wingquay/simulation/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -152,6 +152,8 @@
         self, signature: str, send: SendToReplica, record: ReplicaRecord, status: int, body: bytes
     ) -> None:
         """Take in an answer as the replica gave it."""
+        if signature in self._signed:
+            self._violated(f"{signature}: two answers signed alike, so that no check can hold")
         self._signed[signature] = _Signed(send.request_id, record.service, status, body)
 
     # Checks over the whole run
--- a/wingquay/simulation/forwarding/replica.py
+++ b/wingquay/simulation/forwarding/replica.py
@@ -32,6 +32,7 @@
 
 @dataclass(slots=True, eq=False)
 class _Work:
+    node: int
     send: SendToReplica
     tell: Tell
     seconds: float
@@ -98,7 +99,7 @@
         if is_full or self.random.random() < self.refuse_share:
             self._refuse(node, send, tell, is_other=False)
             return
-        work = _Work(send, tell, self._duration(send))
+        work = _Work(node, send, tell, self._duration(send))
         self._works[node, send.attempt_id] = work
         self._queue.append(work)
         self._start()
@@ -175,7 +176,8 @@
             return
         status = 500 if self.random.random() < self.fail_share else 200
         body = self.random.randbytes(RECORD_BYTES * RECORDS) if status == 200 else b""
-        signature = f"{self.record.replica_id}:{send.request_id}:{send.attempt_id}"
+        # Nodes number their attempts by themselves, and one may ask what another one has asked.
+        signature = f"{self.record.replica_id}:{send.request_id}:{work.node}:{send.attempt_id}"
         self.oracle.signed(signature, send, self.record, status, body)
         load = ReportedLoad(self._running, len(self._queue), self.settings.slots)
         answered = ReplicaAnswered(
