Count time of suspension, and notice waking before anything else is handled

Change: one event loop whose clock counts suspension (boot-time clock where there is one) and which tells the decisions Woken(seconds) between the wait for events and their handling. A node then ends what is too late, refuses what waited all the while as not run, looks at the store at once, behaves as after an outage of the store, and takes no replica for silent.

--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/attempts.py
@@ -118,6 +118,18 @@
         """Take in that a replica did not run the request."""
         self._not_run(attempt)
 
+    def suspended(self, seconds: float) -> None:
+        """Take in that this node was suspended: its attempts are no older by that.
+
+        Replicas whose answers wait to be read would count as silent and slow, all at once: nothing
+        could be sent for up to 2 s.
+        """
+        for attempt_id, attempt in self._open.items():
+            attempt.was_suspended = True
+            attempt.sent_at += seconds
+            sent_at, overdue_at = attempt.replica.in_flight[attempt_id]
+            attempt.replica.in_flight[attempt_id] = (sent_at + seconds, overdue_at + seconds)
+
     def finish(self, attempt: Attempt) -> None:
         """Forget an attempt that ended."""
         self._open.pop(attempt.attempt_id, None)
@@ -140,7 +152,11 @@
         self.record_latency(attempt, now)
         is_long = now - attempt.sent_at >= self._settings.abandon_seconds
         actions: list[Action] = [CancelSend(attempt.attempt_id)]
-        if is_long and attempt.replica.is_silent_since(attempt.sent_at):
+        if (
+            is_long
+            and not attempt.was_suspended
+            and attempt.replica.is_silent_since(attempt.sent_at)
+        ):
             actions += self.failed(attempt, "silent", True, now)
         return actions
 
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -44,6 +44,8 @@
     replica: ReplicaState
     sent_at: float
     is_hedge: bool
+    was_suspended: bool = False
+    """This node's machine was suspended meanwhile: that no answer came says nothing."""
     is_abandoned: bool = False
     """Nobody waits for it any more; it may end by itself for a short time."""
 
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -12,7 +12,7 @@
     ReplicaAnswered,
     SendFailed,
 )
-from ..ports.machine import Action, Event, Schedule
+from ..ports.machine import Action, Event, Schedule, Woken
 from ..ports.peer_link import PeerLinkBroken, PeerReceived
 from .attempts import AttemptSender
 from .call_starter import CallStarter
@@ -20,7 +20,7 @@
 from .crashing.guard import CrashGuard
 from .crashing.suspects import Verdict
 from .cutoff import in_time_seconds
-from .ending import HELD_REASON, ExchangeEnding
+from .ending import HELD_REASON, LEAST_RETRY_SECONDS, ExchangeEnding
 from .exchange import Exchange, ServiceCall
 from .hedging import Hedging
 from .latencies import RouteLatencies
@@ -184,6 +184,12 @@
                 return self._peer_event(event, now)
         return []
 
+    def woken(self, event: Woken, now: float) -> list[Action]:
+        """End what is too late after a suspension; attempts are as old as before it."""
+        self.lag.seconds = event.seconds
+        self._sender.suspended(event.seconds)
+        return self._settlement.end_overdue(now)
+
     # Arrival
 
     def _requested(self, event: ForwardRequested, now: float) -> list[Action]:
@@ -196,6 +202,9 @@
         route = table.find(event.host, event.path)
         if route is None:
             return self._ending.no_route(event, table.version)
+        if self._is_too_late(event, now):
+            reason = "its time was over before it could be read"
+            return self._ending.refuse_arrival(event, reason, LEAST_RETRY_SECONDS)
         verdict = self.guard.verdict(event.request, now)
         if verdict is Verdict.HELD:
             return self._refuse_held(event, now)
@@ -239,6 +248,10 @@
         due_at = now + self._settings.retry_wait_seconds
         return [Schedule(due_at, RetryDue(exchange.exchange_id))]
 
+    def _is_too_late(self, event: ForwardRequested, now: float) -> bool:
+        """Whether nobody waits any more for a request that was read late."""
+        return event.deadline_seconds is not None and self.lag.seconds >= event.deadline_seconds
+
     def _open(
         self, event: ForwardRequested, table: RoutingTable, route: Route, now: float
     ) -> Exchange:
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -16,6 +16,7 @@
     Schedule,
     Start,
     StopRequested,
+    Woken,
 )
 from ..ports.peer_link import PeerLinkOpened, PeerReceived, SendToPeer
 from ..ports.peer_snapshot import PeerSnapshot
@@ -51,6 +52,8 @@
 LAG_SECONDS = 0.2
 """Time between two looks how late this node is. It matters where requests wait for half a second;
 ten looks a second cost 0.03 of the credit of 16 nodes of 0.12 core (two seeds)."""
+WAKING_SECONDS = 0.05
+"""Time after waking for which requests that are read count as having waited all the while."""
 STOP_CHECK_SECONDS = 0.1
 CLUSTER_KEY_BYTES = 32
 
@@ -148,6 +151,17 @@
                 return self._start(event, now)
             case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
                 return self._membership_event(event, now)
+            case SweepDue() | LagDue() | Woken():
+                return self._time_event(event, now)
+            case StopRequested():
+                return self._stop(now)
+            case StopCheckDue():
+                return self._check_stop(now)
+        actions = self._forwarding.handle(event, now)
+        return actions + self._pace_actions(now) if self._forwarding.held_exchanges else actions
+
+    def _time_event(self, event: SweepDue | LagDue | Woken, now: float) -> list[Action]:
+        match event:
             case SweepDue():
                 self._late_seconds = max(now - event.due_at, 0.0)
                 self._directory.forget_vanished(now)
@@ -156,12 +170,8 @@
                 return [*greetings, *self._pace_actions(now), Schedule(due_at, SweepDue(due_at))]
             case LagDue():
                 return self._lag_due(event, now)
-            case StopRequested():
-                return self._stop(now)
-            case StopCheckDue():
-                return self._check_stop(now)
-        actions = self._forwarding.handle(event, now)
-        return actions + self._pace_actions(now) if self._forwarding.held_exchanges else actions
+            case Woken():
+                return self._woken(event, now)
 
     def _membership_event(
         self, event: PresenceDue | PeerLinkOpened | PeerReceived, now: float
@@ -194,12 +204,33 @@
             *self._schedule_lag(now),
         ]
 
+    def _woken(self, event: Woken, now: float) -> list[Action]:
+        """Behave as a node whose store was away for as long, and give up what is too late."""
+        self._directory.note_outage(now)
+        self._late_seconds = event.seconds
+        open_requests = self._forwarding.open_exchanges
+        actions = self._forwarding.woken(event, now)
+        fields = (
+            ("suspended_seconds", round(event.seconds, 3)),
+            ("open_requests", open_requests),
+            ("given_up", open_requests - self._forwarding.open_exchanges),
+        )
+        return [
+            Log("woken", LogLevel.WARNING, fields),
+            Count("suspensions_total"),
+            *actions,
+            *self._follower.look_now(now),
+            *self._schedule_lag(now, WAKING_SECONDS),
+        ]
+
     def _lag_due(self, event: LagDue, now: float) -> list[Action]:
+        if event.due_at != self._lag_due_at:
+            return []
         self._forwarding.lag.seconds = max(now - event.due_at, 0.0)
         return self._schedule_lag(now)
 
-    def _schedule_lag(self, now: float) -> list[Action]:
-        self._lag_due_at = now + LAG_SECONDS
+    def _schedule_lag(self, now: float, seconds: float = LAG_SECONDS) -> list[Action]:
+        self._lag_due_at = now + seconds
         return [Schedule(self._lag_due_at, LagDue(self._lag_due_at))]
 
     def _presence_due(self, event: PresenceDue, now: float) -> list[Action]:
--- a/wingquay/forwarding/settlement.py
+++ b/wingquay/forwarding/settlement.py
@@ -68,6 +68,14 @@
             return self._close(exchange, [*settled, *self._ending.for_node(exchange, now)], now)
         return self._close(exchange, self._ending.out_of_time(exchange, now), now)
 
+    def end_overdue(self, now: float) -> list[Action]:
+        """End every exchange whose time is over."""
+        actions: list[Action] = []
+        for exchange in list(self._exchanges.values()):
+            if now >= exchange.ends_at:
+                actions += self.out_of_time(exchange, now)
+        return actions
+
     def refuse(self, exchange: Exchange, now: float) -> list[Action]:
         """Refuse an exchange that has run nowhere, and say when replicas can be asked."""
         usable_at = max(self._directory.usable_at(call.service, now) for call in exchange.calls)
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/store_follower.py
@@ -187,6 +187,12 @@
             return actions
         return [*actions, StopWatch(self._watch_id), *self._watch(now, pause_seconds)]
 
+    def look_now(self, now: float) -> list[Action]:
+        """Look at the store at once, in place of a look under way that may be lost."""
+        if not self._is_watching:
+            return []
+        return [StopWatch(self._watch_id), *self._watch(now, 0.0)]
+
     @property
     def usual_gather_seconds(self) -> float:
         """The time between two looks when nothing is missing."""
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 
+from ..adapters.counting_loop import CountingLoop
 from ..adapters.deferred_log import DeferredLog
 from ..adapters.deferred_metrics import DeferredMetrics
 from ..adapters.deferred_peer_link import DeferredPeerLink
@@ -37,7 +38,7 @@
     SendToReplica,
     SetForwarding,
 )
-from ..ports.machine import Action, Count, Event, Exit, Log, Observe, Start, StopRequested
+from ..ports.machine import Action, Count, Event, Exit, Log, Observe, Start, StopRequested, Woken
 from ..ports.peer_link import OpenPeerLink, SendToPeer
 from ..ports.peer_snapshot import AskPeers
 from ..ports.store import StartWatch, StopWatch, StoreRequest
@@ -94,6 +95,9 @@
         self.readiness_port = settings.readiness.port
         self._is_ready = False
         self._has_news = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        if isinstance(loop, CountingLoop):
+            loop.on_woken = self._woken
         self._exited: asyncio.Future[Exit] = asyncio.get_running_loop().create_future()
         bound_seconds = min(
             settings.drain_seconds,
@@ -195,6 +199,9 @@
         """Hand an event to the decisions."""
         self._runtime.emit(event)
 
+    def _woken(self, seconds: float) -> None:
+        self.emit(Woken(seconds))
+
     def perform(self, action: Action) -> None:
         """Perform an action that was decided."""
         self._runtime.perform(action)
--- a/wingquay/ports/machine.py
+++ b/wingquay/ports/machine.py
@@ -87,6 +87,19 @@
     lag_seconds: float
 
 
+@value
+class Woken(Event):
+    """The machine was suspended; nothing was handled meanwhile, and others went on.
+
+    Parameters
+    ----------
+    seconds
+        For how long. The time that decisions are given counts it.
+    """
+
+    seconds: float
+
+
 @value
 class StopRequested(Event):
     """A planned stop has been asked for (SIGTERM)."""
--- a/wingquay/simulation/forwarding/callers.py
+++ b/wingquay/simulation/forwarding/callers.py
@@ -122,7 +122,7 @@
             number, request_id, HOST, path, request, PATIENCE_SECONDS, TRANSIT_SECONDS
         )
         route = self._oracle.tables[-1][1].find(HOST, path)
-        self._oracle.requested(event, route, self._clock.now)
+        self._oracle.requested(event, route, node.number, self._clock.now)
         node.open_requests[number] = request_id
         return event
 
--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -11,6 +11,7 @@
 
 OUTAGE_SECONDS = (0.3, 7.0)
 """An outage of the store, or of a node's way to it, takes a time between these."""
+SUSPENDED_SECONDS = (1.0, 3.0, 8.0, 30.0)
 CRASHING_ROUTES = ("sweep", "check", "fetch", "edit")
 """First words of the paths of requests that may end replicas."""
 RECORDS_BACK_SECONDS = 1.0
@@ -169,6 +170,12 @@
     simulation.callers.repeat(path, chance.randint(4, 9), chance.uniform(0.5, 4.5), chance)
 
 
+def node_suspended(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Suspend a node for seconds."""
+    number = chance.randrange(simulation.settings.nodes)
+    simulation.suspend_node(number, chance.choice(SUSPENDED_SECONDS))
+
+
 FAULTS: tuple[SimulatedFault, ...] = (
     replica_slow,
     replica_dark,
@@ -195,7 +202,7 @@
 """The faults that seeds draw by themselves, in the order in which they draw them.
 
 It stays as it is, so that a seed that has shown something shows it again."""
-LATER_FAULTS: tuple[SimulatedFault, ...] = (crashing_request,)
+LATER_FAULTS: tuple[SimulatedFault, ...] = (crashing_request, node_suspended)
 """Faults that are drawn besides by runs that say so."""
 
 
--- a/wingquay/simulation/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -34,6 +34,7 @@
     event: ForwardRequested
     route: Route | None
     at: float
+    node: int
     left_at: float | None = None
     reply: Reply | None = None
     replied_at: float | None = None
@@ -59,6 +60,8 @@
     """Spans in which the store was in trouble."""
     disturbed: list[tuple[float, float]] = field(default_factory=list)
     """Spans in which a node stood still or could not speak to the others."""
+    suspended: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
+    """Spans in which each node was suspended."""
     started_at: dict[int, float] = field(default_factory=dict)
     """When each node began its present life."""
     crashes: CrashOracle = field(init=False)
@@ -75,9 +78,11 @@
 
     # What callers see
 
-    def requested(self, event: ForwardRequested, route: Route | None, now: float) -> None:
-        """Take in a request."""
-        self.requests[event.request_id] = _Request(event, route, now)
+    def requested(
+        self, event: ForwardRequested, route: Route | None, node: int, now: float
+    ) -> None:
+        """Take in a request to a node."""
+        self.requests[event.request_id] = _Request(event, route, now, node)
         for service in route.all_services if route is not None else ():
             self._asked.setdefault(service, []).append(now)
 
@@ -114,8 +119,9 @@
         self._open[node, send.attempt_id] = send.request_id
         if self._is_in_touch(node, now):
             self.crashes.arrived(send.request.target, send.request_id, now)
-        self._check_drain(send, record, now)
-        self._check_evacuated(send, record, now)
+        if not self._was_suspended(node, now):
+            self._check_drain(send, record, now)
+            self._check_evacuated(send, record, now)
         has_left = request.left_at is not None and now > request.left_at + 0.1
         if has_left and not self.is_disturbed(now):
             self._violated(f"{send.request_id}: sent after its caller left")
@@ -174,13 +180,27 @@
         for request_id, request in self.requests.items():
             if request.route is None or request.left_at is not None:
                 continue
-            due_at = request.at + request.route.timeout_seconds + late
+            due_at = self._awake_at(request.node, request.at + request.route.timeout_seconds) + late
             if (request.replied_at or now) > due_at:
                 self._violated(f"{request_id}: no reply by its time limit")
         for service in self._arrivals:
             self._check_budget(service)
         self.violations += self.crashes.violations()
 
+    def _awake_at(self, node: int, at: float) -> float:
+        """Return the first moment from ``at`` on at which a node can act."""
+        spans = sorted(self.suspended.get(node, ()))
+        for begun, ended in spans:
+            if begun <= at < ended:
+                at = ended
+        return at
+
+    def _was_suspended(self, node: int, now: float) -> bool:
+        """Whether a node is or was just suspended: it learns what has changed once it is awake."""
+        contact = self.settings.contact_seconds
+        spans = self.suspended.get(node, ())
+        return any(begun <= now <= ended + contact for begun, ended in spans)
+
     def is_disturbed(self, now: float) -> bool:
         """Whether nodes are, or were just now, unable to act or to speak to each other."""
         return any(begun <= now <= ended + DISTURBED_SECONDS for begun, ended in self.disturbed)
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -14,7 +14,7 @@
     SendFailed,
     SendToReplica,
 )
-from ...ports.machine import Event, Exit, StopRequested
+from ...ports.machine import Event, Exit, StopRequested, Woken
 from ..virtual_clock import VirtualClock
 from .callers import LEAD_SECONDS, Callers
 from .node_links import NodeLinks
@@ -268,6 +268,15 @@
         self.nodes[number].frozen_until = self.clock.now + seconds
         self.oracle.disturbed.append((self.clock.now, self.clock.now + seconds))
 
+    def suspend_node(self, number: int, seconds: float) -> None:
+        """Let a node be suspended; what reaches it waits until it wakes."""
+        node = self.nodes[number]
+        if node.is_alive:
+            self.clock.after(seconds, node.emit, Woken(seconds))
+            self.freeze_node(number, seconds)
+            span = (self.clock.now, self.clock.now + seconds)
+            self.oracle.suspended.setdefault(number, []).append(span)
+
     def separate_node(self, number: int, seconds: float) -> None:
         """Hold up what a node and the others say to each other."""
         self.links.cut.add(number)
