Tell other nodes of ends after 0.2 s, not when the request ends

Cause: found by the test of the spread: a request to a single service that waits for its second replica (its budget spent) ends after its whole time, up to 8 s, and until then no other node knew of the first end. Change: ends that no answer has cleared within 0.2 s are told then.

--- a/tests/simulation/forwarding/test_crashing_request.py
+++ b/tests/simulation/forwarding/test_crashing_request.py
@@ -17,19 +17,31 @@
 """
 
 import random
+from collections import Counter
 
 from testtools import TestCase
 
-from wingquay.simulation.forwarding.callers import LEAD_SECONDS
+from wingquay.forwarding.crashing.suspects import Verdict
+from wingquay.forwarding.ending import HELD_REASON
+from wingquay.ports.forwarding import OpaqueRequest, ReplyFailure
+from wingquay.simulation.forwarding.callers import LEAD_SECONDS, PATHS
 from wingquay.simulation.forwarding.crash_oracle import CrashedUnder
-from wingquay.simulation.forwarding.faults import node_killed, store_down
+from wingquay.simulation.forwarding.faults import (
+    address_reused,
+    node_killed,
+    replica_crash,
+    store_down,
+)
 from wingquay.simulation.forwarding.settings import SimulationSettings
+from wingquay.simulation.forwarding.simulated_node import SimulatedForwardingNode
 from wingquay.simulation.forwarding.simulation import ForwardingSimulation, SimulatedFault
 
 BEGINS_SECONDS = LEAD_SECONDS + 5.0
 """Nodes are in touch by then."""
 GAP_SECONDS = 4.3
 TIMES = 5
+SPREAD_SECONDS = 0.1
+"""Time from the third end to the moment at which every node refuses the request."""
 SINGLE_SEND_ENDS = 3
 """Replicas that may end one after the other before the request is known for what it does."""
 
@@ -84,3 +96,54 @@
         did, violations = played("/fetch/crash", settings(), (store_down,) * 6, 1, 1.0)
         self.assertEqual((), violations)
         self.assertLessEqual(len(did.ended_at), SINGLE_SEND_ENDS)
+
+
+class SpreadTest(TestCase):
+    def test_every_node_of_many_knows_in_time_while_the_store_is_away(self) -> None:
+        chosen = SimulationSettings(nodes=60, seconds=12.0, requests_per_second=30.0)
+        simulation = ForwardingSimulation(1, chosen, ())
+        simulation.crashing_targets.add(b"/fetch/crash")
+        clock = simulation.clock
+        clock.at(BEGINS_SECONDS - 1.0, simulation.store.take_down, 10.0)
+        repeat = simulation.callers.repeat
+        clock.at(BEGINS_SECONDS, repeat, "/fetch/crash", 3, 0.5, random.Random(1))
+        refusing: list[int] = []
+
+        def count_refusing(nodes: list[SimulatedForwardingNode]) -> None:
+            request = OpaqueRequest(b"GET", b"/fetch/crash", ())
+            verdicts = [node.verdict(request) for node in nodes]
+            refusing.append(verdicts.count(Verdict.HELD))
+
+        def watch() -> None:
+            ended = simulation.oracle.crashes.requests.get(b"/fetch/crash")
+            if ended is None or len(ended.ended_at) < SINGLE_SEND_ENDS:
+                clock.after(0.001, watch)
+                return
+            clock.after(SPREAD_SECONDS, count_refusing, simulation.nodes)
+
+        clock.at(BEGINS_SECONDS, watch)
+        simulation.run()
+        self.assertEqual([chosen.nodes], refusing)
+
+
+class InnocentRequestTest(TestCase):
+    """All usual requests of a route are the same, so each of them is as popular as can be."""
+
+    def test_none_is_held_while_replicas_end_for_reasons_of_their_own(self) -> None:
+        faults = (replica_crash,) * 24 + (address_reused,) * 4
+        for seed in (1, 2, 3):
+            simulation = ForwardingSimulation(seed, settings(copies=3), faults)
+            result = simulation.run()
+            self.assertEqual((), result.violations, seed)
+            verdicts = Counter(
+                node.verdict(OpaqueRequest(b"GET", path.encode(), ()))
+                for node in simulation.nodes
+                for path in PATHS
+            )
+            self.assertNotIn(Verdict.HELD, verdicts, seed)
+            reasons = {
+                request.reply.reason
+                for request in simulation.oracle.requests.values()
+                if isinstance(request.reply, ReplyFailure)
+            }
+            self.assertNotIn(HELD_REASON, reasons, seed)
--- a/wingquay/forwarding/crashing/guard.py
+++ b/wingquay/forwarding/crashing/guard.py
@@ -11,12 +11,13 @@
 
 from ...ports.crash_news import CrashNews, HeldRequest, ToldEnd
 from ...ports.forwarding import ConnectionTried, ForwardRequested, OpaqueRequest
-from ...ports.machine import Action, Count, Log, LogLevel
+from ...ports.machine import Action, Count, Log, LogLevel, Schedule
 from ...ports.peer_link import NodeIdentity, SendToPeer
 from ..exchange import Attempt, Exchange
 from ..loop_lag import LoopLag
 from ..replica_directory import ReplicaDirectory
 from ..request_identity import identity_of
+from ..timers import CrashNewsDue
 from .end_watch import EndWatch, LostAttempt
 from .evidence import ReplicaEnd
 from .suspects import Suspects, Verdict
@@ -24,6 +25,10 @@
 NEWS_PEERS = 8
 """Nodes that are told what is new; each tells as many others when it first hears it. That reaches
 500 nodes in three steps, and each of them sends 8 messages."""
+TELL_SECONDS = 0.2
+"""Time after an end for which an answer may clear the request before other nodes are told.
+
+Its end is not waited for: one that waits for another replica may take 8 s, and come elsewhere."""
 MOST_NEWS_PER_SECOND = 50
 MOST_TARGET_CHARACTERS = 120
 
@@ -126,19 +131,16 @@
         ]
         if not was_held and self._is_held(exchange.identity, now):
             actions += self._hold_found(exchange, now)
-        elif exchange.is_over:
-            actions += self._tell(exchange.identity, now)
+        else:
+            actions.append(Schedule(now + TELL_SECONDS, CrashNewsDue(exchange.identity)))
         return actions
 
-    def closed(self, exchange: Exchange, now: float) -> list[Action]:
-        """Take in that a request has ended; tell others if replicas ended under it."""
-        exchange.is_over = True
-        if exchange.is_cleared or exchange.origin is not None or not len(self._suspects):
-            return []
-        suspect = self._suspects.get(exchange.identity)
+    def tell_due(self, event: CrashNewsDue, now: float) -> list[Action]:
+        """Tell others of ends under a request that no answer has cleared."""
+        suspect = self._suspects.get(event.identity)
         if suspect is None or now < suspect.held_until:
             return []
-        return self._tell(exchange.identity, now)
+        return self._tell(event.identity, now)
 
     def answered(self, exchange: Exchange, now: float) -> list[Action]:
         """Take in that a replica has run a request to an end: it is innocent."""
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/delegation.py
@@ -170,7 +170,7 @@
         self._groups.suspect(node_id, now, is_absent=not event.was_open)
         return actions
 
-    def closed(self, exchange: Exchange, _now: float) -> list[Action]:
+    def closed(self, exchange: Exchange) -> list[Action]:
         """Let nodes stop working for a request that ended."""
         actions: list[Action] = []
         for delegation in self._open.take_all_of(exchange):
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -133,8 +133,6 @@
     """Whether a replica has run it to an end: it does not end replicas."""
     open_looks: int = 0
     """Replicas whose end under it is being looked into."""
-    is_over: bool = False
-    """Whether nobody waits for its answer any more."""
     _identity: bytes = b""
 
     @property
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -34,6 +34,7 @@
 from .timers import (
     AbandonDue,
     BeginDue,
+    CrashNewsDue,
     CutoffDue,
     DelegationDue,
     ExchangeEndDue,
@@ -94,7 +95,6 @@
         self.guard = CrashGuard(name, directory, random_source, self.lag)
         """Keeps requests that end replicas from replicas."""
         self.guard.on_held = self._end_held
-        self._settlement.on_closed.append(self.guard.closed)
         careful = CarefulSending(self._starter)
         self._careful = careful
         self._hedging = Hedging(self._latencies, self._sender, self._settlement, careful)
@@ -180,7 +180,9 @@
                 | ReportDue()
             ):
                 return self._exchange_event(event, now)
-            case GreetingDue() | DelegationDue() | PeerReceived() | PeerLinkBroken():
+            case (
+                GreetingDue() | DelegationDue() | CrashNewsDue() | PeerReceived() | PeerLinkBroken()
+            ):
                 return self._peer_event(event, now)
         return []
 
@@ -279,10 +281,15 @@
         return self._settlement.end_held(identity, held_seconds, now)
 
     def _peer_event(
-        self, event: GreetingDue | DelegationDue | PeerReceived | PeerLinkBroken, now: float
+        self,
+        event: GreetingDue | DelegationDue | CrashNewsDue | PeerReceived | PeerLinkBroken,
+        now: float,
     ) -> list[Action]:
-        if isinstance(event, PeerReceived) and isinstance(event.message, CrashNews):
-            return self.guard.news(event.sender, event.message, now)
+        match event:
+            case CrashNewsDue():
+                return self.guard.tell_due(event, now)
+            case PeerReceived(sender=sender, message=CrashNews() as news):
+                return self.guard.news(sender, news, now)
         if self._peers is None:
             return []
         table = None if self.is_stopping else self._table
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -5,7 +5,7 @@
 from ..model.failure import Failure
 from ..model.routing_table import CallerLimits, RoutingTable
 from ..model.value import value
-from ..ports.forwarding import SetForwarding
+from ..ports.forwarding import OpaqueRequest, SetForwarding
 from ..ports.machine import (
     Action,
     Count,
@@ -30,6 +30,7 @@
 )
 from ..ports.store_news import StoreNews
 from .crashing.held_keys import HeldKeys
+from .crashing.suspects import Verdict
 from .evacuations import Evacuations
 from .forwarding_machine import ForwardingMachine
 from .line_budget import LineBudget
@@ -143,6 +144,10 @@
         """Return what this node knows of the store, for a node that cannot reach it."""
         return self._follower.known()
 
+    def verdict(self, request: OpaqueRequest, now: float) -> Verdict:
+        """Return how this node treats a request that may end replicas."""
+        return self._forwarding.guard.verdict(request, now)
+
     def _decide(self, event: Event, now: float) -> list[Action]:
         match event:
             case StoreResponse() | WatchChanged() | WatchBroken() | FollowAgain() | PeerSnapshot():
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peer_work.py
@@ -48,7 +48,7 @@
         self.delegations = delegations
         self._ahead = ConnectionsAhead(settings, directory, delegations.placement)
         self._work = DelegatedWork(directory, settlement, lag)
-        settlement.on_closed.append(self.delegations.closed)
+        settlement.on_closed = self.delegations.closed
 
     def handle(
         self,
--- a/wingquay/forwarding/settlement.py
+++ b/wingquay/forwarding/settlement.py
@@ -34,8 +34,8 @@
         self._sender = sender
         self._ending = ExchangeEnding()
         self._exchanges: dict[int, Exchange] = {}
-        self.on_closed: list[Callable[[Exchange, float], list[Action]]] = []
-        """Each returns what else is to be done when an exchange ends."""
+        self.on_closed: Callable[[Exchange], list[Action]] = _nothing_more
+        """Returns what else is to be done when an exchange ends."""
 
     def __len__(self) -> int:
         """Return the number of open exchanges."""
@@ -215,9 +215,12 @@
 
     def _close(self, exchange: Exchange, actions: list[Action], now: float) -> list[Action]:
         del self._exchanges[exchange.exchange_id]
-        for on_closed in self.on_closed:
-            actions = actions + on_closed(exchange, now)
+        actions = actions + self.on_closed(exchange)
         for call in exchange.calls:
             call.is_waiting = False
             actions = actions + self._sender.abandon(call, now)
         return actions
+
+
+def _nothing_more(_exchange: Exchange) -> list[Action]:
+    return []
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -74,3 +74,10 @@
     """
 
     exchange_id: int
+
+
+@value
+class CrashNewsDue(Event):
+    """Tell other nodes that replicas ended under a request, unless it was cleared meanwhile."""
+
+    identity: bytes
--- a/wingquay/simulation/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -201,6 +201,11 @@
         spans = self.suspended.get(node, ())
         return any(begun <= now <= ended + contact for begun, ended in spans)
 
+    def is_suspended(self, node: int, begun: float, ended: float) -> bool:
+        """Whether a node was suspended all the time between two moments."""
+        spans = self.suspended.get(node, ())
+        return any(start <= begun and ended < end for start, end in spans)
+
     def is_disturbed(self, now: float) -> bool:
         """Whether nodes are, or were just now, unable to act or to speak to each other."""
         return any(begun <= now <= ended + DISTURBED_SECONDS for begun, ended in self.disturbed)
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -6,6 +6,7 @@
 
 from ...adapters.held_record import held_value, parse_held
 from ...adapters.node_record import node_value, parse_node
+from ...forwarding.crashing.suspects import Verdict
 from ...forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
 from ...forwarding.look_times import look_times_within
 from ...forwarding.settings import ForwardingSettings
@@ -15,6 +16,7 @@
 from ...model.routing_table import RoutingTable
 from ...ports.forwarding import (
     CancelSend,
+    OpaqueRequest,
     OpenConnection,
     ReplyFailure,
     ReplyMerged,
@@ -133,6 +135,10 @@
         for action in self._machine.handle(event, self._clock.now):
             self._perform(action)
 
+    def verdict(self, request: OpaqueRequest) -> Verdict:
+        """Return how the node treats a request that may end replicas."""
+        return self._machine.verdict(request, self._clock.now)
+
     def kill(self) -> None:
         """End at once; replicas see the connections close."""
         self.is_alive = False
