--- a/tests/simulation/forwarding/test_crashing_request.py
+++ b/tests/simulation/forwarding/test_crashing_request.py
@@ -25,7 +25,7 @@
 from wingquay.forwarding.ending import HELD_REASON
 from wingquay.ports.forwarding import OpaqueRequest, ReplyFailure
 from wingquay.simulation.forwarding.callers import LEAD_SECONDS, PATHS
-from wingquay.simulation.forwarding.crash_oracle import CrashedUnder
+from wingquay.simulation.forwarding.crash_oracle import CrashedUnder, CrashOracle
 from wingquay.simulation.forwarding.faults import (
     address_reused,
     node_killed,
@@ -147,3 +147,22 @@
                 if isinstance(request.reply, ReplyFailure)
             }
             self.assertNotIn(HELD_REASON, reasons, seed)
+
+
+class CrashOracleTest(TestCase):
+    """The check itself: a request that reaches replicas too often is caught."""
+
+    def violations(self, attempts: int, after_seconds: float) -> list[str]:
+        oracle = CrashOracle(contact_seconds=4.0)
+        for at in (1.0, 2.0, 3.0):
+            oracle.ended(b"/x", at)
+        for number in range(attempts):
+            oracle.arrived(b"/x", f"request-{number}", 3.0 + after_seconds)
+            oracle.arrived(b"/x", f"request-{number}", 3.0 + after_seconds)
+        return oracle.violations()
+
+    def test_four_attempts_after_the_bound_are_caught(self) -> None:
+        self.assertEqual(1, len(self.violations(4, 4.1)))
+
+    def test_three_of_them_and_any_number_before_it_are_allowed(self) -> None:
+        self.assertEqual([], self.violations(3, 4.1) + self.violations(9, 3.9))
