Ask simulated nodes, not their log, which configuration they go by

Traced: it adopted 15, 17, 24, 26, 27, 32 and 33 in one moment, by queued news of node 0 and its own look; the simulation read its version from log lines, of which the node's budget lets five a second through. Ruled out: news passed over (revisions 57 to 151 follow each other), a look that was lost (follow-14 answers after 4 ms). Change: the node says by which version it goes; the check asks that at every moment, so it is stricter. Also: two attributes that nothing used.

--- a/tests/simulation/forwarding/test_soak.py
+++ b/tests/simulation/forwarding/test_soak.py
@@ -49,7 +49,8 @@
 
     def test_minutes_with_requests_that_end_replicas_and_suspended_nodes(self) -> None:
         drawn = (*FAULTS, *LATER_FAULTS * 4)
-        for seed in (9300, 9306):
+        # In the last one a node adopts seven versions as it wakes, of which it logs five.
+        for seed in (9300, 9306, 9427):
             self.soak(seed, drawn)
 
     def test_the_minute_of_seed_8015(self) -> None:
--- a/wingquay/forwarding/crashing/end_watch.py
+++ b/wingquay/forwarding/crashing/end_watch.py
@@ -9,7 +9,6 @@
 from ...ports.forwarding import ConnectionTried, OpenConnection
 from ...ports.machine import Action
 from ..exchange import Attempt, Exchange
-from ..replica_directory import ReplicaDirectory
 from .evidence import ReplicaEnd
 
 MOST_PER_EXCHANGE = 3
@@ -33,13 +32,10 @@
     ----------
     node_id
         This node's name, by which others know who saw an end.
-    directory
-        Tells which replicas are leaving: their ends say nothing of a request.
     """
 
-    def __init__(self, node_id: str, directory: ReplicaDirectory) -> None:
+    def __init__(self, node_id: str) -> None:
         self._node_id = node_id
-        self._directory = directory
         self._lost: dict[str, list[LostAttempt]] = {}
         """Attempts by the id of the replica that is being looked into."""
 
--- a/wingquay/forwarding/crashing/guard.py
+++ b/wingquay/forwarding/crashing/guard.py
@@ -15,7 +15,6 @@
 from ...ports.peer_link import NodeIdentity, SendToPeer
 from ..exchange import Attempt, Exchange
 from ..loop_lag import LoopLag
-from ..replica_directory import ReplicaDirectory
 from ..request_identity import identity_of
 from ..timers import CrashNewsDue
 from .end_watch import EndWatch, LostAttempt
@@ -40,8 +39,6 @@
     ----------
     node_id
         This node's name.
-    directory
-        The replicas.
     random_source
         Chooses the nodes that are told.
     lag
@@ -51,16 +48,14 @@
     def __init__(
         self,
         node_id: str,
-        directory: ReplicaDirectory,
         random_source: random.Random,
         lag: LoopLag,
     ) -> None:
         self._node_id = node_id
         self._lag = lag
-        self._directory = directory
         self._random = random_source
         self._suspects = Suspects()
-        self._ends = EndWatch(node_id, directory)
+        self._ends = EndWatch(node_id)
         self._news_second = 0
         self._news_count = 0
         self.peers: Callable[[float], list[NodeIdentity]] = _no_peers
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -92,7 +92,7 @@
         self._starter = CallStarter(settings, self._sender)
         self.lag = LoopLag()
         """How late this node is; kept up to date by its owner."""
-        self.guard = CrashGuard(name, directory, random_source, self.lag)
+        self.guard = CrashGuard(name, random_source, self.lag)
         """Keeps requests that end replicas from replicas."""
         self.guard.on_held = self._end_held
         careful = CarefulSending(self._starter)
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -136,6 +136,11 @@
             name, settings, formats, self._nodes, self._presence, candidate
         )
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration that this node goes by; 0: it has none."""
+        return 0 if self._table is None else self._table.version
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what is to be done."""
         return self._lines.admit(self._decide(event, now), now)
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -24,7 +24,7 @@
     SendToReplica,
     SetForwarding,
 )
-from ...ports.machine import Action, Event, Exit, Log, Schedule, Start
+from ...ports.machine import Action, Event, Exit, Schedule, Start
 from ...ports.peer_link import OpenPeerLink, SendToPeer
 from ...ports.store import StartWatch, StopWatch, StoreRequest
 from ..virtual_clock import VirtualClock
@@ -79,8 +79,6 @@
         self.is_ready = False
         self.frozen_until = simulation.clock.now
         """Until then events wait."""
-        self.configuration_version = 0
-        """The configuration that it goes by; 0: none."""
         self.open_requests: dict[int, str] = {}
         self._simulation = simulation
         self._clock = simulation.clock
@@ -120,6 +118,11 @@
     def _zone(self) -> str:
         return f"zone-{self.number % self._simulation.settings.zones}"
 
+    @property
+    def configuration_version(self) -> int:
+        """The configuration that it goes by; 0: none."""
+        return self._machine.configuration_version
+
     def start(self) -> None:
         """Begin."""
         self._simulation.oracle.started_at[self.number] = self._clock.now
@@ -163,8 +166,6 @@
                 self._reply(action)
             case SetForwarding():
                 self.is_ready = action.is_ready
-            case Log(message="configuration_adopted"):
-                self.configuration_version = int(str(dict(action.fields)["version"]))
             case Exit():
                 simulation.node_exited(self, action)
             case OpenPeerLink() | SendToPeer():
