--- a/wingquay/forwarding/node_membership.py
+++ b/wingquay/forwarding/node_membership.py
@@ -104,7 +104,7 @@
         return [*self._setup.step(), Schedule(now + LINK_WAIT_SECONDS, event)]
 
     def _without_link(self, event: PresenceDue, now: float) -> list[Action]:
-        """Write the node's key, but let requests go first."""
+        """Write the key of a node without a configuration, which other nodes cannot reach yet."""
         if self._is_early:
             return self._later(self._settings.presence_delay_seconds, event, now)
         return self._presence.handle(event, now)
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -27,10 +27,9 @@
     node_count_memory_seconds
         How long a greater number of nodes is remembered.
     presence_delay_seconds
-        Time after the start at which a node writes its key: requests go first.
+        Time after the start at which a node without a configuration writes its key.
     join_delay_seconds
-        The same where the key tells other nodes where to reach this one and routes are narrow: far
-        shards wait for it.
+        The same where routes are narrow: requests go first, and far shards wait for the link.
     join_wide_delay_seconds
         The same where a route is wide: by itself a node answers such requests too late anyway.
     join_seconds, join_gather_seconds, join_idle_gather_seconds
