--- a/tests/simulation/forwarding/test_crashing_request.py
+++ b/tests/simulation/forwarding/test_crashing_request.py
@@ -12,8 +12,10 @@
 Cause: what replicas did under a request was known to the attempt of its caller only, and their ends
 were taken for malformed answers.
 
-What settled it: two lines `request_ended ... answered=0 of=20 arrivals=33` of different nodes, 4 s
-apart, with the same digest, and `malformed unanswered` in place of every answer.
+What settled it: lines `request_ended ... answered=0 of=20 arrivals=33` of different nodes, some 4 s
+apart, with `malformed` in place of every answer, the ends of all 40 replicas in the same tenths of
+a second, and this test, in which one request that is repeated does the same. That the repeats were
+one request could not be seen in those lines: they had no digest yet.
 """
 
 import random
