--- a/wingquay/forwarding/crashing/suspects.py
+++ b/wingquay/forwarding/crashing/suspects.py
@@ -21,8 +21,8 @@
 """Time for which it is remembered that a request was answered: news of older ends may be on their
 way."""
 MOST_SUSPECTS = 512
-"""Requests that are remembered; those longest ago are forgotten first. With all their ends they take
-2.3 kB each, 1.2 MB in all (allocations traced)."""
+"""Requests that are remembered; those longest ago are forgotten first. With all their ends they
+take 2.3 kB each, 1.2 MB in all (allocations traced)."""
 MOST_ENDS = 8
 """Ends that are remembered of a request; further ones change nothing."""
 
