Give the modules of forwarding rooms by step of a request's way

Ruled out: rooms by data type (exchange, replica), which cut every step in two. Change: knowledge, choice, arrival, sending, crashing, settling, peers; modules moved whole, imports rewritten by script, no behaviour changed. The owner of shards reaches the sender as a protocol, so that sending does not depend on peers.

--- a/benchmarks/wide_request.py
+++ b/benchmarks/wide_request.py
@@ -19,9 +19,9 @@
 import fire
 
 from wingquay.adapters.replica_client import ReplicaClient
+from wingquay.forwarding.choice.replica_directory import ReplicaDirectory
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
-from wingquay.forwarding.presence import NodeCount
-from wingquay.forwarding.replica_directory import ReplicaDirectory
+from wingquay.forwarding.knowledge.presence import NodeCount
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.model.replica_record import ReplicaRecord
 from wingquay.model.routing_table import CallerLimits, Route, RoutingTable, UpstreamService
--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -9,8 +9,8 @@
 from wingquay.adapters.held_record import held_value, parse_held
 from wingquay.adapters.node_record import node_value, parse_node
 from wingquay.forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
+from wingquay.forwarding.knowledge.store_follower import FollowerSettings
 from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.store_follower import FollowerSettings
 from wingquay.forwarding.timers import BeginDue
 from wingquay.model.failure import Failure
 from wingquay.model.replica_record import ReplicaRecord
--- a/tests/forwarding/test_cold_share.py
+++ b/tests/forwarding/test_cold_share.py
@@ -5,9 +5,9 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import OneNode, replica, single_route, table
-from wingquay.forwarding.cold_share import ColdShare
-from wingquay.forwarding.presence import NodeCount
-from wingquay.forwarding.replica_state import ReplicaState
+from wingquay.forwarding.choice.replica_state import ReplicaState
+from wingquay.forwarding.knowledge.presence import NodeCount
+from wingquay.forwarding.sending.cold_share import ColdShare
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.model.routing_table import RoutingTable
 from wingquay.ports.forwarding import SendToReplica
--- a/tests/forwarding/test_look_times.py
+++ b/tests/forwarding/test_look_times.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import OneNode, replica, single_route, table
-from wingquay.forwarding.look_times import (
+from wingquay.forwarding.knowledge.look_times import (
     CONTACT_RESERVE_SECONDS,
     HELD_ANSWER_SECONDS,
     gather_seconds_within,
--- a/tests/forwarding/test_node_groups.py
+++ b/tests/forwarding/test_node_groups.py
@@ -11,7 +11,7 @@
     table,
 )
 from wingquay.adapters.node_record import node_value, parse_node
-from wingquay.forwarding.node_groups import NodeGroups
+from wingquay.forwarding.knowledge.node_groups import NodeGroups
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.ports.machine import Action
 from wingquay.ports.peer_link import NodeIdentity, NodeRecord, OpenPeerLink, PeerLinkOpened
--- a/tests/forwarding/test_presence.py
+++ b/tests/forwarding/test_presence.py
@@ -4,8 +4,8 @@
 
 from testtools import TestCase
 
-from wingquay.forwarding.arrival_budget import ArrivalBudget
-from wingquay.forwarding.presence import NodeCount, Presence, PresenceDue
+from wingquay.forwarding.knowledge.presence import NodeCount, Presence, PresenceDue
+from wingquay.forwarding.sending.arrival_budget import ArrivalBudget
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.model.failure import Failure
 from wingquay.ports.machine import Action, Schedule, Start
--- a/tests/forwarding/test_replica_trials.py
+++ b/tests/forwarding/test_replica_trials.py
@@ -3,8 +3,8 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import OneNode, replica, sharded_route, table
-from wingquay.forwarding.replica_state import ReplicaState
-from wingquay.forwarding.replica_trials import ReplicaTrials
+from wingquay.forwarding.choice.replica_state import ReplicaState
+from wingquay.forwarding.choice.replica_trials import ReplicaTrials
 from wingquay.forwarding.settings import ForwardingSettings
 
 SHARDS = 6
--- a/tests/forwarding/test_reported_work.py
+++ b/tests/forwarding/test_reported_work.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import replica
-from wingquay.forwarding.replica_state import ReplicaState
+from wingquay.forwarding.choice.replica_state import ReplicaState
 from wingquay.ports.forwarding import ReportedLoad
 
 ANSWERED_AT = 100.0
--- a/tests/forwarding/test_request_identity.py
+++ b/tests/forwarding/test_request_identity.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from wingquay.forwarding.request_identity import DIGEST_BYTES, identity_of
+from wingquay.forwarding.arrival.request_identity import DIGEST_BYTES, identity_of
 from wingquay.ports.forwarding import OpaqueRequest
 
 HEADERS = ((b"Host", b"search.example"), (b"Request-Id", b"1"), (b"Accept", b"*/*"))
--- a/tests/forwarding/test_shard_placement.py
+++ b/tests/forwarding/test_shard_placement.py
@@ -7,12 +7,12 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import replica
-from wingquay.forwarding.node_groups import NodeGroups
-from wingquay.forwarding.replica_directory import ReplicaDirectory
-from wingquay.forwarding.request_rate import RequestRate
+from wingquay.forwarding.choice.replica_directory import ReplicaDirectory
+from wingquay.forwarding.knowledge.node_groups import NodeGroups
+from wingquay.forwarding.peers.request_rate import RequestRate
+from wingquay.forwarding.peers.shard_placement import ShardPlacement, assign_bounded
+from wingquay.forwarding.peers.zone_choice import choose_zones, spread_zones
 from wingquay.forwarding.settings import ForwardingSettings
-from wingquay.forwarding.shard_placement import ShardPlacement, assign_bounded
-from wingquay.forwarding.zone_choice import choose_zones, spread_zones
 from wingquay.ports.peer_link import NodeIdentity, NodeRecord
 
 ZONES = ("a", "b", "c", "d", "e", "f")
--- a/tests/forwarding/test_sharded_service.py
+++ b/tests/forwarding/test_sharded_service.py
@@ -3,9 +3,9 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import OneNode, replica, sharded_route, table
-from wingquay.forwarding.cutoff import in_time_seconds
-from wingquay.forwarding.merging import RECORD_BYTES, merge_greatest
 from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.forwarding.settling.cutoff import in_time_seconds
+from wingquay.forwarding.settling.merging import RECORD_BYTES, merge_greatest
 from wingquay.ports.forwarding import (
     ForwardFailureKind,
     ReplyFailure,
--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -3,8 +3,8 @@
 from testtools import TestCase
 
 from tests.forwarding.one_node import OneNode, replica, sharded_route, single_route, table
-from wingquay.forwarding.look_times import gather_seconds_within, lapse_grace_seconds
-from wingquay.forwarding.store_follower import (
+from wingquay.forwarding.knowledge.look_times import gather_seconds_within, lapse_grace_seconds
+from wingquay.forwarding.knowledge.store_follower import (
     FollowerHooks,
     FollowerSettings,
     StoreFollower,
--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -5,17 +5,17 @@
 from testtools import TestCase
 
 from wingquay.forwarding import ending
-from wingquay.forwarding.arrival_budget import ArrivalBudget
-from wingquay.forwarding.attempts import AttemptSender
-from wingquay.forwarding.call_starter import CallStarter
-from wingquay.forwarding.delegated_work import DelegatedWork
-from wingquay.forwarding.delegation import Delegations
-from wingquay.forwarding.ending import ExchangeEnding
+from wingquay.forwarding.choice.replica_directory import ReplicaDirectory
 from wingquay.forwarding.exchange import Exchange, ServiceCall
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
-from wingquay.forwarding.latencies import RouteLatencies
-from wingquay.forwarding.replica_directory import ReplicaDirectory
-from wingquay.forwarding.settlement import Settlement
+from wingquay.forwarding.peers.delegated_work import DelegatedWork
+from wingquay.forwarding.peers.delegation import Delegations
+from wingquay.forwarding.sending.arrival_budget import ArrivalBudget
+from wingquay.forwarding.sending.attempts import AttemptSender
+from wingquay.forwarding.sending.call_starter import CallStarter
+from wingquay.forwarding.sending.latencies import RouteLatencies
+from wingquay.forwarding.settling.ending import ExchangeEnding
+from wingquay.forwarding.settling.settlement import Settlement
 from wingquay.model.routing_table import RoutingTable
 from wingquay.ports.delegation import DelegatedRequest
 from wingquay.ports.machine import Action
--- /dev/null
+++ b/wingquay/forwarding/arrival/__init__.py
@@ -0,0 +1,1 @@
+"""What is decided about a request before anything is sent for it."""
--- a/wingquay/forwarding/request_identity.py
+++ b/wingquay/forwarding/arrival/request_identity.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from ..ports.forwarding import OpaqueRequest
+from ...ports.forwarding import OpaqueRequest
 
 DIGEST_BYTES = 16
 """Long enough that nobody can make a request that is taken for another caller's (2^128 tries)."""
--- /dev/null
+++ b/wingquay/forwarding/choice/__init__.py
@@ -0,0 +1,1 @@
+"""Which replica gets a request: what is known of each, and the choice among them."""
--- a/wingquay/forwarding/evacuations.py
+++ b/wingquay/forwarding/choice/evacuations.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from ..ports.machine import Action, Count, Log, LogLevel
+from ...ports.machine import Action, Count, Log, LogLevel
 from .replica_directory import ReplicaDirectory
 
 
--- a/wingquay/forwarding/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -3,10 +3,10 @@
 import random
 from collections.abc import Container, Iterable
 
-from ..model.replica_record import ReplicaRecord
+from ...model.replica_record import ReplicaRecord
+from ..settings import ForwardingSettings
 from .replica_state import ReplicaState
 from .replica_trials import ReplicaTrials
-from .settings import ForwardingSettings
 
 
 class ReplicaDirectory:
--- a/wingquay/forwarding/replica_state.py
+++ b/wingquay/forwarding/choice/replica_state.py
@@ -3,9 +3,9 @@
 import math
 from dataclasses import dataclass, field
 
-from ..model.replica_record import ReplicaRecord
-from ..ports.forwarding import ReportedLoad
-from .settings import ForwardingSettings
+from ...model.replica_record import ReplicaRecord
+from ...ports.forwarding import ReportedLoad
+from ..settings import ForwardingSettings
 
 SLOWNESS_WEIGHT = 0.4
 SLOWNESS_MEMORY_SECONDS = 2.0
--- a/wingquay/forwarding/replica_trials.py
+++ b/wingquay/forwarding/choice/replica_trials.py
@@ -7,8 +7,8 @@
 those that were slow again when they were tried.
 """
 
+from ..settings import ForwardingSettings
 from .replica_state import ReplicaState
-from .settings import ForwardingSettings
 
 CONFIRMED_SLOW = 2
 """Slow attempts in a row from which on a replica counts as slow rather than paused."""
--- a/wingquay/forwarding/weighted_choice.py
+++ b/wingquay/forwarding/choice/weighted_choice.py
@@ -7,7 +7,7 @@
 import random
 from dataclasses import dataclass
 
-from ..model.routing_table import Route, WeightedService
+from ...model.routing_table import Route, WeightedService
 
 
 @dataclass(slots=True)
--- a/wingquay/forwarding/crashing/careful_sending.py
+++ b/wingquay/forwarding/crashing/careful_sending.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from ...ports.machine import Action
-from ..call_starter import CallStarter
 from ..exchange import Exchange, ServiceCall
+from ..sending.call_starter import CallStarter
 
 
 class CarefulSending:
--- a/wingquay/forwarding/crashing/guard.py
+++ b/wingquay/forwarding/crashing/guard.py
@@ -13,9 +13,9 @@
 from ...ports.forwarding import ConnectionTried, ForwardRequested, OpaqueRequest
 from ...ports.machine import Action, Count, Log, LogLevel, Schedule
 from ...ports.peer_link import NodeIdentity, SendToPeer
+from ..arrival.request_identity import identity_of
 from ..exchange import Attempt, Exchange
-from ..loop_lag import LoopLag
-from ..request_identity import identity_of
+from ..knowledge.loop_lag import LoopLag
 from ..timers import CrashNewsDue
 from .end_watch import EndWatch, LostAttempt
 from .evidence import ReplicaEnd
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -6,8 +6,8 @@
 from ..model.routing_table import Route, RoutingTable
 from ..ports.forwarding import ForwardRequested, ReplicaAnswer
 from ..ports.machine import Action
-from .replica_state import ReplicaState
-from .request_identity import identity_of
+from .arrival.request_identity import identity_of
+from .choice.replica_state import ReplicaState
 
 CAREFUL_ENDS = 2
 """Connections that end under a request that nobody has answered, from which on one replica is asked
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -14,23 +14,24 @@
 )
 from ..ports.machine import Action, Event, Schedule, Woken
 from ..ports.peer_link import PeerLinkBroken, PeerReceived
-from .attempts import AttemptSender
-from .call_starter import CallStarter
+from .arrival.request_identity import identity_of
+from .choice.replica_directory import ReplicaDirectory
+from .choice.weighted_choice import WeightedChoice
 from .crashing.careful_sending import CarefulSending
 from .crashing.guard import CrashGuard
 from .crashing.suspects import Verdict
-from .cutoff import in_time_seconds
-from .ending import HELD_REASON, LEAST_RETRY_SECONDS, ExchangeEnding
 from .exchange import Exchange, ServiceCall
-from .hedging import Hedging
-from .latencies import RouteLatencies
-from .loop_lag import LoopLag
-from .presence import NodeCount
-from .replica_directory import ReplicaDirectory
-from .replica_outcomes import ReplicaOutcomes
-from .request_identity import identity_of
+from .knowledge.loop_lag import LoopLag
+from .knowledge.presence import NodeCount
+from .sending.attempts import AttemptSender
+from .sending.call_starter import CallStarter
+from .sending.latencies import RouteLatencies
 from .settings import ForwardingSettings
-from .settlement import Settlement
+from .settling.cutoff import in_time_seconds
+from .settling.ending import HELD_REASON, LEAST_RETRY_SECONDS, ExchangeEnding
+from .settling.hedging import Hedging
+from .settling.replica_outcomes import ReplicaOutcomes
+from .settling.settlement import Settlement
 from .timers import (
     AbandonDue,
     BeginDue,
@@ -44,11 +45,10 @@
     ReportDue,
     RetryDue,
 )
-from .weighted_choice import WeightedChoice
 
 if TYPE_CHECKING:
-    from .node_groups import NodeGroups
-    from .peer_work import PeerWork
+    from .knowledge.node_groups import NodeGroups
+    from .peers.peer_work import PeerWork
 
 UNCONFIGURED_RETRY_SECONDS = 0.3
 DELEGATION_ID_BITS = 62
@@ -127,8 +127,8 @@
 
     def enable_peers(self, groups: "NodeGroups") -> None:
         """Ask other nodes for shards, and be asked by them, from now on."""
-        from .delegation import Delegations
-        from .peer_work import PeerWork
+        from .peers.delegation import Delegations
+        from .peers.peer_work import PeerWork
 
         delegations = Delegations(
             self._settings,
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -29,21 +29,21 @@
     WatchChanged,
 )
 from ..ports.store_news import StoreNews
+from .choice.evacuations import Evacuations
+from .choice.replica_directory import ReplicaDirectory
 from .crashing.held_keys import HeldKeys
 from .crashing.suspects import Verdict
-from .evacuations import Evacuations
 from .forwarding_machine import ForwardingMachine
-from .line_budget import LineBudget
-from .node_membership import NodeMembership
-from .presence import NodeCount, Presence, PresenceDue
-from .replica_directory import ReplicaDirectory
-from .settings import ForwardingSettings
-from .store_follower import (
+from .knowledge.node_membership import NodeMembership
+from .knowledge.presence import NodeCount, Presence, PresenceDue
+from .knowledge.store_follower import (
     FollowAgain,
     FollowerHooks,
     FollowerSettings,
     StoreFollower,
 )
+from .line_budget import LineBudget
+from .settings import ForwardingSettings
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
 from .timers import GreetingDue
--- a/wingquay/forwarding/look_times.py
+++ b/wingquay/forwarding/knowledge/look_times.py
@@ -1,6 +1,6 @@
 """How often a node looks at the store and how long it waits there, from the bounds it must keep."""
 
-from ..model.value import value
+from ...model.value import value
 
 GATHER_RESERVE_SECONDS = 1.7
 """Time left for a look that fails once, its answer, and requests on their way."""
--- a/wingquay/forwarding/node_groups.py
+++ b/wingquay/forwarding/knowledge/node_groups.py
@@ -8,9 +8,9 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from ..model.value import value
-from ..ports.peer_link import NodeIdentity, NodeRecord
-from .settings import ForwardingSettings
+from ...model.value import value
+from ...ports.peer_link import NodeIdentity, NodeRecord
+from ..settings import ForwardingSettings
 
 
 @value
--- a/wingquay/forwarding/node_membership.py
+++ b/wingquay/forwarding/knowledge/node_membership.py
@@ -2,14 +2,14 @@
 
 from typing import TYPE_CHECKING
 
-from ..model.routing_table import RoutingTable
-from ..ports.machine import Action, Log, LogLevel, Schedule
-from ..ports.peer_link import NodeIdentity, NodeRecord, PeerLinkOpened
-from ..ports.store import StoredValue, StoreResponse
+from ...model.routing_table import RoutingTable
+from ...ports.machine import Action, Log, LogLevel, Schedule
+from ...ports.peer_link import NodeIdentity, NodeRecord, PeerLinkOpened
+from ...ports.store import StoredValue, StoreResponse
+from ..settings import ForwardingSettings
+from ..store_formats import StoreFormats
 from .peer_setup import PeerSetup, widest_route
 from .presence import NodeCount, Presence, PresenceDue
-from .settings import ForwardingSettings
-from .store_formats import StoreFormats
 
 if TYPE_CHECKING:
     from .node_groups import NodeGroups
--- a/wingquay/forwarding/peer_setup.py
+++ b/wingquay/forwarding/knowledge/peer_setup.py
@@ -4,11 +4,11 @@
 writes it, so whoever may read the store may speak to nodes.
 """
 
-from ..model.failure import Failure
-from ..model.routing_table import RoutingTable
-from ..ports.machine import Action
-from ..ports.peer_link import OpenPeerLink
-from ..ports.store import (
+from ...model.failure import Failure
+from ...model.routing_table import RoutingTable
+from ...ports.machine import Action
+from ...ports.peer_link import OpenPeerLink
+from ...ports.store import (
     CompareAndSwap,
     StoreFailureKind,
     StoreRequest,
@@ -16,7 +16,7 @@
     StoreResult,
     SwapResult,
 )
-from .settings import ForwardingSettings
+from ..settings import ForwardingSettings
 
 OPERATION_PREFIX = "cluster-key-"
 TIMEOUT_SECONDS = 2.0
--- a/wingquay/forwarding/presence.py
+++ b/wingquay/forwarding/knowledge/presence.py
@@ -8,10 +8,10 @@
 import random
 import zlib
 
-from ..model.failure import Failure
-from ..model.value import value
-from ..ports.machine import Action, Event, Schedule, Start
-from ..ports.store import (
+from ...model.failure import Failure
+from ...model.value import value
+from ...ports.machine import Action, Event, Schedule, Start
+from ...ports.store import (
     CompareAndSwap,
     GrantLease,
     KeepLeaseAlive,
@@ -24,7 +24,7 @@
     StoreResult,
     SwapResult,
 )
-from .settings import ForwardingSettings
+from ..settings import ForwardingSettings
 
 OPERATION_PREFIX = "presence-"
 TIMEOUT_SECONDS = 2.0
--- a/wingquay/forwarding/store_follower.py
+++ b/wingquay/forwarding/knowledge/store_follower.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 
-from ..model.failure import Failure
-from ..model.value import value
-from ..ports.machine import Action, Event, Log, LogLevel, Schedule, Start
-from ..ports.peer_snapshot import AskPeers, PeerSnapshot
-from ..ports.store import (
+from ...model.failure import Failure
+from ...model.value import value
+from ...ports.machine import Action, Event, Log, LogLevel, Schedule, Start
+from ...ports.peer_snapshot import AskPeers, PeerSnapshot
+from ...ports.store import (
     Read,
     ReadResult,
     StartWatch,
@@ -17,7 +17,7 @@
     WatchBroken,
     WatchChanged,
 )
-from ..ports.store_news import StoreNews
+from ...ports.store_news import StoreNews
 from .look_times import DEFAULT_CONTACT_SECONDS, LookTimes, look_times_within
 
 
--- a/wingquay/forwarding/connections_ahead.py
+++ b/wingquay/forwarding/peers/connections_ahead.py
@@ -6,12 +6,12 @@
 that no configuration has named yet open theirs ahead, a few at a time.
 """
 
-from ..model.routing_table import RoutingTable
-from ..ports.forwarding import OpenConnection
-from ..ports.machine import Action
-from .replica_directory import ReplicaDirectory
-from .replica_state import ReplicaState
-from .settings import ForwardingSettings
+from ...model.routing_table import RoutingTable
+from ...ports.forwarding import OpenConnection
+from ...ports.machine import Action
+from ..choice.replica_directory import ReplicaDirectory
+from ..choice.replica_state import ReplicaState
+from ..settings import ForwardingSettings
 from .shard_placement import ShardPlacement
 
 MOST_OPENED = 12
--- a/wingquay/forwarding/delegated_work.py
+++ b/wingquay/forwarding/peers/delegated_work.py
@@ -7,17 +7,17 @@
 from dataclasses import dataclass, field, replace
 from itertools import count
 
-from ..model.routing_table import Route, RoutingTable
-from ..ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
-from ..ports.forwarding import ForwardRequested
-from ..ports.machine import Action, Count, Schedule
-from ..ports.peer_link import NodeIdentity, SendToPeer
-from .exchange import Exchange, ServiceCall
-from .loop_lag import LoopLag
-from .merging import merge_greatest
-from .replica_directory import ReplicaDirectory
-from .settlement import Settlement
-from .timers import HedgeDue
+from ...model.routing_table import Route, RoutingTable
+from ...ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
+from ...ports.forwarding import ForwardRequested
+from ...ports.machine import Action, Count, Schedule
+from ...ports.peer_link import NodeIdentity, SendToPeer
+from ..choice.replica_directory import ReplicaDirectory
+from ..exchange import Exchange, ServiceCall
+from ..knowledge.loop_lag import LoopLag
+from ..settling.merging import merge_greatest
+from ..settling.settlement import Settlement
+from ..timers import HedgeDue
 
 
 @dataclass(slots=True, eq=False)
--- a/wingquay/forwarding/delegation.py
+++ b/wingquay/forwarding/peers/delegation.py
@@ -11,31 +11,31 @@
 
 from collections.abc import Mapping
 
-from ..model.routing_table import RoutingTable
-from ..ports.delegation import (
+from ...model.routing_table import RoutingTable
+from ...ports.delegation import (
     AllowAttempts,
     CancelDelegation,
     DelegatedAnswer,
     DelegatedRequest,
     Greeting,
 )
-from ..ports.forwarding import ReplicaAnswer
-from ..ports.machine import Action, Count, Log, LogLevel, Schedule
-from ..ports.peer_link import NodeIdentity, PeerLinkBroken, SendToPeer
-from .call_starter import CallStarter
-from .crashing.careful_sending import CarefulSending
-from .crashing.guard import CrashGuard
-from .exchange import Exchange, ServiceCall
-from .node_groups import NodeGroups
+from ...ports.forwarding import ReplicaAnswer
+from ...ports.machine import Action, Count, Log, LogLevel, Schedule
+from ...ports.peer_link import NodeIdentity, PeerLinkBroken, SendToPeer
+from ..choice.replica_directory import ReplicaDirectory
+from ..crashing.careful_sending import CarefulSending
+from ..crashing.guard import CrashGuard
+from ..exchange import Exchange, ServiceCall
+from ..knowledge.node_groups import NodeGroups
+from ..sending.call_starter import CallStarter
+from ..settings import ForwardingSettings
+from ..settling.settlement import Settlement
+from ..timers import BeginDue, DelegationDue
 from .open_delegations import Delegation, OpenDelegations
 from .relays import Relays
-from .replica_directory import ReplicaDirectory
 from .request_rate import RequestRate
-from .settings import ForwardingSettings
-from .settlement import Settlement
 from .shard_placement import ShardPlacement
 from .takeover_time import TakeoverTime
-from .timers import BeginDue, DelegationDue
 
 MERGED_STATUS = 200
 MOST_GREETINGS = 3
--- a/wingquay/forwarding/open_delegations.py
+++ b/wingquay/forwarding/peers/open_delegations.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from ..ports.peer_link import NodeIdentity
-from .exchange import Exchange, ServiceCall
+from ...ports.peer_link import NodeIdentity
+from ..exchange import Exchange, ServiceCall
 
 
 @dataclass(slots=True, eq=False)
--- a/wingquay/forwarding/peer_work.py
+++ b/wingquay/forwarding/peers/peer_work.py
@@ -3,26 +3,26 @@
 Loaded when the link to other nodes opens; a node serves before that.
 """
 
-from ..model.routing_table import RoutingTable
-from ..ports.delegation import (
+from ...model.routing_table import RoutingTable
+from ...ports.delegation import (
     AllowAttempts,
     CancelDelegation,
     DelegatedAnswer,
     DelegatedRequest,
 )
-from ..ports.machine import Action, Schedule
-from ..ports.peer_link import NodeIdentity, PeerLinkBroken, PeerMessage, PeerReceived
+from ...ports.machine import Action, Schedule
+from ...ports.peer_link import NodeIdentity, PeerLinkBroken, PeerMessage, PeerReceived
+from ..arrival.request_identity import identity_of
+from ..choice.replica_directory import ReplicaDirectory
+from ..crashing.guard import CrashGuard
+from ..crashing.suspects import Verdict
+from ..knowledge.loop_lag import LoopLag
+from ..settings import ForwardingSettings
+from ..settling.settlement import Settlement
+from ..timers import BeginDue, DelegationDue, GreetingDue, ReportDue
 from .connections_ahead import ConnectionsAhead
-from .crashing.guard import CrashGuard
-from .crashing.suspects import Verdict
 from .delegated_work import DelegatedWork
 from .delegation import Delegations
-from .loop_lag import LoopLag
-from .replica_directory import ReplicaDirectory
-from .request_identity import identity_of
-from .settings import ForwardingSettings
-from .settlement import Settlement
-from .timers import BeginDue, DelegationDue, GreetingDue, ReportDue
 
 
 class PeerWork:
--- a/wingquay/forwarding/relays.py
+++ b/wingquay/forwarding/peers/relays.py
@@ -8,11 +8,11 @@
 
 from collections.abc import Callable
 
-from ..model.value import value
-from ..ports.peer_link import NodeIdentity
-from .node_groups import NodeGroups
-from .replica_directory import ReplicaDirectory
-from .settings import ForwardingSettings
+from ...model.value import value
+from ...ports.peer_link import NodeIdentity
+from ..choice.replica_directory import ReplicaDirectory
+from ..knowledge.node_groups import NodeGroups
+from ..settings import ForwardingSettings
 
 ZONES_VALID_SECONDS = 0.25
 """Time for which the zones of a route's replicas are not looked up again."""
--- a/wingquay/forwarding/shard_placement.py
+++ b/wingquay/forwarding/peers/shard_placement.py
@@ -18,12 +18,12 @@
 
 import xxhash
 
-from ..model.value import value
-from ..ports.peer_link import NodeIdentity
-from .node_groups import GroupNode, NodeGroups
-from .replica_directory import ReplicaDirectory
+from ...model.value import value
+from ...ports.peer_link import NodeIdentity
+from ..choice.replica_directory import ReplicaDirectory
+from ..knowledge.node_groups import GroupNode, NodeGroups
+from ..settings import ForwardingSettings
 from .request_rate import RequestRate
-from .settings import ForwardingSettings
 from .zone_choice import choose_zones, spread_zones
 
 VALID_SECONDS = 2.0
--- a/wingquay/forwarding/takeover_time.py
+++ b/wingquay/forwarding/peers/takeover_time.py
@@ -1,7 +1,7 @@
 """When a node that was asked for shards and has not said anything counts as lost."""
 
-from ..model.routing_table import Route
-from .settings import ForwardingSettings
+from ...model.routing_table import Route
+from ..settings import ForwardingSettings
 
 WEIGHT = 0.1
 """How far one node that is heard moves the mean."""
--- /dev/null
+++ b/wingquay/forwarding/sending/__init__.py
@@ -0,0 +1,1 @@
+"""How calls are sent to replicas: attempts, waiting calls, budgets and latencies."""
--- a/wingquay/forwarding/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -1,28 +1,25 @@
 """Sends attempts of calls to replicas and keeps account of those under way."""
 
 from itertools import count
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from ..ports.forwarding import (
+from ...ports.forwarding import (
     CancelSend,
     ConnectionTried,
     OpenConnection,
     ReportedLoad,
     SendToReplica,
 )
-from ..ports.machine import Action, Log, LogLevel, Schedule
+from ...ports.machine import Action, Log, LogLevel, Schedule
+from ..choice.replica_directory import ReplicaDirectory
+from ..choice.replica_state import ReplicaState
+from ..exchange import Attempt, ServiceCall
+from ..knowledge.presence import NodeCount
+from ..settings import ForwardingSettings
+from ..timers import AbandonDue, ReachDue
 from .arrival_budget import ArrivalBudget
 from .cold_share import ColdShare
-from .exchange import Attempt, ServiceCall
 from .latencies import RouteLatencies
-from .presence import NodeCount
-from .replica_directory import ReplicaDirectory
-from .replica_state import ReplicaState
-from .settings import ForwardingSettings
-from .timers import AbandonDue, ReachDue
-
-if TYPE_CHECKING:
-    from .shard_placement import ShardPlacement
 
 DEFAULT_CONNECTION_LIMIT = 24
 OWNERS_RESERVE = 2
@@ -33,6 +30,14 @@
 """Lives of this process whose connections a replica may still count after a start."""
 
 
+class SharesShards(Protocol):
+    """Knows among how many nodes the requests for a shard are divided."""
+
+    def sharing_nodes(self, shard: str, now: float) -> int:
+        """Return how many nodes usually ask a shard."""
+        ...
+
+
 class AttemptSender:
     """Chooses replicas, spends the budget of extra arrivals, starts and ends attempts."""
 
@@ -53,7 +58,7 @@
         self._open: dict[int, Attempt] = {}
         self._budgets: dict[str, ArrivalBudget] = {}
         self._first_sent_at: float | None = None
-        self.placement: ShardPlacement | None = None
+        self.placement: SharesShards | None = None
         """Who asks which shard, once shards are divided among nodes."""
 
     def get(self, attempt_id: int) -> Attempt | None:
--- a/wingquay/forwarding/call_starter.py
+++ b/wingquay/forwarding/sending/call_starter.py
@@ -1,10 +1,10 @@
 """Sends calls to replicas, or lets them stand in line until one can be asked."""
 
-from ..ports.machine import Action, Schedule
+from ...ports.machine import Action, Schedule
+from ..exchange import ServiceCall
+from ..settings import ForwardingSettings
+from ..timers import RetryDue
 from .attempts import AttemptSender
-from .exchange import ServiceCall
-from .settings import ForwardingSettings
-from .timers import RetryDue
 from .waiting_line import WaitingLine
 
 
--- a/wingquay/forwarding/cold_share.py
+++ b/wingquay/forwarding/sending/cold_share.py
@@ -7,8 +7,8 @@
 warmed by other nodes and all of them agree.
 """
 
-from .presence import NodeCount
-from .replica_state import ReplicaState
+from ..choice.replica_state import ReplicaState
+from ..knowledge.presence import NodeCount
 
 WINDOW_SECONDS = 1.0
 USED_SHARE = 0.6
--- a/wingquay/forwarding/latencies.py
+++ b/wingquay/forwarding/sending/latencies.py
@@ -1,8 +1,8 @@
 """Latencies of attempts by route, and the delay after which an attempt is hedged."""
 
-from ..model.routing_table import Route
-from ..routing.latency_tracker import LatencyTracker
-from .settings import ForwardingSettings
+from ...model.routing_table import Route
+from ...routing.latency_tracker import LatencyTracker
+from ..settings import ForwardingSettings
 
 PERIOD_SECONDS = 10.0
 FEWEST_SAMPLES = 40
--- a/wingquay/forwarding/waiting_line.py
+++ b/wingquay/forwarding/sending/waiting_line.py
@@ -3,7 +3,7 @@
 import heapq
 from itertools import count
 
-from .exchange import ServiceCall
+from ..exchange import ServiceCall
 
 
 class WaitingLine:
--- a/wingquay/forwarding/cutoff.py
+++ b/wingquay/forwarding/settling/cutoff.py
@@ -5,8 +5,8 @@
 for a success; after that, an answer leaves as soon as it is enough.
 """
 
-from ..model.routing_table import Route
-from .settings import ForwardingSettings
+from ...model.routing_table import Route
+from ..settings import ForwardingSettings
 
 SHARE_TOLERANCE = 1e-9
 
--- a/wingquay/forwarding/ending.py
+++ b/wingquay/forwarding/settling/ending.py
@@ -1,6 +1,6 @@
 """The replies that end an exchange, and the log line of each that was not simply served."""
 
-from ..ports.forwarding import (
+from ...ports.forwarding import (
     ForwardFailureKind,
     ForwardRequested,
     ReplicaAnswer,
@@ -8,10 +8,10 @@
     ReplyMerged,
     ReplyUnchanged,
 )
-from ..ports.machine import Action, Count, Log, LogLevel, Observe
-from .exchange import Exchange, ServiceCall
+from ...ports.machine import Action, Count, Log, LogLevel, Observe
+from ..arrival.request_identity import identity_of
+from ..exchange import Exchange, ServiceCall
 from .merging import merge_greatest
-from .request_identity import identity_of
 
 MILLISECONDS_PER_SECOND = 1000.0
 LEAST_RETRY_SECONDS = 0.1
--- a/wingquay/forwarding/hedging.py
+++ b/wingquay/forwarding/settling/hedging.py
@@ -1,12 +1,12 @@
 """When a second replica is asked because the first one takes too long."""
 
-from ..ports.machine import Action, Schedule
-from .attempts import AttemptSender
-from .crashing.careful_sending import CarefulSending
-from .exchange import Exchange, ServiceCall
-from .latencies import RouteLatencies
+from ...ports.machine import Action, Schedule
+from ..crashing.careful_sending import CarefulSending
+from ..exchange import Exchange, ServiceCall
+from ..sending.attempts import AttemptSender
+from ..sending.latencies import RouteLatencies
+from ..timers import HedgeDue
 from .settlement import Settlement
-from .timers import HedgeDue
 
 RECHECK_SECONDS = 0.012
 """Least time between two looks at attempts that take too long."""
--- a/wingquay/forwarding/replica_outcomes.py
+++ b/wingquay/forwarding/settling/replica_outcomes.py
@@ -1,20 +1,20 @@
 """What follows from the answers and failures of replicas."""
 
-from ..ports.forwarding import (
+from ...ports.forwarding import (
     ConnectionTried,
     ReplicaAnswer,
     ReplicaAnswered,
     SendFailed,
     SendFailureKind,
 )
-from ..ports.machine import Action
-from .attempts import AttemptSender
-from .call_starter import CallStarter
-from .crashing.careful_sending import CarefulSending
-from .crashing.guard import CrashGuard
-from .exchange import Attempt, Exchange, ServiceCall
-from .replica_directory import ReplicaDirectory
-from .settings import ForwardingSettings
+from ...ports.machine import Action
+from ..choice.replica_directory import ReplicaDirectory
+from ..crashing.careful_sending import CarefulSending
+from ..crashing.guard import CrashGuard
+from ..exchange import Attempt, Exchange, ServiceCall
+from ..sending.attempts import AttemptSender
+from ..sending.call_starter import CallStarter
+from ..settings import ForwardingSettings
 from .settlement import Settlement
 
 FIRST_SERVER_ERROR_STATUS = 500
--- a/wingquay/forwarding/settlement.py
+++ b/wingquay/forwarding/settling/settlement.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 
-from ..ports.machine import Action
-from .attempts import AttemptSender
+from ...ports.machine import Action
+from ..choice.replica_directory import ReplicaDirectory
+from ..exchange import Exchange, ServiceCall
+from ..sending.attempts import AttemptSender
+from ..settings import ForwardingSettings
 from .cutoff import is_enough
 from .ending import ExchangeEnding
-from .exchange import Exchange, ServiceCall
-from .replica_directory import ReplicaDirectory
-from .settings import ForwardingSettings
 
 TIME_TOLERANCE_SECONDS = 1e-6
 
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -21,14 +21,14 @@
 from ..adapters.peer_snapshots import PeerSnapshots
 from ..adapters.replica_client import CONNECT_SECONDS, ReplicaClient
 from ..forwarding.forwarding_node import ForwardingNode, StoreFormats
-from ..forwarding.look_times import (
+from ..forwarding.knowledge.look_times import (
     DEFAULT_CONTACT_SECONDS,
     gather_seconds_within,
     lapse_grace_seconds,
     look_times_within,
 )
+from ..forwarding.knowledge.store_follower import FollowerSettings
 from ..forwarding.settings import ForwardingSettings
-from ..forwarding.store_follower import FollowerSettings
 from ..ports.forwarding import (
     CancelSend,
     OpenConnection,
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -8,9 +8,9 @@
 from ...adapters.node_record import node_value, parse_node
 from ...forwarding.crashing.suspects import Verdict
 from ...forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
-from ...forwarding.look_times import look_times_within
+from ...forwarding.knowledge.look_times import look_times_within
+from ...forwarding.knowledge.store_follower import FollowerSettings
 from ...forwarding.settings import ForwardingSettings
-from ...forwarding.store_follower import FollowerSettings
 from ...model.failure import Failure
 from ...model.replica_record import ReplicaRecord
 from ...model.routing_table import RoutingTable
