Agree on the interfaces of callers, limits and decisions under load

Cause: keys, limits over all nodes, readiness and waiting are built side by side. Nothing decides by them yet.

--- a/wingquay/model/routing_table.py
+++ b/wingquay/model/routing_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from .tenants import TenantDirectory
 from .value import value
 
 
@@ -40,6 +41,8 @@
         Records in a merged answer.
     least_share
         Share of the shards below which a merged answer is no success.
+    is_public
+        Whether callers need no key, where the configuration has tenants.
     """
 
     name: str
@@ -54,6 +57,7 @@
     priority: int = 0
     merged_records: int = 0
     least_share: float = 1.0
+    is_public: bool = False
 
     @property
     def all_services(self) -> tuple[str, ...]:
@@ -96,12 +100,15 @@
     ----------
     version
         Rises from one configuration to the next.
+    tenants
+        Who may call; ``None``: the configuration tells callers not apart.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, UpstreamService]
     limits: CallerLimits
+    tenants: TenantDirectory | None = None
     _by_host: dict[str, dict[str, Route]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/wingquay/platform/caller_dialect.py
+++ b/wingquay/platform/caller_dialect.py
@@ -24,6 +24,8 @@
 MILLISECONDS_PER_SECOND = 1000.0
 STATUS = {
     ForwardFailureKind.NO_ROUTE: 404,
+    ForwardFailureKind.UNKNOWN_CALLER: 401,
+    ForwardFailureKind.OVER_LIMIT: 429,
     ForwardFailureKind.NOT_RUN: 503,
     ForwardFailureKind.FAILED: 502,
     ForwardFailureKind.TIMED_OUT: 504,
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -74,6 +74,12 @@
         plus the second.
     grace_seconds
         Time between the request to stop and the end by force.
+    revocation_seconds
+        Time after a configuration took a key away from which on no node may run a request with it,
+        whatever the node can reach; ``None``: only nodes in touch are bound.
+    limit_window_seconds, limit_overage, limit_slack
+        Requests of a tenant that run on all nodes in a window of that length: what its limit allows
+        times one more than the second figure, plus the third, at most.
     """
 
     node: str
@@ -97,6 +103,10 @@
     cold_overage: float
     cold_slack: float
     grace_seconds: float
+    revocation_seconds: float | None = None
+    limit_window_seconds: float = 5.0
+    limit_overage: float = 0.0
+    limit_slack: float = 0.0
 
 
 def parse_settings(text: str) -> PlatformSettings | Failure[SettingsFailureKind]:
@@ -139,9 +149,27 @@
         cold_overage=_optional_number(document, "cold.overage", 1.0),
         cold_slack=_optional_number(document, "cold.slack", 0.0),
         grace_seconds=_number(document, "stop.grace_seconds", 0.5, 3600.0),
+        revocation_seconds=_revocation_seconds(document),
+        limit_window_seconds=_optional_number(document, "limits.window_seconds", 5.0),
+        limit_overage=_optional_number(document, "limits.overage", 0.0),
+        limit_slack=_optional_number(document, "limits.slack", 0.0),
     )
 
 
+def _revocation_seconds(document: Mapping[str, Any]) -> float | None:
+    """Return the bound for keys that are taken away, if the platform asks for it."""
+    is_strict = _find(document, "store.strict_revocation")
+    if is_strict in (None, "", "false"):
+        return None
+    if is_strict != "true":
+        reason = f"store.strict_revocation is {is_strict!r}; allowed: true or false, in quotes"
+        raise _InvalidError(reason)
+    seconds = _optional_milliseconds(document, "store.revocation_ms", LEAST_BOUND_MS)
+    if seconds is None:
+        raise _InvalidError("store.revocation_ms is missing; store.strict_revocation needs it")
+    return seconds
+
+
 def _find(document: Mapping[str, Any], field: str) -> Any:
     section, _, key = field.partition(".")
     table = document.get(section)
--- a/wingquay/ports/delegation.py
+++ b/wingquay/ports/delegation.py
@@ -28,6 +28,8 @@
     is_group_share
         Whether the nodes of the sender's group leave these shards to the receiver; otherwise any
         node may ask the same replicas.
+    tenant
+        The name of the tenant that calls, for the replicas; empty: none is told.
     """
 
     delegation_id: int
@@ -41,6 +43,7 @@
     in_time_seconds: float
     remaining_seconds: float
     is_group_share: bool = True
+    tenant: str = ""
 
 
 @value
--- a/wingquay/ports/forwarding.py
+++ b/wingquay/ports/forwarding.py
@@ -37,6 +37,11 @@
         Time that the caller spends on the network for it, here and back.
     caller
         The address that it came from, for the log; empty where unknown.
+    key
+        The secret that the caller showed; empty: none. It goes to no other process and no log.
+    bare_request
+        The request without that secret and without what its caller says of its tenant; ``None``: it
+        held neither.
     """
 
     exchange_id: int
@@ -47,6 +52,8 @@
     deadline_seconds: float | None = None
     transit_seconds: float = 0.0
     caller: str = ""
+    key: str = ""
+    bare_request: OpaqueRequest | None = None
 
 
 @value
@@ -113,6 +120,8 @@
         Time left, which the replica is told.
     fresh_connection
         Do not use a kept connection.
+    tenant
+        The name of the tenant that calls, which the replica is told; empty: none is.
     """
 
     attempt_id: int
@@ -121,6 +130,7 @@
     request: OpaqueRequest
     remaining_seconds: float
     fresh_connection: bool = False
+    tenant: str = ""
 
 
 @value
@@ -226,6 +236,10 @@
 
     NO_ROUTE = "no_route"
     """No route of the configuration in force fits."""
+    UNKNOWN_CALLER = "unknown_caller"
+    """The route needs a key, and no tenant of the configuration in force holds the one shown."""
+    OVER_LIMIT = "over_limit"
+    """Its tenant has had its requests; it has run nowhere and never will."""
     NOT_RUN = "not_run"
     """It has run nowhere and never will."""
     FAILED = "failed"
