Split what is asked of other nodes into modules with one job each

Change: delegation_asking.py, delegation_reports.py and stepping_in.py, joined by delegation.py. No decision changed. The modules are loaded with the link (LINK_MODULES).

--- a/wingquay/adapters/gradual_import.py
+++ b/wingquay/adapters/gradual_import.py
@@ -62,6 +62,9 @@
     "wingquay.forwarding.peers.relays",
     "wingquay.forwarding.peers.connections_ahead",
     "wingquay.forwarding.peers.delegated_work",
+    "wingquay.forwarding.peers.delegation_asking",
+    "wingquay.forwarding.peers.delegation_reports",
+    "wingquay.forwarding.peers.stepping_in",
     "wingquay.forwarding.peers.delegation",
     "wingquay.forwarding.peers.peer_work",
 )
--- /dev/null
+++ b/wingquay/forwarding/peers/delegation_asking.py
@@ -0,0 +1,119 @@
+"""Divides the calls of a request among this node and others, and asks those for their shares."""
+
+from collections.abc import Mapping
+
+from ...ports.delegation import DelegatedRequest
+from ...ports.machine import Action, Count, Schedule
+from ...ports.peer_link import NodeIdentity, SendToPeer
+from ..choice.replica_directory import ReplicaDirectory
+from ..exchange import Exchange, ServiceCall
+from ..knowledge.node_groups import NodeGroups
+from ..settings import ForwardingSettings
+from ..timers import DelegationDue
+from .open_delegations import OpenDelegations
+from .relays import Relays
+from .request_rate import RequestRate
+from .shard_placement import ShardPlacement
+from .takeover_time import TakeoverTime
+
+
+class DelegationAsking:
+    """Asks other nodes for shards.
+
+    Parameters
+    ----------
+    open_delegations
+        Keeps what was asked for.
+    takeover
+        Tells when a node that has said nothing counts as lost.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        groups: NodeGroups,
+        directory: ReplicaDirectory,
+        open_delegations: OpenDelegations,
+        takeover: TakeoverTime,
+    ) -> None:
+        self._settings = settings
+        self._open = open_delegations
+        self._takeover = takeover
+        self._relays = Relays(settings, groups, directory, open_delegations.count_at)
+        self._rate = RequestRate()
+        self.placement = ShardPlacement(settings, groups, directory, self._rate)
+        """Which node owns which shard."""
+
+    def is_wide(self, shards: tuple[str, ...]) -> bool:
+        """Whether a route has so many shards that their owners are asked."""
+        return len(shards) >= self._settings.delegate_least_shards
+
+    def count(self, shards: tuple[str, ...], now: float) -> None:
+        """Take in a request: the rate of wide ones decides how many nodes own a shard."""
+        if self.is_wide(shards):
+            self._rate.count(now)
+
+    def divide(
+        self, exchange: Exchange, calls: list[ServiceCall], now: float
+    ) -> tuple[list[ServiceCall], list[Action]]:
+        """Ask other nodes for calls; return those that are left to this one, too."""
+        shards = exchange.route.shards
+        is_wide = self.is_wide(shards)
+        owners: Mapping[str, NodeIdentity | None]
+        if is_wide:
+            owners = self.placement.owners(shards, now)
+        else:
+            owners = self._relays.owners(shards, now)
+        shares: dict[str, list[ServiceCall]] = {}
+        nodes: dict[str, NodeIdentity] = {}
+        own: list[ServiceCall] = []
+        for call in calls:
+            owner = owners.get(call.service)
+            if owner is None:
+                own.append(call)
+                continue
+            nodes[owner.node_id] = owner
+            shares.setdefault(owner.node_id, []).append(call)
+        actions: list[Action] = []
+        for node_id, share in shares.items():
+            actions += self._delegate(exchange, nodes[node_id], share, is_wide, now)
+        for call in own:
+            call.is_owned = is_wide and call.service in owners
+        return own, actions
+
+    def _delegate(
+        self,
+        exchange: Exchange,
+        node: NodeIdentity,
+        calls: list[ServiceCall],
+        is_group_share: bool,
+        now: float,
+    ) -> list[Action]:
+        settings = self._settings
+        route = exchange.route
+        delegation = self._open.add(node, exchange, calls, now)
+        for call in calls:
+            call.is_begun = True
+            call.delegated_attempts = 1
+            call.arrivals += 1
+            call.history.append(f"asked through {node.node_id}")
+        in_time_seconds = exchange.in_time_at - now - settings.delegate_return_seconds
+        message = DelegatedRequest(
+            delegation_id=delegation.delegation_id,
+            request_id=exchange.event.request_id,
+            request=exchange.event.request,
+            route_name=route.name,
+            shards=tuple(call.service for call in calls),
+            merged_records=route.merged_records,
+            priority=route.priority,
+            objective_seconds=route.objective_seconds,
+            in_time_seconds=max(in_time_seconds, 0.0),
+            remaining_seconds=max(exchange.ends_at - now, 0.001),
+            is_group_share=is_group_share,
+        )
+        due_at = now + self._takeover.seconds(exchange.route)
+        return [
+            SendToPeer(node, message),
+            Count("delegated_requests_total", labels=(("side", "sent"),)),
+            Schedule(due_at, DelegationDue(delegation.delegation_id)),
+        ]
--- /dev/null
+++ b/wingquay/forwarding/peers/stepping_in.py
@@ -0,0 +1,117 @@
+"""Steps in for nodes that were asked for shards and do not bring them."""
+
+from ...ports.machine import Action, Count, Log, LogLevel
+from ..choice.replica_directory import ReplicaDirectory
+from ..exchange import ServiceCall
+from ..knowledge.node_groups import NodeGroups
+from ..sending.call_starter import CallStarter
+from ..settling.settlement import Settlement
+from .delegation_asking import DelegationAsking
+from .open_delegations import Delegation, OpenDelegations
+from .takeover_time import TakeoverTime
+
+
+class SteppingIn:
+    """Asks for the shards of lost nodes, and passes those nodes over for a while.
+
+    Parameters
+    ----------
+    asking
+        Asks further nodes while a request is young.
+    """
+
+    def __init__(
+        self,
+        groups: NodeGroups,
+        directory: ReplicaDirectory,
+        starter: CallStarter,
+        settlement: Settlement,
+        open_delegations: OpenDelegations,
+        asking: DelegationAsking,
+        takeover: TakeoverTime,
+    ) -> None:
+        self._groups = groups
+        self._directory = directory
+        self._starter = starter
+        self._settlement = settlement
+        self._open = open_delegations
+        self._asking = asking
+        self._takeover = takeover
+
+    def not_taken(self, delegation: Delegation, reason: str, now: float) -> list[Action]:
+        """Ask the shards of a node that has rejected the request."""
+        self._take_back(delegation)
+        return self._step_in(delegation, delegation.open_calls, reason, now)
+
+    def not_reached(self, delegation: Delegation, reason: str, now: float) -> list[Action]:
+        """Ask for the shards of a node that cannot be reached, through others while it is early.
+
+        Most dials that fail do so within the first milliseconds of a request: nothing listens on a
+        machine that is starting.
+        """
+        self._take_back(delegation)
+        calls = delegation.open_calls
+        exchange = delegation.exchange
+        if now >= exchange.arrived_at + self._takeover.seconds(exchange.route):
+            return self._step_in(delegation, calls, reason, now)
+        lost = self._pass_over(delegation, calls, reason, is_absent=True, now=now)
+        own, divided = self._asking.divide(exchange, calls, now)
+        return [*lost, *divided, *self._starter.start_all(own, now)]
+
+    def lost(self, delegation: Delegation, reason: str, now: float) -> list[Action]:
+        """Ask for the shards of a node that is silent or whose connection broke."""
+        calls = [call for call in delegation.open_calls if not call.attempts]
+        for call in calls:
+            call.is_delegate_lost = True
+            if self._can_ask_again(call):
+                call.delegated_attempts = 0
+        return self._step_in(delegation, calls, reason, now)
+
+    def _take_back(self, delegation: Delegation) -> None:
+        """Forget a delegation for which nobody was asked."""
+        for call in delegation.open_calls:
+            call.delegated_attempts = 0
+            call.arrivals -= 1
+        self._open.forget(delegation)
+
+    def _can_ask_again(self, call: ServiceCall) -> bool:
+        """Whether no replica is left that would be one too many, whomever the lost node asked."""
+        known = self._directory.replicas_of(call.service)
+        return known <= call.exchange.route.max_attempts
+
+    def _step_in(
+        self, delegation: Delegation, calls: list[ServiceCall], reason: str, now: float
+    ) -> list[Action]:
+        """Ask the shards of a node directly and pass the node over for a while.
+
+        What the node still brings is taken, unless it has rejected the request.
+        """
+        exchange = delegation.exchange
+        exchange.failures += len(calls)
+        lost = self._pass_over(delegation, calls, reason, is_absent=False, now=now)
+        startable = [call for call in calls if call.attempts_left > 0]
+        started = self._starter.start_all(startable, now)
+        return [*lost, *started, *self._settlement.settle(exchange, now)]
+
+    def _pass_over(
+        self,
+        delegation: Delegation,
+        calls: list[ServiceCall],
+        reason: str,
+        is_absent: bool,
+        now: float,
+    ) -> list[Action]:
+        """Pass a node over for a while."""
+        delegation.is_lost = True
+        node_id = delegation.node.node_id
+        self._groups.suspect(node_id, now, is_absent)
+        fields = (
+            ("request_id", delegation.exchange.event.request_id),
+            ("node_asked", node_id),
+            ("shards", len(calls)),
+            ("reason", reason),
+        )
+        return [
+            Log("delegation_lost", LogLevel.INFO, fields),
+            Count("delegations_lost_total"),
+        ]
--- a/wingquay/forwarding/sending/call_starter.py
+++ b/wingquay/forwarding/sending/call_starter.py
@@ -1,5 +1,7 @@
 """Sends calls to replicas, or lets them stand in line until one can be asked."""
 
+from collections.abc import Iterable
+
 from ...ports.machine import Action, Schedule
 from ..exchange import ServiceCall
 from ..settings import ForwardingSettings
@@ -29,6 +31,14 @@
             return actions
         return self._wait(call, now)
 
+    def begin_all(self, calls: Iterable[ServiceCall], now: float) -> list[Action]:
+        """Start calls for the first time."""
+        return [action for call in calls for action in self.begin(call, now)]
+
+    def start_all(self, calls: Iterable[ServiceCall], now: float) -> list[Action]:
+        """Send calls, or let them wait for replicas."""
+        return [action for call in calls for action in self.start(call, now)]
+
     def _may_ask_blocked(self, call: ServiceCall, now: float) -> bool:
         """Whether replicas that just failed are better than none.
 
