Use only entries of replicas that say all that a node goes by

Cause: an entry with an unknown state counted as ready, one without a capacity as one with a slot, and names, signs and underscores passed as addresses and ports; an entry that could no longer be read left the replica that it had named in use. Ruled out: keeping the last readable entry while the key is there, since a replica that left would get work for ever; repairing single fields. The test of ids wrote an entry of two fields, which names no replica any more; it writes all now.

--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -134,7 +134,8 @@
             self.assertIsInstance(parse_replica("i-1", value), Failure, value)
 
     def test_an_id_that_no_header_can_hold_is_a_failure(self) -> None:
-        entry = orjson.dumps({"service": "x", "address": "10.1.2.3:80"})
+        fields = {"service": "x", "address": "10.1.2.3:80", "zone": "z", "capacity": 2}
+        entry = orjson.dumps({**fields, "state": "ready", "warmupLeftMs": 0})
         self.assertEqual("i-1", parse_replica("i-1", entry).replica_id)
         for replica_id in ("", "i 1", "i-1\r\nHost: other", "i-\u00e9"):
             failure = parse_replica(replica_id, entry)
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -382,7 +382,12 @@
         record = self._formats.parse_replica(replica_id, item.value)
         if isinstance(record, Failure):
             fields = (("key", item.key), ("reason", record.reason))
-            return [Log("replica_record_unreadable", LogLevel.WARNING, fields)]
+            # It may have been readable before: that replica counts as one whose record is gone.
+            self._directory.vanish(replica_id, now)
+            return [
+                Log("replica_record_unreadable", LogLevel.WARNING, fields),
+                Count("replica_records_unreadable_total"),
+            ]
         if self._directory.holds(record):
             self._rewritten.add(item.key)
         self._directory.put(record, now)
--- a/wingquay/platform/names.py
+++ b/wingquay/platform/names.py
@@ -27,6 +27,7 @@
 CLUSTER_KEY = "wingquay/cluster-key"
 HELD_PREFIX = "wingquay/held/"
 
+READY = "ready"
 DRAINING = "draining"
 REPEATABLE = "idempotent"
 
