Tell the lives of a replica apart: what was believed of one ends with it

Cause: a crash meant a new id, so all that a node believes of a replica stood under its id. One that starts again under its id was taken for out of reach, slow or cold as the life before; its second end under a request counted as the first one told twice; work at the life before waited for the deadline; an older entry that came after a newer one brought the life before back. Ruled out: ordering lives by when they were born, since a machine's clock steps back; sending the birth as a field of its own between nodes, since they only compare names of lives. Change: a life has a name (id and birth) and a state of its own. The store's revision orders what is heard of a replica by whatever way; work under way at a life that is over is given up at once and asked for elsewhere where it may run twice; an attempt that its replica's next life overtook saw an end, unless the replica was leaving.

--- a/tests/forwarding/crashing/test_suspects.py
+++ b/tests/forwarding/crashing/test_suspects.py
@@ -30,7 +30,7 @@
 
 class SeparateEndsTest(TestCase):
     def check(self, expected: list[str], *ends: ReplicaEnd) -> None:
-        self.assertEqual(expected, [item.replica_id for item in separate_ends(ends)])
+        self.assertEqual(expected, [item.life for item in separate_ends(ends)])
 
     def test_ends_that_overlap_count_once(self) -> None:
         self.check(["a"], end("a", 0.0), end("b", 0.01), end("c", 0.04, took=0.4))
--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -238,7 +238,7 @@
     def end_replica(self, send: SendToReplica) -> None:
         """Let a replica end under a request: its connection ends, and the next one is refused."""
         for record in self.lose(send):
-            self.emit(ConnectionTried(record.replica_id, "refused", is_refused=True))
+            self.emit(ConnectionTried(record.life, "refused", is_refused=True))
 
     def learn_formats_of(self, other: "OneNode") -> None:
         """Understand the stored values that another node understands."""
--- a/tests/forwarding/test_unreadable_entries.py
+++ b/tests/forwarding/test_unreadable_entries.py
@@ -74,5 +74,5 @@
         values = tuple(
             StoredValue(REPLICA_PREFIX + name, content, 1) for name, content in found.items()
         )
-        node.start(table(1, single_route()), replica("good one", "s"), values=values)
-        self.assertEqual({"good one"}, asked(node, 3))
+        node.start(table(1, single_route()), replica("good", "s"), values=values)
+        self.assertEqual({"good"}, asked(node, 3))
--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -210,9 +210,11 @@
 _original_set_table = ForwardingMachine.set_table
 
 
-def _put_without_drain(directory: ReplicaDirectory, record: object, now: float) -> None:
+def _put_without_drain(
+    directory: ReplicaDirectory, record: object, now: float, revision: int
+) -> None:
     if not record.is_draining:  # type: ignore[attr-defined]
-        _original_put(directory, record, now)  # type: ignore[arg-type]
+        _original_put(directory, record, now, revision)  # type: ignore[arg-type]
 
 
 def _set_first_table_only(machine: ForwardingMachine, table: object) -> None:
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -186,7 +186,7 @@
     target.is_cleared = message.is_cleared
     for end in message.ends:
         target.ends.add(
-            replica_id=end.replica_id,
+            replica_id=end.life,
             node_id=end.node_id,
             sent_seconds=end.sent_seconds,
             ended_seconds=end.ended_seconds,
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -187,11 +187,11 @@
         record = action.replica
         connection = await self._new_connection((record.host, record.port), begun_at)
         if isinstance(connection, _NoConnection):
-            tried = ConnectionTried(record.replica_id, connection.reason, connection.is_refused)
+            tried = ConnectionTried(record.life, connection.reason, connection.is_refused)
             self._emit(tried)
             return
         self._freed(connection)
-        self._emit(ConnectionTried(record.replica_id))
+        self._emit(ConnectionTried(record.life))
 
     async def _new_connection(
         self, address: Address, begun_at: float
--- a/wingquay/forwarding/choice/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -44,55 +44,99 @@
         """Return the state of a replica."""
         return self._states.get(replica_id)
 
+    def of_life(self, life: str) -> ReplicaState | None:
+        """Return the state of a life of a replica; ``None``: it is not known, or over."""
+        state = self._states.get(life.partition(" ")[0])
+        return state if state is not None and state.life == life else None
+
     def holds(self, record: ReplicaRecord) -> bool:
         """Whether just this is known of a replica, and its record is there."""
         state = self._states.get(record.replica_id)
         return state is not None and state.vanished_at is None and state.record == record
 
-    def put(self, record: ReplicaRecord, now: float) -> None:
-        """Take in a record, new or changed."""
+    def put(self, record: ReplicaRecord, now: float, revision: int = 0) -> ReplicaState | None:
+        """Take in a record, new or changed; return the life that is over by it.
+
+        The store orders the records of a replica: one that is older than what is known is passed
+        over, and a later one holds whenever it says that its life began.
+
+        Parameters
+        ----------
+        revision
+            The store's revision of the record.
+        """
         state = self._states.get(record.replica_id)
         if state is None:
-            state = ReplicaState(record, now)
-            self._states[record.replica_id] = state
+            self._begin(record, now, revision)
+            return None
+        if revision < state.revision:
+            return None
+        if state.life != record.life:
+            self.remove(record.replica_id)
+            state.is_over = True
+            self._begin(record, now, revision)
+            return state
+        if state.record.service != record.service:
+            self._take_out(state)
             self._by_service.setdefault(record.service, {})[record.replica_id] = state
-            return
         if state.record.cold_seconds != record.cold_seconds:
             state.recorded_at = now
         state.record = record
+        state.revision = revision
         state.vanished_at = None
+        return None
 
-    def vanish(self, replica_id: str, now: float) -> None:
-        """Take in that a record is gone."""
+    def _begin(self, record: ReplicaRecord, now: float, revision: int) -> None:
+        state = ReplicaState(record, now, revision)
+        self._states[record.replica_id] = state
+        self._by_service.setdefault(record.service, {})[record.replica_id] = state
+
+    def vanish(self, replica_id: str, now: float, revision: int | None = None) -> None:
+        """Take in that a record is gone.
+
+        Parameters
+        ----------
+        revision
+            The store's revision by which it was; ``None``: it is gone now.
+        """
         state = self._states.get(replica_id)
-        if state is not None and state.vanished_at is None:
+        if state is None or (revision is not None and revision < state.revision):
+            return
+        state.revision = state.revision if revision is None else revision
+        if state.vanished_at is None:
             state.vanished_at = now
 
-    def keep_only(self, replica_ids: Container[str], now: float) -> None:
+    def keep_only(
+        self, replica_ids: Container[str], now: float, revision: int | None = None
+    ) -> None:
         """Take in a whole listing: what is not in it has vanished."""
         if self._listed_at is None:
             self._listed_at = now
         for replica_id in self._states:
             if replica_id not in replica_ids:
-                self.vanish(replica_id, now)
+                self.vanish(replica_id, now, revision)
 
     def remove(self, replica_id: str) -> None:
         """Forget a replica that certainly is gone."""
         state = self._states.pop(replica_id, None)
         if state is not None:
-            service = state.record.service
-            del self._by_service[service][replica_id]
-            if not self._by_service[service]:
-                del self._by_service[service]
+            self._take_out(state)
+
+    def _take_out(self, state: ReplicaState) -> None:
+        service = state.record.service
+        del self._by_service[service][state.record.replica_id]
+        if not self._by_service[service]:
+            del self._by_service[service]
 
     def evacuate(self, zones: frozenset[str]) -> None:
         """Take in the zones whose replicas must get nothing, until they are taken back."""
         self._evacuated = zones
 
-    def contradict(self, replica_id: str, now: float) -> None:
+    def contradict(self, state: ReplicaState, now: float) -> None:
         """Take in that another replica answers at a replica's address: its record is old."""
         self._contradicted_at = now
-        self.remove(replica_id)
+        if self._states.get(state.record.replica_id) is state:
+            self.remove(state.record.replica_id)
 
     def is_contradicted(self, now: float) -> bool:
         """Whether a replica has just shown that records are old."""
@@ -114,9 +158,9 @@
         return bool(self._candidates(service, now))
 
     def has_other(self, service: str, excluded: Container[str], now: float) -> bool:
-        """Whether the service has a replica that may get work and is not among ``excluded`` ids."""
+        """Whether the service has a replica that may get work; ``excluded`` are lives."""
         candidates = self._candidates(service, now)
-        return any(state.record.replica_id not in excluded for state in candidates)
+        return any(state.life not in excluded for state in candidates)
 
     def has_present(self, service: str) -> bool:
         """Whether a record of a replica of the service is there."""
@@ -173,7 +217,7 @@
         Parameters
         ----------
         excluded
-            Ids of replicas that must not be returned.
+            Lives of replicas that must not be returned.
         limit
             Attempts under way at which a replica gets no more.
         with_blocked
@@ -186,7 +230,7 @@
         free = [
             state
             for state in self._candidates(service, now)
-            if state.record.replica_id not in excluded and len(state.in_flight) < limit
+            if state.life not in excluded and len(state.in_flight) < limit
         ]
         unblocked = [state for state in free if not state.is_blocked(self._settings, now)]
         if unblocked:
--- a/wingquay/forwarding/choice/replica_state.py
+++ b/wingquay/forwarding/choice/replica_state.py
@@ -1,4 +1,4 @@
-"""What this node has seen of one replica: attempts under way, slowness, load, failures."""
+"""What this node has seen of a life of a replica: attempts under way, slowness, load, failures."""
 
 import math
 from dataclasses import dataclass, field
@@ -48,16 +48,22 @@
 
 @dataclass(slots=True)
 class ReplicaState:
-    """One replica as the directory and this node's own attempts show it.
+    """One life of a replica as the directory and this node's own attempts show it.
+
+    A replica that starts again has another state: what was seen of the life before says nothing of
+    the new one.
 
     Parameters
     ----------
+    revision
+        The store's revision up to which its entry is known.
     vanished_at
         When its record disappeared from the directory; ``None`` while it is there.
     """
 
     record: ReplicaRecord
     recorded_at: float
+    revision: int = 0
     vanished_at: float | None = None
     in_flight: dict[int, tuple[float, float]] = field(default_factory=dict)
     """When each attempt under way was sent and when it becomes overdue, by attempt."""
@@ -68,6 +74,10 @@
     """Whether no connection to it came up the last time: it gets work once one does."""
     is_reach_due: bool = False
     """Whether a connection to it will be tried by itself."""
+    is_over: bool = False
+    """Whether its replica is known to have started again."""
+    life: str = field(init=False)
+    """The name of this life."""
     _sent_cold: list[float] = field(default_factory=list)
     """When requests were sent lately while it was cold."""
     _proved_at: float = float("-inf")
@@ -82,6 +92,10 @@
     _load: ReportedLoad | None = None
     _load_at: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Name the life once: choices compare the names of all replicas of a service."""
+        self.life = self.record.life
+
     def is_blocked(self, settings: ForwardingSettings, now: float) -> bool:
         """Whether the replica gets work only when no other can.
 
--- a/wingquay/forwarding/crashing/end_watch.py
+++ b/wingquay/forwarding/crashing/end_watch.py
@@ -1,13 +1,15 @@
 """Finds out whether a replica has ended, or only a connection to it has.
 
 A connection that ends without an answer says little: it may have been reset on its way, or the
-answer lost. The replica has ended if the next connection is refused.
+answer lost. The replica has ended if the next connection is refused, or if it is known to have
+started again.
 """
 
 from dataclasses import dataclass
 
 from ...ports.forwarding import ConnectionTried, OpenConnection
 from ...ports.machine import Action
+from ..choice.replica_state import ReplicaState
 from ..exchange import Attempt, Exchange
 from .evidence import ReplicaEnd
 
@@ -22,6 +24,7 @@
     """An attempt whose connection ended without an answer."""
 
     exchange: Exchange
+    replica: ReplicaState
     end: ReplicaEnd
 
 
@@ -37,29 +40,36 @@
     def __init__(self, node_id: str) -> None:
         self._node_id = node_id
         self._lost: dict[str, list[LostAttempt]] = {}
-        """Attempts by the id of the replica that is being looked into."""
+        """Attempts by the life of the replica that is being looked into."""
 
     def lost(self, attempt: Attempt, now: float) -> list[Action]:
         """Look into the end of a connection; an end that was expected is passed over."""
         exchange = attempt.call.exchange
-        record = attempt.replica.record
-        is_leaving = record.is_draining or attempt.replica.vanished_at is not None
-        if is_leaving or exchange.open_looks >= MOST_PER_EXCHANGE:
+        lost = self.known(attempt, now)
+        if lost is None or exchange.open_looks >= MOST_PER_EXCHANGE:
             return []
-        known = self._lost.get(record.replica_id)
+        life = attempt.replica.life
+        known = self._lost.get(life)
         if known is None and len(self._lost) >= MOST_REPLICAS:
             return []
-        end = ReplicaEnd(record.replica_id, self._node_id, attempt.sent_at, now)
         exchange.open_looks += 1
         if known is not None:
-            known.append(LostAttempt(exchange, end))
+            known.append(lost)
             return []
-        self._lost[record.replica_id] = [LostAttempt(exchange, end)]
-        return [OpenConnection(record)]
+        self._lost[life] = [lost]
+        return [OpenConnection(attempt.replica.record)]
+
+    def known(self, attempt: Attempt, now: float) -> LostAttempt | None:
+        """Return the end that an attempt saw if its replica has ended; ``None``: it was leaving."""
+        replica = attempt.replica
+        if replica.record.is_draining or replica.vanished_at is not None:
+            return None
+        end = ReplicaEnd(replica.life, self._node_id, attempt.sent_at, now)
+        return LostAttempt(attempt.call.exchange, replica, end)
 
     def tried(self, event: ConnectionTried) -> list[LostAttempt]:
         """Return the attempts whose replica has been looked into."""
-        found = self._lost.pop(event.replica_id, [])
+        found = self._lost.pop(event.life, [])
         for lost in found:
             lost.exchange.open_looks -= 1
         return found
--- a/wingquay/forwarding/crashing/evidence.py
+++ b/wingquay/forwarding/crashing/evidence.py
@@ -11,17 +11,19 @@
 
 @value
 class ReplicaEnd:
-    """One start of a replica that ended while it had a request.
+    """One life of a replica that ended while it had a request.
 
     Parameters
     ----------
+    life
+        Its name: further lives of the same replica end by themselves.
     node_id
         The node that had sent the request there.
     sent_at, ended_at
         When it was sent and when its connection ended, on this node's clock.
     """
 
-    replica_id: str
+    life: str
     node_id: str
     sent_at: float
     ended_at: float
--- a/wingquay/forwarding/crashing/guard.py
+++ b/wingquay/forwarding/crashing/guard.py
@@ -90,6 +90,10 @@
         if exchange.origin is not None:
             # The node that asked looks into it: it knows of all parts of the request.
             return []
+        if attempt.replica.is_over:
+            exchange.unexplained_ends -= 1
+            known = self._ends.known(attempt, now)
+            return [] if known is None else self._ended(known, now)
         return self._ends.lost(attempt, now)
 
     def connection_tried(
@@ -102,7 +106,7 @@
         actions: list[Action] = []
         found = self._ends.tried(event)
         for lost in found:
-            if event.is_refused:
+            if event.is_refused or lost.replica.is_over:
                 actions += self._ended(lost, now)
             elif event.is_open:
                 lost.exchange.unexplained_ends -= 1
@@ -117,7 +121,7 @@
             return []
         fields = (
             *_fields(exchange),
-            ("replica", lost.end.replica_id),
+            ("replica", lost.end.life),
             ("ends", self._ends_known(exchange.identity)),
         )
         actions: list[Action] = [
@@ -249,13 +253,13 @@
 
 
 def _told(end: ReplicaEnd, now: float) -> ToldEnd:
-    return ToldEnd(end.replica_id, end.node_id, now - end.sent_at, now - end.ended_at)
+    return ToldEnd(end.life, end.node_id, now - end.sent_at, now - end.ended_at)
 
 
 def _ends_of(news: CrashNews, told_at: float) -> list[ReplicaEnd]:
     return [
         ReplicaEnd(
-            end.replica_id,
+            end.life,
             end.node_id,
             told_at - end.sent_seconds,
             told_at - end.ended_seconds,
--- a/wingquay/forwarding/crashing/suspects.py
+++ b/wingquay/forwarding/crashing/suspects.py
@@ -48,7 +48,7 @@
     """
 
     ends: dict[str, ReplicaEnd] = field(default_factory=dict)
-    """Ends that came one after the other, by the id of the replica's start: what two nodes tell of
+    """Ends that came one after the other, by the life of the replica: what two nodes tell of
     one counts once."""
     held_until: float = float("-inf")
     holds: int = 0
@@ -96,13 +96,13 @@
         cleared_at = self._cleared.get(identity, float("-inf"))
         known = self._by_identity.get(identity)
         present = {} if known is None else known.ends
-        fresh = [end for end in ends if end.ended_at > cleared_at and end.replica_id not in present]
+        fresh = [end for end in ends if end.ended_at > cleared_at and end.life not in present]
         separate = separate_ends([*present.values(), *fresh])[:MOST_ENDS]
         is_tried_again = known is not None and known.is_ended_again(fresh, now)
         if len(separate) <= len(present) and not is_tried_again:
             return False
         suspect = self._touched(identity, now)
-        suspect.ends = {end.replica_id: end for end in separate}
+        suspect.ends = {end.life: end for end in separate}
         if now >= suspect.held_until and (is_tried_again or len(separate) >= HOLD_ENDS):
             self._hold(suspect, MOST_HOLD_SECONDS if suspect.holds else HOLD_SECONDS, now)
         return True
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -59,9 +59,9 @@
     attempts: dict[int, Attempt] = field(default_factory=dict)
     """Attempts under way, by id."""
     asked: set[str] = field(default_factory=set)
-    """Replicas that the request was sent to and that may have run it."""
+    """Lives of replicas that the request was sent to and that may have run it."""
     refused: set[str] = field(default_factory=set)
-    """Replicas that could not be reached or did not run it, since the last pause."""
+    """Lives that could not be reached or did not run it, since the last pause."""
     arrivals: int = 0
     """Sendings that may have arrived."""
     answer: ReplicaAnswer | None = None
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -16,6 +16,7 @@
 from ..ports.peer_link import PeerLinkBroken, PeerReceived
 from .arrival.request_identity import identity_of
 from .choice.replica_directory import ReplicaDirectory
+from .choice.replica_state import ReplicaState
 from .choice.weighted_choice import WeightedChoice
 from .crashing.careful_sending import CarefulSending
 from .crashing.guard import CrashGuard
@@ -308,6 +309,10 @@
             case ConnectionTried():
                 return self._outcomes.connection_tried(event, now)
 
+    def life_over(self, replica: ReplicaState, now: float) -> list[Action]:
+        """Give up the work at a replica that has started again, and ask for it elsewhere."""
+        return self._outcomes.life_over(replica, now)
+
     def _abandon_due(self, event: AbandonDue, now: float) -> list[Action]:
         attempt = self._sender.get(event.attempt_id)
         if attempt is None:
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -3,6 +3,7 @@
 import random
 
 from ..model.failure import Failure
+from ..model.replica_record import ReplicaRecord
 from ..model.routing_table import CallerLimits, RoutingTable
 from ..model.value import value
 from ..ports.forwarding import OpaqueRequest, SetForwarding
@@ -31,6 +32,7 @@
 from ..ports.store_news import StoreNews
 from .choice.evacuations import Evacuations
 from .choice.replica_directory import ReplicaDirectory
+from .choice.replica_state import ReplicaState
 from .crashing.held_keys import HeldKeys
 from .crashing.suspects import Verdict
 from .forwarding_machine import ForwardingMachine
@@ -251,7 +253,7 @@
     def _on_listing(self, values: tuple[StoredValue, ...], now: float) -> list[Action]:
         prefix = self._formats.replica_prefix
         ids = {item.key.removeprefix(prefix) for item in values if item.key.startswith(prefix)}
-        self._directory.keep_only(ids, now)
+        self._directory.keep_only(ids, now, self._follower.seen_revision)
         self._members.keep_only({item.key for item in values if self._is_node_key(item.key)})
         keys = {item.key for item in values}
         gone = (*self._evacuations.missing_from(keys), *self._held_keys.missing_from(keys))
@@ -292,7 +294,7 @@
         if self._held_keys.is_mine(key):
             return self._held_keys.remove(key, now)
         if key.startswith(prefix):
-            self._directory.vanish(key.removeprefix(prefix), now)
+            self._directory.vanish(key.removeprefix(prefix), now, self._follower.seen_revision)
         else:
             self._members.remove(key)
         return []
@@ -383,15 +385,29 @@
         if isinstance(record, Failure):
             fields = (("key", item.key), ("reason", record.reason))
             # It may have been readable before: that replica counts as one whose record is gone.
-            self._directory.vanish(replica_id, now)
+            self._directory.vanish(replica_id, now, item.modified_at)
             return [
                 Log("replica_record_unreadable", LogLevel.WARNING, fields),
                 Count("replica_records_unreadable_total"),
             ]
         if self._directory.holds(record):
             self._rewritten.add(item.key)
-        self._directory.put(record, now)
-        return []
+        over = self._directory.put(record, now, item.modified_at)
+        return [] if over is None else self._life_over(over, record, now)
+
+    def _life_over(self, over: ReplicaState, record: ReplicaRecord, now: float) -> list[Action]:
+        """Take in that a replica has started again."""
+        fields: tuple[tuple[str, str | int | float], ...] = (
+            ("replica", record.replica_id),
+            ("service", record.service),
+            ("born", -1 if record.born is None else record.born),
+            ("open_attempts", len(over.in_flight)),
+        )
+        return [
+            Log("replica_born_again", LogLevel.INFO, fields),
+            Count("replicas_born_again_total"),
+            *self._forwarding.life_over(over, now),
+        ]
 
     # Ready and stop
 
--- a/wingquay/forwarding/knowledge/store_follower.py
+++ b/wingquay/forwarding/knowledge/store_follower.py
@@ -193,6 +193,11 @@
             return []
         return [StopWatch(self._watch_id), *self._watch(now, 0.0)]
 
+    @property
+    def seen_revision(self) -> int | None:
+        """The store's revision up to which everything is known."""
+        return self._seen_revision
+
     @property
     def usual_gather_seconds(self) -> float:
         """The time between two looks when nothing is missing."""
--- a/wingquay/forwarding/peers/connections_ahead.py
+++ b/wingquay/forwarding/peers/connections_ahead.py
@@ -44,7 +44,7 @@
         self._named: set[str] = set()
         """Services that a configuration has named so far: the old shards among them are leaving."""
         self._opened: set[str] = set()
-        """Replicas to which a connection was opened ahead, by id."""
+        """Lives of replicas to which a connection was opened ahead."""
 
     def due(self, table: RoutingTable, now: float) -> list[Action]:
         """Return the next few connections to open."""
@@ -57,7 +57,7 @@
             if len(shards) >= self._settings.delegate_least_shards:
                 wanted += self._wanted(shards, now)
         chosen = wanted[:MOST_OPENED]
-        self._opened.update(state.record.replica_id for state in chosen)
+        self._opened.update(state.life for state in chosen)
         return [OpenConnection(state.record) for state in chosen]
 
     def _coming(self) -> tuple[str, ...]:
@@ -73,7 +73,5 @@
             state
             for shard in own
             for state in self._directory.usable(shard, now)
-            if state.record.zone == zone
-            and state.is_untouched
-            and state.record.replica_id not in self._opened
+            if state.record.zone == zone and state.is_untouched and state.life not in self._opened
         ]
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -102,7 +102,7 @@
         attempt_id = next(self._ids)
         attempt = Attempt(attempt_id, call, replica, now, is_hedge)
         call.attempts[attempt_id] = attempt
-        call.asked.add(replica.record.replica_id)
+        call.asked.add(replica.life)
         call.arrivals += 1
         call.is_waiting = False
         if replica.is_cold(now):
@@ -187,11 +187,11 @@
         if replica.is_reach_due:
             return actions
         replica.is_reach_due = True
-        return [*actions, Schedule(replica.blocked_until, ReachDue(replica.record.replica_id))]
+        return [*actions, Schedule(replica.blocked_until, ReachDue(replica.life))]
 
     def reach_due(self, event: ReachDue, now: float) -> list[Action]:
         """Try whether a replica is in reach again, as long as it may get work."""
-        replica = self._directory.get(event.replica_id)
+        replica = self._directory.of_life(event.life)
         if replica is None:
             return []
         is_usable = replica in self._directory.usable(replica.record.service, now)
@@ -203,7 +203,7 @@
 
     def connection_tried(self, event: ConnectionTried, now: float) -> list[Action]:
         """Take in whether a connection that no request needed came up."""
-        replica = self._directory.get(event.replica_id)
+        replica = self._directory.of_life(event.life)
         if replica is None:
             return []
         if not event.is_open:
@@ -232,9 +232,8 @@
 
     def _not_run(self, attempt: Attempt) -> None:
         call = attempt.call
-        replica_id = attempt.replica.record.replica_id
-        call.asked.discard(replica_id)
-        call.refused.add(replica_id)
+        call.asked.discard(attempt.replica.life)
+        call.refused.add(attempt.replica.life)
 
     def _send_action(self, attempt: Attempt, now: float) -> SendToReplica:
         exchange = attempt.call.exchange
@@ -254,14 +253,14 @@
         return min(nodes, OWNERS_RESERVE * self.placement.sharing_nodes(call.service, now))
 
     def _too_cold(self, call: ServiceCall, now: float) -> set[str]:
-        """Return the ids of the cold replicas to which this node may send nothing more now."""
+        """Return the lives of the cold replicas to which this node may send nothing more now."""
         known = call.exchange.table.services.get(call.service)
         per_second = 0.0 if known is None else known.cold_requests_per_second
         if not per_second:
             return set()
         sharing = self._sharing_nodes(call, now)
         return {
-            state.record.replica_id
+            state.life
             for state in self._directory.usable(call.service, now)
             if not self._cold_share.may_send(state, per_second, sharing, now)
         }
--- a/wingquay/forwarding/settling/replica_outcomes.py
+++ b/wingquay/forwarding/settling/replica_outcomes.py
@@ -1,6 +1,7 @@
 """What follows from the answers and failures of replicas."""
 
 from ...ports.forwarding import (
+    CancelSend,
     ConnectionTried,
     ReplicaAnswer,
     ReplicaAnswered,
@@ -9,6 +10,7 @@
 )
 from ...ports.machine import Action
 from ..choice.replica_directory import ReplicaDirectory
+from ..choice.replica_state import ReplicaState
 from ..crashing.careful_sending import CarefulSending
 from ..crashing.guard import CrashGuard
 from ..exchange import Attempt, Exchange, ServiceCall
@@ -53,7 +55,7 @@
         actions: list[Action] = []
         self._sender.finish(attempt)
         if answer.is_other_replica:
-            self._directory.contradict(attempt.replica.record.replica_id, now)
+            self._directory.contradict(attempt.replica, now)
         elif answer.not_run:
             attempt.replica.on_shed(self._settings, now)
         else:
@@ -110,6 +112,30 @@
             self._sender.not_arrived(attempt)
         if event.is_unanswered:
             actions += self._guard.lost(attempt, now)
+        return actions + self._after_failure(attempt, was_sent, now)
+
+    def life_over(self, replica: ReplicaState, now: float) -> list[Action]:
+        """Take in that a replica has started again: nothing more comes from the life before."""
+        actions: list[Action] = []
+        for attempt_id in tuple(replica.in_flight):
+            attempt = self._sender.get(attempt_id)
+            if attempt is not None:
+                actions += self._given_up(attempt, now)
+        return actions + self._starter.serve_waiting(replica.record.service, now)
+
+    def _given_up(self, attempt: Attempt, now: float) -> list[Action]:
+        """End an attempt at a life that is over; the life may have run it."""
+        attempt.call.exchange.failures += 1
+        self._sender.finish(attempt)
+        self._note(attempt, "started again", now)
+        actions: list[Action] = [CancelSend(attempt.attempt_id)]
+        actions += self._guard.lost(attempt, now)
+        return actions + self._after_failure(attempt, was_sent=True, now=now)
+
+    def _after_failure(self, attempt: Attempt, was_sent: bool, now: float) -> list[Action]:
+        """Ask for a call again after an attempt that brought nothing, or settle its request."""
+        call = attempt.call
+        actions: list[Action] = []
         if self._settlement.is_open(call.exchange) and call.answer is None:
             if was_sent and not call.exchange.is_repeatable:
                 actions += self._settlement.settle(call.exchange, now)
@@ -126,7 +152,7 @@
         actions += looked_into
         for exchange in exchanges:
             actions += self._go_on(exchange, now)
-        replica = self._directory.get(event.replica_id)
+        replica = self._directory.of_life(event.life)
         if replica is None or not event.is_open:
             return actions
         return actions + self._starter.serve_waiting(replica.record.service, now)
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -60,9 +60,9 @@
 
 @value
 class ReachDue(Event):
-    """Try whether a connection to a replica that was out of reach comes up."""
+    """Try whether a connection to a life of a replica that was out of reach comes up."""
 
-    replica_id: str
+    life: str
 
 
 @value
--- a/wingquay/ports/crash_news.py
+++ b/wingquay/ports/crash_news.py
@@ -6,17 +6,19 @@
 
 @value
 class ToldEnd:
-    """One start of a replica that ended while it had a request.
+    """One life of a replica that ended while it had a request.
 
     Parameters
     ----------
+    life
+        Its name; other nodes only compare it.
     node_id
         The node that had sent the request there.
     sent_seconds, ended_seconds
         How long ago it was sent and its connection ended, when the message leaves.
     """
 
-    replica_id: str
+    life: str
     node_id: str
     sent_seconds: float
     ended_seconds: float
--- a/wingquay/ports/forwarding.py
+++ b/wingquay/ports/forwarding.py
@@ -153,13 +153,15 @@
 
     Parameters
     ----------
+    life
+        The life of the replica that was meant; another one may have taken the connection.
     reason
         Why it did not; empty if it did.
     is_refused
         Nothing listens at the replica's address any more.
     """
 
-    replica_id: str
+    life: str
     reason: str = ""
     is_refused: bool = False
 
--- a/wingquay/simulation/forwarding/replica.py
+++ b/wingquay/simulation/forwarding/replica.py
@@ -104,15 +104,14 @@
         self._queue.append(work)
         self._start()
 
-    def connect(self, emit: Callable[[Event], None]) -> None:
-        """Take a connection, or let it come to nothing."""
-        replica_id = self.record.replica_id
+    def connect(self, life: str, emit: Callable[[Event], None]) -> None:
+        """Take a connection that is meant for a life of this replica, or let it come to nothing."""
         if self.is_dark:
-            event = ConnectionTried(replica_id, "no answer")
+            event = ConnectionTried(life, "no answer")
             self.clock.after(CONNECT_SECONDS, emit, event)
             return
         is_refused = self.is_dead
-        emit(ConnectionTried(replica_id, "refused" if is_refused else "", is_refused))
+        emit(ConnectionTried(life, "refused" if is_refused else "", is_refused))
 
     def cancel(self, node: int, attempt_id: int) -> None:
         """Drop a request whose connection closed."""
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -314,10 +314,10 @@
         """Try a connection to a replica and tell whether it came up."""
         replica = self._replicas.get(record.host)
         if replica is None or replica.record.replica_id != record.replica_id:
-            emit_later = ConnectionTried(record.replica_id, "refused", True)
+            emit_later = ConnectionTried(record.life, "refused", True)
             self.clock.after(self.settings.network_seconds, emit, emit_later)
             return
-        self.clock.after(self.settings.network_seconds, replica.connect, emit)
+        self.clock.after(self.settings.network_seconds, replica.connect, record.life, emit)
 
     def cancel_at(self, host: str, node: int, attempt_id: int) -> None:
         """Carry the end of a connection to a replica."""
