Do not send to a replica's new life on connections kept to the one before

Cause: kept connections stand by address. Behind a cut no end of them is seen when a replica starts again at its address, and the first requests to the new life would be lost on them. Ruled out: keying kept connections by life, which leaves the old ones open for ever behind a cut. Change: the first use of another life of a replica at an address drops what was kept there.

--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -79,9 +79,16 @@
         self.begin(request_id, body)
         return await self.events.get()
 
-    def begin(self, request_id: str, body: bytes = b"", host: bytes = b"search.example") -> int:
+    def begin(
+        self,
+        request_id: str,
+        body: bytes = b"",
+        host: bytes = b"search.example",
+        replica_id: str = "i-1",
+        born: int | None = None,
+    ) -> int:
         self._attempts += 1
-        record = ReplicaRecord("i-1", "s", LOOPBACK, self.port, "a", 2)
+        record = ReplicaRecord(replica_id, "s", LOOPBACK, self.port, "a", 2, born=born)
         headers = ((b"Host", host), (b"Request-Id", request_id.encode()))
         request = OpaqueRequest(b"POST" if body else b"GET", b"/a/b?c=%20d", headers, body)
         self.client.send(SendToReplica(self._attempts, record, request_id, request, 1.5))
@@ -407,3 +414,41 @@
         for waited_seconds, expected in ((0.0, b"1500"), (0.4, b"1100"), (2.0, b"1")):
             headers = dict(PlatformReplicaDialect().own_headers(action, waited_seconds))
             self.assertEqual(expected, headers[b"Deadline-Ms"])
+
+
+class LivesTest(TestCase):
+    def connections(self, *lives: tuple[str, int | None]) -> int:
+        """Return how many connections a request to each of these lives takes."""
+        counts: list[Count] = []
+
+        async def test() -> None:
+            scripts = [[answer(f"r{number}", b"x")] for number in range(len(lives))]
+            exchange = Exchange(*scripts)
+            await exchange.start()
+            for number, (replica_id, born) in enumerate(lives):
+                exchange.begin(f"r{number}", replica_id=replica_id, born=born)
+                self.assertIsInstance(await exchange.events.get(), ReplicaAnswered)
+            counts.extend(exchange.counts)
+
+        play(test())
+        return sum(item.name == "replica_connections_total" for item in counts)
+
+    def test_a_kept_connection_serves_the_life_to_which_it_was_opened(self) -> None:
+        self.assertEqual(1, self.connections(("i-1", 5), ("i-1", 5), ("i-1", 5)))
+
+    def test_another_life_gets_a_connection_of_its_own(self) -> None:
+        self.assertEqual(2, self.connections(("i-1", 5), ("i-1", 6), ("i-1", 6)))
+        self.assertEqual(2, self.connections(("i-1", None), ("i-1", 6)))
+        self.assertEqual(2, self.connections(("i-1", 6), ("i-1", 5)))
+
+    def test_connections_to_the_life_before_are_closed(self) -> None:
+        async def test() -> None:
+            exchange = Exchange([answer("r1", b"x")], [answer("r2", b"x")])
+            await exchange.start()
+            exchange.begin("r1", born=5)
+            await exchange.events.get()
+            exchange.begin("r2", born=6)
+            await exchange.events.get()
+            await asyncio.wait_for(exchange.replica.ended.wait(), PATIENT_SECONDS)
+
+        play(test())
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from ..model.replica_record import ReplicaRecord
 from ..model.value import value
 from ..ports.forwarding import (
     CancelSend,
@@ -120,6 +121,8 @@
         self._attempts: dict[int, _Attempt] = {}
         self._idle: dict[Address, list[ReplicaConnection]] = {}
         self._open: dict[ReplicaConnection, Address] = {}
+        self._known: dict[Address, ReplicaRecord] = {}
+        """The replica that was last addressed where connections are open."""
         self._opening: dict[asyncio.Task[None], None] = {}
         """Connections that are opened ahead."""
 
@@ -127,7 +130,7 @@
         """Send on an idle connection or on a new one."""
         attempt = _Attempt(action, self._loop.time())
         self._attempts[action.attempt_id] = attempt
-        address = (action.replica.host, action.replica.port)
+        address = self._address_of(action.replica)
         connection = None if action.fresh_connection else self._take_idle(address)
         if connection is not None:
             attempt.is_on_kept = True
@@ -152,6 +155,15 @@
         is_silent = attempt.is_on_kept and not connection.has_begun_answer
         return is_silent and lasted_seconds >= SILENT_SECONDS and connection in self._open
 
+    def _address_of(self, record: ReplicaRecord) -> Address:
+        """Return where a replica listens; connections kept to an earlier life of it are dropped."""
+        address = (record.host, record.port)
+        known = self._known.get(address, record)
+        if known.replica_id == record.replica_id and known.born != record.born:
+            self._drop_idle(address)
+        self._known[address] = record
+        return address
+
     def _drop_idle(self, address: Address) -> None:
         dropped = self._idle.pop(address, [])
         for connection in dropped:
@@ -185,7 +197,7 @@
 
     async def _open_ahead(self, action: OpenConnection, begun_at: float) -> None:
         record = action.replica
-        connection = await self._new_connection((record.host, record.port), begun_at)
+        connection = await self._new_connection(self._address_of(record), begun_at)
         if isinstance(connection, _NoConnection):
             tried = ConnectionTried(record.life, connection.reason, connection.is_refused)
             self._emit(tried)
@@ -282,5 +294,6 @@
         idle = self._idle.get(address)
         if idle is not None and connection in idle:
             idle.remove(connection)
-        if idle is not None and not idle:
-            del self._idle[address]
+        if not idle:
+            self._idle.pop(address, None)
+            self._known.pop(address, None)
