Simulate replicas that start again under their ids

Change: a fault ends some replicas without a word, half the time with no end of their connections seen, and lets them start again at their address with another birth, at times on a clock that was stepped back; another lets all that end under requests keep their ids. Lives that are told apart by id only are caught: a request that ends one replica again and again is then never held back.

--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -14,6 +14,9 @@
 SUSPENDED_SECONDS = (1.0, 3.0, 8.0, 30.0)
 CRASHING_ROUTES = ("sweep", "check", "fetch", "edit")
 """First words of the paths of requests that may end replicas."""
+BORN_AGAIN_SECONDS = (0.3, 4.0)
+CLOCK_STEPS_MS = (0, 0, 2_000, -3_600_000)
+"""How far the clock of a replica's machine is stepped while it is down."""
 RECORDS_BACK_SECONDS = 1.0
 """Time after the store's return in which records that lapsed meanwhile are written again."""
 
@@ -176,6 +179,20 @@
     simulation.suspend_node(number, chance.choice(SUSPENDED_SECONDS))
 
 
+def replicas_born_again(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Let some replicas end without a word and start again under their ids."""
+    is_silent = chance.random() < 0.5
+    for replica in simulation.some_replicas(chance, 0.2):
+        down_seconds = chance.uniform(*BORN_AGAIN_SECONDS)
+        step_ms = chance.choice(CLOCK_STEPS_MS)
+        simulation.crash_and_bear_again(replica, down_seconds, step_ms, is_silent)
+
+
+def crashed_keep_ids(simulation: ForwardingSimulation, _chance: random.Random) -> None:
+    """Let replicas that end from now on start again under their ids."""
+    simulation.keeps_ids = True
+
+
 FAULTS: tuple[SimulatedFault, ...] = (
     replica_slow,
     replica_dark,
@@ -204,6 +221,8 @@
 It stays as it is, so that a seed that has shown something shows it again."""
 LATER_FAULTS: tuple[SimulatedFault, ...] = (crashing_request, node_suspended)
 """Faults that are drawn besides by runs that say so."""
+LIFE_FAULTS: tuple[SimulatedFault, ...] = (replicas_born_again, crashed_keep_ids)
+"""The same for the lives of replicas."""
 
 
 def play(
--- a/wingquay/simulation/forwarding/replica.py
+++ b/wingquay/simulation/forwarding/replica.py
@@ -3,7 +3,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Container
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ...model.replica_record import ReplicaRecord
 from ...ports.forwarding import (
@@ -36,6 +36,7 @@
     send: SendToReplica
     tell: Tell
     seconds: float
+    life: str
     is_cancelled: bool = False
 
 
@@ -99,7 +100,7 @@
         if is_full or self.random.random() < self.refuse_share:
             self._refuse(node, send, tell, is_other=False)
             return
-        work = _Work(node, send, tell, self._duration(send))
+        work = _Work(node, send, tell, self._duration(send), self.record.life)
         self._works[node, send.attempt_id] = work
         self._queue.append(work)
         self._start()
@@ -120,16 +121,23 @@
             work.is_cancelled = True
             self.oracle.stopped(node, attempt_id)
 
-    def crash(self) -> None:
-        """End: every connection breaks."""
+    def crash(self, is_silent: bool = False) -> None:
+        """End: every connection breaks, or no end of them is seen behind a cut."""
         self.is_dead = True
         for (node, attempt_id), work in list(self._works.items()):
             self.oracle.stopped(node, attempt_id)
             work.is_cancelled = True
-            work.tell(SendFailed(attempt_id, SendFailureKind.BROKEN, "reset", True))
+            if not is_silent:
+                work.tell(SendFailed(attempt_id, SendFailureKind.BROKEN, "reset", True))
         self._works.clear()
         self._queue.clear()
 
+    def start_again(self, born: int) -> None:
+        """Begin another life, which knows nothing of the one before."""
+        self.record = replace(self.record, born=born)
+        self.is_dead = False
+        self._running = 0
+
     def _pause(self) -> None:
         self.paused_until = self.clock.now + self.settings.pause_seconds
         self.clock.after(self.settings.pause_every_seconds, self._pause)
@@ -151,11 +159,13 @@
 
     def _end_under(self, work: _Work) -> None:
         """End by a request that it runs, whether anybody still waits for that or not."""
-        if not self.is_dead:
+        if not self.is_dead and work.life == self.record.life:
             self.oracle.crashes.ended(work.send.request.target, self.clock.now)
             self.crash_and_restart(self)
 
     def _finish(self, work: _Work) -> None:
+        if work.life != self.record.life:
+            return
         if self.clock.now < self.paused_until:
             self.clock.at(self.paused_until, self._finish, work)
             return
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -43,6 +43,8 @@
 """Time limits of the routes over shards; each configuration has one of them."""
 RECORD_LAPSES_SECONDS = 2.5
 """Time after a replica's end at which its record lapses."""
+FIRST_BORN = 1_700_000_000_000
+"""Unix milliseconds at the begin of a run."""
 REPLICA_BACK_SECONDS = 3.0
 """Time after a replica's end at which a new start of it comes up at its address."""
 
@@ -90,6 +92,8 @@
         self.tables: dict[bytes, RoutingTable] = {}
         self.records: dict[bytes, ReplicaRecord] = {}
         self.crashing_targets: set[bytes] = set()
+        self.keeps_ids = False
+        """Whether replicas that end without a word start again under their ids."""
         """Targets of requests that end each replica that runs them."""
         self.shard_names: list[str] = []
         self.nodes: list[SimulatedForwardingNode] = []
@@ -199,10 +203,37 @@
 
     def crash_and_restart(self, replica: ReplicaModel) -> None:
         """End a replica without a word; its record lapses and a new start of it comes up."""
+        if self.keeps_ids:
+            self.crash_and_bear_again(replica, REPLICA_BACK_SECONDS)
+            return
         replica.crash()
         self.clock.after(RECORD_LAPSES_SECONDS, self.remove_record, replica)
         self.clock.after(REPLICA_BACK_SECONDS, self.start_replica_like, replica)
 
+    def crash_and_bear_again(
+        self,
+        replica: ReplicaModel,
+        down_seconds: float,
+        clock_step_ms: int = 0,
+        is_silent: bool = False,
+    ) -> None:
+        """End a replica without a word and let it start again under its id.
+
+        Parameters
+        ----------
+        clock_step_ms
+            How far its machine's clock is stepped meanwhile.
+        is_silent
+            Whether no end of its connections is seen, as behind a cut.
+        """
+        replica.crash(is_silent)
+        self.clock.after(down_seconds, self._bear_again, replica, clock_step_ms)
+
+    def _bear_again(self, replica: ReplicaModel, clock_step_ms: int) -> None:
+        if replica.record.replica_id not in self.oracle.draining_at:
+            replica.start_again(max(FIRST_BORN + int(self.clock.now * 1000.0) + clock_step_ms, 0))
+            self.put_record(replica)
+
     def end_replica(self, replica: ReplicaModel) -> None:
         """End a replica that drained."""
         self.remove_record(replica)
