Read the items beside an entry of a replica that cannot be decoded

Cause: one entry whose content is no base64, or no text at all, made every listing and every watch that held it a failure, so that a node heard of nothing any more. Ruled out: the same for keys of the operator and of nodes: nobody else writes these, and an empty cluster key would be worse than none. Change: such an entry has no content; it names no replica and a line says so, as of any other. Result: the tests of a listing and of a watch failed before and pass; the size of an answer is counted whatever its values are.

--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -8,7 +8,7 @@
 from tests.platform_adapter.stand_in_platform import StandInStore
 from wingquay.model.failure import Failure
 from wingquay.platform.store_client import PlatformStoreClient
-from wingquay.platform.store_formats import is_full_watch
+from wingquay.platform.store_formats import is_full_watch, watch_changed
 from wingquay.ports.machine import Count, Event
 from wingquay.ports.store import (
     CompareAndSwap,
@@ -16,9 +16,11 @@
     KeepLeaseAlive,
     LeaseState,
     Read,
+    ReadResult,
     RevokeLease,
     StartWatch,
     StopWatch,
+    StoredValue,
     StoreFailureKind,
     StoreOperation,
     StoreRequest,
@@ -139,6 +141,23 @@
 
         run(test())
 
+    def test_an_entry_that_cannot_be_decoded_keeps_no_other_from_being_read(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.put("servers/bad", {})
+            client.store.put("servers/good", b"content")
+            for stored in ("a", "e30", None, 7, ["e30="]):
+                client.store.items["servers/bad"]["value"] = stored
+                result = await client.ask(Read("", prefix=True))
+                expected = (
+                    StoredValue("servers/bad", b"", 1, 0, 1),
+                    StoredValue("servers/good", b"content", 2, 0, 2),
+                )
+                self.assertEqual(ReadResult(expected, 2), result, stored)
+
+        run(test())
+
     def test_leases_and_swaps(self) -> None:
         async def test() -> None:
             client = Client()
@@ -194,6 +213,17 @@
 
         run(test())
 
+    def test_an_entry_that_cannot_be_decoded_keeps_no_other_from_being_told(self) -> None:
+        good = {"tlsKey": "servers/good", "value": "eA==", "revision": 2}
+        for stored in ("a", None, 7, ["e30="]):
+            bad = {"tlsKey": "servers/bad", "value": stored, "revision": 1}
+            changed = watch_changed("w", {"events": [bad, good], "at": 2})
+            expected = (
+                StoredValue("servers/bad", b"", 1),
+                StoredValue("servers/good", b"x", 2),
+            )
+            self.assertEqual(WatchChanged("w", expected, (), 2, False), changed, stored)
+
     def test_lost_history_and_trouble_end_the_watch(self) -> None:
         async def test() -> None:
             client = Client()
--- a/wingquay/platform/store_formats.py
+++ b/wingquay/platform/store_formats.py
@@ -21,7 +21,7 @@
     SwapResult,
     WatchChanged,
 )
-from .names import STORE_KEEP, STORE_LEASE, STORE_TRANSACTION, STORE_WATCH
+from .names import REPLICA_PREFIX, STORE_KEEP, STORE_LEASE, STORE_TRANSACTION, STORE_WATCH
 
 MILLISECONDS_PER_SECOND = 1000
 STATUS_OK = 200
@@ -84,11 +84,21 @@
 
 
 def stored_value(item: Any) -> StoredValue:
-    """Return an item as the port has it."""
-    content = base64.b64decode(item["value"])
+    """Return an item as the port has it.
+
+    An entry of another writer that cannot be decoded has no content, so that it names no replica;
+    the items beside it are read all the same.
+    """
+    key = str(item["tlsKey"])
+    try:
+        content = base64.b64decode(item["value"])
+    except (TypeError, ValueError):
+        if not key.startswith(REPLICA_PREFIX):
+            raise
+        content = b""
     lease_id = int(item.get("lease", 0))
     created_at = int(item.get("made", 0))
-    return StoredValue(str(item["tlsKey"]), content, int(item["revision"]), lease_id, created_at)
+    return StoredValue(key, content, int(item["revision"]), lease_id, created_at)
 
 
 def watch_path(prefix: str, after_revision: int, wait_ms: int) -> str:
@@ -131,7 +141,7 @@
     where the last one ended.
     """
     events = document.get("events", ())
-    size_bytes = sum(len(item.get("value") or "") for item in events)
+    size_bytes = sum(len(str(item.get("value") or "")) for item in events)
     return len(events) >= FULL_EVENTS or size_bytes >= FULL_BYTES
 
 
