Count the end of a life that an entry shows as one that a connection shows

Cause: an attempt that its replica's next life overtook was not among the ends within one attempt of a caller, by which its request is sent to one replica at a time. Result: the test failed before and passes.

--- a/tests/forwarding/test_replica_lives.py
+++ b/tests/forwarding/test_replica_lives.py
@@ -336,6 +336,19 @@
             [OLD.life], [line["replica"] for line in node.logs("replica_ended_under_request")]
         )
 
+    def test_it_counts_as_an_end_within_the_attempt_of_the_caller(self) -> None:
+        """As an end that a refused connection shows: from the second on, one replica is asked."""
+        for is_seen_by_entry in (False, True):
+            node = started(OLD, replica("r1", "s", born=BORN), max_attempts=2)
+            number = node.request("/one/deadly")
+            first = node.sends[0]
+            if is_seen_by_entry:
+                node.change(replica(first.replica.replica_id, "s", born=BORN + 1))
+            else:
+                node.end_replica(first)
+            exchange = node.machine._forwarding._settlement.get(number)
+            self.assertEqual(1, exchange.unexplained_ends)
+
     def test_the_end_of_one_that_was_leaving_is_held_against_no_request(self) -> None:
         node = started(max_attempts=1)
         node.request("/one/x")
--- a/wingquay/forwarding/crashing/guard.py
+++ b/wingquay/forwarding/crashing/guard.py
@@ -91,7 +91,6 @@
             # The node that asked looks into it: it knows of all parts of the request.
             return []
         if attempt.replica.is_over:
-            exchange.unexplained_ends -= 1
             known = self._ends.known(attempt, now)
             return [] if known is None else self._ended(known, now)
         return self._ends.lost(attempt, now)
