Say once how calls are begun and how a server listens

Cause: the servers of callers and of operators began and ended to listen by the same lines, and three places sent a list of calls by loops of their own. Ruled out: the other pairs that duplicates lists in forwarding, adapters and platform are imports, declarations or lines of one shape about different things (settings, codecs of different messages, a counter and a histogram). Change: ListeningServer, and begin_all and start_all of CallStarter.

--- a/wingquay/adapters/caller_server.py
+++ b/wingquay/adapters/caller_server.py
@@ -17,6 +17,7 @@
 from .health_pages import HealthPages, method_not_allowed
 from .http_messages import HttpLimits, HttpRequest, HttpResponse
 from .http_server import HttpServer
+from .listening_server import ListeningServer
 from .problem_details import JSON_TYPE, problem, server_refusal
 
 QUERY_PATH = "/v1/query"
@@ -32,7 +33,7 @@
 Performable = AnswerCaller | SetReady
 
 
-class CallerServer:
+class CallerServer(ListeningServer):
     """Turns HTTP requests into ``CallerRequest`` events and answers into responses.
 
     Every request is answered once; if its connection ends before, ``CallerGone`` is emitted and
@@ -66,27 +67,13 @@
         self._pages = pages
         self._numbers = count(1)
         self._waiting: dict[RequestId, asyncio.Future[Answer]] = {}
-        self._server = HttpServer(self._handle, limits, server_refusal)
+        super().__init__(HttpServer(self._handle, limits, server_refusal))
 
     @property
     def requests_in_flight(self) -> int:
         """The number of requests that wait for their answer."""
         return len(self._waiting)
 
-    async def start(self, host: str, port: int) -> int:
-        """Listen on ``host`` (an IP number) and return the port (0 asks for any free one).
-
-        Raises
-        ------
-        OSError
-            The address cannot be listened on.
-        """
-        return await self._server.start(host, port)
-
-    async def close(self, grace_seconds: float = 0.0) -> None:
-        """Stop listening and let responses under way finish for ``grace_seconds``."""
-        await self._server.close(grace_seconds)
-
     def perform(self, action: Performable) -> None:
         """Perform an action of the caller port."""
         match action:
--- a/wingquay/adapters/operator_server.py
+++ b/wingquay/adapters/operator_server.py
@@ -18,6 +18,7 @@
 from .health_pages import HealthPages
 from .http_messages import HttpLimits, HttpRequest, HttpResponse
 from .http_server import HttpServer
+from .listening_server import ListeningServer
 from .operator_json import command_of, result_response
 from .problem_details import problem, server_refusal
 
@@ -30,7 +31,7 @@
 Outcome = OperatorMessage | Failure[OperatorFailureKind]
 
 
-class OperatorServer:
+class OperatorServer(ListeningServer):
     """Turns HTTP requests into ``OperatorRequest`` events and replies into responses.
 
     A command goes on when its client goes away: what became of a confirm can be asked again.
@@ -61,21 +62,7 @@
         self._clock = clock
         self._numbers = count(1)
         self._waiting: dict[str, asyncio.Future[Outcome]] = {}
-        self._server = HttpServer(self._handle, limits, server_refusal)
-
-    async def start(self, host: str, port: int) -> int:
-        """Listen on ``host`` (an IP number) and return the port (0 asks for any free one).
-
-        Raises
-        ------
-        OSError
-            The address cannot be listened on.
-        """
-        return await self._server.start(host, port)
-
-    async def close(self, grace_seconds: float = 0.0) -> None:
-        """Stop listening and let responses under way finish for ``grace_seconds``."""
-        await self._server.close(grace_seconds)
+        super().__init__(HttpServer(self._handle, limits, server_refusal))
 
     def perform(self, action: OperatorReply) -> None:
         """Send a reply; one whose client has gone away is dropped."""
--- a/wingquay/forwarding/crashing/careful_sending.py
+++ b/wingquay/forwarding/crashing/careful_sending.py
@@ -32,9 +32,7 @@
         waiting = [call for call in open_calls if call.is_begun]
         fresh = [call for call in open_calls if not call.is_begun]
         actions = self.begin_all(exchange, fresh, now) if fresh else []
-        for call in waiting:
-            actions += self._starter.start(call, now)
-        return actions
+        return actions + self._starter.start_all(waiting, now)
 
     def _start(self, call: ServiceCall, now: float) -> list[Action]:
         if call.is_begun:
@@ -42,10 +40,7 @@
         return self._starter.begin(call, now)
 
     def _begin(self, _exchange: Exchange, calls: list[ServiceCall], now: float) -> list[Action]:
-        actions: list[Action] = []
-        for call in calls:
-            actions += self._starter.begin(call, now)
-        return actions
+        return self._starter.begin_all(calls, now)
 
 
 def _open_calls(exchange: Exchange) -> list[ServiceCall]:
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -230,8 +230,7 @@
         elif self._peers is not None and route.shards and exchange.origin is None:
             actions += self._peers.delegations.start(exchange, exchange.calls, now)
         else:
-            for call in exchange.calls:
-                actions += self._starter.begin(call, now)
+            actions += self._starter.begin_all(exchange.calls, now)
         actions.append(Schedule(exchange.ends_at, ExchangeEndDue(event.exchange_id)))
         if route.shards:
             actions.append(Schedule(exchange.in_time_at, CutoffDue(event.exchange_id)))
