Draw replicas that start again in random histories of a node; play copies and listings

Change: the histories let replicas start again with an earlier or later birth and count attempts by lives; tests play a neighbour's copy before and after the store's own word, and a listing after lost history that is older than what is known.

--- a/tests/forwarding/test_replica_lives.py
+++ b/tests/forwarding/test_replica_lives.py
@@ -24,8 +24,18 @@
     ReplyUnchanged,
     SendFailureKind,
 )
+from wingquay.ports.machine import Start
 from wingquay.ports.peer_link import NodeIdentity, PeerReceived
-from wingquay.ports.store import StoredValue
+from wingquay.ports.peer_snapshot import PeerSnapshot
+from wingquay.ports.store import (
+    ReadResult,
+    StartWatch,
+    StoredValue,
+    StoreRequest,
+    StoreResponse,
+    WatchBroken,
+    WatchChanged,
+)
 from wingquay.ports.store_news import StoreNews
 
 BORN = 1_700_000_000_000
@@ -177,11 +187,34 @@
         self.assertEqual(NEW, record_of(known))
 
     def test_a_copy_of_a_neighbour_is_followed_by_the_later_word_of_the_store(self) -> None:
+        node = OneNode()
+        node.emit(Start())
+        configuration = node.stored_table(table(1, single_route()))
+        node.emit(PeerSnapshot((configuration, self.item(node, NEW, 7)), 9))
+        self.assertEqual(NEW, self.held(node))
+        watch = node.last(StartWatch)
+        self.assertEqual(9, watch.from_store_revision)
+        node.emit(WatchChanged(watch.watch_id, (self.item(node, OLD, 12),), (), 12))
+        self.assertEqual(OLD, self.held(node))
+
+    def test_a_copy_that_comes_after_the_word_of_the_store_is_passed_over(self) -> None:
         node = started()
         node.change(NEW)
+        node.emit(PeerSnapshot((self.item(node, OLD, 1),), 1))
         self.assertEqual(NEW, self.held(node))
-        node.change(OLD)
-        self.assertEqual(OLD, self.held(node))
+
+    def test_a_listing_after_lost_history_that_is_older_is_passed_over(self) -> None:
+        node = started()
+        node.store_revision = 9
+        node.change(NEW)
+        node.emit(WatchBroken(node.last_watch_id, "gone", history_lost=True))
+        listed = ReadResult((self.item(node, OLD, 5),), 8)
+        node.emit(StoreResponse(node.last(StoreRequest).operation_id, listed))
+        self.assertEqual(NEW, self.held(node))
+        empty = ReadResult((), 12)
+        node.emit(WatchBroken(node.last_watch_id, "gone", history_lost=True))
+        node.emit(StoreResponse(node.last(StoreRequest).operation_id, empty))
+        self.assertEqual(node.now, node.machine._directory.get("r0").vanished_at)
 
     def test_a_bad_entry_that_is_older_does_not_end_a_life(self) -> None:
         node = started()
--- a/tests/forwarding/test_stateful.py
+++ b/tests/forwarding/test_stateful.py
@@ -1,5 +1,7 @@
 """Random histories of one forwarding node against what must always hold."""
 
+from dataclasses import replace
+
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
@@ -112,9 +114,16 @@
             self.node.change(gone=(replica_id,))
         else:
             self.draining.setdefault(replica_id, len(self.node.all_sends))
-            self.node.change(
-                replica(replica_id, record.service, is_draining=True),
-            )
+            self.node.change(replace(record, is_draining=True))
+
+    @rule(data=st.data(), step=st.integers(-3, 3))
+    def replica_starts_again(self, data: st.DataObject, step: int) -> None:
+        alive = sorted(set(self.records) - set(self.draining))
+        if alive:
+            replica_id = data.draw(st.sampled_from(alive))
+            record = self.records[replica_id]
+            self.records[replica_id] = replace(record, born=(record.born or 1000) + step)
+            self.node.change(self.records[replica_id])
 
     @rule()
     def store_breaks(self) -> None:
@@ -125,7 +134,7 @@
     def sends_keep_their_bounds(self) -> None:
         for send in self.node.all_sends[self._seen() :]:
             key = (send.request_id, send.replica.service)
-            self.may_have_run.setdefault(key, set()).add(send.replica.replica_id)
+            self.may_have_run.setdefault(key, set()).add(send.replica.life)
             assert len(self.may_have_run[key]) <= 2, f"{key} on {self.may_have_run[key]}"
             if send.replica.service == "edit":
                 assert len(self.may_have_run[key]) <= 1, f"{key} may have run twice"
@@ -164,7 +173,7 @@
     def _did_not_run(self, send: SendToReplica) -> None:
         # Sends are looked at between the steps; this one certainly was.
         key = (send.request_id, send.replica.service)
-        self.may_have_run[key].discard(send.replica.replica_id)
+        self.may_have_run[key].discard(send.replica.life)
 
 
 TestForwardingHistory = ForwardingHistory.TestCase
