Move readiness, stop, news and a node's own time out of forwarding_node

Ruled out: moving what takes in the store's keys too; others work on it now. Behaviour is unchanged.

--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -3,26 +3,22 @@
 import random
 
 from ..model.failure import Failure
-from ..model.routing_table import CallerLimits, RoutingTable
-from ..model.value import value
-from ..ports.forwarding import OpaqueRequest, SetForwarding
+from ..model.routing_table import RoutingTable
+from ..ports.forwarding import OpaqueRequest
 from ..ports.machine import (
     Action,
     Count,
     Event,
-    Exit,
     Log,
     LogLevel,
-    Schedule,
     Start,
     StopRequested,
     Woken,
 )
-from ..ports.peer_link import PeerLinkOpened, PeerReceived, SendToPeer
+from ..ports.peer_link import PeerLinkOpened, PeerReceived
 from ..ports.peer_snapshot import PeerSnapshot
 from ..ports.store import (
     ReadResult,
-    StartWatch,
     StoredValue,
     StoreResponse,
     WatchBroken,
@@ -34,6 +30,8 @@
 from .crashing.held_keys import HeldKeys
 from .crashing.suspects import Verdict
 from .forwarding_machine import ForwardingMachine
+from .knowledge.news_exchange import NewsExchange
+from .knowledge.node_lateness import NodeLateness
 from .knowledge.node_membership import NodeMembership
 from .knowledge.presence import NodeCount, Presence, PresenceDue
 from .knowledge.store_follower import (
@@ -43,41 +41,16 @@
     StoreFollower,
 )
 from .line_budget import LineBudget
+from .own_time import WAKING_SECONDS as WAKING_SECONDS
+from .own_time import LagDue, OwnTime, SweepDue
+from .readiness.taking_callers import StopCheckDue, TakingCallers
 from .settings import ForwardingSettings
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
-from .timers import GreetingDue
 
-SWEEP_SECONDS = 0.5
-"""Time between two looks for replicas whose time of grace is over."""
-LAG_SECONDS = 0.2
-"""Time between two looks how late this node is. It matters where requests wait for half a second;
-ten looks a second cost 0.03 of the credit of 16 nodes of 0.12 core (two seeds)."""
-WAKING_SECONDS = 0.05
-"""Time after waking for which requests that are read count as having waited all the while."""
-STOP_CHECK_SECONDS = 0.1
 CLUSTER_KEY_BYTES = 32
 
 
-@value
-class SweepDue(Event):
-    """Forget replicas whose time of grace is over, and see how late this node does its work."""
-
-    due_at: float
-
-
-@value
-class LagDue(Event):
-    """See how late this node is."""
-
-    due_at: float
-
-
-@value
-class StopCheckDue(Event):
-    """Look whether the stop can end."""
-
-
 class ForwardingNode:
     """The whole decision code of one node that passes requests on.
 
@@ -112,22 +85,13 @@
             self._on_listing,
             self._on_changes,
             self._directory.note_outage,
-            self._on_look,
+            lambda news, now: self._news.told(news, now),
             lambda: bool(self._members.listeners()),
             lambda: self._members.rank() == 0,
-            lambda: self._is_ready,
+            lambda: self._callers.is_ready,
         )
         self._follower = StoreFollower(follower, hooks)
         self._table: RoutingTable | None = None
-        self._idle_seconds = 0.0
-        self._stopping_since: float | None = None
-        self._was_ready = False
-        self._rewritten: set[str] = set()
-        """Keys of replicas' entries that the last changes left as they were but for the writing."""
-        self._late_seconds = 0.0
-        """How late the last regular timer fired."""
-        self._lag_due_at = float("inf")
-        """When the next one that shows how late this node is should fire."""
         self._told_by = ""
         """By which way the present news of the store came: a look, a listing, or a node's id."""
         self._lines = LineBudget()
@@ -135,6 +99,17 @@
         self._members = NodeMembership(
             name, settings, formats, self._nodes, self._presence, candidate
         )
+        self._lateness = NodeLateness()
+        self._time = OwnTime(
+            settings,
+            self._directory,
+            self._forwarding,
+            self._members,
+            self._follower,
+            self._lateness,
+        )
+        self._news = NewsExchange(settings, self._members, self._follower, self._lateness)
+        self._callers = TakingCallers(settings, self._directory, self._forwarding)
 
     @property
     def configuration_version(self) -> int:
@@ -162,26 +137,13 @@
             case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
                 return self._membership_event(event, now)
             case SweepDue() | LagDue() | Woken():
-                return self._time_event(event, now)
+                return self._time.handle(event, now)
             case StopRequested():
-                return self._stop(now)
+                return self._callers.stop(now)
             case StopCheckDue():
-                return self._check_stop(now)
+                return self._callers.check_stop(now)
         actions = self._forwarding.handle(event, now)
-        return actions + self._pace_actions(now) if self._forwarding.held_exchanges else actions
-
-    def _time_event(self, event: SweepDue | LagDue | Woken, now: float) -> list[Action]:
-        match event:
-            case SweepDue():
-                self._late_seconds = max(now - event.due_at, 0.0)
-                self._directory.forget_vanished(now)
-                due_at = now + SWEEP_SECONDS
-                greetings = self._forwarding.handle(GreetingDue(), now)
-                return [*greetings, *self._pace_actions(now), Schedule(due_at, SweepDue(due_at))]
-            case LagDue():
-                return self._lag_due(event, now)
-            case Woken():
-                return self._woken(event, now)
+        return actions + self._time.pace(now) if self._forwarding.held_exchanges else actions
 
     def _membership_event(
         self, event: PresenceDue | PeerLinkOpened | PeerReceived, now: float
@@ -189,7 +151,7 @@
         match event:
             case PeerReceived(sender=sender, message=StoreNews() as news):
                 self._told_by = sender.node_id
-                return self._news(news, now)
+                return self._news.heard(news, now)
             case PresenceDue():
                 return self._presence_due(event, now)
             case PeerLinkOpened():
@@ -210,39 +172,9 @@
         return [
             *self._follower.handle(event, now),
             *self._presence.handle(event, now),
-            Schedule(now + SWEEP_SECONDS, SweepDue(now + SWEEP_SECONDS)),
-            *self._schedule_lag(now),
-        ]
-
-    def _woken(self, event: Woken, now: float) -> list[Action]:
-        """Behave as a node whose store was away for as long, and give up what is too late."""
-        self._directory.note_outage(now)
-        self._late_seconds = event.seconds
-        open_requests = self._forwarding.open_exchanges
-        actions = self._forwarding.woken(event, now)
-        fields = (
-            ("suspended_seconds", round(event.seconds, 3)),
-            ("open_requests", open_requests),
-            ("given_up", open_requests - self._forwarding.open_exchanges),
-        )
-        return [
-            Log("woken", LogLevel.WARNING, fields),
-            Count("suspensions_total"),
-            *actions,
-            *self._follower.look_now(now),
-            *self._schedule_lag(now, WAKING_SECONDS),
+            *self._time.start(now),
         ]
 
-    def _lag_due(self, event: LagDue, now: float) -> list[Action]:
-        if event.due_at != self._lag_due_at:
-            return []
-        self._forwarding.lag.seconds = max(now - event.due_at, 0.0)
-        return self._schedule_lag(now)
-
-    def _schedule_lag(self, now: float, seconds: float = LAG_SECONDS) -> list[Action]:
-        self._lag_due_at = now + seconds
-        return [Schedule(self._lag_due_at, LagDue(self._lag_due_at))]
-
     def _presence_due(self, event: PresenceDue, now: float) -> list[Action]:
         return self._members.presence_due(event, self._table, now)
 
@@ -261,12 +193,12 @@
         self, changed: tuple[StoredValue, ...], deleted: tuple[str, ...], now: float
     ) -> list[Action]:
         actions: list[Action] = []
-        self._rewritten.clear()
+        self._news.rewritten.clear()
         for item in changed:
             actions += self._put(item, now)
         for key in deleted:
             actions += self._remove(key, now)
-        return actions + self._ready_actions()
+        return actions + self._callers.changes()
 
     def _put(self, item: StoredValue, now: float) -> list[Action]:
         """Take in a key that was written."""
@@ -297,62 +229,6 @@
             self._members.remove(key)
         return []
 
-    def _on_look(self, news: StoreNews, now: float) -> list[Action]:
-        """Tell the nodes that would look at the same what this one has seen."""
-        listeners = self._members.listeners()
-        if not listeners:
-            return []
-        told = StoreNews(
-            news.from_revision,
-            news.store_revision,
-            tuple(
-                item
-                for item in news.changed
-                if item.key not in self._rewritten or item.created_at > news.from_revision
-            ),
-            news.deleted,
-            max(news.age_seconds, self._lateness(now)),
-            news.may_have_more,
-        )
-        sent: list[Action] = [SendToPeer(listener, told) for listener in listeners]
-        return [*sent, Count("store_news_total", len(listeners), (("side", "told"),))]
-
-    def _lateness(self, now: float) -> float:
-        """Return how late this node is with its work, in seconds.
-
-        A timer that is overdue counts as well: after a node stood still, what waits at its sockets
-        is handled before its timers, and is as old as that.
-        """
-        return max(self._late_seconds, now - self._lag_due_at)
-
-    def _news(self, news: StoreNews, now: float) -> list[Action]:
-        """Take in what another node has read.
-
-        The own look is put off, but for the time that the news have taken, as far as it is known:
-        at the sender, and behind other work of this node.
-        """
-        rank_seconds = self._settings.news_rank_seconds * self._members.rank()
-        taken_seconds = news.age_seconds + self._lateness(now)
-        pause_seconds = self._follower.usual_gather_seconds + rank_seconds - taken_seconds
-        if news.may_have_more or taken_seconds >= self._settings.news_late_seconds:
-            pause_seconds = 0.0
-        actions = self._follower.absorb(news, pause_seconds, now)
-        is_put_off = any(isinstance(action, StartWatch) for action in actions)
-        side = "look_put_off" if is_put_off else "heard"
-        return [*actions, Count("store_news_total", labels=(("side", side),))]
-
-    def _pace_actions(self, now: float) -> list[Action]:
-        """Look at the store more often while records of replicas or nodes are missing."""
-        is_old = self._directory.is_contradicted(now)
-        if is_old or self._forwarding.held_exchanges > 0:
-            return self._follower.gather(self._settings.settle_gather_seconds, now)
-        if self._members.is_joining(now):
-            seconds = self._settings.join_idle_gather_seconds
-            if self._forwarding.is_asked:
-                seconds = self._settings.join_gather_seconds
-            return self._follower.gather(seconds, now)
-        return self._follower.gather(None, now)
-
     def _is_node_key(self, key: str) -> bool:
         return key.startswith(self._formats.node_prefix)
 
@@ -364,6 +240,7 @@
         if self._table is not None and table.version <= self._table.version:
             return []
         self._table = table
+        self._callers.set_table(table)
         self._forwarding.set_table(table)
         self._members.configure(table)
         line = (
@@ -374,7 +251,7 @@
         return [
             Log("configuration_adopted", LogLevel.INFO, line),
             Count("configurations_adopted_total"),
-            self._set_forwarding(),
+            self._callers.state(),
         ]
 
     def _put_replica(self, item: StoredValue, now: float) -> list[Action]:
@@ -384,57 +261,6 @@
             fields = (("key", item.key), ("reason", record.reason))
             return [Log("replica_record_unreadable", LogLevel.WARNING, fields)]
         if self._directory.holds(record):
-            self._rewritten.add(item.key)
+            self._news.rewritten.add(item.key)
         self._directory.put(record, now)
         return []
-
-    # Ready and stop
-
-    @property
-    def _is_ready(self) -> bool:
-        is_stopping = self._stopping_since is not None
-        return not is_stopping and self._table is not None and len(self._directory) > 0
-
-    def _ready_actions(self) -> list[Action]:
-        if self._is_ready == self._was_ready:
-            return []
-        self._was_ready = self._is_ready
-        line = Log("ready_changed", LogLevel.INFO, (("is_ready", int(self._is_ready)),))
-        return [line, self._set_forwarding()]
-
-    def _set_forwarding(self) -> SetForwarding:
-        limits = CallerLimits() if self._table is None else self._table.limits
-        # A shorter idle time would cut off callers that still go by the longer one.
-        self._idle_seconds = max(self._idle_seconds, limits.idle_seconds)
-        limits = CallerLimits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.request_read_seconds,
-            self._idle_seconds,
-        )
-        return SetForwarding(self._is_ready, self._stopping_since is not None, limits)
-
-    def _stop(self, now: float) -> list[Action]:
-        if self._stopping_since is not None:
-            return []
-        self._stopping_since = now
-        self._forwarding.is_stopping = True
-        fields = (("open_requests", self._forwarding.open_exchanges),)
-        return [
-            Log("stop_started", LogLevel.INFO, fields),
-            *self._ready_actions(),
-            self._set_forwarding(),
-            Schedule(now + STOP_CHECK_SECONDS, StopCheckDue()),
-        ]
-
-    def _check_stop(self, now: float) -> list[Action]:
-        assert self._stopping_since is not None
-        elapsed = now - self._stopping_since
-        open_requests = self._forwarding.open_exchanges
-        most_seconds = self._settings.most_stop_seconds
-        is_over = elapsed >= most_seconds
-        if elapsed >= self._settings.unready_stop_seconds and not open_requests:
-            is_over = True
-        if is_over:
-            return [Exit(open_requests, grace_seconds=max(most_seconds - elapsed, 0.0))]
-        return [Schedule(now + STOP_CHECK_SECONDS, StopCheckDue())]
--- /dev/null
+++ b/wingquay/forwarding/knowledge/news_exchange.py
@@ -0,0 +1,76 @@
+"""Nodes tell each other what they read of the store, so that one look serves several."""
+
+from ...ports.machine import Action, Count
+from ...ports.peer_link import SendToPeer
+from ...ports.store import StartWatch
+from ...ports.store_news import StoreNews
+from ..settings import ForwardingSettings
+from .node_lateness import NodeLateness
+from .node_membership import NodeMembership
+from .store_follower import StoreFollower
+
+
+class NewsExchange:
+    """Tells news of the store and takes in those of others.
+
+    Parameters
+    ----------
+    settings
+        How long nodes wait for each other's looks.
+    members
+        Knows the nodes that are told.
+    follower
+        Takes in news, and puts its own look off.
+    lateness
+        How late this node is, and so the news that it tells and hears.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        members: NodeMembership,
+        follower: StoreFollower,
+        lateness: NodeLateness,
+    ) -> None:
+        self._settings = settings
+        self._members = members
+        self._follower = follower
+        self._lateness = lateness
+        self.rewritten: set[str] = set()
+        """Keys of replicas' entries that the last changes left as they were but for the writing."""
+
+    def told(self, news: StoreNews, now: float) -> list[Action]:
+        """Tell the nodes that would look at the same what this one has seen."""
+        listeners = self._members.listeners()
+        if not listeners:
+            return []
+        told = StoreNews(
+            news.from_revision,
+            news.store_revision,
+            tuple(
+                item
+                for item in news.changed
+                if item.key not in self.rewritten or item.created_at > news.from_revision
+            ),
+            news.deleted,
+            max(news.age_seconds, self._lateness.seconds(now)),
+            news.may_have_more,
+        )
+        sent: list[Action] = [SendToPeer(listener, told) for listener in listeners]
+        return [*sent, Count("store_news_total", len(listeners), (("side", "told"),))]
+
+    def heard(self, news: StoreNews, now: float) -> list[Action]:
+        """Take in what another node has read.
+
+        The own look is put off, but for the time that the news have taken, as far as it is known:
+        at the sender, and behind other work of this node.
+        """
+        rank_seconds = self._settings.news_rank_seconds * self._members.rank()
+        taken_seconds = news.age_seconds + self._lateness.seconds(now)
+        pause_seconds = self._follower.usual_gather_seconds + rank_seconds - taken_seconds
+        if news.may_have_more or taken_seconds >= self._settings.news_late_seconds:
+            pause_seconds = 0.0
+        actions = self._follower.absorb(news, pause_seconds, now)
+        is_put_off = any(isinstance(action, StartWatch) for action in actions)
+        side = "look_put_off" if is_put_off else "heard"
+        return [*actions, Count("store_news_total", labels=(("side", side),))]
--- /dev/null
+++ b/wingquay/forwarding/knowledge/node_lateness.py
@@ -0,0 +1,27 @@
+"""How late this node does its work."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class NodeLateness:
+    """What this node's own timers show.
+
+    Parameters
+    ----------
+    timer_seconds
+        How late the last regular timer fired.
+    due_at
+        When the next one that shows how late this node is should fire.
+    """
+
+    timer_seconds: float = 0.0
+    due_at: float = float("inf")
+
+    def seconds(self, now: float) -> float:
+        """Return how late this node is with its work.
+
+        A timer that is overdue counts as well: after a node stood still, what waits at its sockets
+        is handled before its timers, and is as old as that.
+        """
+        return max(self.timer_seconds, now - self.due_at)
--- /dev/null
+++ b/wingquay/forwarding/readiness/__init__.py
@@ -0,0 +1,1 @@
+"""Whether this node takes new callers, and how it stops."""
