Read tenants, public routes and the caller's key into typed values

Cause: the configuration's tenants and a route's public flag were not read, and the caller's key stood in the headers only, from where it went to replicas, other nodes and logs. Ruled out: leaving out a tenant at fault (its callers would be turned away without a word), and keys in the texts of values (a field made with repr=False is left out of them now). Change: tenants_document.py reads them by one rule: the document is refused as a whole with a line that names field, value and what is allowed, never a key. The dialect takes the key out of all Authorization headers and makes the request without them and without Tenant.

--- a/wingquay/model/tenants.py
+++ b/wingquay/model/tenants.py
@@ -22,7 +22,7 @@
     """
 
     name: str
-    keys: tuple[str, ...]
+    keys: tuple[str, ...] = field(repr=False)
     priority: int | None = None
     requests_per_second: float = 0.0
     burst: float = 0.0
--- a/wingquay/platform/caller_dialect.py
+++ b/wingquay/platform/caller_dialect.py
@@ -1,9 +1,11 @@
 """Callers' requests and the replies to them, as the platform writes them."""
 
+from collections.abc import Iterable
+
 import orjson
 
 from ..adapters.forwarding_server import Reply
-from ..adapters.http_messages import HttpRequest, HttpResponse
+from ..adapters.http_messages import HEADER_ENCODING, HttpRequest, HttpResponse
 from ..ports.forwarding import (
     ForwardFailureKind,
     ForwardRequested,
@@ -13,12 +15,15 @@
 )
 from .header_lists import end_to_end
 from .names import (
+    AUTHORIZATION,
+    AUTHORIZATION_SCHEME,
     DEADLINE_MS,
     EXPECTED_REPLICA,
     MERGED_SIGNATURES,
     MISSING_SHARDS,
     REQUEST_ID,
     RETRY_AFTER,
+    TENANT,
 )
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -31,10 +36,18 @@
     ForwardFailureKind.TIMED_OUT: 504,
 }
 SIGNATURES_PER_LINE = 50
+SCHEME_AND_KEY = 2
+"""Parts of a header that shows a key."""
+CHALLENGE = "WWW-Authenticate"
+"""Tells a caller without a known key how to show one (RFC 9110, section 11.6.1)."""
 
 _SET_BY_US = frozenset({DEADLINE_MS.lower(), EXPECTED_REPLICA.lower(), b"expect"})
 _REQUEST_ID_KEY = REQUEST_ID.decode().lower()
 _DEADLINE_KEY = DEADLINE_MS.decode().lower()
+_AUTHORIZATION_KEY = AUTHORIZATION.lower()
+_SCHEME_KEY = AUTHORIZATION_SCHEME.lower()
+_OF_CALLER = frozenset({_AUTHORIZATION_KEY, TENANT.lower()})
+_OF_CALLER_TEXTS = frozenset(name.decode() for name in _OF_CALLER)
 _JSON = {"content-type": "application/json"}
 
 
@@ -62,6 +75,7 @@
             _deadline_seconds(request.headers.get(_DEADLINE_KEY)),
             request.transit_seconds,
             request.client_host,
+            *_caller_secrets(request, opaque),
         )
 
     def response(self, reply: Reply) -> HttpResponse:
@@ -78,6 +92,38 @@
         return HttpResponse(status, _JSON, orjson.dumps({"error": reason}))
 
 
+def _caller_secrets(
+    request: HttpRequest, opaque: OpaqueRequest
+) -> tuple[str, OpaqueRequest | None]:
+    """Return the key that a caller shows, and its request without what says who calls."""
+    if _OF_CALLER_TEXTS.isdisjoint(request.headers):
+        return "", None
+    key = _key(request.raw_headers)
+    headers = tuple(pair for pair in opaque.headers if pair[0].lower() not in _OF_CALLER)
+    if len(headers) == len(opaque.headers):
+        return key, None
+    return key, OpaqueRequest(opaque.method, opaque.target, headers, opaque.body)
+
+
+def _key(raw_headers: Iterable[tuple[bytes, bytes]]) -> str:
+    """Return the key that all headers show; none if they differ, since nobody knows who calls."""
+    shown = {_key_in(text) for name, text in raw_headers if name.lower() == _AUTHORIZATION_KEY}
+    return shown.pop() if len(shown) == 1 else ""
+
+
+def _key_in(text: bytes) -> str:
+    """Return the key in one header; empty if it is of another scheme or form."""
+    parts = text.split(None, 1)
+    if len(parts) < SCHEME_AND_KEY or parts[0].lower() != _SCHEME_KEY:
+        return ""
+    key = parts[1].rstrip()
+    try:
+        return key.decode()
+    except UnicodeDecodeError:
+        # No key of a configuration can be meant; one header byte is one sign in any case.
+        return key.decode(HEADER_ENCODING)
+
+
 def _deadline_seconds(text: str | None) -> float | None:
     try:
         return None if text is None else max(0.0, float(text)) / MILLISECONDS_PER_SECOND
@@ -89,6 +135,8 @@
     headers = dict(_JSON)
     if reply.retry_after_seconds is not None:
         headers[RETRY_AFTER.decode()] = f"{reply.retry_after_seconds:.3f}"
+    if reply.kind is ForwardFailureKind.UNKNOWN_CALLER:
+        headers[CHALLENGE] = AUTHORIZATION_SCHEME.decode()
     body = orjson.dumps({"error": reply.reason})
     return HttpResponse(STATUS[reply.kind], headers, body)
 
--- a/wingquay/platform/configuration_document.py
+++ b/wingquay/platform/configuration_document.py
@@ -14,7 +14,9 @@
     UpstreamService,
     WeightedService,
 )
+from .field_refused import FieldRefusedError
 from .names import REPEATABLE
+from .tenants_document import read_tenants
 
 MILLISECONDS_PER_SECOND = 1000.0
 DEFAULT_TIMEOUT_MS = 30_000
@@ -35,7 +37,10 @@
                 service["name"]: _service(service) for service in document.get("services", ())
             },
             limits=_limits(document.get("limits") or {}),
+            tenants=read_tenants(document),
         )
+    except FieldRefusedError as error:
+        return Failure(FormatFailureKind.MALFORMED, str(error))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Failure(FormatFailureKind.MALFORMED, f"{type(error).__name__}: {error}")
 
@@ -54,9 +59,18 @@
         priority=int(document.get("priority") or 0),
         merged_records=int(document.get("topK") or 0),
         least_share=float(document.get("minShardRatio") or 0.0),
+        is_public=_is_public(document),
     )
 
 
+def _is_public(document: Document) -> bool:
+    given = document.get("public", False)
+    if not isinstance(given, bool):
+        name = f"public of route {document['name']!r}"
+        raise FieldRefusedError(name, repr(given), "true or false")
+    return given
+
+
 def _weighted_services(document: Document) -> tuple[WeightedService, ...]:
     parts = document.get("backends")
     if parts:
--- a/wingquay/platform/replica_dialect.py
+++ b/wingquay/platform/replica_dialect.py
@@ -10,6 +10,7 @@
     REPORTED_LOAD,
     REQUEST_ID,
     SIGNATURE,
+    TENANT,
 )
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -30,13 +31,14 @@
     """Writes requests and understands answers."""
 
     def own_headers(self, action: SendToReplica, waited_seconds: float) -> Headers:
-        """Return the headers that differ from replica to replica: its id and the time left."""
+        """Return the headers that this node sets: the time left, the replica's id, who calls."""
         remaining_seconds = action.remaining_seconds - waited_seconds
         remaining_ms = max(1, int(remaining_seconds * MILLISECONDS_PER_SECOND))
-        return (
+        headers = (
             (DEADLINE_MS, b"%d" % remaining_ms),
             (EXPECTED_REPLICA, action.replica.replica_id.encode()),
         )
+        return (*headers, (TENANT, action.tenant.encode())) if action.tenant else headers
 
     def belongs(self, request_id: str, answer: RawAnswer) -> bool:
         """Whether an answer carries the id back; only refusals may carry none."""
--- a/wingquay/ports/forwarding.py
+++ b/wingquay/ports/forwarding.py
@@ -1,5 +1,6 @@
 """The port for requests that are passed on unchanged, towards callers and replicas."""
 
+from dataclasses import field
 from enum import Enum
 
 from ..model.replica_record import ReplicaRecord
@@ -13,11 +14,14 @@
 
 @value
 class OpaqueRequest:
-    """A whole request as its caller sent it, without the headers of one connection."""
+    """A whole request as its caller sent it, without the headers of one connection.
+
+    Its text leaves the headers out: they may hold secrets of the caller.
+    """
 
     method: bytes
     target: bytes
-    headers: Headers
+    headers: Headers = field(repr=False)
     body: bytes = b""
 
 
@@ -52,7 +56,7 @@
     deadline_seconds: float | None = None
     transit_seconds: float = 0.0
     caller: str = ""
-    key: str = ""
+    key: str = field(default="", repr=False)
     bare_request: OpaqueRequest | None = None
 
 
