Ask at arrival who calls, and tell replicas and other nodes the tenant

Cause: any key was served and passed on; a tenant's priority and limit had no place. Change: arrival is decided in request_arrival.py (order of questions) and exchange_opening.py (opening and first sendings), by pure modules of arrival/: authentication, arrival_admission with defaults that always prove and never limit, kept_arrivals for requests that await word on a limit, tenant_ranks for the tenant's priority, tenant_counts for bounded counters. An exchange that ends without having run gives its unit back once. The tenant's name goes to replicas and, as field 15, to the nodes that ask shards; the crash identity is made of the bare request and that name.

--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -124,6 +124,7 @@
     target.in_time_seconds = message.in_time_seconds
     target.remaining_seconds = message.remaining_seconds
     target.is_group_share = message.is_group_share
+    target.tenant = message.tenant
 
 
 def _request_from(message: peer_pb2.DelegatedRequest) -> DelegatedRequest:
@@ -140,6 +141,7 @@
         message.in_time_seconds,
         message.remaining_seconds,
         message.is_group_share,
+        message.tenant,
     )
 
 
--- a/wingquay/forwarding/crashing/guard.py
+++ b/wingquay/forwarding/crashing/guard.py
@@ -65,19 +65,19 @@
         self.write: Callable[[bytes, HeldRequest, float], list[Action]] = _nothing_written
         """Lets nodes that start later know of a request that is held back."""
 
-    def verdict(self, request: OpaqueRequest, now: float) -> Verdict:
-        """Return how a request that has arrived is to be treated."""
+    def verdict(self, request: OpaqueRequest, now: float, tenant: str = "") -> Verdict:
+        """Return how a request that has arrived, of a tenant if it is known, is to be treated."""
         if not len(self._suspects):
             return Verdict.USUAL
-        return self._suspects.verdict(identity_of(request), now)
+        return self._suspects.verdict(identity_of(request, tenant), now)
 
     def held_seconds(self, identity: bytes, now: float) -> float:
         """Return how much longer a request is held back."""
         return self._suspects.held_seconds(identity, now)
 
-    def refused(self, event: ForwardRequested, now: float) -> list[Action]:
+    def refused(self, identity: bytes, event: ForwardRequested, now: float) -> list[Action]:
         """Take in that a request that is held back has come again: nodes that start must know."""
-        return self._write(identity_of(event.request), event, now)
+        return self._write(identity, event, now)
 
     # Evidence of this node
 
@@ -272,6 +272,7 @@
         ("route", exchange.route.name),
         ("target", _target_text(event)),
         ("caller", event.caller),
+        *exchange.tenant_fields,
     )
 
 
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ..model.routing_table import Route, RoutingTable
+from ..model.tenants import Tenant
 from ..ports.forwarding import ForwardRequested, ReplicaAnswer
 from ..ports.machine import Action
 from .arrival.request_identity import identity_of
@@ -109,8 +110,10 @@
     """One caller's request and everything that is done for it."""
 
     event: ForwardRequested
+    """Its arrival; without its caller's secret where the configuration has tenants."""
     table: RoutingTable
     route: Route
+    """Its priority is the tenant's, where the tenant has one."""
     arrived_at: float
     in_time_at: float
     """Last moment at which an answer still reaches the caller within the objective."""
@@ -125,6 +128,8 @@
     is_retry_due: bool = False
     origin: Origin | None = None
     """The node that waits for it; ``None``: a caller does."""
+    tenant: Tenant | None = None
+    """Who calls; ``None``: replicas are told nobody."""
     unexplained_ends: int = 0
     """Connections that ended without an answer, as far as their replicas may have ended."""
     is_suspect: bool = False
@@ -140,11 +145,21 @@
         """The node's own number for it."""
         return self.event.exchange_id
 
+    @property
+    def tenant_name(self) -> str:
+        """The name of the tenant that calls; empty: replicas are told nobody."""
+        return "" if self.tenant is None else self.tenant.name
+
+    @property
+    def tenant_fields(self) -> tuple[tuple[str, str], ...]:
+        """What log lines tell of who calls."""
+        return () if self.tenant is None else (("tenant", self.tenant.name),)
+
     @property
     def identity(self) -> bytes:
         """What its repeats have in common; worked out when it is first asked for."""
         if not self._identity:
-            self._identity = identity_of(self.event.request)
+            self._identity = identity_of(self.event.request, self.tenant_name)
         return self._identity
 
     @property
--- /dev/null
+++ b/wingquay/forwarding/exchange_opening.py
@@ -0,0 +1,133 @@
+"""From a request that may run to its first sendings, or to its refusal if none can be made."""
+
+import random
+from collections.abc import Callable
+
+from ..model.routing_table import RoutingTable
+from ..ports.machine import Action, Schedule
+from .arrival.kept_arrivals import Arrival
+from .choice.replica_directory import ReplicaDirectory
+from .choice.weighted_choice import WeightedChoice
+from .crashing.careful_sending import CarefulSending
+from .exchange import Exchange, ServiceCall
+from .sending.call_starter import CallStarter
+from .sending.latencies import RouteLatencies
+from .settings import ForwardingSettings
+from .settling.cutoff import in_time_seconds
+from .settling.settlement import Settlement
+from .timers import CutoffDue, ExchangeEndDue, HedgeDue, RetryDue
+
+
+class ExchangeOpening:
+    """Opens exchanges and begins them, or holds them while records of replicas are missing.
+
+    Parameters
+    ----------
+    random_source
+        Starts the rounds of weighted routes.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        directory: ReplicaDirectory,
+        latencies: RouteLatencies,
+        settlement: Settlement,
+        starter: CallStarter,
+        careful: CarefulSending,
+        random_source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._latencies = latencies
+        self._settlement = settlement
+        self._starter = starter
+        self._careful = careful
+        self._weights = WeightedChoice(random_source)
+        self._held: set[int] = set()
+        self.ask_nodes: Callable[[Exchange, list[ServiceCall], float], list[Action]] | None = None
+        """Asks other nodes for shards, once the link to them is open."""
+
+    @property
+    def held(self) -> int:
+        """The number of requests that are held for missing records of replicas."""
+        return len(self._held)
+
+    def set_table(self, table: RoutingTable) -> None:
+        """Use a configuration for requests that arrive from now on."""
+        self._weights.keep_only(table.routes)
+
+    def open(self, arrival: Arrival, is_suspect: bool, now: float) -> list[Action]:
+        """Open a request and begin it.
+
+        Parameters
+        ----------
+        is_suspect
+            Whether replicas ended under an earlier attempt of its caller.
+        """
+        event = arrival.event
+        route = arrival.route
+        ends_at = max(self.ends_at(arrival), now)
+        in_time = in_time_seconds(route, event.transit_seconds, self._settings)
+        in_time_at = min(arrival.arrived_at + in_time, ends_at)
+        exchange = Exchange(event, arrival.table, route, arrival.arrived_at, in_time_at, ends_at)
+        exchange.tenant = arrival.tenant
+        exchange.is_suspect = is_suspect
+        self._settlement.add(exchange)
+        services = route.shards or (self._weights.choose(route),)
+        exchange.calls = [ServiceCall(exchange, service) for service in services]
+        return self.begin_or_hold(exchange, now)
+
+    def ends_at(self, arrival: Arrival) -> float:
+        """Return when a request is given up on."""
+        seconds = arrival.route.timeout_seconds
+        deadline_seconds = arrival.event.deadline_seconds
+        if deadline_seconds is not None:
+            seconds = min(seconds, deadline_seconds)
+        return arrival.sent_at + max(seconds - self._settings.end_margin_seconds, seconds / 2)
+
+    def begin_or_hold(self, exchange: Exchange, now: float) -> list[Action]:
+        """Begin a request if replicas can be asked; hold it while records are missing."""
+        if self._settlement.can_be_enough(exchange, now):
+            return self.begin(exchange, now)
+        return self._hold_or_refuse(exchange, now)
+
+    def begin(self, exchange: Exchange, now: float) -> list[Action]:
+        """Send all calls and set the timers."""
+        event = exchange.event
+        route = exchange.route
+        self._held.discard(exchange.exchange_id)
+        actions: list[Action] = []
+        if exchange.is_careful and exchange.origin is None:
+            actions += self._careful.step(exchange, now)
+        elif self.ask_nodes is not None and route.shards and exchange.origin is None:
+            actions += self.ask_nodes(exchange, exchange.calls, now)
+        else:
+            for call in exchange.calls:
+                actions += self._starter.begin(call, now)
+        actions.append(Schedule(exchange.ends_at, ExchangeEndDue(event.exchange_id)))
+        if route.shards:
+            actions.append(Schedule(exchange.in_time_at, CutoffDue(event.exchange_id)))
+        if route.is_repeatable and (route.max_attempts > 1 or exchange.is_careful):
+            hedge_at = now + self._latencies.hedge_seconds(route)
+            actions.append(Schedule(hedge_at, HedgeDue(event.exchange_id)))
+        return actions + self._settlement.settle(exchange, now)
+
+    def _hold_or_refuse(self, exchange: Exchange, now: float) -> list[Action]:
+        """Hold a request while records of replicas are missing; refuse it otherwise."""
+        whole_seconds = exchange.ends_at - exchange.arrived_at
+        held_until = exchange.arrived_at + whole_seconds * self._settings.hold_ratio
+        if not self._directory.is_settling(now) or now >= held_until:
+            self._held.discard(exchange.exchange_id)
+            return self._settlement.refuse(exchange, now)
+        self._held.add(exchange.exchange_id)
+        due_at = now + self._settings.retry_wait_seconds
+        return [Schedule(due_at, RetryDue(exchange.exchange_id))]
+
+    def is_held(self, exchange: Exchange) -> bool:
+        """Whether a request is held for missing records of replicas."""
+        return exchange.exchange_id in self._held
+
+    def not_held(self, exchange: Exchange) -> None:
+        """Take in that a request ends."""
+        self._held.discard(exchange.exchange_id)
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -3,7 +3,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from ..model.routing_table import Route, RoutingTable
+from ..model.routing_table import RoutingTable
 from ..ports.crash_news import CrashNews
 from ..ports.forwarding import (
     CallerLeft,
@@ -12,23 +12,21 @@
     ReplicaAnswered,
     SendFailed,
 )
-from ..ports.machine import Action, Event, Schedule, Woken
+from ..ports.machine import Action, Event, Woken
 from ..ports.peer_link import PeerLinkBroken, PeerReceived
-from .arrival.request_identity import identity_of
+from .arrival.admission import Admitted, Rejected
 from .choice.replica_directory import ReplicaDirectory
-from .choice.weighted_choice import WeightedChoice
 from .crashing.careful_sending import CarefulSending
 from .crashing.guard import CrashGuard
-from .crashing.suspects import Verdict
-from .exchange import Exchange, ServiceCall
+from .exchange import Exchange
+from .exchange_opening import ExchangeOpening
 from .knowledge.loop_lag import LoopLag
 from .knowledge.presence import NodeCount
+from .request_arrival import RequestArrival
 from .sending.attempts import AttemptSender
 from .sending.call_starter import CallStarter
 from .sending.latencies import RouteLatencies
 from .settings import ForwardingSettings
-from .settling.cutoff import in_time_seconds
-from .settling.ending import HELD_REASON, LEAST_RETRY_SECONDS, ExchangeEnding
 from .settling.hedging import Hedging
 from .settling.replica_outcomes import ReplicaOutcomes
 from .settling.settlement import Settlement
@@ -50,7 +48,6 @@
     from .knowledge.node_groups import NodeGroups
     from .peers.peer_work import PeerWork
 
-UNCONFIGURED_RETRY_SECONDS = 0.3
 DELEGATION_ID_BITS = 62
 """Size of the first number of what is asked of other nodes: no two lives of a node share one."""
 
@@ -86,8 +83,6 @@
         self._latencies = RouteLatencies(settings)
         self._sender = AttemptSender(settings, directory, self._latencies, nodes, key)
         self._random = random_source
-        self._weights = WeightedChoice(random_source)
-        self._ending = ExchangeEnding()
         self._settlement = Settlement(settings, directory, self._sender)
         self._starter = CallStarter(settings, self._sender)
         self.lag = LoopLag()
@@ -107,23 +102,39 @@
             self.guard,
             careful,
         )
+        self._opening = ExchangeOpening(
+            settings,
+            directory,
+            self._latencies,
+            self._settlement,
+            self._starter,
+            careful,
+            random_source,
+        )
+        self._arrival = RequestArrival(
+            settings, self._settlement, self._opening, self.guard, self.lag
+        )
+        self.admission = self._arrival.admission
+        """Asks whether requests may be begun; who composes the node gives it who answers."""
         self._table: RoutingTable | None = None
         self._peers: PeerWork | None = None
         self.is_stopping = False
         """Whether work of other nodes is rejected."""
-        self.is_asked = False
+
+    @property
+    def is_asked(self) -> bool:
         """Whether a request has arrived."""
-        self._held: set[int] = set()
+        return self._arrival.is_asked
 
     @property
     def open_exchanges(self) -> int:
         """The number of requests without an answer."""
-        return len(self._settlement)
+        return len(self._settlement) + self._arrival.kept
 
     @property
     def held_exchanges(self) -> int:
         """The number of requests that are held for missing records of replicas."""
-        return len(self._held)
+        return self._opening.held
 
     def enable_peers(self, groups: "NodeGroups") -> None:
         """Ask other nodes for shards, and be asked by them, from now on."""
@@ -150,12 +161,14 @@
         )
         self._sender.placement = delegations.placement
         self._careful.begin_all = delegations.start
+        self._opening.ask_nodes = delegations.start
         self.guard.peers = groups.reachable
 
     def set_table(self, table: RoutingTable) -> None:
         """Use a configuration for requests that arrive from now on."""
         self._table = table
-        self._weights.keep_only(table.routes)
+        self._arrival.set_table(table)
+        self._opening.set_table(table)
         self._latencies.keep_only(table.routes)
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -164,7 +177,7 @@
             case ReplicaAnswered():
                 return self._outcomes.answered(event, now)
             case ForwardRequested():
-                return self._requested(event, now)
+                return self._arrival.requested(event, now)
             case HedgeDue():
                 return self._hedging.due(event, now)
             case SendFailed():
@@ -184,7 +197,7 @@
                 GreetingDue() | DelegationDue() | CrashNewsDue() | PeerReceived() | PeerLinkBroken()
             ):
                 return self._peer_event(event, now)
-        return []
+        return self._arrival.kept_event(event, now)
 
     def woken(self, event: Woken, now: float) -> list[Action]:
         """End what is too late after a suspension; attempts are as old as before it."""
@@ -192,89 +205,11 @@
         self._sender.suspended(event.seconds)
         return self._settlement.end_overdue(now)
 
-    # Arrival
-
-    def _requested(self, event: ForwardRequested, now: float) -> list[Action]:
-        self.is_asked = True
-        table = self._table
-        if table is None:
-            return self._ending.refuse_arrival(
-                event, "no configuration yet", UNCONFIGURED_RETRY_SECONDS
-            )
-        route = table.find(event.host, event.path)
-        if route is None:
-            return self._ending.no_route(event, table.version)
-        if self._is_too_late(event, now):
-            reason = "its time was over before it could be read"
-            return self._ending.refuse_arrival(event, reason, LEAST_RETRY_SECONDS)
-        verdict = self.guard.verdict(event.request, now)
-        if verdict is Verdict.HELD:
-            return self._refuse_held(event, now)
-        exchange = self._open(event, table, route, now)
-        exchange.is_suspect = verdict is Verdict.SUSPECT
-        services = route.shards or (self._weights.choose(route),)
-        exchange.calls = [ServiceCall(exchange, service) for service in services]
-        if not self._settlement.can_be_enough(exchange, now):
-            return self._hold_or_refuse(exchange, now)
-        return self._begin(exchange, now)
-
-    def _begin(self, exchange: Exchange, now: float) -> list[Action]:
-        """Send all calls and set the timers."""
-        event = exchange.event
-        route = exchange.route
-        self._held.discard(exchange.exchange_id)
-        actions: list[Action] = []
-        if exchange.is_careful and exchange.origin is None:
-            actions += self._careful.step(exchange, now)
-        elif self._peers is not None and route.shards and exchange.origin is None:
-            actions += self._peers.delegations.start(exchange, exchange.calls, now)
-        else:
-            for call in exchange.calls:
-                actions += self._starter.begin(call, now)
-        actions.append(Schedule(exchange.ends_at, ExchangeEndDue(event.exchange_id)))
-        if route.shards:
-            actions.append(Schedule(exchange.in_time_at, CutoffDue(event.exchange_id)))
-        if route.is_repeatable and (route.max_attempts > 1 or exchange.is_careful):
-            hedge_at = now + self._latencies.hedge_seconds(route)
-            actions.append(Schedule(hedge_at, HedgeDue(event.exchange_id)))
-        return actions + self._settlement.settle(exchange, now)
-
-    def _hold_or_refuse(self, exchange: Exchange, now: float) -> list[Action]:
-        """Hold a request while records of replicas are missing; refuse it otherwise."""
-        whole_seconds = exchange.ends_at - exchange.arrived_at
-        held_until = exchange.arrived_at + whole_seconds * self._settings.hold_ratio
-        if not self._directory.is_settling(now) or now >= held_until:
-            self._held.discard(exchange.exchange_id)
-            return self._settlement.refuse(exchange, now)
-        self._held.add(exchange.exchange_id)
-        due_at = now + self._settings.retry_wait_seconds
-        return [Schedule(due_at, RetryDue(exchange.exchange_id))]
-
-    def _is_too_late(self, event: ForwardRequested, now: float) -> bool:
-        """Whether nobody waits any more for a request that was read late."""
-        return event.deadline_seconds is not None and self.lag.seconds >= event.deadline_seconds
-
-    def _open(
-        self, event: ForwardRequested, table: RoutingTable, route: Route, now: float
-    ) -> Exchange:
-        seconds = route.timeout_seconds
-        if event.deadline_seconds is not None:
-            seconds = min(seconds, event.deadline_seconds)
-        sent_at = now - self.lag.seconds
-        ends_at = sent_at + max(seconds - self._settings.end_margin_seconds, seconds / 2)
-        ends_at = max(ends_at, now)
-        in_time_at = min(
-            now + in_time_seconds(route, event.transit_seconds, self._settings), ends_at
-        )
-        exchange = Exchange(event, table, route, now, in_time_at, ends_at)
-        self._settlement.add(exchange)
-        return exchange
-
-    def _refuse_held(self, event: ForwardRequested, now: float) -> list[Action]:
-        """Refuse a request under which replicas have ended, and say when it may come back."""
-        held_seconds = self.guard.held_seconds(identity_of(event.request), now)
-        refused = self._ending.refuse_arrival(event, HELD_REASON, held_seconds)
-        return [*refused, *self.guard.refused(event, now)]
+    def limit_answered(
+        self, exchange_id: int, answer: Admitted | Rejected, now: float
+    ) -> list[Action]:
+        """Go on with a request that waited for word on its tenant's limit."""
+        return self._arrival.limit_answered(exchange_id, answer, now)
 
     def _end_held(self, identity: bytes, now: float) -> list[Action]:
         held_seconds = self.guard.held_seconds(identity, now)
@@ -322,7 +257,7 @@
     ) -> list[Action]:
         exchange = self._settlement.get(event.exchange_id)
         if exchange is None:
-            return []
+            return self._arrival.kept_event(event, now)
         match event:
             case BeginDue():
                 return self._begin_due(exchange, now)
@@ -333,14 +268,14 @@
             case ReportDue():
                 return [] if exchange.origin is None else exchange.origin.report(exchange)
             case CallerLeft():
-                self._held.discard(exchange.exchange_id)
+                self._opening.not_held(exchange)
                 return self._settlement.caller_left(exchange, now)
             case ExchangeEndDue():
                 return self._settlement.out_of_time(exchange, now)
 
     def _begin_due(self, exchange: Exchange, now: float) -> list[Action]:
         if exchange.origin is not None:
-            return self._begin(exchange, now)
+            return self._opening.begin(exchange, now)
         actions: list[Action] = []
         for call in exchange.calls:
             if not call.is_begun and not call.is_delegated:
@@ -348,9 +283,8 @@
         return actions + self._settlement.settle(exchange, now)
 
     def _retry_due(self, exchange: Exchange, now: float) -> list[Action]:
-        if exchange.exchange_id in self._held:
-            can_begin = self._settlement.can_be_enough(exchange, now)
-            return self._begin(exchange, now) if can_begin else self._hold_or_refuse(exchange, now)
+        if self._opening.is_held(exchange):
+            return self._opening.begin_or_hold(exchange, now)
         exchange.is_retry_due = False
         actions: list[Action] = []
         for call in exchange.calls:
--- a/wingquay/forwarding/line_budget.py
+++ b/wingquay/forwarding/line_budget.py
@@ -16,6 +16,8 @@
     "partial": 10,
     "held": 10,
     "late": 10,
+    "unknown_caller": 10,
+    "over_limit": 10,
 }
 """Lines a second for requests by outcome."""
 OTHER_LINES_PER_SECOND = 5
--- a/wingquay/forwarding/peers/delegated_work.py
+++ b/wingquay/forwarding/peers/delegated_work.py
@@ -8,6 +8,7 @@
 from itertools import count
 
 from ...model.routing_table import Route, RoutingTable
+from ...model.tenants import Tenant
 from ...ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
 from ...ports.forwarding import ForwardRequested
 from ...ports.machine import Action, Count, Schedule
@@ -116,6 +117,7 @@
             max(sent_at + message.remaining_seconds, now),
         )
         positions = {shard: position for position, shard in enumerate(message.shards)}
+        exchange.tenant = tenant_of(message)
         exchange.origin = NodeOrigin(sender, message.delegation_id, positions)
         exchange.calls = [
             ServiceCall(exchange, shard)
@@ -185,6 +187,11 @@
             del self._open[key]
 
 
+def tenant_of(message: DelegatedRequest) -> Tenant | None:
+    """Return who calls, as far as the sender tells: its keys and limits are the sender's affair."""
+    return Tenant(message.tenant, ()) if message.tenant else None
+
+
 def route_of(message: DelegatedRequest) -> Route:
     """Return the part of the sender's route that concerns its shards."""
     return Route(
--- a/wingquay/forwarding/peers/delegation.py
+++ b/wingquay/forwarding/peers/delegation.py
@@ -223,6 +223,7 @@
             in_time_seconds=max(in_time_seconds, 0.0),
             remaining_seconds=max(exchange.ends_at - now, 0.001),
             is_group_share=is_group_share,
+            tenant=exchange.tenant_name,
         )
         due_at = now + self._takeover.seconds(exchange.route)
         return [
--- a/wingquay/forwarding/peers/peer_work.py
+++ b/wingquay/forwarding/peers/peer_work.py
@@ -102,8 +102,9 @@
     ) -> list[Action]:
         if table is None:
             return self._work.reject(sender, message)
-        if self._guard.verdict(message.request, now) is Verdict.HELD:
-            held_seconds = self._guard.held_seconds(identity_of(message.request), now)
+        if self._guard.verdict(message.request, now, message.tenant) is Verdict.HELD:
+            identity = identity_of(message.request, message.tenant)
+            held_seconds = self._guard.held_seconds(identity, now)
             return self._work.refuse_held(sender, message, held_seconds)
         declined = self._work.unknown(message, now)
         if len(declined) == len(message.shards):
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -244,6 +244,7 @@
             exchange.event.request_id,
             exchange.event.request,
             max(exchange.ends_at - now, 0.001),
+            tenant=exchange.tenant_name,
         )
 
     def _sharing_nodes(self, call: ServiceCall, now: float) -> int:
--- a/wingquay/forwarding/settling/ending.py
+++ b/wingquay/forwarding/settling/ending.py
@@ -9,6 +9,7 @@
     ReplyUnchanged,
 )
 from ...ports.machine import Action, Count, Log, LogLevel, Observe
+from ..arrival.admission import Rejected
 from ..arrival.request_identity import identity_of
 from ..exchange import Exchange, ServiceCall
 from .merging import merge_greatest
@@ -27,16 +28,29 @@
     """Makes the actions that end an exchange."""
 
     def refuse_arrival(
-        self, event: ForwardRequested, reason: str, retry_after_seconds: float
+        self, event: ForwardRequested, reason: str, retry_after_seconds: float, tenant: str = ""
     ) -> list[Action]:
         """Refuse a request before anything was done for it."""
-        kind = ForwardFailureKind.NOT_RUN
+        rejected = Rejected(ForwardFailureKind.NOT_RUN, reason, retry_after_seconds)
+        return self.reject_arrival(event, rejected, tenant)
+
+    def reject_arrival(
+        self, event: ForwardRequested, rejected: Rejected, tenant: str = ""
+    ) -> list[Action]:
+        """Reject a request before anything was done for it."""
+        kind, reason = rejected.kind, rejected.reason
+        outcome = "refused" if kind is ForwardFailureKind.NOT_RUN else kind.value
         return [
-            ReplyFailure(event.exchange_id, kind, reason, retry_after_seconds),
-            _count("refused"),
-            _arrival_line(event, "refused", reason),
+            ReplyFailure(event.exchange_id, kind, reason, rejected.retry_after_seconds),
+            _count(outcome),
+            _arrival_line(event, outcome, reason, tenant),
         ]
 
+    def left_arrival(self, event: ForwardRequested, tenant: str) -> list[Action]:
+        """Take note that nobody waits any more for a request that was not begun."""
+        reason = "it waited for its tenant's limit"
+        return [_count("caller_left"), _arrival_line(event, "caller_left", reason, tenant)]
+
     def no_route(self, event: ForwardRequested, version: int) -> list[Action]:
         """Say that no route fits."""
         reason = f"no route for host {event.host!r} and path {event.path!r}"
@@ -153,6 +167,7 @@
         ("arrivals", sum(call.arrivals for call in exchange.calls)),
     )
     fields += (("digest", exchange.identity.hex()),)
+    fields += exchange.tenant_fields
     if exchange.event.caller:
         fields += (("caller", exchange.event.caller),)
     if exchange.origin is not None:
@@ -172,12 +187,14 @@
     return f"{call.service}: " + (", ".join(call.history + open_attempts) or "never sent")
 
 
-def _arrival_line(event: ForwardRequested, outcome: str, reason: str) -> Log:
-    fields = (
+def _arrival_line(event: ForwardRequested, outcome: str, reason: str, tenant: str = "") -> Log:
+    fields: tuple[tuple[str, str], ...] = (
         ("request_id", event.request_id),
         ("outcome", outcome),
         ("reason", reason),
-        ("digest", identity_of(event.request).hex()),
+        ("digest", identity_of(event.request, tenant).hex()),
         ("caller", event.caller),
     )
+    if tenant:
+        fields += (("tenant", tenant),)
     return Log("request_ended", LogLevel.INFO, fields)
--- a/wingquay/forwarding/settling/settlement.py
+++ b/wingquay/forwarding/settling/settlement.py
@@ -36,6 +36,8 @@
         self._exchanges: dict[int, Exchange] = {}
         self.on_closed: Callable[[Exchange], list[Action]] = _nothing_more
         """Returns what else is to be done when an exchange ends."""
+        self.on_not_run: Callable[[Exchange, float], list[Action]] = _nothing_to_give_back
+        """Takes in that a tenant's request has ended and no replica may have run it."""
 
     def __len__(self) -> int:
         """Return the number of open exchanges."""
@@ -216,6 +218,8 @@
     def _close(self, exchange: Exchange, actions: list[Action], now: float) -> list[Action]:
         del self._exchanges[exchange.exchange_id]
         actions = actions + self.on_closed(exchange)
+        if exchange.tenant is not None and exchange.origin is None and not exchange.may_have_run:
+            actions = actions + self.on_not_run(exchange, now)
         for call in exchange.calls:
             call.is_waiting = False
             actions = actions + self._sender.abandon(call, now)
@@ -224,3 +228,7 @@
 
 def _nothing_more(_exchange: Exchange) -> list[Action]:
     return []
+
+
+def _nothing_to_give_back(_exchange: Exchange, _now: float) -> list[Action]:
+    return []
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -32,6 +32,13 @@
     exchange_id: int
 
 
+@value
+class LimitAnswerDue(Event):
+    """Refuse a request that still waits for word on its tenant's limit."""
+
+    exchange_id: int
+
+
 @value
 class ReportDue(Event):
     """Tell the node that waits for an exchange what is in so far."""
