--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -57,6 +57,8 @@
     objective_seconds=SECONDS,
     in_time_seconds=SECONDS,
     remaining_seconds=SECONDS,
+    is_group_share=st.booleans(),
+    tenant=st.text(max_size=9),
 )
 ANSWERS = st.lists(st.tuples(st.integers(0, 2**31), st.text(max_size=9)), max_size=5).flatmap(
     lambda pairs: st.builds(
--- /dev/null
+++ b/tests/forwarding/test_awaiting_limits.py
@@ -0,0 +1,181 @@
+"""Arrivals that wait for word on their tenant's limit: go on, or end truly, exactly once."""
+
+from testtools import TestCase
+
+from tests.forwarding.known_callers import (
+    ADMITTED,
+    KIOSK,
+    SECRET,
+    Limits,
+    ask,
+    ended,
+    everything_but_replies,
+    tenant_counts,
+    with_tenants,
+)
+from tests.forwarding.one_node import OneNode, replica, single_route, table
+from wingquay.forwarding.arrival.admission import Admitted, AwaitsLimit, Rejected
+from wingquay.forwarding.arrival.kept_arrivals import MOST_KEPT, MOST_KEPT_BYTES, KeptArrivals
+from wingquay.forwarding.arrival.kept_arrivals import Arrival as KeptArrival
+from wingquay.model.tenants import Tenant
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ForwardRequested,
+    OpaqueRequest,
+    ReplyFailure,
+    ReplyUnchanged,
+)
+
+OBJECTIVE_SECONDS = 0.4
+OFFER_SECONDS = 0.08
+OVER_LIMIT = Rejected(ForwardFailureKind.OVER_LIMIT, "the tenant has had its requests", 1.25)
+NO_WORD = "no word on the limit of its tenant came in time"
+
+
+class Waiting:
+    """A node of which one request awaits word on its tenant's limit."""
+
+    def __init__(self, deadline_seconds: float | None = 2.0) -> None:
+        self.limits = Limits(AwaitsLimit())
+        self.node = OneNode()
+        configuration = with_tenants(table(4, single_route(priority=1)), KIOSK)
+        self.node.start(configuration, replica("r0", "s"), replica("r1", "s"))
+        self.node.machine._forwarding.admission.limits = self.limits
+        self.number = ask(self.node, 1, SECRET, deadline_seconds=deadline_seconds)
+
+    def answer(self, answer: Admitted | Rejected) -> None:
+        """Let the word come."""
+        machine = self.node.machine._forwarding
+        for action in machine.limit_answered(self.number, answer, self.node.now):
+            self.node._take(action)
+
+    @property
+    def reply(self) -> ReplyFailure:
+        reply = self.node.replies[self.number]
+        assert isinstance(reply, ReplyFailure)
+        return reply
+
+
+class AwaitingLimitTest(TestCase):
+    def test_nothing_is_sent_or_said_before_the_word_comes(self) -> None:
+        waiting = Waiting()
+        waiting.node.advance(OFFER_SECONDS / 2)
+        self.assertEqual(([], {}), (waiting.node.all_sends, waiting.node.replies))
+        self.assertEqual(1, waiting.node.machine._forwarding.open_exchanges)
+
+    def test_an_admitted_request_goes_on_as_it_arrived(self) -> None:
+        waiting = Waiting()
+        node = waiting.node
+        node.advance(OFFER_SECONDS / 2)
+        node.change(configuration=with_tenants(table(5, single_route(priority=2))))
+        waiting.answer(ADMITTED)
+        (send,) = node.sends
+        self.assertEqual("kiosk", send.tenant)
+        exchange = node.machine._forwarding._settlement.get(waiting.number)
+        self.assertEqual(
+            (4, 3, 100.0, 101.98),
+            (
+                exchange.table.version,
+                exchange.route.priority,
+                exchange.arrived_at,
+                round(exchange.ends_at, 6),
+            ),
+        )
+        node.answer(send)
+        self.assertIsInstance(node.replies[waiting.number], ReplyUnchanged)
+        node.advance(10.0)
+        self.assertEqual(([("kiosk", 1)], []), (waiting.limits.asked, waiting.limits.given_back))
+        self.assertEqual([("other", "allowed")], tenant_counts(node))
+
+    def test_a_request_over_the_limit_hears_so_and_gives_nothing_back(self) -> None:
+        waiting = Waiting()
+        waiting.answer(OVER_LIMIT)
+        self.assertEqual(
+            ReplyFailure(1, ForwardFailureKind.OVER_LIMIT, OVER_LIMIT.reason, 1.25), waiting.reply
+        )
+        waiting.node.advance(10.0)
+        self.assertEqual(([], []), (waiting.node.all_sends, waiting.limits.given_back))
+
+    def test_without_word_it_is_refused_while_coming_back_is_worth_it(self) -> None:
+        for deadline_seconds, expected in ((2.0, OFFER_SECONDS), (0.05, 0.03), (None, 0.08)):
+            waiting = Waiting(deadline_seconds)
+            waiting.node.advance(10.0)
+            self.assertEqual(
+                ReplyFailure(1, ForwardFailureKind.NOT_RUN, NO_WORD, 0.1), waiting.reply
+            )
+            waited = waiting.node.replied_at[waiting.number] - 100.0
+            self.assertEqual(expected, round(waited, 6))
+            self.assertEqual([("kiosk", 1)], waiting.limits.given_back)
+            self.assertEqual(0, waiting.node.machine._forwarding.open_exchanges)
+
+    def test_word_that_comes_too_late_starts_nothing(self) -> None:
+        waiting = Waiting()
+        waiting.node.advance(10.0)
+        for answer in (ADMITTED, OVER_LIMIT):
+            waiting.answer(answer)
+        self.assertEqual([], waiting.node.all_sends)
+        self.assertEqual([("kiosk", 1)], waiting.limits.given_back)
+
+    def test_a_caller_that_leaves_gives_its_unit_back_once(self) -> None:
+        waiting = Waiting()
+        waiting.node.leave(waiting.number)
+        waiting.node.leave(waiting.number)
+        waiting.answer(ADMITTED)
+        waiting.node.advance(10.0)
+        self.assertEqual([], waiting.node.all_sends)
+        self.assertEqual({}, waiting.node.replies)
+        self.assertEqual([("kiosk", 1)], waiting.limits.given_back)
+        lines = [dict(line.fields) for line in ended(waiting.node)]
+        self.assertEqual(
+            [("id-1", "caller_left", "kiosk")],
+            [(line["request_id"], line["outcome"], line["tenant"]) for line in lines],
+        )
+
+    def test_an_admitted_request_that_runs_nowhere_gives_its_unit_back_once(self) -> None:
+        waiting = Waiting()
+        waiting.answer(ADMITTED)
+        while waiting.number not in waiting.node.replies:
+            for send in list(waiting.node.sends):
+                waiting.node.answer(send, 503, signature=None, not_run=True)
+            waiting.node.advance(0.01)
+        self.assertIs(ForwardFailureKind.NOT_RUN, waiting.reply.kind)
+        waiting.node.advance(10.0)
+        self.assertEqual([("kiosk", 1)], waiting.limits.given_back)
+
+    def test_what_waits_shows_no_key(self) -> None:
+        waiting = Waiting()
+        waiting.node.advance(10.0)
+        self.assertNotIn(SECRET, everything_but_replies(waiting.node))
+
+    def test_more_than_a_node_keeps_is_refused_at_once(self) -> None:
+        waiting = Waiting()
+        for number in range(2, MOST_KEPT + 2):
+            ask(waiting.node, number, SECRET)
+        self.assertEqual([MOST_KEPT + 1], list(waiting.node.replies))
+        reply = waiting.node.replies[MOST_KEPT + 1]
+        assert isinstance(reply, ReplyFailure)
+        self.assertIs(ForwardFailureKind.NOT_RUN, reply.kind)
+        self.assertEqual([("kiosk", MOST_KEPT + 1)], waiting.limits.given_back)
+        waiting.node.advance(10.0)
+        self.assertEqual(MOST_KEPT + 1, len(set(waiting.limits.given_back)))
+        self.assertEqual(MOST_KEPT + 1, len(waiting.limits.given_back))
+
+
+class KeptArrivalsTest(TestCase):
+    def test_bodies_are_bounded_and_make_room_again(self) -> None:
+        kept = KeptArrivals()
+        half = MOST_KEPT_BYTES // 2
+        self.assertEqual(
+            [True, True, False], [kept.keep(arrival(number, half)) for number in (1, 2, 3)]
+        )
+        taken = kept.take(1)
+        assert taken is not None
+        self.assertEqual((1, None, 1), (taken.event.exchange_id, kept.take(1), len(kept)))
+        self.assertTrue(kept.keep(arrival(4, half)))
+
+
+def arrival(number: int, body_bytes: int) -> KeptArrival:
+    request = OpaqueRequest(b"POST", b"/", (), bytes(body_bytes))
+    event = ForwardRequested(number, "id", "", "", request)
+    tenant = Tenant("kiosk", ())
+    return KeptArrival(event, table(1), single_route(), tenant, 0.0, 0.0)
--- /dev/null
+++ b/tests/forwarding/test_callers.py
@@ -0,0 +1,330 @@
+"""Who calls: keys, tenants and public routes, from arrival to the reply."""
+
+from testtools import TestCase
+
+from tests.forwarding.known_callers import (
+    ADMITTED,
+    ARCHIVE,
+    BARE_HEADERS,
+    KIOSK,
+    OTHER_SECRET,
+    SECRET,
+    Limits,
+    Proof,
+    ask,
+    ended,
+    everything_but_replies,
+    tenant_counts,
+    with_tenants,
+)
+from tests.forwarding.one_node import OneNode, replica, single_route, table
+from wingquay.forwarding.arrival.admission import Rejected
+from wingquay.forwarding.arrival.request_identity import identity_of
+from wingquay.model.tenants import Tenant
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    OpaqueRequest,
+    ReplyFailure,
+    ReplyUnchanged,
+    SendFailureKind,
+)
+
+OVER_LIMIT = Rejected(ForwardFailureKind.OVER_LIMIT, "the tenant has had its requests", 1.25)
+PUBLIC = "/open/"
+UNKNOWN = "no tenant holds the key that is shown"
+NO_KEY = "the request shows no key, or several"
+UNPROVEN = "the configuration may be too old to tell whose key is shown"
+
+
+def bare(path: str = "/one/x") -> OpaqueRequest:
+    return OpaqueRequest(b"GET", path.encode(), BARE_HEADERS)
+
+
+def node_with(
+    *tenants: Tenant, replicas: int = 2, limits: Limits | None = None, proof: Proof | None = None
+) -> OneNode:
+    """Return a node whose configuration has tenants, a route with keys and a public one."""
+    node = OneNode()
+    routes = (single_route(), single_route(PUBLIC, is_public=True))
+    records = [replica(f"r{number}", "s") for number in range(replicas)]
+    node.start(with_tenants(table(4, *routes), *tenants), *records)
+    admission = node.machine._forwarding.admission
+    admission.limits = Limits() if limits is None else limits
+    admission.proof = Proof() if proof is None else proof
+    return node
+
+
+class KnownCallerTest(TestCase):
+    def test_the_replica_gets_the_bare_request_and_the_tenant(self) -> None:
+        for key, forged, name in (
+            (SECRET, "", "kiosk"),
+            (SECRET, "archive", "kiosk"),
+            (OTHER_SECRET, "kiosk", "archive"),
+        ):
+            node = node_with(KIOSK, ARCHIVE)
+            number = ask(node, 1, key, forged_tenant=forged)
+            (send,) = node.sends
+            self.assertEqual((bare(), name), (send.request, send.tenant))
+            node.answer(send)
+            self.assertIsInstance(node.replies[number], ReplyUnchanged)
+            self.assertEqual([("other", "allowed")], tenant_counts(node))
+
+    def test_a_public_route_asks_for_no_key_and_tells_no_tenant(self) -> None:
+        for key, forged in (("", ""), (SECRET, ""), ("unknown", ""), ("", "kiosk"), (SECRET, "x")):
+            limits, proof = Limits(), Proof()
+            proof.proven = False
+            node = node_with(KIOSK, limits=limits, proof=proof)
+            ask(node, 1, key, f"{PUBLIC}x", forged)
+            (send,) = node.sends
+            self.assertEqual((bare(f"{PUBLIC}x"), ""), (send.request, send.tenant))
+            node.answer(send)
+            self.assertEqual(([], []), (limits.asked, tenant_counts(node)))
+
+    def test_the_second_replica_gets_the_same(self) -> None:
+        node = node_with(KIOSK)
+        ask(node, 1, SECRET, forged_tenant="archive")
+        node.fail(node.sends[0], SendFailureKind.BROKEN)
+        self.assertEqual(
+            [(bare(), "kiosk")] * 2, [(send.request, send.tenant) for send in node.all_sends]
+        )
+
+    def test_the_priority_of_the_tenant_takes_the_routes_place(self) -> None:
+        for tenant, route_priority, expected in (
+            (Tenant("kiosk", (SECRET,), 3), 1, 3),
+            (Tenant("kiosk", (SECRET,), 0), 1, 0),
+            (Tenant("kiosk", (SECRET,)), 1, 1),
+        ):
+            node = OneNode()
+            route = single_route(priority=route_priority)
+            node.start(with_tenants(table(4, route), tenant), replica("r0", "s"))
+            for number in (1, 2):
+                ask(node, number, SECRET)
+                self.assertEqual(expected, open_route(node, number).priority)
+            self.assertIs(open_route(node, 1), open_route(node, 2))
+
+    def test_the_tenants_priority_of_a_new_configuration_holds_for_new_requests(self) -> None:
+        node = OneNode()
+        route = single_route(priority=1)
+        node.start(with_tenants(table(4, route), KIOSK), replica("r0", "s"))
+        ask(node, 1, SECRET)
+        node.change(configuration=with_tenants(table(5, route), Tenant("kiosk", (SECRET,), 7)))
+        ask(node, 2, SECRET)
+        self.assertEqual([3, 7], [open_route(node, number).priority for number in (1, 2)])
+
+    def test_a_request_goes_by_one_version_from_arrival_to_end(self) -> None:
+        node = node_with(KIOSK)
+        number = ask(node, 1, SECRET)
+        node.change(configuration=with_tenants(table(5, single_route()), ARCHIVE))
+        node.fail(node.sends[0], SendFailureKind.BROKEN)
+        (send,) = node.sends
+        self.assertEqual("kiosk", send.tenant)
+        node.answer(send)
+        self.assertIsInstance(node.replies[number], ReplyUnchanged)
+        self.assertIs(ForwardFailureKind.UNKNOWN_CALLER, reply_to(node, ask(node, 2, SECRET)).kind)
+
+
+class RejectedCallerTest(TestCase):
+    def test_an_unknown_key_is_answered_at_once_and_nothing_runs(self) -> None:
+        for key, reason in (("", NO_KEY), ("other", UNKNOWN), (SECRET.upper(), UNKNOWN)):
+            limits = Limits()
+            node = node_with(KIOSK, limits=limits)
+            number = ask(node, 1, key)
+            self.assertEqual(
+                ReplyFailure(1, ForwardFailureKind.UNKNOWN_CALLER, reason), node.replies[number]
+            )
+            self.assertEqual(([], [], []), (node.all_sends, limits.asked, limits.given_back))
+            self.assertEqual([("none", "unknown_caller")], tenant_counts(node))
+            self.assertEqual(0, node.machine._forwarding.open_exchanges)
+
+    def test_a_configuration_without_a_single_tenant_knows_nobody(self) -> None:
+        node = node_with()
+        self.assertIs(ForwardFailureKind.UNKNOWN_CALLER, reply_to(node, ask(node, 1, SECRET)).kind)
+
+    def test_a_tenant_without_keys_is_nobody(self) -> None:
+        node = node_with(Tenant("kiosk", ()))
+        for number, key in enumerate(("", SECRET), 1):
+            kind = reply_to(node, ask(node, number, key)).kind
+            self.assertIs(ForwardFailureKind.UNKNOWN_CALLER, kind)
+
+    def test_without_proof_no_key_is_called_unknown(self) -> None:
+        for key in ("", "other", SECRET):
+            limits, proof = Limits(), Proof()
+            proof.proven = False
+            node = node_with(KIOSK, limits=limits, proof=proof)
+            number = ask(node, 1, key)
+            self.assertEqual(
+                ReplyFailure(1, ForwardFailureKind.NOT_RUN, UNPROVEN, 0.7), node.replies[number]
+            )
+            self.assertEqual(([], []), (node.all_sends, limits.asked))
+            self.assertEqual([("none", "unproven")], tenant_counts(node))
+
+    def test_over_the_limit_the_window_tells_when_to_come_back(self) -> None:
+        limits = Limits(OVER_LIMIT)
+        node = node_with(KIOSK, limits=limits)
+        number = ask(node, 1, SECRET)
+        self.assertEqual(
+            ReplyFailure(1, ForwardFailureKind.OVER_LIMIT, OVER_LIMIT.reason, 1.25),
+            node.replies[number],
+        )
+        self.assertEqual(
+            ([], [("kiosk", 1)], []), (node.all_sends, limits.asked, limits.given_back)
+        )
+
+    def test_no_route_and_too_late_are_said_before_anything_is_asked_of_the_caller(self) -> None:
+        proof = Proof()
+        proof.proven = False
+        limits = Limits()
+        node = node_with(KIOSK, limits=limits, proof=proof)
+        self.assertIs(
+            ForwardFailureKind.NO_ROUTE, reply_to(node, ask(node, 1, "other", "/none/")).kind
+        )
+        node.machine._forwarding.lag.seconds = 3.0
+        reply = reply_to(node, ask(node, 2, "other"))
+        self.assertEqual("its time was over before it could be read", reply.reason)
+        self.assertEqual([], limits.asked)
+
+    def test_without_a_configuration_nobody_is_called_unknown(self) -> None:
+        node = OneNode()
+        node.start(None)
+        reply = reply_to(node, ask(node, 1, SECRET))
+        self.assertEqual(
+            ReplyFailure(1, ForwardFailureKind.NOT_RUN, "no configuration yet", 0.3), reply
+        )
+
+
+class GivenBackTest(TestCase):
+    def test_what_ran_nowhere_is_given_back_once(self) -> None:
+        limits = Limits()
+        node = node_with(KIOSK, replicas=0, limits=limits)
+        node.advance(10.0)
+        number = ask(node, 1, SECRET)
+        node.advance(10.0)
+        self.assertIs(ForwardFailureKind.NOT_RUN, reply_to(node, number).kind)
+        self.assertEqual([("kiosk", 1)], limits.given_back)
+
+    def test_what_replicas_did_not_run_is_given_back_once(self) -> None:
+        limits = Limits()
+        node = node_with(KIOSK, limits=limits)
+        number = ask(node, 1, SECRET)
+        while number not in node.replies:
+            for send in list(node.sends):
+                node.answer(send, 503, signature=None, not_run=True)
+            node.advance(0.01)
+        self.assertIs(ForwardFailureKind.NOT_RUN, reply_to(node, number).kind)
+        node.leave(number)
+        node.advance(10.0)
+        self.assertEqual([("kiosk", 1)], limits.given_back)
+        self.assertIn(("other", "given_back"), tenant_counts(node))
+
+    def test_what_may_have_run_is_not_given_back(self) -> None:
+        for end in ("answer", "leave", "fail", "time"):
+            limits = Limits()
+            node = node_with(KIOSK, replicas=1, limits=limits)
+            number = ask(node, 1, SECRET)
+            if end == "answer":
+                node.answer(node.sends[0])
+            elif end == "leave":
+                node.leave(number)
+            elif end == "fail":
+                node.fail(node.sends[0], SendFailureKind.BROKEN)
+            node.advance(10.0)
+            self.assertEqual(([("kiosk", 1)], []), (limits.asked, limits.given_back), end)
+
+    def test_a_request_counts_once_however_often_it_is_sent(self) -> None:
+        limits = Limits()
+        node = node_with(KIOSK, limits=limits)
+        ask(node, 1, SECRET)
+        node.advance(0.3)
+        self.assertEqual(2, len(node.all_sends))
+        self.assertEqual([("kiosk", 1)], limits.asked)
+
+
+class NothingToldTest(TestCase):
+    def test_no_action_shows_the_key_and_lines_tell_the_tenant(self) -> None:
+        proof = Proof()
+        limits = Limits()
+        node = node_with(KIOSK, limits=limits, proof=proof)
+        ask(node, 1, SECRET)
+        node.answer(node.sends[0])
+        ask(node, 2, SECRET)
+        node.leave(2)
+        ask(node, 3, SECRET)
+        node.advance(10.0)
+        limits.answer = OVER_LIMIT
+        ask(node, 4, SECRET)
+        proof.proven = False
+        ask(node, 5, SECRET)
+        ask(node, 6, SECRET, "/none/")
+        proof.proven = True
+        limits.answer = ADMITTED
+        node.machine._forwarding.lag.seconds = 3.0
+        ask(node, 7, SECRET)
+        self.assertNotIn(SECRET, everything_but_replies(node))
+        lines = [dict(line.fields) for line in ended(node)]
+        told = {(line["request_id"], line["outcome"], line.get("tenant", "")) for line in lines}
+        self.assertEqual(
+            {
+                ("id-2", "caller_left", "kiosk"),
+                ("id-3", "timed_out", "kiosk"),
+                ("id-4", "over_limit", "kiosk"),
+                ("id-5", "refused", ""),
+                ("id-6", "no_route", ""),
+                ("id-7", "refused", ""),
+            },
+            told,
+        )
+
+    def test_the_digest_is_that_of_the_bare_request_and_the_tenant(self) -> None:
+        node = node_with(KIOSK, limits=Limits(OVER_LIMIT))
+        ask(node, 1, SECRET)
+        ask(node, 2, "other")
+        digests = [dict(line.fields)["digest"] for line in ended(node)]
+        self.assertEqual([identity_of(bare(), "kiosk").hex(), identity_of(bare()).hex()], digests)
+
+    def test_without_a_configuration_no_digest_is_made_of_the_key(self) -> None:
+        node = OneNode()
+        node.start(None)
+        ask(node, 1, SECRET)
+        self.assertEqual(identity_of(bare()).hex(), dict(ended(node)[0].fields)["digest"])
+
+
+class WithoutTenantsTest(TestCase):
+    def test_every_header_is_passed_on_as_it_came_and_nothing_is_asked(self) -> None:
+        limits, proof = Limits(), Proof()
+        proof.proven = False
+        for key, forged in (("", ""), (SECRET, ""), ("", "mine"), (SECRET, "mine")):
+            node = OneNode()
+            node.start(table(4, single_route(priority=2)), replica("r0", "s"))
+            node.machine._forwarding.admission.limits = limits
+            node.machine._forwarding.admission.proof = proof
+            number = ask(node, 1, key, forged_tenant=forged)
+            (send,) = node.sends
+            headers = BARE_HEADERS
+            if key:
+                headers += ((b"Authorization", b"Bearer " + key.encode()),)
+            if forged:
+                headers += ((b"Tenant", forged.encode()),)
+            request = OpaqueRequest(b"GET", b"/one/x", headers)
+            self.assertEqual((request, ""), (send.request, send.tenant))
+            self.assertEqual(2, open_route(node, 1).priority)
+            self.assertEqual(identity_of(request), open_exchange(node, 1).identity)
+            node.answer(send, body=b"body")
+            self.assertEqual(b"body", node.replies[number].answer.body)
+            self.assertEqual([], tenant_counts(node))
+        self.assertEqual([], limits.asked)
+
+
+def reply_to(node: OneNode, number: int) -> ReplyFailure:
+    reply = node.replies[number]
+    assert isinstance(reply, ReplyFailure), reply
+    return reply
+
+
+def open_exchange(node: OneNode, number: int) -> object:
+    exchange = node.machine._forwarding._settlement.get(number)
+    assert exchange is not None
+    return exchange
+
+
+def open_route(node: OneNode, number: int) -> object:
+    return open_exchange(node, number).route
--- a/wingquay/platform/configuration_document.py
+++ b/wingquay/platform/configuration_document.py
@@ -64,7 +64,9 @@
 
 
 def _is_public(document: Document) -> bool:
-    given = document.get("public", False)
+    given = document.get("public")
+    if given is None:
+        return False
     if not isinstance(given, bool):
         name = f"public of route {document['name']!r}"
         raise FieldRefusedError(name, repr(given), "true or false")
