--- a/tests/forwarding/test_awaiting_limits.py
+++ b/tests/forwarding/test_awaiting_limits.py
@@ -4,6 +4,7 @@
 
 from tests.forwarding.known_callers import (
     ADMITTED,
+    BARE_HEADERS,
     KIOSK,
     SECRET,
     Limits,
@@ -13,11 +14,15 @@
     tenant_counts,
     with_tenants,
 )
+from tests.forwarding.linked_nodes import OTHERS
 from tests.forwarding.one_node import OneNode, replica, single_route, table
 from wingquay.forwarding.arrival.admission import Admitted, AwaitsLimit, Rejected
 from wingquay.forwarding.arrival.kept_arrivals import MOST_KEPT, MOST_KEPT_BYTES, KeptArrivals
 from wingquay.forwarding.arrival.kept_arrivals import Arrival as KeptArrival
+from wingquay.forwarding.arrival.request_identity import identity_of
+from wingquay.forwarding.settling.ending import HELD_REASON
 from wingquay.model.tenants import Tenant
+from wingquay.ports.crash_news import CrashNews
 from wingquay.ports.forwarding import (
     ForwardFailureKind,
     ForwardRequested,
@@ -25,6 +30,7 @@
     ReplyFailure,
     ReplyUnchanged,
 )
+from wingquay.ports.peer_link import PeerReceived
 
 OBJECTIVE_SECONDS = 0.4
 OFFER_SECONDS = 0.08
@@ -142,6 +148,17 @@
         waiting.node.advance(10.0)
         self.assertEqual([("kiosk", 1)], waiting.limits.given_back)
 
+    def test_a_request_that_was_held_back_meanwhile_starts_nothing(self) -> None:
+        waiting = Waiting()
+        bare = OpaqueRequest(b"GET", b"/one/x", BARE_HEADERS)
+        news = CrashNews(identity_of(bare, "kiosk"), held_seconds=60.0)
+        waiting.node.emit(PeerReceived(OTHERS[0], news))
+        waiting.answer(ADMITTED)
+        self.assertEqual(
+            ReplyFailure(1, ForwardFailureKind.NOT_RUN, HELD_REASON, 60.0), waiting.reply
+        )
+        self.assertEqual(([], [("kiosk", 1)]), (waiting.node.all_sends, waiting.limits.given_back))
+
     def test_what_waits_shows_no_key(self) -> None:
         waiting = Waiting()
         waiting.node.advance(10.0)
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -113,9 +113,9 @@
         writer.close()
         return head, body
 
-    async def configure(self) -> None:
+    async def configure(self, document: dict[str, object] | None = None) -> None:
         """Let the operator write the first configuration and wait until the node is ready."""
-        self.store.put("op/config", configuration())
+        self.store.put("op/config", document or configuration())
         request = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
         head = ""
         while " 200 " not in head:
