--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -4,7 +4,6 @@
 
 from testtools import TestCase
 
-from wingquay.forwarding import ending
 from wingquay.forwarding.choice.replica_directory import ReplicaDirectory
 from wingquay.forwarding.exchange import Exchange, ServiceCall
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
@@ -14,6 +13,7 @@
 from wingquay.forwarding.sending.attempts import AttemptSender
 from wingquay.forwarding.sending.call_starter import CallStarter
 from wingquay.forwarding.sending.latencies import RouteLatencies
+from wingquay.forwarding.settling import ending
 from wingquay.forwarding.settling.ending import ExchangeEnding
 from wingquay.forwarding.settling.settlement import Settlement
 from wingquay.model.routing_table import RoutingTable
