--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -26,6 +26,7 @@
 from .sending.attempts import AttemptSender
 from .sending.call_starter import CallStarter
 from .sending.latencies import RouteLatencies
+from .sending.limits import SendingLimits
 from .settings import ForwardingSettings
 from .settling.cutoff import in_time_seconds
 from .settling.ending import HELD_REASON, LEAST_RETRY_SECONDS, ExchangeEnding
@@ -84,7 +85,8 @@
         self._settings = settings
         self._directory = directory
         self._latencies = RouteLatencies(settings)
-        self._sender = AttemptSender(settings, directory, self._latencies, nodes, key)
+        self._limits = SendingLimits(settings, directory, nodes, key)
+        self._sender = AttemptSender(settings, directory, self._latencies, self._limits)
         self._random = random_source
         self._weights = WeightedChoice(random_source)
         self._ending = ExchangeEnding()
@@ -148,7 +150,7 @@
             self.lag,
             self.guard,
         )
-        self._sender.placement = delegations.placement
+        self._limits.placement = delegations.placement
         self._careful.begin_all = delegations.start
         self.guard.peers = groups.reachable
 
--- a/wingquay/forwarding/sending/arrival_budget.py
+++ b/wingquay/forwarding/sending/arrival_budget.py
@@ -50,11 +50,7 @@
         nodes
             How many nodes share the slack.
         """
-        share = self.slack * SLACK_SHARE / max(1, nodes)
-        # One whole arrival may be saved up, unless so many nodes could spend one each at once.
-        is_few = nodes <= self.slack * SAVING_NODES_SHARE
-        most = max(share, 1.0) if is_few else share
-        self._grant(share, most, now)
+        self._grant(self._share(nodes), self._most(nodes), now)
         granted = self._granted or 0.0
         if self._earned + granted < 1.0:
             return False
@@ -63,10 +59,29 @@
         self._granted = granted - (1.0 - from_earned)
         return True
 
+    def next_at(self, nodes: int, now: float) -> float:
+        """Return when one extra arrival may be taken; infinity: not before a request earns it."""
+        share = self._share(nodes)
+        self._grant(share, self._most(nodes), now)
+        missing = 1.0 - self._earned - (self._granted or 0.0)
+        if missing <= 0.0:
+            return now
+        if self._earned + self._most(nodes) < 1.0 or not share:
+            return float("inf")
+        return now + missing * self.window_seconds / share
+
     def give_back(self) -> None:
         """Return an extra arrival that did not arrive."""
         self._earned = min(MOST_SAVED, self._earned + 1.0)
 
+    def _share(self, nodes: int) -> float:
+        return self.slack * SLACK_SHARE / max(1, nodes)
+
+    def _most(self, nodes: int) -> float:
+        # One whole arrival may be saved up, unless so many nodes could spend one each at once.
+        is_few = nodes <= self.slack * SAVING_NODES_SHARE
+        return max(self._share(nodes), 1.0) if is_few else self._share(nodes)
+
     def _grant(self, share: float, most: float, now: float) -> None:
         if self._granted is None:
             self._granted = share
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -1,7 +1,6 @@
 """Sends attempts of calls to replicas and keeps account of those under way."""
 
 from itertools import count
-from typing import Protocol
 
 from ...ports.forwarding import (
     CancelSend,
@@ -14,28 +13,10 @@
 from ..choice.replica_directory import ReplicaDirectory
 from ..choice.replica_state import ReplicaState
 from ..exchange import Attempt, ServiceCall
-from ..knowledge.presence import NodeCount
 from ..settings import ForwardingSettings
 from ..timers import AbandonDue, ReachDue
-from .arrival_budget import ArrivalBudget
-from .cold_share import ColdShare
 from .latencies import RouteLatencies
-
-DEFAULT_CONNECTION_LIMIT = 24
-OWNERS_RESERVE = 2
-"""Owners of a shard take this part of what all nodes share: others may have to step in."""
-
-
-LIVES = 2
-"""Lives of this process whose connections a replica may still count after a start."""
-
-
-class SharesShards(Protocol):
-    """Knows among how many nodes the requests for a shard are divided."""
-
-    def sharing_nodes(self, shard: str, now: float) -> int:
-        """Return how many nodes usually ask a shard."""
-        ...
+from .limits import SendingLimits
 
 
 class AttemptSender:
@@ -46,20 +27,14 @@
         settings: ForwardingSettings,
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
-        nodes: NodeCount,
-        key: str = "",
+        limits: SendingLimits,
     ) -> None:
-        self._cold_share = ColdShare(settings.cold_overage, settings.cold_slack, nodes, key)
         self._settings = settings
         self._directory = directory
         self._latencies = latencies
-        self._nodes = nodes
+        self._limits = limits
         self._ids = count(1)
         self._open: dict[int, Attempt] = {}
-        self._budgets: dict[str, ArrivalBudget] = {}
-        self._first_sent_at: float | None = None
-        self.placement: SharesShards | None = None
-        """Who asks which shard, once shards are divided among nodes."""
 
     def get(self, attempt_id: int) -> Attempt | None:
         """Return an attempt under way."""
@@ -67,7 +42,7 @@
 
     def earn(self, service: str) -> None:
         """Take in a request for a service: it earns extra arrivals there."""
-        self._budget(service).earn()
+        self._limits.earn(service)
 
     def try_send(
         self,
@@ -89,15 +64,15 @@
             return []
         if exchange.is_careful and exchange.is_under_way(now):
             return []
-        excluded = call.asked | call.refused | self._too_cold(call, now)
-        limit = self._connection_limit(call, now)
+        excluded = call.asked | call.refused | self._limits.too_cold(call, now)
+        limit = self._limits.connections(call, now)
         prefers_proven = not route.is_repeatable
         replica = self._directory.choose(
             call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned
         )
         if replica is None:
             return []
-        if call.arrivals and not self._may_arrive_again(call, now):
+        if call.arrivals and not self._limits.may_arrive_again(call, now):
             return []
         attempt_id = next(self._ids)
         attempt = Attempt(attempt_id, call, replica, now, is_hedge)
@@ -117,7 +92,7 @@
         call.arrivals -= 1
         self._not_run(attempt)
         if call.arrivals:
-            self._budget(call.service).give_back()
+            self._limits.give_back(call.service)
 
     def not_run(self, attempt: Attempt) -> None:
         """Take in that a replica did not run the request."""
@@ -246,50 +221,6 @@
             max(exchange.ends_at - now, 0.001),
         )
 
-    def _sharing_nodes(self, call: ServiceCall, now: float) -> int:
-        """Return among how many nodes the limits of a call's service are divided."""
-        nodes = self._nodes.get(now)
-        if self.placement is None or not call.is_owned:
-            return nodes
-        return min(nodes, OWNERS_RESERVE * self.placement.sharing_nodes(call.service, now))
-
-    def _too_cold(self, call: ServiceCall, now: float) -> set[str]:
-        """Return the ids of the cold replicas to which this node may send nothing more now."""
-        known = call.exchange.table.services.get(call.service)
-        per_second = 0.0 if known is None else known.cold_requests_per_second
-        if not per_second:
-            return set()
-        sharing = self._sharing_nodes(call, now)
-        return {
-            state.record.replica_id
-            for state in self._directory.usable(call.service, now)
-            if not self._cold_share.may_send(state, per_second, sharing, now)
-        }
-
-    def _connection_limit(self, call: ServiceCall, now: float) -> int:
-        if self._first_sent_at is None:
-            self._first_sent_at = now
-        known = call.exchange.table.services.get(call.service)
-        limit = DEFAULT_CONNECTION_LIMIT if known is None else known.connection_limit
-        if now - self._first_sent_at < self._settings.first_connections_seconds:
-            if not call.is_owned:
-                return 1
-            limit //= LIVES
-        return max(1, limit // self._sharing_nodes(call, now))
-
-    def _may_arrive_again(self, call: ServiceCall, now: float) -> bool:
-        return self._budget(call.service).spend(self._sharing_nodes(call, now), now)
-
-    def _budget(self, service: str) -> ArrivalBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            settings = self._settings
-            budget = ArrivalBudget(
-                settings.retry_ratio, settings.retry_slack, settings.retry_window_seconds
-            )
-            self._budgets[service] = budget
-        return budget
-
 
 def replica_line(
     message: str,
--- /dev/null
+++ b/wingquay/forwarding/sending/limits.py
@@ -0,0 +1,108 @@
+"""How much this node may send to the replicas of a service, as its part of what all nodes may."""
+
+from typing import Protocol
+
+from ..choice.replica_directory import ReplicaDirectory
+from ..exchange import ServiceCall
+from ..knowledge.presence import NodeCount
+from ..settings import ForwardingSettings
+from .arrival_budget import ArrivalBudget
+from .cold_share import ColdShare
+
+DEFAULT_CONNECTION_LIMIT = 24
+OWNERS_RESERVE = 2
+"""Owners of a shard take this part of what all nodes share: others may have to step in."""
+LIVES = 2
+"""Lives of this process whose connections a replica may still count after a start."""
+
+
+class SharesShards(Protocol):
+    """Knows among how many nodes the requests for a shard are divided."""
+
+    def sharing_nodes(self, shard: str, now: float) -> int:
+        """Return how many nodes usually ask a shard."""
+        ...
+
+
+class SendingLimits:
+    """Its own parts of connections, of extra arrivals and of what cold replicas bear.
+
+    Parameters
+    ----------
+    key
+        This node's key in the store.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        directory: ReplicaDirectory,
+        nodes: NodeCount,
+        key: str,
+    ) -> None:
+        self._cold_share = ColdShare(settings.cold_overage, settings.cold_slack, nodes, key)
+        self._settings = settings
+        self._directory = directory
+        self._nodes = nodes
+        self._budgets: dict[str, ArrivalBudget] = {}
+        self._first_sent_at: float | None = None
+        self.placement: SharesShards | None = None
+        """Who asks which shard, once shards are divided among nodes."""
+
+    def earn(self, service: str) -> None:
+        """Take in a request for a service: it earns extra arrivals there."""
+        self._budget(service).earn()
+
+    def may_arrive_again(self, call: ServiceCall, now: float) -> bool:
+        """Take one extra arrival; ``False`` if the budget does not allow it."""
+        return self._budget(call.service).spend(self._sharing_nodes(call, now), now)
+
+    def repeat_at(self, call: ServiceCall, now: float) -> float:
+        """Return when the budget will allow one extra arrival, if no request earns one before."""
+        return self._budget(call.service).next_at(self._sharing_nodes(call, now), now)
+
+    def give_back(self, service: str) -> None:
+        """Return an extra arrival that did not arrive."""
+        self._budget(service).give_back()
+
+    def too_cold(self, call: ServiceCall, now: float) -> set[str]:
+        """Return the ids of the cold replicas to which this node may send nothing more now."""
+        known = call.exchange.table.services.get(call.service)
+        per_second = 0.0 if known is None else known.cold_requests_per_second
+        if not per_second:
+            return set()
+        sharing = self._sharing_nodes(call, now)
+        return {
+            state.record.replica_id
+            for state in self._directory.usable(call.service, now)
+            if not self._cold_share.may_send(state, per_second, sharing, now)
+        }
+
+    def connections(self, call: ServiceCall, now: float) -> int:
+        """Return how many requests this node may have under way at a replica."""
+        if self._first_sent_at is None:
+            self._first_sent_at = now
+        known = call.exchange.table.services.get(call.service)
+        limit = DEFAULT_CONNECTION_LIMIT if known is None else known.connection_limit
+        if now - self._first_sent_at < self._settings.first_connections_seconds:
+            if not call.is_owned:
+                return 1
+            limit //= LIVES
+        return max(1, limit // self._sharing_nodes(call, now))
+
+    def _sharing_nodes(self, call: ServiceCall, now: float) -> int:
+        """Return among how many nodes the limits of a call's service are divided."""
+        nodes = self._nodes.get(now)
+        if self.placement is None or not call.is_owned:
+            return nodes
+        return min(nodes, OWNERS_RESERVE * self.placement.sharing_nodes(call.service, now))
+
+    def _budget(self, service: str) -> ArrivalBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            settings = self._settings
+            budget = ArrivalBudget(
+                settings.retry_ratio, settings.retry_slack, settings.retry_window_seconds
+            )
+            self._budgets[service] = budget
+        return budget
