Decide in one place whether a request is sent, waits or is rejected

Cause: three rules in three places (at arrival, when nothing was offered, when nothing may be asked any more) decided by fixed shares alone, and all callers that were rejected together came back together. Ruled out: estimates by each replica's line alone; what this node has under way is known, what others have only until the next moment. Change: sending/decision.py (pure) by room.py (when there will be room) and waiting.py (what is known); settlement and the machine ask it. Two ways, WaitingSettings.rule; the present one is still in force. Retry-After is spread by up to half. A wide request whose shards are out of reach waits for a fifth of its objective if they are expected back within it; it was rejected at once.

--- a/wingquay/forwarding/choice/replica_state.py
+++ b/wingquay/forwarding/choice/replica_state.py
@@ -162,7 +162,7 @@
         slowness = self.slowness(now) if may_try else self._slowness
         if slowness < SLOWNESS_TOLERANCE:
             slowness = 1.0
-        waiting = len(self.in_flight) + self._reported_elsewhere(now)
+        waiting = len(self.in_flight) + self.reported_elsewhere(now)
         cost = max(slowness, self._reported_work(now)) * (1.0 + waiting / slots)
         cost *= 1.0 + TROUBLE_FACTOR * self.trouble(now)
         if self.is_overdue(now):
@@ -246,7 +246,7 @@
         self._trouble = present + weight * (towards - present)
         self._trouble_at = now
 
-    def _reported_elsewhere(self, now: float) -> float:
+    def reported_elsewhere(self, now: float) -> float:
         """Return the requests of other nodes that it last reported, as far as that still holds."""
         if self._load is None:
             return 0.0
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -25,11 +25,16 @@
 from .knowledge.presence import NodeCount
 from .sending.attempts import AttemptSender
 from .sending.call_starter import CallStarter
+from .sending.decision import Reject
 from .sending.latencies import RouteLatencies
 from .sending.limits import SendingLimits
+from .sending.return_time import LEAST_RETURN_SECONDS
+from .sending.waiting import Waiting
+from .sending.waiting_line import WaitingLine
+from .sending.waiting_settings import DEFAULT_WAITING, WaitingSettings
 from .settings import ForwardingSettings
 from .settling.cutoff import in_time_seconds
-from .settling.ending import HELD_REASON, LEAST_RETRY_SECONDS, ExchangeEnding
+from .settling.ending import HELD_REASON, ExchangeEnding
 from .settling.hedging import Hedging
 from .settling.replica_outcomes import ReplicaOutcomes
 from .settling.settlement import Settlement
@@ -71,6 +76,8 @@
         This node's key in the store, and its name.
     random_source
         Starts the rounds of weighted routes and the numbers of what is asked of other nodes.
+    waiting
+        How requests wait.
     """
 
     def __init__(
@@ -81,6 +88,7 @@
         random_source: random.Random,
         key: str = "",
         name: str = "",
+        waiting: WaitingSettings = DEFAULT_WAITING,
     ) -> None:
         self._settings = settings
         self._directory = directory
@@ -89,9 +97,11 @@
         self._sender = AttemptSender(settings, directory, self._latencies, self._limits)
         self._random = random_source
         self._weights = WeightedChoice(random_source)
-        self._ending = ExchangeEnding()
-        self._settlement = Settlement(settings, directory, self._sender)
-        self._starter = CallStarter(settings, self._sender)
+        self._ending = ExchangeEnding(random_source)
+        line = WaitingLine()
+        self._waiting = Waiting(waiting, settings, directory, self._latencies, self._limits, line)
+        self._settlement = Settlement(self._waiting, directory, self._sender, self._ending)
+        self._starter = CallStarter(self._sender, self._waiting, line)
         self.lag = LoopLag()
         """How late this node is; kept up to date by its owner."""
         self.guard = CrashGuard(name, random_source, self.lag)
@@ -208,7 +218,7 @@
             return self._ending.no_route(event, table.version)
         if self._is_too_late(event, now):
             reason = "its time was over before it could be read"
-            return self._ending.refuse_arrival(event, reason, LEAST_RETRY_SECONDS)
+            return self._ending.refuse_arrival(event, reason, LEAST_RETURN_SECONDS)
         verdict = self.guard.verdict(event.request, now)
         if verdict is Verdict.HELD:
             return self._refuse_held(event, now)
@@ -242,14 +252,13 @@
         return actions + self._settlement.settle(exchange, now)
 
     def _hold_or_refuse(self, exchange: Exchange, now: float) -> list[Action]:
-        """Hold a request while records of replicas are missing; refuse it otherwise."""
-        whole_seconds = exchange.ends_at - exchange.arrived_at
-        held_until = exchange.arrived_at + whole_seconds * self._settings.hold_ratio
-        if not self._directory.is_settling(now) or now >= held_until:
-            self._held.discard(exchange.exchange_id)
-            return self._settlement.refuse(exchange, now)
+        """Hold a request that no replica can take, as long as that is better than coming back."""
+        match self._waiting.decide(exchange, now):
+            case Reject() as rejection:
+                self._held.discard(exchange.exchange_id)
+                return self._settlement.reject(exchange, rejection, now)
         self._held.add(exchange.exchange_id)
-        due_at = now + self._settings.retry_wait_seconds
+        due_at = self._waiting.look_at(exchange, now)
         return [Schedule(due_at, RetryDue(exchange.exchange_id))]
 
     def _is_too_late(self, event: ForwardRequested, now: float) -> bool:
--- a/wingquay/forwarding/sending/call_starter.py
+++ b/wingquay/forwarding/sending/call_starter.py
@@ -2,19 +2,19 @@
 
 from ...ports.machine import Action, Schedule
 from ..exchange import ServiceCall
-from ..settings import ForwardingSettings
 from ..timers import RetryDue
 from .attempts import AttemptSender
+from .waiting import Waiting
 from .waiting_line import WaitingLine
 
 
 class CallStarter:
     """Starts calls, most urgent first where they have to wait."""
 
-    def __init__(self, settings: ForwardingSettings, sender: AttemptSender) -> None:
-        self._settings = settings
+    def __init__(self, sender: AttemptSender, waiting: Waiting, line: WaitingLine) -> None:
         self._sender = sender
-        self._waiting = WaitingLine()
+        self._waiting = waiting
+        self._line = line
 
     def begin(self, call: ServiceCall, now: float) -> list[Action]:
         """Start a call for the first time: the request earns extra arrivals at its service."""
@@ -41,16 +41,16 @@
     def _wait(self, call: ServiceCall, now: float) -> list[Action]:
         exchange = call.exchange
         call.is_waiting = True
-        self._waiting.add(call)
+        self._line.add(call)
         if exchange.is_retry_due:
             return []
         exchange.is_retry_due = True
-        due_at = now + self._settings.retry_wait_seconds
+        due_at = self._waiting.look_at(exchange, now)
         return [Schedule(due_at, RetryDue(exchange.exchange_id))]
 
     def serve_waiting(self, service: str, now: float) -> list[Action]:
         """Send the most urgent call that waits for a replica of the service."""
-        call = self._waiting.first(service)
+        call = self._line.first(service)
         if call is None:
             return []
         return self._sender.try_send(call, now, self._may_ask_blocked(call, now))
--- a/wingquay/forwarding/sending/decision.py
+++ b/wingquay/forwarding/sending/decision.py
@@ -92,10 +92,12 @@
     if request.may_records_come_back and not request.has_usable:
         # Nothing tells when a record comes back; it is looked for as long as it may.
         begins_at = min(begins_at, now + settings.look_seconds)
+    if begins_at == NEVER:
+        return Reject(NEVER, _reason(request))
     is_worth_it = begins_at <= latest
     if settings.rule is WaitingRule.FIXED_SHARES:
         is_worth_it = now + settings.look_seconds < latest
-    if not is_worth_it or now >= latest:
+    if not is_worth_it:
         return Reject(begins_at - now, _reason(request))
     return WaitUntil(_next_look(begins_at, latest, settings, now))
 
@@ -108,11 +110,8 @@
         if request.may_records_come_back:
             return request.ends_at
         if room.at <= now:
-            return max(now, request.arrived_at) + (
-                request.objective_seconds * settings.repeat_ratio
-            )
-        return max(request.in_time_at, held_until)
-    if request.has_usable:
+            return now + request.objective_seconds * settings.repeat_ratio
+    if request.has_usable or request.may_have_run:
         return max(request.in_time_at, held_until)
     if request.may_records_come_back:
         return held_until
@@ -120,7 +119,7 @@
 
 
 def _next_look(begins_at: float, latest: float, settings: WaitingSettings, now: float) -> float:
-    if settings.rule is WaitingRule.FIXED_SHARES or begins_at == NEVER:
+    if settings.rule is WaitingRule.FIXED_SHARES:
         return now + settings.look_seconds
     at = min(begins_at, latest, now + settings.longest_look_seconds)
     return max(at, now + min(settings.look_seconds, latest - now))
--- a/wingquay/forwarding/sending/latencies.py
+++ b/wingquay/forwarding/sending/latencies.py
@@ -29,6 +29,13 @@
         tracker = self._trackers.get(route.name)
         return None if tracker is None else tracker.quantile_seconds(MEDIAN, FEWEST_SAMPLES)
 
+    def usual_seconds(self, route: Route) -> float:
+        """Return how long an attempt usually takes; a share of the objective until that is seen."""
+        median = self.median_seconds(route)
+        if median is None:
+            return route.objective_seconds * self._settings.hedge_initial_ratio
+        return median
+
     def hedge_seconds(self, route: Route) -> float:
         """Return the time after which an attempt takes too long."""
         settings = self._settings
--- a/wingquay/forwarding/sending/room.py
+++ b/wingquay/forwarding/sending/room.py
@@ -5,11 +5,13 @@
 never forbids anything, for the next moment it may be over.
 """
 
+import math
 from collections.abc import Iterable
 
 from ...model.value import value
 
 NEVER = float("inf")
+SHARE_TOLERANCE = 1e-9
 
 
 @value
@@ -95,7 +97,14 @@
     return Room(now + (ahead + 1 - free) / per_second)
 
 
-def room_for_share(rooms: Iterable[Room], least: int) -> Room:
-    """Return when at least ``least`` of several services have room."""
-    moments = sorted(room.at for room in rooms)
-    return Room(moments[least - 1]) if 0 < least <= len(moments) else NO_ROOM
+def room_for_share(moments: Iterable[float], least_share: float) -> Room:
+    """Return when so large a share of several services has room.
+
+    Parameters
+    ----------
+    moments
+        When each of them has.
+    """
+    ordered = sorted(moments)
+    least = math.ceil(least_share * len(ordered) - SHARE_TOLERANCE)
+    return Room(ordered[max(1, least) - 1])
--- /dev/null
+++ b/wingquay/forwarding/sending/waiting.py
@@ -0,0 +1,126 @@
+"""Gathers what is known of a request that is not under way, for the decision whether it waits."""
+
+from ..choice.replica_directory import ReplicaDirectory
+from ..choice.replica_state import ReplicaState
+from ..exchange import Exchange, ServiceCall
+from ..settings import ForwardingSettings
+from .decision import Decision, WaitingRequest, WaitUntil, decide
+from .latencies import RouteLatencies
+from .limits import SendingLimits
+from .room import NEVER, ReplicaRoom, expected_room, room_for_share
+from .waiting_line import WaitingLine
+from .waiting_settings import WaitingSettings
+
+
+class Waiting:
+    """Decides on requests that are not under way.
+
+    Parameters
+    ----------
+    settings
+        How the rules go.
+    forwarding
+        When replicas count as out of reach.
+    line
+        The calls that wait.
+    """
+
+    def __init__(
+        self,
+        settings: WaitingSettings,
+        forwarding: ForwardingSettings,
+        directory: ReplicaDirectory,
+        latencies: RouteLatencies,
+        limits: SendingLimits,
+        line: WaitingLine,
+    ) -> None:
+        self._settings = settings
+        self._forwarding = forwarding
+        self._directory = directory
+        self._latencies = latencies
+        self._limits = limits
+        self._line = line
+
+    def decide(self, exchange: Exchange, now: float) -> Decision:
+        """Return what is to be done with a request of which nothing is under way."""
+        if exchange.route.shards:
+            return self._decide_merged(exchange, now)
+        call = exchange.calls[0]
+        rooms = self._rooms(call, now)
+        has_usable = any(not self._is_blocked(state, now) for state, _ in rooms)
+        room = expected_room((room for _, room in rooms), self._line.ahead(call), now)
+        request = WaitingRequest(
+            exchange.arrived_at,
+            exchange.in_time_at,
+            exchange.ends_at,
+            exchange.route.objective_seconds,
+            has_usable,
+            self._directory.is_settling(now),
+            exchange.may_have_run,
+            exchange.is_repeatable and call.attempts_left > 0,
+            self._limits.repeat_at(call, now) if call.arrivals else now,
+        )
+        return decide(request, room, self._settings, now)
+
+    def look_at(self, exchange: Exchange, now: float) -> float:
+        """Return when a request that waits is to be looked at again."""
+        if not exchange.route.shards:
+            match self.decide(exchange, now):
+                case WaitUntil(when=when):
+                    return when
+        return now + self._settings.look_seconds
+
+    def _decide_merged(self, exchange: Exchange, now: float) -> Decision:
+        """Decide on a request over shards that has reached none of them."""
+        later = now + self._settings.look_seconds
+        moments = [self._usable_at(call.service, later, now) for call in exchange.calls]
+        room = room_for_share(moments, exchange.route.least_share)
+        has_usable = room.at <= later and any(
+            self._directory.has_usable(call.service, now) for call in exchange.calls
+        )
+        request = WaitingRequest(
+            exchange.arrived_at,
+            exchange.in_time_at,
+            exchange.ends_at,
+            exchange.route.objective_seconds,
+            has_usable,
+            self._directory.is_settling(now),
+        )
+        return decide(request, room, self._settings, now)
+
+    def _usable_at(self, service: str, later: float, now: float) -> float:
+        """Return when a shard may be asked; ``later``: it may be now, but just was not."""
+        return max(later, self._directory.usable_at(service, now))
+
+    def _rooms(self, call: ServiceCall, now: float) -> list[tuple[ReplicaState, ReplicaRoom]]:
+        """Return what is known of the replicas that a call may still be sent to."""
+        work_seconds = self._latencies.usual_seconds(call.exchange.route)
+        most = self._limits.connections(call, now)
+        later = call.refused | self._limits.too_cold(call, now)
+        return [
+            (state, self._room(state, most, work_seconds, state.record.replica_id in later, now))
+            for state in self._directory.usable(call.service, now)
+            if state.record.replica_id not in call.asked
+        ]
+
+    def _room(
+        self, state: ReplicaState, most: int, work_seconds: float, is_later: bool, now: float
+    ) -> ReplicaRoom:
+        is_blocked = self._is_blocked(state, now)
+        # What a silent replica has will not end, as far as is known.
+        pace = NEVER if is_blocked else work_seconds * state.slowness(now)
+        askable_at = now
+        if is_later:
+            askable_at = max(now + self._settings.look_seconds, state.blocked_until)
+        return ReplicaRoom(
+            state.record.replica_id,
+            askable_at,
+            max(1, state.record.slots),
+            most,
+            len(state.in_flight),
+            state.reported_elsewhere(now),
+            pace,
+        )
+
+    def _is_blocked(self, state: ReplicaState, now: float) -> bool:
+        return state.is_blocked(self._forwarding, now)
--- a/wingquay/forwarding/sending/waiting_line.py
+++ b/wingquay/forwarding/sending/waiting_line.py
@@ -19,6 +19,14 @@
         entry = (exchange.route.priority, exchange.arrived_at, next(self._numbers), call)
         heapq.heappush(self._lines.setdefault(call.service, []), entry)
 
+    def ahead(self, call: ServiceCall) -> int:
+        """Return how many calls go before one at its service."""
+        exchange = call.exchange
+        own = (exchange.route.priority, exchange.arrived_at)
+        return sum(
+            entry[:2] < own and entry[3].is_waiting for entry in self._lines.get(call.service, [])
+        )
+
     def first(self, service: str) -> ServiceCall | None:
         """Take the most urgent call that still waits out of line."""
         line = self._lines.get(service)
--- a/wingquay/forwarding/sending/waiting_settings.py
+++ b/wingquay/forwarding/sending/waiting_settings.py
@@ -57,11 +57,14 @@
         when a slot is free: the way there and back takes some 2 ms, and work a few times that.
     """
 
-    rule: WaitingRule = WaitingRule.ESTIMATE
-    line: LinePlace = LinePlace.NODE
+    rule: WaitingRule = WaitingRule.FIXED_SHARES
+    line: LinePlace = LinePlace.REPLICA
     look_seconds: float = 0.03
     longest_look_seconds: float = 0.1
     offer_ratio: float = 0.2
     hold_ratio: float = 0.3
     repeat_ratio: float = 0.25
     surplus: int = 1
+
+
+DEFAULT_WAITING = WaitingSettings()
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -67,10 +67,6 @@
     paused_trial_seconds, slow_trial_seconds
         Least time between two attempts of this node at replicas that were slow once, or again when
         they were tried.
-    retry_wait_seconds
-        Time between two attempts at a service of which no replica can be asked.
-    offer_ratio
-        Share of the objective after which a request is refused when no replica can be asked.
     vanished_grace_seconds
         How long a replica whose record vanished may still get work when no other is left.
     vanished_outage_grace_seconds
@@ -85,9 +81,6 @@
         is old: new ones may be there already.
     settle_gather_seconds
         Least time between two looks at the store while records are missing.
-    hold_ratio
-        Share of a request's time for which it is held, while records are missing, before it is
-        refused.
     delegate_least_shards
         Shards of a route from which on other nodes are asked for most of them: below, a node
         codes its requests sooner than it would hear from the others.
@@ -163,14 +156,11 @@
     shed_backoff_seconds: float = 0.05
     paused_trial_seconds: float = 0.1
     slow_trial_seconds: float = 1.0
-    retry_wait_seconds: float = 0.03
-    offer_ratio: float = 0.2
     vanished_grace_seconds: float = 1.0
     vanished_outage_grace_seconds: float = 2.5
     settle_seconds: float = 3.3
     contradiction_seconds: float = 0.6
     settle_gather_seconds: float = 0.3
-    hold_ratio: float = 0.3
     delegate_least_shards: int = 40
     delegate_least_nodes: int = 3
     news_rank_seconds: float = 0.04
--- a/wingquay/forwarding/settling/ending.py
+++ b/wingquay/forwarding/settling/ending.py
@@ -1,5 +1,7 @@
 """The replies that end an exchange, and the log line of each that was not simply served."""
 
+import random
+
 from ...ports.forwarding import (
     ForwardFailureKind,
     ForwardRequested,
@@ -11,20 +13,28 @@
 from ...ports.machine import Action, Count, Log, LogLevel, Observe
 from ..arrival.request_identity import identity_of
 from ..exchange import Exchange, ServiceCall
+from ..sending.decision import Reject
+from ..sending.return_time import LEAST_RETURN_SECONDS, return_seconds
 from .merging import merge_greatest
 
 MILLISECONDS_PER_SECOND = 1000.0
-LEAST_RETRY_SECONDS = 0.1
 MOST_CALLS_TOLD = 4
 """Calls whose attempts a log line tells."""
-MOST_RETRY_SECONDS = 1.0
-"""When a caller may come back at the latest, if nothing better is known."""
 
 HELD_REASON = "replicas ended under this request; it is held back"
 
 
 class ExchangeEnding:
-    """Makes the actions that end an exchange."""
+    """Makes the actions that end an exchange.
+
+    Parameters
+    ----------
+    random_source
+        Spreads the times at which callers come back.
+    """
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._random = random_source
 
     def refuse_arrival(
         self, event: ForwardRequested, reason: str, retry_after_seconds: float
@@ -90,10 +100,14 @@
         usable_after_seconds
             When replicas may next be asked, from now.
         """
-        seconds = min(max(LEAST_RETRY_SECONDS, usable_after_seconds), MOST_RETRY_SECONDS)
+        seconds = return_seconds(usable_after_seconds, self._random.random())
         reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.NOT_RUN, reason, seconds)
         return [reply, *_end(exchange, "refused", reason, now)]
 
+    def reject(self, exchange: Exchange, rejection: Reject, now: float) -> list[Action]:
+        """Reject a request that has run nowhere."""
+        return self.refuse(exchange, rejection.reason, rejection.retry_after_seconds, now)
+
     def held(self, exchange: Exchange, held_seconds: float, now: float) -> list[Action]:
         """Answer a request under which replicas end, which is held back from now on."""
         kind = ForwardFailureKind.NOT_RUN
@@ -106,7 +120,7 @@
         """Answer when the time of the exchange is over."""
         reason = "no answer within the time allowed"
         if not exchange.may_have_run:
-            return self.refuse(exchange, reason, LEAST_RETRY_SECONDS, now)
+            return self.refuse(exchange, reason, LEAST_RETURN_SECONDS, now)
         if len(exchange.calls) == 1 and exchange.calls[0].failure is not None:
             return self.failed(exchange, exchange.calls[0], now)
         reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.TIMED_OUT, reason)
--- a/wingquay/forwarding/settling/settlement.py
+++ b/wingquay/forwarding/settling/settlement.py
@@ -6,7 +6,8 @@
 from ..choice.replica_directory import ReplicaDirectory
 from ..exchange import Exchange, ServiceCall
 from ..sending.attempts import AttemptSender
-from ..settings import ForwardingSettings
+from ..sending.decision import Reject
+from ..sending.waiting import Waiting
 from .cutoff import is_enough
 from .ending import ExchangeEnding
 
@@ -18,21 +19,27 @@
 
     Parameters
     ----------
-    settings
-        How long requests that reach no replica may wait.
+    waiting
+        Decides whether requests that reach no replica wait.
     directory
         Tells which services can be asked.
     sender
         Ends attempts that nobody waits for any more.
+    ending
+        Makes the replies.
     """
 
     def __init__(
-        self, settings: ForwardingSettings, directory: ReplicaDirectory, sender: AttemptSender
+        self,
+        waiting: Waiting,
+        directory: ReplicaDirectory,
+        sender: AttemptSender,
+        ending: ExchangeEnding,
     ) -> None:
-        self._settings = settings
+        self._waiting = waiting
         self._directory = directory
         self._sender = sender
-        self._ending = ExchangeEnding()
+        self._ending = ending
         self._exchanges: dict[int, Exchange] = {}
         self.on_closed: Callable[[Exchange], list[Action]] = _nothing_more
         """Returns what else is to be done when an exchange ends."""
@@ -76,13 +83,9 @@
                 actions += self.out_of_time(exchange, now)
         return actions
 
-    def refuse(self, exchange: Exchange, now: float) -> list[Action]:
-        """Refuse an exchange that has run nowhere, and say when replicas can be asked."""
-        usable_at = max(self._directory.usable_at(call.service, now) for call in exchange.calls)
-        reason = "no replica can be asked"
-        return self._close(
-            exchange, self._ending.refuse(exchange, reason, usable_at - now, now), now
-        )
+    def reject(self, exchange: Exchange, rejection: Reject, now: float) -> list[Action]:
+        """End an exchange that has run nowhere, and say when there will be room for its caller."""
+        return self._close(exchange, self._ending.reject(exchange, rejection, now), now)
 
     def end_held(self, identity: bytes, held_seconds: float, now: float) -> list[Action]:
         """End what is under way of a request under which replicas end, at once."""
@@ -141,7 +144,7 @@
         if not is_over:
             if self._is_lost(exchange):
                 return self._close(exchange, self._ending.too_few(exchange, now), now)
-            return self._refuse_unoffered(exchange, now)
+            return self._reject_unoffered(exchange, now)
         merged = self._ending.merged(exchange, exchange.answered_calls, now)
         return self._close(exchange, merged, now)
 
@@ -168,35 +171,22 @@
         if call.answer is not None:
             return self._close(exchange, self._ending.unchanged(exchange, call.answer, now), now)
         if call.attempts or not call.may_have_run:
-            return self._refuse_unoffered(exchange, now)
-        if not exchange.is_repeatable or self._is_exhausted(call, now):
-            return self._close(exchange, self._ending.failed(exchange, call, now), now)
-        return []
-
-    def _is_exhausted(self, call: ServiceCall, now: float) -> bool:
-        """Whether no replica can be asked any more, besides those that have failed the call.
-
-        Records may be missing for a while after the store was out of reach: they are waited for.
-        """
-        if call.attempts_left <= 0:
-            return True
-        has_other = self._directory.has_other(call.service, call.asked, now)
-        return not has_other and not self._directory.is_settling(now)
-
-    def _refuse_unoffered(self, exchange: Exchange, now: float) -> list[Action]:
-        """Refuse a request that can reach no replica, while coming back is worth it."""
+            return self._reject_unoffered(exchange, now)
+        match self._waiting.decide(exchange, now):
+            case Reject():
+                return self._close(exchange, self._ending.failed(exchange, call, now), now)
+            case _:
+                return []
+
+    def _reject_unoffered(self, exchange: Exchange, now: float) -> list[Action]:
+        """Reject a request that reaches no replica, once coming back is better than waiting."""
         if exchange.may_have_run or any(call.attempts for call in exchange.calls):
             return []
-        whole_seconds = exchange.ends_at - exchange.arrived_at
-        latest = max(
-            exchange.in_time_at, exchange.arrived_at + whole_seconds * self._settings.hold_ratio
-        )
-        if not any(self._directory.has_usable(call.service, now) for call in exchange.calls):
-            objective = exchange.route.objective_seconds
-            latest = exchange.arrived_at + objective * self._settings.offer_ratio
-        if now + self._settings.retry_wait_seconds < latest:
-            return []
-        return self.refuse(exchange, now)
+        match self._waiting.decide(exchange, now):
+            case Reject() as rejection:
+                return self.reject(exchange, rejection, now)
+            case _:
+                return []
 
     def can_be_enough(self, exchange: Exchange, now: float) -> bool:
         """Whether the services of which a replica can be asked make a success."""
