Reject at once what no replica is expected to take soon enough

Cause: a request of an objective of 1.05 s and 8 s of time, whose first replica broke off, waited its whole time for the budget of extra arrivals, which allows one of 70 nodes an extra one each thirty seconds, and got a 504 after 8 s. Ruled out: calling it not run; its replica may have run it, so it is a 502, at once, and its caller may send it anew. One that waited behind replicas which are full and silent was rejected after fixed shares although nothing there was expected to end. Change: WaitingSettings.rule is ESTIMATE.

--- a/wingquay/forwarding/sending/waiting_settings.py
+++ b/wingquay/forwarding/sending/waiting_settings.py
@@ -57,7 +57,7 @@
         when a slot is free: the way there and back takes some 2 ms, and work a few times that.
     """
 
-    rule: WaitingRule = WaitingRule.FIXED_SHARES
+    rule: WaitingRule = WaitingRule.ESTIMATE
     line: LinePlace = LinePlace.REPLICA
     look_seconds: float = 0.03
     longest_look_seconds: float = 0.1
