Make one line of two: ranks above, fair queueing between flows below

Cause: the owners of shards had a fair queue between classes, passed-on requests a heap by priority in which a call stood again with each look, and left it when it could not be sent. Ruled out: usage lately over weight as the order, which keeps no exact shares.

--- a/tests/query/test_class_order.py
+++ b/tests/query/test_class_order.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from tests.query.small_tier import SmallTier
-from wingquay.admission.fair_queue import FairQueue
+from wingquay.admission.class_line import ClassLine
 from wingquay.admission.hedging import HedgePolicy
 from wingquay.admission.settings import AdmissionSettings
 from wingquay.admission.work import Work
@@ -49,14 +49,14 @@
     return Work(sub_request, REQUESTER, 0.0, 1.0, cost_seconds)
 
 
-def pop_names(queue: FairQueue, count: int) -> list[str]:
+def pop_names(queue: ClassLine, count: int) -> list[str]:
     popped = [queue.pop(lambda _: True, 0.0) for _ in range(count)]
     return [entry.sub_request.sub_request_id for entry in popped if entry is not None]
 
 
-class FairQueueTest(TestCase):
+class ClassLineTest(TestCase):
     def test_a_late_top_class_arrival_is_served_next(self) -> None:
-        queue = FairQueue()
+        queue = ClassLine()
         for index in range(50):
             queue.push(work(f"bulk{index}", "bulk", 1))
         pop_names(queue, 10)
@@ -64,7 +64,7 @@
         self.assertEqual(["gold"], pop_names(queue, 1))
 
     def test_shares_follow_prices_and_nobody_starves(self) -> None:
-        queue = FairQueue()
+        queue = ClassLine()
         for index in range(300):
             queue.push(work(f"gold{index}", "gold", 3))
             queue.push(work(f"bulk{index}", "bulk", 1))
@@ -73,17 +73,18 @@
         self.assertTrue(22 <= bulk <= 28, bulk)
 
     def test_without_classes_arrival_decides(self) -> None:
-        queue = FairQueue(by_class=False)
+        queue = ClassLine(by_class=False)
         queue.push(work("bulk", "bulk", 1))
         queue.push(work("gold", "gold", 100))
         self.assertEqual(["bulk", "gold"], pop_names(queue, 2))
 
     def test_expected_delay_counts_the_own_class_by_its_share(self) -> None:
-        queue = FairQueue()
+        queue = ClassLine()
         for index in range(10):
             queue.push(work(f"bulk{index}", "bulk", 1, cost_seconds=0.1))
-        self.assertEqual(0.0, queue.delay_seconds("gold", 99, 5, 0.0))
-        self.assertAlmostEqual(0.2, queue.delay_seconds("bulk", 1, 5, 0.0))
+        gold, bulk = work("g", "gold", 99).sub_request, work("b", "bulk", 1).sub_request
+        self.assertEqual(0.0, queue.class_delay_seconds(gold, 5, 0.0))
+        self.assertAlmostEqual(0.2, queue.class_delay_seconds(bulk, 5, 0.0))
 
 
 class HedgePolicyTest(TestCase):
--- a/wingquay/admission/lane_table.py
+++ b/wingquay/admission/lane_table.py
@@ -5,7 +5,7 @@
 from ..model.configuration import Configuration, Replica, Service, Shard
 from ..routing.replica_tracker import ReplicaTracker
 from ..routing.settings import RoutingSettings
-from .fair_queue import FairQueue
+from .class_line import ClassLine
 from .shard_lane import ShardLane
 
 
@@ -54,7 +54,7 @@
 
     def _follow(self, lane: ShardLane | None, service: Service, shard: Shard) -> ShardLane:
         if lane is None:
-            lane = ShardLane(service, shard, {}, FairQueue(self._by_class))
+            lane = ShardLane(service, shard, {}, ClassLine(self._by_class))
         lane.service = service
         lane.shard = shard
         known = lane.trackers
--- a/wingquay/admission/shard_lane.py
+++ b/wingquay/admission/shard_lane.py
@@ -7,7 +7,7 @@
 from ..model.configuration import Service, Shard
 from ..model.request import SubRequest
 from ..routing.replica_tracker import ReplicaTracker
-from .fair_queue import FairQueue
+from .class_line import ClassLine
 from .work import Work
 
 
@@ -24,7 +24,7 @@
     service: Service
     shard: Shard
     trackers: dict[str, ReplicaTracker]
-    queue: FairQueue
+    queue: ClassLine
     tracker_list: list[ReplicaTracker] = field(default_factory=list)
     hedge_line: deque[Work] = field(default_factory=deque)
     shedding_until: float = 0.0
@@ -38,9 +38,7 @@
         """Return how long a new sub-request of this class is expected to wait for a slot."""
         if not self.queue:
             return 0.0
-        return self.queue.delay_seconds(
-            sub_request.class_name, sub_request.price, self.parallelism(), now
-        )
+        return self.queue.class_delay_seconds(sub_request, self.parallelism(), now)
 
     def held(self) -> tuple[HeldVersions, ...]:
         """Return the versions that the staying replicas hold, as far as known."""
