Let calls stand in one line for each service and keep their place

Cause: a call that waited was tried by its own timer, in the order of the timers, and a new one was sent past those that waited. Ruled out: a scan of the whole line for each; eight of each tenant are looked at. LinePlace.NODE is there and not yet in force.

--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -71,7 +71,9 @@
     is_begun: bool = False
     """Whether this node or another one has begun to ask for it."""
     is_waiting: bool = False
-    """Whether it stands in line for a free connection or for a pause to end."""
+    """Whether it waits for a replica that can take it."""
+    is_queued: bool = False
+    """Whether it stands in line, or did when it stopped waiting."""
     delegated_attempts: int = 0
     """How many replicas another node may send the request to."""
     is_delegate_lost: bool = False
@@ -81,6 +83,11 @@
     history: list[str] = field(default_factory=list)
     """What became of its attempts, for the log."""
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether it does not wait in line any more."""
+        return not self.is_waiting or self.answer is not None or bool(self.attempts)
+
     @property
     def may_have_run(self) -> bool:
         """Whether a replica may have run the request, or may yet for a node that was lost."""
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -24,13 +24,13 @@
 from .knowledge.loop_lag import LoopLag
 from .knowledge.presence import NodeCount
 from .sending.attempts import AttemptSender
+from .sending.call_line import CallLine
 from .sending.call_starter import CallStarter
 from .sending.decision import Reject
 from .sending.latencies import RouteLatencies
 from .sending.limits import SendingLimits
 from .sending.return_time import LEAST_RETURN_SECONDS
 from .sending.waiting import Waiting
-from .sending.waiting_line import WaitingLine
 from .sending.waiting_settings import DEFAULT_WAITING, WaitingSettings
 from .settings import ForwardingSettings
 from .settling.cutoff import in_time_seconds
@@ -93,15 +93,17 @@
         self._settings = settings
         self._directory = directory
         self._latencies = RouteLatencies(settings)
-        self._limits = SendingLimits(settings, directory, nodes, key)
+        self._limits = SendingLimits(settings, directory, nodes, key, waiting)
         self._sender = AttemptSender(settings, directory, self._latencies, self._limits)
         self._random = random_source
         self._weights = WeightedChoice(random_source)
         self._ending = ExchangeEnding(random_source)
-        line = WaitingLine()
-        self._waiting = Waiting(waiting, settings, directory, self._latencies, self._limits, line)
+        self._line = CallLine(self._latencies)
+        self._waiting = Waiting(
+            waiting, settings, directory, self._latencies, self._limits, self._line
+        )
         self._settlement = Settlement(self._waiting, directory, self._sender, self._ending)
-        self._starter = CallStarter(self._sender, self._waiting, line)
+        self._starter = CallStarter(self._sender, self._waiting, self._line)
         self.lag = LoopLag()
         """How late this node is; kept up to date by its owner."""
         self.guard = CrashGuard(name, random_source, self.lag)
@@ -169,6 +171,7 @@
         self._table = table
         self._weights.keep_only(table.routes)
         self._latencies.keep_only(table.routes)
+        self._line.keep_only(table.services)
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what is to be done."""
--- a/wingquay/forwarding/sending/call_starter.py
+++ b/wingquay/forwarding/sending/call_starter.py
@@ -4,14 +4,14 @@
 from ..exchange import ServiceCall
 from ..timers import RetryDue
 from .attempts import AttemptSender
+from .call_line import CallLine
 from .waiting import Waiting
-from .waiting_line import WaitingLine
 
 
 class CallStarter:
-    """Starts calls, most urgent first where they have to wait."""
+    """Starts calls, in the order of their line where they have to wait."""
 
-    def __init__(self, sender: AttemptSender, waiting: Waiting, line: WaitingLine) -> None:
+    def __init__(self, sender: AttemptSender, waiting: Waiting, line: CallLine) -> None:
         self._sender = sender
         self._waiting = waiting
         self._line = line
@@ -23,11 +23,30 @@
         return self.start(call, now)
 
     def start(self, call: ServiceCall, now: float) -> list[Action]:
-        """Send the call, or let it wait for a replica."""
-        actions = self._sender.try_send(call, now, self._may_ask_blocked(call, now))
-        if actions:
-            return actions
-        return self._wait(call, now)
+        """Send the call, or let it wait; those that wait already go by their order."""
+        if self._line.has_any(call.service):
+            return self._wait(call, now) + self.serve_waiting(call.service, now)
+        actions = self._try_send(call, now)
+        if not actions:
+            return self._wait(call, now)
+        self._line.charge(call, now)
+        return actions
+
+    def serve_waiting(self, service: str, now: float) -> list[Action]:
+        """Send calls that wait for a replica of the service, in their order, while they can be."""
+        actions: list[Action] = []
+
+        def can_be_sent(call: ServiceCall) -> bool:
+            sent = self._try_send(call, now)
+            actions.extend(sent)
+            return bool(sent)
+
+        while self._line.first(service, can_be_sent, now) is not None:
+            pass
+        return actions
+
+    def _try_send(self, call: ServiceCall, now: float) -> list[Action]:
+        return self._sender.try_send(call, now, self._may_ask_blocked(call, now))
 
     def _may_ask_blocked(self, call: ServiceCall, now: float) -> bool:
         """Whether replicas that just failed are better than none.
@@ -41,16 +60,9 @@
     def _wait(self, call: ServiceCall, now: float) -> list[Action]:
         exchange = call.exchange
         call.is_waiting = True
-        self._line.add(call)
+        self._line.add(call, now)
         if exchange.is_retry_due:
             return []
         exchange.is_retry_due = True
         due_at = self._waiting.look_at(exchange, now)
         return [Schedule(due_at, RetryDue(exchange.exchange_id))]
-
-    def serve_waiting(self, service: str, now: float) -> list[Action]:
-        """Send the most urgent call that waits for a replica of the service."""
-        call = self._line.first(service)
-        if call is None:
-            return []
-        return self._sender.try_send(call, now, self._may_ask_blocked(call, now))
--- a/wingquay/forwarding/sending/limits.py
+++ b/wingquay/forwarding/sending/limits.py
@@ -3,11 +3,13 @@
 from typing import Protocol
 
 from ..choice.replica_directory import ReplicaDirectory
+from ..choice.replica_state import ReplicaState
 from ..exchange import ServiceCall
 from ..knowledge.presence import NodeCount
 from ..settings import ForwardingSettings
 from .arrival_budget import ArrivalBudget
 from .cold_share import ColdShare
+from .waiting_settings import LinePlace, WaitingSettings
 
 DEFAULT_CONNECTION_LIMIT = 24
 OWNERS_RESERVE = 2
@@ -31,6 +33,8 @@
     ----------
     key
         This node's key in the store.
+    waiting
+        Whether work waits here for the slots of replicas.
     """
 
     def __init__(
@@ -39,9 +43,11 @@
         directory: ReplicaDirectory,
         nodes: NodeCount,
         key: str,
+        waiting: WaitingSettings,
     ) -> None:
         self._cold_share = ColdShare(settings.cold_overage, settings.cold_slack, nodes, key)
         self._settings = settings
+        self._waiting = waiting
         self._directory = directory
         self._nodes = nodes
         self._budgets: dict[str, ArrivalBudget] = {}
@@ -78,8 +84,29 @@
             if not self._cold_share.may_send(state, per_second, sharing, now)
         }
 
-    def connections(self, call: ServiceCall, now: float) -> int:
+    def most(self, call: ServiceCall, replica: ReplicaState, now: float) -> int:
         """Return how many requests this node may have under way at a replica."""
+        connections = self.connections(call, now)
+        if not self._waits_here(call):
+            return connections
+        return min(connections, max(1, replica.record.slots) + self._waiting.surplus)
+
+    def full(self, call: ServiceCall, now: float) -> set[str]:
+        """Return the ids of the replicas for which a call is to wait here, in line."""
+        if not self._waits_here(call):
+            return set()
+        return {
+            state.record.replica_id
+            for state in self._directory.usable(call.service, now)
+            if len(state.in_flight) >= max(1, state.record.slots) + self._waiting.surplus
+        }
+
+    def _waits_here(self, call: ServiceCall) -> bool:
+        # A part of a merged answer has no time to wait: its replica may be free by when it arrives.
+        return self._waiting.line is LinePlace.NODE and not call.exchange.route.shards
+
+    def connections(self, call: ServiceCall, now: float) -> int:
+        """Return how many connections this node may use at a replica."""
         if self._first_sent_at is None:
             self._first_sent_at = now
         known = call.exchange.table.services.get(call.service)
--- a/wingquay/forwarding/sending/waiting.py
+++ b/wingquay/forwarding/sending/waiting.py
@@ -4,11 +4,11 @@
 from ..choice.replica_state import ReplicaState
 from ..exchange import Exchange, ServiceCall
 from ..settings import ForwardingSettings
+from .call_line import CallLine
 from .decision import Decision, WaitingRequest, WaitUntil, decide
 from .latencies import RouteLatencies
 from .limits import SendingLimits
 from .room import NEVER, ReplicaRoom, expected_room, room_for_share
-from .waiting_line import WaitingLine
 from .waiting_settings import WaitingSettings
 
 
@@ -32,7 +32,7 @@
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
         limits: SendingLimits,
-        line: WaitingLine,
+        line: CallLine,
     ) -> None:
         self._settings = settings
         self._forwarding = forwarding
@@ -48,7 +48,7 @@
         call = exchange.calls[0]
         rooms = self._rooms(call, now)
         has_usable = any(not self._is_blocked(state, now) for state, _ in rooms)
-        room = expected_room((room for _, room in rooms), self._line.ahead(call), now)
+        room = expected_room((room for _, room in rooms), self._line.ahead_of(call, now), now)
         request = WaitingRequest(
             exchange.arrived_at,
             exchange.in_time_at,
@@ -94,21 +94,20 @@
 
     def _rooms(self, call: ServiceCall, now: float) -> list[tuple[ReplicaState, ReplicaRoom]]:
         """Return what is known of the replicas that a call may still be sent to."""
-        work_seconds = self._latencies.usual_seconds(call.exchange.route)
-        most = self._limits.connections(call, now)
         later = call.refused | self._limits.too_cold(call, now)
         return [
-            (state, self._room(state, most, work_seconds, state.record.replica_id in later, now))
+            (state, self._room(call, state, state.record.replica_id in later, now))
             for state in self._directory.usable(call.service, now)
             if state.record.replica_id not in call.asked
         ]
 
     def _room(
-        self, state: ReplicaState, most: int, work_seconds: float, is_later: bool, now: float
+        self, call: ServiceCall, state: ReplicaState, is_later: bool, now: float
     ) -> ReplicaRoom:
-        is_blocked = self._is_blocked(state, now)
-        # What a silent replica has will not end, as far as is known.
-        pace = NEVER if is_blocked else work_seconds * state.slowness(now)
+        pace = self._latencies.usual_seconds(call.exchange.route) * state.slowness(now)
+        if self._is_blocked(state, now):
+            # What a silent replica has will not end, as far as is known.
+            pace = NEVER
         askable_at = now
         if is_later:
             askable_at = max(now + self._settings.look_seconds, state.blocked_until)
@@ -116,7 +115,7 @@
             state.record.replica_id,
             askable_at,
             max(1, state.record.slots),
-            most,
+            self._limits.most(call, state, now),
             len(state.in_flight),
             state.reported_elsewhere(now),
             pace,
