--- a/wingquay/forwarding/exchange_opening.py
+++ b/wingquay/forwarding/exchange_opening.py
@@ -6,12 +6,13 @@
 from ..model.routing_table import RoutingTable
 from ..ports.machine import Action, Schedule
 from .arrival.kept_arrivals import Arrival
-from .choice.replica_directory import ReplicaDirectory
 from .choice.weighted_choice import WeightedChoice
 from .crashing.careful_sending import CarefulSending
 from .exchange import Exchange, ServiceCall
 from .sending.call_starter import CallStarter
+from .sending.decision import Reject
 from .sending.latencies import RouteLatencies
+from .sending.waiting import Waiting
 from .settings import ForwardingSettings
 from .settling.cutoff import in_time_seconds
 from .settling.settlement import Settlement
@@ -23,6 +24,8 @@
 
     Parameters
     ----------
+    waiting
+        Decides on requests that no replica can take.
     random_source
         Starts the rounds of weighted routes.
     """
@@ -30,7 +33,7 @@
     def __init__(
         self,
         settings: ForwardingSettings,
-        directory: ReplicaDirectory,
+        waiting: Waiting,
         latencies: RouteLatencies,
         settlement: Settlement,
         starter: CallStarter,
@@ -38,7 +41,7 @@
         random_source: random.Random,
     ) -> None:
         self._settings = settings
-        self._directory = directory
+        self._waiting = waiting
         self._latencies = latencies
         self._settlement = settlement
         self._starter = starter
@@ -114,14 +117,13 @@
         return actions + self._settlement.settle(exchange, now)
 
     def _hold_or_refuse(self, exchange: Exchange, now: float) -> list[Action]:
-        """Hold a request while records of replicas are missing; refuse it otherwise."""
-        whole_seconds = exchange.ends_at - exchange.arrived_at
-        held_until = exchange.arrived_at + whole_seconds * self._settings.hold_ratio
-        if not self._directory.is_settling(now) or now >= held_until:
-            self._held.discard(exchange.exchange_id)
-            return self._settlement.refuse(exchange, now)
+        """Hold a request that no replica can take, as long as that is better than coming back."""
+        match self._waiting.decide(exchange, now):
+            case Reject() as rejection:
+                self._held.discard(exchange.exchange_id)
+                return self._settlement.reject(exchange, rejection, now)
         self._held.add(exchange.exchange_id)
-        due_at = now + self._settings.retry_wait_seconds
+        due_at = self._waiting.look_at(exchange, now)
         return [Schedule(due_at, RetryDue(exchange.exchange_id))]
 
     def is_held(self, exchange: Exchange) -> bool:
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -25,9 +25,14 @@
 from .knowledge.presence import NodeCount
 from .request_arrival import RequestArrival
 from .sending.attempts import AttemptSender
+from .sending.call_line import CallLine
 from .sending.call_starter import CallStarter
 from .sending.latencies import RouteLatencies
+from .sending.limits import SendingLimits
+from .sending.waiting import Waiting
+from .sending.waiting_settings import DEFAULT_WAITING, WaitingSettings
 from .settings import ForwardingSettings
+from .settling.ending import ExchangeEnding
 from .settling.hedging import Hedging
 from .settling.replica_outcomes import ReplicaOutcomes
 from .settling.settlement import Settlement
@@ -68,6 +73,8 @@
         This node's key in the store, and its name.
     random_source
         Starts the rounds of weighted routes and the numbers of what is asked of other nodes.
+    waiting
+        How requests wait.
     """
 
     def __init__(
@@ -78,14 +85,21 @@
         random_source: random.Random,
         key: str = "",
         name: str = "",
+        waiting: WaitingSettings = DEFAULT_WAITING,
     ) -> None:
         self._settings = settings
         self._directory = directory
         self._latencies = RouteLatencies(settings)
-        self._sender = AttemptSender(settings, directory, self._latencies, nodes, key)
+        self._limits = SendingLimits(settings, directory, nodes, key, waiting)
+        self._sender = AttemptSender(settings, directory, self._latencies, self._limits)
         self._random = random_source
-        self._settlement = Settlement(settings, directory, self._sender)
-        self._starter = CallStarter(settings, self._sender)
+        ending = ExchangeEnding(random_source)
+        self._line = CallLine(self._latencies)
+        self._waiting = Waiting(
+            waiting, settings, directory, self._latencies, self._limits, self._line
+        )
+        self._settlement = Settlement(self._waiting, directory, self._sender, ending)
+        self._starter = CallStarter(self._sender, self._waiting, self._line)
         self.lag = LoopLag()
         """How late this node is; kept up to date by its owner."""
         self.guard = CrashGuard(name, random_source, self.lag)
@@ -105,7 +119,7 @@
         )
         self._opening = ExchangeOpening(
             settings,
-            directory,
+            self._waiting,
             self._latencies,
             self._settlement,
             self._starter,
@@ -113,7 +127,7 @@
             random_source,
         )
         self._arrival = RequestArrival(
-            settings, self._settlement, self._opening, self.guard, self.lag
+            self._settlement, self._opening, self.guard, self.lag, ending
         )
         self.admission = self._arrival.admission
         """Asks whether requests may be begun; who composes the node gives it who answers."""
@@ -160,7 +174,7 @@
             self.lag,
             self.guard,
         )
-        self._sender.placement = delegations.placement
+        self._limits.placement = delegations.placement
         self._careful.begin_all = delegations.start
         self._opening.ask_nodes = delegations.start
         self.guard.peers = groups.reachable
@@ -171,6 +185,7 @@
         self._arrival.set_table(table)
         self._opening.set_table(table)
         self._latencies.keep_only(table.routes)
+        self._line.keep_only(table.services)
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what is to be done."""
