--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ..model.routing_table import Route, RoutingTable
+from ..model.tenants import Tenant
 from ..ports.forwarding import ForwardRequested, ReplicaAnswer
 from ..ports.machine import Action
 from .arrival.request_identity import identity_of
@@ -71,7 +72,9 @@
     is_begun: bool = False
     """Whether this node or another one has begun to ask for it."""
     is_waiting: bool = False
-    """Whether it stands in line for a free connection or for a pause to end."""
+    """Whether it waits for a replica that can take it."""
+    is_queued: bool = False
+    """Whether it stands in line, or did when it stopped waiting."""
     delegated_attempts: int = 0
     """How many replicas another node may send the request to."""
     is_delegate_lost: bool = False
@@ -81,6 +84,11 @@
     history: list[str] = field(default_factory=list)
     """What became of its attempts, for the log."""
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether it does not wait in line any more."""
+        return not self.is_waiting or self.answer is not None or bool(self.attempts)
+
     @property
     def may_have_run(self) -> bool:
         """Whether a replica may have run the request, or may yet for a node that was lost."""
@@ -109,8 +117,10 @@
     """One caller's request and everything that is done for it."""
 
     event: ForwardRequested
+    """Its arrival; without its caller's secret where the configuration has tenants."""
     table: RoutingTable
     route: Route
+    """Its priority is the tenant's, where the tenant has one."""
     arrived_at: float
     in_time_at: float
     """Last moment at which an answer still reaches the caller within the objective."""
@@ -125,6 +135,8 @@
     is_retry_due: bool = False
     origin: Origin | None = None
     """The node that waits for it; ``None``: a caller does."""
+    tenant: Tenant | None = None
+    """Who calls; ``None``: replicas are told nobody."""
     unexplained_ends: int = 0
     """Connections that ended without an answer, as far as their replicas may have ended."""
     is_suspect: bool = False
@@ -140,11 +152,21 @@
         """The node's own number for it."""
         return self.event.exchange_id
 
+    @property
+    def tenant_name(self) -> str:
+        """The name of the tenant that calls; empty: replicas are told nobody."""
+        return "" if self.tenant is None else self.tenant.name
+
+    @property
+    def tenant_fields(self) -> tuple[tuple[str, str], ...]:
+        """What log lines tell of who calls."""
+        return () if self.tenant is None else (("tenant", self.tenant.name),)
+
     @property
     def identity(self) -> bytes:
         """What its repeats have in common; worked out when it is first asked for."""
         if not self._identity:
-            self._identity = identity_of(self.event.request)
+            self._identity = identity_of(self.event.request, self.tenant_name)
         return self._identity
 
     @property
--- a/wingquay/forwarding/settling/ending.py
+++ b/wingquay/forwarding/settling/ending.py
@@ -1,5 +1,7 @@
 """The replies that end an exchange, and the log line of each that was not simply served."""
 
+import random
+
 from ...ports.forwarding import (
     ForwardFailureKind,
     ForwardRequested,
@@ -9,34 +11,56 @@
     ReplyUnchanged,
 )
 from ...ports.machine import Action, Count, Log, LogLevel, Observe
+from ..arrival.admission import Rejected
 from ..arrival.request_identity import identity_of
 from ..exchange import Exchange, ServiceCall
+from ..sending.decision import Reject
+from ..sending.return_time import LEAST_RETURN_SECONDS, return_seconds
 from .merging import merge_greatest
 
 MILLISECONDS_PER_SECOND = 1000.0
-LEAST_RETRY_SECONDS = 0.1
 MOST_CALLS_TOLD = 4
 """Calls whose attempts a log line tells."""
-MOST_RETRY_SECONDS = 1.0
-"""When a caller may come back at the latest, if nothing better is known."""
 
 HELD_REASON = "replicas ended under this request; it is held back"
 
 
 class ExchangeEnding:
-    """Makes the actions that end an exchange."""
+    """Makes the actions that end an exchange.
+
+    Parameters
+    ----------
+    random_source
+        Spreads the times at which callers come back.
+    """
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._random = random_source
 
     def refuse_arrival(
-        self, event: ForwardRequested, reason: str, retry_after_seconds: float
+        self, event: ForwardRequested, reason: str, retry_after_seconds: float, tenant: str = ""
     ) -> list[Action]:
         """Refuse a request before anything was done for it."""
-        kind = ForwardFailureKind.NOT_RUN
+        rejected = Rejected(ForwardFailureKind.NOT_RUN, reason, retry_after_seconds)
+        return self.reject_arrival(event, rejected, tenant)
+
+    def reject_arrival(
+        self, event: ForwardRequested, rejected: Rejected, tenant: str = ""
+    ) -> list[Action]:
+        """Reject a request before anything was done for it."""
+        kind, reason = rejected.kind, rejected.reason
+        outcome = "refused" if kind is ForwardFailureKind.NOT_RUN else kind.value
         return [
-            ReplyFailure(event.exchange_id, kind, reason, retry_after_seconds),
-            _count("refused"),
-            _arrival_line(event, "refused", reason),
+            ReplyFailure(event.exchange_id, kind, reason, rejected.retry_after_seconds),
+            _count(outcome),
+            _arrival_line(event, outcome, reason, tenant),
         ]
 
+    def left_arrival(self, event: ForwardRequested, tenant: str) -> list[Action]:
+        """Take note that nobody waits any more for a request that was not begun."""
+        reason = "it waited for its tenant's limit"
+        return [_count("caller_left"), _arrival_line(event, "caller_left", reason, tenant)]
+
     def no_route(self, event: ForwardRequested, version: int) -> list[Action]:
         """Say that no route fits."""
         reason = f"no route for host {event.host!r} and path {event.path!r}"
@@ -90,10 +114,14 @@
         usable_after_seconds
             When replicas may next be asked, from now.
         """
-        seconds = min(max(LEAST_RETRY_SECONDS, usable_after_seconds), MOST_RETRY_SECONDS)
+        seconds = return_seconds(usable_after_seconds, self._random.random())
         reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.NOT_RUN, reason, seconds)
         return [reply, *_end(exchange, "refused", reason, now)]
 
+    def reject(self, exchange: Exchange, rejection: Reject, now: float) -> list[Action]:
+        """Reject a request that has run nowhere."""
+        return self.refuse(exchange, rejection.reason, rejection.retry_after_seconds, now)
+
     def held(self, exchange: Exchange, held_seconds: float, now: float) -> list[Action]:
         """Answer a request under which replicas end, which is held back from now on."""
         kind = ForwardFailureKind.NOT_RUN
@@ -106,7 +134,7 @@
         """Answer when the time of the exchange is over."""
         reason = "no answer within the time allowed"
         if not exchange.may_have_run:
-            return self.refuse(exchange, reason, LEAST_RETRY_SECONDS, now)
+            return self.refuse(exchange, reason, LEAST_RETURN_SECONDS, now)
         if len(exchange.calls) == 1 and exchange.calls[0].failure is not None:
             return self.failed(exchange, exchange.calls[0], now)
         reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.TIMED_OUT, reason)
@@ -153,6 +181,7 @@
         ("arrivals", sum(call.arrivals for call in exchange.calls)),
     )
     fields += (("digest", exchange.identity.hex()),)
+    fields += exchange.tenant_fields
     if exchange.event.caller:
         fields += (("caller", exchange.event.caller),)
     if exchange.origin is not None:
@@ -172,12 +201,14 @@
     return f"{call.service}: " + (", ".join(call.history + open_attempts) or "never sent")
 
 
-def _arrival_line(event: ForwardRequested, outcome: str, reason: str) -> Log:
-    fields = (
+def _arrival_line(event: ForwardRequested, outcome: str, reason: str, tenant: str = "") -> Log:
+    fields: tuple[tuple[str, str], ...] = (
         ("request_id", event.request_id),
         ("outcome", outcome),
         ("reason", reason),
-        ("digest", identity_of(event.request).hex()),
+        ("digest", identity_of(event.request, tenant).hex()),
         ("caller", event.caller),
     )
+    if tenant:
+        fields += (("tenant", tenant),)
     return Log("request_ended", LogLevel.INFO, fields)
