Test that choices go by lives wherever they leave replicas out

Cause: calls remember lives and other modules hand in names of replicas to leave out; one that hands in ids would be passed over without a test, since most tests' replicas do not say when they were born. Result: a choice by ids in the directory or in the limits of cold replicas fails the tests.

--- a/tests/forwarding/test_replica_lives.py
+++ b/tests/forwarding/test_replica_lives.py
@@ -14,6 +14,7 @@
 from wingquay.forwarding.choice.replica_directory import ReplicaDirectory
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.model.replica_record import ReplicaRecord
+from wingquay.model.routing_table import CallerLimits, RoutingTable, UpstreamService
 from wingquay.ports.forwarding import (
     CancelSend,
     ConnectionTried,
@@ -282,6 +283,45 @@
         )
 
 
+class ChoiceTest(TestCase):
+    """Replicas that say when they were born are chosen by the same rules as those that do not."""
+
+    def records(self, copies: int, **fields: object) -> list[ReplicaRecord]:
+        return [replica(f"r{copy}", "s", born=BORN + copy, **fields) for copy in range(copies)]
+
+    def test_a_call_asks_no_life_twice(self) -> None:
+        node = started(*self.records(3), max_attempts=3)
+        node.request()
+        for _ in range(3):
+            node.fail(node.sends[0], SendFailureKind.BROKEN)
+        asked = [send.replica.replica_id for send in node.all_sends]
+        self.assertEqual(["r0", "r1", "r2"], sorted(asked))
+
+    def test_one_that_did_not_run_it_is_passed_over(self) -> None:
+        node = started(*self.records(2), max_attempts=2)
+        node.request()
+        node.answer(node.sends[0], 503, signature=None, not_run=True)
+        first, second = node.all_sends
+        self.assertNotEqual(first.replica, second.replica)
+
+    def sent_to_cold(self, born: int | None) -> int:
+        """Return how many of forty requests at once a cold replica gets."""
+        routes = (single_route(max_attempts=1),)
+        service = UpstreamService("s", 24, cold_requests_per_second=10.0)
+        node = OneNode(cold_overage=1.0, cold_slack=0.0, fewest_nodes=1, most_nodes=1)
+        cold = replica("r0", "s", born=born, cold_seconds=60.0)
+        node.start(RoutingTable(1, routes, {"s": service}, CallerLimits()), cold)
+        for _ in range(40):
+            node.request()
+            for send in list(node.sends):
+                node.answer(send)
+        return len(node.all_sends)
+
+    def test_a_cold_one_gets_no_more_than_its_share(self) -> None:
+        self.assertTrue(0 < self.sent_to_cold(None) < 10)
+        self.assertEqual(self.sent_to_cold(None), self.sent_to_cold(BORN))
+
+
 class WorkUnderWayTest(TestCase):
     def test_work_at_the_life_before_is_given_up_and_asked_for_again(self) -> None:
         node = started()
--- a/tests/forwarding/test_stateful.py
+++ b/tests/forwarding/test_stateful.py
@@ -41,7 +41,7 @@
         services = [f"s{number}" for number in range(SHARDS)] + ["one", "edit"]
         for service in services:
             for copy in range(2):
-                record = replica(f"{service}r{copy}", service)
+                record = replica(f"{service}r{copy}", service, born=1000 if copy else None)
                 self.records[record.replica_id] = record
         routes = (
             sharded_route(SHARDS, least_share=0.6),
@@ -134,7 +134,9 @@
     def sends_keep_their_bounds(self) -> None:
         for send in self.node.all_sends[self._seen() :]:
             key = (send.request_id, send.replica.service)
-            self.may_have_run.setdefault(key, set()).add(send.replica.life)
+            lives = self.may_have_run.setdefault(key, set())
+            assert send.replica.life not in lives, f"{key} twice on {send.replica.life}"
+            lives.add(send.replica.life)
             assert len(self.may_have_run[key]) <= 2, f"{key} on {self.may_have_run[key]}"
             if send.replica.service == "edit":
                 assert len(self.may_have_run[key]) <= 1, f"{key} may have run twice"
