Count the life before among the replicas that a lost node may have asked

Cause: after a lost node all replicas of a shard may be asked if they are no more than the route allows. One that has started again since the request arrived stands for two.

--- a/tests/forwarding/test_replica_lives.py
+++ b/tests/forwarding/test_replica_lives.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from tests.forwarding.linked_nodes import delegated, node_in_group
 from tests.forwarding.one_node import (
     REPLICA_PREFIX,
     OneNode,
@@ -15,6 +16,7 @@
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.model.replica_record import ReplicaRecord
 from wingquay.model.routing_table import CallerLimits, RoutingTable, UpstreamService
+from wingquay.ports.delegation import DelegatedAnswer
 from wingquay.ports.forwarding import (
     CancelSend,
     ConnectionTried,
@@ -26,7 +28,7 @@
     SendFailureKind,
 )
 from wingquay.ports.machine import Start
-from wingquay.ports.peer_link import NodeIdentity, PeerReceived
+from wingquay.ports.peer_link import NodeIdentity, PeerLinkBroken, PeerReceived
 from wingquay.ports.peer_snapshot import PeerSnapshot
 from wingquay.ports.store import (
     ReadResult,
@@ -375,6 +377,20 @@
         )
 
 
+class LostNodesTest(TestCase):
+    def test_a_lost_node_may_have_asked_the_life_before(self) -> None:
+        node = node_in_group(max_attempts=3)
+        node.request("/all/x")
+        sender, message = delegated(node)[0]
+        node.emit(PeerReceived(sender, DelegatedAnswer(message.delegation_id)))
+        renewed, *others = message.shards
+        node.change(replica(f"r{renewed.removeprefix('s')}-a", renewed, born=BORN))
+        before = len(node.all_sends)
+        node.emit(PeerLinkBroken(sender.node_id, "killed", was_open=True))
+        direct = {send.replica.service for send in node.all_sends[before:]}
+        self.assertEqual(set(others), direct & set(message.shards))
+
+
 class EndsUnderRequestsTest(TestCase):
     def lives(self, count: int) -> list[ReplicaRecord]:
         return [replica("r0", "s", born=BORN + number) for number in range(count)]
--- a/wingquay/forwarding/choice/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -26,6 +26,8 @@
         self._states: dict[str, ReplicaState] = {}
         self._trials = ReplicaTrials(settings)
         self._by_service: dict[str, dict[str, ReplicaState]] = {}
+        self._renewed_at: dict[str, float] = {}
+        """When a replica of a service last started again under its id."""
         self._outage_ended_at = float("-inf")
         self._listed_at: float | None = None
         self._contradicted_at = float("-inf")
@@ -74,6 +76,7 @@
         if state.life != record.life:
             self.remove(record.replica_id)
             state.is_over = True
+            self._renewed_at[state.record.service] = now
             self._begin(record, now, revision)
             return state
         if state.record.service != record.service:
@@ -127,6 +130,7 @@
         del self._by_service[service][state.record.replica_id]
         if not self._by_service[service]:
             del self._by_service[service]
+            self._renewed_at.pop(service, None)
 
     def evacuate(self, zones: frozenset[str]) -> None:
         """Take in the zones whose replicas must get nothing, until they are taken back."""
@@ -183,6 +187,10 @@
         """Return how many replicas of the service are known, whether they may get work or not."""
         return len(self._by_service.get(service, {}))
 
+    def is_renewed_since(self, service: str, moment: float) -> bool:
+        """Whether a replica of the service has started again since a moment."""
+        return self._renewed_at.get(service, float("-inf")) >= moment
+
     def forget_vanished(self, now: float) -> None:
         """Forget the replicas whose time of grace is over."""
         for state in list(self._states.values()):
--- a/wingquay/forwarding/peers/stepping_in.py
+++ b/wingquay/forwarding/peers/stepping_in.py
@@ -76,8 +76,11 @@
 
     def _can_ask_again(self, call: ServiceCall) -> bool:
         """Whether no replica is left that would be one too many, whomever the lost node asked."""
-        known = self._directory.replicas_of(call.service)
-        return known <= call.exchange.route.max_attempts
+        exchange = call.exchange
+        if self._directory.is_renewed_since(call.service, exchange.arrived_at):
+            # The lost node may have asked the life before, which is one more.
+            return False
+        return self._directory.replicas_of(call.service) <= exchange.route.max_attempts
 
     def _step_in(
         self, delegation: Delegation, calls: list[ServiceCall], reason: str, now: float
