Let the life go on when an entry does not say when it began

Cause: an entry without a birth, after one that had it, counted as another life: a writer that leaves the field out would have ended all work at a replica that lives, once more at each of the replica's own entries. Ruled out: that it is a restart: software that says no birth has another id at each start. Result: 3 tests failed before; the tests of forwarding and of simulated lives pass.

--- a/wingquay/forwarding/choice/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Container, Iterable
+from dataclasses import replace
 
 from ...model.replica_record import ReplicaRecord
 from ..settings import ForwardingSettings
@@ -60,7 +61,8 @@
         """Take in a record, new or changed; return the life that is over by it.
 
         The store orders the records of a replica: one that is older than what is known is passed
-        over, and a later one holds whenever it says that its life began.
+        over, and a later one holds whenever it says that its life began. One that does not say
+        so is of the life that is known.
 
         Parameters
         ----------
@@ -73,6 +75,9 @@
             return None
         if revision < state.revision:
             return None
+        if record.born is None and state.record.born is not None:
+            # It says nothing of lives: the one that is known goes on.
+            record = replace(record, born=state.record.born)
         if state.life != record.life:
             self.remove(record.replica_id)
             state.is_over = True
