Prove the configuration by the reads that a node makes itself

Cause: a key that was taken away was served for as long as a node heard nothing: no part of a node knew as of when its configuration was the one in force. Ruled out: the time at which an answer arrives (a held look may have begun 3 s before), stale listings and copies of neighbours, answers that were cut. Change: reads and looks carry the moment at which their call was begun; TimedProof serves until the bound less 0.1 s; ProofKeeper renews it, says by when an own look must have begun, and tells when it is lost and back. ForwardingMachine takes the proof as a parameter. Nothing refuses by it yet: the order at arrival is another part's.

--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -104,7 +104,9 @@
 class OneNode:
     """Drives the decisions of one node; time moves only by ``advance``."""
 
-    def __init__(self, seed: int = 1, **settings: object) -> None:
+    def __init__(
+        self, seed: int = 1, follower: FollowerSettings | None = None, **settings: object
+    ) -> None:
         self.now = 100.0
         self._tables: dict[bytes, RoutingTable] = {}
         self._records: dict[bytes, ReplicaRecord] = {}
@@ -134,7 +136,7 @@
         )
         forwarding = ForwardingSettings(zone="a", **settings)  # type: ignore[arg-type]
         self.machine = ForwardingNode(
-            "node-1", forwarding, FollowerSettings(), formats, random.Random(seed)
+            "node-1", forwarding, follower or FollowerSettings(), formats, random.Random(seed)
         )
         self.store_revision = 1
 
@@ -155,13 +157,14 @@
         configuration: RoutingTable | None,
         *records: ReplicaRecord,
         values: tuple[StoredValue, ...] = (),
+        begun_at: float | None = None,
     ) -> None:
         """Answer the last read of everything."""
         request = self.last(StoreRequest)
         listed = [*values, *(self.stored(record) for record in records)]
         if configuration is not None:
             listed.append(self.stored_table(configuration))
-        result = ReadResult(tuple(listed), self.store_revision)
+        result = ReadResult(tuple(listed), self.store_revision, begun_at)
         self.emit(StoreResponse(request.operation_id, result))
 
     def change(
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
+from wingquay.forwarding.knowledge.proving_looks import ProvingWay
 from wingquay.model.failure import Failure
 from wingquay.platform.caller_dialect import PlatformCallerDialect
 from wingquay.platform.configuration_document import parse_configuration
@@ -246,6 +247,16 @@
         line = f"configuration_ms = 5000\n{name} = {text}"
         return SETTINGS.replace("configuration_ms = 5000", line)
 
+    def test_how_the_configuration_is_kept_proven_is_one_of_two_ways(self) -> None:
+        self.assertIs(ProvingWay.SHORT, parse_settings(SETTINGS).proving_way)
+        for way in ProvingWay:
+            text = self.with_bound("proving_looks", f'"{way.value}"')
+            self.assertIs(way, parse_settings(text).proving_way)
+        for text in ('"never"', "1", "[]"):
+            failure = parse_settings(self.with_bound("proving_looks", text))
+            self.assertIn("store.proving_looks", failure.reason)
+            self.assertIn("held, short", failure.reason)
+
     def test_the_time_after_an_outage_is_a_second_at_least(self) -> None:
         self.assertEqual(
             1.0, parse_settings(self.with_bound("contact_ms", '"1000"')).contact_seconds
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -126,6 +126,25 @@
 
         run(test())
 
+    def test_a_reading_tells_when_the_store_was_asked_for_what_it_has_acknowledged(self) -> None:
+        async def test() -> None:
+            loop = asyncio.get_running_loop()
+            client = Client()
+            await client.start()
+            client.store.put("a", 1)
+            for may_lag in (False, True):
+                before = loop.time()
+                result = await client.ask(Read("", prefix=True, may_lag_at_first=may_lag))
+                self.assertTrue(before <= result.begun_at <= loop.time())
+            client.store.keep_copy()
+            client.store.forget_history()
+            client.store.put("b", 1)
+            before = loop.time()
+            result = await client.ask(Read("", prefix=True, may_lag_at_first=True))
+            self.assertTrue(before <= result.begun_at <= loop.time())
+
+        run(test())
+
     def test_a_store_that_fails_after_the_copy_leaves_nothing_to_go_by(self) -> None:
         async def test() -> None:
             client = Client()
@@ -238,6 +257,25 @@
 
         run(test())
 
+    def test_a_look_tells_when_it_was_begun_however_long_it_is_held(self) -> None:
+        async def test() -> None:
+            loop = asyncio.get_running_loop()
+            client = Client()
+            await client.start()
+            begun: list[float] = []
+            written: list[float] = []
+            client.client.start_watch(StartWatch("w", "", 0))
+            for number in range(3):
+                while len(client.store.waits) <= number:
+                    await asyncio.sleep(0.001)
+                written.append(loop.time())
+                client.store.put("a", number)
+                begun.append((await client.events.get()).begun_at)
+            in_turn = [at for pair in zip(begun, written, strict=True) for at in pair]
+            self.assertEqual(sorted(in_turn), in_turn)
+
+        run(test())
+
     def test_an_answer_that_may_have_been_cut_is_followed_up_at_once(self) -> None:
         async def test() -> None:
             client = Client()
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -14,6 +14,7 @@
 )
 from ..ports.machine import Action, Event, Schedule, Woken
 from ..ports.peer_link import PeerLinkBroken, PeerReceived
+from .arrival.admission import ConfigurationProof
 from .arrival.request_identity import identity_of
 from .choice.replica_directory import ReplicaDirectory
 from .choice.weighted_choice import WeightedChoice
@@ -21,6 +22,7 @@
 from .crashing.guard import CrashGuard
 from .crashing.suspects import Verdict
 from .exchange import Exchange, ServiceCall
+from .knowledge.configuration_proof import AlwaysProven
 from .knowledge.loop_lag import LoopLag
 from .knowledge.presence import NodeCount
 from .sending.attempts import AttemptSender
@@ -68,6 +70,8 @@
         How many nodes there are; kept up to date by another machine.
     key, name
         This node's key in the store, and its name.
+    proof
+        Whether the keys that callers show may be judged by the configuration; ``None``: always.
     random_source
         Starts the rounds of weighted routes and the numbers of what is asked of other nodes.
     """
@@ -80,8 +84,11 @@
         random_source: random.Random,
         key: str = "",
         name: str = "",
+        proof: ConfigurationProof | None = None,
     ) -> None:
         self._settings = settings
+        self.proof = proof or AlwaysProven()
+        """What arriving requests with keys are judged by."""
         self._directory = directory
         self._latencies = RouteLatencies(settings)
         self._sender = AttemptSender(settings, directory, self._latencies, nodes, key)
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -29,6 +29,7 @@
     WatchChanged,
 )
 from ..ports.store_news import StoreNews
+from .arrival.admission import ConfigurationProof
 from .choice.evacuations import Evacuations
 from .choice.replica_directory import ReplicaDirectory
 from .crashing.held_keys import HeldKeys
@@ -36,6 +37,7 @@
 from .forwarding_machine import ForwardingMachine
 from .knowledge.node_membership import NodeMembership
 from .knowledge.presence import NodeCount, Presence, PresenceDue
+from .knowledge.proof_keeper import ProofKeeper
 from .knowledge.store_follower import (
     FollowAgain,
     FollowerHooks,
@@ -102,8 +104,19 @@
         self._nodes = NodeCount(settings)
         key = formats.node_prefix + name
         self._presence = Presence(key, settings, random_source)
+        self._keeper = ProofKeeper(
+            follower.proving,
+            lambda: self._members.rank() * settings.news_rank_seconds,
+            lambda now: self._follower.next_answer_at(now),
+        )
         self._forwarding = ForwardingMachine(
-            settings, self._directory, self._nodes, random_source, key, name
+            settings,
+            self._directory,
+            self._nodes,
+            random_source,
+            key,
+            name,
+            self._keeper.proof,
         )
         guard = self._forwarding.guard
         self._held_keys = HeldKeys(formats, guard.hold, guard.lift)
@@ -117,7 +130,7 @@
             lambda: self._members.rank() == 0,
             lambda: self._is_ready,
         )
-        self._follower = StoreFollower(follower, hooks)
+        self._follower = StoreFollower(follower, hooks, self._keeper)
         self._table: RoutingTable | None = None
         self._idle_seconds = 0.0
         self._stopping_since: float | None = None
@@ -149,6 +162,11 @@
         """Return what this node knows of the store, for a node that cannot reach it."""
         return self._follower.known()
 
+    @property
+    def proof(self) -> ConfigurationProof:
+        """Whether the configuration is proven to be the one in force."""
+        return self._keeper.proof
+
     def verdict(self, request: OpaqueRequest, now: float) -> Verdict:
         """Return how this node treats a request that may end replicas."""
         return self._forwarding.guard.verdict(request, now)
@@ -177,7 +195,9 @@
                 self._directory.forget_vanished(now)
                 due_at = now + SWEEP_SECONDS
                 greetings = self._forwarding.handle(GreetingDue(), now)
-                return [*greetings, *self._pace_actions(now), Schedule(due_at, SweepDue(due_at))]
+                proving = self._keeper.check(now)
+                sweep = Schedule(due_at, SweepDue(due_at))
+                return [*greetings, *proving, *self._pace_actions(now), sweep]
             case LagDue():
                 return self._lag_due(event, now)
             case Woken():
@@ -366,6 +386,7 @@
         self._table = table
         self._forwarding.set_table(table)
         self._members.configure(table)
+        self._keeper.configure(table)
         line = (
             ("version", table.version),
             ("routes", len(table.routes)),
--- a/wingquay/forwarding/knowledge/follower_settings.py
+++ b/wingquay/forwarding/knowledge/follower_settings.py
@@ -7,6 +7,7 @@
 from ...ports.store import StoredValue
 from ...ports.store_news import StoreNews
 from .look_times import DEFAULT_CONTACT_SECONDS, LookTimes, look_times_within
+from .proving_looks import ProvingLooks
 
 
 @value
@@ -36,6 +37,9 @@
         Most pause while news are waited for.
     unknown_backoff_seconds
         Most pause as long as nothing at all is known: a node cannot serve before.
+    proving
+        The bound for keys that are taken away, and the looks that keep it; ``None``: no bound is
+        stated for nodes that are out of touch.
     """
 
     prefix: str = ""
@@ -44,6 +48,7 @@
     look: LookTimes = look_times_within(DEFAULT_CONTACT_SECONDS)
     hurried_backoff_seconds: float = 1.0
     unknown_backoff_seconds: float = 0.2
+    proving: ProvingLooks | None = None
 
 
 @value
--- a/wingquay/forwarding/knowledge/look_pace.py
+++ b/wingquay/forwarding/knowledge/look_pace.py
@@ -1,6 +1,7 @@
 """How soon a node looks at the store again, and how long the store may hold the look."""
 
 from .follower_settings import FollowerHooks, FollowerSettings
+from .proof_keeper import ProofKeeper
 
 
 class LookPace:
@@ -12,11 +13,16 @@
         The usual pace, and how long a look may take.
     hooks
         Tell this node's place among those that tell each other what they read.
+    keeper
+        Knows how soon the configuration has to be proven again.
     """
 
-    def __init__(self, settings: FollowerSettings, hooks: FollowerHooks) -> None:
+    def __init__(
+        self, settings: FollowerSettings, hooks: FollowerHooks, keeper: ProofKeeper
+    ) -> None:
         self._settings = settings
         self._hooks = hooks
+        self._keeper = keeper
         self._has_heard = False
         """Whether news of another node were taken in since the last look."""
         self._is_left_alone = False
@@ -34,9 +40,15 @@
     @property
     def seconds(self) -> float:
         """Least time between two looks, shorter where others go by what this node reads."""
+        proving = self._keeper.looks
         if self._may_wait and self._hooks.tells_others():
-            return min(self.gather_seconds, self._settings.shared_gather_seconds)
-        return self.gather_seconds
+            shared_seconds = self._settings.shared_gather_seconds
+            if proving is not None:
+                shared_seconds = proving.shared_gather_seconds
+            return min(self.gather_seconds, shared_seconds)
+        if proving is None:
+            return self.gather_seconds
+        return min(self.gather_seconds, proving.own_seconds - self.hold_seconds)
 
     @property
     def hold_seconds(self) -> float:
@@ -45,13 +57,20 @@
         Not at all after one that was lost: a held one that an outage swallows is noticed late, and
         the configuration of 4 outages in 60 came up to 0.4 s after its bound (simulated).
         """
-        return self._settings.look.hold_seconds if self._may_wait and not self.failures else 0.0
+        if not self._may_wait or self.failures:
+            return 0.0
+        proving = self._keeper.looks
+        return self._settings.look.hold_seconds if proving is None else proving.hold_seconds
 
     def timeout_seconds(self, hold_seconds: float) -> float:
         """Return after which time a look counts as lost that the store may hold for so long."""
-        look = self._settings.look
+        look = self._keeper.looks or self._settings.look
         return look.held_timeout_seconds if hold_seconds > 0.0 else look.timeout_seconds
 
+    def most_pause_seconds(self, now: float) -> float:
+        """Return for how long the next look may be put off."""
+        return max(self._keeper.look_by() - self.hold_seconds - now, 0.0)
+
     def backoff_seconds(self, is_listed: bool) -> float:
         """Return the pause after a look that was lost, longer each time in a row.
 
--- /dev/null
+++ b/wingquay/forwarding/knowledge/proof_keeper.py
@@ -0,0 +1,119 @@
+"""Keeps the proof of the configuration: what renews it, how soon it must be, what is told of it."""
+
+from collections.abc import Callable
+
+from ...model.routing_table import RoutingTable
+from ...ports.machine import Action, Count, Log, LogLevel, Observe
+from .configuration_proof import AlwaysProven, TimedProof
+from .proving_looks import MOST_RANK_SECONDS, ProvingLooks
+
+
+class ProofKeeper:
+    """Takes in what proves the configuration, for deployments that state the strict bound.
+
+    Nothing is paid for it, neither calls nor messages, by other deployments and as long as the
+    configuration has no tenants.
+
+    Parameters
+    ----------
+    looks
+        The bound and the looks that keep it; ``None``: no bound is stated.
+    rank_seconds
+        How much later than the first of its group this node looks by itself.
+    next_answer_at
+        Tells, for a moment, when the store may answer.
+    """
+
+    def __init__(
+        self,
+        looks: ProvingLooks | None,
+        rank_seconds: Callable[[], float],
+        next_answer_at: Callable[[float], float],
+    ) -> None:
+        self._looks = looks
+        self._rank_seconds = rank_seconds
+        self._timed = None if looks is None else TimedProof(looks.bound_seconds, next_answer_at)
+        self._has_tenants = False
+        self._was_proven = False
+        self._lost_at: float | None = None
+        """When the configuration was no longer proven; ``None``: it never was, or it is."""
+        self._reason = "nothing was read yet"
+
+    @property
+    def proof(self) -> AlwaysProven | TimedProof:
+        """What arriving requests are judged by."""
+        return self._timed or AlwaysProven()
+
+    @property
+    def looks(self) -> ProvingLooks | None:
+        """The looks that keep the bound; ``None``: there is nothing to prove."""
+        return self._looks if self._has_tenants else None
+
+    def configure(self, table: RoutingTable) -> None:
+        """Take in a configuration."""
+        self._has_tenants = table.tenants is not None
+
+    def look_by(self) -> float:
+        """Return when this node's own look must have begun, so that it may fail once."""
+        if self._timed is None or self.looks is None:
+            return float("inf")
+        rank_seconds = min(self._rank_seconds(), MOST_RANK_SECONDS)
+        return self._timed.proven_as_of + self.looks.own_seconds + rank_seconds
+
+    def looked(self, begun_at: float | None, store_revision: int, now: float) -> list[Action]:
+        """Take in that a look of this node was answered.
+
+        Parameters
+        ----------
+        begun_at
+            When it was begun; ``None``: it proves nothing.
+        store_revision
+            Up to which revision it told everything.
+        """
+        return [] if begun_at is None else self.prove(begun_at, now)
+
+    def failed(self, reason: str) -> None:
+        """Take in why the store proves nothing."""
+        self._reason = reason
+
+    def prove(self, as_of: float, now: float) -> list[Action]:
+        """Take in that everything is known that the store acknowledged before a moment."""
+        if self._timed is None:
+            return []
+        age_seconds = now - self._timed.proven_as_of
+        if not self._timed.prove(as_of, now):
+            return []
+        lines = self.check(now)
+        if self.looks is None or age_seconds == float("inf"):
+            return lines
+        return [*lines, Observe("configuration_proof_age_seconds", age_seconds)]
+
+    def check(self, now: float) -> list[Action]:
+        """Tell if the configuration has ceased to be proven, or is so again."""
+        if self._timed is None or self.looks is None:
+            return []
+        is_proven = self._timed.is_proven(now)
+        if is_proven == self._was_proven:
+            return []
+        self._was_proven = is_proven
+        if not is_proven:
+            return self._lost(self._timed, now)
+        seconds = 0.0 if self._lost_at is None else now - self._lost_at
+        self._lost_at = None
+        fields = (("unproven_ms", _milliseconds(seconds)),)
+        return [Log("configuration_proven", LogLevel.INFO, fields)]
+
+    def _lost(self, timed: TimedProof, now: float) -> list[Action]:
+        self._lost_at = now
+        fields = (
+            ("age_ms", _milliseconds(now - timed.proven_as_of)),
+            ("reason", self._reason),
+        )
+        return [
+            Log("configuration_unproven", LogLevel.WARNING, fields),
+            Count("configuration_unproven_total"),
+        ]
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000.0)
--- a/wingquay/forwarding/knowledge/store_follower.py
+++ b/wingquay/forwarding/knowledge/store_follower.py
@@ -19,8 +19,12 @@
 from .follower_settings import FollowerHooks as FollowerHooks
 from .follower_settings import FollowerSettings as FollowerSettings
 from .look_pace import LookPace
+from .proof_keeper import ProofKeeper
 from .store_copy import StoreCopy
 
+USUAL_ANSWER_SECONDS = 0.1
+"""Time in which the store usually answers, also when it is busy."""
+
 
 class StoreFollower:
     """Reads a prefix once, then watches it; reads it anew when history is lost.
@@ -31,14 +35,22 @@
         What is followed and how often.
     hooks
         Take the news.
+    keeper
+        Keeps the proof of the configuration by the looks that are answered; ``None``: nobody does.
     """
 
-    def __init__(self, settings: FollowerSettings, hooks: FollowerHooks) -> None:
+    def __init__(
+        self,
+        settings: FollowerSettings,
+        hooks: FollowerHooks,
+        keeper: ProofKeeper | None = None,
+    ) -> None:
         self._settings = settings
         self._hooks = hooks
         self._reads = 0
         self._watches = 0
-        self._pace = LookPace(settings, hooks)
+        self._keeper = keeper or ProofKeeper(None, lambda: 0.0, self.next_answer_at)
+        self._pace = LookPace(settings, hooks, self._keeper)
         self._copy = StoreCopy()
         self._is_watching = False
         self._watch_gather_seconds = settings.gather_seconds
@@ -102,12 +114,16 @@
         self._pace.heard()
         self._copy.change(news.changed, news.deleted, news.store_revision)
         actions = self._hooks.on_changes(news.changed, news.deleted, now)
-        is_later = now + pause_seconds > self._look_at
-        if not self._is_watching or self._pace.is_hurried:
-            return actions
-        if now >= self._look_at or not is_later:
-            return actions
-        return [*actions, StopWatch(self._watch_id), *self._watch(now, pause_seconds)]
+        return actions + self.put_off(pause_seconds, now)
+
+    def put_off(self, pause_seconds: float, now: float) -> list[Action]:
+        """Look so much later, unless a look is wanted or has begun."""
+        pause_seconds = min(pause_seconds, self._pace.most_pause_seconds(now))
+        if not self._is_watching or self._pace.is_hurried or now >= self._look_at:
+            return []
+        if now + pause_seconds <= self._look_at:
+            return []
+        return [StopWatch(self._watch_id), *self._watch(now, pause_seconds)]
 
     def look_now(self, now: float) -> list[Action]:
         """Look at the store at once, in place of a look under way that may be lost."""
@@ -115,6 +131,19 @@
             return []
         return [StopWatch(self._watch_id), *self._watch(now, 0.0)]
 
+    def next_answer_at(self, now: float) -> float:
+        """Return when the store may answer the look that is due or under way."""
+        answer_at = self._look_at + self._watch_hold_seconds + USUAL_ANSWER_SECONDS
+        if now < answer_at:
+            return answer_at
+        lost_at = self._look_at + self._pace.timeout_seconds(self._watch_hold_seconds)
+        return lost_at + self._settings.look.first_backoff_seconds + USUAL_ANSWER_SECONDS
+
+    @property
+    def known_revision(self) -> int | None:
+        """The store's revision up to which everything is known."""
+        return self._copy.revision
+
     @property
     def usual_gather_seconds(self) -> float:
         """The time between two looks when nothing is missing."""
@@ -146,6 +175,7 @@
         assert revision is not None
         self._watch_gather_seconds = self._pace.seconds
         self._watch_hold_seconds = self._pace.hold_seconds
+        pause_seconds = min(pause_seconds, self._pace.most_pause_seconds(now))
         self._look_at = now + pause_seconds
         self._watches += 1
         self._is_watching = True
@@ -170,7 +200,7 @@
             return self._failed(reason, now)
         self._pace.failures = 0
         self._looked_at = now
-        return self._listed(result.values, result.store_revision, now)
+        return self._listed(result.values, result.store_revision, now, result.begun_at)
 
     def _peer_told(self, event: PeerSnapshot, now: float) -> list[Action]:
         """Begin with what another node knows; the store's own word follows by the watch."""
@@ -183,10 +213,15 @@
         return [line, *self._listed(event.values, event.store_revision, now)]
 
     def _listed(
-        self, values: tuple[StoredValue, ...], store_revision: int, now: float
+        self,
+        values: tuple[StoredValue, ...],
+        store_revision: int,
+        now: float,
+        begun_at: float | None = None,
     ) -> list[Action]:
         self._copy.list_anew(values, store_revision)
         actions = self._hooks.on_listing(values, now)
+        actions += self._keeper.looked(begun_at, store_revision, now)
         pause_seconds = self._pause_seconds(now) if self._hooks.is_enough() else 0.0
         return actions + self._watch(now, pause_seconds)
 
@@ -200,11 +235,14 @@
         look_due_at = self._look_at
         # An answer that was cut is followed up at once: that look has begun already.
         self._look_at = now if event.may_have_more else now + self._pace.seconds
+        # What an answer holds that was cut is not all that was there when the look began.
+        begun_at = None if event.may_have_more else event.begun_at
         if event.store_revision < before:
             # News of another node have told all of it since this look began, and more.
-            return []
+            return self._keeper.looked(begun_at, event.store_revision, now)
         self._copy.change(event.changed, event.deleted, event.store_revision)
         actions = self._hooks.on_changes(event.changed, event.deleted, now)
+        told_proofs = self._keeper.looked(begun_at, event.store_revision, now)
         news = StoreNews(
             before,
             event.store_revision,
@@ -213,7 +251,7 @@
             self._age_seconds(look_due_at, now),
             event.may_have_more,
         )
-        actions += self._hooks.on_look(news, now)
+        actions += [*self._hooks.on_look(news, now), *told_proofs]
         self._pace.looked()
         is_same_pace = self._watch_gather_seconds == self._pace.seconds
         is_same_place = self._watch_hold_seconds == self._pace.hold_seconds
@@ -237,6 +275,7 @@
 
     def _failed(self, reason: str, now: float) -> list[Action]:
         self._hooks.on_trouble(now)
+        self._keeper.failed(reason)
         is_listed = self._copy.is_listed
         due_at = now + self._pace.backoff_seconds(is_listed)
         asking: list[Action] = [] if is_listed else [AskPeers()]
@@ -248,6 +287,7 @@
             ("silent_ms", self._silent_ms(now)),
             ("pause_ms", _milliseconds(due_at - now)),
         )
+        self._look_at = due_at
         return [
             Log("store_unreachable", LogLevel.WARNING, fields),
             *asking,
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -27,6 +27,7 @@
     lapse_grace_seconds,
     look_times_within,
 )
+from ..forwarding.knowledge.proving_looks import proving_looks_within
 from ..forwarding.knowledge.store_follower import FollowerSettings
 from ..forwarding.settings import ForwardingSettings
 from ..ports.forwarding import (
@@ -122,10 +123,7 @@
                 unready_stop_seconds=settings.grace_seconds * UNREADY_STOP_SHARE,
                 most_stop_seconds=most_stop_seconds(settings.grace_seconds),
             ),
-            FollowerSettings(
-                gather_seconds=gather_seconds,
-                look=look_times_within(settings.contact_seconds or DEFAULT_CONTACT_SECONDS),
-            ),
+            _follower_settings(settings, gather_seconds),
             _store_formats(),
             random.Random(secrets.randbits(SEED_BITS)),
         )
@@ -267,6 +265,18 @@
     return max(grace_seconds - END_RESERVE_SECONDS, grace_seconds * LEAST_STOP_SHARE)
 
 
+def _follower_settings(settings: PlatformSettings, gather_seconds: float) -> FollowerSettings:
+    """Return how the store is followed, by the strict bound where there is one."""
+    look = look_times_within(settings.contact_seconds or DEFAULT_CONTACT_SECONDS)
+    usual = FollowerSettings(gather_seconds=gather_seconds, look=look)
+    if settings.revocation_seconds is None:
+        return usual
+    proving = proving_looks_within(
+        settings.revocation_seconds, settings.proving_way, look, usual.shared_gather_seconds
+    )
+    return FollowerSettings(gather_seconds=gather_seconds, look=look, proving=proving)
+
+
 def _store_formats() -> StoreFormats:
     return StoreFormats(
         CONFIGURATION_KEY,
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -6,6 +6,7 @@
 from ipaddress import ip_address
 from typing import Any
 
+from ..forwarding.knowledge.proving_looks import ProvingWay
 from ..model.failure import Failure
 from ..model.value import value
 
@@ -77,6 +78,8 @@
     revocation_seconds
         Time after a configuration took a key away from which on no node may run a request with it,
         whatever the node can reach; ``None``: only nodes in touch are bound.
+    proving_way
+        How the node that looks at the store for its group keeps the configuration proven.
     limit_window_seconds, limit_overage, limit_slack
         Requests of a tenant that run on all nodes in a window of that length: what its limit allows
         times one more than the second figure, plus the third, at most.
@@ -104,6 +107,7 @@
     cold_slack: float
     grace_seconds: float
     revocation_seconds: float | None = None
+    proving_way: ProvingWay = ProvingWay.SHORT
     limit_window_seconds: float = 5.0
     limit_overage: float = 0.0
     limit_slack: float = 0.0
@@ -150,6 +154,7 @@
         cold_slack=_optional_number(document, "cold.slack", 0.0),
         grace_seconds=_number(document, "stop.grace_seconds", 0.5, 3600.0),
         revocation_seconds=_revocation_seconds(document),
+        proving_way=_proving_way(document),
         limit_window_seconds=_optional_number(document, "limits.window_seconds", 5.0),
         limit_overage=_optional_number(document, "limits.overage", 0.0),
         limit_slack=_optional_number(document, "limits.slack", 0.0),
@@ -170,6 +175,18 @@
     return seconds
 
 
+def _proving_way(document: Mapping[str, Any]) -> ProvingWay:
+    """Return how nodes look at the store under the strict bound."""
+    found = _find(document, "store.proving_looks")
+    if found in (None, ""):
+        return ProvingWay.SHORT
+    for way in ProvingWay:
+        if way.value == found:
+            return way
+    allowed = ", ".join(way.value for way in ProvingWay)
+    raise _InvalidError(f"store.proving_looks is {found!r}; allowed: {allowed}")
+
+
 def _find(document: Mapping[str, Any], field: str) -> Any:
     section, _, key = field.partition(".")
     table = document.get(section)
--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -141,6 +141,7 @@
         if is_copy:
             path += STALE_ALLOWED
         after = ""
+        begun_at = self._loop.time()
         while True:
             document = await self._call(path + after, timeout_seconds)
             if isinstance(document, Failure):
@@ -152,7 +153,8 @@
             except (KeyError, TypeError, ValueError) as error:
                 return Failure(StoreFailureKind.MALFORMED, f"page: {error!r}")
             if not has_more or not values:
-                return ReadResult(tuple(values), min(revisions))
+                # A copy may be older than what the store has acknowledged by now.
+                return ReadResult(tuple(values), min(revisions), None if is_copy else begun_at)
             after = f"&after={quote(values[-1].key, safe='')}"
 
     async def _catch_up(self, key: str, copy: ReadResult, timeout_seconds: float) -> PagesResult:
@@ -160,6 +162,7 @@
         items = {item.key: item for item in copy.values}
         revision = copy.store_revision
         while True:
+            begun_at = self._loop.time()
             path = watch_path(key, revision, CATCH_UP_WAIT_MS)
             document = await self._call(path, timeout_seconds)
             if isinstance(document, Failure):
@@ -173,7 +176,7 @@
                 items.pop(gone, None)
             revision = max(revision, event.store_revision)
             if not event.may_have_more:
-                return ReadResult(tuple(items.values()), revision)
+                return ReadResult(tuple(items.values()), revision, begun_at)
 
     async def _watch(self, action: StartWatch) -> None:
         after = action.from_store_revision
@@ -188,7 +191,7 @@
                 self._emit(WatchBroken(action.watch_id, document.reason, is_lost))
                 return
             try:
-                event = watch_changed(action.watch_id, document)
+                event = watch_changed(action.watch_id, document, asked_at)
             except (KeyError, TypeError, ValueError) as error:
                 self._emit(WatchBroken(action.watch_id, f"events: {error!r}"))
                 return
--- a/wingquay/platform/store_formats.py
+++ b/wingquay/platform/store_formats.py
@@ -103,8 +103,14 @@
     return f"{STORE_WATCH}?pathPrefix={key}&after={after_revision}&waitMs={wait_ms}"
 
 
-def watch_changed(watch_id: str, document: Any) -> WatchChanged:
-    """Return the last state of each key that changed."""
+def watch_changed(watch_id: str, document: Any, begun_at: float | None = None) -> WatchChanged:
+    """Return the last state of each key that changed.
+
+    Parameters
+    ----------
+    begun_at
+        When the call that was answered was begun.
+    """
     changed: dict[str, StoredValue] = {}
     gone: dict[str, None] = {}
     for item in document.get("events", ()):
@@ -121,6 +127,7 @@
         tuple(gone),
         int(document["at"]),
         is_full_watch(document),
+        begun_at,
     )
 
 
--- a/wingquay/ports/store.py
+++ b/wingquay/ports/store.py
@@ -94,10 +94,18 @@
 
 @value
 class ReadResult:
-    """What was read; ``store_revision`` is the store's revision at the read."""
+    """What was read; ``store_revision`` is the store's revision at the read.
+
+    Parameters
+    ----------
+    begun_at
+        A time on the clock of decisions: everything is in it that the store had acknowledged by
+        then. ``None``: no such time is known.
+    """
 
     values: tuple[StoredValue, ...]
     store_revision: int
+    begun_at: float | None = None
 
 
 @value
@@ -177,6 +185,8 @@
     ----------
     may_have_more
         Whether the store may have told only a part of what has changed: the rest follows at once.
+    begun_at
+        When the call that was answered was begun, on the clock of decisions; ``None``: not known.
     """
 
     watch_id: str
@@ -184,6 +194,7 @@
     deleted: tuple[str, ...]
     store_revision: int
     may_have_more: bool = False
+    begun_at: float | None = None
 
 
 @value
--- a/wingquay/simulation/forwarding/store.py
+++ b/wingquay/simulation/forwarding/store.py
@@ -101,9 +101,10 @@
     def perform(self, node: int, request: StoreRequest, emit: Emit) -> None:
         """Carry out an operation, unless the store is out of the node's reach."""
         operation = request.operation
+        begun_at = self.clock.now
 
         def answer() -> None:
-            emit(StoreResponse(request.operation_id, self._result(operation)))
+            emit(StoreResponse(request.operation_id, self._result(operation, begun_at)))
 
         def fail() -> None:
             failure = Failure(StoreFailureKind.LOST_REPLY, "no answer")
@@ -114,7 +115,7 @@
         else:
             self.clock.after(self._latency(), answer)
 
-    def _result(self, operation: StoreOperation) -> StoreResult:
+    def _result(self, operation: StoreOperation, begun_at: float) -> StoreResult:
         if isinstance(operation, GrantLease):
             lease_id = next(self._lease_ids)
             self._leases[lease_id] = self.clock.now + operation.time_to_live_seconds
@@ -126,7 +127,7 @@
             return self._swap(operation)
         assert isinstance(operation, Read)
         values = tuple(item for key, item in self._items.items() if key.startswith(operation.key))
-        return ReadResult(values, self.revision)
+        return ReadResult(values, self.revision, begun_at)
 
     def _keep(self, lease_id: int) -> LeaseState:
         if lease_id not in self._leases:
@@ -242,7 +243,13 @@
         watch.asked_at = None
         self.clock.at(asked_at + watch.action.gather_seconds, self._ask, watch)
         watch.emit(
-            WatchChanged(watch.action.watch_id, tuple(changed.values()), tuple(gone), self.revision)
+            WatchChanged(
+                watch.action.watch_id,
+                tuple(changed.values()),
+                tuple(gone),
+                self.revision,
+                begun_at=asked_at,
+            )
         )
 
     def _end(self, watch: _Watch) -> None:
