--- a/wingquay/forwarding/arrival/no_checks.py
+++ b/wingquay/forwarding/arrival/no_checks.py
@@ -1,4 +1,4 @@
-"""What is asked about arrivals where no other part answers: always proven, never limited."""
+"""What is asked about the limits of tenants where no other part answers: they never bind."""
 
 from ...model.tenants import Tenant
 from ...ports.forwarding import OpaqueRequest
@@ -7,18 +7,6 @@
 _COUNTED = Admitted(OpaqueRequest(b"", b"", ()))
 
 
-class AlwaysProven:
-    """A node that states no bound for keys that were taken away."""
-
-    def is_proven(self, _now: float) -> bool:
-        """Say that the configuration is in force."""
-        return True
-
-    def retry_after_seconds(self, _now: float) -> float:
-        """Return no time: nothing is awaited."""
-        return 0.0
-
-
 class NoLimits:
     """A node that counts no tenant's requests."""
 
