Let one look at the store prove the configuration for a group, by ask and answer

Cause: with proofs by own looks only, each of 70 nodes has to look every 3 s. Ruled out: an age in the news: a message that is held up for seconds makes it too low. Change: a node asks those it shares news with each 25 s; a node that has looked tells how long it had the ask when the look began. What the asker computes from its own time of sending is never later than the look began, whatever the delays; also for asks that came during the look, so one ask of each node is kept. Own looks are put off as far as the proof allows. Nothing is asked or answered without the bound or without tenants. A stateful history of three nodes with clocks of their own, outages, cuts, late messages, suspensions, restarts and keys taken away finds no node that serves by a version older than the bound. It fails when the revision of an answer isn't checked.

--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -32,6 +32,7 @@
     PeerReceived,
     SendToPeer,
 )
+from wingquay.ports.proof_messages import AskProof, ProofGiven
 from wingquay.ports.store import StoredValue
 from wingquay.ports.store_news import StoreNews
 
@@ -100,10 +101,17 @@
     CrashNews: CRASH_NEWS,
     AllowAttempts: st.builds(AllowAttempts, NUMBERS, st.integers(0, 2**31)),
     CancelDelegation: st.builds(CancelDelegation, NUMBERS),
+    AskProof: st.builds(AskProof, NUMBERS),
+    ProofGiven: st.builds(ProofGiven, NUMBERS, SECONDS, NUMBERS),
     Greeting: st.just(Greeting()),
 }
 MESSAGES = st.one_of(list(BY_KIND.values()))
-PORTS = ("wingquay.ports.crash_news", "wingquay.ports.delegation", "wingquay.ports.store_news")
+PORTS = (
+    "wingquay.ports.crash_news",
+    "wingquay.ports.delegation",
+    "wingquay.ports.proof_messages",
+    "wingquay.ports.store_news",
+)
 """Their messages are those between forwarding nodes."""
 
 
--- /dev/null
+++ b/tests/forwarding/proof_fleet.py
@@ -0,0 +1,218 @@
+"""Several nodes, the store and the links between them on a virtual clock; callers are left out.
+
+Each node goes by a clock of its own, so that a time of one means nothing to another.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from tests.forwarding.one_node import (
+    CLUSTER_KEY,
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    HELD_PREFIX,
+    NODE_PREFIX,
+    REPLICA_PREFIX,
+    replica,
+    sharded_route,
+    table,
+)
+from wingquay.adapters.held_record import held_value, parse_held
+from wingquay.adapters.node_record import node_value, parse_node
+from wingquay.forwarding.forwarding_node import ForwardingNode, StoreFormats
+from wingquay.forwarding.knowledge.follower_settings import FollowerSettings
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.model.routing_table import CallerLimits, RoutingTable
+from wingquay.model.tenants import Tenant, TenantDirectory
+from wingquay.ports.machine import Action, Event, Log, Schedule, Start, Woken
+from wingquay.ports.peer_link import OpenPeerLink, PeerReceived, SendToPeer
+from wingquay.ports.peer_snapshot import AskPeers, PeerSnapshot
+from wingquay.ports.store import (
+    ReadResult,
+    StartWatch,
+    StopWatch,
+    StoreRequest,
+    StoreResponse,
+    WatchBroken,
+    WatchChanged,
+)
+from wingquay.simulation.forwarding.node_links import NodeLinks
+from wingquay.simulation.forwarding.store import StoreModel
+from wingquay.simulation.virtual_clock import VirtualClock
+
+TENANTS = TenantDirectory((Tenant("blue", ("key",)),))
+LINK_SECONDS = 0.003
+CLOCK_DISTANCE_SECONDS = 1e4
+STORE_EVENTS = (WatchChanged, WatchBroken, StoreResponse)
+
+
+class FleetNode:
+    """One life of a node."""
+
+    def __init__(self, fleet: "Fleet", number: int) -> None:
+        self.number = number
+        self.is_alive = True
+        self.suspended_until = 0.0
+        self.link_lag_seconds = 0.0
+        self.store_lag_seconds = 0.0
+        self.logs: list[Log] = []
+        self._fleet = fleet
+        self._clock = fleet.clock
+        self._ahead_seconds = CLOCK_DISTANCE_SECONDS * (number + 1)
+        self._zone = f"zone-{number % fleet.zones}"
+        formats = StoreFormats(
+            CONFIGURATION_KEY,
+            REPLICA_PREFIX,
+            NODE_PREFIX,
+            CLUSTER_KEY,
+            EVACUATION_PREFIX,
+            fleet.table,
+            lambda replica_id, _: replica(replica_id, "s0"),
+            parse_node,
+            node_value,
+            HELD_PREFIX,
+            parse_held,
+            held_value,
+        )
+        settings = ForwardingSettings(zone=self._zone)
+        source = random.Random(fleet.random.random())  # noqa: S311
+        self.machine = ForwardingNode(f"node-{number}", settings, fleet.follower, formats, source)
+        self._clock.after(0.0, self._handle, Start())
+
+    @property
+    def is_awake(self) -> bool:
+        return self.is_alive and self._clock.now >= self.suspended_until
+
+    @property
+    def now(self) -> float:
+        return self._clock.now + self._ahead_seconds
+
+    @property
+    def is_proven(self) -> bool:
+        return self.machine.proof.is_proven(self.now)
+
+    def take(self, event: Event) -> None:
+        """Take in what the store or another node says, however late."""
+        lag_seconds = self.store_lag_seconds if isinstance(event, STORE_EVENTS) else 0.0
+        if isinstance(event, PeerReceived):
+            lag_seconds = self.link_lag_seconds
+        self._clock.after(lag_seconds, self._handle, self._on_own_clock(event))
+
+    def suspend(self, seconds: float) -> None:
+        self.suspended_until = self._clock.now + seconds
+        self._fleet.store.cut_off_node(self.number, seconds)
+        self._clock.at(self.suspended_until, self._handle, Woken(seconds))
+
+    def kill(self) -> None:
+        self.is_alive = False
+        self._fleet.store.forget_node(self.take)
+        self._fleet.links.node_ended(self.number)
+
+    def _handle(self, event: Event) -> None:
+        if not self.is_alive:
+            return
+        if not self.is_awake:
+            self._clock.at(self.suspended_until, self._handle, event)
+            return
+        for action in self.machine.handle(event, self.now):
+            self._perform(action)
+
+    def _on_own_clock(self, event: Event) -> Event:
+        if isinstance(event, WatchChanged) and event.begun_at is not None:
+            return dataclasses.replace(event, begun_at=event.begun_at + self._ahead_seconds)
+        if isinstance(event, StoreResponse) and isinstance(event.result, ReadResult):
+            begun_at = (event.result.begun_at or 0.0) + self._ahead_seconds
+            return StoreResponse(
+                event.operation_id, dataclasses.replace(event.result, begun_at=begun_at)
+            )
+        return event
+
+    def _perform(self, action: Action) -> None:
+        fleet = self._fleet
+        match action:
+            case Log():
+                self.logs.append(action)
+            case Schedule():
+                at_seconds = action.at_seconds - self._ahead_seconds
+                self._clock.at(at_seconds, self._handle, action.event)
+            case StoreRequest():
+                fleet.calls += 1
+                fleet.store.perform(self.number, action, self.take)
+            case StartWatch():
+                fleet.watch(self, action)
+            case StopWatch():
+                fleet.store.stop_watch(action.watch_id, self.take)
+            case AskPeers():
+                fleet.tell_copy(self)
+            case OpenPeerLink():
+                fleet.links.open(self.number, self._zone, self.take)
+            case SendToPeer():
+                fleet.messages += 1
+                fleet.links.send(self.number, action)
+
+
+class Fleet:
+    """Everything around the nodes."""
+
+    def __init__(
+        self, follower: FollowerSettings, nodes: int, zones: int = 1, seed: int = 1
+    ) -> None:
+        self.follower = follower
+        self.zones = zones
+        self.random = random.Random(seed)  # noqa: S311
+        self.clock = VirtualClock()
+        self.store = StoreModel(self.clock)
+        self.links = NodeLinks(self.clock, LINK_SECONDS)
+        self.calls = 0
+        self.messages = 0
+        self.busy_until = 0.0
+        """Until then the store turns every new watch away at once."""
+        self.version = 0
+        self.acknowledged_at: list[float] = []
+        """When each version was, the first one first."""
+        self.configure()
+        for shard in range(90):
+            self.store.put(f"{REPLICA_PREFIX}r{shard}", b"")
+        self.nodes = [FleetNode(self, number) for number in range(nodes)]
+
+    def configure(self) -> None:
+        """Let the store acknowledge a version that takes away what the one before allowed."""
+        self.version += 1
+        self.store.put(CONFIGURATION_KEY, str(self.version).encode())
+        self.acknowledged_at.append(self.clock.now)
+
+    def table(self, value: bytes) -> RoutingTable:
+        plain = table(int(value), sharded_route(90))
+        return RoutingTable(int(value), plain.routes, plain.services, CallerLimits(), TENANTS)
+
+    def version_due(self, bound_seconds: float) -> int:
+        """Return the version that every node must go by which serves requests with keys."""
+        before = self.clock.now - bound_seconds
+        return sum(1 for at in self.acknowledged_at if at < before)
+
+    def restart(self, number: int) -> None:
+        self.nodes[number].kill()
+        self.nodes[number] = FleetNode(self, number)
+
+    def watch(self, node: FleetNode, action: StartWatch) -> None:
+        if self.clock.now < self.busy_until:
+            refused = WatchBroken(action.watch_id, "the store answered 429")
+            self.clock.after(action.pause_seconds + LINK_SECONDS, node.take, refused)
+            return
+        self.store.watch(node.number, action, node.take)
+
+    def tell_copy(self, node: FleetNode) -> None:
+        """Let a neighbour tell what it knows of the store, however old that is."""
+        neighbour = self.nodes[(node.number + 1) % len(self.nodes)]
+        known = neighbour.machine.known_of_store() if neighbour.is_awake else None
+        if known is not None and neighbour is not node:
+            copy = PeerSnapshot(known.values, known.store_revision)
+            self.clock.after(LINK_SECONDS, node.take, copy)
+
+    def run(self, seconds: float, check: Callable[[], None], step_seconds: float = 0.05) -> None:
+        """Let time pass and check at each step."""
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            self.clock.run_until(min(self.clock.now + step_seconds, end))
+            check()
--- a/tests/forwarding/test_configuration_proof.py
+++ b/tests/forwarding/test_configuration_proof.py
@@ -155,6 +155,16 @@
         node.advance(1.0)
         self.assertFalse(proven(node))
 
+    def test_a_node_that_nobody_tells_looks_often_enough_by_itself(self) -> None:
+        for way, most_seconds in ((ProvingWay.SHORT, 3.0), (ProvingWay.HELD, 1.8)):
+            node = strict_node(way)
+            for _ in range(3):
+                watch = node.last(StartWatch)
+                self.assertTrue(watch.gather_seconds <= most_seconds, watch)
+                self.assertTrue(watch.pause_seconds + watch.hold_seconds <= 3.0, watch)
+                node.advance(watch.gather_seconds + watch.hold_seconds)
+                answer(node, watch.hold_seconds)
+
     def test_a_suspension_counts(self) -> None:
         node = strict_node()
         node.now += 8.0
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -15,6 +15,7 @@
 )
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
+from ..ports.proof_messages import AskProof, ProofGiven
 from ..ports.store import StoredValue
 from ..ports.store_news import StoreNews
 from .peer_codec_error import PeerCodecFailureKind
@@ -54,6 +55,11 @@
             _put_news(envelope, message)
         case CrashNews():
             _put_crash_news(envelope.crash_news, message)
+        case AskProof():
+            envelope.ask_proof.number = message.number
+            envelope.ask_proof.SetInParent()
+        case ProofGiven():
+            _put_proof(envelope.proof_given, message)
         case Greeting():
             envelope.greeting.SetInParent()
         case _:
@@ -84,6 +90,11 @@
             return _unpacked(envelope.packed_store_news)
         case "crash_news":
             return _crash_news_from(envelope.crash_news)
+        case "ask_proof":
+            return AskProof(envelope.ask_proof.number)
+        case "proof_given":
+            given = envelope.proof_given
+            return ProofGiven(given.number, given.held_seconds, given.store_revision)
         case "greeting":
             return Greeting()
         case _:
@@ -193,6 +204,13 @@
         )
 
 
+def _put_proof(target: peer_pb2.ProofGiven, message: ProofGiven) -> None:
+    target.SetInParent()
+    target.number = message.number
+    target.held_seconds = message.held_seconds
+    target.store_revision = message.store_revision
+
+
 def _crash_news_from(message: peer_pb2.CrashNews) -> CrashNews:
     ends = tuple(
         ToldEnd(end.replica_id, end.node_id, end.sent_seconds, end.ended_seconds)
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -18,8 +18,15 @@
     StopRequested,
     Woken,
 )
-from ..ports.peer_link import PeerLinkOpened, PeerReceived, SendToPeer
+from ..ports.peer_link import (
+    NodeIdentity,
+    PeerLinkBroken,
+    PeerLinkOpened,
+    PeerReceived,
+    SendToPeer,
+)
 from ..ports.peer_snapshot import PeerSnapshot
+from ..ports.proof_messages import AskProof, ProofGiven
 from ..ports.store import (
     ReadResult,
     StartWatch,
@@ -59,6 +66,7 @@
 """Time after waking for which requests that are read count as having waited all the while."""
 STOP_CHECK_SECONDS = 0.1
 CLUSTER_KEY_BYTES = 32
+ASK_NUMBER_BITS = 62
 
 
 @value
@@ -106,8 +114,9 @@
         self._presence = Presence(key, settings, random_source)
         self._keeper = ProofKeeper(
             follower.proving,
-            lambda: self._members.rank() * settings.news_rank_seconds,
+            lambda: self._rank_seconds,
             lambda now: self._follower.next_answer_at(now),
+            random_source.getrandbits(ASK_NUMBER_BITS) if follower.proving else 0,
         )
         self._forwarding = ForwardingMachine(
             settings,
@@ -179,6 +188,10 @@
                 return self._start(event, now)
             case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
                 return self._membership_event(event, now)
+            case PeerReceived(sender=sender, message=AskProof() | ProofGiven() as message):
+                return self._proof_message(sender, message, now)
+            case PeerLinkBroken():
+                self._keeper.link_broken(event)
             case SweepDue() | LagDue() | Woken():
                 return self._time_event(event, now)
             case StopRequested():
@@ -195,7 +208,7 @@
                 self._directory.forget_vanished(now)
                 due_at = now + SWEEP_SECONDS
                 greetings = self._forwarding.handle(GreetingDue(), now)
-                proving = self._keeper.check(now)
+                proving = self._keeper.sweep(self._members.listeners, now)
                 sweep = Schedule(due_at, SweepDue(due_at))
                 return [*greetings, *proving, *self._pace_actions(now), sweep]
             case LagDue():
@@ -209,7 +222,7 @@
         match event:
             case PeerReceived(sender=sender, message=StoreNews() as news):
                 self._told_by = sender.node_id
-                return self._news(news, now)
+                return [*self._news(news, now), *self._keeper.news_from(sender, now)]
             case PresenceDue():
                 return self._presence_due(event, now)
             case PeerLinkOpened():
@@ -351,9 +364,8 @@
         The own look is put off, but for the time that the news have taken, as far as it is known:
         at the sender, and behind other work of this node.
         """
-        rank_seconds = self._settings.news_rank_seconds * self._members.rank()
         taken_seconds = news.age_seconds + self._lateness(now)
-        pause_seconds = self._follower.usual_gather_seconds + rank_seconds - taken_seconds
+        pause_seconds = self._follower.usual_gather_seconds + self._rank_seconds - taken_seconds
         if news.may_have_more or taken_seconds >= self._settings.news_late_seconds:
             pause_seconds = 0.0
         actions = self._follower.absorb(news, pause_seconds, now)
@@ -361,6 +373,23 @@
         side = "look_put_off" if is_put_off else "heard"
         return [*actions, Count("store_news_total", labels=(("side", side),))]
 
+    def _proof_message(
+        self, sender: NodeIdentity, message: AskProof | ProofGiven, now: float
+    ) -> list[Action]:
+        """Take in that another node asks, or what its look proves; then put the own look off."""
+        if isinstance(message, AskProof):
+            self._keeper.asked(sender, message, now)
+            return []
+        actions = self._keeper.given(sender, message, self._follower.known_revision, now)
+        usual_seconds = self._follower.usual_gather_seconds + self._rank_seconds
+        pause_seconds = usual_seconds - self._keeper.age_seconds(now)
+        return [*actions, *self._follower.put_off(pause_seconds, now)]
+
+    @property
+    def _rank_seconds(self) -> float:
+        """How much later than the first of its group this node looks by itself."""
+        return self._settings.news_rank_seconds * self._members.rank()
+
     def _pace_actions(self, now: float) -> list[Action]:
         """Look at the store more often while records of replicas or nodes are missing."""
         is_old = self._directory.is_contradicted(now)
--- a/wingquay/forwarding/knowledge/proof_keeper.py
+++ b/wingquay/forwarding/knowledge/proof_keeper.py
@@ -1,10 +1,13 @@
 """Keeps the proof of the configuration: what renews it, how soon it must be, what is told of it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ...model.routing_table import RoutingTable
 from ...ports.machine import Action, Count, Log, LogLevel, Observe
+from ...ports.peer_link import NodeIdentity, PeerLinkBroken
+from ...ports.proof_messages import AskProof, ProofGiven
 from .configuration_proof import AlwaysProven, TimedProof
+from .proof_asking import HeardAsks, ProofAsks
 from .proving_looks import MOST_RANK_SECONDS, ProvingLooks
 
 
@@ -22,6 +25,8 @@
         How much later than the first of its group this node looks by itself.
     next_answer_at
         Tells, for a moment, when the store may answer.
+    first_number
+        Number of the first ask to another node; random, so that no two lives of a node share one.
     """
 
     def __init__(
@@ -29,10 +34,13 @@
         looks: ProvingLooks | None,
         rank_seconds: Callable[[], float],
         next_answer_at: Callable[[float], float],
+        first_number: int = 0,
     ) -> None:
         self._looks = looks
         self._rank_seconds = rank_seconds
         self._timed = None if looks is None else TimedProof(looks.bound_seconds, next_answer_at)
+        self._asks = ProofAsks(first_number)
+        self._heard = HeardAsks()
         self._has_tenants = False
         self._was_proven = False
         self._lost_at: float | None = None
@@ -70,18 +78,59 @@
         store_revision
             Up to which revision it told everything.
         """
-        return [] if begun_at is None else self.prove(begun_at, now)
+        if self._timed is None or begun_at is None:
+            return []
+        told = self._heard.answers(begun_at, store_revision, now)
+        return [*self._prove(self._timed, begun_at, now), *told]
 
     def failed(self, reason: str) -> None:
         """Take in why the store proves nothing."""
         self._reason = reason
 
-    def prove(self, as_of: float, now: float) -> list[Action]:
-        """Take in that everything is known that the store acknowledged before a moment."""
-        if self._timed is None:
+    def sweep(self, listeners: Callable[[], Collection[NodeIdentity]], now: float) -> list[Action]:
+        """Ask other nodes to prove what they read, and tell if the proof was lost.
+
+        Parameters
+        ----------
+        listeners
+            Returns the nodes that tell each other what they read.
+        """
+        if self.looks is None:
             return []
-        age_seconds = now - self._timed.proven_as_of
-        if not self._timed.prove(as_of, now):
+        return [*self.check(now), *self._asks.ask(listeners(), now)]
+
+    def news_from(self, sender: NodeIdentity, now: float) -> list[Action]:
+        """Take in that another node has told what it has read."""
+        return [] if self.looks is None else self._asks.news_from(sender, now)
+
+    def asked(self, sender: NodeIdentity, ask: AskProof, now: float) -> None:
+        """Take in that another node asks."""
+        if self._timed is not None:
+            self._heard.heard(sender, ask, now)
+
+    def given(
+        self, sender: NodeIdentity, given: ProofGiven, known_revision: int | None, now: float
+    ) -> list[Action]:
+        """Take in what another node's look proves, if all that it has told is known."""
+        as_of = self._asks.proven_as_of(sender, given, now)
+        is_known = known_revision is not None and known_revision >= given.store_revision
+        if self._timed is None or as_of is None or not is_known:
+            return []
+        return self._prove(self._timed, as_of, now)
+
+    def link_broken(self, event: PeerLinkBroken) -> None:
+        """Take in that a link broke: what was asked over it may be lost."""
+        if event.was_open:
+            self._asks.link_broken(event.node_id)
+            self._heard.link_broken(event.node_id)
+
+    def age_seconds(self, now: float) -> float:
+        """Return how long ago the configuration was the one in force at least."""
+        return float("inf") if self._timed is None else now - self._timed.proven_as_of
+
+    def _prove(self, timed: TimedProof, as_of: float, now: float) -> list[Action]:
+        age_seconds = now - timed.proven_as_of
+        if not timed.prove(as_of, now):
             return []
         lines = self.check(now)
         if self.looks is None or age_seconds == float("inf"):
--- a/wingquay/simulation/forwarding/store.py
+++ b/wingquay/simulation/forwarding/store.py
@@ -68,6 +68,8 @@
     deaf_until: float = 0.0
     """Until then watches hear nothing."""
     cut_off: dict[int, float] = field(default_factory=dict)
+    looks: int = 0
+    """Looks that were begun: calls have a price."""
     _items: dict[str, StoredValue] = field(default_factory=dict)
     _history: list[tuple[int, str, StoredValue | None]] = field(default_factory=list)
     _forgotten_revision: int = 0
@@ -200,6 +202,7 @@
             return
         now = self.clock.now
         watch.asked_at = now
+        self.looks += 1
         watch.is_lost = self._is_out_of_reach(watch.node)
         action = watch.action
         self.clock.after(action.timeout_seconds, self._give_up, watch, now)
