--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -251,6 +251,7 @@
         """Behave as a node whose store was away for as long, and give up what is too late."""
         self._directory.note_outage(now)
         self._late_seconds = event.seconds
+        self._keeper.failed("suspended")
         open_requests = self._forwarding.open_exchanges
         actions = self._forwarding.woken(event, now)
         fields = (
