--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -16,8 +16,9 @@
     StopRequested,
     Woken,
 )
-from ..ports.peer_link import PeerLinkOpened, PeerReceived
+from ..ports.peer_link import PeerLinkBroken, PeerLinkOpened, PeerReceived
 from ..ports.peer_snapshot import PeerSnapshot
+from ..ports.proof_messages import AskProof, ProofGiven
 from ..ports.store import (
     ReadResult,
     StoredValue,
@@ -53,6 +54,7 @@
 from .store_formats import StoreFormats as StoreFormats
 
 CLUSTER_KEY_BYTES = 32
+ASK_NUMBER_BITS = 62
 
 
 class ForwardingNode:
@@ -83,6 +85,7 @@
             follower.proving,
             lambda: self._members.rank() * settings.news_rank_seconds,
             lambda now: self._follower.next_answer_at(now),
+            random_source.getrandbits(ASK_NUMBER_BITS) if follower.proving else 0,
         )
         self._forwarding = ForwardingMachine(
             settings,
@@ -124,7 +127,9 @@
             self._lateness,
             self._keeper,
         )
-        self._news = NewsExchange(settings, self._members, self._follower, self._lateness)
+        self._news = NewsExchange(
+            settings, self._members, self._follower, self._lateness, self._keeper
+        )
         self._callers = TakingCallers(settings, self._directory, self._forwarding)
 
     @property
@@ -157,6 +162,10 @@
                 return self._start(event, now)
             case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
                 return self._membership_event(event, now)
+            case PeerReceived(sender=sender, message=AskProof() | ProofGiven() as message):
+                return self._news.proof_message(sender, message, now)
+            case PeerLinkBroken():
+                self._keeper.link_broken(event)
             case SweepDue() | LagDue() | Woken():
                 return self._time.handle(event, now)
             case StopRequested():
@@ -172,7 +181,7 @@
         match event:
             case PeerReceived(sender=sender, message=StoreNews() as news):
                 self._told_by = sender.node_id
-                return self._news.heard(news, now)
+                return [*self._news.heard(news, now), *self._keeper.news_from(sender, now)]
             case PresenceDue():
                 return self._presence_due(event, now)
             case PeerLinkOpened():
--- a/wingquay/forwarding/knowledge/proof_keeper.py
+++ b/wingquay/forwarding/knowledge/proof_keeper.py
@@ -1,12 +1,17 @@
 """Keeps the proof of the configuration: what renews it, how soon it must be, what is told of it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ...model.routing_table import RoutingTable
 from ...ports.machine import Action, Count, Log, LogLevel, Observe
+from ...ports.peer_link import NodeIdentity, PeerLinkBroken
+from ...ports.proof_messages import AskProof, ProofGiven
 from .configuration_proof import AlwaysProven, TimedProof
+from .proof_asking import HeardAsks, ProofAsks
 from .proving_looks import MOST_RANK_SECONDS, ProvingLooks
 
+LATE_REASON = "no look was answered and nobody told of one"
+
 
 class ProofKeeper:
     """Takes in what proves the configuration, for deployments that state the strict bound.
@@ -22,6 +27,8 @@
         How much later than the first of its group this node looks by itself.
     next_answer_at
         Tells, for a moment, when the store may answer.
+    first_number
+        Number of the first ask to another node; random, so that no two lives of a node share one.
     """
 
     def __init__(
@@ -29,14 +36,16 @@
         looks: ProvingLooks | None,
         rank_seconds: Callable[[], float],
         next_answer_at: Callable[[float], float],
+        first_number: int = 0,
     ) -> None:
         self._looks = looks
         self._rank_seconds = rank_seconds
         self._timed = None if looks is None else TimedProof(looks.bound_seconds, next_answer_at)
+        self._asks = ProofAsks(first_number)
+        self._heard = HeardAsks()
         self._has_tenants = False
-        self._was_proven = False
         self._lost_at: float | None = None
-        """When the configuration was no longer proven; ``None``: it never was, or it is."""
+        """When it was noticed that the configuration is not proven; ``None``: it is."""
         self._reason = "nothing was read yet"
 
     @property
@@ -70,20 +79,62 @@
         store_revision
             Up to which revision it told everything.
         """
-        return [] if begun_at is None else self.prove(begun_at, now)
+        if self._timed is None or begun_at is None:
+            return []
+        told = self._heard.answers(begun_at, store_revision, now)
+        return [*self._prove(self._timed, begun_at, now), *told]
 
     def failed(self, reason: str) -> None:
-        """Take in why the store proves nothing."""
+        """Take in why nothing may be proven for a while."""
         self._reason = reason
 
-    def prove(self, as_of: float, now: float) -> list[Action]:
-        """Take in that everything is known that the store acknowledged before a moment."""
-        if self._timed is None:
+    def sweep(self, listeners: Callable[[], Collection[NodeIdentity]], now: float) -> list[Action]:
+        """Ask other nodes to prove what they read, and tell if the proof was lost.
+
+        Parameters
+        ----------
+        listeners
+            Returns the nodes that tell each other what they read.
+        """
+        if self.looks is None:
             return []
-        age_seconds = now - self._timed.proven_as_of
-        if not self._timed.prove(as_of, now):
+        return [*self.check(now), *self._asks.ask(listeners(), now)]
+
+    def news_from(self, sender: NodeIdentity, now: float) -> list[Action]:
+        """Take in that another node has told what it has read."""
+        return [] if self.looks is None else self._asks.news_from(sender, now)
+
+    def asked(self, sender: NodeIdentity, ask: AskProof, now: float) -> None:
+        """Take in that another node asks."""
+        if self._timed is not None:
+            self._heard.heard(sender, ask, now)
+
+    def given(
+        self, sender: NodeIdentity, given: ProofGiven, known_revision: int | None, now: float
+    ) -> list[Action]:
+        """Take in what another node's look proves, if all that it has told is known."""
+        as_of = self._asks.proven_as_of(sender, given, now)
+        is_known = known_revision is not None and known_revision >= given.store_revision
+        if self._timed is None or as_of is None or not is_known:
+            return []
+        return self._prove(self._timed, as_of, now)
+
+    def link_broken(self, event: PeerLinkBroken) -> None:
+        """Take in that a link broke: what was asked over it may be lost."""
+        if event.was_open:
+            self._asks.link_broken(event.node_id)
+            self._heard.link_broken(event.node_id)
+
+    def age_seconds(self, now: float) -> float:
+        """Return how long ago the configuration was the one in force at least."""
+        return float("inf") if self._timed is None else now - self._timed.proven_as_of
+
+    def _prove(self, timed: TimedProof, as_of: float, now: float) -> list[Action]:
+        age_seconds = now - timed.proven_as_of
+        if not timed.prove(as_of, now):
             return []
         lines = self.check(now)
+        self._reason = LATE_REASON
         if self.looks is None or age_seconds == float("inf"):
             return lines
         return [*lines, Observe("configuration_proof_age_seconds", age_seconds)]
@@ -92,23 +143,22 @@
         """Tell if the configuration has ceased to be proven, or is so again."""
         if self._timed is None or self.looks is None:
             return []
-        is_proven = self._timed.is_proven(now)
-        if is_proven == self._was_proven:
+        if self._timed.is_proven(now):
+            return self._back(now)
+        return self._lost(self._timed, now) if self._lost_at is None else []
+
+    def _back(self, now: float) -> list[Action]:
+        lost_at, self._lost_at = self._lost_at, None
+        if lost_at is None:
             return []
-        self._was_proven = is_proven
-        if not is_proven:
-            return self._lost(self._timed, now)
-        seconds = 0.0 if self._lost_at is None else now - self._lost_at
-        self._lost_at = None
-        fields = (("unproven_ms", _milliseconds(seconds)),)
+        fields = (("unproven_ms", _milliseconds(now - lost_at)),)
         return [Log("configuration_proven", LogLevel.INFO, fields)]
 
     def _lost(self, timed: TimedProof, now: float) -> list[Action]:
         self._lost_at = now
-        fields = (
-            ("age_ms", _milliseconds(now - timed.proven_as_of)),
-            ("reason", self._reason),
-        )
+        age_seconds = now - timed.proven_as_of
+        age_ms = -1 if age_seconds == float("inf") else _milliseconds(age_seconds)
+        fields = (("age_ms", age_ms), ("reason", self._reason))
         return [
             Log("configuration_unproven", LogLevel.WARNING, fields),
             Count("configuration_unproven_total"),
--- a/wingquay/forwarding/own_time.py
+++ b/wingquay/forwarding/own_time.py
@@ -86,7 +86,7 @@
                 self._directory.forget_vanished(now)
                 due_at = now + SWEEP_SECONDS
                 greetings = self._forwarding.handle(GreetingDue(), now)
-                proving = self._keeper.check(now)
+                proving = self._keeper.sweep(self._members.listeners, now)
                 sweep = Schedule(due_at, SweepDue(due_at))
                 return [*greetings, *proving, *self.pace(now), sweep]
             case LagDue():
@@ -110,6 +110,7 @@
         """Behave as a node whose store was away for as long, and give up what is too late."""
         self._directory.note_outage(now)
         self._lateness.timer_seconds = event.seconds
+        self._keeper.failed("suspended")
         open_requests = self._forwarding.open_exchanges
         actions = self._forwarding.woken(event, now)
         fields = (
