--- /dev/null
+++ b/tests/adapters/test_limit_codec.py
@@ -0,0 +1,86 @@
+"""The messages about limits as bytes."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from wingquay.adapters import forwarding_peer_codec as codec
+from wingquay.adapters.peer_codec_error import PeerCodecFailureKind
+from wingquay.adapters.proto import peer_pb2
+from wingquay.model.failure import Failure
+from wingquay.ports.limit_messages import (
+    LimitAcknowledgement,
+    LimitAnswer,
+    LimitAsk,
+    LimitOwnersReply,
+    LimitOwnersRequest,
+    LimitRecord,
+    LimitTell,
+    LimitVerdict,
+)
+from wingquay.ports.peer_link import NodeIdentity, PeerMessage
+
+SENDER = NodeIdentity("n-1", "", "a", "127.0.0.1", 7)
+NUMBERS = st.integers(0, 2**63)
+COUNTS = st.integers(0, 2**31)
+SECONDS = st.floats(0.0, 1e4, width=32)
+NAMES = st.text(max_size=9)
+
+
+def columns(*kinds: st.SearchStrategy[object]) -> st.SearchStrategy[tuple[tuple[object, ...], ...]]:
+    rows = st.lists(st.tuples(*kinds), max_size=5)
+    return rows.map(lambda found: tuple(zip(*found, strict=True)) or ((),) * len(kinds))
+
+
+MESSAGES = st.one_of(
+    st.builds(
+        lambda sequence, rows: LimitTell(sequence, *rows),
+        NUMBERS,
+        columns(NAMES, st.integers(-(2**31), 2**31 - 1), COUNTS),
+    ),
+    st.builds(
+        lambda sequence, asks_first, rows: LimitAcknowledgement(sequence, asks_first, *rows),
+        NUMBERS,
+        st.booleans(),
+        columns(NAMES, SECONDS),
+    ),
+    st.builds(LimitAsk, NUMBERS, NAMES),
+    st.builds(LimitAnswer, NUMBERS, st.sampled_from(LimitVerdict), SECONDS, st.booleans(), SECONDS),
+    st.builds(LimitOwnersRequest, NUMBERS, NUMBERS, st.booleans(), st.lists(NAMES).map(tuple)),
+    st.builds(
+        lambda number, lent, is_same, knows, unknown, records: LimitOwnersReply(
+            number, *lent, is_same, knows, unknown, records
+        ),
+        NUMBERS,
+        columns(NAMES, COUNTS),
+        st.booleans(),
+        st.booleans(),
+        st.lists(NAMES).map(tuple),
+        st.lists(
+            st.builds(lambda name, rows: LimitRecord(name, *rows), NAMES, columns(SECONDS, COUNTS))
+        ).map(tuple),
+    ),
+)
+
+
+class LimitCodecTest(TestCase):
+    @given(message=MESSAGES)
+    def test_every_message_comes_back_as_it_was(self, message: PeerMessage) -> None:
+        self.assertEqual((SENDER, message), codec.decode(codec.encode(message, SENDER)))
+
+    def test_columns_of_two_lengths_are_malformed(self) -> None:
+        envelope = peer_pb2.Envelope.FromString(codec.encode(LimitTell(1), SENDER))
+        for field in ("tenants", "counts"):
+            broken = peer_pb2.Envelope.FromString(envelope.SerializeToString())
+            getattr(broken.limit_tell, field).append("t" if field == "tenants" else 1)
+            failure = codec.decode(broken.SerializeToString())
+            assert isinstance(failure, Failure)
+            self.assertEqual(PeerCodecFailureKind.MALFORMED, failure.kind)
+
+    def test_an_unknown_verdict_is_malformed(self) -> None:
+        answer = LimitAnswer(1, LimitVerdict.GRANTED)
+        envelope = peer_pb2.Envelope.FromString(codec.encode(answer, SENDER))
+        envelope.limit_answer.verdict = 9
+        failure = codec.decode(envelope.SerializeToString())
+        assert isinstance(failure, Failure)
+        self.assertEqual(PeerCodecFailureKind.MALFORMED, failure.kind)
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -57,7 +57,7 @@
         case Greeting():
             envelope.greeting.SetInParent()
         case _:
-            raise ValueError(f"{type(message).__name__} is not a message of forwarding nodes")
+            _put_limit_message(envelope, message)
     return envelope.SerializeToString()
 
 
@@ -103,10 +103,22 @@
             return AllowAttempts(allowed.delegation_id, allowed.max_attempts)
         case "cancel_delegation":
             return CancelDelegation(envelope.cancel_delegation.delegation_id)
+        case "limit_tell" | "limit_acknowledgement" | "limit_ask" | "limit_answer" | "limit_owners":
+            from .limit_codec import limit_message_from
+
+            return limit_message_from(envelope)
         case _:
             return Failure(PeerCodecFailureKind.UNKNOWN_MESSAGE, "no message of a known kind")
 
 
+def _put_limit_message(envelope: peer_pb2.Envelope, message: PeerMessage) -> None:
+    """Write a message about limits, whose codec is loaded only where tenants have some."""
+    from .limit_codec import put_limit_message
+
+    if not put_limit_message(envelope, message):
+        raise ValueError(f"{type(message).__name__} is not a message of forwarding nodes")
+
+
 def _put_request(target: peer_pb2.DelegatedRequest, message: DelegatedRequest) -> None:
     request = message.request
     target.delegation_id = message.delegation_id
