Fuzz the limits of many nodes against an oracle that knows every run

Cause: single failures are tested; their mixtures were not. Change: a stateful test of cuts (one way too), broken links, deaths of owners, power, suspensions, changed limits and requests given back, in both ways. A fresh owner also takes in what another fresh one knows, so that an owner that dies again and again does not permit its first part each time.

--- /dev/null
+++ b/tests/forwarding/limits/test_stateful_limits.py
@@ -0,0 +1,122 @@
+"""Random histories of nodes that keep limits, against an oracle that knows every run."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from tests.forwarding.limits.fleet import SETTINGS, WINDOW_SECONDS, LimitFleet, tenant
+from wingquay.forwarding.arrival.limits.budget import LimitSettings, budget_of
+from wingquay.model.tenants import Tenant
+
+NODES = 12
+LIMITS = (tenant(), tenant(rate=2.0, burst=5.0), tenant(rate=10.0, burst=0.0))
+NAMES = st.sampled_from([f"n{number:02}" for number in range(NODES)])
+ALWAYS_ASK = LimitSettings(SETTINGS.window_seconds, SETTINGS.overage, SETTINGS.slack, 0.0)
+RATES = {ALWAYS_ASK: (5.0, 30.0, 100.0), SETTINGS: (2.0, 5.0, 15.0)}
+"""Requests a second. What arrives behind a cut before its nodes notice is under way, and
+must fit the part of the budget for that where requests may begin at once."""
+
+
+class LimitHistory(RuleBasedStateMachine):
+    """Callers, the network, failures and operators act in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.limits: list[tuple[float, Tenant]] = []
+
+    @initialize(way=st.sampled_from([SETTINGS, ALWAYS_ASK]), seed=st.integers(0, 2**16))
+    def start(self, way: LimitSettings, seed: int) -> None:
+        self.fleet = LimitFleet(NODES, LIMITS[0], seed=seed, settings=way)
+        self.fleet.advance(2.0 * WINDOW_SECONDS)
+        self.limits.append((0.0, LIMITS[0]))
+        self.rates = RATES[way]
+
+    @rule(rate=st.integers(0, 2), seconds=st.floats(0.2, 3.0))
+    def load(self, rate: int, seconds: float) -> None:
+        self.fleet.load(self.rates[rate], seconds)
+
+    @rule(seconds=st.floats(0.01, 8.0))
+    def wait(self, seconds: float) -> None:
+        self.fleet.advance(seconds)
+
+    @rule(node=NAMES, count=st.integers(1, 30))
+    def run_nowhere(self, node: str, count: int) -> None:
+        for _ in range(count):
+            self.fleet.request(node, runs=False)
+            self.fleet.advance(0.01)
+
+    @precondition(lambda self: not self.fleet.cut)
+    @rule(inside=st.sets(NAMES, min_size=1, max_size=NODES - 1), one_way=st.booleans())
+    def cut(self, inside: set[str], one_way: bool) -> None:
+        self.fleet.separate(*inside, one_way=one_way)
+
+    @precondition(lambda self: not self.fleet.cut)
+    @rule(place=st.integers(0, 1), others=st.sets(NAMES, max_size=4), one_way=st.booleans())
+    def cut_owner(self, place: int, others: set[str], one_way: bool) -> None:
+        if self.fleet.works:
+            self.fleet.separate(self.fleet.owners()[place], *others, one_way=one_way)
+
+    @precondition(lambda self: bool(self.fleet.cut))
+    @rule()
+    def break_links(self) -> None:
+        self.fleet.break_cut_links()
+
+    @precondition(lambda self: bool(self.fleet.cut))
+    @rule()
+    def heal(self) -> None:
+        self.fleet.join()
+
+    @precondition(lambda self: len(self.fleet.works) > 1)
+    @rule(place=st.integers(0, 1))
+    def kill_owner(self, place: int) -> None:
+        self.fleet.kill(self.fleet.owners()[place])
+
+    @rule()
+    def restart(self) -> None:
+        for name in sorted(set(self.fleet.identities) - set(self.fleet.works)):
+            self.fleet.start(name)
+
+    @rule(dark_seconds=st.floats(0.5, 3.0))
+    def power(self, dark_seconds: float) -> None:
+        for name in sorted(self.fleet.works):
+            self.fleet.kill(name)
+        self.fleet.advance(dark_seconds)
+        self.restart()
+        self.fleet.advance(0.2)
+
+    @rule(node=NAMES)
+    def suspend(self, node: str) -> None:
+        self.fleet.suspend(node)
+
+    @precondition(lambda self: bool(self.fleet.asleep))
+    @rule()
+    def wake(self) -> None:
+        for node in sorted(self.fleet.asleep):
+            self.fleet.wake(node)
+
+    @rule(number=st.integers(0, len(LIMITS) - 1))
+    def configure(self, number: int) -> None:
+        self.limits.append((self.fleet.now, LIMITS[number]))
+        self.fleet.configure(LIMITS[number])
+
+    def teardown(self) -> None:
+        if not self.limits:
+            return
+        times = sorted(self.fleet.ran["t"])
+        for end in times:
+            within = [at for at in times if end - WINDOW_SECONDS < at <= end]
+            assert len(within) <= self.allowed(end), (len(within), self.allowed(end), end)
+
+    def allowed(self, end: float) -> float:
+        """Return the greatest bound in force during the last two windows."""
+        until = [*(at for at, _ in self.limits[1:]), float("inf")]
+        bounds = [
+            budget_of(limit, self.fleet.settings).most
+            for (_, limit), ended in zip(self.limits, until, strict=True)
+            if ended > end - 2.0 * WINDOW_SECONDS
+        ]
+        return max(bounds)
+
+
+LimitHistoryTest = LimitHistory.TestCase
+LimitHistoryTest.settings = settings(stateful_step_count=30, max_examples=60)
--- a/wingquay/forwarding/arrival/limits/owner_exchange.py
+++ b/wingquay/forwarding/arrival/limits/owner_exchange.py
@@ -89,6 +89,10 @@
             other in self._known_from and name not in self._known_from[other] for other in others
         )
 
+    def _knows_from(self, other: NodeIdentity) -> bool:
+        """Whether another owner has told all that it could tell."""
+        return self._known_from.get(other.node_id) == frozenset()
+
     def _is_in_office(self, name: str, now: float) -> bool:
         """Whether no other node can have become the primary owner without this one's knowledge.
 
@@ -133,7 +137,7 @@
         actions: list[Action] = []
         for other in self._owners.identities:
             names = tuple(wanted.get(other.node_id, ()))
-            is_unknown = wants_records and other.node_id not in self._known_from
+            is_unknown = wants_records and not self._knows_from(other)
             is_wanted = names or is_unknown or not self.is_listed(now)
             if other.node_id == self._own.node_id or not is_wanted:
                 continue
@@ -155,7 +159,7 @@
         if sent_at < self._changed_at or not reply.is_same_view:
             return
         self._confirmed_at[sender.node_id] = sent_at
-        if reply.knows_window and sender.node_id not in self._known_from:
+        if reply.knows_window and not self._knows_from(sender):
             self._known_from[sender.node_id] = frozenset(reply.unknown)
             for record in reply.records:
                 entries = list(zip(record.ages_seconds, record.counts, strict=True))
@@ -185,7 +189,6 @@
         is_told = is_same_view and request.wants_records
         shared = [name for name in names if self._owned_with(name, sender)] if is_told else []
         unknown = [name for name in shared if not self._knows(name, now)]
-        known = [name for name in shared if name not in set(unknown)]
         reply = LimitOwnersReply(
             request.request_id,
             tuple(lent),
@@ -193,7 +196,7 @@
             is_same_view,
             is_told,
             tuple(unknown),
-            tuple(item for item in (self._record(name, now) for name in known) if item.counts),
+            tuple(item for item in (self._record(name, now) for name in shared) if item.counts),
         )
         return [SendToPeer(sender, reply)]
 
--- a/wingquay/ports/limit_messages.py
+++ b/wingquay/ports/limit_messages.py
@@ -136,9 +136,9 @@
     knows_window
         Whether it tells the last window of the tenants that the two own together.
     unknown
-        Those among them whose window it does not know.
+        Those among them whose whole window it does not know.
     records
-        The others' windows; a tenant that is missing had no request.
+        What it knows of these windows; a tenant that is missing had no request.
     """
 
     request_id: int
