Follow the configuration and the link before limits are kept, and know when the own key stands

Cause: limits must load nothing and send nothing where no tenant has one, and an owner whose key may have lapsed must not go on as the primary beside the next one. Ruled out: to count a request that is given back while it still awaits an owner's word: it was not counted, and what an owner permits for it later is what is given back. Change: limit_keeper.py (loads limit_work.py with the first limit), limit_settings.py, Presence.is_listed; tests of a surge behind a cut, of both owners apart and of late answers. Result: see the tests of tests/forwarding/limits.

--- a/tests/forwarding/limits/fleet.py
+++ b/tests/forwarding/limits/fleet.py
@@ -6,7 +6,8 @@
 from itertools import count
 
 from wingquay.forwarding.arrival.admission import Admitted, AwaitsLimit, Rejected
-from wingquay.forwarding.arrival.limits.budget import LimitSettings, budget_of
+from wingquay.forwarding.arrival.limits.budget import budget_of
+from wingquay.forwarding.arrival.limits.limit_settings import LimitSettings
 from wingquay.forwarding.arrival.limits.limit_work import LimitWork
 from wingquay.forwarding.knowledge.node_groups import NodeGroups
 from wingquay.forwarding.settings import ForwardingSettings
@@ -73,8 +74,8 @@
             groups.put(other, NodeRecord(known))
         self.works[name], self.groups[name] = work, groups
         own = self.identities[name]
-        self._perform(name, work.set_tenants(self.tenants, self.now))
-        self._perform(name, work.open(own, groups, lambda _: True, self.now))
+        self.perform(name, work.set_tenants(self.tenants, self.now))
+        self.perform(name, work.open(own, groups, lambda _: True, self.now))
 
     def kill(self, name: str) -> None:
         self.works.pop(name, None)
@@ -96,7 +97,7 @@
     def configure(self, *tenants: Tenant) -> None:
         self.tenants = {item.name: item for item in tenants}
         for name, work in self.works.items():
-            self._perform(name, work.set_tenants(self.tenants, self.now))
+            self.perform(name, work.set_tenants(self.tenants, self.now))
 
     # The network
 
@@ -151,9 +152,9 @@
         if name in self.asleep:
             self.asleep[name].append((life, event))
         elif name in self.works and life == self.lives[name]:
-            self._perform(name, self.works[name].handle(event, self.now))  # type: ignore[arg-type]
+            self.perform(name, self.works[name].handle(event, self.now))  # type: ignore[arg-type]
 
-    def _perform(self, name: str, actions: list[Action]) -> None:
+    def perform(self, name: str, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Schedule):
                 self._push(action.at_seconds, name, action.event)
@@ -173,7 +174,7 @@
             return number
         self._asked[number] = (name, self.now, runs)
         answer = work.admit(self.tenants[name], number, self.now)
-        self._perform(node, work.take_actions())
+        self.perform(node, work.take_actions())
         if not isinstance(answer, AwaitsLimit):
             self._settle(number, answer, work)
         return number
--- a/tests/forwarding/limits/test_fleet_limits.py
+++ b/tests/forwarding/limits/test_fleet_limits.py
@@ -4,7 +4,7 @@
 
 from tests.forwarding.limits.fleet import WINDOW_SECONDS, LimitFleet, tenant
 from wingquay.forwarding.arrival.admission import Admitted, Rejected
-from wingquay.forwarding.arrival.limits.budget import LimitSettings
+from wingquay.forwarding.arrival.limits.limit_settings import LimitSettings
 from wingquay.ports.forwarding import ForwardFailureKind
 from wingquay.ports.limit_messages import LimitAsk, LimitTell
 
@@ -90,9 +90,10 @@
             for usual in (USUAL, 60.0):
                 fleet = self.settled()
                 fleet.load(usual, 6.0)
+                owners = fleet.owners()
                 side = [name for name in sorted(fleet.works) if int(name[1:]) % 3 == 0]
-                for place in (0, 1):
-                    inside = [*side, fleet.owners()[place]]
+                for owner in owners:
+                    inside = [*(name for name in side if name not in owners), owner]
                     fleet.separate(*inside, one_way=one_way)
                     fleet.load(60.0, 8.0)
                     fleet.break_cut_links()
@@ -101,6 +102,27 @@
                     fleet.load(60.0, 8.0)
                 self.assert_kept(fleet)
 
+    def test_a_calm_tenant_that_surges_behind_a_cut_stays_below(self) -> None:
+        fleet = self.settled()
+        fleet.load(USUAL, 6.0)
+        side = [name for name in sorted(fleet.works) if int(name[1:]) % 3 == 0]
+        fleet.separate(*side, *fleet.owners())
+        fleet.load(60.0, 8.0)
+        self.assert_kept(fleet)
+
+    def test_a_request_that_no_longer_waits_is_given_back_when_it_is_permitted(self) -> None:
+        fleet = self.settled()
+        node = next(name for name in sorted(fleet.works) if name not in fleet.owners())
+        work = fleet.works[node]
+        for number in range(-1, -201, -1):
+            work.admit(fleet.tenants["t"], number, fleet.now)
+            work.give_back(fleet.tenants["t"], number, fleet.now)
+            fleet.perform(node, work.take_actions())
+            fleet.advance(0.02)
+        numbers = fleet.load(9.9, 5.0)
+        fleet.advance(1.0)
+        self.assertEqual([], self.refused(fleet, numbers))
+
     def test_calm_tenants_are_served_on_both_sides_of_a_cut(self) -> None:
         fleet = self.settled()
         fleet.load(USUAL, 6.0)
--- a/tests/forwarding/limits/test_limit_parts.py
+++ b/tests/forwarding/limits/test_limit_parts.py
@@ -5,11 +5,8 @@
 from hypothesis import strategies as st
 
 from tests.forwarding.limits.fleet import identity, tenant
-from wingquay.forwarding.arrival.limits.budget import (
-    UNDER_WAY_PART,
-    LimitSettings,
-    budget_of,
-)
+from wingquay.forwarding.arrival.limits.budget import UNDER_WAY_PART, budget_of
+from wingquay.forwarding.arrival.limits.limit_settings import LimitSettings
 from wingquay.forwarding.arrival.limits.owners import MOST_OWNERS, Owners
 from wingquay.forwarding.arrival.limits.sliding_count import GRAIN_SECONDS, SlidingCount
 from wingquay.forwarding.knowledge.node_groups import GroupNode
--- a/tests/forwarding/limits/test_stateful_limits.py
+++ b/tests/forwarding/limits/test_stateful_limits.py
@@ -5,7 +5,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from tests.forwarding.limits.fleet import SETTINGS, WINDOW_SECONDS, LimitFleet, tenant
-from wingquay.forwarding.arrival.limits.budget import LimitSettings, budget_of
+from wingquay.forwarding.arrival.limits.budget import budget_of
+from wingquay.forwarding.arrival.limits.limit_settings import LimitSettings
 from wingquay.model.tenants import Tenant
 
 NODES = 12
@@ -35,6 +36,11 @@
     def load(self, rate: int, seconds: float) -> None:
         self.fleet.load(self.rates[rate], seconds)
 
+    @precondition(lambda self: bool(self.fleet.cut))
+    @rule(rate=st.integers(1, 2))
+    def load_for_long(self, rate: int) -> None:
+        self.fleet.load(self.rates[rate], 2.0 * WINDOW_SECONDS)
+
     @rule(seconds=st.floats(0.01, 8.0))
     def wait(self, seconds: float) -> None:
         self.fleet.advance(seconds)
--- a/wingquay/forwarding/arrival/limits/budget.py
+++ b/wingquay/forwarding/arrival/limits/budget.py
@@ -7,6 +7,7 @@
 
 from ....model.tenants import Tenant
 from ....model.value import value
+from .limit_settings import LimitSettings
 
 JITTER_PART = 0.10
 """Of the spare, permitted on top of the allowance: the way from caller to node takes a few
@@ -27,29 +28,6 @@
 PRIMARY_SHARE = 0.6
 """Part of the divided whole that the primary owner may permit without the other's word. Above one
 half: a tenant that is not hot never needs a loan."""
-LOAN_FROM = 0.5
-"""Part of the allowance from which on the primary borrows the rest, and from which on nodes ask
-first. Below it, what arrives until all nodes know (some 30 ms) would have to be another half to
-exceed the limit: 800 requests a second of a tenant of 50 in 5 s."""
-
-
-@value
-class LimitSettings:
-    """What the platform allows, and which way nodes go.
-
-    Parameters
-    ----------
-    window_seconds, overage, slack
-        Requests of a tenant that run in each window of that length: what its limit allows times one
-        more than the second figure, plus the third, at most.
-    ask_first_from
-        Part of the allowance from which on nodes ask before they begin a request; 0: always.
-    """
-
-    window_seconds: float = 5.0
-    overage: float = 0.0
-    slack: float = 0.0
-    ask_first_from: float = LOAN_FROM
 
 
 @value
--- /dev/null
+++ b/wingquay/forwarding/arrival/limits/limit_keeper.py
@@ -0,0 +1,104 @@
+"""Keeps limits once a configuration states some; a node without them loads and does nothing."""
+
+import random
+import zlib
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ....model.routing_table import RoutingTable
+from ....ports.machine import Action, Event, Woken
+from ....ports.peer_link import NodeIdentity, PeerLinkBroken, PeerLinkOpened, PeerReceived
+from ...knowledge.node_membership import NodeMembership
+from ...timers import (
+    LimitAskDue,
+    LimitOwnerDue,
+    LimitProbeDue,
+    LimitSilenceDue,
+    LimitTellDue,
+)
+from ..admission import Admitted, Rejected, TenantLimits
+from .limit_settings import LimitSettings
+
+if TYPE_CHECKING:
+    from .limit_work import LimitWork
+
+_TAKEN = (
+    PeerReceived,
+    PeerLinkBroken,
+    LimitAskDue,
+    LimitOwnerDue,
+    LimitProbeDue,
+    LimitSilenceDue,
+    LimitTellDue,
+)
+
+
+class LimitKeeper:
+    """Follows the configuration and the link to other nodes.
+
+    Parameters
+    ----------
+    name
+        This node's name.
+    members
+        The nodes of the store.
+    use
+        Takes who counts the requests of tenants from then on.
+    go_on
+        Goes on with a request whose answer has come.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: LimitSettings,
+        members: NodeMembership,
+        use: Callable[[TenantLimits], None],
+        go_on: Callable[[int, Admitted | Rejected, float], list[Action]],
+    ) -> None:
+        self._name = name
+        self._settings = settings
+        self._members = members
+        self._use = use
+        self._go_on = go_on
+        self._table: RoutingTable | None = None
+        self._own: NodeIdentity | None = None
+        self._work: LimitWork | None = None
+        self._is_open = False
+
+    def after(self, event: Event, table: RoutingTable | None, now: float) -> list[Action]:
+        """Take in an event, after all other parts, and the configuration in force."""
+        if isinstance(event, PeerLinkOpened):
+            self._own = event.identity
+        actions: list[Action] = []
+        if table is not None and table is not self._table:
+            actions += self._configure(table, now)
+        work = self._work
+        if work is None:
+            return actions
+        if not self._is_open and self._own is not None:
+            self._is_open = True
+            members = self._members
+            actions += work.open(self._own, members.groups, members.is_listed, now)
+        if isinstance(event, Woken):
+            work.woken()
+        if isinstance(event, _TAKEN):
+            return actions + work.handle(event, now)
+        return [*actions, *work.look(now), *work.take_actions()]
+
+    def _configure(self, table: RoutingTable, now: float) -> list[Action]:
+        self._table = table
+        tenants = {} if table.tenants is None else table.tenants.by_name
+        is_limited = any(tenant.requests_per_second > 0 for tenant in tenants.values())
+        if self._work is None and is_limited:
+            self._work = self._begin(now)
+        return [] if self._work is None else self._work.set_tenants(tenants, now)
+
+    def _begin(self, now: float) -> "LimitWork":
+        from .limit_work import LimitWork
+
+        spread = random.Random(zlib.crc32(self._name.encode()))
+        work = LimitWork(self._settings, spread, now)
+        work.on_answer(self._go_on)
+        self._use(work)
+        return work
--- /dev/null
+++ b/wingquay/forwarding/arrival/limits/limit_settings.py
@@ -0,0 +1,27 @@
+"""What the platform allows of a tenant's requests, and which way nodes go."""
+
+from ....model.value import value
+
+LOAN_FROM = 0.5
+"""Part of the allowance from which on the primary borrows the rest, and from which on nodes ask
+first. Below it, what arrives until all nodes know (some 30 ms) would have to be another half to
+exceed the limit: 800 requests a second of a tenant of 50 in 5 s."""
+
+
+@value
+class LimitSettings:
+    """What the platform allows, and which way nodes go.
+
+    Parameters
+    ----------
+    window_seconds, overage, slack
+        Requests of a tenant that run in each window of that length: what its limit allows times one
+        more than the second figure, plus the third, at most.
+    ask_first_from
+        Part of the allowance from which on nodes ask before they begin a request; 0: always.
+    """
+
+    window_seconds: float = 5.0
+    overage: float = 0.0
+    slack: float = 0.0
+    ask_first_from: float = LOAN_FROM
--- a/wingquay/forwarding/arrival/limits/limit_work.py
+++ b/wingquay/forwarding/arrival/limits/limit_work.py
@@ -23,8 +23,8 @@
     LimitTellDue,
 )
 from ..admission import Admitted, AwaitsLimit, Rejected
-from .budget import LimitSettings
 from .contacts import Contacts
+from .limit_settings import LimitSettings
 from .node_role import NodeRole
 from .owner_exchange import EXCHANGE_SECONDS, LOAN_SECONDS
 from .owner_role import OwnerRole
--- a/wingquay/forwarding/arrival/limits/node_role.py
+++ b/wingquay/forwarding/arrival/limits/node_role.py
@@ -15,8 +15,8 @@
 from ....ports.peer_link import NodeIdentity, SendToPeer
 from ...timers import LimitAskDue
 from ..admission import Admitted, AwaitsLimit, Rejected
-from .budget import LimitSettings
 from .contacts import Contacts
+from .limit_settings import LimitSettings
 from .owner_contact import SILENCE_SECONDS
 from .owners import Owners
 from .reserve import Reserve
@@ -49,6 +49,8 @@
     asked_at: float
     waiting_for: set[str] = field(default_factory=set)
     done_with: set[str] = field(default_factory=set)
+    overdue: set[str] = field(default_factory=set)
+    """Owners whose answer is no longer waited for."""
     retry_after_seconds: float = 0.0
 
 
@@ -83,8 +85,10 @@
         self._reserve = reserve
         self._random = random_source
         self._asks: dict[int, _Ask] = {}
-        self._late: dict[int, str] = {}
-        """Tenants of questions that were settled before all who were asked had answered."""
+        self._waiting: dict[int, int] = {}
+        """The questions of requests, by the node's number of the request."""
+        self._late: dict[int, _Ask] = {}
+        """Questions that were settled before all who were asked had answered."""
         self._last_ask_id = 0
         self._outbox: list[Action] = []
         self.on_answer: Callable[[int, Admitted | Rejected, float], list[Action]] = (
@@ -116,13 +120,20 @@
         if answer is not None:
             return answer
         self._asks[ask_id] = ask
+        self._waiting[exchange_id] = ask_id
         for seconds in (SECOND_ASK_SECONDS, SILENCE_SECONDS):
             self._outbox.append(Schedule(now + seconds, LimitAskDue(ask_id)))
         return AwaitsLimit()
 
-    def give_back(self, tenant: Tenant, _exchange_id: int, now: float) -> None:
-        """Take back a request that has run on no replica and never will."""
-        if tenant.requests_per_second > 0:
+    def give_back(self, tenant: Tenant, exchange_id: int, now: float) -> None:
+        """Take back a request that has run on no replica and never will.
+
+        One that still waits was not counted; what an owner permits for it later is given back then.
+        """
+        ask_id = self._waiting.get(exchange_id)
+        if ask_id is not None:
+            self._settle(ask_id)
+        elif tenant.requests_per_second > 0:
             self._note(self._owners.of(tenant.name), tenant.name, -1, now)
             self._count("given_back")
 
@@ -185,12 +196,10 @@
         actions = contact.heard(now)
         ask = self._asks.get(message.ask_id)
         if ask is None:
-            name = self._late.pop(message.ask_id, "")
-            if message.verdict is LimitVerdict.GRANTED and name:
-                actions += contact.note(name, -1, now)
-            return actions
+            return actions + self._late_answer(sender, message, now)
         contact.hear_hot(ask.tenant.name, message.hot_seconds, now)
         ask.waiting_for.discard(sender.node_id)
+        ask.overdue.discard(sender.node_id)
         ask.done_with.add(sender.node_id)
         answer = self._judged(
             ask, sender.node_id, message.verdict, message.retry_after_seconds, now
@@ -206,6 +215,7 @@
         if now >= ask.asked_at + SILENCE_SECONDS:
             for node_id in sorted(ask.waiting_for):
                 actions += self._contacts.lose(node_id, now)
+            ask.overdue |= ask.waiting_for
             ask.done_with |= ask.waiting_for
             ask.waiting_for.clear()
         return actions + self._go_on(event.ask_id, ask, None, now)
@@ -219,12 +229,30 @@
             answer = self._ask_next(ask_id, ask, now)
         if answer is None:
             return []
-        del self._asks[ask_id]
+        self._settle(ask_id)
+        return [*self.on_answer(ask.exchange_id, answer, now), *self.take_actions()]
+
+    def _settle(self, ask_id: int) -> None:
+        """Forget a question, but for those who may still answer it."""
+        ask = self._asks.pop(ask_id)
+        del self._waiting[ask.exchange_id]
+        ask.waiting_for |= ask.overdue
         if ask.waiting_for:
-            self._late[ask_id] = ask.tenant.name
+            self._late[ask_id] = ask
             if len(self._late) > MOST_LATE:
                 del self._late[next(iter(self._late))]
-        return [*self.on_answer(ask.exchange_id, answer, now), *self.take_actions()]
+
+    def _late_answer(self, sender: NodeIdentity, message: LimitAnswer, now: float) -> list[Action]:
+        """Give back what an owner has permitted for a request that did not wait for it."""
+        ask = self._late.get(message.ask_id)
+        if ask is None or sender.node_id not in ask.waiting_for:
+            return []
+        ask.waiting_for.discard(sender.node_id)
+        if not ask.waiting_for:
+            del self._late[message.ask_id]
+        if message.verdict is not LimitVerdict.GRANTED:
+            return []
+        return self._contacts.get(sender).note(ask.tenant.name, -1, now)
 
     def lost(self, node_id: str, now: float) -> list[Action]:
         """Ask others where an owner that is out of reach was asked."""
--- a/wingquay/forwarding/arrival/limits/owner_exchange.py
+++ b/wingquay/forwarding/arrival/limits/owner_exchange.py
@@ -10,7 +10,7 @@
 from ....ports.limit_messages import LimitOwnersReply, LimitOwnersRequest, LimitRecord
 from ....ports.machine import Action
 from ....ports.peer_link import NodeIdentity, SendToPeer
-from .budget import LimitSettings
+from .limit_settings import LimitSettings
 from .owners import Owners
 from .tenant_count import Standing, TenantCount
 
--- a/wingquay/forwarding/arrival/limits/owner_role.py
+++ b/wingquay/forwarding/arrival/limits/owner_role.py
@@ -14,7 +14,8 @@
 )
 from ....ports.machine import Action, Count, Log, LogLevel
 from ....ports.peer_link import NodeIdentity, SendToPeer
-from .budget import LOAN_FROM, Budget, LimitSettings, budget_of
+from .budget import Budget, budget_of
+from .limit_settings import LOAN_FROM, LimitSettings
 from .owner_exchange import OwnerExchange
 from .owners import Owners
 from .tenant_count import Permit, Standing, TenantCount
--- a/wingquay/forwarding/arrival/limits/reserve.py
+++ b/wingquay/forwarding/arrival/limits/reserve.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from ....model.tenants import Tenant
-from .budget import LimitSettings, budget_of
+from .budget import budget_of
+from .limit_settings import LimitSettings
 from .owners import reserve_rank
 from .sliding_count import SlidingCount
 
--- a/wingquay/forwarding/knowledge/node_membership.py
+++ b/wingquay/forwarding/knowledge/node_membership.py
@@ -134,6 +134,10 @@
         fields = (("nodes", len(self._records)), ("port", event.identity.port))
         return [Log("peer_link_opened", LogLevel.INFO, fields)]
 
+    def is_listed(self, now: float) -> bool:
+        """Whether this node's key is sure to stand in the store."""
+        return self._presence.is_listed(now)
+
     def listeners(self) -> list[NodeIdentity]:
         """Return the nodes that are told what this one reads of the store."""
         return [] if self._groups is None else self._groups.listeners()
--- a/wingquay/forwarding/knowledge/presence.py
+++ b/wingquay/forwarding/knowledge/presence.py
@@ -68,12 +68,22 @@
         self._value = NO_ADDRESS
         self._standing: StoredValue | None = None
         """The key as the last life of this node has left it."""
+        self._asked_at = float("-inf")
+        self._listed_until = float("-inf")
 
     def set_value(self, value: bytes) -> None:
         """Say something else of this node, from the next writing of the key on."""
         self._value = value
         self._is_written = False
 
+    def is_listed(self, now: float) -> bool:
+        """Whether the key is sure to stand in the store, as far as nobody takes it away.
+
+        A lease is counted from when its renewal was asked for, so that it lapses in the store later
+        than here.
+        """
+        return now < self._listed_until
+
     def learn(self, standing: StoredValue) -> None:
         """Take in the key as it stands in the store, before this life has written it.
 
@@ -89,6 +99,7 @@
         if isinstance(event, Start):
             return self._after(self._settings.join_wide_delay_seconds, now)
         if isinstance(event, PresenceDue) and event.step == self._step:
+            self._asked_at = now
             return [self._request(self._next_operation())]
         if isinstance(event, StoreResponse) and event.operation_id == self._operation_id:
             return self._done(event.result, now)
@@ -140,12 +151,16 @@
         if self._lease_id is None:
             self._lease_id = lease.lease_id
             return self._after(0.0, now)
+        self._listed_until = self._asked_at + self._settings.presence_lease_seconds
         return self._after(self._settings.presence_lease_seconds * RENEWAL_SHARE, now)
 
     def _swapped(self, result: SwapResult, now: float) -> list[Action]:
         if result.succeeded:
             self._is_written = True
-            return self._after(self._settings.presence_lease_seconds * RENEWAL_SHARE, now)
+            # The lease was granted just before; half of it is left in any case.
+            seconds = self._settings.presence_lease_seconds * RENEWAL_SHARE
+            self._listed_until = self._asked_at + seconds
+            return self._after(seconds, now)
         current = result.current
         self._expected_revision = 0 if current is None else current.modified_at
         return self._after(0.0, now)
