--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -32,6 +32,13 @@
     exchange_id: int
 
 
+@value
+class LimitAnswerDue(Event):
+    """Refuse a request that still waits for word on its tenant's limit."""
+
+    exchange_id: int
+
+
 @value
 class ReportDue(Event):
     """Tell the node that waits for an exchange what is in so far."""
@@ -60,9 +67,9 @@
 
 @value
 class ReachDue(Event):
-    """Try whether a connection to a replica that was out of reach comes up."""
+    """Try whether a connection to a life of a replica that was out of reach comes up."""
 
-    replica_id: str
+    life: str
 
 
 @value
--- a/wingquay/platform/names.py
+++ b/wingquay/platform/names.py
@@ -9,6 +9,9 @@
 RETRY_AFTER = b"Retry-After"
 MERGED_SIGNATURES = b"Part-Stamps"
 MISSING_SHARDS = b"Missing-Shards"
+TENANT = b"Tenant"
+AUTHORIZATION = b"Authorization"
+AUTHORIZATION_SCHEME = b"Bearer"
 
 READY_PATH = "/-/ready"
 STORE_RANGE = "/-/kv-range"
@@ -27,6 +30,7 @@
 CLUSTER_KEY = "wingquay/cluster-key"
 HELD_PREFIX = "wingquay/held/"
 
+READY = "ready"
 DRAINING = "draining"
 REPEATABLE = "idempotent"
 
