Say in one line when a tenant is hot or calm, and when an owner is lost or back

Cause: both owners logged a hot tenant; a lost owner showed in a counter only; a request that came before the link opened waited for a timer although owners could be asked. Change: the primary logs alone; limit_owner_lost and limit_owner_back; NodeRole.opened.

--- a/tests/forwarding/limits/test_node_with_limits.py
+++ b/tests/forwarding/limits/test_node_with_limits.py
@@ -108,6 +108,16 @@
                     return
         self.fail("this node owns no tenant")
 
+    def test_a_request_that_came_before_the_link_opened_is_answered_then(self) -> None:
+        node = OneNode()
+        node.start(with_tenants(CONFIGURATION, limited("t")), replica("r0", "s"))
+        ask(node, 1, SECRET)
+        self.assertEqual(([], {}), (node.sends, node.replies))
+        node.emit(PeerLinkOpened(OWN))
+        reply = node.replies[1]
+        assert isinstance(reply, ReplyFailure)  # a fresh owner without a spare permits nothing
+        self.assertEqual(ForwardFailureKind.NOT_RUN, reply.kind)
+
     def test_without_limits_nothing_is_asked_told_or_loaded(self) -> None:
         node = linked(limited("free", rate=0.0))
         ask(node, 1, SECRET)
--- a/wingquay/forwarding/arrival/limits/contacts.py
+++ b/wingquay/forwarding/arrival/limits/contacts.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from ....ports.limit_messages import LimitAcknowledgement
-from ....ports.machine import Action, Count
+from ....ports.machine import Action, Count, Log, LogLevel
 from ....ports.peer_link import NodeIdentity
 from ...timers import LimitProbeDue, LimitSilenceDue, LimitTellDue
 from .owner_contact import OwnerContact
@@ -111,6 +111,8 @@
             if requests and len(pair) == 2 and pair[0].node_id == node_id:
                 actions += self._charge(pair[1], name, requests, now)
         if not was_lost:
+            fields = (("owner", node_id), ("reason", "broken" if is_broken else "silent"))
+            actions.append(Log("limit_owner_lost", LogLevel.WARNING, fields))
             actions.append(Count("limit_owners_lost_total"))
         return actions
 
--- a/wingquay/forwarding/arrival/limits/limit_work.py
+++ b/wingquay/forwarding/arrival/limits/limit_work.py
@@ -102,7 +102,8 @@
         self._groups = groups
         self._contacts.own = own
         self._contacts.role = role
-        return [*role.set_tenants(self._tenants, now), *self.look(now)]
+        actions = [*role.set_tenants(self._tenants, now), *self.look(now)]
+        return [*actions, *self._node.opened(now)]
 
     def set_tenants(self, tenants: Mapping[str, Tenant], now: float) -> list[Action]:
         """Take in the limits in force."""
--- a/wingquay/forwarding/arrival/limits/node_role.py
+++ b/wingquay/forwarding/arrival/limits/node_role.py
@@ -236,6 +236,13 @@
         self._settle(ask_id)
         return [*self.on_answer(ask.exchange_id, answer, now), *self.take_actions()]
 
+    def opened(self, now: float) -> list[Action]:
+        """Ask owners for the requests that waited for the link to other nodes."""
+        actions: list[Action] = []
+        for ask_id, ask in list(self._asks.items()):
+            actions += self._go_on(ask_id, ask, None, now)
+        return [*actions, *self.take_actions()]
+
     def _settle(self, ask_id: int) -> None:
         """Forget a question, but for those who may still answer it."""
         ask = self._asks.pop(ask_id)
--- a/wingquay/forwarding/arrival/limits/owner_contact.py
+++ b/wingquay/forwarding/arrival/limits/owner_contact.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ....ports.limit_messages import LimitTell
-from ....ports.machine import Action, Schedule
+from ....ports.machine import Action, Log, LogLevel, Schedule
 from ....ports.peer_link import NodeIdentity, SendToPeer
 from ...timers import LimitProbeDue, LimitSilenceDue, LimitTellDue
 
@@ -137,7 +137,8 @@
         if not was_lost:
             return []
         self._mistrusted_until = now + self._window_seconds
-        return self.tell(now)
+        line = Log("limit_owner_back", LogLevel.INFO, (("owner", self.owner.node_id),))
+        return [line, *self.tell(now)]
 
     # Silence
 
--- a/wingquay/forwarding/arrival/limits/owner_role.py
+++ b/wingquay/forwarding/arrival/limits/owner_role.py
@@ -173,11 +173,7 @@
         actions: list[Action] = []
         if self._is_asked_first != self.asks_first(now):
             actions += self._tell_all(now)
-        for name in sorted(self._hot):
-            if now >= self._counts[name].hot_until and not self._is_near(name, now):
-                self._hot.discard(name)
-                fields = (("tenant", name), ("counted", self._counts[name].counted.total(now)))
-                actions.append(Log("limit_calm", LogLevel.INFO, fields))
+        actions += self._cool(now)
         for name in [name for name, count in self._counts.items() if not count.counted.total(now)]:
             if name not in self._hot and now >= self._counts[name].idle_from:
                 del self._counts[name]
@@ -189,22 +185,33 @@
         """Tell all nodes to ask first, and borrow, once a tenant is near its limit."""
         if not self._is_near(name, now):
             return []
-        window_seconds = self._settings.window_seconds
-        count.hot_until = now + HOT_WINDOWS * window_seconds
+        count.hot_until = now + HOT_WINDOWS * self._settings.window_seconds
         if name in self._hot:
             return []
         self._hot.add(name)
-        actions = self.exchange.borrow((name,), now) if name in self._borrowing() else []
-        if self._settings.ask_first_from > 0 and self._owners.place(name, self._own.node_id) == 0:
-            seconds = HOT_WINDOWS * window_seconds
+        if not self._is_primary(name):
+            return []
+        actions = [*self.exchange.borrow((name,), now), Count("limit_hot_total")]
+        if self._settings.ask_first_from > 0:
+            seconds = HOT_WINDOWS * self._settings.window_seconds
             told = LimitAcknowledgement(0, self.asks_first(now), (name,), (seconds,))
             actions += [SendToPeer(node, told) for node in self._reachable(now)]
-        fields = (
-            ("tenant", name),
-            ("counted", count.counted.total(now)),
-            ("allowed", round(self._budget(self._tenants[name]).allowance, 1)),
-        )
-        return [*actions, Log("limit_hot", LogLevel.INFO, fields), Count("limit_hot_total")]
+        allowed = round(self._budget(self._tenants[name]).allowance, 1)
+        fields = (("tenant", name), ("counted", count.counted.total(now)), ("allowed", allowed))
+        return [*actions, Log("limit_hot", LogLevel.INFO, fields)]
+
+    def _cool(self, now: float) -> list[Action]:
+        """See which tenants are calm again."""
+        actions: list[Action] = []
+        for name in sorted(self._hot):
+            count = self._counts[name]
+            if now < count.hot_until or self._is_near(name, now):
+                continue
+            self._hot.discard(name)
+            if self._is_primary(name):
+                fields = (("tenant", name), ("counted", count.counted.total(now)))
+                actions.append(Log("limit_calm", LogLevel.INFO, fields))
+        return actions
 
     def _is_near(self, name: str, now: float) -> bool:
         """Whether a tenant has had the part of its allowance from which on more is needed."""
@@ -215,14 +222,16 @@
         least = self._budget(tenant).allowance * min(from_part, LOAN_FROM)
         return self._counts[name].counted.total(now) >= least
 
+    def _is_primary(self, name: str) -> bool:
+        return self._owners.place(name, self._own.node_id) == 0
+
     def _hot_seconds(self, name: str, now: float) -> float:
         count = self._counts.get(name)
         return 0.0 if count is None else max(count.hot_until - now, 0.0)
 
     def _borrowing(self) -> tuple[str, ...]:
         """Return the hot tenants of which this node is the primary owner."""
-        own = self._own.node_id
-        return tuple(name for name in sorted(self._hot) if self._owners.place(name, own) == 0)
+        return tuple(name for name in sorted(self._hot) if self._is_primary(name))
 
     # Roles
 
