--- a/tests/adapters/test_limit_codec.py
+++ b/tests/adapters/test_limit_codec.py
@@ -1,5 +1,8 @@
 """The messages about limits as bytes."""
 
+import subprocess
+import sys
+
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -84,3 +87,20 @@
         failure = codec.decode(envelope.SerializeToString())
         assert isinstance(failure, Failure)
         self.assertEqual(PeerCodecFailureKind.MALFORMED, failure.kind)
+
+
+class LoadingTest(TestCase):
+    def test_a_node_and_its_link_load_nothing_that_only_limits_need(self) -> None:
+        program = (
+            "import importlib, sys\n"
+            "import wingquay.platform.process\n"
+            "from wingquay.adapters.gradual_import import LINK_MODULES\n"
+            "for name in LINK_MODULES: importlib.import_module(name)\n"
+            "print(*sorted(name for name in sys.modules if 'limit' in name.split('.')[-1]))\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, text=True, check=True
+        )
+        package = "wingquay.forwarding.arrival.limits"
+        expected = [package, f"{package}.limit_keeper", f"{package}.limit_settings"]
+        self.assertEqual(expected, done.stdout.split())
