--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -66,8 +66,10 @@
 
 
 FORWARDING_PORTS = (
+    "wingquay.ports.limit_messages",
     "wingquay.ports.crash_news",
     "wingquay.ports.delegation",
+    "wingquay.ports.proof_messages",
     "wingquay.ports.store_news",
 )
 """Their messages have a codec of their own, see test_forwarding_peer_codec."""
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -28,7 +28,7 @@
 from .sending.call_line import CallLine
 from .sending.call_starter import CallStarter
 from .sending.latencies import RouteLatencies
-from .sending.limits import SendingLimits
+from .sending.shares import SendingShares
 from .sending.waiting import Waiting
 from .sending.waiting_settings import DEFAULT_WAITING, WaitingSettings
 from .settings import ForwardingSettings
@@ -90,7 +90,7 @@
         self._settings = settings
         self._directory = directory
         self._latencies = RouteLatencies(settings)
-        self._limits = SendingLimits(settings, directory, nodes, key, waiting)
+        self._limits = SendingShares(settings, directory, nodes, key, waiting)
         self._sender = AttemptSender(settings, directory, self._latencies, self._limits)
         self._random = random_source
         ending = ExchangeEnding(random_source)
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -16,7 +16,7 @@
 from ..settings import ForwardingSettings
 from ..timers import AbandonDue, ReachDue
 from .latencies import RouteLatencies
-from .limits import SendingLimits
+from .shares import SendingShares
 
 
 class AttemptSender:
@@ -27,7 +27,7 @@
         settings: ForwardingSettings,
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
-        limits: SendingLimits,
+        limits: SendingShares,
     ) -> None:
         self._settings = settings
         self._directory = directory
--- a/wingquay/forwarding/sending/limits.py
+++ b/wingquay/forwarding/sending/shares.py
@@ -26,7 +26,7 @@
         ...
 
 
-class SendingLimits:
+class SendingShares:
     """Its own parts of connections, of extra arrivals and of what cold replicas bear.
 
     Parameters
