--- a/wingquay/platform/caller_dialect.py
+++ b/wingquay/platform/caller_dialect.py
@@ -46,8 +46,10 @@
 _DEADLINE_KEY = DEADLINE_MS.decode().lower()
 _AUTHORIZATION_KEY = AUTHORIZATION.lower()
 _SCHEME_KEY = AUTHORIZATION_SCHEME.lower()
-_OF_CALLER = frozenset({_AUTHORIZATION_KEY, TENANT.lower()})
-_OF_CALLER_TEXTS = frozenset(name.decode() for name in _OF_CALLER)
+_TENANT_KEY = TENANT.lower()
+_AUTHORIZATION_TEXT = _AUTHORIZATION_KEY.decode()
+_TENANT_TEXT = _TENANT_KEY.decode()
+_OF_CALLER = frozenset({_AUTHORIZATION_KEY, _TENANT_KEY})
 _JSON = {"content-type": "application/json"}
 
 
@@ -66,6 +68,7 @@
             end_to_end(request.raw_headers, _SET_BY_US),
             request.body,
         )
+        key, bare_request = _caller_secrets(request, opaque)
         return ForwardRequested(
             exchange_id,
             request_id,
@@ -75,7 +78,8 @@
             _deadline_seconds(request.headers.get(_DEADLINE_KEY)),
             request.transit_seconds,
             request.client_host,
-            *_caller_secrets(request, opaque),
+            key,
+            bare_request,
         )
 
     def response(self, reply: Reply) -> HttpResponse:
@@ -96,7 +100,7 @@
     request: HttpRequest, opaque: OpaqueRequest
 ) -> tuple[str, OpaqueRequest | None]:
     """Return the key that a caller shows, and its request without what says who calls."""
-    if _OF_CALLER_TEXTS.isdisjoint(request.headers):
+    if _AUTHORIZATION_TEXT not in request.headers and _TENANT_TEXT not in request.headers:
         return "", None
     key = _key(request.raw_headers)
     headers = tuple(pair for pair in opaque.headers if pair[0].lower() not in _OF_CALLER)
