Leave callers to other zones while this one is cut off

Cause: a zone that is cut off holds three quarters of the shards, rejects nearly all wide requests and went on calling itself ready, so its callers came back to it for the whole cut. Ruled out: leaving by the share of rejected requests (a fault of everybody's looks alike), by single nodes (half a zone that leaves helps nobody), by one message of another node (evidence is one's own), probes in calm times. Change: forwarding/readiness decides by one pure function on the share of what callers lately asked that is within reach, the zones out of reach, the own side and the word of nodes nearby. Failures that requests meet begin a doubt; only then connections are tried, and if none comes up nodes of the zone are asked (ReachNews, envelope 35). Least times for leaving and returning, a trial after 10 s, the first zone stays while it has the store. Answers close connections once new ones go elsewhere, idle ones are closed after two missed questions. A node that has just started waits up to 0.3 s for replicas of most of what routes name. ForwardingSettings.leaves_when_cut_off turns it off.

--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -32,6 +32,7 @@
     PeerReceived,
     SendToPeer,
 )
+from wingquay.ports.reach_news import ReachNews
 from wingquay.ports.store import StoredValue
 from wingquay.ports.store_news import StoreNews
 
@@ -93,6 +94,7 @@
     SECONDS,
     st.booleans(),
 )
+ZONES = st.lists(st.text(max_size=9), max_size=4).map(tuple)
 BY_KIND: dict[type[PeerMessage], st.SearchStrategy[PeerMessage]] = {
     DelegatedRequest: REQUESTS,
     DelegatedAnswer: ANSWERS,
@@ -101,9 +103,15 @@
     AllowAttempts: st.builds(AllowAttempts, NUMBERS, st.integers(0, 2**31)),
     CancelDelegation: st.builds(CancelDelegation, NUMBERS),
     Greeting: st.just(Greeting()),
+    ReachNews: st.builds(ReachNews, ZONES, ZONES, st.booleans()),
 }
 MESSAGES = st.one_of(list(BY_KIND.values()))
-PORTS = ("wingquay.ports.crash_news", "wingquay.ports.delegation", "wingquay.ports.store_news")
+PORTS = (
+    "wingquay.ports.crash_news",
+    "wingquay.ports.delegation",
+    "wingquay.ports.reach_news",
+    "wingquay.ports.store_news",
+)
 """Their messages are those between forwarding nodes."""
 
 
--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -68,6 +68,7 @@
 FORWARDING_PORTS = (
     "wingquay.ports.crash_news",
     "wingquay.ports.delegation",
+    "wingquay.ports.reach_news",
     "wingquay.ports.store_news",
 )
 """Their messages have a codec of their own, see test_forwarding_peer_codec."""
--- /dev/null
+++ b/tests/forwarding/readiness/zone_fleet.py
@@ -0,0 +1,407 @@
+"""Nodes and replicas in several zones on a virtual clock, and cuts between them."""
+
+import heapq
+import random
+from collections.abc import Callable, Iterable
+from enum import Enum
+from itertools import count
+
+from tests.forwarding.one_node import (
+    CLUSTER_KEY,
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    HELD_PREFIX,
+    HOST,
+    NODE_PREFIX,
+    REPLICA_PREFIX,
+    replica,
+)
+from wingquay.adapters.held_record import held_value, parse_held
+from wingquay.adapters.node_record import node_value, parse_node
+from wingquay.forwarding.forwarding_node import FormatFailureKind, ForwardingNode, StoreFormats
+from wingquay.forwarding.knowledge.store_follower import FollowerSettings
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.model.failure import Failure
+from wingquay.model.replica_record import ReplicaRecord
+from wingquay.model.routing_table import RoutingTable
+from wingquay.ports.forwarding import (
+    CancelSend,
+    ConnectionTried,
+    ForwardRequested,
+    OpaqueRequest,
+    OpenConnection,
+    ReplicaAnswer,
+    ReplicaAnswered,
+    ReplyFailure,
+    ReplyMerged,
+    ReplyUnchanged,
+    SendFailed,
+    SendFailureKind,
+    SendToReplica,
+    SetForwarding,
+)
+from wingquay.ports.machine import Action, Event, Log, Schedule, Start
+from wingquay.ports.peer_link import (
+    NodeIdentity,
+    NodeRecord,
+    PeerLinkBroken,
+    PeerLinkOpened,
+    PeerReceived,
+    SendToPeer,
+)
+from wingquay.ports.store import (
+    Read,
+    ReadResult,
+    StartWatch,
+    StopWatch,
+    StoredValue,
+    StoreFailureKind,
+    StoreRequest,
+    StoreResponse,
+    SwapResult,
+    WatchBroken,
+    WatchChanged,
+)
+
+NETWORK_SECONDS = 0.001
+WORK_SECONDS = 0.01
+CONNECT_SECONDS = 0.04
+STORE = "store"
+"""The place of the store."""
+
+
+class CutKind(Enum):
+    """What becomes of packets at a cut."""
+
+    SILENT = "silent"
+    RESET = "reset"
+    REFUSED = "refused"
+
+
+class FleetNode:
+    """One node of the fleet; time is the fleet's."""
+
+    def __init__(self, fleet: "ZoneFleet", name: str, zone: str, **settings: object) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.zone = zone
+        self.identity = NodeIdentity(name, "", zone, name, 7)
+        self.is_ready = False
+        self.answers_close = False
+        self.idle_closed_at: list[float] = []
+        self.changes: list[tuple[float, bool]] = []
+        """When it became ready or stopped being so."""
+        self.actions: list[Action] = []
+        self.replies: dict[int, ReplyUnchanged | ReplyMerged | ReplyFailure] = {}
+        self._kept: set[str] = set()
+        """Replicas to which a connection is kept."""
+        self._sends: dict[int, SendToReplica] = {}
+        formats = StoreFormats(
+            CONFIGURATION_KEY,
+            REPLICA_PREFIX,
+            NODE_PREFIX,
+            CLUSTER_KEY,
+            EVACUATION_PREFIX,
+            fleet.parse_table,
+            fleet.parse_record,
+            parse_node,
+            node_value,
+            HELD_PREFIX,
+            parse_held,
+            held_value,
+        )
+        seed = sum(name.encode())
+        self.machine = ForwardingNode(
+            name,
+            ForwardingSettings(zone=zone, delegate_least_shards=10, **settings),  # type: ignore[arg-type]
+            FollowerSettings(),
+            formats,
+            random.Random(seed),
+        )
+
+    def emit(self, event: Event) -> None:
+        """Hand an event to the decisions and perform what they decide."""
+        for action in self.machine.handle(event, self.fleet.now):
+            self.actions.append(action)
+            self._perform(action)
+
+    def logs(self, message: str) -> list[dict[str, object]]:
+        """Return the fields of the log lines with that message."""
+        lines = [item for item in self.actions if isinstance(item, Log)]
+        return [dict(line.fields) for line in lines if line.message == message]
+
+    def _perform(self, action: Action) -> None:
+        fleet = self.fleet
+        match action:
+            case Schedule():
+                fleet.at(action.at_seconds, self.emit, action.event)
+            case SendToReplica():
+                self._send(action)
+            case CancelSend():
+                sent = self._sends.pop(action.attempt_id, None)
+                if sent is not None:
+                    self._kept.discard(sent.replica.replica_id)
+            case OpenConnection():
+                self._open(action.replica)
+            case ReplyUnchanged() | ReplyMerged() | ReplyFailure():
+                self.replies[action.exchange_id] = action
+            case SetForwarding():
+                self._set(action)
+            case SendToPeer():
+                fleet.carry(self, action)
+            case _:
+                self._perform_on_store(action)
+
+    def _perform_on_store(self, action: Action) -> None:
+        fleet = self.fleet
+        match action:
+            case StoreRequest():
+                fleet.ask_store(self, action)
+            case StartWatch():
+                fleet.watch_store(self, action)
+            case StopWatch():
+                fleet.stopped_watches.add((self.name, action.watch_id))
+
+    def _set(self, action: SetForwarding) -> None:
+        if action.is_ready != self.is_ready:
+            self.changes.append((self.fleet.now, action.is_ready))
+        self.is_ready = action.is_ready
+        self.answers_close = action.closes_connections
+        if action.closes_idle:
+            self.idle_closed_at.append(self.fleet.now)
+
+    def _send(self, action: SendToReplica) -> None:
+        fleet = self.fleet
+        record = action.replica
+        is_kept = record.replica_id in self._kept
+        self._sends[action.attempt_id] = action
+        failure = fleet.failure_to(self, record)
+        if failure is None:
+            self._kept.add(record.replica_id)
+            answer = ReplicaAnswer(200, (), b"", f"{record.replica_id}.{action.request_id}")
+            event = ReplicaAnswered(action.attempt_id, answer)
+            fleet.after(2 * NETWORK_SECONDS + WORK_SECONDS, self._outcome, event)
+            return
+        if is_kept and failure is CutKind.SILENT:
+            return
+        kind = SendFailureKind.BROKEN if is_kept else SendFailureKind.NOT_SENT
+        seconds = CONNECT_SECONDS if failure is CutKind.SILENT else NETWORK_SECONDS
+        self._kept.discard(record.replica_id)
+        fleet.after(seconds, self._outcome, SendFailed(action.attempt_id, kind, failure.value))
+
+    def _outcome(self, event: ReplicaAnswered | SendFailed) -> None:
+        sent = self._sends.get(event.attempt_id)
+        if sent is None:
+            return
+        if isinstance(event, ReplicaAnswered) and self.fleet.failure_to(self, sent.replica):
+            return
+        del self._sends[event.attempt_id]
+        self.emit(event)
+
+    def _open(self, record: ReplicaRecord) -> None:
+        failure = self.fleet.failure_to(self, record)
+        if failure is None:
+            self._kept.add(record.replica_id)
+            event = ConnectionTried(record.replica_id)
+            self.fleet.after(2 * NETWORK_SECONDS, self.emit, event)
+            return
+        seconds = CONNECT_SECONDS if failure is CutKind.SILENT else NETWORK_SECONDS
+        is_refused = failure is CutKind.REFUSED
+        event = ConnectionTried(record.replica_id, failure.value, is_refused)
+        self.fleet.after(seconds, self.emit, event)
+
+
+class ZoneFleet:
+    """All nodes, replicas and the store between which packets may be lost.
+
+    Parameters
+    ----------
+    records
+        The replicas.
+    """
+
+    def __init__(
+        self,
+        zones: Iterable[str],
+        nodes_a_zone: int,
+        configuration: RoutingTable,
+        records: list[ReplicaRecord],
+        **settings: object,
+    ) -> None:
+        self.now = 100.0
+        self.configuration = configuration
+        self.records = records
+        self.dead: set[str] = set()
+        """Replicas that have ended, by id: nothing listens at their addresses."""
+        self.kind = CutKind.SILENT
+        self.loses: Callable[[str, str], bool] = _loses_nothing
+        """Whether packets from one place to another are lost; places are names of nodes, ids of
+        replicas, and the store."""
+        self.stopped_watches: set[tuple[str, str]] = set()
+        self.opened: list[tuple[float, str, str]] = []
+        self._table_value = b"table"
+        self._values = {repr(record).encode(): record for record in records}
+        self._due: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
+        self._numbers = count(1)
+        self._requests = count(1)
+        self._changed: list[StoredValue] = []
+        self._deleted: list[str] = []
+        self.zone_of = {record.replica_id: record.zone for record in records}
+        self.nodes = [
+            FleetNode(self, f"{zone}-{number}", zone, **settings)
+            for zone in zones
+            for number in range(nodes_a_zone)
+        ]
+        self.zone_of.update({node.name: node.zone for node in self.nodes})
+
+    # Time
+
+    def at(self, at_seconds: float, call: Callable[..., None], *arguments: object) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._due, (at_seconds, next(self._numbers), call, arguments))
+
+    def after(self, seconds: float, call: Callable[..., None], *arguments: object) -> None:
+        """Do something later."""
+        self.at(self.now + seconds, call, *arguments)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self._due and self._due[0][0] <= end:
+            due_at, _, call, arguments = heapq.heappop(self._due)
+            self.now = max(self.now, due_at)
+            call(*arguments)
+        self.now = end
+
+    # Nodes and callers
+
+    def start(self) -> None:
+        """Start all nodes and let them know each other."""
+        for node in self.nodes:
+            node.emit(Start())
+        self.advance(0.1)
+        for node in self.nodes:
+            node.emit(PeerLinkOpened(node.identity))
+        self.advance(0.1)
+
+    def of(self, zone: str) -> list[FleetNode]:
+        """Return the nodes of a zone."""
+        return [node for node in self.nodes if node.zone == zone]
+
+    def ready(self, zone: str) -> int:
+        """Return how many nodes of a zone are ready."""
+        return sum(node.is_ready for node in self.of(zone))
+
+    def request(self, node: FleetNode, path: str) -> tuple[FleetNode, int]:
+        """Let a caller send a request to a node."""
+        number = next(self._requests)
+        opaque = OpaqueRequest(b"GET", path.encode(), ())
+        node.emit(ForwardRequested(number, f"id-{number}", HOST, path, opaque, 2.0))
+        return node, number
+
+    def evacuate(self, zone: str) -> None:
+        """Write the key of an evacuated zone."""
+        self._changed.append(StoredValue(EVACUATION_PREFIX + zone, b"", 2))
+
+    # The network
+
+    def failure_to(self, node: FleetNode, record: ReplicaRecord) -> CutKind | None:
+        """Return how a connection to a replica fails; ``None``: it does not."""
+        there = self.loses(node.name, record.replica_id)
+        back = self.loses(record.replica_id, node.name)
+        if there or back:
+            return self.kind
+        return CutKind.REFUSED if record.replica_id in self.dead else None
+
+    def carry(self, sender: FleetNode, action: SendToPeer) -> None:
+        """Carry a message between nodes."""
+        target = next(node for node in self.nodes if node.name == action.to.node_id)
+        if self.loses(sender.name, target.name) or self.loses(target.name, sender.name):
+            if self.kind is not CutKind.SILENT:
+                event = PeerLinkBroken(action.to.node_id, self.kind.value)
+                self.after(NETWORK_SECONDS, sender.emit, event)
+            return
+        received = PeerReceived(sender.identity, action.message)
+        self.after(NETWORK_SECONDS, target.emit, received)
+
+    # The store
+
+    def ask_store(self, node: FleetNode, request: StoreRequest) -> None:
+        """Answer a request of a node."""
+        if self.loses(node.name, STORE):
+            failure = Failure(StoreFailureKind.LOST_REPLY, "cut")
+            event = StoreResponse(request.operation_id, failure)
+            self.after(request.timeout_seconds, node.emit, event)
+            return
+        result: ReadResult | SwapResult = SwapResult(True, 1)
+        if isinstance(request.operation, Read):
+            result = ReadResult(tuple(self._listing()), 1)
+        self.after(NETWORK_SECONDS, node.emit, StoreResponse(request.operation_id, result))
+
+    def watch_store(self, node: FleetNode, watch: StartWatch) -> None:
+        """Let a look of a node tell what has changed, or be lost."""
+        self.after(watch.pause_seconds, self._look, node, watch, self.now + watch.pause_seconds)
+
+    def _look(self, node: FleetNode, watch: StartWatch, begun_at: float) -> None:
+        if (node.name, watch.watch_id) in self.stopped_watches:
+            return
+        if self.loses(node.name, STORE):
+            if self.now - begun_at >= watch.timeout_seconds:
+                node.emit(WatchBroken(watch.watch_id, "silent"))
+            else:
+                self.after(watch.timeout_seconds, self._look, node, watch, begun_at)
+            return
+        event = WatchChanged(watch.watch_id, tuple(self._changed), tuple(self._deleted), 2)
+        node.emit(event)
+        self.after(max(watch.gather_seconds, 0.5), self._look, node, watch, self.now)
+
+    def _listing(self) -> list[StoredValue]:
+        nodes = [
+            StoredValue(NODE_PREFIX + node.name, node_value(NodeRecord(node.identity)), 1)
+            for node in self.nodes
+        ]
+        replicas = [
+            StoredValue(REPLICA_PREFIX + record.replica_id, repr(record).encode(), 1)
+            for record in self.records
+        ]
+        table = StoredValue(CONFIGURATION_KEY, self._table_value, 1)
+        return [StoredValue(CLUSTER_KEY, b"k" * 32, 1), *nodes, *replicas, table]
+
+    def parse_table(self, _value: bytes) -> RoutingTable | Failure[FormatFailureKind]:
+        """Return the configuration."""
+        return self.configuration
+
+    def parse_record(
+        self, _replica_id: str, value: bytes
+    ) -> ReplicaRecord | Failure[FormatFailureKind]:
+        """Return the record of a replica."""
+        found = self._values.get(value)
+        return found or Failure(FormatFailureKind.MALFORMED, "test")
+
+
+def spread_replicas(
+    services: Iterable[str], zones: tuple[str, ...], copies: int
+) -> list[ReplicaRecord]:
+    """Return replicas of services in some of the zones each, evenly."""
+    records = []
+    for number, service in enumerate(services):
+        for copy in range(copies):
+            zone = zones[(number + copy) % len(zones)]
+            records.append(replica(f"{service}-{zone}", service, zone))
+    return records
+
+
+def cut_zone(fleet: ZoneFleet, zone: str, with_store: bool = False) -> Callable[[str, str], bool]:
+    """Return what a zone that is cut off loses; the store may be on its side of the cut."""
+
+    def loses(sender: str, receiver: str) -> bool:
+        if STORE in (sender, receiver):
+            is_inside = fleet.zone_of.get(sender) == zone or fleet.zone_of.get(receiver) == zone
+            return is_inside is not with_store
+        return (fleet.zone_of[sender] == zone) is not (fleet.zone_of[receiver] == zone)
+
+    return loses
+
+
+def _loses_nothing(_sender: str, _receiver: str) -> bool:
+    return False
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -15,6 +15,7 @@
 )
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
+from ..ports.reach_news import ReachNews
 from ..ports.store import StoredValue
 from ..ports.store_news import StoreNews
 from .peer_codec_error import PeerCodecFailureKind
@@ -54,6 +55,8 @@
             _put_news(envelope, message)
         case CrashNews():
             _put_crash_news(envelope.crash_news, message)
+        case ReachNews():
+            _put_reach_news(envelope.reach_news, message)
         case Greeting():
             envelope.greeting.SetInParent()
         case _:
@@ -84,6 +87,8 @@
             return _unpacked(envelope.packed_store_news)
         case "crash_news":
             return _crash_news_from(envelope.crash_news)
+        case "reach_news":
+            return _reach_news_from(envelope.reach_news)
         case "greeting":
             return Greeting()
         case _:
@@ -201,6 +206,17 @@
     return CrashNews(message.identity, ends, message.held_seconds, message.is_cleared)
 
 
+def _put_reach_news(target: peer_pb2.ReachNews, message: ReachNews) -> None:
+    target.SetInParent()
+    target.out_zones.extend(message.out_zones)
+    target.in_zones.extend(message.in_zones)
+    target.is_question = message.is_question
+
+
+def _reach_news_from(message: peer_pb2.ReachNews) -> ReachNews:
+    return ReachNews(tuple(message.out_zones), tuple(message.in_zones), message.is_question)
+
+
 def _put_news(envelope: peer_pb2.Envelope, message: StoreNews) -> None:
     news = peer_pb2.StoreNews(
         from_revision=message.from_revision,
--- a/wingquay/adapters/forwarding_server.py
+++ b/wingquay/adapters/forwarding_server.py
@@ -73,9 +73,11 @@
         await self._server.close(grace_seconds)
 
     def configure(self, action: SetForwarding) -> None:
-        """Follow the limits in force, and close connections once a stop has begun."""
+        """Follow the limits in force, and close connections of callers that are to go elsewhere."""
         self._server.limits = http_limits(action.limits)
         self._server.is_leaving = action.closes_connections
+        if action.closes_idle:
+            self._server.close_idle()
 
     def reply(self, reply: Reply) -> None:
         """Answer a caller."""
--- a/wingquay/adapters/http_server.py
+++ b/wingquay/adapters/http_server.py
@@ -95,6 +95,11 @@
         if waiting:
             await asyncio.wait(waiting)
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun; the others stay."""
+        for connection in list(self._connections):
+            connection.leave()
+
     def is_over_connection_limit(self) -> bool:
         """Whether the connection just made is one too many."""
         return len(self._connections) > self.limits.connections
--- a/wingquay/forwarding/choice/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -127,6 +127,16 @@
         """Return the zones that hold a replica of the service that may get work."""
         return {state.record.zone for state in self._candidates(service, now)}
 
+    def by_zone(self, now: float) -> dict[str, list[ReplicaState]]:
+        """Return the replicas that may get work by zone, in the order of their ids."""
+        found: dict[str, list[ReplicaState]] = {}
+        for service in self._by_service:
+            for state in self._candidates(service, now):
+                found.setdefault(state.record.zone, []).append(state)
+        for states in found.values():
+            states.sort(key=lambda state: state.record.replica_id)
+        return found
+
     def services(self) -> set[str]:
         """Return the services of which a replica is known."""
         return set(self._by_service)
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -23,6 +23,7 @@
 from .exchange import Exchange, ServiceCall
 from .knowledge.loop_lag import LoopLag
 from .knowledge.presence import NodeCount
+from .knowledge.reach_evidence import ReachEvidence
 from .sending.attempts import AttemptSender
 from .sending.call_starter import CallStarter
 from .sending.latencies import RouteLatencies
@@ -125,6 +126,11 @@
         """The number of requests that are held for missing records of replicas."""
         return len(self._held)
 
+    @property
+    def evidence(self) -> ReachEvidence:
+        """Which replicas and nodes failed lately."""
+        return self._sender.evidence
+
     def enable_peers(self, groups: "NodeGroups") -> None:
         """Ask other nodes for shards, and be asked by them, from now on."""
         from .peers.delegation import Delegations
@@ -151,6 +157,7 @@
         self._sender.placement = delegations.placement
         self._careful.begin_all = delegations.start
         self.guard.peers = groups.reachable
+        groups.evidence = self._sender.evidence
 
     def set_table(self, table: RoutingTable) -> None:
         """Use a configuration for requests that arrive from now on."""
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -43,7 +43,10 @@
 from .line_budget import LineBudget
 from .own_time import WAKING_SECONDS as WAKING_SECONDS
 from .own_time import LagDue, OwnTime, SweepDue
-from .readiness.taking_callers import StopCheckDue, TakingCallers
+from .readiness.asked_routes import AskedRoutes
+from .readiness.departure import Departure
+from .readiness.reach import Reach
+from .readiness.taking_callers import ReadyDue, StopCheckDue, TakingCallers
 from .settings import ForwardingSettings
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
@@ -88,7 +91,7 @@
             lambda news, now: self._news.told(news, now),
             lambda: bool(self._members.listeners()),
             lambda: self._members.rank() == 0,
-            lambda: self._callers.is_ready,
+            lambda: self._callers.can_serve,
         )
         self._follower = StoreFollower(follower, hooks)
         self._table: RoutingTable | None = None
@@ -109,7 +112,12 @@
             self._lateness,
         )
         self._news = NewsExchange(settings, self._members, self._follower, self._lateness)
-        self._callers = TakingCallers(settings, self._directory, self._forwarding)
+        departure = Departure()
+        asked = AskedRoutes(self._directory)
+        self._callers = TakingCallers(settings, self._directory, self._forwarding, asked, departure)
+        self._reach = Reach(
+            settings, name, self._directory, self._forwarding.evidence, asked, departure
+        )
 
     @property
     def configuration_version(self) -> int:
@@ -118,7 +126,10 @@
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what is to be done."""
-        return self._lines.admit(self._decide(event, now), now)
+        actions = self._decide(event, now)
+        if self._reach.concerns(event, now):
+            actions = actions + self._reach.handle(event, now) + self._callers.changes(now)
+        return self._lines.admit(actions, now)
 
     def known_of_store(self) -> ReadResult | None:
         """Return what this node knows of the store, for a node that cannot reach it."""
@@ -142,6 +153,8 @@
                 return self._callers.stop(now)
             case StopCheckDue():
                 return self._callers.check_stop(now)
+            case ReadyDue():
+                return self._callers.changes(now)
         actions = self._forwarding.handle(event, now)
         return actions + self._time.pace(now) if self._forwarding.held_exchanges else actions
 
@@ -157,6 +170,7 @@
             case PeerLinkOpened():
                 actions = self._members.link_opened(event, self._table, now)
                 self._forwarding.enable_peers(self._members.groups)
+                self._reach.enable_peers(self._members.groups)
                 return actions
         return []
 
@@ -198,7 +212,7 @@
             actions += self._put(item, now)
         for key in deleted:
             actions += self._remove(key, now)
-        return actions + self._callers.changes()
+        return actions + self._callers.changes(now)
 
     def _put(self, item: StoredValue, now: float) -> list[Action]:
         """Take in a key that was written."""
@@ -241,6 +255,7 @@
             return []
         self._table = table
         self._callers.set_table(table)
+        self._reach.set_table(table)
         self._forwarding.set_table(table)
         self._members.configure(table)
         line = (
--- a/wingquay/forwarding/knowledge/node_groups.py
+++ b/wingquay/forwarding/knowledge/node_groups.py
@@ -11,6 +11,7 @@
 from ...model.value import value
 from ...ports.peer_link import NodeIdentity, NodeRecord
 from ..settings import ForwardingSettings
+from .reach_evidence import ReachEvidence
 
 
 @value
@@ -47,6 +48,8 @@
         self._members: dict[str, _Member] = {}
         self._departed: dict[str, NodeIdentity] = {}
         """Nodes whose keys are gone, until their links break."""
+        self.evidence: ReachEvidence | None = None
+        """Takes in which nodes are passed over, and where they are."""
         self._fan_out = 0
         self._version = 0
         self._valid_until = float("inf")
@@ -119,6 +122,8 @@
         for name in [name for name, item in self._departed.items() if item.node_id == node_id]:
             del self._departed[name]
         for member in self._members.values():
+            if member.record.identity.node_id == node_id and self.evidence is not None:
+                self.evidence.failed(member.record.identity.zone, f"node {node_id}", now)
             if member.record.identity.node_id == node_id and now >= member.suspect_until:
                 settings = self._settings
                 first = settings.node_absent_seconds if is_absent else settings.node_suspect_seconds
@@ -156,6 +161,14 @@
             if name != self._name and now >= member.suspect_until
         ]
 
+    def others(self) -> list[tuple[str, NodeIdentity]]:
+        """Return all other nodes by name, also those that are passed over."""
+        return [
+            (name, member.record.identity)
+            for name, member in sorted(self._members.items())
+            if name != self._name
+        ]
+
     def listeners(self) -> list[NodeIdentity]:
         """Return the nodes that are told what this one reads of the store.
 
--- /dev/null
+++ b/wingquay/forwarding/readiness/decision.py
@@ -0,0 +1,96 @@
+"""Whether a node should take callers: one decision on what it knows."""
+
+from enum import Enum
+
+from ...model.value import value
+
+LEAST_SHARE = 0.75
+"""Share of what callers ask that a node must be able to answer. Elsewhere callers are answered in
+full, at the price of the way there and of a new connection: less than one request in four."""
+LEAST_GAIN = 0.2
+"""Share by which others must be able to answer more: otherwise moving gains callers nothing."""
+
+
+class Why(Enum):
+    """Why a node takes callers, or does not."""
+
+    IN_REACH = "other_zones_in_reach"
+    ONE_ZONE = "no_other_zone"
+    NEIGHBOURS_REACH = "nodes_of_the_zone_reach_others"
+    HOLDS_ENOUGH = "holds_what_callers_ask"
+    NO_GAIN = "others_could_not_answer_more"
+    LAST_ZONE = "zone_that_stays"
+    UNKNOWN = "nobody_else_is_known"
+    ZONE_CUT_OFF = "zone_cut_off"
+    NODE_CUT_OFF = "node_cut_off"
+
+    @property
+    def is_to_leave(self) -> bool:
+        """Whether the node should take no callers."""
+        return self in (Why.ZONE_CUT_OFF, Why.NODE_CUT_OFF)
+
+
+class OwnSide(Enum):
+    """What a node finds of its own zone."""
+
+    IN_REACH = "in_reach"
+    """A replica or a node of it answers."""
+    SILENT = "silent"
+    """There are replicas or nodes of it, and none answers."""
+    UNKNOWN = "unknown"
+    """Nothing is known of it but this node."""
+
+
+@value
+class Situation:
+    """What a node knows when it decides.
+
+    Parameters
+    ----------
+    other_zones
+        Other zones that have replicas.
+    zones_out
+        Those of them that were in reach and are not any more.
+    own_side
+        What it finds of its own zone.
+    contradicted_by
+        A node of its zone that reaches another zone; empty: none says so.
+    share_here
+        Share of what callers lately asked that it can answer by what is in reach.
+    share_elsewhere
+        The same for a node in the other zones, if these reach each other.
+    is_last_zone
+        Whether its zone must stay: if all zones lose each other, one has to take callers.
+    """
+
+    other_zones: tuple[str, ...]
+    zones_out: tuple[str, ...]
+    own_side: OwnSide
+    contradicted_by: str
+    share_here: float
+    share_elsewhere: float
+    is_last_zone: bool
+
+
+def judge(situation: Situation) -> Why:
+    """Return whether the node should take callers, by its reason.
+
+    It leaves only for a trouble of its own side: every other zone is out of reach, nobody near it
+    reaches one, and those zones hold more of what callers ask than it does.
+    """
+    if not situation.other_zones:
+        return Why.ONE_ZONE
+    if len(situation.zones_out) < len(situation.other_zones):
+        return Why.IN_REACH
+    if situation.contradicted_by:
+        return Why.NEIGHBOURS_REACH
+    if situation.share_here >= LEAST_SHARE:
+        return Why.HOLDS_ENOUGH
+    if situation.share_elsewhere < situation.share_here + LEAST_GAIN:
+        return Why.NO_GAIN
+    match situation.own_side:
+        case OwnSide.SILENT:
+            return Why.NODE_CUT_OFF
+        case OwnSide.UNKNOWN:
+            return Why.UNKNOWN
+    return Why.LAST_ZONE if situation.is_last_zone else Why.ZONE_CUT_OFF
--- /dev/null
+++ b/wingquay/forwarding/readiness/departure.py
@@ -0,0 +1,86 @@
+"""When a node leaves and returns: least times against flapping, a most time away, its callers."""
+
+from enum import Enum
+
+LEAST_AWAY_SECONDS = 2.0
+"""Least time away. The platform asks each second and counts two misses in a row, so that a shorter
+time away would move nobody."""
+MOST_LEAST_AWAY_SECONDS = 8.0
+"""Where it has grown to at most: callers of a zone that is whole again wait no longer for it."""
+LEAST_IN_SECONDS = 1.0
+"""Least time between a return and the next leave: callers that came back move once at most."""
+FLAPPING_SECONDS = 10.0
+"""A node that leaves again within this time of its return stays away twice as long."""
+MOST_AWAY_SECONDS = 10.0
+"""Time away after which a node takes callers for a while whatever it knows: if all zones were away
+by a trouble that no rule foresaw, callers would find nobody."""
+TRIAL_SECONDS = 2.0
+"""How long it takes callers then: two questions of the platform."""
+CLOSING_SECONDS = 1.0
+"""Time away from which on answers close their connections: before, the platform still hands new
+ones to this node, and a caller would come back to it."""
+IDLE_CLOSING_SECONDS = 2.0
+"""Time away after which idle connections are closed: two questions have certainly been missed."""
+
+
+class CallersMove(Enum):
+    """What a node that takes no callers does with the connections of those it has."""
+
+    STAY = "stay"
+    ANSWERS_CLOSE = "answers_close"
+    IDLE_CLOSE = "idle_close"
+
+
+class Departure:
+    """Whether this node is away, and since when."""
+
+    def __init__(self) -> None:
+        self._left_at: float | None = None
+        self._returned_at = float("-inf")
+        self._is_trial = False
+        self._least_away_seconds = LEAST_AWAY_SECONDS
+
+    @property
+    def is_away(self) -> bool:
+        """Whether no callers are taken."""
+        return self._left_at is not None
+
+    def away_seconds(self, now: float) -> float:
+        """Return how long it has been away; 0: it is not."""
+        return 0.0 if self._left_at is None else now - self._left_at
+
+    def callers_move(self, now: float) -> CallersMove:
+        """Return what becomes of callers' connections."""
+        seconds = self.away_seconds(now)
+        if seconds >= IDLE_CLOSING_SECONDS:
+            return CallersMove.IDLE_CLOSE
+        return CallersMove.ANSWERS_CLOSE if seconds >= CLOSING_SECONDS else CallersMove.STAY
+
+    def move(self, is_to_leave: bool, now: float) -> bool:
+        """Leave or return if it is time to; return whether that has changed.
+
+        Parameters
+        ----------
+        is_to_leave
+            Whether this node should take no callers, by what it knows.
+        """
+        if self._left_at is None:
+            return is_to_leave and self._leave(now)
+        away_seconds = now - self._left_at
+        is_trial = is_to_leave and away_seconds >= MOST_AWAY_SECONDS
+        if not is_trial and (is_to_leave or away_seconds < self._least_away_seconds):
+            return False
+        self._left_at = None
+        self._returned_at = now
+        self._is_trial = is_trial
+        return True
+
+    def _leave(self, now: float) -> bool:
+        in_seconds = now - self._returned_at
+        if in_seconds < (TRIAL_SECONDS if self._is_trial else LEAST_IN_SECONDS):
+            return False
+        is_flapping = in_seconds < FLAPPING_SECONDS and not self._is_trial
+        longer_seconds = min(self._least_away_seconds * 2.0, MOST_LEAST_AWAY_SECONDS)
+        self._least_away_seconds = longer_seconds if is_flapping else LEAST_AWAY_SECONDS
+        self._left_at = now
+        return True
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -15,6 +15,7 @@
 from ..choice.replica_state import ReplicaState
 from ..exchange import Attempt, ServiceCall
 from ..knowledge.presence import NodeCount
+from ..knowledge.reach_evidence import ReachEvidence
 from ..settings import ForwardingSettings
 from ..timers import AbandonDue, ReachDue
 from .arrival_budget import ArrivalBudget
@@ -58,6 +59,8 @@
         self._open: dict[int, Attempt] = {}
         self._budgets: dict[str, ArrivalBudget] = {}
         self._first_sent_at: float | None = None
+        self.evidence = ReachEvidence()
+        """Which replicas failed lately, and where they are."""
         self.placement: SharesShards | None = None
         """Who asks which shard, once shards are divided among nodes."""
 
@@ -168,6 +171,7 @@
     def answered(self, attempt: Attempt, load: ReportedLoad | None, now: float) -> list[Action]:
         """Take in that a replica answered an attempt."""
         was_left_out = attempt.replica.on_answer(load, now)
+        self.evidence.answered(attempt.replica.record.zone)
         if now - attempt.sent_at <= attempt.call.exchange.route.objective_seconds:
             attempt.replica.on_good_answer(now)
         self.record_latency(attempt, now)
@@ -215,6 +219,7 @@
     def _left_out(
         self, replica: ReplicaState, reason: str, is_certain: bool, now: float
     ) -> list[Action]:
+        self.evidence.failed(replica.record.zone, replica.record.replica_id, now)
         seconds = replica.on_failure(self._settings, is_certain, now)
         if not seconds:
             return []
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -128,6 +128,8 @@
         Time after a stop was asked for until idle connections are closed.
     most_stop_seconds
         Time after a stop was asked for at which the node ends in any case.
+    leaves_when_cut_off
+        Whether a node that has lost all other zones leaves callers to those where that helps them.
     """
 
     zone: str
@@ -190,3 +192,4 @@
     node_absent_seconds: float = 0.2
     unready_stop_seconds: float = 3.0
     most_stop_seconds: float = 5.2
+    leaves_when_cut_off: bool = True
--- a/wingquay/ports/forwarding.py
+++ b/wingquay/ports/forwarding.py
@@ -266,8 +266,17 @@
 
 @value
 class SetForwarding(Action):
-    """Say whether this node is ready for new connections, and what callers may cost."""
+    """Say whether this node is ready for new connections, and what callers may cost.
+
+    Parameters
+    ----------
+    closes_connections
+        Whether every answer closes its connection.
+    closes_idle
+        Whether connections on which nothing is under way are closed now.
+    """
 
     is_ready: bool
     closes_connections: bool
     limits: CallerLimits
+    closes_idle: bool = False
