Decide on leaving callers case by case in tests, and keep two zones from leaving

Cause: with two zones neither can tell whether the other is down or only out of reach, so both or the last one could leave; the first zone could be away for as long as the others if all zones lost each other and it the store. Change: a zone leaves only if it has lost two others at least; the first zone by name takes callers again after 4 s.

--- a/tests/forwarding/readiness/test_cut_zone.py
+++ b/tests/forwarding/readiness/test_cut_zone.py
@@ -55,6 +55,43 @@
                     for other in set(ZONES) - {zone}:
                         self.assertEqual(NODES, fleet.ready(other))
 
+    def test_a_cut_in_one_direction(self) -> None:
+        fleet = wide_fleet()
+        busy(fleet, 1.0)
+        both = cut_zone(fleet, "b")
+        fleet.loses = lambda sender, receiver: (
+            both(sender, receiver) and fleet.zone_of.get(sender) == "b"
+        )
+        busy(fleet, LEAVE_SECONDS)
+        self.assertEqual([NODES, 0, NODES, NODES], [fleet.ready(zone) for zone in ZONES])
+
+    def test_an_evacuated_zone_that_is_cut(self) -> None:
+        fleet = wide_fleet()
+        fleet.evacuate("b")
+        busy(fleet, 2.0)
+        fleet.loses = cut_zone(fleet, "b")
+        busy(fleet, LEAVE_SECONDS)
+        self.assertEqual([NODES, 0, NODES, NODES], [fleet.ready(zone) for zone in ZONES])
+
+    def test_cuts_that_come_and_go_move_callers_rarely(self) -> None:
+        fleet = wide_fleet()
+        busy(fleet, 1.0)
+        cut = cut_zone(fleet, "b")
+        for step in range(20):
+            fleet.loses = cut if step % 2 == 0 else lambda _sender, _receiver: False
+            busy(fleet, 0.6)
+        for node in fleet.of("b"):
+            self.assertLessEqual(len(node.logs("callers_left_to_others")), 3)
+
+    def test_a_long_cut_is_tried_again_and_again(self) -> None:
+        fleet = wide_fleet()
+        busy(fleet, 1.0)
+        fleet.loses = cut_zone(fleet, "b")
+        busy(fleet, 30.0, fleet.of("b"))
+        times = [at for at, _ in fleet.of("b")[0].changes[1:]]
+        gaps = [round(later - at) for at, later in zip(times, times[1:], strict=False)]
+        self.assertEqual([10, 2, 10, 2], gaps[:4])
+
     def test_nodes_without_requests_leave_with_the_others(self) -> None:
         fleet = wide_fleet()
         busy(fleet, 1.0)
@@ -253,6 +290,50 @@
         busy(fleet, 9.0)
         self.assertEqual([NODES, 0, 0, 0], [fleet.ready(zone) for zone in ZONES])
 
+    def test_two_zones_that_lose_each_other(self) -> None:
+        fleet = wide_fleet(zones=("a", "b"))
+        busy(fleet, 1.0)
+        fleet.loses = cut_zone(fleet, "b")
+        busy(fleet, 4.0)
+        self.assert_all_stay(fleet)
+
+    def test_a_slow_zone(self) -> None:
+        fleet = wide_fleet()
+        busy(fleet, 1.0)
+
+        def delay(sender: str, receiver: str) -> float:
+            return 0.05 if (fleet.zone_of[sender] == "b") != (fleet.zone_of[receiver] == "b") else 0
+
+        fleet.delay = delay
+        busy(fleet, 4.0)
+        self.assert_all_stay(fleet)
+
+    def test_an_evacuated_zone(self) -> None:
+        fleet = wide_fleet()
+        busy(fleet, 1.0)
+        fleet.evacuate("b")
+        busy(fleet, 3.0)
+        self.assert_all_stay(fleet)
+
+    def test_a_start_of_all_while_all_zones_lose_each_other(self) -> None:
+        route = sharded_route(SHARDS, least_share=0.85)
+        records = spread_replicas(route.shards, ZONES, 3)
+        fleet = ZoneFleet(ZONES, NODES, table(1, route), records)
+        fleet.dead = {record.replica_id for record in records}
+        fleet.start()
+        busy(fleet, 4.0)
+        self.assert_all_stay(fleet)
+
+    def test_services_without_replicas(self) -> None:
+        routes = (sharded_route(SHARDS), single_route("/one/", "none"))
+        records = spread_replicas(routes[0].shards[:1], ZONES, 4)
+        fleet = ZoneFleet(ZONES, NODES, table(1, *routes), records)
+        fleet.start()
+        busy(fleet, 1.0)
+        fleet.loses = cut_zone(fleet, "b")
+        busy(fleet, 3.0)
+        self.assert_all_stay(fleet)
+
     def test_calm_times_cost_nothing(self) -> None:
         counts = {}
         for is_on in (True, False):
--- a/tests/forwarding/readiness/zone_fleet.py
+++ b/tests/forwarding/readiness/zone_fleet.py
@@ -180,7 +180,9 @@
             self._kept.add(record.replica_id)
             answer = ReplicaAnswer(200, (), b"", f"{record.replica_id}.{action.request_id}")
             event = ReplicaAnswered(action.attempt_id, answer)
-            fleet.after(2 * NETWORK_SECONDS + WORK_SECONDS, self._outcome, event)
+            seconds = 2 * NETWORK_SECONDS + WORK_SECONDS
+            seconds += 2 * fleet.delay(self.name, record.replica_id)
+            fleet.after(seconds, self._outcome, event)
             return
         if is_kept and failure is CutKind.SILENT:
             return
@@ -200,10 +202,12 @@
 
     def _open(self, record: ReplicaRecord) -> None:
         failure = self.fleet.failure_to(self, record)
+        seconds = 2 * (NETWORK_SECONDS + self.fleet.delay(self.name, record.replica_id))
+        if failure is None and seconds >= CONNECT_SECONDS:
+            failure = CutKind.SILENT
         if failure is None:
             self._kept.add(record.replica_id)
-            event = ConnectionTried(record.replica_id)
-            self.fleet.after(2 * NETWORK_SECONDS, self.emit, event)
+            self.fleet.after(seconds, self.emit, ConnectionTried(record.replica_id))
             return
         seconds = CONNECT_SECONDS if failure is CutKind.SILENT else NETWORK_SECONDS
         is_refused = failure is CutKind.REFUSED
@@ -237,6 +241,8 @@
         self.loses: Callable[[str, str], bool] = _loses_nothing
         """Whether packets from one place to another are lost; places are names of nodes, ids of
         replicas, and the store."""
+        self.delay: Callable[[str, str], float] = _no_delay
+        """Time that packets take longer between two places."""
         self.stopped_watches: set[tuple[str, str]] = set()
         self.opened: list[tuple[float, str, str]] = []
         self._table_value = b"table"
@@ -322,7 +328,8 @@
                 self.after(NETWORK_SECONDS, sender.emit, event)
             return
         received = PeerReceived(sender.identity, action.message)
-        self.after(NETWORK_SECONDS, target.emit, received)
+        seconds = NETWORK_SECONDS + self.delay(sender.name, target.name)
+        self.after(seconds, target.emit, received)
 
     # The store
 
@@ -403,5 +410,9 @@
     return loses
 
 
+def _no_delay(_sender: str, _receiver: str) -> float:
+    return 0.0
+
+
 def _loses_nothing(_sender: str, _receiver: str) -> bool:
     return False
--- a/wingquay/forwarding/readiness/decision.py
+++ b/wingquay/forwarding/readiness/decision.py
@@ -7,6 +7,9 @@
 LEAST_SHARE = 0.75
 """Share of what callers ask that a node must be able to answer. Elsewhere callers are answered in
 full, at the price of the way there and of a new connection: less than one request in four."""
+LEAST_OTHER_ZONES = 2
+"""Other zones that must be out of reach for a zone to leave. A single one may itself be down, or
+the two may have lost each other: callers of both would then find nobody."""
 LEAST_GAIN = 0.2
 """Share by which others must be able to answer more: otherwise moving gains callers nothing."""
 
@@ -19,6 +22,7 @@
     NEIGHBOURS_REACH = "nodes_of_the_zone_reach_others"
     HOLDS_ENOUGH = "holds_what_callers_ask"
     NO_GAIN = "others_could_not_answer_more"
+    FEW_ZONES = "one_other_zone_may_be_down"
     LAST_ZONE = "zone_that_stays"
     UNKNOWN = "nobody_else_is_known"
     ZONE_CUT_OFF = "zone_cut_off"
@@ -88,9 +92,16 @@
         return Why.HOLDS_ENOUGH
     if situation.share_elsewhere < situation.share_here + LEAST_GAIN:
         return Why.NO_GAIN
+    return _where_the_cut_is(situation)
+
+
+def _where_the_cut_is(situation: Situation) -> Why:
+    """Return whether this node or its zone has lost the others, or others may have been lost."""
     match situation.own_side:
         case OwnSide.SILENT:
             return Why.NODE_CUT_OFF
         case OwnSide.UNKNOWN:
             return Why.UNKNOWN
+    if len(situation.other_zones) < LEAST_OTHER_ZONES:
+        return Why.FEW_ZONES
     return Why.LAST_ZONE if situation.is_last_zone else Why.ZONE_CUT_OFF
--- a/wingquay/forwarding/readiness/departure.py
+++ b/wingquay/forwarding/readiness/departure.py
@@ -14,6 +14,9 @@
 MOST_AWAY_SECONDS = 10.0
 """Time away after which a node takes callers for a while whatever it knows: if all zones were away
 by a trouble that no rule foresaw, callers would find nobody."""
+LAST_ZONE_AWAY_SECONDS = 4.0
+"""The same for the zone that stays if all zones lose each other. It leaves once it has lost the
+store, too, by then two to three seconds into a cut, and knows least whether others are left."""
 TRIAL_SECONDS = 2.0
 """How long it takes callers then: two questions of the platform."""
 CLOSING_SECONDS = 1.0
@@ -56,18 +59,21 @@
             return CallersMove.IDLE_CLOSE
         return CallersMove.ANSWERS_CLOSE if seconds >= CLOSING_SECONDS else CallersMove.STAY
 
-    def move(self, is_to_leave: bool, now: float) -> bool:
+    def move(self, is_to_leave: bool, now: float, is_first_zone: bool = False) -> bool:
         """Leave or return if it is time to; return whether that has changed.
 
         Parameters
         ----------
         is_to_leave
             Whether this node should take no callers, by what it knows.
+        is_first_zone
+            Whether its zone is the one that stays if all zones lose each other.
         """
         if self._left_at is None:
             return is_to_leave and self._leave(now)
         away_seconds = now - self._left_at
-        is_trial = is_to_leave and away_seconds >= MOST_AWAY_SECONDS
+        most_seconds = LAST_ZONE_AWAY_SECONDS if is_first_zone else MOST_AWAY_SECONDS
+        is_trial = is_to_leave and away_seconds >= most_seconds
         if not is_trial and (is_to_leave or away_seconds < self._least_away_seconds):
             return False
         self._left_at = None
--- a/wingquay/forwarding/readiness/reach.py
+++ b/wingquay/forwarding/readiness/reach.py
@@ -152,7 +152,7 @@
         why = judge(situation)
         actions: list[Action] = []
         away_seconds = self._departure.away_seconds(now)
-        if self._departure.move(why.is_to_leave, now):
+        if self._departure.move(why.is_to_leave, now, self._is_first_zone):
             actions = self._moved(why, situation, away_seconds, now)
         elif why is not self._last_why and not why.is_to_leave and situation.zones_out:
             actions = [_line("callers_kept", LogLevel.INFO, why, situation)]
@@ -174,17 +174,14 @@
             watch.contradicted_by(now),
             self._share(lost, now),
             self._share({self._zone}, now),
-            self._is_last_zone,
+            # Without the store it has certainly lost something that is there for others.
+            self._is_first_zone and not self._is_store_away,
         )
 
     @property
-    def _is_last_zone(self) -> bool:
-        """Whether this zone stays if all zones lose each other.
-
-        That is the first by name as long as it reaches the store: one that has lost the store as
-        well has certainly lost something that is there for others.
-        """
-        return not self._is_store_away and self._zone == self._contacts.zones()[0]
+    def _is_first_zone(self) -> bool:
+        """Whether this zone is the one that stays if all zones lose each other."""
+        return self._zone == self._contacts.zones()[0]
 
     def _share(self, zones_out: set[str], now: float) -> float:
         return 1.0 if self._table is None else self._asked.share(self._table, zones_out, now)
--- a/wingquay/forwarding/readiness/zone_watch.py
+++ b/wingquay/forwarding/readiness/zone_watch.py
@@ -6,7 +6,6 @@
 """
 
 import zlib
-from dataclasses import dataclass, field
 
 from ...model.value import value
 from ...ports.forwarding import ConnectionTried, OpenConnection
@@ -18,6 +17,7 @@
 from ..knowledge.reach_evidence import ReachEvidence
 from .contacts import Contacts
 from .decision import OwnSide
+from .doubt import Doubt, KnownZone
 
 ROUND_SECONDS = 0.25
 """Time between two rounds of tries, and time for nodes to say that they are there: a try takes up
@@ -45,30 +45,6 @@
     due_at: float
 
 
-@dataclass(slots=True)
-class _Zone:
-    """What is known of a zone."""
-
-    failures: int = 0
-    """Tries that failed since it answered last."""
-    heard_at: float = float("-inf")
-    vouched_at: float = float("-inf")
-    """When another node last said that it has reached the zone before, and does not now."""
-    next_replica: int | None = None
-
-
-@dataclass(slots=True)
-class _Doubt:
-    """One time of doubt."""
-
-    begun_at: float
-    may_ask: bool = True
-    """Whether other nodes are yet to be asked in this round."""
-    contradicted_by: str = ""
-    contradicted_at: float = float("-inf")
-    askers: dict[str, NodeIdentity] = field(default_factory=dict)
-
-
 class ZoneWatch:
     """The zones in reach, as far as there is doubt.
 
@@ -97,14 +73,14 @@
         self._directory = directory
         self._evidence = evidence
         self._contacts = contacts
-        self._zones: dict[str, _Zone] = {}
+        self._zones: dict[str, KnownZone] = {}
         self._met: set[str] = set()
         """Zones of which a node has ever spoken to this one."""
         self._replicas: dict[str, list[ReplicaState]] = {}
         """The replicas that may get work by zone, as of the present round."""
         self._tried: dict[str, str] = {}
         """Zones of the replicas to which a connection is being tried, by id."""
-        self._doubt: _Doubt | None = None
+        self._doubt: Doubt | None = None
         self._round = 0
         self._round_ends_at = float("-inf")
 
@@ -163,7 +139,7 @@
         self._replicas = self._directory.by_zone(now)
         if not self.other_zones():
             return []
-        self._doubt = _Doubt(now)
+        self._doubt = Doubt(now)
         self._evidence.begin()
         for zone in self._zones.values():
             zone.failures = 0
@@ -304,5 +280,5 @@
         known.next_replica += TRIES
         return actions
 
-    def _of(self, zone: str) -> _Zone:
-        return self._zones.setdefault(zone, _Zone())
+    def _of(self, zone: str) -> KnownZone:
+        return self._zones.setdefault(zone, KnownZone())
