--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -198,3 +198,40 @@
             await client.close()
 
         run(test())
+
+    def test_idle_connections_close_and_requests_in_flight_go_on(self) -> None:
+        async def test() -> None:
+            started, may_end = asyncio.Event(), asyncio.Event()
+
+            async def wait(request: HttpRequest) -> HttpResponse:
+                if request.path == "/slow":
+                    started.set()
+                    await may_end.wait()
+                return HttpResponse(200, {}, b"done")
+
+            server = HttpServer(wait)
+            port = await server.start(LOOPBACK, 0)
+            idle_reader, idle_writer = await asyncio.open_connection(LOOPBACK, port)
+            idle_writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            await idle_reader.readuntil(b"done")
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
+            writer.write(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
+            await started.wait()
+            server.is_leaving = True
+            server.close_idle()
+            self.assertEqual(b"", await idle_reader.read())
+            may_end.set()
+            answer = await reader.read()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            self.assertIn(b"connection: close", answer.lower())
+            self.assertTrue(answer.endswith(b"done"), answer)
+            server.is_leaving = False
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
+            writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            answer = await reader.readuntil(b"done")
+            self.assertNotIn(b"connection: close", answer.lower())
+            for each in (idle_writer, writer):
+                each.close()
+            await server.close()
+
+        run(test())
--- a/wingquay/forwarding/readiness/departure.py
+++ b/wingquay/forwarding/readiness/departure.py
@@ -5,7 +5,7 @@
 LEAST_AWAY_SECONDS = 2.0
 """Least time away. The platform asks each second and counts two misses in a row, so that a shorter
 time away would move nobody."""
-MOST_LEAST_AWAY_SECONDS = 8.0
+MOST_LEAST_AWAY_SECONDS = 4.0
 """Where it has grown to at most: callers of a zone that is whole again wait no longer for it."""
 LEAST_IN_SECONDS = 1.0
 """Least time between a return and the next leave: callers that came back move once at most."""
