--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -70,6 +70,7 @@
     "wingquay.ports.crash_news",
     "wingquay.ports.delegation",
     "wingquay.ports.proof_messages",
+    "wingquay.ports.reach_news",
     "wingquay.ports.store_news",
 )
 """Their messages have a codec of their own, see test_forwarding_peer_codec."""
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -23,6 +23,7 @@
 from .exchange_opening import ExchangeOpening
 from .knowledge.loop_lag import LoopLag
 from .knowledge.presence import NodeCount
+from .knowledge.reach_evidence import ReachEvidence
 from .request_arrival import RequestArrival
 from .sending.attempts import AttemptSender
 from .sending.call_line import CallLine
@@ -151,6 +152,11 @@
         """The number of requests that are held for missing records of replicas."""
         return self._opening.held
 
+    @property
+    def evidence(self) -> ReachEvidence:
+        """Which replicas and nodes failed lately."""
+        return self._sender.evidence
+
     def enable_peers(self, groups: "NodeGroups") -> None:
         """Ask other nodes for shards, and be asked by them, from now on."""
         from .peers.delegation import Delegations
@@ -178,6 +184,7 @@
         self._careful.begin_all = delegations.start
         self._opening.ask_nodes = delegations.start
         self.guard.peers = groups.reachable
+        groups.evidence = self._sender.evidence
 
     def set_table(self, table: RoutingTable) -> None:
         """Use a configuration for requests that arrive from now on."""
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -50,7 +50,10 @@
 from .line_budget import LineBudget
 from .own_time import WAKING_SECONDS as WAKING_SECONDS
 from .own_time import LagDue, OwnTime, SweepDue
-from .readiness.taking_callers import StopCheckDue, TakingCallers
+from .readiness.asked_routes import AskedRoutes
+from .readiness.departure import Departure
+from .readiness.reach import Reach
+from .readiness.taking_callers import ReadyDue, StopCheckDue, TakingCallers
 from .settings import ForwardingSettings
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
@@ -111,7 +114,7 @@
             lambda news, now: self._news.told(news, now),
             lambda: bool(self._members.listeners()),
             lambda: self._members.rank() == 0,
-            lambda: self._callers.is_ready,
+            lambda: self._callers.can_serve,
         )
         self._follower = StoreFollower(follower, hooks, self._keeper)
         self._table: RoutingTable | None = None
@@ -138,7 +141,12 @@
         self._news = NewsExchange(
             settings, self._members, self._follower, self._lateness, self._keeper
         )
-        self._callers = TakingCallers(settings, self._directory, self._forwarding)
+        departure = Departure()
+        asked = AskedRoutes(self._directory)
+        self._callers = TakingCallers(settings, self._directory, self._forwarding, asked, departure)
+        self._reach = Reach(
+            settings, name, self._directory, self._forwarding.evidence, asked, departure
+        )
 
     @property
     def configuration_version(self) -> int:
@@ -149,6 +157,8 @@
         """Take in an event and return what is to be done."""
         actions = self._decide(event, now)
         actions += self._limits.after(event, self._table, now)
+        if self._reach.concerns(event, now):
+            actions = actions + self._reach.handle(event, now) + self._callers.changes(now)
         return self._lines.admit(actions, now)
 
     def known_of_store(self) -> ReadResult | None:
@@ -170,10 +180,12 @@
                 return self._store_event(event, now)
             case Start():
                 return self._start(event, now)
-            case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
+            case (
+                PresenceDue()
+                | PeerLinkOpened()
+                | PeerReceived(message=StoreNews() | AskProof() | ProofGiven())
+            ):
                 return self._membership_event(event, now)
-            case PeerReceived(sender=sender, message=AskProof() | ProofGiven() as message):
-                return self._news.proof_message(sender, message, now)
             case PeerLinkBroken():
                 self._keeper.link_broken(event)
             case SweepDue() | LagDue() | Woken():
@@ -182,6 +194,8 @@
                 return self._callers.stop(now)
             case StopCheckDue():
                 return self._callers.check_stop(now)
+            case ReadyDue():
+                return self._callers.changes(now)
         actions = self._forwarding.handle(event, now)
         return actions + self._time.pace(now) if self._forwarding.held_exchanges else actions
 
@@ -192,11 +206,14 @@
             case PeerReceived(sender=sender, message=StoreNews() as news):
                 self._told_by = sender.node_id
                 return [*self._news.heard(news, now), *self._keeper.news_from(sender, now)]
+            case PeerReceived(sender=sender, message=AskProof() | ProofGiven() as message):
+                return self._news.proof_message(sender, message, now)
             case PresenceDue():
                 return self._presence_due(event, now)
             case PeerLinkOpened():
                 actions = self._members.link_opened(event, self._table, now)
                 self._forwarding.enable_peers(self._members.groups)
+                self._reach.enable_peers(self._members.groups)
                 return actions
         return []
 
@@ -238,7 +255,7 @@
             actions += self._put(item, now)
         for key in deleted:
             actions += self._remove(key, now)
-        return actions + self._callers.changes()
+        return actions + self._callers.changes(now)
 
     def _put(self, item: StoredValue, now: float) -> list[Action]:
         """Take in a key that was written."""
@@ -281,6 +298,7 @@
             return []
         self._table = table
         self._callers.set_table(table)
+        self._reach.set_table(table)
         self._forwarding.set_table(table)
         self._members.configure(table)
         self._keeper.configure(table)
