Say at once that nothing comes of a shard any more

Cause: when both replicas that an owner of shards may ask had lost their answers, the node that had asked it was not told. It waited until the whole time of the caller was over (2 s for an objective of 0.15 s), though its answer could not be enough any more or was enough already.

Ruled out: the pause after broken connections, mended before; the budget of extra arrivals.

Change: an owner names such shards in `DelegatedAnswer.exhausted`, once further attempts are left to it. The asking node counts them as lost: it fails at once when too many are, so that the caller can come again while there is time, and answers at once when nothing else is awaited.

The tests fail before.

--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -70,6 +70,7 @@
         st.just(tuple(place for place, _ in pairs)),
         st.just(tuple(len(text) for _, text in pairs)),
         SECONDS,
+        st.lists(st.integers(0, 2**31), max_size=3).map(tuple),
     )
 )
 CRASH_NEWS = st.builds(
--- a/tests/forwarding/choice/replayed_nodes.py
+++ b/tests/forwarding/choice/replayed_nodes.py
@@ -1,12 +1,16 @@
 """Nodes that pass requests on to replayed replicas, each by what it sees itself."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 from itertools import count
 
 from tests.forwarding.choice.replayed_replicas import ReplayedReplica, VirtualClock, Work
+from wingquay.adapters.forwarding_peer_codec import encode
+from wingquay.adapters.peer_frames import FRAME_OVERHEAD_BYTES, MESSAGE_OVERHEAD_BYTES
 from wingquay.forwarding.choice.replica_directory import ReplicaDirectory
 from wingquay.forwarding.forwarding_machine import ForwardingMachine
+from wingquay.forwarding.knowledge.node_groups import NodeGroups
 from wingquay.forwarding.knowledge.presence import NodeCount
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.model.routing_table import Route, RoutingTable
@@ -27,10 +31,21 @@
     SendToReplica,
 )
 from wingquay.ports.machine import Action, Event, Schedule
+from wingquay.ports.peer_link import NodeIdentity, NodeRecord, PeerReceived, SendToPeer
 
 NEAR_SECONDS = 0.0003
 FAR_SECONDS = 0.0008
 CONNECT_SECONDS = 0.006
+REQUEST_HEADERS = (
+    (b"Host", b"pupu76.example"),
+    (b"Request-Id", b"9c41d07be2a35f68"),
+    (b"Accept", b"*/*"),
+    (b"User-Agent", b"load"),
+)
+REQUEST_BYTES = 230
+"""A request on its way to a replica, with its headers."""
+ANSWER_BYTES = 190
+"""An answer's head."""
 COME_BACK_SECONDS = 0.01
 """Time from a failure to the caller's next try, at any node."""
 
@@ -68,6 +83,10 @@
     ended: list[Ended] = field(default_factory=list)
     sent: int = 0
     far_sent: int = 0
+    body_bytes: dict[str, int] = field(default_factory=dict)
+    """Bytes of records in an answer for each path."""
+    far_bytes: Counter[str] = field(default_factory=Counter)
+    """Bytes that passed between zones, by purpose."""
     numbers: "count[int]" = field(default_factory=lambda: count(1))
 
     def add_nodes(self, number: int, zones: str, table: RoutingTable, **settings: object) -> None:
@@ -79,6 +98,15 @@
             seed = self.random_source.getrandbits(32)
             self.nodes.append(ReplayedNode(self, f"node-{index}", known, names, table, seed))
 
+    def join_nodes(self, shards: int) -> None:
+        """Let all nodes ask each other for shards from now on."""
+        records = {
+            node.name: NodeRecord(node.identity, processor=0.5 + self.random_source.random())
+            for node in self.nodes
+        }
+        for node in self.nodes:
+            node.join(records, shards)
+
     def requests(self, path: str, per_second: float, begun: float, seconds: float) -> None:
         """Let requests arrive at nodes drawn at random, independently of each other."""
         at = self.clock.now + begun
@@ -123,6 +151,10 @@
         seed: int,
     ) -> None:
         self._load = load
+        self.name = name
+        host = f"10.0.{name.removeprefix('node-')}.1"
+        self.identity = NodeIdentity(f"{name}-4f1c9a", "", settings.zone, host, 7000)
+        self._settings = settings
         self._clock = load.clock
         self._zone = settings.zone
         source = random.Random(seed)
@@ -137,12 +169,20 @@
         self._open: dict[int, tuple[ReplayedReplica, Work]] = {}
         self._asked: dict[int, tuple[float, str, int]] = {}
 
+    def join(self, records: dict[str, NodeRecord], shards: int) -> None:
+        """Know the other nodes, and ask them for shards."""
+        groups = NodeGroups(self._settings, self.name)
+        for name, record in records.items():
+            groups.put(name, record)
+        groups.set_fan_out(shards)
+        self._machine.enable_peers(groups)
+
     def request(self, path: str, asked_at: float | None = None, tries: int = 0) -> None:
         """Take in a request of a caller, or its next try."""
         number = next(self._load.numbers)
         self._asked[number] = (self._clock.now if asked_at is None else asked_at, path, tries)
         target = f"{path}{number}"
-        opaque = OpaqueRequest(b"GET", target.encode(), ())
+        opaque = OpaqueRequest(b"GET", target.encode(), REQUEST_HEADERS)
         self._emit(ForwardRequested(number, f"id-{number}", "search.example", target, opaque, None))
 
     def _emit(self, event: Event) -> None:
@@ -156,6 +196,8 @@
                 self._clock.at(action.at_seconds, lambda: self._emit(due))
             case SendToReplica():
                 self._send(action)
+            case SendToPeer():
+                self._tell(action)
             case CancelSend():
                 self._cancel(action.attempt_id)
             case OpenConnection():
@@ -168,6 +210,16 @@
             case ReplyFailure():
                 self._end(action.exchange_id, action, failure=action.reason)
 
+    def _tell(self, action: SendToPeer) -> None:
+        to = next(node for node in self._load.nodes if node.identity == action.to)
+        is_far = to.identity.zone != self._zone
+        if is_far:
+            size = len(encode(action.message, self.identity))
+            size += MESSAGE_OVERHEAD_BYTES + FRAME_OVERHEAD_BYTES
+            self._load.far_bytes[type(action.message).__name__] += size
+        received = PeerReceived(self.identity, action.message)
+        self._clock.after(FAR_SECONDS if is_far else NEAR_SECONDS, lambda: to._emit(received))
+
     def _end(self, number: int, action: Action, missing: int = 0, failure: str = "") -> None:
         asked_at, path, tries = self._asked.pop(number)
         now = self._clock.now
@@ -181,12 +233,15 @@
         replica = self._replicas[action.replica.replica_id]
         way = NEAR_SECONDS if action.replica.zone == self._zone else FAR_SECONDS
         self._load.sent += 1
-        self._load.far_sent += action.replica.zone != self._zone
         attempt_id = action.attempt_id
         path = action.request.target.decode().rstrip("0123456789")
+        if action.replica.zone != self._zone:
+            self._load.far_sent += 1
+            answer_bytes = ANSWER_BYTES + self._load.body_bytes.get(path, 0)
+            self._load.far_bytes["replicas"] += REQUEST_BYTES + answer_bytes
         work = Work(
             self._load.draw_work(path),
-            lambda load: self._clock.after(way, lambda: self._answered(attempt_id, load)),
+            lambda load: self._clock.after(way, lambda: self._answered(attempt_id, path, load)),
             lambda: self._clock.after(way, lambda: self._shed(attempt_id)),
         )
         self._open[attempt_id] = (replica, work)
@@ -196,14 +251,16 @@
         replica, work = self._open.pop(attempt_id)
         replica.cancel(work)
 
-    def _answered(self, attempt_id: int, load: ReportedLoad | None) -> None:
+    def _answered(self, attempt_id: int, path: str, load: ReportedLoad | None) -> None:
         if self._open.pop(attempt_id, None) is None:
             return
         if load is None:
             kind = SendFailureKind.BROKEN
             self._emit(SendFailed(attempt_id, kind, "reset", is_unanswered=True))
             return
-        answer = ReplicaAnswer(200, (), b"", f"signature-{attempt_id}")
+        size = self._load.body_bytes.get(path, 0)
+        signature = f"{self.name[5:]:>04}.07.{attempt_id:06x}.600.0.c9f2a4d1"
+        answer = ReplicaAnswer(200, (), self._load.random_source.randbytes(size), signature)
         self._emit(ReplicaAnswered(attempt_id, answer, load))
 
     def _shed(self, attempt_id: int) -> None:
--- a/tests/forwarding/choice/test_lost_answers.py
+++ b/tests/forwarding/choice/test_lost_answers.py
@@ -17,15 +17,24 @@
 LOST_SECONDS = 4.0
 OBJECTIVE_SECONDS = 0.15
 LATE_WORTH = 0.05
+NODES = 16
+ALL_PER_SECOND = 20.0
 PER_SECOND = 6.7
 """Requests that one of three owners of a shard sees."""
 
 
-def owners_load(seed: int) -> ReplayedLoad:
-    """Return one owner that asks 90 shards, each with replicas in three zones of four."""
-    source = random.Random(seed)
-    clock = VirtualClock()
-    replicas = [
+WIDE = replayed_route(
+    "/wide/",
+    shards=tuple(f"s{shard}" for shard in range(SHARDS)),
+    objective_seconds=OBJECTIVE_SECONDS,
+    least_share=0.95,
+    merged_records=5,
+)
+
+
+def shard_replicas(source: random.Random, clock: VirtualClock) -> list[ReplayedReplica]:
+    """Return the replicas of 90 shards, each in three zones of four."""
+    return [
         ReplayedReplica(
             replica(f"r{shard}{zone}", f"s{shard}", zone),
             clock,
@@ -36,15 +45,15 @@
         for shard in range(SHARDS)
         for zone in ("abcd" * 2)[shard % 4 : shard % 4 + 3]
     ]
-    route = replayed_route(
-        "/wide/",
-        shards=tuple(f"s{shard}" for shard in range(SHARDS)),
-        objective_seconds=OBJECTIVE_SECONDS,
-        least_share=0.95,
-        merged_records=5,
-    )
+
+
+def owners_load(seed: int) -> ReplayedLoad:
+    """Return one owner that asks 90 shards."""
+    source = random.Random(seed)
+    clock = VirtualClock()
+    replicas = shard_replicas(source, clock)
     load = ReplayedLoad(replicas, clock, {"/wide/": 0.015}, source, retries=1)
-    load.add_nodes(1, "a", table(1, route), retry_slack=180.0)
+    load.add_nodes(1, "a", table(1, WIDE), retry_slack=180.0)
     return load
 
 
@@ -54,9 +63,7 @@
     load.requests("/wide/", PER_SECOND, 0.0, 4.0 + LOST_SECONDS)
     load.clock.run(4.0)
     begun_at = load.clock.now
-    for item in load.replicas:
-        if load.random_source.random() < SHARE_OF_REPLICAS:
-            item.lost_share = LOST_SHARE
+    lose_answers(load)
     load.clock.run(LOST_SECONDS + 2.0)
     worths = []
     for item in load.ended:
@@ -71,7 +78,33 @@
     return sum(worths) / len(worths)
 
 
+def owners_of_many_nodes(seed: int) -> ReplayedLoad:
+    """Return nodes in four zones that ask each other for the shards."""
+    source = random.Random(seed)
+    clock = VirtualClock()
+    replicas = shard_replicas(source, clock)
+    load = ReplayedLoad(replicas, clock, {"/wide/": 0.015}, source, retries=1)
+    load.add_nodes(NODES, "abcd", table(1, WIDE), retry_slack=180.0)
+    load.join_nodes(SHARDS)
+    return load
+
+
+def lose_answers(load: ReplayedLoad) -> None:
+    """Let half of the replicas lose answers from now on."""
+    for item in load.replicas:
+        if load.random_source.random() < SHARE_OF_REPLICAS:
+            item.lost_share = LOST_SHARE
+
+
 class LostAnswersTest(TestCase):
+    def test_a_caller_does_not_wait_for_shards_of_which_nothing_comes(self) -> None:
+        load = owners_of_many_nodes(2)
+        load.requests("/wide/", ALL_PER_SECOND, 0.0, 4.0)
+        load.clock.run(2.0)
+        lose_answers(load)
+        load.clock.run(5.0)
+        self.assertLess(max(item.seconds for item in load.ended), 2 * OBJECTIVE_SECONDS)
+
     def test_nearly_all_is_served_while_half_of_the_replicas_lose_answers(self) -> None:
         worths = [worth_while_answers_are_lost(seed) for seed in range(1, 7)]
         self.assertGreater(sum(worths) / len(worths), 0.87, worths)
--- a/tests/forwarding/test_delegation.py
+++ b/tests/forwarding/test_delegation.py
@@ -185,6 +185,34 @@
         (line,) = node.logs("request_ended")
         self.assertIn("asked through", str(line["unanswered"]))
 
+    def test_shards_of_which_nothing_comes_any_more_make_it_fail_at_once(self) -> None:
+        node = node_in_group()
+        number = node.request("/all/x")
+        for sender, message in delegated(node):
+            places = tuple(range(len(message.shards)))
+            exhausted = DelegatedAnswer(message.delegation_id, exhausted=places)
+            node.emit(PeerReceived(sender, exhausted))
+        reply = node.replies[number]
+        assert isinstance(reply, ReplyFailure)
+        self.assertEqual(ForwardFailureKind.FAILED, reply.kind)
+
+    def test_a_shard_of_which_nothing_comes_any_more_is_not_waited_for(self) -> None:
+        node = node_in_group()
+        number = node.request("/all/x")
+        for sender, message in delegated(node):
+            first, *rest = range(len(message.shards))
+            signatures = tuple(f"{message.delegation_id}.{place}" for place in rest)
+            answer = DelegatedAnswer(message.delegation_id, tuple(rest), signatures)
+            node.emit(PeerReceived(sender, answer))
+            exhausted = DelegatedAnswer(message.delegation_id, exhausted=(first,))
+            node.emit(PeerReceived(sender, exhausted))
+        self.assertNotIn(number, node.replies)
+        for send in list(node.sends):
+            node.answer(send)
+        reply = node.replies[number]
+        assert isinstance(reply, ReplyMerged)
+        self.assertEqual(2, reply.missing_shards)
+
 
 class NearReplicaTest(TestCase):
     def test_an_owner_stays_in_its_zone_while_a_near_replica_has_a_free_slot(self) -> None:
@@ -287,6 +315,28 @@
         node.advance(0.04)
         self.assertIn("s0", [send.replica.service for send in node.all_sends[2:]])
 
+    def test_that_nothing_comes_of_a_shard_any_more_is_told_at_once(self) -> None:
+        node = node_in_group()
+        self.ask(node)
+        node.emit(PeerReceived(OTHERS[0], AllowAttempts(5, 2)))
+        first, second = node.sends
+        node.fail(first, SendFailureKind.MALFORMED)
+        self.assertEqual([DelegatedAnswer(5)], told(node, DelegatedAnswer))
+        again = next(send for send in node.sends if send is not second)
+        node.fail(again, SendFailureKind.MALFORMED)
+        self.assertEqual(DelegatedAnswer(5, exhausted=(0,)), told(node, DelegatedAnswer)[-1])
+        node.answer(second, signature="two")
+        self.assertEqual(DelegatedAnswer(5, (1,), ("two",)), told(node, DelegatedAnswer)[-1])
+        self.assertEqual(3, len(told(node, DelegatedAnswer)))
+
+    def test_before_further_attempts_are_allowed_nothing_is_given_up(self) -> None:
+        node = node_in_group()
+        self.ask(node)
+        first, second = node.sends
+        node.answer(second, signature="two")
+        node.fail(first, SendFailureKind.MALFORMED)
+        self.assertEqual([DelegatedAnswer(5)], told(node, DelegatedAnswer))
+
     def test_work_ends_when_nobody_waits_for_it(self) -> None:
         for end in (
             PeerReceived(OTHERS[0], CancelDelegation(5)),
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -154,6 +154,7 @@
     target.given_back.extend(message.given_back)
     target.arrivals.extend(message.arrivals)
     target.held_seconds = message.held_seconds
+    target.exhausted.extend(message.exhausted)
 
 
 def _answer_from(
@@ -177,6 +178,7 @@
         tuple(message.given_back),
         tuple(message.arrivals),
         message.held_seconds,
+        tuple(message.exhausted),
     )
 
 
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -22,6 +22,11 @@
         """The id of the node, for the log."""
         ...
 
+    @property
+    def is_allowed(self) -> bool:
+        """Whether further attempts are left to this node."""
+        ...
+
     def report(self, exchange: "Exchange") -> list[Action]:
         """Return the message that tells what is in and has not been told, if there is anything."""
         ...
@@ -30,6 +35,10 @@
         """Leave the calls that are not under way to that node; return the message that says so."""
         ...
 
+    def tell_exhausted(self, calls: "list[ServiceCall]") -> list[Action]:
+        """Return the message that nothing comes of calls any more, if that has not been told."""
+        ...
+
     def refuse_held(self, held_seconds: float) -> list[Action]:
         """Return the message that the request is held back."""
         ...
@@ -98,6 +107,12 @@
         """How many more replicas this node may send the request to."""
         return self.exchange.route.max_attempts - len(self.asked) - self.delegated_attempts
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether it certainly brings no answer any more."""
+        is_open = bool(self.attempts) or self.is_delegated
+        return self.answer is None and self.attempts_left <= 0 and not is_open
+
     @property
     def is_delegated(self) -> bool:
         """Whether another node asks a replica and may still bring its answer."""
--- a/wingquay/forwarding/peers/delegated_work.py
+++ b/wingquay/forwarding/peers/delegated_work.py
@@ -28,6 +28,8 @@
     delegation_id: int
     positions: dict[str, int]
     """Where each shard stands in the node's request."""
+    is_allowed: bool = False
+    """Whether further attempts are left to this node: before, the other one may still make them."""
     _reported: set[str] = field(default_factory=set)
 
     @property
@@ -67,6 +69,15 @@
         )
         return [SendToPeer(self.node, message)] if given else []
 
+    def tell_exhausted(self, calls: list[ServiceCall]) -> list[Action]:
+        """Return the message that nothing comes of calls any more, if that has not been told."""
+        fresh = [call.service for call in calls if call.service not in self._reported]
+        if not fresh or not self.is_allowed:
+            return []
+        self._reported.update(fresh)
+        positions = tuple(self.positions[service] for service in fresh)
+        return [SendToPeer(self.node, DelegatedAnswer(self.delegation_id, exhausted=positions))]
+
     def refuse_held(self, held_seconds: float) -> list[Action]:
         """Return the message that the request is held back."""
         message = DelegatedAnswer(self.delegation_id, held_seconds=held_seconds)
@@ -145,6 +156,8 @@
         if exchange is None or not self._settlement.is_open(exchange):
             return []
         exchange.route = replace(exchange.route, max_attempts=message.max_attempts)
+        if isinstance(exchange.origin, NodeOrigin):
+            exchange.origin.is_allowed = True
         return [Schedule(now, HedgeDue(exchange.exchange_id))]
 
     def cancelled(
--- a/wingquay/forwarding/peers/delegation.py
+++ b/wingquay/forwarding/peers/delegation.py
@@ -144,6 +144,7 @@
         if not delegation.is_heard:
             actions += self._heard(delegation, now)
         actions += self._given_back(delegation, message, now)
+        self._exhausted(delegation, message)
         actions += self._take_answers(delegation, message, now)
         if not delegation.open_calls:
             self._open.forget(delegation)
@@ -276,6 +277,18 @@
         exchange.failures += len(calls)
         return self._start_directly([call for call in calls if call.attempts_left > 0], now)
 
+    def _exhausted(self, delegation: Delegation, message: DelegatedAnswer) -> None:
+        """Take in that nothing comes of shards any more."""
+        if not message.exhausted or delegation.is_lost:
+            return
+        calls = [delegation.calls[position] for position in message.exhausted]
+        delegation.given_back.update(call.service for call in calls)
+        for call in calls:
+            call.delegated_attempts = delegation.exchange.route.max_attempts
+            call.is_delegate_lost = True
+            call.history.append("exhausted")
+        delegation.exchange.failures += len(calls)
+
     def _take_answers(
         self, delegation: Delegation, message: DelegatedAnswer, now: float
     ) -> list[Action]:
--- a/wingquay/forwarding/settling/settlement.py
+++ b/wingquay/forwarding/settling/settlement.py
@@ -121,12 +121,19 @@
         return self._settle_single(exchange, now)
 
     def _settle_for_node(self, exchange: Exchange, now: float) -> list[Action]:
-        """Report what is in once all of it is, or once the node has to answer its caller."""
+        """Report what is in once all of it is, or once the node has to answer its caller.
+
+        That nothing comes of a shard is told at once: it may be the one too many.
+        """
         assert exchange.origin is not None
-        is_over = exchange.shards_in == len(exchange.calls)
+        exhausted = [call for call in exchange.calls if call.is_exhausted]
+        told = exchange.origin.tell_exhausted(exhausted) if exchange.failures else []
+        is_over = exchange.shards_in + len(exhausted) == len(exchange.calls)
+        if exhausted and not exchange.origin.is_allowed:
+            is_over = False
         if not is_over and now < exchange.in_time_at - TIME_TOLERANCE_SECONDS:
-            return []
-        actions = exchange.origin.report(exchange)
+            return told
+        actions = exchange.origin.report(exchange) + told
         if not is_over:
             return actions
         return self._close(exchange, actions, now)
@@ -155,13 +162,7 @@
     @staticmethod
     def _exhausted(exchange: Exchange) -> int:
         """Return how many shards certainly bring no answer any more."""
-        return sum(
-            call.answer is None
-            and call.attempts_left <= 0
-            and not call.attempts
-            and not call.is_delegated
-            for call in exchange.calls
-        )
+        return sum(call.is_exhausted for call in exchange.calls)
 
     def _settle_single(self, exchange: Exchange, now: float) -> list[Action]:
         call = exchange.calls[0]
--- a/wingquay/ports/delegation.py
+++ b/wingquay/ports/delegation.py
@@ -69,6 +69,8 @@
         How many replicas of each of these the request may have reached, in the same order.
     held_seconds
         Replicas end under the request: for how long it is held back; 0: it is not.
+    exhausted
+        Positions of the shards of which as many replicas were asked as may be, and none answered.
     """
 
     delegation_id: int
@@ -80,6 +82,7 @@
     given_back: tuple[int, ...] = ()
     arrivals: tuple[int, ...] = ()
     held_seconds: float = 0.0
+    exhausted: tuple[int, ...] = ()
 
 
 @value
