Compare replicas by the time at which they are expected to have answered, as a second way

Cause: today's cost multiplies factors, so a replica in another zone goes before a near one whose work takes 2.5 times as long, or that has one of two slots in use, whatever the caller's objective is.

Change: `choice/completion.py` estimates seconds: usual latency of the route, pace of the replica (measured or reported), requests ahead beyond its slots, and for what a caller does not feel a part of his objective (another zone, attempts that fail, overdue ones). `ForwardingSettings.choice_way` switches between both; the product of factors stays the default here.

--- a/tests/forwarding/choice/replayed_replicas.py
+++ b/tests/forwarding/choice/replayed_replicas.py
@@ -61,6 +61,8 @@
         Time that work takes there, in usual times, always.
     lost_share
         Share of its runs whose answer never leaves: the connection is reset at their end.
+    pause_seconds, pause_every_seconds
+        How long nothing goes on there, each so many seconds, at times of its own.
     """
 
     record: ReplicaRecord
@@ -70,14 +72,18 @@
     is_uneven: bool = False
     queue_limit: int = 12
     lost_share: float = 0.0
+    pause_seconds: float = 0.0
+    pause_every_seconds: float = 3.0
     runs: int = 0
     _running: set[Work] = field(default_factory=set)
     _waiting: deque[Work] = field(default_factory=deque)
     _phase: float = 0.0
+    _pause_phase: float = 0.0
 
     def __post_init__(self) -> None:
         """Draw where its slow times lie."""
         self._phase = self.random_source.random() * SLOW_SECONDS
+        self._pause_phase = self.random_source.random() * self.pause_every_seconds
 
     @property
     def work_factor(self) -> float:
@@ -108,7 +114,19 @@
     def _run(self, work: Work) -> None:
         self.runs += 1
         self._running.add(work)
-        self.clock.after(work.seconds * self.speed * self.work_factor, lambda: self._ended(work))
+        ends_at = self.clock.now + work.seconds * self.speed * self.work_factor
+        if self.pause_seconds:
+            ends_at += self._paused_seconds(ends_at)
+        self.clock.at(ends_at, lambda: self._ended(work))
+
+    def _paused_seconds(self, ends_at: float) -> float:
+        """Return how long work waits for the end of a pause that begins before its own end."""
+        every = self.pause_every_seconds
+        begins_at = math.floor((ends_at + self._pause_phase) / every) * every - self._pause_phase
+        pause_ends_at = begins_at + self.pause_seconds
+        if pause_ends_at <= self.clock.now:
+            return 0.0
+        return pause_ends_at - max(begins_at, self.clock.now)
 
     def _ended(self, work: Work) -> None:
         if work.is_cancelled:
--- a/wingquay/forwarding/choice/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -4,7 +4,8 @@
 from collections.abc import Container, Iterable
 
 from ...model.replica_record import ReplicaRecord
-from ..settings import ForwardingSettings
+from ..settings import ChoiceWay, ForwardingSettings
+from .completion import Task, expected_seconds
 from .replica_state import ReplicaState
 from .replica_trials import ReplicaTrials
 
@@ -167,6 +168,7 @@
         with_blocked: bool = True,
         prefers_proven: bool = False,
         is_owned: bool = False,
+        task: Task | None = None,
     ) -> ReplicaState | None:
         """Return the replica with the least expected wait.
 
@@ -182,6 +184,8 @@
             Whether a replica that answered well lately goes before one of which nothing is known.
         is_owned
             Whether the nodes of a group leave the service to this node.
+        task
+            What of the request matters; without it replicas are compared by factors.
         """
         free = [
             state
@@ -190,18 +194,27 @@
         ]
         unblocked = [state for state in free if not state.is_blocked(self._settings, now)]
         if unblocked:
-            return self._best(unblocked, now, prefers_proven, is_owned)
+            return self._best(unblocked, now, prefers_proven, is_owned, task)
         if free and with_blocked:
-            return self._best(free, now, prefers_proven, is_owned)
+            return self._best(free, now, prefers_proven, is_owned, task)
         return None
 
     def _best(
-        self, states: Iterable[ReplicaState], now: float, prefers_proven: bool, is_owned: bool
+        self,
+        states: Iterable[ReplicaState],
+        now: float,
+        prefers_proven: bool,
+        is_owned: bool,
+        task: Task | None,
     ) -> ReplicaState:
         zone = self._settings.zone
+        by_completion = self._settings.choice_way is ChoiceWay.COMPLETION
 
         def rank(state: ReplicaState) -> tuple[float, float]:
             may_try = self._trials.is_allowed(state, now)
+            if task is not None and by_completion:
+                prospect = state.prospect(now, zone, prefers_proven, may_try)
+                return expected_seconds(task, prospect, is_owned), self._random.random()
             cost = state.cost(now, zone, prefers_proven, is_owned, may_try)
             return cost, self._random.random()
 
--- a/wingquay/forwarding/choice/replica_state.py
+++ b/wingquay/forwarding/choice/replica_state.py
@@ -6,6 +6,7 @@
 from ...model.replica_record import ReplicaRecord
 from ...ports.forwarding import ReportedLoad
 from ..settings import ForwardingSettings
+from .completion import Prospect
 
 SLOWNESS_WEIGHT = 0.4
 SLOWNESS_MEMORY_SECONDS = 2.0
@@ -178,6 +179,24 @@
             cost *= UNPROVEN_FACTOR
         return cost
 
+    def prospect(
+        self, now: float, zone: str, prefers_proven: bool, may_try: bool = True
+    ) -> Prospect:
+        """Return what is known of the replica now; the parameters are those of ``cost``."""
+        slowness = self.slowness(now) if may_try else self._slowness
+        pace = max(slowness, self._reported_work(now))
+        if self.is_cold(now):
+            pace *= COLD_FACTOR
+        return Prospect(
+            pace=pace,
+            ahead=len(self.in_flight) + self._reported_elsewhere(now),
+            slots=max(1, self.record.slots),
+            trouble=self.trouble(now),
+            is_overdue=self.is_overdue(now),
+            is_far=self.record.zone != zone,
+            is_unproven=prefers_proven and not self.is_proven(now),
+        )
+
     def on_latency(self, ratio: float, sent_at: float, now: float) -> None:
         """Take in the latency of an attempt, in usual latencies."""
         ratio = min(ratio, GREATEST_SLOWNESS)
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -11,6 +11,7 @@
     SendToReplica,
 )
 from ...ports.machine import Action, Log, LogLevel, Schedule
+from ..choice.completion import Task
 from ..choice.replica_directory import ReplicaDirectory
 from ..choice.replica_state import ReplicaState
 from ..exchange import Attempt, ServiceCall
@@ -92,8 +93,9 @@
         excluded = call.asked | call.refused | self._too_cold(call, now)
         limit = self._connection_limit(call, now)
         prefers_proven = not route.is_repeatable
+        task = Task(route.objective_seconds, self._latencies.median_seconds(route))
         replica = self._directory.choose(
-            call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned
+            call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned, task
         )
         if replica is None:
             return []
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -1,8 +1,19 @@
 """Settings of forwarding, each with its unit and default."""
 
+from enum import Enum
+
 from ..model.value import value
 
 
+class ChoiceWay(Enum):
+    """How replicas are compared."""
+
+    PRODUCT = "product"
+    """Factors on the usual latency, multiplied."""
+    COMPLETION = "completion"
+    """Expected time to completion, in seconds."""
+
+
 @value
 class ForwardingSettings:
     """What the decisions of forwarding may be tuned by.
@@ -11,6 +22,8 @@
     ----------
     zone
         The zone of this node.
+    choice_way
+        How the replicas of a service are compared.
     cold_overage, cold_slack
         A cold replica may get as many requests a second as its service states, times the first,
         plus the second, from all nodes together.
@@ -131,6 +144,7 @@
     """
 
     zone: str
+    choice_way: ChoiceWay = ChoiceWay.PRODUCT
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     retry_ratio: float = 0.18
