Take one slow answer for a pause where the replica says that its work takes as long as usual

Cause: replicas pause for some 100 ms each 2.4 s. The answer that met a pause took nine usual times, and its replica counted as slow for one to two seconds after the pause was over, so that its requests went to other zones.

Change: the first slow answer in a row moves the slowness by 0.1 in place of 0.4 if the same answer reports a usual pace of work; the second one counts in full. Another zone now weighs 0.35 of the objective for owners, failing attempts three objectives.

--- /dev/null
+++ b/tests/forwarding/choice/test_completion.py
@@ -0,0 +1,84 @@
+"""The expected time to completion orders replicas as their callers would."""
+
+from testtools import TestCase
+
+from tests.forwarding.one_node import replica
+from wingquay.forwarding.choice.completion import Prospect, Task, expected_seconds
+from wingquay.forwarding.choice.replica_state import ReplicaState
+from wingquay.ports.forwarding import ReportedLoad
+
+TASK = Task(objective_seconds=0.133, usual_seconds=0.012)
+NOW = 100.0
+
+
+def seconds(
+    task: Task = TASK,
+    pace: float = 1.0,
+    ahead: float = 0.0,
+    slots: int = 2,
+    trouble: float = 0.0,
+    is_overdue: bool = False,
+    is_far: bool = False,
+    is_unproven: bool = False,
+) -> float:
+    prospect = Prospect(pace, ahead, slots, trouble, is_overdue, is_far, is_unproven)
+    return expected_seconds(task, prospect, is_owned=True)
+
+
+class ExpectedTest(TestCase):
+    def test_a_near_replica_that_is_slower_but_early_enough_goes_before_a_far_one(self) -> None:
+        self.assertLess(seconds(pace=2.5), seconds(is_far=True))
+        self.assertLess(seconds(ahead=1.0), seconds(is_far=True))
+
+    def test_one_that_would_take_most_of_the_objective_goes_behind_a_far_one(self) -> None:
+        self.assertGreater(seconds(pace=8.0), seconds(is_far=True))
+        self.assertGreater(seconds(ahead=12.0), seconds(is_far=True))
+
+    def test_the_same_pace_matters_more_where_the_objective_is_short(self) -> None:
+        short = Task(objective_seconds=0.03, usual_seconds=0.012)
+        self.assertGreater(seconds(short, pace=2.5), seconds(short, is_far=True))
+
+    def test_one_that_loses_answers_goes_behind_a_far_one_that_does_not(self) -> None:
+        self.assertGreater(seconds(trouble=0.2), seconds(is_far=True))
+
+    def test_a_slot_that_is_free_makes_no_one_wait(self) -> None:
+        waits = seconds(ahead=2.0) - seconds(ahead=1.0)
+        shares = seconds(ahead=1.0) - seconds(ahead=0.0)
+        self.assertGreater(waits, 2 * shares)
+        self.assertGreater(shares, 0.0)
+
+    def test_one_that_is_overdue_goes_behind_a_far_one(self) -> None:
+        self.assertGreater(seconds(is_overdue=True), seconds(is_far=True))
+
+    def test_a_proven_one_goes_before_an_unproven_one(self) -> None:
+        self.assertGreater(seconds(is_unproven=True), seconds(pace=1.4))
+
+    def test_before_anything_is_known_of_the_route_all_of_it_still_orders(self) -> None:
+        unknown = Task(objective_seconds=0.133)
+        self.assertLess(seconds(unknown), seconds(unknown, is_far=True))
+        self.assertLess(seconds(unknown, is_far=True), seconds(unknown, is_overdue=True))
+
+
+class PauseTest(TestCase):
+    def answered(self, work_factor: float | None, times: int = 1) -> ReplicaState:
+        state = ReplicaState(replica("r", "s"), 0.0)
+        for number in range(times):
+            now = NOW + number
+            load = None if work_factor is None else ReportedLoad(0, 0, 2, work_factor)
+            state.on_answer(load, now)
+            state.on_latency(9.0, now - 0.1, now)
+        return state
+
+    def test_one_slow_answer_of_a_replica_that_works_as_usual_counts_as_a_pause(self) -> None:
+        self.assertLess(self.answered(1.0).slowness(NOW), 2.0)
+        self.assertGreater(self.answered(2.5).slowness(NOW), 4.0)
+        self.assertGreater(self.answered(None).slowness(NOW), 4.0)
+
+    def test_a_second_one_in_a_row_counts_whatever_it_says(self) -> None:
+        self.assertGreater(self.answered(1.0, times=2).slowness(NOW + 1.0), 4.0)
+
+    def test_what_it_said_earlier_explains_no_attempt_that_was_ended(self) -> None:
+        state = ReplicaState(replica("r", "s"), 0.0)
+        state.on_answer(ReportedLoad(0, 0, 2, 1.0), NOW)
+        state.on_latency(9.0, NOW, NOW + 0.25)
+        self.assertGreater(state.slowness(NOW + 0.25), 4.0)
--- a/wingquay/forwarding/choice/completion.py
+++ b/wingquay/forwarding/choice/completion.py
@@ -14,9 +14,9 @@
 FAR_SHARE = 0.2
 """Part of the objective that a replica of another zone must be faster by. Two such delays in a row
 leave a caller time for a second attempt."""
-OWNED_FAR_SHARE = 0.2
+OWNED_FAR_SHARE = 0.35
 """The same for an owner of the shard."""
-TROUBLE_SHARE = 1.0
+TROUBLE_SHARE = 3.0
 """Part of the objective that an attempt costs that brings nothing: its shard is lost to the answer
 whenever the second attempt fails, too."""
 OVERDUE_SHARE = 0.5
--- a/wingquay/forwarding/choice/replica_state.py
+++ b/wingquay/forwarding/choice/replica_state.py
@@ -9,6 +9,9 @@
 from .completion import Prospect
 
 SLOWNESS_WEIGHT = 0.4
+PAUSE_WEIGHT = 0.1
+"""The same for the first slow answer of a replica that says that its work takes as long as usual:
+most often it was a pause, which is over once it answers, and the way to a far replica is dear."""
 SLOWNESS_MEMORY_SECONDS = 2.0
 """Time constant with which a replica's slowness is forgotten, so that it is tried again."""
 SLOWNESS_TOLERANCE = 1.25
@@ -200,15 +203,23 @@
     def on_latency(self, ratio: float, sent_at: float, now: float) -> None:
         """Take in the latency of an attempt, in usual latencies."""
         ratio = min(ratio, GREATEST_SLOWNESS)
+        weight = SLOWNESS_WEIGHT
         if ratio < SLOW_RATIO:
             self.slow_in_row = 0
         elif sent_at >= self._slow_at:
             self.slow_in_row += 1
             self._slow_at = now
+        if self.slow_in_row == 1 and self._says_usual(now):
+            weight = PAUSE_WEIGHT
         present = self.slowness(now)
-        self._slowness = present + SLOWNESS_WEIGHT * (ratio - present)
+        self._slowness = present + weight * (ratio - present)
         self._slowness_at = now
 
+    def _says_usual(self, now: float) -> bool:
+        """Whether it has said just now that work takes as long as usual."""
+        is_fresh = self._load is not None and self._load_at == now
+        return is_fresh and self._reported_work(now) < SLOWNESS_TOLERANCE
+
     def on_answer(self, load: ReportedLoad | None, now: float) -> bool:
         """Take in that it answered; return whether it was left out before."""
         was_left_out = self.blocked_until > 0.0
