--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -144,7 +144,7 @@
     """
 
     zone: str
-    choice_way: ChoiceWay = ChoiceWay.PRODUCT
+    choice_way: ChoiceWay = ChoiceWay.COMPLETION
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     retry_ratio: float = 0.18
