Give owners of shards a greater part of the extra arrivals, and those that step in a smaller one

Cause: while half of the replicas lose 40% of their answers, the shards with three such replicas need 0.4 extra arrivals a request; an owner's part of the slack (an even one with a reserve of two) and its ratio bring less. Nodes that own nothing held two thirds of what could be spent in a window.

Change: owners divide the slack by 1.4 times their number; a node that asks a shard that others own may save up as before and gets a quarter of its share anew. If every node takes all it can in one window, the sum is now within the slack for 25, 40 and 70 nodes (it was above: 210 of 180 by reckoning for 70). The budgets move into a module of their own; connections are divided as before.

--- a/wingquay/forwarding/sending/arrival_budget.py
+++ b/wingquay/forwarding/sending/arrival_budget.py
@@ -16,6 +16,13 @@
 SAVING_NODES_SHARE = 0.5
 """Nodes, as a part of the slack, up to which each may save up one whole extra arrival."""
 
+OWNERS_RESERVE = 1.4
+"""Owners of a shard divide the slack by this many times their number. They make nearly all second
+attempts, and with half of all answers lost they need more than an even part brings."""
+STEP_IN_PACE = 0.25
+"""Part of its share that a node gets anew where others own the shard: it steps in for one that is
+lost, which happens now and then, so it may save up but needs no lasting part."""
+
 
 @dataclass(slots=True)
 class ArrivalBudget:
@@ -42,19 +49,21 @@
         """Take in a request for the service."""
         self._earned = min(MOST_SAVED, self._earned + self.ratio)
 
-    def spend(self, nodes: int, now: float) -> bool:
+    def spend(self, nodes: float, now: float, pace: float = 1.0) -> bool:
         """Take one extra arrival; ``False`` if the budget does not allow it.
 
         Parameters
         ----------
         nodes
             How many nodes share the slack.
+        pace
+            Part of its share that this node gets in a window, besides what it has saved up.
         """
         share = self.slack * SLACK_SHARE / max(1, nodes)
         # One whole arrival may be saved up, unless so many nodes could spend one each at once.
         is_few = nodes <= self.slack * SAVING_NODES_SHARE
         most = max(share, 1.0) if is_few else share
-        self._grant(share, most, now)
+        self._grant(share, most, share * pace, now)
         granted = self._granted or 0.0
         if self._earned + granted < 1.0:
             return False
@@ -67,10 +76,10 @@
         """Return an extra arrival that did not arrive."""
         self._earned = min(MOST_SAVED, self._earned + 1.0)
 
-    def _grant(self, share: float, most: float, now: float) -> None:
+    def _grant(self, share: float, most: float, in_window: float, now: float) -> None:
         if self._granted is None:
             self._granted = share
         else:
-            fresh = share * (now - self._granted_at) / self.window_seconds
+            fresh = in_window * (now - self._granted_at) / self.window_seconds
             self._granted = min(most, self._granted + fresh)
         self._granted_at = now
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -1,7 +1,6 @@
 """Sends attempts of calls to replicas and keeps account of those under way."""
 
 from itertools import count
-from typing import Protocol
 
 from ...ports.forwarding import (
     CancelSend,
@@ -18,27 +17,19 @@
 from ..knowledge.presence import NodeCount
 from ..settings import ForwardingSettings
 from ..timers import AbandonDue, ReachDue
-from .arrival_budget import ArrivalBudget
 from .cold_share import ColdShare
 from .latencies import RouteLatencies
+from .service_budgets import ServiceBudgets, SharesShards
 
 DEFAULT_CONNECTION_LIMIT = 24
-OWNERS_RESERVE = 2
-"""Owners of a shard take this part of what all nodes share: others may have to step in."""
+OWNERS_LIMIT_RESERVE = 2
+"""Owners of a shard take this part of the connections: others may have to step in."""
 
 
 LIVES = 2
 """Lives of this process whose connections a replica may still count after a start."""
 
 
-class SharesShards(Protocol):
-    """Knows among how many nodes the requests for a shard are divided."""
-
-    def sharing_nodes(self, shard: str, now: float) -> int:
-        """Return how many nodes usually ask a shard."""
-        ...
-
-
 class AttemptSender:
     """Chooses replicas, spends the budget of extra arrivals, starts and ends attempts."""
 
@@ -57,7 +48,7 @@
         self._nodes = nodes
         self._ids = count(1)
         self._open: dict[int, Attempt] = {}
-        self._budgets: dict[str, ArrivalBudget] = {}
+        self._budgets = ServiceBudgets(settings, nodes)
         self._first_sent_at: float | None = None
         self.placement: SharesShards | None = None
         """Who asks which shard, once shards are divided among nodes."""
@@ -68,7 +59,7 @@
 
     def earn(self, service: str) -> None:
         """Take in a request for a service: it earns extra arrivals there."""
-        self._budget(service).earn()
+        self._budgets.of(service).earn()
 
     def try_send(
         self,
@@ -99,7 +90,7 @@
         )
         if replica is None:
             return []
-        if call.arrivals and not self._may_arrive_again(call, now):
+        if call.arrivals and not self._budgets.spend(call, self.placement, now):
             return []
         attempt_id = next(self._ids)
         attempt = Attempt(attempt_id, call, replica, now, is_hedge)
@@ -119,7 +110,7 @@
         call.arrivals -= 1
         self._not_run(attempt)
         if call.arrivals:
-            self._budget(call.service).give_back()
+            self._budgets.of(call.service).give_back()
 
     def not_run(self, attempt: Attempt) -> None:
         """Take in that a replica did not run the request."""
@@ -253,7 +244,7 @@
         nodes = self._nodes.get(now)
         if self.placement is None or not call.is_owned:
             return nodes
-        return min(nodes, OWNERS_RESERVE * self.placement.sharing_nodes(call.service, now))
+        return min(nodes, OWNERS_LIMIT_RESERVE * self.placement.sharing_nodes(call.service, now))
 
     def _too_cold(self, call: ServiceCall, now: float) -> set[str]:
         """Return the ids of the cold replicas to which this node may send nothing more now."""
@@ -279,19 +270,6 @@
             limit //= LIVES
         return max(1, limit // self._sharing_nodes(call, now))
 
-    def _may_arrive_again(self, call: ServiceCall, now: float) -> bool:
-        return self._budget(call.service).spend(self._sharing_nodes(call, now), now)
-
-    def _budget(self, service: str) -> ArrivalBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            settings = self._settings
-            budget = ArrivalBudget(
-                settings.retry_ratio, settings.retry_slack, settings.retry_window_seconds
-            )
-            self._budgets[service] = budget
-        return budget
-
 
 def replica_line(
     message: str,
