--- a/wingquay/forwarding/choice/replica_state.py
+++ b/wingquay/forwarding/choice/replica_state.py
@@ -1,4 +1,4 @@
-"""What this node has seen of one replica: attempts under way, slowness, load, failures."""
+"""What this node has seen of a life of a replica: attempts under way, slowness, load, failures."""
 
 import math
 from dataclasses import dataclass, field
@@ -6,7 +6,6 @@
 from ...model.replica_record import ReplicaRecord
 from ...ports.forwarding import ReportedLoad
 from ..settings import ForwardingSettings
-from .completion import Prospect
 
 SLOWNESS_WEIGHT = 0.4
 PAUSE_WEIGHT = 0.1
@@ -55,16 +54,22 @@
 
 @dataclass(slots=True)
 class ReplicaState:
-    """One replica as the directory and this node's own attempts show it.
+    """One life of a replica as the directory and this node's own attempts show it.
+
+    A replica that starts again has another state: what was seen of the life before says nothing of
+    the new one.
 
     Parameters
     ----------
+    revision
+        The store's revision up to which its entry is known.
     vanished_at
         When its record disappeared from the directory; ``None`` while it is there.
     """
 
     record: ReplicaRecord
     recorded_at: float
+    revision: int = 0
     vanished_at: float | None = None
     in_flight: dict[int, tuple[float, float]] = field(default_factory=dict)
     """When each attempt under way was sent and when it becomes overdue, by attempt."""
@@ -75,6 +80,10 @@
     """Whether no connection to it came up the last time: it gets work once one does."""
     is_reach_due: bool = False
     """Whether a connection to it will be tried by itself."""
+    is_over: bool = False
+    """Whether its replica is known to have started again."""
+    life: str = field(init=False)
+    """The name of this life."""
     _sent_cold: list[float] = field(default_factory=list)
     """When requests were sent lately while it was cold."""
     _proved_at: float = float("-inf")
@@ -89,6 +98,10 @@
     _load: ReportedLoad | None = None
     _load_at: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Name the life once: choices compare the names of all replicas of a service."""
+        self.life = self.record.life
+
     def is_blocked(self, settings: ForwardingSettings, now: float) -> bool:
         """Whether the replica gets work only when no other can.
 
@@ -169,7 +182,7 @@
         slowness = self.slowness(now) if may_try else self._slowness
         if slowness < SLOWNESS_TOLERANCE:
             slowness = 1.0
-        waiting = len(self.in_flight) + self._reported_elsewhere(now)
+        waiting = len(self.in_flight) + self.reported_elsewhere(now)
         cost = max(slowness, self._reported_work(now)) * (1.0 + waiting / slots)
         cost *= 1.0 + TROUBLE_FACTOR * self.trouble(now)
         if self.is_overdue(now):
@@ -182,23 +195,10 @@
             cost *= UNPROVEN_FACTOR
         return cost
 
-    def prospect(
-        self, now: float, zone: str, prefers_proven: bool, may_try: bool = True
-    ) -> Prospect:
-        """Return what is known of the replica now; the parameters are those of ``cost``."""
+    def pace(self, now: float, may_try: bool = True) -> float:
+        """Return how long work takes there, in usual times; ``may_try`` as for ``cost``."""
         slowness = self.slowness(now) if may_try else self._slowness
-        pace = max(slowness, self._reported_work(now))
-        if self.is_cold(now):
-            pace *= COLD_FACTOR
-        return Prospect(
-            pace=pace,
-            ahead=len(self.in_flight) + self._reported_elsewhere(now),
-            slots=max(1, self.record.slots),
-            trouble=self.trouble(now),
-            is_overdue=self.is_overdue(now),
-            is_far=self.record.zone != zone,
-            is_unproven=prefers_proven and not self.is_proven(now),
-        )
+        return max(slowness, self._reported_work(now)) * (COLD_FACTOR if self.is_cold(now) else 1.0)
 
     def on_latency(self, ratio: float, sent_at: float, now: float) -> None:
         """Take in the latency of an attempt, in usual latencies."""
@@ -279,7 +279,7 @@
         self._trouble = present + weight * (towards - present)
         self._trouble_at = now
 
-    def _reported_elsewhere(self, now: float) -> float:
+    def reported_elsewhere(self, now: float) -> float:
         """Return the requests of other nodes that it last reported, as far as that still holds."""
         if self._load is None:
             return 0.0
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -14,20 +14,10 @@
 from ..choice.replica_directory import ReplicaDirectory
 from ..choice.replica_state import ReplicaState
 from ..exchange import Attempt, ServiceCall
-from ..knowledge.presence import NodeCount
 from ..settings import ForwardingSettings
 from ..timers import AbandonDue, ReachDue
-from .cold_share import ColdShare
 from .latencies import RouteLatencies
-from .service_budgets import ServiceBudgets, SharesShards
-
-DEFAULT_CONNECTION_LIMIT = 24
-OWNERS_LIMIT_RESERVE = 2
-"""Owners of a shard take this part of the connections: others may have to step in."""
-
-
-LIVES = 2
-"""Lives of this process whose connections a replica may still count after a start."""
+from .limits import SendingLimits
 
 
 class AttemptSender:
@@ -38,20 +28,14 @@
         settings: ForwardingSettings,
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
-        nodes: NodeCount,
-        key: str = "",
+        limits: SendingLimits,
     ) -> None:
-        self._cold_share = ColdShare(settings.cold_overage, settings.cold_slack, nodes, key)
         self._settings = settings
         self._directory = directory
         self._latencies = latencies
-        self._nodes = nodes
+        self._limits = limits
         self._ids = count(1)
         self._open: dict[int, Attempt] = {}
-        self._budgets = ServiceBudgets(settings, nodes)
-        self._first_sent_at: float | None = None
-        self.placement: SharesShards | None = None
-        """Who asks which shard, once shards are divided among nodes."""
 
     def get(self, attempt_id: int) -> Attempt | None:
         """Return an attempt under way."""
@@ -59,7 +43,7 @@
 
     def earn(self, service: str) -> None:
         """Take in a request for a service: it earns extra arrivals there."""
-        self._budgets.of(service).earn()
+        self._limits.earn(service)
 
     def try_send(
         self,
@@ -81,8 +65,9 @@
             return []
         if exchange.is_careful and exchange.is_under_way(now):
             return []
-        excluded = call.asked | call.refused | self._too_cold(call, now)
-        limit = self._connection_limit(call, now)
+        excluded = call.asked | call.refused | self._limits.too_cold(call, now)
+        excluded |= self._limits.full(call, now)
+        limit = self._limits.connections(call, now)
         prefers_proven = not route.is_repeatable
         task = Task(route.objective_seconds, self._latencies.median_seconds(route))
         replica = self._directory.choose(
@@ -90,12 +75,12 @@
         )
         if replica is None:
             return []
-        if call.arrivals and not self._budgets.spend(call, self.placement, now):
+        if call.arrivals and not self._limits.may_arrive_again(call, now):
             return []
         attempt_id = next(self._ids)
         attempt = Attempt(attempt_id, call, replica, now, is_hedge)
         call.attempts[attempt_id] = attempt
-        call.asked.add(replica.record.replica_id)
+        call.asked.add(replica.life)
         call.arrivals += 1
         call.is_waiting = False
         if replica.is_cold(now):
@@ -110,7 +95,7 @@
         call.arrivals -= 1
         self._not_run(attempt)
         if call.arrivals:
-            self._budgets.of(call.service).give_back()
+            self._limits.give_back(call.service)
 
     def not_run(self, attempt: Attempt) -> None:
         """Take in that a replica did not run the request."""
@@ -180,11 +165,11 @@
         if replica.is_reach_due:
             return actions
         replica.is_reach_due = True
-        return [*actions, Schedule(replica.blocked_until, ReachDue(replica.record.replica_id))]
+        return [*actions, Schedule(replica.blocked_until, ReachDue(replica.life))]
 
     def reach_due(self, event: ReachDue, now: float) -> list[Action]:
         """Try whether a replica is in reach again, as long as it may get work."""
-        replica = self._directory.get(event.replica_id)
+        replica = self._directory.of_life(event.life)
         if replica is None:
             return []
         is_usable = replica in self._directory.usable(replica.record.service, now)
@@ -196,7 +181,7 @@
 
     def connection_tried(self, event: ConnectionTried, now: float) -> list[Action]:
         """Take in whether a connection that no request needed came up."""
-        replica = self._directory.get(event.replica_id)
+        replica = self._directory.of_life(event.life)
         if replica is None:
             return []
         if not event.is_open:
@@ -225,9 +210,8 @@
 
     def _not_run(self, attempt: Attempt) -> None:
         call = attempt.call
-        replica_id = attempt.replica.record.replica_id
-        call.asked.discard(replica_id)
-        call.refused.add(replica_id)
+        call.asked.discard(attempt.replica.life)
+        call.refused.add(attempt.replica.life)
 
     def _send_action(self, attempt: Attempt, now: float) -> SendToReplica:
         exchange = attempt.call.exchange
@@ -237,39 +221,9 @@
             exchange.event.request_id,
             exchange.event.request,
             max(exchange.ends_at - now, 0.001),
+            tenant=exchange.tenant_name,
         )
 
-    def _sharing_nodes(self, call: ServiceCall, now: float) -> int:
-        """Return among how many nodes the limits of a call's service are divided."""
-        nodes = self._nodes.get(now)
-        if self.placement is None or not call.is_owned:
-            return nodes
-        return min(nodes, OWNERS_LIMIT_RESERVE * self.placement.sharing_nodes(call.service, now))
-
-    def _too_cold(self, call: ServiceCall, now: float) -> set[str]:
-        """Return the ids of the cold replicas to which this node may send nothing more now."""
-        known = call.exchange.table.services.get(call.service)
-        per_second = 0.0 if known is None else known.cold_requests_per_second
-        if not per_second:
-            return set()
-        sharing = self._sharing_nodes(call, now)
-        return {
-            state.record.replica_id
-            for state in self._directory.usable(call.service, now)
-            if not self._cold_share.may_send(state, per_second, sharing, now)
-        }
-
-    def _connection_limit(self, call: ServiceCall, now: float) -> int:
-        if self._first_sent_at is None:
-            self._first_sent_at = now
-        known = call.exchange.table.services.get(call.service)
-        limit = DEFAULT_CONNECTION_LIMIT if known is None else known.connection_limit
-        if now - self._first_sent_at < self._settings.first_connections_seconds:
-            if not call.is_owned:
-                return 1
-            limit //= LIVES
-        return max(1, limit // self._sharing_nodes(call, now))
-
 
 def replica_line(
     message: str,
