--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -10,6 +10,7 @@
     SendToReplica,
 )
 from ...ports.machine import Action, Log, LogLevel, Schedule
+from ..choice.completion import Task
 from ..choice.replica_directory import ReplicaDirectory
 from ..choice.replica_state import ReplicaState
 from ..exchange import Attempt, ServiceCall
@@ -71,8 +72,9 @@
         excluded |= self._limits.full(call, now)
         limit = self._limits.connections(call, now)
         prefers_proven = not route.is_repeatable
+        task = Task(route.objective_seconds, self._latencies.median_seconds(route))
         replica = self._directory.choose(
-            call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned
+            call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned, task
         )
         if replica is None:
             return []
