--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -16,8 +16,9 @@
     StopRequested,
     Woken,
 )
-from ..ports.peer_link import PeerLinkOpened, PeerReceived
+from ..ports.peer_link import PeerLinkBroken, PeerLinkOpened, PeerReceived
 from ..ports.peer_snapshot import PeerSnapshot
+from ..ports.proof_messages import AskProof, ProofGiven
 from ..ports.store import (
     ReadResult,
     StoredValue,
@@ -26,6 +27,9 @@
     WatchChanged,
 )
 from ..ports.store_news import StoreNews
+from .arrival.admission import ConfigurationProof
+from .arrival.limits.limit_keeper import LimitKeeper
+from .arrival.limits.limit_settings import LimitSettings
 from .choice.evacuations import Evacuations
 from .choice.replica_directory import ReplicaDirectory
 from .choice.replica_state import ReplicaState
@@ -36,6 +40,7 @@
 from .knowledge.node_lateness import NodeLateness
 from .knowledge.node_membership import NodeMembership
 from .knowledge.presence import NodeCount, Presence, PresenceDue
+from .knowledge.proof_keeper import ProofKeeper
 from .knowledge.store_follower import (
     FollowAgain,
     FollowerHooks,
@@ -45,12 +50,16 @@
 from .line_budget import LineBudget
 from .own_time import WAKING_SECONDS as WAKING_SECONDS
 from .own_time import LagDue, OwnTime, SweepDue
-from .readiness.taking_callers import StopCheckDue, TakingCallers
+from .readiness.asked_routes import AskedRoutes
+from .readiness.departure import Departure
+from .readiness.reach import Reach
+from .readiness.taking_callers import ReadyDue, StopCheckDue, TakingCallers
 from .settings import ForwardingSettings
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
 
 CLUSTER_KEY_BYTES = 32
+ASK_NUMBER_BITS = 62
 
 
 class ForwardingNode:
@@ -60,6 +69,8 @@
     ----------
     name
         This node's name, which no other node has.
+    limits
+        What may run of tenants whose requests the configuration limits.
     """
 
     def __init__(
@@ -69,6 +80,7 @@
         follower: FollowerSettings,
         formats: StoreFormats,
         random_source: random.Random,
+        limits: LimitSettings | None = None,
     ) -> None:
         self._settings = settings
         self._formats = formats
@@ -77,9 +89,21 @@
         self._nodes = NodeCount(settings)
         key = formats.node_prefix + name
         self._presence = Presence(key, settings, random_source)
+        self._keeper = ProofKeeper(
+            follower.proving,
+            lambda: self._members.rank() * settings.news_rank_seconds,
+            lambda now: self._follower.next_answer_at(now),
+            random_source.getrandbits(ASK_NUMBER_BITS) if follower.proving else 0,
+        )
         self._forwarding = ForwardingMachine(
-            settings, self._directory, self._nodes, random_source, key, name
+            settings,
+            self._directory,
+            self._nodes,
+            random_source,
+            key,
+            name,
         )
+        self._forwarding.admission.proof = self._keeper.proof
         guard = self._forwarding.guard
         self._held_keys = HeldKeys(formats, guard.hold, guard.lift)
         guard.write = self._held_keys.write
@@ -90,9 +114,9 @@
             lambda news, now: self._news.told(news, now),
             lambda: bool(self._members.listeners()),
             lambda: self._members.rank() == 0,
-            lambda: self._callers.is_ready,
+            lambda: self._callers.can_serve,
         )
-        self._follower = StoreFollower(follower, hooks)
+        self._follower = StoreFollower(follower, hooks, self._keeper)
         self._table: RoutingTable | None = None
         self._told_by = ""
         """By which way the present news of the store came: a look, a listing, or a node's id."""
@@ -101,6 +125,9 @@
         self._members = NodeMembership(
             name, settings, formats, self._nodes, self._presence, candidate
         )
+        self._limits = LimitKeeper(
+            name, limits, self._members, self._forwarding.admission, self._forwarding.limit_answered
+        )
         self._lateness = NodeLateness()
         self._time = OwnTime(
             settings,
@@ -109,9 +136,17 @@
             self._members,
             self._follower,
             self._lateness,
+            self._keeper,
+        )
+        self._news = NewsExchange(
+            settings, self._members, self._follower, self._lateness, self._keeper
+        )
+        departure = Departure()
+        asked = AskedRoutes(self._directory)
+        self._callers = TakingCallers(settings, self._directory, self._forwarding, asked, departure)
+        self._reach = Reach(
+            settings, name, self._directory, self._forwarding.evidence, asked, departure
         )
-        self._news = NewsExchange(settings, self._members, self._follower, self._lateness)
-        self._callers = TakingCallers(settings, self._directory, self._forwarding)
 
     @property
     def configuration_version(self) -> int:
@@ -120,12 +155,21 @@
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what is to be done."""
-        return self._lines.admit(self._decide(event, now), now)
+        actions = self._decide(event, now)
+        actions += self._limits.after(event, self._table, now)
+        if self._reach.concerns(event, now):
+            actions = actions + self._reach.handle(event, now) + self._callers.changes(now)
+        return self._lines.admit(actions, now)
 
     def known_of_store(self) -> ReadResult | None:
         """Return what this node knows of the store, for a node that cannot reach it."""
         return self._follower.known()
 
+    @property
+    def proof(self) -> ConfigurationProof:
+        """Whether the configuration is proven to be the one in force."""
+        return self._keeper.proof
+
     def verdict(self, request: OpaqueRequest, now: float) -> Verdict:
         """Return how this node treats a request that may end replicas."""
         return self._forwarding.guard.verdict(request, now)
@@ -136,14 +180,22 @@
                 return self._store_event(event, now)
             case Start():
                 return self._start(event, now)
-            case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
+            case (
+                PresenceDue()
+                | PeerLinkOpened()
+                | PeerReceived(message=StoreNews() | AskProof() | ProofGiven())
+            ):
                 return self._membership_event(event, now)
+            case PeerLinkBroken():
+                self._keeper.link_broken(event)
             case SweepDue() | LagDue() | Woken():
                 return self._time.handle(event, now)
             case StopRequested():
                 return self._callers.stop(now)
             case StopCheckDue():
                 return self._callers.check_stop(now)
+            case ReadyDue():
+                return self._callers.changes(now)
         actions = self._forwarding.handle(event, now)
         return actions + self._time.pace(now) if self._forwarding.held_exchanges else actions
 
@@ -153,12 +205,15 @@
         match event:
             case PeerReceived(sender=sender, message=StoreNews() as news):
                 self._told_by = sender.node_id
-                return self._news.heard(news, now)
+                return [*self._news.heard(news, now), *self._keeper.news_from(sender, now)]
+            case PeerReceived(sender=sender, message=AskProof() | ProofGiven() as message):
+                return self._news.proof_message(sender, message, now)
             case PresenceDue():
                 return self._presence_due(event, now)
             case PeerLinkOpened():
                 actions = self._members.link_opened(event, self._table, now)
                 self._forwarding.enable_peers(self._members.groups)
+                self._reach.enable_peers(self._members.groups)
                 return actions
         return []
 
@@ -185,7 +240,7 @@
     def _on_listing(self, values: tuple[StoredValue, ...], now: float) -> list[Action]:
         prefix = self._formats.replica_prefix
         ids = {item.key.removeprefix(prefix) for item in values if item.key.startswith(prefix)}
-        self._directory.keep_only(ids, now, self._follower.seen_revision)
+        self._directory.keep_only(ids, now, self._follower.known_revision)
         self._members.keep_only({item.key for item in values if self._is_node_key(item.key)})
         keys = {item.key for item in values}
         gone = (*self._evacuations.missing_from(keys), *self._held_keys.missing_from(keys))
@@ -200,7 +255,7 @@
             actions += self._put(item, now)
         for key in deleted:
             actions += self._remove(key, now)
-        return actions + self._callers.changes()
+        return actions + self._callers.changes(now)
 
     def _put(self, item: StoredValue, now: float) -> list[Action]:
         """Take in a key that was written."""
@@ -226,7 +281,7 @@
         if self._held_keys.is_mine(key):
             return self._held_keys.remove(key, now)
         if key.startswith(prefix):
-            self._directory.vanish(key.removeprefix(prefix), now, self._follower.seen_revision)
+            self._directory.vanish(key.removeprefix(prefix), now, self._follower.known_revision)
         else:
             self._members.remove(key)
         return []
@@ -243,8 +298,10 @@
             return []
         self._table = table
         self._callers.set_table(table)
+        self._reach.set_table(table)
         self._forwarding.set_table(table)
         self._members.configure(table)
+        self._keeper.configure(table)
         line = (
             ("version", table.version),
             ("routes", len(table.routes)),
--- a/wingquay/forwarding/knowledge/news_exchange.py
+++ b/wingquay/forwarding/knowledge/news_exchange.py
@@ -1,12 +1,14 @@
 """Nodes tell each other what they read of the store, so that one look serves several."""
 
 from ...ports.machine import Action, Count
-from ...ports.peer_link import SendToPeer
+from ...ports.peer_link import NodeIdentity, SendToPeer
+from ...ports.proof_messages import AskProof, ProofGiven
 from ...ports.store import StartWatch
 from ...ports.store_news import StoreNews
 from ..settings import ForwardingSettings
 from .node_lateness import NodeLateness
 from .node_membership import NodeMembership
+from .proof_keeper import ProofKeeper
 from .store_follower import StoreFollower
 
 
@@ -23,6 +25,8 @@
         Takes in news, and puts its own look off.
     lateness
         How late this node is, and so the news that it tells and hears.
+    keeper
+        Asks for proof of the configuration, and takes in what is given.
     """
 
     def __init__(
@@ -31,11 +35,13 @@
         members: NodeMembership,
         follower: StoreFollower,
         lateness: NodeLateness,
+        keeper: ProofKeeper,
     ) -> None:
         self._settings = settings
         self._members = members
         self._follower = follower
         self._lateness = lateness
+        self._keeper = keeper
         self.rewritten: set[str] = set()
         """Keys of replicas' entries that the last changes left as they were but for the writing."""
 
@@ -65,12 +71,31 @@
         The own look is put off, but for the time that the news have taken, as far as it is known:
         at the sender, and behind other work of this node.
         """
-        rank_seconds = self._settings.news_rank_seconds * self._members.rank()
         taken_seconds = news.age_seconds + self._lateness.seconds(now)
-        pause_seconds = self._follower.usual_gather_seconds + rank_seconds - taken_seconds
+        pause_seconds = self._usual_pause_seconds - taken_seconds
         if news.may_have_more or taken_seconds >= self._settings.news_late_seconds:
             pause_seconds = 0.0
         actions = self._follower.absorb(news, pause_seconds, now)
         is_put_off = any(isinstance(action, StartWatch) for action in actions)
         side = "look_put_off" if is_put_off else "heard"
         return [*actions, Count("store_news_total", labels=(("side", side),))]
+
+    def proof_message(
+        self, sender: NodeIdentity, message: AskProof | ProofGiven, now: float
+    ) -> list[Action]:
+        """Take in that another node asks, or what its look proves; then put the own look off."""
+        if isinstance(message, AskProof):
+            self._keeper.asked(sender, message, now)
+            return []
+        actions = self._keeper.given(sender, message, self._follower.known_revision, now)
+        pause_seconds = self._usual_pause_seconds - self._keeper.age_seconds(now)
+        return [*actions, *self._follower.put_off(pause_seconds, now)]
+
+    @property
+    def _usual_pause_seconds(self) -> float:
+        """The time between two own looks while others tell what they read.
+
+        Each node looks a little later than the one before it in its group.
+        """
+        rank_seconds = self._settings.news_rank_seconds * self._members.rank()
+        return self._follower.usual_gather_seconds + rank_seconds
--- a/wingquay/forwarding/sending/limits.py
+++ b/wingquay/forwarding/sending/shares.py
@@ -7,13 +7,13 @@
 from ..exchange import ServiceCall
 from ..knowledge.presence import NodeCount
 from ..settings import ForwardingSettings
-from .arrival_budget import ArrivalBudget
+from .arrival_budget import OWNERS_RESERVE, STEP_IN_PACE, ArrivalBudget
 from .cold_share import ColdShare
 from .waiting_settings import LinePlace, WaitingSettings
 
 DEFAULT_CONNECTION_LIMIT = 24
-OWNERS_RESERVE = 2
-"""Owners of a shard take this part of what all nodes share: others may have to step in."""
+OWNERS_LIMIT_RESERVE = 2
+"""Owners of a shard take this part of the connections: others may have to step in."""
 LIVES = 2
 """Lives of this process whose connections a replica may still count after a start."""
 
@@ -26,7 +26,7 @@
         ...
 
 
-class SendingLimits:
+class SendingShares:
     """Its own parts of connections, of extra arrivals and of what cold replicas bear.
 
     Parameters
@@ -61,11 +61,13 @@
 
     def may_arrive_again(self, call: ServiceCall, now: float) -> bool:
         """Take one extra arrival; ``False`` if the budget does not allow it."""
-        return self._budget(call.service).spend(self._sharing_nodes(call, now), now)
+        nodes, pace = self._budget_part(call, now)
+        return self._budget(call.service).spend(nodes, now, pace)
 
     def repeat_at(self, call: ServiceCall, now: float) -> float:
         """Return when the budget will allow one extra arrival, if no request earns one before."""
-        return self._budget(call.service).next_at(self._sharing_nodes(call, now), now)
+        nodes, pace = self._budget_part(call, now)
+        return self._budget(call.service).next_at(nodes, now, pace)
 
     def give_back(self, service: str) -> None:
         """Return an extra arrival that did not arrive."""
@@ -122,7 +124,18 @@
         nodes = self._nodes.get(now)
         if self.placement is None or not call.is_owned:
             return nodes
-        return min(nodes, OWNERS_RESERVE * self.placement.sharing_nodes(call.service, now))
+        return min(nodes, OWNERS_LIMIT_RESERVE * self.placement.sharing_nodes(call.service, now))
+
+    def _budget_part(self, call: ServiceCall, now: float) -> tuple[float, float]:
+        """Return among how many nodes the slack is divided, and how fast this one's part grows."""
+        nodes = self._nodes.get(now)
+        if self.placement is None:
+            return nodes, 1.0
+        if call.is_owned:
+            owners = self.placement.sharing_nodes(call.service, now)
+            return min(nodes, owners * OWNERS_RESERVE), 1.0
+        is_wide = len(call.exchange.route.shards) >= self._settings.delegate_least_shards
+        return nodes, STEP_IN_PACE if is_wide else 1.0
 
     def _budget(self, service: str) -> ArrivalBudget:
         budget = self._budgets.get(service)
--- a/wingquay/forwarding/sending/waiting.py
+++ b/wingquay/forwarding/sending/waiting.py
@@ -7,8 +7,8 @@
 from .call_line import CallLine
 from .decision import Decision, WaitingRequest, WaitUntil, decide
 from .latencies import RouteLatencies
-from .limits import SendingLimits
 from .room import NEVER, ReplicaRoom, expected_room, room_for_share
+from .shares import SendingShares
 from .waiting_settings import WaitingSettings
 
 
@@ -31,7 +31,7 @@
         forwarding: ForwardingSettings,
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
-        limits: SendingLimits,
+        limits: SendingShares,
         line: CallLine,
     ) -> None:
         self._settings = settings
