--- a/deploy/days/make.py
+++ b/deploy/days/make.py
@@ -212,6 +212,15 @@
         "at = 26, kind = 'srv_cut', service = '@s0', share = 0.5, for_s = 3, how = 'reborn'",
     ],
 )
+DAYS["deadly-anywhere"] = (
+    [],
+    [
+        "at = 4, kind = 'poison', how = 'deadly', class = '@c0', share = 0.03, for_s = 14",
+        "at = 8, kind = 'core_cut', count = 2, for_s = 5, how = 'refuse'",
+        "at = 20, kind = 'srv_cut', share = 0.2, for_s = 4, how = 'reborn'",
+        "at = 21, kind = 'poison', how = 'deadly', class = '@c0', share = 0.02, for_s = 8",
+    ],
+)
 DAYS["zones-cut-in-turn"] = (
     ["at = 12, kind = 'config_change', how = 'weights'"],
     [
