Expect work by how long replicas work, and let requests stand in a line that moves

Ruled out: rejecting all that cannot be in time; a late answer of one replica is worth half to three quarters, and elsewhere it waits for the same slots. Change: RouteLatencies.work_seconds; WaitingSettings.line_ratio 0.5; tests on a played service. Result: of 160 at once on four slots of 0.13 s, line here: 123 served, 34 rejected at once, 3 later.

--- /dev/null
+++ b/tests/forwarding/test_line_order.py
@@ -0,0 +1,100 @@
+"""Loads on a small service: bursts, hot callers, the last slot, a start; by where work waits."""
+
+from testtools import TestCase
+
+from tests.forwarding.one_node import OneNode, replica, single_route, table
+from tests.forwarding.played_service import PlayedService
+from wingquay.forwarding.exchange import Exchange
+from wingquay.forwarding.sending import call_line
+from wingquay.forwarding.sending.waiting_settings import LinePlace, WaitingSettings
+
+OBJECTIVE_SECONDS = 1.05
+WAYS = {place.value: WaitingSettings(line=place) for place in LinePlace}
+
+
+def service(waiting: WaitingSettings, replicas: int, settled_seconds: float) -> PlayedService:
+    """Return a service that takes urgent and usual requests at a node that is one of few."""
+    node = OneNode(waiting=waiting)
+    shared = {"objective_seconds": OBJECTIVE_SECONDS, "timeout_seconds": 8.0, "max_attempts": 1}
+    urgent = single_route("/urgent/", priority=0, **shared)
+    usual = single_route("/usual/", priority=2, **shared)
+    records = [replica(f"r{number}", "s") for number in range(replicas)]
+    node.start(table(1, urgent, usual, connections=240), *records)
+    node.advance(settled_seconds)
+    played = PlayedService(node)
+    played.ask("/usual/first")
+    played.run(0.2 + settled_seconds)
+    return played
+
+
+class LoadTest(TestCase):
+    """Each load: what callers get where work waits at the replicas, and where it waits here."""
+
+    def both(self, replicas: int = 1, settled_seconds: float = 10.0) -> dict[str, PlayedService]:
+        return {name: service(waiting, replicas, settled_seconds) for name, waiting in WAYS.items()}
+
+    def test_an_urgent_call_overtakes_a_burst(self) -> None:
+        seconds = {}
+        for name, played in self.both().items():
+            for _ in range(15):
+                played.ask("/usual/x")
+            played.run(0.01)
+            number = played.ask("/urgent/x")
+            played.run(3.0)
+            seconds[name] = round(played.seconds(number), 1)
+        self.assertEqual({"replica": 1.0, "node": 0.3}, seconds)
+
+    def test_the_last_slot_goes_to_the_urgent_call(self) -> None:
+        started = {}
+        for name, played in self.both().items():
+            numbers = [played.ask("/usual/x") for _ in range(5)]
+            urgent = played.ask("/urgent/x")
+            played.run(1.0)
+            waited = [f"id-{number}" for number in (*numbers[3:], urgent)]
+            started[name] = [waited.index(name) for name in played.started if name in waited]
+        self.assertEqual({"replica": [0, 1, 2], "node": [2, 0, 1]}, started)
+
+    def test_a_burst_beyond_what_can_be_served_is_rejected_at_once(self) -> None:
+        found = {}
+        for name, played in self.both(replicas=2).items():
+            numbers = [played.ask("/usual/x") for _ in range(160)]
+            at_once = sum(number in played.node.replies for number in numbers)
+            played.run(6.0)
+            found[name] = (at_once, played.outcomes(numbers, OBJECTIVE_SECONDS))
+        expected = {
+            "replica": (0, {"in time": 28, "late": 123, "not_run": 9}),
+            "node": (34, {"in time": 28, "late": 95, "not_run": 37}),
+        }
+        self.assertEqual(expected, found)
+
+    def test_what_arrives_right_after_a_start_is_served(self) -> None:
+        found = {}
+        for name, played in self.both(replicas=2, settled_seconds=0.0).items():
+            numbers = [played.ask("/usual/x") for _ in range(12)]
+            played.run(3.0)
+            found[name] = played.outcomes(numbers, OBJECTIVE_SECONDS)
+        self.assertEqual({name: {"in time": 12} for name in WAYS}, found)
+
+
+class HotCallerTest(TestCase):
+    """One tenant sends twenty times as much as another one."""
+
+    def calm_seconds(self, waiting: WaitingSettings) -> float:
+        played = service(waiting, 1, 10.0)
+
+        def by_path(exchange: Exchange) -> str:
+            return exchange.event.path.rpartition("/")[2]
+
+        original = call_line.tenant_of
+        self.addCleanup(setattr, call_line, "tenant_of", original)
+        call_line.tenant_of = by_path
+        for _ in range(20):
+            played.ask("/usual/hot")
+        played.run(0.01)
+        number = played.ask("/usual/calm")
+        played.run(4.0)
+        return round(played.seconds(number), 1)
+
+    def test_the_calm_one_does_not_wait_for_the_burst(self) -> None:
+        seconds = {name: self.calm_seconds(waiting) for name, waiting in WAYS.items()}
+        self.assertEqual({"replica": 1.4, "node": 0.3}, seconds)
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -44,6 +44,8 @@
     replica: ReplicaState
     sent_at: float
     is_hedge: bool
+    ahead: int = 0
+    """Attempts of this node that were under way there before it."""
     was_suspended: bool = False
     """This node's machine was suspended meanwhile: that no answer came says nothing."""
     is_abandoned: bool = False
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -43,6 +43,7 @@
     StoreFollower,
 )
 from .line_budget import LineBudget
+from .sending.waiting_settings import DEFAULT_WAITING, WaitingSettings
 from .settings import ForwardingSettings
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
@@ -85,6 +86,8 @@
     ----------
     name
         This node's name, which no other node has.
+    waiting
+        How requests wait.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         follower: FollowerSettings,
         formats: StoreFormats,
         random_source: random.Random,
+        waiting: WaitingSettings = DEFAULT_WAITING,
     ) -> None:
         self._settings = settings
         self._formats = formats
@@ -103,7 +107,7 @@
         key = formats.node_prefix + name
         self._presence = Presence(key, settings, random_source)
         self._forwarding = ForwardingMachine(
-            settings, self._directory, self._nodes, random_source, key, name
+            settings, self._directory, self._nodes, random_source, key, name, waiting
         )
         guard = self._forwarding.guard
         self._held_keys = HeldKeys(formats, guard.hold, guard.lift)
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -76,7 +76,7 @@
         if call.arrivals and not self._limits.may_arrive_again(call, now):
             return []
         attempt_id = next(self._ids)
-        attempt = Attempt(attempt_id, call, replica, now, is_hedge)
+        attempt = Attempt(attempt_id, call, replica, now, is_hedge, len(replica.in_flight))
         call.attempts[attempt_id] = attempt
         call.asked.add(replica.record.replica_id)
         call.arrivals += 1
@@ -202,6 +202,9 @@
         route = attempt.call.exchange.route
         seconds = now - attempt.sent_at
         self._latencies.record(route, seconds, now)
+        if not route.shards:
+            slots = max(1, attempt.replica.record.slots)
+            self._latencies.record_work(route, seconds * slots / max(slots, attempt.ahead + 1))
         median = self._latencies.median_seconds(route)
         if median is not None:
             attempt.replica.on_latency(seconds / median, attempt.sent_at, now)
--- a/wingquay/forwarding/sending/call_line.py
+++ b/wingquay/forwarding/sending/call_line.py
@@ -78,7 +78,7 @@
 
     def _can_be_in_time(self, call: ServiceCall, now: float) -> bool:
         exchange = call.exchange
-        return now + self._latencies.usual_seconds(exchange.route) <= exchange.in_time_at
+        return now + self._latencies.work_seconds(exchange.route) <= exchange.in_time_at
 
     def _line(self, service: str) -> FairLine[ServiceCall]:
         line = self._lines.get(service)
@@ -89,7 +89,7 @@
 
     def _place_of(self, call: ServiceCall) -> Place:
         exchange = call.exchange
-        cost = self._latencies.usual_seconds(exchange.route)
+        cost = self._latencies.work_seconds(exchange.route)
         return Place(exchange.route.priority, tenant_of(exchange), cost=cost)
 
 
--- a/wingquay/forwarding/sending/decision.py
+++ b/wingquay/forwarding/sending/decision.py
@@ -112,7 +112,10 @@
         if room.at <= now:
             return now + request.objective_seconds * settings.repeat_ratio
     if request.has_usable or request.may_have_run:
-        return max(request.in_time_at, held_until)
+        ratio = settings.hold_ratio
+        if settings.rule is WaitingRule.ESTIMATE:
+            ratio = settings.line_ratio
+        return max(request.in_time_at, request.arrived_at + whole_seconds * ratio)
     if request.may_records_come_back:
         return held_until
     return request.arrived_at + request.objective_seconds * settings.offer_ratio
--- a/wingquay/forwarding/sending/latencies.py
+++ b/wingquay/forwarding/sending/latencies.py
@@ -7,6 +7,14 @@
 PERIOD_SECONDS = 10.0
 FEWEST_SAMPLES = 40
 MEDIAN = 0.5
+WORK_WEIGHT = 0.1
+"""How far one attempt moves the work that is expected: replicas of one service differ by half, and
+a caller is to be told its time by the usual one."""
+LEAST_WORK_SECONDS = 0.0005
+"""Work in seconds that is expected at least: below it callers feel the network, not the work."""
+UNSEEN_WORK_RATIO = 0.1
+"""Work that is expected before an attempt was seen, as a share of the objective: rather too little,
+since a caller that is rejected for a line that moves faster than thought has lost its answer."""
 
 
 class RouteLatencies:
@@ -15,6 +23,7 @@
     def __init__(self, settings: ForwardingSettings) -> None:
         self._settings = settings
         self._trackers: dict[str, LatencyTracker] = {}
+        self._work_seconds: dict[str, float] = {}
 
     def record(self, route: Route, seconds: float, now: float) -> None:
         """Take in how long an attempt took, or had taken when it was cancelled."""
@@ -29,12 +38,18 @@
         tracker = self._trackers.get(route.name)
         return None if tracker is None else tracker.quantile_seconds(MEDIAN, FEWEST_SAMPLES)
 
-    def usual_seconds(self, route: Route) -> float:
-        """Return how long an attempt usually takes; a share of the objective until that is seen."""
-        median = self.median_seconds(route)
-        if median is None:
-            return route.objective_seconds * self._settings.hedge_initial_ratio
-        return median
+    def record_work(self, route: Route, seconds: float) -> None:
+        """Take in how long a replica worked on an attempt, as far as it did not wait there."""
+        seconds = max(seconds, LEAST_WORK_SECONDS)
+        known = self._work_seconds.get(route.name, seconds)
+        self._work_seconds[route.name] = known + WORK_WEIGHT * (seconds - known)
+
+    def work_seconds(self, route: Route) -> float:
+        """Return how long a replica is expected to work on a request."""
+        seen = self._work_seconds.get(route.name)
+        if seen is None:
+            seen = self.median_seconds(route)
+        return route.objective_seconds * UNSEEN_WORK_RATIO if seen is None else seen
 
     def hedge_seconds(self, route: Route) -> float:
         """Return the time after which an attempt takes too long."""
@@ -52,3 +67,5 @@
         names = {route.name for route in routes}
         for name in [name for name in self._trackers if name not in names]:
             del self._trackers[name]
+        for name in [name for name in self._work_seconds if name not in names]:
+            del self._work_seconds[name]
--- a/wingquay/forwarding/sending/limits.py
+++ b/wingquay/forwarding/sending/limits.py
@@ -89,7 +89,7 @@
         connections = self.connections(call, now)
         if not self._waits_here(call):
             return connections
-        return min(connections, max(1, replica.record.slots) + self._waiting.surplus)
+        return min(connections, self._filled(replica))
 
     def full(self, call: ServiceCall, now: float) -> set[str]:
         """Return the ids of the replicas for which a call is to wait here, in line."""
@@ -98,9 +98,13 @@
         return {
             state.record.replica_id
             for state in self._directory.usable(call.service, now)
-            if len(state.in_flight) >= max(1, state.record.slots) + self._waiting.surplus
+            if len(state.in_flight) >= self._filled(state)
         }
 
+    def _filled(self, replica: ReplicaState) -> int:
+        slots = max(1, replica.record.slots)
+        return slots + max(1, int(slots * self._waiting.surplus_ratio))
+
     def _waits_here(self, call: ServiceCall) -> bool:
         # A part of a merged answer has no time to wait: its replica may be free by when it arrives.
         return self._waiting.line is LinePlace.NODE and not call.exchange.route.shards
--- a/wingquay/forwarding/sending/waiting.py
+++ b/wingquay/forwarding/sending/waiting.py
@@ -104,7 +104,7 @@
     def _room(
         self, call: ServiceCall, state: ReplicaState, is_later: bool, now: float
     ) -> ReplicaRoom:
-        pace = self._latencies.usual_seconds(call.exchange.route) * state.slowness(now)
+        pace = self._latencies.work_seconds(call.exchange.route)
         if self._is_blocked(state, now):
             # What a silent replica has will not end, as far as is known.
             pace = NEVER
--- a/wingquay/forwarding/sending/waiting_settings.py
+++ b/wingquay/forwarding/sending/waiting_settings.py
@@ -45,16 +45,23 @@
         quarter of it a caller that is rejected loses half the difference between in time and late
         at most, and an answer takes its way back.
     hold_ratio
-        Share of the caller's whole time for which a request waits for missing records or for a
-        replica that is taken: the rest is enough for one more try elsewhere, which waits for a
-        third of the time left at most.
+        Share of the caller's whole time for which a request waits for missing records, or by fixed
+        shares for a replica that is taken: the rest is enough for one more try elsewhere, which
+        waits for a third of the time left at most.
+    line_ratio
+        Share of the caller's whole time within which room must be expected for a request to wait in
+        line, by estimate: elsewhere it would wait for the same slots, and those that can still be
+        in time go before it, so it takes from nobody; the rest of its time is for the work and for
+        a line that moves at half the speed that was expected.
     repeat_ratio
         Share of the objective for which a request that may have run waits until it may be sent
         again: its caller sends it anew to another node once it hears of the failure, which is
         better for it as soon as the answer here would be late.
-    surplus
-        Requests that a replica gets beyond its slots from one node, so that it has the next one
-        when a slot is free: the way there and back takes some 2 ms, and work a few times that.
+    surplus_ratio
+        Requests that a replica gets beyond its slots from one node, as a share of them, at least
+        one, so that it has the next one when a slot is free: the way there and back takes some
+        2 ms, callers of such services wait for work of 90 to 130 ms, and half of the slots free at
+        the same moment are rare.
     """
 
     rule: WaitingRule = WaitingRule.ESTIMATE
@@ -63,8 +70,9 @@
     longest_look_seconds: float = 0.1
     offer_ratio: float = 0.2
     hold_ratio: float = 0.3
+    line_ratio: float = 0.5
     repeat_ratio: float = 0.25
-    surplus: int = 1
+    surplus_ratio: float = 0.5
 
 
 DEFAULT_WAITING = WaitingSettings()
