Let requests for one replica wait here rather than at it

Cause: work waited in replicas' own lines, first come first served, where it can neither be ordered nor sent elsewhere. Ruled out: parts of merged answers, which have no time to wait; holding back by what a replica reported of other nodes' load, which is over by the next moment. Change: WaitingSettings.line is NODE: a replica gets its slots and half as many more from one node.

--- a/wingquay/forwarding/sending/waiting_settings.py
+++ b/wingquay/forwarding/sending/waiting_settings.py
@@ -65,7 +65,7 @@
     """
 
     rule: WaitingRule = WaitingRule.ESTIMATE
-    line: LinePlace = LinePlace.REPLICA
+    line: LinePlace = LinePlace.NODE
     look_seconds: float = 0.03
     longest_look_seconds: float = 0.1
     offer_ratio: float = 0.2
