Say what waits and who is rejected, and keep extra arrivals for all tenants

Cause: a line could not be seen, and the budget of extra arrivals of a service went to whoever failed most. Ruled out: a budget for each tenant; one of 70 nodes may cause one extra arrival each thirty seconds, which nothing divides further. Change: log line calls_wait once a second while something waits, forwarded_rejections_total by reason and priority, forwarded_wait_seconds by priority; ExtraTurns keeps the next extra arrival for the tenant that had the fewest and just wanted one.

--- a/tests/forwarding/test_line_order.py
+++ b/tests/forwarding/test_line_order.py
@@ -7,6 +7,7 @@
 from wingquay.forwarding.exchange import Exchange
 from wingquay.forwarding.sending import call_line
 from wingquay.forwarding.sending.waiting_settings import LinePlace, WaitingSettings
+from wingquay.ports.machine import Count, Observe
 
 OBJECTIVE_SECONDS = 1.05
 WAYS = {place.value: WaitingSettings(line=place) for place in LinePlace}
@@ -98,3 +99,28 @@
     def test_the_calm_one_does_not_wait_for_the_burst(self) -> None:
         seconds = {name: self.calm_seconds(waiting) for name, waiting in WAYS.items()}
         self.assertEqual({"replica": 1.4, "node": 0.3}, seconds)
+
+
+class OperatorTest(TestCase):
+    def test_what_waits_and_who_is_rejected_is_told_and_bounded(self) -> None:
+        played = service(WAYS["node"], 2, 10.0)
+        for _ in range(160):
+            played.ask("/usual/x")
+        played.run(2.5)
+        lines = played.node.logs("calls_wait")
+        self.assertLessEqual(len(lines), 4)
+        self.assertGreater(max(int(str(line["waiting"])) for line in lines), 50)
+        self.assertGreater(max(int(str(line["oldest_ms"])) for line in lines), 900)
+        rejected = {
+            action.labels
+            for action in played.node.actions
+            if isinstance(action, Count) and action.name == "forwarded_rejections_total"
+        }
+        reason = "its replicas have no room soon enough"
+        self.assertEqual({(("reason", reason), ("priority", "2"))}, rejected)
+        waited = [
+            action.value
+            for action in played.node.actions
+            if isinstance(action, Observe) and action.name == "forwarded_wait_seconds"
+        ]
+        self.assertGreater(len(waited), 50)
--- a/wingquay/forwarding/sending/call_starter.py
+++ b/wingquay/forwarding/sending/call_starter.py
@@ -1,12 +1,17 @@
 """Sends calls to replicas, or lets them stand in line until one can be asked."""
 
-from ...ports.machine import Action, Schedule
+from ...ports.machine import Action, Log, LogLevel, Observe, Schedule
 from ..exchange import ServiceCall
 from ..timers import RetryDue
 from .attempts import AttemptSender
 from .call_line import CallLine
 from .waiting import Waiting
 
+TELL_SECONDS = 1.0
+"""Seconds between two lines about what waits: callers of a node wait a few seconds at most, and an
+operator who reads the lines of many nodes sees each wave of them once."""
+MILLISECONDS_PER_SECOND = 1000.0
+
 
 class CallStarter:
     """Starts calls, in the order of their line where they have to wait."""
@@ -15,6 +20,7 @@
         self._sender = sender
         self._waiting = waiting
         self._line = line
+        self._tell_at = float("-inf")
 
     def begin(self, call: ServiceCall, now: float) -> list[Action]:
         """Start a call for the first time: the request earns extra arrivals at its service."""
@@ -41,8 +47,10 @@
             actions.extend(sent)
             return bool(sent)
 
-        while self._line.first(service, can_be_sent, now) is not None:
-            pass
+        while (call := self._line.first(service, can_be_sent, now)) is not None:
+            seconds = now - call.exchange.arrived_at
+            priority = str(call.exchange.route.priority)
+            actions.append(Observe("forwarded_wait_seconds", seconds, (("priority", priority),)))
         return actions
 
     def _try_send(self, call: ServiceCall, now: float) -> list[Action]:
@@ -61,8 +69,18 @@
         exchange = call.exchange
         call.is_waiting = True
         self._line.add(call, now)
+        actions = self._tell(call, now)
         if exchange.is_retry_due:
-            return []
+            return actions
         exchange.is_retry_due = True
         due_at = self._waiting.look_at(exchange, now)
-        return [Schedule(due_at, RetryDue(exchange.exchange_id))]
+        return [*actions, Schedule(due_at, RetryDue(exchange.exchange_id))]
+
+    def _tell(self, call: ServiceCall, now: float) -> list[Action]:
+        """Say now and then how much waits, for as long as something does."""
+        if now < self._tell_at:
+            return []
+        self._tell_at = now + TELL_SECONDS
+        oldest_ms = round(self._line.oldest_seconds(now) * MILLISECONDS_PER_SECOND)
+        fields = (("waiting", len(self._line)), ("oldest_ms", oldest_ms), ("last", call.service))
+        return [Log("calls_wait", LogLevel.INFO, fields)]
--- a/wingquay/forwarding/sending/decision.py
+++ b/wingquay/forwarding/sending/decision.py
@@ -10,6 +10,11 @@
 from .room import NEVER, Room
 from .waiting_settings import WaitingRule, WaitingSettings
 
+NO_REPLICA_REASON = "no replica can be asked"
+NO_ROOM_REASON = "its replicas have no room soon enough"
+NO_REPEAT_REASON = "it may not be sent again soon enough"
+RAN_REASON = "no other replica may run it"
+
 
 @value
 class WaitingRequest:
@@ -84,7 +89,7 @@
         When its services will have room for it, after all that goes before it.
     """
     if request.may_have_run and not request.may_run_again:
-        return Reject(NEVER, "no other replica may run it")
+        return Reject(NEVER, RAN_REASON)
     begins_at = max(room.at, request.repeat_at)
     if begins_at <= now:
         return SendNow(room.replica_id)
@@ -130,7 +135,7 @@
 
 def _reason(request: WaitingRequest) -> str:
     if not request.has_usable:
-        return "no replica can be asked"
+        return NO_REPLICA_REASON
     if request.may_have_run:
-        return "it may not be sent again soon enough"
-    return "its replicas have no room soon enough"
+        return NO_REPEAT_REASON
+    return NO_ROOM_REASON
--- a/wingquay/forwarding/sending/limits.py
+++ b/wingquay/forwarding/sending/limits.py
@@ -8,7 +8,9 @@
 from ..knowledge.presence import NodeCount
 from ..settings import ForwardingSettings
 from .arrival_budget import ArrivalBudget
+from .call_line import tenant_of
 from .cold_share import ColdShare
+from .extra_turns import ExtraTurns
 from .waiting_settings import LinePlace, WaitingSettings
 
 DEFAULT_CONNECTION_LIMIT = 24
@@ -51,6 +53,7 @@
         self._directory = directory
         self._nodes = nodes
         self._budgets: dict[str, ArrivalBudget] = {}
+        self._turns: dict[str, ExtraTurns] = {}
         self._first_sent_at: float | None = None
         self.placement: SharesShards | None = None
         """Who asks which shard, once shards are divided among nodes."""
@@ -60,8 +63,17 @@
         self._budget(service).earn()
 
     def may_arrive_again(self, call: ServiceCall, now: float) -> bool:
-        """Take one extra arrival; ``False`` if the budget does not allow it."""
-        return self._budget(call.service).spend(self._sharing_nodes(call, now), now)
+        """Take one extra arrival; ``False`` if the budget or another tenant's turn forbids it."""
+        tenant = tenant_of(call.exchange)
+        sharing = self._sharing_nodes(call, now)
+        if not tenant:
+            return self._budget(call.service).spend(sharing, now)
+        turns = self._turns.setdefault(call.service, ExtraTurns())
+        if turns.is_turn_of(tenant, now) and self._budget(call.service).spend(sharing, now):
+            turns.took(tenant, now)
+            return True
+        turns.wanted(tenant, now)
+        return False
 
     def repeat_at(self, call: ServiceCall, now: float) -> float:
         """Return when the budget will allow one extra arrival, if no request earns one before."""
--- a/wingquay/forwarding/settling/ending.py
+++ b/wingquay/forwarding/settling/ending.py
@@ -106,7 +106,11 @@
 
     def reject(self, exchange: Exchange, rejection: Reject, now: float) -> list[Action]:
         """Reject a request that has run nowhere."""
-        return self.refuse(exchange, rejection.reason, rejection.retry_after_seconds, now)
+        priority = str(exchange.route.priority)
+        labels = (("reason", rejection.reason), ("priority", priority))
+        counted = Count("forwarded_rejections_total", labels=labels)
+        seconds = rejection.retry_after_seconds
+        return [*self.refuse(exchange, rejection.reason, seconds, now), counted]
 
     def held(self, exchange: Exchange, held_seconds: float, now: float) -> list[Action]:
         """Answer a request under which replicas end, which is held back from now on."""
