Keep wide requests as they were, and the count of who is before cheap

Cause: a look at a line of hundreds cost a walk over all of it, ten times a second for each; a wide request that had reached no shard waited longer than before; a node that may open one connection each after its start reckoned with all slots. Change: beyond 64 calls those before one are counted by their tags; merged answers keep their shares (and are rejected at arrival as before); slots count as far as this node may use them, idle ones too.

--- a/tests/routing/test_fair_line.py
+++ b/tests/routing/test_fair_line.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from wingquay.routing.fair_line import FairLine, Place
+from wingquay.routing.fair_line import FairLine
+from wingquay.routing.line_place import Place
 
 
 @dataclass(eq=False)
@@ -148,3 +149,15 @@
         for count, least in zip(ahead, served_before, strict=True):
             self.assertLessEqual(least, count)
             self.assertLess(count, len(left))
+
+    @given(items=ITEMS, newcomer=st.builds(Waiting, st.just("new"), st.integers(0, 2)))
+    def test_the_quick_count_is_the_same_where_nobody_is_preferred(
+        self, items: list[Waiting], newcomer: Waiting
+    ) -> None:
+        line = new_line()
+        for item in items:
+            line.push(item)
+        for item in (*items, newcomer):
+            self.assertEqual(
+                line.ahead_of(item, 0.0, lambda _: True), line.ahead_of(item, 0.0), item
+            )
--- a/wingquay/admission/class_line.py
+++ b/wingquay/admission/class_line.py
@@ -1,7 +1,8 @@
 """The line of one shard: sub-requests wait by class, each weighted by its price."""
 
 from ..model.request import SubRequest
-from ..routing.fair_line import FairLine, Place
+from ..routing.fair_line import FairLine
+from ..routing.line_place import Place
 from .work import Work
 
 
--- a/wingquay/forwarding/sending/call_line.py
+++ b/wingquay/forwarding/sending/call_line.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Callable, Container
 
-from ...routing.fair_line import FairLine, Place
+from ...routing.fair_line import FairLine
+from ...routing.line_place import Place
 from ..exchange import Exchange, ServiceCall
 from .latencies import RouteLatencies
 
@@ -15,6 +16,10 @@
 as callers wait at most, so that one whose burst has just used the service stands behind those whose
 callers came meanwhile, and one that was busy a minute ago does not."""
 
+MOST_COUNTED = 64
+"""Calls of a line up to which each is looked at to tell how many go before one: each of them looks
+some ten times a second, and the answers of replicas must not wait for that."""
+
 
 class CallLine:
     """Calls that wait.
@@ -68,6 +73,8 @@
         line = self._lines.get(call.service)
         if line is None or not len(line):
             return 0
+        if len(line) > MOST_COUNTED:
+            return line.ahead_of(call, now)
         return line.ahead_of(call, now, lambda other: self._can_be_in_time(other, now))
 
     def oldest_seconds(self, now: float) -> float:
--- a/wingquay/forwarding/sending/decision.py
+++ b/wingquay/forwarding/sending/decision.py
@@ -34,6 +34,8 @@
         Whether a replica may have run it.
     may_run_again
         Whether it may be sent once more.
+    is_merged
+        Whether its answer is merged from several services: late, it is worth little.
     repeat_at
         When the budget of extra arrivals allows to send it once more.
     """
@@ -46,6 +48,7 @@
     may_records_come_back: bool = False
     may_have_run: bool = False
     may_run_again: bool = True
+    is_merged: bool = False
     repeat_at: float = float("-inf")
 
 
@@ -118,7 +121,7 @@
             return now + request.objective_seconds * settings.repeat_ratio
     if request.has_usable or request.may_have_run:
         ratio = settings.hold_ratio
-        if settings.rule is WaitingRule.ESTIMATE:
+        if settings.rule is WaitingRule.ESTIMATE and not request.is_merged:
             ratio = settings.line_ratio
         return max(request.in_time_at, request.arrived_at + whole_seconds * ratio)
     if request.may_records_come_back:
--- a/wingquay/forwarding/sending/room.py
+++ b/wingquay/forwarding/sending/room.py
@@ -53,7 +53,7 @@
     def ends_per_second(self) -> float:
         """How many requests of this node it is expected to end a second."""
         own = max(1.0, self.under_way)
-        return self.slots / self.work_seconds * own / (own + self.elsewhere)
+        return min(self.slots, self.most) / self.work_seconds * own / (own + self.elsewhere)
 
 
 @value
@@ -91,7 +91,7 @@
     if free > ahead:
         best = min(askable, key=lambda room: (not room.free, room.under_way / room.slots))
         return Room(now, best.replica_id)
-    per_second = sum(room.ends_per_second for room in askable if room.under_way)
+    per_second = sum(room.ends_per_second for room in askable)
     if not per_second:
         return NO_ROOM
     return Room(now + (ahead + 1 - free) / per_second)
--- a/wingquay/forwarding/sending/waiting.py
+++ b/wingquay/forwarding/sending/waiting.py
@@ -8,7 +8,7 @@
 from .decision import Decision, WaitingRequest, WaitUntil, decide
 from .latencies import RouteLatencies
 from .limits import SendingLimits
-from .room import NEVER, ReplicaRoom, expected_room, room_for_share
+from .room import NEVER, NO_ROOM, ReplicaRoom, expected_room, room_for_share
 from .waiting_settings import WaitingSettings
 
 
@@ -58,7 +58,7 @@
             self._directory.is_settling(now),
             exchange.may_have_run,
             exchange.is_repeatable and call.attempts_left > 0,
-            self._limits.repeat_at(call, now) if call.arrivals else now,
+            repeat_at=self._limits.repeat_at(call, now) if call.arrivals else now,
         )
         return decide(request, room, self._settings, now)
 
@@ -72,10 +72,12 @@
 
     def _decide_merged(self, exchange: Exchange, now: float) -> Decision:
         """Decide on a request over shards that has reached none of them."""
-        later = now + self._settings.look_seconds
-        moments = [self._usable_at(call.service, later, now) for call in exchange.calls]
-        room = room_for_share(moments, exchange.route.least_share)
-        has_usable = room.at <= later and any(
+        room = NO_ROOM
+        if any(call.is_begun for call in exchange.calls):
+            later = now + self._settings.look_seconds
+            moments = (self._usable_at(call.service, later, now) for call in exchange.calls)
+            room = room_for_share(moments, exchange.route.least_share)
+        has_usable = room.at < NEVER and any(
             self._directory.has_usable(call.service, now) for call in exchange.calls
         )
         request = WaitingRequest(
@@ -85,6 +87,7 @@
             exchange.route.objective_seconds,
             has_usable,
             self._directory.is_settling(now),
+            is_merged=True,
         )
         return decide(request, room, self._settings, now)
 
--- a/wingquay/routing/fair_line.py
+++ b/wingquay/routing/fair_line.py
@@ -7,13 +7,14 @@
 """
 
 import math
+from bisect import bisect_left, bisect_right
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import Generic, Protocol, TypeVar
+from typing import Generic, TypeVar
 
-from ..model.value import value
 from .decaying_rate import DecayingRate
+from .line_place import Place, Waiter
 
 SERVED_SECONDS = 0.25
 """Time constant of the rate at which a flow was served: what callers of it see of the service just
@@ -25,39 +26,6 @@
 matter to each other at a time."""
 
 
-class Waiter(Protocol):
-    """What can wait in line."""
-
-    is_queued: bool
-
-    @property
-    def is_finished(self) -> bool:
-        """Whether nobody waits for it any more."""
-        ...
-
-
-@value
-class Place:
-    """Where something belongs in line.
-
-    Parameters
-    ----------
-    rank
-        0 is the most urgent; a rank is served before those above it.
-    flow
-        What is served fairly within the rank.
-    weight
-        Part of the service that the flow gets, against the others that wait.
-    cost
-        Service that it takes.
-    """
-
-    rank: int
-    flow: str
-    weight: float = 1.0
-    cost: float = 1.0
-
-
 Item = TypeVar("Item", bound=Waiter)
 
 
@@ -161,28 +129,24 @@
     def ahead_of(
         self, item: Item, now: float, prefers: Callable[[Item], bool] | None = None
     ) -> int:
-        """Return how many items go before ``item``, whether it waits already or would from now."""
+        """Return how many items go before ``item``, whether it waits already or would from now.
+
+        Parameters
+        ----------
+        prefers
+            As in ``pop``; it is asked of each. Without it, finished ones are counted too and the
+            count is quick.
+        """
         place = self._place_of(item)
-        own_tag = self._start_tag(place, now)
-        if item.is_queued:
-            own_tag = next(
-                (entry.start_tag for entry in self._entries(place.rank) if entry.item is item),
-                own_tag,
-            )
+        tag = self._tag_of(item, place, now)
         is_preferred = prefers is None or prefers(item)
-        ahead = 0
-        for rank in self._ranks:
-            if rank > place.rank:
-                continue
-            for entry in self._entries(rank):
-                if entry.item is item or entry.item.is_finished:
-                    continue
-                entry_preferred = prefers is None or prefers(entry.item)
-                key = (rank, not entry_preferred, entry.start_tag)
-                ahead += key < (place.rank, not is_preferred, own_tag) or (
-                    not item.is_queued and key == (place.rank, not is_preferred, own_tag)
-                )
-        return ahead
+        return sum(
+            self._ahead_in(flow, item, rank < place.rank, (not is_preferred, tag), prefers)
+            for rank, known in self._ranks.items()
+            if rank <= place.rank
+            for flow in known.flows.values()
+            if flow.entries
+        )
 
     def waiting(self) -> Iterator[Item]:
         """Return what waits."""
@@ -209,6 +173,35 @@
         seen = own.served.per_second(now) if own is not None else 0.0
         return (own.backlog if own is not None else 0.0) / max(guaranteed, seen)
 
+    def _tag_of(self, item: Item, place: Place, now: float) -> float:
+        tag = self._start_tag(place, now)
+        if not item.is_queued:
+            return tag
+        entries = self._flow_of(place).entries
+        return next((entry.start_tag for entry in entries if entry.item is item), tag)
+
+    def _ahead_in(
+        self,
+        flow: _Flow[Item],
+        item: Item,
+        is_before: bool,
+        key: tuple[bool, float],
+        prefers: Callable[[Item], bool] | None,
+    ) -> int:
+        """Return how many of a flow go before an item."""
+        if prefers is None:
+            if is_before:
+                return len(flow.entries)
+            # Those that came before it at the same tag go first, but it is not before itself.
+            find = bisect_left if item.is_queued else bisect_right
+            return find(flow.entries, key[1], key=lambda entry: entry.start_tag)
+        others = (entry for entry in flow.entries if entry.item is not item)
+        waiting = (entry for entry in others if not entry.item.is_finished)
+        if is_before:
+            return sum(1 for _ in waiting)
+        keys = ((not prefers(entry.item), entry.start_tag) for entry in waiting)
+        return sum(other < key or (other == key and not item.is_queued) for other in keys)
+
     def _entries(self, rank: int) -> Iterator[_Entry[Item]]:
         for flow in self._ranks[rank].flows.values() if rank in self._ranks else ():
             yield from flow.entries
