Foretell the budget of extra arrivals by what requests have earned lately

Cause: when the budget allows one more was reckoned by the slack alone, so at a busy service, whose requests earn several a second, a request that could be sent again within moments would have been given up at once. Change: the rate of earning over the last 2 s counts.

--- a/tests/forwarding/test_presence.py
+++ b/tests/forwarding/test_presence.py
@@ -148,10 +148,26 @@
         self.assertTrue(budget.spend(nodes, 30.0))
         self.assertFalse(budget.spend(nodes, 30.0))
 
+    def test_when_the_next_one_may_be_taken_is_foretold(self) -> None:
+        rows = {
+            "a part of a slack that is never whole": (56.0, 0.0, 0, float("inf")),
+            "a part that saves up": (168.0, 0.0, 0, 0.4),
+            "requests alone": (0.0, 0.2, 10, 0.0),
+            "too few of them": (0.0, 0.2, 4, 0.5),
+            "nothing": (0.0, 0.2, 0, float("inf")),
+        }
+        foretold = {}
+        for name, (slack, ratio, requests, _) in rows.items():
+            budget = ArrivalBudget(ratio, slack, 10.0)
+            for _ in range(requests):
+                budget.earn(0.0)
+            foretold[name] = round(budget.next_at(70, 0.0), 1)
+        self.assertEqual({name: row[3] for name, row in rows.items()}, foretold)
+
     def test_requests_earn_their_ratio(self) -> None:
         budget = ArrivalBudget(0.2, 0.0, 10.0)
         spent = 0
         for _ in range(100):
-            budget.earn()
+            budget.earn(0.0)
             spent += budget.spend(8, 0.0)
         self.assertEqual(20, spent)
--- a/tests/forwarding/test_waiting_loads.py
+++ b/tests/forwarding/test_waiting_loads.py
@@ -59,7 +59,7 @@
     """Nobody waits for a deadline to pass."""
 
     def test_a_request_that_may_not_be_sent_again_soon_is_given_up_at_once(self) -> None:
-        # One of so many nodes may send an extra request each thirty seconds.
+        # A part of the slack among so many nodes is never a whole extra arrival.
         node = settled(replicas=5)
         number, begun_at = ask(node), node.now
         node.fail(node.sends[0], SendFailureKind.BROKEN)
--- a/wingquay/forwarding/sending/arrival_budget.py
+++ b/wingquay/forwarding/sending/arrival_budget.py
@@ -5,7 +5,9 @@
 they are. Source: retry budgets as in Finagle and the SRE book, chapter 21 ("Handling Overload").
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from ...routing.decaying_rate import DecayingRate
 
 MOST_SAVED = 1.0
 """Extra arrivals earned by requests that can be saved up."""
@@ -16,6 +18,10 @@
 SAVING_NODES_SHARE = 0.5
 """Nodes, as a part of the slack, up to which each may save up one whole extra arrival."""
 
+EARNING_SECONDS = 2.0
+"""Time constant of the rate at which requests earn: a caller that waits for the budget waits for
+less, and a burst that is over earns nothing more."""
+
 
 @dataclass(slots=True)
 class ArrivalBudget:
@@ -35,11 +41,13 @@
     slack: float
     window_seconds: float
     _earned: float = 0.0
+    _earning: DecayingRate = field(default_factory=lambda: DecayingRate(EARNING_SECONDS))
     _granted: float | None = None
     _granted_at: float = 0.0
 
-    def earn(self) -> None:
+    def earn(self, now: float) -> None:
         """Take in a request for the service."""
+        self._earning.add(self.ratio, now)
         self._earned = min(MOST_SAVED, self._earned + self.ratio)
 
     def spend(self, nodes: int, now: float) -> bool:
@@ -60,15 +68,19 @@
         return True
 
     def next_at(self, nodes: int, now: float) -> float:
-        """Return when one extra arrival may be taken; infinity: not before a request earns it."""
+        """Return when one extra arrival may be taken, if as many requests come as lately.
+
+        Infinity: none came, and without them it may never.
+        """
         share = self._share(nodes)
         self._grant(share, self._most(nodes), now)
         missing = 1.0 - self._earned - (self._granted or 0.0)
         if missing <= 0.0:
             return now
-        if self._earned + self._most(nodes) < 1.0 or not share:
+        earning = self._earning.per_second(now)
+        if not earning and (self._earned + self._most(nodes) < 1.0 or not share):
             return float("inf")
-        return now + missing * self.window_seconds / share
+        return now + missing / (earning + share / self.window_seconds)
 
     def give_back(self) -> None:
         """Return an extra arrival that did not arrive."""
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -40,9 +40,9 @@
         """Return an attempt under way."""
         return self._open.get(attempt_id)
 
-    def earn(self, service: str) -> None:
+    def earn(self, service: str, now: float) -> None:
         """Take in a request for a service: it earns extra arrivals there."""
-        self._limits.earn(service)
+        self._limits.earn(service, now)
 
     def try_send(
         self,
--- a/wingquay/forwarding/sending/call_starter.py
+++ b/wingquay/forwarding/sending/call_starter.py
@@ -24,7 +24,7 @@
 
     def begin(self, call: ServiceCall, now: float) -> list[Action]:
         """Start a call for the first time: the request earns extra arrivals at its service."""
-        self._sender.earn(call.service)
+        self._sender.earn(call.service, now)
         call.is_begun = True
         return self.start(call, now)
 
--- a/wingquay/forwarding/sending/limits.py
+++ b/wingquay/forwarding/sending/limits.py
@@ -58,9 +58,9 @@
         self.placement: SharesShards | None = None
         """Who asks which shard, once shards are divided among nodes."""
 
-    def earn(self, service: str) -> None:
+    def earn(self, service: str, now: float) -> None:
         """Take in a request for a service: it earns extra arrivals there."""
-        self._budget(service).earn()
+        self._budget(service).earn(now)
 
     def may_arrive_again(self, call: ServiceCall, now: float) -> bool:
         """Take one extra arrival; ``False`` if the budget or another tenant's turn forbids it."""
