Define the line's own records as plain classes

Cause: a node loads the line before it serves, and three dataclasses of it took a millisecond each to define. Change: plain classes with slots.

--- a/wingquay/routing/fair_line.py
+++ b/wingquay/routing/fair_line.py
@@ -10,7 +10,6 @@
 from bisect import bisect_left, bisect_right
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
 from .decaying_rate import DecayingRate
@@ -29,27 +28,36 @@
 Item = TypeVar("Item", bound=Waiter)
 
 
-@dataclass(slots=True)
+# Plain classes: a node loads them before it serves, and defining a dataclass takes a millisecond.
+
+
 class _Entry(Generic[Item]):
-    item: Item
-    cost: float
-    start_tag: float
+    __slots__ = ("cost", "item", "start_tag")
+
+    def __init__(self, item: Item, cost: float, start_tag: float) -> None:
+        self.item = item
+        self.cost = cost
+        self.start_tag = start_tag
 
 
-@dataclass(slots=True)
 class _Flow(Generic[Item]):
-    weight: float = 1.0
-    entries: deque[_Entry[Item]] = field(default_factory=deque)
-    finish_tag: float = 0.0
-    finish_at: float = 0.0
-    backlog: float = 0.0
-    served: DecayingRate = field(default_factory=lambda: DecayingRate(SERVED_SECONDS))
+    __slots__ = ("backlog", "entries", "finish_at", "finish_tag", "served", "weight")
+
+    def __init__(self) -> None:
+        self.weight = 1.0
+        self.entries: deque[_Entry[Item]] = deque()
+        self.finish_tag = 0.0
+        self.finish_at = 0.0
+        self.backlog = 0.0
+        self.served = DecayingRate(SERVED_SECONDS)
 
 
-@dataclass(slots=True)
 class _Rank(Generic[Item]):
-    flows: dict[str, _Flow[Item]] = field(default_factory=dict)
-    virtual_time: float = 0.0
+    __slots__ = ("flows", "virtual_time")
+
+    def __init__(self) -> None:
+        self.flows: dict[str, _Flow[Item]] = {}
+        self.virtual_time = 0.0
 
 
 class FairLine(Generic[Item]):
