Say why a request is rejected, and describe who waits and who is turned away

Cause: a request that its replica had turned away and the budget kept back was told that there was no room.

--- /dev/null
+++ b/benchmarks/waiting_ways.py
@@ -0,0 +1,187 @@
+"""What callers of a small service get in a burst, by each way of deciding who waits and where.
+
+Many nodes, each by what it sees itself, send to a few replicas that work on few requests at a time,
+queue a few more and turn the rest away. Callers come back once, when they were told. All on the
+virtual clock: figures are the same in every run.
+"""
+
+import argparse
+import heapq
+import random
+from dataclasses import dataclass, field
+
+from tests.forwarding.one_node import OneNode, replica, single_route, table
+from wingquay.forwarding.sending.waiting_settings import LinePlace, WaitingRule, WaitingSettings
+from wingquay.ports.forwarding import (
+    ForwardFailureKind,
+    ReplyFailure,
+    ReplyUnchanged,
+    ReportedLoad,
+    SendToReplica,
+)
+
+STEP_SECONDS = 0.002
+REPLICA_LINE = 4
+"""Requests that a replica lets wait; it turns more away."""
+CONNECTIONS = 200
+
+
+@dataclass(frozen=True)
+class Load:
+    """A service, its callers, and the nodes between them."""
+
+    name: str
+    nodes: int
+    per_second: float
+    replicas: int = 5
+    slots: int = 2
+    work_seconds: float = 0.133
+    objective_seconds: float = 1.045
+    deadline_seconds: float = 8.0
+    late_worth: float = 0.73
+    seconds: float = 4.0
+
+
+LOADS = (
+    Load("2 nodes, 130/s on 5 x 2 slots of 133 ms", 2, 130.0),
+    Load("25 nodes, 100/s on 5 x 2 slots of 133 ms", 25, 100.0),
+    Load("70 nodes, 100/s on 5 x 2 slots of 133 ms", 70, 100.0),
+    Load("25 nodes, 100/s on 4 x 2 slots of 90 ms", 25, 100.0, 4, 2, 0.09, 0.347, 1.504, 0.5),
+)
+
+
+@dataclass
+class _Replica:
+    work_seconds: float
+    running: list[tuple[float, OneNode, SendToReplica]] = field(default_factory=list)
+    line: list[tuple[OneNode, SendToReplica]] = field(default_factory=list)
+
+
+class Play:
+    """One load played to its end."""
+
+    def __init__(self, load: Load, waiting: WaitingSettings, seed: int) -> None:
+        self._load = load
+        self._random = random.Random(seed)
+        self._replicas = {
+            f"r{number}": _Replica(load.work_seconds * self._random.choice([0.8, 1.0, 1.3]))
+            for number in range(load.replicas)
+        }
+        count = load.nodes
+        self._nodes = [
+            OneNode(number, waiting, fewest_nodes=count, most_nodes=count)
+            for number in range(count)
+        ]
+        route = single_route(
+            objective_seconds=load.objective_seconds, timeout_seconds=load.deadline_seconds
+        )
+        for node in self._nodes:
+            records = [replica(name, "s") for name in self._replicas]
+            node.start(table(1, route, connections=CONNECTIONS), *records)
+            node.advance(10.0)
+        self._now = 0.0
+        self._seen: set[tuple[int, int]] = set()
+        self._due: list[tuple[float, int, int, float]] = []
+        self._open: dict[tuple[int, int], tuple[int, int, float]] = {}
+        self.worth: list[float] = []
+        self.turned_away = 0
+        self.rejected = 0
+
+    def run(self) -> None:
+        """Let callers come, and wait until each has heard."""
+        load = self._load
+        at = self._random.expovariate(load.per_second)
+        while at < load.seconds:
+            heapq.heappush(self._due, (at, len(self.worth), 0, at))
+            self.worth.append(0.0)
+            at += self._random.expovariate(load.per_second)
+        while self._now < load.seconds + load.deadline_seconds + 1.0:
+            self._now += STEP_SECONDS
+            for node in self._nodes:
+                node.advance(STEP_SECONDS)
+            self._work()
+            self._take_sends()
+            self._call()
+            self._hear()
+
+    def _work(self) -> None:
+        for known in self._replicas.values():
+            ended = [item for item in known.running if item[0] <= self._now]
+            known.running = [item for item in known.running if item[0] > self._now]
+            for _, node, send in ended:
+                if send in node.sends:
+                    report = ReportedLoad(len(known.running), len(known.line), self._load.slots)
+                    node.answer(send, load=report)
+            known.line = [(node, send) for node, send in known.line if send in node.sends]
+            while known.line and len(known.running) < self._load.slots:
+                self._begin(known, *known.line.pop(0))
+
+    def _begin(self, known: _Replica, node: OneNode, send: SendToReplica) -> None:
+        seconds = known.work_seconds * self._random.uniform(0.7, 1.3)
+        known.running.append((self._now + seconds, node, send))
+
+    def _take_sends(self) -> None:
+        for number, node in enumerate(self._nodes):
+            for send in list(node.sends):
+                if (number, send.attempt_id) in self._seen:
+                    continue
+                self._seen.add((number, send.attempt_id))
+                known = self._replicas[send.replica.replica_id]
+                if len(known.running) < self._load.slots:
+                    self._begin(known, node, send)
+                elif len(known.line) < REPLICA_LINE:
+                    known.line.append((node, send))
+                else:
+                    self.turned_away += 1
+                    node.answer(send, 503, b"", None, not_run=True)
+
+    def _call(self) -> None:
+        while self._due and self._due[0][0] <= self._now:
+            _, caller, tries, begun_at = heapq.heappop(self._due)
+            number = self._random.randrange(len(self._nodes))
+            left = self._load.deadline_seconds - (self._now - begun_at)
+            exchange_id = self._nodes[number].request("/one/x", left)
+            self._open[number, exchange_id] = (caller, tries, begun_at)
+
+    def _hear(self) -> None:
+        load = self._load
+        for number, exchange_id in list(self._open):
+            reply = self._nodes[number].replies.get(exchange_id)
+            if reply is None:
+                continue
+            caller, tries, begun_at = self._open.pop((number, exchange_id))
+            waited = self._now - begun_at
+            match reply:
+                case ReplyUnchanged():
+                    is_late = waited > load.objective_seconds
+                    self.worth[caller] = load.late_worth if is_late else 1.0
+                case ReplyFailure(kind=ForwardFailureKind.NOT_RUN, retry_after_seconds=after):
+                    self.rejected += 1
+                    if not tries and after is not None:
+                        back_at = self._now + min(after, (load.deadline_seconds - waited) / 3)
+                        heapq.heappush(self._due, (back_at, caller, 1, begun_at))
+
+
+def main() -> None:
+    """Print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3)
+    seeds = parser.parse_args().seeds
+    print("| load | rule | line | worth of 1, by seed | lost | turned away | rejected |")
+    print("|---|---|---|---|---|---|---|")
+    for load in LOADS:
+        for rule in WaitingRule:
+            for place in LinePlace:
+                plays = [Play(load, WaitingSettings(rule, place), seed) for seed in range(seeds)]
+                for play in plays:
+                    play.run()
+                worth = ", ".join(f"{sum(play.worth) / len(play.worth):.3f}" for play in plays)
+                lost = sum(play.worth.count(0.0) for play in plays)
+                away = sum(play.turned_away for play in plays)
+                rejected = sum(play.rejected for play in plays)
+                row = (load.name, rule.value, place.value, worth, lost, away, rejected)
+                print("| " + " | ".join(str(cell) for cell in row) + " |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/forwarding/test_waiting_decision.py
+++ b/tests/forwarding/test_waiting_decision.py
@@ -5,6 +5,10 @@
 from testtools import TestCase
 
 from wingquay.forwarding.sending.decision import (
+    NO_REPEAT_REASON,
+    NO_REPLICA_REASON,
+    NO_ROOM_REASON,
+    RAN_REASON,
     Decision,
     Reject,
     SendNow,
@@ -104,6 +108,21 @@
             )
         )
 
+    def test_the_reason_says_what_is_missing(self) -> None:
+        rows = (
+            (request(has_usable=False), Room(NEVER), NO_REPLICA_REASON),
+            (request(), Room(NEVER), NO_ROOM_REASON),
+            (request(), Room(5.0), NO_ROOM_REASON),
+            (request(repeat_at=NEVER), Room(0.1), NO_REPEAT_REASON),
+            (request(may_have_run=True, may_run_again=False), Room(0.0), RAN_REASON),
+        )
+        for known, room, reason in rows:
+            match decide(known, room, ESTIMATE, 0.0):
+                case Reject(reason=found):
+                    self.assertEqual(reason, found)
+                case other:
+                    self.fail(f"{known} in {room}: {other}")
+
     @given(
         room=st.one_of(st.just(NEVER), st.floats(0.0, 20.0)),
         now=st.floats(0.0, 8.0),
--- a/wingquay/forwarding/sending/decision.py
+++ b/wingquay/forwarding/sending/decision.py
@@ -101,12 +101,12 @@
         # Nothing tells when a record comes back; it is looked for as long as it may.
         begins_at = min(begins_at, now + settings.look_seconds)
     if begins_at == NEVER:
-        return Reject(NEVER, _reason(request))
+        return Reject(NEVER, _reason(request, room))
     is_worth_it = begins_at <= latest
     if settings.rule is WaitingRule.FIXED_SHARES:
         is_worth_it = now + settings.look_seconds < latest
     if not is_worth_it:
-        return Reject(begins_at - now, _reason(request))
+        return Reject(begins_at - now, _reason(request, room))
     return WaitUntil(_next_look(begins_at, latest, settings, now))
 
 
@@ -136,9 +136,7 @@
     return max(at, now + min(settings.look_seconds, latest - now))
 
 
-def _reason(request: WaitingRequest) -> str:
-    if not request.has_usable:
-        return NO_REPLICA_REASON
-    if request.may_have_run:
+def _reason(request: WaitingRequest, room: Room) -> str:
+    if room.at < request.repeat_at:
         return NO_REPEAT_REASON
-    return NO_ROOM_REASON
+    return NO_ROOM_REASON if request.has_usable else NO_REPLICA_REASON
