--- a/tests/forwarding/test_line_order.py
+++ b/tests/forwarding/test_line_order.py
@@ -1,5 +1,7 @@
 """Loads on a small service: bursts, hot callers, the last slot, a start; by where work waits."""
 
+from types import SimpleNamespace
+
 from testtools import TestCase
 
 from tests.forwarding.one_node import OneNode, replica, single_route, table
@@ -23,8 +25,9 @@
     node.start(table(1, urgent, usual, connections=240), *records)
     node.advance(settled_seconds)
     played = PlayedService(node)
-    played.ask("/usual/first")
-    played.run(0.2 + settled_seconds)
+    if settled_seconds:
+        played.ask("/usual/first")
+        played.run(0.2 + settled_seconds)
     return played
 
 
@@ -96,6 +99,12 @@
         played.run(4.0)
         return round(played.seconds(number), 1)
 
+    def test_the_tenant_is_read_where_callers_are_told_apart(self) -> None:
+        known = SimpleNamespace(tenant="tenant")
+        unknown = SimpleNamespace()
+        names = [call_line.tenant_of(exchange) for exchange in (known, unknown)]  # type: ignore[arg-type]
+        self.assertEqual(["tenant", ""], names)
+
     def test_the_calm_one_does_not_wait_for_the_burst(self) -> None:
         seconds = {name: self.calm_seconds(waiting) for name, waiting in WAYS.items()}
         self.assertEqual({"replica": 1.4, "node": 0.3}, seconds)
--- a/tests/forwarding/test_waiting_loads.py
+++ b/tests/forwarding/test_waiting_loads.py
@@ -68,8 +68,10 @@
 
     def test_a_request_behind_silent_replicas_is_rejected_when_they_are_known_to_be(self) -> None:
         node = settled(check_route(is_repeatable=False), replicas=1)
-        node.advance(5.0)
-        for _ in range(20):
+        ask(node)
+        node.answer(node.sends[0])
+        node.advance(6.0)
+        for _ in range(3):
             ask(node)
         node.advance(0.35)
         number, begun_at = ask(node), node.now
