Remember no tenant at each shard of a wide request

Change: only requests that one replica answers are charged; replicas that are full are not looked for where the line is not here.

--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -65,7 +65,8 @@
         if exchange.is_careful and exchange.is_under_way(now):
             return []
         excluded = call.asked | call.refused | self._limits.too_cold(call, now)
-        excluded |= self._limits.full(call, now)
+        if not route.shards:
+            excluded |= self._limits.full(call, now)
         limit = self._limits.connections(call, now)
         prefers_proven = not route.is_repeatable
         replica = self._directory.choose(
--- a/wingquay/forwarding/sending/call_line.py
+++ b/wingquay/forwarding/sending/call_line.py
@@ -44,8 +44,12 @@
             self._line(call.service).push(call, now)
 
     def charge(self, call: ServiceCall, now: float) -> None:
-        """Take in that a call was sent without waiting; callers that are all one share nothing."""
-        if tenant_of(call.exchange):
+        """Take in that a call was sent without waiting.
+
+        Callers that are all one share nothing, and parts of merged answers hardly ever wait: each
+        request has one at every shard, which would all remember its tenant.
+        """
+        if not call.exchange.route.shards and tenant_of(call.exchange):
             self._line(call.service).charge(call, now)
 
     def has_any(self, service: str) -> bool:
