Reckon with the slots that a replica itself reports

Cause: a record without a capacity counts as one slot, so a replica would have got two requests from a node at a time, where its connections allow many. Change: the greater of what record and report say.

--- a/tests/forwarding/test_line_order.py
+++ b/tests/forwarding/test_line_order.py
@@ -9,6 +9,7 @@
 from wingquay.forwarding.exchange import Exchange
 from wingquay.forwarding.sending import call_line
 from wingquay.forwarding.sending.waiting_settings import LinePlace, WaitingSettings
+from wingquay.ports.forwarding import ReportedLoad
 from wingquay.ports.machine import Count, Observe
 
 OBJECTIVE_SECONDS = 1.05
@@ -48,6 +49,17 @@
             seconds[name] = round(played.seconds(number), 1)
         self.assertEqual({"replica": 1.0, "node": 0.3}, seconds)
 
+    def test_a_replica_that_says_that_it_has_more_slots_gets_more(self) -> None:
+        under_way = {}
+        for slots in (2, 8):
+            played = service(WAYS["node"], 1, 10.0)
+            played.ask("/usual/x")
+            played.node.answer(played.node.sends[0], load=ReportedLoad(1, 0, slots))
+            for _ in range(20):
+                played.ask("/usual/x")
+            under_way[slots] = len(played.node.sends)
+        self.assertEqual({2: 3, 8: 12}, under_way)
+
     def test_the_last_slot_goes_to_the_urgent_call(self) -> None:
         started = {}
         for name, played in self.both().items():
--- a/wingquay/forwarding/choice/replica_state.py
+++ b/wingquay/forwarding/choice/replica_state.py
@@ -82,6 +82,12 @@
     _load: ReportedLoad | None = None
     _load_at: float = 0.0
 
+    @property
+    def known_slots(self) -> int:
+        """Requests that it works on at a time, by its record or by its own last word."""
+        reported = 0 if self._load is None else self._load.slots
+        return max(1, self.record.slots, reported)
+
     def is_blocked(self, settings: ForwardingSettings, now: float) -> bool:
         """Whether the replica gets work only when no other can.
 
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -204,7 +204,7 @@
         seconds = now - attempt.sent_at
         self._latencies.record(route, seconds, now)
         if not route.shards:
-            slots = max(1, attempt.replica.record.slots)
+            slots = attempt.replica.known_slots
             self._latencies.record_work(route, seconds * slots / max(slots, attempt.ahead + 1))
         median = self._latencies.median_seconds(route)
         if median is not None:
--- a/wingquay/forwarding/sending/limits.py
+++ b/wingquay/forwarding/sending/limits.py
@@ -114,7 +114,7 @@
         }
 
     def _filled(self, replica: ReplicaState) -> int:
-        slots = max(1, replica.record.slots)
+        slots = replica.known_slots
         return slots + max(1, int(slots * self._waiting.surplus_ratio))
 
     def _waits_here(self, call: ServiceCall) -> bool:
--- a/wingquay/forwarding/sending/waiting.py
+++ b/wingquay/forwarding/sending/waiting.py
@@ -117,7 +117,7 @@
         return ReplicaRoom(
             state.record.replica_id,
             askable_at,
-            max(1, state.record.slots),
+            state.known_slots,
             self._limits.most(call, state, now),
             len(state.in_flight),
             state.reported_elsewhere(now),
