--- a/wingquay/forwarding/choice/replica_state.py
+++ b/wingquay/forwarding/choice/replica_state.py
@@ -102,6 +102,12 @@
         """Name the life once: choices compare the names of all replicas of a service."""
         self.life = self.record.life
 
+    @property
+    def known_slots(self) -> int:
+        """Requests that it works on at a time, by its record or by its own last word."""
+        reported = 0 if self._load is None else self._load.slots
+        return max(1, self.record.slots, reported)
+
     def is_blocked(self, settings: ForwardingSettings, now: float) -> bool:
         """Whether the replica gets work only when no other can.
 
--- a/wingquay/forwarding/sending/arrival_budget.py
+++ b/wingquay/forwarding/sending/arrival_budget.py
@@ -5,7 +5,9 @@
 they are. Source: retry budgets as in Finagle and the SRE book, chapter 21 ("Handling Overload").
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from ...routing.decaying_rate import DecayingRate
 
 MOST_SAVED = 1.0
 """Extra arrivals earned by requests that can be saved up."""
@@ -22,6 +24,9 @@
 STEP_IN_PACE = 0.25
 """Part of its share that a node gets anew where others own the shard: it steps in for one that is
 lost, which happens now and then, so it may save up but needs no lasting part."""
+EARNING_SECONDS = 2.0
+"""Time constant of the rate at which requests earn: a caller that waits for the budget waits for
+less, and a burst that is over earns nothing more."""
 
 
 @dataclass(slots=True)
@@ -42,11 +47,13 @@
     slack: float
     window_seconds: float
     _earned: float = 0.0
+    _earning: DecayingRate = field(default_factory=lambda: DecayingRate(EARNING_SECONDS))
     _granted: float | None = None
     _granted_at: float = 0.0
 
-    def earn(self) -> None:
+    def earn(self, now: float) -> None:
         """Take in a request for the service."""
+        self._earning.add(self.ratio, now)
         self._earned = min(MOST_SAVED, self._earned + self.ratio)
 
     def spend(self, nodes: float, now: float, pace: float = 1.0) -> bool:
@@ -69,15 +76,19 @@
         return True
 
     def next_at(self, nodes: float, now: float, pace: float = 1.0) -> float:
-        """Return when one extra arrival may be taken; infinity: not before a request earns it."""
+        """Return when one extra arrival may be taken, if as many requests come as lately.
+
+        Infinity: none came, and without them it may never.
+        """
         share = self._share(nodes)
         self._grant(share, self._most(nodes), pace, now)
         missing = 1.0 - self._earned - (self._granted or 0.0)
         if missing <= 0.0:
             return now
-        if self._earned + self._most(nodes) < 1.0 or not share:
+        earning = self._earning.per_second(now)
+        if not earning and (self._earned + self._most(nodes) < 1.0 or not share):
             return float("inf")
-        return now + missing * self.window_seconds / (share * pace)
+        return now + missing / (earning + share * pace / self.window_seconds)
 
     def give_back(self) -> None:
         """Return an extra arrival that did not arrive."""
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -44,9 +44,9 @@
         """Return an attempt under way."""
         return self._open.get(attempt_id)
 
-    def earn(self, service: str) -> None:
+    def earn(self, service: str, now: float) -> None:
         """Take in a request for a service: it earns extra arrivals there."""
-        self._limits.earn(service)
+        self._limits.earn(service, now)
 
     def try_send(
         self,
@@ -69,7 +69,8 @@
         if exchange.is_careful and exchange.is_under_way(now):
             return []
         excluded = call.asked | call.refused | self._limits.too_cold(call, now)
-        excluded |= self._limits.full(call, now)
+        if not route.shards:
+            excluded |= self._limits.full(call, now)
         limit = self._limits.connections(call, now)
         prefers_proven = not route.is_repeatable
         task = Task(route.objective_seconds, self._latencies.median_seconds(route))
@@ -81,7 +82,7 @@
         if call.arrivals and not self._limits.may_arrive_again(call, now):
             return []
         attempt_id = next(self._ids)
-        attempt = Attempt(attempt_id, call, replica, now, is_hedge)
+        attempt = Attempt(attempt_id, call, replica, now, is_hedge, len(replica.in_flight))
         call.attempts[attempt_id] = attempt
         call.asked.add(replica.life)
         call.arrivals += 1
@@ -209,6 +210,9 @@
         route = attempt.call.exchange.route
         seconds = now - attempt.sent_at
         self._latencies.record(route, seconds, now)
+        if not route.shards:
+            slots = attempt.replica.known_slots
+            self._latencies.record_work(route, seconds * slots / max(slots, attempt.ahead + 1))
         median = self._latencies.median_seconds(route)
         if median is not None:
             attempt.replica.on_latency(seconds / median, attempt.sent_at, now)
