--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -69,6 +69,7 @@
     "wingquay.ports.limit_messages",
     "wingquay.ports.crash_news",
     "wingquay.ports.delegation",
+    "wingquay.ports.proof_messages",
     "wingquay.ports.store_news",
 )
 """Their messages have a codec of their own, see test_forwarding_peer_codec."""
--- a/wingquay/forwarding/arrival/arrival_admission.py
+++ b/wingquay/forwarding/arrival/arrival_admission.py
@@ -8,9 +8,10 @@
 from ...model.routing_table import Route, RoutingTable
 from ...model.tenants import Tenant, TenantDirectory
 from ...ports.forwarding import ForwardFailureKind
+from ..knowledge.configuration_proof import AlwaysProven
 from .admission import Admitted, AwaitsLimit, ConfigurationProof, Rejected, TenantLimits
 from .authentication import authenticate
-from .no_checks import AlwaysProven, NoLimits
+from .no_checks import NoLimits
 
 UNPROVEN_REASON = "the configuration may be too old to tell whose key is shown"
 
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -16,8 +16,9 @@
     StopRequested,
     Woken,
 )
-from ..ports.peer_link import PeerLinkOpened, PeerReceived
+from ..ports.peer_link import PeerLinkBroken, PeerLinkOpened, PeerReceived
 from ..ports.peer_snapshot import PeerSnapshot
+from ..ports.proof_messages import AskProof, ProofGiven
 from ..ports.store import (
     ReadResult,
     StoredValue,
@@ -26,6 +27,7 @@
     WatchChanged,
 )
 from ..ports.store_news import StoreNews
+from .arrival.admission import ConfigurationProof
 from .arrival.limits.limit_keeper import LimitKeeper
 from .arrival.limits.limit_settings import LimitSettings
 from .choice.evacuations import Evacuations
@@ -38,6 +40,7 @@
 from .knowledge.node_lateness import NodeLateness
 from .knowledge.node_membership import NodeMembership
 from .knowledge.presence import NodeCount, Presence, PresenceDue
+from .knowledge.proof_keeper import ProofKeeper
 from .knowledge.store_follower import (
     FollowAgain,
     FollowerHooks,
@@ -53,6 +56,7 @@
 from .store_formats import StoreFormats as StoreFormats
 
 CLUSTER_KEY_BYTES = 32
+ASK_NUMBER_BITS = 62
 
 
 class ForwardingNode:
@@ -82,9 +86,21 @@
         self._nodes = NodeCount(settings)
         key = formats.node_prefix + name
         self._presence = Presence(key, settings, random_source)
+        self._keeper = ProofKeeper(
+            follower.proving,
+            lambda: self._members.rank() * settings.news_rank_seconds,
+            lambda now: self._follower.next_answer_at(now),
+            random_source.getrandbits(ASK_NUMBER_BITS) if follower.proving else 0,
+        )
         self._forwarding = ForwardingMachine(
-            settings, self._directory, self._nodes, random_source, key, name
+            settings,
+            self._directory,
+            self._nodes,
+            random_source,
+            key,
+            name,
         )
+        self._forwarding.admission.proof = self._keeper.proof
         guard = self._forwarding.guard
         self._held_keys = HeldKeys(formats, guard.hold, guard.lift)
         guard.write = self._held_keys.write
@@ -97,7 +113,7 @@
             lambda: self._members.rank() == 0,
             lambda: self._callers.is_ready,
         )
-        self._follower = StoreFollower(follower, hooks)
+        self._follower = StoreFollower(follower, hooks, self._keeper)
         self._table: RoutingTable | None = None
         self._told_by = ""
         """By which way the present news of the store came: a look, a listing, or a node's id."""
@@ -117,8 +133,11 @@
             self._members,
             self._follower,
             self._lateness,
+            self._keeper,
+        )
+        self._news = NewsExchange(
+            settings, self._members, self._follower, self._lateness, self._keeper
         )
-        self._news = NewsExchange(settings, self._members, self._follower, self._lateness)
         self._callers = TakingCallers(settings, self._directory, self._forwarding)
 
     @property
@@ -136,6 +155,11 @@
         """Return what this node knows of the store, for a node that cannot reach it."""
         return self._follower.known()
 
+    @property
+    def proof(self) -> ConfigurationProof:
+        """Whether the configuration is proven to be the one in force."""
+        return self._keeper.proof
+
     def verdict(self, request: OpaqueRequest, now: float) -> Verdict:
         """Return how this node treats a request that may end replicas."""
         return self._forwarding.guard.verdict(request, now)
@@ -148,6 +172,10 @@
                 return self._start(event, now)
             case PresenceDue() | PeerLinkOpened() | PeerReceived(message=StoreNews()):
                 return self._membership_event(event, now)
+            case PeerReceived(sender=sender, message=AskProof() | ProofGiven() as message):
+                return self._news.proof_message(sender, message, now)
+            case PeerLinkBroken():
+                self._keeper.link_broken(event)
             case SweepDue() | LagDue() | Woken():
                 return self._time.handle(event, now)
             case StopRequested():
@@ -163,7 +191,7 @@
         match event:
             case PeerReceived(sender=sender, message=StoreNews() as news):
                 self._told_by = sender.node_id
-                return self._news.heard(news, now)
+                return [*self._news.heard(news, now), *self._keeper.news_from(sender, now)]
             case PresenceDue():
                 return self._presence_due(event, now)
             case PeerLinkOpened():
@@ -195,7 +223,7 @@
     def _on_listing(self, values: tuple[StoredValue, ...], now: float) -> list[Action]:
         prefix = self._formats.replica_prefix
         ids = {item.key.removeprefix(prefix) for item in values if item.key.startswith(prefix)}
-        self._directory.keep_only(ids, now, self._follower.seen_revision)
+        self._directory.keep_only(ids, now, self._follower.known_revision)
         self._members.keep_only({item.key for item in values if self._is_node_key(item.key)})
         keys = {item.key for item in values}
         gone = (*self._evacuations.missing_from(keys), *self._held_keys.missing_from(keys))
@@ -236,7 +264,7 @@
         if self._held_keys.is_mine(key):
             return self._held_keys.remove(key, now)
         if key.startswith(prefix):
-            self._directory.vanish(key.removeprefix(prefix), now, self._follower.seen_revision)
+            self._directory.vanish(key.removeprefix(prefix), now, self._follower.known_revision)
         else:
             self._members.remove(key)
         return []
@@ -255,6 +283,7 @@
         self._callers.set_table(table)
         self._forwarding.set_table(table)
         self._members.configure(table)
+        self._keeper.configure(table)
         line = (
             ("version", table.version),
             ("routes", len(table.routes)),
--- a/wingquay/forwarding/own_time.py
+++ b/wingquay/forwarding/own_time.py
@@ -6,6 +6,7 @@
 from .forwarding_machine import ForwardingMachine
 from .knowledge.node_lateness import NodeLateness
 from .knowledge.node_membership import NodeMembership
+from .knowledge.proof_keeper import ProofKeeper
 from .knowledge.store_follower import StoreFollower
 from .settings import ForwardingSettings
 from .timers import GreetingDue
@@ -48,6 +49,8 @@
         Looks at the store as often as it is told.
     lateness
         Takes in how late the timers were.
+    keeper
+        Notices when the configuration ceases to be proven.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         members: NodeMembership,
         follower: StoreFollower,
         lateness: NodeLateness,
+        keeper: ProofKeeper,
     ) -> None:
         self._settings = settings
         self._directory = directory
@@ -65,6 +69,7 @@
         self._members = members
         self._follower = follower
         self._lateness = lateness
+        self._keeper = keeper
 
     def start(self, now: float) -> list[Action]:
         """Begin the regular looks."""
@@ -81,7 +86,9 @@
                 self._directory.forget_vanished(now)
                 due_at = now + SWEEP_SECONDS
                 greetings = self._forwarding.handle(GreetingDue(), now)
-                return [*greetings, *self.pace(now), Schedule(due_at, SweepDue(due_at))]
+                proving = self._keeper.sweep(self._members.listeners, now)
+                sweep = Schedule(due_at, SweepDue(due_at))
+                return [*greetings, *proving, *self.pace(now), sweep]
             case LagDue():
                 return self._lag_due(event, now)
             case Woken():
@@ -103,6 +110,7 @@
         """Behave as a node whose store was away for as long, and give up what is too late."""
         self._directory.note_outage(now)
         self._lateness.timer_seconds = event.seconds
+        self._keeper.failed("suspended")
         open_requests = self._forwarding.open_exchanges
         actions = self._forwarding.woken(event, now)
         fields = (
--- a/wingquay/forwarding/request_arrival.py
+++ b/wingquay/forwarding/request_arrival.py
@@ -15,12 +15,15 @@
 from .exchange import Exchange
 from .exchange_opening import ExchangeOpening
 from .knowledge.loop_lag import LoopLag
-from .settings import ForwardingSettings
-from .settling.ending import HELD_REASON, LEAST_RETRY_SECONDS, ExchangeEnding
+from .sending.return_time import LEAST_RETURN_SECONDS
+from .settling.ending import HELD_REASON, ExchangeEnding
 from .settling.settlement import Settlement
 from .timers import LimitAnswerDue
 
 UNCONFIGURED_RETRY_SECONDS = 0.3
+LIMIT_WORD_RATIO = 0.2
+"""Share of the objective for which a request waits for word on its tenant's limit: a caller that is
+refused by then can still be served in time by another node."""
 LATE_REASON = "its time was over before it could be read"
 NO_WORD_REASON = "no word on the limit of its tenant came in time"
 
@@ -36,17 +39,16 @@
 
     def __init__(
         self,
-        settings: ForwardingSettings,
         settlement: Settlement,
         opening: ExchangeOpening,
         guard: CrashGuard,
         lag: LoopLag,
+        ending: ExchangeEnding,
     ) -> None:
-        self._settings = settings
         self._opening = opening
         self._guard = guard
         self._lag = lag
-        self._ending = ExchangeEnding()
+        self._ending = ending
         self._ranks = TenantRanks()
         self._counts = TenantCounts()
         self._kept = KeptArrivals()
@@ -82,7 +84,7 @@
         if route is None:
             return self._ending.no_route(bare, table.version)
         if self._is_too_late(event):
-            return self._ending.refuse_arrival(bare, LATE_REASON, LEAST_RETRY_SECONDS)
+            return self._ending.refuse_arrival(bare, LATE_REASON, LEAST_RETURN_SECONDS)
         tenant = self.admission.caller(event.key, table, route, now)
         if isinstance(tenant, Rejected):
             return self._reject(bare, tenant, "")
@@ -142,7 +144,7 @@
         """
         if not self._kept.keep(arrival):
             return self._refuse_unanswered(arrival, "too many requests wait for limits", now)
-        offer_seconds = arrival.route.objective_seconds * self._settings.offer_ratio
+        offer_seconds = arrival.route.objective_seconds * LIMIT_WORD_RATIO
         due_at = min(now + offer_seconds, self._opening.ends_at(arrival))
         return [Schedule(due_at, LimitAnswerDue(arrival.event.exchange_id))]
 
@@ -177,7 +179,7 @@
 
     def _refuse_unanswered(self, arrival: Arrival, reason: str, now: float) -> list[Action]:
         self._give_back_arrival(arrival, now)
-        rejected = Rejected(ForwardFailureKind.NOT_RUN, reason, LEAST_RETRY_SECONDS)
+        rejected = Rejected(ForwardFailureKind.NOT_RUN, reason, LEAST_RETURN_SECONDS)
         return self._reject(arrival.event, rejected, _name(arrival))
 
     def _left(self, arrival: Arrival, now: float) -> list[Action]:
