Give more of the spare to owners after power, and count their first window from their start

Cause: after all nodes were killed, tenants got 0.3 of their spare until a window after the link was open and the key renewed, one to two seconds after the start. Ruled out: to permit more by what other parts leave unused: the lives before may have used these. Change: fresh 0.45 and apart 0.15 of the spare; a life that renews the key of the last one counts its first window from its own start, since the last one was over then; one with a new key from its writing. Result: tests/forwarding/limits pass, with two new ones.

--- a/tests/forwarding/limits/fleet.py
+++ b/tests/forwarding/limits/fleet.py
@@ -77,7 +77,10 @@
         self.works[name], self.groups[name] = work, groups
         own = self.identities[name]
         self.perform(name, work.set_tenants(self.tenants, self.now))
-        self.perform(name, work.open(own, groups, lambda _: name not in self.unlisted, self.now))
+        self.perform(
+            name,
+            work.open(own, groups, lambda _: name not in self.unlisted, lambda: True, self.now),
+        )
 
     def kill(self, name: str) -> None:
         self.works.pop(name, None)
--- a/tests/forwarding/limits/test_limit_parts.py
+++ b/tests/forwarding/limits/test_limit_parts.py
@@ -1,15 +1,21 @@
 """The window that slides, the division of a bound, and who owns a tenant."""
 
+import random
+
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.forwarding.limits.fleet import identity, tenant
+from tests.forwarding.limits.fleet import SETTINGS, identity, tenant
+from wingquay.forwarding.arrival.admission import Admitted
 from wingquay.forwarding.arrival.limits.budget import UNDER_WAY_PART, budget_of
 from wingquay.forwarding.arrival.limits.limit_settings import LimitSettings
+from wingquay.forwarding.arrival.limits.limit_work import LimitWork
 from wingquay.forwarding.arrival.limits.owners import MOST_OWNERS, Owners
 from wingquay.forwarding.arrival.limits.sliding_count import GRAIN_SECONDS, SlidingCount
-from wingquay.forwarding.knowledge.node_groups import GroupNode
+from wingquay.forwarding.knowledge.node_groups import GroupNode, NodeGroups
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.forwarding.timers import LimitOwnerDue
 from wingquay.ports.peer_link import NodeRecord
 
 TIMES = st.lists(st.floats(0.0, 20.0), min_size=1, max_size=60)
@@ -89,6 +95,35 @@
         self.assertGreaterEqual(budget.whole, budget.allowance)
 
 
+class FirstWindowTest(testtools.TestCase):
+    def permitted(self, at: float, has_stood: bool) -> int:
+        """Return how many requests begin at a node that started at 100 and was linked at 103."""
+        listed = [False]
+        own = identity("n00")
+        groups = NodeGroups(ForwardingSettings(zone="a"), "n00")
+        groups.put("n00", NodeRecord(own))
+        work = LimitWork(SETTINGS, random.Random(1), 100.0)
+        limited = tenant()
+        work.set_tenants({limited.name: limited}, 100.0)
+        work.open(own, groups, lambda _: listed[0], lambda: has_stood, 103.0)
+        work.handle(LimitOwnerDue(), 103.0)
+        listed[0] = True
+        work.handle(LimitOwnerDue(), 103.5)
+        answers = [work.admit(limited, number, at) for number in range(100)]
+        return sum(isinstance(answer, Admitted) for answer in answers)
+
+    def test_it_counts_from_the_start_of_a_life_whose_key_stood(self) -> None:
+        budget = budget_of(tenant(), SETTINGS)
+        self.assertEqual(int(budget.fresh), self.permitted(104.9, True))
+        self.assertEqual(int(budget.whole), self.permitted(105.1, True))
+
+    def test_it_counts_from_the_writing_of_a_new_key(self) -> None:
+        budget = budget_of(tenant(), SETTINGS)
+        reserve = 1
+        self.assertEqual(int(budget.fresh) + reserve, self.permitted(108.4, False))
+        self.assertEqual(int(budget.whole), self.permitted(108.6, False))
+
+
 class OwnersTest(testtools.TestCase):
     def nodes(self, count: int, slow: int = 0) -> list[GroupNode]:
         found = []
--- a/wingquay/forwarding/arrival/limits/budget.py
+++ b/wingquay/forwarding/arrival/limits/budget.py
@@ -13,12 +13,13 @@
 """Of the spare, permitted on top of the allowance: the way from caller to node takes a few
 milliseconds more or less, so callers that keep their limit seem to exceed it by a request or two.
 A refusal within the limit costs a caller more than one request beyond it costs anybody."""
-APART_PART = 0.30
+APART_PART = 0.15
 """Of the spare: what the second owner may still permit while its own part is lent. The other side
-of a cut lives on it for the first window."""
-FRESH_PART = 0.30
+of a cut lives on it for the first window, which concerns tenants that were hot just then."""
+FRESH_PART = 0.45
 """Of the spare: what a primary owner permits while it cannot know the last window. All nodes may
-have been killed right after a whole allowance ran."""
+have been killed right after a whole allowance ran. It is the largest part, since it is all that
+tenants get then."""
 RESERVE_PART = 0.10
 """Of the spare: what nodes that reach no owner permit together. More would go to single nodes that
 are cut off, which serve few callers."""
--- a/wingquay/forwarding/arrival/limits/limit_keeper.py
+++ b/wingquay/forwarding/arrival/limits/limit_keeper.py
@@ -80,7 +80,9 @@
         if not self._is_open and self._own is not None:
             self._is_open = True
             members = self._members
-            actions += work.open(self._own, members.groups, members.is_listed, now)
+            actions += work.open(
+                self._own, members.groups, members.is_listed, members.has_stood, now
+            )
         if isinstance(event, Woken):
             work.woken()
         if isinstance(event, _TAKEN):
--- a/wingquay/forwarding/arrival/limits/limit_work.py
+++ b/wingquay/forwarding/arrival/limits/limit_work.py
@@ -68,6 +68,7 @@
 
     def __init__(self, settings: LimitSettings, random_source: random.Random, now: float) -> None:
         self._settings = settings
+        self._born_at = now
         self._owners = Owners(2.0 * settings.window_seconds + LOAN_SECONDS)
         self._contacts = Contacts(self._owners, settings.window_seconds)
         reserve = Reserve(settings, self._node_ids, now)
@@ -86,6 +87,7 @@
         own: NodeIdentity,
         groups: NodeGroups,
         is_listed: Callable[[float], bool],
+        has_stood: Callable[[], bool],
         now: float,
     ) -> list[Action]:
         """Tell and ask other nodes from now on.
@@ -96,9 +98,12 @@
             The nodes of the store.
         is_listed
             Whether this node's key is sure to stand in the store.
+        has_stood
+            Whether it stood there before this life.
         """
         role = OwnerRole(self._settings, own, self._owners, groups.reachable)
         role.exchange.is_listed = is_listed
+        role.exchange.has_stood = has_stood
         self._groups = groups
         self._contacts.own = own
         self._contacts.role = role
@@ -117,7 +122,9 @@
         if groups is None or groups.version(now) == self._nodes_version:
             return []
         self._nodes_version = groups.version(now)
-        if not self._owners.update(groups.all_nodes, now):
+        # What its last life did as an owner was over when this one began.
+        since = now if self._owners.identities else self._born_at
+        if not self._owners.update(groups.all_nodes, since):
             return []
         role = self._contacts.role
         actions = [] if role is None else role.owners_changed(now)
--- a/wingquay/forwarding/arrival/limits/owner_exchange.py
+++ b/wingquay/forwarding/arrival/limits/owner_exchange.py
@@ -50,6 +50,9 @@
         self._changed_at = float("inf")
         self._listed_since = float("-inf")
         self._was_listed = True
+        self._has_been_listed = False
+        self.has_stood: Callable[[], bool] = lambda: True
+        """Whether the key stood in the store before this life; replaced by whoever knows."""
         self._confirmed_at: dict[str, float] = {}
         """When owners, by id, were last asked that have the same view of who the owners are."""
         self.is_listed: Callable[[float], bool] = lambda _: True
@@ -58,12 +61,17 @@
     def look(self, now: float) -> None:
         """See whether this node's key stands again: others may have been owners meanwhile."""
         is_listed = self.is_listed(now)
-        if is_listed and not self._was_listed:
+        if is_listed and not self._was_listed and not self._is_first_listing():
             self._listed_since = now
             self._changed_at = now
             self._known_from.clear()
+        self._has_been_listed = self._has_been_listed or is_listed
         self._was_listed = is_listed
 
+    def _is_first_listing(self) -> bool:
+        """Whether this life renews the key of the last one, so that no other took its place."""
+        return not self._has_been_listed and self.has_stood()
+
     def is_settled(self, now: float) -> bool:
         """Whether the owners have been the same for a window."""
         return now >= self._changed_at + self._settings.window_seconds
@@ -123,7 +131,7 @@
 
     def owners_changed(self, now: float) -> list[Action]:
         """Ask the other owners for what they know."""
-        self._changed_at = now
+        self._changed_at = self._owners.since
         self._known_from.clear()
         return self._ask_others(True, {}, now)
 
--- a/wingquay/forwarding/arrival/limits/owners.py
+++ b/wingquay/forwarding/arrival/limits/owners.py
@@ -50,6 +50,11 @@
         """All owners; empty before any node is known."""
         return self._sets[-1].identities if self._sets else ()
 
+    @property
+    def since(self) -> float:
+        """When the owners became these by this node's view."""
+        return self._sets[-1].since if self._sets else float("inf")
+
     @property
     def digest(self) -> int:
         """Tells apart two views of who the owners are."""
@@ -82,7 +87,7 @@
     def held_since(self, tenant: str, name: str) -> float:
         """Return since when a node has had its present place."""
         place = self.place(tenant, name)
-        since = self._sets[-1].since if self._sets else float("inf")
+        since = self.since
         for item in reversed(self._sets[:-1]):
             if _place(_pair(item.identities, tenant), name) != place:
                 break
--- a/wingquay/forwarding/knowledge/node_membership.py
+++ b/wingquay/forwarding/knowledge/node_membership.py
@@ -138,6 +138,10 @@
         """Whether this node's key is sure to stand in the store."""
         return self._presence.is_listed(now)
 
+    def has_stood(self) -> bool:
+        """Whether this node's key stood in the store, as it is now, before this life wrote it."""
+        return self._presence.has_stood
+
     def listeners(self) -> list[NodeIdentity]:
         """Return the nodes that are told what this one reads of the store."""
         return [] if self._groups is None else self._groups.listeners()
--- a/wingquay/forwarding/knowledge/presence.py
+++ b/wingquay/forwarding/knowledge/presence.py
@@ -70,6 +70,7 @@
         """The key as the last life of this node has left it."""
         self._asked_at = float("-inf")
         self._listed_until = float("-inf")
+        self._has_stood = False
 
     def set_value(self, value: bytes) -> None:
         """Say something else of this node, from the next writing of the key on."""
@@ -84,6 +85,11 @@
         """
         return now < self._listed_until
 
+    @property
+    def has_stood(self) -> bool:
+        """Whether the key stood there before this life and was renewed, not written."""
+        return self._has_stood
+
     def learn(self, standing: StoredValue) -> None:
         """Take in the key as it stands in the store, before this life has written it.
 
@@ -118,6 +124,7 @@
             assert self._standing is not None
             self._lease_id = self._standing.lease_id
             self._is_written = True
+            self._has_stood = True
         if self._lease_id is None:
             return GrantLease(int(self._settings.presence_lease_seconds))
         if not self._is_written:
@@ -147,6 +154,7 @@
             self._lease_id = None
             self._standing = None
             self._is_written = False
+            self._has_stood = False
             return self._after(0.0, now)
         if self._lease_id is None:
             self._lease_id = lease.lease_id
