Lend in steps, and let questions wait for a loan that is on its way

Cause: a tenant at 0.43 of its allowance borrowed now and then, by chance, and then had 0.15 of its spare left behind a cut for six seconds; a burst of 500 a second outran loans of the whole part. Ruled out: a loan of the whole from a later point on: the burst then meets its end more often. Change: the primary borrows quarters, from 0.85 of what it may permit on; the second owner permits less by the greatest loan that still counts; an owner answers a question after the loan that it waits for.

--- a/wingquay/adapters/limit_codec.py
+++ b/wingquay/adapters/limit_codec.py
@@ -121,12 +121,13 @@
     target.owners = message.owners
     target.wants_records = message.wants_records
     target.wants_loans.extend(message.wants_loans)
+    target.wanted.extend(message.wanted)
 
 
 def _put_reply(target: peer_pb2.LimitOwnersReply, message: LimitOwnersReply) -> None:
     target.request_id = message.request_id
     target.lent.extend(message.lent)
-    target.own_right.extend(message.own_right)
+    target.loans.extend(message.loans)
     target.is_same_view = message.is_same_view
     target.knows_window = message.knows_window
     target.unknown.extend(message.unknown)
@@ -142,11 +143,14 @@
     match message.WhichOneof("kind"):
         case "request":
             request = message.request
+            if len(request.wants_loans) != len(request.wanted):
+                return _uneven("loans", len(request.wants_loans), len(request.wanted))
             return LimitOwnersRequest(
                 request.request_id,
                 request.owners,
                 request.wants_records,
                 tuple(request.wants_loans),
+                tuple(request.wanted),
             )
         case "reply":
             return _reply_from(message.reply)
@@ -157,8 +161,8 @@
 def _reply_from(
     message: peer_pb2.LimitOwnersReply,
 ) -> LimitOwnersReply | Failure[PeerCodecFailureKind]:
-    if len(message.lent) != len(message.own_right):
-        return _uneven("loans", len(message.lent), len(message.own_right))
+    if len(message.lent) != len(message.loans):
+        return _uneven("loans", len(message.lent), len(message.loans))
     records = []
     for record in message.records:
         if len(record.ages_seconds) != len(record.counts):
@@ -168,7 +172,7 @@
     return LimitOwnersReply(
         message.request_id,
         tuple(message.lent),
-        tuple(message.own_right),
+        tuple(message.loans),
         message.is_same_view,
         message.knows_window,
         tuple(message.unknown),
--- a/wingquay/forwarding/arrival/limits/budget.py
+++ b/wingquay/forwarding/arrival/limits/budget.py
@@ -5,6 +5,8 @@
 way, as `docs/design/limits-over-nodes.md` proves. Every part is a number of requests in a window.
 """
 
+import math
+
 from ....model.tenants import Tenant
 from ....model.value import value
 from .limit_settings import LimitSettings
@@ -14,8 +16,8 @@
 milliseconds more or less, so callers that keep their limit seem to exceed it by a request or two.
 A refusal within the limit costs a caller more than one request beyond it costs anybody."""
 APART_PART = 0.15
-"""Of the spare: what the second owner may still permit while its own part is lent. The other side
-of a cut lives on it for the first window, which concerns tenants that were hot just then."""
+"""Of the spare: what the second owner does not lend. The other side of a cut lives on it for the
+first window, for tenants that were at their limit just then."""
 FRESH_PART = 0.45
 """Of the spare: what a primary owner permits while it cannot know the last window. All nodes may
 have been killed right after a whole allowance ran. It is the largest part, since it is all that
@@ -31,10 +33,11 @@
 half: a tenant that is not hot never needs a loan."""
 
 LOAN_FROM = 0.85
-"""Part of what the primary may permit alone from which on it borrows the rest. While a part is lent,
-and for a window after, its owner can serve few behind a cut, so it is borrowed when it is needed
-only; what is left lasts for the millisecond or two until it comes, at 1,000 requests a second of a
-tenant of 50 in 5 s."""
+"""Part of what the primary may permit from which on it borrows more. What is left lasts for the few
+milliseconds until it comes: at 500 requests a second of a tenant of 50 in 5 s for 10 ms."""
+LOAN_STEPS = 4
+"""In so many steps the second owner's part is lent: what is lent cannot serve anybody behind a cut
+for a window, so no more is borrowed than is needed."""
 
 
 @value
@@ -74,9 +77,30 @@
 
     @property
     def second_apart(self) -> float:
-        """What the second owner permits in its own right even though its part is lent."""
+        """What the second owner does not lend."""
         return APART_PART * self.spare
 
+    @property
+    def lendable(self) -> int:
+        """How many requests the second owner may lend."""
+        return int(self.second_alone - self.second_apart)
+
+    def with_loan(self, loan: int) -> float:
+        """Return what the primary permits with so much lent to it."""
+        return self.whole if loan >= self.lendable else self.primary_alone + loan
+
+    def without(self, lent: int) -> float:
+        """Return what the second owner permits in its own right with so much lent by it."""
+        return self.second_apart if lent >= self.lendable else self.second_alone - lent
+
+    def loan_for(self, counted: int) -> int:
+        """Return how much the primary needs lent when so many requests count."""
+        for step in range(LOAN_STEPS):
+            loan = math.ceil(self.lendable * step / LOAN_STEPS)
+            if counted < LOAN_FROM * self.with_loan(loan):
+                return loan
+        return self.lendable
+
     @property
     def fresh(self) -> float:
         """What a primary owner permits that cannot know the last window."""
--- a/wingquay/forwarding/arrival/limits/owner_exchange.py
+++ b/wingquay/forwarding/arrival/limits/owner_exchange.py
@@ -5,11 +5,12 @@
 ended by the borrower's. An owner that has just become it learns the last window from the other one.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from ....ports.limit_messages import LimitOwnersReply, LimitOwnersRequest, LimitRecord
 from ....ports.machine import Action
 from ....ports.peer_link import NodeIdentity, SendToPeer
+from .budget import Budget
 from .limit_settings import LimitSettings
 from .owners import Owners
 from .tenant_count import Standing, TenantCount
@@ -29,6 +30,8 @@
     ----------
     count_of
         Returns what is known of a tenant.
+    budget_of
+        Returns the parts of its bound; ``None``: it has none.
     """
 
     def __init__(
@@ -37,11 +40,13 @@
         own: NodeIdentity,
         owners: Owners,
         count_of: Callable[[str], TenantCount],
+        budget_of: Callable[[str], Budget | None],
     ) -> None:
         self._settings = settings
         self._own = own
         self._owners = owners
         self._count_of = count_of
+        self._budget_of = budget_of
         self._request_id = 0
         self._sent_at: dict[int, float] = {}
         self._known_from: dict[str, frozenset[str]] = {}
@@ -135,15 +140,15 @@
         self._known_from.clear()
         return self._ask_others(True, {}, now)
 
-    def borrow(self, names: Iterable[str], now: float) -> list[Action]:
-        """Ask the second owners of these tenants for their parts."""
-        wanted: dict[str, list[str]] = {}
-        for name in names:
+    def borrow(self, loans: Mapping[str, int], now: float) -> list[Action]:
+        """Ask the second owners of tenants to lend so much."""
+        wanted: dict[str, dict[str, int]] = {}
+        for name, loan in loans.items():
             for other in self._owners.of(name)[1:]:
-                wanted.setdefault(other.node_id, []).append(name)
+                wanted.setdefault(other.node_id, {})[name] = loan
         return self._ask_others(False, wanted, now)
 
-    def due(self, borrowing: Iterable[str], now: float) -> list[Action]:
+    def due(self, borrowing: Mapping[str, int], now: float) -> list[Action]:
         """Renew loans, and ask again for what is not known."""
         self._sent_at = {key: at for key, at in self._sent_at.items() if at > now - LOAN_SECONDS}
         return [
@@ -152,18 +157,24 @@
         ]
 
     def _ask_others(
-        self, wants_records: bool, wanted: dict[str, list[str]], now: float
+        self, wants_records: bool, wanted: dict[str, dict[str, int]], now: float
     ) -> list[Action]:
         actions: list[Action] = []
         for other in self._owners.identities:
-            names = tuple(wanted.get(other.node_id, ()))
+            loans = wanted.get(other.node_id, {})
             is_unknown = wants_records and not self._knows_from(other)
-            is_wanted = names or is_unknown or not self.is_listed(now)
+            is_wanted = loans or is_unknown or not self.is_listed(now)
             if other.node_id == self._own.node_id or not is_wanted:
                 continue
             self._request_id += 1
             self._sent_at[self._request_id] = now
-            request = LimitOwnersRequest(self._request_id, self._owners.digest, is_unknown, names)
+            request = LimitOwnersRequest(
+                self._request_id,
+                self._owners.digest,
+                is_unknown,
+                tuple(loans),
+                tuple(loans.values()),
+            )
             actions.append(SendToPeer(other, request))
         return actions
 
@@ -172,10 +183,11 @@
         sent_at = self._sent_at.pop(reply.request_id, None)
         if sent_at is None:
             return
-        for name, own_right in zip(reply.lent, reply.own_right, strict=True):
+        for name, loan in zip(reply.lent, reply.loans, strict=True):
             count = self._count_of(name)
             count.loan_until = sent_at + LOAN_SECONDS
-            count.loan_less = own_right
+            count.loan = loan
+            count.loan_sent_at = sent_at
         if sent_at < self._changed_at or not reply.is_same_view:
             return
         self._confirmed_at[sender.node_id] = sent_at
@@ -201,18 +213,15 @@
         names
             All tenants that have a limit.
         """
-        lent = [name for name in request.wants_loans if self._may_lend(name, sender, now)]
-        for name in lent:
-            self._count_of(name).lent_until = now + LOAN_SECONDS + LOAN_MARGIN_SECONDS
-        own_right = [self._count_of(name).own_right.total(now) for name in lent]
+        lent, loans = self._lend(sender, request, now)
         is_same_view = request.owners == self._owners.digest
         is_told = is_same_view and request.wants_records
         shared = [name for name in names if self._owned_with(name, sender)] if is_told else []
         unknown = [name for name in shared if not self._knows(name, now)]
         reply = LimitOwnersReply(
             request.request_id,
-            tuple(lent),
-            tuple(own_right),
+            lent,
+            loans,
             is_same_view,
             is_told,
             tuple(unknown),
@@ -220,6 +229,18 @@
         )
         return [SendToPeer(sender, reply)]
 
+    def _lend(
+        self, sender: NodeIdentity, request: LimitOwnersRequest, now: float
+    ) -> tuple[tuple[str, ...], tuple[int, ...]]:
+        """Lend what is wanted, as far as it may be."""
+        until = now + LOAN_SECONDS + LOAN_MARGIN_SECONDS
+        loans: dict[str, int] = {}
+        for name, wanted in zip(request.wants_loans, request.wanted, strict=True):
+            budget = self._budget_of(name)
+            if budget is not None and self._may_lend(name, sender, now):
+                loans[name] = self._count_of(name).lend(wanted, budget, until, now)
+        return tuple(loans), tuple(loans.values())
+
     def _may_lend(self, name: str, sender: NodeIdentity, now: float) -> bool:
         """Whether the sender is the primary, and this node knows what it permitted itself."""
         own = self._own.node_id
--- a/wingquay/forwarding/arrival/limits/owner_role.py
+++ b/wingquay/forwarding/arrival/limits/owner_role.py
@@ -14,7 +14,7 @@
 )
 from ....ports.machine import Action, Count, Log, LogLevel
 from ....ports.peer_link import NodeIdentity, SendToPeer
-from .budget import LOAN_FROM, Budget, budget_of
+from .budget import Budget, budget_of
 from .limit_settings import HOT_FROM, LimitSettings
 from .owner_exchange import OwnerExchange
 from .owners import Owners
@@ -23,9 +23,8 @@
 HOT_WINDOWS = 2.0
 """Windows for which a tenant stays hot after it was last near its limit: one for the requests that
 still count, and one so that a tenant around the threshold is not told about again and again."""
-
-BORROW_AGAIN_SECONDS = 0.05
-"""Time after which a loan that has not come is asked for again: it takes a few milliseconds."""
+MOST_KEPT = 1_000
+"""Questions that wait for a loan; with a few milliseconds for one, far more than arrive."""
 
 
 class OwnerRole:
@@ -56,9 +55,10 @@
         self._reachable = reachable
         self._tenants: Mapping[str, Tenant] = {}
         self._counts: dict[str, TenantCount] = {}
-        self.exchange = OwnerExchange(settings, own, owners, self._count_of)
+        self.exchange = OwnerExchange(settings, own, owners, self._count_of, self._budget_of)
         """Borrows and learns from the other owners."""
         self._hot: set[str] = set()
+        self._kept: list[tuple[NodeIdentity, LimitAsk]] = []
         self._is_asked_first = False
         """Whether nodes were told to ask before every request."""
 
@@ -111,8 +111,13 @@
         return [*actions, SendToPeer(sender, answer)]
 
     def asked(self, sender: NodeIdentity, message: LimitAsk, now: float) -> list[Action]:
-        """Answer whether a request may begin."""
+        """Answer whether a request may begin; a question waits for a loan that is on its way."""
         permit, actions = self.permit(message.tenant, now)
+        count = self._counts.get(message.tenant)
+        is_short = permit.verdict is LimitVerdict.ELSEWHERE and len(self._kept) < MOST_KEPT
+        if is_short and count is not None and count.awaits_loan(now):
+            self._kept.append((sender, message))
+            return actions
         answer = LimitAnswer(
             message.ask_id,
             permit.verdict,
@@ -133,7 +138,8 @@
         if permit.verdict is LimitVerdict.GRANTED:
             return permit, self._heat(name, count, now)
         labels = (("verdict", permit.verdict.name.lower()),)
-        return permit, [Count("limit_not_permitted_total", labels=labels)]
+        refused = Count("limit_not_permitted_total", labels=labels)
+        return permit, [refused, *self._borrow(name, count, now)]
 
     def asks_first(self, now: float) -> bool:
         """Whether nodes ask before every request.
@@ -168,12 +174,20 @@
         if isinstance(message, LimitOwnersRequest):
             return self.exchange.requested(sender, message, self._tenants, now)
         self.exchange.replied(sender, message, now)
-        return []
+        return self._ask_kept(now)
+
+    def _ask_kept(self, now: float) -> list[Action]:
+        """Answer the questions that waited for a loan."""
+        kept, self._kept = self._kept, []
+        actions: list[Action] = []
+        for sender, message in kept:
+            actions += self.asked(sender, message, now)
+        return actions
 
     def due(self, now: float) -> list[Action]:
         """Borrow again what is needed, and see which tenants are calm again."""
         self.exchange.look(now)
-        actions: list[Action] = []
+        actions = self._ask_kept(now)
         if self._is_asked_first != self.asks_first(now):
             actions += self._tell_all(now)
         actions += self._cool(now)
@@ -206,15 +220,19 @@
 
     def _borrow(self, name: str, count: TenantCount, now: float) -> list[Action]:
         """Borrow the second owner's part just before it is needed."""
-        is_asked = now < count.loan_asked_at + BORROW_AGAIN_SECONDS or now < count.loan_until
-        if is_asked or not self._needs_loan(name, now):
+        loan = self._loan_for(name, now)
+        if not count.may_borrow(loan, now):
             return []
         count.loan_asked_at = now
-        return self.exchange.borrow((name,), now)
+        count.loan_wanted = loan
+        return self.exchange.borrow({name: loan}, now)
 
-    def _needs_loan(self, name: str, now: float) -> bool:
-        least = LOAN_FROM * self._budget(self._tenants[name]).primary_alone
-        return self._is_primary(name) and self._counts[name].counted.total(now) >= least
+    def _loan_for(self, name: str, now: float) -> int:
+        """Return how much more than its own part this owner, if the primary, needs."""
+        if not self._is_primary(name):
+            return 0
+        counted = self._counts[name].counted.total(now)
+        return self._budget(self._tenants[name]).loan_for(counted)
 
     def _cool(self, now: float) -> list[Action]:
         """See which tenants are calm again."""
@@ -245,9 +263,10 @@
         count = self._counts.get(name)
         return 0.0 if count is None else max(count.hot_until - now, 0.0)
 
-    def _borrowing(self, now: float) -> tuple[str, ...]:
-        """Return the tenants whose loans are needed further."""
-        return tuple(name for name in sorted(self._hot) if self._needs_loan(name, now))
+    def _borrowing(self, now: float) -> dict[str, int]:
+        """Return the tenants whose loans are needed further, and how much of each."""
+        loans = {name: self._loan_for(name, now) for name in sorted(self._hot)}
+        return {name: loan for name, loan in loans.items() if loan}
 
     # Roles
 
@@ -267,5 +286,9 @@
             self._counts[name] = count
         return count
 
+    def _budget_of(self, name: str) -> Budget | None:
+        tenant = self._tenants.get(name)
+        return None if tenant is None else self._budget(tenant)
+
     def _budget(self, tenant: Tenant) -> Budget:
         return budget_of(tenant, self._settings)
--- a/wingquay/forwarding/arrival/limits/tenant_count.py
+++ b/wingquay/forwarding/arrival/limits/tenant_count.py
@@ -9,6 +9,10 @@
 """Before that, nothing that made an owner or a node refuse can have changed: it is the time after
 which a silent owner counts as out of reach."""
 
+BORROW_AGAIN_SECONDS = 0.05
+"""Time after which a loan that has not come, or was too small, is asked for again: word comes
+within a few milliseconds, and questions wait for it."""
+
 
 @value
 class Standing:
@@ -55,20 +59,50 @@
         """All that is known to run, whoever permitted it."""
         self.own_right = SlidingCount(window_seconds)
         """What was permitted as the second owner."""
-        self.lent_until = float("-inf")
-        """Until when the primary owner may go by the whole."""
+        self._lent: list[tuple[float, int]] = []
+        """How much was lent to the primary owner, each until it no longer counts."""
+        self.loan = 0
+        """How much the second owner has lent to this one, the primary."""
         self.loan_until = float("-inf")
-        """Until when this owner, the primary, may."""
+        """Until when."""
         self.loan_asked_at = float("-inf")
-        self.loan_less = 0
-        """What the second owner had permitted in its own right when it lent its part."""
+        """When it was last asked for one."""
+        self.loan_wanted = 0
+        """How much was asked for then."""
+        self.loan_sent_at = float("-inf")
+        """When the question left that the present loan answers."""
         self.hot_until = float("-inf")
         """Until when nodes were told to ask first."""
 
     @property
     def idle_from(self) -> float:
         """From when on nothing but the count keeps this from being forgotten."""
-        return max(self.lent_until, self.loan_until, self.hot_until) + self._window_seconds
+        lent_until = max((until for until, _ in self._lent), default=float("-inf"))
+        return max(lent_until, self.loan_until + self._window_seconds, self.hot_until)
+
+    def loan_at(self, now: float) -> int:
+        """Return how much is lent to this owner."""
+        return self.loan if now < self.loan_until else 0
+
+    def awaits_loan(self, now: float) -> bool:
+        """Whether word on a loan may still come."""
+        is_answered = self.loan_sent_at >= self.loan_asked_at
+        return not is_answered and now < self.loan_asked_at + BORROW_AGAIN_SECONDS
+
+    def may_borrow(self, loan: int, now: float) -> bool:
+        """Whether to ask for so much: it is more than is lent, and was not just asked for."""
+        if loan <= self.loan_at(now):
+            return False
+        is_in_vain = self.awaits_loan(now) or self.loan < self.loan_wanted
+        return not is_in_vain or now >= self.loan_asked_at + BORROW_AGAIN_SECONDS
+
+    def lend(self, wanted: int, budget: Budget, until: float, now: float) -> int:
+        """Lend no more than what this owner has not permitted itself; return how much."""
+        free = int(budget.second_alone) - self.own_right.total(now)
+        loan = max(0, min(wanted, budget.lendable, free))
+        self._lent = [item for item in self._lent if item[0] > now]
+        self._lent.append((until + self._window_seconds, loan))
+        return loan
 
     def add(self, requests: int, now: float) -> None:
         """Take in requests that run; less than 0: so many ran nowhere."""
@@ -107,16 +141,14 @@
             return budget.fresh
         if standing.is_alone:
             return budget.whole
-        if now < self.loan_until:
-            return max(budget.whole - self.loan_less, budget.primary_alone)
-        return budget.primary_alone
+        loan = self.loan_at(now)
+        return budget.with_loan(loan) if loan else budget.primary_alone
 
     def _as_second(self, budget: Budget, standing: Standing, now: float) -> Permit:
-        most = budget.second_alone
         if not standing.knows_window:
             return Permit(LimitVerdict.ELSEWHERE, standing.known_after_seconds)
-        if now < self.lent_until + self._window_seconds:
-            most = budget.second_apart
+        lent = max((loan for until, loan in self._lent if until > now), default=0)
+        most = budget.without(lent) if lent else budget.second_alone
         if self.own_right.total(now) + 1 <= most:
             return Permit(LimitVerdict.GRANTED)
         return Permit(LimitVerdict.ELSEWHERE, self.own_right.room_after_seconds(most, now))
--- a/wingquay/ports/limit_messages.py
+++ b/wingquay/ports/limit_messages.py
@@ -112,14 +112,15 @@
         A digest of the owners by the sender's view of the store.
     wants_records
         Whether this life of the owner does not know the last window.
-    wants_loans
-        Tenants of which it wants to permit everything by itself for a while.
+    wants_loans, wanted
+        Tenants of which it wants to permit more by itself for a while, and beside each how much.
     """
 
     request_id: int
     owners: int
     wants_records: bool = False
     wants_loans: tuple[str, ...] = ()
+    wanted: tuple[int, ...] = ()
 
 
 @value
@@ -128,9 +129,8 @@
 
     Parameters
     ----------
-    lent, own_right
-        Tenants whose part is lent, and beside each how many requests of the last window this owner
-        has permitted in its own right.
+    lent, loans
+        Tenants of which this owner permits less for that while, and beside each how much.
     is_same_view
         Whether the owners are the same by this owner's view of the store.
     knows_window
@@ -143,7 +143,7 @@
 
     request_id: int
     lent: tuple[str, ...] = ()
-    own_right: tuple[int, ...] = ()
+    loans: tuple[int, ...] = ()
     is_same_view: bool = False
     knows_window: bool = False
     unknown: tuple[str, ...] = ()
