Answer an ask at once by what is proven here

Ruled out: telling the age with the copy that it gets: a copy may be late. Change: an ask is answered at once by the moment that is proven here; what the asker computes is never later than that moment, as with a look. Asks leave when the link opens. The strict bound is 1 s at least, and looks under short bounds have a least pace.

--- a/tests/forwarding/test_proof_asking.py
+++ b/tests/forwarding/test_proof_asking.py
@@ -28,7 +28,7 @@
 
 FIRST_NUMBER = 1_000
 ASKED_AT = 100.5
-"""When a node that starts at 100 asks first: at its first sweep."""
+"""When a node that starts at 100 has asked: at its first sweep after it knows of others."""
 RANK_SECONDS = 2 * 0.04
 """How much later than the first of three nodes the last one looks by itself."""
 ASKED = NodeIdentity("node-9-a", "", "a", "10.0.1.9", 7)
@@ -203,6 +203,18 @@
         self.assertEqual([(other, "StoreNews") for other in OTHERS], sent[:-1])
         self.assertEqual([ProofGiven(77, 0.75, revision)], answers_in(node.actions[before:]))
 
+    def test_a_node_that_is_asked_tells_at_once_what_it_has_proven(self) -> None:
+        node = self.listener()
+        node.advance(1.5)
+        before = len(node.actions)
+        node.emit(PeerReceived(OTHERS[1], AskProof(77)))
+        expected = [ProofGiven(77, -1.5, node.store_revision)]
+        self.assertEqual(expected, answers_in(node.actions[before:]))
+        node.advance(4.0)
+        before = len(node.actions)
+        node.emit(PeerReceived(OTHERS[1], AskProof(78)))
+        self.assertEqual([], answers_in(node.actions[before:]))
+
     def test_a_node_whose_link_broke_is_asked_anew(self) -> None:
         node = self.listener()
         before = len(node.actions)
--- a/tests/forwarding/test_proof_fleet.py
+++ b/tests/forwarding/test_proof_fleet.py
@@ -137,6 +137,34 @@
 RevocationHistoryTest.settings = settings(max_examples=200, stateful_step_count=25)
 
 
+class StartTest(TestCase):
+    def test_a_node_that_starts_without_the_store_serves_by_what_others_prove(self) -> None:
+        for way in ProvingWay:
+            fleet = Fleet(strict(way), 12)
+            fleet.run(10.0, lambda: None)
+            fleet.store.cut_off_node(3, 20.0)
+            fleet.restart(3)
+            # The copy comes when its own reading is lost; the link opens and it asks.
+            self.run_checked(fleet, 2.5)
+            for _ in range(15):
+                fleet.configure()
+                self.run_checked(fleet, 1.0)
+                self.assertTrue(fleet.nodes[3].is_proven)
+
+    def run_checked(self, fleet: Fleet, seconds: float) -> None:
+        fleet.run(seconds, lambda: self.assertEqual([], overdue(fleet)))
+
+    def test_nodes_that_all_start_at_once_are_proven_by_their_listings(self) -> None:
+        for way in ProvingWay:
+            fleet = Fleet(strict(way), 12)
+            for _ in range(2):
+                fleet.run(0.2, lambda: None)
+                self.assertTrue(all(node.is_proven for node in fleet.nodes))
+                for node in list(fleet.nodes):
+                    fleet.restart(node.number)
+                self.assertFalse(any(node.is_proven for node in fleet.nodes))
+
+
 class CalmTest(TestCase):
     """70 nodes in four zones: nothing happens but that keys are taken away now and then."""
 
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -247,6 +247,15 @@
         line = f"configuration_ms = 5000\n{name} = {text}"
         return SETTINGS.replace("configuration_ms = 5000", line)
 
+    def test_the_strict_bound_leaves_time_for_a_look_that_is_lost(self) -> None:
+        for text, expected in (('"5000"', 5.0), ('"1000"', 1.0)):
+            lines = f'"true"\nrevocation_ms = {text}'
+            settings = parse_settings(self.with_bound("strict_revocation", lines))
+            self.assertEqual(expected, settings.revocation_seconds)
+        lines = '"true"\nrevocation_ms = "999"'
+        failure = parse_settings(self.with_bound("strict_revocation", lines))
+        self.assertIn("from 1000", failure.reason)
+
     def test_how_the_configuration_is_kept_proven_is_one_of_two_ways(self) -> None:
         self.assertIs(ProvingWay.SHORT, parse_settings(SETTINGS).proving_way)
         for way in ProvingWay:
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -228,7 +228,7 @@
             case PeerLinkOpened():
                 actions = self._members.link_opened(event, self._table, now)
                 self._forwarding.enable_peers(self._members.groups)
-                return actions
+                return [*actions, *self._keeper.sweep(self._members.listeners, now)]
         return []
 
     def _store_event(self, event: Event, now: float) -> list[Action]:
@@ -378,10 +378,10 @@
         self, sender: NodeIdentity, message: AskProof | ProofGiven, now: float
     ) -> list[Action]:
         """Take in that another node asks, or what its look proves; then put the own look off."""
+        known_revision = self._follower.known_revision
         if isinstance(message, AskProof):
-            self._keeper.asked(sender, message, now)
-            return []
-        actions = self._keeper.given(sender, message, self._follower.known_revision, now)
+            return self._keeper.asked(sender, message, known_revision, now)
+        actions = self._keeper.given(sender, message, known_revision, now)
         usual_seconds = self._follower.usual_gather_seconds + self._rank_seconds
         pause_seconds = usual_seconds - self._keeper.age_seconds(now)
         return [*actions, *self._follower.put_off(pause_seconds, now)]
--- a/wingquay/forwarding/knowledge/proof_keeper.py
+++ b/wingquay/forwarding/knowledge/proof_keeper.py
@@ -4,7 +4,7 @@
 
 from ...model.routing_table import RoutingTable
 from ...ports.machine import Action, Count, Log, LogLevel, Observe
-from ...ports.peer_link import NodeIdentity, PeerLinkBroken
+from ...ports.peer_link import NodeIdentity, PeerLinkBroken, SendToPeer
 from ...ports.proof_messages import AskProof, ProofGiven
 from .configuration_proof import AlwaysProven, TimedProof
 from .proof_asking import HeardAsks, ProofAsks
@@ -104,10 +104,17 @@
         """Take in that another node has told what it has read."""
         return [] if self.looks is None else self._asks.news_from(sender, now)
 
-    def asked(self, sender: NodeIdentity, ask: AskProof, now: float) -> None:
-        """Take in that another node asks."""
-        if self._timed is not None:
-            self._heard.heard(sender, ask, now)
+    def asked(
+        self, sender: NodeIdentity, ask: AskProof, known_revision: int | None, now: float
+    ) -> list[Action]:
+        """Take in that another node asks, and tell it at once what is proven here."""
+        if self._timed is None:
+            return []
+        self._heard.heard(sender, ask, now)
+        if known_revision is None or not self._timed.is_proven(now):
+            return []
+        held_seconds = self._timed.proven_as_of - now
+        return [SendToPeer(sender, ProofGiven(ask.number, held_seconds, known_revision))]
 
     def given(
         self, sender: NodeIdentity, given: ProofGiven, known_revision: int | None, now: float
--- a/wingquay/forwarding/knowledge/proving_looks.py
+++ b/wingquay/forwarding/knowledge/proving_looks.py
@@ -16,8 +16,10 @@
     """The store answers each look at once: the answer proves more, so fewer looks are needed."""
 
 
-LEAST_TRY_SHARE = 0.2
+MOST_TIMEOUT_SHARE = 0.2
 """Share of the bound that one look may take where the bound is short."""
+MOST_TRY_SHARE = 0.3
+"""Share of a short bound that is left for a look that is lost and the pause after it."""
 PROVING_ANSWER_SECONDS = 0.3
 """Time for the answer to the look that follows one that was lost: a busy store takes a tenth."""
 MOST_RANK_SECONDS = 0.45
@@ -74,9 +76,9 @@
         Least time between two looks of a node that looks for others without the bound.
     """
     timeout_seconds = min(
-        HELD_ANSWER_SECONDS, look.timeout_seconds, bound_seconds * LEAST_TRY_SHARE
+        HELD_ANSWER_SECONDS, look.timeout_seconds, bound_seconds * MOST_TIMEOUT_SHARE
     )
-    try_seconds = timeout_seconds + look.first_backoff_seconds
+    try_seconds = min(timeout_seconds + look.first_backoff_seconds, bound_seconds * MOST_TRY_SHARE)
     reserve_seconds = min(
         PROVING_ANSWER_SECONDS + MOST_RANK_SECONDS + BOUND_RESERVE_SECONDS,
         bound_seconds * MOST_RESERVE_SHARE,
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -14,6 +14,8 @@
 MILLISECONDS_PER_SECOND = 1000.0
 LEAST_BOUND_MS = 100.0
 LEAST_CONTACT_MS = 1000.0
+LEAST_REVOCATION_MS = 1000.0
+"""In less, no look at the store could be lost and made again."""
 GREATEST_BOUND_MS = 600_000.0
 LEAST_PROCESSOR = 0.001
 GREATEST_PROCESSOR = 1024.0
@@ -169,7 +171,7 @@
     if is_strict != "true":
         reason = f"store.strict_revocation is {is_strict!r}; allowed: true or false, in quotes"
         raise _InvalidError(reason)
-    seconds = _optional_milliseconds(document, "store.revocation_ms", LEAST_BOUND_MS)
+    seconds = _optional_milliseconds(document, "store.revocation_ms", LEAST_REVOCATION_MS)
     if seconds is None:
         raise _InvalidError("store.revocation_ms is missing; store.strict_revocation needs it")
     return seconds
--- a/wingquay/ports/proof_messages.py
+++ b/wingquay/ports/proof_messages.py
@@ -6,7 +6,7 @@
 
 @value
 class AskProof(PeerMessage):
-    """Asks to be told, after each look, for how long this had been known when the look began.
+    """Asks to be told, now and after each look, for how long this was known by the proven moment.
 
     Parameters
     ----------
@@ -19,20 +19,21 @@
 
 @value
 class ProofGiven(PeerMessage):
-    """Answers an ask after a look at the store.
+    """Answers an ask at once, by what is proven, and after each look at the store.
 
-    It tells no age, which would grow unseen while the message is under way: the look began at least
-    ``held_seconds`` after the ask was sent, however long either message took.
+    It tells no age, which would grow unseen while the message is under way: the moment as of which
+    the configuration is proven, the beginning of a look, came at least ``held_seconds`` after the
+    ask was sent, however long either message took.
 
     Parameters
     ----------
     number
         The ask that is answered.
     held_seconds
-        How long it had been known when the look began, by the clock of the node that looked; below
-        0: it came so much later.
+        How long it had been known at that moment, by the clock of the node that answers; below 0:
+        it came so much later.
     store_revision
-        Whoever knows the store up to here knows all that the look has told.
+        Whoever knows the store up to here knows all that had been acknowledged by that moment.
     """
 
     number: int
