Let real nodes on loopback prove the configuration to each other

Cause: the proof's wiring, from the settings through the store's client and the link, was tested in parts only. The platform's document of tenants is another part's, so the test adds them to it.

--- a/tests/platform_adapter/test_group_on_loopback.py
+++ b/tests/platform_adapter/test_group_on_loopback.py
@@ -1,6 +1,7 @@
 """Nodes of a group on loopback: a wide request that reached one of them is divided among all."""
 
 import asyncio
+from unittest import mock
 
 from testtools import TestCase
 
@@ -8,6 +9,9 @@
 from tests.platform_adapter.stand_in_platform import StandInReplica, StandInStore
 from tests.platform_adapter.test_node import LIMITS, request
 from wingquay.adapters.listening import open_listening_socket
+from wingquay.model.routing_table import RoutingTable
+from wingquay.model.tenants import Tenant, TenantDirectory
+from wingquay.platform.configuration_document import parse_configuration
 from wingquay.platform.node import PlatformNode
 from wingquay.platform.settings import ListenAddress, PlatformSettings
 
@@ -36,6 +40,9 @@
 class Group:
     """A store, a replica for each shard, and nodes of one zone."""
 
+    def __init__(self, revocation_seconds: float | None = None) -> None:
+        self.revocation_seconds = revocation_seconds
+
     async def __aenter__(self) -> "Group":
         self.store = StandInStore()
         store_port = await self.store.start()
@@ -85,6 +92,7 @@
             cold_overage=1.0,
             cold_slack=0.0,
             grace_seconds=6.0,
+            revocation_seconds=self.revocation_seconds,
         )
 
     async def ask(self, port: int) -> tuple[str, bytes]:
@@ -105,6 +113,36 @@
         return 'wingquay_delegated_requests_total{side="sent"}' in page
 
 
+def with_tenants(document: bytes) -> RoutingTable:
+    """Return a configuration as the platform's, with a tenant."""
+    plain = parse_configuration(document)
+    assert isinstance(plain, RoutingTable)
+    tenants = TenantDirectory((Tenant("blue", ("key",)),))
+    return RoutingTable(plain.version, plain.routes, plain.services, plain.limits, tenants)
+
+
+class ProofTest(TestCase):
+    @mock.patch("wingquay.platform.node.parse_configuration", with_tenants)
+    def test_nodes_prove_the_configuration_to_each_other(self) -> None:
+        async def test() -> None:
+            async with Group(revocation_seconds=5.0) as group, asyncio.timeout(PATIENCE_SECONDS):
+                loop = asyncio.get_running_loop()
+                machines = [node._machine for node in group.nodes]
+                while not all(item.proof.is_proven(loop.time()) for item in machines):
+                    await asyncio.sleep(0.05)
+                asks = [machine._keeper._asks for machine in machines]
+                while not all(
+                    len(item._asked) == NODES - 1
+                    and all(asked.given_at > 0.0 for asked in item._asked.values())
+                    for item in asks
+                ):
+                    await asyncio.sleep(0.05)
+                ages = [machine._keeper.age_seconds(loop.time()) for machine in machines]
+                self.assertTrue(all(0.0 <= age for age in ages), ages)
+
+        run(test())
+
+
 class GroupTest(TestCase):
     def test_a_wide_request_is_answered_whole_by_the_group(self) -> None:
         async def test() -> None:
