--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -135,6 +135,7 @@
     target.in_time_seconds = message.in_time_seconds
     target.remaining_seconds = message.remaining_seconds
     target.is_group_share = message.is_group_share
+    target.tenant = message.tenant
 
 
 def _request_from(message: peer_pb2.DelegatedRequest) -> DelegatedRequest:
@@ -151,6 +152,7 @@
         message.in_time_seconds,
         message.remaining_seconds,
         message.is_group_share,
+        message.tenant,
     )
 
 
@@ -197,7 +199,7 @@
     target.is_cleared = message.is_cleared
     for end in message.ends:
         target.ends.add(
-            replica_id=end.replica_id,
+            replica_id=end.life,
             node_id=end.node_id,
             sent_seconds=end.sent_seconds,
             ended_seconds=end.ended_seconds,
--- a/wingquay/forwarding/crashing/guard.py
+++ b/wingquay/forwarding/crashing/guard.py
@@ -65,19 +65,19 @@
         self.write: Callable[[bytes, HeldRequest, float], list[Action]] = _nothing_written
         """Lets nodes that start later know of a request that is held back."""
 
-    def verdict(self, request: OpaqueRequest, now: float) -> Verdict:
-        """Return how a request that has arrived is to be treated."""
+    def verdict(self, request: OpaqueRequest, now: float, tenant: str = "") -> Verdict:
+        """Return how a request that has arrived, of a tenant if it is known, is to be treated."""
         if not len(self._suspects):
             return Verdict.USUAL
-        return self._suspects.verdict(identity_of(request), now)
+        return self._suspects.verdict(identity_of(request, tenant), now)
 
     def held_seconds(self, identity: bytes, now: float) -> float:
         """Return how much longer a request is held back."""
         return self._suspects.held_seconds(identity, now)
 
-    def refused(self, event: ForwardRequested, now: float) -> list[Action]:
+    def refused(self, identity: bytes, event: ForwardRequested, now: float) -> list[Action]:
         """Take in that a request that is held back has come again: nodes that start must know."""
-        return self._write(identity_of(event.request), event, now)
+        return self._write(identity, event, now)
 
     # Evidence of this node
 
@@ -90,6 +90,10 @@
         if exchange.origin is not None:
             # The node that asked looks into it: it knows of all parts of the request.
             return []
+        if attempt.replica.is_over:
+            exchange.unexplained_ends -= 1
+            known = self._ends.known(attempt, now)
+            return [] if known is None else self._ended(known, now)
         return self._ends.lost(attempt, now)
 
     def connection_tried(
@@ -102,7 +106,7 @@
         actions: list[Action] = []
         found = self._ends.tried(event)
         for lost in found:
-            if event.is_refused:
+            if event.is_refused or lost.replica.is_over:
                 actions += self._ended(lost, now)
             elif event.is_open:
                 lost.exchange.unexplained_ends -= 1
@@ -117,7 +121,7 @@
             return []
         fields = (
             *_fields(exchange),
-            ("replica", lost.end.replica_id),
+            ("replica", lost.end.life),
             ("ends", self._ends_known(exchange.identity)),
         )
         actions: list[Action] = [
@@ -249,13 +253,13 @@
 
 
 def _told(end: ReplicaEnd, now: float) -> ToldEnd:
-    return ToldEnd(end.replica_id, end.node_id, now - end.sent_at, now - end.ended_at)
+    return ToldEnd(end.life, end.node_id, now - end.sent_at, now - end.ended_at)
 
 
 def _ends_of(news: CrashNews, told_at: float) -> list[ReplicaEnd]:
     return [
         ReplicaEnd(
-            end.replica_id,
+            end.life,
             end.node_id,
             told_at - end.sent_seconds,
             told_at - end.ended_seconds,
@@ -272,6 +276,7 @@
         ("route", exchange.route.name),
         ("target", _target_text(event)),
         ("caller", event.caller),
+        *exchange.tenant_fields,
     )
 
 
