--- a/tests/forwarding/test_proof_asking.py
+++ b/tests/forwarding/test_proof_asking.py
@@ -224,6 +224,14 @@
         asked = [name for name, _ in asks_in(node.actions[before:])]
         self.assertEqual([OTHERS[0].node_id], asked)
 
+    def test_a_node_that_tells_news_unasked_is_asked(self) -> None:
+        node = self.listener()
+        before = len(node.actions)
+        news = StoreNews(node.store_revision, node.store_revision)
+        node.emit(PeerReceived(ASKED, news))
+        asked = [name for name, _ in asks_in(node.actions[before:])]
+        self.assertEqual([ASKED.node_id], asked)
+
     def test_without_the_bound_nothing_is_asked_or_answered(self) -> None:
         node = OneNode()
         node.start(tenants_table(1), replica("r0", "s"))
