--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -219,7 +219,7 @@
                 actions = self._members.link_opened(event, self._table, now)
                 self._forwarding.enable_peers(self._members.groups)
                 self._reach.enable_peers(self._members.groups)
-                return actions
+                return [*actions, *self._keeper.sweep(self._members.listeners, now)]
         return []
 
     def _store_event(self, event: Event, now: float) -> list[Action]:
--- a/wingquay/forwarding/knowledge/news_exchange.py
+++ b/wingquay/forwarding/knowledge/news_exchange.py
@@ -84,10 +84,10 @@
         self, sender: NodeIdentity, message: AskProof | ProofGiven, now: float
     ) -> list[Action]:
         """Take in that another node asks, or what its look proves; then put the own look off."""
+        known_revision = self._follower.known_revision
         if isinstance(message, AskProof):
-            self._keeper.asked(sender, message, now)
-            return []
-        actions = self._keeper.given(sender, message, self._follower.known_revision, now)
+            return self._keeper.asked(sender, message, known_revision, now)
+        actions = self._keeper.given(sender, message, known_revision, now)
         pause_seconds = self._usual_pause_seconds - self._keeper.age_seconds(now)
         return [*actions, *self._follower.put_off(pause_seconds, now)]
 
