--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -54,6 +54,7 @@
 from .readiness.departure import Departure
 from .readiness.reach import Reach
 from .readiness.taking_callers import ReadyDue, StopCheckDue, TakingCallers
+from .sending.waiting_settings import DEFAULT_WAITING, WaitingSettings
 from .settings import ForwardingSettings
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
@@ -71,6 +72,8 @@
         This node's name, which no other node has.
     limits
         What may run of tenants whose requests the configuration limits.
+    waiting
+        How requests wait.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         formats: StoreFormats,
         random_source: random.Random,
         limits: LimitSettings | None = None,
+        waiting: WaitingSettings = DEFAULT_WAITING,
     ) -> None:
         self._settings = settings
         self._formats = formats
@@ -102,6 +106,7 @@
             random_source,
             key,
             name,
+            waiting,
         )
         self._forwarding.admission.proof = self._keeper.proof
         guard = self._forwarding.guard
@@ -214,7 +219,7 @@
                 actions = self._members.link_opened(event, self._table, now)
                 self._forwarding.enable_peers(self._members.groups)
                 self._reach.enable_peers(self._members.groups)
-                return actions
+                return [*actions, *self._keeper.sweep(self._members.listeners, now)]
         return []
 
     def _store_event(self, event: Event, now: float) -> list[Action]:
--- a/wingquay/forwarding/sending/call_line.py
+++ b/wingquay/forwarding/sending/call_line.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Callable, Container
 
-from ...routing.fair_line import FairLine, Place
+from ...routing.fair_line import FairLine
+from ...routing.line_place import Place
 from ..exchange import Exchange, ServiceCall
 from .latencies import RouteLatencies
 
@@ -15,6 +16,10 @@
 as callers wait at most, so that one whose burst has just used the service stands behind those whose
 callers came meanwhile, and one that was busy a minute ago does not."""
 
+MOST_COUNTED = 64
+"""Calls of a line up to which each is looked at to tell how many go before one: each of them looks
+some ten times a second, and the answers of replicas must not wait for that."""
+
 
 class CallLine:
     """Calls that wait.
@@ -39,8 +44,12 @@
             self._line(call.service).push(call, now)
 
     def charge(self, call: ServiceCall, now: float) -> None:
-        """Take in that a call was sent without waiting; callers that are all one share nothing."""
-        if tenant_of(call.exchange):
+        """Take in that a call was sent without waiting.
+
+        Callers that are all one share nothing, and parts of merged answers hardly ever wait: each
+        request has one at every shard, which would all remember its tenant.
+        """
+        if not call.exchange.route.shards and tenant_of(call.exchange):
             self._line(call.service).charge(call, now)
 
     def has_any(self, service: str) -> bool:
@@ -68,6 +77,8 @@
         line = self._lines.get(call.service)
         if line is None or not len(line):
             return 0
+        if len(line) > MOST_COUNTED:
+            return line.ahead_of(call, now)
         return line.ahead_of(call, now, lambda other: self._can_be_in_time(other, now))
 
     def oldest_seconds(self, now: float) -> float:
@@ -78,7 +89,7 @@
 
     def _can_be_in_time(self, call: ServiceCall, now: float) -> bool:
         exchange = call.exchange
-        return now + self._latencies.usual_seconds(exchange.route) <= exchange.in_time_at
+        return now + self._latencies.work_seconds(exchange.route) <= exchange.in_time_at
 
     def _line(self, service: str) -> FairLine[ServiceCall]:
         line = self._lines.get(service)
@@ -89,7 +100,7 @@
 
     def _place_of(self, call: ServiceCall) -> Place:
         exchange = call.exchange
-        cost = self._latencies.usual_seconds(exchange.route)
+        cost = self._latencies.work_seconds(exchange.route)
         return Place(exchange.route.priority, tenant_of(exchange), cost=cost)
 
 
--- a/wingquay/forwarding/sending/shares.py
+++ b/wingquay/forwarding/sending/shares.py
@@ -8,7 +8,9 @@
 from ..knowledge.presence import NodeCount
 from ..settings import ForwardingSettings
 from .arrival_budget import OWNERS_RESERVE, STEP_IN_PACE, ArrivalBudget
+from .call_line import tenant_of
 from .cold_share import ColdShare
+from .extra_turns import ExtraTurns
 from .waiting_settings import LinePlace, WaitingSettings
 
 DEFAULT_CONNECTION_LIMIT = 24
@@ -51,18 +53,27 @@
         self._directory = directory
         self._nodes = nodes
         self._budgets: dict[str, ArrivalBudget] = {}
+        self._turns: dict[str, ExtraTurns] = {}
         self._first_sent_at: float | None = None
         self.placement: SharesShards | None = None
         """Who asks which shard, once shards are divided among nodes."""
 
-    def earn(self, service: str) -> None:
+    def earn(self, service: str, now: float) -> None:
         """Take in a request for a service: it earns extra arrivals there."""
-        self._budget(service).earn()
+        self._budget(service).earn(now)
 
     def may_arrive_again(self, call: ServiceCall, now: float) -> bool:
-        """Take one extra arrival; ``False`` if the budget does not allow it."""
+        """Take one extra arrival; ``False`` if the budget or another tenant's turn forbids it."""
+        tenant = tenant_of(call.exchange)
         nodes, pace = self._budget_part(call, now)
-        return self._budget(call.service).spend(nodes, now, pace)
+        if not tenant:
+            return self._budget(call.service).spend(nodes, now, pace)
+        turns = self._turns.setdefault(call.service, ExtraTurns())
+        if turns.is_turn_of(tenant, now) and self._budget(call.service).spend(nodes, now, pace):
+            turns.took(tenant, now)
+            return True
+        turns.wanted(tenant, now)
+        return False
 
     def repeat_at(self, call: ServiceCall, now: float) -> float:
         """Return when the budget will allow one extra arrival, if no request earns one before."""
@@ -91,7 +102,7 @@
         connections = self.connections(call, now)
         if not self._waits_here(call):
             return connections
-        return min(connections, max(1, replica.record.slots) + self._waiting.surplus)
+        return min(connections, self._filled(replica))
 
     def full(self, call: ServiceCall, now: float) -> set[str]:
         """Return the lives of the replicas for which a call is to wait here, in line."""
@@ -100,9 +111,13 @@
         return {
             state.life
             for state in self._directory.usable(call.service, now)
-            if len(state.in_flight) >= max(1, state.record.slots) + self._waiting.surplus
+            if len(state.in_flight) >= self._filled(state)
         }
 
+    def _filled(self, replica: ReplicaState) -> int:
+        slots = replica.known_slots
+        return slots + max(1, int(slots * self._waiting.surplus_ratio))
+
     def _waits_here(self, call: ServiceCall) -> bool:
         # A part of a merged answer has no time to wait: its replica may be free by when it arrives.
         return self._waiting.line is LinePlace.NODE and not call.exchange.route.shards
