--- a/wingquay/forwarding/choice/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -2,11 +2,11 @@
 
 import random
 from collections.abc import Container, Iterable
-from dataclasses import replace
 
 from ...model.replica_record import ReplicaRecord
 from ..settings import ChoiceWay, ForwardingSettings
 from .completion import Task, expected_seconds
+from .known_lives import KnownLives
 from .prospects import prospect_of
 from .replica_state import ReplicaState
 from .replica_trials import ReplicaTrials
@@ -26,11 +26,8 @@
     def __init__(self, settings: ForwardingSettings, random_source: random.Random) -> None:
         self._settings = settings
         self._random = random_source
-        self._states: dict[str, ReplicaState] = {}
+        self._known = KnownLives()
         self._trials = ReplicaTrials(settings)
-        self._by_service: dict[str, dict[str, ReplicaState]] = {}
-        self._renewed_at: dict[str, float] = {}
-        """When a replica of a service last started again under its id."""
         self._outage_ended_at = float("-inf")
         self._listed_at: float | None = None
         self._contradicted_at = float("-inf")
@@ -43,20 +40,19 @@
 
     def __len__(self) -> int:
         """Return the number of replicas known."""
-        return len(self._states)
+        return len(self._known)
 
     def get(self, replica_id: str) -> ReplicaState | None:
         """Return the state of a replica."""
-        return self._states.get(replica_id)
+        return self._known.get(replica_id)
 
     def of_life(self, life: str) -> ReplicaState | None:
         """Return the state of a life of a replica; ``None``: it is not known, or over."""
-        state = self._states.get(life.partition(" ")[0])
-        return state if state is not None and state.life == life else None
+        return self._known.of_life(life)
 
     def holds(self, record: ReplicaRecord) -> bool:
         """Whether just this is known of a replica, and its record is there."""
-        state = self._states.get(record.replica_id)
+        state = self._known.get(record.replica_id)
         return state is not None and state.vanished_at is None and state.record == record
 
     def put(self, record: ReplicaRecord, now: float, revision: int = 0) -> ReplicaState | None:
@@ -71,35 +67,7 @@
         revision
             The store's revision of the record.
         """
-        state = self._states.get(record.replica_id)
-        if state is None:
-            self._begin(record, now, revision)
-            return None
-        if revision < state.revision:
-            return None
-        if record.born is None and state.record.born is not None:
-            # It says nothing of lives: the one that is known goes on.
-            record = replace(record, born=state.record.born)
-        if state.life != record.life:
-            self.remove(record.replica_id)
-            state.is_over = True
-            self._renewed_at[state.record.service] = now
-            self._begin(record, now, revision)
-            return state
-        if state.record.service != record.service:
-            self._take_out(state)
-            self._by_service.setdefault(record.service, {})[record.replica_id] = state
-        if state.record.cold_seconds != record.cold_seconds:
-            state.recorded_at = now
-        state.record = record
-        state.revision = revision
-        state.vanished_at = None
-        return None
-
-    def _begin(self, record: ReplicaRecord, now: float, revision: int) -> None:
-        state = ReplicaState(record, now, revision)
-        self._states[record.replica_id] = state
-        self._by_service.setdefault(record.service, {})[record.replica_id] = state
+        return self._known.put(record, now, revision)
 
     def vanish(self, replica_id: str, now: float, revision: int | None = None) -> None:
         """Take in that a record is gone.
@@ -109,12 +77,7 @@
         revision
             The store's revision by which it was; ``None``: it is gone now.
         """
-        state = self._states.get(replica_id)
-        if state is None or (revision is not None and revision < state.revision):
-            return
-        state.revision = state.revision if revision is None else revision
-        if state.vanished_at is None:
-            state.vanished_at = now
+        self._known.vanish(replica_id, now, revision)
 
     def keep_only(
         self, replica_ids: Container[str], now: float, revision: int | None = None
@@ -122,22 +85,15 @@
         """Take in a whole listing: what is not in it has vanished."""
         if self._listed_at is None:
             self._listed_at = now
-        for replica_id in self._states:
-            if replica_id not in replica_ids:
-                self.vanish(replica_id, now, revision)
+        for state in self._known:
+            if state.record.replica_id not in replica_ids:
+                self.vanish(state.record.replica_id, now, revision)
 
     def remove(self, replica_id: str) -> None:
         """Forget a replica that certainly is gone."""
-        state = self._states.pop(replica_id, None)
+        state = self._known.get(replica_id)
         if state is not None:
-            self._take_out(state)
-
-    def _take_out(self, state: ReplicaState) -> None:
-        service = state.record.service
-        del self._by_service[service][state.record.replica_id]
-        if not self._by_service[service]:
-            del self._by_service[service]
-            self._renewed_at.pop(service, None)
+            self._known.remove(state)
 
     def evacuate(self, zones: frozenset[str]) -> None:
         """Take in the zones whose replicas must get nothing, until they are taken back."""
@@ -146,8 +102,7 @@
     def contradict(self, state: ReplicaState, now: float) -> None:
         """Take in that another replica answers at a replica's address: its record is old."""
         self._contradicted_at = now
-        if self._states.get(state.record.replica_id) is state:
-            self.remove(state.record.replica_id)
+        self._known.remove(state)
 
     def is_contradicted(self, now: float) -> bool:
         """Whether a replica has just shown that records are old."""
@@ -175,7 +130,7 @@
 
     def has_present(self, service: str) -> bool:
         """Whether a record of a replica of the service is there."""
-        states = self._by_service.get(service, {}).values()
+        states = self._known.of_service(service)
         return any(state.vanished_at is None for state in states)
 
     def zones_of(self, service: str, now: float) -> set[str]:
@@ -185,7 +140,7 @@
     def by_zone(self, now: float) -> dict[str, list[ReplicaState]]:
         """Return the replicas that may get work by zone, in the order of their ids."""
         found: dict[str, list[ReplicaState]] = {}
-        for service in self._by_service:
+        for service in self._known.services():
             for state in self._candidates(service, now):
                 found.setdefault(state.record.zone, []).append(state)
         for states in found.values():
@@ -194,7 +149,7 @@
 
     def services(self) -> set[str]:
         """Return the services of which a replica is known."""
-        return set(self._by_service)
+        return set(self._known.services())
 
     def usable(self, service: str, now: float) -> list[ReplicaState]:
         """Return the replicas of a service that may get work."""
@@ -202,17 +157,17 @@
 
     def replicas_of(self, service: str) -> int:
         """Return how many replicas of the service are known, whether they may get work or not."""
-        return len(self._by_service.get(service, {}))
+        return len(self._known.of_service(service))
 
     def is_renewed_since(self, service: str, moment: float) -> bool:
         """Whether a replica of the service has started again since a moment."""
-        return self._renewed_at.get(service, float("-inf")) >= moment
+        return self._known.is_renewed_since(service, moment)
 
     def forget_vanished(self, now: float) -> None:
         """Forget the replicas whose time of grace is over."""
-        for state in list(self._states.values()):
+        for state in self._known:
             if state.vanished_at is not None and not self._has_grace(state, now):
-                self.remove(state.record.replica_id)
+                self._known.remove(state)
 
     def has_usable(self, service: str, now: float) -> bool:
         """Whether a replica of the service may be asked and was not just out of reach."""
@@ -294,7 +249,7 @@
         """Return the replicas that may get work; vanished ones only if no other is left."""
         present: list[ReplicaState] = []
         vanished: list[ReplicaState] = []
-        for state in self._by_service.get(service, {}).values():
+        for state in self._known.of_service(service):
             if state.record.is_draining or state.record.zone in self._evacuated:
                 continue
             if state.vanished_at is None:
