--- a/tests/forwarding/test_tenants_at_other_nodes.py
+++ b/tests/forwarding/test_tenants_at_other_nodes.py
@@ -206,6 +206,7 @@
         assert isinstance(reply, ReplyFailure)
         self.assertIs(ForwardFailureKind.NOT_RUN, reply.kind)
         self.assertNotIn(("kiosk", 8), limits.asked)
+        self.assertEqual(("other", "held"), tenant_counts(node)[-1])
         ask(node, 9, OTHER_SECRET, "/one/crash")
         self.assertEqual(before + 1, len(node.all_sends))
 
--- a/wingquay/forwarding/request_arrival.py
+++ b/wingquay/forwarding/request_arrival.py
@@ -131,6 +131,8 @@
         identity = identity_of(event.request, name)
         held_seconds = self._guard.held_seconds(identity, now)
         refused = self._ending.refuse_arrival(event, HELD_REASON, held_seconds, name)
+        if arrival.tenant is not None:
+            refused.append(self._counts.count(name, "held"))
         return [*refused, *self._guard.refused(identity, event, now)]
 
     # Waiting for word on a tenant's limit
