--- a/wingquay/forwarding/request_arrival.py
+++ b/wingquay/forwarding/request_arrival.py
@@ -111,12 +111,14 @@
         tenant = arrival.tenant
         if tenant is None:
             return self._open(arrival, verdict, now)
-        answer = self.admission.count(tenant, arrival.event.exchange_id, now)
-        if isinstance(answer, AwaitsLimit):
-            return self._keep(arrival, now)
-        if isinstance(answer, Rejected):
-            return self._reject(arrival.event, answer, tenant.name)
-        return [self._counts.count(tenant.name, "allowed"), *self._open(arrival, verdict, now)]
+        match self.admission.count(tenant, arrival.event.exchange_id, now):
+            case AwaitsLimit():
+                return self._keep(arrival, now)
+            case Rejected() as rejected:
+                return self._reject(arrival.event, rejected, tenant.name)
+            case Admitted():
+                allowed = self._counts.count(tenant.name, "allowed")
+                return [allowed, *self._open(arrival, verdict, now)]
 
     def _open(self, arrival: Arrival, verdict: Verdict, now: float) -> list[Action]:
         return self._opening.open(arrival, verdict is Verdict.SUSPECT, now)
