Spend no connection on zones that answer, and draw cuts between all zones

Cause: a node that was away tried its own zone each 0.25 s, and zones that had answered while it waited for its least time: each such try is a connection at a replica. A decision without the zone that stays passed the stateful test, which drew cuts between all zones too rarely. Change: the own side is tried until it has answered, another zone again after 0.9 s; a rule cuts all zones from each other.

--- a/tests/forwarding/readiness/test_stateful.py
+++ b/tests/forwarding/readiness/test_stateful.py
@@ -70,6 +70,14 @@
         self.store_side = store_side
         self.load(0.4)
 
+    @rule(store_zone=st.sampled_from(ZONES), kind=st.sampled_from(CutKind))
+    def cut_all_zones(self, store_zone: str, kind: CutKind) -> None:
+        """Cut all zones from each other; one of them keeps the store."""
+        self.fleet.kind = kind
+        self.sides = {zone: number for number, zone in enumerate(ZONES)}
+        self.store_side = self.sides[store_zone]
+        self.look()
+
     @rule(zone=st.sampled_from(ZONES), with_store=st.booleans(), kind=st.sampled_from(CutKind))
     def cut_one_zone(self, zone: str, with_store: bool, kind: CutKind) -> None:
         """Cut one zone from all others, as happens most."""
--- a/wingquay/forwarding/readiness/zone_watch.py
+++ b/wingquay/forwarding/readiness/zone_watch.py
@@ -28,6 +28,9 @@
 """Connections tried in each zone in a round; one alone may meet a replica that has just ended."""
 FRESH_SECONDS = 0.5
 """Time for which it is not looked into again that a zone has answered."""
+ANSWERED_SECONDS = 0.9
+"""Time for which a zone that has answered is not tried again while this node waits for its least
+time away: each try that succeeds is a connection at a replica."""
 CONTRADICTION_SECONDS = 1.5
 """Time for which the word of a node that reaches other zones counts: some rounds of its own."""
 VOUCHED_SECONDS = 8.0
@@ -165,7 +168,8 @@
         self._replicas = self._directory.by_zone(now)
         actions: list[Action] = []
         for zone in sorted(self._replicas):
-            actions += self._tries(zone)
+            if not self._is_settled(zone, now):
+                actions += self._tries(zone)
         return [*actions, self._round_until(now + seconds)]
 
     def is_present(self, event: ReachCheckDue) -> bool:
@@ -244,6 +248,16 @@
         self._round_ends_at = due_at
         return Schedule(due_at, ReachCheckDue(self._round, due_at))
 
+    def _is_settled(self, zone: str, now: float) -> bool:
+        """Whether no connection need be spent on a zone, as far as it has answered.
+
+        That the own side is in reach is asked once; the others may be lost again.
+        """
+        heard_at = self._of(zone).heard_at
+        if zone == self._zone:
+            return heard_at >= self.began_at
+        return now - heard_at < ANSWERED_SECONDS
+
     def _is_silent(self, zone: str) -> bool:
         """Whether the latest tries in a zone all failed."""
         tries = min(TRIES, len(self._replicas.get(zone, [])))
