--- a/tests/forwarding/readiness/test_cut_zone.py
+++ b/tests/forwarding/readiness/test_cut_zone.py
@@ -12,7 +12,7 @@
     spread_replicas,
 )
 from wingquay.ports.forwarding import OpenConnection, ReplyFailure, ReplyMerged
-from wingquay.ports.peer_link import SendToPeer
+from wingquay.ports.peer_link import PeerLinkBroken, SendToPeer
 from wingquay.ports.reach_news import ReachNews
 
 ZONES = ("a", "b", "c", "d")
@@ -340,6 +340,11 @@
             fleet = wide_fleet(leaves_when_cut_off=is_on)
             busy(fleet, 3.0)
             fleet.dead = {fleet.records[0].replica_id}
+            for node in fleet.nodes:
+                # Nodes of the own zone that start anew are an everyday matter, too.
+                for other in fleet.of(node.zone):
+                    if other is not node:
+                        node.emit(PeerLinkBroken(other.name, "the node ended"))
             busy(fleet, 3.0)
             actions = [action for node in fleet.nodes for action in node.actions]
             counts[is_on] = sum(isinstance(action, OpenConnection) for action in actions)
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -241,6 +241,15 @@
                 self.assertIn(f"store.{name}", failure.reason)
                 self.assertIn("allowed", failure.reason)
 
+    def test_whether_a_node_that_is_cut_off_leaves_its_callers(self) -> None:
+        for text, leaves in (("", True), ('"true"', True), ('"false"', False), ("false", None)):
+            line = f"[node]\nleaves_when_cut_off = {text}\n" if text else "[node]\n"
+            settings = parse_settings(SETTINGS.replace("[node]\n", line, 1))
+            if leaves is None:
+                self.assertIn("node.leaves_when_cut_off", str(settings))
+            else:
+                self.assertIs(leaves, settings.leaves_when_cut_off)
+
     def with_bound(self, name: str, text: str) -> str:
         """Return the settings with one more bound of the store."""
         line = f"configuration_ms = 5000\n{name} = {text}"
--- a/wingquay/forwarding/knowledge/node_groups.py
+++ b/wingquay/forwarding/knowledge/node_groups.py
@@ -121,9 +121,8 @@
         """
         for name in [name for name, item in self._departed.items() if item.node_id == node_id]:
             del self._departed[name]
+        self._tell(node_id, now)
         for member in self._members.values():
-            if member.record.identity.node_id == node_id and self.evidence is not None:
-                self.evidence.failed(member.record.identity.zone, f"node {node_id}", now)
             if member.record.identity.node_id == node_id and now >= member.suspect_until:
                 settings = self._settings
                 first = settings.node_absent_seconds if is_absent else settings.node_suspect_seconds
@@ -134,6 +133,18 @@
                 self._valid_until = min(self._valid_until, member.suspect_until)
                 self._changed()
 
+    def _tell(self, node_id: str, now: float) -> None:
+        """Take a node of another zone for a sign that the zone is out of reach.
+
+        Nodes of the own zone are none: they start anew every day, and all would look into it.
+        """
+        if self.evidence is None:
+            return
+        for member in self._members.values():
+            identity = member.record.identity
+            if identity.node_id == node_id and identity.zone != self._settings.zone:
+                self.evidence.failed(identity.zone, f"node {node_id}", now)
+
     def trust(self, node_id: str) -> None:
         """Take in that a node has answered: it is there, however late it was."""
         for member in self._members.values():
--- a/wingquay/forwarding/readiness/reach.py
+++ b/wingquay/forwarding/readiness/reach.py
@@ -8,7 +8,7 @@
 from ...ports.machine import Action, Count, Event, Log, LogLevel
 from ...ports.peer_link import PeerReceived
 from ...ports.reach_news import ReachNews
-from ...ports.store import StoreResponse, WatchBroken, WatchChanged
+from ...ports.store import StoreFailureKind, StoreResponse, WatchBroken, WatchChanged
 from ..choice.replica_directory import ReplicaDirectory
 from ..knowledge.reach_evidence import ReachEvidence
 from ..settings import ForwardingSettings
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from ..knowledge.node_groups import NodeGroups
 
+SILENT_STORE = (StoreFailureKind.UNREACHABLE, StoreFailureKind.LOST_REPLY)
+"""How calls to a store that is out of reach end; one that refuses a call has answered."""
 LATE_SECONDS = 0.15
 """Lateness of this node from which on the tries of a round tell more of itself than of zones."""
 
@@ -129,7 +131,8 @@
             case WatchBroken(history_lost=history_lost):
                 self._is_store_away = not history_lost
             case StoreResponse(result=result):
-                self._is_store_away = isinstance(result, Failure)
+                kind = result.kind if isinstance(result, Failure) else None
+                self._is_store_away = kind in SILENT_STORE
 
     def _round_over(self, event: ReachCheckDue, now: float) -> list[Action]:
         if not self._watch.is_present(event):
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -110,6 +110,7 @@
             ForwardingSettings(
                 zone=settings.zone,
                 zones=settings.zones,
+                leaves_when_cut_off=settings.leaves_when_cut_off,
                 processor=settings.processor,
                 cold_overage=settings.cold_overage,
                 cold_slack=settings.cold_slack,
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -80,6 +80,8 @@
     limit_window_seconds, limit_overage, limit_slack
         Requests of a tenant that run on all nodes in a window of that length: what its limit allows
         times one more than the second figure, plus the third, at most.
+    leaves_when_cut_off
+        Whether the node leaves its callers to other zones while it has lost them.
     """
 
     node: str
@@ -107,6 +109,7 @@
     limit_window_seconds: float = 5.0
     limit_overage: float = 0.0
     limit_slack: float = 0.0
+    leaves_when_cut_off: bool = True
 
 
 def parse_settings(text: str) -> PlatformSettings | Failure[SettingsFailureKind]:
@@ -153,9 +156,21 @@
         limit_window_seconds=_optional_number(document, "limits.window_seconds", 5.0),
         limit_overage=_optional_number(document, "limits.overage", 0.0),
         limit_slack=_optional_number(document, "limits.slack", 0.0),
+        leaves_when_cut_off=_leaves_when_cut_off(document),
     )
 
 
+def _leaves_when_cut_off(document: Mapping[str, Any]) -> bool:
+    """Return whether the node leaves callers to other zones; it does if the field is missing."""
+    found = _find(document, "node.leaves_when_cut_off")
+    if found in (None, "", "true"):
+        return True
+    if found != "false":
+        reason = f"node.leaves_when_cut_off is {found!r}; allowed: true or false, in quotes"
+        raise _InvalidError(reason)
+    return False
+
+
 def _revocation_seconds(document: Mapping[str, Any]) -> float | None:
     """Return the bound for keys that are taken away, if the platform asks for it."""
     is_strict = _find(document, "store.strict_revocation")
