--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -11,6 +11,8 @@
 
 OUTAGE_SECONDS = (0.3, 7.0)
 """An outage of the store, or of a node's way to it, takes a time between these."""
+CUT_SECONDS = (2.0, 7.0)
+"""A zone is cut off for a time between these."""
 SUSPENDED_SECONDS = (1.0, 3.0, 8.0, 30.0)
 CRASHING_ROUTES = ("sweep", "check", "fetch", "edit")
 """First words of the paths of requests that may end replicas."""
@@ -170,6 +172,12 @@
     simulation.callers.repeat(path, chance.randint(4, 9), chance.uniform(0.5, 4.5), chance)
 
 
+def zone_cut_off(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Cut a zone off from the others and from the store for some seconds."""
+    zone = f"zone-{chance.randrange(simulation.settings.zones)}"
+    simulation.cut_zone(zone, chance.uniform(*CUT_SECONDS))
+
+
 def node_suspended(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Suspend a node for seconds."""
     number = chance.randrange(simulation.settings.nodes)
@@ -204,6 +212,8 @@
 It stays as it is, so that a seed that has shown something shows it again."""
 LATER_FAULTS: tuple[SimulatedFault, ...] = (crashing_request, node_suspended)
 """Faults that are drawn besides by runs that say so."""
+ZONE_FAULTS: tuple[SimulatedFault, ...] = (zone_cut_off,)
+"""Faults of runs in which more than two zones hold replicas."""
 
 
 def play(
--- a/wingquay/simulation/forwarding/node_links.py
+++ b/wingquay/simulation/forwarding/node_links.py
@@ -14,6 +14,7 @@
     SendToPeer,
 )
 from ..virtual_clock import VirtualClock
+from .zone_cuts import ZoneCuts
 
 PORT = 7
 Emit = Callable[[Event], None]
@@ -37,11 +38,15 @@
     ----------
     delay_seconds
         Time that a message takes.
+    cuts
+        Zones between which messages are held up.
     """
 
-    def __init__(self, clock: VirtualClock, delay_seconds: float) -> None:
+    def __init__(self, clock: VirtualClock, delay_seconds: float, cuts: ZoneCuts) -> None:
         self._clock = clock
         self._delay_seconds = delay_seconds
+        self._cuts = cuts
+        self._zones: dict[int, str] = {}
         self._ends: dict[NodeId, _End] = {}
         self.cut: set[int] = set()
         """Nodes whose messages are held up, in both directions."""
@@ -50,6 +55,7 @@
     def open(self, number: int, zone: str, emit: Emit) -> None:
         """Let a node listen and tell it where; it keeps its id over its lives."""
         node_id = NodeId(f"node-{number}")
+        self._zones[number] = zone
         identity = NodeIdentity(node_id, DeploymentName(""), ZoneName(zone), f"node-{number}", PORT)
         self._ends[node_id] = _End(number, identity, emit)
         self._clock.after(self._delay_seconds, emit, PeerLinkOpened(identity))
@@ -78,12 +84,17 @@
     def heal(self, number: int) -> None:
         """Let the messages of a node through again, also those that were held up."""
         self.cut.discard(number)
+        self.release()
+
+    def release(self) -> None:
+        """Carry on what was held up, as far as nothing holds it up any more."""
         held, self._held = self._held, []
         for sender, receiver, arrive in held:
             self._carry(sender, receiver, arrive)
 
     def _carry(self, sender: int, receiver: int, arrive: Callable[[], None]) -> None:
-        if sender in self.cut or receiver in self.cut:
+        zones = self._zones.get(sender, ""), self._zones.get(receiver, "")
+        if sender in self.cut or receiver in self.cut or self._cuts.separates(*zones):
             self._held.append((sender, receiver, arrive))
             return
         self._clock.after(self._delay_seconds, arrive)
--- a/wingquay/simulation/forwarding/routes.py
+++ b/wingquay/simulation/forwarding/routes.py
@@ -16,11 +16,13 @@
 CONNECTIONS = 26
 
 
-def routing_table(version: int, shards: Sequence[str], limit_seconds: float) -> RoutingTable:
+def routing_table(
+    version: int, shards: Sequence[str], limit_seconds: float, sweep_least_share: float
+) -> RoutingTable:
     """Return a configuration over a set of shards."""
     names = tuple(shards)
     routes = (
-        _sharded("sweep", names, 0.12, 0.66, limit_seconds),
+        _sharded("sweep", names, 0.12, sweep_least_share, limit_seconds),
         _sharded("check", names, 0.06, 0.5, limit_seconds),
         _single("fetch", SINGLE_SERVICE, True),
         _single("edit", EDIT_SERVICE, False),
--- a/wingquay/simulation/forwarding/settings.py
+++ b/wingquay/simulation/forwarding/settings.py
@@ -27,7 +27,13 @@
     late_reply_seconds
         How long after its route's time limit a request may still be without a reply.
     zones
-        Zones among which nodes are divided; the first two hold replicas.
+        Zones among which nodes are divided.
+    replica_zones
+        How many of them, from the first on, hold replicas.
+    sweep_least_share
+        Share of the shards without which an answer to a sweep is no success.
+    leaves_when_cut_off
+        Whether nodes that have lost all other zones leave callers to those.
     delegate_least_shards
         Shards of a route from which on nodes ask each other for some of them.
     budget_ratio, budget_slack, budget_window_seconds
@@ -47,6 +53,9 @@
     pause_seconds: float = 0.15
     pause_every_seconds: float = 4.0
     zones: int = 2
+    replica_zones: int = 2
+    sweep_least_share: float = 0.66
+    leaves_when_cut_off: bool = True
     delegate_least_shards: int = 40
     drain_bound_seconds: float = 3.0
     evacuation_bound_seconds: float = 3.0
--- a/wingquay/simulation/forwarding/simulated_node.py
+++ b/wingquay/simulation/forwarding/simulated_node.py
@@ -57,7 +57,9 @@
         """Carry a request to the replica at its address, and the outcome back."""
         ...
 
-    def connect(self, record: ReplicaRecord, emit: Callable[[Event], None]) -> None:
+    def connect(
+        self, record: ReplicaRecord, emit: Callable[[Event], None], zone: str | None = None
+    ) -> None:
         """Try a connection to a replica and tell whether it came up."""
         ...
 
@@ -108,14 +110,16 @@
     def _settings(self) -> ForwardingSettings:
         settings = self._simulation.settings
         return ForwardingSettings(
-            zone=self._zone,
+            zone=self.zone,
             zones=tuple(f"zone-{number}" for number in range(settings.zones)),
             presence_delay_seconds=PRESENCE_DELAY_SECONDS,
             delegate_least_shards=settings.delegate_least_shards,
+            leaves_when_cut_off=settings.leaves_when_cut_off,
         )
 
     @property
-    def _zone(self) -> str:
+    def zone(self) -> str:
+        """The zone that it is in."""
         return f"zone-{self.number % self._simulation.settings.zones}"
 
     @property
@@ -161,7 +165,7 @@
             case CancelSend():
                 self._cancel(action)
             case OpenConnection():
-                simulation.connect(action.replica, self.emit)
+                simulation.connect(action.replica, self.emit, self.zone)
             case ReplyUnchanged() | ReplyMerged() | ReplyFailure():
                 self._reply(action)
             case SetForwarding():
@@ -177,7 +181,7 @@
         links = self._simulation.links
         match action:
             case OpenPeerLink():
-                links.open(self.number, self._zone, self.emit)
+                links.open(self.number, self.zone, self.emit)
             case SendToPeer():
                 links.send(self.number, action)
 
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -12,6 +12,7 @@
     ReplicaAnswered,
     ReplyFailure,
     SendFailed,
+    SendFailureKind,
     SendToReplica,
 )
 from ...ports.machine import Event, Exit, StopRequested, Woken
@@ -19,7 +20,7 @@
 from .callers import LEAD_SECONDS, Callers
 from .node_links import NodeLinks
 from .oracle import ForwardingOracle
-from .replica import ReplicaModel
+from .replica import CONNECT_SECONDS, ReplicaModel
 from .routes import (
     EDIT_SERVICE,
     SINGLE_SERVICE,
@@ -33,6 +34,7 @@
     SimulatedForwardingNode,
 )
 from .store import StoreModel
+from .zone_cuts import ZoneCuts
 
 SETTLE_SECONDS = 8.0
 """Time after the last request in which everything open must end."""
@@ -86,7 +88,8 @@
         self.clock = VirtualClock()
         self.oracle = ForwardingOracle(self.settings)
         self.store = StoreModel(self.clock)
-        self.links = NodeLinks(self.clock, settings.network_seconds)
+        self.cuts = ZoneCuts(self.clock)
+        self.links = NodeLinks(self.clock, settings.network_seconds, self.cuts)
         self.tables: dict[bytes, RoutingTable] = {}
         self.records: dict[bytes, ReplicaRecord] = {}
         self.crashing_targets: set[bytes] = set()
@@ -146,7 +149,7 @@
         """Start a replica and let it announce itself."""
         number = next(self._numbers)
         address = host or f"host-{number}"
-        zone = f"zone-{number % 2}"
+        zone = f"zone-{number % self.settings.replica_zones}"
         record = ReplicaRecord(
             f"{service}-{number}", service, address, 80, zone, self.settings.slots
         )
@@ -227,7 +230,9 @@
         """Write the next version; time limits change a little from one to the next."""
         self._version += self._random.randint(1, 3)
         limit_seconds = self._random.choice(LIMITS_SECONDS)
-        table = routing_table(self._version, self.shard_names, limit_seconds)
+        table = routing_table(
+            self._version, self.shard_names, limit_seconds, self.settings.sweep_least_share
+        )
         value = f"version {table.version}".encode()
         self.tables[value] = table
         self.store.put(CONFIGURATION_KEY, value)
@@ -283,6 +288,17 @@
         self.clock.after(seconds, self.links.heal, number)
         self.oracle.disturbed.append((self.clock.now, self.clock.now + seconds))
 
+    def cut_zone(self, zone: str, seconds: float) -> None:
+        """Cut a zone off from the others and from the store."""
+        self.cuts.cut(zone, seconds)
+        for node in self.nodes:
+            if node.zone == zone:
+                self.store.cut_off_node(node.number, seconds)
+        span = (self.clock.now, self.clock.now + seconds)
+        self.oracle.unstable.append(span)
+        self.oracle.disturbed.append(span)
+        self.clock.after(seconds, self.links.release)
+
     def stop_node(self, number: int) -> None:
         """Stop a node as planned."""
         self.nodes[number].emit(StopRequested())
@@ -301,17 +317,35 @@
         delay = self.settings.network_seconds
 
         def tell(outcome: ReplicaAnswered | SendFailed) -> None:
-            self.clock.after(delay, node.outcome, outcome, send.attempt_id)
+            if not self.cuts.separates(node.zone, send.replica.zone):
+                self.clock.after(delay, node.outcome, outcome, send.attempt_id)
 
         def arrive() -> None:
+            if self.cuts.separates(node.zone, send.replica.zone):
+                kind = SendFailureKind.NOT_SENT
+                failure = SendFailed(send.attempt_id, kind, "no connection")
+                self.clock.after(CONNECT_SECONDS, node.outcome, failure, send.attempt_id)
+                return
             replica = self._replicas.get(send.replica.host)
             if replica is not None and node.is_alive:
                 replica.receive(node.number, send, tell)
 
         self.clock.after(delay, arrive)
 
-    def connect(self, record: ReplicaRecord, emit: Callable[[Event], None]) -> None:
-        """Try a connection to a replica and tell whether it came up."""
+    def connect(
+        self, record: ReplicaRecord, emit: Callable[[Event], None], zone: str | None = None
+    ) -> None:
+        """Try a connection to a replica and tell whether it came up.
+
+        Parameters
+        ----------
+        zone
+            Where the connection comes from.
+        """
+        if self.cuts.separates(zone or record.zone, record.zone):
+            lost = ConnectionTried(record.replica_id, "no answer")
+            self.clock.after(CONNECT_SECONDS, emit, lost)
+            return
         replica = self._replicas.get(record.host)
         if replica is None or replica.record.replica_id != record.replica_id:
             emit_later = ConnectionTried(record.replica_id, "refused", True)
