Hold simulated nodes that do not reach the store to the time limits that they know

Ruled out: a reply that is missing (there is one). Change: while the store is in trouble the longest limit of the versions so far counts; in stable times the check is as before.

--- a/wingquay/simulation/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -180,13 +180,26 @@
         for request_id, request in self.requests.items():
             if request.route is None or request.left_at is not None:
                 continue
-            due_at = self._awake_at(request.node, request.at + request.route.timeout_seconds) + late
+            limit = self._limit_seconds(request, request.route)
+            due_at = self._awake_at(request.node, request.at + limit) + late
             if (request.replied_at or now) > due_at:
                 self._violated(f"{request_id}: no reply by its time limit")
         for service in self._arrivals:
             self._check_budget(service)
         self.violations += self.crashes.violations()
 
+    def _limit_seconds(self, request: _Request, route: Route) -> float:
+        """Return the time limit of a request, or the longest of those that its node may go by.
+
+        A node that does not reach the store goes by the configuration that it knows.
+        """
+        if self.is_stable(request.at, request.at):
+            return route.timeout_seconds
+        event = request.event
+        known = [table for taken, table in self.tables if taken <= request.at]
+        routes = [table.find(event.host, event.path) for table in known]
+        return max(item.timeout_seconds for item in routes if item is not None)
+
     def _awake_at(self, node: int, at: float) -> float:
         """Return the first moment from ``at`` on at which a node can act."""
         spans = sorted(self.suspended.get(node, ()))
