Count choices of replicas by place, pace and attempt, and compare replicas in a module of its own

An operator could not see how many sendings leave the zone, nor how many go to replicas known to be slow. `replica_choices_total` has two places, two paces and three kinds of attempt: twelve series at most. The directory had grown over 300 lines; `choice/best_replica.py` holds the comparison.

--- /dev/null
+++ b/wingquay/forwarding/choice/best_replica.py
@@ -0,0 +1,61 @@
+"""The best of several replicas for a request, by one of two ways."""
+
+import random
+from collections.abc import Iterable
+
+from ..settings import ChoiceWay, ForwardingSettings
+from .completion import Task, expected_seconds
+from .prospects import prospect_of
+from .replica_state import ReplicaState
+from .replica_trials import ReplicaTrials
+
+
+class BestReplica:
+    """Compares replicas.
+
+    Parameters
+    ----------
+    settings
+        The zone of this node and the way.
+    random_source
+        Breaks ties.
+    """
+
+    def __init__(self, settings: ForwardingSettings, random_source: random.Random) -> None:
+        self._settings = settings
+        self._random = random_source
+        self._trials = ReplicaTrials(settings)
+
+    def of(
+        self,
+        states: Iterable[ReplicaState],
+        now: float,
+        prefers_proven: bool,
+        is_owned: bool,
+        task: Task | None,
+    ) -> ReplicaState:
+        """Return the best of some replicas, which is asked then.
+
+        Parameters
+        ----------
+        prefers_proven
+            Whether a replica that answered well lately goes before one of which nothing is known.
+        is_owned
+            Whether the nodes of a group leave the service to this node.
+        task
+            What of the request matters; without it replicas are compared by factors.
+        """
+        zone = self._settings.zone
+        by_completion = self._settings.choice_way is ChoiceWay.COMPLETION
+
+        def rank(state: ReplicaState) -> tuple[float, float]:
+            may_try = self._trials.is_allowed(state, now)
+            if task is not None and by_completion:
+                prospect = prospect_of(state, now, zone, prefers_proven, may_try)
+                return expected_seconds(task, prospect, is_owned), self._random.random()
+            cost = state.cost(now, zone, prefers_proven, is_owned, may_try)
+            return cost, self._random.random()
+
+        best = min(states, key=rank)
+        self._trials.chosen(best, now)
+        return best
--- a/wingquay/forwarding/choice/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -1,14 +1,13 @@
 """All replicas by service, and the choice of the one that a request is sent to."""
 
 import random
-from collections.abc import Container, Iterable
+from collections.abc import Container
 
 from ...model.replica_record import ReplicaRecord
-from ..settings import ChoiceWay, ForwardingSettings
-from .completion import Task, expected_seconds
-from .prospects import prospect_of
+from ..settings import ForwardingSettings
+from .best_replica import BestReplica
+from .completion import Task
 from .replica_state import ReplicaState
-from .replica_trials import ReplicaTrials
 
 
 class ReplicaDirectory:
@@ -24,9 +23,8 @@
 
     def __init__(self, settings: ForwardingSettings, random_source: random.Random) -> None:
         self._settings = settings
-        self._random = random_source
         self._states: dict[str, ReplicaState] = {}
-        self._trials = ReplicaTrials(settings)
+        self._best = BestReplica(settings, random_source)
         self._by_service: dict[str, dict[str, ReplicaState]] = {}
         self._renewed_at: dict[str, float] = {}
         """When a replica of a service last started again under its id."""
@@ -257,34 +255,11 @@
         ]
         unblocked = [state for state in free if not state.is_blocked(self._settings, now)]
         if unblocked:
-            return self._best(unblocked, now, prefers_proven, is_owned, task)
+            return self._best.of(unblocked, now, prefers_proven, is_owned, task)
         if free and with_blocked:
-            return self._best(free, now, prefers_proven, is_owned, task)
+            return self._best.of(free, now, prefers_proven, is_owned, task)
         return None
 
-    def _best(
-        self,
-        states: Iterable[ReplicaState],
-        now: float,
-        prefers_proven: bool,
-        is_owned: bool,
-        task: Task | None,
-    ) -> ReplicaState:
-        zone = self._settings.zone
-        by_completion = self._settings.choice_way is ChoiceWay.COMPLETION
-
-        def rank(state: ReplicaState) -> tuple[float, float]:
-            may_try = self._trials.is_allowed(state, now)
-            if task is not None and by_completion:
-                prospect = prospect_of(state, now, zone, prefers_proven, may_try)
-                return expected_seconds(task, prospect, is_owned), self._random.random()
-            cost = state.cost(now, zone, prefers_proven, is_owned, may_try)
-            return cost, self._random.random()
-
-        best = min(states, key=rank)
-        self._trials.chosen(best, now)
-        return best
-
     def _candidates(self, service: str, now: float) -> list[ReplicaState]:
         """Return the replicas that may get work; vanished ones only if no other is left."""
         present: list[ReplicaState] = []
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -9,7 +9,7 @@
     ReportedLoad,
     SendToReplica,
 )
-from ...ports.machine import Action, Log, LogLevel, Schedule
+from ...ports.machine import Action, Count, Log, LogLevel, Schedule
 from ..choice.completion import Task
 from ..choice.replica_directory import ReplicaDirectory
 from ..choice.replica_state import ReplicaState
@@ -20,6 +20,10 @@
 from .latencies import RouteLatencies
 from .shares import SendingShares
 
+SLOW_PACE = 2.0
+"""Usual times that work takes at a replica from which on its choice is counted as one of a slow
+one: it may cost a caller with a short objective its answer."""
+
 
 class AttemptSender:
     """Chooses replicas, spends the budget of extra arrivals, starts and ends attempts."""
@@ -80,6 +84,7 @@
             return []
         if call.arrivals and not self._limits.may_arrive_again(call, now):
             return []
+        counted = self._count(call, replica, is_hedge, now)
         attempt_id = next(self._ids)
         attempt = Attempt(attempt_id, call, replica, now, is_hedge)
         call.attempts[attempt_id] = attempt
@@ -90,7 +95,19 @@
             replica.on_sent_cold(now)
         replica.in_flight[attempt_id] = (now, now + self._latencies.hedge_seconds(route))
         self._open[attempt_id] = attempt
-        return [self._send_action(attempt, now)]
+        return [self._send_action(attempt, now), counted]
+
+    def _count(self, call: ServiceCall, replica: ReplicaState, is_hedge: bool, now: float) -> Count:
+        """Return the count of a choice: where, how fast by what is known, and which attempt."""
+        attempt = "first"
+        if call.arrivals:
+            attempt = "hedge" if is_hedge else "again"
+        labels = (
+            ("place", "near" if replica.record.zone == self._settings.zone else "far"),
+            ("pace", "slow" if replica.pace(now) >= SLOW_PACE else "usual"),
+            ("attempt", attempt),
+        )
+        return Count("replica_choices_total", labels=labels)
 
     def not_arrived(self, attempt: Attempt) -> None:
         """Take back that a replica may have got the request: no byte of it left."""
