--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -243,11 +243,29 @@
                 self.assertIn(f"store.{name}", failure.reason)
                 self.assertIn("allowed", failure.reason)
 
+    def test_whether_a_node_that_is_cut_off_leaves_its_callers(self) -> None:
+        for text, leaves in (("", True), ('"true"', True), ('"false"', False), ("false", None)):
+            line = f"[node]\nleaves_when_cut_off = {text}\n" if text else "[node]\n"
+            settings = parse_settings(SETTINGS.replace("[node]\n", line, 1))
+            if leaves is None:
+                self.assertIn("node.leaves_when_cut_off", str(settings))
+            else:
+                self.assertIs(leaves, settings.leaves_when_cut_off)
+
     def with_bound(self, name: str, text: str) -> str:
         """Return the settings with one more bound of the store."""
         line = f"configuration_ms = 5000\n{name} = {text}"
         return SETTINGS.replace("configuration_ms = 5000", line)
 
+    def test_the_strict_bound_leaves_time_for_a_look_that_is_lost(self) -> None:
+        for text, expected in (('"5000"', 5.0), ('"1000"', 1.0)):
+            lines = f'"true"\nrevocation_ms = {text}'
+            settings = parse_settings(self.with_bound("strict_revocation", lines))
+            self.assertEqual(expected, settings.revocation_seconds)
+        lines = '"true"\nrevocation_ms = "999"'
+        failure = parse_settings(self.with_bound("strict_revocation", lines))
+        self.assertIn("from 1000", failure.reason)
+
     def test_how_the_configuration_is_kept_proven_is_one_of_two_ways(self) -> None:
         self.assertIs(ProvingWay.SHORT, parse_settings(SETTINGS).proving_way)
         for way in ProvingWay:
--- a/wingquay/forwarding/arrival/limits/owner_role.py
+++ b/wingquay/forwarding/arrival/limits/owner_role.py
@@ -15,7 +15,7 @@
 from ....ports.machine import Action, Count, Log, LogLevel
 from ....ports.peer_link import NodeIdentity, SendToPeer
 from .budget import Budget, budget_of
-from .limit_settings import LOAN_FROM, LimitSettings
+from .limit_settings import HOT_FROM, LimitSettings
 from .owner_exchange import OwnerExchange
 from .owners import Owners
 from .tenant_count import Permit, Standing, TenantCount
@@ -23,6 +23,8 @@
 HOT_WINDOWS = 2.0
 """Windows for which a tenant stays hot after it was last near its limit: one for the requests that
 still count, and one so that a tenant around the threshold is not told about again and again."""
+MOST_KEPT = 1_000
+"""Questions that wait for a loan; with a few milliseconds for one, far more than arrive."""
 
 
 class OwnerRole:
@@ -53,9 +55,10 @@
         self._reachable = reachable
         self._tenants: Mapping[str, Tenant] = {}
         self._counts: dict[str, TenantCount] = {}
-        self.exchange = OwnerExchange(settings, own, owners, self._count_of)
+        self.exchange = OwnerExchange(settings, own, owners, self._count_of, self._budget_of)
         """Borrows and learns from the other owners."""
         self._hot: set[str] = set()
+        self._kept: list[tuple[NodeIdentity, LimitAsk]] = []
         self._is_asked_first = False
         """Whether nodes were told to ask before every request."""
 
@@ -108,8 +111,13 @@
         return [*actions, SendToPeer(sender, answer)]
 
     def asked(self, sender: NodeIdentity, message: LimitAsk, now: float) -> list[Action]:
-        """Answer whether a request may begin."""
+        """Answer whether a request may begin; a question waits for a loan that is on its way."""
         permit, actions = self.permit(message.tenant, now)
+        count = self._counts.get(message.tenant)
+        is_short = permit.verdict is LimitVerdict.ELSEWHERE and len(self._kept) < MOST_KEPT
+        if is_short and count is not None and count.awaits_loan(now):
+            self._kept.append((sender, message))
+            return actions
         answer = LimitAnswer(
             message.ask_id,
             permit.verdict,
@@ -130,7 +138,8 @@
         if permit.verdict is LimitVerdict.GRANTED:
             return permit, self._heat(name, count, now)
         labels = (("verdict", permit.verdict.name.lower()),)
-        return permit, [Count("limit_not_permitted_total", labels=labels)]
+        refused = Count("limit_not_permitted_total", labels=labels)
+        return permit, [refused, *self._borrow(name, count, now)]
 
     def asks_first(self, now: float) -> bool:
         """Whether nodes ask before every request.
@@ -165,19 +174,27 @@
         if isinstance(message, LimitOwnersRequest):
             return self.exchange.requested(sender, message, self._tenants, now)
         self.exchange.replied(sender, message, now)
-        return []
+        return self._ask_kept(now)
+
+    def _ask_kept(self, now: float) -> list[Action]:
+        """Answer the questions that waited for a loan."""
+        kept, self._kept = self._kept, []
+        actions: list[Action] = []
+        for sender, message in kept:
+            actions += self.asked(sender, message, now)
+        return actions
 
     def due(self, now: float) -> list[Action]:
         """Borrow again what is needed, and see which tenants are calm again."""
         self.exchange.look(now)
-        actions: list[Action] = []
+        actions = self._ask_kept(now)
         if self._is_asked_first != self.asks_first(now):
             actions += self._tell_all(now)
         actions += self._cool(now)
         for name in [name for name, count in self._counts.items() if not count.counted.total(now)]:
             if name not in self._hot and now >= self._counts[name].idle_from:
                 del self._counts[name]
-        return actions + self.exchange.due(self._borrowing(), now)
+        return actions + self.exchange.due(self._borrowing(now), now)
 
     # Hot tenants
 
@@ -186,12 +203,13 @@
         if not self._is_near(name, now):
             return []
         count.hot_until = now + HOT_WINDOWS * self._settings.window_seconds
+        actions = self._borrow(name, count, now)
         if name in self._hot:
-            return []
+            return actions
         self._hot.add(name)
         if not self._is_primary(name):
-            return []
-        actions = [*self.exchange.borrow((name,), now), Count("limit_hot_total")]
+            return actions
+        actions.append(Count("limit_hot_total"))
         if self._settings.ask_first_from > 0:
             seconds = HOT_WINDOWS * self._settings.window_seconds
             told = LimitAcknowledgement(0, self.asks_first(now), (name,), (seconds,))
@@ -200,6 +218,22 @@
         fields = (("tenant", name), ("counted", count.counted.total(now)), ("allowed", allowed))
         return [*actions, Log("limit_hot", LogLevel.INFO, fields)]
 
+    def _borrow(self, name: str, count: TenantCount, now: float) -> list[Action]:
+        """Borrow the second owner's part just before it is needed."""
+        loan = self._loan_for(name, now)
+        if not count.may_borrow(loan, now):
+            return []
+        count.loan_asked_at = now
+        count.loan_wanted = loan
+        return self.exchange.borrow({name: loan}, now)
+
+    def _loan_for(self, name: str, now: float) -> int:
+        """Return how much more than its own part this owner, if the primary, needs."""
+        if not self._is_primary(name):
+            return 0
+        counted = self._counts[name].counted.total(now)
+        return self._budget(self._tenants[name]).loan_for(counted)
+
     def _cool(self, now: float) -> list[Action]:
         """See which tenants are calm again."""
         actions: list[Action] = []
@@ -218,8 +252,8 @@
         tenant = self._tenants.get(name)
         if tenant is None:
             return False
-        from_part = self._settings.ask_first_from or LOAN_FROM
-        least = self._budget(tenant).allowance * min(from_part, LOAN_FROM)
+        from_part = self._settings.ask_first_from or HOT_FROM
+        least = self._budget(tenant).allowance * min(from_part, HOT_FROM)
         return self._counts[name].counted.total(now) >= least
 
     def _is_primary(self, name: str) -> bool:
@@ -229,9 +263,10 @@
         count = self._counts.get(name)
         return 0.0 if count is None else max(count.hot_until - now, 0.0)
 
-    def _borrowing(self) -> tuple[str, ...]:
-        """Return the hot tenants of which this node is the primary owner."""
-        return tuple(name for name in sorted(self._hot) if self._is_primary(name))
+    def _borrowing(self, now: float) -> dict[str, int]:
+        """Return the tenants whose loans are needed further, and how much of each."""
+        loans = {name: self._loan_for(name, now) for name in sorted(self._hot)}
+        return {name: loan for name, loan in loans.items() if loan}
 
     # Roles
 
@@ -251,5 +286,9 @@
             self._counts[name] = count
         return count
 
+    def _budget_of(self, name: str) -> Budget | None:
+        tenant = self._tenants.get(name)
+        return None if tenant is None else self._budget(tenant)
+
     def _budget(self, tenant: Tenant) -> Budget:
         return budget_of(tenant, self._settings)
--- a/wingquay/forwarding/arrival/limits/owners.py
+++ b/wingquay/forwarding/arrival/limits/owners.py
@@ -50,6 +50,11 @@
         """All owners; empty before any node is known."""
         return self._sets[-1].identities if self._sets else ()
 
+    @property
+    def since(self) -> float:
+        """When the owners became these by this node's view."""
+        return self._sets[-1].since if self._sets else float("inf")
+
     @property
     def digest(self) -> int:
         """Tells apart two views of who the owners are."""
@@ -82,7 +87,7 @@
     def held_since(self, tenant: str, name: str) -> float:
         """Return since when a node has had its present place."""
         place = self.place(tenant, name)
-        since = self._sets[-1].since if self._sets else float("inf")
+        since = self.since
         for item in reversed(self._sets[:-1]):
             if _place(_pair(item.identities, tenant), name) != place:
                 break
@@ -120,8 +125,15 @@
 
 
 def _pair(identities: tuple[NodeIdentity, ...], tenant: str) -> tuple[NodeIdentity, ...]:
+    """Return the first in the tenant's order, and the first one of another zone.
+
+    Whoever follows when one of the two goes finds the other one still there.
+    """
     ranked = sorted(identities, key=lambda item: _weight(tenant, item.node_id), reverse=True)
-    return tuple(ranked[:2])
+    if len(ranked) < 2:
+        return tuple(ranked)
+    far = [item for item in ranked if item.zone != ranked[0].zone]
+    return ranked[0], (far or ranked[1:])[0]
 
 
 def _place(pair: tuple[NodeIdentity, ...], name: str) -> int | None:
--- a/wingquay/forwarding/sending/waiting.py
+++ b/wingquay/forwarding/sending/waiting.py
@@ -7,7 +7,7 @@
 from .call_line import CallLine
 from .decision import Decision, WaitingRequest, WaitUntil, decide
 from .latencies import RouteLatencies
-from .room import NEVER, ReplicaRoom, expected_room, room_for_share
+from .room import NEVER, NO_ROOM, ReplicaRoom, expected_room, room_for_share
 from .shares import SendingShares
 from .waiting_settings import WaitingSettings
 
@@ -58,7 +58,7 @@
             self._directory.is_settling(now),
             exchange.may_have_run,
             exchange.is_repeatable and call.attempts_left > 0,
-            self._limits.repeat_at(call, now) if call.arrivals else now,
+            repeat_at=self._limits.repeat_at(call, now) if call.arrivals else now,
         )
         return decide(request, room, self._settings, now)
 
@@ -72,10 +72,12 @@
 
     def _decide_merged(self, exchange: Exchange, now: float) -> Decision:
         """Decide on a request over shards that has reached none of them."""
-        later = now + self._settings.look_seconds
-        moments = [self._usable_at(call.service, later, now) for call in exchange.calls]
-        room = room_for_share(moments, exchange.route.least_share)
-        has_usable = room.at <= later and any(
+        room = NO_ROOM
+        if any(call.is_begun for call in exchange.calls):
+            later = now + self._settings.look_seconds
+            moments = (self._usable_at(call.service, later, now) for call in exchange.calls)
+            room = room_for_share(moments, exchange.route.least_share)
+        has_usable = room.at < NEVER and any(
             self._directory.has_usable(call.service, now) for call in exchange.calls
         )
         request = WaitingRequest(
@@ -85,6 +87,7 @@
             exchange.route.objective_seconds,
             has_usable,
             self._directory.is_settling(now),
+            is_merged=True,
         )
         return decide(request, room, self._settings, now)
 
@@ -104,7 +107,7 @@
     def _room(
         self, call: ServiceCall, state: ReplicaState, is_later: bool, now: float
     ) -> ReplicaRoom:
-        pace = self._latencies.usual_seconds(call.exchange.route) * state.slowness(now)
+        pace = self._latencies.work_seconds(call.exchange.route)
         if self._is_blocked(state, now):
             # What a silent replica has will not end, as far as is known.
             pace = NEVER
@@ -114,7 +117,7 @@
         return ReplicaRoom(
             state.life,
             askable_at,
-            max(1, state.record.slots),
+            state.known_slots,
             self._limits.most(call, state, now),
             len(state.in_flight),
             state.reported_elsewhere(now),
