--- a/wingquay/forwarding/choice/prospects.py
+++ b/wingquay/forwarding/choice/prospects.py
@@ -21,7 +21,7 @@
     return Prospect(
         pace=state.pace(now, may_try),
         ahead=len(state.in_flight) + state.reported_elsewhere(now),
-        slots=max(1, state.record.slots),
+        slots=state.known_slots,
         trouble=state.trouble(now),
         is_overdue=state.is_overdue(now),
         is_far=state.record.zone != zone,
