Charge the second owner only with what no owner has permitted

Change: a telling knows which of its requests were begun at once; only these are charged. test_what_a_second_owner_permits_is_not_charged_to_it_again.

--- a/tests/forwarding/limits/test_fleet_limits.py
+++ b/tests/forwarding/limits/test_fleet_limits.py
@@ -123,6 +123,20 @@
         fleet.advance(1.0)
         self.assertEqual([], self.refused(fleet, numbers))
 
+    def test_what_a_second_owner_permits_is_not_charged_to_it_again(self) -> None:
+        fleet = self.settled(settings=WAY_B)
+        primary, second = fleet.owners()
+        fleet.kill(primary)
+        fleet.advance(1.0)
+        numbers = fleet.load(4.0, 4.0)
+        fleet.advance(1.0)
+        self.assertEqual([], self.refused(fleet, numbers))
+        role = fleet.works[second]._contacts.role
+        assert role is not None
+        own_right = role._counts["t"].own_right.total(fleet.now)
+        begun = sum(isinstance(fleet.answers[number], Admitted) for number in numbers)
+        self.assertEqual(begun, own_right)
+
     def test_calm_tenants_are_served_on_both_sides_of_a_cut(self) -> None:
         fleet = self.settled()
         fleet.load(USUAL, 6.0)
--- a/wingquay/forwarding/arrival/limits/contacts.py
+++ b/wingquay/forwarding/arrival/limits/contacts.py
@@ -44,13 +44,18 @@
         return contact
 
     def note(
-        self, owners: Iterable[NodeIdentity], name: str, requests: int, now: float
+        self,
+        owners: Iterable[NodeIdentity],
+        name: str,
+        requests: int,
+        now: float,
+        is_at_once: bool = False,
     ) -> list[Action]:
         """Tell owners of a tenant, soon, that requests were begun, or ran nowhere."""
         actions: list[Action] = []
         for owner in owners:
             if not self.is_own(owner):
-                actions += self.get(owner).note(name, requests, now)
+                actions += self.get(owner).note(name, requests, now, 0, is_at_once)
             elif self.role is not None:
                 actions += self.role.count(name, requests, 0, now)
         return actions
--- a/wingquay/forwarding/arrival/limits/node_role.py
+++ b/wingquay/forwarding/arrival/limits/node_role.py
@@ -112,7 +112,7 @@
             return _COUNTED
         pair = self._owners.of(tenant.name)
         if pair and self._lets_begin(pair[0], tenant.name, now):
-            self._note(pair, tenant.name, 1, now)
+            self._outbox += self._contacts.note(pair, tenant.name, 1, now, True)
             return self._counted("at_once")
         self._last_ask_id += 1
         ask_id = self._last_ask_id
--- a/wingquay/forwarding/arrival/limits/owner_contact.py
+++ b/wingquay/forwarding/arrival/limits/owner_contact.py
@@ -35,6 +35,8 @@
     sequence: int
     sent_at: float
     counts: dict[str, int]
+    at_once: dict[str, int]
+    """How many of them no owner has permitted."""
 
 
 class OwnerContact:
@@ -56,6 +58,7 @@
         """Whether it wants to be asked before every request; so until it has said otherwise."""
         self._window_seconds = window_seconds
         self._pending: dict[str, int] = {}
+        self._at_once: dict[str, int] = {}
         self._charged: dict[str, int] = {}
         self._pending_since = 0.0
         self._is_due = False
@@ -85,8 +88,20 @@
 
     # Telling
 
-    def note(self, name: str, requests: int, now: float, charged: int = 0) -> list[Action]:
-        """Take in what is to be told."""
+    def note(
+        self, name: str, requests: int, now: float, charged: int = 0, is_at_once: bool = False
+    ) -> list[Action]:
+        """Take in what is to be told.
+
+        Parameters
+        ----------
+        charged
+            What another owner may not know of.
+        is_at_once
+            Whether the requests were begun without any owner's word.
+        """
+        if is_at_once:
+            self._at_once[name] = self._at_once.get(name, 0) + requests
         if not self._pending:
             self._pending_since = now
         self._pending[name] = self._pending.get(name, 0) + requests
@@ -106,12 +121,14 @@
             return []
         if not self._pending and not is_probe:
             return []
-        counts, charged = ({}, {}) if self.is_lost else (self._pending, self._charged)
+        told: tuple[dict[str, int], ...] = ({}, {}, {})
         if not self.is_lost:
-            self._pending, self._charged = {}, {}
+            told = (self._pending, self._charged, self._at_once)
+            self._pending, self._charged, self._at_once = {}, {}, {}
+        counts, charged, at_once = told
         self._told_at = now
         self._sequence += 1
-        self._tellings.append(_Telling(self._sequence, now, counts))
+        self._tellings.append(_Telling(self._sequence, now, counts, at_once))
         names = tuple(counts)
         message = LimitTell(
             self._sequence,
@@ -152,16 +169,17 @@
         Returns
         -------
         tuple
-            What it may not know of, by tenant, and the next try to reach it.
+            What no owner may know of, by tenant, and the next try to reach it.
         """
         if self.is_lost:
             return {}, []
         self.is_lost = True
         self._forget_old(now)
         unknown: dict[str, int] = {}
-        for counts in [*(telling.counts for telling in self._tellings), self._pending]:
+        for counts in [*(telling.at_once for telling in self._tellings), self._at_once]:
             for name, requests in counts.items():
-                unknown[name] = unknown.get(name, 0) + max(requests, 0)
+                unknown[name] = unknown.get(name, 0) + requests
+        self._at_once = {}
         probe = LimitProbeDue(self.owner.node_id)
         return unknown, [Schedule(now + self._probe_seconds, probe)]
 
