--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -16,6 +16,7 @@
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
 from ..ports.proof_messages import AskProof, ProofGiven
+from ..ports.reach_news import ReachNews
 from ..ports.store import StoredValue
 from ..ports.store_news import StoreNews
 from .peer_codec_error import PeerCodecFailureKind
@@ -55,16 +56,24 @@
             _put_news(envelope, message)
         case CrashNews():
             _put_crash_news(envelope.crash_news, message)
+        case Greeting():
+            envelope.greeting.SetInParent()
+        case _:
+            _put_knowledge(envelope, message)
+    return envelope.SerializeToString()
+
+
+def _put_knowledge(envelope: peer_pb2.Envelope, message: PeerMessage) -> None:
+    match message:
         case AskProof():
             envelope.ask_proof.number = message.number
             envelope.ask_proof.SetInParent()
         case ProofGiven():
             _put_proof(envelope.proof_given, message)
-        case Greeting():
-            envelope.greeting.SetInParent()
+        case ReachNews():
+            _put_reach_news(envelope.reach_news, message)
         case _:
             _put_limit_message(envelope, message)
-    return envelope.SerializeToString()
 
 
 def decode(
@@ -95,6 +104,8 @@
         case "proof_given":
             given = envelope.proof_given
             return ProofGiven(given.number, given.held_seconds, given.store_revision)
+        case "reach_news":
+            return _reach_news_from(envelope.reach_news)
         case "greeting":
             return Greeting()
         case _:
@@ -179,6 +190,7 @@
     target.given_back.extend(message.given_back)
     target.arrivals.extend(message.arrivals)
     target.held_seconds = message.held_seconds
+    target.exhausted.extend(message.exhausted)
 
 
 def _answer_from(
@@ -202,6 +214,7 @@
         tuple(message.given_back),
         tuple(message.arrivals),
         message.held_seconds,
+        tuple(message.exhausted),
     )
 
 
@@ -233,6 +246,17 @@
     return CrashNews(message.identity, ends, message.held_seconds, message.is_cleared)
 
 
+def _put_reach_news(target: peer_pb2.ReachNews, message: ReachNews) -> None:
+    target.SetInParent()
+    target.out_zones.extend(message.out_zones)
+    target.in_zones.extend(message.in_zones)
+    target.is_question = message.is_question
+
+
+def _reach_news_from(message: peer_pb2.ReachNews) -> ReachNews:
+    return ReachNews(tuple(message.out_zones), tuple(message.in_zones), message.is_question)
+
+
 def _put_news(envelope: peer_pb2.Envelope, message: StoreNews) -> None:
     news = peer_pb2.StoreNews(
         from_revision=message.from_revision,
--- a/wingquay/forwarding/choice/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -4,7 +4,9 @@
 from collections.abc import Container, Iterable
 
 from ...model.replica_record import ReplicaRecord
-from ..settings import ForwardingSettings
+from ..settings import ChoiceWay, ForwardingSettings
+from .completion import Task, expected_seconds
+from .prospects import prospect_of
 from .replica_state import ReplicaState
 from .replica_trials import ReplicaTrials
 
@@ -26,6 +28,8 @@
         self._states: dict[str, ReplicaState] = {}
         self._trials = ReplicaTrials(settings)
         self._by_service: dict[str, dict[str, ReplicaState]] = {}
+        self._renewed_at: dict[str, float] = {}
+        """When a replica of a service last started again under its id."""
         self._outage_ended_at = float("-inf")
         self._listed_at: float | None = None
         self._contradicted_at = float("-inf")
@@ -74,6 +78,7 @@
         if state.life != record.life:
             self.remove(record.replica_id)
             state.is_over = True
+            self._renewed_at[state.record.service] = now
             self._begin(record, now, revision)
             return state
         if state.record.service != record.service:
@@ -127,6 +132,7 @@
         del self._by_service[service][state.record.replica_id]
         if not self._by_service[service]:
             del self._by_service[service]
+            self._renewed_at.pop(service, None)
 
     def evacuate(self, zones: frozenset[str]) -> None:
         """Take in the zones whose replicas must get nothing, until they are taken back."""
@@ -171,6 +177,16 @@
         """Return the zones that hold a replica of the service that may get work."""
         return {state.record.zone for state in self._candidates(service, now)}
 
+    def by_zone(self, now: float) -> dict[str, list[ReplicaState]]:
+        """Return the replicas that may get work by zone, in the order of their ids."""
+        found: dict[str, list[ReplicaState]] = {}
+        for service in self._by_service:
+            for state in self._candidates(service, now):
+                found.setdefault(state.record.zone, []).append(state)
+        for states in found.values():
+            states.sort(key=lambda state: state.record.replica_id)
+        return found
+
     def services(self) -> set[str]:
         """Return the services of which a replica is known."""
         return set(self._by_service)
@@ -183,6 +199,10 @@
         """Return how many replicas of the service are known, whether they may get work or not."""
         return len(self._by_service.get(service, {}))
 
+    def is_renewed_since(self, service: str, moment: float) -> bool:
+        """Whether a replica of the service has started again since a moment."""
+        return self._renewed_at.get(service, float("-inf")) >= moment
+
     def forget_vanished(self, now: float) -> None:
         """Forget the replicas whose time of grace is over."""
         for state in list(self._states.values()):
@@ -211,6 +231,7 @@
         with_blocked: bool = True,
         prefers_proven: bool = False,
         is_owned: bool = False,
+        task: Task | None = None,
     ) -> ReplicaState | None:
         """Return the replica with the least expected wait.
 
@@ -226,6 +247,8 @@
             Whether a replica that answered well lately goes before one of which nothing is known.
         is_owned
             Whether the nodes of a group leave the service to this node.
+        task
+            What of the request matters; without it replicas are compared by factors.
         """
         free = [
             state
@@ -234,18 +257,27 @@
         ]
         unblocked = [state for state in free if not state.is_blocked(self._settings, now)]
         if unblocked:
-            return self._best(unblocked, now, prefers_proven, is_owned)
+            return self._best(unblocked, now, prefers_proven, is_owned, task)
         if free and with_blocked:
-            return self._best(free, now, prefers_proven, is_owned)
+            return self._best(free, now, prefers_proven, is_owned, task)
         return None
 
     def _best(
-        self, states: Iterable[ReplicaState], now: float, prefers_proven: bool, is_owned: bool
+        self,
+        states: Iterable[ReplicaState],
+        now: float,
+        prefers_proven: bool,
+        is_owned: bool,
+        task: Task | None,
     ) -> ReplicaState:
         zone = self._settings.zone
+        by_completion = self._settings.choice_way is ChoiceWay.COMPLETION
 
         def rank(state: ReplicaState) -> tuple[float, float]:
             may_try = self._trials.is_allowed(state, now)
+            if task is not None and by_completion:
+                prospect = prospect_of(state, now, zone, prefers_proven, may_try)
+                return expected_seconds(task, prospect, is_owned), self._random.random()
             cost = state.cost(now, zone, prefers_proven, is_owned, may_try)
             return cost, self._random.random()
 
--- a/wingquay/forwarding/choice/replica_state.py
+++ b/wingquay/forwarding/choice/replica_state.py
@@ -8,6 +8,9 @@
 from ..settings import ForwardingSettings
 
 SLOWNESS_WEIGHT = 0.4
+PAUSE_WEIGHT = 0.1
+"""The same for the first slow answer of a replica that says that its work takes as long as usual:
+most often it was a pause, which is over once it answers, and the way to a far replica is dear."""
 SLOWNESS_MEMORY_SECONDS = 2.0
 """Time constant with which a replica's slowness is forgotten, so that it is tried again."""
 SLOWNESS_TOLERANCE = 1.25
@@ -41,8 +44,11 @@
 """Time for which a good answer proves a replica."""
 UNPROVEN_FACTOR = 1.3
 """Cost factor of a replica that has not proved itself, where a slow one cannot be made up for."""
-ACCIDENTS = 2
-"""Connections that break off in a row from which a replica is left out."""
+BREAKS = 5
+"""Connections that break off in a row, with no answer between them, from which a replica is left
+out. One that ends two of five runs by a reset still brings three answers of five, and its shard may
+have no better one; five in a row happen to it once in a hundred. One that has ended refuses the
+next connection, and is left out for that."""
 MOST_DOUBLINGS = 8
 
 
@@ -96,6 +102,12 @@
         """Name the life once: choices compare the names of all replicas of a service."""
         self.life = self.record.life
 
+    @property
+    def known_slots(self) -> int:
+        """Requests that it works on at a time, by its record or by its own last word."""
+        reported = 0 if self._load is None else self._load.slots
+        return max(1, self.record.slots, reported)
+
     def is_blocked(self, settings: ForwardingSettings, now: float) -> bool:
         """Whether the replica gets work only when no other can.
 
@@ -189,18 +201,31 @@
             cost *= UNPROVEN_FACTOR
         return cost
 
+    def pace(self, now: float, may_try: bool = True) -> float:
+        """Return how long work takes there, in usual times; ``may_try`` as for ``cost``."""
+        slowness = self.slowness(now) if may_try else self._slowness
+        return max(slowness, self._reported_work(now)) * (COLD_FACTOR if self.is_cold(now) else 1.0)
+
     def on_latency(self, ratio: float, sent_at: float, now: float) -> None:
         """Take in the latency of an attempt, in usual latencies."""
         ratio = min(ratio, GREATEST_SLOWNESS)
+        weight = SLOWNESS_WEIGHT
         if ratio < SLOW_RATIO:
             self.slow_in_row = 0
         elif sent_at >= self._slow_at:
             self.slow_in_row += 1
             self._slow_at = now
+        if self.slow_in_row == 1 and self._says_usual(now):
+            weight = PAUSE_WEIGHT
         present = self.slowness(now)
-        self._slowness = present + SLOWNESS_WEIGHT * (ratio - present)
+        self._slowness = present + weight * (ratio - present)
         self._slowness_at = now
 
+    def _says_usual(self, now: float) -> bool:
+        """Whether it has said just now that work takes as long as usual."""
+        is_fresh = self._load is not None and self._load_at == now
+        return is_fresh and self._reported_work(now) < SLOWNESS_TOLERANCE
+
     def on_answer(self, load: ReportedLoad | None, now: float) -> bool:
         """Take in that it answered; return whether it was left out before."""
         was_left_out = self.blocked_until > 0.0
@@ -224,16 +249,16 @@
         Parameters
         ----------
         is_certain
-            Whether it was out of reach; a connection that broke off may be an accident, so that
-            the second in a row counts.
+            Whether it was out of reach; connections that broke off count from some in a row on.
         """
         self.failures_in_row += 1
         if not self.is_out_of_reach:
             # That it is out of reach is found out by connections, and forgotten when one comes up.
             self.on_trouble(now)
-        if not is_certain and self.failures_in_row < ACCIDENTS:
+        first = 1 if is_certain else BREAKS
+        if self.failures_in_row < first:
             return 0.0
-        doublings = min(self.failures_in_row - 1, MOST_DOUBLINGS)
+        doublings = min(self.failures_in_row - first, MOST_DOUBLINGS)
         seconds = settings.connect_backoff_seconds * 2.0**doublings
         seconds = min(seconds, settings.connect_backoff_most_seconds)
         self.blocked_until = now + seconds
--- a/wingquay/forwarding/exchange_opening.py
+++ b/wingquay/forwarding/exchange_opening.py
@@ -106,8 +106,7 @@
         elif self.ask_nodes is not None and route.shards and exchange.origin is None:
             actions += self.ask_nodes(exchange, exchange.calls, now)
         else:
-            for call in exchange.calls:
-                actions += self._starter.begin(call, now)
+            actions += self._starter.begin_all(exchange.calls, now)
         actions.append(Schedule(exchange.ends_at, ExchangeEndDue(event.exchange_id)))
         if route.shards:
             actions.append(Schedule(exchange.in_time_at, CutoffDue(event.exchange_id)))
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -10,9 +10,11 @@
     SendToReplica,
 )
 from ...ports.machine import Action, Log, LogLevel, Schedule
+from ..choice.completion import Task
 from ..choice.replica_directory import ReplicaDirectory
 from ..choice.replica_state import ReplicaState
 from ..exchange import Attempt, ServiceCall
+from ..knowledge.reach_evidence import ReachEvidence
 from ..settings import ForwardingSettings
 from ..timers import AbandonDue, ReachDue
 from .latencies import RouteLatencies
@@ -35,14 +37,16 @@
         self._limits = limits
         self._ids = count(1)
         self._open: dict[int, Attempt] = {}
+        self.evidence = ReachEvidence()
+        """Which replicas failed lately, and where they are."""
 
     def get(self, attempt_id: int) -> Attempt | None:
         """Return an attempt under way."""
         return self._open.get(attempt_id)
 
-    def earn(self, service: str) -> None:
+    def earn(self, service: str, now: float) -> None:
         """Take in a request for a service: it earns extra arrivals there."""
-        self._limits.earn(service)
+        self._limits.earn(service, now)
 
     def try_send(
         self,
@@ -65,18 +69,20 @@
         if exchange.is_careful and exchange.is_under_way(now):
             return []
         excluded = call.asked | call.refused | self._limits.too_cold(call, now)
-        excluded |= self._limits.full(call, now)
+        if not route.shards:
+            excluded |= self._limits.full(call, now)
         limit = self._limits.connections(call, now)
         prefers_proven = not route.is_repeatable
+        task = Task(route.objective_seconds, self._latencies.median_seconds(route))
         replica = self._directory.choose(
-            call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned
+            call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned, task
         )
         if replica is None:
             return []
         if call.arrivals and not self._limits.may_arrive_again(call, now):
             return []
         attempt_id = next(self._ids)
-        attempt = Attempt(attempt_id, call, replica, now, is_hedge)
+        attempt = Attempt(attempt_id, call, replica, now, is_hedge, len(replica.in_flight))
         call.attempts[attempt_id] = attempt
         call.asked.add(replica.life)
         call.arrivals += 1
@@ -144,6 +150,7 @@
     def answered(self, attempt: Attempt, load: ReportedLoad | None, now: float) -> list[Action]:
         """Take in that a replica answered an attempt."""
         was_left_out = attempt.replica.on_answer(load, now)
+        self.evidence.answered(attempt.replica.record.zone)
         if now - attempt.sent_at <= attempt.call.exchange.route.objective_seconds:
             attempt.replica.on_good_answer(now)
         self.record_latency(attempt, now)
@@ -191,6 +198,7 @@
     def _left_out(
         self, replica: ReplicaState, reason: str, is_certain: bool, now: float
     ) -> list[Action]:
+        self.evidence.failed(replica.record.zone, replica.record.replica_id, now)
         seconds = replica.on_failure(self._settings, is_certain, now)
         if not seconds:
             return []
@@ -202,6 +210,9 @@
         route = attempt.call.exchange.route
         seconds = now - attempt.sent_at
         self._latencies.record(route, seconds, now)
+        if not route.shards:
+            slots = attempt.replica.known_slots
+            self._latencies.record_work(route, seconds * slots / max(slots, attempt.ahead + 1))
         median = self._latencies.median_seconds(route)
         if median is not None:
             attempt.replica.on_latency(seconds / median, attempt.sent_at, now)
--- a/wingquay/forwarding/sending/decision.py
+++ b/wingquay/forwarding/sending/decision.py
@@ -10,6 +10,11 @@
 from .room import NEVER, Room
 from .waiting_settings import WaitingRule, WaitingSettings
 
+NO_REPLICA_REASON = "no replica can be asked"
+NO_ROOM_REASON = "its replicas have no room soon enough"
+NO_REPEAT_REASON = "it may not be sent again soon enough"
+RAN_REASON = "no other replica may run it"
+
 
 @value
 class WaitingRequest:
@@ -29,6 +34,8 @@
         Whether a replica may have run it.
     may_run_again
         Whether it may be sent once more.
+    is_merged
+        Whether its answer is merged from several services: late, it is worth little.
     repeat_at
         When the budget of extra arrivals allows to send it once more.
     """
@@ -41,6 +48,7 @@
     may_records_come_back: bool = False
     may_have_run: bool = False
     may_run_again: bool = True
+    is_merged: bool = False
     repeat_at: float = float("-inf")
 
 
@@ -84,7 +92,7 @@
         When its services will have room for it, after all that goes before it.
     """
     if request.may_have_run and not request.may_run_again:
-        return Reject(NEVER, "no other replica may run it")
+        return Reject(NEVER, RAN_REASON)
     begins_at = max(room.at, request.repeat_at)
     if begins_at <= now:
         return SendNow(room.replica_id)
@@ -93,12 +101,12 @@
         # Nothing tells when a record comes back; it is looked for as long as it may.
         begins_at = min(begins_at, now + settings.look_seconds)
     if begins_at == NEVER:
-        return Reject(NEVER, _reason(request))
+        return Reject(NEVER, _reason(request, room))
     is_worth_it = begins_at <= latest
     if settings.rule is WaitingRule.FIXED_SHARES:
         is_worth_it = now + settings.look_seconds < latest
     if not is_worth_it:
-        return Reject(begins_at - now, _reason(request))
+        return Reject(begins_at - now, _reason(request, room))
     return WaitUntil(_next_look(begins_at, latest, settings, now))
 
 
@@ -112,7 +120,10 @@
         if room.at <= now:
             return now + request.objective_seconds * settings.repeat_ratio
     if request.has_usable or request.may_have_run:
-        return max(request.in_time_at, held_until)
+        ratio = settings.hold_ratio
+        if settings.rule is WaitingRule.ESTIMATE and not request.is_merged:
+            ratio = settings.line_ratio
+        return max(request.in_time_at, request.arrived_at + whole_seconds * ratio)
     if request.may_records_come_back:
         return held_until
     return request.arrived_at + request.objective_seconds * settings.offer_ratio
@@ -125,9 +136,7 @@
     return max(at, now + min(settings.look_seconds, latest - now))
 
 
-def _reason(request: WaitingRequest) -> str:
-    if not request.has_usable:
-        return "no replica can be asked"
-    if request.may_have_run:
-        return "it may not be sent again soon enough"
-    return "its replicas have no room soon enough"
+def _reason(request: WaitingRequest, room: Room) -> str:
+    if room.at < request.repeat_at:
+        return NO_REPEAT_REASON
+    return NO_ROOM_REASON if request.has_usable else NO_REPLICA_REASON
