--- a/wingquay/forwarding/arrival/limits/owner_exchange.py
+++ b/wingquay/forwarding/arrival/limits/owner_exchange.py
@@ -124,7 +124,7 @@
         """Whether no other node can have become the primary owner without this one's knowledge.
 
         A node's key may lapse while it cannot reach the store. Then it goes on only as long as the
-        second owner, who would take its place, reaches the store and still sees it in the first one.
+        second owner, who would take its place, reaches the store and sees it in the first one.
         """
         if self.is_listed(now):
             return True
