--- a/wingquay/forwarding/request_arrival.py
+++ b/wingquay/forwarding/request_arrival.py
@@ -113,12 +113,14 @@
         tenant = arrival.tenant
         if tenant is None:
             return self._open(arrival, verdict, now)
-        answer = self.admission.count(tenant, arrival.event.exchange_id, now)
-        if isinstance(answer, AwaitsLimit):
-            return self._keep(arrival, now)
-        if isinstance(answer, Rejected):
-            return self._reject(arrival.event, answer, tenant.name)
-        return [self._counts.count(tenant.name, "allowed"), *self._open(arrival, verdict, now)]
+        match self.admission.count(tenant, arrival.event.exchange_id, now):
+            case AwaitsLimit():
+                return self._keep(arrival, now)
+            case Rejected() as rejected:
+                return self._reject(arrival.event, rejected, tenant.name)
+            case Admitted():
+                allowed = self._counts.count(tenant.name, "allowed")
+                return [allowed, *self._open(arrival, verdict, now)]
 
     def _open(self, arrival: Arrival, verdict: Verdict, now: float) -> list[Action]:
         return self._opening.open(arrival, verdict is Verdict.SUSPECT, now)
@@ -133,6 +135,8 @@
         identity = identity_of(event.request, name)
         held_seconds = self._guard.held_seconds(identity, now)
         refused = self._ending.refuse_arrival(event, HELD_REASON, held_seconds, name)
+        if arrival.tenant is not None:
+            refused.append(self._counts.count(name, "held"))
         return [*refused, *self._guard.refused(identity, event, now)]
 
     # Waiting for word on a tenant's limit
