Count how long a node's key stands from when its lease was granted

Cause: after its key was written, a node took it for standing for half of the lease; its renewal comes at half of the lease, 20% earlier or later, so every second node would have been no primary for up to 3.6 s some 20 s after its start, and asked its window anew after that. Found by reading. A key that is to say something else counted as standing with what it said before. Change: Presence counts from the asking for the grant or renewal; set_value ends it until it is written.

--- a/tests/forwarding/test_presence.py
+++ b/tests/forwarding/test_presence.py
@@ -56,6 +56,22 @@
         self.assertEqual(CompareAndSwap("nodes/n", 0, b"1", 7), self.asked())
         self.answer(SwapResult(True, 5))
 
+    def test_it_is_listed_until_the_lease_lapses_that_was_last_renewed(self) -> None:
+        lease_seconds = SETTINGS.presence_lease_seconds
+        self.assertFalse(self.presence.is_listed(1.0))
+        self.write_key()
+        self.assertTrue(self.presence.is_listed(1.0 + 0.9 * lease_seconds))
+        self.assertFalse(self.presence.is_listed(1.0 + lease_seconds))
+        self.assertFalse(self.presence.has_stood)
+
+    def test_it_is_not_listed_before_what_it_says_stands_in_the_store(self) -> None:
+        self.write_key()
+        self.presence.set_value(b"address")
+        self.assertFalse(self.presence.is_listed(1.0))
+        self.assertIsInstance(self.asked(), CompareAndSwap)
+        self.answer(SwapResult(True, 6))
+        self.assertTrue(self.presence.is_listed(1.0 + 0.9 * SETTINGS.presence_lease_seconds))
+
     def test_the_key_is_written_under_a_lease_and_kept(self) -> None:
         self.write_key()
         for _ in range(3):
--- a/wingquay/forwarding/knowledge/presence.py
+++ b/wingquay/forwarding/knowledge/presence.py
@@ -69,6 +69,8 @@
         self._standing: StoredValue | None = None
         """The key as the last life of this node has left it."""
         self._asked_at = float("-inf")
+        self._lease_asked_at = float("-inf")
+        """When the lease's present time was asked for."""
         self._listed_until = float("-inf")
         self._has_stood = False
 
@@ -76,6 +78,7 @@
         """Say something else of this node, from the next writing of the key on."""
         self._value = value
         self._is_written = False
+        self._listed_until = float("-inf")
 
     def is_listed(self, now: float) -> bool:
         """Whether the key is sure to stand in the store, as far as nobody takes it away.
@@ -158,17 +161,17 @@
             return self._after(0.0, now)
         if self._lease_id is None:
             self._lease_id = lease.lease_id
+            self._lease_asked_at = self._asked_at
             return self._after(0.0, now)
-        self._listed_until = self._asked_at + self._settings.presence_lease_seconds
+        self._lease_asked_at = self._asked_at
+        self._listed_until = self._lease_asked_at + self._settings.presence_lease_seconds
         return self._after(self._settings.presence_lease_seconds * RENEWAL_SHARE, now)
 
     def _swapped(self, result: SwapResult, now: float) -> list[Action]:
         if result.succeeded:
             self._is_written = True
-            # The lease was granted just before; half of it is left in any case.
-            seconds = self._settings.presence_lease_seconds * RENEWAL_SHARE
-            self._listed_until = self._asked_at + seconds
-            return self._after(seconds, now)
+            self._listed_until = self._lease_asked_at + self._settings.presence_lease_seconds
+            return self._after(self._settings.presence_lease_seconds * RENEWAL_SHARE, now)
         current = result.current
         self._expected_revision = 0 if current is None else current.modified_at
         return self._after(0.0, now)
