--- a/tests/forwarding/limits/test_fleet_limits.py
+++ b/tests/forwarding/limits/test_fleet_limits.py
@@ -123,6 +123,20 @@
         fleet.advance(1.0)
         self.assertEqual([], self.refused(fleet, numbers))
 
+    def test_what_a_second_owner_permits_is_not_charged_to_it_again(self) -> None:
+        fleet = self.settled(settings=WAY_B)
+        primary, second = fleet.owners()
+        fleet.separate(primary)
+        others = [name for name in sorted(fleet.works) if name != primary]
+        numbers = fleet.load(4.0, 4.0, others)
+        fleet.advance(0.5)
+        self.assertEqual([], self.refused(fleet, numbers))
+        role = fleet.works[second]._contacts.role
+        assert role is not None
+        own_right = role._counts["t"].own_right.total(fleet.now)
+        begun = sum(isinstance(fleet.answers[number], Admitted) for number in numbers)
+        self.assertEqual(begun, own_right)
+
     def test_calm_tenants_are_served_on_both_sides_of_a_cut(self) -> None:
         fleet = self.settled()
         fleet.load(USUAL, 6.0)
@@ -171,12 +185,12 @@
         self.assertGreater(len([at for at in fleet.ran["t"] if at > fleet.now - 5.0]), 45)
 
     def test_an_owner_whose_key_lapses_behind_a_cut_makes_room_for_the_next(self) -> None:
-        for one_way in (False, True):
+        for one_way, has_both in ((False, False), (True, False), (False, True)):
             fleet = self.settled()
             fleet.load(60.0, 6.0)
             first, second = fleet.owners()
             inside = [name for name in sorted(fleet.works) if int(name[1:]) % 2 and name != second]
-            inside = sorted({*inside, first})
+            inside = sorted({*inside, first, second} if has_both else {*inside, first})
             outside = [name for name in sorted(fleet.works) if name not in inside]
             fleet.separate(*inside, one_way=one_way)
             fleet.break_cut_links()
