--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -32,6 +32,8 @@
     PeerReceived,
     SendToPeer,
 )
+from wingquay.ports.proof_messages import AskProof, ProofGiven
+from wingquay.ports.reach_news import ReachNews
 from wingquay.ports.store import StoredValue
 from wingquay.ports.store_news import StoreNews
 
@@ -57,6 +59,8 @@
     objective_seconds=SECONDS,
     in_time_seconds=SECONDS,
     remaining_seconds=SECONDS,
+    is_group_share=st.booleans(),
+    tenant=st.text(max_size=9),
 )
 ANSWERS = st.lists(st.tuples(st.integers(0, 2**31), st.text(max_size=9)), max_size=5).flatmap(
     lambda pairs: st.builds(
@@ -70,6 +74,7 @@
         st.just(tuple(place for place, _ in pairs)),
         st.just(tuple(len(text) for _, text in pairs)),
         SECONDS,
+        st.lists(st.integers(0, 2**31), max_size=3).map(tuple),
     )
 )
 CRASH_NEWS = st.builds(
@@ -93,6 +98,7 @@
     SECONDS,
     st.booleans(),
 )
+ZONES = st.lists(st.text(max_size=9), max_size=4).map(tuple)
 BY_KIND: dict[type[PeerMessage], st.SearchStrategy[PeerMessage]] = {
     DelegatedRequest: REQUESTS,
     DelegatedAnswer: ANSWERS,
@@ -100,10 +106,19 @@
     CrashNews: CRASH_NEWS,
     AllowAttempts: st.builds(AllowAttempts, NUMBERS, st.integers(0, 2**31)),
     CancelDelegation: st.builds(CancelDelegation, NUMBERS),
+    AskProof: st.builds(AskProof, NUMBERS),
+    ProofGiven: st.builds(ProofGiven, NUMBERS, SECONDS, NUMBERS),
     Greeting: st.just(Greeting()),
+    ReachNews: st.builds(ReachNews, ZONES, ZONES, st.booleans()),
 }
 MESSAGES = st.one_of(list(BY_KIND.values()))
-PORTS = ("wingquay.ports.crash_news", "wingquay.ports.delegation", "wingquay.ports.store_news")
+PORTS = (
+    "wingquay.ports.crash_news",
+    "wingquay.ports.delegation",
+    "wingquay.ports.proof_messages",
+    "wingquay.ports.reach_news",
+    "wingquay.ports.store_news",
+)
 """Their messages are those between forwarding nodes."""
 
 
--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -106,7 +106,11 @@
     """Drives the decisions of one node; time moves only by ``advance``."""
 
     def __init__(
-        self, seed: int = 1, waiting: WaitingSettings = DEFAULT_WAITING, **settings: object
+        self,
+        seed: int = 1,
+        follower: FollowerSettings | None = None,
+        waiting: WaitingSettings = DEFAULT_WAITING,
+        **settings: object,
     ) -> None:
         self.now = 100.0
         self._tables: dict[bytes, RoutingTable] = {}
@@ -137,7 +141,12 @@
         )
         forwarding = ForwardingSettings(zone="a", **settings)  # type: ignore[arg-type]
         self.machine = ForwardingNode(
-            "node-1", forwarding, FollowerSettings(), formats, random.Random(seed), waiting
+            "node-1",
+            forwarding,
+            follower or FollowerSettings(),
+            formats,
+            random.Random(seed),
+            waiting=waiting,
         )
         self.store_revision = 1
 
@@ -158,13 +167,14 @@
         configuration: RoutingTable | None,
         *records: ReplicaRecord,
         values: tuple[StoredValue, ...] = (),
+        begun_at: float | None = None,
     ) -> None:
         """Answer the last read of everything."""
         request = self.last(StoreRequest)
         listed = [*values, *(self.stored(record) for record in records)]
         if configuration is not None:
             listed.append(self.stored_table(configuration))
-        result = ReadResult(tuple(listed), self.store_revision)
+        result = ReadResult(tuple(listed), self.store_revision, begun_at)
         self.emit(StoreResponse(request.operation_id, result))
 
     def change(
@@ -241,7 +251,7 @@
     def end_replica(self, send: SendToReplica) -> None:
         """Let a replica end under a request: its connection ends, and the next one is refused."""
         for record in self.lose(send):
-            self.emit(ConnectionTried(record.replica_id, "refused", is_refused=True))
+            self.emit(ConnectionTried(record.life, "refused", is_refused=True))
 
     def learn_formats_of(self, other: "OneNode") -> None:
         """Understand the stored values that another node understands."""
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from wingquay.adapters.http_messages import HttpRequest, HttpResponse
+from wingquay.forwarding.knowledge.proving_looks import ProvingWay
 from wingquay.model.failure import Failure
 from wingquay.platform.caller_dialect import PlatformCallerDialect
 from wingquay.platform.configuration_document import parse_configuration
@@ -134,7 +135,8 @@
             self.assertIsInstance(parse_replica("i-1", value), Failure, value)
 
     def test_an_id_that_no_header_can_hold_is_a_failure(self) -> None:
-        entry = orjson.dumps({"service": "x", "address": "10.1.2.3:80"})
+        fields = {"service": "x", "address": "10.1.2.3:80", "zone": "z", "capacity": 2}
+        entry = orjson.dumps({**fields, "state": "ready", "warmupLeftMs": 0})
         self.assertEqual("i-1", parse_replica("i-1", entry).replica_id)
         for replica_id in ("", "i 1", "i-1\r\nHost: other", "i-\u00e9"):
             failure = parse_replica(replica_id, entry)
@@ -241,11 +243,39 @@
                 self.assertIn(f"store.{name}", failure.reason)
                 self.assertIn("allowed", failure.reason)
 
+    def test_whether_a_node_that_is_cut_off_leaves_its_callers(self) -> None:
+        for text, leaves in (("", True), ('"true"', True), ('"false"', False), ("false", None)):
+            line = f"[node]\nleaves_when_cut_off = {text}\n" if text else "[node]\n"
+            settings = parse_settings(SETTINGS.replace("[node]\n", line, 1))
+            if leaves is None:
+                self.assertIn("node.leaves_when_cut_off", str(settings))
+            else:
+                self.assertIs(leaves, settings.leaves_when_cut_off)
+
     def with_bound(self, name: str, text: str) -> str:
         """Return the settings with one more bound of the store."""
         line = f"configuration_ms = 5000\n{name} = {text}"
         return SETTINGS.replace("configuration_ms = 5000", line)
 
+    def test_the_strict_bound_leaves_time_for_a_look_that_is_lost(self) -> None:
+        for text, expected in (('"5000"', 5.0), ('"1000"', 1.0)):
+            lines = f'"true"\nrevocation_ms = {text}'
+            settings = parse_settings(self.with_bound("strict_revocation", lines))
+            self.assertEqual(expected, settings.revocation_seconds)
+        lines = '"true"\nrevocation_ms = "999"'
+        failure = parse_settings(self.with_bound("strict_revocation", lines))
+        self.assertIn("from 1000", failure.reason)
+
+    def test_how_the_configuration_is_kept_proven_is_one_of_two_ways(self) -> None:
+        self.assertIs(ProvingWay.SHORT, parse_settings(SETTINGS).proving_way)
+        for way in ProvingWay:
+            text = self.with_bound("proving_looks", f'"{way.value}"')
+            self.assertIs(way, parse_settings(text).proving_way)
+        for text in ('"never"', "1", "[]"):
+            failure = parse_settings(self.with_bound("proving_looks", text))
+            self.assertIn("store.proving_looks", failure.reason)
+            self.assertIn("held, short", failure.reason)
+
     def test_the_time_after_an_outage_is_a_second_at_least(self) -> None:
         self.assertEqual(
             1.0, parse_settings(self.with_bound("contact_ms", '"1000"')).contact_seconds
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -8,7 +8,7 @@
 from tests.platform_adapter.stand_in_platform import StandInStore
 from wingquay.model.failure import Failure
 from wingquay.platform.store_client import PlatformStoreClient
-from wingquay.platform.store_formats import is_full_watch
+from wingquay.platform.store_formats import is_full_watch, watch_changed
 from wingquay.ports.machine import Count, Event
 from wingquay.ports.store import (
     CompareAndSwap,
@@ -16,9 +16,11 @@
     KeepLeaseAlive,
     LeaseState,
     Read,
+    ReadResult,
     RevokeLease,
     StartWatch,
     StopWatch,
+    StoredValue,
     StoreFailureKind,
     StoreOperation,
     StoreRequest,
@@ -126,6 +128,25 @@
 
         run(test())
 
+    def test_a_reading_tells_when_the_store_was_asked_for_what_it_has_acknowledged(self) -> None:
+        async def test() -> None:
+            loop = asyncio.get_running_loop()
+            client = Client()
+            await client.start()
+            client.store.put("a", 1)
+            for may_lag in (False, True):
+                before = loop.time()
+                result = await client.ask(Read("", prefix=True, may_lag_at_first=may_lag))
+                self.assertTrue(before <= result.begun_at <= loop.time())
+            client.store.keep_copy()
+            client.store.forget_history()
+            client.store.put("b", 1)
+            before = loop.time()
+            result = await client.ask(Read("", prefix=True, may_lag_at_first=True))
+            self.assertTrue(before <= result.begun_at <= loop.time())
+
+        run(test())
+
     def test_a_store_that_fails_after_the_copy_leaves_nothing_to_go_by(self) -> None:
         async def test() -> None:
             client = Client()
@@ -139,6 +160,23 @@
 
         run(test())
 
+    def test_an_entry_that_cannot_be_decoded_keeps_no_other_from_being_read(self) -> None:
+        async def test() -> None:
+            client = Client()
+            await client.start()
+            client.store.put("servers/bad", {})
+            client.store.put("servers/good", b"content")
+            for stored in ("a", "e30", None, 7, ["e30="]):
+                client.store.items["servers/bad"]["value"] = stored
+                result = await client.ask(Read("", prefix=True))
+                expected = (
+                    StoredValue("servers/bad", b"", 1, 0, 1),
+                    StoredValue("servers/good", b"content", 2, 0, 2),
+                )
+                self.assertEqual(ReadResult(expected, 2, result.begun_at), result, stored)
+
+        run(test())
+
     def test_leases_and_swaps(self) -> None:
         async def test() -> None:
             client = Client()
@@ -194,6 +232,17 @@
 
         run(test())
 
+    def test_an_entry_that_cannot_be_decoded_keeps_no_other_from_being_told(self) -> None:
+        good = {"tlsKey": "servers/good", "value": "eA==", "revision": 2}
+        for stored in ("a", None, 7, ["e30="]):
+            bad = {"tlsKey": "servers/bad", "value": stored, "revision": 1}
+            changed = watch_changed("w", {"events": [bad, good], "at": 2})
+            expected = (
+                StoredValue("servers/bad", b"", 1),
+                StoredValue("servers/good", b"x", 2),
+            )
+            self.assertEqual(WatchChanged("w", expected, (), 2, False), changed, stored)
+
     def test_lost_history_and_trouble_end_the_watch(self) -> None:
         async def test() -> None:
             client = Client()
@@ -238,6 +287,25 @@
 
         run(test())
 
+    def test_a_look_tells_when_it_was_begun_however_long_it_is_held(self) -> None:
+        async def test() -> None:
+            loop = asyncio.get_running_loop()
+            client = Client()
+            await client.start()
+            begun: list[float] = []
+            written: list[float] = []
+            client.client.start_watch(StartWatch("w", "", 0))
+            for number in range(3):
+                while len(client.store.waits) <= number:
+                    await asyncio.sleep(0.001)
+                written.append(loop.time())
+                client.store.put("a", number)
+                begun.append((await client.events.get()).begun_at)
+            in_turn = [at for pair in zip(begun, written, strict=True) for at in pair]
+            self.assertEqual(sorted(in_turn), in_turn)
+
+        run(test())
+
     def test_an_answer_that_may_have_been_cut_is_followed_up_at_once(self) -> None:
         async def test() -> None:
             client = Client()
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -15,6 +15,8 @@
 )
 from ..ports.forwarding import OpaqueRequest
 from ..ports.peer_link import NodeIdentity, PeerMessage
+from ..ports.proof_messages import AskProof, ProofGiven
+from ..ports.reach_news import ReachNews
 from ..ports.store import StoredValue
 from ..ports.store_news import StoreNews
 from .peer_codec_error import PeerCodecFailureKind
@@ -57,10 +59,23 @@
         case Greeting():
             envelope.greeting.SetInParent()
         case _:
-            raise ValueError(f"{type(message).__name__} is not a message of forwarding nodes")
+            _put_knowledge(envelope, message)
     return envelope.SerializeToString()
 
 
+def _put_knowledge(envelope: peer_pb2.Envelope, message: PeerMessage) -> None:
+    match message:
+        case AskProof():
+            envelope.ask_proof.number = message.number
+            envelope.ask_proof.SetInParent()
+        case ProofGiven():
+            _put_proof(envelope.proof_given, message)
+        case ReachNews():
+            _put_reach_news(envelope.reach_news, message)
+        case _:
+            _put_limit_message(envelope, message)
+
+
 def decode(
     data: bytes,
 ) -> tuple[NodeIdentity, PeerMessage] | Failure[PeerCodecFailureKind]:
@@ -84,6 +99,13 @@
             return _unpacked(envelope.packed_store_news)
         case "crash_news":
             return _crash_news_from(envelope.crash_news)
+        case "ask_proof":
+            return AskProof(envelope.ask_proof.number)
+        case "proof_given":
+            given = envelope.proof_given
+            return ProofGiven(given.number, given.held_seconds, given.store_revision)
+        case "reach_news":
+            return _reach_news_from(envelope.reach_news)
         case "greeting":
             return Greeting()
         case _:
@@ -103,10 +125,22 @@
             return AllowAttempts(allowed.delegation_id, allowed.max_attempts)
         case "cancel_delegation":
             return CancelDelegation(envelope.cancel_delegation.delegation_id)
+        case "limit_tell" | "limit_acknowledgement" | "limit_ask" | "limit_answer" | "limit_owners":
+            from .limit_codec import limit_message_from
+
+            return limit_message_from(envelope)
         case _:
             return Failure(PeerCodecFailureKind.UNKNOWN_MESSAGE, "no message of a known kind")
 
 
+def _put_limit_message(envelope: peer_pb2.Envelope, message: PeerMessage) -> None:
+    """Write a message about limits, whose codec is loaded only where tenants have some."""
+    from .limit_codec import put_limit_message
+
+    if not put_limit_message(envelope, message):
+        raise ValueError(f"{type(message).__name__} is not a message of forwarding nodes")
+
+
 def _put_request(target: peer_pb2.DelegatedRequest, message: DelegatedRequest) -> None:
     request = message.request
     target.delegation_id = message.delegation_id
@@ -124,6 +158,7 @@
     target.in_time_seconds = message.in_time_seconds
     target.remaining_seconds = message.remaining_seconds
     target.is_group_share = message.is_group_share
+    target.tenant = message.tenant
 
 
 def _request_from(message: peer_pb2.DelegatedRequest) -> DelegatedRequest:
@@ -140,6 +175,7 @@
         message.in_time_seconds,
         message.remaining_seconds,
         message.is_group_share,
+        message.tenant,
     )
 
 
@@ -154,6 +190,7 @@
     target.given_back.extend(message.given_back)
     target.arrivals.extend(message.arrivals)
     target.held_seconds = message.held_seconds
+    target.exhausted.extend(message.exhausted)
 
 
 def _answer_from(
@@ -177,6 +214,7 @@
         tuple(message.given_back),
         tuple(message.arrivals),
         message.held_seconds,
+        tuple(message.exhausted),
     )
 
 
@@ -186,13 +224,20 @@
     target.is_cleared = message.is_cleared
     for end in message.ends:
         target.ends.add(
-            replica_id=end.replica_id,
+            replica_id=end.life,
             node_id=end.node_id,
             sent_seconds=end.sent_seconds,
             ended_seconds=end.ended_seconds,
         )
 
 
+def _put_proof(target: peer_pb2.ProofGiven, message: ProofGiven) -> None:
+    target.SetInParent()
+    target.number = message.number
+    target.held_seconds = message.held_seconds
+    target.store_revision = message.store_revision
+
+
 def _crash_news_from(message: peer_pb2.CrashNews) -> CrashNews:
     ends = tuple(
         ToldEnd(end.replica_id, end.node_id, end.sent_seconds, end.ended_seconds)
@@ -201,6 +246,17 @@
     return CrashNews(message.identity, ends, message.held_seconds, message.is_cleared)
 
 
+def _put_reach_news(target: peer_pb2.ReachNews, message: ReachNews) -> None:
+    target.SetInParent()
+    target.out_zones.extend(message.out_zones)
+    target.in_zones.extend(message.in_zones)
+    target.is_question = message.is_question
+
+
+def _reach_news_from(message: peer_pb2.ReachNews) -> ReachNews:
+    return ReachNews(tuple(message.out_zones), tuple(message.in_zones), message.is_question)
+
+
 def _put_news(envelope: peer_pb2.Envelope, message: StoreNews) -> None:
     news = peer_pb2.StoreNews(
         from_revision=message.from_revision,
--- a/wingquay/forwarding/exchange.py
+++ b/wingquay/forwarding/exchange.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ..model.routing_table import Route, RoutingTable
+from ..model.tenants import Tenant
 from ..ports.forwarding import ForwardRequested, ReplicaAnswer
 from ..ports.machine import Action
 from .arrival.request_identity import identity_of
@@ -22,6 +23,11 @@
         """The id of the node, for the log."""
         ...
 
+    @property
+    def is_allowed(self) -> bool:
+        """Whether further attempts are left to this node."""
+        ...
+
     def report(self, exchange: "Exchange") -> list[Action]:
         """Return the message that tells what is in and has not been told, if there is anything."""
         ...
@@ -30,6 +36,10 @@
         """Leave the calls that are not under way to that node; return the message that says so."""
         ...
 
+    def tell_exhausted(self, calls: "list[ServiceCall]") -> list[Action]:
+        """Return the message that nothing comes of calls any more, if that has not been told."""
+        ...
+
     def refuse_held(self, held_seconds: float) -> list[Action]:
         """Return the message that the request is held back."""
         ...
@@ -61,9 +71,9 @@
     attempts: dict[int, Attempt] = field(default_factory=dict)
     """Attempts under way, by id."""
     asked: set[str] = field(default_factory=set)
-    """Replicas that the request was sent to and that may have run it."""
+    """Lives of replicas that the request was sent to and that may have run it."""
     refused: set[str] = field(default_factory=set)
-    """Replicas that could not be reached or did not run it, since the last pause."""
+    """Lives that could not be reached or did not run it, since the last pause."""
     arrivals: int = 0
     """Sendings that may have arrived."""
     answer: ReplicaAnswer | None = None
@@ -107,6 +117,12 @@
         """How many more replicas this node may send the request to."""
         return self.exchange.route.max_attempts - len(self.asked) - self.delegated_attempts
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether it certainly brings no answer any more."""
+        is_open = bool(self.attempts) or self.is_delegated
+        return self.answer is None and self.attempts_left <= 0 and not is_open
+
     @property
     def is_delegated(self) -> bool:
         """Whether another node asks a replica and may still bring its answer."""
@@ -118,8 +134,10 @@
     """One caller's request and everything that is done for it."""
 
     event: ForwardRequested
+    """Its arrival; without its caller's secret where the configuration has tenants."""
     table: RoutingTable
     route: Route
+    """Its priority is the tenant's, where the tenant has one."""
     arrived_at: float
     in_time_at: float
     """Last moment at which an answer still reaches the caller within the objective."""
@@ -134,6 +152,8 @@
     is_retry_due: bool = False
     origin: Origin | None = None
     """The node that waits for it; ``None``: a caller does."""
+    tenant: Tenant | None = None
+    """Who calls; ``None``: replicas are told nobody."""
     unexplained_ends: int = 0
     """Connections that ended without an answer, as far as their replicas may have ended."""
     is_suspect: bool = False
@@ -149,11 +169,21 @@
         """The node's own number for it."""
         return self.event.exchange_id
 
+    @property
+    def tenant_name(self) -> str:
+        """The name of the tenant that calls; empty: replicas are told nobody."""
+        return "" if self.tenant is None else self.tenant.name
+
+    @property
+    def tenant_fields(self) -> tuple[tuple[str, str], ...]:
+        """What log lines tell of who calls."""
+        return () if self.tenant is None else (("tenant", self.tenant.name),)
+
     @property
     def identity(self) -> bytes:
         """What its repeats have in common; worked out when it is first asked for."""
         if not self._identity:
-            self._identity = identity_of(self.event.request)
+            self._identity = identity_of(self.event.request, self.tenant_name)
         return self._identity
 
     @property
--- a/wingquay/forwarding/knowledge/node_groups.py
+++ b/wingquay/forwarding/knowledge/node_groups.py
@@ -11,6 +11,7 @@
 from ...model.value import value
 from ...ports.peer_link import NodeIdentity, NodeRecord
 from ..settings import ForwardingSettings
+from .reach_evidence import ReachEvidence
 
 
 @value
@@ -47,6 +48,8 @@
         self._members: dict[str, _Member] = {}
         self._departed: dict[str, NodeIdentity] = {}
         """Nodes whose keys are gone, until their links break."""
+        self.evidence: ReachEvidence | None = None
+        """Takes in which nodes are passed over, and where they are."""
         self._fan_out = 0
         self._version = 0
         self._valid_until = float("inf")
@@ -67,6 +70,11 @@
         """The number of nodes that have said where they can be reached."""
         return len(self._members)
 
+    @property
+    def all_nodes(self) -> list[GroupNode]:
+        """The nodes that have said where they can be reached, this one and silent ones included."""
+        return [GroupNode(name, member.record) for name, member in self._members.items()]
+
     @property
     def zones(self) -> int:
         """The number of zones that have such nodes."""
@@ -118,6 +126,7 @@
         """
         for name in [name for name, item in self._departed.items() if item.node_id == node_id]:
             del self._departed[name]
+        self._tell(node_id, now)
         for member in self._members.values():
             if member.record.identity.node_id == node_id and now >= member.suspect_until:
                 settings = self._settings
@@ -129,6 +138,18 @@
                 self._valid_until = min(self._valid_until, member.suspect_until)
                 self._changed()
 
+    def _tell(self, node_id: str, now: float) -> None:
+        """Take a node of another zone for a sign that the zone is out of reach.
+
+        Nodes of the own zone are none: they start anew every day, and all would look into it.
+        """
+        if self.evidence is None:
+            return
+        for member in self._members.values():
+            identity = member.record.identity
+            if identity.node_id == node_id and identity.zone != self._settings.zone:
+                self.evidence.failed(identity.zone, f"node {node_id}", now)
+
     def trust(self, node_id: str) -> None:
         """Take in that a node has answered: it is there, however late it was."""
         for member in self._members.values():
@@ -156,6 +177,14 @@
             if name != self._name and now >= member.suspect_until
         ]
 
+    def others(self) -> list[tuple[str, NodeIdentity]]:
+        """Return all other nodes by name, also those that are passed over."""
+        return [
+            (name, member.record.identity)
+            for name, member in sorted(self._members.items())
+            if name != self._name
+        ]
+
     def listeners(self) -> list[NodeIdentity]:
         """Return the nodes that are told what this one reads of the store.
 
--- a/wingquay/forwarding/knowledge/node_membership.py
+++ b/wingquay/forwarding/knowledge/node_membership.py
@@ -93,7 +93,7 @@
             return [Schedule(now + TABLE_WAIT_SECONDS, event)]
         if table is None:
             return self._without_link(event, now)
-        if self._is_early and not self._setup.is_wide(table):
+        if self._is_early and not self._setup.is_wanted_early(table):
             settings = self._settings
             return self._later(settings.join_delay_seconds, event, now)
         if is_open:
@@ -134,6 +134,14 @@
         fields = (("nodes", len(self._records)), ("port", event.identity.port))
         return [Log("peer_link_opened", LogLevel.INFO, fields)]
 
+    def is_listed(self, now: float) -> bool:
+        """Whether this node's key is sure to stand in the store."""
+        return self._presence.is_listed(now)
+
+    def has_stood(self) -> bool:
+        """Whether this node's key stood in the store, as it is now, before this life wrote it."""
+        return self._presence.has_stood
+
     def listeners(self) -> list[NodeIdentity]:
         """Return the nodes that are told what this one reads of the store."""
         return [] if self._groups is None else self._groups.listeners()
--- a/wingquay/forwarding/knowledge/presence.py
+++ b/wingquay/forwarding/knowledge/presence.py
@@ -68,12 +68,28 @@
         self._value = NO_ADDRESS
         self._standing: StoredValue | None = None
         """The key as the last life of this node has left it."""
+        self._asked_at = float("-inf")
+        self._listed_until = float("-inf")
+        self._has_stood = False
 
     def set_value(self, value: bytes) -> None:
         """Say something else of this node, from the next writing of the key on."""
         self._value = value
         self._is_written = False
 
+    def is_listed(self, now: float) -> bool:
+        """Whether the key is sure to stand in the store, as far as nobody takes it away.
+
+        A lease is counted from when its renewal was asked for, so that it lapses in the store later
+        than here.
+        """
+        return now < self._listed_until
+
+    @property
+    def has_stood(self) -> bool:
+        """Whether the key stood there before this life and was renewed, not written."""
+        return self._has_stood
+
     def learn(self, standing: StoredValue) -> None:
         """Take in the key as it stands in the store, before this life has written it.
 
@@ -89,6 +105,7 @@
         if isinstance(event, Start):
             return self._after(self._settings.join_wide_delay_seconds, now)
         if isinstance(event, PresenceDue) and event.step == self._step:
+            self._asked_at = now
             return [self._request(self._next_operation())]
         if isinstance(event, StoreResponse) and event.operation_id == self._operation_id:
             return self._done(event.result, now)
@@ -107,6 +124,7 @@
             assert self._standing is not None
             self._lease_id = self._standing.lease_id
             self._is_written = True
+            self._has_stood = True
         if self._lease_id is None:
             return GrantLease(int(self._settings.presence_lease_seconds))
         if not self._is_written:
@@ -136,16 +154,21 @@
             self._lease_id = None
             self._standing = None
             self._is_written = False
+            self._has_stood = False
             return self._after(0.0, now)
         if self._lease_id is None:
             self._lease_id = lease.lease_id
             return self._after(0.0, now)
+        self._listed_until = self._asked_at + self._settings.presence_lease_seconds
         return self._after(self._settings.presence_lease_seconds * RENEWAL_SHARE, now)
 
     def _swapped(self, result: SwapResult, now: float) -> list[Action]:
         if result.succeeded:
             self._is_written = True
-            return self._after(self._settings.presence_lease_seconds * RENEWAL_SHARE, now)
+            # The lease was granted just before; half of it is left in any case.
+            seconds = self._settings.presence_lease_seconds * RENEWAL_SHARE
+            self._listed_until = self._asked_at + seconds
+            return self._after(seconds, now)
         current = result.current
         self._expected_revision = 0 if current is None else current.modified_at
         return self._after(0.0, now)
--- a/wingquay/forwarding/peers/delegated_work.py
+++ b/wingquay/forwarding/peers/delegated_work.py
@@ -8,6 +8,7 @@
 from itertools import count
 
 from ...model.routing_table import Route, RoutingTable
+from ...model.tenants import Tenant
 from ...ports.delegation import AllowAttempts, CancelDelegation, DelegatedAnswer, DelegatedRequest
 from ...ports.forwarding import ForwardRequested
 from ...ports.machine import Action, Count, Schedule
@@ -28,6 +29,8 @@
     delegation_id: int
     positions: dict[str, int]
     """Where each shard stands in the node's request."""
+    is_allowed: bool = False
+    """Whether further attempts are left to this node: before, the other one may still make them."""
     _reported: set[str] = field(default_factory=set)
 
     @property
@@ -67,6 +70,15 @@
         )
         return [SendToPeer(self.node, message)] if given else []
 
+    def tell_exhausted(self, calls: list[ServiceCall]) -> list[Action]:
+        """Return the message that nothing comes of calls any more, if that has not been told."""
+        fresh = [call.service for call in calls if call.service not in self._reported]
+        if not fresh or not self.is_allowed:
+            return []
+        self._reported.update(fresh)
+        positions = tuple(self.positions[service] for service in fresh)
+        return [SendToPeer(self.node, DelegatedAnswer(self.delegation_id, exhausted=positions))]
+
     def refuse_held(self, held_seconds: float) -> list[Action]:
         """Return the message that the request is held back."""
         message = DelegatedAnswer(self.delegation_id, held_seconds=held_seconds)
@@ -116,6 +128,7 @@
             max(sent_at + message.remaining_seconds, now),
         )
         positions = {shard: position for position, shard in enumerate(message.shards)}
+        exchange.tenant = tenant_of(message)
         exchange.origin = NodeOrigin(sender, message.delegation_id, positions)
         exchange.calls = [
             ServiceCall(exchange, shard)
@@ -145,6 +158,8 @@
         if exchange is None or not self._settlement.is_open(exchange):
             return []
         exchange.route = replace(exchange.route, max_attempts=message.max_attempts)
+        if isinstance(exchange.origin, NodeOrigin):
+            exchange.origin.is_allowed = True
         return [Schedule(now, HedgeDue(exchange.exchange_id))]
 
     def cancelled(
@@ -185,6 +200,11 @@
             del self._open[key]
 
 
+def tenant_of(message: DelegatedRequest) -> Tenant | None:
+    """Return who calls, as far as the sender tells: its keys and limits are the sender's affair."""
+    return Tenant(message.tenant, ()) if message.tenant else None
+
+
 def route_of(message: DelegatedRequest) -> Route:
     """Return the part of the sender's route that concerns its shards."""
     return Route(
--- a/wingquay/forwarding/sending/arrival_budget.py
+++ b/wingquay/forwarding/sending/arrival_budget.py
@@ -18,6 +18,12 @@
 SAVING_NODES_SHARE = 0.5
 """Nodes, as a part of the slack, up to which each may save up one whole extra arrival."""
 
+OWNERS_RESERVE = 1.4
+"""Owners of a shard divide the slack by this many times their number. They make nearly all second
+attempts, and with half of all answers lost they need more than an even part brings."""
+STEP_IN_PACE = 0.25
+"""Part of its share that a node gets anew where others own the shard: it steps in for one that is
+lost, which happens now and then, so it may save up but needs no lasting part."""
 EARNING_SECONDS = 2.0
 """Time constant of the rate at which requests earn: a caller that waits for the budget waits for
 less, and a burst that is over earns nothing more."""
@@ -50,15 +56,17 @@
         self._earning.add(self.ratio, now)
         self._earned = min(MOST_SAVED, self._earned + self.ratio)
 
-    def spend(self, nodes: int, now: float) -> bool:
+    def spend(self, nodes: float, now: float, pace: float = 1.0) -> bool:
         """Take one extra arrival; ``False`` if the budget does not allow it.
 
         Parameters
         ----------
         nodes
             How many nodes share the slack.
+        pace
+            Part of its share that this node gets in a window, besides what it has saved up.
         """
-        self._grant(self._share(nodes), self._most(nodes), now)
+        self._grant(self._share(nodes), self._most(nodes), pace, now)
         granted = self._granted or 0.0
         if self._earned + granted < 1.0:
             return False
@@ -67,37 +75,37 @@
         self._granted = granted - (1.0 - from_earned)
         return True
 
-    def next_at(self, nodes: int, now: float) -> float:
+    def next_at(self, nodes: float, now: float, pace: float = 1.0) -> float:
         """Return when one extra arrival may be taken, if as many requests come as lately.
 
         Infinity: none came, and without them it may never.
         """
         share = self._share(nodes)
-        self._grant(share, self._most(nodes), now)
+        self._grant(share, self._most(nodes), pace, now)
         missing = 1.0 - self._earned - (self._granted or 0.0)
         if missing <= 0.0:
             return now
         earning = self._earning.per_second(now)
         if not earning and (self._earned + self._most(nodes) < 1.0 or not share):
             return float("inf")
-        return now + missing / (earning + share / self.window_seconds)
+        return now + missing / (earning + share * pace / self.window_seconds)
 
     def give_back(self) -> None:
         """Return an extra arrival that did not arrive."""
         self._earned = min(MOST_SAVED, self._earned + 1.0)
 
-    def _share(self, nodes: int) -> float:
+    def _share(self, nodes: float) -> float:
         return self.slack * SLACK_SHARE / max(1, nodes)
 
-    def _most(self, nodes: int) -> float:
+    def _most(self, nodes: float) -> float:
         # One whole arrival may be saved up, unless so many nodes could spend one each at once.
         is_few = nodes <= self.slack * SAVING_NODES_SHARE
         return max(self._share(nodes), 1.0) if is_few else self._share(nodes)
 
-    def _grant(self, share: float, most: float, now: float) -> None:
+    def _grant(self, share: float, most: float, pace: float, now: float) -> None:
         if self._granted is None:
             self._granted = share
         else:
-            fresh = share * (now - self._granted_at) / self.window_seconds
+            fresh = share * pace * (now - self._granted_at) / self.window_seconds
             self._granted = min(most, self._granted + fresh)
         self._granted_at = now
--- a/wingquay/forwarding/sending/attempts.py
+++ b/wingquay/forwarding/sending/attempts.py
@@ -10,13 +10,15 @@
     SendToReplica,
 )
 from ...ports.machine import Action, Log, LogLevel, Schedule
+from ..choice.completion import Task
 from ..choice.replica_directory import ReplicaDirectory
 from ..choice.replica_state import ReplicaState
 from ..exchange import Attempt, ServiceCall
+from ..knowledge.reach_evidence import ReachEvidence
 from ..settings import ForwardingSettings
 from ..timers import AbandonDue, ReachDue
 from .latencies import RouteLatencies
-from .limits import SendingLimits
+from .shares import SendingShares
 
 
 class AttemptSender:
@@ -27,7 +29,7 @@
         settings: ForwardingSettings,
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
-        limits: SendingLimits,
+        limits: SendingShares,
     ) -> None:
         self._settings = settings
         self._directory = directory
@@ -35,6 +37,8 @@
         self._limits = limits
         self._ids = count(1)
         self._open: dict[int, Attempt] = {}
+        self.evidence = ReachEvidence()
+        """Which replicas failed lately, and where they are."""
 
     def get(self, attempt_id: int) -> Attempt | None:
         """Return an attempt under way."""
@@ -69,8 +73,9 @@
             excluded |= self._limits.full(call, now)
         limit = self._limits.connections(call, now)
         prefers_proven = not route.is_repeatable
+        task = Task(route.objective_seconds, self._latencies.median_seconds(route))
         replica = self._directory.choose(
-            call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned
+            call.service, excluded, limit, now, with_blocked, prefers_proven, call.is_owned, task
         )
         if replica is None:
             return []
@@ -79,7 +84,7 @@
         attempt_id = next(self._ids)
         attempt = Attempt(attempt_id, call, replica, now, is_hedge, len(replica.in_flight))
         call.attempts[attempt_id] = attempt
-        call.asked.add(replica.record.replica_id)
+        call.asked.add(replica.life)
         call.arrivals += 1
         call.is_waiting = False
         if replica.is_cold(now):
@@ -145,6 +150,7 @@
     def answered(self, attempt: Attempt, load: ReportedLoad | None, now: float) -> list[Action]:
         """Take in that a replica answered an attempt."""
         was_left_out = attempt.replica.on_answer(load, now)
+        self.evidence.answered(attempt.replica.record.zone)
         if now - attempt.sent_at <= attempt.call.exchange.route.objective_seconds:
             attempt.replica.on_good_answer(now)
         self.record_latency(attempt, now)
@@ -164,11 +170,11 @@
         if replica.is_reach_due:
             return actions
         replica.is_reach_due = True
-        return [*actions, Schedule(replica.blocked_until, ReachDue(replica.record.replica_id))]
+        return [*actions, Schedule(replica.blocked_until, ReachDue(replica.life))]
 
     def reach_due(self, event: ReachDue, now: float) -> list[Action]:
         """Try whether a replica is in reach again, as long as it may get work."""
-        replica = self._directory.get(event.replica_id)
+        replica = self._directory.of_life(event.life)
         if replica is None:
             return []
         is_usable = replica in self._directory.usable(replica.record.service, now)
@@ -180,7 +186,7 @@
 
     def connection_tried(self, event: ConnectionTried, now: float) -> list[Action]:
         """Take in whether a connection that no request needed came up."""
-        replica = self._directory.get(event.replica_id)
+        replica = self._directory.of_life(event.life)
         if replica is None:
             return []
         if not event.is_open:
@@ -192,6 +198,7 @@
     def _left_out(
         self, replica: ReplicaState, reason: str, is_certain: bool, now: float
     ) -> list[Action]:
+        self.evidence.failed(replica.record.zone, replica.record.replica_id, now)
         seconds = replica.on_failure(self._settings, is_certain, now)
         if not seconds:
             return []
@@ -212,9 +219,8 @@
 
     def _not_run(self, attempt: Attempt) -> None:
         call = attempt.call
-        replica_id = attempt.replica.record.replica_id
-        call.asked.discard(replica_id)
-        call.refused.add(replica_id)
+        call.asked.discard(attempt.replica.life)
+        call.refused.add(attempt.replica.life)
 
     def _send_action(self, attempt: Attempt, now: float) -> SendToReplica:
         exchange = attempt.call.exchange
@@ -224,6 +230,7 @@
             exchange.event.request_id,
             exchange.event.request,
             max(exchange.ends_at - now, 0.001),
+            tenant=exchange.tenant_name,
         )
 
 
--- a/wingquay/forwarding/sending/call_starter.py
+++ b/wingquay/forwarding/sending/call_starter.py
@@ -1,5 +1,7 @@
 """Sends calls to replicas, or lets them stand in line until one can be asked."""
 
+from collections.abc import Iterable
+
 from ...ports.machine import Action, Log, LogLevel, Observe, Schedule
 from ..exchange import ServiceCall
 from ..timers import RetryDue
@@ -56,6 +58,14 @@
     def _try_send(self, call: ServiceCall, now: float) -> list[Action]:
         return self._sender.try_send(call, now, self._may_ask_blocked(call, now))
 
+    def begin_all(self, calls: Iterable[ServiceCall], now: float) -> list[Action]:
+        """Start calls for the first time."""
+        return [action for call in calls for action in self.begin(call, now)]
+
+    def start_all(self, calls: Iterable[ServiceCall], now: float) -> list[Action]:
+        """Send calls, or let them wait for replicas."""
+        return [action for call in calls for action in self.start(call, now)]
+
     def _may_ask_blocked(self, call: ServiceCall, now: float) -> bool:
         """Whether replicas that just failed are better than none.
 
--- a/wingquay/forwarding/sending/limits.py
+++ b/wingquay/forwarding/sending/shares.py
@@ -7,15 +7,15 @@
 from ..exchange import ServiceCall
 from ..knowledge.presence import NodeCount
 from ..settings import ForwardingSettings
-from .arrival_budget import ArrivalBudget
+from .arrival_budget import OWNERS_RESERVE, STEP_IN_PACE, ArrivalBudget
 from .call_line import tenant_of
 from .cold_share import ColdShare
 from .extra_turns import ExtraTurns
 from .waiting_settings import LinePlace, WaitingSettings
 
 DEFAULT_CONNECTION_LIMIT = 24
-OWNERS_RESERVE = 2
-"""Owners of a shard take this part of what all nodes share: others may have to step in."""
+OWNERS_LIMIT_RESERVE = 2
+"""Owners of a shard take this part of the connections: others may have to step in."""
 LIVES = 2
 """Lives of this process whose connections a replica may still count after a start."""
 
@@ -28,7 +28,7 @@
         ...
 
 
-class SendingLimits:
+class SendingShares:
     """Its own parts of connections, of extra arrivals and of what cold replicas bear.
 
     Parameters
@@ -65,11 +65,11 @@
     def may_arrive_again(self, call: ServiceCall, now: float) -> bool:
         """Take one extra arrival; ``False`` if the budget or another tenant's turn forbids it."""
         tenant = tenant_of(call.exchange)
-        sharing = self._sharing_nodes(call, now)
+        nodes, pace = self._budget_part(call, now)
         if not tenant:
-            return self._budget(call.service).spend(sharing, now)
+            return self._budget(call.service).spend(nodes, now, pace)
         turns = self._turns.setdefault(call.service, ExtraTurns())
-        if turns.is_turn_of(tenant, now) and self._budget(call.service).spend(sharing, now):
+        if turns.is_turn_of(tenant, now) and self._budget(call.service).spend(nodes, now, pace):
             turns.took(tenant, now)
             return True
         turns.wanted(tenant, now)
@@ -77,21 +77,22 @@
 
     def repeat_at(self, call: ServiceCall, now: float) -> float:
         """Return when the budget will allow one extra arrival, if no request earns one before."""
-        return self._budget(call.service).next_at(self._sharing_nodes(call, now), now)
+        nodes, pace = self._budget_part(call, now)
+        return self._budget(call.service).next_at(nodes, now, pace)
 
     def give_back(self, service: str) -> None:
         """Return an extra arrival that did not arrive."""
         self._budget(service).give_back()
 
     def too_cold(self, call: ServiceCall, now: float) -> set[str]:
-        """Return the ids of the cold replicas to which this node may send nothing more now."""
+        """Return the lives of the cold replicas to which this node may send nothing more now."""
         known = call.exchange.table.services.get(call.service)
         per_second = 0.0 if known is None else known.cold_requests_per_second
         if not per_second:
             return set()
         sharing = self._sharing_nodes(call, now)
         return {
-            state.record.replica_id
+            state.life
             for state in self._directory.usable(call.service, now)
             if not self._cold_share.may_send(state, per_second, sharing, now)
         }
@@ -104,11 +105,11 @@
         return min(connections, self._filled(replica))
 
     def full(self, call: ServiceCall, now: float) -> set[str]:
-        """Return the ids of the replicas for which a call is to wait here, in line."""
+        """Return the lives of the replicas for which a call is to wait here, in line."""
         if not self._waits_here(call):
             return set()
         return {
-            state.record.replica_id
+            state.life
             for state in self._directory.usable(call.service, now)
             if len(state.in_flight) >= self._filled(state)
         }
@@ -138,7 +139,18 @@
         nodes = self._nodes.get(now)
         if self.placement is None or not call.is_owned:
             return nodes
-        return min(nodes, OWNERS_RESERVE * self.placement.sharing_nodes(call.service, now))
+        return min(nodes, OWNERS_LIMIT_RESERVE * self.placement.sharing_nodes(call.service, now))
+
+    def _budget_part(self, call: ServiceCall, now: float) -> tuple[float, float]:
+        """Return among how many nodes the slack is divided, and how fast this one's part grows."""
+        nodes = self._nodes.get(now)
+        if self.placement is None:
+            return nodes, 1.0
+        if call.is_owned:
+            owners = self.placement.sharing_nodes(call.service, now)
+            return min(nodes, owners * OWNERS_RESERVE), 1.0
+        is_wide = len(call.exchange.route.shards) >= self._settings.delegate_least_shards
+        return nodes, STEP_IN_PACE if is_wide else 1.0
 
     def _budget(self, service: str) -> ArrivalBudget:
         budget = self._budgets.get(service)
--- a/wingquay/forwarding/sending/waiting.py
+++ b/wingquay/forwarding/sending/waiting.py
@@ -7,8 +7,8 @@
 from .call_line import CallLine
 from .decision import Decision, WaitingRequest, WaitUntil, decide
 from .latencies import RouteLatencies
-from .limits import SendingLimits
 from .room import NEVER, NO_ROOM, ReplicaRoom, expected_room, room_for_share
+from .shares import SendingShares
 from .waiting_settings import WaitingSettings
 
 
@@ -31,7 +31,7 @@
         forwarding: ForwardingSettings,
         directory: ReplicaDirectory,
         latencies: RouteLatencies,
-        limits: SendingLimits,
+        limits: SendingShares,
         line: CallLine,
     ) -> None:
         self._settings = settings
@@ -99,9 +99,9 @@
         """Return what is known of the replicas that a call may still be sent to."""
         later = call.refused | self._limits.too_cold(call, now)
         return [
-            (state, self._room(call, state, state.record.replica_id in later, now))
+            (state, self._room(call, state, state.life in later, now))
             for state in self._directory.usable(call.service, now)
-            if state.record.replica_id not in call.asked
+            if state.life not in call.asked
         ]
 
     def _room(
@@ -115,7 +115,7 @@
         if is_later:
             askable_at = max(now + self._settings.look_seconds, state.blocked_until)
         return ReplicaRoom(
-            state.record.replica_id,
+            state.life,
             askable_at,
             state.known_slots,
             self._limits.most(call, state, now),
--- a/wingquay/forwarding/timers.py
+++ b/wingquay/forwarding/timers.py
@@ -32,6 +32,13 @@
     exchange_id: int
 
 
+@value
+class LimitAnswerDue(Event):
+    """Refuse a request that still waits for word on its tenant's limit."""
+
+    exchange_id: int
+
+
 @value
 class ReportDue(Event):
     """Tell the node that waits for an exchange what is in so far."""
@@ -60,9 +67,9 @@
 
 @value
 class ReachDue(Event):
-    """Try whether a connection to a replica that was out of reach comes up."""
+    """Try whether a connection to a life of a replica that was out of reach comes up."""
 
-    replica_id: str
+    life: str
 
 
 @value
@@ -81,3 +88,37 @@
     """Tell other nodes that replicas ended under a request, unless it was cleared meanwhile."""
 
     identity: bytes
+
+
+@value
+class LimitTellDue(Event):
+    """Tell an owner of tenants which requests were begun."""
+
+    node_id: str
+
+
+@value
+class LimitSilenceDue(Event):
+    """Look whether an owner of tenants has acknowledged what it was told."""
+
+    node_id: str
+    sequence: int
+
+
+@value
+class LimitProbeDue(Event):
+    """Try to reach an owner of tenants again."""
+
+    node_id: str
+
+
+@value
+class LimitAskDue(Event):
+    """Look whether the owner that was asked for a request has answered."""
+
+    ask_id: int
+
+
+@value
+class LimitOwnerDue(Event):
+    """Borrow again what tenants near their limits need, and forget what is over."""
--- a/wingquay/platform/settings.py
+++ b/wingquay/platform/settings.py
@@ -6,6 +6,7 @@
 from ipaddress import ip_address
 from typing import Any
 
+from ..forwarding.knowledge.proving_looks import ProvingWay
 from ..model.failure import Failure
 from ..model.value import value
 
@@ -13,6 +14,8 @@
 MILLISECONDS_PER_SECOND = 1000.0
 LEAST_BOUND_MS = 100.0
 LEAST_CONTACT_MS = 1000.0
+LEAST_REVOCATION_MS = 1000.0
+"""In less, no look at the store could be lost and made again."""
 GREATEST_BOUND_MS = 600_000.0
 LEAST_PROCESSOR = 0.001
 GREATEST_PROCESSOR = 1024.0
@@ -77,9 +80,13 @@
     revocation_seconds
         Time after a configuration took a key away from which on no node may run a request with it,
         whatever the node can reach; ``None``: only nodes in touch are bound.
+    proving_way
+        How the node that looks at the store for its group keeps the configuration proven.
     limit_window_seconds, limit_overage, limit_slack
         Requests of a tenant that run on all nodes in a window of that length: what its limit allows
         times one more than the second figure, plus the third, at most.
+    leaves_when_cut_off
+        Whether the node leaves its callers to other zones while it has lost them.
     """
 
     node: str
@@ -104,9 +111,11 @@
     cold_slack: float
     grace_seconds: float
     revocation_seconds: float | None = None
+    proving_way: ProvingWay = ProvingWay.SHORT
     limit_window_seconds: float = 5.0
     limit_overage: float = 0.0
     limit_slack: float = 0.0
+    leaves_when_cut_off: bool = True
 
 
 def parse_settings(text: str) -> PlatformSettings | Failure[SettingsFailureKind]:
@@ -150,12 +159,25 @@
         cold_slack=_optional_number(document, "cold.slack", 0.0),
         grace_seconds=_number(document, "stop.grace_seconds", 0.5, 3600.0),
         revocation_seconds=_revocation_seconds(document),
+        proving_way=_proving_way(document),
         limit_window_seconds=_optional_number(document, "limits.window_seconds", 5.0),
         limit_overage=_optional_number(document, "limits.overage", 0.0),
         limit_slack=_optional_number(document, "limits.slack", 0.0),
+        leaves_when_cut_off=_leaves_when_cut_off(document),
     )
 
 
+def _leaves_when_cut_off(document: Mapping[str, Any]) -> bool:
+    """Return whether the node leaves callers to other zones; it does if the field is missing."""
+    found = _find(document, "node.leaves_when_cut_off")
+    if found in (None, "", "true"):
+        return True
+    if found != "false":
+        reason = f"node.leaves_when_cut_off is {found!r}; allowed: true or false, in quotes"
+        raise _InvalidError(reason)
+    return False
+
+
 def _revocation_seconds(document: Mapping[str, Any]) -> float | None:
     """Return the bound for keys that are taken away, if the platform asks for it."""
     is_strict = _find(document, "store.strict_revocation")
@@ -164,12 +186,24 @@
     if is_strict != "true":
         reason = f"store.strict_revocation is {is_strict!r}; allowed: true or false, in quotes"
         raise _InvalidError(reason)
-    seconds = _optional_milliseconds(document, "store.revocation_ms", LEAST_BOUND_MS)
+    seconds = _optional_milliseconds(document, "store.revocation_ms", LEAST_REVOCATION_MS)
     if seconds is None:
         raise _InvalidError("store.revocation_ms is missing; store.strict_revocation needs it")
     return seconds
 
 
+def _proving_way(document: Mapping[str, Any]) -> ProvingWay:
+    """Return how nodes look at the store under the strict bound."""
+    found = _find(document, "store.proving_looks")
+    if found in (None, ""):
+        return ProvingWay.SHORT
+    for way in ProvingWay:
+        if way.value == found:
+            return way
+    allowed = ", ".join(way.value for way in ProvingWay)
+    raise _InvalidError(f"store.proving_looks is {found!r}; allowed: {allowed}")
+
+
 def _find(document: Mapping[str, Any], field: str) -> Any:
     section, _, key = field.partition(".")
     table = document.get(section)
--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -11,9 +11,14 @@
 
 OUTAGE_SECONDS = (0.3, 7.0)
 """An outage of the store, or of a node's way to it, takes a time between these."""
+CUT_SECONDS = (2.0, 7.0)
+"""A zone is cut off for a time between these."""
 SUSPENDED_SECONDS = (1.0, 3.0, 8.0, 30.0)
 CRASHING_ROUTES = ("sweep", "check", "fetch", "edit")
 """First words of the paths of requests that may end replicas."""
+BORN_AGAIN_SECONDS = (0.3, 4.0)
+CLOCK_STEPS_MS = (0, 0, 2_000, -3_600_000)
+"""How far the clock of a replica's machine is stepped while it is down."""
 RECORDS_BACK_SECONDS = 1.0
 """Time after the store's return in which records that lapsed meanwhile are written again."""
 
@@ -170,12 +175,32 @@
     simulation.callers.repeat(path, chance.randint(4, 9), chance.uniform(0.5, 4.5), chance)
 
 
+def zone_cut_off(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Cut a zone off from the others and from the store for some seconds."""
+    zone = f"zone-{chance.randrange(simulation.settings.zones)}"
+    simulation.cut_zone(zone, chance.uniform(*CUT_SECONDS))
+
+
 def node_suspended(simulation: ForwardingSimulation, chance: random.Random) -> None:
     """Suspend a node for seconds."""
     number = chance.randrange(simulation.settings.nodes)
     simulation.suspend_node(number, chance.choice(SUSPENDED_SECONDS))
 
 
+def replicas_born_again(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Let some replicas end without a word and start again under their ids."""
+    is_silent = chance.random() < 0.5
+    for replica in simulation.some_replicas(chance, 0.2):
+        down_seconds = chance.uniform(*BORN_AGAIN_SECONDS)
+        step_ms = chance.choice(CLOCK_STEPS_MS)
+        simulation.crash_and_bear_again(replica, down_seconds, step_ms, is_silent)
+
+
+def crashed_keep_ids(simulation: ForwardingSimulation, _chance: random.Random) -> None:
+    """Let replicas that end from now on start again under their ids."""
+    simulation.keeps_ids = True
+
+
 FAULTS: tuple[SimulatedFault, ...] = (
     replica_slow,
     replica_dark,
@@ -204,6 +229,10 @@
 It stays as it is, so that a seed that has shown something shows it again."""
 LATER_FAULTS: tuple[SimulatedFault, ...] = (crashing_request, node_suspended)
 """Faults that are drawn besides by runs that say so."""
+LIFE_FAULTS: tuple[SimulatedFault, ...] = (replicas_born_again, crashed_keep_ids)
+"""The same for the lives of replicas."""
+ZONE_FAULTS: tuple[SimulatedFault, ...] = (zone_cut_off,)
+"""Faults of runs in which more than two zones hold replicas."""
 
 
 def play(
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -12,6 +12,7 @@
     ReplicaAnswered,
     ReplyFailure,
     SendFailed,
+    SendFailureKind,
     SendToReplica,
 )
 from ...ports.machine import Event, Exit, StopRequested, Woken
@@ -19,7 +20,7 @@
 from .callers import LEAD_SECONDS, Callers
 from .node_links import NodeLinks
 from .oracle import ForwardingOracle
-from .replica import ReplicaModel
+from .replica import CONNECT_SECONDS, ReplicaModel
 from .routes import (
     EDIT_SERVICE,
     SINGLE_SERVICE,
@@ -33,6 +34,7 @@
     SimulatedForwardingNode,
 )
 from .store import StoreModel
+from .zone_cuts import ZoneCuts
 
 SETTLE_SECONDS = 8.0
 """Time after the last request in which everything open must end."""
@@ -43,6 +45,8 @@
 """Time limits of the routes over shards; each configuration has one of them."""
 RECORD_LAPSES_SECONDS = 2.5
 """Time after a replica's end at which its record lapses."""
+FIRST_BORN = 1_700_000_000_000
+"""Unix milliseconds at the begin of a run."""
 REPLICA_BACK_SECONDS = 3.0
 """Time after a replica's end at which a new start of it comes up at its address."""
 
@@ -86,10 +90,13 @@
         self.clock = VirtualClock()
         self.oracle = ForwardingOracle(self.settings)
         self.store = StoreModel(self.clock)
-        self.links = NodeLinks(self.clock, settings.network_seconds)
+        self.cuts = ZoneCuts(self.clock)
+        self.links = NodeLinks(self.clock, settings.network_seconds, self.cuts)
         self.tables: dict[bytes, RoutingTable] = {}
         self.records: dict[bytes, ReplicaRecord] = {}
         self.crashing_targets: set[bytes] = set()
+        self.keeps_ids = False
+        """Whether replicas that end without a word start again under their ids."""
         """Targets of requests that end each replica that runs them."""
         self.shard_names: list[str] = []
         self.nodes: list[SimulatedForwardingNode] = []
@@ -146,7 +153,7 @@
         """Start a replica and let it announce itself."""
         number = next(self._numbers)
         address = host or f"host-{number}"
-        zone = f"zone-{number % 2}"
+        zone = f"zone-{number % self.settings.replica_zones}"
         record = ReplicaRecord(
             f"{service}-{number}", service, address, 80, zone, self.settings.slots
         )
@@ -199,10 +206,37 @@
 
     def crash_and_restart(self, replica: ReplicaModel) -> None:
         """End a replica without a word; its record lapses and a new start of it comes up."""
+        if self.keeps_ids:
+            self.crash_and_bear_again(replica, REPLICA_BACK_SECONDS)
+            return
         replica.crash()
         self.clock.after(RECORD_LAPSES_SECONDS, self.remove_record, replica)
         self.clock.after(REPLICA_BACK_SECONDS, self.start_replica_like, replica)
 
+    def crash_and_bear_again(
+        self,
+        replica: ReplicaModel,
+        down_seconds: float,
+        clock_step_ms: int = 0,
+        is_silent: bool = False,
+    ) -> None:
+        """End a replica without a word and let it start again under its id.
+
+        Parameters
+        ----------
+        clock_step_ms
+            How far its machine's clock is stepped meanwhile.
+        is_silent
+            Whether no end of its connections is seen, as behind a cut.
+        """
+        replica.crash(is_silent)
+        self.clock.after(down_seconds, self._bear_again, replica, clock_step_ms)
+
+    def _bear_again(self, replica: ReplicaModel, clock_step_ms: int) -> None:
+        if replica.record.replica_id not in self.oracle.draining_at:
+            replica.start_again(max(FIRST_BORN + int(self.clock.now * 1000.0) + clock_step_ms, 0))
+            self.put_record(replica)
+
     def end_replica(self, replica: ReplicaModel) -> None:
         """End a replica that drained."""
         self.remove_record(replica)
@@ -227,7 +261,9 @@
         """Write the next version; time limits change a little from one to the next."""
         self._version += self._random.randint(1, 3)
         limit_seconds = self._random.choice(LIMITS_SECONDS)
-        table = routing_table(self._version, self.shard_names, limit_seconds)
+        table = routing_table(
+            self._version, self.shard_names, limit_seconds, self.settings.sweep_least_share
+        )
         value = f"version {table.version}".encode()
         self.tables[value] = table
         self.store.put(CONFIGURATION_KEY, value)
@@ -283,6 +319,17 @@
         self.clock.after(seconds, self.links.heal, number)
         self.oracle.disturbed.append((self.clock.now, self.clock.now + seconds))
 
+    def cut_zone(self, zone: str, seconds: float) -> None:
+        """Cut a zone off from the others and from the store."""
+        self.cuts.cut(zone, seconds)
+        for node in self.nodes:
+            if node.zone == zone:
+                self.store.cut_off_node(node.number, seconds)
+        span = (self.clock.now, self.clock.now + seconds)
+        self.oracle.unstable.append(span)
+        self.oracle.disturbed.append(span)
+        self.clock.after(seconds, self.links.release)
+
     def stop_node(self, number: int) -> None:
         """Stop a node as planned."""
         self.nodes[number].emit(StopRequested())
@@ -301,23 +348,41 @@
         delay = self.settings.network_seconds
 
         def tell(outcome: ReplicaAnswered | SendFailed) -> None:
-            self.clock.after(delay, node.outcome, outcome, send.attempt_id)
+            if not self.cuts.separates(node.zone, send.replica.zone):
+                self.clock.after(delay, node.outcome, outcome, send.attempt_id)
 
         def arrive() -> None:
+            if self.cuts.separates(node.zone, send.replica.zone):
+                kind = SendFailureKind.NOT_SENT
+                failure = SendFailed(send.attempt_id, kind, "no connection")
+                self.clock.after(CONNECT_SECONDS, node.outcome, failure, send.attempt_id)
+                return
             replica = self._replicas.get(send.replica.host)
             if replica is not None and node.is_alive:
                 replica.receive(node.number, send, tell)
 
         self.clock.after(delay, arrive)
 
-    def connect(self, record: ReplicaRecord, emit: Callable[[Event], None]) -> None:
-        """Try a connection to a replica and tell whether it came up."""
+    def connect(
+        self, record: ReplicaRecord, emit: Callable[[Event], None], zone: str | None = None
+    ) -> None:
+        """Try a connection to a replica and tell whether it came up.
+
+        Parameters
+        ----------
+        zone
+            Where the connection comes from.
+        """
+        if self.cuts.separates(zone or record.zone, record.zone):
+            lost = ConnectionTried(record.replica_id, "no answer")
+            self.clock.after(CONNECT_SECONDS, emit, lost)
+            return
         replica = self._replicas.get(record.host)
         if replica is None or replica.record.replica_id != record.replica_id:
-            emit_later = ConnectionTried(record.replica_id, "refused", True)
+            emit_later = ConnectionTried(record.life, "refused", True)
             self.clock.after(self.settings.network_seconds, emit, emit_later)
             return
-        self.clock.after(self.settings.network_seconds, replica.connect, emit)
+        self.clock.after(self.settings.network_seconds, replica.connect, record.life, emit)
 
     def cancel_at(self, host: str, node: int, attempt_id: int) -> None:
         """Carry the end of a connection to a replica."""
