Know tenants in line by their names

Cause: since an exchange holds its tenant as a value, the line and the turns of extra arrivals took the value's text for its name: all callers that are not told apart became a tenant called None, and the text holds keys. Change: Exchange.tenant_name; the tests of hot callers use configurations with tenants and keys.

--- a/tests/forwarding/played_service.py
+++ b/tests/forwarding/played_service.py
@@ -2,10 +2,13 @@
 
 from collections import Counter
 
+from tests.forwarding import known_callers
 from tests.forwarding.one_node import OneNode
 from wingquay.ports.forwarding import ReplyFailure, SendToReplica
 
 STEP_SECONDS = 0.002
+FIRST_WITH_KEY = 1000
+"""Numbers of requests with a key; those without count from 1."""
 
 
 class PlayedService:
@@ -28,9 +31,13 @@
         self._ends_at: dict[int, float] = {}
         self._arrived: dict[str, float] = {}
 
-    def ask(self, path: str, deadline_seconds: float = 8.0) -> int:
+    def ask(self, path: str, deadline_seconds: float = 8.0, key: str = "") -> int:
         """Let a caller ask."""
-        number = self.node.request(path, deadline_seconds)
+        if key:
+            number = FIRST_WITH_KEY + len(self._arrived)
+            known_callers.ask(self.node, number, key, path, deadline_seconds=deadline_seconds)
+        else:
+            number = self.node.request(path, deadline_seconds)
         self._arrived[f"id-{number}"] = self.node.now
         return number
 
--- a/tests/forwarding/test_extra_turns.py
+++ b/tests/forwarding/test_extra_turns.py
@@ -1,8 +1,19 @@
 """Extra arrivals where callers are told apart: nobody's burst spends what the others earned."""
 
+import random
+
 from testtools import TestCase
 
+from tests.forwarding.one_node import single_route, table
+from wingquay.forwarding.choice.replica_directory import ReplicaDirectory
+from wingquay.forwarding.exchange import Exchange, ServiceCall
+from wingquay.forwarding.knowledge.presence import NodeCount
 from wingquay.forwarding.sending.extra_turns import WANT_SECONDS, ExtraTurns
+from wingquay.forwarding.sending.shares import SendingShares
+from wingquay.forwarding.sending.waiting_settings import DEFAULT_WAITING
+from wingquay.forwarding.settings import ForwardingSettings
+from wingquay.model.tenants import Tenant
+from wingquay.ports.forwarding import ForwardRequested, OpaqueRequest
 
 
 class TurnsTest(TestCase):
@@ -36,3 +47,38 @@
             turns.took(f"tenant{number}", 0.0)
             turns.wanted(f"other{number}", 0.0)
         self.assertLess(len(turns._had) + len(turns._wanted_at), 200)
+
+
+class SharesTest(TestCase):
+    """A service whose budget allows one extra arrival each second."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        settings = ForwardingSettings(
+            "a",
+            retry_ratio=0.0,
+            retry_slack=2.5,
+            retry_window_seconds=1.0,
+            fewest_nodes=1,
+            most_nodes=1,
+        )
+        directory = ReplicaDirectory(settings, random.Random(1))
+        self.shares = SendingShares(settings, directory, NodeCount(settings), "", DEFAULT_WAITING)
+
+    def call(self, tenant: Tenant | None) -> ServiceCall:
+        request = OpaqueRequest(b"GET", b"/one/x", ())
+        event = ForwardRequested(1, "id-1", "host", "/one/x", request)
+        route = single_route()
+        exchange = Exchange(event, table(1, route), route, 0.0, 1.0, 2.0, tenant=tenant)
+        return ServiceCall(exchange, "s")
+
+    def test_the_second_one_goes_to_the_tenant_that_had_none(self) -> None:
+        hot, calm = self.call(Tenant("hot", ("1",))), self.call(Tenant("calm", ("2",)))
+        moments = ((hot, 0.0), (calm, 0.8), (hot, 1.0), (calm, 1.05), (hot, 2.1))
+        granted = [self.shares.may_arrive_again(call, now) for call, now in moments]
+        self.assertEqual([True, False, False, True, True], granted)
+
+    def test_callers_that_are_not_told_apart_take_what_there_is(self) -> None:
+        call = self.call(None)
+        granted = [self.shares.may_arrive_again(call, now) for now in (0.0, 0.8, 1.0)]
+        self.assertEqual([True, False, True], granted)
--- a/tests/forwarding/test_line_order.py
+++ b/tests/forwarding/test_line_order.py
@@ -1,33 +1,37 @@
 """Loads on a small service: bursts, hot callers, the last slot, a start; by where work waits."""
 
-from types import SimpleNamespace
-
 from testtools import TestCase
 
+from tests.forwarding.known_callers import with_tenants
 from tests.forwarding.one_node import OneNode, replica, single_route, table
 from tests.forwarding.played_service import PlayedService
-from wingquay.forwarding.exchange import Exchange
-from wingquay.forwarding.sending import call_line
 from wingquay.forwarding.sending.waiting_settings import LinePlace, WaitingRule, WaitingSettings
+from wingquay.model.tenants import Tenant
 from wingquay.ports.forwarding import ReportedLoad
 from wingquay.ports.machine import Count, Observe
 
 OBJECTIVE_SECONDS = 1.05
+HOT, CALM = Tenant("hot", ("hot-key",)), Tenant("calm", ("calm-key",))
 WAYS = {place.value: WaitingSettings(WaitingRule.ESTIMATE, place) for place in LinePlace}
 
 
-def service(waiting: WaitingSettings, replicas: int, settled_seconds: float) -> PlayedService:
+def service(
+    waiting: WaitingSettings, replicas: int, settled_seconds: float, *tenants: Tenant
+) -> PlayedService:
     """Return a service that takes urgent and usual requests at a node that is one of few."""
     node = OneNode(waiting=waiting)
     shared = {"objective_seconds": OBJECTIVE_SECONDS, "timeout_seconds": 8.0, "max_attempts": 1}
     urgent = single_route("/urgent/", priority=0, **shared)
     usual = single_route("/usual/", priority=2, **shared)
     records = [replica(f"r{number}", "s") for number in range(replicas)]
-    node.start(table(1, urgent, usual, connections=240), *records)
+    configuration = table(1, urgent, usual, connections=240)
+    if tenants:
+        configuration = with_tenants(configuration, *tenants)
+    node.start(configuration, *records)
     node.advance(settled_seconds)
     played = PlayedService(node)
     if settled_seconds:
-        played.ask("/usual/first")
+        played.ask("/usual/first", key=tenants[0].keys[0] if tenants else "")
         played.run(0.2 + settled_seconds)
     return played
 
@@ -96,26 +100,22 @@
     """One tenant sends twenty times as much as another one."""
 
     def calm_seconds(self, waiting: WaitingSettings) -> float:
-        played = service(waiting, 1, 10.0)
-
-        def by_path(exchange: Exchange) -> str:
-            return exchange.event.path.rpartition("/")[2]
-
-        original = call_line.tenant_of
-        self.addCleanup(setattr, call_line, "tenant_of", original)
-        call_line.tenant_of = by_path
+        played = service(waiting, 1, 10.0, HOT, CALM)
         for _ in range(20):
-            played.ask("/usual/hot")
+            played.ask("/usual/x", key=HOT.keys[0])
         played.run(0.01)
-        number = played.ask("/usual/calm")
+        number = played.ask("/usual/x", key=CALM.keys[0])
         played.run(4.0)
         return round(played.seconds(number), 1)
 
-    def test_the_tenant_is_read_where_callers_are_told_apart(self) -> None:
-        known = SimpleNamespace(tenant="tenant")
-        unknown = SimpleNamespace()
-        names = [call_line.tenant_of(exchange) for exchange in (known, unknown)]  # type: ignore[arg-type]
-        self.assertEqual(["tenant", ""], names)
+    def test_only_tenants_that_were_served_are_remembered_and_by_name(self) -> None:
+        names = {}
+        for tenants in ((), (HOT, CALM)):
+            played = service(WAYS["node"], 1, 10.0, *tenants)
+            lines = played.node.machine._forwarding._line._lines.values()
+            ranks = [rank for line in lines for rank in line._ranks.values()]
+            names[len(tenants)] = [name for rank in ranks for name in rank.flows]
+        self.assertEqual({0: [], 2: ["hot"]}, names)
 
     def test_the_calm_one_does_not_wait_for_the_burst(self) -> None:
         seconds = {name: self.calm_seconds(waiting) for name, waiting in WAYS.items()}
--- a/wingquay/forwarding/sending/call_line.py
+++ b/wingquay/forwarding/sending/call_line.py
@@ -8,7 +8,7 @@
 
 from ...routing.fair_line import FairLine
 from ...routing.line_place import Place
-from ..exchange import Exchange, ServiceCall
+from ..exchange import ServiceCall
 from .latencies import RouteLatencies
 
 MEMORY_SECONDS = 2.0
@@ -49,7 +49,7 @@
         Callers that are all one share nothing, and parts of merged answers hardly ever wait: each
         request has one at every shard, which would all remember its tenant.
         """
-        if not call.exchange.route.shards and tenant_of(call.exchange):
+        if not call.exchange.route.shards and call.exchange.tenant_name:
             self._line(call.service).charge(call, now)
 
     def has_any(self, service: str) -> bool:
@@ -101,9 +101,4 @@
     def _place_of(self, call: ServiceCall) -> Place:
         exchange = call.exchange
         cost = self._latencies.work_seconds(exchange.route)
-        return Place(exchange.route.priority, tenant_of(exchange), cost=cost)
-
-
-def tenant_of(exchange: Exchange) -> str:
-    """Return the name of the tenant that calls; empty where callers are not told apart."""
-    return str(getattr(exchange, "tenant", ""))
+        return Place(exchange.route.priority, exchange.tenant_name, cost=cost)
--- a/wingquay/forwarding/sending/shares.py
+++ b/wingquay/forwarding/sending/shares.py
@@ -8,7 +8,6 @@
 from ..knowledge.presence import NodeCount
 from ..settings import ForwardingSettings
 from .arrival_budget import OWNERS_RESERVE, STEP_IN_PACE, ArrivalBudget
-from .call_line import tenant_of
 from .cold_share import ColdShare
 from .extra_turns import ExtraTurns
 from .waiting_settings import LinePlace, WaitingSettings
@@ -64,7 +63,7 @@
 
     def may_arrive_again(self, call: ServiceCall, now: float) -> bool:
         """Take one extra arrival; ``False`` if the budget or another tenant's turn forbids it."""
-        tenant = tenant_of(call.exchange)
+        tenant = call.exchange.tenant_name
         nodes, pace = self._budget_part(call, now)
         if not tenant:
             return self._budget(call.service).spend(nodes, now, pace)
