Play tenants, keys that come and go, and a public route in the simulation

Cause: histories over several nodes did not know callers; what other nodes are told was tested with one node at a time. Change: SimulationSettings.tenants (0: as before, no draw of the other streams changes); callers show good, old, wrong and no keys and say by themselves who they are; every change of configuration takes keys away. The oracle checks what replicas are told, that nothing says who calls but that, and that no key is called unknown which every configuration in question holds. A check that was wrong: a reply counted as late by the time limit of the newest configuration, also where the node rightly went by the one before. The limit is now the longest of the configurations by which the node may have gone at that moment, and no other.

--- a/wingquay/simulation/forwarding/callers.py
+++ b/wingquay/simulation/forwarding/callers.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterator
+from dataclasses import replace
 from typing import Protocol
 
 from ...ports.forwarding import CallerLeft, ForwardRequested, OpaqueRequest, ReplyFailure
@@ -10,6 +11,7 @@
 from .routes import HOST
 from .settings import SimulationSettings
 from .simulated_node import SimulatedForwardingNode
+from .tenant_keys import TenantKeys
 
 LEAD_SECONDS = 3.0
 """Time between the start of the nodes and the first request."""
@@ -32,6 +34,7 @@
     oracle: ForwardingOracle
     settings: SimulationSettings
     nodes: list[SimulatedForwardingNode]
+    tenants: TenantKeys
 
 
 class Callers:
@@ -73,7 +76,9 @@
         node = self._random.choice(ready)
         path = self._random.choices(PATHS, PATH_WEIGHTS)[0]
         number = next(self._numbers)
-        event = self._arrives(node, path, number)
+        has_tenants = self._simulation.settings.tenants > 0
+        key = self._simulation.tenants.draw() if has_tenants else None
+        event = self._arrives(node, path, number, key)
         if self._random.random() < self.leave_share:
             after = self._random.uniform(0.005, 0.1)
             self._clock.after(after, self._leave, node, number, event.request_id)
@@ -115,16 +120,28 @@
         if not ready:
             return None
         node = chance.choice(ready)
-        event = self._arrives(node, path, next(self._numbers))
+        has_tenants = self._simulation.settings.tenants > 0
+        key = self._simulation.tenants.first() if has_tenants else None
+        event = self._arrives(node, path, next(self._numbers), key)
         node.emit(event)
         return event.request_id
 
-    def _arrives(self, node: SimulatedForwardingNode, path: str, number: int) -> ForwardRequested:
-        request_id = f"request-{number}"
+    def _event(self, number: int, request_id: str, path: str, key: str | None) -> ForwardRequested:
+        """Return a request as a node's adapter understands it; ``None``: nobody has keys."""
         request = OpaqueRequest(b"GET", path.encode(), ())
-        event = ForwardRequested(
+        usual = ForwardRequested(
             number, request_id, HOST, path, request, PATIENCE_SECONDS, TRANSIT_SECONDS
         )
+        if key is None:
+            return usual
+        request, bare_request = self._simulation.tenants.requests(path, key)
+        return replace(usual, request=request, key=key, bare_request=bare_request)
+
+    def _arrives(
+        self, node: SimulatedForwardingNode, path: str, number: int, key: str | None
+    ) -> ForwardRequested:
+        request_id = f"request-{number}"
+        event = self._event(number, request_id, path, key)
         route = self._oracle.tables[-1][1].find(HOST, path)
         self._oracle.requested(event, route, node.number, self._clock.now)
         node.open_requests[number] = request_id
--- a/wingquay/simulation/forwarding/oracle.py
+++ b/wingquay/simulation/forwarding/oracle.py
@@ -14,6 +14,7 @@
     ReplyUnchanged,
     SendToReplica,
 )
+from .caller_oracle import is_known_to_all, wrong_sending
 from .crash_oracle import CrashOracle
 from .settings import SimulationSettings
 
@@ -106,6 +107,8 @@
             self._check_not_run(request_id, reply)
         elif reply.kind is ForwardFailureKind.NO_ROUTE:
             self._check_no_route(request)
+        elif reply.kind is ForwardFailureKind.UNKNOWN_CALLER:
+            self._check_unknown(request)
 
     # What replicas see
 
@@ -117,6 +120,9 @@
             return
         self._arrivals.setdefault(record.service, []).append((now, send.request_id))
         self._open[node, send.attempt_id] = send.request_id
+        wrong = wrong_sending(request.event, send, self._deciding_tables(request))
+        if wrong:
+            self._violated(f"{send.request_id}: {wrong}")
         if self._is_in_touch(node, now):
             self.crashes.arrived(send.request.target, send.request_id, now)
         if not self._was_suspended(node, now):
@@ -180,13 +186,20 @@
         for request_id, request in self.requests.items():
             if request.route is None or request.left_at is not None:
                 continue
-            due_at = self._awake_at(request.node, request.at + request.route.timeout_seconds) + late
+            due_at = self._awake_at(request.node, request.at + self._limit(request)) + late
             if (request.replied_at or now) > due_at:
                 self._violated(f"{request_id}: no reply by its time limit")
         for service in self._arrivals:
             self._check_budget(service)
         self.violations += self.crashes.violations()
 
+    def _limit(self, request: _Request) -> float:
+        """Return the longest time limit by which a node may rightly hold a request."""
+        event = request.event
+        tables = self._tables_at_arrival(request)
+        routes = [table.find(event.host, event.path) for table in tables]
+        return max(route.timeout_seconds for route in (*routes, request.route) if route is not None)
+
     def _awake_at(self, node: int, at: float) -> float:
         """Return the first moment from ``at`` on at which a node can act."""
         spans = sorted(self.suspended.get(node, ()))
@@ -325,6 +338,23 @@
         if possible and all(table.find(event.host, event.path) for table in possible):
             self._violated(f"{event.request_id}: no route although every configuration has one")
 
+    def _check_unknown(self, request: _Request) -> None:
+        if is_known_to_all(request.event, self._deciding_tables(request)):
+            self._violated(f"{request.event.request_id}: a known key was called unknown")
+        if self._runs.get(request.event.request_id):
+            self._violated(f"{request.event.request_id}: ran although its key is unknown")
+
+    def _deciding_tables(self, request: _Request) -> list[RoutingTable]:
+        """Return the configurations by which a request may have been decided at its arrival."""
+        later = [table for at, table in self.tables if at > request.at]
+        return [*self._tables_at_arrival(request), *later]
+
+    def _tables_at_arrival(self, request: _Request) -> list[RoutingTable]:
+        """Return the configurations by which a node may have gone when a request arrived."""
+        if self._is_in_touch(request.node, request.at):
+            return self._possible_tables(request.at)
+        return [table for at, table in self.tables if at <= request.at]
+
     def _is_allowed(self, request: _Request, service: str) -> bool:
         event = request.event
         routes = [table.find(event.host, event.path) for _, table in self.tables]
--- a/wingquay/simulation/forwarding/settings.py
+++ b/wingquay/simulation/forwarding/settings.py
@@ -30,6 +30,8 @@
         Zones among which nodes are divided; the first two hold replicas.
     delegate_least_shards
         Shards of a route from which on nodes ask each other for some of them.
+    tenants
+        Tenants of the configuration, whose keys change with it; 0: callers are not told apart.
     budget_ratio, budget_slack, budget_window_seconds
         Extra arrivals at a service over all nodes in any window.
     """
@@ -54,6 +56,7 @@
     contact_seconds: float = 4.0
     left_bound_seconds: float = 0.5
     late_reply_seconds: float = 0.5
+    tenants: int = 0
     budget_ratio: float = 0.2
     budget_slack: float = 56.0
     budget_window_seconds: float = 10.0
