--- a/tests/forwarding/proof_fleet.py
+++ b/tests/forwarding/proof_fleet.py
@@ -39,6 +39,7 @@
 )
 from wingquay.simulation.forwarding.node_links import NodeLinks
 from wingquay.simulation.forwarding.store import StoreModel
+from wingquay.simulation.forwarding.zone_cuts import ZoneCuts
 from wingquay.simulation.virtual_clock import VirtualClock
 
 TENANTS = TenantDirectory((Tenant("blue", ("key",)),))
@@ -168,7 +169,7 @@
         self.random = random.Random(seed)  # noqa: S311
         self.clock = VirtualClock()
         self.store = StoreModel(self.clock)
-        self.links = NodeLinks(self.clock, LINK_SECONDS)
+        self.links = NodeLinks(self.clock, LINK_SECONDS, ZoneCuts(self.clock))
         self.calls = 0
         self.messages = 0
         self.busy_until = 0.0
--- a/wingquay/simulation/forwarding/settings.py
+++ b/wingquay/simulation/forwarding/settings.py
@@ -36,6 +36,8 @@
         Whether nodes that have lost all other zones leave callers to those.
     delegate_least_shards
         Shards of a route from which on nodes ask each other for some of them.
+    tenants
+        Tenants of the configuration, whose keys change with it; 0: callers are not told apart.
     budget_ratio, budget_slack, budget_window_seconds
         Extra arrivals at a service over all nodes in any window.
     """
@@ -63,6 +65,7 @@
     contact_seconds: float = 4.0
     left_bound_seconds: float = 0.5
     late_reply_seconds: float = 0.5
+    tenants: int = 0
     budget_ratio: float = 0.2
     budget_slack: float = 56.0
     budget_window_seconds: float = 10.0
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -34,6 +34,7 @@
     SimulatedForwardingNode,
 )
 from .store import StoreModel
+from .tenant_keys import TenantKeys
 from .zone_cuts import ZoneCuts
 
 SETTLE_SECONDS = 8.0
@@ -106,6 +107,7 @@
         self._replicas: dict[str, ReplicaModel] = {}
         self._faults = tuple(faults)
         self._version = 0
+        self.tenants = TenantKeys(settings.tenants, random.Random(f"tenants/{seed}"))
         self.callers = Callers(self, self._random, self._numbers)
 
     def run(self) -> SimulationResult:
@@ -261,8 +263,14 @@
         """Write the next version; time limits change a little from one to the next."""
         self._version += self._random.randint(1, 3)
         limit_seconds = self._random.choice(LIMITS_SECONDS)
+        if self.oracle.tables:
+            self.tenants.change()
         table = routing_table(
-            self._version, self.shard_names, limit_seconds, self.settings.sweep_least_share
+            self._version,
+            self.shard_names,
+            limit_seconds,
+            self.settings.sweep_least_share,
+            self.tenants.directory(),
         )
         value = f"version {table.version}".encode()
         self.tables[value] = table
