--- a/tests/simulation/forwarding/test_forwarding_simulation.py
+++ b/tests/simulation/forwarding/test_forwarding_simulation.py
@@ -160,7 +160,7 @@
     def test_work_for_a_caller_that_left_is_caught(self) -> None:
         self.replace(AttemptSender, "abandon", lambda *_: [])
         faults = (callers_leave, callers_leave, replica_slow, replica_slow, replica_slow)
-        # Choices pass over slow replicas: in half of the seeds none works on for a caller that left.
+        # Choices pass over slow replicas: in half of the seeds none works for a caller that left.
         self.assertIn("after its caller left", self.violations(*faults, seeds=8))
 
     def test_more_replicas_than_a_route_allows_are_caught(self) -> None:
