--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -3,7 +3,6 @@
 import random
 
 from ..model.failure import Failure
-from ..model.replica_record import ReplicaRecord
 from ..model.routing_table import RoutingTable
 from ..ports.forwarding import OpaqueRequest
 from ..ports.machine import (
@@ -21,7 +20,6 @@
 from ..ports.proof_messages import AskProof, ProofGiven
 from ..ports.store import (
     ReadResult,
-    StoredValue,
     StoreResponse,
     WatchBroken,
     WatchChanged,
@@ -30,9 +28,7 @@
 from .arrival.admission import ConfigurationProof
 from .arrival.limits.limit_keeper import LimitKeeper
 from .arrival.limits.limit_settings import LimitSettings
-from .choice.evacuations import Evacuations
 from .choice.replica_directory import ReplicaDirectory
-from .choice.replica_state import ReplicaState
 from .crashing.held_keys import HeldKeys
 from .crashing.suspects import Verdict
 from .forwarding_machine import ForwardingMachine
@@ -56,6 +52,7 @@
 from .readiness.taking_callers import ReadyDue, StopCheckDue, TakingCallers
 from .sending.waiting_settings import DEFAULT_WAITING, WaitingSettings
 from .settings import ForwardingSettings
+from .store_contents import StoreContents
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
 
@@ -89,7 +86,6 @@
         self._settings = settings
         self._formats = formats
         self._directory = ReplicaDirectory(settings, random_source)
-        self._evacuations = Evacuations(formats.evacuation_prefix, self._directory)
         self._nodes = NodeCount(settings)
         key = formats.node_prefix + name
         self._presence = Presence(key, settings, random_source)
@@ -113,8 +109,10 @@
         self._held_keys = HeldKeys(formats, guard.hold, guard.lift)
         guard.write = self._held_keys.write
         hooks = FollowerHooks(
-            self._on_listing,
-            self._on_changes,
+            lambda values, now: self._contents.listed(values, now) + self._callers.changes(now),
+            lambda written, deleted, now: (
+                self._contents.changed(written, deleted, now) + self._callers.changes(now)
+            ),
             self._directory.note_outage,
             lambda news, now: self._news.told(news, now),
             lambda: bool(self._members.listeners()),
@@ -146,6 +144,16 @@
         self._news = NewsExchange(
             settings, self._members, self._follower, self._lateness, self._keeper
         )
+        self._contents = StoreContents(
+            formats,
+            self._directory,
+            self._held_keys,
+            self._members,
+            self._follower,
+            self._news.rewritten,
+            self._configure,
+            self._forwarding.life_over,
+        )
         departure = Departure()
         asked = AskedRoutes(self._directory)
         self._callers = TakingCallers(settings, self._directory, self._forwarding, asked, departure)
@@ -242,58 +250,6 @@
 
     # The store
 
-    def _on_listing(self, values: tuple[StoredValue, ...], now: float) -> list[Action]:
-        prefix = self._formats.replica_prefix
-        ids = {item.key.removeprefix(prefix) for item in values if item.key.startswith(prefix)}
-        self._directory.keep_only(ids, now, self._follower.known_revision)
-        self._members.keep_only({item.key for item in values if self._is_node_key(item.key)})
-        keys = {item.key for item in values}
-        gone = (*self._evacuations.missing_from(keys), *self._held_keys.missing_from(keys))
-        return self._on_changes(values, gone, now)
-
-    def _on_changes(
-        self, changed: tuple[StoredValue, ...], deleted: tuple[str, ...], now: float
-    ) -> list[Action]:
-        actions: list[Action] = []
-        self._news.rewritten.clear()
-        for item in changed:
-            actions += self._put(item, now)
-        for key in deleted:
-            actions += self._remove(key, now)
-        return actions + self._callers.changes(now)
-
-    def _put(self, item: StoredValue, now: float) -> list[Action]:
-        """Take in a key that was written."""
-        if item.key == self._formats.configuration_key:
-            return self._configure(item.value)
-        if item.key.startswith(self._formats.replica_prefix):
-            return self._put_replica(item, now)
-        if self._evacuations.is_mine(item.key):
-            return self._evacuations.put(item.key)
-        if self._held_keys.is_mine(item.key):
-            return self._held_keys.put(item, now)
-        if self._is_node_key(item.key):
-            self._members.put(item)
-        elif item.key == self._formats.cluster_key:
-            self._members.learn_cluster_key(item.value)
-        return []
-
-    def _remove(self, key: str, now: float) -> list[Action]:
-        """Take in that a key is gone."""
-        prefix = self._formats.replica_prefix
-        if self._evacuations.is_mine(key):
-            return self._evacuations.remove(key)
-        if self._held_keys.is_mine(key):
-            return self._held_keys.remove(key, now)
-        if key.startswith(prefix):
-            self._directory.vanish(key.removeprefix(prefix), now, self._follower.known_revision)
-        else:
-            self._members.remove(key)
-        return []
-
-    def _is_node_key(self, key: str) -> bool:
-        return key.startswith(self._formats.node_prefix)
-
     def _configure(self, document: bytes) -> list[Action]:
         table = self._formats.parse_configuration(document)
         if isinstance(table, Failure):
@@ -317,33 +273,3 @@
             Count("configurations_adopted_total"),
             self._callers.state(),
         ]
-
-    def _put_replica(self, item: StoredValue, now: float) -> list[Action]:
-        replica_id = item.key.removeprefix(self._formats.replica_prefix)
-        record = self._formats.parse_replica(replica_id, item.value)
-        if isinstance(record, Failure):
-            fields = (("key", item.key), ("reason", record.reason))
-            # It may have been readable before: that replica counts as one whose record is gone.
-            self._directory.vanish(replica_id, now, item.modified_at)
-            return [
-                Log("replica_record_unreadable", LogLevel.WARNING, fields),
-                Count("replica_records_unreadable_total"),
-            ]
-        if self._directory.holds(record):
-            self._news.rewritten.add(item.key)
-        over = self._directory.put(record, now, item.modified_at)
-        return [] if over is None else self._life_over(over, record, now)
-
-    def _life_over(self, over: ReplicaState, record: ReplicaRecord, now: float) -> list[Action]:
-        """Take in that a replica has started again."""
-        fields: tuple[tuple[str, str | int | float], ...] = (
-            ("replica", record.replica_id),
-            ("service", record.service),
-            ("born", -1 if record.born is None else record.born),
-            ("open_attempts", len(over.in_flight)),
-        )
-        return [
-            Log("replica_born_again", LogLevel.INFO, fields),
-            Count("replicas_born_again_total"),
-            *self._forwarding.life_over(over, now),
-        ]
