--- a/wingquay/forwarding/readiness/asked_routes.py
+++ b/wingquay/forwarding/readiness/asked_routes.py
@@ -7,9 +7,9 @@
 from ..choice.replica_directory import ReplicaDirectory
 
 ASKED_MEMORY_SECONDS = 60.0
-"""Time constant with which requests are forgotten. A node of a large fleet takes one in two or three
-seconds: in ten seconds it sees too few to know what callers ask, so that the nodes of a zone that was
-cut off judged apart (10 of 18 stayed), and half a zone that leaves helps nobody."""
+"""Time constant with which requests are forgotten. A node of a large fleet takes one in two or
+three seconds: in ten seconds it sees too few to know what callers ask, so that the nodes of a zone
+that was cut off judged apart (10 of 18 stayed), and half a zone that leaves helps nobody."""
 SHARE_TOLERANCE = 1e-9
 
 
