Review, case 1: a late repeat of a rejection makes a request run twice

Cause: surplus answers of replicas are told by Request-Id alone, which the tries of one client attempt share, and a try is sent again on the connection on which it was rejected. A late repeat of the rejection is then taken for the answer to the try that is running, which is sent once more.

Change: a script with stand-ins of store, replicas and clients, and its claim.

--- /dev/null
+++ b/review/standins/running.py
@@ -0,0 +1,53 @@
+"""Runs a case and says how it ended."""
+
+import asyncio
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Protocol
+
+from .deployment import Deployment
+from .nodes import temporary_directory
+from .record import Record
+
+HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+
+
+class Case(Protocol):
+    """A deployment, what is done to it, and the check."""
+
+    record: Record
+    deployment: Deployment
+
+    async def start(self) -> bool:
+        """Start everything; return whether the nodes became ready."""
+        ...
+
+    async def run(self) -> None:
+        """Run clients and the disruption."""
+        ...
+
+    def verdict(self) -> tuple[int, str]:
+        """Return the exit status and what was found."""
+        ...
+
+
+async def _run(make_case: Callable[[Path], Case]) -> int:
+    with temporary_directory() as directory:
+        case = make_case(Path(directory))
+        try:
+            if not await case.start():
+                case.record.write("could not run: the nodes did not become ready")
+                return COULD_NOT_RUN
+            await case.run()
+        finally:
+            case.deployment.close()
+        status, text = case.verdict()
+        case.record.write(text)
+        return status
+
+
+def run_case(make_case: Callable[[Path], Case]) -> int:
+    """Run a case in a temporary folder and return its exit status."""
+    return asyncio.run(_run(make_case))
