Review, case 3: kept connections go on with the limits of an old configuration

Cause: a connection takes maxBodyBytes and maxHeaderBytes from the configuration in force when it is opened, and keeps them for its life.

Change: a script that raises maxBodyBytes once, and its claim.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exit status: 1 if LOST was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
+[ -d target/deps ] || { echo "target/deps is missing: run the build of the deploy file" >&2; exit 2; }
+exec timeout --kill-after=5 110 python3 review/3/case.py
