Review, case 1: two services, and an end by signal ends the nodes

Cause: with one service a run of 75 s showed one to four requests that ran twice; a script that was ended from outside left its nodes behind.

Change: two services with two replicas each; SIGTERM ends what was started.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,6 +22,8 @@
 ZONES = ("udon-hall", "khonkaen-hall", "sakon-hall")
 NODES = 8
 """khetna-wq: 8 machines in these zones."""
+PREFIXES = {"survey-intake": "/timi402/", "harvest-notice": "/bapu561/"}
+"""khetna-wq: the services of single requests; the prefixes are examples of our pages."""
 REPLICAS, SLOTS, QUEUE, CONNECTIONS = (1, 1, 0), 2, 12, 26
 """khetna-wq: many of its services have two replicas, in these zones, of that kind."""
 DEADLINE_MS, OBJECTIVE_MS = 6000, 458
@@ -29,6 +31,7 @@
 WORK_MS = (13, 60)
 """Least and greatest work; the requests of khetna-wq have means from 5.7 to 108 ms."""
 CLIENTS_PER_NODE = 4
+"""Clients of each service at each node."""
 PAUSE_SECONDS = (0.017, 0.12)
 
 SURPLUS_SHARE, SURPLUS_RATIO, SURPLUS_SECONDS = 0.6, 0.03, 5.0
@@ -51,24 +54,33 @@
 
     async def start(self) -> bool:
         """Start everything; return whether the nodes became ready."""
-        edits = route(
-            "r-edit",
-            "/timi402/",
-            "survey-intake",
-            routeType="non_idempotent",
-            timeoutMs=DEADLINE_MS,
-            targetLatencyMs=OBJECTIVE_MS,
-        )
-        await self.deployment.start_store(configuration(7, [edits], CONNECTIONS))
-        await self.deployment.start_replicas("survey-intake", REPLICAS, SLOTS, QUEUE)
+        routes = [
+            route(
+                f"r-{service}",
+                prefix,
+                service,
+                routeType="non_idempotent",
+                timeoutMs=DEADLINE_MS,
+                targetLatencyMs=OBJECTIVE_MS,
+            )
+            for service, prefix in PREFIXES.items()
+        ]
+        await self.deployment.start_store(configuration(7, routes, CONNECTIONS))
+        for service in PREFIXES:
+            await self.deployment.start_replicas(service, REPLICAS, SLOTS, QUEUE)
         return await self.deployment.start_nodes()
 
     async def run(self) -> None:
         """Run the clients with the trouble."""
         self.record.start_at = asyncio.get_running_loop().time()
         nodes = self.deployment.nodes * CLIENTS_PER_NODE
-        clients = [Client(node.name, node.host, node.port) for node in nodes]
-        running = [asyncio.create_task(self._send_requests(client)) for client in clients]
+        running = [
+            asyncio.create_task(
+                self._send_requests(Client(node.name, node.host, node.port), prefix)
+            )
+            for node in nodes
+            for prefix in PREFIXES.values()
+        ]
         trouble = asyncio.create_task(self._trouble()) if IS_TROUBLED else None
         await asyncio.sleep(RUN_SECONDS)
         self._is_over = True
@@ -76,7 +88,7 @@
         if trouble is not None:
             trouble.cancel()
 
-    async def _send_requests(self, client: Client) -> None:
+    async def _send_requests(self, client: Client, prefix: str) -> None:
         """Send one request after the other, with pauses, on a kept connection."""
         while not self._is_over:
             await asyncio.sleep(self._random.uniform(*PAUSE_SECONDS))
@@ -84,7 +96,7 @@
             request_id = f"r{self._number}"
             work_ms = round(self._random.uniform(*WORK_MS))
             self.record.note("client sends", request_id, node=client.node)
-            target = f"/timi402/2f?work={work_ms}"
+            target = f"{prefix}2f?work={work_ms}"
             outcome = await client.send(HOST, target, request_id, DEADLINE_MS, "POST", body=b"edit")
             self.record.note("client gets", request_id, outcome.text)
             self._outcomes.append(outcome)
--- a/review/standins/running.py
+++ b/review/standins/running.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
@@ -34,6 +35,9 @@
 
 
 async def _run(make_case: Callable[[Path], Case]) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with temporary_directory() as directory:
         case = make_case(Path(directory))
         try:
@@ -41,6 +45,9 @@
                 case.record.write("could not run: the nodes did not become ready")
                 return COULD_NOT_RUN
             await case.run()
+        except asyncio.CancelledError:
+            case.record.write("could not run: the script was ended")
+            return COULD_NOT_RUN
         finally:
             case.deployment.close()
         status, text = case.verdict()
