Review, case 3: nodes in touch go by an old configuration

Cause: a late answer to a held poll is told to the other nodes with an age of 0, and they put their own polls off by it.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Kept connections go on with the limits of an old configuration, for as long as they are used."""
+"""Nodes in touch go by an old configuration after another node had a late answer."""
 
 import asyncio
 import sys
@@ -7,109 +7,145 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins.client import Client, Outcome  # noqa: E402
-from standins.deployment import (  # noqa: E402
-    HOST,
-    LIMITS,
-    Deployment,
-    configuration,
-    route,
-)
+from standins.client import Client  # noqa: E402
+from standins.deployment import HOST, Deployment, configuration, route  # noqa: E402
+from standins.nodes import BOUNDS  # noqa: E402
 from standins.record import Record  # noqa: E402
-from standins.running import BROKEN, HELD, IS_TROUBLED, run_case  # noqa: E402
-
-DEADLINE_MS = 8000
-CONFIGURATION_SECONDS = 3.0
-"""``configApplyMs`` of rlc-portal."""
-WAIT_SECONDS = 8.0
-"""Time from the acknowledgement of the new configuration to the large requests."""
-OLD_BODY_BYTES = LIMITS["maxBodyBytes"]
-NEW_BODY_BYTES = 2 * OLD_BODY_BYTES
-LARGE_BODY_BYTES = 300_000
-CLIENTS = 20
-PAUSE_SECONDS = 0.5
-ALLOWED, ALLOWED_RATIO = 5, 1 / 500
-"""Requests that may be denied: 5, and one in 500 of all."""
-EXEMPT = {408, 421, 429}
-
-
-class RaisedLimit:
-    """Clients with kept connections, and an operator who allows longer bodies."""
+from standins.running import (  # noqa: E402
+    BROKEN,
+    COULD_NOT_RUN,
+    HELD,
+    IS_TROUBLED,
+    run_case,
+)
+
+ZONES = ("udon-hall", "khonkaen-hall")
+NODES = 4
+GROWN_BOUNDS = BOUNDS | {
+    "contactMs": 5000,
+    "ackMs": 8000,
+    "catchUpS": 6,
+    "drainMs": 5000,
+    "configApplyMs": 5000,
+    "maxSkewMs": 15000,
+    "budgetSlack": 168,
+    "recoveryS": 15,
+}
+"""khetna-wq-grown."""
+CONFIGURATION_SECONDS = 5.0
+OLD_SERVICE, NEW_SERVICE = "survey-intake", "harvest-notice"
+SETTLE_SECONDS, LOOK_SECONDS = 10.0, 4.0
+CUT_SECONDS, CUT_TO_STORE_SECONDS = 2.6, 5.9
+"""For how long nothing passes between the node and the store, and nothing from it to the store.
+khetna-wq-grown: { kind = "core_cut", count = 1, for_s = 5.9, how = "leader one_way race hard" }."""
+FIRST_CHANGE_SECONDS, SECOND_CHANGE_SECONDS = 0.1, 0.25
+"""Times of two changes in quick succession ("race") after the beginning of the cut."""
+PROBE_SECONDS, PROBE_PAUSE_SECONDS = 8.0, 0.05
+DEADLINE_MS = 6000
+
+
+class LateAnswer:
+    """Nodes that go by each other's polls, one of which is partitioned from the store."""
 
     def __init__(self, directory: Path) -> None:
         self.record = Record(HERE / "record.txt")
-        self.deployment = Deployment(directory, self.record)
-        self._routes = [route("r-ticket", "/timi402/", "support-desk")]
-        self._outcomes: list[Outcome] = []
-        self._large: list[Outcome] = []
-        self._is_raised = asyncio.Event()
-        self._send_large_at = float("inf")
+        self.deployment = Deployment(directory, self.record, NODES, ZONES, GROWN_BOUNDS)
+        self._cut_node = -1
+        self._acknowledged_at = 0.0
+        self._sent: dict[str, tuple[int, float]] = {}
 
     async def start(self) -> bool:
         """Start everything; return whether the nodes became ready."""
-        first_limit = OLD_BODY_BYTES if IS_TROUBLED else NEW_BODY_BYTES
-        await self.deployment.start_store(self._document(7, first_limit))
-        await self.deployment.start_replicas("support-desk", (4, 4))
-        return await self.deployment.start_nodes()
+        deployment = self.deployment
+        await deployment.start_store(self._document(7, OLD_SERVICE, 6000))
+        for service in (OLD_SERVICE, NEW_SERVICE):
+            await deployment.start_replicas(service, (2, 2), 4, beats=False)
+        await deployment.start_proxies()
+        return await deployment.start_nodes()
 
-    def _document(self, version: int, body_bytes: int) -> bytes:
-        limits = LIMITS | {"maxBodyBytes": body_bytes}
-        return configuration(version, self._routes, limits=limits)
+    @staticmethod
+    def _document(version: int, service: str, timeout_ms: int) -> bytes:
+        """Return a configuration; both services have a route in each version."""
+        other = NEW_SERVICE if service == OLD_SERVICE else OLD_SERVICE
+        edits = route("r-edit", "/timi402/", service, timeoutMs=timeout_ms, targetLatencyMs=458)
+        return configuration(version, [edits, route("r-other", "/bapu561/", other)])
 
     async def run(self) -> None:
-        """Run the clients and change the configuration meanwhile."""
+        """Cut one node off from the store, change the configuration twice, ask all nodes."""
+        await asyncio.sleep(SETTLE_SECONDS)
+        self._cut_node = await self._find_polling_node()
         loop = asyncio.get_running_loop()
-        nodes = self.deployment.nodes
-        clients = [asyncio.create_task(self._run_client(number)) for number in range(CLIENTS)]
-        await asyncio.sleep(2.0)
-        self.record.start_at = loop.time()
+        proxy = self.deployment.proxies[self._cut_node]
+        cut_at = self.record.start_at = loop.time()
         if IS_TROUBLED:
-            self.deployment.store.put("op/config", self._document(9, NEW_BODY_BYTES))
-            self.record.note("configuration 9 acknowledged, maxBodyBytes", NEW_BODY_BYTES)
-        self._send_large_at = loop.time() + WAIT_SECONDS
-        await asyncio.gather(*clients)
-        fresh = Client(nodes[0].name, nodes[0].host, nodes[0].port)
-        await self._send(fresh, "large-on-a-new-connection", LARGE_BODY_BYTES)
-        fresh.close()
-
-    async def _run_client(self, number: int) -> None:
-        """Use one connection all the time, first for short bodies, then for a long one."""
-        node = self.deployment.nodes[number % len(self.deployment.nodes)]
+            proxy.from_store_held_until = cut_at + CUT_SECONDS
+            proxy.to_store_held_until = cut_at + CUT_TO_STORE_SECONDS
+            self.record.note("cut off from the store", self._name(self._cut_node))
+        await asyncio.sleep(FIRST_CHANGE_SECONDS)
+        self._change(8, OLD_SERVICE)
+        await asyncio.sleep(SECOND_CHANGE_SECONDS - FIRST_CHANGE_SECONDS)
+        self._change(9, NEW_SERVICE)
+        self._acknowledged_at = loop.time()
+        await asyncio.gather(*(self._ask(number) for number in range(NODES)))
+
+    async def _find_polling_node(self) -> int:
+        """Return the node that polls for the others, just after it has begun a long poll."""
+        proxies = self.deployment.proxies
+        for proxy in proxies:
+            proxy.long_polls = 0
+        await asyncio.sleep(LOOK_SECONDS)
+        found = max(range(NODES), key=lambda number: proxies[number].long_polls)
+        known = proxies[found].long_polls
+        while proxies[found].long_polls == known:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        return found
+
+    def _change(self, version: int, service: str) -> None:
+        self.deployment.store.put("op/config", self._document(version, service, 5000))
+        self.record.note("acknowledged: version", version, route_to=service)
+
+    def _name(self, number: int) -> str:
+        return self.deployment.nodes[number].name
+
+    async def _ask(self, number: int) -> None:
+        """Send requests to one node, one after the other, on a kept connection."""
+        node = self.deployment.nodes[number]
         client = Client(node.name, node.host, node.port)
         loop = asyncio.get_running_loop()
         count = 0
-        while loop.time() < self._send_large_at:
+        while loop.time() < self._acknowledged_at + PROBE_SECONDS:
             count += 1
-            self._outcomes.append(await self._send(client, f"c{number}-{count}", 100))
-            await asyncio.sleep(PAUSE_SECONDS)
-        large = await self._send(client, f"c{number}-large", LARGE_BODY_BYTES)
-        self._large.append(large)
-        self._outcomes.append(large)
+            request_id = f"n{number}-{count}"
+            self._sent[request_id] = (number, loop.time())
+            outcome = await client.send(HOST, "/timi402/2f?work=5", request_id, DEADLINE_MS)
+            self.record.note("client gets", request_id, outcome.text, node=node.name)
+            await asyncio.sleep(PROBE_PAUSE_SECONDS)
         client.close()
 
-    async def _send(self, client: Client, request_id: str, body_bytes: int) -> Outcome:
-        outcome = await client.send(
-            HOST, "/timi402/2f", request_id, DEADLINE_MS, "POST", body=b"x" * body_bytes
-        )
-        self.record.note("client gets", request_id, outcome.text, body_bytes=body_bytes)
-        return outcome
-
     def verdict(self) -> tuple[int, str]:
         """Return the exit status and what was found."""
-        denied = [
-            outcome.request_id
-            for outcome in self._large
-            if outcome.answer is not None
-            and 300 <= outcome.answer.status < 500
-            and outcome.answer.status not in EXEMPT
-            and not outcome.answer.header("server-stamp")
+        old_runs = [
+            request_id
+            for replica in self.deployment.replicas
+            if replica.service == OLD_SERVICE
+            for request_id in replica.runs
+        ]
+        ages = [
+            (number, sent_at - self._acknowledged_at)
+            for number, sent_at in (self._sent[request_id] for request_id in old_runs)
+            if number != self._cut_node
         ]
-        allowed = ALLOWED + ALLOWED_RATIO * len(self._outcomes)
-        facts = f"{len(denied)} of {len(self._outcomes)} requests denied, {allowed:.1f} allowed"
-        if len(denied) > allowed:
-            return BROKEN, f"broken: DENIED, {facts}, {WAIT_SECONDS:g} s after the acknowledgement"
-        return HELD, f"DENIED held: {facts}"
+        if not ages or not self._sent:
+            return COULD_NOT_RUN, "could not run: the old service ran nothing"
+        late = [number for number, age in ages if age > CONFIGURATION_SECONDS]
+        latest = max(age for _, age in ages)
+        facts = f"the last was sent {latest:.2f} s after the acknowledgement"
+        if late:
+            names = sorted({self._name(number) for number in late})
+            return BROKEN, f"broken: CONFIG by {len(late)} requests at {names}; {facts}"
+        return HELD, f"CONFIG held at the nodes in touch: of the old service's requests {facts}"
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(RaisedLimit))
+    sys.exit(run_case(LateAnswer))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from .nodes import Node, free_port
+from .proxy import StoreProxy
 from .record import Record
 from .replica import Replica
 from .store import Store
@@ -73,6 +74,8 @@
         self.zones = zones
         self.store = Store()
         self.replicas: list[Replica] = []
+        self.proxies: list[StoreProxy] = []
+        """Proxies between the nodes and the store, in the order of the nodes."""
         self._store_port = free_port("127.0.0.1")
         address = f"127.0.0.1:{self._store_port}"
         self.nodes = [
@@ -94,7 +97,12 @@
         self.store.put("op/config", document)
 
     async def start_replicas(
-        self, service: str, counts: tuple[int, ...], slots: int = 2, queue: int = 8
+        self,
+        service: str,
+        counts: tuple[int, ...],
+        slots: int = 2,
+        queue: int = 8,
+        beats: bool = True,
     ) -> None:
         """Start replicas of a service: so many in each zone."""
         for zone, count in zip(self.zones, counts, strict=True):
@@ -102,9 +110,19 @@
                 replica = Replica(
                     service, f"i-{service}-{zone}-{number}", zone, self.record.note, slots, queue
                 )
+                replica.beats = beats
                 await replica.start("127.0.0.1", free_port("127.0.0.1"), self.store)
                 self.replicas.append(replica)
 
+    async def start_proxies(self) -> None:
+        """Start a proxy to the store for each node; to be done before the nodes start."""
+        for node in self.nodes:
+            proxy = StoreProxy("127.0.0.1", self._store_port)
+            port = free_port("127.0.0.1")
+            await proxy.start("127.0.0.1", port)
+            node.use_store(f"127.0.0.1:{port}")
+            self.proxies.append(proxy)
+
     async def start_nodes(self) -> bool:
         """Start all nodes; return whether they became ready."""
         for node in self.nodes:
@@ -121,4 +139,6 @@
             node.end()
         for replica in self.replicas:
             replica.close()
+        for proxy in self.proxies:
+            proxy.close()
         self.store.close()
--- a/review/standins/nodes.py
+++ b/review/standins/nodes.py
@@ -136,6 +136,10 @@
         }
         self.process: subprocess.Popen[bytes] | None = None
 
+    def use_store(self, address: str) -> None:
+        """Give another address of the store, from the next start on."""
+        self._fields["platform"] = {"address": address}
+
     def start(self) -> None:
         """Start the process with the command of the deploy file."""
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -51,6 +51,8 @@
         """Requests whose id the request before them on their connection had, too."""
         self.address = ("", 0)
         self.state = "ready"
+        self.beats = True
+        """Whether the entry is written again and again; else once, since nothing in it changes."""
         self.has_surplus: Callable[[int], bool] = _never
         """Whether an answer of that status is sent once more, late (``garble``, extra late)."""
         self._note = note
@@ -77,6 +79,8 @@
     async def _keep_entry(self, store: Store) -> None:
         while True:
             store.put(f"servers/{self.replica_id}", self._entry())
+            if not self.beats:
+                return
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     def _entry(self) -> bytes:
