Review: a script that breaks is told from a rule that is broken

Cause: Python ends with 1 at an error of its own, which run.sh would have passed on as a broken rule.

Change: the cases end with 3 for a broken rule; run.sh makes 1 of it and 2 of everything else but 0.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,10 @@
 #!/usr/bin/env bash
-# Exit status: 1 if LOST was broken, 0 if it held, 2 if the case could not run.
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 [ -d target/deps ] || { echo "target/deps is missing: run the build of the deploy file" >&2; exit 2; }
-exec timeout --kill-after=5 110 python3 review/3/case.py
+timeout --kill-after=5 110 python3 review/3/case.py
+case $? in
+    0) exit 0 ;;
+    3) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/standins/running.py
+++ b/review/standins/running.py
@@ -11,7 +11,8 @@
 from .nodes import temporary_directory
 from .record import Record
 
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, COULD_NOT_RUN, BROKEN = 0, 2, 3
+"""Exit statuses. Python ends with 1 at an error of its own; ``run.sh`` makes 1 of 3 and 2 of 1."""
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 
 
