Planned stop: close idle connections on time and answer what is open at the end

Cause: idle connections were closed by the end of the process only, which any open request put off to 5.2 s, so callers went on sending on them; and what was open at the end was never answered, the server closed its connections. By the node's log (stop_started, then request_ended of each request up to 5.4 s, then nothing) and the replicas' record (both requests running at the end). Ruled out: cancelled sends, the deadline of 8 s, a second signal.

Change: PlannedStop (split from NodeReadiness) closes idle connections at their time whatever is open, requests that may outlast the stop are rejected at once with the time to come back, and at the end every open request gets its final answer: merged if enough shards are in, 503 if nothing has run, 502 otherwise; a delegate reports the answers it has. Why this is enough: no request is read that the stop could not answer, and none that was read is left without one.

--- a/wingquay/forwarding/arrival/pending_arrivals.py
+++ b/wingquay/forwarding/arrival/pending_arrivals.py
@@ -67,3 +67,10 @@
         if arrival is not None:
             self._bytes -= len(arrival.event.request.body)
         return arrival
+
+    def remove_all(self) -> list[Arrival]:
+        """Remove and return all requests."""
+        arrivals = list(self._arrivals.values())
+        self._arrivals.clear()
+        self._bytes = 0
+        return arrivals
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -57,6 +57,7 @@
 
 DELEGATION_ID_BITS = 62
 """Size of the random first delegation id, so that ids differ between incarnations of a node."""
+STOPPED_REASON = "this node stopped before the request was answered"
 
 
 class ForwardingMachine:
@@ -134,8 +135,7 @@
         """Admits arriving requests; the code that composes this machine sets what it consults."""
         self._table: RoutingTable | None = None
         self._peers: PeerEventHandler | None = None
-        self.is_stopping = False
-        """Whether delegated requests are rejected because this node is stopping."""
+        self._is_stopping = False
 
     @property
     def has_received_request(self) -> bool:
@@ -194,6 +194,17 @@
         self._latencies.keep_only(table.routes)
         self._queue.keep_only(table.services)
 
+    def begin_stop(self, ends_at: float) -> None:
+        """Reject delegated requests, and those of callers that may take longer than ``ends_at``."""
+        self._is_stopping = True
+        self._arrival.stop_ends_at = ends_at
+
+    def end_all(self, now: float) -> list[Action]:
+        """Give every open request its final response, because this node stops."""
+        return self._arrival.end_pending(STOPPED_REASON, now) + self._settlement.end_all(
+            STOPPED_REASON, now
+        )
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Handle an event and return the resulting actions."""
         match event:
@@ -254,7 +265,7 @@
                 return self.guard.handle_report(sender, report, now)
         if self._peers is None:
             return []
-        table = None if self.is_stopping else self._table
+        table = None if self._is_stopping else self._table
         return self._peers.handle(event, table, now)
 
     # Replicas and exchanges
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -47,7 +47,8 @@
 from .periodic_work import RESUME_SECONDS as RESUME_SECONDS
 from .periodic_work import LagDue, PeriodicWork, SweepDue
 from .readiness.departure import Departure
-from .readiness.node_readiness import NodeReadiness, ReadyDue, StopCheckDue
+from .readiness.node_readiness import NodeReadiness, ReadyDue
+from .readiness.planned_stop import PlannedStop, StopCheckDue
 from .readiness.reachability_monitor import ReachabilityMonitor
 from .readiness.route_demand import RouteDemand
 from .sending.waiting_settings import DEFAULT_WAITING, WaitingSettings
@@ -162,9 +163,8 @@
         )
         departure = Departure()
         route_demand = RouteDemand(self._directory)
-        self._readiness = NodeReadiness(
-            settings, self._directory, self._forwarding, route_demand, departure
-        )
+        self._readiness = NodeReadiness(self._directory, route_demand, departure)
+        self._stop = PlannedStop(settings, self._forwarding, self._readiness)
         self._reachability = ReachabilityMonitor(
             settings, name, self._directory, self._forwarding.evidence, route_demand, departure
         )
@@ -212,9 +212,9 @@
             case SweepDue() | LagDue() | ProcessResumed():
                 return self._periodic_work.handle(event, now)
             case StopRequested():
-                return self._readiness.stop(now)
+                return self._stop.begin(now)
             case StopCheckDue():
-                return self._readiness.check_stop(now)
+                return self._stop.check(now)
             case ReadyDue():
                 return self._readiness.update(now)
         actions = self._forwarding.handle(event, now)
--- a/wingquay/forwarding/request_arrival.py
+++ b/wingquay/forwarding/request_arrival.py
@@ -1,6 +1,6 @@
 """Decides in several steps whether an arriving request is opened or rejected."""
 
-from ..model.routing_table import RoutingTable
+from ..model.routing_table import Route, RoutingTable
 from ..ports.forwarding import CallerDisconnected, ForwardFailureKind, ForwardRequested
 from ..ports.machine import Action, Event, Schedule
 from .arrival.admission import Admitted, AwaitsLimit, Rejected
@@ -25,6 +25,10 @@
 """Share of the objective for which a request waits for the answer on its tenant's limit; a caller
 that is rejected then can still be served in time by another node."""
 LATE_REASON = "the request's deadline passed before it was read"
+STOPPING_REASON = "this node is stopping; another one can take the request"
+UNREPEATABLE_STOP_FACTOR = 2.0
+"""Time that a stopping node must have left for a request that may run only once, as a multiple of
+the objective. If the stop ends it, its caller does not know whether it has run and cannot retry."""
 NO_LIMIT_ANSWER_REASON = "no answer on the tenant's limit arrived in time"
 
 
@@ -58,6 +62,8 @@
         """Checks callers and tenant limits."""
         self.has_received_request = False
         """Whether a request has arrived since the start."""
+        self.stop_ends_at = float("inf")
+        """When this node ends all open requests because it stops."""
         settlement.on_not_run = self._refund
 
     @property
@@ -90,6 +96,10 @@
             return self._replies.reject_arrival_not_run(
                 stripped_event, LATE_REASON, MIN_RETRY_AFTER_SECONDS
             )
+        if self._may_outlast_stop(event, route, now):
+            return self._replies.reject_arrival_not_run(
+                stripped_event, STOPPING_REASON, MIN_RETRY_AFTER_SECONDS
+            )
         tenant = self.admission.identify_caller(event.key, table, route, now)
         if isinstance(tenant, Rejected):
             return self._reject(stripped_event, tenant, "")
@@ -103,6 +113,16 @@
         """Return whether the request was read only after its deadline."""
         return event.deadline_seconds is not None and self._lag.seconds >= event.deadline_seconds
 
+    def _may_outlast_stop(self, event: ForwardRequested, route: Route, now: float) -> bool:
+        """Return whether the request may still be open when this node stops."""
+        seconds = route.objective_seconds
+        if not route.is_repeatable:
+            seconds *= UNREPEATABLE_STOP_FACTOR
+        seconds = min(seconds, route.timeout_seconds)
+        if event.deadline_seconds is not None:
+            seconds = min(seconds, event.deadline_seconds)
+        return now + seconds > self.stop_ends_at
+
     def _reject(self, event: ForwardRequested, rejected: Rejected, tenant: str) -> list[Action]:
         outcome = rejected.kind.value
         if rejected.kind is ForwardFailureKind.NOT_RUN:
@@ -175,6 +195,13 @@
         opened = self._open(arrival, suspicion_level, now)
         return [self._metrics.count(arrival.tenant.name, "allowed"), *opened]
 
+    def end_pending(self, reason: str, now: float) -> list[Action]:
+        """Reject all requests that wait for the answer on their tenant's limit."""
+        actions: list[Action] = []
+        for arrival in self._pending.remove_all():
+            actions += self._reject_unanswered(arrival, reason, now)
+        return actions
+
     def on_pending_event(self, event: Event, now: float) -> list[Action]:
         """Handle an event of a request that has no open exchange but may wait for a limit."""
         match event:
--- a/wingquay/forwarding/settling/reply_builder.py
+++ b/wingquay/forwarding/settling/reply_builder.py
@@ -145,18 +145,28 @@
         return [reply, *_finish(exchange, "held", HELD_REASON, now)]
 
     def reply_timed_out(self, exchange: Exchange, now: float) -> list[Action]:
-        """Report a failure because the deadline of the exchange has passed.
+        """Report a failure because the deadline of the exchange has passed."""
+        reason = "no answer before the deadline"
+        return self._reply_unanswered(exchange, ForwardFailureKind.TIMED_OUT, reason, now)
+
+    def reply_given_up(self, exchange: Exchange, reason: str, now: float) -> list[Action]:
+        """Report a failure because this node cannot wait for an answer any longer."""
+        return self._reply_unanswered(exchange, ForwardFailureKind.FAILED, reason, now)
 
-        It is ``NOT_RUN`` if no replica may have run the request, or the failure that the only
-        service answered if there is one, and ``TIMED_OUT`` otherwise.
+    def _reply_unanswered(
+        self, exchange: Exchange, kind: ForwardFailureKind, reason: str, now: float
+    ) -> list[Action]:
+        """Report a failure because no answer has arrived.
+
+        It is ``NOT_RUN`` if no replica may have run the request, the failure that the only service
+        answered if there is one, and of the given kind otherwise.
         """
-        reason = "no answer before the deadline"
         if not exchange.may_have_run:
             return self.reject_not_run(exchange, reason, MIN_RETRY_AFTER_SECONDS, now)
         if len(exchange.calls) == 1 and exchange.calls[0].failure is not None:
             return self.reply_failed(exchange, exchange.calls[0], now)
-        reply = ReplyFailure(exchange.exchange_id, ForwardFailureKind.TIMED_OUT, reason)
-        return [reply, *_finish(exchange, "timed_out", reason, now)]
+        reply = ReplyFailure(exchange.exchange_id, kind, reason)
+        return [reply, *_finish(exchange, kind.value, reason, now)]
 
     def record_incomplete_delegation(self, exchange: Exchange, now: float) -> list[Action]:
         """Record the end of a delegated exchange that did not answer all its shards."""
--- a/wingquay/forwarding/settling/settlement.py
+++ b/wingquay/forwarding/settling/settlement.py
@@ -91,6 +91,22 @@
                 actions += self.end_timed_out(exchange, now)
         return actions
 
+    def end_all(self, reason: str, now: float) -> list[Action]:
+        """End every exchange, with what was answered so far if that is a success."""
+        actions: list[Action] = []
+        for exchange in list(self._exchanges.values()):
+            actions += self._close(exchange, self._final_reply(exchange, reason, now), now)
+        return actions
+
+    def _final_reply(self, exchange: Exchange, reason: str, now: float) -> list[Action]:
+        """Return the reply to an exchange that this node gives up."""
+        if exchange.origin is not None:
+            report = exchange.origin.report(exchange)
+            return [*report, *self._replies.record_incomplete_delegation(exchange, now)]
+        if exchange.route.shards and meets_min_share(exchange.route, exchange.answered_shards):
+            return self._replies.reply_merged(exchange, exchange.answered_calls, now)
+        return self._replies.reply_given_up(exchange, reason, now)
+
     def reject(self, exchange: Exchange, rejection: Reject, now: float) -> list[Action]:
         """End an exchange that no replica has run; the reply states when to retry."""
         return self._close(exchange, self._replies.reject(exchange, rejection, now), now)
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -344,7 +344,7 @@
 
     def node_exited(self, node: SimulatedForwardingNode, action: Exit) -> None:
         """Start a node again that ended as planned."""
-        if action.cut_requests:
+        if action.cut_requests or node.open_requests:
             self.oracle.violations.append(f"node {node.number}: a planned stop cut requests off")
         node.kill()
         self.clock.after(0.3, self._restart, node.number)
