Own interface: answer callers that still wait when a node ends

Change: it tells those callers that the outcome is unknown before it closes. Test: failed before (the connection ended), passes now.

--- a/tests/adapters/test_caller_server.py
+++ b/tests/adapters/test_caller_server.py
@@ -279,6 +279,19 @@
 
         self.run_with(None, test)
 
+    def test_callers_that_wait_when_the_node_ends_are_answered(self) -> None:
+        """Guards against connections that end without an answer at the end of a stop."""
+
+        async def test(caller: CallerBench) -> None:
+            asked = asyncio.create_task(caller.send(orjson.dumps(MINIMAL)))
+            await caller.query()
+            await caller.server.close(TEST_LIMIT_SECONDS)
+            response = await asked
+            self.assertEqual(504, response.status)
+            self.assertIn("stopped", self.document(response)["detail"])
+
+        self.run_with(None, test)
+
     def test_half_closed_caller_counts_as_gone(self) -> None:
         async def test(caller: CallerBench) -> None:
             reader, writer = await asyncio.open_connection(LOOPBACK, caller.port)
--- a/wingquay/adapters/caller_server.py
+++ b/wingquay/adapters/caller_server.py
@@ -28,6 +28,8 @@
 UNCONFIGURED_RETRY_SECONDS = 1.0
 """When to try a node again that has just started."""
 
+STOPPED_REASON = "the node stopped before the request was answered"
+
 LONGEST_DEADLINE_SECONDS = LONGEST_DEADLINE_MS / 1_000
 
 Performable = AnswerCaller | SetReady
@@ -83,6 +85,13 @@
                 self._pages.set_ready(action)
                 self._server.is_leaving = not action.ready
 
+    async def close(self, grace_seconds: float = 0.0) -> None:
+        """Tell callers that still wait that the outcome is unknown, then close."""
+        for request_id, future in self._waiting.items():
+            if not future.done():
+                future.set_result(Answer(request_id, Outcome.UNKNOWN, reason=STOPPED_REASON))
+        await super().close(grace_seconds)
+
     def _answer(self, answer: Answer) -> None:
         future = self._waiting.get(answer.request_id)
         if future is not None and not future.done():
