Replica connections: never carry the same request twice

Cause: all attempts of a request share its id, surplus answers are told by that id alone, and a retry went out on the connection on which its first attempt had just been rejected (the one freed last). A replica that repeats its rejection late, in the place of the next answer, thus rejected the retry that it was running.

Evidence: the node's logs could not tell (served requests have no line). Ruled out: hedges (none for these requests), retries after broken connections (no SendFailed), two nodes with one request.

Change: a connection remembers the requests it has carried until they can't be sent again, and is not lent to them. A retry takes another idle connection or opens one in the place of an idle one, so the number of connections stays within the limit. Surplus answers are counted. Why this is enough: a repeat comes on the connection of its original, where now only other ids are due. SendToReplica.fresh_connection, which nothing set, is gone.

Weighed: a new connection for each retry. It needs no memory, but costs a connection for each rejection of a full replica, which is when they are dear.

Related paths read: 421 and 429, calls that delegates give back, a new start at the same address, delegates and relays, the store, the own interface (attempt ids of their own).

--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -29,6 +29,10 @@
     return f"{head}{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
+def rejection(request_id: str) -> bytes:
+    return answer(request_id, b"", "Not-Executed: 1\r\n", "503 X")
+
+
 class ScriptedReplica:
     """Answers the n-th request with the n-th script; ``None`` closes the connection."""
 
@@ -256,6 +260,115 @@
         play(test())
 
 
+class RepeatingReplica:
+    """Repeats its last answer on a connection in the place of the next one there.
+
+    It rejects the first ``rejections`` requests and runs the others.
+    """
+
+    def __init__(self, rejections: int) -> None:
+        self._rejections = rejections
+        self.runs: list[str] = []
+        self.carried: list[list[str]] = []
+        """The ids of the requests on each connection."""
+        self.server = RawServer(self._serve)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        last = b""
+        carried: list[str] = []
+        self.carried.append(carried)
+        while True:
+            try:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            request_id = head.partition("Request-Id: ")[2].partition("\r\n")[0]
+            carried.append(request_id)
+            writer.write(last)
+            if self._rejections:
+                self._rejections -= 1
+                last = rejection(request_id)
+            else:
+                self.runs.append(request_id)
+                last = answer(request_id, b"ran")
+            writer.write(last)
+
+
+class SecondAttemptTest(TestCase):
+    """Guards against a late repeat of a rejection that is taken for the answer to a retry."""
+
+    def test_a_late_repeat_of_a_rejection_is_not_the_answer_to_the_retry(self) -> None:
+        async def test() -> None:
+            exchange = Exchange()
+            replica = RepeatingReplica(rejections=1)
+            exchange.port = await replica.server.start()
+            event = await exchange.send("r1")
+            self.assertTrue(event.answer.not_run)
+            event = await exchange.send("r1")
+            self.assertEqual((b"ran", False), (event.answer.body, event.answer.not_run))
+            self.assertEqual(["r1"], replica.runs)
+
+        play(test())
+
+    def test_a_retry_uses_another_idle_connection_and_both_are_kept(self) -> None:
+        async def test() -> None:
+            exchange = Exchange()
+            replica = RepeatingReplica(rejections=2)
+            exchange.port = await replica.server.start()
+            for request_id in ("r1", "r2"):
+                exchange.begin(request_id)
+            for _ in range(2):
+                await exchange.events.get()
+            for request_id in ("r2", "r1"):
+                event = await exchange.send(request_id)
+                self.assertEqual(b"ran", event.answer.body)
+            for carried in replica.carried:
+                self.assertEqual(len(set(carried)), len(carried), carried)
+            connected = Count("replica_connections_total")
+            self.assertEqual(2, exchange.counts.count(connected))
+
+        play(test())
+
+    def test_the_number_of_connections_stays_within_the_requests_in_flight(self) -> None:
+        async def test() -> None:
+            exchange = Exchange(*[[rejection("r1")] for _ in range(4)])
+            await exchange.start()
+            for _ in range(4):
+                await exchange.send("r1")
+                self.assertEqual(1, sum(len(idle) for idle in exchange.client._idle.values()))
+                self.assertEqual(1, len(exchange.client._open))
+
+        play(test())
+
+    def test_requests_that_cannot_be_retried_any_more_are_forgotten(self) -> None:
+        async def test() -> None:
+            ids = [f"r{number}" for number in range(20)]
+            exchange = Exchange(*[[rejection(request_id)] for request_id in ids])
+            await exchange.start()
+            loop = exchange.client._loop
+            began_at = loop.time()
+            for number, request_id in enumerate(ids):
+                with mock.patch.object(loop, "time", lambda: began_at + number * 1.0):  # noqa: B023
+                    await exchange.send(request_id)
+            ((connection,),) = exchange.client._idle.values()
+            self.assertLess(len(connection._carried), 4)
+            self.assertTrue(connection.has_carried(ids[-1]))
+
+        play(test())
+
+    def test_surplus_answers_are_counted(self) -> None:
+        async def test() -> None:
+            exchange = Exchange()
+            replica = RepeatingReplica(rejections=0)
+            exchange.port = await replica.server.start()
+            for request_id in ("r1", "r2"):
+                await exchange.send(request_id)
+            surplus = Count("replica_surplus_answers_total", 1)
+            self.assertEqual(1, exchange.counts.count(surplus))
+
+        play(test())
+
+
 class UnansweredTest(TestCase):
     """A replica that ends under a request closes its connections without a byte of an answer."""
 
--- a/wingquay/adapters/replica_client.py
+++ b/wingquay/adapters/replica_client.py
@@ -131,11 +131,12 @@
         attempt = _Attempt(action, self._loop.time())
         self._attempts[action.attempt_id] = attempt
         address = self._address_of(action.replica)
-        connection = None if action.fresh_connection else self._take_idle(address)
+        connection = self._take_idle(address, action.request_id)
         if connection is not None:
             attempt.is_on_kept = True
             self._send_on(attempt, connection)
             return
+        self._make_room(address)
         attempt.connecting = self._loop.create_task(self._connect(attempt, address))
 
     def cancel(self, action: CancelSend) -> None:
@@ -246,8 +247,17 @@
             kind = SendFailureKind.MALFORMED if is_malformed else SendFailureKind.BROKEN
             self._failed(attempt, kind, reason, not connection.has_begun_answer)
 
-        method = action.request.method
-        connection.send(RawSending(data, method, belongs, on_answer, on_broken))
+        connection.send(
+            RawSending(
+                request_id,
+                attempt.begun_at + action.remaining_seconds,
+                data,
+                action.request.method,
+                belongs,
+                on_answer,
+                on_broken,
+            )
+        )
 
     def _answered(self, attempt: _Attempt, answer: RawAnswer) -> None:
         attempt_id = attempt.action.attempt_id
@@ -273,16 +283,28 @@
         if self._attempts.pop(attempt_id, None) is not None:
             self._emit(SendFailed(attempt_id, kind, reason, is_unanswered))
 
-    def _take_idle(self, address: Address) -> ReplicaConnection | None:
-        idle = self._idle.get(address)
+    def _take_idle(self, address: Address, request_id: str) -> ReplicaConnection | None:
+        """Take the latest idle connection that has not carried the request yet."""
         now = self._loop.time()
-        while idle:
-            connection = idle.pop()
-            if connection.usable_until > now:
+        idle = self._idle.get(address, [])
+        for connection in reversed(idle.copy()):
+            if connection.usable_until <= now:
+                connection.abort()
+            elif not connection.has_carried(request_id):
+                idle.remove(connection)
                 return connection
-            connection.abort()
         return None
 
+    def _make_room(self, address: Address) -> None:
+        """Close an idle connection in place of which a new one is opened.
+
+        The number of connections to a replica is limited by the requests in flight, so an idle
+        connection that can't take a request must not be kept beside a new one.
+        """
+        idle = self._idle.get(address)
+        if idle:
+            idle[0].abort()
+
     def _freed(self, connection: ReplicaConnection) -> None:
         address = self._open[connection]
         self._idle.setdefault(address, []).append(connection)
@@ -291,6 +313,8 @@
         address = self._open.pop(connection, None)
         if address is None:
             return
+        if connection.surplus_answers:
+            self._count(Count("replica_surplus_answers_total", connection.surplus_answers))
         idle = self._idle.get(address)
         if idle is not None and connection in idle:
             idle.remove(connection)
--- a/wingquay/adapters/replica_connection.py
+++ b/wingquay/adapters/replica_connection.py
@@ -1,7 +1,9 @@
 """One connection to a replica; answers are matched to requests by the request's id.
 
 A replica may send more than it was asked for: a surplus answer may stand where the next one is
-due. Such an answer is passed over by its id, and its connection serves no further request.
+due. Such an answer is passed over by its id, and its connection serves no further request. All
+attempts of a request share its id, so a connection must not carry the same request twice;
+``has_carried`` tells whether it has.
 Source: RFC 9112; the wire format itself is h11's job.
 """
 
@@ -40,6 +42,10 @@
 
     Parameters
     ----------
+    request_id
+        Id of the request, which all its attempts share.
+    retryable_until
+        Time on the loop's clock until which the request may be sent again.
     data
         The whole request.
     method
@@ -52,6 +58,8 @@
         Takes the reason why no whole answer came, and whether what came was malformed.
     """
 
+    request_id: str
+    retryable_until: float
     data: bytes
     method: bytes
     belongs: Callable[[RawAnswer], bool]
@@ -85,14 +93,25 @@
         self._head: h11.Response | None = None
         self._body = bytearray()
         self._surplus = 0
+        self._carried: dict[str, float] = {}
+        """The requests that were sent here and may be sent again, with the time until then."""
         self._is_closed = False
         self._has_begun = False
 
+    @property
+    def surplus_answers(self) -> int:
+        """Number of answers to other requests that were passed over."""
+        return self._surplus
+
     @property
     def has_begun_answer(self) -> bool:
         """Whether a byte has arrived since the request under way was sent."""
         return self._has_begun
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether an earlier attempt of a request was sent on this connection."""
+        return request_id in self._carried
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Remember the transport (asyncio calls this)."""
         self._transport = cast(asyncio.Transport, transport)
@@ -100,6 +119,7 @@
     def send(self, sending: RawSending) -> None:
         """Send a request; one of its callbacks is called unless the connection is aborted."""
         assert self._transport is not None
+        self._remember(sending)
         self._sending = sending
         self._has_begun = False
         self._head = None
@@ -136,6 +156,16 @@
         """Fail the request, if any (asyncio calls this)."""
         self._fail(f"connection lost: {error or 'closed'}", False)
 
+    def _remember(self, sending: RawSending) -> None:
+        """Remember a request, and forget the oldest ones that can't be sent again."""
+        now = asyncio.get_running_loop().time()
+        while self._carried:
+            oldest = next(iter(self._carried))
+            if self._carried[oldest] > now:
+                break
+            del self._carried[oldest]
+        self._carried[sending.request_id] = sending.retryable_until
+
     def _take(self, data: bytes) -> None:
         self._has_begun = self._has_begun or bool(data)
         try:
--- a/wingquay/ports/forwarding.py
+++ b/wingquay/ports/forwarding.py
@@ -127,8 +127,6 @@
     ----------
     remaining_seconds
         Time left until the deadline; sent to the replica.
-    fresh_connection
-        Open a new connection instead of reusing an idle one.
     tenant
         Name of the calling tenant, sent to the replica; empty: none is sent.
     """
@@ -138,7 +136,6 @@
     request_id: str
     request: OpaqueRequest
     remaining_seconds: float
-    fresh_connection: bool = False
     tenant: str = ""
 
 
