Replica answers: do not believe "not run" without the request's id

Every answer of a replica carries the id back, but a 503 or 421 without one was taken as "not run" for whatever request was due on its connection. Such an answer may belong to another request, and a request that runs would be sent a second time. Change: without an id the answer is malformed, so the request may have run. Test: test_an_answer_without_an_id_is_not_believed_to_say_not_run failed before. test_refusals_load_and_other_replicas_are_understood asserted the opposite for answers without an id; it now gives them ids, and the new test holds the rest.

--- a/tests/platform_adapter/test_replica_exchange.py
+++ b/tests/platform_adapter/test_replica_exchange.py
@@ -33,6 +33,10 @@
     return answer(request_id, b"", "Not-Executed: 1\r\n", "503 X")
 
 
+OTHER_REPLICA = b"HTTP/1.1 421 X\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n"
+"""A rejection by another replica, which does not carry the request's id back."""
+
+
 class ScriptedReplica:
     """Answers the n-th request with the n-th script; ``None`` closes the connection."""
 
@@ -177,9 +181,10 @@
 
     def test_refusals_load_and_other_replicas_are_understood(self) -> None:
         async def test() -> None:
-            shed = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-            other = b"HTTP/1.1 421 X\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n"
-            exchange = Exchange([shed], [other], [answer("r3", b"", "Server-Load: 3,1,8\r\n")])
+            named_other = OTHER_REPLICA.replace(b"Instance-Id", b"Request-Id: r2\r\nInstance-Id")
+            exchange = Exchange(
+                [rejection("r1")], [named_other], [answer("r3", b"", "Server-Load: 3,1,8\r\n")]
+            )
             await exchange.start()
             self.assertTrue((await exchange.send("r1")).answer.not_run)
             self.assertTrue((await exchange.send("r2")).answer.is_other_replica)
@@ -187,6 +192,18 @@
 
         play(test())
 
+    def test_an_answer_without_an_id_is_not_believed_to_say_not_run(self) -> None:
+        async def test() -> None:
+            shed = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            exchange = Exchange([shed], [OTHER_REPLICA])
+            await exchange.start()
+            for request_id in ("r1", "r2"):
+                event = await exchange.send(request_id)
+                self.assertIsInstance(event, SendFailed, request_id)
+                self.assertIs(SendFailureKind.MALFORMED, event.kind)
+
+        play(test())
+
     def test_a_load_is_read_with_the_pace_of_work_and_whatever_follows(self) -> None:
         cases: list[tuple[str, ReportedLoad | None]] = [
             ("3,1,8,250", ReportedLoad(3, 1, 8, 2.5)),
--- a/wingquay/platform/replica_dialect.py
+++ b/wingquay/platform/replica_dialect.py
@@ -41,7 +41,7 @@
         return (*headers, (TENANT, action.tenant.encode())) if action.tenant else headers
 
     def belongs(self, request_id: str, answer: RawAnswer) -> bool:
-        """Whether an answer carries the id back; only refusals may carry none."""
+        """Whether an answer carries the id back, or is a failure that carries none."""
         given = _find(answer, _REQUEST_ID_KEY)
         if given is None:
             return not 200 <= answer.status < 300 or _find(answer, _SIGNATURE_KEY) is None
@@ -50,8 +50,10 @@
     def understand(self, answer: RawAnswer) -> UnderstoodAnswer:
         """Return an answer in the terms of the port."""
         signature = _find(answer, _SIGNATURE_KEY)
-        is_other_replica = answer.status == STATUS_OTHER_REPLICA
-        not_run = _find(answer, _NOT_RUN_KEY) is not None
+        # Without an id it may belong to another request, so it is not believed to say "not run".
+        is_named = _find(answer, _REQUEST_ID_KEY) is not None
+        is_other_replica = is_named and answer.status == STATUS_OTHER_REPLICA
+        not_run = is_named and _find(answer, _NOT_RUN_KEY) is not None
         understood = ReplicaAnswer(
             answer.status,
             tuple(answer.headers),
