Store client: versions of the store are (era, revision), and a new era is announced

Cause: a store that comes back from an older copy loses changes and leases and assigns their revisions again. Its era rises in the header Store-Era, which no line read; revisions counted as rising for ever, so a watch from a revision that was assigned again would have joined changes of two histories.

StoreRestored is emitted before the first answer of a new era. A watch that began in an earlier era has lost its history, an answer of an earlier era counts as lost, pages of two eras are not joined, a condition of an earlier era is not sent, and for 30 s no listing starts from a lagging copy.

--- a/tests/platform_adapter/stand_in_platform.py
+++ b/tests/platform_adapter/stand_in_platform.py
@@ -33,6 +33,10 @@
         self.history: list[Item] = []
         self.leases: dict[int, int] = {}
         self.forgotten_revision = 0
+        self.era: str | None = None
+        """What all answers state as the era; ``None``: nothing."""
+        self.eras: list[str | None] = []
+        """What the next answers state instead."""
         self._copy: tuple[int, dict[str, Item]] | None = None
         """What stale reads show, if that is older than what is there."""
         self.page_items = 500
@@ -74,6 +78,15 @@
         """Let stale reads show what is there now from here on."""
         self._copy = (self.revision, dict(self.items))
 
+    def restore(self, revision: int, items: dict[str, Item]) -> None:
+        """Come back from an older copy in the next era: later changes and all leases are lost."""
+        self.revision = revision
+        self.items = dict(items)
+        self.history = [item for item in self.history if int(str(item["revision"])) <= revision]
+        self.leases.clear()
+        self.era = str(int(self.era or 0) + 1)
+        self._wake()
+
     def forget_history(self) -> None:
         self.forgotten_revision = self.revision
         self.history.clear()
@@ -99,7 +112,9 @@
                 query = {name: texts[0] for name, texts in parse_qs(url.query).items()}
                 status, document = await self._answer(method, url.path, query, body)
             content = orjson.dumps(document)
-            head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(content)}\r\n\r\n"
+            era = self.eras.pop(0) if self.eras else self.era
+            stated = "" if era is None else f"Store-Era: {era}\r\n"
+            head = f"HTTP/1.1 {status} X\r\n{stated}Content-Length: {len(content)}\r\n\r\n"
             writer.write(head.encode() + content)
 
     async def _answer(
@@ -136,7 +151,7 @@
         self.waits.append(query["waitMs"])
         deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.forgotten_revision:
+            if not self.forgotten_revision <= after <= self.revision:
                 return 410, {}
             events = [item for item in self.history if int(str(item["revision"])) > after]
             left = deadline - asyncio.get_running_loop().time()
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -9,7 +9,7 @@
 from wingquay.model.failure import Failure
 from wingquay.platform.store_client import PlatformStoreClient
 from wingquay.platform.store_formats import is_full_watch, watch_changed
-from wingquay.ports.machine import Count, Event
+from wingquay.ports.machine import Count, Event, Log
 from wingquay.ports.store import (
     CompareAndSwap,
     GrantLease,
@@ -37,12 +37,13 @@
         self.store = StandInStore()
         self.events: asyncio.Queue[Event] = asyncio.Queue()
         self.counts: list[Count] = []
+        self.lines: list[Log] = []
         self._operations = 0
 
     async def start(self) -> None:
         port = await self.store.start()
         self.client = PlatformStoreClient(
-            LOOPBACK, port, self.events.put_nowait, self.counts.append
+            LOOPBACK, port, self.events.put_nowait, self.counts.append, self.lines.append
         )
 
     async def ask(self, operation: StoreOperation) -> StoreResult | Failure[StoreFailureKind]:
@@ -236,7 +237,7 @@
         good = {"tlsKey": "servers/good", "value": "eA==", "revision": 2}
         for stored in ("a", None, 7, ["e30="]):
             bad = {"tlsKey": "servers/bad", "value": stored, "revision": 1}
-            changed = watch_changed("w", {"events": [bad, good], "at": 2})
+            changed = watch_changed("w", {"events": [bad, good], "at": 2}, 0)
             expected = (
                 StoredValue("servers/bad", b"", 1),
                 StoredValue("servers/good", b"x", 2),
--- a/wingquay/platform/names.py
+++ b/wingquay/platform/names.py
@@ -14,6 +14,8 @@
 AUTHORIZATION_SCHEME = b"Bearer"
 
 READY_PATH = "/-/ready"
+STORE_ERA = "store-era"
+"""Header of all answers of the store, in lower case; it rises when the store loses changes."""
 STORE_RANGE = "/-/kv-range"
 STALE_ALLOWED = "&stale=1"
 """Lets a page come from a copy that is seconds old, at a tenth of the price."""
--- a/wingquay/platform/node.py
+++ b/wingquay/platform/node.py
@@ -155,7 +155,9 @@
         dialect = PlatformReplicaDialect()
         self._replicas = ReplicaClient(dialect, self.emit, count, connect_seconds)
         store = settings.store
-        self._store = PlatformStoreClient(store.host, store.port, self.emit, count)
+        self._store = PlatformStoreClient(
+            store.host, store.port, self.emit, count, self._log.perform
+        )
         self._register()
 
     async def run(self, listening: socket.socket) -> Exit:
--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -10,7 +10,8 @@
 from ..adapters.http_client import HttpClient
 from ..adapters.http_messages import NOT_SENT_KINDS, HttpResponse
 from ..model.failure import Failure
-from ..ports.machine import Count, Event
+from ..model.store_version import StoreVersion, is_same_era
+from ..ports.machine import Count, Event, Log
 from ..ports.store import (
     Read,
     ReadResult,
@@ -21,10 +22,13 @@
     StoreOperation,
     StoreRequest,
     StoreResponse,
+    StoreRestored,
     StoreResult,
     WatchBroken,
+    WatchChanged,
 )
-from .names import STALE_ALLOWED, STORE_RANGE
+from .names import STALE_ALLOWED, STORE_ERA, STORE_RANGE
+from .store_era import AnswerEra, StoreEra
 from .store_formats import (
     refused,
     stored_value,
@@ -40,6 +44,8 @@
 STATUS_OK = 200
 CONNECTION_LIMIT = 6
 IDLE_SECONDS = 10.0
+COPY_SECONDS = 30.0
+"""Time after the store was restored in which a lagging copy of it may still show the time before."""
 
 Result = StoreResult | Failure[StoreFailureKind]
 PagesResult = ReadResult | Failure[StoreFailureKind]
@@ -56,6 +62,8 @@
         Takes the events.
     count
         Takes counters: calls have a price.
+    log
+        Takes log lines.
     """
 
     def __init__(
@@ -64,6 +72,7 @@
         port: int,
         emit: Callable[[Event], None],
         count: Callable[[Count], None],
+        log: Callable[[Log], None],
     ) -> None:
         self._host = host
         self._port = port
@@ -73,6 +82,9 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: dict[asyncio.Task[None], None] = {}
         self._watches: dict[str, asyncio.Task[None]] = {}
+        self._era = StoreEra(log)
+        self._restored_at = float("-inf")
+        """When an answer showed that the store was restored from an older copy."""
 
     def perform(self, action: StoreRequest) -> None:
         """Perform an operation."""
@@ -109,17 +121,18 @@
         self._emit(StoreResponse(action.operation_id, result))
 
     async def _write(self, operation: StoreOperation, timeout_seconds: float) -> Result:
-        call = write_call(operation)
+        call = write_call(operation, self._era.latest)
         if isinstance(call, Failure):
             return call
         answer = await self._send("POST", call.path, timeout_seconds, call.body)
         if isinstance(answer, Failure):
             return answer
-        return write_result(operation, answer)
+        return write_result(operation, answer, self._era.latest)
 
     async def _read_all(self, operation: Read, timeout_seconds: float) -> Result:
         """Read all pages, from a copy first where that is allowed: a tenth of the price a page."""
-        if not operation.may_start_stale:
+        was_restored = self._loop.time() - self._restored_at < COPY_SECONDS
+        if was_restored or not operation.may_start_stale:
             return await self._read_pages(operation.key, False, timeout_seconds)
         copy = await self._read_pages(operation.key, True, timeout_seconds)
         if isinstance(copy, Failure):
@@ -136,7 +149,7 @@
         Pages form no snapshot: what changed since the oldest one has to be asked for.
         """
         values: list[StoredValue] = []
-        revisions: list[int] = []
+        versions: list[StoreVersion] = []
         path = f"{STORE_RANGE}?pathPrefix={quote(key, safe='')}"
         if is_copy:
             path += STALE_ALLOWED
@@ -146,56 +159,51 @@
             document = await self._call(path + after, timeout_seconds)
             if isinstance(document, Failure):
                 return document
+            era = self._era.latest
             try:
-                values += [stored_value(item) for item in document["items"]]
-                revisions.append(int(document["at"]))
+                values += [stored_value(item, era) for item in document["items"]]
+                versions.append(StoreVersion.of(era, int(document["at"])))
                 has_more = bool(document["more"])
             except (KeyError, TypeError, ValueError) as error:
                 return Failure(StoreFailureKind.MALFORMED, f"page: {error!r}")
+            if not is_same_era(versions[0], versions[-1]):
+                reason = f"the store came back in era {era} between two pages"
+                return Failure(StoreFailureKind.UNREACHABLE, reason)
             if not has_more or not values:
                 # A copy may be older than what the store has acknowledged by now.
-                return ReadResult(tuple(values), min(revisions), None if is_copy else begun_at)
+                return ReadResult(tuple(values), min(versions), None if is_copy else begun_at)
             after = f"&after={quote(values[-1].key, safe='')}"
 
     async def _catch_up(self, key: str, copy: ReadResult, timeout_seconds: float) -> PagesResult:
         """Return what a copy becomes by all that has changed since."""
         items = {item.key: item for item in copy.values}
-        revision = copy.store_revision
+        version = StoreVersion(copy.store_revision)
         while True:
             begun_at = self._loop.time()
-            path = watch_path(key, revision, CATCH_UP_WAIT_MS)
-            document = await self._call(path, timeout_seconds)
-            if isinstance(document, Failure):
-                return document
-            try:
-                event = watch_changed("", document)
-            except (KeyError, TypeError, ValueError) as error:
-                return Failure(StoreFailureKind.MALFORMED, f"events: {error!r}")
+            event = await self._changes("", key, version, CATCH_UP_WAIT_MS, timeout_seconds)
+            if isinstance(event, Failure):
+                return event
             items.update({item.key: item for item in event.changed})
             for gone in event.deleted:
                 items.pop(gone, None)
-            revision = max(revision, event.store_revision)
+            version = StoreVersion(max(version, event.store_revision))
             if not event.may_have_more:
-                return ReadResult(tuple(items.values()), revision, begun_at)
+                return ReadResult(tuple(items.values()), version, begun_at)
 
     async def _watch(self, action: StartWatch) -> None:
-        after = action.from_store_revision
+        after = StoreVersion(action.from_store_revision)
         wait_ms = max(int(action.hold_seconds * MILLISECONDS_PER_SECOND), CATCH_UP_WAIT_MS)
         await asyncio.sleep(action.pause_seconds)
         while True:
             asked_at = self._loop.time()
-            path = watch_path(action.key, after, wait_ms)
-            document = await self._call(path, action.timeout_seconds)
-            if isinstance(document, Failure):
-                is_lost = document.kind is StoreFailureKind.HISTORY_LOST
-                self._emit(WatchBroken(action.watch_id, document.reason, is_lost))
-                return
-            try:
-                event = watch_changed(action.watch_id, document, asked_at)
-            except (KeyError, TypeError, ValueError) as error:
-                self._emit(WatchBroken(action.watch_id, f"events: {error!r}"))
+            event = await self._changes(
+                action.watch_id, action.key, after, wait_ms, action.timeout_seconds
+            )
+            if isinstance(event, Failure):
+                is_lost = event.kind is StoreFailureKind.HISTORY_LOST
+                self._emit(WatchBroken(action.watch_id, event.reason, is_lost))
                 return
-            after = max(after, event.store_revision)
+            after = StoreVersion(max(after, event.store_revision))
             self._emit(event)
             if event.may_have_more:
                 continue
@@ -203,6 +211,24 @@
                 max(0.0, asked_at + action.poll_interval_seconds - self._loop.time())
             )
 
+    async def _changes(
+        self, watch_id: str, key: str, after: StoreVersion, wait_ms: int, timeout_seconds: float
+    ) -> WatchChanged | Failure[StoreFailureKind]:
+        """Return what has changed since a version."""
+        begun_at = self._loop.time()
+        path = watch_path(key, after.revision, wait_ms)
+        document = await self._call(path, timeout_seconds)
+        if isinstance(document, Failure):
+            return document
+        if self._era.latest != after.era:
+            # Revisions of the two eras can't be compared, even if the store has this one again.
+            reason = f"the store is in era {self._era.latest}, the watch began in era {after.era}"
+            return Failure(StoreFailureKind.HISTORY_LOST, reason)
+        try:
+            return watch_changed(watch_id, document, after.era, begun_at)
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(StoreFailureKind.MALFORMED, f"events: {error!r}")
+
     async def _call(self, path: str, timeout_seconds: float) -> Any:
         answer = await self._send("GET", path, timeout_seconds)
         if isinstance(answer, Failure):
@@ -226,4 +252,17 @@
             not_sent = result.kind in NOT_SENT_KINDS
             kind = StoreFailureKind.UNREACHABLE if not_sent else StoreFailureKind.LOST_REPLY
             return Failure(kind, result.reason)
-        return result
+        return self._check_era(result)
+
+    def _check_era(self, answer: HttpResponse) -> HttpResponse | Failure[StoreFailureKind]:
+        """Return an answer of the latest era; announce a new era before its first answer."""
+        match self._era.observe(answer.headers.get(STORE_ERA)):
+            case AnswerEra.LATE:
+                reason = (
+                    f"the answer was given before the store came back in era {self._era.latest}"
+                )
+                return Failure(StoreFailureKind.LOST_REPLY, reason)
+            case AnswerEra.NEW:
+                self._restored_at = self._loop.time()
+                self._emit(StoreRestored(StoreVersion.of(self._era.latest, 0)))
+        return answer
--- a/wingquay/platform/store_formats.py
+++ b/wingquay/platform/store_formats.py
@@ -8,6 +8,7 @@
 
 from ..adapters.http_messages import HttpResponse
 from ..model.failure import Failure
+from ..model.store_version import StoreVersion
 from ..model.value import value
 from ..ports.store import (
     CompareAndSwap,
@@ -42,21 +43,25 @@
     body: bytes
 
 
-def write_call(operation: StoreOperation) -> StoreCall | Failure[StoreFailureKind]:
-    """Return the call for an operation, or why there is none."""
+def write_call(operation: StoreOperation, era: int) -> StoreCall | Failure[StoreFailureKind]:
+    """Return the call for an operation in an era of the store, or why there is none."""
     if isinstance(operation, GrantLease):
         milliseconds = operation.time_to_live_seconds * MILLISECONDS_PER_SECOND
         return StoreCall(STORE_LEASE, orjson.dumps({"ttl_ms": milliseconds}))
     if isinstance(operation, KeepLeaseAlive):
         return StoreCall(f"{STORE_KEEP}{operation.lease_id}", b"")
     if isinstance(operation, CompareAndSwap):
+        expected = StoreVersion(operation.expected_modified_at)
+        if expected and expected.era != era:
+            reason = f"the condition is of era {expected.era}, the store is in era {era}"
+            return Failure(StoreFailureKind.UNREACHABLE, reason)
         return StoreCall(STORE_TRANSACTION, orjson.dumps(_transaction(operation)))
     reason = f"{type(operation).__name__} is not offered here"
     return Failure(StoreFailureKind.MALFORMED, reason)
 
 
 def write_result(
-    operation: StoreOperation, response: HttpResponse
+    operation: StoreOperation, response: HttpResponse, era: int
 ) -> StoreResult | Failure[StoreFailureKind]:
     """Return what an answer says of an operation."""
     if isinstance(operation, KeepLeaseAlive) and response.status == STATUS_NOT_FOUND:
@@ -68,7 +73,7 @@
         return refused(response)
     try:
         document = orjson.loads(response.whole_body)
-        return _result(operation, response.status, document)
+        return _result(operation, response.status, document, era)
     except (ValueError, KeyError, TypeError) as error:
         return Failure(StoreFailureKind.MALFORMED, f"answer: {error!r}")
 
@@ -83,8 +88,8 @@
     return Failure(kind, f"the store answered {response.status}")
 
 
-def stored_value(item: Any) -> StoredValue:
-    """Return an item as the port has it.
+def stored_value(item: Any, era: int) -> StoredValue:
+    """Return an item of an era as the port has it.
 
     An entry of another writer that cannot be decoded has no content, so that it names no replica;
     the items beside it are read all the same.
@@ -97,8 +102,9 @@
             raise
         content = b""
     lease_id = int(item.get("lease", 0))
-    created_at = int(item.get("made", 0))
-    return StoredValue(key, content, int(item["revision"]), lease_id, created_at)
+    modified_at = StoreVersion.of(era, int(item["revision"]))
+    created_at = StoreVersion.of(era, int(item.get("made", 0)))
+    return StoredValue(key, content, modified_at, lease_id, created_at)
 
 
 def watch_path(prefix: str, after_revision: int, wait_ms: int) -> str:
@@ -113,11 +119,15 @@
     return f"{STORE_WATCH}?pathPrefix={key}&after={after_revision}&waitMs={wait_ms}"
 
 
-def watch_changed(watch_id: str, document: Any, begun_at: float | None = None) -> WatchChanged:
+def watch_changed(
+    watch_id: str, document: Any, era: int, begun_at: float | None = None
+) -> WatchChanged:
     """Return the last state of each key that changed.
 
     Parameters
     ----------
+    era
+        The era of the answer.
     begun_at
         When the call that was answered was begun.
     """
@@ -130,12 +140,12 @@
             gone[key] = None
         else:
             gone.pop(key, None)
-            changed[key] = stored_value(item)
+            changed[key] = stored_value(item, era)
     return WatchChanged(
         watch_id,
         tuple(changed.values()),
         tuple(gone),
-        int(document["at"]),
+        StoreVersion.of(era, int(document["at"])),
         is_full_watch(document),
         begun_at,
     )
@@ -153,7 +163,8 @@
 
 
 def _transaction(operation: CompareAndSwap) -> dict[str, object]:
-    condition = {"tlsKey": operation.key, "revision": operation.expected_modified_at}
+    revision = StoreVersion(operation.expected_modified_at).revision
+    condition = {"tlsKey": operation.key, "revision": revision}
     if operation.value is None:
         return {"expectedRevision": [condition], "put": [], "remove": [operation.key]}
     content = base64.b64encode(operation.value).decode("ascii")
@@ -161,11 +172,11 @@
     return {"expectedRevision": [condition], "put": [entry], "remove": []}
 
 
-def _result(operation: StoreOperation, status: int, document: Any) -> StoreResult:
+def _result(operation: StoreOperation, status: int, document: Any, era: int) -> StoreResult:
     if isinstance(operation, CompareAndSwap):
         if status == STATUS_OK:
-            return SwapResult(True, int(document["revision"]))
-        items = [stored_value(item) for item in document["items"] if item.get("revision")]
+            return SwapResult(True, StoreVersion.of(era, int(document["revision"])))
+        items = [stored_value(item, era) for item in document["items"] if item.get("revision")]
         current = next((item for item in items if item.key == operation.key), None)
         return SwapResult(False, 0, current)
     seconds = float(document["ttl_ms"]) / MILLISECONDS_PER_SECOND
--- a/wingquay/ports/store.py
+++ b/wingquay/ports/store.py
@@ -1,4 +1,7 @@
-"""Events and actions for the platform's key-value store: compare-and-swap, leases, watches."""
+"""Events and actions for the platform's key-value store: compare-and-swap, leases, watches.
+
+Revisions of a store that may be restored from an older copy are ``StoreVersion`` numbers.
+"""
 
 from enum import Enum
 
@@ -152,6 +155,21 @@
     result: StoreResult | Failure[StoreFailureKind]
 
 
+@value
+class StoreRestored(Event):
+    """The store came back from an older copy: its latest changes and all leases may be lost.
+
+    It precedes the first answer of the new era.
+
+    Parameters
+    ----------
+    store_version
+        The lowest version of the new era.
+    """
+
+    store_version: int
+
+
 @value
 class StartWatch(Action):
     """Watch the keys with prefix ``key``, starting from ``from_store_revision``.
