--- a/wingquay/platform/store_client.py
+++ b/wingquay/platform/store_client.py
@@ -45,7 +45,7 @@
 CONNECTION_LIMIT = 6
 IDLE_SECONDS = 10.0
 COPY_SECONDS = 30.0
-"""Time after the store was restored in which a lagging copy of it may still show the time before."""
+"""Time after the store was restored in which a lagging copy may still show the time before it."""
 
 Result = StoreResult | Failure[StoreFailureKind]
 PagesResult = ReadResult | Failure[StoreFailureKind]
