A store that comes back from an older copy: what a node goes by from then on

Cause: configuration, replica entries, presence, held requests and proofs rested on revisions that only rise and on leases that only the clock ends. After a restoration a node would have joined changes of two histories, sent work to replicas that it knew to drain, released held requests, counted a lease that another node may hold as its own, and taken a read as proof of what the store has forgotten.

Change: StoreRestoration passes a new era to the objects that rest on the earlier one. The first node of a group lists the store and sends the listing to the others, which wait 0.4 s and their rank for it. Own entries are written again under a new lease within a second, spread; until then the node is not listed, so that it acts on no share of a limit. Nodes and evacuated zones that are missing stay for the 2 s in which their writers write again. Replicas that are known to drain or to be gone get nothing until they write anew; missing ones follow the rule for outages. Holds go on, and a repeat writes their key again. A lost cluster key is written again by the first node of a group. For 2 s no read proves anything, and proofs of the earlier era are neither told nor taken. Updates of an earlier era and updates that span two are not applied; one of a later era tells of the restoration.

The simulated store is away for 0 to 3 s and comes back from a copy of 0.5 to 10 s; its writers write again within 2 s.

--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -196,6 +196,7 @@
                 lambda *_: [],
                 lambda: False,
                 lambda: True,
+                lambda: 0.0,
                 lambda: True,
             )
             follower = StoreFollower(FollowerSettings(), hooks)
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -266,6 +266,7 @@
         deleted=message.deleted,
         age_seconds=message.age_seconds,
         may_have_more=message.may_have_more,
+        is_listing=message.is_listing,
     )
     for item in message.changed:
         news.changed.add(
@@ -296,6 +297,7 @@
         tuple(message.deleted),
         message.age_seconds,
         message.may_have_more,
+        message.is_listing,
     )
 
 
--- a/wingquay/forwarding/choice/current_replicas.py
+++ b/wingquay/forwarding/choice/current_replicas.py
@@ -6,6 +6,10 @@
 from ...model.replica_record import ReplicaRecord
 from .replica_state import ReplicaState
 
+DELETED_MEMORY_SECONDS = 20.0
+"""Time for which deleted records are remembered; the store may come back from a copy that is some
+seconds old and still has them."""
+
 
 class CurrentReplicas:
     """Applies replica records, ordered by the revisions of the store."""
@@ -15,6 +19,8 @@
         self._by_service: dict[str, dict[str, ReplicaState]] = {}
         self._restarted_at: dict[str, float] = {}
         """Time of the last restart of any replica, by service."""
+        self._deleted_at: dict[str, float] = {}
+        """When the records of incarnations were deleted lately, oldest first."""
 
     def __len__(self) -> int:
         """Return the number of replicas."""
@@ -49,12 +55,20 @@
         """Whether a replica of the service has restarted since a moment."""
         return self._restarted_at.get(service, float("-inf")) >= moment
 
+    def has_left(self, record: ReplicaRecord) -> bool:
+        """Return whether an incarnation drains, or its record was deleted lately."""
+        if record.incarnation in self._deleted_at:
+            return True
+        state = self.get_incarnation(record.incarnation)
+        return state is not None and state.record.is_draining
+
     def put(self, record: ReplicaRecord, now: float, revision: int) -> ReplicaState | None:
         """Apply a new or changed record; return the state of the incarnation that it supersedes.
 
         A record with an older revision is ignored. A newer one applies whatever start time it
         states; one without a start time belongs to the current incarnation.
         """
+        self._deleted_at.pop(record.incarnation, None)
         state = self._states.get(record.replica_id)
         if state is None:
             self._add(record, now, revision)
@@ -82,6 +96,15 @@
         state.revision = state.revision if revision is None else revision
         if state.vanished_at is None:
             state.vanished_at = now
+            self._remember_deleted(state.incarnation, now)
+
+    def _remember_deleted(self, incarnation: str, now: float) -> None:
+        self._deleted_at[incarnation] = now
+        while self._deleted_at:
+            oldest = next(iter(self._deleted_at))
+            if now - self._deleted_at[oldest] < DELETED_MEMORY_SECONDS:
+                break
+            del self._deleted_at[oldest]
 
     def remove(self, state: ReplicaState) -> None:
         """Remove an incarnation unless it is already superseded."""
--- a/wingquay/forwarding/choice/replica_directory.py
+++ b/wingquay/forwarding/choice/replica_directory.py
@@ -56,6 +56,10 @@
         state = self._replicas.get(record.replica_id)
         return state is not None and state.vanished_at is None and state.record == record
 
+    def has_left(self, record: ReplicaRecord) -> bool:
+        """Whether the incarnation is known to drain, or its record to have been deleted lately."""
+        return self._replicas.has_left(record)
+
     def put(self, record: ReplicaRecord, now: float, revision: int = 0) -> ReplicaState | None:
         """Apply a new or changed record; return the state of the incarnation that it supersedes.
 
--- a/wingquay/forwarding/crashing/held_request_keys.py
+++ b/wingquay/forwarding/crashing/held_request_keys.py
@@ -81,6 +81,11 @@
         """Return the known keys that are missing from a complete listing."""
         return tuple(key for key in sorted(self._known) if key not in keys)
 
+    def forget_missing(self, keys: Collection[str]) -> None:
+        """Forget the keys that the store lost; the holds go on, and repeats write them again."""
+        self._known.intersection_update(keys)
+        self._writes.clear()
+
     def put(self, item: StoredValue, now: float) -> list[Action]:
         """Apply a key that was written."""
         held = self._formats.parse_held(item.value)
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -21,6 +21,7 @@
 from ..ports.store import (
     ReadResult,
     StoreResponse,
+    StoreRestored,
     WatchBroken,
     WatchChanged,
 )
@@ -53,9 +54,10 @@
 from .readiness.route_demand import RouteDemand
 from .sending.waiting_settings import DEFAULT_WAITING, WaitingSettings
 from .settings import ForwardingSettings
-from .store_contents import StoreContents
+from .store_contents import RestoredGraceOver, StoreContents
 from .store_formats import FormatFailureKind as FormatFailureKind
 from .store_formats import StoreFormats as StoreFormats
+from .store_restoration import STORE, StoreRestoration
 
 CLUSTER_KEY_BYTES = 32
 PROOF_REQUEST_ID_BITS = 62
@@ -92,7 +94,7 @@
         self._presence = Presence(key, settings, random_source)
         self._proof_manager = ProofManager(
             follower.proof_poll_times,
-            lambda: self._members.group_position() * settings.poll_rank_delay_seconds,
+            self._rank_delay_seconds,
             lambda now: self._follower.next_answer_at(now),
             random_source.getrandbits(PROOF_REQUEST_ID_BITS) if follower.proof_poll_times else 0,
         )
@@ -120,6 +122,7 @@
             lambda update, now: self._updates.send_update(update, now),
             lambda: bool(self._members.update_recipients()),
             lambda: self._members.group_position() == 0,
+            self._rank_delay_seconds,
             lambda: self._readiness.can_serve,
         )
         self._follower = StoreFollower(follower, hooks, self._proof_manager)
@@ -161,6 +164,9 @@
             self._configure,
             self._forwarding.on_replica_restarted,
         )
+        self._restoration = StoreRestoration(
+            self._follower, self._contents, self._members, self._proof_manager
+        )
         departure = Departure()
         route_demand = RouteDemand(self._directory)
         self._readiness = NodeReadiness(self._directory, route_demand, departure)
@@ -197,7 +203,15 @@
 
     def _decide(self, event: Event, now: float) -> list[Action]:
         match event:
-            case StoreResponse() | WatchChanged() | WatchBroken() | PollRetryDue() | PeerSnapshot():
+            case (
+                StoreResponse()
+                | WatchChanged()
+                | WatchBroken()
+                | PollRetryDue()
+                | PeerSnapshot()
+                | StoreRestored()
+                | RestoredGraceOver()
+            ):
                 return self._store_event(event, now)
             case Start():
                 return self._start(event, now)
@@ -231,6 +245,7 @@
             case PeerReceived(sender=sender, message=StoreUpdate() as update):
                 self._update_source = sender.node_id
                 return [
+                    *self._restoration.observe_version(update.store_revision, sender.node_id, now),
                     *self._updates.receive_update(update, now),
                     *self._proof_manager.handle_update_from(sender, now),
                 ]
@@ -246,12 +261,18 @@
         return []
 
     def _store_event(self, event: Event, now: float) -> list[Action]:
+        if isinstance(event, StoreRestored | RestoredGraceOver):
+            return self._restoration.handle(event, now) + self._readiness.update(now)
         if isinstance(event, StoreResponse) and self._members.handles(event):
             return self._members.handle_response(event, now)
         if isinstance(event, StoreResponse) and self._held_request_keys.handles_response(event):
             return self._held_request_keys.handle_response(event)
         self._update_source = "poll" if isinstance(event, WatchChanged) else "listing"
-        return self._follower.handle(event, now)
+        actions: list[Action] = []
+        if isinstance(event, StoreResponse) and isinstance(event.result, ReadResult):
+            version = event.result.store_revision
+            actions += self._restoration.observe_version(version, STORE, now)
+        return actions + self._follower.handle(event, now)
 
     def _start(self, event: Start, now: float) -> list[Action]:
         return [
@@ -263,6 +284,10 @@
     def _presence_due(self, event: PresenceDue, now: float) -> list[Action]:
         return self._members.handle_presence_due(event, self._table, now)
 
+    def _rank_delay_seconds(self) -> float:
+        """Return a delay that grows with this node's position in its group."""
+        return self._members.group_position() * self._settings.poll_rank_delay_seconds
+
     # The store
 
     def _configure(self, document: bytes) -> list[Action]:
--- a/wingquay/forwarding/knowledge/follower_settings.py
+++ b/wingquay/forwarding/knowledge/follower_settings.py
@@ -36,6 +36,9 @@
         Maximum backoff while the node waits for a particular change.
     initial_backoff_seconds
         Maximum backoff before the first listing, when the node cannot serve requests yet.
+    group_listing_seconds
+        How long a node waits for the listing of the first node of its group after the store came
+        back from an older copy, before it reads the store itself.
     proof_poll_times
         Polls that keep the configuration proven within the revocation bound; ``None``: the platform
         states no bound.
@@ -47,6 +50,7 @@
     poll_times: PollTimes = poll_times_within(DEFAULT_RECOVERY_SECONDS)
     urgent_backoff_seconds: float = 1.0
     initial_backoff_seconds: float = 0.2
+    group_listing_seconds: float = 0.4
     proof_poll_times: ProofPollTimes | None = None
 
 
@@ -68,6 +72,8 @@
         Returns whether this node sends store updates to other nodes.
     is_first_in_group
         Returns whether this node is the first of its group, which polls for the others.
+    rank_delay_seconds
+        Returns a delay that grows with this node's position in its group.
     is_sufficient
         Returns whether the current contents suffice to serve requests until the next regular poll.
     """
@@ -78,4 +84,5 @@
     on_poll: Callable[[StoreUpdate, float], list[Action]]
     shares_updates: Callable[[], bool]
     is_first_in_group: Callable[[], bool]
+    rank_delay_seconds: Callable[[], float]
     is_sufficient: Callable[[], bool]
--- a/wingquay/forwarding/knowledge/node_membership.py
+++ b/wingquay/forwarding/knowledge/node_membership.py
@@ -1,5 +1,6 @@
 """The nodes by their entries in the store, and this node's own entry."""
 
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from ...model.routing_table import RoutingTable
@@ -193,6 +194,24 @@
         if self._groups is not None and name != self._name:
             self._groups.remove(name)
 
+    def missing_from(self, keys: Collection[str]) -> tuple[str, ...]:
+        """Return the keys of known nodes that are missing from a complete listing."""
+        prefix = self._formats.node_prefix
+        return tuple(prefix + name for name in self._records if prefix + name not in keys)
+
+    def rewrite_cluster_key(self, keys: Collection[str]) -> list[Action]:
+        """Write the cluster key again if it is missing from a complete listing.
+
+        The first node of a group does so: others that start would write a key of their own.
+        """
+        if self._formats.cluster_key in keys or self.group_position():
+            return []
+        return self._setup.rewrite_cluster_key()
+
+    def on_restored(self, now: float) -> list[Action]:
+        """Write this node's entry again, because the store lost its lease."""
+        return self._presence.on_restored(now)
+
     def keep_only(self, keys: set[str]) -> None:
         """Apply a complete listing: remove the nodes that are not in it."""
         self._nodes.keep_only(keys)
--- a/wingquay/forwarding/knowledge/peer_setup.py
+++ b/wingquay/forwarding/knowledge/peer_setup.py
@@ -71,6 +71,14 @@
         operation = CompareAndSwap(self._key_name, 0, self._new_cluster_key)
         return [StoreRequest(self._operation_id, operation, TIMEOUT_SECONDS)]
 
+    def rewrite_cluster_key(self) -> list[Action]:
+        """Write the cluster key that is in use again, unless another node has written one."""
+        if self._cluster_key is None:
+            return []
+        self._operations += 1
+        operation = CompareAndSwap(self._key_name, 0, self._cluster_key)
+        return [StoreRequest(self._operation_id, operation, TIMEOUT_SECONDS)]
+
     def handle_result(self, result: StoreResult | Failure[StoreFailureKind]) -> list[Action]:
         """Handle the result of writing the cluster key."""
         if not isinstance(result, SwapResult):
--- a/wingquay/forwarding/knowledge/presence.py
+++ b/wingquay/forwarding/knowledge/presence.py
@@ -30,6 +30,10 @@
 TIMEOUT_SECONDS = 2.0
 RENEWAL_SHARE = 0.5
 """Share of the lease time after which the lease is renewed; the rest allows several attempts."""
+RESTORED_WRITE_SECONDS = 0.5
+"""Mean time after which the entry is written again once the store came back from an older copy."""
+RESTORED_SPREAD = 0.7
+"""Share of that time by which nodes differ from each other."""
 NO_ADDRESS = b"1"
 """The value of the entry of a node that other nodes cannot reach."""
 
@@ -102,6 +106,20 @@
             self._stored = stored
             self._expected_revision = stored.modified_at
 
+    def on_restored(self, now: float) -> list[Action]:
+        """Forget the lease, which the store has lost, and write the entry again soon."""
+        self._forget_lease()
+        self._expected_revision = 0
+        spread = self._random.uniform(1.0 - RESTORED_SPREAD, 1.0 + RESTORED_SPREAD)
+        return self._schedule_next_step(RESTORED_WRITE_SECONDS * spread, now)
+
+    def _forget_lease(self) -> None:
+        self._lease_id = None
+        self._stored = None
+        self._is_written = False
+        self._reused_key = False
+        self._listed_until = float("-inf")
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Handle a store response or a timer."""
         if isinstance(event, Start):
@@ -155,10 +173,7 @@
 
     def _handle_lease(self, lease: LeaseState, now: float) -> list[Action]:
         if not lease.time_to_live_seconds:
-            self._lease_id = None
-            self._stored = None
-            self._is_written = False
-            self._reused_key = False
+            self._forget_lease()
             return self._schedule_next_step(0.0, now)
         if self._lease_id is None:
             self._lease_id = lease.lease_id
--- a/wingquay/forwarding/knowledge/proof_manager.py
+++ b/wingquay/forwarding/knowledge/proof_manager.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Collection
 
 from ...model.routing_table import RoutingTable
+from ...model.store_version import is_same_era
 from ...ports.machine import Action, Count, Log, LogLevel, Observe
 from ...ports.peer_link import NodeIdentity, PeerLinkBroken, SendToPeer
 from ...ports.proof_messages import ProofReply, ProofRequest
@@ -10,6 +11,9 @@
 from .proof_poll_times import MAX_POLL_SPREAD_SECONDS, ProofPollTimes
 from .proof_requests import ReceivedProofRequests, SentProofRequests
 
+WRITTEN_AGAIN_SECONDS = 2.0
+"""Time after the store came back from an older copy in which its writers write again what it lost.
+Until then its contents prove nothing."""
 NO_POLL_REASON = "no poll was answered and no proof received"
 
 
@@ -51,6 +55,8 @@
         self._lost_at: float | None = None
         """When the proof was found to be too old; ``None``: the configuration is proven."""
         self._reason = "no poll answered yet"
+        self._proves_from = float("-inf")
+        """Polls that began before have proven nothing since the store was restored."""
 
     @property
     def proof(self) -> AlwaysProven | TimedProof:
@@ -89,11 +95,16 @@
         store_revision
             The revision up to which the answer is complete.
         """
-        if self._timed is None or begun_at is None:
+        if self._timed is None or begun_at is None or begun_at < self._proves_from:
             return []
         answers = self._received.answers(begun_at, store_revision, now)
         return [*self._extend_proof(self._timed, begun_at, now), *answers]
 
+    def on_restored(self, now: float) -> None:
+        """Accept no proof from the store until its writers have written again what it lost."""
+        self._proves_from = now + WRITTEN_AGAIN_SECONDS
+        self._reason = "the store came back from an older copy"
+
     def poll_failed(self, reason: str) -> None:
         """Record why the proof may not be extended for a while."""
         self._reason = reason
@@ -123,6 +134,9 @@
         self._received.record(sender, request, now)
         if known_revision is None or not self._timed.is_proven(now):
             return []
+        if self._timed.proven_as_of < self._proves_from:
+            # Another node may not have all changes of the earlier era.
+            return []
         held_seconds = self._timed.proven_as_of - now
         return [SendToPeer(sender, ProofReply(request.number, held_seconds, known_revision))]
 
@@ -131,8 +145,12 @@
     ) -> list[Action]:
         """Extend the proof by another node's poll, if this node has all its changes."""
         as_of = self._sent.proven_as_of(sender, proof, now)
-        is_known = known_revision is not None and known_revision >= proof.store_revision
-        if self._timed is None or as_of is None or not is_known:
+        if self._timed is None or as_of is None or known_revision is None:
+            return []
+        is_known = known_revision >= proof.store_revision
+        if not is_known or not is_same_era(known_revision, proof.store_revision):
+            return []
+        if as_of < self._proves_from:
             return []
         return self._extend_proof(self._timed, as_of, now)
 
--- a/wingquay/forwarding/knowledge/store_follower.py
+++ b/wingquay/forwarding/knowledge/store_follower.py
@@ -1,6 +1,7 @@
 """Maintains a copy of one prefix of the key-value store."""
 
 from ...model.failure import Failure
+from ...model.store_version import begin_of_era, is_same_era
 from ...ports.machine import Action, Event, Log, LogLevel, Schedule, Start
 from ...ports.peer_snapshot import PeerSnapshot, RequestPeerSnapshot
 from ...ports.store import (
@@ -55,6 +56,10 @@
         self._proof_manager = proof_manager or ProofManager(None, lambda: 0.0, self.next_answer_at)
         self._schedule = PollSchedule(settings, hooks, self._proof_manager)
         self._copy = StoreCopy()
+        self._era_begin = 0
+        """The lowest version of the latest era."""
+        self._is_listing_shared = False
+        """Whether the next listing is sent to the other nodes of the group."""
         self._is_watching = False
         self._watch_interval_seconds = settings.poll_interval_seconds
         """The poll interval of the current watch."""
@@ -107,9 +112,13 @@
         pause_seconds
             Time until the next poll, unless another update arrives; 0: it is not postponed.
         """
+        if update.is_listing:
+            return self._apply_group_listing(update, pause_seconds, now)
         known_revision = self._copy.revision
         if not self._copy.has_listing or known_revision is None:
             return []
+        if not is_same_era(update.from_revision, update.store_revision):
+            return [self._skipped_update_log(update, known_revision, now)]
         if update.from_revision > known_revision:
             return [self._skipped_update_log(update, known_revision, now)]
         if known_revision > update.store_revision:
@@ -119,6 +128,41 @@
         actions = self._hooks.on_changes(update.changed, update.deleted, now)
         return actions + self.postpone_poll(pause_seconds, now)
 
+    def on_restored(self, era_begin: int, now: float) -> list[Action]:
+        """Read everything again, because the store came back from an older copy.
+
+        The first node of a group reads it at once and sends it to the others, which wait for that.
+
+        Parameters
+        ----------
+        era_begin
+            The lowest version of the new era.
+        """
+        self._era_begin = era_begin
+        self._copy.invalidate_revision()
+        self._is_listing_shared = True
+        stopping: list[Action] = [StopWatch(self._watch_id)] if self._is_watching else []
+        self._is_watching = False
+        # Answers to reads and polls of the earlier era are ignored.
+        self._reads += 1
+        self._watches += 1
+        if self._hooks.is_first_in_group():
+            return [*stopping, *self._read_or_watch(now)]
+        wait_seconds = self._settings.group_listing_seconds + self._hooks.rank_delay_seconds()
+        self._poll_at = now + wait_seconds
+        return [*stopping, Schedule(self._poll_at, PollRetryDue(self._operation_id))]
+
+    def _apply_group_listing(
+        self, update: StoreUpdate, pause_seconds: float, now: float
+    ) -> list[Action]:
+        """Apply the listing of another node, unless this one has read the store of its era."""
+        if self._copy.revision is not None or update.store_revision < self._era_begin:
+            return []
+        self._reads += 1
+        self._is_listing_shared = False
+        self._schedule.record_update()
+        return self._apply_listing(update.changed, update.store_revision, now, None, pause_seconds)
+
     def postpone_poll(self, pause_seconds: float, now: float) -> list[Action]:
         """Postpone the next poll, unless it is urgent or already under way."""
         pause_seconds = min(pause_seconds, self._schedule.max_pause_seconds(now))
@@ -147,6 +191,16 @@
         """The store revision up to which the copy is complete."""
         return self._copy.revision
 
+    @property
+    def has_listing(self) -> bool:
+        """Whether a complete listing was ever received."""
+        return self._copy.has_listing
+
+    @property
+    def era_begin(self) -> int:
+        """The lowest version of the latest era that is known."""
+        return self._era_begin
+
     @property
     def usual_poll_interval_seconds(self) -> float:
         """The default time between two polls."""
@@ -203,7 +257,13 @@
             return self._handle_failure(reason, now)
         self._schedule.failed_polls = 0
         self._answered_at = now
-        return self._apply_listing(result.values, result.store_revision, now, result.begun_at)
+        listing = self._apply_listing(result.values, result.store_revision, now, result.begun_at)
+        if not self._is_listing_shared:
+            return listing
+        self._is_listing_shared = False
+        version = result.store_revision
+        update = StoreUpdate(begin_of_era(version), version, result.values, is_listing=True)
+        return [*listing, *self._hooks.on_poll(update, now)]
 
     def _apply_peer_snapshot(self, event: PeerSnapshot, now: float) -> list[Action]:
         """Start with the contents received from another node; polls of the store follow."""
@@ -221,11 +281,14 @@
         store_revision: int,
         now: float,
         begun_at: float | None = None,
+        pause_seconds: float = 0.0,
     ) -> list[Action]:
+        self._era_begin = begin_of_era(store_revision)
         self._copy.replace_all(values, store_revision)
         actions = self._hooks.on_listing(values, now)
         actions += self._proof_manager.handle_poll_answer(begun_at, store_revision, now)
-        pause_seconds = self._pause_seconds(now) if self._hooks.is_sufficient() else 0.0
+        if self._hooks.is_sufficient():
+            pause_seconds = max(pause_seconds, self._pause_seconds(now))
         return actions + self._watch(now, pause_seconds)
 
     def _handle_watch_changed(self, event: WatchChanged, now: float) -> list[Action]:
--- a/wingquay/forwarding/knowledge/update_exchange.py
+++ b/wingquay/forwarding/knowledge/update_exchange.py
@@ -3,7 +3,7 @@
 from ...ports.machine import Action, Count
 from ...ports.peer_link import NodeIdentity, SendToPeer
 from ...ports.proof_messages import ProofReply, ProofRequest
-from ...ports.store import StartWatch
+from ...ports.store import StartWatch, StoredValue
 from ...ports.store_update import StoreUpdate
 from ..settings import ForwardingSettings
 from .node_membership import NodeMembership
@@ -54,18 +54,23 @@
         update = StoreUpdate(
             changes.from_revision,
             changes.store_revision,
-            tuple(
-                item
-                for item in changes.changed
-                if item.key not in self.rewritten_keys or item.created_at > changes.from_revision
-            ),
+            changes.changed if changes.is_listing else self._without_rewritten(changes),
             changes.deleted,
             max(changes.age_seconds, self._processing_lag.seconds(now)),
             changes.may_have_more,
+            changes.is_listing,
         )
         sent: list[Action] = [SendToPeer(recipient, update) for recipient in recipients]
         return [*sent, Count("store_news_total", len(recipients), (("side", "told"),))]
 
+    def _without_rewritten(self, changes: StoreUpdate) -> tuple[StoredValue, ...]:
+        """Return the changed items without entries that were written again unchanged."""
+        return tuple(
+            item
+            for item in changes.changed
+            if item.key not in self.rewritten_keys or item.created_at > changes.from_revision
+        )
+
     def receive_update(self, update: StoreUpdate, now: float) -> list[Action]:
         """Apply an update of another node and postpone the next poll.
 
--- a/wingquay/forwarding/store_contents.py
+++ b/wingquay/forwarding/store_contents.py
@@ -4,7 +4,8 @@
 
 from ..model.failure import Failure
 from ..model.replica_record import ReplicaRecord
-from ..ports.machine import Action, Count, Log, LogLevel
+from ..model.value import value
+from ..ports.machine import Action, Count, Event, Log, LogLevel, Schedule
 from ..ports.store import StoredValue
 from .choice.evacuations import Evacuations
 from .choice.replica_directory import ReplicaDirectory
@@ -14,6 +15,15 @@
 from .knowledge.store_follower import StoreFollower
 from .store_formats import StoreFormats
 
+RESTORED_GRACE_SECONDS = 2.0
+"""Time after the store came back from an older copy in which its writers write again what it lost.
+A key of a node or an evacuated zone that is missing counts as removed after that."""
+
+
+@value
+class RestoredGraceOver(Event):
+    """Remove the keys that are still missing since the store came back from an older copy."""
+
 
 class StoreContents:
     """Passes each key of the store to the object that uses it.
@@ -54,12 +64,24 @@
         self._rewritten = rewritten
         self._configure = configure
         self._on_replica_restarted = on_replica_restarted
+        self._is_restored = False
+        """Whether the next listing is the first one since the store was restored."""
+        self._missing: set[str] = set()
+        """Keys that are missing since then and may be written again."""
+
+    def on_restored(self, now: float) -> None:
+        """Expect a listing in which keys may be missing or out of date."""
+        self._is_restored = True
+        self._directory.on_outage(now)
 
     def apply_listing(self, values: tuple[StoredValue, ...], now: float) -> list[Action]:
         """Apply a complete listing of the store; keys that it lacks are removed."""
         prefix = self._formats.replica_prefix
         ids = {item.key.removeprefix(prefix) for item in values if item.key.startswith(prefix)}
         self._directory.keep_only(ids, now, self._follower.known_revision)
+        if self._is_restored:
+            return self._apply_restored_listing(values, now)
+        self._missing.clear()
         self._members.keep_only({item.key for item in values if self._is_node_key(item.key)})
         keys = {item.key for item in values}
         removed = (
@@ -68,6 +90,46 @@
         )
         return self.apply_changes(values, removed, now)
 
+    def _apply_restored_listing(self, values: tuple[StoredValue, ...], now: float) -> list[Action]:
+        """Apply the first listing of a new era.
+
+        What it lacks may be written again soon, and entries of replicas that are known to leave or
+        to be gone may be there again from before.
+        """
+        self._is_restored = False
+        keys = {item.key for item in values}
+        self._held_request_keys.forget_missing(keys)
+        self._missing = {
+            *self._members.missing_from(keys),
+            *self._evacuations.missing_from(keys),
+        }
+        outdated = [item for item in values if self._is_outdated(item)]
+        fields = (
+            ("values", len(values)),
+            ("missing_keys", len(self._missing)),
+            ("outdated_replicas", len(outdated)),
+        )
+        return [
+            Log("store_restoration_applied", LogLevel.WARNING, fields),
+            *self.apply_changes(tuple(item for item in values if item not in outdated), (), now),
+            *self._members.rewrite_cluster_key(keys),
+            Schedule(now + RESTORED_GRACE_SECONDS, RestoredGraceOver()),
+        ]
+
+    def _is_outdated(self, item: StoredValue) -> bool:
+        """Return whether the entry of a replica is known to have been superseded."""
+        prefix = self._formats.replica_prefix
+        if not item.key.startswith(prefix):
+            return False
+        record = self._formats.parse_replica(item.key.removeprefix(prefix), item.value)
+        return not isinstance(record, Failure) and self._directory.has_left(record)
+
+    def remove_missing(self, now: float) -> list[Action]:
+        """Remove the keys that were not written again."""
+        missing = tuple(sorted(self._missing))
+        self._missing.clear()
+        return self.apply_changes((), missing, now)
+
     def apply_changes(
         self, written: tuple[StoredValue, ...], deleted: tuple[str, ...], now: float
     ) -> list[Action]:
@@ -82,6 +144,7 @@
 
     def _put(self, item: StoredValue, now: float) -> list[Action]:
         """Apply a written key."""
+        self._missing.discard(item.key)
         if item.key == self._formats.configuration_key:
             return self._configure(item.value)
         if item.key.startswith(self._formats.replica_prefix):
--- a/wingquay/ports/store_update.py
+++ b/wingquay/ports/store_update.py
@@ -20,6 +20,9 @@
         Processing delay of the sender: the store's reply may be as old as this.
     may_have_more
         Whether the store may have returned only a part of the changes.
+    is_listing
+        Whether ``changed`` is everything that the store holds, read after it came back from an
+        older copy. ``from_revision`` is then the begin of the era.
     """
 
     from_revision: int
@@ -28,3 +31,4 @@
     deleted: tuple[str, ...] = ()
     age_seconds: float = 0.0
     may_have_more: bool = False
+    is_listing: bool = False
--- a/wingquay/simulation/forwarding/faults.py
+++ b/wingquay/simulation/forwarding/faults.py
@@ -11,6 +11,9 @@
 
 OUTAGE_SECONDS = (0.3, 7.0)
 """An outage of the store, or of a node's way to it, takes a time between these."""
+AWAY_SECONDS = (0.0, 3.0)
+"""The store is away for a time between these before it comes back from an older copy."""
+COPY_AGE_SECONDS = (0.5, 10.0)
 CUT_SECONDS = (2.0, 7.0)
 """A zone is cut off for a time between these."""
 SUSPENDED_SECONDS = (1.0, 3.0, 8.0, 30.0)
@@ -122,6 +125,21 @@
         simulation.clock.at(store.down_until + RECORDS_BACK_SECONDS, simulation.put_record, replica)
 
 
+def store_restored(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Let the store be away for a moment and come back from an older copy."""
+    simulation.restore_store(
+        chance.uniform(*AWAY_SECONDS), chance.uniform(*COPY_AGE_SECONDS), chance
+    )
+
+
+def store_restored_after_a_change(simulation: ForwardingSimulation, chance: random.Random) -> None:
+    """Let the store lose what has just been written: a configuration, a drain, or a node's key."""
+    change = chance.choice([configuration_storm, replica_drains, node_killed, store_restored])
+    change(simulation, chance)
+    after = chance.uniform(0.0, 3.0)
+    simulation.clock.after(after, store_restored, simulation, chance)
+
+
 def store_slow(simulation: ForwardingSimulation, _chance: random.Random) -> None:
     """Make the store take fifty times as long."""
     store = simulation.store
@@ -231,6 +249,8 @@
 """Faults that are drawn besides by runs that say so."""
 LIFE_FAULTS: tuple[SimulatedFault, ...] = (replicas_born_again, crashed_keep_ids)
 """The same for the lives of replicas."""
+RESTORE_FAULTS: tuple[SimulatedFault, ...] = (store_restored, store_restored_after_a_change)
+"""The same for a store that comes back from an older copy."""
 ZONE_FAULTS: tuple[SimulatedFault, ...] = (zone_cut_off,)
 """Faults of runs in which more than two zones hold replicas."""
 
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -52,6 +52,10 @@
 """Time after a replica's end at which a new start of it comes up at its address."""
 
 
+WRITTEN_AGAIN_SECONDS = 2.0
+"""Time after the store's return from an older copy in which its writers write again."""
+
+
 SimulatedFault = Callable[["ForwardingSimulation", random.Random], None]
 """Strikes a run, at the moment at which it is called."""
 
@@ -124,6 +128,7 @@
             at = LEAD_SECONDS + self._random.uniform(0.0, settings.seconds * 0.8)
             self.clock.at(at, fault, self, random.Random(self._next_seed()))
         self.clock.after(LEAD_SECONDS, self._check)
+        self.store.keep_copies()
         self.clock.run_until(LEAD_SECONDS + settings.seconds + SETTLE_SECONDS)
         self.oracle.check_end(self.clock.now)
         return self._result()
@@ -296,6 +301,38 @@
 
         self.clock.after(2.0, switch)
 
+    # The store, for faults
+
+    def restore_store(self, away_seconds: float, age_seconds: float, chance: random.Random) -> None:
+        """Let the store be away and come back from an older copy.
+
+        What the operator and replicas wrote since is written again within a bounded time.
+        """
+        self.store.take_down(away_seconds)
+        back_at = self.store.down_until
+        self.oracle.restored.append((self.clock.now, back_at + WRITTEN_AGAIN_SECONDS))
+        self.clock.at(back_at, self._store_is_back, age_seconds, chance)
+
+    def _store_is_back(self, age_seconds: float, chance: random.Random) -> None:
+        lost = self.store.restore(age_seconds)
+        revision = self.store.revision
+        for item in lost.changed:
+            delay = chance.uniform(0.0, WRITTEN_AGAIN_SECONDS)
+            self.clock.after(delay, self._write_again, item.key, item.value, revision)
+        for key in lost.deleted:
+            delay = chance.uniform(0.0, WRITTEN_AGAIN_SECONDS)
+            self.clock.after(delay, self._write_again, key, None, revision)
+
+    def _write_again(self, key: str, value: bytes | None, revision: int) -> None:
+        if not key.startswith((CONFIGURATION_KEY, EVACUATION_PREFIX, REPLICA_PREFIX)):
+            return
+        if not self.store.is_as_restored(key, revision):
+            return
+        if value is None:
+            self.store.delete(key)
+        else:
+            self.store.put(key, value)
+
     # Nodes, for faults
 
     def kill_node(self, number: int, down_seconds: float) -> None:
@@ -406,6 +443,8 @@
         self.oracle.check_open_work(now)
         for node in self.nodes:
             undisturbed_since = max(node.frozen_until, self.store.reached_since(node.number))
+            if node.is_alive:
+                self.oracle.check_never_falls(node, node.number, node.configuration_version)
             if node.is_alive and undisturbed_since + self.settings.contact_seconds < now:
                 self.oracle.check_configuration(node.number, node.configuration_version, now)
         self.clock.after(CHECK_SECONDS, self._check)
