Restored store: one listing a group also when the first node hears it last; calls counted

Cause: the first node of a group that learned of the restoration from another node's listing read the store as well: two listings a group of nodes. Change: a listing of a new era is applied without a read.

Tests: test_the_first_node_does_not_read_what_another_one_has_listed failed before; the limit over all nodes holds while all write their entries again.

--- a/tests/forwarding/limits/test_fleet_limits.py
+++ b/tests/forwarding/limits/test_fleet_limits.py
@@ -276,3 +276,18 @@
         calm = [line for line in fleet.logs if line.message == "limit_calm"]
         self.assertEqual(1, len(primary))
         self.assertEqual(1, len(calm))
+
+    def test_the_limit_holds_while_all_nodes_write_their_entries_again(self) -> None:
+        """The store came back from an older copy: each node's lease is gone for up to a second."""
+        for seed in range(4):
+            fleet = self.settled(seed=seed)
+            fleet.load(NORMAL_RATE, 5.0)
+            for _ in range(2):
+                fleet.unlisted.update(fleet.identities)
+                fleet.load(75.0, 0.3)
+                for name in sorted(fleet.identities):
+                    fleet.unlisted.discard(name)
+                    fleet.load(75.0, 0.04)
+                fleet.load(75.0, 3.0)
+            fleet.advance(2.0 * WINDOW_SECONDS)
+            self.assert_limit_holds(fleet)
--- a/tests/forwarding/test_proof_fleet.py
+++ b/tests/forwarding/test_proof_fleet.py
@@ -11,6 +11,7 @@
 from tests.forwarding.test_configuration_proof import BOUND_SECONDS, strict_settings
 from wingquay.forwarding.knowledge.follower_settings import FollowerSettings
 from wingquay.forwarding.knowledge.proof_poll_times import ProofPollMode
+from wingquay.simulation.forwarding.store import LOOK
 
 NODES = 3
 NUMBERS = st.integers(0, NODES - 1)
@@ -186,11 +187,11 @@
         polls = {
             "none": self.run_fleet(
                 dataclasses.replace(strict_settings(), proof_poll_times=None)
-            ).store.looks
+            ).store.calls[LOOK]
         }
         for mode in ProofPollMode:
             fleet = self.run_fleet(strict_settings(mode))
-            polls[mode.value] = fleet.store.looks
+            polls[mode.value] = fleet.store.calls[LOOK]
             messages = [line.message for node in fleet.nodes for line in node.logs]
             self.assertNotIn("configuration_unproven", messages)
         self.assertTrue(polls["short"] < polls["none"] < polls["held"], polls)
--- a/tests/forwarding/test_store_restoration.py
+++ b/tests/forwarding/test_store_restoration.py
@@ -151,6 +151,18 @@
         self.assertEqual(version(COPY_REVISION), node.last(StartWatch).from_store_revision)
         self.assertEqual([], sent_listings(node))
 
+    def test_the_first_node_does_not_read_what_another_one_has_listed(self) -> None:
+        node = started(LAST)
+        before = len(node.actions)
+        update = StoreUpdate(
+            version(), version(COPY_REVISION), tuple(contents(node)), is_listing=True
+        )
+        node.emit(PeerReceived(LAST, update))
+        node.advance(0.7)
+        self.assertEqual(0, reads(node, before))
+        self.assertEqual(version(COPY_REVISION), node.machine._follower.known_revision)
+        self.assertEqual(1, len(node.logs("store_restored")))
+
     def test_without_that_listing_they_read_the_store_themselves(self) -> None:
         node = started(FIRST)
         before = restore(node)
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -245,7 +245,9 @@
             case PeerReceived(sender=sender, message=StoreUpdate() as update):
                 self._update_source = sender.node_id
                 return [
-                    *self._restoration.observe_version(update.store_revision, sender.node_id, now),
+                    *self._restoration.observe_version(
+                        update.store_revision, sender.node_id, update.is_listing, now
+                    ),
                     *self._updates.receive_update(update, now),
                     *self._proof_manager.handle_update_from(sender, now),
                 ]
@@ -271,7 +273,7 @@
         actions: list[Action] = []
         if isinstance(event, StoreResponse) and isinstance(event.result, ReadResult):
             version = event.result.store_revision
-            actions += self._restoration.observe_version(version, STORE, now)
+            actions += self._restoration.observe_version(version, STORE, False, now)
         return actions + self._follower.handle(event, now)
 
     def _start(self, event: Start, now: float) -> list[Action]:
--- a/wingquay/forwarding/knowledge/store_follower.py
+++ b/wingquay/forwarding/knowledge/store_follower.py
@@ -128,7 +128,7 @@
         actions = self._hooks.on_changes(update.changed, update.deleted, now)
         return actions + self.postpone_poll(pause_seconds, now)
 
-    def on_restored(self, era_begin: int, now: float) -> list[Action]:
+    def on_restored(self, era_begin: int, is_listing: bool, now: float) -> list[Action]:
         """Read everything again, because the store came back from an older copy.
 
         The first node of a group reads it at once and sends it to the others, which wait for that.
@@ -137,6 +137,8 @@
         ----------
         era_begin
             The lowest version of the new era.
+        is_listing
+            Whether a listing of the new era follows at once.
         """
         self._era_begin = era_begin
         self._copy.invalidate_revision()
@@ -146,6 +148,8 @@
         # Answers to reads and polls of the earlier era are ignored.
         self._reads += 1
         self._watches += 1
+        if is_listing:
+            return stopping
         if self._hooks.is_first_in_group():
             return [*stopping, *self._read_or_watch(now)]
         wait_seconds = self._settings.group_listing_seconds + self._hooks.rank_delay_seconds()
--- a/wingquay/forwarding/store_restoration.py
+++ b/wingquay/forwarding/store_restoration.py
@@ -51,19 +51,25 @@
             case RestoredGraceOver():
                 return self._contents.remove_missing(now)
 
-    def observe_version(self, store_version: int, source: str, now: float) -> list[Action]:
+    def observe_version(
+        self, store_version: int, source: str, is_listing: bool, now: float
+    ) -> list[Action]:
         """Take in the version of a listing or an update, which may be the first of a new era.
 
         Parameters
         ----------
         source
             Where the version comes from, for the log: ``STORE`` or the id of a node.
+        is_listing
+            Whether a listing of that version follows at once, so that none has to be read.
         """
         if not self._follower.has_listing:
             return []
-        return self._on_restored(store_version, source, now)
+        return self._on_restored(store_version, source, now, is_listing)
 
-    def _on_restored(self, store_version: int, source: str, now: float) -> list[Action]:
+    def _on_restored(
+        self, store_version: int, source: str, now: float, is_listing: bool = False
+    ) -> list[Action]:
         """Act if a version is of a later era than those seen before."""
         era_begin = begin_of_era(store_version)
         previous = StoreVersion(self._follower.era_begin)
@@ -80,6 +86,6 @@
         return [
             Log("store_restored", LogLevel.WARNING, fields),
             Count("store_restorations_total"),
-            *self._follower.on_restored(era_begin, now),
+            *self._follower.on_restored(era_begin, is_listing, now),
             *self._members.on_restored(now),
         ]
--- a/wingquay/simulation/forwarding/simulation.py
+++ b/wingquay/simulation/forwarding/simulation.py
@@ -315,23 +315,10 @@
 
     def _store_is_back(self, age_seconds: float, chance: random.Random) -> None:
         lost = self.store.restore(age_seconds)
-        revision = self.store.revision
-        for item in lost.changed:
-            delay = chance.uniform(0.0, WRITTEN_AGAIN_SECONDS)
-            self.clock.after(delay, self._write_again, item.key, item.value, revision)
-        for key in lost.deleted:
-            delay = chance.uniform(0.0, WRITTEN_AGAIN_SECONDS)
-            self.clock.after(delay, self._write_again, key, None, revision)
-
-    def _write_again(self, key: str, value: bytes | None, revision: int) -> None:
-        if not key.startswith((CONFIGURATION_KEY, EVACUATION_PREFIX, REPLICA_PREFIX)):
-            return
-        if not self.store.is_as_restored(key, revision):
-            return
-        if value is None:
-            self.store.delete(key)
-        else:
-            self.store.put(key, value)
+        for key in (*(item.key for item in lost.changed), *lost.deleted):
+            if key.startswith((CONFIGURATION_KEY, EVACUATION_PREFIX, REPLICA_PREFIX)):
+                delay = chance.uniform(0.0, WRITTEN_AGAIN_SECONDS)
+                self.clock.after(delay, self.store.write_again, key)
 
     # Nodes, for faults
 
--- a/wingquay/simulation/forwarding/store.py
+++ b/wingquay/simulation/forwarding/store.py
@@ -1,5 +1,6 @@
 """A model of the key-value store: histories, listings, watches, outages, older copies."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 from itertools import count
@@ -31,6 +32,8 @@
 
 LATENCY_SECONDS = 0.004
 LEASE_SECONDS = 36.0
+LOOK = "Look"
+"""Kind of the calls that a watch makes."""
 LOST_ANSWER_SECONDS = 1.5
 """After this time a caller gives an answer up that was lost."""
 
@@ -75,16 +78,16 @@
     deaf_until: float = 0.0
     """Until then watches hear nothing."""
     cut_off: dict[int, float] = field(default_factory=dict)
-    looks: int = 0
-    """Looks that were begun: calls have a price."""
-    operations: int = 0
-    """Other calls that were begun."""
+    calls: Counter[str] = field(default_factory=Counter)
+    """Calls that were begun, by kind: they have a price."""
     _items: dict[str, StoredValue] = field(default_factory=dict)
     _history: list[tuple[int, str, StoredValue | None]] = field(default_factory=list)
     _forgotten_revision: int = 0
     _watches: list[_Watch] = field(default_factory=list)
     _leases: dict[int, float] = field(default_factory=dict)
     _lease_ids: Iterator[int] = field(default_factory=lambda: count(1))
+    _written: dict[str, bytes] = field(default_factory=dict)
+    """What the operator and replicas wrote last, whether the store still has it or not."""
     _copies: StoreCopies = field(default_factory=StoreCopies)
     _seen_eras: dict[Emit, int] = field(default_factory=dict)
     """The era of the last answer to each node."""
@@ -109,13 +112,21 @@
         self._wake()
         return lost
 
-    def is_as_restored(self, key: str, revision: int) -> bool:
-        """Whether nobody has written a key since the store came back with that revision."""
+    def write_again(self, key: str) -> None:
+        """Let the operator or a replica write what it wrote last, unless that is there."""
         item = self._items.get(key)
-        return item is None or item.modified_at <= revision
-
-    def put(self, key: str, value: bytes, lease_id: int = 0) -> None:
-        """Write a key."""
+        wanted = self._written.get(key)
+        if wanted is None:
+            self.delete(key)
+        elif item is None or item.value != wanted:
+            self.put(key, wanted)
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a key as the operator or a replica."""
+        self._written[key] = value
+        self._put(key, value)
+
+    def _put(self, key: str, value: bytes, lease_id: int = 0) -> None:
         self.revision += 1
         item = StoredValue(key, value, self.revision, lease_id)
         self._items[key] = item
@@ -123,7 +134,11 @@
         self._wake()
 
     def delete(self, key: str) -> None:
-        """Remove a key."""
+        """Remove a key as the operator or a replica."""
+        self._written.pop(key, None)
+        self._delete(key)
+
+    def _delete(self, key: str) -> None:
         if self._items.pop(key, None) is not None:
             self.revision += 1
             self._history.append((self.revision, key, None))
@@ -150,7 +165,7 @@
             failure = Failure(StoreFailureKind.LOST_REPLY, "no answer")
             emit(StoreResponse(request.operation_id, failure))
 
-        self.operations += 1
+        self.calls[type(operation).__name__] += 1
         if self._is_out_of_reach(node):
             self.clock.after(LOST_ANSWER_SECONDS, fail)
         else:
@@ -206,7 +221,7 @@
             return SwapResult(False, self._version(self.revision), shown)
         if operation.lease_id and operation.lease_id not in self._leases:
             return Failure(StoreFailureKind.UNREACHABLE, "there is no such lease")
-        self.put(operation.key, operation.value or b"", operation.lease_id)
+        self._put(operation.key, operation.value or b"", operation.lease_id)
         return SwapResult(True, self._version(self.revision))
 
     def _lapse(self, lease_id: int) -> None:
@@ -215,7 +230,7 @@
         self._leases.pop(lease_id, None)
         for key, item in list(self._items.items()):
             if item.lease_id == lease_id:
-                self.delete(key)
+                self._delete(key)
 
     def take_down(self, seconds: float) -> None:
         """Answer nobody for a while; looks that are held by then are lost."""
@@ -266,7 +281,7 @@
             return
         now = self.clock.now
         watch.asked_at = now
-        self.looks += 1
+        self.calls[LOOK] += 1
         watch.is_lost = self._is_out_of_reach(watch.node)
         action = watch.action
         self.clock.after(action.timeout_seconds, self._give_up, watch, now)
