One stand-in of the platform's store, for tests and soaks

The stand-in of the tests moves to wingquay/platform/standins/ and is split into contents (no I/O) and the HTTP calls, which HttpServer serves. Tests keep what they assert; the ones that reached into the old stand-in use its new names.

--- a/tests/platform_adapter/test_crashing_request.py
+++ b/tests/platform_adapter/test_crashing_request.py
@@ -1,15 +1,15 @@
 """A request that ends the replicas that run it, over real sockets: ends, refusals and the key."""
 
 import asyncio
-import base64
 
 import orjson
 from testtools import TestCase
 
 from tests.adapters.raw_http import LOOPBACK
-from tests.platform_adapter.stand_in_platform import StandInReplica, StandInStore, read_request
+from tests.platform_adapter.stand_in_platform import StandInReplica, read_request
 from tests.platform_adapter.test_node import Platform, play, request
 from wingquay.forwarding.crashing.suspects import CRASHES_BEFORE_HOLD, HOLD_SECONDS
+from wingquay.platform.standins.store import StandInStore
 
 CRASHING = "/one/crash"
 REPLICAS = 5
@@ -75,7 +75,7 @@
                     await status_of(platform, CRASHING)
                 await held_value(platform.store)
                 (key,) = held_keys(platform.store)
-                value = base64.b64decode(str(platform.store.items[key]["value"]))
+                value = platform.store.contents.items[key].value
                 async with Platform() as later:
                     fresh = await with_ending_replicas(later.store)
                     later.store.put(key, value)
@@ -91,7 +91,7 @@
 
 async def with_ending_replicas(store: StandInStore) -> list[EndingReplica]:
     """Start replicas of the single service that may end, in place of the usual one."""
-    del store.items["servers/i-2"]
+    del store.contents.items["servers/i-2"]
     replicas = [EndingReplica(f"e-{number}") for number in range(REPLICAS)]
     for replica in replicas:
         await replica.start(store)
@@ -104,7 +104,7 @@
 
 
 def held_keys(store: StandInStore) -> list[str]:
-    return [key for key in store.items if key.startswith("wingquay/held/")]
+    return [key for key in store.contents.items if key.startswith("wingquay/held/")]
 
 
 async def held_value(store: StandInStore) -> dict[str, object]:
@@ -112,5 +112,5 @@
     while not held_keys(store):
         await asyncio.sleep(0.01)
     (key,) = held_keys(store)
-    document: dict[str, object] = orjson.loads(base64.b64decode(str(store.items[key]["value"])))
+    document: dict[str, object] = orjson.loads(store.contents.items[key].value)
     return document
--- a/tests/platform_adapter/test_group_on_loopback.py
+++ b/tests/platform_adapter/test_group_on_loopback.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from tests.adapters.raw_http import LOOPBACK, PATIENT_SECONDS, run
-from tests.platform_adapter.stand_in_platform import StandInReplica, StandInStore
+from tests.platform_adapter.stand_in_platform import StandInReplica
 from tests.platform_adapter.test_node import LIMITS, request
 from wingquay.adapters.listening import open_listening_socket
 from wingquay.model.routing_table import RoutingTable
@@ -14,6 +14,7 @@
 from wingquay.platform.configuration_document import parse_configuration
 from wingquay.platform.node import PlatformNode
 from wingquay.platform.settings import ListenAddress, PlatformSettings
+from wingquay.platform.standins.store import StandInStore
 
 NODES = 3
 SHARDS = 45
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -7,13 +7,14 @@
 from testtools import TestCase
 
 from tests.adapters.raw_http import LOOPBACK, PATIENT_SECONDS, run
-from tests.platform_adapter.stand_in_platform import StandInReplica, StandInStore
+from tests.platform_adapter.stand_in_platform import StandInReplica
 from wingquay.adapters.deferred_peer_link import CLOSE_SECONDS
 from wingquay.adapters.http_server import HttpServer
 from wingquay.adapters.listening import open_listening_socket
 from wingquay.forwarding.settings import ForwardingSettings
 from wingquay.platform.node import RESPONSE_GRACE_SECONDS, PlatformNode, most_stop_seconds
 from wingquay.platform.settings import ListenAddress, PlatformSettings
+from wingquay.platform.standins.store import StandInStore
 from wingquay.ports.machine import Exit, StopRequested
 
 GRACE_SECONDS = 6.0
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -5,8 +5,8 @@
 from testtools import TestCase
 
 from tests.adapters.raw_http import LOOPBACK, run
-from tests.platform_adapter.stand_in_platform import StandInStore
 from wingquay.model.failure import Failure
+from wingquay.platform.standins.store import StandInStore
 from wingquay.platform.store_client import PlatformStoreClient
 from wingquay.platform.store_formats import is_full_watch, watch_changed
 from wingquay.ports.machine import Count, Event, Log
@@ -168,7 +168,7 @@
             client.store.put("servers/bad", {})
             client.store.put("servers/good", b"content")
             for stored in ("a", "e30", None, 7, ["e30="]):
-                client.store.items["servers/bad"]["value"] = stored
+                client.store.shown_values["servers/bad"] = stored
                 result = await client.ask(Read("", prefix=True))
                 expected = (
                     StoredValue("servers/bad", b"", 1, 0, 1),
--- a/tests/platform_adapter/test_store_era.py
+++ b/tests/platform_adapter/test_store_era.py
@@ -10,6 +10,7 @@
 from tests.platform_adapter.test_store_client import Client
 from wingquay.model.failure import Failure
 from wingquay.model.store_version import MAX_ERA, MAX_REVISION, StoreVersion, is_same_era
+from wingquay.platform.standins.store_contents import StoreCopy
 from wingquay.platform.store_era import MAX_LOGGED_HEADERS, AnswerEra, StoreEra
 from wingquay.ports.machine import Log
 from wingquay.ports.store import (
@@ -102,11 +103,11 @@
         async def test() -> None:
             client = await self.started()
             listing = await self.listed(client)
-            copy = (client.store.revision, dict(client.store.items))
+            copy = client.store.contents.copy()
             client.store.put("b", 2)
             client.client.start_watch(StartWatch("w", "", listing.store_revision))
             self.assertIsInstance(await client.events.get(), WatchChanged)
-            client.store.restore(*copy)
+            client.store.restore(copy)
             restored = await client.events.get()
             broken = await client.events.get()
             self.assertEqual(StoreRestored(StoreVersion.of(2, 0)), restored)
@@ -119,7 +120,7 @@
             client = await self.started()
             listing = await self.listed(client)
             client.store.put("b", 2)
-            client.store.restore(1, {"a": client.store.items["a"]})
+            client.store.restore(StoreCopy(1, {"a": client.store.contents.items["a"]}))
             for number in range(5):
                 client.store.put(f"c/{number}", 1)
             client.client.start_watch(StartWatch("w", "", listing.store_revision))
@@ -153,7 +154,7 @@
             client = await self.started()
             listing = await self.listed(client)
             stored: StoredValue = next(item for item in listing.values if item.key == "a")
-            client.store.restore(0, {})
+            client.store.restore(StoreCopy(0, {}))
             self.assertIsInstance(await self.next_after_restoration(client), ReadResult)
             client.store.put("a", 9)
             calls = client.store.calls["/-/kv-txn"]
@@ -178,7 +179,7 @@
             await self.listed(client)
             client.store.keep_copy()
             stale_reads = client.store.calls["stale"]
-            client.store.restore(1, {"a": client.store.items["a"]})
+            client.store.restore(StoreCopy(1, {"a": client.store.contents.items["a"]}))
             client.client.start_watch(StartWatch("w", "", StoreVersion.of(1, 1)))
             self.assertIsInstance(await client.events.get(), StoreRestored)
             self.assertIsInstance(await client.events.get(), WatchBroken)
@@ -192,9 +193,9 @@
         async def test() -> None:
             client = await self.started()
             await self.listed(client)
-            client.store.restore(0, {})
-            client.store.leases[5] = 1000
-            asked = asyncio.create_task(client.ask(KeepLeaseAlive(5)))
+            client.store.restore(StoreCopy(0, {}))
+            lease_id = client.store.contents.grant(30.0, asyncio.get_running_loop().time())
+            asked = asyncio.create_task(client.ask(KeepLeaseAlive(lease_id)))
             self.assertIsInstance(await client.events.get(), StoreRestored)
             await asked
 
