A soak of the deployed node as real processes

make soak starts the nodes with the command and the settings template of the deploy file, the stand-ins of store and replicas, an operator, the platform's way in, and clients that keep connections, rest for up to four fifths of the idle time, leave early, send slowly and retry as clients do. Faults are drawn by seed and overlap: SIGTERM (once, again and again, rolling), SIGKILL, SIGSTOP, SIGHUP, starts at the same and other addresses; a proxy for each node's way to the store; the store slow, silent, refusing, losing answers, restored; replicas that repeat late, double, cut, garble, fail, reject, crash; configurations and keys in quick succession. The checks go by what clients, replicas and the operator saw: LOST, TWICE, REFUSED, MIXED, UNASKED, DENIED, BUDGET, GONE, CONFIG, QUOTA, with a trace by request id, a report as JSON and text, and a chart.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 DEMO_ARGS ?=
 BENCH_ARGS ?=
 REHEARSE_ARGS ?=
+SOAK_ARGS ?=
 
 # The stamp carries the lock's digest, so a changed lock installs again and a touched one does not.
 LOCK_DIGEST := $(shell sha256sum requirements.lock | cut -c1-16)
@@ -18,7 +19,7 @@
 # The tree at hand goes before the installed package, also when .venv is shared by a symbolic link.
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: help venv demo test check format bench rehearse proto lock clean
+.PHONY: help venv demo test check format bench rehearse soak proto lock clean
 
 help:  ## list the targets
 	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
@@ -57,6 +58,9 @@
 rehearse: venv  ## rehearse failures with real processes (REHEARSE_ARGS for more arguments)
 	$(VENV)/bin/python scripts/rehearse_processes.py $(REHEARSE_ARGS)
 
+soak: venv  ## soak the deployed node as real processes (SOAK_ARGS for more arguments)
+	$(RUN) scripts.soak $(SOAK_ARGS)
+
 proto: venv  ## generate code from the .proto files, beside them
 	$(RUN) grpc_tools.protoc --proto_path=. --python_out=. --pyi_out=. $(PROTO_SOURCES)
 # The generator leaves Mapping without its types, which mypy --strict refuses.
--- /dev/null
+++ b/scripts/soak/__main__.py
@@ -0,0 +1,126 @@
+"""Soaks the deployed node as real processes on loopback.
+
+Usage::
+
+    python -m scripts.soak [--seeds 1,2,3] [--runs 5] [--seconds 25] [--nodes 8] [--faults a,b]
+                           [--tenants] [--report DIRECTORY] [--list-faults]
+
+Exit code 1 if any rule was broken.
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import fire
+
+from .faults import FAULTS
+from .report import RunReport, to_json, to_text
+from .run import play
+from .settings import SoakSettings
+
+MAX_NODES = 200
+OK, BROKEN, USAGE = 0, 1, 2
+
+
+def soak(
+    seeds: str = "",
+    runs: int = 1,
+    seconds: float = 25.0,
+    nodes: int = 8,
+    faults: str = "",
+    tenants: bool | None = None,
+    report: str = "out/soak",
+    list_faults: bool = False,
+) -> int:
+    """Soak the deployed node as real processes on loopback.
+
+    Parameters
+    ----------
+    seeds
+        Seeds with commas between them; empty: ``runs`` seeds from 1 on.
+    runs
+        How many runs, where no seeds are given.
+    seconds
+        How long faults are begun.
+    nodes
+        Node processes, up to 200.
+    faults
+        Names with commas between them; empty: all are drawn.
+    tenants
+        Whether callers need keys; not given: in every other run.
+    report
+        Directory for the report, the charts, and the logs of runs that broke a rule.
+    list_faults
+        Show the faults instead.
+    """
+    if list_faults:
+        for name, fault in FAULTS.items():
+            print(f"{name:<36}{(fault.__doc__ or '').strip()}")
+        return OK
+    chosen = tuple(name.strip() for name in _text(faults).split(",") if name.strip())
+    numbers = _seeds(_text(seeds), runs)
+    complaint = _complaint(chosen, numbers, seconds, nodes)
+    if complaint:
+        print(complaint, file=sys.stderr)
+        return USAGE
+    directory = Path(report)
+    reports: list[RunReport] = []
+    for seed in numbers:
+        has_tenants = seed % 2 == 0 if tenants is None else tenants
+        settings = SoakSettings(
+            seed=seed, seconds=seconds, nodes=nodes, faults=chosen, has_tenants=has_tenants
+        )
+        reports.append(_play(settings, directory / f"seed-{seed}"))
+        print(reports[-1].line(), flush=True)
+        (directory / "report.json").write_bytes(to_json(reports))
+        (directory / "report.txt").write_text(to_text(reports), encoding="utf-8")
+    print(to_text(reports).split("\n", len(reports))[-1], end="")
+    return OK if all(item.is_kept for item in reports) else BROKEN
+
+
+def _play(settings: SoakSettings, directory: Path) -> RunReport:
+    directory.mkdir(parents=True, exist_ok=True)
+    for path in directory.iterdir():
+        path.unlink()
+    chart = directory / "chart.png"
+    played = asyncio.run(play(settings, directory, chart, lambda line: print(line, flush=True)))
+    if played.is_kept:
+        for path in directory.glob("*.log"):
+            path.unlink()
+    return played
+
+
+def _seeds(text: str, runs: int) -> list[int]:
+    if not text:
+        return [*range(1, runs + 1)]
+    return [int(part) if part.strip().isdigit() else -1 for part in text.split(",")]
+
+
+def _text(given: object) -> str:
+    """Return what was given as one text; the command line makes tuples and numbers of some."""
+    if isinstance(given, tuple):
+        return ",".join(str(part) for part in given)
+    return str(given)
+
+
+def _complaint(faults: tuple[str, ...], seeds: list[int], seconds: float, nodes: int) -> str:
+    unknown = [name for name in faults if name not in FAULTS]
+    if unknown:
+        return f"faults: {unknown[0]!r}; allowed: {', '.join(FAULTS)}"
+    if not seeds or min(seeds) < 0:
+        return "seeds: allowed: whole numbers from 0 on, with commas between them"
+    if not 0 < seconds <= 3600:
+        return f"seconds: {seconds}; allowed: more than 0, up to 3600"
+    if not 2 <= nodes <= MAX_NODES:
+        return f"nodes: {nodes}; allowed: 2 to {MAX_NODES}"
+    return ""
+
+
+def main() -> None:
+    """Run from the command line."""
+    sys.exit(fire.Fire(soak, serialize=lambda _code: None))
+
+
+if __name__ == "__main__":
+    main()
