Tests: every folder is a package, so that no file hides another one

Shown first by a count: tests/simulation/forwarding/test_suspension.py collected 2 tests alone and 8 in a whole run, those of tests/forwarding/test_suspension.py; its own never ran there. All other files of one name collected alike. Cause: tests/ and tests/simulation/ were no packages, so that pytest named both modules forwarding.test_suspension.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,12 @@
 """Settings shared by every test: the Hypothesis profiles and the known-red selection."""
 
 import os
+from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, settings
 
+from tests.hidden_files import hidden_files
 from tests.known_red import KnownRedError, read_known_red, split_node_ids
 
 PROFILE_VARIABLE = "HYPOTHESIS_PROFILE"
@@ -31,6 +33,9 @@
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    hidden = hidden_files((item.path, _module_file(item)) for item in items)
+    if hidden:
+        raise pytest.UsageError(f"hidden by files of the same name: {', '.join(hidden)}")
     choice = config.getoption("--known-red")
     if choice == "include":
         return
@@ -43,3 +48,9 @@
     left_out = [item for item in items if item.nodeid not in selected]
     items[:] = [item for item in items if item.nodeid in selected]
     config.hook.pytest_deselected(items=left_out)
+
+
+def _module_file(item: pytest.Item) -> Path | None:
+    """Return the file whose code a test runs."""
+    module = getattr(item, "module", None)
+    return None if module is None else Path(str(module.__file__))
