Store updates: their age counts from the start of the poll, also of a long poll

Cause: one node polls for its group. Its answer to a long poll was late by 2.5 s on the way from the store and was sent on with an age of 0, since the answer to a long poll counted as new. The others postponed their own polls by a whole interval from its arrival, and the polling node was cut off by then.

--- a/wingquay/forwarding/knowledge/store_follower.py
+++ b/wingquay/forwarding/knowledge/store_follower.py
@@ -318,7 +318,7 @@
             event.store_revision,
             event.changed,
             event.deleted,
-            self._answer_age_seconds(poll_due_at, now),
+            self._answer_age_seconds(event, poll_due_at, now),
             event.may_have_more,
         )
         actions += [*self._hooks.on_poll(update, now), *proof_answers]
@@ -333,8 +333,10 @@
             *self._watch(now, self._schedule.interval_seconds),
         ]
 
-    def _answer_age_seconds(self, poll_due_at: float, now: float) -> float:
-        """Return the maximum age of an answer; a long poll's answer counts as new."""
+    def _answer_age_seconds(self, event: WatchChanged, poll_due_at: float, now: float) -> float:
+        """Return the maximum age of an answer."""
+        if event.begun_at is not None:
+            return now - event.begun_at
         return 0.0 if self._watch_hold_seconds > 0.0 else max(now - poll_due_at, 0.0)
 
     def _handle_watch_broken(self, event: WatchBroken, now: float) -> list[Action]:
