Store updates: only proofs postpone a poll, so that no late message does

Cause: an update postponed the receiver's poll by a whole interval from its arrival, less an age that its sender had stated. No sender can state how long the message will be under way.

Change: nodes exchange proof requests and proofs on every platform, not only where a revocation bound is stated. A proof gives, on the receiver's own clock, a time as of which its copy is complete, never later than the start of the poll behind it. The next poll is due one interval (and the delay of its position) after that time. Updates carry no age any more and postpone nothing; so do listings of the group. The lag of senders and receivers needs no allowance, so ProcessingLag, max_update_age_seconds and StoreUpdate.age_seconds go. An own poll counts from its start. Without a revocation bound the proof does not decide what is served.

--- a/tests/adapters/test_forwarding_peer_codec.py
+++ b/tests/adapters/test_forwarding_peer_codec.py
@@ -96,7 +96,7 @@
     NUMBERS,
     st.lists(ITEMS, max_size=3).map(tuple),
     st.lists(st.text(max_size=9), max_size=3).map(tuple),
-    SECONDS,
+    st.booleans(),
     st.booleans(),
 )
 ZONES = st.lists(st.text(max_size=9), max_size=4).map(tuple)
--- a/tests/forwarding/one_node.py
+++ b/tests/forwarding/one_node.py
@@ -40,6 +40,8 @@
     SendToReplica,
 )
 from wingquay.ports.machine import Action, Event, Log, Schedule, Start
+from wingquay.ports.peer_link import NodeIdentity, PeerReceived, SendToPeer
+from wingquay.ports.proof_messages import ProofReply, ProofRequest
 from wingquay.ports.store import (
     ReadResult,
     StartWatch,
@@ -149,6 +151,8 @@
             waiting=waiting,
         )
         self.store_revision = 1
+        self.proof_requests: dict[str, tuple[int, float]] = {}
+        """Number and time of the last proof request to each other node."""
 
     # Store, callers and replicas
 
@@ -194,6 +198,15 @@
         watch = self.last(StartWatch)
         self.emit(WatchChanged(watch.watch_id, tuple(changed), deleted, self.store_revision))
 
+    def send_proof(
+        self, sender: NodeIdentity, age_seconds: float, revision: int | None = None
+    ) -> None:
+        """Deliver another node's proof by a poll that began ``age_seconds`` ago."""
+        number, requested_at = self.proof_requests[sender.node_id]
+        held_seconds = self.now - age_seconds - requested_at
+        proof = ProofReply(number, held_seconds, revision or self.store_revision)
+        self.emit(PeerReceived(sender, proof))
+
     def request(
         self,
         path: str = "/one/x",
@@ -311,6 +324,8 @@
         elif isinstance(action, SendToReplica):
             self.sends.append(action)
             self.all_sends.append(action)
+        elif isinstance(action, SendToPeer) and isinstance(action.message, ProofRequest):
+            self.proof_requests[action.to.node_id] = (action.message.number, self.now)
         elif isinstance(action, CancelSend):
             self.cancelled.append(action.attempt_id)
             self.sends = [send for send in self.sends if send.attempt_id != action.attempt_id]
--- a/tests/forwarding/test_configuration_proof.py
+++ b/tests/forwarding/test_configuration_proof.py
@@ -170,7 +170,7 @@
         for _ in range(40):
             node.advance(0.1)
             update = StoreUpdate(node.store_revision, node.store_revision)
-            node.machine._follower.apply_update(update, POLL_INTERVAL_SECONDS, node.now)
+            node.machine._follower.apply_update(update, node.now)
         self.assertTrue(node.machine._follower.next_answer_at(100.0) < 100.0 + 3.2)
         node.advance(1.0)
         self.assertFalse(is_proven(node))
--- a/tests/forwarding/test_late_store_answers.py
+++ b/tests/forwarding/test_late_store_answers.py
@@ -1,4 +1,4 @@
-"""A late answer of the store must not postpone the polls of other nodes."""
+"""A late answer of the store, or a late message, must not postpone the polls of other nodes."""
 
 import dataclasses
 import itertools
@@ -101,3 +101,11 @@
             fleet = start_fleet(case)
             fleet.nodes[POLLING_NODE].store_lag_seconds = case.late_seconds
             self.change_twice(fleet, case)
+
+    def test_late_update_keeps_no_node_on_an_old_configuration(self) -> None:
+        # Guards against nodes that count the age of an update from its arrival.
+        for case in draw_cases():
+            fleet = start_fleet(case)
+            for node in fleet.nodes:
+                node.link_lag_seconds = case.late_seconds
+            self.change_twice(fleet, case)
--- a/tests/forwarding/test_proof_requests.py
+++ b/tests/forwarding/test_proof_requests.py
@@ -27,9 +27,6 @@
 from wingquay.ports.store_update import StoreUpdate
 
 FIRST_NUMBER = 1_000
-REQUESTED_AT = 100.5
-"""When a node that starts at 100 sends its requests: at the first sweep after other nodes
-joined."""
 RANK_SECONDS = 2 * 0.04
 """Delay of the polls of the last of three nodes, compared with the first."""
 OTHER_NODE = NodeIdentity("node-9-a", "", "a", "10.0.1.9", 7)
@@ -182,18 +179,11 @@
         node.emit(WatchChanged(watch_id, (), (), node.store_revision, begun_at=node.now))
         return node
 
-    def send_proof(self, node: OneNode, age_seconds: float, revision: int | None = None) -> None:
-        """Send the node a proof by a poll that started ``age_seconds`` ago."""
-        number = proof_requests_in(node.actions)[-1][1]
-        held_seconds = node.now - age_seconds - REQUESTED_AT
-        message = ProofReply(number, held_seconds, revision or node.store_revision)
-        node.emit(PeerReceived(OTHERS[0], message))
-
     def test_proof_of_another_node_postpones_the_next_poll(self) -> None:
         node = self.recipient_node()
         for _ in range(6):
             node.advance(1.0)
-            self.send_proof(node, age_seconds=0.1)
+            node.send_proof(OTHERS[0], age_seconds=0.1)
             self.assertTrue(node.machine.proof.is_proven(node.now))
             expected = 3.0 + RANK_SECONDS - 0.1
             self.assertAlmostEqual(expected, node.last(StartWatch).pause_seconds)
@@ -201,15 +191,15 @@
     def test_proof_does_not_count_until_its_revision_is_known(self) -> None:
         node = self.recipient_node()
         node.advance(4.0)
-        self.send_proof(node, 0.1, node.store_revision + 1)
+        node.send_proof(OTHERS[0], 0.1, node.store_revision + 1)
         node.advance(1.0)
         self.assertFalse(node.machine.proof.is_proven(node.now))
         update = StoreUpdate(node.store_revision, node.store_revision + 1)
         node.emit(PeerReceived(OTHERS[0], update))
-        self.send_proof(node, 1.1, node.store_revision + 1)
+        node.send_proof(OTHERS[0], 1.1, node.store_revision + 1)
         self.assertTrue(node.machine.proof.is_proven(node.now))
 
-    def test_updates_postpone_no_poll_past_the_proof_deadline(self) -> None:
+    def test_repeated_proofs_postpone_no_poll_past_the_proof_deadline(self) -> None:
         node = self.recipient_node()
         begun_at = node.now
         before = len(node.actions)
@@ -217,6 +207,7 @@
             node.advance(0.1)
             update = StoreUpdate(node.store_revision, node.store_revision)
             node.emit(PeerReceived(OTHERS[0], update))
+            node.send_proof(OTHERS[0], node.now - begun_at)
             look_at = node.machine._follower.next_answer_at(node.now) - 0.1
             self.assertTrue(look_at <= begun_at + 3.0 + RANK_SECONDS + 1e-6, look_at - begun_at)
         watches = [item for item in node.actions[before:] if isinstance(item, StartWatch)]
@@ -268,7 +259,7 @@
         requested = [name for name, _ in proof_requests_in(node.actions[before:])]
         self.assertEqual([OTHER_NODE.node_id], requested)
 
-    def test_no_proof_messages_without_the_bound(self) -> None:
+    def test_without_the_bound_proofs_only_postpone_polls(self) -> None:
         node = OneNode()
         node.start(tenants_table(1), replica("r0", "s"))
         node.emit(PeerLinkOpened(OWN))
@@ -276,5 +267,8 @@
         node.emit(PeerReceived(OTHERS[0], ProofRequest(77)))
         node.advance(1.0)
         node.emit(WatchChanged(node.last_watch_id, (), (), 9, begun_at=node.now))
-        kinds = {type(i.message) for i in node.actions if isinstance(i, SendToPeer)}
-        self.assertEqual(set(), kinds & {ProofRequest, ProofReply})
+        self.assertEqual(77, proofs_in(node.actions)[-1].number)
+        self.assertEqual({item.node_id for item in OTHERS}, set(node.proof_requests))
+        node.advance(60.0)
+        self.assertTrue(node.machine.proof.is_proven(node.now))
+        self.assertEqual([], node.logs("configuration_unproven"))
--- a/tests/forwarding/test_replica_incarnations.py
+++ b/tests/forwarding/test_replica_incarnations.py
@@ -169,9 +169,7 @@
     def send_update(
         self, node: OneNode, item: StoredValue, from_revision: int, revision: int
     ) -> None:
-        node.emit(
-            PeerReceived(NEIGHBOUR, StoreUpdate(from_revision, revision, (item,), (), 0.0, False))
-        )
+        node.emit(PeerReceived(NEIGHBOUR, StoreUpdate(from_revision, revision, (item,))))
 
     def current_record(self, node: OneNode) -> ReplicaRecord | None:
         return record_of(node.machine._directory)
--- a/tests/forwarding/test_store_following.py
+++ b/tests/forwarding/test_store_following.py
@@ -29,19 +29,20 @@
 )
 
 
-def started(*replicas: str) -> OneNode:
-    node = OneNode()
+def started(*replicas: str, seed: int = 1) -> OneNode:
+    node = OneNode(seed=seed)
     records = [replica(replica_id, "s") for replica_id in replicas or ("r0", "r1")]
     node.start(table(1, single_route()), *records)
     return node
 
 
-def chosen_replicas(node: OneNode, requests: int = 12) -> set[str]:
-    """Return the replicas to which a few requests are sent."""
+def chosen_replicas(node: OneNode, requests: int = 12, answer_seconds: float = 0.0) -> set[str]:
+    """Return the replicas to which a few requests are sent, one after the other."""
     before = len(node.all_sends)
     for _ in range(requests):
         node.request()
         for send in list(node.sends):
+            node.advance(answer_seconds)
             node.answer(send)
     return {send.replica.replica_id for send in node.all_sends[before:]}
 
@@ -96,14 +97,15 @@
         self.assertEqual({"r1"}, chosen_replicas(node))
 
     def test_slow_replica_is_tried_again_after_a_while(self) -> None:
-        node = started()
-        for _ in range(60):
-            node.request()
-            for send in list(node.sends):
-                node.advance(0.05 if send.replica.replica_id == "r0" else 0.005)
-                node.answer(send)
-        node.advance(10.0)
-        self.assertEqual({"r0", "r1"}, chosen_replicas(node))
+        for seed in range(40):
+            node = started(seed=seed)
+            for _ in range(60):
+                node.request()
+                for send in list(node.sends):
+                    node.advance(0.05 if send.replica.replica_id == "r0" else 0.005)
+                    node.answer(send)
+            node.advance(10.0)
+            self.assertEqual({"r0", "r1"}, chosen_replicas(node, answer_seconds=0.02))
 
 
 class FailedPollTest(TestCase):
@@ -163,7 +165,7 @@
         # The poll under way returns all changes at once; the next one uses the usual interval.
         node.change()
         self.assertEqual(usual, node.last(StartWatch).poll_interval_seconds)
-        self.assertEqual(usual, node.last(StartWatch).pause_seconds)
+        self.assertAlmostEqual(usual, node.last(StartWatch).pause_seconds)
 
 
 class PollIntervalTest(TestCase):
--- a/tests/forwarding/test_store_updates.py
+++ b/tests/forwarding/test_store_updates.py
@@ -19,6 +19,7 @@
     PeerReceived,
     SendToPeer,
 )
+from wingquay.ports.proof_messages import ProofReply, ProofRequest
 from wingquay.ports.store import StartWatch, StopWatch, StoredValue, WatchBroken, WatchChanged
 from wingquay.ports.store_update import StoreUpdate
 
@@ -51,26 +52,26 @@
     return StoreUpdate(revision, revision + 1, changed, deleted)
 
 
-def delayed(update: StoreUpdate, age_seconds: float) -> StoreUpdate:
-    """Return the same update with an age."""
-    return StoreUpdate(
-        update.from_revision, update.store_revision, update.changed, update.deleted, age_seconds
-    )
-
-
 def incomplete(update: StoreUpdate) -> StoreUpdate:
     """Return the same update, marked as possibly incomplete."""
     return StoreUpdate(
-        update.from_revision, update.store_revision, update.changed, update.deleted, 0.0, True
+        update.from_revision, update.store_revision, update.changed, update.deleted, True
     )
 
 
-def store_and_link_actions(node: OneNode, actions: int) -> list[Action]:
-    """Return the store and link actions after the first so many actions."""
-    kinds = (StartWatch, StopWatch, SendToPeer)
+def poll_actions(node: OneNode, actions: int) -> list[Action]:
+    """Return the actions on polls after the first so many actions."""
+    kinds = (StartWatch, StopWatch)
     return [action for action in node.actions[actions:] if isinstance(action, kinds)]
 
 
+def proofs_to(node: OneNode, receiver: NodeIdentity) -> list[ProofReply]:
+    """Return the proofs that the node has sent to another one."""
+    sent = [action for action in node.actions if isinstance(action, SendToPeer)]
+    messages = [action.message for action in sent if action.to == receiver]
+    return [message for message in messages if isinstance(message, ProofReply)]
+
+
 class SendUpdatesTest(TestCase):
     def test_polled_changes_are_sent_to_the_other_nodes(self) -> None:
         node = linked(FIRST, LAST)
@@ -113,40 +114,67 @@
             if isinstance(action, StartWatch) and action.key == ""
         )
 
-    def test_update_contains_the_lag_of_the_sender(self) -> None:
-        node = linked(FIRST)
-        node.stall(0.9)
-        node.change(replica("r1", "s"))
-        late_seconds = sent_updates(node)[-1][1].age_seconds
-        self.assertTrue(0.4 <= late_seconds <= 0.9, late_seconds)
-
-    def test_update_contains_the_lag_of_overdue_timers(self) -> None:
-        # After a pause a node reads its sockets before its timers fire; the update's age must not
-        # be 0.
+    def answer_late(self, node: OneNode, late_seconds: float, is_stalled: bool) -> float:
+        """Answer a poll that takes ``late_seconds``; return when it began.
+
+        A stalled node handles the answer before its overdue timers.
+        """
+        node.emit(PeerReceived(FIRST, ProofRequest(77)))
+        begun_at = node.now
+        if is_stalled:
+            node.now += late_seconds
+        else:
+            node.advance(late_seconds)
+        changed = (node.stored(replica("r1", "s")),)
+        node.store_revision += 1
+        answer = WatchChanged(
+            self.watch_id(node), changed, (), node.store_revision, begun_at=begun_at
+        )
+        node.emit(answer)
+        return begun_at
+
+    def test_proof_counts_from_the_start_of_the_poll(self) -> None:
+        # Neither a late answer nor a sender that lags behind makes the proof newer than the poll.
+        for late_seconds in (0.0, 0.4, 1.2, 3.0):
+            for is_stalled in (False, True):
+                node = linked(FIRST)
+                received_at = node.now
+                begun_at = self.answer_late(node, late_seconds, is_stalled)
+                expected = ProofReply(77, begun_at - received_at, node.store_revision)
+                self.assertEqual(expected, proofs_to(node, FIRST)[-1])
+                self.assertEqual(0.0, expected.held_seconds)
+
+    def test_proof_follows_the_update_that_it_needs(self) -> None:
         node = linked(FIRST)
-        node.now += 3.0
-        node.change(replica("r1", "s"))
-        age_seconds = sent_updates(node)[-1][1].age_seconds
-        self.assertTrue(2.7 <= age_seconds <= 3.0, age_seconds)
+        self.answer_late(node, 0.1, False)
+        sent = [action.message for action in node.actions if isinstance(action, SendToPeer)]
+        self.assertEqual(
+            [StoreUpdate, ProofReply], [type(message) for message in sent[-2:]], sent[-2:]
+        )
 
-    def test_slow_poll_adds_to_the_age_of_the_update(self) -> None:
+    def test_incomplete_answer_proves_nothing(self) -> None:
         node = linked(FIRST)
-        node.emit(PeerReceived(FIRST, StoreUpdate(node.store_revision, node.store_revision)))
-        node.emit(WatchChanged(node.last_watch_id, (), (), node.store_revision))
-        self.assertEqual(0.0, node.last(StartWatch).hold_seconds)
-        node.advance(node.last(StartWatch).poll_interval_seconds + 1.2)
-        node.emit(WatchChanged(node.last_watch_id, (), (), node.store_revision))
-        self.assertAlmostEqual(1.2, sent_updates(node)[-1][1].age_seconds)
+        node.emit(PeerReceived(FIRST, ProofRequest(77)))
+        before = len(proofs_to(node, FIRST))
+        revision = node.store_revision + 1
+        answer = WatchChanged(
+            self.watch_id(node), (), (), revision, may_have_more=True, begun_at=node.now
+        )
+        node.emit(answer)
+        self.assertTrue(sent_updates(node)[-1][1].may_have_more)
+        self.assertEqual(before, len(proofs_to(node, FIRST)))
 
 
 class ReceiveUpdatesTest(TestCase):
-    def test_update_is_applied_and_postpones_the_next_poll(self) -> None:
+    def test_update_is_applied_and_its_proof_postpones_the_next_poll(self) -> None:
         node = linked(FIRST, LAST)
         node.change()
         before = len(node.actions)
         item = node.stored(replica("r1", "s"))
         node.emit(PeerReceived(FIRST, next_update(node, item)))
-        stop, start = store_and_link_actions(node, before)
+        self.assertEqual([], poll_actions(node, before))
+        node.send_proof(FIRST, 0.0)
+        stop, start = poll_actions(node, before)
         self.assertIsInstance(stop, StopWatch)
         self.assertEqual(node.store_revision, start.from_store_revision)
         # The second of three nodes waits one step longer than the first.
@@ -162,11 +190,12 @@
         before = len(node.actions)
         update = next_update(node, node.stored(replica("r1", "s")))
         node.emit(PeerReceived(FIRST, incomplete(update)))
-        self.assertEqual([], store_and_link_actions(node, before))
+        self.assertEqual([], poll_actions(node, before))
         node.request()
         node.request()
         self.assertEqual({"r0", "r1"}, {send.replica.replica_id for send in node.sends})
         node.emit(PeerReceived(FIRST, next_update(node)))
+        node.send_proof(FIRST, 0.0)
         self.assertAlmostEqual(1.3 + 0.04, node.last(StartWatch).pause_seconds)
 
     def test_updates_are_not_forwarded(self) -> None:
@@ -181,7 +210,7 @@
         revision = node.store_revision
         item = node.stored(replica("r1", "s"))
         node.emit(PeerReceived(FIRST, StoreUpdate(revision + 1, revision + 2, (item,))))
-        self.assertEqual([], store_and_link_actions(node, before))
+        self.assertEqual([], poll_actions(node, before))
 
     def test_skipped_update_is_logged(self) -> None:
         node = linked(FIRST)
@@ -213,45 +242,57 @@
         before = len(node.actions)
         gone = (REPLICA_PREFIX + "r0",)
         node.emit(PeerReceived(FIRST, StoreUpdate(0, node.store_revision - 1, (), gone)))
-        self.assertEqual([], store_and_link_actions(node, before))
+        self.assertEqual([], poll_actions(node, before))
         node.request()
         self.assertEqual(1, len(node.sends))
 
-    def test_age_of_the_update_shortens_the_postponement(self) -> None:
+    def test_age_of_the_proof_shortens_the_postponement(self) -> None:
         node = linked(FIRST, LAST)
         node.change()
         node.advance(0.5)
-        node.emit(PeerReceived(FIRST, delayed(next_update(node), 0.2)))
+        node.emit(PeerReceived(FIRST, next_update(node)))
+        node.send_proof(FIRST, 0.2)
         self.assertAlmostEqual(1.3 + 0.04 - 0.2, node.last(StartWatch).pause_seconds)
 
     def test_late_update_is_applied_but_postpones_no_poll(self) -> None:
         node = linked(FIRST, LAST)
         node.change()
+        node.advance(0.5)
         before = len(node.actions)
-        node.emit(PeerReceived(FIRST, delayed(next_update(node), 0.4)))
-        self.assertEqual([], store_and_link_actions(node, before))
-        # Its contents are applied.
         item = node.stored(replica("r1", "s"))
-        node.emit(PeerReceived(FIRST, delayed(next_update(node, item), 0.4)))
+        node.emit(PeerReceived(FIRST, next_update(node, item)))
+        # The poll of this node is due before the one that this proof allows.
+        node.send_proof(FIRST, 1.2)
+        self.assertEqual([], poll_actions(node, before))
         node.request()
         node.request()
         self.assertEqual({"r0", "r1"}, {send.replica.replica_id for send in node.sends})
 
-    def test_lagging_node_postpones_no_poll(self) -> None:
+    def test_update_without_a_proof_postpones_no_poll(self) -> None:
+        # A message may have been under way for any time.
         node = linked(FIRST, LAST)
         node.change()
-        node.stall(0.9)
         before = len(node.actions)
-        node.emit(PeerReceived(FIRST, next_update(node)))
-        self.assertEqual([], store_and_link_actions(node, before))
-
-    def test_node_with_overdue_timers_postpones_no_poll(self) -> None:
-        node = linked(FIRST, LAST)
-        node.change()
-        node.now += 0.7
-        before = len(node.actions)
-        node.emit(PeerReceived(FIRST, next_update(node)))
-        self.assertEqual([], store_and_link_actions(node, before))
+        for _ in range(10):
+            node.advance(0.1)
+            node.emit(PeerReceived(FIRST, next_update(node)))
+        self.assertEqual([], poll_actions(node, before))
+
+    def test_lag_of_the_receiver_shortens_the_postponement(self) -> None:
+        # After a pause a node reads its sockets before its timers fire.
+        for is_stalled in (False, True):
+            node = linked(FIRST, LAST)
+            node.change()
+            number, requested_at = node.proof_requests[FIRST.node_id]
+            held_seconds = node.now - requested_at
+            if is_stalled:
+                node.stall(0.7)
+            else:
+                node.now += 0.7
+            node.emit(PeerReceived(FIRST, next_update(node)))
+            proof = ProofReply(number, held_seconds, node.store_revision)
+            node.emit(PeerReceived(FIRST, proof))
+            self.assertAlmostEqual(1.3 + 0.04 - 0.7, node.last(StartWatch).pause_seconds)
 
     def test_poll_under_way_is_not_postponed(self) -> None:
         node = linked(FIRST)
@@ -259,7 +300,8 @@
         node.advance(1.4)
         before = len(node.actions)
         node.emit(PeerReceived(FIRST, next_update(node)))
-        self.assertEqual([], store_and_link_actions(node, before))
+        node.send_proof(FIRST, 0.0)
+        self.assertEqual([], poll_actions(node, before))
 
     def test_poll_after_an_incomplete_answer_is_not_postponed(self) -> None:
         node = linked(FIRST)
@@ -270,7 +312,8 @@
         node.store_revision = revision + 1
         before = len(node.actions)
         node.emit(PeerReceived(FIRST, next_update(node)))
-        self.assertEqual([], store_and_link_actions(node, before))
+        node.send_proof(FIRST, 0.0)
+        self.assertEqual([], poll_actions(node, before))
 
     def test_answer_older_than_the_update_changes_nothing(self) -> None:
         node = linked(FIRST)
@@ -347,7 +390,7 @@
         node.emit(WatchChanged(node.last_watch_id, (), (), revision))
         self.assertEqual([(FIRST, StoreUpdate(revision, revision))], sent_updates(node)[before:])
 
-    def test_each_update_postpones_the_next_poll(self) -> None:
+    def test_each_proof_postpones_the_next_poll(self) -> None:
         node = linked(FIRST)
         self.receive_update(node)
         self.answer_poll(node)
@@ -355,11 +398,8 @@
             node.advance(0.9)
             before = len(node.actions)
             node.emit(PeerReceived(FIRST, StoreUpdate(node.store_revision, node.store_revision)))
-            started = [
-                item
-                for item in store_and_link_actions(node, before)
-                if isinstance(item, StartWatch)
-            ]
+            node.send_proof(FIRST, 0.0)
+            started = [item for item in poll_actions(node, before) if isinstance(item, StartWatch)]
             self.assertEqual(1, len(started))
             self.assertGreater(started[0].pause_seconds, POLL_INTERVAL_SECONDS)
             self.assertEqual(0.0, started[0].hold_seconds)
--- a/wingquay/adapters/forwarding_peer_codec.py
+++ b/wingquay/adapters/forwarding_peer_codec.py
@@ -264,7 +264,6 @@
         from_revision=message.from_revision,
         store_revision=message.store_revision,
         deleted=message.deleted,
-        age_seconds=message.age_seconds,
         may_have_more=message.may_have_more,
         is_listing=message.is_listing,
     )
@@ -295,7 +294,6 @@
         message.store_revision,
         changed,
         tuple(message.deleted),
-        message.age_seconds,
         message.may_have_more,
         message.is_listing,
     )
--- a/wingquay/forwarding/forwarding_node.py
+++ b/wingquay/forwarding/forwarding_node.py
@@ -35,7 +35,6 @@
 from .forwarding_machine import ForwardingMachine
 from .knowledge.node_membership import NodeMembership
 from .knowledge.presence import NodeCount, Presence, PresenceDue
-from .knowledge.processing_lag import ProcessingLag
 from .knowledge.proof_manager import ProofManager
 from .knowledge.store_follower import (
     FollowerHooks,
@@ -96,7 +95,7 @@
             follower.proof_poll_times,
             self._rank_delay_seconds,
             lambda now: self._follower.next_answer_at(now),
-            random_source.getrandbits(PROOF_REQUEST_ID_BITS) if follower.proof_poll_times else 0,
+            random_source.getrandbits(PROOF_REQUEST_ID_BITS),
         )
         self._forwarding = ForwardingMachine(
             settings,
@@ -119,7 +118,7 @@
                 self._contents.apply_changes(written, deleted, now) + self._readiness.update(now)
             ),
             self._directory.on_outage,
-            lambda update, now: self._updates.send_update(update, now),
+            lambda update: self._updates.send_update(update),
             lambda: bool(self._members.update_recipients()),
             lambda: self._members.group_position() == 0,
             self._rank_delay_seconds,
@@ -141,19 +140,15 @@
             self._forwarding.admission,
             self._forwarding.on_limit_answered,
         )
-        self._processing_lag = ProcessingLag()
         self._periodic_work = PeriodicWork(
             settings,
             self._directory,
             self._forwarding,
             self._members,
             self._follower,
-            self._processing_lag,
             self._proof_manager,
         )
-        self._updates = UpdateExchange(
-            settings, self._members, self._follower, self._processing_lag, self._proof_manager
-        )
+        self._updates = UpdateExchange(self._members, self._follower, self._proof_manager)
         self._contents = StoreContents(
             formats,
             self._directory,
--- a/wingquay/forwarding/knowledge/follower_settings.py
+++ b/wingquay/forwarding/knowledge/follower_settings.py
@@ -81,7 +81,7 @@
     on_listing: Callable[[tuple[StoredValue, ...], float], list[Action]]
     on_changes: Callable[[tuple[StoredValue, ...], tuple[str, ...], float], list[Action]]
     on_failure: Callable[[float], None]
-    on_poll: Callable[[StoreUpdate, float], list[Action]]
+    on_poll: Callable[[StoreUpdate], list[Action]]
     shares_updates: Callable[[], bool]
     is_first_in_group: Callable[[], bool]
     rank_delay_seconds: Callable[[], float]
--- a/wingquay/forwarding/knowledge/poll_schedule.py
+++ b/wingquay/forwarding/knowledge/poll_schedule.py
@@ -1,7 +1,9 @@
 """Schedule of one node's polls of the store."""
 
 from .follower_settings import FollowerHooks, FollowerSettings
+from .poll_times import LONG_POLL_ANSWER_SECONDS
 from .proof_manager import ProofManager
+from .proof_poll_times import MAX_LONG_POLL_SHARE
 
 
 class PollSchedule:
@@ -58,25 +60,26 @@
         """How long the store may hold the next poll.
 
         Zero after a failed poll, because the failure of a long poll is detected later than that of
-        a short poll.
+        a short poll. The answer to a long poll proves the contents as of its start, so a node that
+        polls for others limits the hold time: the next proof must arrive before their polls are
+        due.
         """
         if not self._uses_long_polls or self.failed_polls:
             return 0.0
         proof_poll_times = self._proof_manager.proof_poll_times
-        return (
-            self._settings.poll_times.hold_seconds
-            if proof_poll_times is None
-            else proof_poll_times.hold_seconds
-        )
+        if proof_poll_times is not None:
+            return proof_poll_times.hold_seconds
+        hold_seconds = self._settings.poll_times.hold_seconds
+        if not self._hooks.shares_updates():
+            return hold_seconds
+        return min(hold_seconds, self._settings.poll_interval_seconds * MAX_LONG_POLL_SHARE)
 
     def timeout_seconds(self, hold_seconds: float) -> float:
         """Return the timeout of a poll that the store may hold for ``hold_seconds``."""
         poll_times = self._proof_manager.proof_poll_times or self._settings.poll_times
-        return (
-            poll_times.long_poll_timeout_seconds
-            if hold_seconds > 0.0
-            else poll_times.timeout_seconds
-        )
+        if hold_seconds == 0.0:
+            return poll_times.timeout_seconds
+        return min(poll_times.long_poll_timeout_seconds, hold_seconds + LONG_POLL_ANSWER_SECONDS)
 
     def max_pause_seconds(self, now: float) -> float:
         """Return the maximum time until the next poll."""
--- a/wingquay/forwarding/knowledge/proof_manager.py
+++ b/wingquay/forwarding/knowledge/proof_manager.py
@@ -1,4 +1,4 @@
-"""Maintains the proof that the configuration is fresh and requests proofs from other nodes."""
+"""Maintains the time as of which the copy of the store is complete, by polls and other nodes."""
 
 from collections.abc import Callable, Collection
 
@@ -18,10 +18,11 @@
 
 
 class ProofManager:
-    """Extends the configuration proof by this node's polls and by proofs of other nodes.
+    """Extends the proof by this node's polls and by proofs of other nodes.
 
-    Without a revocation bound, or while the configuration has no tenants, it sends no proof
-    requests and requires no additional polls.
+    The proof decides how far the next poll may be postponed. If a revocation bound is stated and
+    the configuration has tenants, it also decides whether requests with keys are served, and
+    additional polls keep it within the bound.
 
     Parameters
     ----------
@@ -44,11 +45,8 @@
     ) -> None:
         self._proof_poll_times = proof_poll_times
         self._poll_delay_seconds = poll_delay_seconds
-        self._timed = (
-            None
-            if proof_poll_times is None
-            else TimedProof(proof_poll_times.bound_seconds, next_answer_at)
-        )
+        bound_seconds = float("inf") if proof_poll_times is None else proof_poll_times.bound_seconds
+        self._timed = TimedProof(bound_seconds, next_answer_at)
         self._sent = SentProofRequests(first_number)
         self._received = ReceivedProofRequests()
         self._has_tenants = False
@@ -61,11 +59,16 @@
     @property
     def proof(self) -> AlwaysProven | TimedProof:
         """The proof by which arriving requests are admitted."""
-        return self._timed or AlwaysProven()
+        return AlwaysProven() if self._proof_poll_times is None else self._timed
+
+    @property
+    def proven_as_of(self) -> float:
+        """The time up to which everything that the store acknowledged is known to this node."""
+        return self._timed.proven_as_of
 
     @property
     def proof_poll_times(self) -> ProofPollTimes | None:
-        """The polls that keep the bound; ``None``: no proof is required."""
+        """The polls that keep the bound; ``None``: requests are served without a proof."""
         return self._proof_poll_times if self._has_tenants else None
 
     def configure(self, table: RoutingTable) -> None:
@@ -74,7 +77,7 @@
 
     def poll_deadline(self) -> float:
         """Return by when the next poll must start, or end its hold time, to allow a retry."""
-        if self._timed is None or self.proof_poll_times is None:
+        if self.proof_poll_times is None:
             return float("inf")
         poll_delay_seconds = min(self._poll_delay_seconds(), MAX_POLL_SPREAD_SECONDS)
         return (
@@ -95,10 +98,10 @@
         store_revision
             The revision up to which the answer is complete.
         """
-        if self._timed is None or begun_at is None or begun_at < self._proves_from:
+        if begun_at is None or begun_at < self._proves_from:
             return []
         answers = self._received.answers(begun_at, store_revision, now)
-        return [*self._extend_proof(self._timed, begun_at, now), *answers]
+        return [*self._extend_proof(begun_at, now), *answers]
 
     def on_restored(self, now: float) -> None:
         """Accept no proof from the store until its writers have written again what it lost."""
@@ -117,27 +120,23 @@
         recipients
             Returns the nodes that share store updates.
         """
-        if self.proof_poll_times is None:
-            return []
         return [*self.check(now), *self._sent.send_requests(recipients(), now)]
 
     def handle_update_from(self, sender: NodeIdentity, now: float) -> list[Action]:
         """Handle the arrival of another node's store update."""
-        return [] if self.proof_poll_times is None else self._sent.handle_update_from(sender, now)
+        return self._sent.handle_update_from(sender, now)
 
     def handle_request(
         self, sender: NodeIdentity, request: ProofRequest, known_revision: int | None, now: float
     ) -> list[Action]:
         """Handle a proof request: record it, and answer at once if the configuration is proven."""
-        if self._timed is None:
-            return []
         self._received.record(sender, request, now)
         if known_revision is None or not self._timed.is_proven(now):
             return []
-        if self._timed.proven_as_of < self._proves_from:
+        if self.proven_as_of < self._proves_from or self.proven_as_of == float("-inf"):
             # Another node may not have all changes of the earlier era.
             return []
-        held_seconds = self._timed.proven_as_of - now
+        held_seconds = self.proven_as_of - now
         return [SendToPeer(sender, ProofReply(request.number, held_seconds, known_revision))]
 
     def handle_proof(
@@ -145,14 +144,14 @@
     ) -> list[Action]:
         """Extend the proof by another node's poll, if this node has all its changes."""
         as_of = self._sent.proven_as_of(sender, proof, now)
-        if self._timed is None or as_of is None or known_revision is None:
+        if as_of is None or known_revision is None:
             return []
         is_known = known_revision >= proof.store_revision
         if not is_known or not is_same_era(known_revision, proof.store_revision):
             return []
         if as_of < self._proves_from:
             return []
-        return self._extend_proof(self._timed, as_of, now)
+        return self._extend_proof(as_of, now)
 
     def link_broken(self, event: PeerLinkBroken) -> None:
         """Discard the requests that may be lost because a link broke."""
@@ -162,11 +161,11 @@
 
     def age_seconds(self, now: float) -> float:
         """Return the age of the proof."""
-        return float("inf") if self._timed is None else now - self._timed.proven_as_of
+        return now - self.proven_as_of
 
-    def _extend_proof(self, timed: TimedProof, as_of: float, now: float) -> list[Action]:
-        age_seconds = now - timed.proven_as_of
-        if not timed.extend(as_of, now):
+    def _extend_proof(self, as_of: float, now: float) -> list[Action]:
+        age_seconds = self.age_seconds(now)
+        if not self._timed.extend(as_of, now):
             return []
         logs = self.check(now)
         self._reason = NO_POLL_REASON
@@ -176,11 +175,11 @@
 
     def check(self, now: float) -> list[Action]:
         """Log and count when the configuration becomes unproven or proven again."""
-        if self._timed is None or self.proof_poll_times is None:
+        if self.proof_poll_times is None:
             return []
         if self._timed.is_proven(now):
             return self._proof_regained(now)
-        return self._proof_lost(self._timed, now) if self._lost_at is None else []
+        return self._proof_lost(now) if self._lost_at is None else []
 
     def _proof_regained(self, now: float) -> list[Action]:
         lost_at, self._lost_at = self._lost_at, None
@@ -189,9 +188,9 @@
         fields = (("unproven_ms", _milliseconds(now - lost_at)),)
         return [Log("configuration_proven", LogLevel.INFO, fields)]
 
-    def _proof_lost(self, timed: TimedProof, now: float) -> list[Action]:
+    def _proof_lost(self, now: float) -> list[Action]:
         self._lost_at = now
-        age_seconds = now - timed.proven_as_of
+        age_seconds = self.age_seconds(now)
         age_ms = -1 if age_seconds == float("inf") else _milliseconds(age_seconds)
         fields = (("age_ms", age_ms), ("reason", self._reason))
         return [
--- a/wingquay/forwarding/knowledge/store_follower.py
+++ b/wingquay/forwarding/knowledge/store_follower.py
@@ -67,6 +67,8 @@
         """How long the store may hold the polls of the current watch."""
         self._answered_at = float("-inf")
         """When the store last answered."""
+        self._answer_begun_at = float("-inf")
+        """When the poll or read began that the store last answered."""
         self._poll_at = 0.0
         """When the next poll starts; a poll under way is not postponed."""
 
@@ -101,19 +103,15 @@
             return []
         return [StopWatch(self._watch_id), *self._watch(now, self._pause_seconds(now))]
 
-    def apply_update(self, update: StoreUpdate, pause_seconds: float, now: float) -> list[Action]:
-        """Apply an update of another node and postpone the next poll.
+    def apply_update(self, update: StoreUpdate, now: float) -> list[Action]:
+        """Apply an update of another node.
 
         Updates that start after the known revision or end before it are ignored: the next poll
-        returns their changes.
-
-        Parameters
-        ----------
-        pause_seconds
-            Time until the next poll, unless another update arrives; 0: it is not postponed.
+        returns their changes. An update does not postpone that poll, because nothing tells how old
+        it is; the proof that follows it does.
         """
         if update.is_listing:
-            return self._apply_group_listing(update, pause_seconds, now)
+            return self._apply_group_listing(update, now)
         known_revision = self._copy.revision
         if not self._copy.has_listing or known_revision is None:
             return []
@@ -125,8 +123,7 @@
             return []
         self._schedule.record_update()
         self._copy.apply(update.changed, update.deleted, update.store_revision)
-        actions = self._hooks.on_changes(update.changed, update.deleted, now)
-        return actions + self.postpone_poll(pause_seconds, now)
+        return self._hooks.on_changes(update.changed, update.deleted, now)
 
     def on_restored(self, era_begin: int, is_listing: bool, now: float) -> list[Action]:
         """Read everything again, because the store came back from an older copy.
@@ -156,20 +153,22 @@
         self._poll_at = now + wait_seconds
         return [*stopping, Schedule(self._poll_at, PollRetryDue(self._operation_id))]
 
-    def _apply_group_listing(
-        self, update: StoreUpdate, pause_seconds: float, now: float
-    ) -> list[Action]:
+    def _apply_group_listing(self, update: StoreUpdate, now: float) -> list[Action]:
         """Apply the listing of another node, unless this one has read the store of its era."""
         if self._copy.revision is not None or update.store_revision < self._era_begin:
             return []
         self._reads += 1
         self._is_listing_shared = False
         self._schedule.record_update()
+        pause_seconds = self._proven_pause_seconds(now)
         return self._apply_listing(update.changed, update.store_revision, now, None, pause_seconds)
 
-    def postpone_poll(self, pause_seconds: float, now: float) -> list[Action]:
-        """Postpone the next poll, unless it is urgent or already under way."""
-        pause_seconds = min(pause_seconds, self._schedule.max_pause_seconds(now))
+    def postpone_poll(self, now: float) -> list[Action]:
+        """Postpone the next poll as far as the proof allows.
+
+        A poll that is urgent or already under way is not postponed.
+        """
+        pause_seconds = min(self._proven_pause_seconds(now), self._schedule.max_pause_seconds(now))
         if not self._is_watching or self._schedule.is_urgent or now >= self._poll_at:
             return []
         if now + pause_seconds <= self._poll_at:
@@ -205,11 +204,6 @@
         """The lowest version of the latest era that is known."""
         return self._era_begin
 
-    @property
-    def usual_poll_interval_seconds(self) -> float:
-        """The default time between two polls."""
-        return self._settings.poll_interval_seconds
-
     @property
     def _operation_id(self) -> str:
         return f"follow-{self._reads}"
@@ -229,7 +223,16 @@
 
     def _pause_seconds(self, now: float) -> float:
         """Return the time until the next poll at the current interval."""
-        return max(0.0, self._answered_at + self._schedule.interval_seconds - now)
+        return max(0.0, self._answer_begun_at + self._schedule.interval_seconds - now)
+
+    def _proven_pause_seconds(self, now: float) -> float:
+        """Return the time until the next poll of a node for which other nodes poll.
+
+        It counts from the time as of which the contents are known to be complete, and grows with
+        the node's position in its group, so that the nodes do not poll together.
+        """
+        interval_seconds = self._settings.poll_interval_seconds + self._hooks.rank_delay_seconds()
+        return max(0.0, self._proof_manager.proven_as_of + interval_seconds - now)
 
     def _watch(self, now: float, pause_seconds: float = 0.0) -> list[Action]:
         revision = self._copy.revision
@@ -259,15 +262,14 @@
         if not isinstance(result, ReadResult):
             reason = result.reason if isinstance(result, Failure) else "unexpected result"
             return self._handle_failure(reason, now)
-        self._schedule.failed_polls = 0
-        self._answered_at = now
+        self._record_answer(result.begun_at, now)
         listing = self._apply_listing(result.values, result.store_revision, now, result.begun_at)
         if not self._is_listing_shared:
             return listing
         self._is_listing_shared = False
         version = result.store_revision
         update = StoreUpdate(begin_of_era(version), version, result.values, is_listing=True)
-        return [*listing, *self._hooks.on_poll(update, now)]
+        return [*listing, *self._hooks.on_poll(update)]
 
     def _apply_peer_snapshot(self, event: PeerSnapshot, now: float) -> list[Action]:
         """Start with the contents received from another node; polls of the store follow."""
@@ -300,11 +302,9 @@
             return []
         before = self._copy.revision
         assert before is not None
-        self._schedule.failed_polls = 0
-        self._answered_at = now
-        poll_due_at = self._poll_at
+        self._record_answer(event.begun_at, now)
         # After an incomplete answer the next poll has already started.
-        self._poll_at = now if event.may_have_more else now + self._schedule.interval_seconds
+        self._poll_at = now if event.may_have_more else now + self._pause_seconds(now)
         # An incomplete answer does not contain everything that existed when the poll started.
         begun_at = None if event.may_have_more else event.begun_at
         if event.store_revision < before:
@@ -318,10 +318,9 @@
             event.store_revision,
             event.changed,
             event.deleted,
-            self._answer_age_seconds(event, poll_due_at, now),
             event.may_have_more,
         )
-        actions += [*self._hooks.on_poll(update, now), *proof_answers]
+        actions += [*self._hooks.on_poll(update), *proof_answers]
         self._schedule.record_poll_answer()
         is_same_interval = self._watch_interval_seconds == self._schedule.interval_seconds
         is_same_hold = self._watch_hold_seconds == self._schedule.hold_seconds
@@ -330,14 +329,14 @@
         return [
             *actions,
             StopWatch(self._watch_id),
-            *self._watch(now, self._schedule.interval_seconds),
+            *self._watch(now, self._pause_seconds(now)),
         ]
 
-    def _answer_age_seconds(self, event: WatchChanged, poll_due_at: float, now: float) -> float:
-        """Return the maximum age of an answer."""
-        if event.begun_at is not None:
-            return now - event.begun_at
-        return 0.0 if self._watch_hold_seconds > 0.0 else max(now - poll_due_at, 0.0)
+    def _record_answer(self, begun_at: float | None, now: float) -> None:
+        """Record that the store answered a poll or read that began at ``begun_at``."""
+        self._schedule.failed_polls = 0
+        self._answered_at = now
+        self._answer_begun_at = now if begun_at is None else begun_at
 
     def _handle_watch_broken(self, event: WatchBroken, now: float) -> list[Action]:
         if event.watch_id != self._watch_id:
--- a/wingquay/forwarding/periodic_work.py
+++ b/wingquay/forwarding/periodic_work.py
@@ -5,7 +5,6 @@
 from .choice.replica_directory import ReplicaDirectory
 from .forwarding_machine import ForwardingMachine
 from .knowledge.node_membership import NodeMembership
-from .knowledge.processing_lag import ProcessingLag
 from .knowledge.proof_manager import ProofManager
 from .knowledge.store_follower import StoreFollower
 from .settings import ForwardingSettings
@@ -22,9 +21,7 @@
 
 @value
 class SweepDue(Event):
-    """Perform the periodic sweep of a node, and measure the lag of this timer."""
-
-    due_at: float
+    """Perform the periodic sweep of a node."""
 
 
 @value
@@ -48,8 +45,6 @@
         Provides whether nodes are still joining.
     follower
         Polls the store at the interval set here.
-    processing_lag
-        Stores the lag of the sweep timer.
     proof_manager
         Detects that the proof of the configuration has expired.
     """
@@ -61,7 +56,6 @@
         forwarding: ForwardingMachine,
         members: NodeMembership,
         follower: StoreFollower,
-        processing_lag: ProcessingLag,
         proof_manager: ProofManager,
     ) -> None:
         self._settings = settings
@@ -69,13 +63,14 @@
         self._forwarding = forwarding
         self._members = members
         self._follower = follower
-        self._processing_lag = processing_lag
         self._proof_manager = proof_manager
+        self._lag_due_at = float("inf")
+        """When the next lag check is due."""
 
     def start(self, now: float) -> list[Action]:
         """Schedule the first sweep and the first lag check."""
         return [
-            Schedule(now + SWEEP_INTERVAL_SECONDS, SweepDue(now + SWEEP_INTERVAL_SECONDS)),
+            Schedule(now + SWEEP_INTERVAL_SECONDS, SweepDue()),
             *self._schedule_lag(now),
         ]
 
@@ -83,12 +78,10 @@
         """Handle a timer or the end of a suspension."""
         match event:
             case SweepDue():
-                self._processing_lag.timer_lag_seconds = max(now - event.due_at, 0.0)
                 self._directory.remove_expired(now)
-                due_at = now + SWEEP_INTERVAL_SECONDS
                 peer_connects = self._forwarding.handle(PeerConnectDue(), now)
                 proof_actions = self._proof_manager.sweep(self._members.update_recipients, now)
-                sweep = Schedule(due_at, SweepDue(due_at))
+                sweep = Schedule(now + SWEEP_INTERVAL_SECONDS, SweepDue())
                 return [*peer_connects, *proof_actions, *self.adjust_poll_interval(now), sweep]
             case LagDue():
                 return self._lag_due(event, now)
@@ -112,7 +105,6 @@
     def _resumed(self, event: ProcessResumed, now: float) -> list[Action]:
         """Treat the suspension as an equally long store outage, and end overdue exchanges."""
         self._directory.on_outage(now)
-        self._processing_lag.timer_lag_seconds = event.seconds
         self._proof_manager.poll_failed("suspended")
         open_requests = self._forwarding.open_exchanges
         actions = self._forwarding.on_resumed(event, now)
@@ -130,13 +122,11 @@
         ]
 
     def _lag_due(self, event: LagDue, now: float) -> list[Action]:
-        if event.due_at != self._processing_lag.timer_due_at:
+        if event.due_at != self._lag_due_at:
             return []
         self._forwarding.lag.seconds = max(now - event.due_at, 0.0)
         return self._schedule_lag(now)
 
     def _schedule_lag(self, now: float, seconds: float = LAG_CHECK_SECONDS) -> list[Action]:
-        self._processing_lag.timer_due_at = now + seconds
-        return [
-            Schedule(self._processing_lag.timer_due_at, LagDue(self._processing_lag.timer_due_at))
-        ]
+        self._lag_due_at = now + seconds
+        return [Schedule(self._lag_due_at, LagDue(self._lag_due_at))]
--- a/wingquay/forwarding/settings.py
+++ b/wingquay/forwarding/settings.py
@@ -103,8 +103,6 @@
     poll_rank_delay_seconds
         Delay of a poll per position among the nodes that send each other store updates, so that
         usually only one of them polls.
-    max_update_age_seconds
-        Maximum age of a store update for which it postpones the next poll.
     update_group_min_nodes
         Minimum number of nodes in a group for sending store updates only within the group.
     update_max_recipients
@@ -182,7 +180,6 @@
     delegate_min_shards: int = 40
     delegate_min_nodes: int = 3
     poll_rank_delay_seconds: float = 0.04
-    max_update_age_seconds: float = 0.3
     update_group_min_nodes: int = 5
     update_max_recipients: int = 12
     zones: tuple[str, ...] = ()
--- a/wingquay/ports/store_update.py
+++ b/wingquay/ports/store_update.py
@@ -16,8 +16,6 @@
     from_revision
         Store revision that the changes start from. A copy that is complete up to here is complete
         up to ``store_revision`` after applying them.
-    age_seconds
-        Processing delay of the sender: the store's reply may be as old as this.
     may_have_more
         Whether the store may have returned only a part of the changes.
     is_listing
@@ -29,6 +27,5 @@
     store_revision: int
     changed: tuple[StoredValue, ...] = ()
     deleted: tuple[str, ...] = ()
-    age_seconds: float = 0.0
     may_have_more: bool = False
     is_listing: bool = False
