Limits: contact with an owner counts from the sending of what it answered

A node that reports to a limit owner may start requests before a permit for 0.3 s after a reply. The time counted from the reply's arrival, so a reply that was under way for up to 0.3 s (later ones mark the owner unreachable) doubled it, and a notice of the owner that a tenant is hot could be as old as that without being known.

Change: the time counts from the sending of the report or permit request that is answered. What the owner sent before its reply has arrived by then, since the link keeps the order. An acknowledgement of no known report is no contact.

Read on the same cause and left: loans, confirmed lists of owners and presence leases count from the sending; records and hot times count from the arrival, which only lengthens them.

--- a/wingquay/forwarding/arrival/limits/owner_channel.py
+++ b/wingquay/forwarding/arrival/limits/owner_channel.py
@@ -15,8 +15,9 @@
 REPLY_TIMEOUT_SECONDS = 0.3
 """Time without a reply after which an owner is considered unreachable."""
 CONTACT_VALID_SECONDS = 0.3
-"""Time after a reply during which requests may start before the owner has permitted them. Later, a
-node needs a permit first; this includes nodes with few requests, which seldom report."""
+"""Time after the sending of an answered message during which requests may start before the owner
+has permitted them. Later, a node needs a permit first; this includes nodes with few requests, which
+seldom report."""
 MIN_PROBE_SECONDS = 0.5
 """Time until an unreachable owner is first probed."""
 MAX_PROBE_SECONDS = 4.0
@@ -57,7 +58,9 @@
         self._charged: dict[str, int] = {}
         self._pending_since = 0.0
         self._is_due = False
-        self._last_reply_at = float("-inf")
+        self._contact_at = float("-inf")
+        """When the latest message was sent to which the owner has replied. What the owner sent
+        before that, on the same link, has arrived."""
         self._ask_first_until = float("-inf")
         """Time until which requests need a permit of the owner first, since it may have sent
         messages about hot tenants while it was unreachable."""
@@ -71,7 +74,7 @@
         """Return whether requests of a tenant may start before this owner has permitted them."""
         if self.is_unreachable or self.requires_permit or now < self._ask_first_until:
             return False
-        if now >= self._last_reply_at + CONTACT_VALID_SECONDS:
+        if now >= self._contact_at + CONTACT_VALID_SECONDS:
             return False
         return now >= self._hot_until.get(name, now)
 
@@ -144,13 +147,14 @@
 
     def on_acknowledgement(self, sequence: int, now: float) -> list[Action]:
         """Handle that the owner has counted all reports up to a sequence number."""
+        sent_at = float("-inf")
         while self._reports and self._reports[0].sequence <= sequence:
-            self._reports.popleft()
-        return self.on_reply(now)
+            sent_at = self._reports.popleft().sent_at
+        return self.on_reply(sent_at, now)
 
-    def on_reply(self, now: float) -> list[Action]:
-        """Handle any reply of the owner."""
-        self._last_reply_at = now
+    def on_reply(self, sent_at: float, now: float) -> list[Action]:
+        """Handle a reply of the owner to a message that was sent at ``sent_at``."""
+        self._contact_at = max(self._contact_at, sent_at)
         was_unreachable = self.is_unreachable
         self.is_unreachable = False
         self._probe_seconds = MIN_PROBE_SECONDS
--- a/wingquay/forwarding/arrival/limits/requester_role.py
+++ b/wingquay/forwarding/arrival/limits/requester_role.py
@@ -202,8 +202,9 @@
         """Handle an owner's reply; a permit that comes too late is given back."""
         channel = self._channels.get(sender)
         channel.requires_permit = message.requires_permit
-        actions = channel.on_reply(now)
         query = self._queries.get(message.ask_id)
+        asked = query or self._late.get(message.ask_id)
+        actions = channel.on_reply(float("-inf") if asked is None else asked.created_at, now)
         if query is None:
             return actions + self._handle_late_reply(sender, message, now)
         channel.set_hot(query.tenant.name, message.hot_seconds, now)
