--- a/tests/forwarding/test_store_restoration.py
+++ b/tests/forwarding/test_store_restoration.py
@@ -55,6 +55,8 @@
 TABLE = table(3, single_route())
 RECORDS = (replica("r0", "s"), replica("r1", "s"))
 ERA = 1
+RANK_SECONDS = 0.04
+"""Delay of the polls of the second node of a group, compared with the first."""
 COPY_REVISION = 2
 """Revision to which the store has gone back."""
 
@@ -151,6 +153,23 @@
         self.assertEqual(version(COPY_REVISION), node.last(StartWatch).from_store_revision)
         self.assertEqual([], sent_listings(node))
 
+    def test_a_late_listing_of_another_node_does_not_postpone_the_next_poll(self) -> None:
+        # Guards against nodes that count the age of a listing from its arrival.
+        for late_seconds in (0.1, 0.35):
+            node = started(FIRST)
+            node.change()
+            node.send_proof(FIRST, 0.0, revision=40)
+            proven_at = node.now
+            restore(node)
+            node.advance(late_seconds)
+            update = StoreUpdate(
+                version(), version(COPY_REVISION), tuple(contents(node)), is_listing=True
+            )
+            node.emit(PeerReceived(FIRST, update))
+            interval_seconds = node.last(StartWatch).poll_interval_seconds + RANK_SECONDS
+            expected = proven_at + interval_seconds - node.now
+            self.assertAlmostEqual(expected, node.last(StartWatch).pause_seconds)
+
     def test_the_first_node_does_not_read_what_another_one_has_listed(self) -> None:
         node = started(LAST)
         before = len(node.actions)
