Soak: a double of the node shows that each check can fail

Change: a run is recorded and judged apart, and its nodes may be doubles in the soak's own process (tests/soak/double_node.py). Sixteen flaws of a double each break their rule and no other; a double without a flaw breaks none, with and without tenants. Clients end their pauses at the end of a run, a fault moves a route, and the share of clients that leave and the calm times around the faults are settings.

Found with it: a request whose last byte was never sent counted as held beyond its time limit, from the start of the clock.

--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -16,7 +16,7 @@
 
 from .faults import FAULTS
 from .report import RunReport, to_json, to_text
-from .run import play
+from .run import judge, record
 from .settings import SoakSettings
 
 MAX_NODES = 200
@@ -84,13 +84,18 @@
     for path in directory.iterdir():
         path.unlink()
     chart = directory / "chart.png"
-    played = asyncio.run(play(settings, directory, chart, lambda line: print(line, flush=True)))
+    recording = asyncio.run(record(settings, directory, progress=_print))
+    played = judge(recording, directory, chart)
     if played.is_kept:
         for path in directory.glob("*.log"):
             path.unlink()
     return played
 
 
+def _print(line: str) -> None:
+    print(line, flush=True)
+
+
 def _seeds(text: str, runs: int) -> list[int]:
     if not text:
         return [*range(1, runs + 1)]
--- a/scripts/soak/checks/configuration.py
+++ b/scripts/soak/checks/configuration.py
@@ -68,7 +68,7 @@
     for attempt in ledger.attempts.values():
         tables = _tables_for(ledger, settings, attempt)
         routes = ledger.route_of(attempt, HOST, tables)
-        if not routes or attempt.ending is Ending.LEFT:
+        if not routes or not attempt.last_byte_at or attempt.ending is Ending.LEFT:
             continue
         due_at = attempt.last_byte_at + max(route.timeout_seconds for route in routes)
         ended_at = attempt.ended_at or ledger.ended_at
--- a/scripts/soak/clients.py
+++ b/scripts/soak/clients.py
@@ -1,6 +1,7 @@
 """Clients that keep connections through everything, rest, leave early, send slowly and retry."""
 
 import asyncio
+import contextlib
 import random
 from itertools import count
 
@@ -22,7 +23,6 @@
 """Share of the pauses in which a client that keeps its connection rests."""
 REST_PART = 0.8
 """Greatest part of the idle time after which a client still reuses a connection."""
-LEAVE_SHARE = 0.05
 SLOW_SHARE = 0.04
 SLOW_SECONDS = 0.6
 RETRIES = 1
@@ -102,18 +102,25 @@
         self._connections = 0
         self._connection: ClientConnection | None = None
         self._node: Node | None = None
-        self.is_over = False
-        """Whether no further request is begun."""
+        self._over = asyncio.Event()
+
+    def end(self) -> None:
+        """Begin no further request."""
+        self._over.set()
 
     async def run(self) -> None:
         """Send requests until the end."""
-        await asyncio.sleep(self._random.uniform(0.0, self._profile.pause_seconds))
-        while not self.is_over:
+        await self._pause(self._random.uniform(0.0, self._profile.pause_seconds))
+        while not self._over.is_set():
             kind = self._draw_kind()
             await self._request(kind)
-            await asyncio.sleep(self._draw_pause())
+            await self._pause(self._draw_pause())
         self._disconnect()
 
+    async def _pause(self, seconds: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._over.wait(), seconds)
+
     def _draw_kind(self) -> Kind:
         kinds = self._profile.kinds
         return self._random.choices(kinds, [SHAPES[kind].weight for kind in kinds])[0]
@@ -135,9 +142,9 @@
         for _ in range(RETRIES + 1):
             attempt = await self._try(target, body, ends_at - loop.time())
             wait_seconds = self._retry_after(attempt, shape.is_repeatable, ends_at - loop.time())
-            if wait_seconds is None or self.is_over:
+            if wait_seconds is None or self._over.is_set():
                 return
-            await asyncio.sleep(wait_seconds)
+            await self._pause(wait_seconds)
 
     async def _try(self, target: str, body: bytes, deadline_seconds: float) -> Attempt:
         loop = asyncio.get_running_loop()
@@ -160,7 +167,7 @@
             attempt.ended_at = loop.time()
             return attempt
         send_seconds = SLOW_SECONDS if self._random.random() < SLOW_SHARE else 0.0
-        leaves = self._random.random() < LEAVE_SHARE
+        leaves = self._random.random() < self._settings.leave_share
         leave_seconds = self._random.uniform(0.005, 0.4) if leaves else None
         await perform(connection, attempt, self._headers(attempt), send_seconds, leave_seconds)
         self._finish(attempt, connection)
--- a/scripts/soak/deployment.py
+++ b/scripts/soak/deployment.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import zlib
+from collections.abc import Callable
 from itertools import count
 from pathlib import Path
 
@@ -27,6 +28,10 @@
 """Lateness of the soak's own loop from which on times near it are not exact."""
 
 
+NodeMaker = Callable[["Deployment", int], Node]
+"""Makes the node of a number."""
+
+
 class NotReadyError(Exception):
     """Nodes did not become ready."""
 
@@ -38,10 +43,15 @@
     ----------
     directory
         Where settings and logs of the nodes lie.
+    make_node
+        Makes the nodes; ``None``: they are processes as the deploy file runs them.
     """
 
-    def __init__(self, settings: SoakSettings, directory: Path) -> None:
+    def __init__(
+        self, settings: SoakSettings, directory: Path, make_node: NodeMaker | None = None
+    ) -> None:
         self.settings = settings
+        self._make = make_node
         self.ledger = Ledger()
         self.store = StandInStore()
         self.proxies: dict[str, TcpProxy] = {}
@@ -118,7 +128,7 @@
         running = [asyncio.create_task(client.run()) for client in extra]
         await asyncio.sleep(seconds)
         for client in extra:
-            client.is_over = True
+            client.end()
         await asyncio.gather(*running)
 
     def _make_client(
@@ -138,7 +148,7 @@
     async def finish_clients(self) -> None:
         """Let the clients end their last requests."""
         for client in self.clients:
-            client.is_over = True
+            client.end()
         await asyncio.gather(*self._running)
         self.ledger.ended_at = asyncio.get_running_loop().time()
 
@@ -167,6 +177,8 @@
                     await self.replicas.start(service)
 
     async def _make_node(self, number: int, store_port: int) -> Node:
+        if self._make is not None:
+            return self._make(self, number)
         zones = self.settings.zone_names
         zone = zones[number % len(zones)]
         name = f"node-{number}"
--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -292,6 +292,13 @@
     await asyncio.sleep(0)
 
 
+async def route_moved(context: FaultContext) -> None:
+    """Move the route of a kind of request to another service."""
+    operator = context.deployment.operator
+    operator.publish(operator.maker.move_route)
+    await asyncio.sleep(0)
+
+
 async def configurations_in_quick_succession(context: FaultContext) -> None:
     """Publish some changes one after the other."""
     for _ in range(STORM):
@@ -330,6 +337,7 @@
         replica_crashed,
         replica_connections_reset,
         configuration_changed,
+        route_moved,
         configurations_in_quick_succession,
         keys_changed,
     )
--- a/scripts/soak/report.py
+++ b/scripts/soak/report.py
@@ -60,9 +60,9 @@
 def make_report(
     ledger: Ledger,
     settings: SoakSettings,
-    faults: list[str],
+    faults: tuple[str, ...],
     violations: list[Violation],
-    not_ready: list[str],
+    not_ready: tuple[str, ...],
     logs: list[Path],
 ) -> RunReport:
     """Return the report of a run."""
@@ -79,14 +79,14 @@
             traces += trace(ledger, logs, request_id)
     return RunReport(
         settings,
-        tuple(faults),
+        faults,
         len(attempts),
         dict(sorted(Counter(item.outcome for item in attempts).items())),
         len(served) / max(len(waited), 1),
         _quantile_ms(times, 0.5),
         _quantile_ms(times, 0.99),
         starts,
-        tuple(not_ready),
+        not_ready,
         late,
         tuple(violations),
         tuple(traces),
--- a/scripts/soak/requests.py
+++ b/scripts/soak/requests.py
@@ -95,7 +95,7 @@
         self._random = chance
         self._version = 0
         self._services = {kind: names[0] for kind, names in SERVICES.items()}
-        self._timeout_factor = 1.0
+        self._timeout_factor = 0.8
         self._has_added = False
         self._body_bytes = CALLER_LIMITS.body_bytes
         self._made_keys = 0
@@ -119,7 +119,7 @@
 
     def change_timeouts(self) -> None:
         """Make all time limits a little longer or shorter."""
-        self._timeout_factor = self._random.uniform(0.8, 1.3)
+        self._timeout_factor = self._random.uniform(0.5, 1.3)
 
     def change_route(self) -> None:
         """Add the route that comes and goes, or take it away."""
--- a/scripts/soak/settings.py
+++ b/scripts/soak/settings.py
@@ -73,6 +73,10 @@
         Names of the faults to draw from; empty: all.
     has_tenants
         Whether callers need keys, and tenants have limits.
+    leave_share
+        Share of the requests whose clients leave before they are answered.
+    lead_seconds, settle_seconds
+        Calm traffic before the first fault and after the last one.
     """
 
     seed: int = 1
@@ -88,6 +92,9 @@
     fault_gap_seconds: float = 1.0
     faults: tuple[str, ...] = ()
     has_tenants: bool = False
+    leave_share: float = 0.05
+    lead_seconds: float = 1.5
+    settle_seconds: float = 2.0
     bounds: Bounds = attrs.field(factory=Bounds)
 
     @property
