--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -2,8 +2,8 @@
 
 Usage::
 
-    python -m scripts.soak [--seeds 1,2,3] [--runs 5] [--seconds 25] [--nodes 8] [--faults a,b]
-                           [--tenants] [--report DIRECTORY] [--list-faults]
+    python -m scripts.soak [--seeds 1,2,5-9] [--seconds 25] [--profile grown] [--nodes 8]
+                           [--faults a,b] [--tenants] [--report DIRECTORY] [--list-faults]
 
 Exit code 1 if any rule was broken.
 """
@@ -15,6 +15,7 @@
 import fire
 
 from .faults import FAULTS
+from .profiles import PROFILES, draw_profile
 from .report import RunReport, to_json, to_text
 from .run import judge, record
 from .settings import SoakSettings
@@ -24,10 +25,10 @@
 
 
 def soak(
-    seeds: str = "",
-    runs: int = 1,
+    seeds: str = "1",
     seconds: float = 25.0,
-    nodes: int = 8,
+    profile: str = "",
+    nodes: int = 0,
     faults: str = "",
     tenants: bool | None = None,
     report: str = "out/soak",
@@ -38,13 +39,13 @@
     Parameters
     ----------
     seeds
-        Seeds with commas between them; empty: ``runs`` seeds from 1 on.
-    runs
-        How many runs, where no seeds are given.
+        Seeds and ranges of seeds with commas between them; each is one run.
     seconds
         How long faults are begun.
+    profile
+        Kind of deployment: ``small``, ``grown`` or ``large``; empty: drawn by the seed.
     nodes
-        Node processes, up to 200.
+        Node processes, up to 200; 0: drawn by the seed from the profile.
     faults
         Names with commas between them; empty: all are drawn.
     tenants
@@ -59,8 +60,8 @@
             print(f"{name:<36}{(fault.__doc__ or '').strip()}")
         return OK
     chosen = tuple(name.strip() for name in _text(faults).split(",") if name.strip())
-    numbers = _seeds(_text(seeds), runs)
-    complaint = _complaint(chosen, numbers, seconds, nodes)
+    numbers = _seeds(_text(seeds))
+    complaint = _complaint(chosen, numbers, seconds, nodes, profile)
     if complaint:
         print(complaint, file=sys.stderr)
         return USAGE
@@ -68,9 +69,9 @@
     reports: list[RunReport] = []
     for seed in numbers:
         has_tenants = seed % 2 == 0 if tenants is None else tenants
-        settings = SoakSettings(
-            seed=seed, seconds=seconds, nodes=nodes, faults=chosen, has_tenants=has_tenants
-        )
+        name = profile or draw_profile(seed)
+        plain = SoakSettings(seed=seed, seconds=seconds, faults=chosen, has_tenants=has_tenants)
+        settings = PROFILES[name].draw(plain, name, nodes or None)
         reports.append(_play(settings, directory / f"seed-{seed}"))
         print(reports[-1].line(), flush=True)
         (directory / "report.json").write_bytes(to_json(reports))
@@ -96,10 +97,15 @@
     print(line, flush=True)
 
 
-def _seeds(text: str, runs: int) -> list[int]:
-    if not text:
-        return [*range(1, runs + 1)]
-    return [int(part) if part.strip().isdigit() else -1 for part in text.split(",")]
+def _seeds(text: str) -> list[int]:
+    """Return the seeds that a text names; -1 stands for what names none."""
+    found: list[int] = []
+    for part in text.split(","):
+        first, _, last = part.strip().partition("-")
+        if not first.isdigit() or not (last or first).isdigit():
+            return [-1]
+        found += range(int(first), int(last or first) + 1)
+    return found
 
 
 def _text(given: object) -> str:
@@ -109,16 +115,20 @@
     return str(given)
 
 
-def _complaint(faults: tuple[str, ...], seeds: list[int], seconds: float, nodes: int) -> str:
+def _complaint(
+    faults: tuple[str, ...], seeds: list[int], seconds: float, nodes: int, profile: str
+) -> str:
     unknown = [name for name in faults if name not in FAULTS]
     if unknown:
         return f"faults: {unknown[0]!r}; allowed: {', '.join(FAULTS)}"
     if not seeds or min(seeds) < 0:
-        return "seeds: allowed: whole numbers from 0 on, with commas between them"
+        return "seeds: allowed: whole numbers from 0 on and ranges as 5-9, with commas between them"
     if not 0 < seconds <= 3600:
         return f"seconds: {seconds}; allowed: more than 0, up to 3600"
-    if not 2 <= nodes <= MAX_NODES:
-        return f"nodes: {nodes}; allowed: 2 to {MAX_NODES}"
+    if nodes and not 2 <= nodes <= MAX_NODES:
+        return f"nodes: {nodes}; allowed: 0 (drawn), or 2 to {MAX_NODES}"
+    if profile and profile not in PROFILES:
+        return f"profile: {profile!r}; allowed: {', '.join(PROFILES)}"
     return ""
 
 
--- a/scripts/soak/checks/quota.py
+++ b/scripts/soak/checks/quota.py
@@ -6,6 +6,7 @@
 
 from ..ledger import Ledger, SpanKind, count_between
 from ..settings import HOST, SoakSettings
+from .touch import is_in_touch
 from .violation import Rule, Violation
 
 
@@ -36,11 +37,13 @@
 def check_revoked(ledger: Ledger, settings: SoakSettings) -> list[Violation]:
     """Return the requests that ran by a key that had been taken away, at whatever node.
 
-    A store that comes back from an older copy has forgotten that for a while; what was sent until
-    it was written again, and the bound after it, is left out.
+    Where no bound is stated for keys, that of the configuration holds, at nodes in touch. A store
+    that comes back from an older copy has forgotten that for a while; what was sent until it was
+    written again, and the bound after it, is left out.
     """
     found: list[Violation] = []
-    bound = settings.bounds.revocation_seconds
+    bounds = settings.bounds
+    bound = bounds.revocation_seconds or bounds.configuration_seconds
     for attempt in ledger.attempts.values():
         revoked_at = _revoked_at(ledger, attempt.key) if attempt.key else None
         if revoked_at is None or attempt.sent_at <= revoked_at + bound:
@@ -52,6 +55,11 @@
         kinds = frozenset({SpanKind.RESTORED, SpanKind.LAG})
         if ledger.spans_of(kinds, attempt.node, since, attempt.sent_at):
             continue
+        ended_at = attempt.ended_at or ledger.ended_at
+        if bounds.revocation_seconds is None and not is_in_touch(
+            ledger, bounds, attempt.node, attempt.sent_at, ended_at
+        ):
+            continue
         late = attempt.sent_at - revoked_at
         text = (
             f"{attempt.request_id} at {attempt.node}: ran by a key taken away {late:.2f} s before"
--- a/scripts/soak/clients.py
+++ b/scripts/soak/clients.py
@@ -134,7 +134,7 @@
         """Send one request, with retries within its deadline as clients make them."""
         loop = asyncio.get_running_loop()
         shape = SHAPES[kind]
-        ends_at = loop.time() + shape.deadline_seconds
+        ends_at = loop.time() + shape.deadline_seconds * self._settings.deadline_factor
         work_ms = self._random.randint(*shape.work_ms)
         target = f"{prefix_of(kind)}{self._random.randrange(40)}?work={work_ms}"
         size = self._random.choice(BODY_BYTES) if kind in (Kind.EDIT, Kind.FETCH) else 0
--- a/scripts/soak/report.py
+++ b/scripts/soak/report.py
@@ -50,7 +50,8 @@
         broken = Counter(item.rule.value for item in self.violations)
         counts = " ".join(f"{rule}={count}" for rule, count in sorted(broken.items())) or "none"
         return (
-            f"seed={self.settings.seed} nodes={self.settings.nodes} faults={len(self.faults)} "
+            f"seed={self.settings.seed} profile={self.settings.profile or '-'} "
+            f"nodes={self.settings.nodes} faults={len(self.faults)} "
             f"starts={self.starts} requests={self.requests} served={self.served_share:.3f} "
             f"p50_ms={self.p50_ms:.0f} p99_ms={self.p99_ms:.0f} "
             f"late_seconds={self.late_seconds:.1f} broken: {counts}"
--- a/scripts/soak/requests.py
+++ b/scripts/soak/requests.py
@@ -165,7 +165,9 @@
             shards=shards,
             is_repeatable=shape.is_repeatable,
             max_attempts=2,
-            timeout_seconds=round(shape.deadline_seconds * self._timeout_factor, 3),
+            timeout_seconds=round(
+                shape.deadline_seconds * self._settings.deadline_factor * self._timeout_factor, 3
+            ),
             objective_seconds=shape.objective_seconds,
             priority=list(Kind).index(kind),
             merged_records=8 if shards else 0,
--- a/scripts/soak/settings.py
+++ b/scripts/soak/settings.py
@@ -29,7 +29,8 @@
     quota_window_seconds, quota_overage, quota_slack
         What a tenant's limit allows in a window.
     revocation_seconds
-        Time after which a key that was taken away runs nothing any more, at any node.
+        Time after which a key that was taken away runs nothing any more, at any node; ``None``: no
+        such bound is stated, and keys go by the configuration.
     """
 
     contact_seconds: float = 4.0
@@ -43,7 +44,7 @@
     quota_window_seconds: float = 5.0
     quota_overage: float = 0.1
     quota_slack: float = 20.0
-    revocation_seconds: float = 4.0
+    revocation_seconds: float | None = 4.0
 
 
 @attrs.frozen
@@ -54,6 +55,8 @@
     ----------
     seed
         Draws everything that chance decides.
+    profile
+        Name of the profile that the sizes and bounds were drawn from; empty: none.
     seconds
         How long faults are begun.
     nodes, zones
@@ -73,6 +76,8 @@
         Names of the faults to draw from; empty: all.
     has_tenants
         Whether callers need keys, and tenants have limits.
+    deadline_factor
+        By how much the deadlines and time limits of requests are longer than usual.
     leave_share
         Share of the requests whose clients leave before they are answered.
     lead_seconds, settle_seconds
@@ -80,6 +85,7 @@
     """
 
     seed: int = 1
+    profile: str = ""
     seconds: float = 25.0
     nodes: int = 8
     zones: int = 3
@@ -92,6 +98,7 @@
     fault_gap_seconds: float = 1.0
     faults: tuple[str, ...] = ()
     has_tenants: bool = False
+    deadline_factor: float = 1.0
     leave_share: float = 0.05
     lead_seconds: float = 1.5
     settle_seconds: float = 2.0
