Callers: changed size limits hold on connections that are kept open

Cause: a server connection took the limits on headers and bodies from the configuration of the moment at which it was opened.

Change: the reader takes the limits in force at the end of each request's head, and a request goes by them to its end. The protocol library takes its buffer size once, so it gets a ceiling, and an unfinished head is measured against the limit in force.

--- a/wingquay/adapters/http_request_reader.py
+++ b/wingquay/adapters/http_request_reader.py
@@ -1,5 +1,6 @@
 """Reads whole requests off a server connection, within limits."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Any, cast
 from urllib.parse import parse_qsl
@@ -16,6 +17,9 @@
 
 HEADER_SEPARATORS_BYTES = 4
 """Colon, space and line end of a header line."""
+MAX_EVENT_BYTES = 1 << 20
+"""Bytes that the protocol library buffers for a head or a chunk header. It takes the number once
+for a connection, so it is above the usual header limits, which may change and are checked here."""
 
 
 @value
@@ -42,12 +46,14 @@
     http
         The connection's protocol state; bytes are given to it by the owner.
     limits
-        ``header_bytes`` and ``body_bytes`` are kept here.
+        Returns the limits in force, of which ``header_bytes`` and ``body_bytes`` are kept here. A
+        request goes by those at the end of its head.
     """
 
-    def __init__(self, http: h11.Connection, limits: HttpLimits) -> None:
+    def __init__(self, http: h11.Connection, limits: Callable[[], HttpLimits]) -> None:
         self._http = http
-        self._limits = limits
+        self._limits_in_force = limits
+        self._limits = limits()
         self._head: h11.Request | None = None
         self._headers: dict[str, str] = {}
         self._body = bytearray()
@@ -72,7 +78,7 @@
         while True:
             event: Any = self._http.next_event()
             if event is h11.NEED_DATA:
-                return ReadProgress.MORE_NEEDED
+                return self._check_partial_head() or ReadProgress.MORE_NEEDED
             if isinstance(event, h11.EndOfMessage):
                 return self._whole_request()
             if isinstance(event, h11.Request):
@@ -84,11 +90,26 @@
             if refusal is not None:
                 return refusal
 
+    def _check_partial_head(self) -> RequestRefusal | None:
+        """Refuse a head that is too long before it is whole."""
+        if self._http.their_state is not h11.IDLE:
+            return None
+        buffered, _ = self._http.trailing_data
+        return self._check_head_bytes(len(buffered), self._limits_in_force().header_bytes)
+
+    @staticmethod
+    def _check_head_bytes(size_bytes: int, limit_bytes: int) -> RequestRefusal | None:
+        if size_bytes <= limit_bytes:
+            return None
+        return RequestRefusal(431, f"request line and headers exceed {limit_bytes} bytes")
+
     def _take_head(self, head: h11.Request) -> RequestRefusal | None:
+        self._limits = self._limits_in_force()
         raw_headers = list(cast(RawHeaders, head.headers))
-        limit_bytes = self._limits.header_bytes
-        if _head_bytes(head, raw_headers) > limit_bytes:
-            return RequestRefusal(431, f"request line and headers exceed {limit_bytes} bytes")
+        head_bytes = _head_bytes(head, raw_headers)
+        refusal = self._check_head_bytes(head_bytes, self._limits.header_bytes)
+        if refusal is not None:
+            return refusal
         self._head = head
         self._headers = headers_from_raw(raw_headers)
         self._body.clear()
--- a/wingquay/adapters/http_server_connection.py
+++ b/wingquay/adapters/http_server_connection.py
@@ -16,7 +16,7 @@
     HttpResponse,
     headers_to_raw,
 )
-from .http_request_reader import ReadProgress, RequestReader, RequestRefusal
+from .http_request_reader import MAX_EVENT_BYTES, ReadProgress, RequestReader, RequestRefusal
 from .round_trip import round_trip_seconds
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -69,9 +69,9 @@
     def __init__(self, server: ConnectionOwner) -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
-        limits = server.limits
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-        self._reader = RequestReader(self._http, limits)
+        max_event_bytes = max(MAX_EVENT_BYTES, server.limits.header_bytes)
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_event_bytes)
+        self._reader = RequestReader(self._http, lambda: server.limits)
         self._transport: asyncio.Transport | None = None
         self._phase = _Phase.READING
         self._has_partial_request = False
--- a/wingquay/platform/standins/replica.py
+++ b/wingquay/platform/standins/replica.py
@@ -176,7 +176,7 @@
     def __init__(self, replica: StandInReplica) -> None:
         self._replica = replica
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=LIMITS.header_bytes)
-        self._reader = RequestReader(self._http, LIMITS)
+        self._reader = RequestReader(self._http, lambda: LIMITS)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._arrival: Arrival | None = None
