Loop lag: what is read after a pause counts as old before the timer fires

The age of requests and reports came from the last lag timer alone. A process that stood still reads its sockets before its timers fire, so it took all that had waited for new: it gave replicas time that was over, and worked on delegated requests that nobody waits for.

--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -198,7 +198,7 @@
             ForwardFailureKind.NO_ROUTE,
             reply_to(node, send_request(node, 1, "other", "/none/")).kind,
         )
-        node.machine._forwarding.lag.seconds = 3.0
+        node.machine._forwarding.lag.measured_seconds = 3.0
         reply = reply_to(node, send_request(node, 2, "other"))
         self.assertEqual("the request's deadline passed before it was read", reply.reason)
         self.assertEqual([], limits.admit_calls)
@@ -277,7 +277,7 @@
         send_request(node, 6, SECRET, "/none/")
         proof.proven = True
         limits.answer = ADMITTED
-        node.machine._forwarding.lag.seconds = 3.0
+        node.machine._forwarding.lag.measured_seconds = 3.0
         send_request(node, 7, SECRET)
         self.assertNotIn(SECRET, output_without_replies(node))
         lines = [dict(line.fields) for line in request_ended_lines(node)]
--- a/tests/forwarding/test_suspension.py
+++ b/tests/forwarding/test_suspension.py
@@ -95,4 +95,4 @@
         one = node()
         suspend(one, 3.0)
         one.advance(2.0)
-        self.assertLess(one.machine._forwarding.lag.seconds, 0.01)
+        self.assertLess(one.machine._forwarding.lag.seconds(one.now), 0.01)
--- a/wingquay/forwarding/crashing/guard.py
+++ b/wingquay/forwarding/crashing/guard.py
@@ -164,7 +164,9 @@
             is_new = self._suspects.clear(identity, now)
             return self._report(identity, now, sender, True) if is_new else []
         was_held = self._is_held(identity, now)
-        is_new = self._suspects.add(identity, _crashes_from(report, now - self._lag.seconds), now)
+        is_new = self._suspects.add(
+            identity, _crashes_from(report, now - self._lag.seconds(now)), now
+        )
         if report.held_seconds:
             is_new = self._suspects.hold(identity, report.held_seconds, now) or is_new
         if not is_new:
--- a/wingquay/forwarding/forwarding_machine.py
+++ b/wingquay/forwarding/forwarding_machine.py
@@ -239,7 +239,7 @@
 
     def on_resumed(self, event: ProcessResumed, now: float) -> list[Action]:
         """Handle a suspension: end overdue exchanges; it does not count in the age of attempts."""
-        self.lag.seconds = event.seconds
+        self.lag.measured_seconds = event.seconds
         self._sender.on_suspended(event.seconds)
         return self._settlement.end_expired(now)
 
--- a/wingquay/forwarding/peers/delegated_work.py
+++ b/wingquay/forwarding/peers/delegated_work.py
@@ -107,6 +107,10 @@
             if not self._directory.has_candidates(shard, now)
         )
 
+    def is_over(self, message: DelegatedRequest, now: float) -> bool:
+        """Return whether the request's time was over before this node read the message."""
+        return self._lag.seconds(now) >= message.remaining_seconds
+
     def accept(
         self,
         sender: NodeIdentity,
@@ -119,7 +123,7 @@
         # Exchanges of callers have positive ids.
         exchange_id = -next(self._ids)
         event = ForwardRequested(exchange_id, message.request_id, "", "", message.request)
-        sent_at = now - self._lag.seconds
+        sent_at = now - self._lag.seconds(now)
         exchange = Exchange(
             event,
             table,
--- a/wingquay/forwarding/peers/peer_event_handler.py
+++ b/wingquay/forwarding/peers/peer_event_handler.py
@@ -100,7 +100,7 @@
         table: RoutingTable | None,
         now: float,
     ) -> list[Action]:
-        if table is None:
+        if table is None or self._work.is_over(message, now):
             return self._work.reject(sender, message)
         if self._guard.suspicion_level(message.request, now, message.tenant) is SuspicionLevel.HELD:
             identity = compute_identity(message.request, message.tenant)
--- a/wingquay/forwarding/periodic_work.py
+++ b/wingquay/forwarding/periodic_work.py
@@ -65,8 +65,6 @@
         self._members = members
         self._follower = follower
         self._proof_manager = proof_manager
-        self._lag_due_at = float("inf")
-        """When the next lag check is due."""
 
     def start(self, now: float) -> list[Action]:
         """Schedule the first sweep and the first lag check."""
@@ -123,11 +121,13 @@
         ]
 
     def _lag_due(self, event: LagDue, now: float) -> list[Action]:
-        if event.due_at != self._lag_due_at:
+        lag = self._forwarding.lag
+        if event.due_at != lag.timer_due_at:
             return []
-        self._forwarding.lag.seconds = max(now - event.due_at, 0.0)
+        lag.measured_seconds = max(now - event.due_at, 0.0)
         return self._schedule_lag(now)
 
     def _schedule_lag(self, now: float, seconds: float = LAG_CHECK_SECONDS) -> list[Action]:
-        self._lag_due_at = now + seconds
-        return [Schedule(self._lag_due_at, LagDue(self._lag_due_at))]
+        due_at = now + seconds
+        self._forwarding.lag.timer_due_at = due_at
+        return [Schedule(due_at, LagDue(due_at))]
--- a/wingquay/forwarding/request_arrival.py
+++ b/wingquay/forwarding/request_arrival.py
@@ -92,7 +92,7 @@
         route = table.find(event.host, event.path)
         if route is None:
             return self._replies.reject_no_route(stripped_event, table.version)
-        if self._is_too_late(event):
+        if self._is_too_late(event, now):
             return self._replies.reject_arrival_not_run(
                 stripped_event, LATE_REASON, MIN_RETRY_AFTER_SECONDS
             )
@@ -106,12 +106,14 @@
         if tenant is not None:
             route = self._priorities.apply(route, tenant, table)
         return self._admit(
-            Arrival(stripped_event, table, route, tenant, now, now - self._lag.seconds), now
+            Arrival(stripped_event, table, route, tenant, now, now - self._lag.seconds(now)), now
         )
 
-    def _is_too_late(self, event: ForwardRequested) -> bool:
+    def _is_too_late(self, event: ForwardRequested, now: float) -> bool:
         """Return whether the request was read only after its deadline."""
-        return event.deadline_seconds is not None and self._lag.seconds >= event.deadline_seconds
+        if event.deadline_seconds is None:
+            return False
+        return self._lag.seconds(now) >= event.deadline_seconds
 
     def _may_outlast_stop(self, event: ForwardRequested, route: Route, now: float) -> bool:
         """Return whether the request may still be open when this node stops."""
