--- a/tests/simulation/forwarding/test_soak.py
+++ b/tests/simulation/forwarding/test_soak.py
@@ -53,6 +53,16 @@
         for seed in (9300, 9306, 9427):
             self.soak(seed, drawn)
 
+    def test_the_minute_of_seed_70033(self) -> None:
+        """A request that was late between two nodes must not run on a third replica.
+
+        Sequence: a replica's entry has lapsed in an outage of the store, so the asking node knows
+        two of three replicas; it delegates a shard to a node whose messages are held up, and asks
+        both replicas itself. The delegated request arrives 2.8 s late, when the third replica is
+        back, and runs there.
+        """
+        self.soak(70033)
+
     def test_the_minute_of_seed_8015(self) -> None:
         """A merged answer is compared with what just its parts' signatures stand for.
 
