--- a/tests/soak/test_check_bounds.py
+++ b/tests/soak/test_check_bounds.py
@@ -53,6 +53,10 @@
 
     def setUp(self) -> None:
         super().setUp()
+        self.start_over()
+
+    def start_over(self) -> None:
+        """Begin a new ledger, with one configuration."""
         self.hand = HandLedger()
         self.hand.publish(table(1), 0.0)
 
@@ -95,23 +99,20 @@
 
     def test_request_counts_as_read_after_the_slack(self) -> None:
         for seconds, count in ((0.2 - MOMENT, 0), (0.2 + MOMENT, 1)):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.cut(seconds)
             self.assert_found(check_lost, count, seconds)
 
     def test_replica_that_broke_off_is_an_excuse(self) -> None:
         for end in ArrivalEnd:
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.hand.arrival(self.cut()).end = end
             excused = end in (ArrivalEnd.ANSWER_WITHHELD, ArrivalEnd.ENDED)
             self.assert_found(check_lost, 0 if excused else 1, end)
 
     def test_unplanned_trouble_of_the_node_is_an_excuse(self) -> None:
         for kind in SpanKind:
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.cut()
             self.hand.trouble(kind, 99.0, 99.5)
             excused = kind in (SpanKind.KILL, SpanKind.FREEZE)
@@ -119,12 +120,10 @@
 
     def test_deadline_and_time_limit_are_excuses(self) -> None:
         for seconds, count in ((TIMEOUT_SECONDS - 0.1, 1), (TIMEOUT_SECONDS, 0)):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.cut(seconds)
             self.assert_found(check_lost, count, seconds)
-        self.hand = HandLedger()
-        self.hand.publish(table(1), 0.0)
+        self.start_over()
         self.cut(1.0, deadline_seconds=1.0)
         self.assert_found(check_lost, 0)
 
@@ -152,8 +151,7 @@
 class RunsTest(CheckTest):
     def test_two_runs_only_of_what_may_run_once(self) -> None:
         for kind, count in ((Kind.EDIT, 1), (Kind.FETCH, 0), (Kind.CHECK, 0)):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             attempt = self.hand.request(kind)
             self.hand.arrival(attempt, replica="replica-0")
             self.assert_found(check_twice, 0, kind)
@@ -168,8 +166,7 @@
 
     def test_promises_of_what_has_run(self) -> None:
         for status, count in ((408, 1), (421, 1), (429, 1), (503, 1), (502, 0), (504, 0), (200, 0)):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.hand.arrival(self.hand.request(Kind.EDIT, status=status))
             self.assert_found(check_refused, count, status)
 
@@ -188,8 +185,7 @@
             ("service", "shard-0"),
             ("tenant", "blue"),
         ):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             arrival = self.hand.arrival(self.hand.request())
             self.assert_found(check_unasked, 0, field)
             self.hand.ledger.arrivals.clear()
@@ -216,8 +212,7 @@
             ({"server-stamp": "other"}, b""),
             (None, b"x"),
         ):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             attempt, _ = self.hand.served()
             attempt.headers = attempt.headers if headers is None else headers
             attempt.answer_body = body
@@ -244,8 +239,7 @@
 
     def test_merged_answers_that_do_not_fit(self) -> None:
         for fault in ("too few", "twice", "missing", "records", "failed part"):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             attempt = self.hand.merged(1 if fault == "too few" else 3)
             if fault == "twice":
                 first = attempt.headers["part-stamps"].split(", ")[0]
@@ -282,8 +276,7 @@
     def test_requests_on_too_many_replicas(self) -> None:
         settings = SoakSettings(bounds=Bounds(retry_slack=1_000.0))
         for count, found in ((3, 0), (4, 1)):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             for _ in range(count):
                 attempt = self.hand.request()
                 for number in range(3):
@@ -306,8 +299,7 @@
             (21, remaining_seconds + 0.5 + MOMENT, 0, 1),
             (21, remaining_seconds + 0.5 - MOMENT, 0, 0),
         ):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.late(count, given, others)
             self.assert_found(check_deadlines, found, (count, given, others))
 
@@ -328,8 +320,7 @@
     def test_old_service_runs_a_request_after_the_bound(self) -> None:
         bound = BOUNDS.configuration_seconds
         for after, count in ((bound - MOMENT, 0), (bound + MOMENT, 1)):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.moved(after)
             self.assert_found(check_configuration, count, after)
 
@@ -378,8 +369,7 @@
             (8, TIMEOUT_SECONDS + 0.5 + MOMENT, 23, 1),
             (8, TIMEOUT_SECONDS + 0.5 + MOMENT, 24, 0),
         ):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.hold(count, seconds, others)
             self.assert_found(check_held, found, (count, seconds, others))
 
@@ -389,8 +379,7 @@
 
     def test_requests_that_were_left_or_never_sent_are_not_held(self) -> None:
         for field, value in (("ending", Ending.LEFT), ("last_byte_at", 0.0)):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.hold(8, TIMEOUT_SECONDS + 1.0)
             self.assert_found(check_held, 1, field)
             for attempt in self.hand.ledger.attempts.values():
@@ -410,8 +399,7 @@
             (20, 421, 0),
             (20, 429, 0),
         ):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.deny(count, status)
             self.assert_found(check_denied, found, (count, status))
 
@@ -447,8 +435,7 @@
             (8, 0.5 - MOMENT, 0),
             (7, 0.5 + MOMENT, 0),
         ):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             self.leave(count, works_on)
             self.assert_found(check_gone, found, (count, works_on))
 
@@ -469,8 +456,7 @@
 
     def test_work_that_begins_late(self) -> None:
         for count, after, found in ((4, 0.6 + MOMENT, 1), (4, 0.6 - MOMENT, 0), (3, 0.7, 0)):
-            self.hand = HandLedger()
-            self.hand.publish(table(1), 0.0)
+            self.start_over()
             for _ in range(count):
                 attempt = self.hand.request(seconds=0.1, ending=Ending.LEFT)
                 self.hand.arrival(attempt, after_seconds=after, work_seconds=None)
