--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -14,11 +14,11 @@
 
 import fire
 
-from .faults import FAULTS
 from .profiles import PROFILES, draw_profile
 from .report import RunReport, to_json, to_text
 from .run import judge, record
 from .settings import SoakSettings
+from .strike import FAULTS
 
 MAX_NODES = 200
 OK, BROKEN, USAGE = 0, 1, 2
--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -1,4 +1,4 @@
-"""What strikes a run from outside: each fault is a coroutine that begins trouble and ends it."""
+"""Faults that strike a run from outside: each is a coroutine that begins trouble and ends it."""
 
 import asyncio
 import random
@@ -27,10 +27,6 @@
 ROLL_SHARE = 0.5
 FIRST_OTHER_HOST = 400
 BURST_PAUSE_SECONDS = 0.1
-NEAR_SECONDS = 0.5
-"""Time between two faults that are drawn together."""
-BOTH_WAYS_SHARE = 0.3
-"""Share of the cuts that begin in both directions."""
 STORM = 5
 """Configurations in quick succession."""
 
@@ -310,48 +306,6 @@
         await context.wait((0.02, 0.4))
 
 
-async def configurations_during_a_cut(context: FaultContext) -> None:
-    """Publish two changes as a node loses the store; first answers are late, then calls."""
-    deployment = context.deployment
-    name = context.chance.choice(list(deployment.proxies))
-    trouble = deployment.proxies[name].trouble
-    with context.span(SpanKind.LINK, name, "to_client, then to_server"):
-        trouble.holds_to_client = True
-        trouble.holds_to_server = context.chance.random() < BOTH_WAYS_SHARE
-        await context.wait((0.0, NEAR_SECONDS))
-        await configuration_changed(context)
-        await context.wait((0.02, 0.4))
-        await route_moved(context)
-        await context.wait(TROUBLE_SECONDS)
-        trouble.holds_to_server = True
-        trouble.holds_to_client = False
-        await context.wait(TROUBLE_SECONDS)
-        deployment.proxies[name].trouble = type(trouble)()
-
-
-async def key_taken_away_at_a_restore(context: FaultContext) -> None:
-    """Take keys away while the store goes away and comes back from an older copy."""
-    restoring = asyncio.create_task(store_restored(context))
-    await context.wait((0.0, COPY_AGE_SECONDS[1] + AWAY_SECONDS[1]))
-    await keys_changed(context)
-    await restoring
-
-
-async def roll_with_late_repeats(context: FaultContext) -> None:
-    """Stop half of the nodes in turn while replicas repeat answers late."""
-    repeating = asyncio.create_task(burst_with_late_repeats(context))
-    await nodes_rolled(context)
-    await repeating
-
-
-async def configuration_near_a_kill(context: FaultContext) -> None:
-    """Publish a change within a moment of the end of a node."""
-    killing = asyncio.create_task(node_killed(context))
-    await context.wait((0.0, NEAR_SECONDS))
-    await route_moved(context)
-    await killing
-
-
 async def keys_changed(context: FaultContext) -> None:
     """Take keys away and give others out."""
     operator = context.deployment.operator
@@ -359,71 +313,6 @@
     await asyncio.sleep(0)
 
 
-FAULTS: dict[str, Fault] = {
-    fault.__name__: fault
-    for fault in (
-        node_stopped,
-        nodes_rolled,
-        node_stopped_twice,
-        node_killed,
-        nodes_killed_together,
-        node_frozen,
-        node_frozen_in_a_stop,
-        node_hung_up,
-        store_link_troubled,
-        many_store_links_troubled,
-        store_troubled,
-        store_restored,
-        replicas_slow,
-        replicas_faulty,
-        answers_repeated_late,
-        replicas_reject,
-        burst_of_edits,
-        burst_with_late_repeats,
-        replica_crashed,
-        replica_connections_reset,
-        configuration_changed,
-        route_moved,
-        configurations_in_quick_succession,
-        keys_changed,
-        configurations_during_a_cut,
-        key_taken_away_at_a_restore,
-        roll_with_late_repeats,
-        configuration_near_a_kill,
-    )
-}
-
-
-async def strike(deployment: Deployment) -> list[str]:
-    """Begin faults for as long as the settings say, and wait until all have ended.
-
-    Returns
-    -------
-    list
-        The names of the faults in the order of their begins.
-    """
-    settings = deployment.settings
-    chance = random.Random(f"faults/{settings.seed}")
-    names = settings.faults or tuple(FAULTS)
-    busy: set[str] = set()
-    begun: list[str] = []
-    tasks: list[asyncio.Task[None]] = []
-    loop = asyncio.get_running_loop()
-    until = loop.time() + settings.seconds
-    while loop.time() < until:
-        await asyncio.sleep(chance.expovariate(1.0 / settings.fault_gap_seconds))
-        name = chance.choice(names)
-        context = FaultContext(deployment, random.Random(chance.getrandbits(64)), busy)
-        begun.append(name)
-        tasks.append(loop.create_task(_run(FAULTS[name], context)))
-    await asyncio.gather(*tasks)
-    return begun
-
-
-async def _run(fault: Fault, context: FaultContext) -> None:
-    await fault(context)
-
-
 async def _stop(context: FaultContext, node: Node) -> None:
     """Send SIGTERM, and SIGKILL once the time of grace is over."""
     grace_seconds = context.deployment.settings.bounds.grace_seconds
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -9,10 +9,10 @@
 from .chart import write_chart
 from .checks import check_all
 from .deployment import Deployment, NodeMaker
-from .faults import strike
 from .ledger import Ledger
 from .report import RunReport, make_report
 from .settings import SoakSettings
+from .strike import strike
 
 LIMIT_SECONDS = 120.0
 """Time granted beside the faults themselves; after it the run is given up."""
