Review: case 4's nodes take ports that outgoing connections never get

Cause: in a probe a restarted node found its port taken by an outgoing connection of another process, and the run could not begin.

--- a/review/lab_2/node.py
+++ b/review/lab_2/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -13,6 +14,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 READY_SECONDS = 20.0
+LISTENING_PORTS = (15_000, 32_000)
+"""Below those that the kernel gives to outgoing connections."""
 BOUNDS: dict[str, object] = {
     "contactMs": 4000,
     "drainMs": 3000,
@@ -29,10 +32,14 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
+    """Return a port that is free now and that no outgoing connection takes while a node is down."""
+    while True:
+        port = random.randrange(*LISTENING_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
         return port
 
 
