Review: case 4 ends its nodes also when it fails or is stopped

Cause: a script that was sent SIGTERM left its four nodes running, and a node that failed to start could leave the others; review/lab_2 had parts that no case uses. Change: the case ends its nodes first of all, on every way out but SIGKILL of itself; it stops by itself after 90 s; unused parts and review/lab_2/__init__.py are gone.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -30,6 +30,7 @@
 KILL_INTERVAL_SECONDS = 6.0
 KILLS = 2
 DOWN_SECONDS = 2.0
+MOST_SECONDS = 90.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 _random = random.Random(60)
@@ -77,7 +78,7 @@
         due_at = began_at + FIRST_KILL_SECONDS + number * KILL_INTERVAL_SECONDS
         await asyncio.sleep(due_at - loop.time())
         node = nodes[number % len(nodes)]
-        node.send_signal(signal.SIGKILL)
+        node.kill()
         events.append(f"{loop.time() - began_at:.3f} s SIGKILL {node.name}")
         await asyncio.sleep(DOWN_SECONDS)
         await node.start()
@@ -143,6 +144,10 @@
 
 async def run(directory: Path) -> int:
     """Play the case; return the exit status."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     platform = Platform()
     await platform.start()
     shards: list[str] = []
@@ -160,15 +165,20 @@
     client = Client(nodes[0].port, HOST)
     events: list[str] = []
     try:
-        await asyncio.gather(*(node.start() for node in nodes))
-        await asyncio.sleep(6.0)
-        works = [load(client)]
-        if TROUBLE:
-            works.append(kill_in_turn(nodes[1:3], events))
-        await asyncio.gather(*works)
+        async with asyncio.timeout(MOST_SECONDS):
+            async with asyncio.TaskGroup() as starting:
+                for node in nodes:
+                    starting.create_task(node.start())
+            await asyncio.sleep(6.0)
+            async with asyncio.TaskGroup() as working:
+                working.create_task(load(client))
+                if TROUBLE:
+                    working.create_task(kill_in_turn(nodes[1:3], events))
     finally:
+        # First of all, and without a wait: nothing may keep a node from being ended.
+        for node in nodes:
+            node.kill()
         client.close()
-        await asyncio.gather(*(node.end() for node in nodes))
         await platform.close()
     found = judge(replicas, client)
     write_record(found, replicas, client, events)
@@ -186,7 +196,7 @@
     with tempfile.TemporaryDirectory() as directory:
         try:
             return asyncio.run(run(Path(directory)))
-        except (OSError, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
             print(f"could not run: {error!r}")
             return 2
 
--- a/review/lab_2/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and helpers of the cases of the second review."""
--- a/review/lab_2/client.py
+++ b/review/lab_2/client.py
@@ -38,28 +38,18 @@
         self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
         self.requests: list[Request] = []
 
-    async def send(
-        self,
-        target: str,
-        deadline_ms: int,
-        method: str = "GET",
-        body: bytes = b"",
-        headers: dict[str, str] | None = None,
-    ) -> Request:
+    async def send(self, target: str, deadline_ms: int) -> Request:
         """Send a request and wait for its answer."""
         loop = asyncio.get_running_loop()
         request = Request(new_id(), target, loop.time())
         self.requests.append(request)
         lines = [
-            f"{method} {target} HTTP/1.1",
+            f"GET {target} HTTP/1.1",
             f"Host: {self._host_header}",
             f"Request-Id: {request.request_id}",
             f"Deadline-Ms: {deadline_ms}",
-            *(f"{name}: {text}" for name, text in (headers or {}).items()),
         ]
-        if body:
-            lines.append(f"Content-Length: {len(body)}")
-        data = "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+        data = "\r\n".join([*lines, "", ""]).encode("latin-1")
         try:
             async with asyncio.timeout(deadline_ms / 1000.0 + 1.0):
                 await self._exchange(request, data)
--- a/review/lab_2/node.py
+++ b/review/lab_2/node.py
@@ -5,8 +5,8 @@
 import os
 import random
 import re
-import signal
 import socket
+import subprocess
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -124,7 +124,7 @@
             "platform": {"address": f"{HOST}:{store_port}"},
             "bounds": BOUNDS | (bounds or {}),
         }
-        self._process: asyncio.subprocess.Process | None = None
+        self._process: subprocess.Popen[bytes] | None = None
 
     async def start(self) -> None:
         """Start the process, and wait until it says that it is ready."""
@@ -135,8 +135,9 @@
         passed["WINGQUAY_BOOT"] = str(self._settings_path)
         passed["PYTHONPATH"] = str(ROOT / "target/deps")
         with self.log_path.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                *role["run"].split(), cwd=ROOT, env=passed, stdout=log, stderr=log
+            # Not asyncio's call, which could be cancelled while the process is being made.
+            self._process = subprocess.Popen(
+                role["run"].split(), cwd=ROOT, env=passed, stdout=log, stderr=log
             )
         await self.wait_ready()
 
@@ -159,18 +160,8 @@
         finally:
             writer.close()
 
-    def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process that this object started."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
-
-    @property
-    def exit_code(self) -> int | None:
-        """How the process ended; ``None`` while it runs."""
-        return None if self._process is None else self._process.returncode
-
-    async def end(self) -> None:
-        """Kill the process and wait for its end."""
-        self.send_signal(signal.SIGKILL)
+    def kill(self) -> None:
+        """End the process, if it runs, and wait for its end."""
         if self._process is not None:
-            await self._process.wait()
+            self._process.kill()
+            self._process.wait()
--- a/review/lab_2/platform.py
+++ b/review/lab_2/platform.py
@@ -38,15 +38,8 @@
         self._sequence += 1
         self.store.put(f"servers/{replica.replica_id}", replica.entry(self._sequence))
 
-    def remove_entry(self, replica: Replica) -> None:
-        """Let the entry of a replica go."""
-        self.replicas.remove(replica)
-        self.store.remove(f"servers/{replica.replica_id}")
-
-    def configure(
-        self, routes: list[dict[str, object]], connections: int = 64, **others: object
-    ) -> int:
-        """Write a configuration; return its version."""
+    def configure(self, routes: list[dict[str, object]], connections: int) -> None:
+        """Write a configuration."""
         self._version += 3
         names = sorted({name for route in routes for name in _services_of(route)})
         services = [
@@ -63,10 +56,8 @@
             "routes": routes,
             "services": services,
             "limits": limits,
-            **others,
         }
         self.store.put("op/config", document)
-        return self._version
 
     async def close(self) -> None:
         """End everything."""
--- a/review/lab_2/replica.py
+++ b/review/lab_2/replica.py
@@ -20,15 +20,12 @@
     request_id: str
     service: str
     replica_id: str
-    method: str
-    target: str
     headers: dict[str, str]
     arrived_at: float
     has_run: bool = False
     ended_at: float = 0.0
     signature: str = ""
     body: bytes = b""
-    received: bytes = b""
 
 
 @dataclass
@@ -50,9 +47,6 @@
     runs: list[Run] = field(default_factory=list)
     port: int = 0
     """Where it listens."""
-    shown_port: int = 0
-    """Where its entry says that it listens, if a proxy stands before it."""
-    state: str = "ready"
 
     def __post_init__(self) -> None:
         """Prepare what belongs to the event loop."""
@@ -78,11 +72,11 @@
         """Return its entry in the store."""
         return {
             "service": self.service,
-            "address": f"{HOST}:{self.shown_port or self.port}",
+            "address": f"{HOST}:{self.port}",
             "zone": self.zone,
             "version": "v1",
             "capacity": self.slots,
-            "state": self.state,
+            "state": "ready",
             "warmupLeftMs": 0,
             "sequence": sequence,
         }
@@ -101,14 +95,12 @@
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         head = await reader.readuntil(b"\r\n\r\n")
         lines = head.decode("latin-1").split("\r\n")
-        method, target, _ = lines[0].split(" ", 2)
         pairs = (line.split(":", 1) for line in lines[1:] if ":" in line)
         headers = {name.lower(): text.strip() for name, text in pairs}
-        received = await reader.readexactly(int(headers.get("content-length", "0")))
+        await reader.readexactly(int(headers.get("content-length", "0")))
         now = asyncio.get_running_loop().time()
         request_id = headers.get("request-id", "")
-        run = Run(request_id, self.service, self.replica_id, method, target, headers, now)
-        run.received = received
+        run = Run(request_id, self.service, self.replica_id, headers, now)
         self.runs.append(run)
         expected = headers.get("expected-instance", self.replica_id)
         if expected != self.replica_id:
