--- a/review/standins_3/lab.py
+++ b/review/standins_3/lab.py
@@ -123,7 +123,7 @@
             for way in pending:
                 way.cancel()
             await asyncio.gather(*ways, return_exceptions=True)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             for each in (writer, other):
