Review case 5: exit with 2 whenever it couldn't run

Cause: an error of the script, or missing libraries, ended Python with 1, which says that the rule was broken; and a SIGTERM of run.sh did not reach the script at once.

--- a/review/standins_3/lab.py
+++ b/review/standins_3/lab.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Coroutine, Mapping
 from pathlib import Path
 from typing import Any
@@ -37,6 +38,7 @@
 READ_BYTES = 65_536
 READY_SECONDS = 20.0
 LISTED_SECONDS = 10.0
+LONGEST_SECONDS = 100.0
 
 Address = tuple[str, int]
 Fields = Mapping[str, object]
@@ -47,17 +49,22 @@
 
 
 def run_case(main: Coroutine[Any, Any, int]) -> int:
-    """Run a case to its end and return its exit code; a SIGTERM ends it early, with 2."""
+    """Run a case and return its exit code; 2 if it failed, took too long or got a SIGTERM."""
 
     async def run() -> int:
         task = asyncio.ensure_future(main)
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.add_signal_handler(number, task.cancel)
+        loop.call_later(LONGEST_SECONDS, task.cancel)
         try:
             return await task
         except asyncio.CancelledError:
             return 2
+        except Exception:
+            # Python's own exit code of an error, 1, would say that the rule was broken.
+            traceback.print_exc()
+            return 2
 
     return asyncio.run(run())
 
